Begin the project: interfaces that the packages share

Cause: the repository is empty; several people begin side by side and need the same types. Conclusion: the thin path can be built on these.

--- /dev/null
+++ b/internal/router/event.go
@@ -0,0 +1,12 @@
+package router
+
+import "galenatrestle/internal/refusal"
+
+// Event is a decision of Pool.Next: exactly one of Replica and Refused is set.
+type Event struct {
+	ID string
+	// Replica is the replica the request is bound to.
+	Replica *Replica
+	// Refused is why the request was given up while it waited.
+	Refused *refusal.Error
+}
