Add the clients for engines and plain services

Cause: the gateway needs calls of upstreams whose every failure says what is known of the run, so that 'not run' is only told where it is proved.

Change: package upstream. NotRun is given only where no connection was obtained or the engine itself said overloaded or leaving; a stream without its end mark, or a body that is no whole JSON value, is Broken; a lost connection is Crashed; silence is Timeout. Plain service calls use a body that cannot be rewound, since net/http repeats a request with an Idempotency-Key by itself.

--- /dev/null
+++ b/internal/upstream/engine_call.go
@@ -0,0 +1,14 @@
+package upstream
+
+// EngineCall is one attempt at an engine.
+type EngineCall struct {
+	// ID names the attempt; it goes out as openai.HeaderRequestID.
+	ID string
+	// Path is the engine's path, such as "/v1/chat/completions".
+	Path string
+	// Body is the request, already encoded. It must not change before the
+	// stream is closed.
+	Body []byte
+	// Stream says that the body asks for a streamed answer.
+	Stream bool
+}
--- /dev/null
+++ b/internal/upstream/service_test.go
@@ -0,0 +1,85 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"testing"
+)
+
+// TestServiceNeverRepeats closes an idle connection at the moment of the next
+// call: the transport repeats a request with an Idempotency-Key by itself
+// unless it is kept from it.
+func TestServiceNeverRepeats(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodGet} {
+		for _, unrepeatable := range []bool{false, true} {
+			t.Run(fmt.Sprint(method, unrepeatable), func(t *testing.T) {
+				var runs atomic.Int64
+				address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+					if runs.Add(1) > 1 {
+						connection, _, _ := http.NewResponseController(w).Hijack()
+						_ = connection.Close()
+					}
+				})
+				service := NewService(Options{})
+				t.Cleanup(service.Close)
+				call := ServiceCall{
+					Method: method, Path: "/claims", Unrepeatable: unrepeatable,
+					Header: http.Header{"Idempotency-Key": {"k"}},
+				}
+				if _, err := service.Do(t.Context(), address, call); err != nil {
+					t.Fatal(err)
+				}
+				if _, err := service.Do(t.Context(), address, call); KindOf(err) != Crashed {
+					t.Fatalf("error %v, want %s", err, Crashed)
+				}
+				if runs.Load() != 2 {
+					t.Fatalf("%d runs, want 2", runs.Load())
+				}
+			})
+		}
+	}
+}
+
+func TestServicePassesThrough(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
+		for _, name := range []string{"Authorization", "X-Private", "Connection"} {
+			if r.Header.Get(name) != "" {
+				w.Header().Add("X-Leaked", name)
+			}
+		}
+		w.Header().Set("X-Kept", r.Header.Get("X-Kept")+r.URL.RawQuery)
+		w.WriteHeader(http.StatusTeapot)
+		fmt.Fprint(w, "body")
+	})
+	service := NewService(Options{})
+	t.Cleanup(service.Close)
+	answer, err := service.Do(t.Context(), address, ServiceCall{
+		Method: http.MethodPut, Path: "/a?b=c", Body: []byte("x"),
+		Header: http.Header{
+			"Authorization": {"Bearer caller"}, "Connection": {"X-Private"},
+			"X-Private": {"1"}, "X-Kept": {"1"},
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if answer.Status != http.StatusTeapot || string(answer.Body) != "body" {
+		t.Fatalf("answer %+v", answer)
+	}
+	if answer.Header.Get("X-Kept") != "1b=c" || answer.Header.Get("X-Leaked") != "" {
+		t.Fatalf("headers %v", answer.Header)
+	}
+	if _, err := service.Do(t.Context(), closedAddress(t), ServiceCall{Method: "POST", Path: "/"}); KindOf(err) != NotRun {
+		t.Fatalf("error %v, want %s", err, NotRun)
+	}
+}
+
+func TestServiceAnswerBound(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "12345") })
+	service := NewService(Options{MaxAnswerBytes: 4})
+	t.Cleanup(service.Close)
+	if _, err := service.Do(t.Context(), address, ServiceCall{Method: "GET", Path: "/"}); KindOf(err) != Broken {
+		t.Fatalf("error %v, want %s", err, Broken)
+	}
+}
--- /dev/null
+++ b/internal/upstream/transport.go
@@ -0,0 +1,70 @@
+package upstream
+
+import (
+	"net"
+	"net/http"
+	"time"
+)
+
+// Defaults of the connections to upstreams.
+const (
+	DefaultDialTimeout     = time.Second
+	DefaultIdlePerAddress  = 64
+	DefaultIdleTimeout     = 30 * time.Second
+	DefaultStallTimeout    = 30 * time.Second
+	DefaultMaxAnswerBytes  = 16 << 20
+	DefaultMaxPayloadBytes = 1 << 20
+	keepAliveProbeInterval = 15 * time.Second
+	writeBufferBytes       = 16 << 10
+	readBufferBytes        = 8 << 10
+)
+
+// Options tune a client. The zero value means the defaults.
+type Options struct {
+	// DialTimeout bounds the setting up of a connection.
+	DialTimeout time.Duration
+	// IdlePerAddress is the most idle connections kept to one address.
+	IdlePerAddress int
+	// IdleTimeout is how long an idle connection is kept.
+	IdleTimeout time.Duration
+	// StallTimeout is the longest wait for an engine's next bytes.
+	StallTimeout time.Duration
+	// MaxAnswerBytes bounds an answer that is not streamed.
+	MaxAnswerBytes int64
+	// MaxPayloadBytes bounds one event of a stream.
+	MaxPayloadBytes int
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.DialTimeout, DefaultDialTimeout)
+	setDefault(&o.IdlePerAddress, DefaultIdlePerAddress)
+	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
+	setDefault(&o.StallTimeout, DefaultStallTimeout)
+	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	setDefault(&o.MaxPayloadBytes, DefaultMaxPayloadBytes)
+	return o
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+// newTransport returns a transport without proxies, compression or HTTP/2.
+func newTransport(o Options) *http.Transport {
+	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAliveProbeInterval}
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: o.IdlePerAddress,
+		IdleConnTimeout:     o.IdleTimeout,
+		DisableCompression:  true,
+		WriteBufferSize:     writeBufferBytes,
+		ReadBufferSize:      readBufferBytes,
+		Protocols:           protocols,
+	}
+}
