Add the retry and hedge decisions

Cause: a failed attempt must be repeated only where that is safe and does some good, and the loss of an availability zone must not become a storm.

Change: package retry, pure.

--- /dev/null
+++ b/internal/retry/hedge.go
@@ -0,0 +1,57 @@
+package retry
+
+import "time"
+
+const (
+	// hedgeQuantile of the observed first token times must have passed before
+	// a hedge, so that about one request in twenty asks for one.
+	hedgeQuantile = 0.95
+	// hedgeTier is the only tier that may hedge.
+	hedgeTier = 0
+)
+
+// Hedge tells of a request whose only attempt has brought no token yet.
+type Hedge struct {
+	Class    string
+	Upstream string
+	Tier     int
+	// Allowed is the class's setting.
+	Allowed bool
+	// Repeatable says that running the call twice does no harm.
+	Repeatable bool
+	// Waited is the time since the attempt was sent.
+	Waited time.Duration
+	// Remaining is the time until an answer is of no more use.
+	Remaining time.Duration
+	// Attempts in flight and those before.
+	Attempts int
+}
+
+// ObserveFirstToken adds the time from sending an attempt to its first token.
+func (p *Policy) ObserveFirstToken(now time.Time, class, upstream string, d time.Duration) {
+	p.latencies.observe(now, budgetKey{class, upstream}, d)
+}
+
+// HedgeAfter returns how long to wait for the first token before asking
+// ShouldHedge, or false where no hedge is to be made.
+func (p *Policy) HedgeAfter(h Hedge) (time.Duration, bool) {
+	if !h.Allowed || !h.Repeatable || h.Tier != hedgeTier || h.Attempts != 1 {
+		return 0, false
+	}
+	after, known := p.latencies.quantile(budgetKey{h.Class, h.Upstream}, hedgeQuantile)
+	if !known || after >= h.Remaining+h.Waited {
+		return 0, false
+	}
+	return after, true
+}
+
+// ShouldHedge says whether to start a second attempt now. A yes is charged to
+// the retry budget at once.
+func (p *Policy) ShouldHedge(now time.Time, h Hedge) bool {
+	after, allowed := p.HedgeAfter(h)
+	if !allowed || h.Waited < after {
+		return false
+	}
+	ratio := p.limits.Load().RetryBudget
+	return p.budget.take(now, budgetKey{h.Class, h.Upstream}, ratio, false)
+}
--- /dev/null
+++ b/internal/retry/hedge_test.go
@@ -0,0 +1,79 @@
+package retry
+
+import (
+	"testing"
+	"time"
+
+	"galenatrestle/internal/config"
+)
+
+func TestHedge(t *testing.T) {
+	allowed := Hedge{
+		Class: "quick", Upstream: "llm", Allowed: true, Repeatable: true,
+		Waited: time.Second, Remaining: time.Minute, Attempts: 1,
+	}
+	change := func(f func(*Hedge)) Hedge {
+		h := allowed
+		f(&h)
+		return h
+	}
+	tests := []struct {
+		name  string
+		hedge Hedge
+		want  bool
+	}{
+		{"late", allowed, true},
+		{"not yet late", change(func(h *Hedge) { h.Waited = 90 * time.Millisecond }), false},
+		{"class does not allow", change(func(h *Hedge) { h.Allowed = false }), false},
+		{"lower tier", change(func(h *Hedge) { h.Tier = 1 }), false},
+		{"unrepeatable", change(func(h *Hedge) { h.Repeatable = false }), false},
+		{"second attempt already", change(func(h *Hedge) { h.Attempts = 2 }), false},
+		{"no samples", change(func(h *Hedge) { h.Class = "other" }), false},
+		{"of no use", change(func(h *Hedge) { h.Waited, h.Remaining = 40*time.Millisecond, 50*time.Millisecond }), false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			policy := NewPolicy(config.Limits{})
+			for i := range 100 {
+				policy.ObserveFirstToken(start, "quick", "llm", time.Duration(i+1)*time.Millisecond)
+			}
+			if got := policy.ShouldHedge(start, test.hedge); got != test.want {
+				t.Fatalf("got %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestHedgeSpendsTheBudget(t *testing.T) {
+	policy := NewPolicy(config.Limits{})
+	for range minSamples {
+		policy.ObserveFirstToken(start, "quick", "llm", time.Millisecond)
+	}
+	hedges := 0
+	for range 100 {
+		if policy.ShouldHedge(start, Hedge{
+			Class: "quick", Upstream: "llm", Allowed: true, Repeatable: true,
+			Waited: time.Second, Remaining: time.Second, Attempts: 1,
+		}) {
+			hedges++
+		}
+	}
+	if hedges != floor {
+		t.Fatalf("%d hedges without successes, want the floor %d", hedges, floor)
+	}
+}
+
+func TestOldLatenciesAreForgotten(t *testing.T) {
+	policy := NewPolicy(config.Limits{})
+	hedge := Hedge{Class: "quick", Upstream: "llm", Allowed: true, Repeatable: true, Remaining: time.Hour, Attempts: 1}
+	for generation, latency := range []time.Duration{time.Second, 10 * time.Second} {
+		now := start.Add(time.Duration(generation) * generationSpan)
+		for range minSamples {
+			policy.ObserveFirstToken(now, "quick", "llm", latency)
+		}
+		after, ok := policy.HedgeAfter(hedge)
+		if !ok || after < latency*9/10 || after > latency*11/10 {
+			t.Fatalf("hedge after %v, %v; want about %v", after, ok, latency)
+		}
+	}
+}
--- /dev/null
+++ b/internal/retry/reason.go
@@ -0,0 +1,38 @@
+package retry
+
+// Reason is one entry of the closed list of why an attempt was added.
+type Reason string
+
+// The reasons of an added attempt.
+const (
+	ReasonNotRun       Reason = "not_run"
+	ReasonBroken       Reason = "broken_before_answer"
+	ReasonBrokenAnswer Reason = "broken_in_answer"
+	ReasonCrashed      Reason = "crashed"
+	ReasonTimedOut     Reason = "timed_out"
+	ReasonHedge        Reason = "hedge"
+)
+
+// Reasons returns the closed list.
+func Reasons() []Reason {
+	return []Reason{
+		ReasonNotRun, ReasonBroken, ReasonBrokenAnswer,
+		ReasonCrashed, ReasonTimedOut, ReasonHedge,
+	}
+}
+
+func reasonOf(a Attempt) Reason {
+	switch a.Result {
+	case NotRun:
+		return ReasonNotRun
+	case Crashed:
+		return ReasonCrashed
+	case TimedOut:
+		return ReasonTimedOut
+	default:
+		if a.Delivered > 0 {
+			return ReasonBrokenAnswer
+		}
+		return ReasonBroken
+	}
+}
