answer: mend two faults of eviction under concurrent use

Two faults: Open looked at the use again after it had made room, so that another goroutine's answer made it say 'full' with answers left to evict; and finished answers were queued by the order of the calls, not of their ends.

Change: making room itself says whether there was room; finished answers are queued by their end.

--- a/internal/answer/evict.go
+++ b/internal/answer/evict.go
@@ -28,13 +28,14 @@
 }
 
 // makeRoom drops finished answers, the oldest first, while the store is over
-// its bound.
-func (s *Store) makeRoom() {
+// its bound. It says whether it came under it.
+func (s *Store) makeRoom() bool {
 	for s.used.Load() >= s.options.MaxBytes {
 		if !s.dropOldest() {
-			return
+			return false
 		}
 	}
+	return true
 }
 
 func (s *storeShard) dropExpired(now time.Time) {
--- a/internal/answer/store.go
+++ b/internal/answer/store.go
@@ -65,8 +65,7 @@
 // Open adds the answer of a new request, or returns ErrFull.
 func (s *Store) Open(now time.Time, meta Meta) (*Record, error) {
 	s.sweep(now)
-	s.makeRoom()
-	if s.used.Load() >= s.options.MaxBytes {
+	if !s.makeRoom() {
 		return nil, ErrFull
 	}
 	r := &Record{
@@ -105,5 +104,17 @@
 	shard := s.shard(r.meta.ID)
 	shard.mu.Lock()
 	defer shard.mu.Unlock()
-	shard.finished.PushBack(r)
+	shard.queue(r)
+}
+
+// queue adds the record by its end, which is almost always the latest. The
+// shard must be locked.
+func (s *storeShard) queue(r *Record) {
+	for e := s.finished.Back(); e != nil; e = e.Prev() {
+		if !e.Value.(*Record).finishedAt.After(r.finishedAt) {
+			s.finished.InsertAfter(r, e)
+			return
+		}
+	}
+	s.finished.PushFront(r)
 }
