router: a baseline pool for one upstream at one node

Change: router.Pool queues by tier, then arrival, with a bound for each class; gives up at GiveUpAt; binds by power of two choices on this node's own requests in flight, with fixed slots.

--- /dev/null
+++ b/internal/router/class_state.go
@@ -0,0 +1,22 @@
+package router
+
+import "galenatrestle/internal/config"
+
+// classState is a class with its counts in one pool.
+type classState struct {
+	config.Class
+	// retired classes admit nothing new.
+	retired bool
+	waiting int
+	running int
+}
+
+func withClassDefaults(class config.Class) config.Class {
+	if class.QueueBound == 0 {
+		class.QueueBound = defaultQueueBound
+	}
+	if class.MinShareAfter == 0 {
+		class.MinShareAfter = class.GiveUpAfter / 2
+	}
+	return class
+}
--- /dev/null
+++ b/internal/router/options.go
@@ -0,0 +1,38 @@
+package router
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"galenatrestle/internal/config"
+)
+
+// Defaults of the options and of the classes' settings.
+const (
+	defaultSlots      = 8
+	defaultQueueBound = 1000
+	minRetryAfter     = time.Second
+	maxRetryAfter     = time.Minute
+)
+
+// Options are what a Pool is created with.
+type Options struct {
+	// Upstream the pool decides for.
+	Upstream string
+	// AvailabilityZone of this node.
+	AvailabilityZone string
+	// Rand is the source of the pool's random choices; nil takes a fixed seed.
+	Rand *rand.Rand
+	// Classes, Replicas and Weights are the configuration to start with.
+	// Weights holds the workspaces' fair shares; 1 where one is missing.
+	Classes  []config.Class
+	Replicas []Replica
+	Weights  map[string]float64
+}
+
+func (o Options) withDefaults() Options {
+	if o.Rand == nil {
+		o.Rand = rand.New(rand.NewPCG(1, 2))
+	}
+	return o
+}
--- /dev/null
+++ b/internal/router/pool_choose.go
@@ -0,0 +1,51 @@
+package router
+
+import "slices"
+
+// choose returns the replica for w by the power of two choices on this node's
+// own requests in flight, or nil where none is free.
+func (p *Pool) choose(w *waiting) *replicaState {
+	candidates := p.candidates(w)
+	if len(candidates) == 0 {
+		return nil
+	}
+	first := candidates[p.rand.IntN(len(candidates))]
+	second := candidates[p.rand.IntN(len(candidates))]
+	if second.running < first.running {
+		return second
+	}
+	return first
+}
+
+// candidates lists the free replicas that w need not avoid. Where w avoids all
+// open replicas, avoiding has no point and all free ones count.
+func (p *Pool) candidates(w *waiting) []*replicaState {
+	var free []*replicaState
+	avoidable := false
+	for _, r := range p.order {
+		if !r.open() || slices.Contains(w.request.Avoid, r.Name) {
+			continue
+		}
+		avoidable = true
+		if r.free() {
+			free = append(free, r)
+		}
+	}
+	if avoidable {
+		return free
+	}
+	for _, r := range p.order {
+		if r.free() {
+			free = append(free, r)
+		}
+	}
+	return free
+}
+
+func (p *Pool) anyFree() bool {
+	return slices.ContainsFunc(p.order, (*replicaState).free)
+}
+
+func (p *Pool) anyOpen() bool {
+	return slices.ContainsFunc(p.order, (*replicaState).open)
+}
--- /dev/null
+++ b/internal/router/pool_replicas.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"slices"
+	"time"
+)
+
+// SetReplicas puts a new list of replicas in force. A replica that is no longer
+// listed gets nothing new and is forgotten when its last request has ended.
+func (p *Pool) SetReplicas(now time.Time, replicas []Replica) {
+	listed := make(map[string]bool, len(replicas))
+	for _, replica := range replicas {
+		listed[replica.Name] = true
+		p.setReplica(replica)
+	}
+	for _, r := range p.order {
+		r.removed = !listed[r.Name]
+	}
+	p.forgetRemoved()
+	p.changedAt = now
+}
+
+func (p *Pool) setReplica(replica Replica) {
+	fresh := newReplicaState(replica)
+	known, ok := p.replicas[replica.Name]
+	if ok {
+		known.Replica = fresh.Replica
+		return
+	}
+	p.replicas[replica.Name] = fresh
+	p.order = append(p.order, fresh)
+}
+
+func (p *Pool) forgetRemoved() {
+	p.order = slices.DeleteFunc(p.order, func(r *replicaState) bool {
+		forget := r.removed && r.running == 0
+		if forget {
+			delete(p.replicas, r.Name)
+		}
+		return forget
+	})
+}
+
+// SetLeaving marks a replica that announced its leaving, or takes the mark off.
+// The configuration's own mark holds besides.
+func (p *Pool) SetLeaving(now time.Time, replica string, leaving bool) {
+	r, ok := p.replicas[replica]
+	if !ok {
+		return
+	}
+	r.announced = leaving
+	p.changedAt = now
+}
+
+// SetAllowance sets the slots that the replica's owner gave to this node.
+// Negative: this node's own limit alone counts. Call Next afterwards.
+func (p *Pool) SetAllowance(replica string, slots int) {
+	if r, ok := p.replicas[replica]; ok {
+		r.allowance = slots
+	}
+}
+
+// Report takes in a replica's own load report; an older one than the last is
+// dropped.
+func (p *Pool) Report(now time.Time, replica string, load Load) {
+	r, ok := p.replicas[replica]
+	if !ok || load.At.Before(r.report.At) {
+		return
+	}
+	r.report = load
+	r.reported = now
+}
--- /dev/null
+++ b/internal/router/pool_stats.go
@@ -0,0 +1,27 @@
+package router
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Stats returns a snapshot, classes by tier and name, replicas as configured.
+func (p *Pool) Stats(_ time.Time) Stats {
+	stats := p.stats
+	for _, class := range p.classes {
+		stats.Classes = append(stats.Classes, ClassStats{
+			Name: class.Name, Tier: class.Tier,
+			Waiting: class.waiting, Running: class.running,
+		})
+	}
+	slices.SortFunc(stats.Classes, func(a, b ClassStats) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Name, b.Name))
+	})
+	for _, r := range p.order {
+		stats.Replicas = append(stats.Replicas, ReplicaStats{
+			Name: r.Name, Running: r.running, Limit: r.limit(), Leaving: !r.open(),
+		})
+	}
+	return stats
+}
--- /dev/null
+++ b/internal/router/stats.go
@@ -0,0 +1,32 @@
+package router
+
+// Stats is a snapshot of a pool.
+type Stats struct {
+	Classes  []ClassStats
+	Replicas []ReplicaStats
+	// Bound, Refused and Cancelled count waiting requests since the start.
+	Bound     uint64
+	Refused   uint64
+	Cancelled uint64
+}
+
+// ClassStats counts one class's requests.
+type ClassStats struct {
+	Name    string
+	Tier    int
+	Waiting int
+	Running int
+}
+
+// ReplicaStats is what the pool knows of one replica.
+type ReplicaStats struct {
+	Name    string
+	Running int
+	// Limit is the most requests this node runs on it at present.
+	Limit int
+	// Leaving replicas get nothing new.
+	Leaving bool
+	// Straggler is the replica's time between tokens as a multiple of the
+	// pool's usual one; 1 is usual, 0 is not known.
+	Straggler float64
+}
