Add the callers' side, the dispatcher and the node, not yet wired to the stand-ins

Cause: the whole path needs its middle part. Change: package gateway checks a request, binds it through package dispatch, passes the engine's answer on; package node puts it together.

--- /dev/null
+++ b/internal/dev/options.go
@@ -0,0 +1,24 @@
+package dev
+
+import (
+	"github.com/alecthomas/kong"
+)
+
+// Options are trestle-dev's command line.
+type Options struct {
+	ListenBase int              `help:"First entry port; the nodes take this and the next ones. 0 takes free ports." default:"8080" name:"listen-base"`
+	Ops        int              `help:"Port of the first node's operator service and metrics. 0 takes a free port." default:"9090"`
+	LogLevel   string           `help:"Log level: debug, info, warning, error." default:"warning"`
+	LogFormat  string           `help:"Log format: text or json." default:"text" enum:"text,json"`
+	Version    kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Keys and names of the embedded configuration.
+const (
+	// WorkspaceKey is the key of workspace prairie-spoke.
+	WorkspaceKey = "dev-key-prairie-spoke"
+	// RivalKey is the key of workspace tabkassza.
+	RivalKey = "dev-key-tabkassza"
+	// OperatorKey is the operators' key.
+	OperatorKey = "dev-key-operator"
+)
--- /dev/null
+++ b/internal/dispatch/dispatcher.go
@@ -0,0 +1,159 @@
+package dispatch
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/router"
+)
+
+// defaultSlots is a replica's concurrency limit where the configuration is silent.
+const defaultSlots = 8
+
+// Dispatcher binds requests to replicas.
+type Dispatcher struct {
+	availabilityZone string
+	seed             uint64
+
+	mu     sync.RWMutex
+	shards map[string]*shard
+}
+
+// New returns a dispatcher without upstreams. The seed feeds the random
+// sources of the decisions.
+func New(availabilityZone string, seed uint64) *Dispatcher {
+	return &Dispatcher{
+		availabilityZone: availabilityZone,
+		seed:             seed,
+		shards:           make(map[string]*shard),
+	}
+}
+
+// Configure puts a configuration into force: new upstreams get a pool, known
+// ones their new replicas and classes. A removed upstream keeps its pool until
+// its requests are done, but gets no replica any more.
+func (d *Dispatcher) Configure(document *config.Document) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	named := make(map[string]bool, len(document.Upstreams))
+	for i := range document.Upstreams {
+		upstream := &document.Upstreams[i]
+		named[upstream.Name] = true
+		d.configureUpstream(document, upstream)
+	}
+	for name, s := range d.shards {
+		if !named[name] {
+			s.update(func(now time.Time) { s.pool.SetReplicas(now, nil) })
+		}
+	}
+}
+
+func (d *Dispatcher) configureUpstream(document *config.Document, upstream *config.Upstream) {
+	replicas := replicasOf(upstream)
+	weights := weightsOf(document)
+	s, known := d.shards[upstream.Name]
+	if !known {
+		d.shards[upstream.Name] = newShard(router.NewPool(router.Options{
+			Upstream:         upstream.Name,
+			AvailabilityZone: d.availabilityZone,
+			Rand:             rand.New(rand.NewPCG(d.seed, uint64(len(d.shards)))),
+			Classes:          document.Classes,
+			Replicas:         replicas,
+			Weights:          weights,
+		}))
+		return
+	}
+	s.update(func(now time.Time) {
+		s.pool.SetClasses(now, document.Classes)
+		s.pool.SetWeights(weights)
+		s.pool.SetReplicas(now, replicas)
+	})
+}
+
+func replicasOf(upstream *config.Upstream) []router.Replica {
+	slots := upstream.SlotsPerReplica
+	if slots == 0 {
+		slots = defaultSlots
+	}
+	replicas := make([]router.Replica, 0, len(upstream.Replicas))
+	for _, r := range upstream.Replicas {
+		replicas = append(replicas, router.Replica{
+			Name:             r.Name,
+			Address:          r.Address,
+			AvailabilityZone: r.AvailabilityZone,
+			Slots:            slots,
+			Leaving:          r.Leaving,
+		})
+	}
+	return replicas
+}
+
+func weightsOf(document *config.Document) map[string]float64 {
+	weights := make(map[string]float64, len(document.Workspaces))
+	for _, w := range document.Workspaces {
+		weights[w.Name] = w.Weight
+	}
+	return weights
+}
+
+// Acquire waits for a slot on a replica of the upstream. The error is a
+// *refusal.Error.
+func (d *Dispatcher) Acquire(ctx context.Context, upstream string, request router.Request) (*Slot, error) {
+	s := d.shard(upstream)
+	if s == nil {
+		return nil, refusal.New(refusal.UnknownUpstream, "dispatch", "no such upstream: "+upstream)
+	}
+	return s.acquire(ctx, request)
+}
+
+// SetLeaving tells that a replica is leaving, or is no longer.
+func (d *Dispatcher) SetLeaving(upstream, replica string, leaving bool) {
+	if s := d.shard(upstream); s != nil {
+		s.update(func(now time.Time) { s.pool.SetLeaving(now, replica, leaving) })
+	}
+}
+
+// Report gives a replica's load report to the decisions.
+func (d *Dispatcher) Report(upstream, replica string, load router.Load) {
+	if s := d.shard(upstream); s != nil {
+		s.update(func(now time.Time) { s.pool.Report(now, replica, load) })
+	}
+}
+
+// SetAllowance bounds how many slots of a replica this node may use; -1 leaves
+// the replica's own limit alone.
+func (d *Dispatcher) SetAllowance(upstream, replica string, slots int) {
+	if s := d.shard(upstream); s != nil {
+		s.update(func(time.Time) { s.pool.SetAllowance(replica, slots) })
+	}
+}
+
+// Stats returns each upstream's state.
+func (d *Dispatcher) Stats() map[string]router.Stats {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	stats := make(map[string]router.Stats, len(d.shards))
+	for name, s := range d.shards {
+		s.observe(func(now time.Time) { stats[name] = s.pool.Stats(now) })
+	}
+	return stats
+}
+
+// Close stops the timers.
+func (d *Dispatcher) Close() {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	for _, s := range d.shards {
+		s.observe(func(time.Time) { s.timer.Stop() })
+	}
+}
+
+func (d *Dispatcher) shard(upstream string) *shard {
+	d.mu.RLock()
+	defer d.mu.RUnlock()
+	return d.shards[upstream]
+}
--- /dev/null
+++ b/internal/dispatch/grant.go
@@ -0,0 +1,12 @@
+package dispatch
+
+import (
+	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/router"
+)
+
+// grant is what a waiting request is woken with.
+type grant struct {
+	replica router.Replica
+	refused *refusal.Error
+}
--- /dev/null
+++ b/internal/gateway/metrics.go
@@ -0,0 +1,74 @@
+package gateway
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/refusal"
+)
+
+// metrics are the callers' side's figures.
+type metrics struct {
+	refusals   *prometheus.CounterVec
+	answers    *prometheus.CounterVec
+	tokens     *prometheus.CounterVec
+	wasted     *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	firstToken *prometheus.HistogramVec
+	answerTime *prometheus.HistogramVec
+	queueWait  *prometheus.HistogramVec
+	tokenGap   *prometheus.HistogramVec
+}
+
+// latencyBuckets reach from a millisecond to about four minutes.
+var latencyBuckets = prometheus.ExponentialBuckets(0.001, 2, 18)
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	m := &metrics{
+		refusals:   counter("refusals_total", "Requests refused, by reason and outcome.", "reason", "outcome"),
+		answers:    counter("answers_total", "Whole answers, by class and whether on target.", "class", "on_target"),
+		tokens:     counter("answer_tokens_total", "Tokens of whole answers, by class and whether on target: goodput is on_target=true.", "class", "on_target"),
+		wasted:     counter("wasted_tokens_total", "Tokens generated for no whole answer, by class and cause.", "class", "cause"),
+		retries:    counter("retries_total", "Further attempts, by reason.", "reason"),
+		firstToken: histogram("first_token_seconds", "Time from arrival to the first token.", "class"),
+		answerTime: histogram("answer_seconds", "Time from arrival to the whole answer.", "class"),
+		queueWait:  histogram("queue_wait_seconds", "Time from arrival to a slot.", "class"),
+		tokenGap:   histogram("token_gap_seconds", "Mean time between the tokens of an answer.", "class"),
+	}
+	registry.MustRegister(m.refusals, m.answers, m.tokens, m.wasted, m.retries,
+		m.firstToken, m.answerTime, m.queueWait, m.tokenGap)
+	return m
+}
+
+func counter(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "trestle", Name: name, Help: help}, labels)
+}
+
+func histogram(name, help string, labels ...string) *prometheus.HistogramVec {
+	options := prometheus.HistogramOpts{Namespace: "trestle", Name: name, Help: help, Buckets: latencyBuckets}
+	return prometheus.NewHistogramVec(options, labels)
+}
+
+func (m *metrics) refused(refused *refusal.Error) {
+	m.refusals.WithLabelValues(string(refused.Reason), string(refused.Outcome)).Inc()
+}
+
+// answered counts a whole answer.
+func (m *metrics) answered(c *call, first, end time.Time, tokens int) {
+	firstTarget := c.firstTokenBy()
+	onTarget := !end.After(c.answerBy()) && (firstTarget.IsZero() || !first.After(firstTarget))
+	label := strconv.FormatBool(onTarget)
+	m.answers.WithLabelValues(c.class.Name, label).Inc()
+	m.tokens.WithLabelValues(c.class.Name, label).Add(float64(tokens))
+	m.answerTime.WithLabelValues(c.class.Name).Observe(end.Sub(c.arrived).Seconds())
+	if first.IsZero() {
+		return
+	}
+	m.firstToken.WithLabelValues(c.class.Name).Observe(first.Sub(c.arrived).Seconds())
+	if tokens > 1 {
+		gap := end.Sub(first).Seconds() / float64(tokens-1)
+		m.tokenGap.WithLabelValues(c.class.Name).Observe(gap)
+	}
+}
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net/http"
+	"sync/atomic"
+
+	"github.com/google/uuid"
+)
+
+// Server answers callers. It is safe for concurrent use.
+type Server struct {
+	options  Options
+	metrics  *metrics
+	mux      *http.ServeMux
+	draining atomic.Bool
+}
+
+// New returns a server; its options must be complete.
+func New(options Options) *Server {
+	s := &Server{
+		options: options,
+		metrics: newMetrics(options.Registry),
+		mux:     http.NewServeMux(),
+	}
+	s.mux.HandleFunc("POST "+pathChat, s.completeChat)
+	s.mux.HandleFunc("POST "+pathText, s.completeText)
+	s.mux.HandleFunc("GET /v1/models", s.models)
+	s.mux.HandleFunc("GET /entries", s.entries)
+	s.mux.HandleFunc("/services/{upstream}/{path...}", s.service)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// Drain makes the server refuse new requests as not run; those in flight go on.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// newID names a request and the node that has it.
+func (s *Server) newID() string {
+	return s.options.Node + "." + uuid.NewString()
+}
--- /dev/null
+++ b/internal/logging/doc.go
@@ -0,0 +1,2 @@
+// Package logging sets up the structured log of a process. It holds no state.
+package logging
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/upstream"
+)
+
+// Handler is what is mounted on the ops address.
+type Handler = http.Handler
+
+// Node is one entry VM's process.
+type Node struct {
+	options  Options
+	config   atomic.Pointer[config.Index]
+	dispatch *dispatch.Dispatcher
+	gateway  *gateway.Server
+	engines  *upstream.Engine
+	services *upstream.Service
+	members  *staticView
+	servers  []*http.Server
+	leaving  atomic.Bool
+}
+
+// New returns a node that does not serve yet.
+func New(options Options) *Node {
+	options = options.withDefaults()
+	n := &Node{
+		options:  options,
+		dispatch: dispatch.New(options.AvailabilityZone, options.Seed),
+		engines:  upstream.NewEngine(upstream.Options{}),
+		services: upstream.NewService(upstream.Options{}),
+	}
+	n.members = newStaticView(n)
+	n.gateway = gateway.New(gateway.Options{
+		Node:     options.Name,
+		Config:   n.config.Load,
+		Members:  n.members,
+		Dispatch: n.dispatch,
+		Engines:  n.engines,
+		Services: n.services,
+		Registry: options.Registry,
+		Log:      options.Log,
+	})
+	return n
+}
+
+// Configure puts a configuration into force; a lower revision than the one in
+// force is ignored.
+func (n *Node) Configure(index *config.Index) {
+	if current := n.config.Load(); current != nil && current.Revision() >= index.Revision() {
+		return
+	}
+	n.dispatch.Configure(index.Document())
+	n.config.Store(index)
+}
+
+// Start begins to serve on all listeners.
+func (n *Node) Start() {
+	n.serve("entry", n.options.Entry, n.gateway)
+	n.serve("ops", n.options.Ops, n.opsHandler())
+}
+
+// Stop shuts the node down gracefully: out of the entries, listener open
+// through the callers' keep time, requests in flight finished. It returns
+// ctx's error where that took too long.
+func (n *Node) Stop(ctx context.Context) error {
+	n.leaving.Store(true)
+	if err := n.waitKeepTime(ctx); err != nil {
+		return err
+	}
+	n.gateway.Drain()
+	var first error
+	for _, server := range n.servers {
+		if err := server.Shutdown(ctx); err != nil && first == nil {
+			first = err
+		}
+	}
+	n.close()
+	return first
+}
+
+func (n *Node) close() {
+	n.dispatch.Close()
+	n.engines.Close()
+	n.services.Close()
+}
--- /dev/null
+++ b/internal/node/options.go
@@ -0,0 +1,63 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"galenatrestle/internal/platform"
+)
+
+// Options are what a Node is created with.
+type Options struct {
+	// Name of the VM, unique in the deployment.
+	Name             string
+	AvailabilityZone string
+	Region           string
+	DataCentre       string
+	// Entry, Ops and Peer are the listeners for callers, operators and other
+	// nodes. The node closes them.
+	Entry net.Listener
+	Ops   net.Listener
+	Peer  net.Listener
+	// EntryAddress and PeerAddress are told to others. Default: the
+	// listeners' own addresses.
+	EntryAddress string
+	PeerAddress  string
+	// Store is the platform's key-value service.
+	Store platform.Store
+	// Instances is the platform's list of VMs.
+	Instances platform.Instances
+	// OpsHandlers are further handlers on the ops address, by pattern.
+	OpsHandlers map[string]Handler
+	// CloseMargin is how long after the entry TTL a leaving node keeps its
+	// listener open. Default 1 s.
+	CloseMargin time.Duration
+	// Seed feeds the random sources of the decisions.
+	Seed     uint64
+	Registry *prometheus.Registry
+	Log      logrus.FieldLogger
+}
+
+const defaultCloseMargin = time.Second
+
+func (o Options) withDefaults() Options {
+	if o.EntryAddress == "" {
+		o.EntryAddress = o.Entry.Addr().String()
+	}
+	if o.PeerAddress == "" && o.Peer != nil {
+		o.PeerAddress = o.Peer.Addr().String()
+	}
+	if o.CloseMargin == 0 {
+		o.CloseMargin = defaultCloseMargin
+	}
+	if o.Registry == nil {
+		o.Registry = prometheus.NewRegistry()
+	}
+	if o.Log == nil {
+		o.Log = logrus.New()
+	}
+	return o
+}
--- a/internal/openai/chat.go
+++ b/internal/openai/chat.go
@@ -1,11 +1,5 @@
 package openai
 
-// Message is one message of a chat.
-type Message struct {
-	Role    string `json:"role"`
-	Content string `json:"content"`
-}
-
 // StreamOptions asks for extras of a streamed answer.
 type StreamOptions struct {
 	IncludeUsage bool `json:"include_usage,omitempty"`
