--- a/internal/config/class.go
+++ b/internal/config/class.go
@@ -2,7 +2,7 @@
 
 // Class is a service level.
 type Class struct {
-	Name string `yaml:"name" json:"name" validate:"required,max=100"`
+	Name string `yaml:"name" json:"name" validate:"required,max=100,name"`
 	// Tier is the priority; 0 is the highest.
 	Tier int `yaml:"tier" json:"tier" validate:"gte=0,lte=15"`
 	// TargetFirstToken is the time to the first token. Zero: no target.
--- /dev/null
+++ b/internal/config/defaults.go
@@ -0,0 +1,72 @@
+package config
+
+import "time"
+
+// The defaults of fields that a document leaves out.
+const (
+	// DefaultWeight is a workspace's fair share inside a class.
+	DefaultWeight = 1.0
+	// DefaultBurst is the seconds of quota that may be taken at once.
+	DefaultBurst = 2.0
+	// DefaultQueueBound is the most requests of a class that wait at a node.
+	DefaultQueueBound = 1000
+	// DefaultRetention is how long an answer can be fetched again.
+	DefaultRetention = Duration(time.Minute)
+	// DefaultSlotsPerReplica is the concurrency limit a replica starts with.
+	DefaultSlotsPerReplica = 8
+	// DefaultMaxBodyBytes is the largest request body.
+	DefaultMaxBodyBytes = 4 << 20
+	// DefaultMaxTokens is the longest answer.
+	DefaultMaxTokens = 32768
+	// DefaultRetryBudget is the part of successes that retries may spend.
+	DefaultRetryBudget = 0.1
+	// DefaultMaxAttempts bounds the attempts of one request.
+	DefaultMaxAttempts = 3
+)
+
+func (d *Document) fillDefaults() {
+	for i := range d.Workspaces {
+		d.Workspaces[i].fillDefaults()
+	}
+	for i := range d.Classes {
+		d.Classes[i].fillDefaults()
+	}
+	for i := range d.Upstreams {
+		d.Upstreams[i].fillDefaults()
+	}
+	d.Limits.fillDefaults()
+}
+
+func (w *Workspace) fillDefaults() {
+	setDefault(&w.Weight, DefaultWeight)
+	if w.Quota.RequestsPerSecond > 0 || w.Quota.TokensPerSecond > 0 {
+		setDefault(&w.Quota.Burst, DefaultBurst)
+	}
+}
+
+func (c *Class) fillDefaults() {
+	setDefault(&c.MinShareAfter, c.GiveUpAfter/2)
+	setDefault(&c.QueueBound, DefaultQueueBound)
+	setDefault(&c.Retention, DefaultRetention)
+}
+
+func (u *Upstream) fillDefaults() {
+	if u.Kind == KindEngine {
+		setDefault(&u.Model, u.Name)
+	}
+	setDefault(&u.SlotsPerReplica, DefaultSlotsPerReplica)
+}
+
+func (l *Limits) fillDefaults() {
+	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
+	setDefault(&l.MaxTokens, DefaultMaxTokens)
+	setDefault(&l.RetryBudget, DefaultRetryBudget)
+	setDefault(&l.MaxAttempts, DefaultMaxAttempts)
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/internal/config/duration.go
+++ b/internal/config/duration.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
 )
 
 // Duration is a time.Duration written as a Go duration string such as "1.5s".
@@ -24,6 +27,16 @@
 	return nil
 }
 
+// UnmarshalYAML reads a Go duration string, quoted or plain; its error knows
+// the line.
+func (d *Duration) UnmarshalYAML(node ast.Node) error {
+	at := node.GetToken()
+	if err := d.UnmarshalText([]byte(at.Value)); err != nil {
+		return &yaml.SyntaxError{Message: "is not a duration such as 1.5s", Token: at}
+	}
+	return nil
+}
+
 // MarshalText writes a Go duration string.
 func (d Duration) MarshalText() ([]byte, error) {
 	return []byte(d.String()), nil
--- a/internal/config/upstream.go
+++ b/internal/config/upstream.go
@@ -11,7 +11,7 @@
 
 // Upstream is a set of replicas that serve the same thing.
 type Upstream struct {
-	Name string `yaml:"name" json:"name" validate:"required,max=100"`
+	Name string `yaml:"name" json:"name" validate:"required,max=100,name"`
 	Kind Kind   `yaml:"kind" json:"kind" validate:"required,oneof=engine service"`
 	// Model is the model name callers ask for; engines only. Default: Name.
 	Model string `yaml:"model,omitempty" json:"model,omitempty"`
@@ -29,7 +29,7 @@
 
 // Replica is one process that serves an upstream.
 type Replica struct {
-	Name             string `yaml:"name" json:"name" validate:"required"`
+	Name             string `yaml:"name" json:"name" validate:"required,max=100,name"`
 	Address          string `yaml:"address" json:"address" validate:"required,hostname_port"`
 	AvailabilityZone string `yaml:"availability_zone" json:"availability_zone" validate:"required"`
 	// Leaving takes the replica out of service.
