Add the engine and plain-service stand-ins

Cause: nothing outside the system can be had in a test, and every later measurement compares with what was truly run.

Both carry the fault switches. cmd/trestle-standin runs either as a process.

--- /dev/null
+++ b/cmd/trestle-standin/main.go
@@ -0,0 +1,42 @@
+// Command trestle-standin runs one outside system as a process of its own: a
+// model engine or a plain service, with fault switches on its ops address.
+package main
+
+import (
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+)
+
+const description = `Run a stand-in for an outside system.
+
+Examples:
+  trestle-standin engine --listen 127.0.0.1:9101 --ops 127.0.0.1:9191 --name tab-llm-1 --model tab-llm
+  trestle-standin service --listen 127.0.0.1:9201 --ops 127.0.0.1:9291 --name tab-api-1
+  curl -X POST 127.0.0.1:9191/standin/tab-llm-1/fault -d '{"kind":"straggler","for":"10s","factor":10}'
+  curl 127.0.0.1:9191/standin/tab-llm-1/runs`
+
+// commands are the subcommands, each in a file of its own.
+type commands struct {
+	Engine  engineCommand    `cmd:"" help:"A model engine that batches continuously."`
+	Service serviceCommand   `cmd:"" help:"A plain service that echoes what it ran."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var cli commands
+	ctx := kong.Parse(&cli,
+		kong.Name("trestle-standin"),
+		kong.Description(description),
+		kong.Vars{"version": version()},
+	)
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	return info.Main.Version
+}
