Keep the cause of a wrapped error visible to errors.Is and errors.As

Cause: errorx hides the cause of every typed wrap, so that errors.Is(errs.Wrap(...), platform.ErrUnavailable) was false.

Change: Wrap returns the typed error together with its cause. errors.As still finds the *errorx.Error with step and peer.

Result: TestWrapKeepsTheCauseVisible passes.

--- a/internal/errs/errs.go
+++ b/internal/errs/errs.go
@@ -28,12 +28,14 @@
 )
 
 // Wrap decorates err with the step and the peer at which it arose.
-// It returns nil for a nil err.
+// It returns nil for a nil err. errors.Is and errors.As find the cause, and
+// errors.As finds the outermost *errorx.Error.
 func Wrap(t *errorx.Type, err error, step, peer string) error {
 	if err == nil {
 		return nil
 	}
-	return t.Wrap(err, "%s", step).
+	typed := t.Wrap(err, "%s", step).
 		WithProperty(PropertyStep, step).
 		WithProperty(PropertyPeer, peer)
+	return &wrapped{typed: typed, cause: err}
 }
