--- a/internal/dev/deployment.go
+++ b/internal/dev/deployment.go
@@ -20,6 +20,10 @@
 // nodeCount is the number of nodes of the embedded deployment.
 const nodeCount = 3
 
+// keepTime is short here: all nodes stop at once, so there is no other entry
+// that a caller could change to.
+const keepTime = 100 * time.Millisecond
+
 // Deployment is a whole system in one process.
 type Deployment struct {
 	Nodes    []*node.Node
@@ -61,6 +65,7 @@
 		Region:           "sask-central",
 		DataCentre:       "sask-central",
 		Entry:            entry,
+		KeepTime:         keepTime,
 		Seed:             uint64(i + 1),
 		Registry:         prometheus.NewRegistry(),
 		Log:              log.WithField("node", fmt.Sprintf("vm-%d", i)),
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"galenatrestle/internal/gateway"
 	"galenatrestle/internal/platform"
 )
 
@@ -32,16 +33,17 @@
 	Instances platform.Instances
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
-	// CloseMargin is how long after the entry TTL a leaving node keeps its
-	// listener open. Default 1 s.
-	CloseMargin time.Duration
+	// KeepTime is how long a leaving node keeps its listener open, so that
+	// callers who hold its address still reach it. Default: the entry TTL and
+	// a second.
+	KeepTime time.Duration
 	// Seed feeds the random sources of the decisions.
 	Seed     uint64
 	Registry *prometheus.Registry
 	Log      logrus.FieldLogger
 }
 
-const defaultCloseMargin = time.Second
+const defaultKeepTime = gateway.EntryTTLSeconds*time.Second + time.Second
 
 func (o Options) withDefaults() Options {
 	if o.EntryAddress == "" {
@@ -50,8 +52,8 @@
 	if o.PeerAddress == "" && o.Peer != nil {
 		o.PeerAddress = o.Peer.Addr().String()
 	}
-	if o.CloseMargin == 0 {
-		o.CloseMargin = defaultCloseMargin
+	if o.KeepTime == 0 {
+		o.KeepTime = defaultKeepTime
 	}
 	if o.Registry == nil {
 		o.Registry = prometheus.NewRegistry()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -6,8 +6,6 @@
 	"net"
 	"net/http"
 	"time"
-
-	"galenatrestle/internal/gateway"
 )
 
 // Bounds on what a connection may take before its request is read.
@@ -40,8 +38,7 @@
 
 // waitKeepTime waits until no caller holds this node's address any more.
 func (n *Node) waitKeepTime(ctx context.Context) error {
-	keep := gateway.EntryTTLSeconds*time.Second + n.options.CloseMargin
-	timer := time.NewTimer(keep)
+	timer := time.NewTimer(n.options.KeepTime)
 	defer timer.Stop()
 	select {
 	case <-timer.C:
