engine stand-in: encode a stream's chunk once

Change: the chunk around the word is encoded once a stream (frame); only the word is encoded a token.

--- a/internal/standin/engine/response.go
+++ b/internal/standin/engine/response.go
@@ -1,7 +1,6 @@
 package engine
 
 import (
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -56,6 +55,8 @@
 
 func (a *answer) stream(w http.ResponseWriter, r *http.Request) {
 	flusher := http.NewResponseController(w)
+	word := newFrame(a.response(framePlaceholder, false, true))
+	var buffer []byte
 	sent, done := 0, false
 	for !done {
 		var given int
@@ -64,31 +65,37 @@
 			w.Header().Set("Content-Type", "text/event-stream")
 			w.Header().Set("Cache-Control", "no-cache")
 		}
-		for ; sent < given; sent++ {
-			last := done && sent == given-1
-			writeEvent(w, a.response(a.generation.piece(sent), last, true))
+		buffer = buffer[:0]
+		for ; sent < given && !(done && sent == given-1); sent++ {
+			buffer = word.appendEvent(buffer, a.generation.piece(sent))
 		}
 		if done {
-			a.finish(w, sent)
+			buffer = a.appendEnd(buffer, given)
 		}
+		// The flush returns what went wrong with the connection.
+		_, _ = w.Write(buffer)
 		if flusher.Flush() != nil {
 			panic(http.ErrAbortHandler)
 		}
 	}
 }
 
-// finish writes what follows the last word.
-func (a *answer) finish(w http.ResponseWriter, sent int) {
-	if sent == 0 {
-		writeEvent(w, a.response("", true, true))
+// appendEnd appends the last word, the usage where it was asked for, and the
+// end mark.
+func (a *answer) appendEnd(buffer []byte, given int) []byte {
+	text := ""
+	if given > 0 {
+		text = a.generation.piece(given - 1)
 	}
+	last := newFrame(a.response(framePlaceholder, true, true))
+	buffer = last.appendEvent(buffer, text)
 	if options := a.request.StreamOptions; options != nil && options.IncludeUsage {
 		chunk := a.response("", false, true)
 		chunk.Choices = []openai.Choice{}
-		chunk.Usage = a.usage(sent)
-		writeEvent(w, chunk)
+		chunk.Usage = a.usage(given)
+		buffer = fmt.Appendf(buffer, "data: %s\n\n", encode(chunk))
 	}
-	fmt.Fprint(w, "data: [DONE]\n\n")
+	return append(buffer, "data: [DONE]\n\n"...)
 }
 
 func (a *answer) usage(given int) *openai.Usage {
@@ -140,11 +147,3 @@
 		return "chat.completion"
 	}
 }
-
-func writeEvent(w http.ResponseWriter, value openai.Response) {
-	data, err := json.Marshal(value)
-	if err != nil {
-		panic(http.ErrAbortHandler)
-	}
-	fmt.Fprintf(w, "data: %s\n\n", data)
-}
