--- a/internal/yamldoc/rules.go
+++ b/internal/yamldoc/rules.go
@@ -82,7 +82,7 @@
 func sentence(field validator.FieldError) string {
 	param := field.Param()
 	switch field.Tag() {
-	case "required":
+	case "required", "required_with":
 		return "is required"
 	case "min":
 		return "needs at least " + param
