--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -55,6 +55,8 @@
 		setDefault(&u.Model, u.Name)
 	}
 	setDefault(&u.SlotsPerReplica, DefaultSlotsPerReplica)
+	dropEmpty(&u.Adapters)
+	dropEmpty(&u.Unrepeatable)
 }
 
 func (l *Limits) fillDefaults() {
@@ -70,3 +72,10 @@
 		*field = value
 	}
 }
+
+// dropEmpty makes an empty list equal to one that is left out.
+func dropEmpty[T any](list *[]T) {
+	if len(*list) == 0 {
+		*list = nil
+	}
+}
--- a/internal/config/index_test.go
+++ b/internal/config/index_test.go
@@ -101,13 +101,26 @@
 func BenchmarkHeld(b *testing.B) {
 	for b.Loop() {
 		before := heapBytes()
-		index := NewIndex(1, largeDocument(largeWorkspaces))
+		index := decodedIndex(b)
 		after := heapBytes()
 		b.ReportMetric(float64(after-before), "held-B")
 		runtime.KeepAlive(index)
 	}
 }
 
+// decodedIndex returns the index of a document as a node receives it.
+func decodedIndex(b *testing.B) *Index {
+	data, err := EncodeCanonical(Canonical(largeDocument(largeWorkspaces)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	document, err := DecodeCanonical(data)
+	if err != nil {
+		b.Fatal(err)
+	}
+	return NewIndex(1, document)
+}
+
 func heapBytes() uint64 {
 	runtime.GC()
 	var stats runtime.MemStats
