--- /dev/null
+++ b/internal/intent/store.go
@@ -0,0 +1,184 @@
+package intent
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"galenatrestle/internal/errs"
+	"galenatrestle/internal/platform"
+)
+
+// Keys of the plans in the platform's service.
+const (
+	KeyHead    = "intent/head"
+	PlanPrefix = "intent/plan/"
+)
+
+// readBackTries bounds the reads that resolve a lost answer.
+const readBackTries = 3
+
+// Bases tells the configuration that plans stand on.
+type Bases interface {
+	// ConfigRevision returns the newest accepted configuration's revision, the
+	// operator who changed it and a summary of the change.
+	ConfigRevision(ctx context.Context) (revision int64, operator, change string, err error)
+}
+
+// Store keeps plans in the platform's service. It holds no state of its own
+// and is safe for concurrent use.
+type Store struct {
+	kv    platform.Store
+	bases Bases
+	newID func() string
+	now   func() time.Time
+}
+
+// NewStore returns a Store. newID must return an id that is unique over all
+// processes, such as a UUID.
+func NewStore(kv platform.Store, bases Bases, newID func() string, now func() time.Time) *Store {
+	return &Store{kv: kv, bases: bases, newID: newID, now: now}
+}
+
+// Base returns what a plan worked out now stands on.
+func (s *Store) Base(ctx context.Context) (Base, error) {
+	revision, _, _, err := s.bases.ConfigRevision(ctx)
+	if err != nil {
+		return Base{}, errs.Wrap(errs.Platform, err, "read base", "configuration")
+	}
+	_, headRevision, err := s.readHead(ctx)
+	return Base{Config: revision, Head: headRevision}, err
+}
+
+// Propose stores a plan that Build returned and gives it its id. Nothing
+// happens until it is confirmed.
+func (s *Store) Propose(ctx context.Context, plan *Plan, operator string) (*Plan, error) {
+	stored := plan.clone()
+	stored.ID = s.newID()
+	stored.Operator = operator
+	stored.Proposed = s.now()
+	return s.writePlan(ctx, stored)
+}
+
+// Plan returns the plan with its progress, or ErrUnknownPlan.
+func (s *Store) Plan(ctx context.Context, id string) (*Plan, error) {
+	entry, err := s.kv.Get(ctx, PlanPrefix+id)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil, ErrUnknownPlan
+	}
+	if err != nil {
+		return nil, errs.Wrap(errs.Platform, err, "read plan", PlanPrefix+id)
+	}
+	return decodePlan(entry)
+}
+
+// Plans returns all plans, ordered by id.
+func (s *Store) Plans(ctx context.Context) ([]*Plan, error) {
+	entries, _, err := s.kv.List(ctx, PlanPrefix)
+	if err != nil {
+		return nil, errs.Wrap(errs.Platform, err, "list plans", PlanPrefix)
+	}
+	plans := make([]*Plan, 0, len(entries))
+	for _, entry := range entries {
+		plan, err := decodePlan(entry)
+		if err != nil {
+			return nil, err
+		}
+		plans = append(plans, plan)
+	}
+	return plans, nil
+}
+
+// Active returns the ids of the confirmed plans that are not final.
+func (s *Store) Active(ctx context.Context) ([]string, error) {
+	h, _, err := s.readHead(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return h.Active, nil
+}
+
+func (s *Store) readHead(ctx context.Context) (*head, int64, error) {
+	entry, err := s.kv.Get(ctx, KeyHead)
+	if errors.Is(err, platform.ErrNotFound) {
+		return &head{}, 0, nil
+	}
+	if err != nil {
+		return nil, 0, errs.Wrap(errs.Platform, err, "read head", KeyHead)
+	}
+	h := &head{}
+	if err := json.Unmarshal(entry.Value, h); err != nil {
+		return nil, 0, errs.Wrap(errs.Platform, err, "decode head", KeyHead)
+	}
+	return h, entry.Revision, nil
+}
+
+// writeHead writes the head where it is still at the expected revision.
+func (s *Store) writeHead(ctx context.Context, h *head, expect int64) error {
+	h.WriteID = s.newID()
+	value, err := json.Marshal(h)
+	if err != nil {
+		return err
+	}
+	_, err = s.write(ctx, KeyHead, expect, value, h.WriteID)
+	return err
+}
+
+// writePlan writes the plan where its key is still at the plan's revision and
+// returns it at its new one; it returns a *platform.ConflictError otherwise.
+func (s *Store) writePlan(ctx context.Context, plan *Plan) (*Plan, error) {
+	written := plan.clone()
+	written.WriteID = s.newID()
+	value, err := json.Marshal(written)
+	if err != nil {
+		return nil, err
+	}
+	entry, err := s.write(ctx, PlanPrefix+plan.ID, plan.Revision, value, written.WriteID)
+	if err != nil {
+		return nil, err
+	}
+	written.Revision = entry.Revision
+	return written, nil
+}
+
+// write is a compare-and-swap whose lost answer is resolved by reading the
+// write's id back. An error that wraps ErrNotKnown leaves it open.
+func (s *Store) write(ctx context.Context, key string, expect int64, value []byte, writeID string) (platform.Entry, error) {
+	entry, err := s.kv.CompareAndSwap(ctx, key, expect, value)
+	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
+		return entry, errs.Wrap(errs.Platform, err, "write", key)
+	}
+	for range readBackTries {
+		entry, err = s.kv.Get(ctx, key)
+		if err == nil && hasWriteID(entry, writeID) {
+			return entry, nil
+		}
+		if err == nil && entry.Revision != expect {
+			return entry, errs.Wrap(errs.Platform, &platform.ConflictError{Key: key, Expect: expect, Current: entry}, "write", key)
+		}
+		// Still at the expected revision: the write may yet arrive.
+	}
+	return platform.Entry{}, errs.Wrap(errs.Platform, errors.Join(ErrNotKnown, err), "read back", key)
+}
+
+func hasWriteID(entry platform.Entry, id string) bool {
+	var stamp struct {
+		WriteID string `json:"write_id"`
+	}
+	return json.Unmarshal(entry.Value, &stamp) == nil && stamp.WriteID == id
+}
+
+func decodePlan(entry platform.Entry) (*Plan, error) {
+	plan := &Plan{}
+	if err := json.Unmarshal(entry.Value, plan); err != nil {
+		return nil, errs.Wrap(errs.Platform, err, "decode plan", entry.Key)
+	}
+	plan.Revision = entry.Revision
+	return plan, nil
+}
+
+func isConflict(err error) bool {
+	var conflict *platform.ConflictError
+	return errors.As(err, &conflict)
+}
