--- /dev/null
+++ b/internal/order/sender.go
@@ -0,0 +1,165 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/errs"
+	"galenatrestle/internal/openai"
+	"galenatrestle/internal/platform"
+)
+
+// Target is one engine.
+type Target struct {
+	Name           string
+	Address        string
+	HonoursFencing bool
+}
+
+// Guard is called directly before each write of an order to the connection;
+// an error of it must keep the write from happening.
+type Guard func() error
+
+// Transport carries orders to engines.
+type Transport interface {
+	// Send delivers the order, calling guard before each write. It returns
+	// ErrFenced where the engine refuses the epoch.
+	Send(ctx context.Context, target Target, order openai.Order, guard Guard) error
+	// State reads the engine's state back.
+	State(ctx context.Context, target Target) (openai.OrderState, error)
+}
+
+// Sender brings engines of one pool to desired states, as long as this process
+// holds the pool's lease. It is safe for concurrent use.
+type Sender struct {
+	transport  Transport
+	weights    platform.Weights
+	discipline Discipline
+	metrics    *Metrics
+	now        func() time.Time
+
+	mu    sync.Mutex
+	grant Grant
+}
+
+// NewSender returns a Sender without a grant. now must carry the monotonic
+// clock, as time.Now does.
+func NewSender(transport Transport, weights platform.Weights, d Discipline, metrics *Metrics, now func() time.Time) (*Sender, error) {
+	if err := d.Check(); err != nil {
+		return nil, err
+	}
+	return &Sender{transport: transport, weights: weights, discipline: d, metrics: metrics, now: now}, nil
+}
+
+// Renewed tells of an acquire or renewal of the pool's lease that was sent at
+// asked.
+func (s *Sender) Renewed(lease platform.Lease, asked time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant = s.grant.Renewed(lease, asked, s.now())
+}
+
+// Lost tells that the lease is lost or given up.
+func (s *Sender) Lost() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant = Grant{}
+}
+
+// Beat must be called more often than the discipline's DetectPause while the
+// lease is held: a gap between two beats is a pause, after which nothing is
+// sent until the lease is renewed.
+func (s *Sender) Beat() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.grant = s.grant.Look(s.discipline, s.now())
+}
+
+// Drive brings the target nearer to the order's desired state and says whether
+// it is there, as read back from the engine. The order's epoch is set here. It
+// returns a *HoldError where an order was needed and none left.
+func (s *Sender) Drive(ctx context.Context, target Target, order openai.Order) (bool, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.discipline.LongestOrder)
+	defer cancel()
+	state, err := s.transport.State(ctx, target)
+	if err != nil {
+		return false, errs.Wrap(errs.Upstream, err, "read back", target.Address)
+	}
+	if reached(state, order) {
+		return true, nil
+	}
+	if err := s.send(ctx, target, order); err != nil {
+		return false, err
+	}
+	state, err = s.transport.State(ctx, target)
+	if err != nil {
+		return false, errs.Wrap(errs.Upstream, err, "read back", target.Address)
+	}
+	return reached(state, order), nil
+}
+
+func (s *Sender) send(ctx context.Context, target Target, order openai.Order) error {
+	epoch, err := s.check(target, 0)
+	if err != nil {
+		return err
+	}
+	if err := s.reserve(ctx, order); err != nil {
+		return err
+	}
+	order.Epoch = epoch
+	guard := func() error {
+		_, err := s.check(target, epoch)
+		return err
+	}
+	err = s.transport.Send(ctx, target, order, guard)
+	if errors.Is(err, ErrFenced) {
+		s.Lost()
+		s.metrics.refused.Inc()
+	}
+	if err == nil {
+		s.metrics.sent.WithLabelValues(string(order.Kind)).Inc()
+	}
+	return errs.Wrap(errs.Upstream, err, "send order", target.Address)
+}
+
+// check returns the grant's epoch where an order may leave now. A want above
+// zero is the epoch that the grant must still have.
+func (s *Sender) check(target Target, want int64) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	err := s.grant.Check(s.discipline, target.HonoursFencing, s.now())
+	if err == nil && want != 0 && want != s.grant.Epoch {
+		err = &HoldError{Reason: ReasonNoLease}
+	}
+	s.metrics.countHold(err)
+	return s.grant.Epoch, err
+}
+
+func (s *Sender) reserve(ctx context.Context, order openai.Order) error {
+	if order.Kind != openai.OrderLoad {
+		return nil
+	}
+	err := s.weights.Reserve(ctx, order.Model, order.Version)
+	if errors.Is(err, platform.ErrRateLimited) {
+		err = &HoldError{Reason: ReasonWeights}
+		s.metrics.countHold(err)
+		return err
+	}
+	return errs.Wrap(errs.Platform, err, "reserve weights", order.Model)
+}
+
+// reached says whether the state is what the order asks for.
+func reached(state openai.OrderState, order openai.Order) bool {
+	if order.Kind == openai.OrderRole {
+		return state.Role == order.Role
+	}
+	loaded := false
+	for _, m := range state.Models {
+		if m.Name == order.Model && (order.Version == "" || m.Version == order.Version) {
+			loaded = true
+		}
+	}
+	return loaded == (order.Kind == openai.OrderLoad)
+}
