--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -85,6 +85,14 @@
 	return first
 }
 
+// Close stops the node at once; requests in flight are cut.
+func (n *Node) Close() {
+	for _, server := range n.servers {
+		_ = server.Close()
+	}
+	n.close()
+}
+
 func (n *Node) close() {
 	n.dispatch.Close()
 	n.engines.Close()
