Split the embedded deployment from trestle-dev

Cause: the load tool and the tests of the promises need the same small deployment with other sizes and faults. Change: package embedded starts it by Options; package dev only talks to the person. Conclusion: one fixture for the tool, the tests and the newcomer.

--- a/internal/dev/doc.go
+++ b/internal/dev/doc.go
@@ -1,4 +1,3 @@
-// Package dev runs a small deployment in one process: the platform stand-in,
-// three nodes in two availability zones, engine and plain-service stand-ins.
-// It is for a newcomer's machine and for tests of the whole path.
+// Package dev is the job of trestle-dev: it runs an embedded deployment for a
+// person at a terminal and tells how to use it.
 package dev
--- a/internal/dev/options.go
+++ b/internal/dev/options.go
@@ -1,8 +1,6 @@
 package dev
 
-import (
-	"github.com/alecthomas/kong"
-)
+import "github.com/alecthomas/kong"
 
 // Options are trestle-dev's command line.
 type Options struct {
@@ -12,13 +10,3 @@
 	LogFormat  string           `help:"Log format: text or json." default:"text" enum:"text,json"`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
-
-// Keys and names of the embedded configuration.
-const (
-	// WorkspaceKey is the key of workspace prairie-spoke.
-	WorkspaceKey = "dev-key-prairie-spoke"
-	// RivalKey is the key of workspace tabkassza.
-	RivalKey = "dev-key-tabkassza"
-	// OperatorKey is the operators' key.
-	OperatorKey = "dev-key-operator"
-)
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -6,6 +6,7 @@
 	"io"
 	"time"
 
+	"galenatrestle/internal/embedded"
 	"galenatrestle/internal/logging"
 )
 
@@ -38,19 +39,23 @@
 	if err != nil {
 		return err
 	}
-	d, err := Start(options, log)
+	d, err := embedded.Start(embedded.Options{
+		ListenBase: options.ListenBase,
+		OpsPort:    options.Ops,
+		Log:        log,
+	})
 	if err != nil {
 		return err
 	}
-	d.announce(stdout)
+	announce(stdout, d)
 	<-ctx.Done()
 	return d.Stop(stopTimeout)
 }
 
-func (d *Deployment) announce(w io.Writer) {
+func announce(w io.Writer, d *embedded.Deployment) {
 	entries := ""
 	for _, n := range d.Nodes {
 		entries += fmt.Sprintf("  http://%s (%s, %s)\n", n.EntryAddress(), n.Name(), n.AvailabilityZone())
 	}
-	fmt.Fprintf(w, banner, entries, d.Nodes[0].OpsAddress(), d.Nodes[0].EntryAddress(), WorkspaceKey)
+	fmt.Fprintf(w, banner, entries, d.Nodes[0].OpsAddress(), d.Nodes[0].EntryAddress(), embedded.PrairieKey)
 }
--- a/internal/dev/deployment.go
+++ b/internal/embedded/deployment.go
@@ -1,4 +1,4 @@
-package dev
+package embedded
 
 import (
 	"context"
@@ -10,75 +10,82 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/sirupsen/logrus"
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/node"
 	"galenatrestle/internal/standin"
+	"galenatrestle/internal/standin/engine"
+	"galenatrestle/internal/standin/service"
 )
 
-// nodeCount is the number of nodes of the embedded deployment.
-const nodeCount = 3
-
-// keepTime is short here: all nodes stop at once, so there is no other entry
-// that a caller could change to.
-const keepTime = 100 * time.Millisecond
-
 // Deployment is a whole system in one process.
 type Deployment struct {
 	Nodes    []*node.Node
+	options  Options
 	standins *standins
 }
 
 // Start starts a deployment on loopback.
-func Start(options Options, log logrus.FieldLogger) (*Deployment, error) {
-	imitated, err := startStandins()
+func Start(options Options) (*Deployment, error) {
+	options = options.withDefaults()
+	imitated, err := startStandins(options)
 	if err != nil {
 		return nil, err
 	}
-	d := &Deployment{standins: imitated}
-	for i := range nodeCount {
-		n, err := d.newNode(i, options, log)
+	d := &Deployment{options: options, standins: imitated}
+	if err := d.startNodes(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) startNodes() error {
+	text, err := render(d.options.Config, d.standins.data)
+	if err != nil {
+		return err
+	}
+	document, err := config.Parse(text)
+	if err != nil {
+		return err
+	}
+	for i := range d.options.Nodes {
+		n, err := d.newNode(i)
 		if err != nil {
-			imitated.close()
-			return nil, err
+			return err
 		}
 		d.Nodes = append(d.Nodes, n)
 	}
-	parsed, err := document(imitated.engines, imitated.services)
-	if err != nil {
-		imitated.close()
-		return nil, err
-	}
-	d.connect(config.NewIndex(1, parsed))
-	return d, nil
+	d.connect(config.NewIndex(1, document))
+	return nil
 }
 
-func (d *Deployment) newNode(i int, options Options, log logrus.FieldLogger) (*node.Node, error) {
-	entry, err := listen(options.ListenBase, i)
+func (d *Deployment) newNode(i int) (*node.Node, error) {
+	entry, err := listen(d.options.ListenBase, i)
 	if err != nil {
 		return nil, err
 	}
-	nodeOptions := node.Options{
-		Name:             fmt.Sprintf("vm-%d", i),
-		AvailabilityZone: zones[i%len(zones)],
-		Region:           "sask-central",
-		DataCentre:       "sask-central",
+	name := fmt.Sprintf("vm-%d", i)
+	options := node.Options{
+		Name:             name,
+		AvailabilityZone: zoneOf(i, d.options),
+		Region:           "region-0",
+		DataCentre:       "data-centre-0",
 		Entry:            entry,
-		KeepTime:         keepTime,
-		Seed:             uint64(i + 1),
+		KeepTime:         d.options.KeepTime,
+		Seed:             d.options.Seed + uint64(i),
 		Registry:         prometheus.NewRegistry(),
-		Log:              log.WithField("node", fmt.Sprintf("vm-%d", i)),
+		Log:              d.options.Log.WithField("node", name),
 	}
 	if i == 0 {
-		nodeOptions.Ops, err = listen(options.Ops, 0)
+		options.Ops, err = listen(d.options.OpsPort, 0)
 		if err != nil {
 			return nil, err
 		}
 		handler := standin.Handler(d.standins.named)
-		nodeOptions.OpsHandlers = map[string]node.Handler{"/standin": handler, "/standin/": handler}
+		options.OpsHandlers = map[string]node.Handler{"/standin": handler, "/standin/": handler}
 	}
-	return node.New(nodeOptions), nil
+	return node.New(options), nil
 }
 
 // listen takes the port base+i, or a free one where base is 0.
@@ -106,6 +113,12 @@
 	}
 }
 
+// Engine returns the i-th engine stand-in.
+func (d *Deployment) Engine(i int) *engine.Engine { return d.standins.engines[i] }
+
+// Service returns the i-th plain-service stand-in.
+func (d *Deployment) Service(i int) *service.Service { return d.standins.services[i] }
+
 // Stop shuts all nodes down gracefully at the same time, then the stand-ins.
 func (d *Deployment) Stop(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
@@ -119,3 +132,11 @@
 	d.standins.close()
 	return errors.Join(failures...)
 }
+
+// Close ends everything at once.
+func (d *Deployment) Close() {
+	for _, n := range d.Nodes {
+		n.Close()
+	}
+	d.standins.close()
+}
--- a/internal/dev/path_test.go
+++ b/internal/embedded/path_test.go
@@ -1,4 +1,4 @@
-package dev
+package embedded
 
 import (
 	"bufio"
@@ -12,7 +12,6 @@
 
 	"github.com/openai/openai-go"
 	"github.com/openai/openai-go/option"
-	"github.com/sirupsen/logrus"
 
 	"galenatrestle/internal/standin/engine"
 )
@@ -22,14 +21,12 @@
 // startDeployment runs a deployment on free ports until the test ends.
 func startDeployment(t *testing.T) *Deployment {
 	t.Helper()
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	d, err := Start(Options{}, log)
+	d, err := Start(Options{})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		if err := d.Stop(stopTimeout); err != nil {
+		if err := d.Stop(time.Minute); err != nil {
 			t.Errorf("graceful stop: %v", err)
 		}
 	})
@@ -39,7 +36,7 @@
 func client(d *Deployment, node int) openai.Client {
 	return openai.NewClient(
 		option.WithBaseURL("http://"+d.Nodes[node].EntryAddress()+"/v1/"),
-		option.WithAPIKey(WorkspaceKey),
+		option.WithAPIKey(PrairieKey),
 		option.WithMaxRetries(0),
 	)
 }
@@ -107,7 +104,7 @@
 	d := startDeployment(t)
 	body := `{"account":"shop-17"}`
 	response := send(t, d, "POST", "/services/member-ledger/claims", body, map[string]string{
-		"Authorization": "Bearer " + WorkspaceKey, "Idempotency-Key": "claim-1",
+		"Authorization": "Bearer " + PrairieKey, "Idempotency-Key": "claim-1",
 	})
 	var answer struct {
 		Body json.RawMessage `json:"body"`
@@ -124,7 +121,7 @@
 func TestStreamEndsWithDone(t *testing.T) {
 	d := startDeployment(t)
 	body := `{"model":"trestle-llm","stream":true,"max_tokens":3,"messages":[{"role":"user","content":"a b c"}]}`
-	response := send(t, d, "POST", "/v1/chat/completions", body, map[string]string{"Authorization": "Bearer " + WorkspaceKey})
+	response := send(t, d, "POST", "/v1/chat/completions", body, map[string]string{"Authorization": "Bearer " + PrairieKey})
 	var data []string
 	lines := bufio.NewScanner(strings.NewReader(string(response.body)))
 	for lines.Scan() {
@@ -148,8 +145,8 @@
 	if err := json.Unmarshal(response.body, &list); err != nil {
 		t.Fatal(err)
 	}
-	if len(list.Entries) != nodeCount || list.Entries[0].AvailabilityZone != "regina-hall" {
-		t.Errorf("entries %+v, want %d with regina-hall first", list.Entries, nodeCount)
+	if len(list.Entries) != defaultNodes || list.Entries[0].AvailabilityZone != "regina-hall" {
+		t.Errorf("entries %+v, want %d with regina-hall first", list.Entries, defaultNodes)
 	}
 }
 
--- a/internal/dev/refusal_test.go
+++ b/internal/embedded/refusal_test.go
@@ -1,4 +1,4 @@
-package dev
+package embedded
 
 import (
 	"encoding/json"
@@ -12,7 +12,7 @@
 // outcome, reason and the field named.
 func TestRefusals(t *testing.T) {
 	d := startDeployment(t)
-	key := "Bearer " + WorkspaceKey
+	key := "Bearer " + PrairieKey
 	chat := "/v1/chat/completions"
 	good := `{"model":"trestle-llm","max_tokens":2,"messages":[{"role":"user","content":"hi"}]}`
 	cases := []struct {
