configsync: repository, spread and acceptance of configurations (not yet tested)

Cause: accepted configurations must be durable, spread and never revert. Change: package configsync.

--- /dev/null
+++ b/internal/configsync/commit.go
@@ -0,0 +1,102 @@
+package configsync
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"galenatrestle/internal/errs"
+	"galenatrestle/internal/platform"
+)
+
+// Commit accepts a staged record by one compare-and-swap of the head. It
+// returns the accepted record, a *StaleError where the base has moved, or
+// ErrUnknownOutcome. Committing a record that is accepted already returns it
+// again.
+func (r *Repository) Commit(ctx context.Context, record Record) (Record, error) {
+	head, storeRevision, err := r.Head(ctx)
+	if err != nil {
+		return Record{}, err
+	}
+	if head.ID == record.ID {
+		return head, nil
+	}
+	if head.ID != record.Previous || head.Revision != record.Base {
+		return r.acceptedBefore(ctx, head, record)
+	}
+	record.Accepted = r.now()
+	value, err := json.Marshal(record)
+	if err != nil {
+		return Record{}, errs.Wrap(errs.Platform, err, "encode configuration record", storePeer)
+	}
+	return r.swapHead(ctx, storeRevision, record, value)
+}
+
+// swapHead repeats the same conditional write until it is answered: it takes
+// effect once at most, and where an earlier try did, the conflict shows its id.
+func (r *Repository) swapHead(ctx context.Context, expect int64, record Record, value []byte) (Record, error) {
+	var conflict *platform.ConflictError
+	tried := false
+	err := retry(ctx, func() error {
+		_, err := r.store.CompareAndSwap(ctx, headKey, expect, value)
+		tried = tried || errors.Is(err, platform.ErrUnavailable)
+		return err
+	})
+	switch {
+	case err == nil:
+		return record, nil
+	case errors.As(err, &conflict):
+		return r.readBack(ctx, conflict.Current, record)
+	case tried:
+		return Record{}, errs.Wrap(errs.Platform, fmt.Errorf("%w: %w", ErrUnknownOutcome, err), "accept configuration", storePeer)
+	default:
+		return Record{}, errs.Wrap(errs.Platform, err, "accept configuration", storePeer)
+	}
+}
+
+func (r *Repository) readBack(ctx context.Context, current platform.Entry, record Record) (Record, error) {
+	if current.Revision == 0 {
+		return Record{}, &StaleError{Base: record.Base}
+	}
+	head, err := decodeRecord(current.Value)
+	if err != nil {
+		return Record{}, errs.Wrap(errs.Platform, err, "decode newest configuration", storePeer)
+	}
+	if head.ID == record.ID {
+		return head, nil
+	}
+	return r.acceptedBefore(ctx, head, record)
+}
+
+// acceptedBefore looks for the record among the accepted ones below the head:
+// another operator may have built on it before its answer came.
+func (r *Repository) acceptedBefore(ctx context.Context, head, record Record) (Record, error) {
+	kept, err := r.records(ctx)
+	if err != nil {
+		return Record{}, errs.Wrap(errs.Platform, fmt.Errorf("%w: %w", ErrUnknownOutcome, err), "accept configuration", storePeer)
+	}
+	for _, accepted := range chain(head, kept) {
+		if accepted.ID == record.ID {
+			return accepted, nil
+		}
+	}
+	return Record{}, &StaleError{Base: record.Base, Newest: head}
+}
+
+// markAccepted writes the time of acceptance into the kept record.
+func (r *Repository) markAccepted(ctx context.Context, accepted Record) error {
+	value, err := json.Marshal(accepted)
+	if err != nil {
+		return errs.Wrap(errs.Platform, err, "encode configuration record", storePeer)
+	}
+	err = retry(ctx, func() error {
+		entry, err := r.store.Get(ctx, recordKey(accepted.ID))
+		if err != nil {
+			return err
+		}
+		_, err = r.store.CompareAndSwap(ctx, recordKey(accepted.ID), entry.Revision, value)
+		return err
+	})
+	return errs.Wrap(errs.Platform, err, "mark configuration accepted", storePeer)
+}
