claim: types of the interface to the gateway

Cause: the gateway needs the shape of claims of unrepeatable calls before the ledger itself is there.

--- /dev/null
+++ b/internal/claim/key.go
@@ -0,0 +1,48 @@
+package claim
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+
+	"galenatrestle/internal/refusal"
+)
+
+// MaxIdempotencyKeyBytes is the longest idempotency key taken.
+const MaxIdempotencyKeyBytes = 255
+
+// Key names one unrepeatable call.
+type Key struct {
+	Workspace      string
+	Upstream       string
+	IdempotencyKey string
+}
+
+// Check refuses a key that cannot be claimed.
+func (k Key) Check() *refusal.Error {
+	if k.IdempotencyKey == "" {
+		return refusal.New(refusal.IdempotencyNeeds, stepCheck, "the call may not be repeated and needs an Idempotency-Key")
+	}
+	if len(k.IdempotencyKey) > MaxIdempotencyKeyBytes {
+		return refusal.BadField("Idempotency-Key", k.IdempotencyKey, "longer than 255 bytes")
+	}
+	return nil
+}
+
+// Shard returns the shard, from 0 to shards-1, that keeps the key.
+func (k Key) Shard(shards int) int {
+	digest := xxhash.New()
+	writeField(digest, k.Workspace)
+	writeField(digest, k.Upstream)
+	writeField(digest, k.IdempotencyKey)
+	return int(digest.Sum64() % uint64(shards))
+}
+
+// writeField adds the text with its length, so that fields cannot run together.
+func writeField(digest interface{ Write([]byte) (int, error) }, text string) {
+	var length [8]byte
+	binary.BigEndian.PutUint64(length[:], uint64(len(text)))
+	// A hash's Write never fails.
+	_, _ = digest.Write(length[:])
+	_, _ = digest.Write([]byte(text))
+}
--- /dev/null
+++ b/internal/claim/ledger.go
@@ -0,0 +1,27 @@
+package claim
+
+import "context"
+
+// Ledger is what the gateway needs: it asks before it sends an unrepeatable
+// call, and tells how the call ended.
+type Ledger interface {
+	// Begin claims the call. Every error is a *refusal.Error with outcome
+	// not-run: ClaimStoreDown when the claim could not be made durable in
+	// time, ClaimLedger when the ledger is full, IdempotencyReuse when the key
+	// was used with another content, IdempotencyNeeds or BadRequest for a key
+	// that cannot be claimed. Nothing may be sent unless the verdict is Run.
+	Begin(ctx context.Context, key Key, content Fingerprint) (Grant, error)
+	// Finish ends the claim and returns once the outcome is durable. When ctx
+	// ends first it returns the context's error, and the outcome is recorded
+	// in the background. The gateway answers its caller either way.
+	Finish(ctx context.Context, token Token, outcome Outcome) error
+}
+
+// Steps named in errors.
+const (
+	stepCheck    = "check"
+	stepClaim    = "claim"
+	stepRecord   = "record"
+	stepTakeOver = "take over"
+	stepForward  = "forward"
+)
