--- /dev/null
+++ b/internal/claim/begin.go
@@ -0,0 +1,93 @@
+package claim
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/google/uuid"
+
+	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
+	"galenatrestle/internal/refusal"
+)
+
+// BeginCommand claims a call for one attempt. It is idempotent by Attempt.
+type BeginCommand struct {
+	Key     Key
+	Content Fingerprint
+	Attempt uuid.UUID
+	// Node and Boot name the process that will send the call.
+	Node string
+	Boot uuid.UUID
+	Now  time.Time
+	// Refuse is why no new claim may be made; empty where one may.
+	Refuse refusal.Reason
+	// Gone says whether a process is known to be gone.
+	Gone func(node string, boot uuid.UUID) bool
+}
+
+func (c BeginCommand) apply(state *claimv1.Record) (*claimv1.Record, Decision) {
+	switch state.GetPhase() {
+	case claimv1.Phase_PHASE_UNSPECIFIED:
+		return c.claim(state)
+	case claimv1.Phase_PHASE_RELEASED:
+		if c.owns(state) {
+			// A late copy of an attempt that was given up.
+			return state, Decision{Refused: refusal.ClaimStoreDown}
+		}
+		return c.claim(state)
+	}
+	if !bytes.Equal(state.GetFingerprint(), c.Content[:]) {
+		return state, Decision{Refused: refusal.IdempotencyReuse}
+	}
+	switch state.GetPhase() {
+	case claimv1.Phase_PHASE_IN_PROGRESS:
+		return c.meet(state)
+	case claimv1.Phase_PHASE_RECORDED:
+		return state, Decision{Verdict: Recorded, Answer: state.GetAnswer()}
+	}
+	return state, Decision{Verdict: Unknown}
+}
+
+// claim makes the claim unless that is refused.
+func (c BeginCommand) claim(state *claimv1.Record) (*claimv1.Record, Decision) {
+	if c.Refuse != "" {
+		return state, Decision{Refused: c.Refuse}
+	}
+	next := &claimv1.Record{
+		Key:         KeyToProto(c.Key),
+		Phase:       claimv1.Phase_PHASE_IN_PROGRESS,
+		Fingerprint: c.Content[:],
+		Attempt:     c.Attempt[:],
+		Node:        c.Node,
+		Boot:        c.Boot[:],
+		ChangedMs:   c.Now.UnixMilli(),
+	}
+	return next, Decision{Verdict: Run}
+}
+
+// meet answers for a claim that is in progress.
+func (c BeginCommand) meet(state *claimv1.Record) (*claimv1.Record, Decision) {
+	if c.owns(state) {
+		return state, Decision{Verdict: Run}
+	}
+	if !c.Gone(state.GetNode(), uuidFromBytes(state.GetBoot())) {
+		return state, Decision{Verdict: InProgress}
+	}
+	return ended(state, claimv1.Phase_PHASE_UNKNOWN, nil, c.Now), Decision{Verdict: Unknown}
+}
+
+func (c BeginCommand) owns(state *claimv1.Record) bool {
+	return bytes.Equal(state.GetAttempt(), c.Attempt[:])
+}
+
+// ended returns the state after the claim's end.
+func ended(state *claimv1.Record, phase claimv1.Phase, answer *claimv1.Answer, now time.Time) *claimv1.Record {
+	return &claimv1.Record{
+		Key:         state.GetKey(),
+		Phase:       phase,
+		Fingerprint: state.GetFingerprint(),
+		Attempt:     state.GetAttempt(),
+		ChangedMs:   now.UnixMilli(),
+		Answer:      answer,
+	}
+}
--- /dev/null
+++ b/internal/claim/errors.go
@@ -0,0 +1,12 @@
+package claim
+
+import "errors"
+
+var (
+	// errNotHolder says that this node does not hold the shard.
+	errNotHolder = errors.New("claim: not the shard's holder")
+	// errSuperseded says that another holder has taken the shard over.
+	errSuperseded = errors.New("claim: superseded by another holder")
+	// errUncertain says that a change may or may not have become durable.
+	errUncertain = errors.New("claim: not known whether the change is durable")
+)
--- /dev/null
+++ b/internal/claim/forward.go
@@ -0,0 +1,120 @@
+package claim
+
+import (
+	"context"
+	"errors"
+
+	"galenatrestle/internal/errs"
+)
+
+// tryBegin asks the holder once. errNotHolder is certain to have changed
+// nothing; after any other error the claim may have been made. With an error
+// comes what is remembered of the claim, if anything.
+func (n *Node) tryBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
+	part, tender := n.shardOf(request.Key)
+	here, err := n.beginHere(ctx, part, request)
+	if !errors.Is(err, errNotHolder) {
+		return here, err
+	}
+	address, ok := tender.holderAddress()
+	if !ok {
+		n.metrics.retries.WithLabelValues(retryNoHolder).Inc()
+		return here, errNotHolder
+	}
+	call, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+	defer cancel()
+	reply, err := n.options.Peers.Begin(call, address, request)
+	if err != nil {
+		n.peerFailed(tender)
+		return here, errs.Wrap(errs.Peer, err, stepForward, address)
+	}
+	if reply.NotHolder {
+		n.notHolder(tender, reply.Holder)
+		return reply.orElse(here), errNotHolder
+	}
+	return reply, nil
+}
+
+// tryFinish asks the holder once.
+func (n *Node) tryFinish(ctx context.Context, request FinishRequest) error {
+	part, tender := n.shardOf(request.Key)
+	err := part.finish(ctx, request)
+	if !errors.Is(err, errNotHolder) {
+		return err
+	}
+	address, ok := tender.holderAddress()
+	if !ok {
+		n.metrics.retries.WithLabelValues(retryNoHolder).Inc()
+		return errNotHolder
+	}
+	call, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+	defer cancel()
+	reply, err := n.options.Peers.Finish(call, address, request)
+	if err != nil {
+		n.peerFailed(tender)
+		return errs.Wrap(errs.Peer, err, stepForward, address)
+	}
+	if reply.NotHolder {
+		n.notHolder(tender, reply.Holder)
+		return errNotHolder
+	}
+	return nil
+}
+
+func (n *Node) peerFailed(tender *tender) {
+	n.metrics.retries.WithLabelValues(retryPeer).Inc()
+	tender.holderIs("")
+	tender.ask()
+}
+
+func (n *Node) notHolder(tender *tender, holder string) {
+	n.metrics.retries.WithLabelValues(retryNotHolder).Inc()
+	tender.holderIs(holder)
+	if holder == "" {
+		tender.ask()
+	}
+}
+
+func (n *Node) shardOf(key Key) (*shard, *tender) {
+	number := key.Shard(len(n.shards))
+	return n.shards[number], n.tenders[number]
+}
+
+// beginHere runs the request on the shard if it is held here.
+func (n *Node) beginHere(ctx context.Context, part *shard, request BeginRequest) (BeginReply, error) {
+	n.boots.seen(request.Node, request.Boot)
+	decision, err := part.begin(ctx, request, n.boots.gone)
+	if errors.Is(err, errUncertain) {
+		n.metrics.retries.WithLabelValues(retryUncertain).Inc()
+	}
+	reply := BeginReply{Verdict: decision.Verdict, Refused: decision.Refused}
+	if decision.Answer != nil {
+		reply.Answer = AnswerFromProto(decision.Answer)
+	}
+	return reply, err
+}
+
+// ServeBegin answers a forwarded Begin. After an error the claim may have been
+// made.
+func (n *Node) ServeBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
+	part, tender := n.shardOf(request.Key)
+	reply, err := n.beginHere(ctx, part, request)
+	if errors.Is(err, errNotHolder) {
+		tender.askIfOwner()
+		reply.NotHolder, reply.Holder = true, tender.holderHint()
+		return reply, nil
+	}
+	return reply, err
+}
+
+// ServeFinish answers a forwarded Finish. After an error the outcome may be
+// durable.
+func (n *Node) ServeFinish(ctx context.Context, request FinishRequest) (FinishReply, error) {
+	part, tender := n.shardOf(request.Key)
+	err := part.finish(ctx, request)
+	if errors.Is(err, errNotHolder) {
+		tender.askIfOwner()
+		return FinishReply{NotHolder: true, Holder: tender.holderHint()}, nil
+	}
+	return FinishReply{}, err
+}
--- a/internal/claim/grant.go
+++ b/internal/claim/grant.go
@@ -1,10 +1,12 @@
 package claim
 
+import "github.com/google/uuid"
+
 // Token is the right to finish one claim.
 type Token struct {
 	Key Key
 	// Attempt is the unique id of the Begin that made the claim.
-	Attempt string
+	Attempt uuid.UUID
 }
 
 // Grant is the result of Begin.
--- /dev/null
+++ b/internal/claim/metrics.go
@@ -0,0 +1,88 @@
+package claim
+
+import (
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the ledger's counters.
+type metrics struct {
+	verdicts   *prometheus.CounterVec
+	refusals   *prometheus.CounterVec
+	retries    *prometheus.CounterVec
+	finishes   *prometheus.CounterVec
+	writes     *prometheus.CounterVec
+	writeBytes prometheus.Counter
+	changes    prometheus.Counter
+	takeovers  prometheus.Counter
+	abandoned  prometheus.Counter
+	unfinished prometheus.Gauge
+	retained   *prometheus.GaugeVec
+	bytes      *prometheus.GaugeVec
+}
+
+// Why a Begin or Finish was tried again.
+const (
+	retryNotHolder = "not_holder"
+	retryNoHolder  = "no_holder"
+	retryPeer      = "peer_failed"
+	retryUncertain = "uncertain"
+)
+
+// How a Finish went.
+const (
+	finishDurable    = "durable"
+	finishBackground = "background"
+	finishDropped    = "dropped"
+)
+
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		verdicts:   vector("trestle_claim_verdicts_total", "Answers to Begin by verdict.", "verdict"),
+		refusals:   vector("trestle_claim_refusals_total", "Refused Begins by reason.", "reason"),
+		retries:    vector("trestle_claim_retries_total", "Tries of Begin and Finish that were repeated, by reason.", "reason"),
+		finishes:   vector("trestle_claim_finishes_total", "Finishes by phase and result.", "phase", "result"),
+		writes:     vector("trestle_claim_platform_writes_total", "Platform writes of shards by effect.", "effect"),
+		writeBytes: single("trestle_claim_platform_write_bytes_total", "Bytes of the platform writes that took effect."),
+		changes:    single("trestle_claim_changes_total", "Records written to the platform, carried ones included."),
+		takeovers:  single("trestle_claim_takeovers_total", "Shards taken over by this node."),
+		abandoned:  single("trestle_claim_abandoned_total", "Begins given up without knowing whether the claim is durable."),
+		unfinished: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "trestle_claim_unfinished", Help: "Outcomes that wait to be recorded in the background.",
+		}),
+		retained: gauges("trestle_claim_retained", "Claims known in a shard held here.", "shard"),
+		bytes:    gauges("trestle_claim_retained_bytes", "Encoded bytes of the claims known in a shard held here.", "shard"),
+	}
+	registerer.MustRegister(m.verdicts, m.refusals, m.retries, m.finishes, m.writes, m.writeBytes,
+		m.changes, m.takeovers, m.abandoned, m.unfinished, m.retained, m.bytes)
+	return m
+}
+
+func vector(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, labels)
+}
+
+func single(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: name, Help: help})
+}
+
+func gauges(name, help string, labels ...string) *prometheus.GaugeVec {
+	return prometheus.NewGaugeVec(prometheus.GaugeOpts{Name: name, Help: help}, labels)
+}
+
+// written counts a write that took effect.
+func (m *metrics) written(shard int, done write, retained, bytes int) {
+	label := strconv.Itoa(shard)
+	m.writeBytes.Add(float64(len(done.value)))
+	m.changes.Add(float64(len(done.digests)))
+	m.retained.WithLabelValues(label).Set(float64(retained))
+	m.bytes.WithLabelValues(label).Set(float64(bytes))
+}
+
+// forgot notes that the shard is no longer held here.
+func (m *metrics) forgot(shard int) {
+	label := strconv.Itoa(shard)
+	m.retained.DeleteLabelValues(label)
+	m.bytes.DeleteLabelValues(label)
+}
--- /dev/null
+++ b/internal/claim/node.go
@@ -0,0 +1,164 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/sync/errgroup"
+
+	"galenatrestle/internal/refusal"
+)
+
+// Node is one node's ledger: it holds some of the shards and forwards the rest
+// to their holders. It implements Ledger.
+type Node struct {
+	options    Options
+	boot       uuid.UUID
+	boots      *boots
+	metrics    *metrics
+	shards     []*shard
+	tenders    []*tender
+	unfinished *unfinished
+}
+
+var _ Ledger = (*Node)(nil)
+
+// NewNode returns a ledger that serves once Run runs.
+func NewNode(options Options) (*Node, error) {
+	options = options.withDefaults()
+	boot, err := uuid.NewV7()
+	if err != nil {
+		return nil, fmt.Errorf("claim: boot id: %w", err)
+	}
+	n := &Node{
+		options: options, boot: boot,
+		boots:      newBoots(options.View),
+		metrics:    newMetrics(options.Registerer),
+		unfinished: newUnfinished(options.MaxUnfinished),
+	}
+	for number := range options.Policy.Shards {
+		part := newShard(number, options, n.metrics)
+		n.shards = append(n.shards, part)
+		n.tenders = append(n.tenders, newTender(part, options))
+	}
+	return n, nil
+}
+
+// Run holds shards and records outcomes until ctx ends. Then it writes what
+// waits and hands its shards on.
+func (n *Node) Run(ctx context.Context) error {
+	tending, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	for _, tender := range n.tenders {
+		group.Go(func() error {
+			tender.run(tending)
+			return nil
+		})
+	}
+	n.recordUnfinished(ctx)
+	stop()
+	return group.Wait()
+}
+
+// Begin implements Ledger.
+func (n *Node) Begin(ctx context.Context, key Key, content Fingerprint) (Grant, error) {
+	grant, refused := n.begin(ctx, key, content)
+	if refused != nil {
+		n.metrics.refusals.WithLabelValues(string(refused.Reason)).Inc()
+		return Grant{}, refused
+	}
+	n.metrics.verdicts.WithLabelValues(grant.Verdict.String()).Inc()
+	return grant, nil
+}
+
+func (n *Node) begin(ctx context.Context, key Key, content Fingerprint) (Grant, *refusal.Error) {
+	if refused := key.Check(); refused != nil {
+		return Grant{}, refused
+	}
+	request := BeginRequest{
+		Key: key, Content: content, Attempt: uuid.New(),
+		Node: n.options.View.Self().Name, Boot: n.boot,
+	}
+	within, cancel := context.WithTimeout(ctx, n.options.BeginTimeout)
+	defer cancel()
+	reply, err := n.settleBegin(within, request)
+	if err != nil {
+		return Grant{}, gaveUp(ctx, err)
+	}
+	if reply.Refused != "" {
+		return Grant{}, refusedBy(reply.Refused, key)
+	}
+	grant := Grant{Verdict: reply.Verdict, Answer: reply.Answer}
+	if reply.Verdict == Run {
+		grant.Token = Token{Key: key, Attempt: request.Attempt}
+	}
+	return grant, nil
+}
+
+// settleBegin asks until the holder has answered or ctx ends. An attempt whose
+// claim may have been made is released in the background: it sends nothing.
+func (n *Node) settleBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
+	uncertain := false
+	var remembered BeginReply
+	for {
+		reply, err := n.tryBegin(ctx, request)
+		if err == nil {
+			return reply, nil
+		}
+		remembered = reply.orElse(remembered)
+		uncertain = uncertain || !errors.Is(err, errNotHolder)
+		if ctx.Err() == nil && pause(ctx, n.options) {
+			continue
+		}
+		if uncertain {
+			n.abandon(request)
+		}
+		if remembered.Verdict != 0 || remembered.Refused != "" {
+			return remembered, nil
+		}
+		return BeginReply{}, err
+	}
+}
+
+// abandon gives the attempt up for good.
+func (n *Node) abandon(request BeginRequest) {
+	n.metrics.abandoned.Inc()
+	n.later(FinishRequest{Key: request.Key, Attempt: request.Attempt, Phase: phaseReleased})
+}
+
+// gaveUp is the refusal of a claim that was not settled in time.
+func gaveUp(caller context.Context, cause error) *refusal.Error {
+	if errors.Is(caller.Err(), context.Canceled) {
+		refused := refusal.New(refusal.CallerGone, stepClaim, "the caller went away before the call was claimed")
+		refused.Cause = cause
+		return refused
+	}
+	refused := refusal.New(refusal.ClaimStoreDown, stepClaim, "the call could not be claimed in time and was not sent")
+	refused.Cause = cause
+	refused.RetryAfter = retryAfter
+	return refused
+}
+
+// retryAfter is the pause told to callers where the ledger is down or full.
+const retryAfter = time.Second
+
+// refusedBy is the refusal that the holder gave.
+func refusedBy(reason refusal.Reason, key Key) *refusal.Error {
+	switch reason {
+	case refusal.IdempotencyReuse:
+		refused := refusal.New(reason, stepClaim, "the key was used with another method, path or body")
+		refused.Field, refused.Value = "Idempotency-Key", key.IdempotencyKey
+		return refused
+	case refusal.ClaimLedger:
+		refused := refusal.New(reason, stepClaim, "the ledger of unrepeatable calls is full")
+		refused.RetryAfter = retryAfter
+		return refused
+	}
+	refused := refusal.New(refusal.ClaimStoreDown, stepClaim, "the platform does not take claims now")
+	refused.RetryAfter = retryAfter
+	return refused
+}
--- /dev/null
+++ b/internal/claim/options.go
@@ -0,0 +1,93 @@
+package claim
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"galenatrestle/internal/membership"
+	"galenatrestle/internal/platform"
+)
+
+// Options are what a node's ledger is built from.
+type Options struct {
+	Policy Policy
+	Store  platform.Store
+	Leases Leases
+	// View names this node, the live nodes and the preferred holders.
+	View  membership.View
+	Peers Peers
+	// Registerer takes the counters.
+	Registerer prometheus.Registerer
+	Log        logrus.FieldLogger
+	// Random jitters retries.
+	Random *rand.Rand
+
+	// WritesPerSecond bounds the platform writes of all shards together.
+	WritesPerSecond float64
+	// BeginTimeout bounds one Begin where its context does not.
+	BeginTimeout time.Duration
+	// CallTimeout bounds one call to the platform or a peer.
+	CallTimeout time.Duration
+	// RetryInterval is the mean pause between tries.
+	RetryInterval time.Duration
+	// TendInterval is the pause between looks at which shards to hold.
+	TendInterval time.Duration
+	// MaxPending bounds the changes that wait for a write in one shard.
+	MaxPending int
+	// MaxUnfinished bounds the outcomes that wait to be recorded in the
+	// background.
+	MaxUnfinished int
+
+	jitters *jitters
+}
+
+// The defaults of Options.
+const (
+	DefaultWritesPerSecond = 200
+	DefaultBeginTimeout    = 2 * time.Second
+	DefaultCallTimeout     = 500 * time.Millisecond
+	DefaultRetryInterval   = 50 * time.Millisecond
+	DefaultTendInterval    = time.Second
+	DefaultMaxPending      = 10_000
+	DefaultMaxUnfinished   = 10_000
+)
+
+// writeBurst is the number of writes a shard may make at once when it has been
+// idle.
+const writeBurst = 4
+
+func (o Options) withDefaults() Options {
+	if o.Policy == (Policy{}) {
+		o.Policy = DefaultPolicy()
+	}
+	orElse(&o.WritesPerSecond, DefaultWritesPerSecond)
+	orElse(&o.BeginTimeout, DefaultBeginTimeout)
+	orElse(&o.CallTimeout, DefaultCallTimeout)
+	orElse(&o.RetryInterval, DefaultRetryInterval)
+	orElse(&o.TendInterval, DefaultTendInterval)
+	orElse(&o.MaxPending, DefaultMaxPending)
+	orElse(&o.MaxUnfinished, DefaultMaxUnfinished)
+	if o.Registerer == nil {
+		o.Registerer = prometheus.NewRegistry()
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	if o.Random == nil {
+		seed := uuid.New()
+		o.Random = rand.New(rand.NewChaCha8([32]byte(append(seed[:], seed[:]...))))
+	}
+	o.jitters = &jitters{random: o.Random}
+	return o
+}
+
+func orElse[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
--- /dev/null
+++ b/internal/claim/peers.go
@@ -0,0 +1,62 @@
+package claim
+
+import (
+	"context"
+
+	"github.com/google/uuid"
+
+	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
+	"galenatrestle/internal/refusal"
+)
+
+// BeginRequest is a Begin as it goes to the shard's holder.
+type BeginRequest struct {
+	Key     Key
+	Content Fingerprint
+	Attempt uuid.UUID
+	Node    string
+	Boot    uuid.UUID
+}
+
+// BeginReply is the answer of the node asked: a verdict or a refusal.
+type BeginReply struct {
+	Verdict Verdict
+	Answer  Answer
+	// Refused is why nothing was claimed.
+	Refused refusal.Reason
+	// NotHolder says that the receiver does not hold the shard; Holder names
+	// the one it knows of. A verdict is then what it remembers of an earlier
+	// tenure, to be told only where no holder can be asked.
+	NotHolder bool
+	Holder    string
+}
+
+// orElse returns the reply, or the other where this one says nothing.
+func (r BeginReply) orElse(other BeginReply) BeginReply {
+	if r.Verdict == 0 && r.Refused == "" {
+		return other
+	}
+	return r
+}
+
+// FinishRequest is a Finish as it goes to the shard's holder.
+type FinishRequest struct {
+	Key     Key
+	Attempt uuid.UUID
+	Phase   claimv1.Phase
+	Answer  *claimv1.Answer
+}
+
+// FinishReply is the holder's answer.
+type FinishReply struct {
+	NotHolder bool
+	Holder    string
+}
+
+// Peers calls other nodes by their peer address.
+type Peers interface {
+	// Begin forwards a claim; after an error it may or may not have been made.
+	Begin(ctx context.Context, address string, request BeginRequest) (BeginReply, error)
+	// Finish forwards an outcome; after an error it may or may not be durable.
+	Finish(ctx context.Context, address string, request FinishRequest) (FinishReply, error)
+}
--- /dev/null
+++ b/internal/claim/ring.go
@@ -0,0 +1,145 @@
+package claim
+
+import (
+	"crypto/sha256"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
+)
+
+// digest is the index's key: half of a SHA-256 sum over the claim's key.
+type digest [16]byte
+
+func digestOf(key Key) digest {
+	sum := sha256.New()
+	writeField(sum, key.Workspace)
+	writeField(sum, key.Upstream)
+	writeField(sum, key.IdempotencyKey)
+	return digest(sum.Sum(nil)[:len(digest{})])
+}
+
+// held is the latest state of one claim.
+type held struct {
+	// sequence is the segment that holds the state; zero while no write has
+	// taken it yet.
+	sequence int64
+	// change numbers the state; it is durable once the ring has written it.
+	change int64
+	// encoded is the marshalled claimv1.Record.
+	encoded []byte
+}
+
+// slot is one platform key of the ring as last seen.
+type slot struct {
+	// revision is the platform's revision of the key, zero where it is absent.
+	revision int64
+	// sequence is the segment in it.
+	sequence int64
+	// digests are the claims written into the segment.
+	digests []digest
+}
+
+// change is a state that waits for a write.
+type change struct {
+	number  int64
+	digest  digest
+	encoded []byte
+}
+
+// ring is the log of one shard: a ring of segments of which exactly one, the
+// tail, may be written. It is pure, and not safe for concurrent use.
+type ring struct {
+	policy Policy
+	prefix string
+	holder string
+	epoch  int64
+
+	index map[digest]held
+	slots []slot
+	// tail is the newest segment's sequence; sealed says that the next write
+	// begins a new one.
+	tail   int64
+	sealed bool
+	// body is the tail's encoded records.
+	body []byte
+	// bytes is the sum of the encoded states in the index.
+	bytes int
+	// compact asks that the next write seals its segment, so that the ring
+	// moves on to what may be dropped.
+	compact bool
+
+	pending []change
+	// last numbers the newest change, durable the newest that is written.
+	last    int64
+	durable int64
+}
+
+// apply runs the command on the claim of key. The verdict may be told once the
+// returned change is durable; zero needs no wait.
+func (r *ring) apply(key Key, command Command, now time.Time) (Decision, int64, error) {
+	id := digestOf(key)
+	current, exists := r.index[id]
+	state, err := r.lookup(current, exists, now)
+	if err != nil {
+		return Decision{}, 0, err
+	}
+	next, decision := Apply(state, command)
+	if next == nil || next == state {
+		return decision, r.undurable(current), nil
+	}
+	number, err := r.put(id, next)
+	return decision, number, err
+}
+
+// lookup returns the state as it stands now, nil where there is none.
+func (r *ring) lookup(current held, exists bool, now time.Time) (*claimv1.Record, error) {
+	if !exists {
+		return nil, nil
+	}
+	state, err := decode(current.encoded)
+	if err != nil {
+		return nil, err
+	}
+	return expire(state, now, r.policy), nil
+}
+
+// undurable returns the change to wait for before the state may be told.
+func (r *ring) undurable(current held) int64 {
+	if current.change <= r.durable {
+		return 0
+	}
+	return current.change
+}
+
+// put keeps the state and queues it for the next write.
+func (r *ring) put(id digest, state *claimv1.Record) (int64, error) {
+	encoded, err := proto.Marshal(state)
+	if err != nil {
+		return 0, err
+	}
+	r.last++
+	r.bytes += len(encoded) - len(r.index[id].encoded)
+	r.index[id] = held{change: r.last, encoded: encoded}
+	r.pending = append(r.pending, change{number: r.last, digest: id, encoded: encoded})
+	return r.last, nil
+}
+
+// full says that no new claim may be made.
+func (r *ring) full() bool {
+	return float64(r.bytes) > fullPart*float64(r.policy.capacity())
+}
+
+// bodyFree says that answers are recorded without their bodies.
+func (r *ring) bodyFree() bool {
+	return float64(r.bytes) > bodyFreePart*float64(r.policy.capacity())
+}
+
+func decode(encoded []byte) (*claimv1.Record, error) {
+	state := &claimv1.Record{}
+	if err := proto.Unmarshal(encoded, state); err != nil {
+		return nil, err
+	}
+	return state, nil
+}
--- /dev/null
+++ b/internal/claim/shard.go
@@ -0,0 +1,179 @@
+package claim
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"golang.org/x/time/rate"
+
+	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
+	"galenatrestle/internal/refusal"
+)
+
+// shard is one shard as this node sees it: held, or known from an earlier
+// tenure, or neither.
+type shard struct {
+	number  int
+	options Options
+	metrics *metrics
+	limiter *rate.Limiter
+	wake    chan struct{}
+
+	mu sync.Mutex
+	// ring is nil where this node knows nothing of the shard.
+	ring *ring
+	// holding says that the ring takes changes; else it only answers what is
+	// durable and final.
+	holding bool
+	// stuck says that the write under way has failed stuckTries times.
+	stuck bool
+	// progress is closed and replaced whenever something became durable or
+	// the ring was dropped.
+	progress chan struct{}
+	// compacted is when a compaction was last asked for.
+	compacted time.Time
+}
+
+func newShard(number int, options Options, metrics *metrics) *shard {
+	perShard := options.WritesPerSecond / float64(options.Policy.Shards)
+	return &shard{
+		number: number, options: options, metrics: metrics,
+		limiter:  rate.NewLimiter(rate.Limit(perShard), writeBurst),
+		wake:     make(chan struct{}, 1),
+		progress: make(chan struct{}),
+	}
+}
+
+// begin runs a Begin on the shard held here. errNotHolder is certain to have
+// changed nothing, and comes with what is remembered; errUncertain is not.
+func (s *shard) begin(ctx context.Context, request BeginRequest, gone func(string, uuid.UUID) bool) (Decision, error) {
+	now := time.Now()
+	command := BeginCommand{
+		Key: request.Key, Content: request.Content, Attempt: request.Attempt,
+		Node: request.Node, Boot: request.Boot, Now: now, Gone: gone,
+	}
+	s.mu.Lock()
+	if !s.holding {
+		defer s.mu.Unlock()
+		return s.remembered(command), errNotHolder
+	}
+	command.Refuse = s.refusalForNew(now)
+	return s.run(ctx, request.Key, command, now)
+}
+
+// finish runs a Finish on the shard held here.
+func (s *shard) finish(ctx context.Context, request FinishRequest) error {
+	now := time.Now()
+	s.mu.Lock()
+	if !s.holding {
+		s.mu.Unlock()
+		return errNotHolder
+	}
+	command := FinishCommand{
+		Key: request.Key, Attempt: request.Attempt, Phase: request.Phase, Answer: request.Answer, Now: now,
+	}
+	if s.ring.bodyFree() && command.Answer != nil {
+		command.Answer = &claimv1.Answer{Status: command.Answer.GetStatus(), BodyDropped: true}
+	}
+	_, err := s.run(ctx, request.Key, command, now)
+	return err
+}
+
+// run applies the command and waits until its change is durable. It is called
+// with the lock held and gives it up.
+func (s *shard) run(ctx context.Context, key Key, command Command, now time.Time) (Decision, error) {
+	current := s.ring
+	decision, number, err := current.apply(key, command, now)
+	s.mu.Unlock()
+	if err != nil {
+		return Decision{}, errUncertain
+	}
+	if number == 0 {
+		return decision, nil
+	}
+	s.signal()
+	if err := s.wait(ctx, current, number); err != nil {
+		return Decision{}, err
+	}
+	return decision, nil
+}
+
+// remembered answers what was durable when the shard was last held here. It is
+// told only where no holder can be asked, as in a platform outage, and gives no
+// right to run.
+func (s *shard) remembered(command BeginCommand) Decision {
+	if s.ring == nil {
+		return Decision{}
+	}
+	current, exists := s.ring.index[digestOf(command.Key)]
+	if !exists || s.ring.undurable(current) != 0 {
+		return Decision{}
+	}
+	state, err := s.ring.lookup(current, exists, command.Now)
+	if err != nil {
+		return Decision{}
+	}
+	command.Refuse = refusal.ClaimStoreDown
+	_, decision := Apply(state, command)
+	if decision.Verdict == Run || decision.Refused == refusal.ClaimStoreDown {
+		return Decision{}
+	}
+	return decision
+}
+
+// refusalForNew returns why no new claim may be made, or nothing.
+func (s *shard) refusalForNew(now time.Time) refusal.Reason {
+	if s.stuck || len(s.ring.pending) >= s.options.MaxPending {
+		return refusal.ClaimStoreDown
+	}
+	if !s.ring.full() {
+		return ""
+	}
+	if now.Sub(s.compacted) >= compactInterval {
+		s.compacted = now
+		s.ring.compact = true
+		s.signal()
+	}
+	return refusal.ClaimLedger
+}
+
+// compactInterval is the least time between two compactions of a full shard.
+const compactInterval = time.Second
+
+// wait returns once the change is durable in the ring, else errUncertain.
+func (s *shard) wait(ctx context.Context, current *ring, number int64) error {
+	for {
+		s.mu.Lock()
+		durable := current.durable >= number
+		dropped := s.ring != current || !s.holding
+		progress := s.progress
+		s.mu.Unlock()
+		if durable {
+			return nil
+		}
+		if dropped {
+			return errUncertain
+		}
+		select {
+		case <-progress:
+		case <-ctx.Done():
+			return errUncertain
+		}
+	}
+}
+
+// signal wakes the writer.
+func (s *shard) signal() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
+// advance tells all that wait to look again. It is called with the lock held.
+func (s *shard) advance() {
+	close(s.progress)
+	s.progress = make(chan struct{})
+}
--- /dev/null
+++ b/internal/claim/tender.go
@@ -0,0 +1,166 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/membership"
+	"galenatrestle/internal/platform"
+)
+
+// tender decides for one shard whether this node tries to hold it, and knows
+// who holds it else. What it knows is soft state: the lease decides.
+type tender struct {
+	part    *shard
+	options Options
+	name    string
+	asked   chan struct{}
+
+	mu sync.Mutex
+	// holder is the node last known to hold the shard, empty where unknown.
+	holder string
+}
+
+// handOnAfter is how many looks in a row must find another preferred holder
+// before a held shard is handed on.
+const handOnAfter = 5
+
+func newTender(part *shard, options Options) *tender {
+	return &tender{part: part, options: options, name: shardPrefix(part.number), asked: make(chan struct{}, 1)}
+}
+
+// run holds the shard whenever this node is its preferred holder, or was asked
+// as the preferred one did not answer, and the lease is free.
+func (t *tender) run(ctx context.Context) {
+	wanted := false
+	for {
+		if wanted || t.preferred() {
+			t.tryHold(ctx)
+		}
+		var live bool
+		wanted, live = t.rest(ctx)
+		if !live {
+			return
+		}
+	}
+}
+
+// rest waits for the next look. An ask shortens the wait to a quarter, so that
+// a busy node without a holder does not use up the platform's rate.
+func (t *tender) rest(ctx context.Context) (wanted, live bool) {
+	short := t.options.jitters.around(t.options.TendInterval / 4)
+	if !sleep(ctx, short) {
+		return false, false
+	}
+	timer := time.NewTimer(t.options.jitters.around(t.options.TendInterval))
+	defer timer.Stop()
+	select {
+	case <-t.asked:
+		return true, true
+	case <-timer.C:
+		return false, true
+	case <-ctx.Done():
+		return false, false
+	}
+}
+
+// tryHold holds the shard if its lease can be had.
+func (t *tender) tryHold(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, t.options.CallTimeout)
+	tenure, err := t.options.Leases.Acquire(call, t.name)
+	cancel()
+	var held *platform.HeldError
+	if errors.As(err, &held) {
+		t.holderIs(held.Current.Holder)
+		return
+	}
+	if err != nil {
+		return
+	}
+	self := t.options.View.Self().Name
+	t.holderIs("")
+	until, stop := context.WithCancel(ctx)
+	go t.handOn(until, stop)
+	err = t.part.hold(until, tenure, self)
+	stop()
+	t.part.metrics.forgot(t.part.number)
+	if err != nil {
+		t.options.Log.WithError(err).WithField("shard", t.part.number).Warn("claim shard lost")
+	}
+	t.release(ctx, tenure)
+}
+
+func (t *tender) release(ctx context.Context, tenure Tenure) {
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.options.CallTimeout)
+	defer cancel()
+	if err := tenure.Release(call); err != nil {
+		t.options.Log.WithError(err).WithField("shard", t.part.number).Info("claim lease not released, it will lapse")
+	}
+}
+
+// handOn stops the holding when the shard should be handed to its preferred
+// holder. It returns when ctx ends.
+func (t *tender) handOn(ctx context.Context, stop func()) {
+	for others := 0; others < handOnAfter; {
+		if !sleep(ctx, t.options.TendInterval) {
+			return
+		}
+		others++
+		if owner := t.options.View.Owner(t.name); t.isSelf(owner) || owner.State != membership.StateServing {
+			others = 0
+		}
+	}
+	stop()
+}
+
+// preferred says whether this node is the shard's preferred holder.
+func (t *tender) preferred() bool { return t.isSelf(t.options.View.Owner(t.name)) }
+
+func (t *tender) isSelf(member membership.Member) bool {
+	return member.Name == t.options.View.Self().Name
+}
+
+// ask makes this node try to hold the shard soon.
+func (t *tender) ask() {
+	select {
+	case t.asked <- struct{}{}:
+	default:
+	}
+}
+
+func (t *tender) askIfOwner() {
+	if t.preferred() {
+		t.ask()
+	}
+}
+
+// holderIs notes who holds the shard.
+func (t *tender) holderIs(name string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holder = name
+}
+
+// holderHint returns the holder as far as known, or nothing.
+func (t *tender) holderHint() string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.holder
+}
+
+// holderAddress returns the peer address of the node to ask. It is false where
+// that would be this node; then it tries to hold the shard.
+func (t *tender) holderAddress() (string, bool) {
+	hint := t.holderHint()
+	member, known := memberNamed(t.options.View, hint)
+	if hint == "" || !known {
+		member = t.options.View.Owner(t.name)
+	}
+	if t.isSelf(member) || member.PeerAddress == "" {
+		t.ask()
+		return "", false
+	}
+	return member.PeerAddress, true
+}
--- /dev/null
+++ b/internal/claim/tenure.go
@@ -0,0 +1,21 @@
+package claim
+
+import "context"
+
+// Tenure is one grant of a shard's lease.
+type Tenure interface {
+	// Epoch grows with each grant.
+	Epoch() int64
+	// Done is closed when the holder must stop, well before the lease ends by
+	// the holder's monotonic clock.
+	Done() <-chan struct{}
+	// Release gives the lease up. It is safe to call after Done.
+	Release(ctx context.Context) error
+}
+
+// Leases grants leases by name.
+type Leases interface {
+	// Acquire returns a tenure, or an error that wraps *platform.HeldError
+	// where another node holds the lease.
+	Acquire(ctx context.Context, name string) (Tenure, error)
+}
