--- /dev/null
+++ b/internal/claim/fakecluster_test.go
@@ -0,0 +1,337 @@
+package claim
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"galenatrestle/internal/membership"
+	"galenatrestle/internal/platform"
+	"galenatrestle/internal/refusal"
+)
+
+// fakeLeases grants leases that end only when the test lapses them.
+type fakeLeases struct {
+	cluster *cluster
+	holder  string
+}
+
+type fakeTenure struct {
+	leases *fakeLeases
+	name   string
+	epoch  int64
+	done   chan struct{}
+	once   sync.Once
+}
+
+func (t *fakeTenure) Epoch() int64          { return t.epoch }
+func (t *fakeTenure) Done() <-chan struct{} { return t.done }
+func (t *fakeTenure) stop()                 { t.once.Do(func() { close(t.done) }) }
+
+func (t *fakeTenure) Release(context.Context) error {
+	t.stop()
+	c := t.leases.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.tenures[t.name] == t {
+		delete(c.tenures, t.name)
+	}
+	return nil
+}
+
+func (l *fakeLeases) Acquire(ctx context.Context, name string) (Tenure, error) {
+	c := l.cluster
+	if err := c.store.wait(ctx); err != nil {
+		return nil, err
+	}
+	if c.isDead(l.holder) {
+		return nil, platform.ErrUnavailable
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if current := c.tenures[name]; current != nil {
+		return nil, &platform.HeldError{Current: platform.Lease{Name: name, Holder: current.leases.holder}}
+	}
+	c.epochs[name]++
+	tenure := &fakeTenure{leases: l, name: name, epoch: c.epochs[name], done: make(chan struct{})}
+	c.tenures[name] = tenure
+	return tenure, nil
+}
+
+// nodeStore is the platform as one node reaches it: not at all once it is dead.
+type nodeStore struct {
+	*fakeStore
+	cluster *cluster
+	node    string
+}
+
+func (s nodeStore) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte) (platform.Entry, error) {
+	if s.cluster.isDead(s.node) {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return s.fakeStore.CompareAndSwap(ctx, key, expect, value)
+}
+
+func (c *cluster) isDead(name string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	node := c.nodes[name]
+	return node != nil && node.dead
+}
+
+// lapse ends all leases at the platform. Their holders hear of it only where
+// told says so: else they are paused and believe they hold them.
+func (c *cluster) lapse(told bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, tenure := range c.tenures {
+		delete(c.tenures, name)
+		if told {
+			tenure.stop()
+		}
+	}
+}
+
+// cluster is a few nodes on one platform, and the list of calls sent.
+type cluster struct {
+	store *fakeStore
+
+	mu      sync.Mutex
+	tenures map[string]*fakeTenure
+	epochs  map[string]int64
+	nodes   map[string]*testNode
+	sent    map[Key]int
+	// preferred is the node that every view names as owner.
+	preferred string
+	// cut, where it returns true, breaks a forwarded call before or after it
+	// was served.
+	cutBefore, cutAfter func() bool
+}
+
+type testNode struct {
+	*Node
+	name string
+	stop context.CancelFunc
+	done chan struct{}
+	dead bool
+}
+
+func newCluster() *cluster {
+	return &cluster{
+		store: newFakeStore(), tenures: make(map[string]*fakeTenure), epochs: make(map[string]int64),
+		nodes: make(map[string]*testNode), sent: make(map[Key]int), preferred: "n1",
+	}
+}
+
+// fakeView is one node's picture.
+type fakeView struct {
+	cluster *cluster
+	self    string
+}
+
+func member(name string) membership.Member {
+	return membership.Member{Name: name, PeerAddress: name, State: membership.StateServing}
+}
+
+func (v fakeView) Self() membership.Member { return member(v.self) }
+
+func (v fakeView) Members() []membership.Member {
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	var list []membership.Member
+	for _, node := range v.cluster.nodes {
+		if !node.dead {
+			list = append(list, member(node.name))
+		}
+	}
+	return list
+}
+
+func (v fakeView) Owner(string) membership.Member {
+	v.cluster.mu.Lock()
+	defer v.cluster.mu.Unlock()
+	return member(v.cluster.preferred)
+}
+
+// fakePeers calls the other nodes of the cluster.
+type fakePeers struct{ cluster *cluster }
+
+var errCut = errors.New("connection cut")
+
+func (p fakePeers) at(address string) (*testNode, error) {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	node := p.cluster.nodes[address]
+	if node == nil || node.dead || (p.cluster.cutBefore != nil && p.cluster.cutBefore()) {
+		return nil, errCut
+	}
+	return node, nil
+}
+
+func (p fakePeers) answered(node *testNode, err error) error {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	if node.dead || (p.cluster.cutAfter != nil && p.cluster.cutAfter()) {
+		return errCut
+	}
+	return err
+}
+
+func (p fakePeers) Begin(ctx context.Context, address string, request BeginRequest) (BeginReply, error) {
+	node, err := p.at(address)
+	if err != nil {
+		return BeginReply{}, err
+	}
+	reply, err := node.ServeBegin(ctx, request)
+	return reply, p.answered(node, err)
+}
+
+func (p fakePeers) Finish(ctx context.Context, address string, request FinishRequest) (FinishReply, error) {
+	node, err := p.at(address)
+	if err != nil {
+		return FinishReply{}, err
+	}
+	reply, err := node.ServeFinish(ctx, request)
+	return reply, p.answered(node, err)
+}
+
+// start runs a node.
+func (c *cluster) start(t testing.TB, name string, change func(*Options)) *testNode {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	options := Options{
+		Policy: DefaultPolicy(), Store: nodeStore{c.store, c, name}, Leases: &fakeLeases{cluster: c, holder: name},
+		View: fakeView{cluster: c, self: name}, Peers: fakePeers{cluster: c}, Log: log,
+		Random: rand.New(rand.NewPCG(1, uint64(len(name)))),
+	}
+	options.Policy.Shards = 1
+	if change != nil {
+		change(&options)
+	}
+	created, err := NewNode(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	node := &testNode{Node: created, name: name, stop: cancel, done: make(chan struct{})}
+	c.mu.Lock()
+	c.nodes[name] = node
+	c.mu.Unlock()
+	go func() {
+		defer close(node.done)
+		_ = node.Run(ctx)
+	}()
+	return node
+}
+
+// kill takes the node away at once: nobody reaches it, it reaches nobody, and
+// nothing of it is written any more.
+func (c *cluster) kill(node *testNode) {
+	c.mu.Lock()
+	node.dead = true
+	for name, tenure := range c.tenures {
+		if tenure.leases.holder == node.name {
+			tenure.stop()
+			delete(c.tenures, name)
+		}
+	}
+	c.mu.Unlock()
+}
+
+// send is the upstream's list of calls; a dead node sends nothing.
+func (c *cluster) send(node *testNode, key Key) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !node.dead {
+		c.sent[key]++
+	}
+}
+
+func (c *cluster) runs(key Key) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sent[key]
+}
+
+// told is what the caller of a call was told, or nothing where its node died.
+type told string
+
+const (
+	toldRan        told = "ran"
+	toldRecorded   told = "recorded"
+	toldInProgress told = "in progress"
+	toldUnknown    told = "unknown"
+	toldNotRun     told = "not-run"
+)
+
+// step is a point in a call at which its node may be killed.
+type step int
+
+const (
+	stepNone step = iota
+	stepBeforeClaim
+	stepAfterClaim
+	stepAfterSend
+	stepAfterRecord
+)
+
+// call does what the gateway does with one unrepeatable call, and kills the
+// node at the step.
+func (c *cluster) call(t testing.TB, node *testNode, key Key, body string, killAt step) told {
+	t.Helper()
+	killed := func(at step) bool {
+		if at == killAt {
+			c.kill(node)
+		}
+		return c.isDead(node.name)
+	}
+	if killed(stepBeforeClaim) {
+		return ""
+	}
+	grant, err := node.Begin(t.Context(), key, FingerprintOf("POST", "/claims", []byte(body)))
+	if killed(stepAfterClaim) {
+		return ""
+	}
+	if err != nil {
+		if refused := refusal.From(err); refused.Outcome != refusal.NotRun {
+			t.Errorf("refusal %v has outcome %s", refused, refused.Outcome)
+		}
+		return toldNotRun
+	}
+	switch grant.Verdict {
+	case Recorded:
+		if string(grant.Answer.Body) != answerTo(body) {
+			t.Errorf("recorded answer %q for body %q", grant.Answer.Body, body)
+		}
+		return toldRecorded
+	case InProgress:
+		return toldInProgress
+	case Unknown:
+		return toldUnknown
+	}
+	c.send(node, key)
+	if killed(stepAfterSend) {
+		return ""
+	}
+	answer := Answer{Status: 201, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte(answerTo(body))}
+	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+	defer cancel()
+	_ = node.Finish(ctx, grant.Token, Outcome{Kind: OutcomeRecorded, Answer: answer})
+	if killed(stepAfterRecord) {
+		return ""
+	}
+	return toldRan
+}
+
+func answerTo(body string) string { return "answer to " + body }
+
+// settle waits until all that was started has come to rest.
+func settle() { time.Sleep(10 * time.Second) }
