--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -73,3 +73,21 @@
 	}
 	return nil, record.status, record.changed
 }
+
+// Snapshot returns the answer as far as it has come, or ErrUnknown where it was
+// evicted. The events are shared and must not be changed.
+func (r *Record) Snapshot() (Status, []Event, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.gone {
+		return Status{}, nil, ErrUnknown
+	}
+	return r.status, r.events[:len(r.events):len(r.events)], nil
+}
+
+// Readers returns the number of open readers.
+func (r *Record) Readers() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.readers
+}
