quarantine: spread records to peers; a restart is no evidence

Cause: a poison sent to another node must be known there, and requests that meet a replica still down from a crash must not be held to have crashed it.

Change: package quarantinerpc: each change goes to all peers once, one random peer is asked for everything every 10 s. Running counts a lost connection as a crash only where the replica has answered since its last one, or 10 s after.

--- /dev/null
+++ b/internal/quarantine/quarantinerpc/spreader.go
@@ -0,0 +1,140 @@
+package quarantinerpc
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/sync/errgroup"
+
+	quarantinev1 "galenatrestle/internal/gen/trestle/quarantine/v1"
+	"galenatrestle/internal/gen/trestle/quarantine/v1/quarantinev1connect"
+	"galenatrestle/internal/quarantine"
+)
+
+const (
+	// maxPending bounds the records that wait to be sent.
+	maxPending = 4096
+	// exchangeInterval is the time between two full exchanges.
+	exchangeInterval = 10 * time.Second
+	// callTimeout bounds one call of a peer.
+	callTimeout = time.Second
+	// parallelCalls bounds the calls in flight.
+	parallelCalls = 16
+)
+
+// Dialer gives the HTTP clients for peers; *peer.Clients is one.
+type Dialer interface {
+	HTTPClient(address string) *http.Client
+	URL(address string) string
+}
+
+// Spreader sends changed records to the peers. It is safe for concurrent use.
+type Spreader struct {
+	tracker *quarantine.Tracker
+	// peers returns the other nodes' addresses.
+	peers   func() []string
+	dialer  Dialer
+	pending chan quarantine.Record
+	calls   *prometheus.CounterVec
+}
+
+// NewSpreader returns a spreader that Run starts.
+func NewSpreader(tracker *quarantine.Tracker, peers func() []string, dialer Dialer, register prometheus.Registerer) *Spreader {
+	s := &Spreader{
+		tracker: tracker, peers: peers, dialer: dialer,
+		pending: make(chan quarantine.Record, maxPending),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: "trestle", Name: "quarantine_exchanges_total",
+			Help: "Calls of peers that spread records of crashing requests, by result.",
+		}, []string{"result"}),
+	}
+	register.MustRegister(s.calls)
+	return s
+}
+
+// Offer queues changed records; where the queue is full they wait for the next
+// full exchange.
+func (s *Spreader) Offer(records ...quarantine.Record) {
+	for _, r := range records {
+		select {
+		case s.pending <- r:
+		default:
+			return
+		}
+	}
+}
+
+// Run sends until ctx ends.
+func (s *Spreader) Run(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	s.exchange(ctx)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-s.pending:
+			s.send(ctx, s.batch(first))
+		case <-ticker.C:
+			s.exchange(ctx)
+		}
+	}
+}
+
+// batch adds to the first record all that wait.
+func (s *Spreader) batch(first quarantine.Record) []quarantine.Record {
+	records := []quarantine.Record{first}
+	for {
+		select {
+		case r := <-s.pending:
+			records = append(records, r)
+		default:
+			return records
+		}
+	}
+}
+
+// send tells all peers of the records.
+func (s *Spreader) send(ctx context.Context, records []quarantine.Record) {
+	message := &quarantinev1.ExchangeRequest{Records: toProto(records)}
+	var group errgroup.Group
+	group.SetLimit(parallelCalls)
+	for _, address := range s.peers() {
+		group.Go(func() error {
+			s.call(ctx, address, message)
+			return nil
+		})
+	}
+	_ = group.Wait()
+}
+
+// exchange asks one peer for everything and tells it everything.
+func (s *Spreader) exchange(ctx context.Context) {
+	addresses := s.peers()
+	if len(addresses) == 0 {
+		return
+	}
+	address := addresses[rand.IntN(len(addresses))]
+	records := s.tracker.Records(time.Now())
+	response := s.call(ctx, address, &quarantinev1.ExchangeRequest{Records: toProto(records), All: true})
+	if response != nil {
+		s.tracker.Merge(time.Now(), fromProto(response.GetRecords()))
+	}
+}
+
+func (s *Spreader) call(ctx context.Context, address string, message *quarantinev1.ExchangeRequest) *quarantinev1.ExchangeResponse {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	client := quarantinev1connect.NewQuarantineServiceClient(s.dialer.HTTPClient(address), s.dialer.URL(address))
+	response, err := client.Exchange(ctx, connect.NewRequest(message))
+	if err != nil {
+		s.calls.WithLabelValues("failed").Inc()
+		return nil
+	}
+	s.calls.WithLabelValues("done").Inc()
+	return response.Msg
+}
--- /dev/null
+++ b/internal/quarantine/quarantinerpc/spreader_test.go
@@ -0,0 +1,98 @@
+package quarantinerpc
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"google.golang.org/protobuf/proto"
+
+	"galenatrestle/internal/quarantine"
+)
+
+type plainDialer struct{}
+
+func (plainDialer) HTTPClient(string) *http.Client { return http.DefaultClient }
+func (plainDialer) URL(address string) string      { return "http://" + address }
+
+// served returns a tracker and the address at which peers reach it.
+func served(t *testing.T) (*quarantine.Tracker, string) {
+	t.Helper()
+	tracker := quarantine.NewTracker(0)
+	mux := http.NewServeMux()
+	mux.Handle(NewHandler(tracker))
+	server := httptest.NewServer(mux)
+	t.Cleanup(server.Close)
+	return tracker, server.Listener.Addr().String()
+}
+
+func spreader(tracker *quarantine.Tracker, peers ...string) *Spreader {
+	list := func() []string { return peers }
+	return NewSpreader(tracker, list, plainDialer{}, prometheus.NewRegistry())
+}
+
+func crashTwice(tracker *quarantine.Tracker, fp quarantine.Fingerprint) []quarantine.Record {
+	tracker.Crash(time.Now(), []quarantine.Fingerprint{fp})
+	return tracker.Crash(time.Now(), []quarantine.Fingerprint{fp})
+}
+
+func wantVerdict(t *testing.T, tracker *quarantine.Tracker, fp quarantine.Fingerprint, want quarantine.Verdict) {
+	t.Helper()
+	if got, _ := tracker.Decide(time.Now(), fp); got != want {
+		t.Errorf("verdict %s, want %s", got, want)
+	}
+}
+
+func TestChangeReachesAllPeersButTheDead(t *testing.T) {
+	first, firstAddress := served(t)
+	second, secondAddress := served(t)
+	here := quarantine.NewTracker(0)
+	s := spreader(here, firstAddress, "127.0.0.1:1", secondAddress)
+	s.send(t.Context(), crashTwice(here, 7))
+	wantVerdict(t, first, 7, quarantine.Refuse)
+	wantVerdict(t, second, 7, quarantine.Refuse)
+	if failed := testutil.ToFloat64(s.calls.WithLabelValues("failed")); failed != 1 {
+		t.Errorf("%v calls failed, want 1", failed)
+	}
+}
+
+func TestExchangeGoesBothWays(t *testing.T) {
+	there, address := served(t)
+	here := quarantine.NewTracker(0)
+	crashTwice(here, 1)
+	crashTwice(there, 2)
+	spreader(here, address).exchange(t.Context())
+	wantVerdict(t, there, 1, quarantine.Refuse)
+	wantVerdict(t, here, 2, quarantine.Refuse)
+}
+
+func TestOfferIsBounded(t *testing.T) {
+	s := spreader(quarantine.NewTracker(0))
+	for i := range 2 * maxPending {
+		s.Offer(quarantine.Record{Fingerprint: quarantine.Fingerprint(i)})
+	}
+	if n := len(s.batch(<-s.pending)); n != maxPending {
+		t.Errorf("%d records wait, want %d", n, maxPending)
+	}
+}
+
+// TestRecordSize measures what a record takes on the wire.
+func TestRecordSize(t *testing.T) {
+	tracker := quarantine.NewTracker(0)
+	crashTwice(tracker, 1<<63)
+	cleared, _ := tracker.Finished(time.Now(), 1<<63)
+	records := []quarantine.Record{cleared}
+	size := proto.Size(toProto(records)[0])
+	t.Logf("a record takes %d bytes", size)
+	if size > 48 {
+		t.Errorf("a record takes %d bytes, want at most 48", size)
+	}
+	back := fromProto(toProto(records))[0]
+	if back.Fingerprint != records[0].Fingerprint || back.Level != records[0].Level ||
+		!back.Until.Equal(records[0].Until.Truncate(time.Microsecond)) {
+		t.Errorf("got back %+v of %+v", back, records[0])
+	}
+}
--- a/internal/quarantine/running.go
+++ b/internal/quarantine/running.go
@@ -3,12 +3,20 @@
 import (
 	"hash/maphash"
 	"sync"
+	"time"
 )
 
-const runningShards = 16
+const (
+	runningShards = 16
+	// restartTime is how long after a crash a replica that has not answered
+	// since is held to be still down: connections that break then are no
+	// evidence against the requests on them.
+	restartTime = 10 * time.Second
+)
 
 // Running knows which requests of this node run on which replica. Its size is
-// bounded by the requests in flight. It is safe for concurrent use.
+// bounded by the requests in flight and the replicas that crashed in the last
+// restartTime. It is safe for concurrent use.
 type Running struct {
 	seed   maphash.Seed
 	shards [runningShards]runningShard
@@ -27,6 +35,8 @@
 type replicaRuns struct {
 	runs    map[*Run]struct{}
 	suspect *Run
+	// crashedAt is the last crash, zero once the replica has answered again.
+	crashedAt time.Time
 }
 
 // Run is one attempt on a replica.
@@ -81,20 +91,36 @@
 	if _, ok := on.runs[run]; !ok {
 		return
 	}
+	r.remove(on, run)
+	s.tidy(run.Replica)
+}
+
+// remove takes one run off its replica. The shard must be locked.
+func (r *Running) remove(on *replicaRuns, run *Run) {
 	delete(on.runs, run)
 	if on.suspect == run {
 		on.suspect = nil
 	}
-	s.tidy(run.Replica)
 	if run.alone {
 		r.release(run.Fingerprint)
 	}
 }
 
-// Crash ends all runs on the run's replica and returns their fingerprints, or
-// none where the crash is known already: each run of a crashed replica reports
-// it, the first is taken.
-func (r *Running) Crash(run *Run) []Fingerprint {
+// Answered tells that the replica has sent a byte of the run's answer.
+func (r *Running) Answered(run *Run) {
+	s := r.shard(run.Replica)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on, ok := s.replicas[run.Replica]; ok {
+		on.crashedAt = time.Time{}
+	}
+}
+
+// Crash ends a run whose connection was lost. It returns the fingerprints of
+// all runs on the replica, which it ends as well, or none where the crash is
+// known already: each run of a crashed replica reports it, the first is taken,
+// and a replica that has not answered since its last crash may still be down.
+func (r *Running) Crash(now time.Time, run *Run) []Fingerprint {
 	s := r.shard(run.Replica)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -105,14 +131,17 @@
 	if _, ok := on.runs[run]; !ok {
 		return nil
 	}
-	delete(s.replicas, run.Replica)
+	if !on.crashedAt.IsZero() && now.Sub(on.crashedAt) < restartTime {
+		r.remove(on, run)
+		return nil
+	}
 	fingerprints := make([]Fingerprint, 0, len(on.runs))
 	for ended := range on.runs {
 		fingerprints = append(fingerprints, ended.Fingerprint)
-		if ended.alone {
-			r.release(ended.Fingerprint)
-		}
+		r.remove(on, ended)
 	}
+	on.crashedAt = now
+	s.forget(now)
 	return fingerprints
 }
 
@@ -154,9 +183,18 @@
 	return on
 }
 
-// tidy forgets a replica without runs.
+// tidy forgets a replica without runs that did not crash.
 func (s *runningShard) tidy(name string) {
-	if on := s.replicas[name]; on != nil && len(on.runs) == 0 {
+	if on := s.replicas[name]; on != nil && len(on.runs) == 0 && on.crashedAt.IsZero() {
 		delete(s.replicas, name)
 	}
 }
+
+// forget drops the replicas without runs whose crash is long past.
+func (s *runningShard) forget(now time.Time) {
+	for name, on := range s.replicas {
+		if len(on.runs) == 0 && now.Sub(on.crashedAt) >= restartTime {
+			delete(s.replicas, name)
+		}
+	}
+}
--- a/internal/quarantine/running_test.go
+++ b/internal/quarantine/running_test.go
@@ -1,6 +1,9 @@
 package quarantine
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 func TestSuspectsRunApart(t *testing.T) {
 	running := NewRunning()
@@ -31,15 +34,48 @@
 	running := NewRunning()
 	a, _ := running.Start("r1", 1, Normal)
 	b, _ := running.Start("r1", 2, RunAlone)
-	if crashed := running.Crash(a); len(crashed) != 2 {
+	if crashed := running.Crash(start, a); len(crashed) != 2 {
 		t.Fatalf("crashed %v, want both", crashed)
 	}
 	later, _ := running.Start("r1", 3, Normal)
-	if crashed := running.Crash(b); len(crashed) != 0 {
+	if crashed := running.Crash(start, b); len(crashed) != 0 {
 		t.Fatalf("crashed %v on the second report, want none", crashed)
 	}
+	running.Answered(later)
 	running.Finish(later)
 	if running.SuspectOn("r1") || len(running.suspects) != 0 || len(running.shard("r1").replicas) != 0 {
 		t.Fatal("ended runs are kept")
 	}
 }
+
+// TestRestartIsNoEvidence checks that requests which meet a replica that is
+// still down from a crash are not held to have caused one.
+func TestRestartIsNoEvidence(t *testing.T) {
+	tests := []struct {
+		name     string
+		answered bool
+		after    time.Duration
+		want     int
+	}{
+		{"still down", false, restartTime - 1, 0},
+		{"answered since", true, time.Second, 1},
+		{"long past", false, restartTime, 1},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			running := NewRunning()
+			cause, _ := running.Start("r1", 1, Normal)
+			running.Crash(start, cause)
+			met, _ := running.Start("r1", 2, RunAlone)
+			if test.answered {
+				running.Answered(met)
+			}
+			if crashed := running.Crash(start.Add(test.after), met); len(crashed) != test.want {
+				t.Fatalf("crashed %v, want %d", crashed, test.want)
+			}
+			if running.SuspectOn("r1") || len(running.suspects) != 0 {
+				t.Fatal("the ended run is kept")
+			}
+		})
+	}
+}
--- a/internal/quarantine/schedule_test.go
+++ b/internal/quarantine/schedule_test.go
@@ -13,7 +13,7 @@
 	scheduleSlots    = 8
 	scheduleStep     = 100 * time.Millisecond
 	scheduleLength   = 60 * time.Second
-	restartTime      = 2 * time.Second
+	downTime         = 2 * time.Second
 	longestRun       = 2 * time.Second
 	// mostCrashes of one poison: the first two, and one after each of the
 	// quarantines of 10, 20 and 40 s that end within the schedule.
@@ -94,6 +94,8 @@
 		if !ok {
 			continue
 		}
+		// The replica is up: its first byte comes at once.
+		s.running.Answered(run)
 		j.run = run
 		j.endsAt = s.now.Add(time.Duration(s.random.Int64N(int64(longestRun))))
 		return true
@@ -138,8 +140,8 @@
 	}
 	s.crashes[cause.fp]++
 	replica := cause.run.Replica
-	s.upAt[replica[0]-'a'] = s.now.Add(restartTime)
-	s.tracker.Crash(s.now, s.running.Crash(cause.run))
+	s.upAt[replica[0]-'a'] = s.now.Add(downTime)
+	s.tracker.Crash(s.now, s.running.Crash(s.now, cause.run))
 	for _, j := range s.started {
 		if j.run != nil && j.run.Replica == replica {
 			j.run = nil
