--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -3,10 +3,18 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/errs"
-	"galenatrestle/internal/membership"
+)
+
+const (
+	// spreadTime bounds what a confirmation does after it is accepted and
+	// before it answers.
+	spreadTime = 3 * time.Second
+	// maxUntidied bounds the acceptances that wait to be tidied up after.
+	maxUntidied = 16
 )
 
 // refusedReason labels the counter of refusals.
@@ -38,20 +46,36 @@
 	return config.Diff(p.Base, p.Document)
 }
 
-// Propose stages a checked document. A base other than zero is the revision
-// that the operator worked on: a *StaleError tells what came after it.
-func (s *Syncer) Propose(ctx context.Context, document *config.Document, author string, base int64) (*Proposal, error) {
-	proposal, err := s.propose(ctx, document, author, base)
+// Request is what an operator proposes.
+type Request struct {
+	Document *config.Document
+	Author   string
+	// Base, where not zero, is the revision that the operator worked on.
+	Base int64
+	// AboveRestored proposes on top of what is in force although the platform
+	// holds an older or another configuration: the operator's decision after
+	// the platform was restored.
+	AboveRestored bool
+}
+
+// Propose stages a checked document. It returns a *StaleError where the base
+// has moved, and a *BehindError where the platform lost accepted revisions.
+func (s *Syncer) Propose(ctx context.Context, request Request) (*Proposal, error) {
+	proposal, err := s.propose(ctx, request)
 	return proposal, s.countRefused(err)
 }
 
-func (s *Syncer) propose(ctx context.Context, document *config.Document, author string, base int64) (*Proposal, error) {
-	head, err := s.guardedHead(ctx)
+func (s *Syncer) propose(ctx context.Context, request Request) (*Proposal, error) {
+	head, _, err := s.repository.Head(ctx)
 	if err != nil {
 		return nil, err
 	}
-	if base != 0 && base != head.Revision {
-		return nil, &StaleError{Base: base, Newest: head}
+	known := s.knownRevision()
+	if err := s.checkBehind(head, known); err != nil && !request.AboveRestored {
+		return nil, err
+	}
+	if request.Base != 0 && request.Base != head.Revision {
+		return nil, &StaleError{Base: request.Base, Newest: head}
 	}
 	open, err := s.repository.Open(ctx)
 	if err != nil {
@@ -64,8 +88,9 @@
 	if err != nil {
 		return nil, err
 	}
-	canonical := config.Canonical(document)
-	record, err := s.repository.Stage(ctx, head, baseDocument, canonical, head.Revision+1, author)
+	canonical := config.Canonical(request.Document)
+	revision := max(head.Revision, known) + 1
+	record, err := s.repository.Stage(ctx, head, baseDocument, canonical, revision, request.Author)
 	if err != nil {
 		return nil, err
 	}
@@ -102,26 +127,45 @@
 }
 
 func (s *Syncer) confirm(ctx context.Context, id string) (Record, error) {
-	if _, err := s.guardedHead(ctx); err != nil {
-		return Record{}, err
-	}
 	record, err := s.repository.Proposal(ctx, id)
 	if err != nil {
 		return Record{}, err
 	}
+	if err := s.checkAbove(ctx, record); err != nil {
+		return Record{}, err
+	}
 	accepted, err := s.repository.Commit(ctx, record)
 	if err != nil {
 		return Record{}, err
 	}
-	if _, err := s.takeRecord(ctx, accepted); err != nil {
-		// It is accepted all the same; this node takes it with the others.
+	// From here on it is accepted, whether the operator still waits or not.
+	spreadCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), spreadTime)
+	defer cancel()
+	if _, err := s.takeRecord(spreadCtx, accepted, sourceAccept); err != nil {
+		// This node takes it with the others.
 		s.countFailure(err, "take accepted")
 	}
-	s.notifyAll(ctx)
-	s.tidy(ctx, accepted)
+	s.notifyAll(spreadCtx)
+	select {
+	case s.accepted <- accepted:
+	default:
+		s.metrics.failures.WithLabelValues("tidy").Inc()
+	}
 	return accepted, nil
 }
 
+// tidyLoop tidies up after acceptances.
+func (s *Syncer) tidyLoop(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case record := <-s.accepted:
+			s.tidy(ctx, record)
+		}
+	}
+}
+
 // tidy notes the time of acceptance for the history and removes what is old.
 // What it leaves undone the next acceptance does.
 func (s *Syncer) tidy(ctx context.Context, accepted Record) {
@@ -134,8 +178,8 @@
 }
 
 // Accept proposes and confirms in one.
-func (s *Syncer) Accept(ctx context.Context, base int64, document *config.Document, author string) (Record, error) {
-	proposal, err := s.Propose(ctx, document, author, base)
+func (s *Syncer) Accept(ctx context.Context, request Request) (Record, error) {
+	proposal, err := s.Propose(ctx, request)
 	if err != nil {
 		return Record{}, err
 	}
@@ -160,24 +204,39 @@
 	return record, s.repository.Discard(ctx, record)
 }
 
-// guardedHead returns the platform's newest record, or a *BehindError where a
-// known node has a higher revision in force.
-func (s *Syncer) guardedHead(ctx context.Context) (Record, error) {
-	head, _, err := s.repository.Head(ctx)
-	if err != nil {
-		return Record{}, err
-	}
+// knownRevision returns the highest revision in force at a known node.
+func (s *Syncer) knownRevision() int64 {
 	known := s.current.Revision()
 	for _, member := range s.view.Members() {
 		known = max(known, member.ConfigRevision)
 	}
-	if head.Revision < known {
-		return Record{}, &BehindError{Platform: head.Revision, Known: known}
+	return known
+}
+
+// checkBehind returns a *BehindError where the platform's newest record is
+// below what is in force, or is another of the same number.
+func (s *Syncer) checkBehind(head Record, known int64) error {
+	state := s.current.State()
+	diverged := state != nil && state.Revision() == head.Revision && state.ID != head.ID
+	if head.Revision < known || diverged {
+		return &BehindError{Platform: head.Revision, Known: known}
+	}
+	return nil
+}
+
+// checkAbove returns a *BehindError for a record that no node would take: one
+// that was staged before the platform lost revisions.
+func (s *Syncer) checkAbove(ctx context.Context, record Record) error {
+	known := s.knownRevision()
+	state := s.current.State()
+	if record.Revision > known || (state != nil && state.ID == record.ID) {
+		return nil
 	}
-	if state := s.current.State(); state.Revision() == head.Revision && state != nil && state.ID != head.ID {
-		return Record{}, &BehindError{Platform: head.Revision, Known: known}
+	head, _, err := s.repository.Head(ctx)
+	if err != nil {
+		return err
 	}
-	return head, nil
+	return s.checkBehind(head, known)
 }
 
 // documentOf returns a record's document, from memory where it is in force.
@@ -191,25 +250,6 @@
 	return s.repository.Document(ctx, record)
 }
 
-// InForce counts the members that have the revision in force, and all members
-// that are not leaving.
-func (s *Syncer) InForce(revision int64) (inForce, members int) {
-	self := s.view.Self().Name
-	for _, member := range s.view.Members() {
-		if member.State == membership.StateLeaving {
-			continue
-		}
-		members++
-		if member.Name == self {
-			member.ConfigRevision = s.current.Revision()
-		}
-		if member.ConfigRevision >= revision {
-			inForce++
-		}
-	}
-	return inForce, members
-}
-
 func (s *Syncer) countRefused(err error) error {
 	if err == nil {
 		return nil
@@ -240,3 +280,10 @@
 		return refusedOther
 	}
 }
+
+// ConfigRevision returns the newest accepted revision, who accepted it and
+// what it changed, for plans of other kinds that stand on it.
+func (s *Syncer) ConfigRevision(ctx context.Context) (revision int64, operator, change string, err error) {
+	head, _, err := s.repository.Head(ctx)
+	return head.Revision, head.Author, head.Summary, err
+}
--- a/internal/configsync/connect.go
+++ b/internal/configsync/connect.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"connectrpc.com/connect"
 
@@ -10,15 +11,21 @@
 	"galenatrestle/internal/gen/trestle/configsync/v1/configsyncv1connect"
 )
 
+// Clients gives the HTTP client and the base URL for a peer's address; package
+// peer has the pool that does.
+type Clients interface {
+	HTTPClient(address string) *http.Client
+	URL(address string) string
+}
+
 // ConnectPeers is Peers over connect-go.
 type ConnectPeers struct {
-	client connect.HTTPClient
-	scheme string
+	clients Clients
 }
 
-// NewConnectPeers returns peers reached by client; scheme is http or https.
-func NewConnectPeers(client connect.HTTPClient, scheme string) *ConnectPeers {
-	return &ConnectPeers{client: client, scheme: scheme}
+// NewConnectPeers returns peers reached through the clients.
+func NewConnectPeers(clients Clients) *ConnectPeers {
+	return &ConnectPeers{clients: clients}
 }
 
 var _ Peers = (*ConnectPeers)(nil)
@@ -42,5 +49,5 @@
 }
 
 func (p *ConnectPeers) to(address string) configsyncv1connect.ConfigSyncServiceClient {
-	return configsyncv1connect.NewConfigSyncServiceClient(p.client, p.scheme+"://"+address)
+	return configsyncv1connect.NewConfigSyncServiceClient(p.clients.HTTPClient(address), p.clients.URL(address))
 }
--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -21,8 +21,6 @@
 	callTime = 2 * time.Second
 	// notifyAtOnce bounds the notices under way at one time.
 	notifyAtOnce = 16
-	// maxNoticeBytes is the most patch bytes that a notice carries.
-	maxNoticeBytes = maxPatchBytes
 )
 
 const (
@@ -111,6 +109,7 @@
 		return nil, err
 	}
 	s.metrics.message(messagePull, directionReceived, wireBytes(response))
+	s.answers.note(address, response.GetNewest().GetRevision())
 	return response, nil
 }
 
@@ -148,9 +147,11 @@
 			done[member.PeerAddress] = true
 		}
 	}
+	addresses := s.addresses()
+	s.answers.keep(addresses)
 	var group errgroup.Group
 	group.SetLimit(notifyAtOnce)
-	for _, address := range s.addresses() {
+	for _, address := range addresses {
 		if done[address] {
 			continue
 		}
@@ -181,13 +182,14 @@
 		return
 	}
 	s.metrics.message(messageNotify, directionReceived, wireBytes(response))
+	s.answers.note(address, response.GetRevision())
 }
 
 // lastDelta returns the one delta that led to state, where a notice may carry it.
 func (s *Syncer) lastDelta(state *State) []*configsyncv1.Delta {
-	deltas := s.deltas.endingAt(state.Revision())
-	if deltas == nil || len(deltas.GetPatch()) > maxNoticeBytes {
+	delta := s.deltas.endingAt(state.Revision())
+	if delta == nil || len(delta.GetPatch()) > maxPatchBytes {
 		return nil
 	}
-	return []*configsyncv1.Delta{deltas}
+	return []*configsyncv1.Delta{delta}
 }
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -48,6 +48,9 @@
 	applying sync.Mutex
 	// heard wakes the exchange loop to pull from an address.
 	heard chan string
+	// accepted holds the records that are still to be tidied up after.
+	accepted chan Record
+	answers  answers
 }
 
 // New returns a Syncer; Run starts it.
@@ -66,6 +69,7 @@
 		metrics:    newMetrics(options.Current, options.Registry),
 		rng:        rand.New(rand.NewPCG(options.Seed, 0)),
 		heard:      make(chan string, 1),
+		accepted:   make(chan Record, maxUntidied),
 	}
 }
 
@@ -77,19 +81,20 @@
 	group.Go(func() error { s.watchLoop(ctx); return nil })
 	group.Go(func() error { s.pollLoop(ctx); return nil })
 	group.Go(func() error { s.exchangeLoop(ctx); return nil })
+	group.Go(func() error { s.tidyLoop(ctx); return nil })
 	return group.Wait()
 }
 
 // takeRecord puts an accepted record of the platform in force if it is higher.
 // It reports whether it did.
-func (s *Syncer) takeRecord(ctx context.Context, record Record) (bool, error) {
+func (s *Syncer) takeRecord(ctx context.Context, record Record, from source) (bool, error) {
 	s.applying.Lock()
 	defer s.applying.Unlock()
-	if !s.isNews(wireOfRecord(record), sourcePlatform) {
+	if !s.isNews(wireOfRecord(record), from) {
 		return false, nil
 	}
 	delta := deltaOf(record)
-	if delta != nil && s.applyDeltas([]*configsyncv1.Delta{delta}, sourcePlatform) {
+	if delta != nil && s.applyDeltas([]*configsyncv1.Delta{delta}, from) {
 		return true, nil
 	}
 	document, err := s.repository.Document(ctx, record)
@@ -101,7 +106,7 @@
 	if err != nil {
 		return false, err
 	}
-	return s.move(state, sourcePlatform), nil
+	return s.move(state, from), nil
 }
 
 // deltaOf returns the delta that a record carries, or nil.
@@ -129,7 +134,7 @@
 
 func (s *Syncer) ignore(why ignored, revision *configsyncv1.Revision, from source) {
 	s.metrics.ignored.WithLabelValues(string(why)).Inc()
-	if from != sourcePlatform && why == ignoredLower {
+	if why == ignoredLower && from != sourcePlatform {
 		// Peers that lag are ordinary.
 		return
 	}
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -90,7 +90,7 @@
 
 // learn takes a record of the platform and tells the others if it was news.
 func (s *Syncer) learn(ctx context.Context, record Record) {
-	moved, err := s.takeRecord(ctx, record)
+	moved, err := s.takeRecord(ctx, record, sourcePlatform)
 	if err != nil || !moved {
 		return
 	}
