--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -38,12 +38,17 @@
 	Document *config.Document
 }
 
-// Changes returns the proposal's differences from its base.
+// Changes returns the proposal's differences from its base, or none where its
+// document is not kept any more.
 func (p *Proposal) Changes() []config.Change {
-	if p.Base == nil {
+	switch {
+	case p.Document == nil:
+		return nil
+	case p.Base == nil:
 		return config.Diff(&config.Document{}, p.Document)
+	default:
+		return config.Diff(p.Base, p.Document)
 	}
-	return config.Diff(p.Base, p.Document)
 }
 
 // Request is what an operator proposes.
@@ -97,21 +102,21 @@
 	return &Proposal{Record: record, Base: baseDocument, Document: canonical}, nil
 }
 
-// Proposal returns a staged or accepted proposal again, with its documents.
+// Proposal returns a staged or accepted proposal again. Its documents are nil
+// where they are not kept any more.
 func (s *Syncer) Proposal(ctx context.Context, id string) (*Proposal, error) {
 	record, err := s.repository.Proposal(ctx, id)
 	if err != nil {
 		return nil, err
 	}
-	document, err := s.documentOf(ctx, record)
-	if err != nil {
+	proposal := &Proposal{Record: record}
+	if proposal.Document, err = s.documentOf(ctx, record); err != nil {
 		return nil, err
 	}
-	proposal := &Proposal{Record: record, Document: document}
-	if record.Previous == "" {
+	base, err := s.repository.Proposal(ctx, record.Previous)
+	if errors.Is(err, ErrNoSuchProposal) {
 		return proposal, nil
 	}
-	base, err := s.repository.Proposal(ctx, record.Previous)
 	if err != nil {
 		return nil, err
 	}
@@ -169,7 +174,7 @@
 // tidy notes the time of acceptance for the history and removes what is old.
 // What it leaves undone the next acceptance does.
 func (s *Syncer) tidy(ctx context.Context, accepted Record) {
-	if err := s.repository.markAccepted(ctx, accepted); err != nil {
+	if err := s.repository.rewrite(ctx, accepted); err != nil {
 		s.countFailure(err, "mark accepted")
 	}
 	if _, err := s.repository.Sweep(ctx); err != nil {
@@ -192,14 +197,12 @@
 	if err != nil {
 		return Record{}, err
 	}
-	accepted, err := s.repository.History(ctx)
+	standing, _, err := s.repository.StandingOf(ctx, record)
 	if err != nil {
 		return Record{}, err
 	}
-	for _, one := range accepted {
-		if one.ID == id {
-			return Record{}, &AcceptedError{Record: one}
-		}
+	if standing == StandingAccepted {
+		return Record{}, &AcceptedError{Record: record}
 	}
 	return record, s.repository.Discard(ctx, record)
 }
@@ -241,7 +244,7 @@
 
 // documentOf returns a record's document, from memory where it is in force.
 func (s *Syncer) documentOf(ctx context.Context, record Record) (*config.Document, error) {
-	if record.ID == "" {
+	if record.ID == "" || record.Chunks == 0 {
 		return nil, nil
 	}
 	if state := s.current.State(); state != nil && state.ID == record.ID {
--- a/internal/configsync/commit.go
+++ b/internal/configsync/commit.go
@@ -84,19 +84,20 @@
 	return Record{}, &StaleError{Base: record.Base, Newest: head}
 }
 
-// markAccepted writes the time of acceptance into the kept record.
-func (r *Repository) markAccepted(ctx context.Context, accepted Record) error {
-	value, err := json.Marshal(accepted)
+// rewrite replaces a kept record, to note the time of acceptance or that the
+// document is gone.
+func (r *Repository) rewrite(ctx context.Context, record Record) error {
+	value, err := json.Marshal(record)
 	if err != nil {
 		return errs.Wrap(errs.Platform, err, "encode configuration record", storePeer)
 	}
 	err = retry(ctx, func() error {
-		entry, err := r.store.Get(ctx, recordKey(accepted.ID))
+		entry, err := r.store.Get(ctx, recordKey(record.ID))
 		if err != nil {
 			return err
 		}
-		_, err = r.store.CompareAndSwap(ctx, recordKey(accepted.ID), entry.Revision, value)
+		_, err = r.store.CompareAndSwap(ctx, recordKey(record.ID), entry.Revision, value)
 		return err
 	})
-	return errs.Wrap(errs.Platform, err, "mark configuration accepted", storePeer)
+	return errs.Wrap(errs.Platform, err, "rewrite configuration record", storePeer)
 }
--- a/internal/configsync/deltas.go
+++ b/internal/configsync/deltas.go
@@ -20,10 +20,16 @@
 	bytes  int
 }
 
-// add appends a delta. One that does not follow on the last starts anew.
-func (l *deltaLog) add(delta *configsyncv1.Delta) {
+// add appends deltas. One that does not follow on the last starts anew.
+func (l *deltaLog) add(deltas ...*configsyncv1.Delta) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	for _, delta := range deltas {
+		l.append(delta)
+	}
+}
+
+func (l *deltaLog) append(delta *configsyncv1.Delta) {
 	if n := len(l.deltas); n > 0 && l.deltas[n-1].GetTo().GetRevision() != delta.GetFromRevision() {
 		l.deltas, l.bytes = nil, 0
 	}
--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -8,6 +8,10 @@
 	"galenatrestle/internal/platform"
 )
 
+// maxStaleAge is how many revisions the record of a stale proposal outlives
+// its base.
+const maxStaleAge = 20
+
 // History returns the accepted records that are kept, newest first.
 func (r *Repository) History(ctx context.Context) ([]Record, error) {
 	head, _, err := r.Head(ctx)
@@ -43,12 +47,19 @@
 // Discard removes a proposal. The document goes first, so that what is left
 // after a failure is still found.
 func (r *Repository) Discard(ctx context.Context, record Record) error {
+	if err := r.removeBody(ctx, record); err != nil {
+		return err
+	}
+	return r.remove(ctx, recordKey(record.ID))
+}
+
+func (r *Repository) removeBody(ctx context.Context, record Record) error {
 	for chunk := range record.Chunks {
 		if err := r.remove(ctx, bodyKey(record.ID, chunk)); err != nil {
 			return err
 		}
 	}
-	return r.remove(ctx, recordKey(record.ID))
+	return nil
 }
 
 func (r *Repository) remove(ctx context.Context, key string) error {
@@ -69,8 +80,10 @@
 	return errs.Wrap(errs.Platform, err, "remove configuration", storePeer)
 }
 
-// Sweep removes what can never be accepted any more or is older than the
-// history that is kept. It returns the number of records removed.
+// Sweep removes what is older than the kept history, and the documents of
+// proposals that are stale; their records stay for a while, so that whoever
+// confirms one is told why it is refused. It returns the number of records
+// that it removed or emptied.
 func (r *Repository) Sweep(ctx context.Context) (int, error) {
 	head, _, err := r.Head(ctx)
 	if err != nil {
@@ -84,17 +97,33 @@
 	for _, record := range chain(head, kept) {
 		keep[record.ID] = true
 	}
-	removed := 0
+	swept := 0
 	for _, record := range kept {
 		if keep[record.ID] || record.Base >= head.Revision {
 			continue
 		}
-		if err := r.Discard(ctx, record); err != nil {
-			return removed, err
+		done, err := r.sweepOne(ctx, record, head.Revision-record.Base > maxStaleAge)
+		if err != nil {
+			return swept, err
 		}
-		removed++
+		swept += done
 	}
-	return removed, nil
+	return swept, nil
+}
+
+func (r *Repository) sweepOne(ctx context.Context, record Record, old bool) (int, error) {
+	if old {
+		return 1, r.Discard(ctx, record)
+	}
+	if record.Chunks == 0 {
+		return 0, nil
+	}
+	if err := r.removeBody(ctx, record); err != nil {
+		return 0, err
+	}
+	record.Chunks = 0
+	record.Patch = nil
+	return 1, r.rewrite(ctx, record)
 }
 
 // records returns all records by id.
@@ -129,3 +158,52 @@
 	}
 	return accepted
 }
+
+// Standing is what became of a record.
+type Standing string
+
+// The standings of a record.
+const (
+	StandingOpen     Standing = "open"
+	StandingAccepted Standing = "accepted"
+	StandingStale    Standing = "stale"
+)
+
+// StandingOf tells what became of a record, and the newest accepted one.
+func (r *Repository) StandingOf(ctx context.Context, record Record) (Standing, Record, error) {
+	head, _, err := r.Head(ctx)
+	if err != nil {
+		return "", Record{}, err
+	}
+	if record.ID == head.ID {
+		return StandingAccepted, head, nil
+	}
+	if record.Previous == head.ID {
+		return StandingOpen, head, nil
+	}
+	kept, err := r.records(ctx)
+	if err != nil {
+		return "", Record{}, err
+	}
+	for _, accepted := range chain(head, kept) {
+		if accepted.ID == record.ID {
+			return StandingAccepted, head, nil
+		}
+	}
+	return StandingStale, head, nil
+}
+
+// AtRevision returns the accepted record of the revision, or
+// ErrNoSuchRevision. Zero stands for the newest.
+func (r *Repository) AtRevision(ctx context.Context, revision int64) (Record, error) {
+	accepted, err := r.History(ctx)
+	if err != nil {
+		return Record{}, err
+	}
+	for _, record := range accepted {
+		if record.Revision == revision || revision == 0 {
+			return record, nil
+		}
+	}
+	return Record{}, ErrNoSuchRevision
+}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -154,6 +154,7 @@
 	document := state.Index.Document()
 	at := state.Revision()
 	var last *configsyncv1.Revision
+	var applied []*configsyncv1.Delta
 	for _, delta := range deltas {
 		if delta.GetFromRevision() != at || delta.GetTo().GetRevision() <= at {
 			continue
@@ -163,6 +164,7 @@
 			return false
 		}
 		document = patch.Apply(document)
+		applied = append(applied, delta)
 		last = delta.GetTo()
 		at = last.GetRevision()
 	}
@@ -171,9 +173,7 @@
 	}
 	moved := s.move(stateOfWire(last, document), from)
 	if moved {
-		for _, delta := range deltas {
-			s.deltas.add(delta)
-		}
+		s.deltas.add(applied...)
 	}
 	return moved
 }
--- /dev/null
+++ b/internal/operator/kind.go
@@ -0,0 +1,4 @@
+package operator
+
+// KindConfig is the kind of intent that applies a configuration.
+const KindConfig = "config"
