Add trestle-load: open-loop workloads and replay of traces

Cause: attainment, goodput, wasted work and broken promises have to be measured before any decision under load can be bettered.

Change: package load plans seeded arrivals, sends them at their times whether or not earlier ones were answered, checks each answer against the engine stand-in's fixed function, and compares what callers were told with the stand-ins' run lists (not-run, at most once). trestle-load run prints a table or JSON and throws the workload's faults; replay names each request whose outcome differs from the stated one.

--- /dev/null
+++ b/cmd/trestle-load/main.go
@@ -0,0 +1,35 @@
+// Command trestle-load offers load to entry addresses and reports what became
+// of it, or replays a trace against its stated outcomes.
+package main
+
+import (
+	"github.com/alecthomas/kong"
+
+	"galenatrestle/internal/version"
+)
+
+const description = `Offer load to a deployment and measure it.
+
+Examples:
+  trestle-load run bench/friday-night.yaml --entry 127.0.0.1:8080 --runs http://127.0.0.1:9090
+  trestle-load run bench/cold-morning.yaml --ask-entries --json
+  trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
+
+It exits with 1 where a promise was broken or an outcome differs.`
+
+// commands are the subcommands, each in a file of its own.
+type commands struct {
+	Run     runCommand       `cmd:"" help:"Run a workload, open loop, and report."`
+	Replay  replayCommand    `cmd:"" help:"Replay a trace and compare each outcome with the stated one."`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var cli commands
+	ctx := kong.Parse(&cli,
+		kong.Name("trestle-load"),
+		kong.Description(description),
+		kong.Vars{"version": version.String()},
+	)
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/cmd/trestle-standin/main.go
+++ b/cmd/trestle-standin/main.go
@@ -3,9 +3,9 @@
 package main
 
 import (
-	"runtime/debug"
-
 	"github.com/alecthomas/kong"
+
+	"galenatrestle/internal/version"
 )
 
 const description = `Run a stand-in for an outside system.
@@ -28,15 +28,7 @@
 	ctx := kong.Parse(&cli,
 		kong.Name("trestle-standin"),
 		kong.Description(description),
-		kong.Vars{"version": version()},
+		kong.Vars{"version": version.String()},
 	)
 	ctx.FatalIfErrorf(ctx.Run())
 }
-
-func version() string {
-	info, ok := debug.ReadBuildInfo()
-	if !ok {
-		return "unknown"
-	}
-	return info.Main.Version
-}
