Add membership: SWIM within a region, summaries between regions

Cause: owners of replicas and quotas, peers of the configuration and the entry list all need to know which nodes are there.

Change: Table is the pure protocol (random probes, indirect probes through three others, suspicion before removal, refutation by incarnation, changes and notes of other packages carried on the probes, urgent ones pushed at once); Runner drives it over connect. The platform's list adds seeds and marks leaving, and never declares a member dead. A region is known in full, another by a summary that up to three relays carry.

--- a/internal/gen/trestle/membership/v1/membershipv1connect/membership.connect.go
+++ b/internal/gen/trestle/membership/v1/membershipv1connect/membership.connect.go
@@ -35,12 +35,16 @@
 const (
 	// MembershipServiceSyncProcedure is the fully-qualified name of the MembershipService's Sync RPC.
 	MembershipServiceSyncProcedure = "/trestle.membership.v1.MembershipService/Sync"
+	// MembershipServiceProbeProcedure is the fully-qualified name of the MembershipService's Probe RPC.
+	MembershipServiceProbeProcedure = "/trestle.membership.v1.MembershipService/Probe"
 )
 
 // MembershipServiceClient is a client for the trestle.membership.v1.MembershipService service.
 type MembershipServiceClient interface {
-	// Sync exchanges members.
+	// Sync exchanges what changed.
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
+	// Probe asks for an indirect probe.
+	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
 }
 
 // NewMembershipServiceClient constructs a client for the trestle.membership.v1.MembershipService
@@ -60,12 +64,19 @@
 			connect.WithSchema(membershipServiceMethods.ByName("Sync")),
 			connect.WithClientOptions(opts...),
 		),
+		probe: connect.NewClient[v1.ProbeRequest, v1.ProbeResponse](
+			httpClient,
+			baseURL+MembershipServiceProbeProcedure,
+			connect.WithSchema(membershipServiceMethods.ByName("Probe")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // membershipServiceClient implements MembershipServiceClient.
 type membershipServiceClient struct {
-	sync *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	sync  *connect.Client[v1.SyncRequest, v1.SyncResponse]
+	probe *connect.Client[v1.ProbeRequest, v1.ProbeResponse]
 }
 
 // Sync calls trestle.membership.v1.MembershipService.Sync.
@@ -73,11 +84,18 @@
 	return c.sync.CallUnary(ctx, req)
 }
 
+// Probe calls trestle.membership.v1.MembershipService.Probe.
+func (c *membershipServiceClient) Probe(ctx context.Context, req *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return c.probe.CallUnary(ctx, req)
+}
+
 // MembershipServiceHandler is an implementation of the trestle.membership.v1.MembershipService
 // service.
 type MembershipServiceHandler interface {
-	// Sync exchanges members.
+	// Sync exchanges what changed.
 	Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error)
+	// Probe asks for an indirect probe.
+	Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error)
 }
 
 // NewMembershipServiceHandler builds an HTTP handler from the service implementation. It returns
@@ -93,10 +111,18 @@
 		connect.WithSchema(membershipServiceMethods.ByName("Sync")),
 		connect.WithHandlerOptions(opts...),
 	)
+	membershipServiceProbeHandler := connect.NewUnaryHandler(
+		MembershipServiceProbeProcedure,
+		svc.Probe,
+		connect.WithSchema(membershipServiceMethods.ByName("Probe")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trestle.membership.v1.MembershipService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case MembershipServiceSyncProcedure:
 			membershipServiceSyncHandler.ServeHTTP(w, r)
+		case MembershipServiceProbeProcedure:
+			membershipServiceProbeHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -109,3 +135,7 @@
 func (UnimplementedMembershipServiceHandler) Sync(context.Context, *connect.Request[v1.SyncRequest]) (*connect.Response[v1.SyncResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.membership.v1.MembershipService.Sync is not implemented"))
 }
+
+func (UnimplementedMembershipServiceHandler) Probe(context.Context, *connect.Request[v1.ProbeRequest]) (*connect.Response[v1.ProbeResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.membership.v1.MembershipService.Probe is not implemented"))
+}
--- /dev/null
+++ b/internal/membership/cost_test.go
@@ -0,0 +1,135 @@
+package membership
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// maxBytesPerSecond is the share of a node's 8 KB/s for control that
+// membership may take, sent and received together.
+const maxBytesPerSecond = 2048
+
+// walkLoads gives each node a load that wanders, once a second.
+func (f *fleet) walkLoads(loads map[string]float64) {
+	for _, name := range f.order {
+		load := loads[name] + f.rng.NormFloat64()*0.05
+		loads[name] = math.Min(math.Max(load, 0), 2)
+		f.tables[name].SetStatus(f.now, loads[name], 1)
+	}
+}
+
+// loadError is the mean difference between what a node believes of the load of
+// another and what it is.
+func (f *fleet) loadError(loads map[string]float64) float64 {
+	sum, n := 0.0, 0
+	for name, table := range f.tables {
+		for _, m := range table.Snapshot().Members() {
+			if m.Name != name {
+				sum += math.Abs(m.Load - loads[m.Name])
+				n++
+			}
+		}
+	}
+	return sum / float64(n)
+}
+
+func TestCostBySize(t *testing.T) {
+	const seconds = 120
+	for _, n := range sizes {
+		f := joinedFleet(t, n)
+		loads := make(map[string]float64)
+		for range 20 {
+			f.walkLoads(loads)
+			f.run(time.Second)
+		}
+		f.resetTraffic()
+		for range seconds {
+			f.walkLoads(loads)
+			f.run(time.Second)
+		}
+		mean, worst, calls := f.bytesPerSecond(seconds)
+		t.Logf("%2d members: %4.0f B/s a node in and out (worst node %4.0f), %.1f calls/s, mean error of load %.3f",
+			n, mean, worst, calls, f.loadError(loads))
+		if mean > maxBytesPerSecond {
+			t.Errorf("%d members cost %.0f B/s a node, over %d", n, mean, maxBytesPerSecond)
+		}
+	}
+}
+
+func (f *fleet) bytesPerSecond(seconds float64) (mean, worst, calls float64) {
+	for _, tr := range f.traffic {
+		bytes := float64(tr.sent+tr.received) / seconds
+		mean += bytes / float64(len(f.traffic))
+		worst = math.Max(worst, bytes)
+		calls += float64(tr.calls) / seconds / float64(len(f.traffic))
+	}
+	return mean, worst, calls
+}
+
+// TestRegions runs three regions of 20 with one seed of another region each.
+func TestRegions(t *testing.T) {
+	f := newFleet(t)
+	names := []string{"east", "north", "west"}
+	for i, region := range names {
+		for j := range 20 {
+			f.add(region, j, nodeName(region, 0), nodeName(names[(i+1)%3], 0))
+		}
+	}
+	took := f.until(time.Minute, func() bool { return f.allKnowRegions(2, 20) })
+	t.Logf("60 nodes in 3 regions: all know the other regions after %v", took)
+	for _, table := range f.tables {
+		for _, m := range table.Snapshot().Members() {
+			if m.Region != table.self.wire.Region {
+				t.Fatalf("%s of region %s is held as a member in %s", m.Name, m.Region, table.self.wire.Region)
+			}
+		}
+	}
+
+	f.tables[nodeName("east", 7)].SetStatus(f.now, 0, 2)
+	spread := f.until(20*time.Second, func() bool {
+		for _, table := range f.tables {
+			if table.Snapshot().NewestRevision() != 2 {
+				return false
+			}
+		}
+		return true
+	})
+	t.Logf("a new revision was heard of in all regions after %v", spread)
+
+	f.resetTraffic()
+	f.run(time.Minute)
+	mean, worst, _ := f.bytesPerSecond(60)
+	t.Logf("%.0f B/s a node, worst %.0f", mean, worst)
+	if worst > 2*maxBytesPerSecond {
+		t.Errorf("a relay costs %.0f B/s", worst)
+	}
+}
+
+func (f *fleet) allKnowRegions(others, serving int) bool {
+	for _, table := range f.tables {
+		regions := table.Snapshot().Regions()
+		if len(regions) != others {
+			return false
+		}
+		for _, r := range regions {
+			if r.Serving != serving {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// BenchmarkNodeSecond is one second of one node among 60, its messages'
+// encoding included; ns/op against 1e9 is the part of a core.
+func BenchmarkNodeSecond(b *testing.B) {
+	f := joinedFleet(b, 60)
+	loads := make(map[string]float64)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for done := 0; done < b.N; done += 60 {
+		f.walkLoads(loads)
+		f.run(time.Second)
+	}
+}
--- /dev/null
+++ b/internal/membership/fleet_test.go
@@ -0,0 +1,279 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
+)
+
+// callOverhead is the bytes of one unary connect call on an open HTTP/2
+// connection beyond the two messages; TestOverheadOfACall measures it.
+const callOverhead = 330
+
+const fleetStep = 100 * time.Millisecond
+
+// traffic counts what one node sent and received.
+type traffic struct{ sent, received, calls int }
+
+type event struct {
+	at time.Time
+	do func()
+}
+
+// fleet is a set of tables joined by a transport in memory that encodes and
+// counts each message.
+type fleet struct {
+	t       testing.TB
+	now     time.Time
+	rng     *rand.Rand
+	tables  map[string]*Table
+	order   []string
+	traffic map[string]*traffic
+	later   []event
+	// lost reports whether a message between two addresses is lost.
+	lost func(from, to string) bool
+	// blocked reports whether calls from one address to another are not let
+	// through; answers to calls of the other way are.
+	blocked func(from, to string) bool
+}
+
+func newFleet(t testing.TB) *fleet {
+	return &fleet{
+		t:       t,
+		now:     time.UnixMilli(1_800_000_000_000),
+		rng:     rand.New(rand.NewPCG(1, 2)),
+		tables:  make(map[string]*Table),
+		traffic: make(map[string]*traffic),
+		lost:    func(string, string) bool { return false },
+		blocked: func(string, string) bool { return false },
+	}
+}
+
+func nodeName(region string, i int) string { return fmt.Sprintf("%s-vm-%02d", region, i) }
+
+// add starts a node whose only seed is the given address.
+func (f *fleet) add(region string, i int, seeds ...string) *Table {
+	name := nodeName(region, i)
+	self := Member{
+		Name: name, Region: region, AvailabilityZone: fmt.Sprintf("%s-az-%d", region, i%3),
+		EntryAddress: fmt.Sprintf("10.1.%d.%d:8080", len(region), i), PeerAddress: name,
+		Incarnation: f.now.UnixMilli(), State: StateServing, ConfigRevision: 1,
+	}
+	table := NewTable(self, Settings{}, rand.New(rand.NewPCG(7, f.rng.Uint64())), f.now)
+	for _, s := range seeds {
+		table.AddSeed(s)
+	}
+	if _, ok := f.tables[name]; !ok {
+		f.order = append(f.order, name)
+	}
+	f.tables[name] = table
+	f.traffic[name] = &traffic{}
+	return table
+}
+
+// fill starts n nodes of a region that know only the first of them.
+func (f *fleet) fill(region string, n int) {
+	for i := range n {
+		f.add(region, i, nodeName(region, 0))
+	}
+}
+
+func (f *fleet) kill(name string) { delete(f.tables, name) }
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); {
+		f.step()
+	}
+}
+
+// until runs until done, and returns how long that took.
+func (f *fleet) until(limit time.Duration, done func() bool) time.Duration {
+	f.t.Helper()
+	start := f.now
+	for !done() {
+		f.step()
+		if f.now.Sub(start) > limit {
+			f.t.Fatalf("not reached within %v", limit)
+		}
+	}
+	return f.now.Sub(start)
+}
+
+func (f *fleet) step() {
+	f.now = f.now.Add(fleetStep)
+	f.runLater()
+	for _, name := range f.order {
+		table, ok := f.tables[name]
+		if !ok {
+			continue
+		}
+		for _, call := range table.Tick(f.now) {
+			f.send(name, call)
+		}
+	}
+}
+
+func (f *fleet) runLater() {
+	due := f.later
+	f.later = nil
+	for _, e := range due {
+		if f.now.Before(e.at) {
+			f.later = append(f.later, e)
+			continue
+		}
+		e.do()
+	}
+}
+
+func (f *fleet) after(d time.Duration, do func()) {
+	f.later = append(f.later, event{at: f.now.Add(d), do: do})
+}
+
+func (f *fleet) send(from string, call Call) {
+	if f.exchange(from, call) {
+		return
+	}
+	f.after(DefaultProbeTimeout, func() { f.failed(from, call) })
+}
+
+func (f *fleet) failed(from string, call Call) {
+	table, ok := f.tables[from]
+	if !ok {
+		return
+	}
+	indirect := table.Failed(f.now, call)
+	if len(indirect) == 0 {
+		return
+	}
+	reached := false
+	for _, c := range indirect {
+		reached = f.probe(from, c) || reached
+	}
+	f.after(2*DefaultProbeTimeout, func() {
+		if reached {
+			table.Reached(f.now, call)
+			return
+		}
+		table.Unreached(f.now, call)
+	})
+}
+
+func (f *fleet) probe(from string, c IndirectCall) bool {
+	helper, ok := f.tables[c.Address]
+	f.count(from, c.Address, proto.Size(c.Request), 2)
+	if !ok || f.blocked(from, c.Address) || f.lost(from, c.Address) {
+		return false
+	}
+	return f.exchange(c.Address, helper.Probe(f.now, c.Request)) && !f.lost(c.Address, from)
+}
+
+// exchange carries one call there and back, through the wire's encoding.
+func (f *fleet) exchange(from string, call Call) bool {
+	request := &membershipv1.SyncRequest{}
+	size := f.carry(call.Request, request)
+	to, ok := f.tables[call.Address]
+	if !ok || f.blocked(from, call.Address) || f.lost(from, call.Address) {
+		f.count(from, "", size, 0)
+		return false
+	}
+	answer := to.HandleSync(f.now, request)
+	response := &membershipv1.SyncResponse{}
+	f.count(from, call.Address, size, f.carry(answer, response))
+	if f.lost(call.Address, from) || !call.IsFrom(response) {
+		return false
+	}
+	f.tables[from].Answered(f.now, call, response)
+	return true
+}
+
+func (f *fleet) carry(from, to proto.Message) int {
+	raw, err := proto.Marshal(from)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	if err := proto.Unmarshal(raw, to); err != nil {
+		f.t.Fatal(err)
+	}
+	return len(raw)
+}
+
+// count books a call's bytes; the overhead is split evenly between the ways.
+func (f *fleet) count(from, to string, request, response int) {
+	there, back := request+callOverhead/2, response+callOverhead/2
+	a := f.traffic[from]
+	a.calls++
+	a.sent += there
+	a.received += back
+	if b, ok := f.traffic[to]; ok {
+		b.calls++
+		b.received += there
+		b.sent += back
+	}
+}
+
+func (f *fleet) resetTraffic() {
+	for _, t := range f.traffic {
+		*t = traffic{}
+	}
+}
+
+// everyone reports whether all running nodes see the member in the state; a
+// dead one is seen in no state.
+func (f *fleet) everyone(member string, state State) bool {
+	for name, table := range f.tables {
+		if name != member && seen(table, member) != state {
+			return false
+		}
+	}
+	return true
+}
+
+func seen(table *Table, member string) State {
+	for _, m := range table.Snapshot().Members() {
+		if m.Name == member {
+			return m.State
+		}
+	}
+	return StateDead
+}
+
+// joined reports whether each node sees n serving members.
+func (f *fleet) joined(n int) func() bool {
+	return func() bool {
+		for _, table := range f.tables {
+			if table.Snapshot().Serving() != n {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func (f *fleet) anyone(member string, state State) bool {
+	for _, table := range f.tables {
+		if seen(table, member) == state {
+			return true
+		}
+	}
+	return false
+}
+
+// counts sums the running nodes' counts.
+func (f *fleet) counts() Counts {
+	var sum Counts
+	for _, table := range f.tables {
+		c := table.Counts()
+		sum.Probes += c.Probes
+		sum.ProbeFailures += c.ProbeFailures
+		sum.Suspicions += c.Suspicions
+		sum.Refutations += c.Refutations
+		sum.Deaths += c.Deaths
+		sum.WholeTables += c.WholeTables
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/membership/runner.go
@@ -0,0 +1,239 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+
+	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
+	"galenatrestle/internal/gen/trestle/membership/v1/membershipv1connect"
+	"galenatrestle/internal/platform"
+)
+
+// tickInterval is how often the runner asks the table what is due.
+const tickInterval = 100 * time.Millisecond
+
+// maxCalls bounds the runner's calls under way.
+const maxCalls = 64
+
+// Runner drives a Table: it sends its messages, serves those of peers and
+// publishes its snapshots. It implements View and is safe for concurrent use.
+type Runner struct {
+	caller   Caller
+	timeout  time.Duration
+	snapshot atomic.Pointer[Snapshot]
+	slots    chan struct{}
+	calls    sync.WaitGroup
+
+	mu    sync.Mutex
+	table *Table
+	notes map[string]func(*membershipv1.Note)
+}
+
+// NewRunner returns a runner that is not yet running.
+func NewRunner(self Member, settings Settings, caller Caller, rng *rand.Rand) *Runner {
+	r := &Runner{
+		caller:  caller,
+		timeout: settings.withDefaults().ProbeTimeout,
+		slots:   make(chan struct{}, maxCalls),
+		table:   NewTable(self, settings, rng, time.Now()),
+		notes:   make(map[string]func(*membershipv1.Note)),
+	}
+	r.snapshot.Store(r.table.Snapshot())
+	return r
+}
+
+// Run sends heartbeats until ctx ends, and returns after the last call has.
+func (r *Runner) Run(ctx context.Context) error {
+	defer r.calls.Wait()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+		for _, call := range r.tick() {
+			r.start(func() { r.send(ctx, call) })
+		}
+	}
+}
+
+// View returns the current picture.
+func (r *Runner) View() *Snapshot { return r.snapshot.Load() }
+
+// Self implements View.
+func (r *Runner) Self() Member { return r.View().Self() }
+
+// Members implements View.
+func (r *Runner) Members() []Member { return r.View().Members() }
+
+// Owner implements View.
+func (r *Runner) Owner(key string) Member { return r.View().Owner(key) }
+
+// Owners returns up to n members in the order in which they own the key.
+func (r *Runner) Owners(key string, n int) []Member { return r.View().Owners(key, n) }
+
+// SetStatus sets this node's own load and configuration revision.
+func (r *Runner) SetStatus(load float64, revision int64) {
+	r.update(func(now time.Time) { r.table.SetStatus(now, load, revision) })
+}
+
+// Leave marks this node as leaving; peers are told within a tick.
+func (r *Runner) Leave() { r.update(func(now time.Time) { r.table.Leave(now) }) }
+
+// AddSeed adds a peer address from the settings.
+func (r *Runner) AddSeed(address string) {
+	r.update(func(time.Time) { r.table.AddSeed(address) })
+}
+
+// ApplyInstances joins the platform's list of entry VMs.
+func (r *Runner) ApplyInstances(list []platform.Instance) {
+	r.update(func(now time.Time) { r.table.ApplyInstances(now, list) })
+}
+
+// Publish spreads a note to all members of the region.
+func (r *Runner) Publish(n *membershipv1.Note) error {
+	var err error
+	r.update(func(now time.Time) { err = r.table.Publish(now, n) })
+	return err
+}
+
+// OnNote has notes of a kind that come from peers given to receive, which must
+// not block. It is called before Run.
+func (r *Runner) OnNote(kind string, receive func(*membershipv1.Note)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.notes[kind] = receive
+}
+
+// Counts returns the protocol's events since the start.
+func (r *Runner) Counts() Counts {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Counts()
+}
+
+// Handler returns the path and handler to mount on the peer listener.
+func (r *Runner) Handler() (string, http.Handler) {
+	return membershipv1connect.NewMembershipServiceHandler(r)
+}
+
+// Sync implements the peer service.
+func (r *Runner) Sync(_ context.Context, request *connect.Request[membershipv1.SyncRequest]) (*connect.Response[membershipv1.SyncResponse], error) {
+	var response *membershipv1.SyncResponse
+	r.update(func(now time.Time) { response = r.table.HandleSync(now, request.Msg) })
+	return connect.NewResponse(response), nil
+}
+
+// Probe implements the peer service: it probes a member for another.
+func (r *Runner) Probe(ctx context.Context, request *connect.Request[membershipv1.ProbeRequest]) (*connect.Response[membershipv1.ProbeResponse], error) {
+	var call Call
+	r.update(func(now time.Time) { call = r.table.Probe(now, request.Msg) })
+	reached := r.exchange(ctx, call)
+	return connect.NewResponse(&membershipv1.ProbeResponse{Reached: reached}), nil
+}
+
+func (r *Runner) tick() []Call {
+	var calls []Call
+	r.update(func(now time.Time) { calls = r.table.Tick(now) })
+	return calls
+}
+
+// update runs f on the table, publishes the snapshot and hands out notes.
+func (r *Runner) update(f func(now time.Time)) {
+	r.mu.Lock()
+	f(time.Now())
+	r.snapshot.Store(r.table.Snapshot())
+	fresh := r.table.TakeNotes()
+	receivers := r.receivers(fresh)
+	r.mu.Unlock()
+	for i, n := range fresh {
+		if receivers[i] != nil {
+			receivers[i](n)
+		}
+	}
+}
+
+func (r *Runner) receivers(notes []*membershipv1.Note) []func(*membershipv1.Note) {
+	receivers := make([]func(*membershipv1.Note), len(notes))
+	for i, n := range notes {
+		receivers[i] = r.notes[n.Kind]
+	}
+	return receivers
+}
+
+// start runs f on its own goroutine, unless too many are under way.
+func (r *Runner) start(f func()) {
+	select {
+	case r.slots <- struct{}{}:
+	default:
+		return
+	}
+	r.calls.Go(func() {
+		defer func() { <-r.slots }()
+		f()
+	})
+}
+
+// send makes one call and, where it is a heartbeat without answer, the
+// indirect probes.
+func (r *Runner) send(ctx context.Context, call Call) {
+	if r.exchange(ctx, call) || ctx.Err() != nil {
+		return
+	}
+	var indirect []IndirectCall
+	r.update(func(now time.Time) { indirect = r.table.Failed(now, call) })
+	if len(indirect) == 0 {
+		return
+	}
+	reached := r.probeThrough(ctx, indirect)
+	if ctx.Err() != nil {
+		return
+	}
+	r.update(func(now time.Time) {
+		if reached {
+			r.table.Reached(now, call)
+			return
+		}
+		r.table.Unreached(now, call)
+	})
+}
+
+// exchange makes one call and reports whether its target answered.
+func (r *Runner) exchange(ctx context.Context, call Call) bool {
+	ctx, cancel := context.WithTimeout(ctx, r.timeout)
+	defer cancel()
+	response, err := r.caller.Sync(ctx, call.Address, call.Request)
+	if err != nil || !call.IsFrom(response) {
+		return false
+	}
+	r.update(func(now time.Time) { r.table.Answered(now, call, response) })
+	return true
+}
+
+// probeThrough asks all helpers at once and reports whether one reached the
+// target.
+func (r *Runner) probeThrough(ctx context.Context, calls []IndirectCall) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*r.timeout)
+	defer cancel()
+	results := make(chan bool, len(calls))
+	for _, c := range calls {
+		go func() {
+			response, err := r.caller.Probe(ctx, c.Address, c.Request)
+			results <- err == nil && response.GetReached()
+		}()
+	}
+	for range calls {
+		if <-results {
+			return true
+		}
+	}
+	return false
+}
