scheduler: order by slack, fair share and minimum share

Change: package scheduler orders by tier, those on time before the late, least slack, and shares a class's turn between workspaces; a class whose oldest request waited too long takes free slots within its minimum share. Package estimate learns answer lengths (ddsketch, aged) and speeds. At the pool's total bound the lowest tier is shed, strictly below the newcomer's. Package routertest drives the real pools against fake engines in discrete time.

--- a/internal/router/class_state.go
+++ b/internal/router/class_state.go
@@ -1,6 +1,9 @@
 package router
 
-import "galenatrestle/internal/config"
+import (
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/scheduler"
+)
 
 // classState is a class with its counts in one pool.
 type classState struct {
@@ -20,3 +23,13 @@
 	}
 	return class
 }
+
+func schedulerClass(class config.Class, without Features) scheduler.Class {
+	after := class.MinShareAfter.Std()
+	if without.MinShare {
+		after = 0
+	}
+	return scheduler.Class{
+		Name: class.Name, Tier: class.Tier, MinShare: class.MinShare, MinShareAfter: after,
+	}
+}
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -11,6 +11,7 @@
 const (
 	defaultSlots      = 8
 	defaultQueueBound = 1000
+	defaultMaxWaiting = 4000
 	minRetryAfter     = time.Second
 	maxRetryAfter     = time.Minute
 )
@@ -28,11 +29,22 @@
 	Classes  []config.Class
 	Replicas []Replica
 	Weights  map[string]float64
+	// MaxWaiting bounds the waiting requests of all classes together. Default
+	// 4000.
+	MaxWaiting int
+	// MaxSketches bounds the length estimates kept by workspace; zero takes
+	// estimate.DefaultMaxSketches.
+	MaxSketches int
+	// Without takes decisions out, for measurements.
+	Without Features
 }
 
 func (o Options) withDefaults() Options {
 	if o.Rand == nil {
 		o.Rand = rand.New(rand.NewPCG(1, 2))
 	}
+	if o.MaxWaiting <= 0 {
+		o.MaxWaiting = defaultMaxWaiting
+	}
 	return o
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/estimate"
 	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/scheduler"
 )
 
 // Pool decides for one upstream at one node. Each request that Submit admits
@@ -14,16 +16,20 @@
 	upstream string
 	zone     string
 	rand     *rand.Rand
-	classes  map[string]*classState
-	weights  map[string]float64
-	replicas map[string]*replicaState
+	without  Features
+	// maxWaiting bounds the waiting requests of all classes together.
+	maxWaiting int
+	classes    map[string]*classState
+	replicas   map[string]*replicaState
 	// order lists the replicas in the order they were configured.
-	order    []*replicaState
-	waiting  map[string]*waiting
-	running  map[string]*running
-	queue    *queue
-	expiry   expiryHeap
-	sequence uint64
+	order   []*replicaState
+	waiting map[string]*item
+	running map[string]*running
+	queue   *scheduler.Queue[*waiting]
+	lengths *estimate.Lengths
+	speed   estimate.Speed
+	// shed holds refusals that the next Next returns.
+	shed []Event
 	// changedAt is when something changed that Next has not yet looked at.
 	changedAt time.Time
 	stats     Stats
@@ -33,14 +39,17 @@
 func NewPool(options Options) *Pool {
 	options = options.withDefaults()
 	p := &Pool{
-		upstream: options.Upstream,
-		zone:     options.AvailabilityZone,
-		rand:     options.Rand,
-		classes:  make(map[string]*classState),
-		replicas: make(map[string]*replicaState),
-		waiting:  make(map[string]*waiting),
-		running:  make(map[string]*running),
-		queue:    newQueue(),
+		upstream:   options.Upstream,
+		zone:       options.AvailabilityZone,
+		rand:       options.Rand,
+		without:    options.Without,
+		maxWaiting: options.MaxWaiting,
+		classes:    make(map[string]*classState),
+		replicas:   make(map[string]*replicaState),
+		waiting:    make(map[string]*item),
+		running:    make(map[string]*running),
+		queue:      scheduler.NewQueue[*waiting](),
+		lengths:    estimate.NewLengths(options.MaxSketches),
 	}
 	p.SetClasses(time.Time{}, options.Classes)
 	p.SetReplicas(time.Time{}, options.Replicas)
@@ -53,26 +62,39 @@
 func (p *Pool) SetClasses(now time.Time, classes []config.Class) {
 	listed := make(map[string]bool, len(classes))
 	for _, class := range classes {
-		class = withClassDefaults(class)
 		listed[class.Name] = true
-		if state, ok := p.classes[class.Name]; ok {
-			state.Class = class
-			continue
-		}
-		p.classes[class.Name] = &classState{Class: class}
+		p.setClass(withClassDefaults(class))
 	}
 	for name, state := range p.classes {
-		if !listed[name] && state.waiting+state.running == 0 {
-			delete(p.classes, name)
-		}
 		state.retired = !listed[name]
 	}
+	p.forgetRetired()
 	p.changedAt = now
 }
 
+func (p *Pool) setClass(class config.Class) {
+	p.queue.SetClass(schedulerClass(class, p.without))
+	if state, ok := p.classes[class.Name]; ok {
+		state.Class = class
+		return
+	}
+	p.classes[class.Name] = &classState{Class: class}
+}
+
+// forgetRetired drops the retired classes in which nothing waits or runs.
+func (p *Pool) forgetRetired() {
+	for name, state := range p.classes {
+		if state.retired && state.waiting+state.running == 0 {
+			delete(p.classes, name)
+			p.queue.RemoveClass(name)
+		}
+	}
+	p.lengths.SetClasses(func(class string) bool { return p.classes[class] != nil })
+}
+
 // SetWeights puts the workspaces' fair shares in force.
 func (p *Pool) SetWeights(weights map[string]float64) {
-	p.weights = weights
+	p.queue.SetWeights(weights)
 }
 
 // Submit admits a request to the queue or refuses it at once. A request that
@@ -92,7 +114,7 @@
 	if !p.anyOpen() {
 		return refuse(&request, refusal.NoReplica, stepAdmit, "no replica takes new requests", 0)
 	}
-	if class.waiting >= class.QueueBound {
+	if class.waiting >= class.QueueBound || !p.makeRoom(now, class) {
 		return refuseQueueFull(&request, class)
 	}
 	p.enqueue(now, request, class)
@@ -105,33 +127,46 @@
 	return waits || runs
 }
 
+// makeRoom sheds a request of the lowest tier, if that is below class's, where
+// the pool is full.
+func (p *Pool) makeRoom(now time.Time, class *classState) bool {
+	if p.queue.Len() < p.maxWaiting {
+		return true
+	}
+	victim := p.queue.Shed(class.Tier)
+	if victim == nil {
+		return false
+	}
+	p.shed = append(p.shed, p.giveUp(victim, refusal.ShedForHigher, "requests of a higher tier took its place"))
+	p.changedAt = now
+	return true
+}
+
 func (p *Pool) enqueue(now time.Time, request Request, class *classState) {
-	p.sequence++
 	request.Tier = class.Tier
-	w := &waiting{request: request, class: class, sequence: p.sequence}
-	p.waiting[request.ID] = w
+	i := p.newItem(request, class)
+	p.waiting[request.ID] = i
 	class.waiting++
-	p.queue.push(w)
-	p.pushExpiry(w)
+	p.queue.Push(now, class.Name, i)
 	p.changedAt = now
 }
 
 // Cancel takes a waiting request out. It does nothing for one that does not wait.
 func (p *Pool) Cancel(now time.Time, id string) {
-	w, ok := p.waiting[id]
+	i, ok := p.waiting[id]
 	if !ok {
 		return
 	}
-	p.leaveQueue(w)
+	p.queue.Remove(i)
+	p.leave(i)
 	p.stats.Cancelled++
 	p.changedAt = now
 }
 
-// leaveQueue takes w out of all counts; the heaps drop it when they meet it.
-func (p *Pool) leaveQueue(w *waiting) {
-	w.gone = true
-	w.class.waiting--
-	delete(p.waiting, w.request.ID)
+// leave takes a request that left the queue out of the counts.
+func (p *Pool) leave(i *item) {
+	i.Value.class.waiting--
+	delete(p.waiting, i.Value.request.ID)
 }
 
 // Deadline returns when Next must be called again at the latest; zero is never.
@@ -139,5 +174,13 @@
 	if !p.changedAt.IsZero() {
 		return now
 	}
-	return p.expiry.next()
+	next := p.queue.NextExpiry()
+	if !p.anyFree() {
+		return next
+	}
+	share := p.queue.NextShare(now)
+	if next.IsZero() || (!share.IsZero() && share.Before(next)) {
+		return share
+	}
+	return next
 }
--- a/internal/router/pool_next.go
+++ b/internal/router/pool_next.go
@@ -8,52 +8,77 @@
 
 // Next returns all bindings and refusals that are due at now.
 func (p *Pool) Next(now time.Time) []Event {
-	events := p.expire(now, nil)
+	events := p.shed
+	p.shed = nil
+	events = p.expire(now, events)
 	events = p.bindAll(now, events)
 	p.changedAt = time.Time{}
 	return events
 }
 
 func (p *Pool) expire(now time.Time, events []Event) []Event {
-	for w := p.expiry.due(now); w != nil; w = p.expiry.due(now) {
-		p.leaveQueue(w)
-		p.stats.Refused++
-		refused := refuse(&w.request, refusal.GaveUpWaiting, stepQueue, "no replica came free in time", 0)
-		events = append(events, Event{ID: w.request.ID, Refused: refused})
+	for i := p.queue.Expired(now); i != nil; i = p.queue.Expired(now) {
+		reason := refusal.TooLate
+		message := "the answer would come too late to be of use"
+		if !i.Value.request.GiveUpAt.After(now) {
+			reason = refusal.GaveUpWaiting
+			message = "no replica came free in time"
+		}
+		events = append(events, p.giveUp(i, reason, message))
 	}
 	return events
 }
 
+// giveUp refuses a request that has left the queue.
+func (p *Pool) giveUp(i *item, reason refusal.Reason, message string) Event {
+	p.leave(i)
+	p.stats.Refused++
+	w := i.Value
+	refused := refuse(&w.request, reason, stepQueue, message, w.class.GiveUpAfter.Std()/2)
+	return Event{ID: w.request.ID, Refused: refused}
+}
+
 // bindAll binds requests while a replica is free. One whose free replicas are
 // all to be avoided is passed over and keeps its place.
 func (p *Pool) bindAll(now time.Time, events []Event) []Event {
-	var passed []*waiting
+	var passed []*item
+	slots := p.slots()
 	for p.anyFree() {
-		w := p.queue.pop()
-		if w == nil {
+		i := p.queue.Pop(now, slots)
+		if i == nil {
 			break
 		}
-		replica := p.choose(w)
+		replica := p.choose(i.Value)
 		if replica == nil {
-			passed = append(passed, w)
+			passed = append(passed, i)
 			continue
 		}
-		events = append(events, p.bind(now, w, replica))
+		events = append(events, p.bind(now, i, replica))
 	}
-	for _, w := range passed {
-		p.queue.push(w)
+	for _, i := range passed {
+		p.queue.Restore(now, i)
 	}
 	return events
 }
 
-func (p *Pool) bind(now time.Time, w *waiting, replica *replicaState) Event {
-	p.leaveQueue(w)
+// slots is the limit of all open replicas together.
+func (p *Pool) slots() int {
+	slots := 0
+	for _, r := range p.order {
+		if r.open() {
+			slots += r.limit()
+		}
+	}
+	return slots
+}
+
+func (p *Pool) bind(now time.Time, i *item, replica *replicaState) Event {
+	p.leave(i)
 	p.stats.Bound++
-	w.class.running++
+	i.Value.class.running++
 	replica.running++
-	p.running[w.request.ID] = &running{
-		request: w.request, class: w.class, replica: replica, boundAt: now,
-	}
+	id := i.Value.request.ID
+	p.running[id] = &running{item: i, replica: replica, boundAt: now}
 	chosen := replica.Replica
-	return Event{ID: w.request.ID, Replica: &chosen}
+	return Event{ID: id, Replica: &chosen}
 }
--- a/internal/router/pool_progress.go
+++ b/internal/router/pool_progress.go
@@ -4,31 +4,53 @@
 
 // FirstToken notes that the first token of a running request came.
 func (p *Pool) FirstToken(now time.Time, id string) {
-	if r, ok := p.running[id]; ok && r.firstToken.IsZero() {
-		r.firstToken = now
-		r.tokens = 1
+	r, ok := p.running[id]
+	if !ok || !r.firstToken.IsZero() {
+		return
 	}
+	r.firstToken = now
+	r.lastToken = now
+	r.tokens = 1
+	p.speed.Prefill(r.item.Value.request.PromptTokens, now.Sub(r.boundAt))
 }
 
 // Tokens notes that n more tokens of a running request came.
-func (p *Pool) Tokens(_ time.Time, id string, n int) {
-	if r, ok := p.running[id]; ok {
-		r.tokens += n
+func (p *Pool) Tokens(now time.Time, id string, n int) {
+	r, ok := p.running[id]
+	if !ok || n <= 0 {
+		return
+	}
+	if r.firstToken.IsZero() {
+		p.FirstToken(now, id)
+		n--
 	}
+	r.tokens += n
+	p.speed.Tokens(n, now.Sub(r.lastToken))
+	r.lastToken = now
 }
 
 // Finish notes the end of a running request's attempt and frees its slot.
 // Call Next afterwards. It does nothing for a request that does not run.
-func (p *Pool) Finish(now time.Time, id string, _ Result) {
+func (p *Pool) Finish(now time.Time, id string, result Result) {
 	r, ok := p.running[id]
 	if !ok {
 		return
 	}
 	delete(p.running, id)
-	r.class.running--
+	p.learn(now, r, result)
+	p.queue.Ended(now, r.item, now.Sub(r.boundAt), p.slots())
+	r.item.Value.class.running--
 	r.replica.running--
-	if r.replica.removed && r.replica.running == 0 {
-		p.forgetRemoved()
-	}
+	p.forgetRemoved()
 	p.changedAt = now
 }
+
+// learn takes in the length of a whole answer, or of one that was cut short by
+// its caller; a failed attempt says nothing about the length.
+func (p *Pool) learn(now time.Time, r *running, result Result) {
+	if result != ResultDone && result != ResultCancelled {
+		return
+	}
+	request := &r.item.Value.request
+	p.lengths.Observe(now, request.Class, request.Workspace, r.tokens)
+}
--- /dev/null
+++ b/internal/router/pool_property_test.go
@@ -0,0 +1,311 @@
+package router
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/refusal"
+)
+
+// model drives a pool with arbitrary calls and keeps its own books.
+type model struct {
+	t        *rapid.T
+	pool     *Pool
+	now      time.Time
+	names    []string
+	leaving  map[string]bool
+	waiting  map[string]Request
+	running  map[string]string
+	ended    map[string]string
+	requests map[string]Request
+	serial   int
+}
+
+func propertyClasses() []config.Class {
+	second := config.Duration(time.Second)
+	return []config.Class{
+		{Name: "t0", Tier: 0, TargetAnswer: 5 * second, GiveUpAfter: 10 * second, QueueBound: 6},
+		{Name: "t1", Tier: 1, TargetAnswer: 20 * second, GiveUpAfter: 40 * second, QueueBound: 6},
+		{Name: "t1b", Tier: 1, TargetAnswer: 10 * second, GiveUpAfter: 40 * second, MinShare: 0.3, QueueBound: 6},
+		{Name: "t5", Tier: 5, TargetAnswer: 60 * second, GiveUpAfter: 120 * second, MinShare: 0.2, QueueBound: 9},
+	}
+}
+
+func newModel(t *rapid.T) *model {
+	m := &model{
+		t: t, now: start, leaving: make(map[string]bool), waiting: make(map[string]Request),
+		running: make(map[string]string), ended: make(map[string]string), requests: make(map[string]Request),
+	}
+	var replicas []Replica
+	for i := range rapid.IntRange(1, 5).Draw(t, "replicas") {
+		name := "r" + strconv.Itoa(i)
+		m.names = append(m.names, name)
+		replicas = append(replicas, Replica{Name: name, Slots: rapid.IntRange(1, 4).Draw(t, "slots")})
+	}
+	m.pool = NewPool(Options{
+		Classes: propertyClasses(), Replicas: replicas, MaxWaiting: 14,
+		Rand: rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)),
+	})
+	return m
+}
+
+func (m *model) submitNew(t *rapid.T) {
+	class := rapid.SampledFrom(propertyClasses()).Draw(t, "class")
+	m.serial++
+	m.submit(Request{
+		ID: strconv.Itoa(m.serial), Class: class.Name, Tier: class.Tier, Attempt: 1, Arrived: m.now,
+		Workspace:    rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "workspace"),
+		AnswerBy:     m.now.Add(class.TargetAnswer.Std()),
+		GiveUpAt:     m.now.Add(class.GiveUpAfter.Std()),
+		PromptTokens: rapid.IntRange(1, 5000).Draw(t, "prompt"),
+	})
+}
+
+// burst fills the queues up to their bounds.
+func (m *model) burst(t *rapid.T) {
+	for range rapid.IntRange(5, 25).Draw(t, "burst") {
+		m.submitNew(t)
+	}
+}
+
+func (m *model) submit(r Request) {
+	lowest := m.lowestWaiting()
+	if refused := m.pool.Submit(m.now, r); refused != nil {
+		if refused.Reason == refusal.QueueFull && len(m.waiting) >= 14 && lowest > r.Tier && m.classWaiting(r.Class) < 6 {
+			m.t.Fatalf("%s of tier %d refused while tier %d waits", r.ID, r.Tier, lowest)
+		}
+		m.end(r.ID, "refused")
+		return
+	}
+	m.waiting[r.ID] = r
+	m.requests[r.ID] = r
+	for _, event := range m.pool.shed {
+		victim := m.requests[event.ID]
+		if victim.Tier <= r.Tier || victim.Tier != lowest {
+			m.t.Fatalf("tier %d shed for tier %d while tier %d waited", victim.Tier, r.Tier, lowest)
+		}
+	}
+	m.next()
+}
+
+func (m *model) lowestWaiting() int {
+	lowest := -1
+	for _, r := range m.waiting {
+		lowest = max(lowest, r.Tier)
+	}
+	return lowest
+}
+
+func (m *model) classWaiting(class string) int {
+	n := 0
+	for _, r := range m.waiting {
+		if r.Class == class {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) end(id, how string) {
+	if before, ok := m.ended[id]; ok {
+		m.t.Fatalf("%s ended as %s and again as %s", id, before, how)
+	}
+	m.ended[id] = how
+}
+
+func (m *model) next() {
+	for _, event := range m.pool.Next(m.now) {
+		r, ok := m.waiting[event.ID]
+		if !ok {
+			m.t.Fatalf("event for %s, which does not wait", event.ID)
+		}
+		delete(m.waiting, event.ID)
+		if event.Refused != nil {
+			m.checkRefusal(r, event.Refused)
+			m.end(event.ID, "refused")
+			continue
+		}
+		if m.leaving[event.Replica.Name] {
+			m.t.Fatalf("%s bound to leaving %s", event.ID, event.Replica.Name)
+		}
+		m.running[event.ID] = event.Replica.Name
+	}
+	m.check()
+}
+
+// checkRefusal checks that a request that waited was given up for its own time
+// alone, or for a higher tier.
+func (m *model) checkRefusal(r Request, refused *refusal.Error) {
+	switch refused.Reason {
+	case refusal.ShedForHigher:
+	case refusal.GaveUpWaiting, refusal.TooLate:
+		if half := r.GiveUpAt.Sub(r.Arrived) / 2; m.now.Before(r.Arrived.Add(half)) {
+			m.t.Fatalf("%s refused as %s in the first half of its time", r.ID, refused.Reason)
+		}
+	default:
+		m.t.Fatalf("%s refused as %s while it waited", r.ID, refused.Reason)
+	}
+	if refused.RetryAfter <= 0 {
+		m.t.Fatalf("%s refused without RetryAfter", r.ID)
+	}
+}
+
+// check compares the books after Next.
+func (m *model) check() {
+	perReplica := make(map[string]int)
+	shared := make(map[string]int)
+	for id, name := range m.running {
+		perReplica[name]++
+		if m.pool.running[id].item.ByShare() {
+			shared[m.requests[id].Class]++
+		}
+	}
+	stats := m.pool.Stats(m.now)
+	for _, r := range stats.Replicas {
+		if r.Running != perReplica[r.Name] {
+			m.t.Fatalf("%s runs %d, want %d", r.Name, r.Running, perReplica[r.Name])
+		}
+	}
+	if len(m.pool.waiting) != len(m.waiting) || m.pool.queue.Len() != len(m.waiting) || len(m.pool.running) != len(m.running) {
+		m.t.Fatalf("pool holds %d waiting, %d running; want %d, %d", len(m.pool.waiting), len(m.pool.running), len(m.waiting), len(m.running))
+	}
+	for class, n := range shared {
+		if most := 20; n > max(1, most*3/10) {
+			m.t.Fatalf("class %s holds %d slots by its share", class, n)
+		}
+	}
+	m.checkWaiting()
+}
+
+// checkWaiting checks that none waits past its time, and that none that could
+// run now is left waiting.
+func (m *model) checkWaiting() {
+	for _, r := range m.waiting {
+		if !r.GiveUpAt.After(m.now) {
+			m.t.Fatalf("%s waits past its time", r.ID)
+		}
+		if len(r.Avoid) == 0 && m.pool.anyFree() {
+			m.t.Fatalf("%s waits while a replica is free", r.ID)
+		}
+	}
+	if len(m.waiting) > 0 && m.pool.Deadline(m.now).IsZero() {
+		m.t.Fatal("requests wait and Deadline is zero")
+	}
+}
+
+func (m *model) finish(t *rapid.T) {
+	id := m.draw(t, m.running)
+	if id == "" {
+		return
+	}
+	m.pool.FirstToken(m.now, id)
+	m.pool.Tokens(m.now, id, rapid.IntRange(1, 3000).Draw(t, "tokens"))
+	m.finishAs(id, Result(rapid.IntRange(0, 4).Draw(t, "result")))
+	m.next()
+}
+
+// finishAs ends an attempt; one that failed is submitted again elsewhere.
+func (m *model) finishAs(id string, result Result) {
+	m.pool.Finish(m.now, id, result)
+	replica := m.running[id]
+	delete(m.running, id)
+	r := m.requests[id]
+	if (result == ResultNotRun || result == ResultCrashed) && r.Attempt < 3 && r.GiveUpAt.After(m.now) {
+		r.Attempt++
+		r.Avoid = append(slices.Clone(r.Avoid), replica)
+		m.submit(r)
+		return
+	}
+	m.end(id, "finished")
+}
+
+func (m *model) draw(t *rapid.T, from map[string]string) string {
+	if len(from) == 0 {
+		return ""
+	}
+	ids := make([]string, 0, len(from))
+	for id := range from {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return rapid.SampledFrom(ids).Draw(t, "id")
+}
+
+func (m *model) crash(t *rapid.T) {
+	name := rapid.SampledFrom(m.names).Draw(t, "replica")
+	var hit []string
+	for id, replica := range m.running {
+		if replica == name {
+			hit = append(hit, id)
+		}
+	}
+	slices.Sort(hit)
+	for _, id := range hit {
+		m.finishAs(id, ResultCrashed)
+	}
+	m.next()
+}
+
+func (m *model) cancel(t *rapid.T) {
+	ids := make(map[string]string)
+	for id := range m.waiting {
+		ids[id] = ""
+	}
+	if id := m.draw(t, ids); id != "" {
+		m.pool.Cancel(m.now, id)
+		delete(m.waiting, id)
+		m.end(id, "cancelled")
+		m.next()
+	}
+}
+
+func (m *model) setLeaving(t *rapid.T) {
+	name := rapid.SampledFrom(m.names).Draw(t, "replica")
+	m.leaving[name] = !m.leaving[name]
+	m.pool.SetLeaving(m.now, name, m.leaving[name])
+	m.next()
+}
+
+func (m *model) setAllowance(t *rapid.T) {
+	name := rapid.SampledFrom(m.names).Draw(t, "replica")
+	m.pool.SetAllowance(name, rapid.IntRange(-1, 3).Draw(t, "slots"))
+	m.next()
+}
+
+func (m *model) pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms")) * time.Millisecond)
+	m.next()
+}
+
+// drain lets all time run out and checks that every request ended once.
+func (m *model) drain() {
+	for len(m.running) > 0 || len(m.waiting) > 0 {
+		for id := range m.running {
+			m.finishAs(id, ResultDone)
+		}
+		m.now = m.now.Add(time.Minute)
+		m.next()
+	}
+	for id := range m.requests {
+		if _, ok := m.ended[id]; !ok {
+			m.t.Fatalf("%s never ended", id)
+		}
+	}
+}
+
+func TestPoolKeepsItsPromises(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": m.submitNew, "burst": m.burst, "finish": m.finish, "crash": m.crash,
+			"cancel": m.cancel, "leaving": m.setLeaving, "allowance": m.setAllowance, "pass": m.pass,
+		})
+		m.drain()
+	})
+}
--- a/internal/router/pool_replicas.go
+++ b/internal/router/pool_replicas.go
@@ -32,12 +32,15 @@
 }
 
 func (p *Pool) forgetRemoved() {
+	if !slices.ContainsFunc(p.order, (*replicaState).forgettable) {
+		return
+	}
 	p.order = slices.DeleteFunc(p.order, func(r *replicaState) bool {
-		forget := r.removed && r.running == 0
-		if forget {
+		if r.forgettable() {
 			delete(p.replicas, r.Name)
+			return true
 		}
-		return forget
+		return false
 	})
 }
 
--- a/internal/router/replica_state.go
+++ b/internal/router/replica_state.go
@@ -42,3 +42,6 @@
 func (r *replicaState) free() bool {
 	return r.open() && r.running < r.limit()
 }
+
+// forgettable says whether nothing holds the replica any more.
+func (r *replicaState) forgettable() bool { return r.removed && r.running == 0 }
--- /dev/null
+++ b/internal/router/routertest/outcome.go
@@ -0,0 +1,58 @@
+package routertest
+
+import (
+	"slices"
+
+	"galenatrestle/internal/refusal"
+)
+
+// Outcome is what a run measured.
+type Outcome struct {
+	Classes []ClassOutcome
+	// GoodTokens are those of whole answers before the caller gave up;
+	// WastedTokens all others.
+	GoodTokens   int
+	WastedTokens int
+	// InTime is the part of GoodTokens that came while requests arrived.
+	InTime int
+	// Capacity is the tokens the replicas can generate while requests arrive.
+	Capacity float64
+}
+
+// ClassOutcome is one class's part of an Outcome.
+type ClassOutcome struct {
+	Name     string
+	Offered  int
+	Answered int
+	OnTarget int
+	// CutOff requests ran when their caller gave up.
+	CutOff  int
+	Refused map[refusal.Reason]int
+	// seconds from arrival to the whole answer, of the answered ones.
+	seconds []float64
+}
+
+// Attainment is the part of the offered requests answered on target.
+func (c *ClassOutcome) Attainment() float64 {
+	return float64(c.OnTarget) / float64(max(c.Offered, 1))
+}
+
+// Quantile returns the answer time in seconds, of the answered requests.
+func (c *ClassOutcome) Quantile(q float64) float64 {
+	if len(c.seconds) == 0 {
+		return 0
+	}
+	slices.Sort(c.seconds)
+	return c.seconds[int(q*float64(len(c.seconds)-1))]
+}
+
+// Goodput is the good tokens that came while requests arrived, as a part of
+// the capacity.
+func (o *Outcome) Goodput() float64 {
+	return float64(o.InTime) / o.Capacity
+}
+
+// Wasted is the wasted tokens as a part of all tokens generated.
+func (o *Outcome) Wasted() float64 {
+	return float64(o.WastedTokens) / float64(max(o.WastedTokens+o.GoodTokens, 1))
+}
--- /dev/null
+++ b/internal/router/routertest/table.go
@@ -0,0 +1,26 @@
+package routertest
+
+import (
+	"fmt"
+	"strings"
+)
+
+// Row formats an outcome as a row of a Markdown table with TableHead.
+func (o *Outcome) Row(s Scenario) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "| %s | %d | %.1f |", s.Name, s.Pools, s.Load)
+	for i := range o.Classes {
+		c := &o.Classes[i]
+		fmt.Fprintf(&b, " %.3f |", c.Attainment())
+	}
+	for i := range o.Classes {
+		c := &o.Classes[i]
+		fmt.Fprintf(&b, " %.3f |", float64(c.Answered)/float64(max(c.Offered, 1)))
+	}
+	fmt.Fprintf(&b, " %.2f | %.3f | %.3f |", o.Classes[0].Quantile(0.99), o.Goodput(), o.Wasted())
+	return b.String()
+}
+
+// TableHead is the head of the table whose rows are Outcome.Row.
+const TableHead = `| policy | pools | load | quick on target | draft on target | review on target | quick answered | draft answered | review answered | quick p99 s | goodput | wasted |
+|---|---|---|---|---|---|---|---|---|---|---|---|`
--- /dev/null
+++ b/internal/router/routertest/workload.go
@@ -0,0 +1,121 @@
+package routertest
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/router"
+)
+
+const (
+	workspaces          = 10
+	prefixesByWorkspace = 8
+	lengthCap           = 8
+)
+
+var start = time.Date(2026, 3, 6, 18, 0, 0, 0, time.UTC)
+
+// profile is one class of the workload.
+type profile struct {
+	class config.Class
+	// share is the class's part of the offered slot time.
+	share float64
+	// prompt is in tokens; median and sigma describe the log-normal length.
+	prompt int
+	median float64
+	sigma  float64
+}
+
+func seconds(n float64) config.Duration {
+	return config.Duration(n * float64(time.Second))
+}
+
+// profiles are quick questions, drafts and long reviews.
+var profiles = []profile{
+	{
+		class: config.Class{Name: "quick", Tier: 0, TargetAnswer: seconds(10), GiveUpAfter: seconds(20), QueueBound: 2000},
+		share: 0.35, prompt: 300, median: 60, sigma: 0.7,
+	},
+	{
+		class: config.Class{Name: "draft", Tier: 1, TargetAnswer: seconds(40), GiveUpAfter: seconds(80), QueueBound: 2000},
+		share: 0.30, prompt: 1500, median: 200, sigma: 0.8,
+	},
+	{
+		class: config.Class{Name: "review", Tier: 2, TargetAnswer: seconds(120), GiveUpAfter: seconds(240), MinShare: 0.05, QueueBound: 2000},
+		share: 0.35, prompt: 4000, median: 600, sigma: 0.8,
+	},
+}
+
+func classes() []config.Class {
+	list := make([]config.Class, 0, len(profiles))
+	for _, p := range profiles {
+		list = append(list, p.class)
+	}
+	return list
+}
+
+// serviceTime is the time a job of the given length takes at the knee.
+func (p profile) serviceTime(length float64) float64 {
+	return float64(p.prompt)/prefillRate + length*tokenTime.Seconds()
+}
+
+func (p profile) meanLength() float64 {
+	return p.median * math.Exp(p.sigma*p.sigma/2)
+}
+
+// rate is the arrivals a second that offer load times the slots' time.
+func (p profile) rate(load float64, slots int) float64 {
+	return load * p.share * float64(slots) / p.serviceTime(p.meanLength())
+}
+
+// arrivals returns all jobs of a scenario in order of arrival.
+func arrivals(s Scenario) []*job {
+	source := rand.New(rand.NewPCG(s.Seed, 1))
+	var jobs []*job
+	for class, p := range profiles {
+		load := s.Load
+		if class == 0 && s.QuickBurst > 0 {
+			load *= s.QuickBurst
+		}
+		rate := p.rate(load, s.Replicas*Knee)
+		at := source.ExpFloat64() / rate
+		for at < s.Duration.Seconds() {
+			jobs = append(jobs, newJob(s, source, class, at))
+			at += source.ExpFloat64() / rate
+		}
+	}
+	slices.SortFunc(jobs, func(a, b *job) int {
+		return cmp.Or(a.request.Arrived.Compare(b.request.Arrived), cmp.Compare(a.request.ID, b.request.ID))
+	})
+	return jobs
+}
+
+func newJob(s Scenario, source *rand.Rand, class int, at float64) *job {
+	p := profiles[class]
+	arrived := start.Add(time.Duration(at * float64(time.Second)))
+	workspace := int(float64(workspaces) * math.Pow(source.Float64(), 2))
+	prefix := source.IntN(prefixesByWorkspace)
+	length := p.median * workspaceFactor(workspace) * math.Exp(p.sigma*source.NormFloat64())
+	return &job{
+		class: class, length: int(min(max(length, 1), p.median*lengthCap)), pool: source.IntN(s.Pools),
+		request: router.Request{
+			ID:        p.class.Name + strconv.FormatInt(int64(source.Uint64()>>1), 36),
+			Workspace: "workspace-" + strconv.Itoa(workspace), Class: p.class.Name, Tier: p.class.Tier,
+			Arrived:  arrived,
+			AnswerBy: arrived.Add(p.class.TargetAnswer.Std()), GiveUpAt: arrived.Add(p.class.GiveUpAfter.Std()),
+			PromptTokens: p.prompt, Attempt: 1,
+			PrefixHashes: []uint64{uint64(class*workspaces*prefixesByWorkspace + workspace*prefixesByWorkspace + prefix)},
+		},
+	}
+}
+
+// workspaceFactor makes some workspaces' answers long and others' short; the
+// mean over the workspaces, weighed by their use, is near 1.
+func workspaceFactor(workspace int) float64 {
+	return 0.7 + 0.1*float64(workspace)
+}
--- a/internal/router/running.go
+++ b/internal/router/running.go
@@ -4,10 +4,11 @@
 
 // running is a request bound to a replica.
 type running struct {
-	request    Request
-	class      *classState
+	item       *item
 	replica    *replicaState
 	boundAt    time.Time
 	firstToken time.Time
-	tokens     int
+	// lastToken is when the pool was last told of tokens.
+	lastToken time.Time
+	tokens    int
 }
--- /dev/null
+++ b/internal/scheduler/expire.go
@@ -0,0 +1,63 @@
+package scheduler
+
+import "time"
+
+// Expired takes out an item that is no longer of use at now, or returns nil.
+func (q *Queue[T]) Expired(now time.Time) *Item[T] {
+	for _, c := range q.classes {
+		item := c.byUseless.first()
+		if item != nil && !item.Useless.After(now) {
+			q.Remove(item)
+			return item
+		}
+	}
+	return nil
+}
+
+// NextExpiry returns when the next item stops to be of use; zero: none waits.
+func (q *Queue[T]) NextExpiry() time.Time {
+	var next time.Time
+	for _, c := range q.classes {
+		item := c.byUseless.first()
+		if item != nil && (next.IsZero() || item.Useless.Before(next)) {
+			next = item.Useless
+		}
+	}
+	return next
+}
+
+// NextShare returns the earliest time after now at which a waiting class's
+// minimum share can come due; zero: none will without another change.
+func (q *Queue[T]) NextShare(now time.Time) time.Time {
+	var next time.Time
+	for _, c := range q.classes {
+		oldest := c.byArrival.first()
+		if oldest == nil || c.MinShareAfter <= 0 {
+			continue
+		}
+		due := oldest.Arrived.Add(c.MinShareAfter)
+		if due.Before(c.share.blockedUntil) {
+			due = c.share.blockedUntil
+		}
+		if due.After(now) && (next.IsZero() || due.Before(next)) {
+			next = due
+		}
+	}
+	return next
+}
+
+// Shed takes out an item of the lowest tier below tier, or returns nil where
+// none waits below it. Within the class the one closest to its end goes.
+func (q *Queue[T]) Shed(tier int) *Item[T] {
+	for i := len(q.classes) - 1; i >= 0; i-- {
+		c := q.classes[i]
+		if c.Tier <= tier {
+			return nil
+		}
+		if item := c.byUseless.first(); item != nil {
+			q.Remove(item)
+			return item
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/scheduler/queue.go
@@ -0,0 +1,150 @@
+package scheduler
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Queue is the order of one pool's waiting items. It is not safe for
+// concurrent use.
+type Queue[T any] struct {
+	// classes by tier, then name.
+	classes  []*classQueue[T]
+	byName   map[string]*classQueue[T]
+	weights  map[string]float64
+	sequence uint64
+	live     int
+}
+
+// NewQueue returns an empty queue without classes.
+func NewQueue[T any]() *Queue[T] {
+	return &Queue[T]{byName: make(map[string]*classQueue[T])}
+}
+
+// SetClass adds a class or changes its settings.
+func (q *Queue[T]) SetClass(class Class) {
+	if c, ok := q.byName[class.Name]; ok {
+		c.Class = class
+	} else {
+		c = newClassQueue[T](class)
+		q.byName[class.Name] = c
+		q.classes = append(q.classes, c)
+	}
+	slices.SortFunc(q.classes, func(a, b *classQueue[T]) int {
+		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Name, b.Name))
+	})
+}
+
+// RemoveClass forgets a class in which nothing waits and nothing runs by share.
+func (q *Queue[T]) RemoveClass(name string) {
+	c, ok := q.byName[name]
+	if !ok || c.len() > 0 || c.share.running > 0 {
+		return
+	}
+	delete(q.byName, name)
+	q.classes = slices.DeleteFunc(q.classes, func(other *classQueue[T]) bool { return other == c })
+}
+
+// SetWeights sets the workspaces' fair shares; 1 where one is missing.
+func (q *Queue[T]) SetWeights(weights map[string]float64) { q.weights = weights }
+
+func (q *Queue[T]) weight(workspace string) float64 {
+	if w := q.weights[workspace]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// Len returns the number of waiting items.
+func (q *Queue[T]) Len() int { return q.live }
+
+// Push puts item into the named class, which must be known.
+func (q *Queue[T]) Push(now time.Time, class string, item *Item[T]) {
+	q.sequence++
+	item.sequence = q.sequence
+	q.live++
+	q.byName[class].push(now, item)
+}
+
+// Remove takes a waiting item out.
+func (q *Queue[T]) Remove(item *Item[T]) {
+	if !item.Waits() {
+		return
+	}
+	item.class.band(item).remove(item)
+	q.live--
+}
+
+// Pop takes out the item that the next of slots slots is for, or returns nil.
+// Minimum shares that are due go first; they take a free slot and nothing else.
+func (q *Queue[T]) Pop(now time.Time, slots int) *Item[T] {
+	next := q.first(now)
+	if next == nil {
+		return nil
+	}
+	if owed := q.owed(now, slots, next); owed != nil {
+		owed.byShare = true
+		owed.class.share.running++
+		next = owed
+	}
+	band := next.class.band(next)
+	band.charge(next, q.weight(next.Workspace))
+	q.Remove(next)
+	return next
+}
+
+// first returns the next item by tier, then on time before late, then slack.
+func (q *Queue[T]) first(now time.Time) *Item[T] {
+	var best *Item[T]
+	for _, c := range q.classes {
+		if best != nil && c.Tier != best.class.Tier {
+			return best
+		}
+		item := c.first(now)
+		if item != nil && (best == nil || item.ahead(best)) {
+			best = item
+		}
+	}
+	return best
+}
+
+// ahead orders the heads of two classes of one tier.
+func (i *Item[T]) ahead(other *Item[T]) bool {
+	if i.state != other.state {
+		return i.state == onTime
+	}
+	return i.Latest.Before(other.Latest)
+}
+
+// owed returns the item of a class, other than next's, whose share is due.
+func (q *Queue[T]) owed(now time.Time, slots int, next *Item[T]) *Item[T] {
+	for _, c := range q.classes {
+		if c != next.class && c.shareDue(now, slots) {
+			return c.first(now)
+		}
+	}
+	return nil
+}
+
+// Restore puts back an item that Pop took out and that could not be used.
+func (q *Queue[T]) Restore(now time.Time, item *Item[T]) {
+	if item.byShare {
+		item.class.share.running--
+		item.byShare = false
+	}
+	charge := item.charge
+	q.Push(now, item.class.Name, item)
+	band := item.class.band(item)
+	band.shift(band.flows[item.Workspace], -charge)
+}
+
+// Ended gives back the share's slot of an item that left by share and held it.
+func (q *Queue[T]) Ended(now time.Time, item *Item[T], held time.Duration, slots int) {
+	if !item.byShare {
+		return
+	}
+	item.byShare = false
+	c := item.class
+	c.share.ended(now, held, c.minShare()*float64(slots))
+}
--- /dev/null
+++ b/internal/scheduler/queue_test.go
@@ -0,0 +1,120 @@
+package scheduler
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 3, 6, 20, 0, 0, 0, time.UTC)
+
+func newTestQueue() *Queue[string] {
+	q := NewQueue[string]()
+	q.SetClass(Class{Name: "high", Tier: 0})
+	q.SetClass(Class{Name: "low", Tier: 2, MinShare: 0.5, MinShareAfter: 10 * time.Second})
+	return q
+}
+
+func newItem(value, workspace string, latest time.Duration) *Item[string] {
+	return &Item[string]{
+		Workspace: workspace, Arrived: start, Latest: start.Add(latest),
+		Useless: start.Add(latest + time.Minute), Cost: 10, Value: value,
+	}
+}
+
+func popAll(q *Queue[string], now time.Time) string {
+	all := ""
+	for i := q.Pop(now, 4); i != nil; i = q.Pop(now, 4) {
+		all += i.Value
+	}
+	return all
+}
+
+func TestOrderIsTierThenOnTimeThenSlack(t *testing.T) {
+	q := newTestQueue()
+	q.Push(start, "low", newItem("a", "w", time.Second))
+	q.Push(start, "high", newItem("b", "w", 30*time.Second))
+	q.Push(start, "high", newItem("c", "w", 2*time.Second))
+	q.Push(start, "high", newItem("d", "w", 20*time.Second))
+	if got := popAll(q, start.Add(3*time.Second)); got != "dbca" {
+		t.Errorf("order = %s, want dbca", got)
+	}
+}
+
+func TestFairShareFollowsWeights(t *testing.T) {
+	q := newTestQueue()
+	q.SetWeights(map[string]float64{"x": 3})
+	for range 40 {
+		q.Push(start, "high", newItem("x", "x", time.Minute))
+		q.Push(start, "high", newItem("y", "y", time.Minute))
+	}
+	count := 0
+	for range 40 {
+		if q.Pop(start, 4).Value == "x" {
+			count++
+		}
+	}
+	if count != 30 {
+		t.Errorf("workspace x got %d of 40, want 30", count)
+	}
+}
+
+func TestShareIsDueAfterWaitingAndBounded(t *testing.T) {
+	q := newTestQueue()
+	for i := range 4 {
+		q.Push(start, "high", newItem("h", "w", time.Minute+time.Duration(i)))
+		q.Push(start, "low", newItem("l", "w", 2*time.Minute))
+	}
+	if got := q.Pop(start.Add(9*time.Second), 4).Value; got != "h" {
+		t.Errorf("before the share is due: %s, want h", got)
+	}
+	if got := popAll(q, start.Add(10*time.Second)); got != "llhhhll" {
+		t.Errorf("order = %s, want llhhhll", got)
+	}
+}
+
+func TestRestoreKeepsThePlace(t *testing.T) {
+	q := newTestQueue()
+	q.Push(start, "high", newItem("a", "w", time.Second))
+	q.Push(start, "high", newItem("b", "w", 2*time.Second))
+	q.Restore(start, q.Pop(start, 4))
+	if got := popAll(q, start); got != "ab" {
+		t.Errorf("order = %s, want ab", got)
+	}
+}
+
+func TestShedTakesTheLowestTierOnly(t *testing.T) {
+	q := newTestQueue()
+	q.Push(start, "high", newItem("a", "w", time.Second))
+	q.Push(start, "low", newItem("b", "w", time.Second))
+	if i := q.Shed(0); i == nil || i.Value != "b" {
+		t.Errorf("Shed(0) = %v, want b", i)
+	}
+	if i := q.Shed(0); i != nil {
+		t.Errorf("Shed(0) = %v, want none", i)
+	}
+}
+
+// Entries of items that left must not pile up, whatever the order they leave in.
+func TestMemoryIsBounded(t *testing.T) {
+	q := newTestQueue()
+	var held []*Item[string]
+	for i := range 20000 {
+		item := newItem("a", strconv.Itoa(i%5000), time.Duration(20000-i)*time.Second)
+		q.Push(start, "high", item)
+		held = append(held, item)
+		if len(held) > 100 {
+			q.Remove(held[0])
+			held = held[1:]
+		}
+	}
+	c := q.byName["high"]
+	for name, got := range map[string]int{
+		"byArrival": c.byArrival.Len(), "byLatest": c.byLatest.Len(), "byUseless": c.byUseless.Len(),
+		"flows": len(c.onTime.flows), "active": len(c.onTime.active),
+	} {
+		if most := 2*len(held) + minCompact + 1; got > most {
+			t.Errorf("%s holds %d entries for %d waiting, want at most %d", name, got, len(held), most)
+		}
+	}
+}
