--- a/internal/platform/store.go
+++ b/internal/platform/store.go
@@ -61,12 +61,16 @@
 	Delete(ctx context.Context, key string, expect int64) error
 	// Watch waits until a key with the prefix changes after the revision, or
 	// until wait has passed, and returns the changes. A waiting watch counts
-	// as one call.
+	// as one call. A revision newer than the store's own (the platform was
+	// restored) answers at once with Gap and the store's lower revision.
 	Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Batch, error)
-	// Acquire grants the lease to holder if it is free or lapsed, else it
-	// returns a *HeldError.
+	// Acquire grants the lease to holder if it is free or lapsed, or if this
+	// same holder has it (a new grant with a new epoch: the way on after a
+	// lost answer); else it returns a *HeldError.
 	Acquire(ctx context.Context, name, holder string, ttl time.Duration) (Lease, error)
-	// Renew extends a grant; *HeldError or ErrNotFound tell that it is lost.
+	// Renew extends a grant by the lease's TTL from now. *HeldError (a newer
+	// epoch was granted) or ErrNotFound (it lapsed, was released, or never
+	// was) tell that it is lost.
 	Renew(ctx context.Context, lease Lease) (Lease, error)
 	// Release gives the lease up; a lost lease is no error.
 	Release(ctx context.Context, lease Lease) error
