--- a/internal/platform/memstore/fault_test.go
+++ b/internal/platform/memstore/fault_test.go
@@ -28,7 +28,7 @@
 		if _, err := s.Instances(t.Context()); !errors.Is(err, platform.ErrUnavailable) {
 			t.Errorf("instances: got %v", err)
 		}
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		if _, err := s.Get(t.Context(), "a"); !errors.Is(err, platform.ErrNotFound) {
 			t.Errorf("after the outage: got %v", err)
 		}
--- a/internal/platform/memstore/lease_test.go
+++ b/internal/platform/memstore/lease_test.go
@@ -62,7 +62,7 @@
 		if !errors.As(err, &held) || held.Current.Holder != "a" {
 			t.Errorf("got %v, want held by a", err)
 		}
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		acquire(t, s, "b")
 	})
 }
