--- /dev/null
+++ b/internal/lease/grant_test.go
@@ -0,0 +1,68 @@
+package lease
+
+import (
+	"testing"
+	"time"
+
+	"galenatrestle/internal/platform"
+)
+
+func TestGrant(t *testing.T) {
+	settings := DefaultSettings(16 * time.Second)
+	asked := time.Now()
+	// suspended is a time at which the wall clock went on and the monotonic
+	// clock did not.
+	suspended := func(after, wall time.Duration) time.Time { return asked.Add(after).Round(0).Add(wall) }
+	tests := []struct {
+		name  string
+		looks []time.Duration
+		last  time.Time
+		want  EndReason
+	}{
+		{name: "in force", looks: []time.Duration{time.Second}, last: asked.Add(2 * time.Second)},
+		{name: "looks up to the bound", last: asked.Add(settings.PauseBound)},
+		{name: "a gap over the bound", last: asked.Add(settings.PauseBound + 1), want: EndPaused},
+		{name: "suspended with a still clock", last: suspended(0, settings.PauseBound+1), want: EndPaused},
+		{name: "wall clock set back", last: suspended(time.Second, -time.Hour)},
+		{name: "just usable", looks: looksUntil(settings.usable()), last: asked.Add(settings.usable() - 1)},
+		{name: "margin reached", looks: looksUntil(settings.usable()), last: asked.Add(settings.usable()), want: EndLapsed},
+		{name: "no way back", looks: []time.Duration{time.Minute}, last: asked, want: EndPaused},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			g := newGrant(settings, platform.Lease{Epoch: 1}, asked, asked)
+			for _, look := range test.looks {
+				g.look(settings, asked.Add(look))
+			}
+			if held := g.look(settings, test.last); held != (test.want == "") || g.end != test.want {
+				t.Errorf("held %v, ended %q, want %q", held, g.end, test.want)
+			}
+		})
+	}
+}
+
+// looksUntil gives a look each second until the end.
+func looksUntil(end time.Duration) (looks []time.Duration) {
+	for at := time.Second; at < end; at += time.Second {
+		looks = append(looks, at)
+	}
+	return looks
+}
+
+func TestSettingsCheck(t *testing.T) {
+	if err := DefaultSettings(10 * time.Second).Check(); err != nil {
+		t.Error(err)
+	}
+	changes := map[string]func(*Settings){
+		"no margin":         func(s *Settings) { s.Margin = 0 },
+		"margin over lease": func(s *Settings) { s.Margin = s.TTL },
+		"renewal too late":  func(s *Settings) { s.RenewEvery = s.TTL - s.Margin - s.CallTimeout },
+	}
+	for name, change := range changes {
+		s := DefaultSettings(10 * time.Second)
+		change(&s)
+		if s.Check() == nil {
+			t.Errorf("%s was accepted", name)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lease/holder_test.go
@@ -0,0 +1,211 @@
+package lease
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/memstore"
+)
+
+// inject turns a fault on.
+func inject(t *testing.T, s *memstore.Store, fault memstore.Fault) {
+	t.Helper()
+	if err := s.Inject(fault); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// expect checks what a process believes.
+func expect(t *testing.T, when string, p *process, epoch int64) {
+	t.Helper()
+	synctest.Wait()
+	if got, ok := p.held(); got != epoch || ok != (epoch != 0) {
+		t.Errorf("%s: held %d, %v, want epoch %d", when, got, ok, epoch)
+	}
+}
+
+// finish stops the processes within the bubble.
+func finish(t *testing.T, processes ...*process) {
+	t.Helper()
+	for _, p := range processes {
+		p.stop()
+		if err := <-p.ended; err != nil {
+			t.Errorf("release: %v", err)
+		}
+	}
+}
+
+func TestRenewalsKeepOneEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		p := startProcess(t, store, "a")
+		time.Sleep(10 * ttl)
+		expect(t, "after ten lengths", p, 1)
+		if renewals := store.Calls()[platform.CallRenew].Calls; renewals < 38 || renewals > 41 {
+			t.Errorf("%d renewals in 40 quarters", renewals)
+		}
+		finish(t, p)
+	})
+}
+
+func TestOutageLongerThanTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		p := startProcess(t, store, "a")
+		time.Sleep(ttl / 2)
+		inject(t, store, memstore.Fault{Kind: memstore.Down, For: 3 * ttl})
+		for {
+			_, granted := store.Lease(duty)
+			_, held := p.held()
+			if held && !granted {
+				t.Fatal("held after the platform's lease ended")
+			}
+			if !held {
+				if !granted {
+					t.Error("stopped with no margin to the platform's end")
+				}
+				break
+			}
+			time.Sleep(ttl / 100)
+		}
+		synctest.Wait()
+		if p.lost.Load() != EndLapsed {
+			t.Errorf("lost as %v", p.lost.Load())
+		}
+		time.Sleep(4 * ttl)
+		expect(t, "after the outage", p, 2)
+		finish(t, p)
+	})
+}
+
+func TestShortOutageKeepsTheTerm(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		p := startProcess(t, store, "a")
+		time.Sleep(ttl)
+		inject(t, store, memstore.Fault{Kind: memstore.Down, For: ttl / 3})
+		time.Sleep(2 * ttl)
+		expect(t, "after a third of the lease", p, 1)
+		finish(t, p)
+	})
+}
+
+func TestPausedPastTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		paused := startProcess(t, store, "a")
+		time.Sleep(time.Second)
+		expect(t, "before the pause", paused, 1)
+		paused.jump.Add(int64(2 * ttl))
+		store.LapseLease(duty)
+		other := startProcess(t, store, "bb")
+		expect(t, "at the wake-up", paused, 0)
+		expect(t, "the other", other, 2)
+		if paused.lost.Load() != EndPaused {
+			t.Errorf("lost as %v", paused.lost.Load())
+		}
+		time.Sleep(2 * ttl)
+		expect(t, "later", paused, 0)
+		finish(t, paused, other)
+	})
+}
+
+func TestLostAnswerOfAcquire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		inject(t, store, memstore.Fault{Kind: memstore.LostAnswer, Factor: 1})
+		p := startProcess(t, store, "a")
+		expect(t, "granted but not known", p, 0)
+		if granted, held := store.Lease(duty); !held || granted.Epoch != 1 {
+			t.Errorf("the platform has %+v, %v", granted, held)
+		}
+		time.Sleep(ttl / 2)
+		expect(t, "asked again", p, 2)
+		if p.gained.Load() != 2 {
+			t.Errorf("told of epoch %d", p.gained.Load())
+		}
+		finish(t, p)
+	})
+}
+
+func TestLostAnswersOfRenewals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		p := startProcess(t, store, "a")
+		time.Sleep(time.Second)
+		inject(t, store, memstore.Fault{Kind: memstore.LostAnswer, For: ttl})
+		time.Sleep(ttl - time.Second)
+		expect(t, "renewed without knowing it", p, 0)
+		time.Sleep(ttl)
+		if epoch, ok := p.held(); !ok || epoch < 2 {
+			t.Errorf("held %d, %v after the answers came back", epoch, ok)
+		}
+		finish(t, p)
+	})
+}
+
+func TestEarlyEndIsNoticedAtRenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		p := startProcess(t, store, "a")
+		time.Sleep(time.Second)
+		inject(t, store, memstore.Fault{Kind: memstore.LeaseLapse})
+		time.Sleep(ttl / 4)
+		if p.lost.Load() != EndTaken {
+			t.Errorf("lost as %v", p.lost.Load())
+		}
+		time.Sleep(ttl)
+		expect(t, "later", p, 2)
+		finish(t, p)
+	})
+}
+
+func TestTakeOver(t *testing.T) {
+	// tries is the longest time between two tries of one that waits.
+	tries := DefaultSettings(ttl).TryEvery * 3 / 2
+	tests := []struct {
+		name  string
+		leave func(*process)
+		bound time.Duration
+	}{
+		{"released", func(p *process) { p.stop() }, tries},
+		{"cut off", func(p *process) { p.store.cut.Store(true) }, ttl + tries},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memstore.New(memstore.Config{})
+				first := startProcess(t, store, "a")
+				synctest.Wait()
+				second := startProcess(t, store, "bb")
+				time.Sleep(3 * ttl)
+				expect(t, "the first", first, 1)
+				expect(t, "the second", second, 0)
+				test.leave(first)
+				start := time.Now()
+				for {
+					synctest.Wait()
+					_, firstHolds := first.held()
+					_, secondHolds := second.held()
+					if firstHolds && secondHolds {
+						t.Fatal("two holders at once")
+					}
+					if secondHolds {
+						break
+					}
+					time.Sleep(ttl / 1000)
+				}
+				took := time.Since(start)
+				if took > test.bound {
+					t.Errorf("taken over after %v, want within %v", took, test.bound)
+				}
+				t.Logf("taken over after %v", took)
+				expect(t, "the second", second, 2)
+				first.store.cut.Store(false)
+				finish(t, first, second)
+			})
+		})
+	}
+}
