lease: count the usable time from before the call, shown by slow answers

Cause: a trial that counted from the answer passed the tests; so did one with the wall clock left out, whose case only seemed to test it.

Change: cases with slow answers of acquire and renewals and with a pause between question and answer; the wall-clock cases now say what they test. That the longer of the two clocks counts where they differ can't be built from time.Time values and is not tested.

--- a/internal/lease/grant_test.go
+++ b/internal/lease/grant_test.go
@@ -10,9 +10,8 @@
 func TestGrant(t *testing.T) {
 	settings := DefaultSettings(16 * time.Second)
 	asked := time.Now()
-	// suspended is a time at which the wall clock went on and the monotonic
-	// clock did not.
-	suspended := func(after, wall time.Duration) time.Time { return asked.Add(after).Round(0).Add(wall) }
+	// wall is a time of which only the wall clock is known.
+	wall := func(after time.Duration) time.Time { return asked.Round(0).Add(after) }
 	tests := []struct {
 		name  string
 		looks []time.Duration
@@ -22,8 +21,8 @@
 		{name: "in force", looks: []time.Duration{time.Second}, last: asked.Add(2 * time.Second)},
 		{name: "looks up to the bound", last: asked.Add(settings.PauseBound)},
 		{name: "a gap over the bound", last: asked.Add(settings.PauseBound + 1), want: EndPaused},
-		{name: "suspended with a still clock", last: suspended(0, settings.PauseBound+1), want: EndPaused},
-		{name: "wall clock set back", last: suspended(time.Second, -time.Hour)},
+		{name: "a gap over the bound by the wall clock", last: wall(settings.PauseBound + 1), want: EndPaused},
+		{name: "up to the bound by the wall clock", last: wall(settings.PauseBound)},
 		{name: "just usable", looks: looksUntil(settings.usable()), last: asked.Add(settings.usable() - 1)},
 		{name: "margin reached", looks: looksUntil(settings.usable()), last: asked.Add(settings.usable()), want: EndLapsed},
 		{name: "no way back", looks: []time.Duration{time.Minute}, last: asked, want: EndPaused},
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -162,6 +162,53 @@
 	})
 }
 
+func TestTermCountsFromBeforeTheCall(t *testing.T) {
+	const slow = 1500 * time.Millisecond
+	settings := DefaultSettings(ttl)
+	tests := map[string]time.Duration{
+		"acquire":  0,
+		"renewal":  settings.RenewEvery,
+		"renewal2": 2 * settings.RenewEvery,
+	}
+	for name, sent := range tests {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := memstore.New(memstore.Config{})
+				inject(t, store, memstore.Fault{Kind: memstore.Slow, Factor: float64(slow / time.Millisecond)})
+				start := time.Now()
+				p := startProcess(t, store, "a")
+				// The answer comes, and no later one.
+				time.Sleep(sent + settings.lookEvery() + slow)
+				p.store.cut.Store(true)
+				expect(t, "answered", p, 1)
+				time.Sleep(time.Until(start.Add(sent + settings.usable() - time.Millisecond)))
+				expect(t, "before the end", p, 1)
+				time.Sleep(settings.lookEvery() + time.Millisecond)
+				expect(t, "at the end", p, 0)
+				finish(t, p)
+			})
+		})
+	}
+}
+
+func TestAnswerAfterThePauseIsNoGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		inject(t, store, memstore.Fault{Kind: memstore.Slow, Factor: 1000, For: 2 * time.Second})
+		p := startProcess(t, store, "a")
+		synctest.Wait()
+		p.jump.Add(int64(ttl))
+		time.Sleep(time.Second)
+		expect(t, "asked before the pause", p, 0)
+		if _, granted := store.Lease(duty); !granted {
+			t.Error("the platform did not grant")
+		}
+		time.Sleep(ttl)
+		expect(t, "asked again", p, 2)
+		finish(t, p)
+	})
+}
+
 func TestTakeOver(t *testing.T) {
 	// tries is the longest time between two tries of one that waits.
 	tries := DefaultSettings(ttl).TryEvery * 3 / 2
