Open a circuit to replicas that fail at once; claims on the plain-service path

The plain services' path claims, calls and records unrepeatable calls; a refusal after a possible run is never not-run. The node does not have a ledger yet, that comes with the platform's client.

--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -116,7 +117,15 @@
 			s.pool.Finish(now, id, router.ResultNotRun)
 		}
 	})
-	gone := refusal.New(refusal.CallerGone, "queue", "the caller left while the request waited")
-	gone.Cause = ctx.Err()
-	return gone
+	return leftWaiting(ctx)
+}
+
+// leftWaiting is the refusal of a request that left the queue by its context.
+func leftWaiting(ctx context.Context) *refusal.Error {
+	refused := refusal.New(refusal.CallerGone, "queue", "the caller left while the request waited")
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		refused = refusal.New(refusal.GaveUpWaiting, "queue", "no slot came free while the answer was of use")
+	}
+	refused.Cause = ctx.Err()
+	return refused
 }
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -113,6 +113,9 @@
 	}
 }
 
+// Engines returns the number of engine stand-ins.
+func (d *Deployment) Engines() int { return len(d.standins.engines) }
+
 // Engine returns the i-th engine stand-in.
 func (d *Deployment) Engine(i int) *engine.Engine { return d.standins.engines[i] }
 
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"galenatrestle/internal/claim"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/membership"
@@ -23,6 +24,8 @@
 	// Engines and Services call the upstreams.
 	Engines  *upstream.Engine
 	Services *upstream.Service
+	// Ledger makes unrepeatable calls run at most once.
+	Ledger claim.Ledger
 	// Registry takes the metrics.
 	Registry prometheus.Registerer
 	// Log takes one line a refusal and a failed attempt.
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -90,25 +90,61 @@
 	return nil
 }
 
-// serveCall runs the call, once where it may not be repeated, and answers.
+// serveCall runs the call, at most once where it may not be repeated, and
+// answers.
 func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
+	if sc.rule != nil && sc.call.idempotencyKey != "" {
+		s.serveClaimed(ctx, w, sc)
+		return
+	}
+	served, refused := s.callUntilRun(ctx, sc)
+	if refused != nil {
+		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
+		s.refuse(w, refused)
+		return
+	}
+	s.answerService(w, sc, served)
+}
+
+// served is how a call of a plain service came to its end.
+type served struct {
+	answer   *upstream.ServiceAnswer
+	replica  string
+	attempts int
+}
+
+// callUntilRun tries replicas until one has answered or no further attempt is
+// allowed. Its refusal says NotRun only where no attempt may have run.
+func (s *Server) callUntilRun(ctx context.Context, sc *serviceCall) (served, *refusal.Error) {
+	var done served
 	var avoid []string
-	for attempts := 1; ; attempts++ {
-		answer, replica, err := s.tryService(ctx, sc, attempts, avoid)
+	mayHaveRun := false
+	for {
+		done.attempts++
+		answer, replica, err := s.tryService(ctx, sc, done.attempts, avoid)
+		done.answer, done.replica = answer, replica
 		if err == nil {
-			s.answerService(w, sc, answer, replica, attempts)
-			return
+			return done, nil
 		}
-		if !s.serviceAgain(ctx, sc, attempts, err) {
-			w.Header().Set(headerAttempts, strconv.Itoa(attempts))
-			s.refuse(w, serviceRefusal(ctx, err))
-			return
+		mayHaveRun = mayHaveRun || !provedNotRun(err)
+		if !s.serviceAgain(ctx, sc, done.attempts, err) {
+			return done, serviceRefusal(ctx, err, mayHaveRun)
 		}
 		avoid = append(avoid, replica)
 		s.metrics.retries.WithLabelValues(string(upstream.KindOf(err))).Inc()
 	}
 }
 
+// provedNotRun says that an attempt never reached a replica: it was refused
+// while it waited, or no connection was obtained.
+func provedNotRun(err error) bool {
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		return refused.Outcome == refusal.NotRun
+	}
+	return upstream.KindOf(err) == upstream.NotRun
+}
+
 // tryService waits for a slot and makes the call once.
 func (s *Server) tryService(ctx context.Context, sc *serviceCall, attempt int, avoid []string) (*upstream.ServiceAnswer, string, error) {
 	slot, err := s.options.Dispatch.Acquire(ctx, sc.upstream.Name, sc.routerRequest(attempt, avoid))
@@ -157,37 +193,36 @@
 	return sc.wire.Method == http.MethodGet || sc.wire.Method == http.MethodHead
 }
 
-func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, answer *upstream.ServiceAnswer, replica string, attempts int) {
+func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, done served) {
 	header := w.Header()
-	for name, values := range answer.Header {
+	for name, values := range done.answer.Header {
 		header[name] = values
 	}
-	header.Set(headerUpstream, sc.upstream.Name+"/"+replica)
-	header.Set(headerAttempts, strconv.Itoa(attempts))
-	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	header.Set(headerUpstream, sc.upstream.Name+"/"+done.replica)
+	header.Set(headerAttempts, strconv.Itoa(done.attempts))
+	w.WriteHeader(done.answer.Status)
+	_, _ = w.Write(done.answer.Body)
 }
 
 // serviceRefusal says why there is no answer and whether the call may have run.
-func serviceRefusal(ctx context.Context, err error) *refusal.Error {
+func serviceRefusal(ctx context.Context, err error, mayHaveRun bool) *refusal.Error {
 	var refused *refusal.Error
-	if errors.As(err, &refused) {
-		return refused
-	}
-	refused = &refusal.Error{
-		Reason:  reasonOf(ctx, err),
-		Outcome: refusal.Unknown,
-		Message: "the service gave no whole answer",
-		Step:    "service",
-		Cause:   err,
+	if !errors.As(err, &refused) {
+		refused = &refusal.Error{
+			Reason:  reasonOf(ctx, err),
+			Message: "the service gave no whole answer",
+			Step:    "service",
+			Cause:   err,
+		}
 	}
 	var failed *upstream.Error
 	if errors.As(err, &failed) {
 		refused.Step = failed.Step
 		refused.Peer = failed.Peer
-		if failed.Kind == upstream.NotRun {
-			refused.Outcome = refusal.NotRun
-		}
+	}
+	refused.Outcome = refusal.NotRun
+	if mayHaveRun {
+		refused.Outcome = refusal.Unknown
 	}
 	return refused
 }
--- a/internal/pathcost/pathcost_test.go
+++ b/internal/pathcost/pathcost_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 )
@@ -20,14 +22,26 @@
 	}
 }
 
-// BenchmarkPath prints the whole comparison; run it with -bench Path -benchtime 1x.
+// BenchmarkPath prints the whole comparison for short and long answers; run it
+// with -bench Path -benchtime 1x.
 func BenchmarkPath(b *testing.B) {
+	for _, o := range []Options{
+		{Rate: 2000, Tokens: 16},
+		{Rate: 500, Tokens: 128},
+	} {
+		b.Run(fmt.Sprintf("tokens=%d", o.Tokens), func(b *testing.B) { benchmarkPath(b, o) })
+	}
+}
+
+func benchmarkPath(b *testing.B, o Options) {
 	for range b.N {
-		report, err := Run(context.Background(), Options{})
+		report, err := Run(context.Background(), o)
 		if err != nil {
 			b.Fatal(err)
 		}
-		report.Print(b.Output())
+		var table strings.Builder
+		report.Print(&table)
+		b.Log(table.String())
 		b.ReportMetric(float64(report.AddedCPUPerToken().Microseconds()), "added-us/token")
 		b.ReportMetric(float64(report.AddedAnswerP99().Microseconds()), "added-p99-us/request")
 	}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -174,13 +174,17 @@
 	if !p.changedAt.IsZero() {
 		return now
 	}
-	next := p.queue.NextExpiry()
-	if !p.anyFree() {
+	next := earlier(p.queue.NextExpiry(), p.reopens(now))
+	if !p.anyFree(now) {
 		return next
 	}
-	share := p.queue.NextShare(now)
-	if next.IsZero() || (!share.IsZero() && share.Before(next)) {
-		return share
+	return earlier(next, p.queue.NextShare(now))
+}
+
+// earlier returns the earlier of two times, of which zero is never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
 	}
-	return next
+	return a
 }
--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -1,11 +1,14 @@
 package router
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // choose returns the replica for w by the power of two choices on this node's
 // own requests in flight, or nil where none is free.
-func (p *Pool) choose(w *waiting) *replicaState {
-	candidates := p.candidates(w)
+func (p *Pool) choose(now time.Time, w *waiting) *replicaState {
+	candidates := p.candidates(now, w)
 	if len(candidates) == 0 {
 		return nil
 	}
@@ -19,7 +22,7 @@
 
 // candidates lists the free replicas that w need not avoid. Where w avoids all
 // open replicas, avoiding has no point and all free ones count.
-func (p *Pool) candidates(w *waiting) []*replicaState {
+func (p *Pool) candidates(now time.Time, w *waiting) []*replicaState {
 	var free []*replicaState
 	avoidable := false
 	for _, r := range p.order {
@@ -27,7 +30,7 @@
 			continue
 		}
 		avoidable = true
-		if r.free() {
+		if r.free(now) {
 			free = append(free, r)
 		}
 	}
@@ -35,15 +38,15 @@
 		return free
 	}
 	for _, r := range p.order {
-		if r.free() {
+		if r.free(now) {
 			free = append(free, r)
 		}
 	}
 	return free
 }
 
-func (p *Pool) anyFree() bool {
-	return slices.ContainsFunc(p.order, (*replicaState).free)
+func (p *Pool) anyFree(now time.Time) bool {
+	return slices.ContainsFunc(p.order, func(r *replicaState) bool { return r.free(now) })
 }
 
 func (p *Pool) anyOpen() bool {
--- a/internal/router/pool_next.go
+++ b/internal/router/pool_next.go
@@ -43,12 +43,12 @@
 func (p *Pool) bindAll(now time.Time, events []Event) []Event {
 	var passed []*item
 	slots := p.slots()
-	for p.anyFree() {
+	for p.anyFree(now) {
 		i := p.queue.Pop(now, slots)
 		if i == nil {
 			break
 		}
-		replica := p.choose(i.Value)
+		replica := p.choose(now, i.Value)
 		if replica == nil {
 			passed = append(passed, i)
 			continue
@@ -77,6 +77,7 @@
 	p.stats.Bound++
 	i.Value.class.running++
 	replica.running++
+	replica.circuit.Bound()
 	id := i.Value.request.ID
 	p.running[id] = &running{item: i, replica: replica, boundAt: now}
 	chosen := replica.Replica
--- a/internal/router/pool_progress.go
+++ b/internal/router/pool_progress.go
@@ -8,6 +8,7 @@
 	if !ok || !r.firstToken.IsZero() {
 		return
 	}
+	r.replica.circuit.Succeeded()
 	r.firstToken = now
 	r.lastToken = now
 	r.tokens = 1
@@ -38,6 +39,7 @@
 	}
 	delete(p.running, id)
 	p.learn(now, r, result)
+	p.judge(now, r.replica, result)
 	p.queue.Ended(now, r.item, now.Sub(r.boundAt), p.slots())
 	r.item.Value.class.running--
 	r.replica.running--
@@ -54,3 +56,31 @@
 	request := &r.item.Value.request
 	p.lengths.Observe(now, request.Class, request.Workspace, r.tokens)
 }
+
+// judge opens a replica's circuit when an attempt failed at once, and closes it
+// when one succeeded.
+func (p *Pool) judge(now time.Time, replica *replicaState, result Result) {
+	switch result {
+	case ResultDone:
+		replica.circuit.Succeeded()
+	case ResultCrashed, ResultNotRun:
+		replica.circuit.Failed(now, p.rand)
+	default:
+		replica.circuit.Undecided()
+	}
+}
+
+// reopens returns when the next open circuit lets a probe through; zero where
+// nothing waits for that. One that does so already is no reason to look again.
+func (p *Pool) reopens(now time.Time) time.Time {
+	var next time.Time
+	if len(p.waiting) == 0 {
+		return next
+	}
+	for _, r := range p.order {
+		if at := r.circuit.ReopensAt(); at.After(now) {
+			next = earlier(next, at)
+		}
+	}
+	return next
+}
--- a/internal/router/pool_property_test.go
+++ b/internal/router/pool_property_test.go
@@ -190,7 +190,7 @@
 		if !r.GiveUpAt.After(m.now) {
 			m.t.Fatalf("%s waits past its time", r.ID)
 		}
-		if len(r.Avoid) == 0 && m.pool.anyFree() {
+		if len(r.Avoid) == 0 && m.pool.anyFree(m.now) {
 			m.t.Fatalf("%s waits while a replica is free", r.ID)
 		}
 	}
--- a/internal/router/replica_state.go
+++ b/internal/router/replica_state.go
@@ -1,6 +1,10 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/internal/circuit"
+)
 
 // replicaState is what a pool knows of one replica.
 type replicaState struct {
@@ -15,7 +19,9 @@
 	// negative where only this node's limit counts.
 	allowance int
 	report    Load
-	reported  time.Time
+	// circuit keeps requests off a replica that fails at once.
+	circuit  circuit.Breaker
+	reported time.Time
 }
 
 func newReplicaState(r Replica) *replicaState {
@@ -39,8 +45,8 @@
 }
 
 // free says whether the replica takes another request now.
-func (r *replicaState) free() bool {
-	return r.open() && r.running < r.limit()
+func (r *replicaState) free(now time.Time) bool {
+	return r.open() && r.running < r.limit() && r.circuit.Allows(now)
 }
 
 // forgettable says whether nothing holds the replica any more.
