--- a/internal/membership/gossip.go
+++ b/internal/membership/gossip.go
@@ -29,7 +29,7 @@
 // takeUpdates picks the member changes least often sent.
 func (t *Table) takeUpdates(except *entry) []*membershipv1.Member {
 	var waiting []*entry
-	for _, e := range t.entries {
+	for _, e := range t.list {
 		if e.updateLeft > 0 && e != except {
 			waiting = append(waiting, e)
 		}
@@ -56,7 +56,7 @@
 func (t *Table) takeStatuses(except *entry) []*membershipv1.Status {
 	limit := t.rounds()
 	var waiting []*entry
-	for _, e := range t.entries {
+	for _, e := range t.list {
 		if e != t.self && e != except && e.beat > 0 && e.statusSent < limit && e.wire.Liveness != dead {
 			waiting = append(waiting, e)
 		}
@@ -86,7 +86,7 @@
 		TableHash:      t.hash,
 		NewestRevision: t.newestRevision,
 	}
-	for _, e := range t.sorted() {
+	for _, e := range t.list {
 		g.Members = append(g.Members, e.wire)
 		if e.beat > 0 {
 			g.Statuses = append(g.Statuses, e.status())
--- a/internal/membership/relay.go
+++ b/internal/membership/relay.go
@@ -69,7 +69,7 @@
 func (t *Table) summarize(relays []Member) *membershipv1.RegionSummary {
 	s := &membershipv1.RegionSummary{Region: t.self.wire.Region}
 	var load uint32
-	for _, e := range t.entries {
+	for _, e := range t.list {
 		if e.wire.Liveness == dead {
 			continue
 		}
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -19,6 +19,8 @@
 	// entries holds the members of the own region by name, self included.
 	entries map[string]*entry
 	byID    map[uint32]*entry
+	// list holds the same entries ordered by name.
+	list []*entry
 	// order is the current random round of probes.
 	order   []string
 	seeds   *seedList
@@ -146,7 +148,7 @@
 		return t.snapshot
 	}
 	s := &Snapshot{self: t.self.member(), revision: t.newestRevision, regions: t.regions.view()}
-	for _, e := range t.sorted() {
+	for _, e := range t.list {
 		if e.wire.Liveness == dead {
 			continue
 		}
@@ -159,17 +161,10 @@
 	return s
 }
 
-func (t *Table) sorted() []*entry {
-	all := make([]*entry, 0, len(t.entries))
-	for _, e := range t.entries {
-		all = append(all, e)
-	}
-	slices.SortFunc(all, compareNames)
-	return all
-}
-
 func (t *Table) add(e *entry) {
 	t.entries[e.wire.Name] = e
+	place, _ := slices.BinarySearchFunc(t.list, e, compareNames)
+	t.list = slices.Insert(t.list, place, e)
 	t.byID[e.id()] = e
 	t.hash ^= e.digest()
 	t.version++
@@ -177,6 +172,8 @@
 
 func (t *Table) remove(e *entry) {
 	delete(t.entries, e.wire.Name)
+	place, _ := slices.BinarySearchFunc(t.list, e, compareNames)
+	t.list = slices.Delete(t.list, place, place+1)
 	delete(t.byID, e.id())
 	t.hash ^= e.digest()
 	t.version++
--- a/internal/membership/tick.go
+++ b/internal/membership/tick.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 
 	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
@@ -30,7 +31,7 @@
 		return
 	}
 	t.awareness = maxAwareness
-	for _, e := range t.entries {
+	for _, e := range t.list {
 		if e.wire.Liveness == suspect {
 			e.deadline = e.deadline.Add(gap)
 		}
@@ -40,7 +41,7 @@
 // expire turns suspects that did not refute into dead ones, and forgets old
 // dead ones.
 func (t *Table) expire(now time.Time) {
-	for _, e := range t.entries {
+	for _, e := range slices.Clone(t.list) {
 		if e.deadline.IsZero() || now.Before(e.deadline) {
 			continue
 		}
@@ -119,7 +120,7 @@
 }
 
 func (t *Table) shuffle() {
-	for _, e := range t.sorted() {
+	for _, e := range t.list {
 		if e != t.self {
 			t.order = append(t.order, e.wire.Name)
 		}
@@ -131,7 +132,7 @@
 // left out.
 func (t *Table) randomMembers(n int, except *entry) []*entry {
 	var some []*entry
-	for _, e := range t.sorted() {
+	for _, e := range t.list {
 		if e != t.self && e != except && e.wire.Liveness == alive {
 			some = append(some, e)
 		}
