--- /dev/null
+++ b/internal/embedded/deployment.go
@@ -0,0 +1,142 @@
+package embedded
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/node"
+	"galenatrestle/internal/standin"
+	"galenatrestle/internal/standin/engine"
+	"galenatrestle/internal/standin/service"
+)
+
+// Deployment is a whole system in one process.
+type Deployment struct {
+	Nodes    []*node.Node
+	options  Options
+	standins *standins
+}
+
+// Start starts a deployment on loopback.
+func Start(options Options) (*Deployment, error) {
+	options = options.withDefaults()
+	imitated, err := startStandins(options)
+	if err != nil {
+		return nil, err
+	}
+	d := &Deployment{options: options, standins: imitated}
+	if err := d.startNodes(); err != nil {
+		d.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Deployment) startNodes() error {
+	text, err := render(d.options.Config, d.standins.data)
+	if err != nil {
+		return err
+	}
+	document, err := config.Parse(text)
+	if err != nil {
+		return err
+	}
+	for i := range d.options.Nodes {
+		n, err := d.newNode(i)
+		if err != nil {
+			return err
+		}
+		d.Nodes = append(d.Nodes, n)
+	}
+	d.connect(config.NewIndex(1, document))
+	return nil
+}
+
+func (d *Deployment) newNode(i int) (*node.Node, error) {
+	entry, err := listen(d.options.ListenBase, i)
+	if err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("vm-%d", i)
+	options := node.Options{
+		Name:             name,
+		AvailabilityZone: zoneOf(i, d.options),
+		Region:           "region-0",
+		DataCentre:       "data-centre-0",
+		Entry:            entry,
+		KeepTime:         d.options.KeepTime,
+		Seed:             d.options.Seed + uint64(i),
+		Registry:         prometheus.NewRegistry(),
+		Log:              d.options.Log.WithField("node", name),
+	}
+	if i == 0 {
+		options.Ops, err = listen(d.options.OpsPort, 0)
+		if err != nil {
+			return nil, err
+		}
+		handler := standin.Handler(d.standins.named)
+		options.OpsHandlers = map[string]node.Handler{"/standin": handler, "/standin/": handler}
+	}
+	return node.New(options), nil
+}
+
+// listen takes the port base+i, or a free one where base is 0.
+func listen(base, i int) (net.Listener, error) {
+	port := 0
+	if base != 0 {
+		port = base + i
+	}
+	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen on %s: %w", address, err)
+	}
+	return listener, nil
+}
+
+func (d *Deployment) connect(index *config.Index) {
+	for i, n := range d.Nodes {
+		var peers []*node.Node
+		peers = append(peers, d.Nodes[:i]...)
+		peers = append(peers, d.Nodes[i+1:]...)
+		n.SetPeers(peers...)
+		n.Configure(index)
+		n.Start()
+	}
+}
+
+// Engine returns the i-th engine stand-in.
+func (d *Deployment) Engine(i int) *engine.Engine { return d.standins.engines[i] }
+
+// Service returns the i-th plain-service stand-in.
+func (d *Deployment) Service(i int) *service.Service { return d.standins.services[i] }
+
+// Stop shuts all nodes down gracefully at the same time, then the stand-ins.
+func (d *Deployment) Stop(timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	failures := make([]error, len(d.Nodes))
+	var wait sync.WaitGroup
+	for i, n := range d.Nodes {
+		wait.Go(func() { failures[i] = n.Stop(ctx) })
+	}
+	wait.Wait()
+	d.standins.close()
+	return errors.Join(failures...)
+}
+
+// Close ends everything at once.
+func (d *Deployment) Close() {
+	for _, n := range d.Nodes {
+		n.Close()
+	}
+	d.standins.close()
+}
