Merge the signs that a replica or VM is leaving, and spread them at once

Cause: an upstream that is leaving must get no new work within 3 s of the first sign, which may be seen by one node alone.

Change: each source (platform's list, the engine's own word, the operator's configuration) has a vote on each name; a name leaves while any says so. News goes to all members as membership notes; repeated signs make no messages. A replica's own report that it serves takes its earlier word back.

--- /dev/null
+++ b/internal/leaving/set.go
@@ -0,0 +1,170 @@
+package leaving
+
+import (
+	"time"
+)
+
+// Bounds of the state.
+const (
+	// MaxVotes bounds the votes held by one Set.
+	MaxVotes = 4096
+	// VoteTime is how long a vote lasts that is not renewed.
+	VoteTime = 10 * time.Minute
+)
+
+// voteKey is what a vote is about.
+type voteKey struct {
+	name   string
+	source Source
+}
+
+// Vote is what one source says of one name.
+type Vote struct {
+	Name    string
+	Source  Source
+	Leaving bool
+	// Version orders the votes of one name and source; the higher one wins.
+	// It is the time of the sign in milliseconds since 1970, or the
+	// configuration's revision for SourceOperator.
+	Version int64
+	// Expires is when the vote ends unless renewed.
+	Expires time.Time
+}
+
+// Set holds the votes. It is pure and not safe for concurrent use.
+type Set struct {
+	votes map[voteKey]Vote
+	// listed holds the names that this node itself saw leaving in the
+	// platform's list.
+	listed map[string]bool
+}
+
+// NewSet returns a set in which nobody is leaving.
+func NewSet() *Set {
+	return &Set{votes: make(map[voteKey]Vote), listed: make(map[string]bool)}
+}
+
+// Leaving reports whether any source says that the name is leaving.
+func (s *Set) Leaving(now time.Time, name string) bool {
+	for _, source := range Sources() {
+		if s.says(now, voteKey{name, source}) {
+			return true
+		}
+	}
+	return false
+}
+
+// Engine takes in a replica's own word: leaving from a refusal or a report,
+// or serving from a report. It returns the vote to spread, if there is news.
+func (s *Set) Engine(now time.Time, name string, leaving bool) (Vote, bool) {
+	key := voteKey{name, SourceEngine}
+	if !leaving && !s.says(now, key) {
+		return Vote{}, false
+	}
+	return s.renew(now, key, leaving)
+}
+
+// Instance takes in what this node's copy of the platform's list says. The
+// list lags by different times at different nodes: it takes a vote back only
+// where this same node saw it say leaving before.
+func (s *Set) Instance(now time.Time, name string, leaving bool) (Vote, bool) {
+	seen := s.listed[name]
+	switch {
+	case leaving:
+		s.listed[name] = true
+	case seen:
+		delete(s.listed, name)
+	default:
+		return Vote{}, false
+	}
+	return s.renew(now, voteKey{name, SourceInstances}, leaving)
+}
+
+// Forget drops a name that the platform's list no longer holds.
+func (s *Set) Forget(name string) { delete(s.listed, name) }
+
+// Operator takes in what the configuration of a revision says. An older
+// revision than the vote's own changes nothing.
+func (s *Set) Operator(now time.Time, name string, leaving bool, revision int64) (Vote, bool) {
+	key := voteKey{name, SourceOperator}
+	old, ok := s.votes[key]
+	if !ok && !leaving {
+		return Vote{}, false
+	}
+	if ok && old.Version >= revision && old.Leaving == leaving {
+		old.Expires = now.Add(VoteTime)
+		s.votes[key] = old
+		return Vote{}, false
+	}
+	vote := Vote{Name: name, Source: SourceOperator, Leaving: leaving, Version: revision, Expires: now.Add(VoteTime)}
+	return vote, s.Merge(now, vote)
+}
+
+// Merge takes in a vote of a peer and reports whether it was news.
+func (s *Set) Merge(now time.Time, vote Vote) bool {
+	key := voteKey{vote.Name, vote.Source}
+	old, ok := s.votes[key]
+	if ok && old.Version >= vote.Version || !now.Before(vote.Expires) {
+		return false
+	}
+	if !ok && !s.room(now) {
+		return false
+	}
+	vote.Expires = earlier(vote.Expires, now.Add(VoteTime))
+	s.votes[key] = vote
+	return true
+}
+
+// Names returns the number of names that are leaving.
+func (s *Set) Names(now time.Time) int {
+	names := make(map[string]bool)
+	for key := range s.votes {
+		if s.says(now, key) {
+			names[key.name] = true
+		}
+	}
+	return len(names)
+}
+
+func (s *Set) says(now time.Time, key voteKey) bool {
+	vote, ok := s.votes[key]
+	return ok && vote.Leaving && now.Before(vote.Expires)
+}
+
+// renew sets a vote whose version is the time. A vote that says the same is
+// renewed only once half its time is over, so that repeated signs make no
+// messages.
+func (s *Set) renew(now time.Time, key voteKey, leaving bool) (Vote, bool) {
+	old, ok := s.votes[key]
+	fresh := ok && old.Expires.Sub(now) > VoteTime/2
+	if fresh && old.Leaving == leaving {
+		return Vote{}, false
+	}
+	vote := Vote{
+		Name: key.name, Source: key.source, Leaving: leaving,
+		Version: max(now.UnixMilli(), old.Version+1),
+		Expires: now.Add(VoteTime),
+	}
+	return vote, s.Merge(now, vote)
+}
+
+// room reports whether one more vote may be held; it forgets expired ones
+// where the set is full.
+func (s *Set) room(now time.Time) bool {
+	if len(s.votes) < MaxVotes {
+		return true
+	}
+	for key, vote := range s.votes {
+		if !now.Before(vote.Expires) {
+			delete(s.votes, key)
+		}
+	}
+	return len(s.votes) < MaxVotes
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/leaving/set_test.go
@@ -0,0 +1,90 @@
+package leaving
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.UnixMilli(1_800_000_000_000)
+
+func TestVotesOfSources(t *testing.T) {
+	const name = "tab-llm-3"
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	tests := []struct {
+		title string
+		do    func(s *Set)
+		want  bool
+	}{
+		{"nobody said anything", func(*Set) {}, false},
+		{"engine leaves", func(s *Set) { s.Engine(start, name, true) }, true},
+		{"engine serves again", func(s *Set) {
+			s.Engine(start, name, true)
+			s.Engine(at(time.Second), name, false)
+		}, false},
+		{"engine serves, operator drains", func(s *Set) {
+			s.Operator(start, name, true, 7)
+			s.Engine(at(time.Second), name, false)
+		}, true},
+		{"older configuration changes nothing", func(s *Set) {
+			s.Operator(start, name, true, 7)
+			s.Operator(at(time.Second), name, false, 6)
+		}, true},
+		{"newer configuration ends the drain", func(s *Set) {
+			s.Operator(start, name, true, 7)
+			s.Operator(at(time.Second), name, false, 8)
+		}, false},
+		{"a lagging list that never said leaving takes nothing back", func(s *Set) {
+			s.Merge(start, Vote{name, SourceInstances, true, start.UnixMilli(), at(VoteTime)})
+			s.Instance(at(time.Second), name, false)
+		}, true},
+		{"a list that said leaving takes it back", func(s *Set) {
+			s.Instance(start, name, true)
+			s.Instance(at(time.Second), name, false)
+		}, false},
+		{"an older vote of a peer changes nothing", func(s *Set) {
+			s.Engine(start, name, true)
+			s.Merge(start, Vote{name, SourceEngine, false, start.UnixMilli() - 1, at(VoteTime)})
+		}, true},
+		{"an expired vote counts for nothing", func(s *Set) {
+			s.Engine(at(-VoteTime), name, true)
+		}, false},
+	}
+	for _, test := range tests {
+		t.Run(test.title, func(t *testing.T) {
+			s := NewSet()
+			test.do(s)
+			if got := s.Leaving(at(2*time.Second), name); got != test.want {
+				t.Errorf("leaving is %v, want %v", got, test.want)
+			}
+		})
+	}
+}
+
+func TestRepeatedSignsMakeNoMessages(t *testing.T) {
+	s := NewSet()
+	messages := 0
+	for i := range 3600 {
+		if _, news := s.Engine(start.Add(time.Duration(i)*time.Second), "r", true); news {
+			messages++
+		}
+	}
+	if want := int(time.Hour / (VoteTime / 2)); messages > want {
+		t.Errorf("%d messages in an hour of signs, want at most %d", messages, want)
+	}
+	if !s.Leaving(start.Add(time.Hour), "r") {
+		t.Error("the vote was not renewed")
+	}
+}
+
+func TestSetIsBounded(t *testing.T) {
+	s := NewSet()
+	for i := range MaxVotes + 10 {
+		s.Merge(start, Vote{string(rune(i)), SourceEngine, true, 1, start.Add(time.Minute)})
+	}
+	if len(s.votes) != MaxVotes {
+		t.Errorf("%d votes held, want %d", len(s.votes), MaxVotes)
+	}
+	if !s.Merge(start.Add(time.Hour), Vote{"new", SourceEngine, true, 1, start.Add(2 * time.Hour)}) {
+		t.Error("expired votes leave no room")
+	}
+}
--- /dev/null
+++ b/internal/leaving/tracker_test.go
@@ -0,0 +1,102 @@
+package leaving
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/membership"
+	"galenatrestle/internal/membership/membershiptest"
+	"galenatrestle/internal/platform"
+)
+
+const (
+	nodes = 8
+	// limit is the promise: no new work this long after the first sign.
+	limit = 3 * time.Second
+)
+
+// TestAllNodesKnowWithinThreeSeconds gives a sign of each source to one node
+// of eight and looks at the seven others.
+func TestAllNodesKnowWithinThreeSeconds(t *testing.T) {
+	signs := map[string]func(t *Tracker, name string){
+		"refusal or report": func(t *Tracker, name string) { t.EngineLeaving(name) },
+		"operator":          func(t *Tracker, name string) { t.Operator(name, true, 4) },
+		"instance list": func(t *Tracker, name string) {
+			t.Instances([]platform.Instance{{Name: name, State: platform.InstanceLeaving}})
+		},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		trackers, stop := startNodes(t)
+		defer stop()
+		for title, sign := range signs {
+			name := "replica of " + title
+			sign(trackers[3], name)
+			took := time.Duration(0)
+			for ; countLeaving(trackers, name) < nodes && took < limit; took += 100 * time.Millisecond {
+				time.Sleep(100 * time.Millisecond)
+			}
+			t.Logf("%s: %d of %d nodes know after %v", title, countLeaving(trackers, name), nodes, took)
+			if countLeaving(trackers, name) < nodes {
+				t.Errorf("%s: not all nodes know after %v", title, limit)
+			}
+		}
+	})
+}
+
+func TestReplicaThatServesAgainIsUsedEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		trackers, stop := startNodes(t)
+		defer stop()
+		trackers[0].EngineLeaving("r")
+		time.Sleep(limit)
+		trackers[5].EngineServing("r")
+		time.Sleep(limit)
+		if n := countLeaving(trackers, "r"); n != 0 {
+			t.Errorf("%d nodes still think that the replica leaves", n)
+		}
+	})
+}
+
+func countLeaving(trackers []*Tracker, name string) int {
+	n := 0
+	for _, t := range trackers {
+		if t.Leaving(name) {
+			n++
+		}
+	}
+	return n
+}
+
+// startNodes joins eight nodes in memory and waits until they know each other.
+func startNodes(t *testing.T) ([]*Tracker, func()) {
+	ctx, cancel := context.WithCancel(t.Context())
+	net := membershiptest.NewNet()
+	var running sync.WaitGroup
+	var trackers []*Tracker
+	for i := range nodes {
+		name := fmt.Sprintf("vm-%d", i)
+		self := membership.Member{Name: name, Region: "r", PeerAddress: name, Incarnation: 1}
+		runner := membership.NewRunner(self, membership.Settings{}, net, rand.New(rand.NewPCG(5, uint64(i))))
+		tracker, err := NewTracker(runner, prometheus.NewRegistry())
+		if err != nil {
+			t.Fatal(err)
+		}
+		runner.OnNote(NoteKind, tracker.Receive)
+		runner.AddSeed("vm-0")
+		net.Start(name, runner)
+		trackers = append(trackers, tracker)
+		running.Go(func() { runner.Run(ctx) })
+	}
+	time.Sleep(30 * time.Second)
+	return trackers, func() {
+		cancel()
+		running.Wait()
+	}
+}
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -2,77 +2,22 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
-
 	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
+	"galenatrestle/internal/membership/membershiptest"
 )
 
-var errUnreachable = errors.New("unreachable")
-
-// memoryNet joins runners in memory; each message is copied as on a wire.
-type memoryNet struct {
-	mu      sync.Mutex
-	runners map[string]*Runner
-}
-
-func (m *memoryNet) runner(address string) (*Runner, error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if r, ok := m.runners[address]; ok {
-		return r, nil
-	}
-	return nil, errUnreachable
-}
-
-func (m *memoryNet) Sync(ctx context.Context, address string, r *membershipv1.SyncRequest) (*membershipv1.SyncResponse, error) {
-	to, err := m.runner(address)
-	if err != nil {
-		return nil, err
-	}
-	response, err := to.Sync(ctx, connect.NewRequest(proto.CloneOf(r)))
-	if err != nil {
-		return nil, err
-	}
-	return proto.CloneOf(response.Msg), nil
-}
-
-func (m *memoryNet) Probe(ctx context.Context, address string, r *membershipv1.ProbeRequest) (*membershipv1.ProbeResponse, error) {
-	to, err := m.runner(address)
-	if err != nil {
-		return nil, err
-	}
-	response, err := to.Probe(ctx, connect.NewRequest(proto.CloneOf(r)))
-	if err != nil {
-		return nil, err
-	}
-	return response.Msg, nil
-}
-
-func (m *memoryNet) start(address string, r *Runner) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.runners[address] = r
-}
-
-func (m *memoryNet) kill(address string) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	delete(m.runners, address)
-}
-
 func TestRunnersJoinSpreadAndNoticeDeath(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		net := &memoryNet{runners: make(map[string]*Runner)}
+		net := membershiptest.NewNet()
 		var running sync.WaitGroup
+		var runners []*Runner
 		var got sync.Map
 		stops := make(map[string]context.CancelFunc)
 		const n = 5
@@ -82,16 +27,14 @@
 			r := NewRunner(self, Settings{}, net, rand.New(rand.NewPCG(3, uint64(i))))
 			r.AddSeed(nodeName("r", 0))
 			r.OnNote("k", func(n *membershipv1.Note) { got.Store(name, string(n.Value)) })
-			net.start(name, r)
+			net.Start(name, r)
+			runners = append(runners, r)
 			own, stop := context.WithCancel(ctx)
 			stops[name] = stop
 			running.Go(func() { r.Run(own) })
 		}
 		time.Sleep(20 * time.Second)
-		first, err := net.runner(nodeName("r", 0))
-		if err != nil {
-			t.Fatal(err)
-		}
+		first := runners[0]
 		if serving := first.View().Serving(); serving != n {
 			t.Errorf("%d members joined, want %d", serving, n)
 		}
@@ -105,7 +48,7 @@
 				t.Errorf("node %d got %v as note", i, value)
 			}
 		}
-		net.kill(nodeName("r", 4))
+		net.Stop(nodeName("r", 4))
 		stops[nodeName("r", 4)]()
 		time.Sleep(20 * time.Second)
 		for _, m := range first.Members() {
