gateway, node: retries by decision, quarantine, kept answers

Cause: the callers' side made attempts by a count alone, could not go on with a stream once a byte was sent, sent a poison to engine after engine, and kept no answer for a caller whose connection broke.

Change: a failed attempt goes to retry.Policy; a stream that broke is continued from the delivered prefix, its chunks under the first one's id and its usage counted over both; plain services use the same budget. Suspects run apart and quarantined requests are refused. Answers are kept; GET /requests/{id} and /requests/{id}/stream tell them at any node. A caller that has a part of a stream is held to be gone after 500 ms without another connection; all others at once. A slow caller is given up after 30 s at one event. Nodes link over package peer.

Measured (go test -race -count=5 on the packages touched and on embedded: passes): an engine that crashes in the answer: streamed and whole answers are the expected ones in full. A prompt that crashes each of 4 engines, sent 13 times to 3 nodes: 2 crashes, the first caller gets an error event, the others 'quarantined' as not run, requests in between are answered. A caller that left after the first event: the engine was told after 504 ms, 25 tokens of 2,000.

Whole-path tests cause late and doubled events no way; those are caused in package answer.

--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -91,3 +91,10 @@
 	defer r.mu.Unlock()
 	return r.readers
 }
+
+// Begun says whether the answer has an event.
+func (r *Record) Begun() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.events) > 0
+}
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -65,6 +65,10 @@
 	if err != nil {
 		return nil, err
 	}
+	link, err := listen(0, 0)
+	if err != nil {
+		return nil, err
+	}
 	name := fmt.Sprintf("vm-%d", i)
 	options := node.Options{
 		Name:             name,
@@ -72,6 +76,7 @@
 		Region:           "region-0",
 		DataCentre:       "data-centre-0",
 		Entry:            entry,
+		Peer:             link,
 		KeepTime:         d.options.KeepTime,
 		Seed:             d.options.Seed + uint64(i),
 		Registry:         prometheus.NewRegistry(),
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"net/http"
 	"strconv"
 )
@@ -33,21 +32,24 @@
 		s.refuse(w, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.giveUpAt)
-	defer cancel()
 	e := &exchange{server: s, call: c, completion: p}
-	e.sink = s.sinkFor(w, p, e.prepare)
+	e.sink = e.sinkFor(w)
+	e.open()
+	ctx, cancel := e.linger(r)
+	defer cancel()
 	e.run(ctx)
 }
 
-func (s *Server) sinkFor(w http.ResponseWriter, p *completion, prepare func(http.Header)) sink {
+func (e *exchange) sinkFor(w http.ResponseWriter) sink {
+	p := e.completion
+	out := outlet{server: e.server, w: w, prepare: e.prepare, keep: e.keep}
 	switch {
 	case p.opaque:
-		return &opaqueSink{server: s, w: w, prepare: prepare, streamed: p.request.Stream}
+		return &opaqueSink{outlet: out, streamed: p.request.Stream}
 	case p.request.Stream:
-		return newStreamSink(s, w, prepare)
+		return newStreamSink(out)
 	default:
-		return newWholeSink(s, w, p.path == pathChat, prepare)
+		return &wholeSink{outlet: out, chat: p.path == pathChat}
 	}
 }
 
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,8 @@
 	"io"
 	"time"
 
+	"galenatrestle/internal/answer"
+	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/upstream"
 )
 
@@ -21,14 +23,24 @@
 	call       *call
 	completion *completion
 	sink       sink
+	// record keeps the answer; nil where the store is full.
+	record *answer.Record
+	// kept counts the current attempt's events in the record.
+	kept int64
+	// continues is set while an attempt goes on from a delivered prefix.
+	continues *continuation
 
 	attempts int
-	// mayHaveRun says that some attempt was not proved not to have run.
-	mayHaveRun bool
-	replica    string
-	avoid      []string
-	first      time.Time
-	tokens     int
+	// notRun counts the attempts proved not to have run.
+	notRun  int
+	replica string
+	avoid   []string
+	// sentAt is when the current attempt was sent, begun whether it has
+	// brought a token.
+	sentAt time.Time
+	begun  bool
+	first  time.Time
+	tokens int
 }
 
 // run makes attempts until the answer is whole or given up.
@@ -39,32 +51,32 @@
 			e.finish()
 			return
 		}
-		if e.again(ctx, err) {
-			continue
+		if refused := e.again(ctx, err); refused != nil {
+			e.giveUp(refused)
+			return
 		}
-		e.giveUp(ctx, err)
-		return
 	}
 }
 
 // attempt waits for a slot and runs the request once.
 func (e *exchange) attempt(ctx context.Context) error {
-	request := e.completion.routerRequest(e.call)
-	request.Attempt = e.attempts + 1
-	request.Avoid = e.avoid
-	slot, err := e.server.options.Dispatch.Acquire(ctx, e.completion.upstream.Name, request)
+	slot, run, err := e.acquire(ctx)
 	if err != nil {
 		return err
 	}
 	e.attempts++
 	e.replica = slot.Replica.Name
 	e.observeWait()
-	err = e.pass(ctx, slot.Replica.Address, slot)
+	err = e.pass(ctx, slot.Replica.Address, &progress{exchange: e, slot: slot, run: run})
 	slot.Finish(resultOf(err))
-	e.mayHaveRun = e.mayHaveRun || upstream.KindOf(err) != upstream.NotRun
-	if err != nil {
-		e.avoid = append(e.avoid, slot.Replica.Name)
+	e.server.guard.settle(time.Now(), run, err)
+	if err == nil {
+		return nil
 	}
+	if upstream.KindOf(err) == upstream.NotRun {
+		e.notRun++
+	}
+	e.avoid = append(e.avoid, slot.Replica.Name)
 	return err
 }
 
@@ -76,18 +88,13 @@
 	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
 }
 
-// progress is what an attempt tells the decisions.
-type progress interface {
-	FirstToken()
-	Tokens(n int)
-}
-
 // pass hands the request to the replica and its answer to the caller.
-func (e *exchange) pass(ctx context.Context, address string, slot progress) error {
-	body, err := e.completion.engineBody(e.call.class.Tier)
+func (e *exchange) pass(ctx context.Context, address string, p *progress) error {
+	body, err := e.engineBody()
 	if err != nil {
 		return err
 	}
+	e.sentAt, e.begun, e.kept = time.Now(), false, 0
 	stream, err := e.server.options.Engines.Start(ctx, address, upstream.EngineCall{
 		ID:     fmt.Sprintf("%s.%d", e.call.id, e.attempts),
 		Path:   e.completion.path,
@@ -106,61 +113,37 @@
 		if err != nil {
 			return err
 		}
-		if err := e.take(data, slot); err != nil {
+		if err := e.take(data, p); err != nil {
 			return err
 		}
 	}
 }
 
-// take passes one chunk on and counts it.
-func (e *exchange) take(data []byte, slot progress) error {
-	if bytes.Contains(data, usageMark) {
-		if e.completion.request.Stream && !e.completion.callerUsage {
-			return nil
-		}
-		return e.toCaller(data)
-	}
-	e.tokens++
-	if e.first.IsZero() {
-		e.first = time.Now()
-		slot.FirstToken()
-	} else {
-		slot.Tokens(1)
+// engineBody is the body of the next attempt.
+func (e *exchange) engineBody() ([]byte, error) {
+	if e.continues != nil {
+		return e.continues.body, nil
 	}
-	return e.toCaller(data)
+	return e.completion.engineBody(e.call.class.Tier)
 }
 
-// toCaller passes data on; its error says that the caller is gone.
-func (e *exchange) toCaller(data []byte) error {
-	if err := e.sink.chunk(data); err != nil {
-		return &callerGoneError{cause: err}
+// take passes one chunk on and counts it.
+func (e *exchange) take(data []byte, p *progress) error {
+	usage := bytes.Contains(data, usageMark)
+	if usage && e.completion.request.Stream && !e.completion.callerUsage {
+		return nil
 	}
-	return nil
-}
-
-// again decides whether the error allows another attempt.
-func (e *exchange) again(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || e.sink.begun() {
-		return false
+	if !usage {
+		e.tokens++
+		p.token()
 	}
-	if e.attempts >= e.call.index.Document().Limits.MaxAttempts {
-		return false
+	if e.continues != nil {
+		data = e.continues.rebase(data)
 	}
-	var failed *upstream.Error
-	if !errors.As(err, &failed) || failed.Kind == upstream.Refused {
-		return false
+	if err := e.sink.chunk(data); err != nil {
+		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: p.slot.Replica.Address, Cause: err}
 	}
-	e.reset()
-	e.server.metrics.retries.WithLabelValues(string(failed.Kind)).Inc()
-	return true
-}
-
-// reset forgets an attempt of which the caller saw nothing.
-func (e *exchange) reset() {
-	e.waste("retried")
-	e.first = time.Time{}
-	e.tokens = 0
-	e.sink.reset()
+	return nil
 }
 
 func (e *exchange) waste(cause string) {
@@ -170,16 +153,19 @@
 }
 
 func (e *exchange) finish() {
-	if err := e.sink.end(); err != nil {
+	now := time.Now()
+	e.server.options.Retries.Succeeded(now, e.call.class.Name, e.completion.upstream.Name)
+	err := e.sink.end()
+	e.keepEnd()
+	if err != nil && !e.followed() {
 		e.waste("caller_gone")
 		return
 	}
-	e.server.metrics.answered(e.call, e.first, time.Now(), e.tokens)
+	e.server.metrics.answered(e.call, e.first, now, e.tokens)
 }
 
 // giveUp tells the caller, at once, that there will be no answer.
-func (e *exchange) giveUp(ctx context.Context, err error) {
-	refused := e.refusalOf(ctx, err)
+func (e *exchange) giveUp(refused *refusal.Error) {
 	e.waste(string(refused.Reason))
 	e.server.options.Log.WithFields(map[string]any{
 		"request":   e.call.id,
@@ -190,5 +176,6 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
+	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- /dev/null
+++ b/internal/gateway/guard.go
@@ -0,0 +1,125 @@
+package gateway
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/router"
+	"galenatrestle/internal/upstream"
+)
+
+// suspectPause is how long a suspect waits before it looks for another replica
+// without a suspect.
+const suspectPause = 20 * time.Millisecond
+
+// guard keeps requests that crash replicas from taking one after the other.
+type guard struct {
+	tracker *quarantine.Tracker
+	running *quarantine.Running
+	// spread tells the peers of changed records.
+	spread  func(...quarantine.Record)
+	crashes prometheus.Counter
+	named   prometheus.Counter
+}
+
+func newGuard(options Options) *guard {
+	g := &guard{
+		tracker: options.Quarantine,
+		running: quarantine.NewRunning(),
+		spread:  options.SpreadQuarantine,
+		crashes: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "trestle", Name: "replica_crashes_total",
+			Help: "Crashes of replicas while requests of this node ran on them.",
+		}),
+		named: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "trestle", Name: "quarantines_total",
+			Help: "Requests quarantined for a crash, by content and time.",
+		}),
+	}
+	options.Registry.MustRegister(g.crashes, g.named)
+	return g
+}
+
+// settle notes the end of a run.
+func (g *guard) settle(now time.Time, run *quarantine.Run, err error) {
+	if err != nil && upstream.KindOf(err) == upstream.Crashed {
+		g.crashed(now, run)
+		return
+	}
+	g.running.Finish(run)
+	if err != nil {
+		return
+	}
+	if record, changed := g.tracker.Finished(now, run.Fingerprint); changed {
+		g.spread(record)
+	}
+}
+
+func (g *guard) crashed(now time.Time, run *quarantine.Run) {
+	fingerprints := g.running.Crash(now, run)
+	if len(fingerprints) == 0 {
+		return
+	}
+	g.crashes.Inc()
+	records := g.tracker.Crash(now, fingerprints)
+	for _, r := range records {
+		if r.Level > 0 {
+			g.named.Inc()
+		}
+	}
+	g.spread(records...)
+}
+
+// acquire waits for a slot on a replica where the request may run.
+func (e *exchange) acquire(ctx context.Context) (*dispatch.Slot, *quarantine.Run, error) {
+	g := e.server.guard
+	request := e.completion.routerRequest(e.call)
+	request.Attempt = e.attempts + 1
+	request.Avoid = slices.Clone(e.avoid)
+	fingerprint := quarantine.Fingerprint(request.Fingerprint)
+	for {
+		verdict, wait := g.tracker.Decide(time.Now(), fingerprint)
+		if verdict == quarantine.Refuse {
+			return nil, nil, quarantined(wait)
+		}
+		slot, err := e.server.options.Dispatch.Acquire(ctx, e.completion.upstream.Name, request)
+		if err != nil {
+			return nil, nil, err
+		}
+		run, ok := g.running.Start(e.completion.upstream.Name+"/"+slot.Replica.Name, fingerprint, verdict)
+		if ok {
+			return slot, run, nil
+		}
+		slot.Finish(router.ResultCancelled)
+		request.Avoid = append(request.Avoid, slot.Replica.Name)
+		if err := pause(ctx, suspectPause); err != nil {
+			return nil, nil, err
+		}
+	}
+}
+
+// quarantined is the refusal of a request that crashes replicas. Whether an
+// earlier attempt ran is completed by the caller.
+func quarantined(wait time.Duration) error {
+	refused := refusal.New(refusal.Quarantined, "quarantine", "replicas crashed while this request ran on them")
+	refused.RetryAfter = wait
+	return refused
+}
+
+// pause waits, or returns ctx's error.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/retry"
 )
 
 // metrics are the callers' side's figures.
@@ -15,7 +16,8 @@
 	answers    *prometheus.CounterVec
 	tokens     *prometheus.CounterVec
 	wasted     *prometheus.CounterVec
-	retries    *prometheus.CounterVec
+	retries    *retry.Metrics
+	unkept     prometheus.Counter
 	firstToken *prometheus.HistogramVec
 	answerTime *prometheus.HistogramVec
 	queueWait  *prometheus.HistogramVec
@@ -27,17 +29,21 @@
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{
-		refusals:   counter("refusals_total", "Requests refused, by reason and outcome.", "reason", "outcome"),
-		answers:    counter("answers_total", "Whole answers, by class and whether on target.", "class", "on_target"),
-		tokens:     counter("answer_tokens_total", "Tokens of whole answers, by class and whether on target: goodput is on_target=true.", "class", "on_target"),
-		wasted:     counter("wasted_tokens_total", "Tokens generated for no whole answer, by class and cause.", "class", "cause"),
-		retries:    counter("retries_total", "Further attempts, by reason.", "reason"),
+		refusals: counter("refusals_total", "Requests refused, by reason and outcome.", "reason", "outcome"),
+		answers:  counter("answers_total", "Whole answers, by class and whether on target.", "class", "on_target"),
+		tokens:   counter("answer_tokens_total", "Tokens of whole answers, by class and whether on target: goodput is on_target=true.", "class", "on_target"),
+		wasted:   counter("wasted_tokens_total", "Tokens generated for no whole answer, by class and cause.", "class", "cause"),
+		retries:  retry.NewMetrics(registry),
+		unkept: prometheus.NewCounter(prometheus.CounterOpts{
+			Namespace: "trestle", Name: "answers_unkept_total",
+			Help: "Answers that cannot be fetched again, for lack of memory.",
+		}),
 		firstToken: histogram("first_token_seconds", "Time from arrival to the first token.", "class"),
 		answerTime: histogram("answer_seconds", "Time from arrival to the whole answer.", "class"),
 		queueWait:  histogram("queue_wait_seconds", "Time from arrival to a slot.", "class"),
 		tokenGap:   histogram("token_gap_seconds", "Mean time between the tokens of an answer.", "class"),
 	}
-	registry.MustRegister(m.refusals, m.answers, m.tokens, m.wasted, m.retries,
+	registry.MustRegister(m.refusals, m.answers, m.tokens, m.wasted, m.unkept,
 		m.firstToken, m.answerTime, m.queueWait, m.tokenGap)
 	return m
 }
--- a/internal/gateway/opaquesink.go
+++ b/internal/gateway/opaquesink.go
@@ -1,16 +1,10 @@
 package gateway
 
-import (
-	"net/http"
-
-	"galenatrestle/internal/refusal"
-)
+import "galenatrestle/internal/refusal"
 
 // opaqueSink passes an answer through whose content the system does not read.
 type opaqueSink struct {
-	server   *Server
-	w        http.ResponseWriter
-	prepare  func(http.Header)
+	outlet
 	streamed bool
 	stream   *streamSink
 	whole    []byte
@@ -24,7 +18,7 @@
 		return nil
 	}
 	if s.stream == nil {
-		s.stream = newStreamSink(s.server, s.w, s.prepare)
+		s.stream = newStreamSink(s.outlet)
 	}
 	return s.stream.chunk(data)
 }
@@ -38,6 +32,7 @@
 	header := s.w.Header()
 	s.prepare(header)
 	header.Set(headerType, typeJSON)
+	s.keep(s.whole)
 	_, err := s.w.Write(s.whole)
 	return err
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -4,9 +4,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"galenatrestle/internal/answer"
+	"galenatrestle/internal/answer/answerrpc"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/membership"
+	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/retry"
 	"galenatrestle/internal/upstream"
 )
 
@@ -23,8 +27,39 @@
 	// Engines and Services call the upstreams.
 	Engines  *upstream.Engine
 	Services *upstream.Service
+	// Retries decides on further attempts. Default: the default limits.
+	Retries *retry.Policy
+	// Quarantine knows the requests that crash replicas. Default: one of this
+	// node alone.
+	Quarantine *quarantine.Tracker
+	// SpreadQuarantine tells the peers of its changes. Default: nobody.
+	SpreadQuarantine func(...quarantine.Record)
+	// Answers keeps the answers of this node's requests. Default: an empty one.
+	Answers *answer.Store
+	// Resolver finds answers, also those of other nodes. Default: this node's.
+	Resolver *answerrpc.Resolver
 	// Registry takes the metrics.
 	Registry prometheus.Registerer
 	// Log takes one line a refusal and a failed attempt.
 	Log logrus.FieldLogger
 }
+
+func (o Options) withDefaults() Options {
+	if o.Retries == nil {
+		o.Retries = retry.NewPolicy(config.Limits{})
+	}
+	if o.Quarantine == nil {
+		o.Quarantine = quarantine.NewTracker(0)
+	}
+	if o.SpreadQuarantine == nil {
+		o.SpreadQuarantine = func(...quarantine.Record) {}
+	}
+	if o.Answers == nil {
+		o.Answers = answer.NewStore(answer.Options{})
+	}
+	if o.Resolver == nil {
+		nowhere := func(string) (string, bool) { return "", false }
+		o.Resolver = answerrpc.NewResolver(o.Node, o.Answers, nowhere, nil)
+	}
+	return o
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -4,28 +4,33 @@
 	"net/http"
 	"sync/atomic"
 
-	"github.com/google/uuid"
+	"galenatrestle/internal/answer"
 )
 
 // Server answers callers. It is safe for concurrent use.
 type Server struct {
 	options  Options
 	metrics  *metrics
+	guard    *guard
 	mux      *http.ServeMux
 	draining atomic.Bool
 }
 
 // New returns a server; its options must be complete.
 func New(options Options) *Server {
+	options = options.withDefaults()
 	s := &Server{
 		options: options,
 		metrics: newMetrics(options.Registry),
+		guard:   newGuard(options),
 		mux:     http.NewServeMux(),
 	}
 	s.mux.HandleFunc("POST "+pathChat, s.completeChat)
 	s.mux.HandleFunc("POST "+pathText, s.completeText)
 	s.mux.HandleFunc("GET /v1/models", s.models)
 	s.mux.HandleFunc("GET /entries", s.entries)
+	s.mux.HandleFunc("GET /requests/{id}", s.getAnswer)
+	s.mux.HandleFunc("GET /requests/{id}/stream", s.followAnswer)
 	s.mux.HandleFunc("/services/{upstream}/{path...}", s.service)
 	return s
 }
@@ -40,5 +45,5 @@
 
 // newID names a request and the node that has it.
 func (s *Server) newID() string {
-	return s.options.Node + "." + uuid.NewString()
+	return answer.NewRequestID(s.options.Node)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"path"
 	"strconv"
+	"time"
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/retry"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
 )
@@ -105,7 +107,6 @@
 			return
 		}
 		avoid = append(avoid, replica)
-		s.metrics.retries.WithLabelValues(string(upstream.KindOf(err))).Inc()
 	}
 }
 
@@ -119,6 +120,9 @@
 	wire.ID = fmt.Sprintf("%s.%d", sc.call.id, attempt)
 	answer, err := s.options.Services.Do(ctx, slot.Replica.Address, wire)
 	slot.Finish(resultOf(err))
+	if err == nil {
+		s.options.Retries.Succeeded(time.Now(), sc.call.class.Name, sc.upstream.Name)
+	}
 	return answer, slot.Replica.Name, err
 }
 
@@ -143,10 +147,27 @@
 	if !errors.As(err, &failed) || ctx.Err() != nil {
 		return false
 	}
-	if attempts >= sc.call.index.Document().Limits.MaxAttempts {
-		return false
-	}
-	return failed.Kind == upstream.NotRun || sc.readOnly()
+	decision := s.options.Retries.Decide(time.Now(), sc.retryAttempt(failed, attempts))
+	s.metrics.retries.Count(decision)
+	return decision.Action != retry.GiveUp
+}
+
+// retryAttempt is what the decision on another attempt needs to know. All
+// earlier attempts of a call that does not only read were proved not to run.
+func (sc *serviceCall) retryAttempt(failed *upstream.Error, attempts int) retry.Attempt {
+	a := retry.Attempt{
+		Class:      sc.call.class.Name,
+		Upstream:   sc.upstream.Name,
+		Result:     retryResult(failed),
+		Peer:       failed.Peer,
+		Number:     attempts,
+		Repeatable: sc.readOnly(),
+		Remaining:  time.Until(sc.call.giveUpAt),
+	}
+	if !a.Repeatable {
+		a.NotRunBefore = attempts - 1
+	}
+	return a
 }
 
 // readOnly says that the method promises not to change anything.
--- a/internal/gateway/streamsink.go
+++ b/internal/gateway/streamsink.go
@@ -2,25 +2,35 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
+	"time"
 
 	"galenatrestle/internal/refusal"
 )
 
+// slowCaller is the longest that one event may take to be passed on.
+const slowCaller = 30 * time.Second
+
+// errCallerLost says that the caller's connection broke before.
+var errCallerLost = errors.New("the caller's connection is broken")
+
 // streamSink sends an answer as server-sent events.
 type streamSink struct {
-	server *Server
-	w      http.ResponseWriter
-	flush  *http.ResponseController
-	// prepare sets the response's headers before the first byte.
-	prepare func(http.Header)
-	events  int
-	buffer  []byte
+	outlet
+	control *http.ResponseController
+	// after is the id of the event before the first one sent here.
+	after  int64
+	events int64
+	buffer []byte
+	// lost says that the caller's connection is broken: the answer goes on
+	// without it, as long as the attempts' context lets it.
+	lost bool
 }
 
-func newStreamSink(s *Server, w http.ResponseWriter, prepare func(http.Header)) *streamSink {
-	return &streamSink{server: s, w: w, flush: http.NewResponseController(w), prepare: prepare}
+func newStreamSink(out outlet) *streamSink {
+	return &streamSink{outlet: out, control: http.NewResponseController(out.w)}
 }
 
 func (s *streamSink) begun() bool { return s.events > 0 }
@@ -28,12 +38,14 @@
 func (s *streamSink) chunk(data []byte) error {
 	s.start()
 	s.events++
+	s.keep(data)
 	s.buffer = append(s.buffer[:0], "id: "...)
-	s.buffer = strconv.AppendInt(s.buffer, int64(s.events), 10)
+	s.buffer = strconv.AppendInt(s.buffer, s.after+s.events, 10)
 	s.buffer = append(s.buffer, "\ndata: "...)
 	s.buffer = append(s.buffer, data...)
 	s.buffer = append(s.buffer, "\n\n"...)
-	return s.send()
+	s.lost = s.lost || s.send() != nil
+	return nil
 }
 
 // start writes the headers once.
@@ -48,11 +60,26 @@
 	s.w.WriteHeader(http.StatusOK)
 }
 
+// send writes the buffer, unless the connection is broken.
 func (s *streamSink) send() error {
+	if s.lost {
+		return errCallerLost
+	}
+	// Where a connection has no deadlines a slow caller is not bounded.
+	_ = s.control.SetWriteDeadline(time.Now().Add(slowCaller))
+	defer func() { _ = s.control.SetWriteDeadline(time.Time{}) }()
 	if _, err := s.w.Write(s.buffer); err != nil {
 		return err
 	}
-	return s.flush.Flush()
+	return s.control.Flush()
+}
+
+// broken returns an error where the caller's connection is broken.
+func (s *streamSink) broken() error {
+	if s.lost {
+		return errCallerLost
+	}
+	return nil
 }
 
 // reset does nothing: what was sent cannot be taken back.
--- a/internal/gateway/verdict.go
+++ b/internal/gateway/verdict.go
@@ -33,7 +33,7 @@
 
 // outcome is NotRun only where no attempt may have run.
 func (e *exchange) outcome() refusal.Outcome {
-	if e.mayHaveRun {
+	if e.attempts > e.notRun {
 		return refusal.Unknown
 	}
 	return refusal.NotRun
@@ -44,8 +44,7 @@
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		return refusal.UpstreamTimeout
 	}
-	var gone *callerGoneError
-	if ctx.Err() != nil || errors.As(err, &gone) {
+	if ctx.Err() != nil {
 		return refusal.CallerGone
 	}
 	var failed *upstream.Error
--- a/internal/gateway/wholesink.go
+++ b/internal/gateway/wholesink.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"net/http"
 	"strings"
 
 	"galenatrestle/internal/openai"
@@ -11,18 +10,20 @@
 
 // wholeSink puts a streamed answer together and sends it as one body.
 type wholeSink struct {
-	server  *Server
-	w       http.ResponseWriter
-	prepare func(http.Header)
-	chat    bool
+	outlet
+	chat bool
 
 	answer openai.Response
 	text   strings.Builder
 	finish *string
 }
 
-func newWholeSink(s *Server, w http.ResponseWriter, chat bool, prepare func(http.Header)) *wholeSink {
-	return &wholeSink{server: s, w: w, chat: chat, prepare: prepare}
+// delivered returns what the attempts gave so far, though the caller has seen
+// nothing of it.
+func (s *wholeSink) delivered() *prefix {
+	p := &prefix{head: s.answer, finished: s.finish != nil}
+	p.text.WriteString(s.text.String())
+	return p
 }
 
 // begun is always false: nothing is sent before the answer is whole.
@@ -76,9 +77,16 @@
 		choice.Text = &text
 	}
 	s.answer.Choices = []openai.Choice{choice}
-	s.prepare(s.w.Header())
-	writeJSON(s.w, http.StatusOK, &s.answer)
-	return nil
+	body, err := json.Marshal(&s.answer)
+	if err != nil {
+		return err
+	}
+	s.keep(body)
+	header := s.w.Header()
+	s.prepare(header)
+	header.Set(headerType, typeJSON)
+	_, err = s.w.Write(append(body, '\n'))
+	return err
 }
 
 func (s *wholeSink) fail(refused *refusal.Error) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,8 @@
 	engines  *upstream.Engine
 	services *upstream.Service
 	members  *staticView
+	peers    *peers
+	answers  *answers
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -37,17 +39,26 @@
 		services: upstream.NewService(upstream.Options{}),
 	}
 	n.members = newStaticView(n)
-	n.gateway = gateway.New(gateway.Options{
-		Node:     options.Name,
+	n.peers = newPeers(options)
+	n.answers = newAnswers(options, n.members, n.peers)
+	n.gateway = gateway.New(n.gatewayOptions())
+	return n
+}
+
+// gatewayOptions names the parts that the callers' side works with.
+func (n *Node) gatewayOptions() gateway.Options {
+	options := gateway.Options{
+		Node:     n.options.Name,
 		Config:   n.config.Load,
 		Members:  n.members,
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
-		Registry: options.Registry,
-		Log:      options.Log,
-	})
-	return n
+		Registry: n.options.Registry,
+		Log:      n.options.Log,
+	}
+	n.answers.offer(&options)
+	return options
 }
 
 // Configure puts a configuration into force; a lower revision than the one in
@@ -57,6 +68,7 @@
 		return
 	}
 	n.dispatch.Configure(index.Document())
+	n.answers.configure(index.Document())
 	n.config.Store(index)
 }
 
@@ -64,6 +76,8 @@
 func (n *Node) Start() {
 	n.serve("entry", n.options.Entry, n.gateway)
 	n.serve("ops", n.options.Ops, n.opsHandler())
+	n.servePeers()
+	n.answers.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -81,6 +95,9 @@
 			first = err
 		}
 	}
+	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
+		first = err
+	}
 	n.close()
 	return first
 }
@@ -90,10 +107,12 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	_ = n.peers.server.Close()
 	n.close()
 }
 
 func (n *Node) close() {
+	n.answers.close()
 	n.dispatch.Close()
 	n.engines.Close()
 	n.services.Close()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/peer"
 	"galenatrestle/internal/platform"
 )
 
@@ -23,6 +24,9 @@
 	Entry net.Listener
 	Ops   net.Listener
 	Peer  net.Listener
+	// PeerKeys are the keys of the links between nodes; nil leaves the links
+	// without keys, for development alone.
+	PeerKeys *peer.Keys
 	// EntryAddress and PeerAddress are told to others. Default: the
 	// listeners' own addresses.
 	EntryAddress string
