Wire membership and leaving replicas into the node

Cause: a node knew only the peers it was given at its start, and each node learned by itself, by a refusal, that a replica was leaving.

Change: a node with a peer listener joins by seeds and the platform's list, tells its load and revision, says that it leaves before it stops, and gives the dispatcher every sign that a replica is leaving (configuration, an engine's refusal with the code leaving, the platform's list, peers). The static view is gone; without a peer listener a node knows itself alone.

--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -23,6 +23,8 @@
 	Nodes    []*node.Node
 	options  Options
 	standins *standins
+	// links are the nodes' peer addresses.
+	links []string
 }
 
 // Start starts a deployment on loopback.
@@ -56,8 +58,7 @@
 		}
 		d.Nodes = append(d.Nodes, n)
 	}
-	d.connect(config.NewIndex(1, document))
-	return nil
+	return d.connect(config.NewIndex(1, document))
 }
 
 func (d *Deployment) newNode(i int) (*node.Node, error) {
@@ -77,11 +78,13 @@
 		DataCentre:       "data-centre-0",
 		Entry:            entry,
 		Peer:             link,
+		Seeds:            d.links,
 		KeepTime:         d.options.KeepTime,
 		Seed:             d.options.Seed + uint64(i),
 		Registry:         prometheus.NewRegistry(),
 		Log:              d.options.Log.WithField("node", name),
 	}
+	d.links = append(d.links, link.Addr().String())
 	if i == 0 {
 		options.Ops, err = listen(d.options.OpsPort, 0)
 		if err != nil {
@@ -107,15 +110,38 @@
 	return listener, nil
 }
 
-func (d *Deployment) connect(index *config.Index) {
-	for i, n := range d.Nodes {
-		var peers []*node.Node
-		peers = append(peers, d.Nodes[:i]...)
-		peers = append(peers, d.Nodes[i+1:]...)
-		n.SetPeers(peers...)
+// joinTimeout bounds the wait until all nodes know each other, and joinPoll is
+// the time between two looks.
+const (
+	joinTimeout = 30 * time.Second
+	joinPoll    = 10 * time.Millisecond
+)
+
+// connect starts the nodes and waits until they know each other.
+func (d *Deployment) connect(index *config.Index) error {
+	for _, n := range d.Nodes {
 		n.Configure(index)
 		n.Start()
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
+	defer cancel()
+	for !d.joined() {
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the nodes do not know each other after %v", joinTimeout)
+		case <-time.After(joinPoll):
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) joined() bool {
+	for _, n := range d.Nodes {
+		if len(n.Members().Members()) < len(d.Nodes) {
+			return false
+		}
+	}
+	return true
 }
 
 // Engine returns the i-th engine stand-in.
--- a/internal/leaving/tracker.go
+++ b/internal/leaving/tracker.go
@@ -32,6 +32,7 @@
 	publisher Publisher
 	signs     *prometheus.CounterVec
 	dropped   prometheus.Counter
+	changed   func()
 	shards    [trackerShards]trackerShard
 }
 
@@ -42,7 +43,7 @@
 
 // NewTracker returns a tracker to which nobody is leaving. Its Receive is to
 // be given to membership.Runner.OnNote with NoteKind.
-func NewTracker(publisher Publisher, registerer prometheus.Registerer) (*Tracker, error) {
+func NewTracker(publisher Publisher, registerer prometheus.Registerer) *Tracker {
 	t := &Tracker{
 		publisher: publisher,
 		signs: prometheus.NewCounterVec(prometheus.CounterOpts{
@@ -57,12 +58,14 @@
 	for i := range t.shards {
 		t.shards[i].set = NewSet()
 	}
-	if err := registerer.Register(t.signs); err != nil {
-		return nil, err
-	}
-	return t, registerer.Register(t.dropped)
+	registerer.MustRegister(t.signs, t.dropped)
+	return t
 }
 
+// OnChange has f called after each piece of news. It must not block, and is set
+// before the first sign.
+func (t *Tracker) OnChange(f func()) { t.changed = f }
+
 // Leaving reports whether the replica or VM must get no new work.
 func (t *Tracker) Leaving(name string) bool {
 	shard := t.shard(name)
@@ -114,7 +117,7 @@
 	news := shard.set.Merge(time.Now(), vote)
 	shard.mu.Unlock()
 	if news {
-		t.count(vote, "yes")
+		t.tell(vote, "yes")
 	}
 }
 
@@ -136,18 +139,22 @@
 	if !news {
 		return
 	}
-	t.count(vote, "no")
+	t.tell(vote, "no")
 	if err := t.publisher.Publish(note(vote)); err != nil {
 		t.dropped.Inc()
 	}
 }
 
-func (t *Tracker) count(vote Vote, fromPeer string) {
+// tell counts a piece of news and passes it on.
+func (t *Tracker) tell(vote Vote, fromPeer string) {
 	leaving := "no"
 	if vote.Leaving {
 		leaving = "yes"
 	}
 	t.signs.WithLabelValues(string(vote.Source), fromPeer, leaving).Inc()
+	if t.changed != nil {
+		t.changed()
+	}
 }
 
 func note(vote Vote) *membershipv1.Note {
--- a/internal/leaving/tracker_test.go
+++ b/internal/leaving/tracker_test.go
@@ -84,10 +84,7 @@
 		name := fmt.Sprintf("vm-%d", i)
 		self := membership.Member{Name: name, Region: "r", PeerAddress: name, Incarnation: 1}
 		runner := membership.NewRunner(self, membership.Settings{}, net, rand.New(rand.NewPCG(5, uint64(i))))
-		tracker, err := NewTracker(runner, prometheus.NewRegistry())
-		if err != nil {
-			t.Fatal(err)
-		}
+		tracker := NewTracker(runner, prometheus.NewRegistry())
 		runner.OnNote(NoteKind, tracker.Receive)
 		runner.AddSeed("vm-0")
 		net.Start(name, runner)
--- a/internal/membership/merge.go
+++ b/internal/membership/merge.go
@@ -62,6 +62,7 @@
 	t.add(e)
 	t.setDeadline(now, e)
 	t.spread(now, e)
+	t.urgent = true
 }
 
 func (t *Table) replace(now time.Time, e *entry, m *membershipv1.Member) {
--- a/internal/membership/metrics.go
+++ b/internal/membership/metrics.go
@@ -3,7 +3,7 @@
 import "github.com/prometheus/client_golang/prometheus"
 
 // Register exports the runner's counts and the members by state.
-func (r *Runner) Register(registerer prometheus.Registerer) error {
+func (r *Runner) Register(registerer prometheus.Registerer) {
 	events := []struct {
 		name, help string
 		value      func(Counts) int64
@@ -23,25 +23,20 @@
 			Name: "trestle_membership_" + event.name + "_total",
 			Help: event.help,
 		}, func() float64 { return float64(event.value(r.Counts())) })
-		if err := registerer.Register(collector); err != nil {
-			return err
-		}
+		registerer.MustRegister(collector)
 	}
-	return r.registerStates(registerer)
+	r.registerStates(registerer)
 }
 
-func (r *Runner) registerStates(registerer prometheus.Registerer) error {
+func (r *Runner) registerStates(registerer prometheus.Registerer) {
 	for _, state := range []State{StateServing, StateSuspect, StateLeaving} {
 		collector := prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name:        "trestle_membership_members",
 			Help:        "Members of the region by state.",
 			ConstLabels: prometheus.Labels{"state": string(state)},
 		}, func() float64 { return float64(r.countState(state)) })
-		if err := registerer.Register(collector); err != nil {
-			return err
-		}
+		registerer.MustRegister(collector)
 	}
-	return nil
 }
 
 func (r *Runner) countState(state State) int {
--- a/internal/membership/snapshot.go
+++ b/internal/membership/snapshot.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"slices"
 	"time"
 )
 
@@ -32,8 +33,8 @@
 func (s *Snapshot) Self() Member { return s.self }
 
 // Members returns all members of the region that are not dead, self included,
-// ordered by name. The caller must not change the slice.
-func (s *Snapshot) Members() []Member { return s.members }
+// ordered by name. The slice is the caller's own.
+func (s *Snapshot) Members() []Member { return slices.Clone(s.members) }
 
 // Regions returns the summaries of the other regions, ordered by name.
 func (s *Snapshot) Regions() []Region { return s.regions }
--- a/internal/membership/tickseed.go
+++ b/internal/membership/tickseed.go
@@ -13,7 +13,8 @@
 	}
 }
 
-// tickSeed calls one address that is not yet known as a member.
+// tickSeed calls one address that is not yet known as a member, or several
+// where this node is still alone.
 func (t *Table) tickSeed(now time.Time) []Call {
 	if now.Before(t.nextSeed) {
 		return nil
@@ -23,15 +24,23 @@
 	if len(due) == 0 {
 		return nil
 	}
-	chosen := due[t.rng.IntN(len(due))]
-	gossip := t.gossip(now, nil)
-	gossip.Sender = t.self.wire
-	return []Call{{
-		Kind:    CallSeed,
-		Target:  chosen.name,
-		Address: chosen.address,
-		Request: &membershipv1.SyncRequest{Gossip: gossip, WantAll: len(t.entries) == 1},
-	}}
+	t.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	alone := len(t.entries) == 1
+	if !alone {
+		due = due[:1]
+	}
+	var calls []Call
+	for _, s := range due[:min(pushFanout, len(due))] {
+		gossip := t.gossip(now, nil)
+		gossip.Sender = t.self.wire
+		calls = append(calls, Call{
+			Kind:    CallSeed,
+			Target:  s.name,
+			Address: s.address,
+			Request: &membershipv1.SyncRequest{Gossip: gossip, WantAll: alone},
+		})
+	}
+	return calls
 }
 
 // seedKnown reports whether a seed is a member that is believed to live.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,7 +22,7 @@
 	gateway  *gateway.Server
 	engines  *upstream.Engine
 	services *upstream.Service
-	members  *staticView
+	members  *members
 	peers    *peers
 	answers  *answers
 	servers  []*http.Server
@@ -35,12 +35,12 @@
 	n := &Node{
 		options:  options,
 		dispatch: dispatch.New(options.AvailabilityZone, options.Seed),
-		engines:  upstream.NewEngine(upstream.Options{}),
 		services: upstream.NewService(upstream.Options{}),
 	}
-	n.members = newStaticView(n)
 	n.peers = newPeers(options)
-	n.answers = newAnswers(options, n.members, n.peers)
+	n.members = newMembers(options, n.peers, n.dispatch)
+	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
+	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -50,7 +50,7 @@
 	options := gateway.Options{
 		Node:     n.options.Name,
 		Config:   n.config.Load,
-		Members:  n.members,
+		Members:  n.members.runner,
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
@@ -69,6 +69,7 @@
 	}
 	n.dispatch.Configure(index.Document())
 	n.answers.configure(index.Document())
+	n.members.configure(index)
 	n.config.Store(index)
 }
 
@@ -77,6 +78,7 @@
 	n.serve("entry", n.options.Entry, n.gateway)
 	n.serve("ops", n.options.Ops, n.opsHandler())
 	n.servePeers()
+	n.members.start()
 	n.answers.start()
 }
 
@@ -85,6 +87,7 @@
 // ctx's error where that took too long.
 func (n *Node) Stop(ctx context.Context) error {
 	n.leaving.Store(true)
+	n.members.runner.Leave()
 	if err := n.waitKeepTime(ctx); err != nil {
 		return err
 	}
@@ -113,6 +116,8 @@
 
 func (n *Node) close() {
 	n.answers.close()
+	n.members.close()
+	n.peers.close()
 	n.dispatch.Close()
 	n.engines.Close()
 	n.services.Close()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -27,6 +27,8 @@
 	// PeerKeys are the keys of the links between nodes; nil leaves the links
 	// without keys, for development alone.
 	PeerKeys *peer.Keys
+	// Seeds are peer addresses to begin with, besides the platform's list.
+	Seeds []string
 	// EntryAddress and PeerAddress are told to others. Default: the
 	// listeners' own addresses.
 	EntryAddress string
--- a/internal/node/peers.go
+++ b/internal/node/peers.go
@@ -23,6 +23,9 @@
 	}
 }
 
+// close ends the connections to the other nodes.
+func (p *peers) close() { p.clients.Close() }
+
 // servePeers answers the other nodes.
 func (n *Node) servePeers() {
 	if n.options.Peer == nil {
--- /dev/null
+++ b/internal/node/replicas.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/platform"
+	"galenatrestle/internal/router"
+)
+
+// replicaKey names one replica of one upstream.
+type replicaKey struct{ upstream, replica string }
+
+// replicaIndex is the lookups of a configuration's replicas.
+type replicaIndex struct {
+	byKey map[replicaKey]config.Replica
+	// names holds the replicas' names by address.
+	names map[string]string
+	// known holds the replicas' names.
+	known map[string]bool
+}
+
+func indexReplicas(document *config.Document) replicaIndex {
+	index := replicaIndex{
+		byKey: make(map[replicaKey]config.Replica),
+		names: make(map[string]string),
+		known: make(map[string]bool),
+	}
+	for _, upstream := range document.Upstreams {
+		for _, replica := range upstream.Replicas {
+			index.byKey[replicaKey{upstream.Name, replica.Name}] = replica
+			index.names[replica.Address] = replica.Name
+			index.known[replica.Name] = true
+		}
+	}
+	return index
+}
+
+// split sorts the platform's list into entry VMs and upstreams' VMs.
+func (x replicaIndex) split(list []platform.Instance) (entries, upstreams []platform.Instance) {
+	for _, instance := range list {
+		if x.known[instance.Name] {
+			upstreams = append(upstreams, instance)
+			continue
+		}
+		entries = append(entries, instance)
+	}
+	return entries, upstreams
+}
+
+// loadOf is the part of this node's slots in use, above 1 while requests wait.
+func loadOf(stats map[string]router.Stats) float64 {
+	used, slots := 0, 0
+	for _, s := range stats {
+		for _, r := range s.Replicas {
+			used += r.Running
+			slots += r.Limit
+		}
+		for _, c := range s.Classes {
+			used += c.Waiting
+		}
+	}
+	if slots == 0 {
+		return 0
+	}
+	return float64(used) / float64(slots)
+}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -61,11 +61,20 @@
 		return nil, failure(ctx, "send", address, err)
 	}
 	if response.StatusCode != http.StatusOK {
-		return nil, refusedBy(address, response)
+		return nil, e.refused(address, response)
 	}
 	return response, nil
 }
 
+// refused makes an *Error of an engine's error answer and passes its code on.
+func (e *Engine) refused(address string, response *http.Response) *Error {
+	refused := refusedBy(address, response)
+	if e.options.Refused != nil {
+		e.options.Refused(address, refused.Code)
+	}
+	return refused
+}
+
 // refusedBy turns an engine's error answer into an *Error and closes it.
 func refusedBy(address string, response *http.Response) *Error {
 	defer response.Body.Close()
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -33,6 +33,9 @@
 	MaxAnswerBytes int64
 	// MaxPayloadBytes bounds one event of a stream.
 	MaxPayloadBytes int
+	// Refused is told the address and the code of each error answer of an
+	// engine; it must not block. It may be nil.
+	Refused func(address, code string)
 }
 
 func (o Options) withDefaults() Options {
