--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -13,16 +14,24 @@
 const (
 	// viewCheck is how often a node compares its revision with those that the
 	// view shows; it costs no message.
-	viewCheck = 500 * time.Millisecond
+	viewCheck = 250 * time.Millisecond
 	// exchangePeriod is how often a node pulls from a random peer, whatever
 	// the view shows.
-	exchangePeriod = 2 * time.Second
+	exchangePeriod = time.Second
 	// callTime bounds one call to a peer.
 	callTime = 2 * time.Second
 	// notifyAtOnce bounds the notices under way at one time.
 	notifyAtOnce = 16
+	// forwardTo is the number of peers that a node tells when it has learned
+	// of a revision from a peer.
+	forwardTo = 2
+	// maxNotifyTries bounds the tries of a notice that was not answered.
+	maxNotifyTries = 4
 )
 
+// forwardWake stands for "forward" where the exchange loop takes addresses.
+const forwardWake = ""
+
 const (
 	messagePull   = "pull"
 	messageNotify = "notify"
@@ -38,7 +47,12 @@
 		case <-ctx.Done():
 			return
 		case address = <-s.heard:
+			if address == forwardWake {
+				s.forward(ctx)
+				continue
+			}
 		case <-time.After(s.jitter(viewCheck)):
+			s.notifyAgain(ctx)
 			address = s.memberAhead()
 		}
 		if address == "" && !time.Now().Before(next) {
@@ -83,10 +97,14 @@
 		return
 	}
 	if response.GetNewest().GetRevision() < have {
+		// The peer pulls from here by itself; the notice may be faster.
 		s.notify(ctx, address)
 		return
 	}
 	taken, err := s.takeResponse(response)
+	if taken {
+		s.forward(ctx)
+	}
 	if err != nil || taken || response.GetNewest().GetRevision() <= s.current.Revision() {
 		return
 	}
@@ -95,9 +113,13 @@
 	if err != nil {
 		return
 	}
-	if _, err := s.takeResponse(response); err != nil {
+	taken, err = s.takeResponse(response)
+	if err != nil {
 		s.countFailure(err, "unpack from peer")
 	}
+	if taken {
+		s.forward(ctx)
+	}
 }
 
 func (s *Syncer) askPull(ctx context.Context, address string, have int64) (*configsyncv1.PullResponse, error) {
@@ -138,23 +160,39 @@
 	return s.move(stateOfWire(newest, document), sourcePull), nil
 }
 
-// notifyAll tells every known node that the view does not show up to date.
+// notifyAll tells every known node that is not known to be up to date.
 func (s *Syncer) notifyAll(ctx context.Context) {
+	addresses := s.addresses()
+	s.answers.keep(addresses)
+	s.notifyEach(ctx, s.behind(addresses))
+}
+
+// forward tells a few peers that are not known to be up to date.
+func (s *Syncer) forward(ctx context.Context) {
+	behind := s.behind(s.addresses())
+	s.mu.Lock()
+	s.rng.Shuffle(len(behind), func(i, j int) { behind[i], behind[j] = behind[j], behind[i] })
+	s.mu.Unlock()
+	s.notifyEach(ctx, behind[:min(forwardTo, len(behind))])
+}
+
+// behind returns those addresses whose nodes neither the view nor an answer
+// shows at this node's revision.
+func (s *Syncer) behind(addresses []string) []string {
 	revision := s.current.Revision()
-	done := make(map[string]bool)
+	upToDate := make(map[string]bool)
 	for _, member := range s.view.Members() {
-		if member.ConfigRevision >= revision {
-			done[member.PeerAddress] = true
-		}
+		upToDate[member.PeerAddress] = member.ConfigRevision >= revision
 	}
-	addresses := s.addresses()
-	s.answers.keep(addresses)
+	return slices.DeleteFunc(addresses, func(address string) bool {
+		return upToDate[address] || s.answers.at(address) >= revision
+	})
+}
+
+func (s *Syncer) notifyEach(ctx context.Context, addresses []string) {
 	var group errgroup.Group
 	group.SetLimit(notifyAtOnce)
 	for _, address := range addresses {
-		if done[address] {
-			continue
-		}
 		group.Go(func() error {
 			ctx, cancel := context.WithTimeout(ctx, callTime)
 			defer cancel()
@@ -166,6 +204,11 @@
 	_ = group.Wait()
 }
 
+// notifyAgain repeats the notices that were not answered.
+func (s *Syncer) notifyAgain(ctx context.Context) {
+	s.notifyEach(ctx, s.behind(s.unanswered.take()))
+}
+
 func (s *Syncer) notify(ctx context.Context, address string) {
 	state := s.current.State()
 	if state == nil {
@@ -179,8 +222,10 @@
 	response, err := s.peers.Notify(ctx, address, request)
 	if err != nil {
 		s.countFailure(err, messageNotify)
+		s.unanswered.failed(address, state.Revision())
 		return
 	}
+	s.unanswered.answered(address)
 	s.metrics.message(messageNotify, directionReceived, wireBytes(response))
 	s.answers.note(address, response.GetRevision())
 }
--- a/internal/configsync/handler.go
+++ b/internal/configsync/handler.go
@@ -37,10 +37,17 @@
 // they are kept, else the whole document.
 func (s *Syncer) AnswerPull(request *configsyncv1.PullRequest) (*configsyncv1.PullResponse, error) {
 	state := s.current.State()
-	response := &configsyncv1.PullResponse{Newest: state.wire()}
+	if state.Revision() < request.GetHaveRevision() {
+		s.wakeForSender(request.GetSender())
+	}
 	if state.Revision() <= request.GetHaveRevision() {
-		return response, nil
+		newest := &configsyncv1.Revision{Revision: state.Revision()}
+		if state.Revision() == request.GetHaveRevision() {
+			newest.WriteId = state.id()
+		}
+		return &configsyncv1.PullResponse{Newest: newest}, nil
 	}
+	response := &configsyncv1.PullResponse{Newest: state.wire()}
 	response.Deltas = s.deltas.since(request.GetHaveRevision(), state.Revision())
 	if response.Deltas != nil {
 		return response, nil
@@ -56,16 +63,33 @@
 // AnswerNotify applies the notice's deltas, or has the sender asked for the
 // rest. It returns the revision in force afterwards.
 func (s *Syncer) AnswerNotify(request *configsyncv1.NotifyRequest) *configsyncv1.NotifyResponse {
-	if !s.takeNotice(request) && request.GetNewest().GetRevision() > s.current.Revision() {
-		select {
-		case s.heard <- request.GetSenderAddress():
-		default:
-			// A pull is due already; what it misses the next exchange finds.
-		}
+	if s.takeNotice(request) {
+		s.wake(forwardWake)
+	} else if request.GetNewest().GetRevision() > s.current.Revision() {
+		s.wake(request.GetSenderAddress())
 	}
 	return &configsyncv1.NotifyResponse{Revision: s.current.Revision()}
 }
 
+// wakeForSender has the exchange loop pull from a member that is ahead.
+func (s *Syncer) wakeForSender(name string) {
+	for _, member := range s.view.Members() {
+		if member.Name == name {
+			s.wake(member.PeerAddress)
+			return
+		}
+	}
+}
+
+// wake has the exchange loop pull from an address, or forward. Where it is due
+// to already, what that misses the next exchange finds.
+func (s *Syncer) wake(address string) {
+	select {
+	case s.heard <- address:
+	default:
+	}
+}
+
 func (s *Syncer) takeNotice(request *configsyncv1.NotifyRequest) bool {
 	s.applying.Lock()
 	defer s.applying.Unlock()
--- a/internal/configsync/state.go
+++ b/internal/configsync/state.go
@@ -33,6 +33,14 @@
 	return s.Index.Revision()
 }
 
+// id returns the write id, or nothing of a nil state.
+func (s *State) id() string {
+	if s == nil {
+		return ""
+	}
+	return s.ID
+}
+
 // wire returns the revision as it travels between nodes.
 func (s *State) wire() *configsyncv1.Revision {
 	if s == nil {
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -51,6 +51,8 @@
 	// accepted holds the records that are still to be tidied up after.
 	accepted chan Record
 	answers  answers
+	// unanswered holds the notices to repeat.
+	unanswered unanswered
 }
 
 // New returns a Syncer; Run starts it.
