--- a/internal/configsync/commit.go
+++ b/internal/configsync/commit.go
@@ -33,29 +33,22 @@
 	return r.swapHead(ctx, storeRevision, record, value)
 }
 
-// swapHead repeats the same conditional write until it is answered: it takes
-// effect once at most, and where an earlier try did, the conflict shows its id.
 func (r *Repository) swapHead(ctx context.Context, expect int64, record Record, value []byte) (Record, error) {
+	err := r.write(ctx, headKey, expect, value)
 	var conflict *platform.ConflictError
-	tried := false
-	err := retry(ctx, func() error {
-		_, err := r.store.CompareAndSwap(ctx, headKey, expect, value)
-		tried = tried || errors.Is(err, platform.ErrUnavailable)
-		return err
-	})
 	switch {
 	case err == nil:
 		return record, nil
 	case errors.As(err, &conflict):
-		return r.readBack(ctx, conflict.Current, record)
-	case tried:
-		return Record{}, errs.Wrap(errs.Platform, fmt.Errorf("%w: %w", ErrUnknownOutcome, err), "accept configuration", storePeer)
+		return r.afterConflict(ctx, conflict.Current, record)
 	default:
 		return Record{}, errs.Wrap(errs.Platform, err, "accept configuration", storePeer)
 	}
 }
 
-func (r *Repository) readBack(ctx context.Context, current platform.Entry, record Record) (Record, error) {
+// afterConflict tells whose write the head has: another try of this one's may
+// have taken effect, with another time of acceptance.
+func (r *Repository) afterConflict(ctx context.Context, current platform.Entry, record Record) (Record, error) {
 	if current.Revision == 0 {
 		return Record{}, &StaleError{Base: record.Base}
 	}
@@ -91,13 +84,10 @@
 	if err != nil {
 		return errs.Wrap(errs.Platform, err, "encode configuration record", storePeer)
 	}
-	err = retry(ctx, func() error {
-		entry, err := r.store.Get(ctx, recordKey(record.ID))
-		if err != nil {
-			return err
-		}
-		_, err = r.store.CompareAndSwap(ctx, recordKey(record.ID), entry.Revision, value)
-		return err
-	})
+	entry, err := r.store.Get(ctx, recordKey(record.ID))
+	if err != nil {
+		return errs.Wrap(errs.Platform, err, "read configuration record", storePeer)
+	}
+	err = r.write(ctx, recordKey(record.ID), entry.Revision, value)
 	return errs.Wrap(errs.Platform, err, "rewrite configuration record", storePeer)
 }
--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -73,8 +73,7 @@
 		}
 		return r.store.Delete(ctx, key, entry.Revision)
 	})
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) {
+	if isConflict(err) || errors.Is(err, platform.ErrNotFound) {
 		return nil
 	}
 	return errs.Wrap(errs.Platform, err, "remove configuration", storePeer)
--- a/internal/configsync/repository.go
+++ b/internal/configsync/repository.go
@@ -131,14 +131,10 @@
 // createValue writes a key of our own id. A conflict means that an earlier try
 // whose answer was lost took effect.
 func (r *Repository) createValue(ctx context.Context, key string, value []byte) error {
-	err := retry(ctx, func() error {
-		_, err := r.store.CompareAndSwap(ctx, key, 0, value)
-		var conflict *platform.ConflictError
-		if errors.As(err, &conflict) {
-			return nil
-		}
-		return err
-	})
+	err := r.write(ctx, key, 0, value)
+	if isConflict(err) {
+		return nil
+	}
 	return errs.Wrap(errs.Platform, err, "write proposal", storePeer)
 }
 
