--- a/internal/configsync/accept.go
+++ b/internal/configsync/accept.go
@@ -209,7 +209,7 @@
 
 // knownRevision returns the highest revision in force at a known node.
 func (s *Syncer) knownRevision() int64 {
-	known := s.current.Revision()
+	known := max(s.current.Revision(), s.newest())
 	for _, member := range s.view.Members() {
 		known = max(known, member.ConfigRevision)
 	}
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -25,6 +25,9 @@
 	// Contacts returns peer addresses besides the view's members: the seeds
 	// of the settings and nodes of other regions. May be nil.
 	Contacts func() []string
+	// NewestRevision returns the highest revision that any node of any region
+	// is known to have in force. May be nil: then the view's members count.
+	NewestRevision func() int64
 	// Seed makes the jitter repeatable.
 	Seed     uint64
 	Log      logrus.FieldLogger
@@ -38,6 +41,7 @@
 	view       membership.View
 	peers      Peers
 	contacts   func() []string
+	newest     func() int64
 	log        logrus.FieldLogger
 	metrics    *metrics
 	deltas     deltaLog
@@ -61,12 +65,17 @@
 	if contacts == nil {
 		contacts = func() []string { return nil }
 	}
+	newest := options.NewestRevision
+	if newest == nil {
+		newest = func() int64 { return 0 }
+	}
 	return &Syncer{
 		repository: options.Repository,
 		current:    options.Current,
 		view:       options.View,
 		peers:      options.Peers,
 		contacts:   contacts,
+		newest:     newest,
 		log:        options.Log,
 		metrics:    newMetrics(options.Current, options.Registry),
 		rng:        rand.New(rand.NewPCG(options.Seed, 0)),
