gateway: extend a stream's write deadline rarely

Cause: keeping answers and a write deadline at every event cost processor time. Change: the deadline is extended when half of it has passed.

--- a/internal/gateway/streamsink.go
+++ b/internal/gateway/streamsink.go
@@ -10,7 +10,8 @@
 	"galenatrestle/internal/refusal"
 )
 
-// slowCaller is the longest that one event may take to be passed on.
+// slowCaller is the longest that one event may take to be passed on; half of
+// it is always given.
 const slowCaller = 30 * time.Second
 
 // errCallerLost says that the caller's connection broke before.
@@ -27,6 +28,8 @@
 	// lost says that the caller's connection is broken: the answer goes on
 	// without it, as long as the attempts' context lets it.
 	lost bool
+	// deadline is the connection's write deadline.
+	deadline time.Time
 }
 
 func newStreamSink(out outlet) *streamSink {
@@ -65,15 +68,28 @@
 	if s.lost {
 		return errCallerLost
 	}
-	// Where a connection has no deadlines a slow caller is not bounded.
-	_ = s.control.SetWriteDeadline(time.Now().Add(slowCaller))
-	defer func() { _ = s.control.SetWriteDeadline(time.Time{}) }()
+	s.extendDeadline()
 	if _, err := s.w.Write(s.buffer); err != nil {
 		return err
 	}
 	return s.control.Flush()
 }
 
+// extendDeadline gives the caller at least half of slowCaller, and rarely costs
+// more than a look at the clock. Where a connection has no deadlines a slow
+// caller is not bounded.
+func (s *streamSink) extendDeadline() {
+	now := time.Now()
+	if s.deadline.Sub(now) > slowCaller/2 {
+		return
+	}
+	s.deadline = now.Add(slowCaller)
+	_ = s.control.SetWriteDeadline(s.deadline)
+}
+
+// release takes the deadline off the connection, for its next request.
+func (s *streamSink) release() { _ = s.control.SetWriteDeadline(time.Time{}) }
+
 // broken returns an error where the caller's connection is broken.
 func (s *streamSink) broken() error {
 	if s.lost {
@@ -86,6 +102,7 @@
 func (s *streamSink) reset() {}
 
 func (s *streamSink) end() error {
+	defer s.release()
 	s.start()
 	s.buffer = append(s.buffer[:0], "data: [DONE]\n\n"...)
 	return s.send()
@@ -99,6 +116,7 @@
 		s.server.refuse(s.w, refused)
 		return
 	}
+	defer s.release()
 	s.server.metrics.refused(refused)
 	body, err := json.Marshal(errorBody(refused))
 	if err != nil {
