claim: model check of claims, take-overs and crashes

Cause: the crash cases test single orders; the promise must hold in all. Change: an exhaustive search in Go over a small bound (2 nodes, 1 key, 2 requests; up to three holders at once, a crash, a lost answer, a late write, a false suspicion, a release) that runs Apply, the ring, its writes and their judging as they are.

--- /dev/null
+++ b/internal/claim/modelstate_test.go
@@ -0,0 +1,249 @@
+package claim
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
+	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
+	"galenatrestle/internal/platform"
+)
+
+// budget bounds the faults on one path of the model.
+type budget struct {
+	takeovers, crashes, lost, late, suspicions, releases int
+}
+
+// requestState is how far one request of the model has come.
+type requestState int
+
+const (
+	requestIdle requestState = iota
+	requestWaiting
+	requestGranted
+	requestSent
+	requestAbandoned
+	requestOver
+)
+
+// modelRequest is one caller's request; request i arrives at node i.
+type modelRequest struct {
+	state     requestState
+	holder    int
+	tenure    int64
+	change    int64
+	decision  Decision
+	told      told
+	finishes  int
+	tries     int
+	uncertain bool
+}
+
+// modelNode is one node, which may believe that it holds the shard.
+type modelNode struct {
+	dead      bool
+	suspected bool
+	ring      *ring
+	// fencing says that the ring's first write is under way.
+	fencing bool
+	// sending is the write under way.
+	sending *write
+}
+
+// modelState is one state of the model: a shard with one key, two nodes, two
+// requests with that key.
+type modelState struct {
+	policy   Policy
+	entries  map[string]platform.Entry
+	revision int64
+	epoch    int64
+	nodes    [2]modelNode
+	requests [2]modelRequest
+	late     []write
+	sends    int
+	left     budget
+	// contents caches content; all clones share it.
+	contents map[string][]byte
+	// unconditional is a broken platform that writes whatever is expected.
+	unconditional bool
+	// early is a broken holder that answers before its write is durable.
+	early bool
+}
+
+func cloneRing(r *ring) *ring {
+	if r == nil {
+		return nil
+	}
+	copied := *r
+	copied.index = maps.Clone(r.index)
+	copied.slots = slices.Clone(r.slots)
+	for i := range copied.slots {
+		copied.slots[i].digests = slices.Clone(r.slots[i].digests)
+	}
+	copied.pending = slices.Clone(r.pending)
+	return &copied
+}
+
+func (m *modelState) clone() *modelState {
+	copied := *m
+	copied.entries = maps.Clone(m.entries)
+	copied.late = slices.Clone(m.late)
+	for i := range copied.nodes {
+		copied.nodes[i].ring = cloneRing(m.nodes[i].ring)
+	}
+	return &copied
+}
+
+// identity returns a digest of all that decides what can happen next. Revisions,
+// epochs and change numbers count only as far as they are compared.
+func (m *modelState) identity() [16]byte {
+	to := make(identity, 0, 2048)
+	to.add(m.sends, m.left.takeovers, m.left.crashes, m.left.lost, m.left.late, m.left.suspicions, m.left.releases)
+	for position := range m.policy.Segments {
+		to.addBytes(m.content(m.entries[segmentKey(modelPrefix, position)].Value))
+	}
+	to.add(len(m.late))
+	for _, late := range m.late {
+		to.addBytes([]byte(late.key))
+		to.addBytes(m.content(late.value))
+	}
+	for n := range m.nodes {
+		node := &m.nodes[n]
+		to.add(asInt(node.dead), asInt(node.suspected), asInt(node.fencing), asInt(node.sending != nil), asInt(node.ring != nil))
+		m.identifySending(&to, node.sending)
+		m.identifyRing(&to, node.ring)
+	}
+	for i := range m.requests {
+		m.identifyRequest(&to, &m.requests[i])
+	}
+	sum := sha256.Sum256(to)
+	return [16]byte(sum[:16])
+}
+
+// identity collects what identifies a state.
+type identity []byte
+
+func (to *identity) add(numbers ...int) {
+	for _, number := range numbers {
+		*to = binary.AppendVarint(*to, int64(number))
+	}
+}
+
+func (to *identity) addBytes(text []byte) {
+	to.add(len(text))
+	*to = append(*to, text...)
+}
+
+func asInt(yes bool) int {
+	if yes {
+		return 1
+	}
+	return 0
+}
+
+// content is a segment without the marks of its writer.
+func (m *modelState) content(value []byte) []byte {
+	known, cached := m.contents[string(value)]
+	if !cached {
+		known = withoutMarks(value)
+		m.contents[string(value)] = known
+	}
+	return known
+}
+
+func withoutMarks(value []byte) []byte {
+	segment := &claimv1.Segment{}
+	if proto.Unmarshal(value, segment) != nil {
+		return value
+	}
+	segment.WriteId, segment.Epoch, segment.Holder = nil, 0, ""
+	// Marshal of a message that was just read does not fail.
+	encoded, _ := proto.Marshal(segment)
+	return encoded
+}
+
+func (m *modelState) identifySending(to *identity, sending *write) {
+	if sending == nil {
+		return
+	}
+	current := m.entries[sending.key]
+	landed := bytes.Equal(current.Value, sending.value)
+	to.addBytes([]byte(sending.key))
+	to.add(asInt(current.Revision == sending.expect), asInt(landed))
+	if landed || current.Revision == sending.expect {
+		to.addBytes(m.content(sending.value))
+	}
+}
+
+func (m *modelState) identifyRing(to *identity, r *ring) {
+	if r == nil {
+		return
+	}
+	to.add(int(r.tail), asInt(r.sealed))
+	to.addBytes(r.body)
+	for position, place := range r.slots {
+		same := m.entries[segmentKey(r.prefix, position)].Revision == place.revision
+		to.add(asInt(same), int(place.sequence), len(place.digests))
+	}
+	to.add(len(r.index))
+	for _, current := range r.index {
+		to.add(int(current.sequence), int(max(0, current.change-r.durable)))
+		to.addBytes(current.encoded)
+	}
+	to.add(len(r.pending))
+	for _, waiting := range r.pending {
+		to.add(int(waiting.number - r.durable))
+		to.addBytes(waiting.encoded)
+	}
+}
+
+func (m *modelState) identifyRequest(to *identity, request *modelRequest) {
+	to.add(int(request.state))
+	switch request.state {
+	case requestIdle:
+		to.add(request.tries, asInt(request.uncertain))
+	case requestWaiting:
+		r := m.nodes[request.holder].ring
+		dropped := r == nil || r.epoch != request.tenure
+		to.add(request.tries, request.holder, asInt(dropped))
+		if !dropped {
+			to.add(int(max(0, request.change-r.durable)), int(request.decision.Verdict), len(request.decision.Refused))
+		}
+	case requestSent, requestAbandoned:
+		to.add(request.finishes)
+	}
+}
+
+// dropSettled removes late writes that can no longer take effect.
+func (m *modelState) dropSettled() {
+	m.late = slices.DeleteFunc(m.late, func(w write) bool {
+		return m.entries[w.key].Revision != w.expect && !m.unconditional
+	})
+}
+
+// writeID returns an id that differs for different writes and depends on
+// nothing but the state.
+func (m *modelState) writeID(node int) uuid.UUID {
+	r := m.nodes[node].ring
+	sum := sha256.New()
+	fmt.Fprint(sum, node, r.epoch, r.tail, r.durable, r.last, m.revision)
+	return uuid.UUID(sum.Sum(nil)[:16])
+}
+
+// swap is the platform's compare-and-swap.
+func (m *modelState) swap(w write) (platform.Entry, error) {
+	current := m.entries[w.key]
+	if current.Revision != w.expect && !m.unconditional {
+		return platform.Entry{}, &platform.ConflictError{Key: w.key, Expect: w.expect, Current: current}
+	}
+	m.revision++
+	entry := platform.Entry{Key: w.key, Value: w.value, Revision: m.revision}
+	m.entries[w.key] = entry
+	return entry, nil
+}
