--- /dev/null
+++ b/internal/quarantine/running.go
@@ -0,0 +1,200 @@
+package quarantine
+
+import (
+	"hash/maphash"
+	"sync"
+	"time"
+)
+
+const (
+	runningShards = 16
+	// restartTime is how long after a crash a replica that has not answered
+	// since is held to be still down: connections that break then are no
+	// evidence against the requests on them.
+	restartTime = 10 * time.Second
+)
+
+// Running knows which requests of this node run on which replica. Its size is
+// bounded by the requests in flight and the replicas that crashed in the last
+// restartTime. It is safe for concurrent use.
+type Running struct {
+	seed   maphash.Seed
+	shards [runningShards]runningShard
+
+	// mu guards suspects: the runs of suspects, by fingerprint.
+	mu       sync.Mutex
+	suspects map[Fingerprint]bool
+}
+
+type runningShard struct {
+	mu       sync.Mutex
+	replicas map[string]*replicaRuns
+}
+
+// replicaRuns are the runs on one replica since its last crash.
+type replicaRuns struct {
+	runs    map[*Run]struct{}
+	suspect *Run
+	// crashedAt is the last crash, zero once the replica has answered again.
+	crashedAt time.Time
+}
+
+// Run is one attempt on a replica.
+type Run struct {
+	Replica     string
+	Fingerprint Fingerprint
+	alone       bool
+}
+
+// NewRunning returns an empty set.
+func NewRunning() *Running {
+	r := &Running{seed: maphash.MakeSeed(), suspects: make(map[Fingerprint]bool)}
+	for i := range r.shards {
+		r.shards[i].replicas = make(map[string]*replicaRuns)
+	}
+	return r
+}
+
+// Start adds a run. For a RunAlone verdict it fails where the replica runs
+// another suspect or the request itself runs elsewhere: the caller then takes
+// another replica or waits. Each run must be ended by Finish or Crash.
+func (r *Running) Start(replica string, fp Fingerprint, verdict Verdict) (*Run, bool) {
+	run := &Run{Replica: replica, Fingerprint: fp, alone: verdict == RunAlone}
+	if run.alone && !r.claim(fp) {
+		return nil, false
+	}
+	s := r.shard(replica)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	on := s.replica(replica)
+	if run.alone && on.suspect != nil {
+		s.tidy(replica)
+		r.release(fp)
+		return nil, false
+	}
+	if run.alone {
+		on.suspect = run
+	}
+	on.runs[run] = struct{}{}
+	return run, true
+}
+
+// Finish ends a run that did not crash. Ending it again does nothing.
+func (r *Running) Finish(run *Run) {
+	s := r.shard(run.Replica)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	on, ok := s.replicas[run.Replica]
+	if !ok {
+		return
+	}
+	if _, ok := on.runs[run]; !ok {
+		return
+	}
+	r.remove(on, run)
+	s.tidy(run.Replica)
+}
+
+// remove takes one run off its replica. The shard must be locked.
+func (r *Running) remove(on *replicaRuns, run *Run) {
+	delete(on.runs, run)
+	if on.suspect == run {
+		on.suspect = nil
+	}
+	if run.alone {
+		r.release(run.Fingerprint)
+	}
+}
+
+// Answered tells that the replica has sent a byte of the run's answer.
+func (r *Running) Answered(run *Run) {
+	s := r.shard(run.Replica)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if on, ok := s.replicas[run.Replica]; ok {
+		on.crashedAt = time.Time{}
+	}
+}
+
+// Crash ends a run whose connection was lost. It returns the fingerprints of
+// all runs on the replica, which it ends as well, or none where the crash is
+// known already: each run of a crashed replica reports it, the first is taken,
+// and a replica that has not answered since its last crash may still be down.
+func (r *Running) Crash(now time.Time, run *Run) []Fingerprint {
+	s := r.shard(run.Replica)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	on, ok := s.replicas[run.Replica]
+	if !ok {
+		return nil
+	}
+	if _, ok := on.runs[run]; !ok {
+		return nil
+	}
+	if !on.crashedAt.IsZero() && now.Sub(on.crashedAt) < restartTime {
+		r.remove(on, run)
+		return nil
+	}
+	fingerprints := make([]Fingerprint, 0, len(on.runs))
+	for ended := range on.runs {
+		fingerprints = append(fingerprints, ended.Fingerprint)
+		r.remove(on, ended)
+	}
+	on.crashedAt = now
+	s.forget(now)
+	return fingerprints
+}
+
+// SuspectOn says whether a suspect runs on the replica.
+func (r *Running) SuspectOn(replica string) bool {
+	s := r.shard(replica)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	on, ok := s.replicas[replica]
+	return ok && on.suspect != nil
+}
+
+func (r *Running) claim(fp Fingerprint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.suspects[fp] {
+		return false
+	}
+	r.suspects[fp] = true
+	return true
+}
+
+func (r *Running) release(fp Fingerprint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.suspects, fp)
+}
+
+func (r *Running) shard(replica string) *runningShard {
+	return &r.shards[maphash.String(r.seed, replica)%runningShards]
+}
+
+func (s *runningShard) replica(name string) *replicaRuns {
+	on, ok := s.replicas[name]
+	if !ok {
+		on = &replicaRuns{runs: make(map[*Run]struct{})}
+		s.replicas[name] = on
+	}
+	return on
+}
+
+// tidy forgets a replica without runs that did not crash.
+func (s *runningShard) tidy(name string) {
+	if on := s.replicas[name]; on != nil && len(on.runs) == 0 && on.crashedAt.IsZero() {
+		delete(s.replicas, name)
+	}
+}
+
+// forget drops the replicas without runs whose crash is long past.
+func (s *runningShard) forget(now time.Time) {
+	for name, on := range s.replicas {
+		if len(on.runs) == 0 && now.Sub(on.crashedAt) >= restartTime {
+			delete(s.replicas, name)
+		}
+	}
+}
