trestle-load: embedded deployments, scaled rates; read request ids as they are

Cause: the check of "said to be not run" cut attempt ids at the first dot, but ids begin with the node's name and a dot, so that it could find nothing. And a comparison at 8 nodes and 20 replicas needed a deployment set up by hand.

--- /dev/null
+++ b/cmd/trestle-load/embedded.go
@@ -0,0 +1,50 @@
+package main
+
+import (
+	"time"
+
+	"galenatrestle/internal/embedded"
+	"galenatrestle/internal/load"
+	"galenatrestle/internal/standin/engine"
+)
+
+// embeddedDeployment sizes a deployment that runs inside the tool, so that a
+// comparison needs nothing else.
+type embeddedDeployment struct {
+	Nodes    int     `help:"Run against this many nodes inside the tool, in place of --entry."`
+	Engines  int     `default:"20" help:"Engine replicas of the embedded deployment."`
+	Services int     `default:"3" help:"Plain-service replicas of the embedded deployment."`
+	Slots    int     `default:"8" help:"Slots of each engine."`
+	Speed    float64 `default:"1" help:"Divide the engines' times by this."`
+}
+
+// embeddedStopTimeout bounds the graceful stop of the embedded deployment.
+const embeddedStopTimeout = 10 * time.Second
+
+// startEmbedded starts the embedded deployment, if one is asked for, and points
+// the target and the workload at it. The returned function stops it.
+func (t *target) startEmbedded(w *load.Workload) (stop func(), err error) {
+	size := t.Embedded
+	if size.Nodes == 0 {
+		return func() {}, nil
+	}
+	options := embedded.Options{
+		Nodes: size.Nodes, Engines: size.Engines, Services: size.Services,
+		Engine: engine.Options{Slots: size.Slots, Speed: size.Speed},
+		Seed:   max(1, w.EngineSeed),
+	}
+	w.EngineSeed = options.Seed
+	deployment, err := embedded.Start(options)
+	if err != nil {
+		return nil, err
+	}
+	t.Entry = nil
+	for _, n := range deployment.Nodes {
+		t.Entry = append(t.Entry, n.EntryAddress())
+	}
+	t.Runs = []string{"http://" + deployment.Nodes[0].OpsAddress()}
+	return func() {
+		// What was measured stands, also where the stop takes too long.
+		_ = deployment.Stop(embeddedStopTimeout)
+	}, nil
+}
--- a/cmd/trestle-load/main.go
+++ b/cmd/trestle-load/main.go
@@ -13,6 +13,7 @@
 Examples:
   trestle-load run bench/friday-night.yaml --entry 127.0.0.1:8080 --runs http://127.0.0.1:9090
   trestle-load run bench/cold-morning.yaml --ask-entries --json
+  trestle-load run bench/straggler.yaml --embedded-nodes 8 --embedded-engines 20 --scale 5
   trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
 
 It exits with 1 where a promise was broken or an outcome differs.`
--- a/cmd/trestle-load/run.go
+++ b/cmd/trestle-load/run.go
@@ -11,8 +11,10 @@
 )
 
 type runCommand struct {
-	Workload string  `arg:"" type:"existingfile" help:"Workload file (YAML)."`
-	Seed     *uint64 `help:"Use this seed in place of the workload's."`
+	Workload   string  `arg:"" type:"existingfile" help:"Workload file (YAML)."`
+	Seed       *uint64 `help:"Use this seed in place of the workload's."`
+	EngineSeed *uint64 `help:"The engines' seed of answer lengths, in place of the workload's."`
+	Scale      float64 `default:"1" help:"Multiply all rates by this."`
 	target
 }
 
@@ -29,6 +31,10 @@
 	if c.Seed != nil {
 		w.Seed = *c.Seed
 	}
+	if c.EngineSeed != nil {
+		w.EngineSeed = *c.EngineSeed
+	}
+	w.Scale(c.Scale)
 	requests := load.Plan(w)
 	load.Stamp(requests, uuid.NewString())
 	collector, truth, err := c.send(w, requests)
--- a/cmd/trestle-load/target.go
+++ b/cmd/trestle-load/target.go
@@ -23,11 +23,12 @@
 
 // target are the flags that say where the load goes.
 type target struct {
-	Entry      []string `default:"127.0.0.1:8080" help:"Entry addresses (host:port)."`
-	AskEntries bool     `help:"Ask the entry addresses which ones to use (GET /entries)."`
-	Runs       []string `help:"Base URLs of the stand-ins' ops addresses, to check against what was truly run and to throw faults."`
-	JSON       bool     `name:"json" help:"Print the report as JSON."`
-	Quiet      bool     `help:"Print no progress."`
+	Entry      []string           `default:"127.0.0.1:8080" help:"Entry addresses (host:port)."`
+	AskEntries bool               `help:"Ask the entry addresses which ones to use (GET /entries)."`
+	Runs       []string           `help:"Base URLs of the stand-ins' ops addresses, to check against what was truly run and to throw faults."`
+	JSON       bool               `name:"json" help:"Print the report as JSON."`
+	Quiet      bool               `help:"Print no progress."`
+	Embedded   embeddedDeployment `embed:"" prefix:"embedded-"`
 }
 
 // send runs the requests and returns what became of them. truth is nil where
@@ -35,6 +36,11 @@
 func (t *target) send(w *load.Workload, requests []load.Request) (*load.Collector, *load.Truth, error) {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
+	stopDeployment, err := t.startEmbedded(w)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer stopDeployment()
 	client := newClient()
 	defer client.CloseIdleConnections()
 	before, err := t.truth(ctx, client)
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -110,8 +110,11 @@
 	shed    map[string]int
 }
 
+// refusedID is a request id as nodes make them.
+const refusedID = "vm-0.8a1f"
+
 func refuse(w http.ResponseWriter, reason, outcome string) {
-	w.Header().Set("Trestle-Request-Id", "req-9")
+	w.Header().Set("Trestle-Request-Id", refusedID)
 	w.Header().Set("Trestle-Outcome", outcome)
 	w.Header().Set("Trestle-Reason", reason)
 	w.WriteHeader(http.StatusServiceUnavailable)
@@ -141,7 +144,15 @@
 		{name: "run but said to be not run", promise: promiseNotRun, shed: map[string]int{"upstream_failed": 1},
 			handle: func(f *fakeEntry) http.HandlerFunc {
 				return func(w http.ResponseWriter, r *http.Request) {
-					r.Header.Set("X-Request-Id", "req-9.1")
+					r.Header.Set("X-Request-Id", refusedID+".1")
+					f.serve(discard{}, r)
+					refuse(w, "upstream_failed", "not-run")
+				}
+			}},
+		{name: "service run but said to be not run", promise: promiseNotRun, service: true, shed: map[string]int{"upstream_failed": 1},
+			handle: func(f *fakeEntry) http.HandlerFunc {
+				return func(w http.ResponseWriter, r *http.Request) {
+					r.Header.Set("X-Request-Id", refusedID)
 					f.serve(discard{}, r)
 					refuse(w, "upstream_failed", "not-run")
 				}
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -71,12 +72,22 @@
 		if run.IdempotencyKey != "" {
 			t.byKey[run.IdempotencyKey]++
 		}
-		// Attempts are named by the request id, a dot and a number.
-		id, _, _ := strings.Cut(run.RequestID, ".")
-		if id != "" {
-			t.byRequest[id]++
-		}
+		t.byRequest[callersID(run.RequestID)]++
+	}
+}
+
+// callersID returns the request id as callers know it: an engine attempt is
+// named by it, a dot and the attempt's number. Ids of service calls have no
+// number, and end in a part that is none.
+func callersID(attempt string) string {
+	dot := strings.LastIndexByte(attempt, '.')
+	if dot < 0 {
+		return attempt
+	}
+	if _, err := strconv.Atoi(attempt[dot+1:]); err != nil {
+		return attempt
 	}
+	return attempt[:dot]
 }
 
 // Since takes off what an earlier reading already had.
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -52,6 +52,15 @@
 	return &w, nil
 }
 
+// Scale multiplies the rates of all streams by factor.
+func (w *Workload) Scale(factor float64) {
+	for _, s := range w.Streams {
+		for i := range s.Rate {
+			s.Rate[i].PerSecond *= factor
+		}
+	}
+}
+
 // class returns the named class.
 func (w *Workload) class(name string) (Class, bool) {
 	for _, c := range w.Classes {
