trestle-load: scripts that pin output and exit status

Cause: nothing proved that a finding makes the tool exit with another status than zero. Change: testscript runs of run and replay against an embedded deployment; sizes that make no sense are refused by name.

--- a/cmd/trestle-load/embedded.go
+++ b/cmd/trestle-load/embedded.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"time"
 
 	"galenatrestle/internal/embedded"
@@ -18,6 +19,18 @@
 	Speed    float64 `default:"1" help:"Divide the engines' times by this."`
 }
 
+// check returns an error that names a size that makes no sense.
+func (d *embeddedDeployment) check() error {
+	if d.Nodes < 0 || d.Engines < 1 || d.Services < 1 || d.Slots < 1 {
+		return fmt.Errorf("--embedded-nodes %d, --embedded-engines %d, --embedded-services %d, --embedded-slots %d: want positive sizes",
+			d.Nodes, d.Engines, d.Services, d.Slots)
+	}
+	if d.Speed <= 0 {
+		return fmt.Errorf("--embedded-speed: value %v is not above zero", d.Speed)
+	}
+	return nil
+}
+
 // embeddedStopTimeout bounds the graceful stop of the embedded deployment.
 const embeddedStopTimeout = 10 * time.Second
 
@@ -25,6 +38,9 @@
 // the target and the workload at it. The returned function stops it.
 func (t *target) startEmbedded(w *load.Workload) (stop func(), err error) {
 	size := t.Embedded
+	if err := size.check(); err != nil {
+		return nil, err
+	}
 	if size.Nodes == 0 {
 		return func() {}, nil
 	}
--- /dev/null
+++ b/cmd/trestle-load/main_test.go
@@ -0,0 +1,15 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"trestle-load": main})
+}
+
+func TestScripts(t *testing.T) {
+	testscript.Run(t, testscript.Params{Dir: "testdata"})
+}
--- a/cmd/trestle-load/run.go
+++ b/cmd/trestle-load/run.go
@@ -20,6 +20,9 @@
 
 // Run offers the workload; it fails where a promise was broken.
 func (c *runCommand) Run() error {
+	if c.Scale <= 0 {
+		return fmt.Errorf("--scale: value %v is not above zero", c.Scale)
+	}
 	data, err := os.ReadFile(c.Workload)
 	if err != nil {
 		return err
