estimate: bound odd lengths, trust sketches sooner; refuse by the 90th percentile

Most were long reviews cut off at their end: each pool sees few reviews, so that its estimate fell back to all classes' lengths for long, and the median let half of those bound last run into their end.

Change: a sketch is trusted from 10 answers (30 before), and a request is of no more use once the 90th percentile does not fit (median before). A test found that one absurd length collapsed a sketch to its value: lengths are now bounded.

--- a/internal/estimate/lengths.go
+++ b/internal/estimate/lengths.go
@@ -5,8 +5,13 @@
 	"time"
 )
 
-// DefaultMaxSketches bounds the workspaces' sketches of one Lengths.
-const DefaultMaxSketches = 2048
+// maxLength is the longest answer told apart, in tokens. Without it one absurd
+// length would use up a sketch's bins.
+const maxLength = 1 << 17
+
+// DefaultMaxSketches bounds the workspaces' sketches of one Lengths. A sketch
+// takes about 1.5 KiB a generation, so that eight upstreams stay under 13 MiB.
+const DefaultMaxSketches = 512
 
 // Lengths estimates answers' lengths in tokens for one upstream, by class and
 // workspace; where too few were seen by class, then over all. It is not safe
@@ -50,7 +55,7 @@
 	if tokens < 1 {
 		return
 	}
-	length := float64(tokens)
+	length := float64(min(tokens, maxLength))
 	if l.all == nil {
 		l.all = newSketch(now)
 	}
--- a/internal/estimate/sketch.go
+++ b/internal/estimate/sketch.go
@@ -18,7 +18,7 @@
 	// as long again.
 	generation = 5 * time.Minute
 	// minCount is the number of lengths from which a sketch is trusted.
-	minCount = 30
+	minCount = 10
 	// refresh is how many new lengths make the kept quantiles out of date.
 	refresh = 16
 )
--- a/internal/router/pool_item.go
+++ b/internal/router/pool_item.go
@@ -75,7 +75,7 @@
 	if p.without.Estimates {
 		return request.GiveUpAt
 	}
-	return startBy(request.Arrived, request.GiveUpAt, p.service(request, estimate.Median))
+	return startBy(request.Arrived, request.GiveUpAt, p.service(request, estimate.P90))
 }
 
 // startBy is when to start at the latest for an end at by.
