router: look at the estimate again when a request is about to run

Requests that came before the first estimates kept their give-up time as the latest useful start, and ran into it.

Change: the latest useful start is worked out again at the binding.

--- a/internal/router/pool_next.go
+++ b/internal/router/pool_next.go
@@ -18,17 +18,19 @@
 
 func (p *Pool) expire(now time.Time, events []Event) []Event {
 	for i := p.queue.Expired(now); i != nil; i = p.queue.Expired(now) {
-		reason := refusal.TooLate
-		message := "the answer would come too late to be of use"
-		if !i.Value.request.GiveUpAt.After(now) {
-			reason = refusal.GaveUpWaiting
-			message = "no replica came free in time"
-		}
-		events = append(events, p.giveUp(i, reason, message))
+		events = append(events, p.giveUpLate(now, i))
 	}
 	return events
 }
 
+// giveUpLate refuses a request that is of no more use.
+func (p *Pool) giveUpLate(now time.Time, i *item) Event {
+	if i.Value.request.GiveUpAt.After(now) {
+		return p.giveUp(i, refusal.TooLate, "the answer would come too late to be of use")
+	}
+	return p.giveUp(i, refusal.GaveUpWaiting, "no replica came free in time")
+}
+
 // giveUp refuses a request that has left the queue.
 func (p *Pool) giveUp(i *item, reason refusal.Reason, message string) Event {
 	p.leave(i)
@@ -48,6 +50,13 @@
 		if i == nil {
 			break
 		}
+		if !p.uselessFrom(&i.Value.request).After(now) {
+			// The estimate has grown since the request came.
+			p.queue.Restore(now, i)
+			p.queue.Remove(i)
+			events = append(events, p.giveUpLate(now, i))
+			continue
+		}
 		replica := p.choose(i.Value)
 		if replica == nil {
 			passed = append(passed, i)
