--- a/internal/handover/metrics.go
+++ b/internal/handover/metrics.go
@@ -23,3 +23,9 @@
 	reg.MustRegister(m.verdicts, m.refusedWaiting, m.refused, m.phases, m.retries)
 	return m
 }
+
+func (m *Metrics) countPhase(before, after Move) {
+	if before.Phase != after.Phase {
+		m.phases.WithLabelValues(string(after.Role), string(after.Phase)).Inc()
+	}
+}
--- a/internal/handover/source.go
+++ b/internal/handover/source.go
@@ -52,7 +52,7 @@
 // Move must be durable before the actions are carried out.
 func (s Source) Step(in SourceInput, now time.Time) (Source, []Action) {
 	if s.Move.Phase.Final() {
-		return s, s.farewell(in)
+		return s, nil
 	}
 	s.Nodes = slices.Clone(s.Nodes)
 	s.Sent = slices.Clone(s.Sent)
@@ -86,6 +86,8 @@
 		s.Parts = in.Parts
 	case SourcePartTaken:
 		s.taken(in.Part)
+	case SourceResend:
+		s.Sent = nil
 	case SourceOpened:
 		if s.Move.Phase == PhaseSealed {
 			s.Move = s.Move.inPhase(PhaseOpened, now)
@@ -121,14 +123,3 @@
 	s.Move.Reason = in.Reason
 	return s
 }
-
-// farewell answers a late message of a target that has not heard of the end.
-func (s Source) farewell(in SourceInput) []Action {
-	if s.Move.Phase == PhaseAbandoned {
-		return []Action{s.send(Message{Kind: MessageAbandon, Reason: s.Move.Reason})}
-	}
-	if in.Kind == SourceOpened {
-		return []Action{s.send(Message{Kind: MessageDone})}
-	}
-	return nil
-}
--- a/internal/handover/source_input.go
+++ b/internal/handover/source_input.go
@@ -27,6 +27,8 @@
 	SourceExported SourceInputKind = "exported"
 	// SourcePartTaken is the target's receipt for a part.
 	SourcePartTaken SourceInputKind = "part-taken"
+	// SourceResend says that the target lacks parts.
+	SourceResend SourceInputKind = "resend"
 	// SourceSettled says that nothing is in flight and all late parts are taken.
 	SourceSettled SourceInputKind = "settled"
 )
--- a/internal/intent/abandon.go
+++ b/internal/intent/abandon.go
@@ -1,6 +1,10 @@
 package intent
 
-import "context"
+import (
+	"context"
+
+	"galenatrestle/internal/platform/readback"
+)
 
 // abandonTries bounds the rounds against an executor that records progress at
 // the same time.
@@ -24,7 +28,7 @@
 			return nil, err
 		}
 		plan, err = s.abandon(ctx, plan)
-		if !isConflict(err) {
+		if !readback.IsConflict(err) {
 			return plan, err
 		}
 	}
--- a/internal/intent/confirm.go
+++ b/internal/intent/confirm.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+
+	"galenatrestle/internal/platform/readback"
 )
 
 // Confirm starts a proposed plan. It returns nil only once the write that
@@ -31,7 +33,7 @@
 		return nil, ErrTooManyActive
 	}
 	err = s.writeHead(ctx, h.with(plan, operator, s.now()), plan.Base.Head)
-	if isConflict(err) {
+	if readback.IsConflict(err) {
 		return s.lostRace(ctx, plan)
 	}
 	if err != nil {
--- a/internal/intent/errors.go
+++ b/internal/intent/errors.go
@@ -13,9 +13,6 @@
 	ErrSuperseded = errors.New("intent: superseded by an executor with a higher epoch")
 	// ErrTooManyActive says that MaxActive plans run already.
 	ErrTooManyActive = errors.New("intent: too many plans are running")
-	// ErrNotKnown says that a write may or may not have taken effect and that
-	// reading back failed as well; asking again is safe.
-	ErrNotKnown = errors.New("intent: not known whether the write took effect; ask again")
 )
 
 // StaleError says that a plan's base moved, and through whom.
--- a/internal/intent/executor.go
+++ b/internal/intent/executor.go
@@ -6,6 +6,8 @@
 	"fmt"
 
 	"github.com/sirupsen/logrus"
+
+	"galenatrestle/internal/platform/readback"
 )
 
 // Executor carries out confirmed plans. One process at a time runs it, under a
@@ -62,7 +64,7 @@
 			return e.retire(ctx, plan)
 		}
 		more, err := e.turn(ctx, plan, epoch)
-		if isConflict(err) {
+		if readback.IsConflict(err) {
 			// An operator or another executor wrote: look again.
 			e.metrics.conflicts.Inc()
 			continue
--- a/internal/intent/record.go
+++ b/internal/intent/record.go
@@ -1,6 +1,10 @@
 package intent
 
-import "context"
+import (
+	"context"
+
+	"galenatrestle/internal/platform/readback"
+)
 
 // recordWait records why a step waits, if that has changed.
 func (e *Executor) recordWait(ctx context.Context, plan *Plan, number int, wait string) error {
@@ -56,7 +60,7 @@
 			return true, nil
 		}
 		err = e.store.writeHead(ctx, h.without(plan, e.store.now()), revision)
-		if !isConflict(err) {
+		if !readback.IsConflict(err) {
 			return true, err
 		}
 	}
--- a/internal/intent/store.go
+++ b/internal/intent/store.go
@@ -8,6 +8,7 @@
 
 	"galenatrestle/internal/errs"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/readback"
 )
 
 // Keys of the plans in the platform's service.
@@ -16,9 +17,6 @@
 	PlanPrefix = "intent/plan/"
 )
 
-// readBackTries bounds the reads that resolve a lost answer.
-const readBackTries = 3
-
 // Bases tells the configuration that plans stand on.
 type Bases interface {
 	// ConfigRevision returns the newest accepted configuration's revision, the
@@ -121,7 +119,7 @@
 	if err != nil {
 		return err
 	}
-	_, err = s.write(ctx, KeyHead, expect, value, h.WriteID)
+	_, err = readback.Write(ctx, s.kv, KeyHead, expect, value, h.WriteID)
 	return err
 }
 
@@ -134,7 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
-	entry, err := s.write(ctx, PlanPrefix+plan.ID, plan.Revision, value, written.WriteID)
+	entry, err := readback.Write(ctx, s.kv, PlanPrefix+plan.ID, plan.Revision, value, written.WriteID)
 	if err != nil {
 		return nil, err
 	}
@@ -142,33 +140,6 @@
 	return written, nil
 }
 
-// write is a compare-and-swap whose lost answer is resolved by reading the
-// write's id back. An error that wraps ErrNotKnown leaves it open.
-func (s *Store) write(ctx context.Context, key string, expect int64, value []byte, writeID string) (platform.Entry, error) {
-	entry, err := s.kv.CompareAndSwap(ctx, key, expect, value)
-	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
-		return entry, errs.Wrap(errs.Platform, err, "write", key)
-	}
-	for range readBackTries {
-		entry, err = s.kv.Get(ctx, key)
-		if err == nil && hasWriteID(entry, writeID) {
-			return entry, nil
-		}
-		if err == nil && entry.Revision != expect {
-			return entry, errs.Wrap(errs.Platform, &platform.ConflictError{Key: key, Expect: expect, Current: entry}, "write", key)
-		}
-		// Still at the expected revision: the write may yet arrive.
-	}
-	return platform.Entry{}, errs.Wrap(errs.Platform, errors.Join(ErrNotKnown, err), "read back", key)
-}
-
-func hasWriteID(entry platform.Entry, id string) bool {
-	var stamp struct {
-		WriteID string `json:"write_id"`
-	}
-	return json.Unmarshal(entry.Value, &stamp) == nil && stamp.WriteID == id
-}
-
 func decodePlan(entry platform.Entry) (*Plan, error) {
 	plan := &Plan{}
 	if err := json.Unmarshal(entry.Value, plan); err != nil {
@@ -177,8 +148,3 @@
 	plan.Revision = entry.Revision
 	return plan, nil
 }
-
-func isConflict(err error) bool {
-	var conflict *platform.ConflictError
-	return errors.As(err, &conflict)
-}
