--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,7 +22,9 @@
 	gateway  *gateway.Server
 	engines  *upstream.Engine
 	services *upstream.Service
-	members  *staticView
+	members  *members
+	peers    *peers
+	answers  *answers
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -33,21 +35,30 @@
 	n := &Node{
 		options:  options,
 		dispatch: dispatch.New(options.AvailabilityZone, options.Seed),
-		engines:  upstream.NewEngine(upstream.Options{}),
 		services: upstream.NewService(upstream.Options{}),
 	}
-	n.members = newStaticView(n)
-	n.gateway = gateway.New(gateway.Options{
-		Node:     options.Name,
+	n.peers = newPeers(options)
+	n.members = newMembers(options, n.peers, n.dispatch)
+	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
+	n.answers = newAnswers(options, n.members.runner, n.peers)
+	n.gateway = gateway.New(n.gatewayOptions())
+	return n
+}
+
+// gatewayOptions names the parts that the callers' side works with.
+func (n *Node) gatewayOptions() gateway.Options {
+	options := gateway.Options{
+		Node:     n.options.Name,
 		Config:   n.config.Load,
-		Members:  n.members,
+		Members:  n.members.runner,
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
-		Registry: options.Registry,
-		Log:      options.Log,
-	})
-	return n
+		Registry: n.options.Registry,
+		Log:      n.options.Log,
+	}
+	n.answers.offer(&options)
+	return options
 }
 
 // Configure puts a configuration into force; a lower revision than the one in
@@ -57,6 +68,8 @@
 		return
 	}
 	n.dispatch.Configure(index.Document())
+	n.answers.configure(index.Document())
+	n.members.configure(index)
 	n.config.Store(index)
 }
 
@@ -64,6 +77,9 @@
 func (n *Node) Start() {
 	n.serve("entry", n.options.Entry, n.gateway)
 	n.serve("ops", n.options.Ops, n.opsHandler())
+	n.servePeers()
+	n.members.start()
+	n.answers.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -71,6 +87,7 @@
 // ctx's error where that took too long.
 func (n *Node) Stop(ctx context.Context) error {
 	n.leaving.Store(true)
+	n.members.runner.Leave()
 	if err := n.waitKeepTime(ctx); err != nil {
 		return err
 	}
@@ -81,6 +98,9 @@
 			first = err
 		}
 	}
+	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
+		first = err
+	}
 	n.close()
 	return first
 }
@@ -90,10 +110,14 @@
 	for _, server := range n.servers {
 		_ = server.Close()
 	}
+	_ = n.peers.server.Close()
 	n.close()
 }
 
 func (n *Node) close() {
+	n.answers.close()
+	n.members.close()
+	n.peers.close()
 	n.dispatch.Close()
 	n.engines.Close()
 	n.services.Close()
