memstore: one copy less in a compare-and-swap

Cause: the entry returned was copied once more though the caller has the value.

Change: the entry returned has the caller's own slice; the store keeps a copy.

--- a/internal/platform/memstore/keys.go
+++ b/internal/platform/memstore/keys.go
@@ -41,7 +41,8 @@
 	return found, s.revision, nil
 }
 
-// CompareAndSwap implements platform.Store.
+// CompareAndSwap implements platform.Store. The value of the entry returned is
+// the caller's own slice; the store keeps a copy.
 func (s *Store) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte) (platform.Entry, error) {
 	const call = platform.CallCompareAndSwap
 	if err := s.begin(ctx, call); err != nil {
@@ -71,7 +72,8 @@
 	entry := platform.Entry{Key: key, Value: bytes.Clone(value), Revision: s.revision}
 	s.entries[key] = entry
 	s.publish(platform.Event{Entry: entry})
-	return clone(entry), nil
+	entry.Value = value
+	return entry, nil
 }
 
 // Delete implements platform.Store. A key that does not exist is a conflict
