--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -13,8 +13,10 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/node"
+	"galenatrestle/internal/platform/memstore"
 	"galenatrestle/internal/standin"
 	"galenatrestle/internal/standin/engine"
+	"galenatrestle/internal/standin/platform"
 	"galenatrestle/internal/standin/service"
 )
 
@@ -25,6 +27,8 @@
 	standins *standins
 	// links are the nodes' peer addresses.
 	links []string
+	// clients are the nodes' links to the platform.
+	clients []*platformClient
 }
 
 // Start starts a deployment on loopback.
@@ -71,6 +75,8 @@
 		return nil, err
 	}
 	name := fmt.Sprintf("vm-%d", i)
+	client := newPlatformClient(d.standins.platformAddress)
+	d.clients = append(d.clients, client)
 	options := node.Options{
 		Name:             name,
 		AvailabilityZone: zoneOf(i, d.options),
@@ -79,6 +85,8 @@
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
+		Store:            client.store,
+		Instances:        client.store,
 		KeepTime:         d.options.KeepTime,
 		Seed:             d.options.Seed + uint64(i),
 		Registry:         prometheus.NewRegistry(),
@@ -90,12 +98,21 @@
 		if err != nil {
 			return nil, err
 		}
-		handler := standin.Handler(d.standins.named)
-		options.OpsHandlers = map[string]node.Handler{"/standin": handler, "/standin/": handler}
+		options.OpsHandlers = d.switches()
 	}
 	return node.New(options), nil
 }
 
+// switches returns the handlers of the stand-ins' fault switches.
+func (d *Deployment) switches() map[string]node.Handler {
+	handler := standin.Handler(d.standins.named)
+	return map[string]node.Handler{
+		"/standin":                       handler,
+		"/standin/":                      handler,
+		"/standin/" + platformName + "/": platform.Switches(platformName, d.standins.platform),
+	}
+}
+
 // listen takes the port base+i, or a free one where base is 0.
 func listen(base, i int) (net.Listener, error) {
 	port := 0
@@ -150,9 +167,21 @@
 // Engine returns the i-th engine stand-in.
 func (d *Deployment) Engine(i int) *engine.Engine { return d.standins.engines[i] }
 
+// Services returns the number of plain-service stand-ins.
+func (d *Deployment) Services() int { return len(d.standins.services) }
+
 // Service returns the i-th plain-service stand-in.
 func (d *Deployment) Service(i int) *service.Service { return d.standins.services[i] }
 
+// Platform returns the platform stand-in.
+func (d *Deployment) Platform() *memstore.Store { return d.standins.platform }
+
+// Kill ends a node as a crash does: it says nothing more to anybody.
+func (d *Deployment) Kill(i int) {
+	d.clients[i].sever()
+	d.Nodes[i].Close()
+}
+
 // Stop shuts all nodes down gracefully at the same time, then the stand-ins.
 func (d *Deployment) Stop(timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(context.Background(), timeout)
--- a/internal/embedded/options.go
+++ b/internal/embedded/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"galenatrestle/internal/platform/memstore"
 	"galenatrestle/internal/standin/engine"
 	"galenatrestle/internal/standin/service"
 )
@@ -22,6 +23,8 @@
 	// Engine and Service are the stand-ins' settings; their names are set here.
 	Engine  engine.Options
 	Service service.Options
+	// Platform is the platform stand-in's settings.
+	Platform memstore.Config
 	// Config is the configuration's text/template; its data is ConfigData.
 	// Default: the classes of both users.
 	Config string
--- /dev/null
+++ b/internal/gateway/noledger.go
@@ -0,0 +1,20 @@
+package gateway
+
+import (
+	"context"
+
+	"galenatrestle/internal/claim"
+	"galenatrestle/internal/refusal"
+)
+
+// noLedger refuses every unrepeatable call: it stands in for the ledger on a
+// node that has no platform.
+type noLedger struct{}
+
+// Begin implements claim.Ledger.
+func (noLedger) Begin(context.Context, claim.Key, claim.Fingerprint) (claim.Grant, error) {
+	return claim.Grant{}, refusal.New(refusal.ClaimStoreDown, "claim", "this node has no platform to record the call in")
+}
+
+// Finish implements claim.Ledger; nothing was ever begun.
+func (noLedger) Finish(context.Context, claim.Token, claim.Outcome) error { return nil }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -28,7 +28,8 @@
 	// Engines and Services call the upstreams.
 	Engines  *upstream.Engine
 	Services *upstream.Service
-	// Ledger makes unrepeatable calls run at most once.
+	// Ledger makes unrepeatable calls run at most once. Default: one that
+	// refuses them all.
 	Ledger claim.Ledger
 	// Retries decides on further attempts. Default: the default limits.
 	Retries *retry.Policy
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -19,6 +19,9 @@
 // New returns a server; its options must be complete.
 func New(options Options) *Server {
 	options = options.withDefaults()
+	if options.Ledger == nil {
+		options.Ledger = noLedger{}
+	}
 	s := &Server{
 		options: options,
 		metrics: newMetrics(options.Registry),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	members  *members
 	peers    *peers
 	answers  *answers
+	claims   *claims
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -41,6 +42,7 @@
 	n.members = newMembers(options, n.peers, n.dispatch)
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
+	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -58,6 +60,7 @@
 		Log:      n.options.Log,
 	}
 	n.answers.offer(&options)
+	n.claims.offer(&options)
 	return options
 }
 
@@ -80,6 +83,7 @@
 	n.servePeers()
 	n.members.start()
 	n.answers.start()
+	n.claims.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -98,6 +102,7 @@
 			first = err
 		}
 	}
+	n.claims.close()
 	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
 		first = err
 	}
@@ -115,6 +120,7 @@
 }
 
 func (n *Node) close() {
+	n.claims.close()
 	n.answers.close()
 	n.members.close()
 	n.peers.close()
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -39,7 +39,7 @@
 	case errors.Is(err, configsync.ErrNoSuchProposal), errors.Is(err, configsync.ErrNoSuchRevision),
 		errors.Is(err, intent.ErrUnknownPlan), errors.Is(err, ErrUnknownPlan):
 		return connect.CodeNotFound
-	case errors.Is(err, configsync.ErrUnknownOutcome), errors.Is(err, intent.ErrNotKnown):
+	case errors.Is(err, configsync.ErrUnknownOutcome):
 		return connect.CodeUnknown
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
 		return connect.CodeUnavailable
--- a/internal/promises/caller_test.go
+++ b/internal/promises/caller_test.go
@@ -48,6 +48,8 @@
 	stream  bool
 	// header holds further headers.
 	header map[string]string
+	// begun, where set, is called once the response has begun or failed.
+	begun func()
 }
 
 // outcome is what the caller saw.
@@ -77,6 +79,9 @@
 		return outcome{err: err}
 	}
 	response, err := post(ctx, c, "/v1/chat/completions", string(body))
+	if c.begun != nil {
+		c.begun()
+	}
 	if err != nil {
 		return outcome{err: err}
 	}
