--- a/internal/handover/driver_source.go
+++ b/internal/handover/driver_source.go
@@ -97,7 +97,7 @@
 }
 
 func (d *Driver) export(ctx context.Context, run *sourceRun, move Move) ([]SourceInput, error) {
-	parts, err := d.cfg.Claims.Export(ctx, move.Set)
+	parts, err := d.cfg.Claims.Export(ctx, move.Set, move.Epoch)
 	if err != nil {
 		return nil, err
 	}
@@ -129,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	parts, err := d.cfg.Claims.Export(ctx, move.Set)
+	parts, err := d.cfg.Claims.Export(ctx, move.Set, move.Epoch)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/handover/ports.go
+++ b/internal/handover/ports.go
@@ -5,13 +5,15 @@
 // ClaimMover moves the claims of unrepeatable calls and their recorded
 // outcomes. Both methods are idempotent.
 type ClaimMover interface {
-	// Export stops new claims of the set here, durably, and returns all claims
-	// and outcomes of the set in at least one part of at most 512 KiB each. It
-	// is called after the seal, and again for outcomes that came later.
-	Export(ctx context.Context, set Set) ([][]byte, error)
-	// Import makes one part durable here; a recorded outcome is never replaced
+	// Export stops new claims of the set here, durably, as of the move's epoch,
+	// and returns all claims and outcomes of the set in at least one part of at
+	// most 512 KiB each. It is called after the seal, and again for outcomes
+	// that came later.
+	Export(ctx context.Context, set Set, epoch int64) ([][]byte, error)
+	// Import makes one part of the move at epoch durable here and lifts what an
+	// Export of a lower epoch has stopped. A recorded outcome is never replaced
 	// by an open claim.
-	Import(ctx context.Context, set Set, claims []byte) error
+	Import(ctx context.Context, set Set, epoch int64, claims []byte) error
 }
 
 // Preparer makes the target able to serve a set.
--- a/internal/handover/receiver.go
+++ b/internal/handover/receiver.go
@@ -83,7 +83,8 @@
 // refuseOffer says why an offer can't be taken beside the moves known here.
 func refuseOffer(moves []Move, m Message) string {
 	for _, known := range moves {
-		if !known.Set.Overlaps(m.Set) {
+		// The move itself: a copy of the offer came first.
+		if known.ID == m.MoveID || !known.Set.Overlaps(m.Set) {
 			continue
 		}
 		if !known.Phase.Final() {
@@ -111,7 +112,7 @@
 	t := Target{Move: move}
 	in := TargetInput{Kind: TargetMessage, Message: m}
 	if t.Imports(m) {
-		if err := r.claims.Import(ctx, move.Set, m.Claims); err != nil {
+		if err := r.claims.Import(ctx, move.Set, move.Epoch, m.Claims); err != nil {
 			return Receipt{}, err
 		}
 		in.Kind = TargetImported
--- a/internal/intent/errors.go
+++ b/internal/intent/errors.go
@@ -3,8 +3,14 @@
 import (
 	"errors"
 	"fmt"
+
+	"galenatrestle/internal/platform/readback"
 )
 
+// ErrNotKnown says that a write may or may not have taken effect; asking again
+// is safe.
+var ErrNotKnown = readback.ErrNotKnown
+
 // Sentinel errors of plans.
 var (
 	// ErrUnknownPlan says that no plan has the id.
