claim: outages, full ledger, recovery, random faults

Cause: the promise must hold with the platform down at each step and under faults that come together. Mended by them: a repeat of a call that ran was told not-run while its outcome waited for the platform, it is told in progress now; a claim that is given up is released at once and not at the next look.

--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -131,6 +131,7 @@
 		}
 		s.mu.Lock()
 		s.stuck = tries >= stuckTries
+		s.advance()
 		s.mu.Unlock()
 		if !pause(live, s.options) {
 			return 0, errUncertain
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -15,6 +15,9 @@
 // modelPrefix is the shard's prefix in the model.
 const modelPrefix = "claims/"
 
+// modelKeys are the platform keys of the model's ring.
+var modelKeys = [2]string{segmentKey(modelPrefix, 0), segmentKey(modelPrefix, 1)}
+
 var (
 	modelKey     = Key{Workspace: "w", Upstream: "u", IdempotencyKey: "k"}
 	modelNow     = time.UnixMilli(1_700_000_000_000)
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -127,7 +127,7 @@
 // abandon gives the attempt up for good.
 func (n *Node) abandon(request BeginRequest) {
 	n.metrics.abandoned.Inc()
-	n.later(FinishRequest{Key: request.Key, Attempt: request.Attempt, Phase: phaseReleased})
+	n.soon(FinishRequest{Key: request.Key, Attempt: request.Attempt, Phase: phaseReleased})
 }
 
 // gaveUp is the refusal of a claim that was not settled in time.
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -90,25 +90,30 @@
 	if err != nil {
 		return Decision{}, errUncertain
 	}
-	if number == 0 {
+	if number == 0 || decision.Refused != "" {
 		return decision, nil
 	}
 	s.signal()
-	if err := s.wait(ctx, current, number); err != nil {
-		return Decision{}, err
+	others := decision.Verdict != 0 && decision.Verdict != Run
+	err = s.wait(ctx, current, number, others)
+	if err == nil {
+		return decision, nil
+	}
+	if err == errStuck {
+		return Decision{Verdict: InProgress}, nil
 	}
-	return decision, nil
+	return Decision{}, err
 }
 
-// remembered answers what was durable when the shard was last held here. It is
-// told only where no holder can be asked, as in a platform outage, and gives no
-// right to run.
+// remembered answers what was known when the shard was last held here: what was
+// durable, and in progress for what was not. It is told only where no holder
+// can be asked, as in a platform outage, and gives no right to run.
 func (s *shard) remembered(command BeginCommand) Decision {
 	if s.ring == nil {
 		return Decision{}
 	}
 	current, exists := s.ring.index[digestOf(command.Key)]
-	if !exists || s.ring.undurable(current) != 0 {
+	if !exists {
 		return Decision{}
 	}
 	state, err := s.ring.lookup(current, exists, command.Now)
@@ -120,6 +125,9 @@
 	if decision.Verdict == Run || decision.Refused == refusal.ClaimStoreDown {
 		return Decision{}
 	}
+	if decision.Verdict != 0 && s.ring.undurable(current) != 0 {
+		return Decision{Verdict: InProgress}
+	}
 	return decision
 }
 
@@ -142,12 +150,15 @@
 // compactInterval is the least time between two compactions of a full shard.
 const compactInterval = time.Second
 
-// wait returns once the change is durable in the ring, else errUncertain.
-func (s *shard) wait(ctx context.Context, current *ring, number int64) error {
+// wait returns once the change is durable in the ring, else errUncertain. For
+// another attempt's change it returns errStuck as soon as the platform does not
+// answer: what that attempt did is under way, and not-run would be untrue.
+func (s *shard) wait(ctx context.Context, current *ring, number int64, others bool) error {
 	for {
 		s.mu.Lock()
 		durable := current.durable >= number
 		dropped := s.ring != current || !s.holding
+		stuck := s.stuck && others
 		progress := s.progress
 		s.mu.Unlock()
 		if durable {
@@ -156,6 +167,9 @@
 		if dropped {
 			return errUncertain
 		}
+		if stuck {
+			return errStuck
+		}
 		select {
 		case <-progress:
 		case <-ctx.Done():
--- a/internal/claim/unfinished.go
+++ b/internal/claim/unfinished.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -23,12 +24,16 @@
 // becomes unknown, so that the call still runs at most once.
 type unfinished struct {
 	bound int
+	// added wakes the recorder for an outcome that is new to the queue.
+	added chan struct{}
 
 	mu      sync.Mutex
 	waiting []FinishRequest
 }
 
-func newUnfinished(bound int) *unfinished { return &unfinished{bound: bound} }
+func newUnfinished(bound int) *unfinished {
+	return &unfinished{bound: bound, added: make(chan struct{}, 1)}
+}
 
 // add returns false where the queue is full.
 func (u *unfinished) add(request FinishRequest) bool {
@@ -75,7 +80,7 @@
 			return nil
 		}
 		if ctx.Err() != nil || !pause(ctx, n.options) {
-			n.later(request)
+			n.soon(request)
 			return err
 		}
 	}
@@ -91,6 +96,15 @@
 	n.metrics.unfinished.Set(float64(n.unfinished.len()))
 }
 
+// soon records the outcome in the background without waiting for the next look.
+func (n *Node) soon(request FinishRequest) {
+	n.later(request)
+	select {
+	case n.unfinished.added <- struct{}{}:
+	default:
+	}
+}
+
 func (n *Node) finished(request FinishRequest, result string) {
 	n.metrics.finishes.WithLabelValues(request.Phase.String(), result).Inc()
 }
@@ -98,12 +112,25 @@
 // recordUnfinished records outcomes until ctx ends, and tries what is left
 // once more then.
 func (n *Node) recordUnfinished(ctx context.Context) {
-	for sleep(ctx, n.options.jitters.around(n.options.TendInterval)) {
+	for n.restUntilAdded(ctx) {
 		n.recordOnce(ctx)
 	}
 	n.recordOnce(context.WithoutCancel(ctx))
 }
 
+// restUntilAdded waits for a new outcome or the next look at the old ones. It
+// returns false when ctx ended.
+func (n *Node) restUntilAdded(ctx context.Context) bool {
+	timer := time.NewTimer(n.options.jitters.around(n.options.TendInterval))
+	defer timer.Stop()
+	select {
+	case <-n.unfinished.added:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
 func (n *Node) recordOnce(ctx context.Context) {
 	var group errgroup.Group
 	group.SetLimit(recorders)
