--- a/cmd/trestle-load/run.go
+++ b/cmd/trestle-load/run.go
@@ -11,13 +11,18 @@
 )
 
 type runCommand struct {
-	Workload string  `arg:"" type:"existingfile" help:"Workload file (YAML)."`
-	Seed     *uint64 `help:"Use this seed in place of the workload's."`
+	Workload   string  `arg:"" type:"existingfile" help:"Workload file (YAML)."`
+	Seed       *uint64 `help:"Use this seed in place of the workload's."`
+	EngineSeed *uint64 `help:"The engines' seed of answer lengths, in place of the workload's."`
+	Scale      float64 `default:"1" help:"Multiply all rates by this."`
 	target
 }
 
 // Run offers the workload; it fails where a promise was broken.
 func (c *runCommand) Run() error {
+	if c.Scale <= 0 {
+		return fmt.Errorf("--scale: value %v is not above zero", c.Scale)
+	}
 	data, err := os.ReadFile(c.Workload)
 	if err != nil {
 		return err
@@ -29,6 +34,10 @@
 	if c.Seed != nil {
 		w.Seed = *c.Seed
 	}
+	if c.EngineSeed != nil {
+		w.EngineSeed = *c.EngineSeed
+	}
+	w.Scale(c.Scale)
 	requests := load.Plan(w)
 	load.Stamp(requests, uuid.NewString())
 	collector, truth, err := c.send(w, requests)
