claim: take the node's name from a lease holder's

Cause: a lease's holder names one run of a process, the ledger looked for a node of that name and found none.

--- a/internal/claim/tender.go
+++ b/internal/claim/tender.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
 	"galenatrestle/internal/membership"
-	"galenatrestle/internal/platform"
 )
 
 // tender decides for one shard whether this node tries to hold it, and knows
@@ -71,12 +69,8 @@
 	call, cancel := context.WithTimeout(ctx, t.options.CallTimeout)
 	tenure, err := t.options.Leases.Acquire(call, t.name)
 	cancel()
-	var held *platform.HeldError
-	if errors.As(err, &held) {
-		t.holderIs(held.Current.Holder)
-		return
-	}
 	if err != nil {
+		t.holderIs(holderNode(err))
 		return
 	}
 	self := t.options.View.Self().Name
--- a/internal/claim/tenure.go
+++ b/internal/claim/tenure.go
@@ -16,6 +16,7 @@
 // Leases grants leases by name.
 type Leases interface {
 	// Acquire returns a tenure, or an error that wraps *platform.HeldError
-	// where another node holds the lease.
+	// where another node holds the lease. A holder is named by its node, or by
+	// its node, a slash and an id of its run.
 	Acquire(ctx context.Context, name string) (Tenure, error)
 }
