gateway: hedge a late first token

Cause: a request bound to a straggler waits for it, however free the others are.

Change: a class with 'hedge: true' at tier 0 gets a second attempt on another replica once the 95th percentile of first token times has passed, within the retry budget. The lane that answers first is passed on; the other is closed, which tells its engine. The fingerprint stands in one place now.

Measured: go test -race -count=5 on internal/embedded (hedge, crash, poison, resume, caller gone, client, refusals) passes.

--- a/internal/gateway/again.go
+++ b/internal/gateway/again.go
@@ -15,7 +15,7 @@
 // refusal where none does, else it prepares the exchange for it.
 func (e *exchange) again(ctx context.Context, err error) *refusal.Error {
 	if e.record != nil {
-		e.record.Release(e.attempts)
+		e.record.Release(e.current)
 	}
 	var failed *upstream.Error
 	if ctx.Err() != nil || !errors.As(err, &failed) || failed.Kind == upstream.Cancelled {
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -10,6 +10,7 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/openai"
+	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 )
@@ -185,23 +186,11 @@
 		PromptTokens: len(p.prompt)/bytesPerToken + 1,
 		MaxTokens:    p.maxTokens(),
 		PrefixHashes: prefixHashes(p.prompt),
-		Fingerprint:  p.fingerprint(c),
+		Fingerprint:  uint64(quarantine.FingerprintOf(c.workspace.Name, p.request.Model, p.prompt)),
 		Attempt:      1,
 	}
 }
 
-// fingerprint identifies the request's content: workspace, model and prompt.
-func (p *completion) fingerprint(c *call) uint64 {
-	var h xxhash.Digest
-	h.Reset()
-	_, _ = h.WriteString(c.workspace.Name)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.WriteString(p.request.Model)
-	_, _ = h.Write([]byte{0})
-	_, _ = h.Write(p.prompt)
-	return h.Sum64()
-}
-
 // prefixHashes returns the hashes of the prompt's prefixes, shortest first.
 func prefixHashes(prompt []byte) []uint64 {
 	var hashes []uint64
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,12 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
 	"galenatrestle/internal/answer"
 	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
 )
 
@@ -35,12 +35,12 @@
 	notRun  int
 	replica string
 	avoid   []string
-	// sentAt is when the current attempt was sent, begun whether it has
-	// brought a token.
-	sentAt time.Time
-	begun  bool
-	first  time.Time
-	tokens int
+	// current is the number of the attempt whose answer is passed on, begun
+	// whether it has brought a token.
+	current int
+	begun   bool
+	first   time.Time
+	tokens  int
 }
 
 // run makes attempts until the answer is whole or given up.
@@ -58,28 +58,46 @@
 	}
 }
 
-// attempt waits for a slot and runs the request once.
+// attempt waits for a slot and runs the request once, or twice beside each
+// other where that is allowed.
 func (e *exchange) attempt(ctx context.Context) error {
-	slot, run, err := e.acquire(ctx)
+	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
 	if err != nil {
 		return err
 	}
 	e.attempts++
-	e.replica = slot.Replica.Name
 	e.observeWait()
-	err = e.pass(ctx, slot.Replica.Address, &progress{exchange: e, slot: slot, run: run})
-	slot.Finish(resultOf(err))
-	e.server.guard.settle(time.Now(), run, err)
+	body, err := e.engineBody()
+	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
 	if err == nil {
-		return nil
+		l = e.openLane(ctx, l, body)
+		err = e.relay(l)
 	}
-	if upstream.KindOf(err) == upstream.NotRun {
-		e.notRun++
+	l.close(err)
+	if err != nil {
+		e.note(l, err)
 	}
-	e.avoid = append(e.avoid, slot.Replica.Name)
 	return err
 }
 
+// note remembers a failed attempt.
+func (e *exchange) note(l *lane, err error) {
+	if l.slot == nil || upstream.KindOf(err) == upstream.NotRun {
+		e.notRun++
+	}
+	if l.slot != nil {
+		e.avoid = append(e.avoid, l.slot.Replica.Name)
+	}
+}
+
+// routerRequest is what the decisions know of the next attempt.
+func (e *exchange) routerRequest() router.Request {
+	request := e.completion.routerRequest(e.call)
+	request.Attempt = e.attempts + 1
+	request.Avoid = e.avoid
+	return request
+}
+
 func (e *exchange) observeWait() {
 	if e.attempts > 1 {
 		return
@@ -88,35 +106,23 @@
 	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
 }
 
-// pass hands the request to the replica and its answer to the caller.
-func (e *exchange) pass(ctx context.Context, address string, p *progress) error {
-	body, err := e.engineBody()
-	if err != nil {
-		return err
-	}
-	e.sentAt, e.begun, e.kept = time.Now(), false, 0
-	stream, err := e.server.options.Engines.Start(ctx, address, upstream.EngineCall{
-		ID:     fmt.Sprintf("%s.%d", e.call.id, e.attempts),
-		Path:   e.completion.path,
-		Body:   body,
-		Stream: !e.completion.opaque || e.completion.request.Stream,
-	})
-	if err != nil {
-		return err
+// relay passes an attempt's answer to the caller.
+func (e *exchange) relay(l *lane) error {
+	e.current, e.kept, e.begun = l.number, 0, false
+	data, err := l.first, l.err
+	if l.slot != nil {
+		e.replica = l.slot.Replica.Name
 	}
-	defer stream.Close()
-	for {
-		data, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := e.take(data, p); err != nil {
+	for err == nil {
+		if err := e.take(data, l); err != nil {
 			return err
 		}
+		data, err = l.stream.Next()
 	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
 }
 
 // engineBody is the body of the next attempt.
@@ -128,20 +134,21 @@
 }
 
 // take passes one chunk on and counts it.
-func (e *exchange) take(data []byte, p *progress) error {
+func (e *exchange) take(data []byte, l *lane) error {
 	usage := bytes.Contains(data, usageMark)
 	if usage && e.completion.request.Stream && !e.completion.callerUsage {
 		return nil
 	}
 	if !usage {
 		e.tokens++
-		p.token()
+		l.token(e.begun)
+		e.begun = true
 	}
 	if e.continues != nil {
 		data = e.continues.rebase(data)
 	}
 	if err := e.sink.chunk(data); err != nil {
-		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: p.slot.Replica.Address, Cause: err}
+		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: l.slot.Replica.Address, Cause: err}
 	}
 	return nil
 }
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -77,22 +77,19 @@
 }
 
 // acquire waits for a slot on a replica where the request may run.
-func (e *exchange) acquire(ctx context.Context) (*dispatch.Slot, *quarantine.Run, error) {
-	g := e.server.guard
-	request := e.completion.routerRequest(e.call)
-	request.Attempt = e.attempts + 1
-	request.Avoid = slices.Clone(e.avoid)
+func (s *Server) acquire(ctx context.Context, upstreamName string, request router.Request) (*dispatch.Slot, *quarantine.Run, error) {
+	request.Avoid = slices.Clone(request.Avoid)
 	fingerprint := quarantine.Fingerprint(request.Fingerprint)
 	for {
-		verdict, wait := g.tracker.Decide(time.Now(), fingerprint)
+		verdict, wait := s.guard.tracker.Decide(time.Now(), fingerprint)
 		if verdict == quarantine.Refuse {
 			return nil, nil, quarantined(wait)
 		}
-		slot, err := e.server.options.Dispatch.Acquire(ctx, e.completion.upstream.Name, request)
+		slot, err := s.options.Dispatch.Acquire(ctx, upstreamName, request)
 		if err != nil {
 			return nil, nil, err
 		}
-		run, ok := g.running.Start(e.completion.upstream.Name+"/"+slot.Replica.Name, fingerprint, verdict)
+		run, ok := s.guard.running.Start(upstreamName+"/"+slot.Replica.Name, fingerprint, verdict)
 		if ok {
 			return slot, run, nil
 		}
--- /dev/null
+++ b/internal/gateway/hedge.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"galenatrestle/internal/retry"
+	"galenatrestle/internal/router"
+	"galenatrestle/internal/upstream"
+)
+
+// hedgeSuffix tells a hedge's request for a slot from its first attempt's.
+const hedgeSuffix = ".hedge"
+
+var (
+	// errLostRace ends an attempt whose answer another one began first.
+	errLostRace = &upstream.Error{Kind: upstream.Cancelled, Step: "race", Cause: errors.New("another attempt answered first")}
+	// errNoOtherReplica ends a hedge that found no replica of its own.
+	errNoOtherReplica = &upstream.Error{Kind: upstream.NotRun, Step: "hedge", Cause: errors.New("no other replica is free")}
+)
+
+// openLane opens the attempt and, where its first token is late and the class
+// allows it, a second one beside it. It returns the lane that answered first,
+// or the last one that failed; the other is closed.
+func (e *exchange) openLane(ctx context.Context, primary *lane, body []byte) *lane {
+	after, allowed := e.server.options.Retries.HedgeAfter(e.hedge(0))
+	if !allowed {
+		primary.open(ctx, body)
+		return primary
+	}
+	opened := make(chan *lane, 2)
+	began := time.Now()
+	primaryCtx := primary.withCancel(ctx)
+	go func() {
+		primary.open(primaryCtx, body)
+		opened <- primary
+	}()
+	timer := time.NewTimer(after)
+	defer timer.Stop()
+	select {
+	case l := <-opened:
+		return l
+	case <-timer.C:
+	}
+	if !e.server.options.Retries.ShouldHedge(time.Now(), e.hedge(time.Since(began))) {
+		return <-opened
+	}
+	e.server.metrics.retries.CountHedge()
+	e.attempts++
+	second := &lane{exchange: e, number: e.attempts}
+	secondCtx := second.withCancel(ctx)
+	request := e.hedgeRequest(primary.slot.Replica.Name)
+	go func() {
+		second.openBeside(secondCtx, primary.slot.Replica.Name, request, body)
+		opened <- second
+	}()
+	return e.firstOf(opened, primary, second)
+}
+
+// firstOf returns the first lane that answers; the other one is cancelled.
+// Where the first to come back has failed, the other is waited for.
+func (e *exchange) firstOf(opened <-chan *lane, primary, second *lane) *lane {
+	first := <-opened
+	if first.err != nil {
+		e.note(first, first.err)
+		first.close(first.err)
+		return <-opened
+	}
+	if first == primary {
+		second.cancel()
+	} else {
+		primary.cancel()
+	}
+	go func() {
+		loser := <-opened
+		if loser.err == nil {
+			loser.err = errLostRace
+		}
+		loser.close(loser.err)
+	}()
+	return first
+}
+
+// openBeside waits for a slot on another replica than the first attempt's and
+// opens the attempt there.
+func (l *lane) openBeside(ctx context.Context, other string, request router.Request, body []byte) {
+	l.slot, l.run, l.err = l.exchange.server.acquire(ctx, l.exchange.completion.upstream.Name, request)
+	if l.err != nil {
+		return
+	}
+	if l.slot.Replica.Name == other {
+		l.err = errNoOtherReplica
+		return
+	}
+	l.open(ctx, body)
+}
+
+func (e *exchange) hedgeRequest(other string) router.Request {
+	request := e.routerRequest()
+	request.ID += hedgeSuffix
+	request.Avoid = append(slices.Clone(request.Avoid), other)
+	return request
+}
+
+// hedge is what the decision on a second attempt needs to know.
+func (e *exchange) hedge(waited time.Duration) retry.Hedge {
+	return retry.Hedge{
+		Class:      e.call.class.Name,
+		Upstream:   e.completion.upstream.Name,
+		Tier:       e.call.class.Tier,
+		Allowed:    e.call.class.Hedge && !e.completion.opaque,
+		Repeatable: true,
+		Waited:     waited,
+		Remaining:  time.Until(e.call.giveUpAt),
+		Attempts:   e.attempts,
+	}
+}
--- a/internal/gateway/keep.go
+++ b/internal/gateway/keep.go
@@ -37,7 +37,7 @@
 		return
 	}
 	e.kept++
-	if err := e.record.Append(time.Now(), e.attempts, e.kept, data); err != nil {
+	if err := e.record.Append(time.Now(), e.current, e.kept, data); err != nil {
 		e.server.metrics.unkept.Inc()
 		e.record.Fail(time.Now(), refusal.New(refusal.UnknownRequest, "keep", "the answer is too large to be kept"))
 		e.record = nil
@@ -48,7 +48,7 @@
 func (e *exchange) keepEnd() {
 	if e.record != nil {
 		// It can only have ended before, which keep has noticed.
-		_ = e.record.Finish(time.Now(), e.attempts, e.kept)
+		_ = e.record.Finish(time.Now(), e.current, e.kept)
 	}
 }
 
--- /dev/null
+++ b/internal/gateway/lane.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/upstream"
+)
+
+// lane is one attempt on a replica. It is used by one goroutine at a time.
+type lane struct {
+	exchange *exchange
+	number   int
+	slot     *dispatch.Slot
+	run      *quarantine.Run
+	// cancel ends the attempt's context; nil where it has none of its own.
+	cancel context.CancelFunc
+	sentAt time.Time
+	stream *upstream.Stream
+	// first is the answer's first payload, valid until the stream's next.
+	first []byte
+	// err is why there is no first payload.
+	err error
+}
+
+// withCancel gives the attempt a context of its own.
+func (l *lane) withCancel(ctx context.Context) context.Context {
+	ctx, l.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
+// open hands the request to the replica and waits for the first payload.
+func (l *lane) open(ctx context.Context, body []byte) {
+	e := l.exchange
+	l.sentAt = time.Now()
+	l.stream, l.err = e.server.options.Engines.Start(ctx, l.slot.Replica.Address, upstream.EngineCall{
+		ID:     fmt.Sprintf("%s.%d", e.call.id, l.number),
+		Path:   e.completion.path,
+		Body:   body,
+		Stream: !e.completion.opaque || e.completion.request.Stream,
+	})
+	if l.err != nil {
+		return
+	}
+	l.first, l.err = l.stream.Next()
+}
+
+// close ends the attempt with its error, or nil for a whole answer.
+func (l *lane) close(err error) {
+	if l.stream != nil {
+		_ = l.stream.Close()
+	}
+	if l.cancel != nil {
+		l.cancel()
+	}
+	if l.slot == nil {
+		return
+	}
+	l.slot.Finish(resultOf(err))
+	l.exchange.server.guard.settle(time.Now(), l.run, err)
+}
+
+// token notes one more token; began says whether the attempt had one before.
+func (l *lane) token(began bool) {
+	if began {
+		l.slot.Tokens(1)
+		return
+	}
+	e := l.exchange
+	now := time.Now()
+	if e.first.IsZero() {
+		e.first = now
+	}
+	l.slot.FirstToken()
+	e.server.guard.running.Answered(l.run)
+	if e.completion.opaque {
+		// Its first payload may be the whole answer.
+		return
+	}
+	e.server.options.Retries.ObserveFirstToken(now, e.call.class.Name, e.completion.upstream.Name, now.Sub(l.sentAt))
+}
