--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -184,10 +184,8 @@
 	if err != nil {
 		return "", Record{}, err
 	}
-	for _, accepted := range chain(head, kept) {
-		if accepted.ID == record.ID {
-			return StandingAccepted, head, nil
-		}
+	if _, found := findAccepted(chain(head, kept), record.ID); found {
+		return StandingAccepted, head, nil
 	}
 	return StandingStale, head, nil
 }
--- a/internal/configsync/repository.go
+++ b/internal/configsync/repository.go
@@ -131,7 +131,7 @@
 // createValue writes a key of our own id. A conflict means that an earlier try
 // whose answer was lost took effect.
 func (r *Repository) createValue(ctx context.Context, key string, value []byte) error {
-	err := r.write(ctx, key, 0, value)
+	_, err := r.write(ctx, uniqueWrite(key, 0, value))
 	if isConflict(err) {
 		return nil
 	}
--- a/internal/configsync/retry.go
+++ b/internal/configsync/retry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/resolve"
 )
 
 const (
@@ -16,46 +17,35 @@
 	maxDelay   = 800 * time.Millisecond
 	// maxTries bounds the tries of one call to the platform.
 	maxTries = 6
+	// writeTime bounds one write with all that finds out its outcome.
+	writeTime = 5 * time.Second
 )
 
-// write does one conditional write and finds out whether it took effect: where
-// no answer comes it reads the key back, and repeats the write only where the
-// key is as before, so that it takes effect once at most. Values are unique, so
-// that a key with this value has it by this write. The error is a
-// *platform.ConflictError where another write was first, else it holds
-// platform.ErrUnavailable where the outcome stays unknown.
-func (r *Repository) write(ctx context.Context, key string, expect int64, value []byte) error {
-	unanswered := false
+// write does one conditional write and finds out whether it took effect, also
+// where its answer is lost. It returns the key's entry, a
+// *platform.ConflictError where another write was first, and
+// ErrUnknownOutcome where the platform stayed out of reach.
+func (r *Repository) write(ctx context.Context, write resolve.Write) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTime)
+	defer cancel()
+	var result resolve.Result
 	err := retry(ctx, func() error {
-		_, err := r.store.CompareAndSwap(ctx, key, expect, value)
-		if err == nil || (!unanswered && !errors.Is(err, platform.ErrUnavailable)) {
-			return err
+		result = resolve.CompareAndSwap(ctx, r.store, write, resolve.DefaultPauses)
+		if result.Outcome == resolve.Unknown {
+			return fmt.Errorf("%w: %w", ErrUnknownOutcome, result.Err)
 		}
-		unanswered = true
-		return r.readBack(ctx, key, expect, value)
+		return result.Err
 	})
-	if err != nil && unanswered && !isConflict(err) {
-		return fmt.Errorf("%w: %w", ErrUnknownOutcome, err)
-	}
-	return err
+	return result.Entry, err
 }
 
-// readBack returns nil where the key has the value, a conflict where it has
-// another one than at expect, and ErrUnavailable where it is as before.
-func (r *Repository) readBack(ctx context.Context, key string, expect int64, value []byte) error {
-	entry, err := r.store.Get(ctx, key)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-		entry = platform.Entry{Key: key}
-	case err != nil:
-		return err
-	case bytes.Equal(entry.Value, value):
-		return nil
+// uniqueWrite is a write whose whole value is found in no other one.
+func uniqueWrite(key string, expect int64, value []byte) resolve.Write {
+	return resolve.Write{
+		Key: key, Expect: expect, Value: value,
+		Contains: func(entry platform.Entry) (bool, error) { return bytes.Equal(entry.Value, value), nil },
+		History:  func(platform.Entry) (bool, error) { return false, nil },
 	}
-	if entry.Revision != expect {
-		return &platform.ConflictError{Key: key, Expect: expect, Current: entry}
-	}
-	return platform.ErrUnavailable
 }
 
 func isConflict(err error) bool {
@@ -64,12 +54,16 @@
 }
 
 // retry repeats an idempotent call while the platform does not answer or
-// refuses for its rate. It returns the last error.
+// refuses for its rate. It returns the last error. An unknown outcome is final:
+// it has been looked into for as long as a call may take.
 func retry(ctx context.Context, call func() error) error {
 	delay := firstDelay
 	var err error
 	for range maxTries {
 		err = call()
+		if errors.Is(err, ErrUnknownOutcome) {
+			return err
+		}
 		if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrRateLimited) {
 			return err
 		}
