--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -68,10 +68,11 @@
 		}
 		at := step.At.Std()
 		for len(times) < most {
-			at += time.Duration(random.ExpFloat64() / step.PerSecond * float64(time.Second))
-			if at >= end {
+			gap := random.ExpFloat64() / step.PerSecond * float64(time.Second)
+			if gap >= float64(end-at) {
 				break
 			}
+			at += time.Duration(gap)
 			times = append(times, at)
 		}
 	}
--- a/internal/load/plan_test.go
+++ b/internal/load/plan_test.go
@@ -73,6 +73,15 @@
 	}
 }
 
+func TestRareArrivalsDoNotOverflow(t *testing.T) {
+	w := parse(t, strings.Replace(small, "per_second: 10}", "per_second: 1e-300}", 1))
+	for _, r := range Plan(w) {
+		if r.Stream.Service != nil {
+			t.Fatalf("a request every 1e300 seconds came at %v", r.At)
+		}
+	}
+}
+
 func TestStampOnlyUnrepeatableCalls(t *testing.T) {
 	requests := Plan(parse(t, small))
 	Stamp(requests, "run")
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -16,8 +16,8 @@
 	Duration config.Duration `yaml:"duration" validate:"gt=0"`
 	// Drain is how long the run waits for answers after that. Default 30s.
 	Drain config.Duration `yaml:"drain,omitempty" validate:"gte=0"`
-	// MaxRequests bounds the run. Default 100000.
-	MaxRequests int `yaml:"max_requests,omitempty" validate:"gte=0"`
+	// MaxRequests bounds the run. Default 100000, at most a million.
+	MaxRequests int `yaml:"max_requests,omitempty" validate:"gte=0,lte=1000000"`
 	// Classes repeat the targets that the system was configured with.
 	Classes []Class  `yaml:"classes" validate:"required,min=1,unique=Name,dive"`
 	Streams []Stream `yaml:"streams" validate:"required,min=1,unique=Name,dive"`
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -10,6 +10,9 @@
 	"galenatrestle/internal/standin/fault"
 )
 
+// maxTokenLimit is the longest answer an engine gives, in tokens.
+const maxTokenLimit = 1 << 20
+
 // complete serves both completion endpoints.
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	if e.refuses(w) {
@@ -56,8 +59,9 @@
 		writeError(w, http.StatusNotFound, "model_not_found", fmt.Sprintf("field model: value %q is not loaded", request.Model))
 		return false
 	}
-	if limit := request.TokenLimit(); limit < 0 {
-		writeError(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("field max_tokens: value %d is negative", limit))
+	if limit := request.TokenLimit(); limit < 0 || limit > maxTokenLimit {
+		message := fmt.Sprintf("field max_tokens: value %d is not from 0 to %d", limit, maxTokenLimit)
+		writeError(w, http.StatusBadRequest, "bad_request", message)
 		return false
 	}
 	return true
