--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"time"
 
+	"galenatrestle/internal/answer"
+	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
 )
 
@@ -21,14 +23,24 @@
 	call       *call
 	completion *completion
 	sink       sink
+	// record keeps the answer; nil where the store is full.
+	record *answer.Record
+	// kept counts the current attempt's events in the record.
+	kept int64
+	// continues is set while an attempt goes on from a delivered prefix.
+	continues *continuation
 
 	attempts int
-	// mayHaveRun says that some attempt was not proved not to have run.
-	mayHaveRun bool
-	replica    string
-	avoid      []string
-	first      time.Time
-	tokens     int
+	// notRun counts the attempts proved not to have run.
+	notRun  int
+	replica string
+	avoid   []string
+	// current is the number of the attempt whose answer is passed on, begun
+	// whether it has brought a token.
+	current int
+	begun   bool
+	first   time.Time
+	tokens  int
 }
 
 // run makes attempts until the answer is whole or given up.
@@ -39,35 +51,53 @@
 			e.finish()
 			return
 		}
-		if e.again(ctx, err) {
-			continue
+		if refused := e.again(ctx, err); refused != nil {
+			e.giveUp(refused)
+			return
 		}
-		e.giveUp(ctx, err)
-		return
 	}
 }
 
-// attempt waits for a slot and runs the request once.
+// attempt waits for a slot and runs the request once, or twice beside each
+// other where that is allowed.
 func (e *exchange) attempt(ctx context.Context) error {
-	request := e.completion.routerRequest(e.call)
-	request.Attempt = e.attempts + 1
-	request.Avoid = e.avoid
-	slot, err := e.server.options.Dispatch.Acquire(ctx, e.completion.upstream.Name, request)
+	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
 	if err != nil {
 		return err
 	}
 	e.attempts++
-	e.replica = slot.Replica.Name
 	e.observeWait()
-	err = e.pass(ctx, slot.Replica.Address, slot)
-	slot.Finish(resultOf(err))
-	e.mayHaveRun = e.mayHaveRun || upstream.KindOf(err) != upstream.NotRun
+	body, err := e.engineBody()
+	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
+	if err == nil {
+		l = e.openLane(ctx, l, body)
+		err = e.relay(l)
+	}
+	l.close(err)
 	if err != nil {
-		e.avoid = append(e.avoid, slot.Replica.Name)
+		e.note(l, err)
 	}
 	return err
 }
 
+// note remembers a failed attempt.
+func (e *exchange) note(l *lane, err error) {
+	if l.slot == nil || upstream.KindOf(err) == upstream.NotRun {
+		e.notRun++
+	}
+	if l.slot != nil {
+		e.avoid = append(e.avoid, l.slot.Replica.Name)
+	}
+}
+
+// routerRequest is what the decisions know of the next attempt.
+func (e *exchange) routerRequest() router.Request {
+	request := e.completion.routerRequest(e.call)
+	request.Attempt = e.attempts + 1
+	request.Avoid = e.avoid
+	return request
+}
+
 func (e *exchange) observeWait() {
 	if e.attempts > 1 {
 		return
@@ -76,91 +106,51 @@
 	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
 }
 
-// progress is what an attempt tells the decisions.
-type progress interface {
-	FirstToken()
-	Tokens(n int)
-}
-
-// pass hands the request to the replica and its answer to the caller.
-func (e *exchange) pass(ctx context.Context, address string, slot progress) error {
-	body, err := e.completion.engineBody(e.call.class.Tier)
-	if err != nil {
-		return err
-	}
-	stream, err := e.server.options.Engines.Start(ctx, address, upstream.EngineCall{
-		ID:     fmt.Sprintf("%s.%d", e.call.id, e.attempts),
-		Path:   e.completion.path,
-		Body:   body,
-		Stream: !e.completion.opaque || e.completion.request.Stream,
-	})
-	if err != nil {
-		return err
+// relay passes an attempt's answer to the caller.
+func (e *exchange) relay(l *lane) error {
+	e.current, e.kept, e.begun = l.number, 0, false
+	data, err := l.first, l.err
+	if l.slot != nil {
+		e.replica = l.slot.Replica.Name
 	}
-	defer stream.Close()
-	for {
-		data, err := stream.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		if err := e.take(data, slot); err != nil {
+	for err == nil {
+		if err := e.take(data, l); err != nil {
 			return err
 		}
+		data, err = l.stream.Next()
 	}
-}
-
-// take passes one chunk on and counts it.
-func (e *exchange) take(data []byte, slot progress) error {
-	if bytes.Contains(data, usageMark) {
-		if e.completion.request.Stream && !e.completion.callerUsage {
-			return nil
-		}
-		return e.toCaller(data)
-	}
-	e.tokens++
-	if e.first.IsZero() {
-		e.first = time.Now()
-		slot.FirstToken()
-	} else {
-		slot.Tokens(1)
+	if errors.Is(err, io.EOF) {
+		return nil
 	}
-	return e.toCaller(data)
+	return err
 }
 
-// toCaller passes data on; its error says that the caller is gone.
-func (e *exchange) toCaller(data []byte) error {
-	if err := e.sink.chunk(data); err != nil {
-		return &callerGoneError{cause: err}
+// engineBody is the body of the next attempt.
+func (e *exchange) engineBody() ([]byte, error) {
+	if e.continues != nil {
+		return e.continues.body, nil
 	}
-	return nil
+	return e.completion.engineBody(e.call.class.Tier)
 }
 
-// again decides whether the error allows another attempt.
-func (e *exchange) again(ctx context.Context, err error) bool {
-	if ctx.Err() != nil || e.sink.begun() {
-		return false
+// take passes one chunk on and counts it.
+func (e *exchange) take(data []byte, l *lane) error {
+	usage := bytes.Contains(data, usageMark)
+	if usage && e.completion.request.Stream && !e.completion.callerUsage {
+		return nil
 	}
-	if e.attempts >= e.call.index.Document().Limits.MaxAttempts {
-		return false
+	if !usage {
+		e.tokens++
+		l.token(e.begun)
+		e.begun = true
 	}
-	var failed *upstream.Error
-	if !errors.As(err, &failed) || failed.Kind == upstream.Refused {
-		return false
+	if e.continues != nil {
+		data = e.continues.rebase(data)
 	}
-	e.reset()
-	e.server.metrics.retries.WithLabelValues(string(failed.Kind)).Inc()
-	return true
-}
-
-// reset forgets an attempt of which the caller saw nothing.
-func (e *exchange) reset() {
-	e.waste("retried")
-	e.first = time.Time{}
-	e.tokens = 0
-	e.sink.reset()
+	if err := e.sink.chunk(data); err != nil {
+		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: l.slot.Replica.Address, Cause: err}
+	}
+	return nil
 }
 
 func (e *exchange) waste(cause string) {
@@ -170,16 +160,19 @@
 }
 
 func (e *exchange) finish() {
-	if err := e.sink.end(); err != nil {
+	now := time.Now()
+	e.server.options.Retries.Succeeded(now, e.call.class.Name, e.completion.upstream.Name)
+	err := e.sink.end()
+	e.keepEnd()
+	if err != nil && !e.followed() {
 		e.waste("caller_gone")
 		return
 	}
-	e.server.metrics.answered(e.call, e.first, time.Now(), e.tokens)
+	e.server.metrics.answered(e.call, e.first, now, e.tokens)
 }
 
 // giveUp tells the caller, at once, that there will be no answer.
-func (e *exchange) giveUp(ctx context.Context, err error) {
-	refused := e.refusalOf(ctx, err)
+func (e *exchange) giveUp(refused *refusal.Error) {
 	e.waste(string(refused.Reason))
 	e.server.options.Log.WithFields(map[string]any{
 		"request":   e.call.id,
@@ -190,5 +183,6 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
+	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -7,9 +7,11 @@
 	"net/http"
 	"path"
 	"strconv"
+	"time"
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/retry"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
 )
@@ -90,25 +92,60 @@
 	return nil
 }
 
-// serveCall runs the call, once where it may not be repeated, and answers.
+// serveCall runs the call, at most once where it may not be repeated, and
+// answers.
 func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
+	if sc.rule != nil && sc.call.idempotencyKey != "" {
+		s.serveClaimed(ctx, w, sc)
+		return
+	}
+	served, refused := s.callUntilRun(ctx, sc)
+	if refused != nil {
+		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
+		s.refuse(w, refused)
+		return
+	}
+	s.answerService(w, sc, served)
+}
+
+// served is how a call of a plain service came to its end.
+type served struct {
+	answer   *upstream.ServiceAnswer
+	replica  string
+	attempts int
+}
+
+// callUntilRun tries replicas until one has answered or no further attempt is
+// allowed. Its refusal says NotRun only where no attempt may have run.
+func (s *Server) callUntilRun(ctx context.Context, sc *serviceCall) (served, *refusal.Error) {
+	var done served
 	var avoid []string
-	for attempts := 1; ; attempts++ {
-		answer, replica, err := s.tryService(ctx, sc, attempts, avoid)
+	mayHaveRun := false
+	for {
+		done.attempts++
+		answer, replica, err := s.tryService(ctx, sc, done.attempts, avoid)
+		done.answer, done.replica = answer, replica
 		if err == nil {
-			s.answerService(w, sc, answer, replica, attempts)
-			return
+			return done, nil
 		}
-		if !s.serviceAgain(ctx, sc, attempts, err) {
-			w.Header().Set(headerAttempts, strconv.Itoa(attempts))
-			s.refuse(w, serviceRefusal(ctx, err))
-			return
+		mayHaveRun = mayHaveRun || !provedNotRun(err)
+		if !s.serviceAgain(ctx, sc, done.attempts, err) {
+			return done, serviceRefusal(ctx, err, mayHaveRun)
 		}
 		avoid = append(avoid, replica)
-		s.metrics.retries.WithLabelValues(string(upstream.KindOf(err))).Inc()
 	}
 }
 
+// provedNotRun says that an attempt never reached a replica: it was refused
+// while it waited, or no connection was obtained.
+func provedNotRun(err error) bool {
+	var refused *refusal.Error
+	if errors.As(err, &refused) {
+		return refused.Outcome == refusal.NotRun
+	}
+	return upstream.KindOf(err) == upstream.NotRun
+}
+
 // tryService waits for a slot and makes the call once.
 func (s *Server) tryService(ctx context.Context, sc *serviceCall, attempt int, avoid []string) (*upstream.ServiceAnswer, string, error) {
 	slot, err := s.options.Dispatch.Acquire(ctx, sc.upstream.Name, sc.routerRequest(attempt, avoid))
@@ -119,6 +156,9 @@
 	wire.ID = fmt.Sprintf("%s.%d", sc.call.id, attempt)
 	answer, err := s.options.Services.Do(ctx, slot.Replica.Address, wire)
 	slot.Finish(resultOf(err))
+	if err == nil {
+		s.options.Retries.Succeeded(time.Now(), sc.call.class.Name, sc.upstream.Name)
+	}
 	return answer, slot.Replica.Name, err
 }
 
@@ -143,10 +183,27 @@
 	if !errors.As(err, &failed) || ctx.Err() != nil {
 		return false
 	}
-	if attempts >= sc.call.index.Document().Limits.MaxAttempts {
-		return false
-	}
-	return failed.Kind == upstream.NotRun || sc.readOnly()
+	decision := s.options.Retries.Decide(time.Now(), sc.retryAttempt(failed, attempts))
+	s.metrics.retries.Count(decision)
+	return decision.Action != retry.GiveUp
+}
+
+// retryAttempt is what the decision on another attempt needs to know. All
+// earlier attempts of a call that does not only read were proved not to run.
+func (sc *serviceCall) retryAttempt(failed *upstream.Error, attempts int) retry.Attempt {
+	a := retry.Attempt{
+		Class:      sc.call.class.Name,
+		Upstream:   sc.upstream.Name,
+		Result:     retryResult(failed),
+		Peer:       failed.Peer,
+		Number:     attempts,
+		Repeatable: sc.readOnly(),
+		Remaining:  time.Until(sc.call.giveUpAt),
+	}
+	if !a.Repeatable {
+		a.NotRunBefore = attempts - 1
+	}
+	return a
 }
 
 // readOnly says that the method promises not to change anything.
@@ -157,37 +214,36 @@
 	return sc.wire.Method == http.MethodGet || sc.wire.Method == http.MethodHead
 }
 
-func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, answer *upstream.ServiceAnswer, replica string, attempts int) {
+func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, done served) {
 	header := w.Header()
-	for name, values := range answer.Header {
+	for name, values := range done.answer.Header {
 		header[name] = values
 	}
-	header.Set(headerUpstream, sc.upstream.Name+"/"+replica)
-	header.Set(headerAttempts, strconv.Itoa(attempts))
-	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	header.Set(headerUpstream, sc.upstream.Name+"/"+done.replica)
+	header.Set(headerAttempts, strconv.Itoa(done.attempts))
+	w.WriteHeader(done.answer.Status)
+	_, _ = w.Write(done.answer.Body)
 }
 
 // serviceRefusal says why there is no answer and whether the call may have run.
-func serviceRefusal(ctx context.Context, err error) *refusal.Error {
+func serviceRefusal(ctx context.Context, err error, mayHaveRun bool) *refusal.Error {
 	var refused *refusal.Error
-	if errors.As(err, &refused) {
-		return refused
-	}
-	refused = &refusal.Error{
-		Reason:  reasonOf(ctx, err),
-		Outcome: refusal.Unknown,
-		Message: "the service gave no whole answer",
-		Step:    "service",
-		Cause:   err,
+	if !errors.As(err, &refused) {
+		refused = &refusal.Error{
+			Reason:  reasonOf(ctx, err),
+			Message: "the service gave no whole answer",
+			Step:    "service",
+			Cause:   err,
+		}
 	}
 	var failed *upstream.Error
 	if errors.As(err, &failed) {
 		refused.Step = failed.Step
 		refused.Peer = failed.Peer
-		if failed.Kind == upstream.NotRun {
-			refused.Outcome = refusal.NotRun
-		}
+	}
+	refused.Outcome = refusal.NotRun
+	if mayHaveRun {
+		refused.Outcome = refusal.Unknown
 	}
 	return refused
 }
