--- a/internal/platform/memstore/fault.go
+++ b/internal/platform/memstore/fault.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -39,14 +40,18 @@
 
 // The errors of Inject.
 var (
-	ErrUnknownFault = errors.New("fault kind is none of down, slow, lost-answer, watch-gap, lease-lapse, stale-instances")
-	ErrBadFault     = errors.New("fault has a negative duration or factor")
+	ErrUnknownFault = errors.New("is none of down, slow, lost-answer, watch-gap, lease-lapse, stale-instances")
+	ErrNegative     = errors.New("is negative")
 )
 
-// Inject turns a fault on; a second one of its kind replaces the first.
+// Inject turns a fault on; a second one of its kind replaces the first. An
+// error names the field and its value.
 func (s *Store) Inject(fault Fault) error {
-	if fault.For < 0 || fault.Factor < 0 {
-		return ErrBadFault
+	if fault.For < 0 {
+		return fmt.Errorf("field for: value %s: %w", fault.For, ErrNegative)
+	}
+	if fault.Factor < 0 {
+		return fmt.Errorf("field factor: value %v: %w", fault.Factor, ErrNegative)
 	}
 	switch fault.Kind {
 	case LeaseLapse:
@@ -56,7 +61,7 @@
 		s.freeze()
 	case Down, Slow, LostAnswer, WatchGap:
 	default:
-		return ErrUnknownFault
+		return fmt.Errorf("field kind: value %q: %w", fault.Kind, ErrUnknownFault)
 	}
 	s.faults.set(fault)
 	s.wakeAll()
--- a/internal/platform/memstore/fault_test.go
+++ b/internal/platform/memstore/fault_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,8 +95,10 @@
 	if err := s.Inject(Fault{Kind: "unheard-of"}); !errors.Is(err, ErrUnknownFault) {
 		t.Errorf("got %v", err)
 	}
-	if err := s.Inject(Fault{Kind: Slow, Factor: -1}); !errors.Is(err, ErrBadFault) {
-		t.Errorf("got %v", err)
+	for field, fault := range map[string]Fault{"factor": {Kind: Slow, Factor: -1}, "for": {Kind: Down, For: -1}} {
+		if err := s.Inject(fault); !errors.Is(err, ErrNegative) || !strings.Contains(err.Error(), "field "+field+":") {
+			t.Errorf("%s: got %v", field, err)
+		}
 	}
 }
 
--- a/internal/standin/platform/switches.go
+++ b/internal/standin/platform/switches.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 
 	"galenatrestle/internal/config"
@@ -48,7 +47,7 @@
 		Name:   spec.Text,
 	})
 	if err != nil {
-		fail(w, fmt.Errorf("field kind: value %q: %w", spec.Kind, err))
+		fail(w, err)
 		return
 	}
 	s.getFaults(w, r)
