Add trestled, and trestle-load path

Cause: a node could only run inside trestle-dev. Change: package daemon turns a settings file into a node and stops it gracefully; the platform's addresses are tried in turn when connecting, a sent call never goes to a second address. trestle-load path prints the path's cost. Conclusion: node and process share one assembly.

--- a/cmd/trestle-load/main.go
+++ b/cmd/trestle-load/main.go
@@ -14,6 +14,7 @@
   trestle-load run bench/friday-night.yaml --entry 127.0.0.1:8080 --runs http://127.0.0.1:9090
   trestle-load run bench/cold-morning.yaml --ask-entries --json
   trestle-load run bench/straggler.yaml --embedded-nodes 8 --embedded-engines 20 --scale 5
+  trestle-load path --rate 2000 --tokens 16
   trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
 
 It exits with 1 where a promise was broken or an outcome differs.`
@@ -22,6 +23,7 @@
 type commands struct {
 	Run     runCommand       `cmd:"" help:"Run a workload, open loop, and report."`
 	Replay  replayCommand    `cmd:"" help:"Replay a trace and compare each outcome with the stated one."`
+	Path    pathCommand      `cmd:"" help:"Measure what the path through a node adds to a call straight to the engine."`
 	Version kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- /dev/null
+++ b/internal/daemon/run.go
@@ -0,0 +1,113 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"galenatrestle/internal/logging"
+	"galenatrestle/internal/node"
+	"galenatrestle/internal/peer"
+	"galenatrestle/internal/platform/httpstore"
+	"galenatrestle/internal/settings"
+)
+
+// stopTimeout bounds the graceful stop: the longest answer a class allows is
+// given up before it.
+const stopTimeout = 15 * time.Minute
+
+// Check reads the settings file and reports what is wrong with it.
+func Check(path string) error {
+	_, err := settings.Load(path)
+	return err
+}
+
+// Run serves by the settings file until ctx ends, then stops gracefully.
+func Run(ctx context.Context, path string, stderr io.Writer) error {
+	loaded, err := settings.Load(path)
+	if err != nil {
+		return err
+	}
+	options, err := nodeOptions(loaded, stderr)
+	if err != nil {
+		return err
+	}
+	n := node.New(options)
+	go options.PeerKeys.Run(ctx, func(err error) {
+		options.Log.WithError(err).WithField("step", "reload keys").Warn("the old keys stay in force")
+	})
+	n.Start()
+	options.Log.WithFields(map[string]any{
+		"entry": options.Entry.Addr().String(),
+		"ops":   options.Ops.Addr().String(),
+		"peer":  options.Peer.Addr().String(),
+	}).Info("serving")
+	<-ctx.Done()
+	options.Log.Info("stopping")
+	stopping, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	return n.Stop(stopping)
+}
+
+func nodeOptions(s *settings.Settings, stderr io.Writer) (node.Options, error) {
+	log, err := logging.New(stderr, string(s.Log.Format), s.Log.Level)
+	if err != nil {
+		return node.Options{}, err
+	}
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	keys, err := peer.NewKeys(keyFiles(s.TLS), registry)
+	if err != nil {
+		return node.Options{}, err
+	}
+	store := httpstore.New(httpstore.Config{
+		Address:   s.Platform.Addresses[0],
+		Transport: newFailover(s.Platform.Addresses).transport(),
+	})
+	options := node.Options{
+		Name:             s.Name,
+		AvailabilityZone: s.AvailabilityZone,
+		Region:           s.Region,
+		DataCentre:       s.DataCentre,
+		EntryAddress:     s.Advertise.Entry,
+		PeerAddress:      s.Advertise.Peer,
+		Seeds:            s.Peers.Seeds,
+		PeerKeys:         keys,
+		Store:            store,
+		Instances:        store,
+		Seed:             uint64(time.Now().UnixNano()),
+		Registry:         registry,
+		Log:              log.WithField("node", s.Name),
+	}
+	return options, listenAll(s, &options)
+}
+
+func keyFiles(t settings.TLS) peer.KeyFiles {
+	return peer.KeyFiles{Certificate: t.CertificateFile, Key: t.KeyFile, Authorities: t.AuthorityFile}
+}
+
+// listenAll opens the three listeners.
+func listenAll(s *settings.Settings, options *node.Options) error {
+	var err error
+	if options.Entry, err = listen("listen", s.Listen); err != nil {
+		return err
+	}
+	if options.Ops, err = listen("ops_listen", s.OpsListen); err != nil {
+		return err
+	}
+	options.Peer, err = listen("peer_listen", s.PeerListen)
+	return err
+}
+
+func listen(field, address string) (net.Listener, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("settings field %s, value %q: %w", field, address, err)
+	}
+	return listener, nil
+}
