--- a/internal/embedded/answers_test.go
+++ b/internal/embedded/answers_test.go
@@ -21,7 +21,7 @@
 
 // streamCall is one open stream.
 type streamCall struct {
-	t        *testing.T
+	t        testing.TB
 	response *http.Response
 	lines    *bufio.Scanner
 	close    context.CancelFunc
@@ -38,7 +38,7 @@
 }
 
 // openStream makes a request whose answer is read event by event.
-func openStream(t *testing.T, d *Deployment, node int, method, path, body string, header map[string]string) *streamCall {
+func openStream(t testing.TB, d *Deployment, node int, method, path, body string, header map[string]string) *streamCall {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	t.Cleanup(cancel)
@@ -58,7 +58,7 @@
 	return &streamCall{t: t, response: response, lines: bufio.NewScanner(response.Body), close: cancel}
 }
 
-func chatStream(t *testing.T, d *Deployment, node int, prompt string, tokens int) *streamCall {
+func chatStream(t testing.TB, d *Deployment, node int, prompt string, tokens int) *streamCall {
 	t.Helper()
 	body := fmt.Sprintf(`{"model":"trestle-llm","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, tokens, prompt)
 	return openStream(t, d, node, http.MethodPost, "/v1/chat/completions", body, nil)
@@ -109,7 +109,7 @@
 	}
 }
 
-func errorCode(t *testing.T, data string) string {
+func errorCode(t testing.TB, data string) string {
 	t.Helper()
 	var body openai.ErrorBody
 	if err := json.Unmarshal([]byte(data), &body); err != nil {
@@ -118,7 +118,7 @@
 	return body.Error.Code
 }
 
-func chunkText(t *testing.T, data string) string {
+func chunkText(t testing.TB, data string) string {
 	t.Helper()
 	var chunk openai.Response
 	if err := json.Unmarshal([]byte(data), &chunk); err != nil || len(chunk.Choices) != 1 {
