--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -6,6 +6,7 @@
 
 	"galenatrestle/internal/answer"
 	"galenatrestle/internal/answer/answerrpc"
+	"galenatrestle/internal/claim"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/membership"
@@ -27,6 +28,9 @@
 	// Engines and Services call the upstreams.
 	Engines  *upstream.Engine
 	Services *upstream.Service
+	// Ledger makes unrepeatable calls run at most once. Default: one that
+	// refuses them all.
+	Ledger claim.Ledger
 	// Retries decides on further attempts. Default: the default limits.
 	Retries *retry.Policy
 	// Quarantine knows the requests that crash replicas. Default: one of this
