Give up an attempt that hangs before its first token

Cause: a hanging engine held a request for the 30 s stall timeout, which is all that a class that gives up after 30 s has. And an answer that the engine does not stream (tools, several choices) was cut after 30 s of silence, though it had longer.

Change: retry.Policy.Patience, ten times the 95th percentile of first token times and 2 s at the least, bounds the wait for the first payload; an answer that is not streamed has until its give-up time.

Measured: with one of two engines hanging, all answers are whole, by a retry (TestHangingEngineIsGivenUp, 61 to 89 requests in 4.8 s, with -race); before, such a request waited 30 s. go test -race -count=2 ./internal/embedded passes.

--- a/internal/embedded/hedge_test.go
+++ b/internal/embedded/hedge_test.go
@@ -8,11 +8,11 @@
 	"galenatrestle/internal/standin/fault"
 )
 
-// TestHedge lets one engine of two hang: requests that hang there are answered
-// by the other, and the engine is told to stop.
-func TestHedge(t *testing.T) {
-	hedged := strings.Replace(defaultConfig, "target_first_token: 800ms", "target_first_token: 800ms\n    hedge: true", 1)
-	d := startWith(t, Options{Nodes: 1, Engines: 2, Config: hedged})
+// hangOne asks often enough that the first token times are known and the budget
+// is fed, makes the first engine hang, and asks until an attempt was made there
+// beside that which answered.
+func hangOne(t *testing.T, d *Deployment) {
+	t.Helper()
 	const tokens = 2
 	want := engine.ExpectedAnswer(prompt, tokens)
 	ask := func() {
@@ -21,7 +21,6 @@
 			t.Fatalf("answer %q ends with %q, want %q", text, end, want)
 		}
 	}
-	// The first token times are learnt, and the budget is fed.
 	for range 60 {
 		ask()
 	}
@@ -37,6 +36,19 @@
 	t.Fatal("the engine that hangs was never used")
 }
 
+// TestHedge lets one engine of two hang: requests that hang there are answered
+// by the other.
+func TestHedge(t *testing.T) {
+	hedged := strings.Replace(defaultConfig, "target_first_token: 800ms", "target_first_token: 800ms\n    hedge: true", 1)
+	hangOne(t, startWith(t, Options{Nodes: 1, Engines: 2, Config: hedged}))
+}
+
+// TestHangingEngineIsGivenUp does the same without hedges: the attempt that
+// hangs is given up long before its caller gives up.
+func TestHangingEngineIsGivenUp(t *testing.T) {
+	hangOne(t, startWith(t, Options{Nodes: 1, Engines: 2}))
+}
+
 // begun counts the attempts that engines began.
 func begun(d *Deployment) (n int64) {
 	for i := range d.options.Engines {
--- a/internal/gateway/lane.go
+++ b/internal/gateway/lane.go
@@ -37,10 +37,11 @@
 	e := l.exchange
 	l.sentAt = time.Now()
 	l.stream, l.err = e.server.options.Engines.Start(ctx, l.slot.Replica.Address, upstream.EngineCall{
-		ID:     fmt.Sprintf("%s.%d", e.call.id, l.number),
-		Path:   e.completion.path,
-		Body:   body,
-		Stream: !e.completion.opaque || e.completion.request.Stream,
+		ID:       fmt.Sprintf("%s.%d", e.call.id, l.number),
+		Path:     e.completion.path,
+		Body:     body,
+		Stream:   e.streamed(),
+		Patience: e.patience(),
 	})
 	if l.err != nil {
 		return
@@ -48,6 +49,17 @@
 	l.first, l.err = l.stream.Next()
 }
 
+// streamed says whether the engine is asked for a stream.
+func (e *exchange) streamed() bool { return !e.completion.opaque || e.completion.request.Stream }
+
+// patience is the longest wait for an attempt's first payload.
+func (e *exchange) patience() time.Duration {
+	if !e.streamed() {
+		return time.Until(e.call.giveUpAt)
+	}
+	return e.server.options.Retries.Patience(e.call.class.Name, e.completion.upstream.Name)
+}
+
 // close ends the attempt with its error, or nil for a whole answer.
 func (l *lane) close(err error) {
 	if l.stream != nil {
--- a/internal/retry/hedge.go
+++ b/internal/retry/hedge.go
@@ -6,6 +6,10 @@
 	// hedgeQuantile of the observed first token times must have passed before
 	// a hedge, so that about one request in twenty asks for one.
 	hedgeQuantile = 0.95
+	// patienceFactor times the same quantile, and leastPatience at the least,
+	// is when an attempt without a token is held to hang.
+	patienceFactor = 10
+	leastPatience  = 2 * time.Second
 	// hedgeTier is the only tier that may hedge.
 	hedgeTier = 0
 )
@@ -45,6 +49,16 @@
 	return after, true
 }
 
+// Patience returns the longest that an attempt may stay without its first
+// token before it is given up as hanging; zero where too little is known.
+func (p *Policy) Patience(class, upstream string) time.Duration {
+	late, known := p.latencies.quantile(budgetKey{class, upstream}, hedgeQuantile)
+	if !known {
+		return 0
+	}
+	return max(patienceFactor*late, leastPatience)
+}
+
 // ShouldHedge says whether to start a second attempt now. A yes is charged to
 // the retry budget at once.
 func (p *Policy) ShouldHedge(now time.Time, h Hedge) bool {
--- a/internal/retry/hedge_test.go
+++ b/internal/retry/hedge_test.go
@@ -63,6 +63,26 @@
 	}
 }
 
+func TestPatience(t *testing.T) {
+	policy := NewPolicy(config.Limits{})
+	observe := func(class string, latency time.Duration) {
+		for range minSamples {
+			policy.ObserveFirstToken(start, class, "llm", latency)
+		}
+	}
+	observe("quick", 10*time.Millisecond)
+	observe("slow", time.Second)
+	if got := policy.Patience("other", "llm"); got != 0 {
+		t.Errorf("patience %v without samples, want 0", got)
+	}
+	if got := policy.Patience("quick", "llm"); got != leastPatience {
+		t.Errorf("patience %v, want the least, %v", got, leastPatience)
+	}
+	if got := policy.Patience("slow", "llm"); got < 9*time.Second || got > 11*time.Second {
+		t.Errorf("patience %v, want about 10 s", got)
+	}
+}
+
 func TestOldLatenciesAreForgotten(t *testing.T) {
 	policy := NewPolicy(config.Limits{})
 	hedge := Hedge{Class: "quick", Upstream: "llm", Allowed: true, Repeatable: true, Remaining: time.Hour, Attempts: 1}
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -34,14 +34,15 @@
 // the connection, which tells the engine to stop. Errors are *Error.
 func (e *Engine) Start(ctx context.Context, address string, call EngineCall) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	stall := time.AfterFunc(e.options.StallTimeout, func() { cancel(errStalled) })
+	setDefault(&call.Patience, e.options.StallTimeout)
+	stall := time.AfterFunc(call.Patience, func() { cancel(errStalled) })
 	response, err := e.send(ctx, address, call)
 	if err != nil {
 		stall.Stop()
 		cancel(nil)
 		return nil, err
 	}
-	return newStream(ctx, cancel, stall, address, call.Stream, response, e.options), nil
+	return newStream(ctx, cancel, stall, address, call, response, e.options), nil
 }
 
 func (e *Engine) send(ctx context.Context, address string, call EngineCall) (*http.Response, error) {
--- a/internal/upstream/engine_call.go
+++ b/internal/upstream/engine_call.go
@@ -1,5 +1,7 @@
 package upstream
 
+import "time"
+
 // EngineCall is one attempt at an engine.
 type EngineCall struct {
 	// ID names the attempt; it goes out as openai.HeaderRequestID.
@@ -11,4 +13,7 @@
 	Body []byte
 	// Stream says that the body asks for a streamed answer.
 	Stream bool
+	// Patience is the longest wait for the first payload, the whole body where
+	// the answer is not streamed. Default: Options.StallTimeout.
+	Patience time.Duration
 }
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -211,6 +211,11 @@
 		if KindOf(err) != Timeout || time.Since(began) != time.Minute {
 			t.Fatalf("error %v after %v, want %s after a minute", err, time.Since(began), Timeout)
 		}
+		began = time.Now()
+		_, err = engine.Start(t.Context(), "engine:1", EngineCall{Path: "/", Patience: time.Second})
+		if KindOf(err) != Timeout || time.Since(began) != time.Second {
+			t.Fatalf("error %v after %v, want %s after a second", err, time.Since(began), Timeout)
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if _, err := engine.Start(ctx, "engine:1", EngineCall{Path: "/"}); KindOf(err) != Timeout {
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -31,10 +31,13 @@
 
 // Stream is one answer of an engine. It is for one goroutine, but for Close.
 type Stream struct {
-	ctx      context.Context
-	cancel   context.CancelCauseFunc
-	stall    *time.Timer
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	stall  *time.Timer
+	// patience is the longest wait for the next payload, between that for all
+	// but the first.
 	patience time.Duration
+	between  time.Duration
 	peer     string
 	streamed bool
 	body     io.ReadCloser
@@ -45,13 +48,13 @@
 }
 
 func newStream(ctx context.Context, cancel context.CancelCauseFunc, stall *time.Timer,
-	peer string, streamed bool, response *http.Response, o Options) *Stream {
+	peer string, call EngineCall, response *http.Response, o Options) *Stream {
 	stall.Stop()
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(make([]byte, 0, min(firstLineBytes, o.MaxPayloadBytes)), o.MaxPayloadBytes)
 	return &Stream{
-		ctx: ctx, cancel: cancel, stall: stall, patience: o.StallTimeout,
-		peer: peer, streamed: streamed, body: response.Body,
+		ctx: ctx, cancel: cancel, stall: stall, patience: call.Patience, between: o.StallTimeout,
+		peer: peer, streamed: call.Stream, body: response.Body,
 		lines: lines, maxBytes: o.MaxAnswerBytes,
 	}
 }
@@ -67,6 +70,7 @@
 	s.stall.Reset(s.patience)
 	payload, err := s.read()
 	s.stall.Stop()
+	s.patience = s.between
 	if err != nil {
 		s.end = err
 		return nil, err
