claim: benchmark, larger batches, ring moves on before it is full

Cause: a segment of 16 KiB also bounded a batch, so that large answers would have slowed a shard to two claims a write; a ring whose claims had expired refused until it had gone round. Change: a write takes up to 256 KiB of changes, a shard past half its capacity moves on one segment a second; benchmark of ways, shards and rates.

--- /dev/null
+++ b/internal/claim/bench_test.go
@@ -0,0 +1,223 @@
+package claim
+
+import (
+	"context"
+	"fmt"
+	"runtime"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// The load of BenchmarkLedger: calls arrive openly, each is claimed and its
+// answer recorded at once.
+const (
+	benchRate    = 2_000
+	benchTick    = 5 * time.Millisecond
+	benchTime    = 3 * time.Second
+	benchWarmUp  = time.Second
+	benchLatency = 3 * time.Millisecond
+	benchOneWay  = time.Millisecond
+)
+
+var benchAnswer = Answer{
+	Status: 201,
+	Header: map[string][]string{"Content-Type": {"application/json"}},
+	Body:   []byte(fmt.Sprintf("%0256d", 1)),
+}
+
+// ledgerLoad is what one run of the load measured.
+type ledgerLoad struct {
+	mu       sync.Mutex
+	begins   []time.Duration
+	finishes []time.Duration
+	refused  int
+}
+
+func (l *ledgerLoad) one(ctx context.Context, node *testNode, number int) {
+	key := Key{Workspace: "workspace-7", Upstream: "member-ledger", IdempotencyKey: fmt.Sprintf("claim-%08d", number)}
+	start := time.Now()
+	grant, err := node.Begin(ctx, key, Fingerprint{})
+	begun := time.Now()
+	if err == nil {
+		err = node.Finish(ctx, grant.Token, Outcome{Kind: OutcomeRecorded, Answer: benchAnswer})
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.refused++
+		return
+	}
+	l.begins = append(l.begins, begun.Sub(start))
+	l.finishes = append(l.finishes, time.Since(begun))
+}
+
+// run sends the load for a time.
+func (l *ledgerLoad) run(ctx context.Context, nodes []*testNode, rate, first int, duration time.Duration) {
+	var group sync.WaitGroup
+	ticker := time.NewTicker(benchTick)
+	defer ticker.Stop()
+	perTick := int(time.Duration(rate) * benchTick / time.Second)
+	for tick := range int(duration / benchTick) {
+		<-ticker.C
+		for i := range perTick {
+			number := first + tick*perTick + i
+			group.Go(func() { l.one(ctx, nodes[number%len(nodes)], number) })
+		}
+	}
+	group.Wait()
+}
+
+func quantile(durations []time.Duration, q float64) float64 {
+	slices.Sort(durations)
+	return durations[int(q*float64(len(durations)-1))].Seconds() * 1e3
+}
+
+// BenchmarkLedger measures claims at 2,000 a second with a platform that
+// answers in 3 ms and 1 ms one way between nodes: platform writes, their bytes
+// and the added latency, by number of shards and by way of keeping them.
+func BenchmarkLedger(b *testing.B) {
+	ways := []struct {
+		name                     string
+		shards, segments, segKiB int
+	}{
+		{"shards=1/segment=16KiB", 1, 2048, 16},
+		{"shards=2/segment=16KiB", 2, 1024, 16},
+		{"shards=4/segment=16KiB", 4, 512, 16},
+		{"shards=8/segment=16KiB", 8, 256, 16},
+		{"shards=16/segment=16KiB", 16, 128, 16},
+		{"shards=4/key_per_batch", 4, 16384, 1},
+		{"shards=4/segment=64KiB", 4, 128, 64},
+		{"shards=4/segment=256KiB", 4, 32, 256},
+		{"shards=4/one_value=512KiB", 4, 2, 512},
+	}
+	for _, way := range ways {
+		b.Run(way.name, func(b *testing.B) {
+			for range b.N {
+				measureLedger(b, benchRate, way.shards, way.segments, way.segKiB)
+			}
+		})
+	}
+	for _, rate := range []int{200, 1000, 4000} {
+		b.Run(fmt.Sprintf("shards=4/segment=16KiB/rate=%d", rate), func(b *testing.B) {
+			for range b.N {
+				measureLedger(b, rate, 4, 512, 16)
+			}
+		})
+	}
+}
+
+func measureLedger(b *testing.B, rate, shards, segments, segKiB int) {
+	c := newCluster()
+	c.store.latency = benchLatency
+	c.oneWay = benchOneWay
+	change := func(options *Options) {
+		options.Policy.Shards = shards
+		options.Policy.Segments = segments
+		options.Policy.SegmentBytes = segKiB << 10
+	}
+	var nodes []*testNode
+	for _, name := range []string{"n1", "n2", "n3", "n4"} {
+		nodes = append(nodes, c.start(b, name, change))
+	}
+	warm, load := &ledgerLoad{}, &ledgerLoad{}
+	warm.run(b.Context(), nodes, rate, 0, benchWarmUp)
+	c.store.mu.Lock()
+	c.store.writes, c.store.bytes = 0, 0
+	c.store.mu.Unlock()
+	start := time.Now()
+	load.run(b.Context(), nodes, rate, 1_000_000, benchTime)
+	took := time.Since(start).Seconds()
+	c.store.mu.Lock()
+	writes, bytes := float64(c.store.writes), float64(c.store.bytes)
+	c.store.mu.Unlock()
+	for _, node := range nodes {
+		node.stop()
+		<-node.done
+	}
+	claims := float64(len(load.begins))
+	b.ReportMetric(claims/took, "claims/s")
+	b.ReportMetric(float64(load.refused), "refused")
+	b.ReportMetric(writes/took, "writes/s")
+	b.ReportMetric(bytes/writes, "B/write")
+	b.ReportMetric(bytes/claims, "B/claim")
+	b.ReportMetric(quantile(load.begins, 0.5), "begin-p50-ms")
+	b.ReportMetric(quantile(load.begins, 0.99), "begin-p99-ms")
+	b.ReportMetric(quantile(load.finishes, 0.5), "finish-p50-ms")
+	b.ReportMetric(quantile(load.finishes, 0.99), "finish-p99-ms")
+}
+
+// BenchmarkRetained measures what a retained claim costs: memory in the holder,
+// bytes in the platform, and the time to take a shard over.
+func BenchmarkRetained(b *testing.B) {
+	const claims = 20_000
+	for _, body := range []int{0, 256} {
+		b.Run(fmt.Sprintf("body=%dB", body), func(b *testing.B) {
+			policy := DefaultPolicy()
+			policy.Segments = 4096
+			for range b.N {
+				measureRetained(b, policy, claims, make([]byte, body))
+			}
+		})
+	}
+}
+
+func measureRetained(b *testing.B, policy Policy, claims int, body []byte) {
+	bench := newRingBench(b, policy)
+	for n := range claims {
+		bench.begin(keyNumber(n), attemptNumber(n), "")
+		if n%10 == 9 {
+			bench.write()
+		}
+		if n >= 50 {
+			bench.finish(keyNumber(n-50), attemptNumber(n-50), phaseRecorded, body)
+		}
+	}
+	bench.write()
+	stored := 0
+	for _, entry := range bench.entries {
+		stored += len(entry.Value)
+	}
+	encoded := bench.ring.bytes
+	bench.ring = nil
+	before := heap()
+	start := time.Now()
+	bench.recover(policy, 2)
+	took := time.Since(start)
+	used := heap() - before
+	b.ReportMetric(float64(used)/float64(claims), "heap-B/claim")
+	b.ReportMetric(float64(encoded)/float64(claims), "record-B/claim")
+	b.ReportMetric(float64(stored)/float64(claims), "stored-B/claim")
+	b.ReportMetric(took.Seconds()*1e6/float64(claims), "recover-us/claim")
+	if len(bench.ring.index) != claims {
+		b.Fatalf("%d claims after recovery", len(bench.ring.index))
+	}
+}
+
+func heap() int64 {
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// BenchmarkRing measures the processor time of one claim begun and finished in
+// the holder, in batches of ten, without the platform's.
+func BenchmarkRing(b *testing.B) {
+	policy := DefaultPolicy()
+	policy.Segments = 1 << 16
+	bench := newRingBench(b, policy)
+	body := make([]byte, 256)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		attempt := uuid.UUID{byte(n), byte(n >> 8), byte(n >> 16), byte(n >> 24)}
+		bench.begin(keyNumber(n), attempt, "")
+		bench.finish(keyNumber(n), attempt, phaseRecorded, body)
+		if n%10 == 9 {
+			bench.write()
+		}
+	}
+}
--- a/internal/claim/fakecluster_test.go
+++ b/internal/claim/fakecluster_test.go
@@ -113,6 +113,8 @@
 	// cut, where it returns true, breaks a forwarded call before or after it
 	// was served.
 	cutBefore, cutAfter func() bool
+	// oneWay is the time that a message between nodes takes.
+	oneWay time.Duration
 	// ends, where set, says how the next call that is run ends.
 	ends func() OutcomeKind
 }
@@ -170,6 +172,7 @@
 var errCut = errors.New("connection cut")
 
 func (p fakePeers) at(address string) (*testNode, error) {
+	time.Sleep(p.cluster.oneWay)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
 	node := p.cluster.nodes[address]
@@ -180,6 +183,7 @@
 }
 
 func (p fakePeers) answered(node *testNode, err error) error {
+	time.Sleep(p.cluster.oneWay)
 	p.cluster.mu.Lock()
 	defer p.cluster.mu.Unlock()
 	if node.dead || (p.cluster.cutAfter != nil && p.cluster.cutAfter()) {
--- a/internal/claim/policy.go
+++ b/internal/claim/policy.go
@@ -27,7 +27,7 @@
 // The defaults of Policy.
 const (
 	DefaultShards          = 4
-	DefaultSegments        = 256
+	DefaultSegments        = 512
 	DefaultSegmentBytes    = 16 << 10
 	DefaultMaxAnswerBytes  = 8 << 10
 	DefaultAnswerRetention = time.Hour
@@ -35,9 +35,11 @@
 	DefaultInProgressLimit = 15 * time.Minute
 )
 
-// The parts of a shard's capacity past which claims are refused and bodies are
-// no longer kept. The rest is room for finishing what is claimed.
+// The parts of a shard's capacity past which the ring moves on of itself to
+// drop what has expired, claims are refused, and bodies are no longer kept. The
+// rest is room for finishing what is claimed.
 const (
+	compactPart  = 0.50
 	fullPart     = 0.70
 	bodyFreePart = 0.80
 )
--- a/internal/claim/ring.go
+++ b/internal/claim/ring.go
@@ -126,6 +126,11 @@
 	return r.last, nil
 }
 
+// crowded says that the ring should move on to what may be dropped.
+func (r *ring) crowded() bool {
+	return float64(r.bytes) > compactPart*float64(r.policy.capacity())
+}
+
 // full says that no new claim may be made.
 func (r *ring) full() bool {
 	return float64(r.bytes) > fullPart*float64(r.policy.capacity())
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -136,18 +136,18 @@
 	if s.stuck || len(s.ring.pending) >= s.options.MaxPending {
 		return refusal.ClaimStoreDown
 	}
-	if !s.ring.full() {
-		return ""
-	}
-	if now.Sub(s.compacted) >= compactInterval {
+	if s.ring.crowded() && now.Sub(s.compacted) >= compactInterval {
 		s.compacted = now
 		s.ring.compact = true
 		s.signal()
 	}
-	return refusal.ClaimLedger
+	if s.ring.full() {
+		return refusal.ClaimLedger
+	}
+	return ""
 }
 
-// compactInterval is the least time between two compactions of a full shard.
+// compactInterval is the least time between two compactions of a crowded shard.
 const compactInterval = time.Second
 
 // wait returns once the change is durable in the ring, else errUncertain. For
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -114,11 +114,20 @@
 	return nil
 }
 
-// take moves pending changes into the write until the segment is full.
+// maxBatchBytes bounds the changes that one write takes, so that a segment
+// stays well below platform.MaxValueBytes.
+const maxBatchBytes = 256 << 10
+
+// take moves pending changes into the write, unless what was carried fills the
+// segment already.
 func (r *ring) take(next *write) {
+	room := len(next.body) + maxBatchBytes
+	if len(next.body) >= r.policy.SegmentBytes {
+		room = 0
+	}
 	taken := 0
 	for _, waiting := range r.pending {
-		if len(next.body) >= r.policy.SegmentBytes {
+		if len(next.body) >= room {
 			break
 		}
 		taken++
