engine stand-in: a crash also breaks the connection of a slow caller

Cause: a handler blocked in a write to a caller that does not read outlived the engine's crash. Change: a crash or cancel passes the connection's write deadline. Result: the new test fails without the change (the handler outlived the crash) and passes with it, -race -count=5.

--- a/internal/standin/engine/batch.go
+++ b/internal/standin/engine/batch.go
@@ -73,6 +73,9 @@
 		return
 	}
 	g.state = how
+	if how != stateDone {
+		g.abort()
+	}
 	g.wake()
 }
 
--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -13,6 +13,9 @@
 // maxTokenLimit is the longest answer an engine gives, in tokens.
 const maxTokenLimit = 1 << 20
 
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 // complete serves both completion endpoints.
 func (e *Engine) complete(w http.ResponseWriter, r *http.Request) {
 	if e.refuses(w) {
@@ -23,6 +26,10 @@
 		return
 	}
 	g := newGeneration(&request, r.Header.Get(openai.HeaderRequestID), e.opts.Seed)
+	g.abort = func() {
+		// Where the connection has no deadlines, the next write ends it.
+		_ = http.NewResponseController(w).SetWriteDeadline(longAgo)
+	}
 	if !e.submit(g) {
 		writeError(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the queue is full")
 		return
--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +92,34 @@
 	})
 }
 
+func TestCrashEndsAHandlerWhoseCallerDoesNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := New(Options{Name: "e1", Model: testModel})
+		var active atomic.Int32
+		client := testnet.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			active.Add(1)
+			defer active.Add(-1)
+			e.ServeHTTP(w, r)
+		}))
+		response, err := post(t, client, "/v1/chat/completions", chat("a b", 5000, true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		time.Sleep(time.Minute)
+		if err := e.Faults().Switch(fault.Spec{Kind: fault.CrashMidAnswer}); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if active.Load() != 0 {
+			t.Error("the handler outlived the crash")
+		}
+		if _, _, done, err := readStream(response.Body); done || err == nil {
+			t.Errorf("done %v, err %v: want a cut stream", done, err)
+		}
+	})
+}
+
 func TestCrashBreaksEveryConnectionAndIsOver(t *testing.T) {
 	tests := []struct {
 		name  string
--- a/internal/standin/engine/generation.go
+++ b/internal/standin/engine/generation.go
@@ -24,6 +24,8 @@
 	prefixes     []uint64
 	// notify has room for one: something below changed.
 	notify chan struct{}
+	// abort makes writes to the caller fail, also one that blocks now.
+	abort func()
 
 	arrival  int64
 	index    int // in the waiting heap, -1 outside
