--- a/cmd/trestle-load/embedded.go
+++ b/cmd/trestle-load/embedded.go
@@ -31,6 +31,12 @@
 	return nil
 }
 
+// capacity is the tokens a second of all engines with full slots.
+func (d *embeddedDeployment) capacity() float64 {
+	slots := float64(d.Engines * d.Slots)
+	return slots * d.Speed / engine.DefaultTokenInterval.Seconds()
+}
+
 // embeddedStopTimeout bounds the graceful stop of the embedded deployment.
 const embeddedStopTimeout = 10 * time.Second
 
--- a/cmd/trestle-load/run.go
+++ b/cmd/trestle-load/run.go
@@ -15,14 +15,12 @@
 	Seed       *uint64 `help:"Use this seed in place of the workload's."`
 	EngineSeed *uint64 `help:"The engines' seed of answer lengths, in place of the workload's."`
 	Scale      float64 `default:"1" help:"Multiply all rates by this."`
+	Load       float64 `help:"Scale the rates so that they ask for this part of the embedded deployment's tokens a second."`
 	target
 }
 
 // Run offers the workload; it fails where a promise was broken.
 func (c *runCommand) Run() error {
-	if c.Scale <= 0 {
-		return fmt.Errorf("--scale: value %v is not above zero", c.Scale)
-	}
 	data, err := os.ReadFile(c.Workload)
 	if err != nil {
 		return err
@@ -37,7 +35,9 @@
 	if c.EngineSeed != nil {
 		w.EngineSeed = *c.EngineSeed
 	}
-	w.Scale(c.Scale)
+	if err := c.scale(w); err != nil {
+		return err
+	}
 	requests := load.Plan(w)
 	load.Stamp(requests, uuid.NewString())
 	collector, truth, err := c.send(w, requests)
@@ -54,6 +54,26 @@
 	return nil
 }
 
+// scale sets the rates as the flags say.
+func (c *runCommand) scale(w *load.Workload) error {
+	if c.Scale <= 0 || c.Load < 0 {
+		return fmt.Errorf("--scale, --load: values %v, %v: want them above zero", c.Scale, c.Load)
+	}
+	w.Scale(c.Scale)
+	if c.Load == 0 {
+		return nil
+	}
+	if c.Embedded.Nodes == 0 {
+		return fmt.Errorf("--load: value %v needs the capacity of an embedded deployment: --embedded-nodes", c.Load)
+	}
+	demand := load.Demand(w, load.Plan(w))
+	if demand == 0 {
+		return fmt.Errorf("--load: value %v: the workload asks for no tokens", c.Load)
+	}
+	w.Scale(c.Load * c.Embedded.capacity() / demand)
+	return nil
+}
+
 func (c *runCommand) print(report *load.Report) error {
 	if !c.JSON {
 		return report.WriteTable(os.Stdout)
--- a/internal/load/collector.go
+++ b/internal/load/collector.go
@@ -14,6 +14,7 @@
 	classes map[string]*classCount
 	results []*Result
 	open    int
+	wanted  int
 	late    time.Duration
 }
 
@@ -30,6 +31,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.open++
+	c.wanted += wanted(c.workload, *request)
 	c.classes[request.Stream.Class].offered++
 }
 
--- a/internal/load/plan_test.go
+++ b/internal/load/plan_test.go
@@ -82,6 +82,19 @@
 	}
 }
 
+func TestDemandFollowsTheScale(t *testing.T) {
+	w := parse(t, small)
+	once := Demand(w, Plan(w))
+	// 2,500 chats of 5 tokens in 10 s; four standard deviations around it.
+	if once < 1150 || once > 1350 {
+		t.Errorf("demand %v tokens/s, want about 1250", once)
+	}
+	w.Scale(2)
+	if twice := Demand(w, Plan(w)); twice < 1.85*once || twice > 2.15*once {
+		t.Errorf("demand %v tokens/s at twice the rate, %v at once", twice, once)
+	}
+}
+
 func TestStampOnlyUnrepeatableCalls(t *testing.T) {
 	requests := Plan(parse(t, small))
 	Stamp(requests, "run")
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -13,6 +13,8 @@
 	Classes  []ClassReport `json:"classes"`
 	// Seconds is the time from the start to the last end.
 	Seconds float64 `json:"seconds"`
+	// Demand is the tokens a second that the plan asks for.
+	Demand float64 `json:"demand_tokens_per_second"`
 	// Goodput is tokens on target per second.
 	Goodput float64 `json:"goodput_tokens_per_second"`
 	// GeneratedTokens are those the stand-ins made; zero where their run lists
@@ -61,6 +63,7 @@
 	elapsed := time.Since(c.started).Seconds()
 	report := &Report{
 		Workload: c.workload.Name, Seed: c.workload.Seed, Seconds: elapsed,
+		Demand:     float64(c.wanted) / c.workload.Duration.Std().Seconds(),
 		LateMillis: float64(c.late.Microseconds()) / 1000,
 	}
 	var onTarget, answered int64
--- a/internal/load/table.go
+++ b/internal/load/table.go
@@ -37,6 +37,7 @@
 			fmt.Fprintf(&b, "not answered: %s: %s: %d\n", c.Class, reason, c.Shed[reason])
 		}
 	}
+	fmt.Fprintf(&b, "demand: %.0f tokens/s\n", r.Demand)
 	fmt.Fprintf(&b, "goodput: %.0f tokens/s on target over %.1f s\n", r.Goodput, r.Seconds)
 	if r.WastedShare != nil {
 		fmt.Fprintf(&b, "of %d tokens made: wasted %.4f, in late answers %.4f\n", r.GeneratedTokens, *r.WastedShare, *r.LateShare)
--- a/internal/load/trace.go
+++ b/internal/load/trace.go
@@ -62,6 +62,8 @@
 		return nil, nil, fmt.Errorf("the trace is empty")
 	}
 	slices.SortStableFunc(builder.requests, func(a, b Request) int { return cmp.Compare(a.At, b.At) })
+	last := builder.requests[len(builder.requests)-1]
+	builder.workload.Duration = config.Duration(last.At + time.Second)
 	return builder.workload, builder.requests, nil
 }
 
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -180,8 +180,8 @@
 		}
 		start := time.Now()
 		streamAnswer(t, target, chat(prompt, 1, true))
-		if took := time.Since(start); took != defaultTokenInterval {
-			t.Errorf("first token after %v, want %v: nothing to read", took, defaultTokenInterval)
+		if took := time.Since(start); took != DefaultTokenInterval {
+			t.Errorf("first token after %v, want %v: nothing to read", took, DefaultTokenInterval)
 		}
 	})
 }
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -42,12 +42,14 @@
 	HonoursFencing bool
 }
 
+// DefaultTokenInterval is the time between tokens of Options that name none.
+const DefaultTokenInterval = 20 * time.Millisecond
+
 // Defaults of Options.
 const (
 	defaultSlots           = 8
 	defaultBatchPerSlot    = 4
 	defaultQueueBound      = 1024
-	defaultTokenInterval   = 20 * time.Millisecond
 	defaultPrefillPerToken = 200 * time.Microsecond
 	defaultCacheTokens     = 16384
 	defaultLoadLag         = 500 * time.Millisecond
@@ -63,7 +65,7 @@
 	o.CacheTokens = orDefault(o.CacheTokens, defaultCacheTokens)
 	o.CacheEventLoss = orDefault(o.CacheEventLoss, defaultCacheEventLoss)
 	o.Speed = orDefault(o.Speed, 1)
-	o.TokenInterval = o.scaled(o.TokenInterval, defaultTokenInterval)
+	o.TokenInterval = o.scaled(o.TokenInterval, DefaultTokenInterval)
 	o.PrefillPerToken = o.scaled(o.PrefillPerToken, defaultPrefillPerToken)
 	o.LoadLag = o.scaled(o.LoadLag, defaultLoadLag)
 	o.CacheEventLag = o.scaled(o.CacheEventLag, defaultCacheEventLag)
