--- a/internal/standin/engine/complete.go
+++ b/internal/standin/engine/complete.go
@@ -8,6 +8,7 @@
 
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/standin/fault"
+	"galenatrestle/internal/standin/reply"
 )
 
 // maxTokenLimit is the longest answer an engine gives, in tokens.
@@ -31,7 +32,7 @@
 		_ = http.NewResponseController(w).SetWriteDeadline(longAgo)
 	}
 	if !e.submit(g) {
-		writeError(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the queue is full")
+		reply.Error(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the queue is full")
 		return
 	}
 	defer e.cancel(g) // does nothing once it has ended
@@ -47,11 +48,11 @@
 // refuses answers for an engine that takes nothing new; it then returns true.
 func (e *Engine) refuses(w http.ResponseWriter) bool {
 	if _, on := e.faults.Get(fault.Leaving); on {
-		writeError(w, http.StatusServiceUnavailable, openai.CodeLeaving, "the engine is leaving")
+		reply.Error(w, http.StatusServiceUnavailable, openai.CodeLeaving, "the engine is leaving")
 		return true
 	}
 	if _, on := e.faults.Get(fault.Refuse); on {
-		writeError(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the engine takes no work")
+		reply.Error(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the engine takes no work")
 		return true
 	}
 	return false
@@ -63,12 +64,12 @@
 	serves := e.orders.serves(request.Model)
 	e.mu.Unlock()
 	if !serves {
-		writeError(w, http.StatusNotFound, "model_not_found", fmt.Sprintf("field model: value %q is not loaded", request.Model))
+		reply.Error(w, http.StatusNotFound, "model_not_found", fmt.Sprintf("field model: value %q is not loaded", request.Model))
 		return false
 	}
 	if limit := request.TokenLimit(); limit < 0 || limit > maxTokenLimit {
 		message := fmt.Sprintf("field max_tokens: value %d is not from 0 to %d", limit, maxTokenLimit)
-		writeError(w, http.StatusBadRequest, "bad_request", message)
+		reply.Error(w, http.StatusBadRequest, "bad_request", message)
 		return false
 	}
 	return true
--- a/internal/standin/engine/response.go
+++ b/internal/standin/engine/response.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"galenatrestle/internal/openai"
+	"galenatrestle/internal/standin/reply"
 )
 
 // answer writes one generation to its caller.
@@ -50,7 +51,7 @@
 	}
 	response := a.response(text.String(), true, false)
 	response.Usage = a.usage(given)
-	writeJSON(w, http.StatusOK, response)
+	reply.JSON(w, http.StatusOK, response)
 }
 
 func (a *answer) stream(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -8,6 +8,7 @@
 
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/standin/fault"
+	"galenatrestle/internal/standin/reply"
 )
 
 // maxBodyBytes bounds the bodies an engine reads.
@@ -38,7 +39,7 @@
 			ID: name, Object: "model", Created: e.started.Unix(), OwnedBy: e.opts.Name,
 		})
 	}
-	writeJSON(w, http.StatusOK, list)
+	reply.JSON(w, http.StatusOK, list)
 }
 
 func (e *Engine) reportLoad(w http.ResponseWriter, _ *http.Request) {
@@ -54,20 +55,20 @@
 		Role:      e.orders.state.Role,
 	}
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, report)
+	reply.JSON(w, http.StatusOK, report)
 }
 
 func (e *Engine) listCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after := r.URL.Query().Get("after")
 	sequence, err := strconv.ParseInt(orDefault(after, "0"), 10, 64)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("field after: value %q is no number", after))
+		reply.Error(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("field after: value %q is no number", after))
 		return
 	}
 	e.mu.Lock()
 	events := e.events.after(sequence)
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, events)
+	reply.JSON(w, http.StatusOK, events)
 }
 
 func (e *Engine) takeOrder(w http.ResponseWriter, r *http.Request) {
@@ -78,7 +79,7 @@
 	switch order.Kind {
 	case openai.OrderLoad, openai.OrderUnload, openai.OrderRole:
 	default:
-		writeError(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("field kind: value %q is unknown", order.Kind))
+		reply.Error(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("field kind: value %q is unknown", order.Kind))
 		return
 	}
 	e.mu.Lock()
@@ -87,22 +88,22 @@
 	e.mu.Unlock()
 	if !applied {
 		message := fmt.Sprintf("field epoch: value %d is below %d", order.Epoch, state.Epoch)
-		writeError(w, http.StatusConflict, "old_epoch", message)
+		reply.Error(w, http.StatusConflict, "old_epoch", message)
 		return
 	}
-	writeJSON(w, http.StatusOK, state)
+	reply.JSON(w, http.StatusOK, state)
 }
 
 func (e *Engine) readOrders(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	state := e.orders.snapshot()
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, state)
+	reply.JSON(w, http.StatusOK, state)
 }
 
 func (e *Engine) cancelByID(w http.ResponseWriter, r *http.Request) {
 	if !e.cancelRequest(r.PathValue("id")) {
-		writeError(w, http.StatusNotFound, "unknown_request", "nothing of that id is running")
+		reply.Error(w, http.StatusNotFound, "unknown_request", "nothing of that id is running")
 		return
 	}
 	w.WriteHeader(http.StatusNoContent)
@@ -117,7 +118,7 @@
 	e.mu.Lock()
 	cached := e.cache.cached(prefixes)
 	e.mu.Unlock()
-	writeJSON(w, http.StatusOK, openai.KVBlocks{Model: selector.Model, Hashes: prefixes[:cached]})
+	reply.JSON(w, http.StatusOK, openai.KVBlocks{Model: selector.Model, Hashes: prefixes[:cached]})
 }
 
 func (e *Engine) importKV(w http.ResponseWriter, r *http.Request) {
@@ -135,21 +136,8 @@
 func readJSON(w http.ResponseWriter, r *http.Request, into any) bool {
 	body := http.MaxBytesReader(w, r.Body, maxBodyBytes)
 	if err := json.NewDecoder(body).Decode(into); err != nil {
-		writeError(w, http.StatusBadRequest, "bad_request", err.Error())
+		reply.Error(w, http.StatusBadRequest, "bad_request", err.Error())
 		return false
 	}
 	return true
 }
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// Only the connection can fail here, and its reader is then gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
-func writeError(w http.ResponseWriter, status int, code, message string) {
-	writeJSON(w, status, openai.ErrorBody{Error: openai.ErrorDetail{
-		Message: message, Type: "engine_error", Code: code,
-	}})
-}
--- a/internal/standin/handler.go
+++ b/internal/standin/handler.go
@@ -7,8 +7,8 @@
 	"net/http"
 	"slices"
 
-	"galenatrestle/internal/openai"
 	"galenatrestle/internal/standin/fault"
+	"galenatrestle/internal/standin/reply"
 	"galenatrestle/internal/standin/runs"
 )
 
@@ -41,7 +41,7 @@
 
 func (h *handler) list(w http.ResponseWriter, _ *http.Request) {
 	names := slices.Sorted(maps.Keys(h.standins))
-	writeJSON(w, http.StatusOK, Names{Standins: names})
+	reply.JSON(w, http.StatusOK, Names{Standins: names})
 }
 
 // named returns the stand-in of the path, or nil once it has written a 404.
@@ -49,7 +49,7 @@
 	name := r.PathValue("name")
 	s, ok := h.standins[name]
 	if !ok {
-		writeError(w, http.StatusNotFound, "unknown_standin", fmt.Sprintf("no stand-in is named %q", name))
+		reply.Error(w, http.StatusNotFound, "unknown_standin", fmt.Sprintf("no stand-in is named %q", name))
 		return nil
 	}
 	return s
@@ -64,19 +64,19 @@
 	decoder.DisallowUnknownFields()
 	var spec fault.Spec
 	if err := decoder.Decode(&spec); err != nil {
-		writeError(w, http.StatusBadRequest, "bad_fault", err.Error())
+		reply.Error(w, http.StatusBadRequest, "bad_fault", err.Error())
 		return
 	}
 	if err := s.Faults().Switch(spec); err != nil {
-		writeError(w, http.StatusBadRequest, "bad_fault", err.Error())
+		reply.Error(w, http.StatusBadRequest, "bad_fault", err.Error())
 		return
 	}
-	writeJSON(w, http.StatusOK, s.Faults().List())
+	reply.JSON(w, http.StatusOK, s.Faults().List())
 }
 
 func (h *handler) getFaults(w http.ResponseWriter, r *http.Request) {
 	if s := h.named(w, r); s != nil {
-		writeJSON(w, http.StatusOK, s.Faults().List())
+		reply.JSON(w, http.StatusOK, s.Faults().List())
 	}
 }
 
@@ -101,22 +101,8 @@
 	}
 	list := s.Runs()
 	if list == nil {
-		writeJSON(w, http.StatusOK, runs.Report{Runs: []runs.Run{}})
+		reply.JSON(w, http.StatusOK, runs.Report{Runs: []runs.Run{}})
 		return
 	}
-	writeJSON(w, http.StatusOK, list.Report())
-}
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// The connection is the only thing that can fail here, and its reader is
-	// then gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
-func writeError(w http.ResponseWriter, status int, code, message string) {
-	writeJSON(w, status, openai.ErrorBody{Error: openai.ErrorDetail{
-		Message: message, Type: "invalid_request_error", Code: code,
-	}})
+	reply.JSON(w, http.StatusOK, list.Report())
 }
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -12,6 +12,7 @@
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/standin"
 	"galenatrestle/internal/standin/fault"
+	"galenatrestle/internal/standin/reply"
 	"galenatrestle/internal/standin/runs"
 )
 
@@ -63,7 +64,7 @@
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
-		writeError(w, http.StatusBadRequest, "bad_request", err.Error())
+		reply.Error(w, http.StatusBadRequest, "bad_request", err.Error())
 		return
 	}
 	sequence := s.runs.Begin(runs.Run{
@@ -119,17 +120,17 @@
 	if json.Valid(body) {
 		echo.Body = body
 	}
-	writeJSON(w, http.StatusOK, echo)
+	reply.JSON(w, http.StatusOK, echo)
 }
 
 // refuses answers for a service that takes nothing new; it then returns true.
 func (s *Service) refuses(w http.ResponseWriter) bool {
 	if _, on := s.faults.Get(fault.Leaving); on {
-		writeError(w, http.StatusServiceUnavailable, openai.CodeLeaving, "the service is leaving")
+		reply.Error(w, http.StatusServiceUnavailable, openai.CodeLeaving, "the service is leaving")
 		return true
 	}
 	if _, on := s.faults.Get(fault.Refuse); on {
-		writeError(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the service takes no work")
+		reply.Error(w, http.StatusServiceUnavailable, openai.CodeOverloaded, "the service takes no work")
 		return true
 	}
 	return false
@@ -171,16 +172,3 @@
 	defer s.mu.Unlock()
 	return s.crashed, time.Now().Before(s.downUntil)
 }
-
-func writeJSON(w http.ResponseWriter, status int, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	w.WriteHeader(status)
-	// Only the connection can fail here, and its reader is then gone.
-	_ = json.NewEncoder(w).Encode(value)
-}
-
-func writeError(w http.ResponseWriter, status int, code, message string) {
-	writeJSON(w, status, openai.ErrorBody{Error: openai.ErrorDetail{
-		Message: message, Type: "service_error", Code: code,
-	}})
-}
