--- /dev/null
+++ b/internal/credit/market_test.go
@@ -0,0 +1,367 @@
+package credit
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
+
+	creditv1 "galenatrestle/internal/gen/trestle/credit/v1"
+)
+
+// callOverhead is the bytes of one unary call beyond its messages, as measured
+// in package membership.
+const callOverhead = 330
+
+const marketStep = 100 * time.Millisecond
+
+// marketSize is one case of the measurement.
+type marketSize struct {
+	nodes, replicas, limit int
+	// models is the number of upstreams to which the replicas belong in turn.
+	models int
+	// perNode is each node's requests a second, service the mean time of one.
+	perNode  float64
+	service  time.Duration
+	settings Settings
+	// alone leaves each node with its fair part and no messages.
+	alone bool
+	// skew sends all of tier 0 to the first quarter of the nodes.
+	skew bool
+}
+
+type job struct {
+	tier    int
+	model   int
+	arrived time.Time
+}
+
+// marketNode is one node: its queue, what it runs, and both roles.
+type marketNode struct {
+	name    string
+	wallet  *Wallet
+	owner   *Owner
+	queue   []job
+	running []int
+	bytes   int
+	calls   int
+}
+
+// market drives nodes that share replicas by credits; each message is encoded
+// and counted.
+type market struct {
+	marketSize
+	now     time.Time
+	rng     *rand.Rand
+	members []*marketNode
+	names   []string
+	ownerOf []int
+	ends    []ending
+	started int
+	waits   map[int][]float64
+	// busy sums the slots in use over the steps.
+	busy, steps, over int
+}
+
+type ending struct {
+	at            time.Time
+	node, replica int
+}
+
+func newMarket(size marketSize) *market {
+	m := &market{marketSize: size, now: start, rng: rand.New(rand.NewPCG(9, 9)), waits: make(map[int][]float64)}
+	for i := range size.nodes {
+		name := fmt.Sprintf("bp-angyal-vm-%02d", i)
+		m.members = append(m.members, &marketNode{
+			name:    name,
+			wallet:  NewWallet(name, size.settings, rand.New(rand.NewPCG(4, uint64(i)))),
+			owner:   NewOwner(size.settings),
+			running: make([]int, size.replicas),
+		})
+	}
+	for i := range size.replicas {
+		name := fmt.Sprintf("tab-llm-%03d", i)
+		m.names = append(m.names, name)
+		m.ownerOf = append(m.ownerOf, int(xxhash.Sum64String(name)%uint64(size.nodes)))
+	}
+	return m
+}
+
+func (m *market) run(d time.Duration) {
+	for end := m.now.Add(d); m.now.Before(end); {
+		m.now = m.now.Add(marketStep)
+		m.end()
+		for i, n := range m.members {
+			m.arrive(i, n)
+			m.exchange(n)
+			m.begin(i, n)
+		}
+		m.observe()
+	}
+}
+
+func (m *market) end() {
+	m.ends = slices.DeleteFunc(m.ends, func(e ending) bool {
+		if m.now.Before(e.at) {
+			return false
+		}
+		m.members[e.node].running[e.replica]--
+		return true
+	})
+}
+
+// arrive draws the step's arrivals: a fifth of them in tier 0, the rest in
+// tier 3.
+func (m *market) arrive(i int, n *marketNode) {
+	rates := map[int]float64{0: m.perNode / 5, 3: m.perNode * 4 / 5}
+	if m.skew && i < m.nodes/4 {
+		rates[0] *= 4
+	} else if m.skew {
+		rates[0] = 0
+	}
+	for _, tier := range []int{0, 3} {
+		for range m.poisson(rates[tier] * marketStep.Seconds()) {
+			n.queue = append(n.queue, job{tier: tier, model: m.rng.IntN(m.models), arrived: m.now})
+		}
+	}
+	slices.SortStableFunc(n.queue, func(a, b job) int { return cmp.Compare(a.tier, b.tier) })
+	if len(n.queue) > 200 {
+		n.queue = n.queue[:200]
+	}
+}
+
+func (m *market) poisson(mean float64) int {
+	n, p, limit := 0, m.rng.Float64(), math.Exp(-mean)
+	for p > limit {
+		n++
+		p *= m.rng.Float64()
+	}
+	return n
+}
+
+func (m *market) needs(n *marketNode) []Need {
+	needs := make([]Need, m.models)
+	for i := range needs {
+		needs[i].Upstream = fmt.Sprint(i)
+	}
+	for _, j := range n.queue {
+		need := &needs[j.model]
+		if need.Waiting == 0 {
+			need.Tier = j.tier
+			need.Slack = j.arrived.Add(time.Minute).Sub(m.now)
+		}
+		if j.tier == need.Tier {
+			need.Waiting++
+		} else {
+			need.Rest++
+		}
+	}
+	for i, name := range m.names {
+		need := &needs[i%m.models]
+		need.Replicas = append(need.Replicas, ReplicaNeed{
+			Name: name, Owner: m.members[m.ownerOf[i]].name, Limit: m.limit, Running: n.running[i],
+		})
+	}
+	return needs
+}
+
+func (m *market) exchange(n *marketNode) {
+	if m.alone {
+		return
+	}
+	asks := n.wallet.Plan(m.now, m.needs(n))
+	for _, to := range m.members {
+		list, ok := asks[to.name]
+		if !ok {
+			continue
+		}
+		request := &creditv1.AskRequest{Node: n.name, Asks: asksToWire(list)}
+		grants := to.owner.Handle(m.now, n.name, m.nodes, asksFromWire(request.Asks))
+		response := &creditv1.AskResponse{Grants: grantsToWire(grants)}
+		if to != n {
+			bytes := proto.Size(request) + proto.Size(response) + callOverhead
+			n.bytes += bytes
+			to.bytes += bytes
+			n.calls++
+		}
+		n.wallet.Apply(m.now, grantsFromWire(response.Grants))
+	}
+}
+
+// begin starts what the allowances permit, on the replica with most room.
+func (m *market) begin(i int, n *marketNode) {
+	if len(n.queue) == 0 {
+		return
+	}
+	allowances := m.allowances(n)
+	full := make([]bool, m.models)
+	n.queue = slices.DeleteFunc(n.queue, func(j job) bool {
+		if full[j.model] {
+			return false
+		}
+		best, room := -1, 0
+		for r := j.model; r < m.replicas; r += m.models {
+			if free := allowances[m.names[r]] - n.running[r]; free > room {
+				best, room = r, free
+			}
+		}
+		if best < 0 {
+			full[j.model] = true
+			return false
+		}
+		n.running[best]++
+		m.started++
+		m.waits[j.tier] = append(m.waits[j.tier], m.now.Sub(j.arrived).Seconds())
+		took := time.Duration(m.rng.ExpFloat64() * float64(m.service))
+		m.ends = append(m.ends, ending{at: m.now.Add(took), node: i, replica: best})
+		return true
+	})
+}
+
+func (m *market) allowances(n *marketNode) map[string]int {
+	if m.alone {
+		all := make(map[string]int)
+		for _, name := range m.names {
+			all[name] = FairPart(m.limit, m.nodes)
+		}
+		return all
+	}
+	all := make(map[string]int)
+	for _, need := range m.needs(n) {
+		maps.Copy(all, n.wallet.Allowances(m.now, need, m.nodes))
+	}
+	return all
+}
+
+func (m *market) observe() {
+	m.steps++
+	for r := range m.names {
+		sum := 0
+		for _, n := range m.members {
+			sum += n.running[r]
+		}
+		m.busy += sum
+		if sum > m.limit {
+			m.over++
+		}
+	}
+}
+
+func (m *market) reset() {
+	m.started, m.busy, m.steps, m.over = 0, 0, 0, 0
+	m.waits = make(map[int][]float64)
+	for _, n := range m.members {
+		n.bytes, n.calls = 0, 0
+	}
+}
+
+// figures is what a measurement shows.
+type figures struct {
+	bytesPerSecond, worst, callsPerSecond, bytesPerStart float64
+	// wait0 is tier 0's 99th percentile in seconds.
+	wait0, mean0, mean3 float64
+	// busy is the part of all slots in use, over the part of replica steps
+	// beyond the limit.
+	busy, over float64
+}
+
+func (m *market) measure(warm, d time.Duration) figures {
+	m.run(warm)
+	m.reset()
+	m.run(d)
+	var f figures
+	for _, n := range m.members {
+		rate := float64(n.bytes) / d.Seconds()
+		f.bytesPerSecond += rate / float64(m.nodes)
+		f.worst = max(f.worst, rate)
+		f.callsPerSecond += float64(n.calls) / d.Seconds() / float64(m.nodes)
+		f.bytesPerStart += float64(n.bytes) / 2 / float64(max(m.started, 1))
+	}
+	f.wait0, f.mean0, f.mean3 = percentile(m.waits[0], 0.99), mean(m.waits[0]), mean(m.waits[3])
+	f.busy = float64(m.busy) / float64(m.steps*m.replicas*m.limit)
+	f.over = float64(m.over) / float64(m.steps*m.replicas)
+	return f
+}
+
+func percentile(values []float64, q float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[int(q*float64(len(values)-1))]
+}
+
+func mean(values []float64) float64 {
+	sum := 0.0
+	for _, v := range values {
+		sum += v
+	}
+	return sum / float64(max(len(values), 1))
+}
+
+// The sizes: today's, and the letter's for one region with answers of 455
+// tokens at 35 ms, that is 16 s.
+func todaySize() marketSize {
+	return marketSize{nodes: 8, replicas: 20, models: 1, limit: 8, service: 4 * time.Second}
+}
+
+func letterSize() marketSize {
+	return marketSize{nodes: 60, replicas: 352, models: 8, limit: 90, service: 16 * time.Second, perNode: 27}
+}
+
+// rate sets the load as a part of the capacity.
+func (s marketSize) at(load float64) marketSize {
+	s.perNode = load * float64(s.replicas*s.limit) / s.service.Seconds() / float64(s.nodes)
+	return s
+}
+
+func BenchmarkMarket(b *testing.B) {
+	cases := []struct {
+		title string
+		size  marketSize
+		set   Settings
+	}{
+		{"letter/subset=4", letterSize(), Settings{Subset: 4}},
+		{"letter/subset=8", letterSize(), Settings{}},
+		{"letter/subset=8,overload", letterSize().at(1.2), Settings{}},
+		{"letter/all", letterSize(), Settings{Subset: 44}},
+		{"today/load=0.7", todaySize().at(0.7), Settings{Subset: 20}},
+		{"today/load=1.0", todaySize().at(1), Settings{Subset: 20}},
+		{"today/load=1.5", todaySize().at(1.5), Settings{Subset: 20}},
+		{"today/load=2.0", todaySize().at(2), Settings{Subset: 20}},
+	}
+	for _, c := range cases {
+		c.size.settings = c.set
+		b.Run(c.title, func(b *testing.B) { report(b, c.size) })
+		if c.size.nodes > 8 {
+			continue
+		}
+		skewed := c.size
+		skewed.skew = true
+		b.Run(c.title+",skewed", func(b *testing.B) { report(b, skewed) })
+		skewed.alone = true
+		b.Run(c.title+",skewed,alone", func(b *testing.B) { report(b, skewed) })
+	}
+}
+
+func report(b *testing.B, size marketSize) {
+	for range b.N {
+		f := newMarket(size).measure(20*time.Second, 20*time.Second)
+		b.ReportMetric(f.bytesPerSecond, "B/s")
+		b.ReportMetric(f.worst, "worst-B/s")
+		b.ReportMetric(f.callsPerSecond, "calls/s")
+		b.ReportMetric(f.bytesPerStart, "B/start")
+		b.ReportMetric(f.mean0, "tier0-mean-s")
+		b.ReportMetric(f.wait0, "tier0-p99-s")
+		b.ReportMetric(f.mean3, "tier3-mean-s")
+		b.ReportMetric(f.busy, "busy")
+		b.ReportMetric(f.over, "over")
+	}
+}
--- /dev/null
+++ b/internal/credit/settings.go
@@ -0,0 +1,53 @@
+package credit
+
+import "time"
+
+// Settings are the times and bounds of the exchange. Zero fields take the
+// defaults.
+type Settings struct {
+	// LeaseTime is how long a grant lasts.
+	LeaseTime time.Duration
+	// Renew is the time between two asks to one owner.
+	Renew time.Duration
+	// Urgent is the shortest time between two asks, whichever their owners, that
+	// go out before their time because requests wait and no slot is left.
+	Urgent time.Duration
+	// LowShare is the part of a limit that nodes keep between them for requests
+	// less urgent than those of others, so that every class goes on.
+	LowShare float64
+	// Subset is the number of replicas of one upstream with which one node
+	// works.
+	Subset int
+	// Prepaid is the number of slots of each replica held beyond those in use.
+	Prepaid int
+}
+
+// The defaults of Settings.
+const (
+	DefaultLeaseTime = 15 * time.Second
+	DefaultRenew     = 5 * time.Second
+	DefaultUrgent    = time.Second / 3
+	DefaultLowShare  = 0.1
+	DefaultSubset    = 8
+	DefaultPrepaid   = 2
+)
+
+// maxReplicas bounds the replicas that one owner keeps books on.
+const maxReplicas = 4096
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.LeaseTime, DefaultLeaseTime)
+	setDefault(&s.Renew, DefaultRenew)
+	setDefault(&s.Urgent, DefaultUrgent)
+	setDefault(&s.LowShare, DefaultLowShare)
+	setDefault(&s.Subset, DefaultSubset)
+	setDefault(&s.Prepaid, DefaultPrepaid)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
