credit: a node with requests waiting keeps its slots; slots about to end count

Cause: under overload a tenth of the slots stood idle: a node whose requests waited for other replicas gave back the slots it used to any that waited, and several nodes gave back slots for the same need.

Tried, without gain: staying with one owner for three urgent asks, a larger margin of slack, waiting 0.25 to 1 s before slots of others are taken.

--- a/internal/credit/ask.go
+++ b/internal/credit/ask.go
@@ -16,7 +16,8 @@
 	// Extra is the number of further slots of use: for less urgent requests, or
 	// prepaid.
 	Extra int
-	// Waiting tells that requests wait.
+	// Waiting tells that requests of the upstream wait at the node, be it for
+	// other replicas: it then keeps its slots against less urgent ones.
 	Waiting bool
 	// Tier and Slack are of the most urgent request waiting; 0 is the highest
 	// tier.
--- a/internal/credit/owner.go
+++ b/internal/credit/owner.go
@@ -41,7 +41,7 @@
 }
 
 // needTime is how long slots are kept free for a node that waits.
-const needTime = 1 * time.Second
+const needTime = 2 * time.Second
 
 // NewOwner returns an owner that knows of no replica.
 func NewOwner(settings Settings) *Owner {
@@ -117,8 +117,9 @@
 	free := max(ask.Limit-rest.held, 0)
 	// What the more urgent ones leave may be had, and what the less urgent
 	// ones together may keep.
-	left := max(free-rest.urgent, 0)
-	if rest.urgent > 0 {
+	urgent := max(rest.urgent-rest.ending, 0)
+	left := max(free-urgent, 0)
+	if urgent > 0 {
 		low := int(math.Ceil(lowShare*float64(ask.Limit))) - rest.low
 		left = max(left, min(free, low))
 	}
@@ -135,6 +136,8 @@
 	// urgent is what those that come before the ask wait for, missing what any
 	// of them wait for.
 	urgent, missing int
+	// ending is what they have to give back as their requests end.
+	ending int
 }
 
 func (b *book) rest(now time.Time, node string, ask Ask) others {
@@ -145,6 +148,7 @@
 		}
 		sum.held += l.held()
 		sum.missing += l.missing(now)
+		sum.ending += l.held() - l.slots
 		if l.ask.before(ask) {
 			sum.urgent += l.missing(now)
 		} else {
--- a/internal/credit/wallet.go
+++ b/internal/credit/wallet.go
@@ -141,7 +141,7 @@
 		Used:    r.Running,
 		Want:    want,
 		Extra:   max(min(max(rest, w.settings.Prepaid), r.Limit-want), 0),
-		Waiting: waiting > 0,
+		Waiting: need.Waiting > 0,
 		Tier:    need.Tier,
 		Slack:   need.Slack,
 	}
