--- a/internal/configsync/history.go
+++ b/internal/configsync/history.go
@@ -73,8 +73,7 @@
 		}
 		return r.store.Delete(ctx, key, entry.Revision)
 	})
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) || errors.Is(err, platform.ErrNotFound) {
+	if isConflict(err) || errors.Is(err, platform.ErrNotFound) {
 		return nil
 	}
 	return errs.Wrap(errs.Platform, err, "remove configuration", storePeer)
@@ -185,10 +184,8 @@
 	if err != nil {
 		return "", Record{}, err
 	}
-	for _, accepted := range chain(head, kept) {
-		if accepted.ID == record.ID {
-			return StandingAccepted, head, nil
-		}
+	if _, found := findAccepted(chain(head, kept), record.ID); found {
+		return StandingAccepted, head, nil
 	}
 	return StandingStale, head, nil
 }
