Carry credits over connect and wire them into the node, switched off by default

Change: credit.Exchange drives Owner and Wallet (one call an owner, bounded in time, one under way at a time); node.Options.ShareSlots feeds the dispatcher's allowances from it. Without the switch nothing changes.

Not measured: the whole node under load with and without the switch, which is why it is off.

--- /dev/null
+++ b/internal/credit/wallet_test.go
@@ -0,0 +1,126 @@
+package credit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func newTestWallet(settings Settings) *Wallet {
+	return NewWallet("vm-0", settings, rand.New(rand.NewPCG(1, 2)))
+}
+
+// needOf returns a need of n replicas that are owned in turn by three nodes.
+func needOf(n, waiting int) Need {
+	need := Need{Upstream: "u", Waiting: waiting}
+	for i := range n {
+		need.Replicas = append(need.Replicas, ReplicaNeed{
+			Name: fmt.Sprintf("r%d", i), Owner: fmt.Sprintf("vm-%d", i%3), Limit: 8,
+		})
+	}
+	return need
+}
+
+func TestWithoutOwnerTheFairPartCounts(t *testing.T) {
+	w := newTestWallet(Settings{})
+	if got := w.Allowance(start, "r0", 24, 8); got != 3 {
+		t.Errorf("before any grant: %d slots, want 3", got)
+	}
+	w.Apply(start, []Grant{{Replica: "r0", Slots: 7, For: DefaultLeaseTime}})
+	if got := w.Allowance(start.Add(DefaultLeaseTime-1), "r0", 24, 8); got != 7 {
+		t.Errorf("under a grant: %d slots, want 7", got)
+	}
+	if got := w.Allowance(start.Add(DefaultLeaseTime), "r0", 24, 8); got != 3 {
+		t.Errorf("after the grant: %d slots, want 3", got)
+	}
+	if got := w.Allowance(start, "r1", 4, 60); got != 1 {
+		t.Errorf("small part: %d slots, want 1", got)
+	}
+}
+
+func TestOneMessageAnOwnerAtItsTime(t *testing.T) {
+	w := newTestWallet(Settings{Subset: 9})
+	needs := []Need{needOf(9, 0)}
+	asks := w.Plan(start, needs)
+	if len(asks) != 3 || len(asks["vm-1"]) != 3 {
+		t.Fatalf("first plan: %v", asks)
+	}
+	messages := 0
+	const intervals = 20
+	for at := time.Duration(0); at < intervals*DefaultRenew; at += planInterval {
+		messages += len(w.Plan(start.Add(at), needs))
+	}
+	if messages < 3*(intervals-3) || messages > 3*(intervals+3) {
+		t.Errorf("%d messages to 3 owners in %d intervals", messages, intervals)
+	}
+}
+
+func TestUrgentAsksAreBoundedAndTakeTurns(t *testing.T) {
+	w := newTestWallet(Settings{Subset: 9, Renew: time.Hour, LeaseTime: 3 * time.Hour})
+	needs := []Need{needOf(9, 5)}
+	w.Plan(start, needs)
+	asked := make(map[string]int)
+	const seconds = 30
+	for at := time.Duration(0); at < seconds*time.Second; at += planInterval {
+		for owner, asks := range w.Plan(start.Add(at), needs) {
+			asked[owner]++
+			sum := 0
+			for _, a := range asks {
+				sum += a.Want
+			}
+			if sum != 5 {
+				t.Fatalf("%d slots wanted of one owner for 5 requests", sum)
+			}
+		}
+	}
+	bound := int(seconds*time.Second/DefaultUrgent) + 1
+	total := asked["vm-0"] + asked["vm-1"] + asked["vm-2"]
+	if total > bound || total < bound/2 {
+		t.Errorf("%d urgent asks in %d s, bound %d", total, seconds, bound)
+	}
+	for owner, n := range asked {
+		if n < total/4 {
+			t.Errorf("%s was asked %d of %d times", owner, n, total)
+		}
+	}
+}
+
+func TestFreeSlotMakesNoUrgentAsk(t *testing.T) {
+	w := newTestWallet(Settings{Subset: 9, Renew: time.Hour, LeaseTime: 3 * time.Hour})
+	needs := []Need{needOf(9, 5)}
+	w.Plan(start, needs)
+	w.Apply(start, []Grant{{Replica: "r4", Slots: 1, For: time.Hour}})
+	if asks := w.Plan(start.Add(time.Minute), needs); len(asks) != 0 {
+		t.Errorf("asked %v though a slot is free", asks)
+	}
+}
+
+func TestSubsetIsStableAndKeepsWhatRuns(t *testing.T) {
+	w := newTestWallet(Settings{Subset: 4})
+	need := needOf(30, 0)
+	first := w.Subset(start, need)
+	if len(first) != 4 {
+		t.Fatalf("%d replicas chosen, want 4", len(first))
+	}
+	owners := make(map[string]bool)
+	for _, r := range first {
+		owners[r.Owner] = true
+	}
+	if len(owners) != 1 {
+		t.Errorf("4 of 10 replicas an owner are spread over %d owners", len(owners))
+	}
+	chosen := make(map[string]bool)
+	for _, r := range first {
+		chosen[r.Name] = true
+	}
+	for i := range need.Replicas {
+		if !chosen[need.Replicas[i].Name] {
+			need.Replicas[i].Running = 1
+			break
+		}
+	}
+	if again := w.Subset(start.Add(time.Hour), need); len(again) != 5 {
+		t.Errorf("%d replicas, want the same 4 and the one in use", len(again))
+	}
+}
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -85,6 +85,7 @@
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
+		ShareSlots:       d.options.ShareSlots,
 		Store:            client.store,
 		Instances:        client.store,
 		KeepTime:         d.options.KeepTime,
--- a/internal/embedded/members_test.go
+++ b/internal/embedded/members_test.go
@@ -9,6 +9,7 @@
 
 	"galenatrestle/internal/gateway"
 	"galenatrestle/internal/membership"
+	"galenatrestle/internal/node"
 	"galenatrestle/internal/standin/fault"
 )
 
@@ -78,6 +79,19 @@
 		}
 	}
 	for _, n := range d.Nodes {
-		eventually(t, "the replica is leaving at "+n.Name(), func() bool { return n.LeavingReplicas() == 1 })
+		eventually(t, "the replica is leaving at "+n.Name(), func() bool { return leavingAt(n) == 1 })
 	}
 }
+
+// leavingAt counts the replicas that get nothing new from a node.
+func leavingAt(n *node.Node) int {
+	leaving := 0
+	for _, stats := range n.Stats() {
+		for _, r := range stats.Replicas {
+			if r.Leaving {
+				leaving++
+			}
+		}
+	}
+	return leaving
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -11,6 +11,7 @@
 	"galenatrestle/internal/leaving"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/openai"
+	"galenatrestle/internal/router"
 )
 
 // How often the node looks at what brings no news by itself.
@@ -191,15 +192,5 @@
 	m.runner.ApplyInstances(entries)
 }
 
-// LeavingReplicas returns the number of replicas that get nothing new.
-func (n *Node) LeavingReplicas() int {
-	leaving := 0
-	for _, stats := range n.dispatch.Stats() {
-		for _, r := range stats.Replicas {
-			if r.Leaving {
-				leaving++
-			}
-		}
-	}
-	return leaving
-}
+// Stats returns the state of each upstream's queue and replicas at this node.
+func (n *Node) Stats() map[string]router.Stats { return n.dispatch.Stats() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	peers    *peers
 	answers  *answers
 	claims   *claims
+	credits  *credits
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -43,6 +44,7 @@
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
+	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -84,6 +86,7 @@
 	n.members.start()
 	n.answers.start()
 	n.claims.start()
+	n.credits.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -122,6 +125,7 @@
 func (n *Node) close() {
 	n.claims.close()
 	n.answers.close()
+	n.credits.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -22,6 +22,8 @@
 type ReplicaStats struct {
 	Name    string
 	Running int
+	// Slots is the replica's own limit, whatever its owner gave to this node.
+	Slots int
 	// Limit is the most requests this node runs on it at present.
 	Limit int
 	// Leaving replicas get nothing new.
