Read the load reports of owned engines for their word on leaving

Cause: a replica that leaves and gets no request was noticed by nobody, and a vote from a refusal could only run out.

--- a/internal/embedded/members_test.go
+++ b/internal/embedded/members_test.go
@@ -95,3 +95,19 @@
 	}
 	return leaving
 }
+
+// TestLeavingReplicaIsSeenByItsReport sends no request at all: the owner reads
+// the engine's report and tells the others, also when it serves again.
+func TestLeavingReplicaIsSeenByItsReport(t *testing.T) {
+	d := startWith(t, Options{Nodes: 3, Engines: 2})
+	if err := d.Engine(1).Faults().Switch(fault.Spec{Kind: fault.Leaving}); err != nil {
+		t.Fatal(err)
+	}
+	for _, n := range d.Nodes {
+		eventually(t, "the replica is leaving at "+n.Name(), func() bool { return leavingAt(n) == 1 })
+	}
+	d.Engine(1).Faults().Clear(fault.Leaving)
+	for _, n := range d.Nodes {
+		eventually(t, "the replica serves again at "+n.Name(), func() bool { return leavingAt(n) == 0 })
+	}
+}
--- a/internal/leaving/set.go
+++ b/internal/leaving/set.go
@@ -55,13 +55,18 @@
 }
 
 // Engine takes in a replica's own word: leaving from a refusal or a report,
-// or serving from a report. It returns the vote to spread, if there is news.
-func (s *Set) Engine(now time.Time, name string, leaving bool) (Vote, bool) {
+// or serving from a report. Reports lag: one that was measured before the word
+// it would take back changes nothing. It returns the vote to spread, if there
+// is news.
+func (s *Set) Engine(now, measured time.Time, name string, leaving bool) (Vote, bool) {
 	key := voteKey{name, SourceEngine}
-	if !leaving && !s.says(now, key) {
+	if leaving {
+		return s.renew(now, key, true)
+	}
+	if !s.says(now, key) || measured.UnixMilli() <= s.votes[key].Version {
 		return Vote{}, false
 	}
-	return s.renew(now, key, leaving)
+	return s.renew(now, key, false)
 }
 
 // Instance takes in what this node's copy of the platform's list says. The
--- a/internal/leaving/set_test.go
+++ b/internal/leaving/set_test.go
@@ -16,14 +16,18 @@
 		want  bool
 	}{
 		{"nobody said anything", func(*Set) {}, false},
-		{"engine leaves", func(s *Set) { s.Engine(start, name, true) }, true},
+		{"engine leaves", func(s *Set) { s.Engine(start, start, name, true) }, true},
 		{"engine serves again", func(s *Set) {
-			s.Engine(start, name, true)
-			s.Engine(at(time.Second), name, false)
+			s.Engine(start, start, name, true)
+			s.Engine(at(time.Second), at(time.Second), name, false)
 		}, false},
+		{"a report from before the refusal changes nothing", func(s *Set) {
+			s.Engine(start, start, name, true)
+			s.Engine(at(time.Second), at(-time.Second), name, false)
+		}, true},
 		{"engine serves, operator drains", func(s *Set) {
 			s.Operator(start, name, true, 7)
-			s.Engine(at(time.Second), name, false)
+			s.Engine(at(time.Second), at(time.Second), name, false)
 		}, true},
 		{"older configuration changes nothing", func(s *Set) {
 			s.Operator(start, name, true, 7)
@@ -42,11 +46,11 @@
 			s.Instance(at(time.Second), name, false)
 		}, false},
 		{"an older vote of a peer changes nothing", func(s *Set) {
-			s.Engine(start, name, true)
+			s.Engine(start, start, name, true)
 			s.Merge(start, Vote{name, SourceEngine, false, start.UnixMilli() - 1, at(VoteTime)})
 		}, true},
 		{"an expired vote counts for nothing", func(s *Set) {
-			s.Engine(at(-VoteTime), name, true)
+			s.Engine(at(-VoteTime), at(-VoteTime), name, true)
 		}, false},
 	}
 	for _, test := range tests {
@@ -64,7 +68,7 @@
 	s := NewSet()
 	messages := 0
 	for i := range 3600 {
-		if _, news := s.Engine(start.Add(time.Duration(i)*time.Second), "r", true); news {
+		if _, news := s.Engine(start.Add(time.Duration(i)*time.Second), start, "r", true); news {
 			messages++
 		}
 	}
--- a/internal/leaving/tracker.go
+++ b/internal/leaving/tracker.go
@@ -77,12 +77,13 @@
 // EngineLeaving takes in a replica's refusal with the code `leaving`, or a
 // load report that says so.
 func (t *Tracker) EngineLeaving(name string) {
-	t.sign(name, func(s *Set, now time.Time) (Vote, bool) { return s.Engine(now, name, true) })
+	t.sign(name, func(s *Set, now time.Time) (Vote, bool) { return s.Engine(now, now, name, true) })
 }
 
-// EngineServing takes in a load report that does not say leaving.
-func (t *Tracker) EngineServing(name string) {
-	t.sign(name, func(s *Set, now time.Time) (Vote, bool) { return s.Engine(now, name, false) })
+// EngineServing takes in a load report that does not say leaving, and when the
+// replica measured it by this node's clock.
+func (t *Tracker) EngineServing(name string, measured time.Time) {
+	t.sign(name, func(s *Set, now time.Time) (Vote, bool) { return s.Engine(now, measured, name, false) })
 }
 
 // Instances takes in this node's copy of the platform's list.
--- a/internal/leaving/tracker_test.go
+++ b/internal/leaving/tracker_test.go
@@ -56,7 +56,7 @@
 		defer stop()
 		trackers[0].EngineLeaving("r")
 		time.Sleep(limit)
-		trackers[5].EngineServing("r")
+		trackers[5].EngineServing("r", time.Now())
 		time.Sleep(limit)
 		if n := countLeaving(trackers, "r"); n != 0 {
 			t.Errorf("%d nodes still think that the replica leaves", n)
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -84,6 +84,7 @@
 		m.running.Go(func() { _ = m.runner.Run(ctx) })
 	}
 	m.running.Go(func() { m.watch(ctx) })
+	m.running.Go(func() { m.watchLoads(ctx) })
 	if m.options.Instances != nil {
 		m.running.Go(func() { m.watchInstances(ctx) })
 	}
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -16,19 +16,25 @@
 	names map[string]string
 	// known holds the replicas' names.
 	known map[string]bool
+	// engines holds the engines' addresses by name.
+	engines map[string]string
 }
 
 func indexReplicas(document *config.Document) replicaIndex {
 	index := replicaIndex{
-		byKey: make(map[replicaKey]config.Replica),
-		names: make(map[string]string),
-		known: make(map[string]bool),
+		byKey:   make(map[replicaKey]config.Replica),
+		names:   make(map[string]string),
+		known:   make(map[string]bool),
+		engines: make(map[string]string),
 	}
 	for _, upstream := range document.Upstreams {
 		for _, replica := range upstream.Replicas {
 			index.byKey[replicaKey{upstream.Name, replica.Name}] = replica
 			index.names[replica.Address] = replica.Name
 			index.known[replica.Name] = true
+			if upstream.Kind == config.KindEngine {
+				index.engines[replica.Name] = replica.Address
+			}
 		}
 	}
 	return index
