--- a/internal/peer/authority_test.go
+++ b/internal/peer/authority_test.go
@@ -18,13 +18,13 @@
 
 // authority is a certificate authority in memory.
 type authority struct {
-	t           *testing.T
+	t           testing.TB
 	certificate *x509.Certificate
 	key         *ecdsa.PrivateKey
 	serial      int64
 }
 
-func newAuthority(t *testing.T, name string) *authority {
+func newAuthority(t testing.TB, name string) *authority {
 	t.Helper()
 	a := &authority{t: t, key: newKey(t), serial: 1}
 	template := &x509.Certificate{
@@ -84,14 +84,14 @@
 	return files
 }
 
-func newKey(t *testing.T) *ecdsa.PrivateKey {
+func newKey(t testing.TB) *ecdsa.PrivateKey {
 	t.Helper()
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	check(t, err)
 	return key
 }
 
-func writePEM(t *testing.T, name, kind string, blocks ...[]byte) {
+func writePEM(t testing.TB, name, kind string, blocks ...[]byte) {
 	t.Helper()
 	var out []byte
 	for _, block := range blocks {
@@ -100,7 +100,7 @@
 	check(t, os.WriteFile(name, out, 0o600))
 }
 
-func check(t *testing.T, err error) {
+func check(t testing.TB, err error) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
