balancer, concurrency, admission: stragglers, learned limits, hopeless requests

Change: package balancer keeps each replica's pace against the pool's usual one, silence included; a suspect gets one request, none of the highest tier, and only where its target leaves the time; it is forgotten by half in 30 s. The choice is by expected finish: pace, load, aged reports, cached prefix corrected by observed prefill, zone. Package concurrency shrinks a replica's limit by the gradient of the time between tokens and grows it by a constant, faster where the highest tier waits; the configured slots are the most. Package admission refuses at arrival what is expected to take longer than it is of use, while its own or a higher tier waits; one in ten goes through.

The share test now lets TooLate pass at Submit; nothing else of it changed.

--- /dev/null
+++ b/internal/balancer/two_choices.go
@@ -0,0 +1,19 @@
+package balancer
+
+import "math/rand/v2"
+
+// TwoChoices takes the less busy of two random replicas, by this node's own
+// requests in flight. It is the baseline.
+type TwoChoices struct {
+	Rand *rand.Rand
+}
+
+// Choose implements Policy.
+func (p TwoChoices) Choose(_ Need, candidates []Candidate) int {
+	first := p.Rand.IntN(len(candidates))
+	second := p.Rand.IntN(len(candidates))
+	if candidates[second].Running < candidates[first].Running {
+		return second
+	}
+	return first
+}
--- /dev/null
+++ b/internal/concurrency/limit_test.go
@@ -0,0 +1,75 @@
+package concurrency
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Date(2026, 3, 6, 20, 0, 0, 0, time.UTC)
+
+// drive lets the limit see one window after the other of the given token time.
+func drive(l *Limit, now time.Time, windows int, seconds float64) time.Time {
+	for range windows {
+		for range minSamples + 2 {
+			l.Used(l.Value(), false)
+			l.Observe(now, seconds, 0.020)
+			now = now.Add(window / minSamples)
+		}
+	}
+	return now
+}
+
+func TestLimitGrowsBelowAndShrinksAboveTheKnee(t *testing.T) {
+	l := NewLimit(8, 0)
+	now := drive(l, start, 50, 0.050)
+	if got := l.Value(); got != 1 {
+		t.Errorf("limit = %d after slow windows, want 1", got)
+	}
+	drive(l, now, 50, 0.021)
+	if got := l.Value(); got < 5 {
+		t.Errorf("limit = %d after fast windows, want at least 5", got)
+	}
+}
+
+func TestLimitIsBoundedAndUnusedDoesNotGrow(t *testing.T) {
+	l := NewLimit(4, 0.99)
+	now := drive(l, start, 1000, 0.020)
+	if got := l.Value(); got != 4 {
+		t.Errorf("limit = %d, want the bound 4", got)
+	}
+	l = NewLimit(4, 0)
+	now = drive(l, now, 50, 0.100)
+	for n := range 1000 {
+		l.Used(0, false)
+		l.Observe(now.Add(time.Duration(n)*time.Second), 0.020, 0.020)
+	}
+	if got := l.Value(); got != 1 {
+		t.Errorf("unused limit = %d, want 1", got)
+	}
+}
+
+func TestShrunkLimitComesBackQuickly(t *testing.T) {
+	l := NewLimit(16, 0)
+	l.Shrink()
+	if got := l.Value(); got != 1 {
+		t.Fatalf("limit = %d after Shrink, want 1", got)
+	}
+	drive(l, start, 20, 0.020)
+	if got := l.Value(); got < 16 {
+		t.Errorf("limit = %d after 20 windows, want 16", got)
+	}
+}
+
+func TestFloorForgets(t *testing.T) {
+	var f Floor
+	f.Observe(start, 0.020)
+	f.Observe(start.Add(time.Second), 0.030)
+	if got := f.Value(); got != 0.020 {
+		t.Errorf("floor = %v, want 0.020", got)
+	}
+	f.Observe(start.Add(generation), 0.030)
+	f.Observe(start.Add(2*generation), 0.030)
+	if got := f.Value(); got != 0.030 {
+		t.Errorf("floor = %v after two generations, want 0.030", got)
+	}
+}
--- a/internal/estimate/speed.go
+++ b/internal/estimate/speed.go
@@ -2,36 +2,32 @@
 
 import "time"
 
-// speedWeight is the weight of one observation in the running averages.
+// speedWeight is the weight of one observation in the running average.
 const speedWeight = 0.02
 
-// Speed keeps running averages of how fast a pool's replicas work as seen by
-// the node: prefill by prompt token, and time between tokens.
+// Speed keeps how fast a pool's usual replica works as seen by the node:
+// prefill by prompt token, and time between tokens, both in seconds.
 type Speed struct {
 	prefill float64
 	token   float64
 }
 
-// Prefill takes in the time from binding to the first token.
+// Prefill takes in the time from binding to the first token of a prompt that
+// was not cached.
 func (s *Speed) Prefill(promptTokens int, took time.Duration) {
-	if promptTokens > 0 {
-		s.prefill = mix(s.prefill, took.Seconds()/float64(promptTokens))
+	if promptTokens <= 0 {
+		return
 	}
-}
-
-// Tokens takes in the time that n tokens took.
-func (s *Speed) Tokens(n int, took time.Duration) {
-	if n > 0 {
-		s.token = mix(s.token, took.Seconds()/float64(n))
+	observed := took.Seconds() / float64(promptTokens)
+	if s.prefill == 0 {
+		s.prefill = observed
+		return
 	}
+	s.prefill += speedWeight * (observed - s.prefill)
 }
 
-func mix(average, observed float64) float64 {
-	if average == 0 {
-		return observed
-	}
-	return average + speedWeight*(observed-average)
-}
+// SetToken sets the time between tokens in seconds.
+func (s *Speed) SetToken(seconds float64) { s.token = seconds }
 
 // Service estimates the time for a prompt and an answer of the given lengths;
 // zero while nothing was seen.
--- a/internal/router/class_state.go
+++ b/internal/router/class_state.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"galenatrestle/internal/admission"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/scheduler"
 )
@@ -11,6 +12,7 @@
 	// retired classes admit nothing new.
 	retired bool
 	waiting int
+	gate    admission.Gate
 	running int
 }
 
--- a/internal/router/options.go
+++ b/internal/router/options.go
@@ -12,6 +12,7 @@
 	defaultSlots      = 8
 	defaultQueueBound = 1000
 	defaultMaxWaiting = 4000
+	usualGain         = 0.5
 	minRetryAfter     = time.Second
 	maxRetryAfter     = time.Minute
 )
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
+	"galenatrestle/internal/balancer"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/estimate"
 	"galenatrestle/internal/refusal"
@@ -22,12 +24,27 @@
 	classes    map[string]*classState
 	replicas   map[string]*replicaState
 	// order lists the replicas in the order they were configured.
-	order   []*replicaState
-	waiting map[string]*item
-	running map[string]*running
-	queue   *scheduler.Queue[*waiting]
-	lengths *estimate.Lengths
-	speed   estimate.Speed
+	order    []*replicaState
+	waiting  map[string]*item
+	running  map[string]*running
+	queue    *scheduler.Queue[*waiting]
+	lengths  *estimate.Lengths
+	speed    estimate.Speed
+	balancer balancer.Policy
+	// usual is the replicas' usual time between tokens, reference that of
+	// an almost idle one, both in seconds; comparedAt is when they were
+	// worked out.
+	usual          float64
+	reference      float64
+	comparedAt     time.Time
+	longestPrefill time.Duration
+	// cacheGain is the part of a prefill that a cached prefix saves.
+	cacheGain   float64
+	highestTier int
+	// Buffers that are used again.
+	values     []float64
+	free       []*replicaState
+	candidates []balancer.Candidate
 	// shed holds refusals that the next Next returns.
 	shed []Event
 	// changedAt is when something changed that Next has not yet looked at.
@@ -50,6 +67,11 @@
 		running:    make(map[string]*running),
 		queue:      scheduler.NewQueue[*waiting](),
 		lengths:    estimate.NewLengths(options.MaxSketches),
+		balancer:   balancer.ExpectedFinish{Rand: options.Rand},
+		cacheGain:  usualGain,
+	}
+	if p.without.ExpectedFinish {
+		p.balancer = balancer.TwoChoices{Rand: options.Rand}
 	}
 	p.SetClasses(time.Time{}, options.Classes)
 	p.SetReplicas(time.Time{}, options.Replicas)
@@ -68,17 +90,27 @@
 	for name, state := range p.classes {
 		state.retired = !listed[name]
 	}
+	p.highestTier = highestTier(classes)
 	p.forgetRetired()
 	p.changedAt = now
 }
 
+func highestTier(classes []config.Class) int {
+	highest := math.MaxInt
+	for _, class := range classes {
+		highest = min(highest, class.Tier)
+	}
+	return highest
+}
+
 func (p *Pool) setClass(class config.Class) {
 	p.queue.SetClass(schedulerClass(class, p.without))
-	if state, ok := p.classes[class.Name]; ok {
-		state.Class = class
-		return
+	state, ok := p.classes[class.Name]
+	if !ok {
+		state = &classState{}
+		p.classes[class.Name] = state
 	}
-	p.classes[class.Name] = &classState{Class: class}
+	state.Class = class
 }
 
 // forgetRetired drops the retired classes in which nothing waits or runs.
@@ -114,6 +146,9 @@
 	if !p.anyOpen() {
 		return refuse(&request, refusal.NoReplica, stepAdmit, "no replica takes new requests", 0)
 	}
+	if !p.hopeful(now, &request, class) {
+		return refuse(&request, refusal.TooLate, stepAdmit, "an answer is expected to take longer than it is of use", 0)
+	}
 	if class.waiting >= class.QueueBound || !p.makeRoom(now, class) {
 		return refuseQueueFull(&request, class)
 	}
@@ -121,6 +156,17 @@
 	return nil
 }
 
+// hopeful says whether the request may be of use if it ran at once. It is asked
+// only while requests of the same or a higher tier wait: a request is never
+// refused by expectation for the sake of lower tiers, or of an idle replica.
+func (p *Pool) hopeful(now time.Time, request *Request, class *classState) bool {
+	first := p.queue.FirstTier()
+	if p.without.Admission || first < 0 || first > class.Tier {
+		return true
+	}
+	return class.gate.Admit(p.service(request, estimate.Median), request.GiveUpAt.Sub(now))
+}
+
 func (p *Pool) known(id string) bool {
 	_, waits := p.waiting[id]
 	_, runs := p.running[id]
--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -1,45 +1,88 @@
 package router
 
-import "slices"
+import (
+	"slices"
+	"time"
 
-// choose returns the replica for w by the power of two choices on this node's
-// own requests in flight, or nil where none is free.
-func (p *Pool) choose(w *waiting) *replicaState {
-	candidates := p.candidates(w)
-	if len(candidates) == 0 {
+	"galenatrestle/internal/balancer"
+	"galenatrestle/internal/estimate"
+)
+
+// choose returns the replica for the request, or nil where none of the free
+// ones is fit for it.
+func (p *Pool) choose(now time.Time, request *Request) *replicaState {
+	free := p.fit(now, request)
+	if len(free) == 0 {
 		return nil
 	}
-	first := candidates[p.rand.IntN(len(candidates))]
-	second := candidates[p.rand.IntN(len(candidates))]
-	if second.running < first.running {
-		return second
+	p.candidates = p.candidates[:0]
+	for _, r := range free {
+		p.candidates = append(p.candidates, p.candidate(now, request, r))
+	}
+	need := balancer.Need{
+		Prefill: p.speed.Service(request.PromptTokens, 0),
+		Answer:  p.speed.Service(0, p.length(request, estimate.Median, usualTokens)),
 	}
-	return first
+	return free[p.balancer.Choose(need, p.candidates)]
 }
 
-// candidates lists the free replicas that w need not avoid. Where w avoids all
-// open replicas, avoiding has no point and all free ones count.
-func (p *Pool) candidates(w *waiting) []*replicaState {
-	var free []*replicaState
+func (p *Pool) candidate(now time.Time, request *Request, r *replicaState) balancer.Candidate {
+	c := balancer.Candidate{
+		Running: r.running, Limit: r.limit(), Slowness: r.slowness,
+		Cached:          p.cacheGain * r.prefixes.Match(request.PrefixHashes),
+		SameZone:        r.AvailabilityZone == p.zone,
+		ReportedRunning: r.report.Running,
+		ReportAge:       -1,
+	}
+	if !r.report.At.IsZero() {
+		c.ReportAge = max(now.Sub(r.report.At), 0)
+	}
+	return c
+}
+
+// fit lists the free replicas that the request need not avoid and, of the
+// stragglers, those that are fast enough for it. Where it avoids all open
+// replicas, avoiding has no point and all free ones count.
+func (p *Pool) fit(now time.Time, request *Request) []*replicaState {
+	p.free = p.free[:0]
 	avoidable := false
 	for _, r := range p.order {
-		if !r.open() || slices.Contains(w.request.Avoid, r.Name) {
+		if !r.open() || slices.Contains(request.Avoid, r.Name) {
 			continue
 		}
 		avoidable = true
-		if r.free() {
-			free = append(free, r)
+		if r.free() && p.fastEnough(now, request, r) {
+			p.free = append(p.free, r)
 		}
 	}
 	if avoidable {
-		return free
+		return p.free
 	}
 	for _, r := range p.order {
 		if r.free() {
-			free = append(free, r)
+			p.free = append(p.free, r)
 		}
 	}
-	return free
+	return p.free
+}
+
+// fastEnough says whether a straggler may be tried with the request: not with
+// one of the highest tier, and only where the target leaves time for it.
+func (p *Pool) fastEnough(now time.Time, request *Request, r *replicaState) bool {
+	if !r.suspect() || p.allSuspect() {
+		return true
+	}
+	if request.Tier == p.highestTier {
+		return false
+	}
+	slow := time.Duration(r.slowness * float64(p.service(request, estimate.P90)))
+	return !request.AnswerBy.IsZero() && now.Add(slow).Before(request.AnswerBy)
+}
+
+func (p *Pool) allSuspect() bool {
+	return !slices.ContainsFunc(p.order, func(r *replicaState) bool {
+		return r.open() && !r.suspect()
+	})
 }
 
 func (p *Pool) anyFree() bool {
--- a/internal/router/pool_next.go
+++ b/internal/router/pool_next.go
@@ -10,6 +10,7 @@
 func (p *Pool) Next(now time.Time) []Event {
 	events := p.shed
 	p.shed = nil
+	p.comparePace(now)
 	events = p.expire(now, events)
 	events = p.bindAll(now, events)
 	p.changedAt = time.Time{}
@@ -40,12 +41,15 @@
 	return Event{ID: w.request.ID, Refused: refused}
 }
 
-// bindAll binds requests while a replica is free. One whose free replicas are
-// all to be avoided is passed over and keeps its place.
+// maxPassed bounds the requests that one Next passes over.
+const maxPassed = 16
+
+// bindAll binds requests while a replica is free. One for which no free replica
+// is fit is passed over and keeps its place.
 func (p *Pool) bindAll(now time.Time, events []Event) []Event {
 	var passed []*item
 	slots := p.slots()
-	for p.anyFree() {
+	for p.anyFree() && len(passed) < maxPassed {
 		i := p.queue.Pop(now, slots)
 		if i == nil {
 			break
@@ -57,7 +61,7 @@
 			events = append(events, p.giveUpLate(now, i))
 			continue
 		}
-		replica := p.choose(i.Value)
+		replica := p.choose(now, &i.Value.request)
 		if replica == nil {
 			passed = append(passed, i)
 			continue
@@ -85,9 +89,15 @@
 	p.leave(i)
 	p.stats.Bound++
 	i.Value.class.running++
+	if replica.running == 0 {
+		replica.pace.Moved(now)
+	}
 	replica.running++
+	replica.learned.Used(replica.running, p.urgent())
+	cached := replica.prefixes.Match(i.Value.request.PrefixHashes)
+	replica.prefixes.Add(i.Value.request.PrefixHashes)
 	id := i.Value.request.ID
-	p.running[id] = &running{item: i, replica: replica, boundAt: now}
+	p.running[id] = &running{item: i, replica: replica, boundAt: now, cached: cached}
 	chosen := replica.Replica
 	return Event{ID: id, Replica: &chosen}
 }
--- a/internal/router/pool_progress.go
+++ b/internal/router/pool_progress.go
@@ -2,6 +2,15 @@
 
 import "time"
 
+const (
+	// prefillMemory is the number of prefills over which the longest fades.
+	prefillMemory = 1000
+	// gainWeight is the weight of one observation of what a cache saves.
+	gainWeight = 0.02
+	// leastGain is the saving below which a prefix counts as not cached.
+	leastGain = 0.1
+)
+
 // FirstToken notes that the first token of a running request came.
 func (p *Pool) FirstToken(now time.Time, id string) {
 	r, ok := p.running[id]
@@ -11,7 +20,30 @@
 	r.firstToken = now
 	r.lastToken = now
 	r.tokens = 1
-	p.speed.Prefill(r.item.Value.request.PromptTokens, now.Sub(r.boundAt))
+	r.replica.pace.Moved(now)
+	p.learnPrefill(&r.item.Value.request, r, now.Sub(r.boundAt))
+}
+
+// learnPrefill corrects what is believed of prefill and caches by what the
+// first token took.
+func (p *Pool) learnPrefill(request *Request, r *running, took time.Duration) {
+	if r.replica.suspect() {
+		return
+	}
+	if r.cached == 0 {
+		p.speed.Prefill(request.PromptTokens, took)
+		p.longestPrefill = max(p.longestPrefill-p.longestPrefill/prefillMemory, took)
+		return
+	}
+	whole := p.speed.Service(request.PromptTokens, 0)
+	if whole <= 0 {
+		return
+	}
+	gain := min(max(1-took.Seconds()/whole.Seconds(), 0), 1) / r.cached
+	if gain < leastGain {
+		r.replica.prefixes.Drop(request.PrefixHashes)
+	}
+	p.cacheGain += gainWeight * (min(gain, 1) - p.cacheGain)
 }
 
 // Tokens notes that n more tokens of a running request came.
@@ -25,7 +57,9 @@
 		n--
 	}
 	r.tokens += n
-	p.speed.Tokens(n, now.Sub(r.lastToken))
+	if n > 0 {
+		r.replica.tokens(now, n, now.Sub(r.lastToken), p.reference, !p.without.Limits)
+	}
 	r.lastToken = now
 }
 
--- a/internal/router/pool_replicas.go
+++ b/internal/router/pool_replicas.go
@@ -21,9 +21,12 @@
 }
 
 func (p *Pool) setReplica(replica Replica) {
-	fresh := newReplicaState(replica)
+	fresh := newReplicaState(replica, p.rand.Float64())
 	known, ok := p.replicas[replica.Name]
 	if ok {
+		if known.Slots != fresh.Slots {
+			known.learned = fresh.learned
+		}
 		known.Replica = fresh.Replica
 		return
 	}
@@ -65,11 +68,10 @@
 
 // Report takes in a replica's own load report; an older one than the last is
 // dropped.
-func (p *Pool) Report(now time.Time, replica string, load Load) {
+func (p *Pool) Report(_ time.Time, replica string, load Load) {
 	r, ok := p.replicas[replica]
 	if !ok || load.At.Before(r.report.At) {
 		return
 	}
 	r.report = load
-	r.reported = now
 }
--- a/internal/router/pool_share_test.go
+++ b/internal/router/pool_share_test.go
@@ -8,6 +8,7 @@
 	"pgregory.net/rapid"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/refusal"
 )
 
 // floodClasses have queues that outlast all slots coming free at once.
@@ -42,7 +43,10 @@
 					ID: id, Class: class.Name, Workspace: "w", Arrived: now, Attempt: 1,
 					AnswerBy: now.Add(class.TargetAnswer.Std()), GiveUpAt: now.Add(class.GiveUpAfter.Std()),
 				}); refused != nil {
-					t.Fatalf("Submit = %v", refused)
+					if refused.Reason != refusal.TooLate {
+						t.Fatalf("Submit = %v", refused)
+					}
+					break
 				}
 			}
 		}
--- a/internal/router/pool_stats.go
+++ b/internal/router/pool_stats.go
@@ -20,7 +20,7 @@
 	})
 	for _, r := range p.order {
 		stats.Replicas = append(stats.Replicas, ReplicaStats{
-			Name: r.Name, Running: r.running, Limit: r.limit(), Leaving: !r.open(),
+			Name: r.Name, Running: r.running, Limit: r.limit(), Leaving: !r.open(), Straggler: r.slowness,
 		})
 	}
 	return stats
--- a/internal/router/replica_state.go
+++ b/internal/router/replica_state.go
@@ -1,6 +1,11 @@
 package router
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/internal/balancer"
+	"galenatrestle/internal/concurrency"
+)
 
 // replicaState is what a pool knows of one replica.
 type replicaState struct {
@@ -15,14 +20,22 @@
 	// negative where only this node's limit counts.
 	allowance int
 	report    Load
-	reported  time.Time
+	learned   *concurrency.Limit
+	floor     concurrency.Floor
+	pace      balancer.Pace
+	prefixes  balancer.Prefixes
+	// slowness is the pace as a multiple of the pool's usual one.
+	slowness float64
 }
 
-func newReplicaState(r Replica) *replicaState {
+// newReplicaState takes the random offset that spreads the rounding of limits.
+func newReplicaState(r Replica, offset float64) *replicaState {
 	if r.Slots <= 0 {
 		r.Slots = defaultSlots
 	}
-	return &replicaState{Replica: r, allowance: -1}
+	return &replicaState{
+		Replica: r, allowance: -1, learned: concurrency.NewLimit(r.Slots, offset), slowness: 1,
+	}
 }
 
 // open says whether the replica may get new requests at all.
@@ -32,10 +45,14 @@
 
 // limit is the most requests this node runs on the replica.
 func (r *replicaState) limit() int {
-	if r.allowance >= 0 && r.allowance < r.Slots {
+	limit := r.learned.Value()
+	if r.suspect() {
+		limit = 1
+	}
+	if r.allowance >= 0 && r.allowance < limit {
 		return r.allowance
 	}
-	return r.Slots
+	return limit
 }
 
 // free says whether the replica takes another request now.
@@ -43,5 +60,20 @@
 	return r.open() && r.running < r.limit()
 }
 
+// suspect says whether the replica is taken for a straggler.
+func (r *replicaState) suspect() bool { return r.slowness >= balancer.SuspectFrom }
+
 // forgettable says whether nothing holds the replica any more.
 func (r *replicaState) forgettable() bool { return r.removed && r.running == 0 }
+
+// tokens takes in that n tokens took the given time.
+func (r *replicaState) tokens(now time.Time, n int, took time.Duration, reference float64, learn bool) {
+	seconds := took.Seconds() / float64(n)
+	r.pace.Observe(now, seconds)
+	if !learn {
+		return
+	}
+	if average := r.learned.Observe(now, seconds, reference); average > 0 {
+		r.floor.Observe(now, average)
+	}
+}
--- a/internal/router/routertest/outcome.go
+++ b/internal/router/routertest/outcome.go
@@ -15,6 +15,10 @@
 	WastedTokens int
 	// InTime is the part of GoodTokens that came while requests arrived.
 	InTime int
+	// Refused counts the refusals, RefusedWait adds up how long the refused
+	// waited, as a part of the time after which they give up.
+	Refused     int
+	RefusedWait float64
 	// Capacity is the tokens the replicas can generate while requests arrive.
 	Capacity float64
 }
@@ -28,6 +32,8 @@
 	// CutOff requests ran when their caller gave up.
 	CutOff  int
 	Refused map[refusal.Reason]int
+	// longest is the time after which the class's callers give up.
+	longest float64
 	// seconds from arrival to the whole answer, of the answered ones.
 	seconds []float64
 }
@@ -37,13 +43,15 @@
 	return float64(c.OnTarget) / float64(max(c.Offered, 1))
 }
 
-// Quantile returns the answer time in seconds, of the answered requests.
+// Quantile returns the answer time in seconds, of all offered requests; those
+// that were not answered count as the longest time.
 func (c *ClassOutcome) Quantile(q float64) float64 {
-	if len(c.seconds) == 0 {
-		return 0
-	}
 	slices.Sort(c.seconds)
-	return c.seconds[int(q*float64(len(c.seconds)-1))]
+	i := int(q * float64(c.Offered-1))
+	if i < len(c.seconds) {
+		return c.seconds[i]
+	}
+	return c.longest
 }
 
 // Goodput is the good tokens that came while requests arrived, as a part of
--- a/internal/router/routertest/run.go
+++ b/internal/router/routertest/run.go
@@ -51,9 +51,6 @@
 	var replicas []router.Replica
 	for i := range s.Replicas {
 		e := &engine{name: "replica-" + strconv.Itoa(i), slow: 1}
-		if i < s.Stragglers {
-			e.slow = stragglerFactor
-		}
 		r.engines[e.name] = e
 		r.order = append(r.order, e)
 		replicas = append(replicas, router.Replica{Name: e.name, Slots: s.Slots})
@@ -61,7 +58,7 @@
 	r.pending = arrivals(s)
 	r.outcome.Capacity = float64(s.Replicas) * Knee / tokenTime.Seconds() * s.Duration.Seconds()
 	for _, p := range profiles {
-		r.outcome.Classes = append(r.outcome.Classes, ClassOutcome{Name: p.class.Name, Refused: make(map[refusal.Reason]int)})
+		r.outcome.Classes = append(r.outcome.Classes, ClassOutcome{Name: p.class.Name, Refused: make(map[refusal.Reason]int), longest: p.class.GiveUpAfter.Std().Seconds()})
 	}
 	if s.Clairvoyant {
 		r.deciders = []decider{newClairvoyant(r)}
@@ -77,12 +74,25 @@
 }
 
 func (r *run) step(now time.Time) {
+	r.straggle(now.Sub(start))
 	r.report(now)
 	r.advance(now)
 	r.cutOff(now)
 	r.submit(now)
 	for _, d := range r.deciders {
-		r.apply(d.Next(now))
+		r.apply(now, d.Next(now))
+	}
+}
+
+// straggle makes the scenario's stragglers slow while they are so.
+func (r *run) straggle(elapsed time.Duration) {
+	s := &r.scenario
+	slow := elapsed >= s.StragglersFrom && (s.StragglersUntil == 0 || elapsed < s.StragglersUntil)
+	for _, e := range r.order[:s.Stragglers] {
+		e.slow = 1
+		if slow {
+			e.slow = stragglerFactor
+		}
 	}
 }
 
@@ -176,21 +186,23 @@
 		r.outcome.Classes[j.class].Offered++
 		r.jobs[j.request.ID] = j
 		if refused := r.decider(j).Submit(now, j.request); refused != nil {
-			r.refused(j, refused)
+			r.refused(now, j, refused)
 		}
 	}
 }
 
-func (r *run) refused(j *job, refused *refusal.Error) {
+func (r *run) refused(now time.Time, j *job, refused *refusal.Error) {
+	r.outcome.RefusedWait += now.Sub(j.request.Arrived).Seconds() / j.request.GiveUpAt.Sub(j.request.Arrived).Seconds()
+	r.outcome.Refused++
 	delete(r.jobs, j.request.ID)
 	r.outcome.Classes[j.class].Refused[refused.Reason]++
 }
 
-func (r *run) apply(events []router.Event) {
+func (r *run) apply(now time.Time, events []router.Event) {
 	for _, event := range events {
 		j := r.jobs[event.ID]
 		if event.Refused != nil {
-			r.refused(j, event.Refused)
+			r.refused(now, j, event.Refused)
 			continue
 		}
 		r.engines[event.Replica.Name].start(j)
--- a/internal/router/routertest/scenario.go
+++ b/internal/router/routertest/scenario.go
@@ -20,10 +20,17 @@
 	Load float64
 	// QuickBurst multiplies the quick class's arrivals; zero means 1.
 	QuickBurst float64
+	// Hasty is the part of the requests whose callers wait only a twentieth
+	// of their class's time.
+	Hasty float64
 	// Duration of the arrivals; the run ends when all requests have ended.
 	Duration time.Duration
 	// Stragglers are this many replicas that are ten times slower.
 	Stragglers int
+	// StragglersFrom and StragglersUntil are when they are so; a zero
+	// StragglersUntil is never ended.
+	StragglersFrom  time.Duration
+	StragglersUntil time.Duration
 	// Without takes proposals out of the pools.
 	Without router.Features
 	// Clairvoyant runs the order of known lengths in place of the pools.
--- a/internal/router/routertest/workload.go
+++ b/internal/router/routertest/workload.go
@@ -16,6 +16,7 @@
 	workspaces          = 10
 	prefixesByWorkspace = 8
 	lengthCap           = 8
+	hastyPart           = 20
 )
 
 var start = time.Date(2026, 3, 6, 18, 0, 0, 0, time.UTC)
@@ -99,6 +100,13 @@
 	p := profiles[class]
 	arrived := start.Add(time.Duration(at * float64(time.Second)))
 	workspace := int(float64(workspaces) * math.Pow(source.Float64(), 2))
+	hasty := source.Float64() < s.Hasty
+	answerBy := arrived.Add(p.class.TargetAnswer.Std())
+	giveUpAt := arrived.Add(p.class.GiveUpAfter.Std())
+	if hasty {
+		giveUpAt = arrived.Add(p.class.GiveUpAfter.Std() / hastyPart)
+		answerBy = giveUpAt
+	}
 	prefix := source.IntN(prefixesByWorkspace)
 	length := p.median * workspaceFactor(workspace) * math.Exp(p.sigma*source.NormFloat64())
 	return &job{
@@ -107,7 +115,7 @@
 			ID:        p.class.Name + strconv.FormatInt(int64(source.Uint64()>>1), 36),
 			Workspace: "workspace-" + strconv.Itoa(workspace), Class: p.class.Name, Tier: p.class.Tier,
 			Arrived:  arrived,
-			AnswerBy: arrived.Add(p.class.TargetAnswer.Std()), GiveUpAt: arrived.Add(p.class.GiveUpAfter.Std()),
+			AnswerBy: answerBy, GiveUpAt: giveUpAt,
 			PromptTokens: p.prompt, Attempt: 1,
 			PrefixHashes: []uint64{uint64(class*workspaces*prefixesByWorkspace + workspace*prefixesByWorkspace + prefix)},
 		},
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -148,3 +148,13 @@
 	c := item.class
 	c.share.ended(now, held, c.minShare()*float64(slots))
 }
+
+// FirstTier returns the highest tier of which an item waits, or -1.
+func (q *Queue[T]) FirstTier() int {
+	for _, c := range q.classes {
+		if c.len() > 0 {
+			return c.Tier
+		}
+	}
+	return -1
+}
