router: look again at a free straggler after 250 ms

Cause: where requests waited and only a straggler was free, Deadline named the next expiry, so that the straggler, forgotten with time, was tried too late.

Change: Deadline asks for another look after 250 ms in that case; it covers the minimum share's due time as well, which had a function of its own.

--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -221,12 +221,16 @@
 		return now
 	}
 	next := p.queue.NextExpiry()
-	if !p.anyFree() {
+	if next.IsZero() || !p.anyFree() {
 		return next
 	}
-	share := p.queue.NextShare(now)
-	if next.IsZero() || (!share.IsZero() && share.Before(next)) {
-		return share
+	// Requests wait though a replica is free: it is a straggler, which is
+	// forgotten with time.
+	if again := now.Add(lookAgain); again.Before(next) {
+		return again
 	}
 	return next
 }
+
+// lookAgain is when to look again at a free straggler.
+const lookAgain = 250 * time.Millisecond
--- /dev/null
+++ b/internal/router/pool_straggler_test.go
@@ -0,0 +1,63 @@
+package router
+
+import (
+	"strconv"
+	"testing"
+	"time"
+)
+
+// slowReplica runs enough requests to make a a straggler beside b.
+func slowReplica(t *testing.T, p *Pool) time.Time {
+	t.Helper()
+	now := start
+	for i := range 8 {
+		r := request("warm"+strconv.Itoa(i), "review")
+		r.GiveUpAt = start.Add(time.Hour)
+		mustSubmit(t, p, r)
+	}
+	bound := make(map[string]string)
+	for _, event := range p.Next(now) {
+		bound[event.ID] = event.Replica.Name
+	}
+	for step := range 2000 {
+		now = now.Add(10 * time.Millisecond)
+		for id, name := range bound {
+			if name == "b" || step%10 == 0 {
+				p.Tokens(now, id, 1)
+			}
+		}
+		p.Next(now)
+	}
+	for id := range bound {
+		p.Finish(now, id, ResultDone)
+	}
+	p.Next(now)
+	return now
+}
+
+func TestStragglerGetsNothingOfTheHighestTierUntilForgotten(t *testing.T) {
+	p := testPool(4, "a", "b")
+	now := slowReplica(t, p)
+	if stats := p.Stats(now); stats.Replicas[0].Straggler < 5 || stats.Replicas[0].Limit != 1 {
+		t.Fatalf("replica a: %+v, want a straggler with limit 1", stats.Replicas[0])
+	}
+	p.SetAllowance("b", 0)
+	r := request("quick", "quick")
+	r.Arrived, r.GiveUpAt = now, now.Add(time.Hour)
+	if refused := p.Submit(now, r); refused != nil {
+		t.Fatal(refused)
+	}
+	if events := p.Next(now); len(events) != 0 {
+		t.Fatalf("Next = %+v, want the request to wait", events)
+	}
+	for range 2000 {
+		now = p.Deadline(now)
+		if events := p.Next(now); len(events) > 0 {
+			if waited := now.Sub(r.Arrived); waited < 10*time.Second {
+				t.Errorf("bound after %v, want the straggler to be remembered longer", waited)
+			}
+			return
+		}
+	}
+	t.Error("the straggler was never tried again")
+}
--- a/internal/scheduler/expire.go
+++ b/internal/scheduler/expire.go
@@ -26,26 +26,6 @@
 	return next
 }
 
-// NextShare returns the earliest time after now at which a waiting class's
-// minimum share can come due; zero: none will without another change.
-func (q *Queue[T]) NextShare(now time.Time) time.Time {
-	var next time.Time
-	for _, c := range q.classes {
-		oldest := c.byArrival.first()
-		if oldest == nil || c.MinShareAfter <= 0 {
-			continue
-		}
-		due := oldest.Arrived.Add(c.MinShareAfter)
-		if due.Before(c.share.blockedUntil) {
-			due = c.share.blockedUntil
-		}
-		if due.After(now) && (next.IsZero() || due.Before(next)) {
-			next = due
-		}
-	}
-	return next
-}
-
 // Shed takes out an item of the lowest tier below tier, or returns nil where
 // none waits below it. Within the class the one closest to its end goes.
 func (q *Queue[T]) Shed(tier int) *Item[T] {
