--- a/internal/router/routertest/compare_test.go
+++ b/internal/router/routertest/compare_test.go
@@ -46,53 +46,53 @@
 	all       = policy{"and learned limits", router.Features{}}
 )
 
-func printRow(b *testing.B, s Scenario) Outcome {
+func printRow(s Scenario) Outcome {
 	s.Duration = tableDuration
 	o := Run(s)
-	b.Log("\n" + o.Row(s))
+	fmt.Println(o.Row(s))
 	return o
 }
 
 // BenchmarkTableLoad prints the policies at one and eight pools.
-func BenchmarkTableLoad(b *testing.B) {
-	b.Log("\n" + TableHead)
+func BenchmarkTableLoad(_ *testing.B) {
+	fmt.Println("\n" + TableHead)
 	for _, pools := range []int{1, 8} {
 		for _, load := range []float64{0.7, 1.0, 1.5, 2.0} {
 			for _, p := range []policy{baseline, slack, fair, share, estimates, straggler, finish, all} {
-				printRow(b, scenario(p, pools, load))
+				printRow(scenario(p, pools, load))
 			}
-			printRow(b, clairvoyantOf(scenario(baseline, pools, load)))
+			printRow(clairvoyantOf(scenario(baseline, pools, load)))
 		}
 	}
 }
 
 // BenchmarkTableStragglers prints the policies without and with stragglers.
-func BenchmarkTableStragglers(b *testing.B) {
-	b.Log("\n" + TableHead)
+func BenchmarkTableStragglers(_ *testing.B) {
+	fmt.Println("\n" + TableHead)
 	for _, pools := range []int{1, 8} {
 		for _, load := range []float64{0.7, 1.0, 2.0} {
 			for _, p := range []policy{baseline, estimates, straggler, finish, all} {
 				s := scenario(p, pools, load)
-				without := printRow(b, s)
+				without := printRow(s)
 				s.Stragglers = stragglers
 				s.Name += ", 2 stragglers"
-				with := printRow(b, s)
-				b.Logf("\nquick p99 ratio %.2f", with.Classes[0].Quantile(0.99)/without.Classes[0].Quantile(0.99))
+				with := printRow(s)
+				fmt.Printf("quick p99 ratio %.2f\n", with.Classes[0].Quantile(0.99)/without.Classes[0].Quantile(0.99))
 			}
 		}
 	}
 }
 
 // BenchmarkTableLimits prints fixed and learned limits by the slots to start with.
-func BenchmarkTableLimits(b *testing.B) {
-	b.Log("\n" + TableHead)
+func BenchmarkTableLimits(_ *testing.B) {
+	fmt.Println("\n" + TableHead)
 	for _, load := range []float64{1.0, 2.0} {
 		for _, slots := range []int{2, 4, 8, 16} {
 			for _, p := range []policy{finish, all} {
 				s := scenario(p, 8, load)
 				s.Slots = slots
 				s.Name = fmt.Sprintf("%s, %d slots", s.Name, slots)
-				printRow(b, s)
+				printRow(s)
 			}
 		}
 	}
@@ -100,14 +100,14 @@
 
 // BenchmarkTableHasty prints what refusing the hopeless is worth where one
 // request in five is of use for a short time only.
-func BenchmarkTableHasty(b *testing.B) {
-	b.Log("\n" + TableHead)
+func BenchmarkTableHasty(_ *testing.B) {
+	fmt.Println("\n" + TableHead)
 	for _, pools := range []int{1, 8} {
 		for _, load := range []float64{1.0, 2.0} {
 			for _, p := range []policy{{"all hopeful", router.Features{Admission: true}}, all} {
 				s := scenario(p, pools, load)
 				s.Hasty = 0.2
-				printRow(b, s)
+				printRow(s)
 			}
 		}
 	}
