--- a/internal/platform/readback/readback.go
+++ b/internal/platform/readback/readback.go
@@ -1,45 +1,45 @@
-// Package readback writes values whose lost answers can be resolved: each
-// value carries the unique id of its write as the JSON field write_id. It holds
-// no state.
+// Package readback writes JSON values that carry their write's unique id in the
+// field write_id, and resolves lost answers by package resolve. It holds no
+// state; in a platform outage a write waits up to patience and is then not
+// known.
 package readback
 
 import (
 	"context"
 	"encoding/json"
 	"errors"
+	"time"
 
 	"galenatrestle/internal/errs"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/resolve"
 )
 
-// tries bounds the reads that resolve a lost answer.
-const tries = 3
+// patience bounds the time that one write's lost answer is resolved for.
+const patience = time.Second
 
 // ErrNotKnown says that a write may or may not have taken effect, or may yet.
 var ErrNotKnown = errors.New("readback: not known whether the write took effect")
 
-// Write is a compare-and-swap whose lost answer is resolved by reading the
-// write's id back. It returns an error that wraps a *platform.ConflictError
-// where the key was at another revision, and ErrNotKnown where nothing could be
-// learned. After a lost answer a conflict says that the key has moved on: the
-// write may have taken effect and been replaced since.
-func Write(ctx context.Context, kv platform.Store, key string, expect int64, value []byte, writeID string) (platform.Entry, error) {
-	entry, err := kv.CompareAndSwap(ctx, key, expect, value)
-	if err == nil || !errors.Is(err, platform.ErrUnavailable) {
-		return entry, errs.Wrap(errs.Platform, err, "write", key)
+// Write is a compare-and-swap whose lost answer is resolved. It returns an
+// error that wraps a *platform.ConflictError where the key has moved on, and
+// ErrNotKnown where nothing could be learned. A conflict after a lost answer
+// leaves open whether the write took effect and was replaced since.
+func Write(ctx context.Context, kv resolve.Store, key string, expect int64, value []byte, writeID string) (platform.Entry, error) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	write := resolve.Write{Key: key, Expect: expect, Value: value, Contains: hasID(writeID)}
+	result := resolve.CompareAndSwap(ctx, kv, write, resolve.DefaultPauses)
+	switch {
+	case result.Outcome == resolve.Applied:
+		return result.Entry, nil
+	case result.Outcome == resolve.NotApplied:
+		return result.Entry, errs.Wrap(errs.Platform, result.Err, "write", key)
+	case result.Entry.Revision != 0 && result.Entry.Revision != expect:
+		conflict := &platform.ConflictError{Key: key, Expect: expect, Current: result.Entry}
+		return result.Entry, errs.Wrap(errs.Platform, conflict, "write", key)
 	}
-	for range tries {
-		entry, err = kv.Get(ctx, key)
-		if err == nil && hasID(entry, writeID) {
-			return entry, nil
-		}
-		if err == nil && entry.Revision != expect {
-			conflict := &platform.ConflictError{Key: key, Expect: expect, Current: entry}
-			return entry, errs.Wrap(errs.Platform, conflict, "write", key)
-		}
-		// Still at the expected revision: the write may yet arrive.
-	}
-	return platform.Entry{}, errs.Wrap(errs.Platform, errors.Join(ErrNotKnown, err), "read back", key)
+	return platform.Entry{}, errs.Wrap(errs.Platform, errors.Join(ErrNotKnown, result.Err), "read back", key)
 }
 
 // IsConflict says whether err wraps a *platform.ConflictError.
@@ -48,9 +48,13 @@
 	return errors.As(err, &conflict)
 }
 
-func hasID(entry platform.Entry, id string) bool {
-	var stamp struct {
-		WriteID string `json:"write_id"`
+// hasID returns a check for values that carry the id.
+func hasID(id string) func(platform.Entry) (bool, error) {
+	return func(entry platform.Entry) (bool, error) {
+		var stamp struct {
+			WriteID string `json:"write_id"`
+		}
+		err := json.Unmarshal(entry.Value, &stamp)
+		return stamp.WriteID == id, err
 	}
-	return json.Unmarshal(entry.Value, &stamp) == nil && stamp.WriteID == id
 }
