--- /dev/null
+++ b/internal/order/sender_test.go
@@ -0,0 +1,203 @@
+package order
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/openai"
+	"galenatrestle/internal/platform"
+)
+
+// fakeEngine records the orders that took effect.
+type fakeEngine struct {
+	honours bool
+	state   openai.OrderState
+}
+
+// network carries orders to one engine; each may be late by up to flight, also
+// after the sender has given up.
+type network struct {
+	engine *fakeEngine
+	flight time.Duration
+	// paused, where set, is called between the order's making and its guard.
+	paused func()
+}
+
+func (n *network) Send(_ context.Context, _ Target, order openai.Order, guard Guard) error {
+	if n.paused != nil {
+		n.paused()
+	}
+	if err := guard(); err != nil {
+		return err
+	}
+	time.Sleep(n.flight)
+	e := n.engine
+	if e.honours && order.Epoch < e.state.Epoch {
+		return ErrFenced
+	}
+	e.state.Epoch = max(e.state.Epoch, order.Epoch)
+	e.state.Applied = append(e.state.Applied, order)
+	e.state.Role = order.Role
+	return nil
+}
+
+func (n *network) State(context.Context, Target) (openai.OrderState, error) {
+	state := n.engine.state
+	state.Applied = slices.Clone(state.Applied)
+	return state, nil
+}
+
+type openWeights struct{ err error }
+
+func (w openWeights) Reserve(context.Context, string, string) error { return w.err }
+
+const testTTL = 8 * time.Second
+
+func newTestSender(t *testing.T, transport Transport, weights platform.Weights) *Sender {
+	t.Helper()
+	s, err := NewSender(transport, weights, DefaultDiscipline(testTTL), NewMetrics(prometheus.NewRegistry()), time.Now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+// holder beats and drives roles until ctx ends, but for its pauses.
+func holder(ctx context.Context, s *Sender, target Target, role string, beat func() bool) {
+	for ctx.Err() == nil {
+		if beat() {
+			s.Beat()
+		}
+		_, _ = s.Drive(ctx, target, openai.Order{Kind: openai.OrderRole, Role: role})
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+// TestPausedHolder pauses a holder at every moment of its lease, between the
+// making of an order and its guard, while a new holder takes over.
+func TestPausedHolder(t *testing.T) {
+	for _, honours := range []bool{true, false} {
+		for pauseAt := time.Duration(0); pauseAt < testTTL; pauseAt += testTTL / 8 {
+			for _, flight := range []time.Duration{0, 2 * time.Second} {
+				synctest.Test(t, func(t *testing.T) { pausedHolder(t, honours, pauseAt, flight) })
+			}
+		}
+	}
+}
+
+func pausedHolder(t *testing.T, honours bool, pauseAt, flight time.Duration) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	engine := &fakeEngine{honours: honours}
+	target := Target{Name: "e", HonoursFencing: honours}
+	began := time.Now()
+	oldNet, newNet := &network{engine: engine, flight: flight}, &network{engine: engine}
+	older, newer := newTestSender(t, oldNet, openWeights{}), newTestSender(t, newNet, openWeights{})
+	older.Renewed(platform.Lease{Epoch: 1}, began)
+	older.mu.Lock()
+	// It has held the lease for long: its own wait is over.
+	older.grant.Since = began.Add(-time.Hour)
+	older.mu.Unlock()
+	paused := false
+	oldNet.paused = func() {
+		if !paused && time.Since(began) >= pauseAt {
+			paused = true
+			time.Sleep(3 * testTTL)
+		}
+	}
+	var holders sync.WaitGroup
+	holders.Go(func() { holder(ctx, older, target, "old", func() bool { return true }) })
+	// The platform lapses the lease early, the worst case.
+	time.Sleep(pauseAt/2 + time.Second)
+	newer.Renewed(platform.Lease{Epoch: 2}, time.Now())
+	holders.Go(func() {
+		holder(ctx, newer, target, "new", func() bool {
+			newer.Renewed(platform.Lease{Epoch: 2}, time.Now())
+			return true
+		})
+	})
+	time.Sleep(6 * testTTL)
+	cancel()
+	holders.Wait()
+	checkOrder(t, engine, honours, pauseAt, flight)
+}
+
+func checkOrder(t *testing.T, engine *fakeEngine, honours bool, pauseAt, flight time.Duration) {
+	t.Helper()
+	applied := engine.state.Applied
+	if len(applied) == 0 || applied[len(applied)-1].Epoch != 2 || engine.state.Role != "new" {
+		t.Errorf("honours %t, pause at %s: the new holder's order is not in effect: %v", honours, pauseAt, applied)
+	}
+	if !slices.IsSortedFunc(applied, func(a, b openai.Order) int { return int(a.Epoch - b.Epoch) }) {
+		t.Errorf("honours %t, pause at %s, flight %s: an old holder's order took effect after a new one's: %v", honours, pauseAt, flight, applied)
+	}
+}
+
+func TestHoldReasons(t *testing.T) {
+	d := DefaultDiscipline(testTTL)
+	began := time.Unix(1000, 0)
+	held := Grant{}.Renewed(platform.Lease{Epoch: 3}, began, began)
+	for _, c := range []struct {
+		name    string
+		grant   Grant
+		after   time.Duration
+		honours bool
+		want    HoldReason
+	}{
+		{name: "no lease", want: ReasonNoLease},
+		{name: "honoured at once", grant: held, honours: true},
+		{name: "ignored: not at once", grant: held, want: ReasonHandOver},
+		{name: "well before its end", grant: held, after: d.LeaseTTL - d.StopMargin, honours: true, want: ReasonLeaseEnding},
+		{name: "after a pause", grant: held, after: d.DetectPause + 1, honours: true, want: ReasonPaused},
+		{name: "a look after a pause changes nothing", grant: held.Look(d, began.Add(time.Second)), after: time.Second, honours: true, want: ReasonPaused},
+	} {
+		err := c.grant.Check(d, c.honours, began.Add(c.after))
+		var hold *HoldError
+		if errors.As(err, &hold) != (c.want != "") || (hold != nil && hold.Reason != c.want) {
+			t.Errorf("%s: got %v, want %q", c.name, err, c.want)
+		}
+	}
+}
+
+func TestWeightStoresRateHoldsALoad(t *testing.T) {
+	engine := &fakeEngine{honours: true}
+	s := newTestSender(t, &network{engine: engine}, openWeights{err: platform.ErrRateLimited})
+	s.Renewed(platform.Lease{Epoch: 1}, time.Now())
+	_, err := s.Drive(t.Context(), Target{HonoursFencing: true}, openai.Order{Kind: openai.OrderLoad, Model: "m"})
+	var hold *HoldError
+	if !errors.As(err, &hold) || hold.Reason != ReasonWeights || len(engine.state.Applied) != 0 {
+		t.Errorf("got %v; applied %v", err, engine.state.Applied)
+	}
+}
+
+// TestHTTPGuardStopsTheWrite shows that no byte leaves once the guard refuses,
+// even where the connection stands already.
+func TestHTTPGuardStopsTheWrite(t *testing.T) {
+	taken := make(chan openai.Order, 1)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		taken <- openai.Order{}
+		w.WriteHeader(http.StatusConflict)
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().(*net.TCPAddr).String()
+	transport := NewHTTPTransport()
+	refused := &HoldError{Reason: ReasonPaused}
+	err := transport.Send(t.Context(), Target{Address: address}, openai.Order{}, func() error { return refused })
+	if !errors.Is(err, refused) || len(taken) != 0 {
+		t.Errorf("got %v, taken %d", err, len(taken))
+	}
+	err = transport.Send(t.Context(), Target{Address: address}, openai.Order{}, func() error { return nil })
+	if !errors.Is(err, ErrFenced) || len(taken) != 1 {
+		t.Errorf("got %v, taken %d", err, len(taken))
+	}
+}
