--- a/internal/order/sender_test.go
+++ b/internal/order/sender_test.go
@@ -21,6 +21,7 @@
 // fakeEngine records the orders that took effect.
 type fakeEngine struct {
 	honours bool
+	mu      sync.Mutex
 	state   openai.OrderState
 }
 
@@ -42,6 +43,8 @@
 	}
 	time.Sleep(n.flight)
 	e := n.engine
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.honours && order.Epoch < e.state.Epoch {
 		return ErrFenced
 	}
@@ -52,6 +55,8 @@
 }
 
 func (n *network) State(context.Context, Target) (openai.OrderState, error) {
+	n.engine.mu.Lock()
+	defer n.engine.mu.Unlock()
 	state := n.engine.state
 	state.Applied = slices.Clone(state.Applied)
 	return state, nil
