--- a/internal/handover/driver.go
+++ b/internal/handover/driver.go
@@ -84,6 +84,24 @@
 	return ""
 }
 
+// Armed says whether all nodes serve the move's set by permits only, as far as
+// this process drives it.
+func (d *Driver) Armed(moveID string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	run, ok := d.sources[moveID]
+	return ok && run.s.allArmed()
+}
+
+// Transferred says whether the target has acknowledged all parts, as far as
+// this process drives the move.
+func (d *Driver) Transferred(moveID string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	run, ok := d.sources[moveID]
+	return ok && run.s.Parts > 0 && len(run.s.Sent) == run.s.Parts
+}
+
 // Run passes over the moves until ctx ends, which it must do with the lease.
 func (d *Driver) Run(ctx context.Context, epoch int64) error {
 	ticker := time.NewTicker(d.cfg.Timing.Resend)
--- /dev/null
+++ b/internal/handover/node_service.go
@@ -0,0 +1,43 @@
+package handover
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+
+	handoverv1 "galenatrestle/internal/gen/trestle/handover/v1"
+)
+
+// NodeService answers the other nodes of this data centre: as a node that is
+// armed and stopped, and as the driver that gives permits. It implements
+// handoverv1connect.NodeServiceHandler.
+type NodeService struct {
+	gate   *Gate
+	driver *Driver
+}
+
+// NewNodeService returns a NodeService.
+func NewNodeService(gate *Gate, driver *Driver) *NodeService {
+	return &NodeService{gate: gate, driver: driver}
+}
+
+// Arm implements the handler.
+func (s *NodeService) Arm(_ context.Context, request *connect.Request[handoverv1.ArmRequest]) (*connect.Response[handoverv1.ArmResponse], error) {
+	m := request.Msg
+	armed := s.gate.Arm(m.GetMoveId(), setFromWire(m.GetSet()), m.GetDriver(), m.GetEpoch())
+	return connect.NewResponse(&handoverv1.ArmResponse{Armed: armed}), nil
+}
+
+// Stop implements the handler.
+func (s *NodeService) Stop(_ context.Context, request *connect.Request[handoverv1.StopRequest]) (*connect.Response[handoverv1.StopResponse], error) {
+	m := request.Msg
+	inFlight := s.gate.Stop(m.GetMoveId(), setFromWire(m.GetSet()), m.GetEpoch())
+	return connect.NewResponse(&handoverv1.StopResponse{Stopped: true, InFlight: inFlight}), nil
+}
+
+// Permit implements the handler.
+func (s *NodeService) Permit(_ context.Context, request *connect.Request[handoverv1.PermitRequest]) (*connect.Response[handoverv1.PermitResponse], error) {
+	m := request.Msg
+	permitted := s.driver.Permit(m.GetMoveId(), m.GetNode(), m.GetEpoch())
+	return connect.NewResponse(&handoverv1.PermitResponse{Permitted: permitted}), nil
+}
