--- a/internal/handover/gate.go
+++ b/internal/handover/gate.go
@@ -118,11 +118,11 @@
 	return armed
 }
 
-// Stop is the driver's call that the set is sealed; it returns how many
-// requests of the set are in flight here.
-func (g *Gate) Stop(id string, set Set, epoch int64) int64 {
-	g.change(func(p *Permission) { p.Stop(id, set, epoch) })
-	return g.InFlight(set)
+// Stop is the driver's call that the move's set is sealed, or opened; it
+// returns how many requests of the set are in flight here.
+func (g *Gate) Stop(m Move) int64 {
+	g.change(func(p *Permission) { p.Stop(m) })
+	return g.InFlight(m.Set)
 }
 
 // Permit brings the driver's answer to a question sent at asked.
--- a/internal/handover/node_client.go
+++ b/internal/handover/node_client.go
@@ -72,6 +72,7 @@
 	}
 	response, err := c.service(address).Stop(ctx, connect.NewRequest(&handoverv1.StopRequest{
 		MoveId: m.ID, Set: setToWire(m.Set), Epoch: m.DriverEpoch,
+		Opened: m.Phase == PhaseOpened, RelayAddress: m.RelayAddress,
 	}))
 	if err != nil {
 		return 0, errs.Wrap(errs.Peer, err, "stop", address)
--- a/internal/handover/node_service.go
+++ b/internal/handover/node_service.go
@@ -31,7 +31,14 @@
 // Stop implements the handler.
 func (s *NodeService) Stop(_ context.Context, request *connect.Request[handoverv1.StopRequest]) (*connect.Response[handoverv1.StopResponse], error) {
 	m := request.Msg
-	inFlight := s.gate.Stop(m.GetMoveId(), setFromWire(m.GetSet()), m.GetEpoch())
+	move := Move{
+		ID: m.GetMoveId(), Set: setFromWire(m.GetSet()), DriverEpoch: m.GetEpoch(),
+		Phase: PhaseSealed, RelayAddress: m.GetRelayAddress(),
+	}
+	if m.GetOpened() {
+		move.Phase = PhaseOpened
+	}
+	inFlight := s.gate.Stop(move)
 	return connect.NewResponse(&handoverv1.StopResponse{Stopped: true, InFlight: inFlight}), nil
 }
 
--- a/internal/handover/permission.go
+++ b/internal/handover/permission.go
@@ -87,16 +87,16 @@
 	return true
 }
 
-// Stop tells that the move's set is sealed.
-func (p *Permission) Stop(id string, set Set, epoch int64) {
-	n := p.find(id)
+// Stop tells that the move's set is sealed, or opened by the target.
+func (p *Permission) Stop(m Move) {
+	n := p.find(m.ID)
 	if n == nil {
-		p.moves = slices.Insert(p.moves, 0, nodeMove{move: Move{ID: id, Role: RoleSource, Set: set, DriverEpoch: epoch}})
+		p.moves = slices.Insert(p.moves, 0, nodeMove{move: Move{ID: m.ID, Role: RoleSource, Set: m.Set, DriverEpoch: m.DriverEpoch}})
 		n = &p.moves[0]
 	}
 	n.until = time.Time{}
-	if !n.move.Phase.sealedHere() {
-		n.move.Phase = PhaseSealed
+	if n.move.Phase.rank() < m.Phase.rank() {
+		n.move.Phase, n.move.RelayAddress = m.Phase, m.RelayAddress
 	}
 }
 
--- a/internal/handover/schedule_test.go
+++ b/internal/handover/schedule_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -100,7 +101,7 @@
 			defer cancel()
 			result.add(n.handle(call, fmt.Sprintf("request-%d", i), key, length, 0))
 		})
-		sleep(ctx, time.Duration(20+random.IntN(60))*time.Millisecond)
+		sleep(ctx, w.interval/2+time.Duration(random.Int64N(int64(w.interval))))
 	}
 }
 
@@ -215,22 +216,33 @@
 	}
 }
 
+// TestMoveWithoutFaults sends a request a millisecond and looks at the longest
+// waits at the gate.
 func TestMoveWithoutFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		w, result := runSchedule(t, 1, 0, nil)
-		longest := time.Duration(0)
+		w, result := runSchedule(t, 1, 0, func(w *simWorld) func(MessageKind, bool) {
+			w.interval = time.Millisecond
+			return nil
+		})
+		var waits []time.Duration
 		for _, a := range result.answers {
-			longest = max(longest, a.waited)
 			if a.outcome == "unknown" {
 				t.Errorf("%s was cut", a.id)
 			}
+			if a.waited > 0 {
+				waits = append(waits, a.waited)
+			}
 		}
 		for _, run := range w.truth.runs {
 			if !run.ended {
 				t.Errorf("%s did not end", run.id)
 			}
 		}
-		t.Logf("%d requests, longest wait at the gate %s", len(result.answers), longest)
+		if len(waits) == 0 {
+			t.Fatal("no request waited: the moves were not met by load")
+		}
+		longest := slices.Max(waits)
+		t.Logf("%d requests, %d waited, the longest %s", len(result.answers), len(waits), longest)
 		if longest > 250*time.Millisecond {
 			t.Errorf("a request waited %s for a move without faults", longest)
 		}
@@ -238,18 +250,26 @@
 }
 
 func TestMoveUnderFaults(t *testing.T) {
-	const schedules = 200
-	requests, answered := 0, 0
-	for seed := range uint64(schedules) {
-		synctest.Test(t, func(t *testing.T) {
-			_, result := runSchedule(t, seed, 1+int(seed%3), nil)
-			requests += len(result.answers)
-			for _, a := range result.answers {
-				if a.outcome == "answered" {
-					answered++
-				}
+	const schedules, workers = 200, 4
+	for worker := range uint64(workers) {
+		t.Run(fmt.Sprint("seeds of worker ", worker), func(t *testing.T) {
+			t.Parallel()
+			requests, answered := 0, 0
+			for seed := worker; seed < schedules; seed += workers {
+				synctest.Test(t, func(t *testing.T) {
+					_, result := runSchedule(t, seed, 1+int(seed%3), nil)
+					requests += len(result.answers)
+					for _, a := range result.answers {
+						if a.outcome == "answered" {
+							answered++
+						}
+					}
+				})
+			}
+			t.Logf("%d requests, %d answered", requests, answered)
+			if answered == 0 {
+				t.Error("no request was answered: the schedules show nothing")
 			}
 		})
 	}
-	t.Logf("%d schedules, %d requests, %d answered", schedules, requests, answered)
 }
--- a/internal/handover/sim_test.go
+++ b/internal/handover/sim_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +15,6 @@
 
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
-	"galenatrestle/internal/refusal"
 )
 
 // Two data centres in one process, with a small model of the data path whose
@@ -30,51 +28,6 @@
 
 var errSimLink = errors.New("link: no answer")
 
-// simLink is a connection with faults; each call may be late, lost, or carried
-// out twice, and the answer may be lost.
-type simLink struct {
-	mu       sync.Mutex
-	random   *rand.Rand
-	cutUntil time.Time
-	loss     float64
-	double   float64
-	delay    time.Duration
-	late     sync.WaitGroup
-}
-
-func (l *simLink) draw() (wait, lateWait time.Duration, lostGoing, lostComing, doubled bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	cut := time.Now().Before(l.cutUntil)
-	wait = time.Millisecond + time.Duration(l.random.Int64N(int64(l.delay)+1))
-	lateWait = time.Duration(l.random.Int64N(int64(3 * time.Second)))
-	lostGoing = cut || l.random.Float64() < l.loss
-	lostComing = l.random.Float64() < l.loss
-	doubled = !lostGoing && l.random.Float64() < l.double
-	return wait, lateWait, lostGoing, lostComing, doubled
-}
-
-func (l *simLink) call(ctx context.Context, f func() error) error {
-	wait, lateWait, lostGoing, lostComing, doubled := l.draw()
-	time.Sleep(wait)
-	if lostGoing {
-		<-ctx.Done()
-		return errSimLink
-	}
-	if doubled {
-		l.late.Go(func() {
-			time.Sleep(lateWait)
-			_ = f()
-		})
-	}
-	err := f()
-	if lostComing {
-		<-ctx.Done()
-		return errSimLink
-	}
-	return err
-}
-
 type simRun struct {
 	id    string
 	side  string
@@ -102,86 +55,6 @@
 	run.ended = true
 }
 
-// simLedger stands for the claims in one side's platform.
-type simLedger struct {
-	kv    *memstore.Store
-	mu    sync.Mutex
-	moved bool
-	// movedAt is the epoch of the newest export.
-	movedAt int64
-	claims  map[string]string
-}
-
-// claim returns "" for a new claim, "open", or the recorded outcome; false
-// where the set has moved away.
-func (l *simLedger) claim(key string) (string, bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	state, known := l.claims[key]
-	if known {
-		return state, true
-	}
-	if l.moved {
-		return "", false
-	}
-	l.claims[key] = "open"
-	return "", true
-}
-
-func (l *simLedger) settle(key, outcome string) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.claims[key] = outcome
-}
-
-func (l *simLedger) up(ctx context.Context) error {
-	_, _, err := l.kv.List(ctx, "claim/")
-	return err
-}
-
-func (l *simLedger) Export(ctx context.Context, _ Set, epoch int64) ([][]byte, error) {
-	if err := l.up(ctx); err != nil {
-		return nil, err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.moved, l.movedAt = true, epoch
-	parts := []map[string]string{{}, {}}
-	for key, state := range l.claims {
-		parts[len(key)%2][key] = state
-	}
-	var out [][]byte
-	for _, part := range parts {
-		b, err := json.Marshal(part)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, b)
-	}
-	return out, nil
-}
-
-func (l *simLedger) Import(ctx context.Context, _ Set, epoch int64, b []byte) error {
-	if err := l.up(ctx); err != nil {
-		return err
-	}
-	var claims map[string]string
-	if err := json.Unmarshal(b, &claims); err != nil {
-		return err
-	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.movedAt < epoch {
-		l.moved = false
-	}
-	for key, state := range claims {
-		if known, ok := l.claims[key]; !ok || known == "open" {
-			l.claims[key] = state
-		}
-	}
-	return nil
-}
-
 type simPreparer struct{}
 
 func (simPreparer) Prepare(context.Context, Set) (bool, error) { return true, nil }
@@ -193,15 +66,26 @@
 	name string
 
 	mu sync.Mutex
+	simParts
 	// cutUntil ends a time in which callers alone reach the node.
 	cutUntil time.Time
 	life     context.Context
 	kill     context.CancelFunc
+}
+
+// simParts are what a node's process consists of; a restart makes new ones.
+type simParts struct {
 	gate     *Gate
 	driver   *Driver
 	receiver *Receiver
 }
 
+func (n *simNode) parts() simParts {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.simParts
+}
+
 type simSide struct {
 	world  *simWorld
 	name   string
@@ -219,10 +103,12 @@
 	ctx    context.Context
 	timing Timing
 	truth  *simTruth
-	outer  *simLink
-	sides  [2]*simSide
-	work   sync.WaitGroup
-	random *rand.Rand
+	// interval is the mean time between two requests.
+	interval time.Duration
+	outer    *simLink
+	sides    [2]*simSide
+	work     sync.WaitGroup
+	random   *rand.Rand
 	// arrow, where set, is called around each message between the sides.
 	arrow func(kind MessageKind, after bool)
 }
@@ -231,7 +117,7 @@
 	link := func(salt uint64) *simLink {
 		return &simLink{random: rand.New(rand.NewPCG(seed, salt)), delay: time.Millisecond}
 	}
-	w := &simWorld{ctx: ctx, timing: DefaultTiming(), truth: &simTruth{}, outer: link(1), random: rand.New(rand.NewPCG(seed, 2))}
+	w := &simWorld{ctx: ctx, timing: DefaultTiming(), interval: 50 * time.Millisecond, truth: &simTruth{}, outer: link(1), random: rand.New(rand.NewPCG(seed, 2))}
 	w.outer.delay = 10 * time.Millisecond
 	for i, name := range []string{"west", "east"} {
 		kv := memstore.New(memstore.Config{Seed: seed, WritesPerSecond: 1e6, ReadsPerSecond: 1e6})
@@ -332,26 +218,20 @@
 	}
 }
 
-// Deliver carries a message to a live node of the named side.
+// Deliver carries a message to a live node of the other side.
 func (s *simSide) Deliver(ctx context.Context, _ string, m Message) (Receipt, error) {
-	var receipt Receipt
 	s.world.atArrow(m.Kind, false)
 	defer s.world.atArrow(m.Kind, true)
-	err := s.world.outer.call(ctx, func() error {
+	return simCall(ctx, s.world.outer, func() (Receipt, error) {
 		for _, n := range s.other.nodes {
 			life, ok := n.alive()
 			if !ok || n.isCut() {
 				continue
 			}
-			got, err := n.receiver.Deliver(life, m)
-			if err == nil {
-				receipt = got
-			}
-			return err
+			return n.parts().receiver.Deliver(life, m)
 		}
-		return errSimLink
+		return Receipt{}, errSimLink
 	})
-	return receipt, err
 }
 
 func (w *simWorld) atArrow(kind MessageKind, after bool) {
@@ -370,153 +250,35 @@
 }
 
 func (s *simSide) Arm(ctx context.Context, node string, m Move) error {
-	return s.inner.call(ctx, func() error {
+	armed, err := simCall(ctx, s.inner, func() (bool, error) {
 		n, err := s.node(node)
-		if err == nil && !n.gate.Arm(m.ID, m.Set, m.Driver, m.DriverEpoch) {
-			err = errSimLink
+		if err != nil {
+			return false, err
 		}
-		return err
+		return n.parts().gate.Arm(m.ID, m.Set, m.Driver, m.DriverEpoch), nil
 	})
+	if err == nil && !armed {
+		return errNotArmed
+	}
+	return err
 }
 
 func (s *simSide) Stop(ctx context.Context, node string, m Move) (int64, error) {
-	var inFlight int64
-	err := s.inner.call(ctx, func() error {
+	return simCall(ctx, s.inner, func() (int64, error) {
 		n, err := s.node(node)
-		if err == nil {
-			inFlight = n.gate.Stop(m.ID, m.Set, m.DriverEpoch)
+		if err != nil {
+			return 0, err
 		}
-		return err
+		return n.parts().gate.Stop(m), nil
 	})
-	return inFlight, err
 }
 
 func (s *simSide) Permit(ctx context.Context, ask Ask, node string) (bool, error) {
-	var permitted bool
-	err := s.inner.call(ctx, func() error {
+	return simCall(ctx, s.inner, func() (bool, error) {
 		n, err := s.node(ask.Driver)
-		if err == nil {
-			permitted = n.driver.Permit(ask.MoveID, node, ask.Epoch)
-		}
-		return err
-	})
-	return permitted, err
-}
-
-// simAnswer is what a caller got.
-type simAnswer struct {
-	id string
-	// outcome is "answered", "not-run", "unknown" or "open".
-	outcome string
-	text    string
-	waited  time.Duration
-}
-
-// handle is the data path: the gate, the claim, the run.
-func (n *simNode) handle(ctx context.Context, id, key string, length time.Duration, hops int) simAnswer {
-	life, ok := n.alive()
-	if !ok || hops > 4 {
-		return simAnswer{id: id, outcome: "not-run"}
-	}
-	began := time.Now()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	context.AfterFunc(life, cancel)
-	for {
-		verdict, done, err := n.gate.Await(ctx, simUpstream, "ws")
 		if err != nil {
-			return simAnswer{id: id, outcome: string(refusal.From(err).Outcome), text: err.Error()}
-		}
-		if verdict.Kind == Relay {
-			return n.relay(ctx, id, key, length, hops)
-		}
-		waited := time.Since(began)
-		answer, again := n.run(life, id, key, length, done)
-		answer.waited = waited
-		if !again {
-			return answer
+			return false, err
 		}
-		if ctx.Err() != nil {
-			return simAnswer{id: id, outcome: "not-run"}
-		}
-		sleep(ctx, 50*time.Millisecond)
-	}
-}
-
-func (n *simNode) relay(ctx context.Context, id, key string, length time.Duration, hops int) simAnswer {
-	for _, other := range n.side.other.nodes {
-		if _, ok := other.alive(); ok {
-			return other.handle(ctx, id, key, length, hops+1)
-		}
-	}
-	return simAnswer{id: id, outcome: "not-run"}
-}
-
-func (n *simNode) run(life context.Context, id, key string, length time.Duration, done func()) (simAnswer, bool) {
-	defer done()
-	if key != "" {
-		state, here := n.side.ledger.claim(key)
-		if !here {
-			return simAnswer{}, true
-		}
-		if state == "open" {
-			return simAnswer{id: id, outcome: "open"}, false
-		}
-		if state != "" {
-			return simAnswer{id: id, outcome: "answered", text: state}, false
-		}
-	}
-	name := id
-	if key != "" {
-		name = key
-	}
-	run := n.side.world.truth.begin(name, n.side.name)
-	time.Sleep(length)
-	if life.Err() != nil {
-		return simAnswer{id: id, outcome: "unknown"}, false
-	}
-	n.side.world.truth.end(run)
-	if key != "" {
-		n.side.ledger.settle(key, "result of "+key)
-	}
-	return simAnswer{id: id, outcome: "answered", text: "result of " + name}, false
-}
-
-func (n *simNode) isCut() bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return time.Now().Before(n.cutUntil)
-}
-
-func (n *simNode) cutOff(length time.Duration) {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	n.cutUntil = time.Now().Add(length)
-}
-
-// cutStore is the platform as a node that may be cut off reaches it.
-type cutStore struct {
-	*memstore.Store
-	node *simNode
-}
-
-func (s *cutStore) Get(ctx context.Context, key string) (platform.Entry, error) {
-	if s.node.isCut() {
-		return platform.Entry{}, platform.ErrUnavailable
-	}
-	return s.Store.Get(ctx, key)
-}
-
-func (s *cutStore) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
-	if s.node.isCut() {
-		return nil, 0, platform.ErrUnavailable
-	}
-	return s.Store.List(ctx, prefix)
-}
-
-func (s *cutStore) CompareAndSwap(ctx context.Context, key string, expect int64, value []byte) (platform.Entry, error) {
-	if s.node.isCut() {
-		return platform.Entry{}, platform.ErrUnavailable
-	}
-	return s.Store.CompareAndSwap(ctx, key, expect, value)
+		return n.parts().driver.Permit(ask.MoveID, node, ask.Epoch), nil
+	})
 }
