--- a/internal/gen/trestle/handover/v1/handoverv1connect/handover.connect.go
+++ b/internal/gen/trestle/handover/v1/handoverv1connect/handover.connect.go
@@ -43,6 +43,8 @@
 	NodeServiceStopProcedure = "/trestle.handover.v1.NodeService/Stop"
 	// NodeServicePermitProcedure is the fully-qualified name of the NodeService's Permit RPC.
 	NodeServicePermitProcedure = "/trestle.handover.v1.NodeService/Permit"
+	// NodeServiceVouchProcedure is the fully-qualified name of the NodeService's Vouch RPC.
+	NodeServiceVouchProcedure = "/trestle.handover.v1.NodeService/Vouch"
 )
 
 // HandoverServiceClient is a client for the trestle.handover.v1.HandoverService service.
@@ -125,6 +127,8 @@
 	Stop(context.Context, *connect.Request[v1.StopRequest]) (*connect.Response[v1.StopResponse], error)
 	// Permit is called by a node.
 	Permit(context.Context, *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error)
+	// Vouch is called by a node that starts in a platform outage.
+	Vouch(context.Context, *connect.Request[v1.VouchRequest]) (*connect.Response[v1.VouchResponse], error)
 }
 
 // NewNodeServiceClient constructs a client for the trestle.handover.v1.NodeService service. By
@@ -156,6 +160,12 @@
 			connect.WithSchema(nodeServiceMethods.ByName("Permit")),
 			connect.WithClientOptions(opts...),
 		),
+		vouch: connect.NewClient[v1.VouchRequest, v1.VouchResponse](
+			httpClient,
+			baseURL+NodeServiceVouchProcedure,
+			connect.WithSchema(nodeServiceMethods.ByName("Vouch")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
@@ -164,6 +174,7 @@
 	arm    *connect.Client[v1.ArmRequest, v1.ArmResponse]
 	stop   *connect.Client[v1.StopRequest, v1.StopResponse]
 	permit *connect.Client[v1.PermitRequest, v1.PermitResponse]
+	vouch  *connect.Client[v1.VouchRequest, v1.VouchResponse]
 }
 
 // Arm calls trestle.handover.v1.NodeService.Arm.
@@ -181,6 +192,11 @@
 	return c.permit.CallUnary(ctx, req)
 }
 
+// Vouch calls trestle.handover.v1.NodeService.Vouch.
+func (c *nodeServiceClient) Vouch(ctx context.Context, req *connect.Request[v1.VouchRequest]) (*connect.Response[v1.VouchResponse], error) {
+	return c.vouch.CallUnary(ctx, req)
+}
+
 // NodeServiceHandler is an implementation of the trestle.handover.v1.NodeService service.
 type NodeServiceHandler interface {
 	// Arm is called by the driver.
@@ -189,6 +205,8 @@
 	Stop(context.Context, *connect.Request[v1.StopRequest]) (*connect.Response[v1.StopResponse], error)
 	// Permit is called by a node.
 	Permit(context.Context, *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error)
+	// Vouch is called by a node that starts in a platform outage.
+	Vouch(context.Context, *connect.Request[v1.VouchRequest]) (*connect.Response[v1.VouchResponse], error)
 }
 
 // NewNodeServiceHandler builds an HTTP handler from the service implementation. It returns the path
@@ -216,6 +234,12 @@
 		connect.WithSchema(nodeServiceMethods.ByName("Permit")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeServiceVouchHandler := connect.NewUnaryHandler(
+		NodeServiceVouchProcedure,
+		svc.Vouch,
+		connect.WithSchema(nodeServiceMethods.ByName("Vouch")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trestle.handover.v1.NodeService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeServiceArmProcedure:
@@ -224,6 +248,8 @@
 			nodeServiceStopHandler.ServeHTTP(w, r)
 		case NodeServicePermitProcedure:
 			nodeServicePermitHandler.ServeHTTP(w, r)
+		case NodeServiceVouchProcedure:
+			nodeServiceVouchHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -244,3 +270,7 @@
 func (UnimplementedNodeServiceHandler) Permit(context.Context, *connect.Request[v1.PermitRequest]) (*connect.Response[v1.PermitResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.handover.v1.NodeService.Permit is not implemented"))
 }
+
+func (UnimplementedNodeServiceHandler) Vouch(context.Context, *connect.Request[v1.VouchRequest]) (*connect.Response[v1.VouchResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.handover.v1.NodeService.Vouch is not implemented"))
+}
--- a/internal/handover/agent.go
+++ b/internal/handover/agent.go
@@ -11,22 +11,36 @@
 	Permit(ctx context.Context, ask Ask, node string) (bool, error)
 }
 
+// Vouch is permission lent by a registered node.
+type Vouch struct {
+	Term  time.Duration
+	Moves []Move
+}
+
+// Vouchers asks registered nodes to lend permission.
+type Vouchers interface {
+	// Vouch returns what a peer lends.
+	Vouch(ctx context.Context, node string) (Vouch, error)
+}
+
 // Agent keeps a node's gate fed: it registers the node, reads the moves and
 // asks for permits.
 type Agent struct {
 	gate    *Gate
 	store   *MoveStore
 	permits Permits
-	node    string
-	timing  Timing
-	now     func() time.Time
+	// vouchers is asked while the node can't register.
+	vouchers Vouchers
+	node     string
+	timing   Timing
+	now      func() time.Time
 
 	registered bool
 }
 
 // NewAgent returns the agent of a node. now must carry the monotonic clock.
-func NewAgent(gate *Gate, store *MoveStore, permits Permits, node string, timing Timing, now func() time.Time) *Agent {
-	return &Agent{gate: gate, store: store, permits: permits, node: node, timing: timing, now: now}
+func NewAgent(gate *Gate, store *MoveStore, permits Permits, vouchers Vouchers, node string, timing Timing, now func() time.Time) *Agent {
+	return &Agent{gate: gate, store: store, permits: permits, vouchers: vouchers, node: node, timing: timing, now: now}
 }
 
 // Run feeds the gate until ctx ends. Errors are not returned: the next round
@@ -49,6 +63,9 @@
 	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/4)
 	defer cancel()
 	err := a.read(ctx)
+	if err != nil && !a.registered {
+		a.vouch(ctx)
+	}
 	for _, ask := range a.gate.Asks() {
 		a.ask(ctx, ask)
 	}
@@ -81,3 +98,11 @@
 		a.gate.Permit(ask, asked, permitted)
 	}
 }
+
+func (a *Agent) vouch(ctx context.Context) {
+	asked := a.now()
+	lent, err := a.vouchers.Vouch(ctx, a.node)
+	if err == nil {
+		a.gate.Vouched(asked, lent.Term, lent.Moves)
+	}
+}
--- a/internal/handover/gate.go
+++ b/internal/handover/gate.go
@@ -15,11 +15,14 @@
 // what it started. It is safe for concurrent use.
 type Gate struct {
 	now     func() time.Time
+	timing  Timing
 	metrics *Metrics
 
-	mu       sync.Mutex
-	p        Permission
-	inFlight map[flight]int64
+	mu sync.Mutex
+	p  Permission
+	// vouchEnds is when the last permission lent to others is over.
+	vouchEnds time.Time
+	inFlight  map[flight]int64
 	// changed is closed and replaced at each change of the permission.
 	changed chan struct{}
 }
@@ -34,7 +37,7 @@
 // moves: until one of Registered and Vouched is called everything waits.
 func NewGate(home func(upstream, workspace string) bool, timing Timing, metrics *Metrics, now func() time.Time) *Gate {
 	return &Gate{
-		now: now, metrics: metrics,
+		now: now, timing: timing, metrics: metrics,
 		p:        Permission{Home: home, Term: timing.Term},
 		inFlight: make(map[flight]int64),
 		changed:  make(chan struct{}),
@@ -94,6 +97,8 @@
 	g.change(func(p *Permission) {
 		p.Refresh(moves, revision)
 		p.Registered = true
+		// An earlier process of this node may have lent permission.
+		g.vouchEnds = g.now().Add(g.timing.quietAfter())
 	})
 }
 
@@ -119,10 +124,29 @@
 }
 
 // Stop is the driver's call that the move's set is sealed, or opened; it
-// returns how many requests of the set are in flight here.
-func (g *Gate) Stop(m Move) int64 {
+// returns how many requests of the set are in flight here. It is not stopped
+// while permission that this node lent to others may last.
+func (g *Gate) Stop(m Move) (inFlight int64, stopped bool) {
 	g.change(func(p *Permission) { p.Stop(m) })
-	return g.InFlight(m.Set)
+	return g.InFlight(m.Set), g.lentNothing()
+}
+
+func (g *Gate) lentNothing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.now().Before(g.vouchEnds)
+}
+
+// Vouch lends this node's permission for a term to one that can't register;
+// false where this node has none to lend.
+func (g *Gate) Vouch() ([]Move, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	moves, ok := g.p.Lend()
+	if ok {
+		g.vouchEnds = g.now().Add(g.timing.quietAfter())
+	}
+	return moves, ok
 }
 
 // Permit brings the driver's answer to a question sent at asked.
--- a/internal/handover/node_client.go
+++ b/internal/handover/node_client.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 
 	"connectrpc.com/connect"
 
@@ -16,6 +18,12 @@
 // errNotArmed says that a node knows a newer driver or a later phase.
 var errNotArmed = errors.New("handover: the node did not arm")
 
+// errNotStopped says that permission which a node lent to others may last.
+var errNotStopped = errors.New("handover: the node has lent permission that is not over yet")
+
+// errNotVouched says that no node could lend permission.
+var errNotVouched = errors.New("handover: no peer vouches")
+
 // Dialer finds the HTTP client and base URL for a node's peer address.
 type Dialer interface {
 	// Dial returns what reaches the peer address.
@@ -29,11 +37,13 @@
 	// address returns the peer address of a registered node, empty where the
 	// members don't know it.
 	address func(node string) string
+	// peers returns the other nodes' peer addresses.
+	peers func() []string
 }
 
 // NewNodeClient returns a NodeClient.
-func NewNodeClient(dialer Dialer, address func(node string) string) *NodeClient {
-	return &NodeClient{dialer: dialer, address: address}
+func NewNodeClient(dialer Dialer, address func(node string) string, peers func() []string) *NodeClient {
+	return &NodeClient{dialer: dialer, address: address, peers: peers}
 }
 
 func (c *NodeClient) service(address string) handoverv1connect.NodeServiceClient {
@@ -77,6 +87,9 @@
 	if err != nil {
 		return 0, errs.Wrap(errs.Peer, err, "stop", address)
 	}
+	if !response.Msg.GetStopped() {
+		return 0, errs.Wrap(errs.Peer, errNotStopped, "stop", address)
+	}
 	return response.Msg.GetInFlight(), nil
 }
 
@@ -90,3 +103,19 @@
 	}
 	return response.Msg.GetPermitted(), nil
 }
+
+// Vouch implements Vouchers: the first peer that lends permission counts.
+func (c *NodeClient) Vouch(ctx context.Context, node string) (Vouch, error) {
+	for _, address := range c.peers() {
+		response, err := c.service(address).Vouch(ctx, connect.NewRequest(&handoverv1.VouchRequest{Node: node}))
+		if err != nil || !response.Msg.GetVouched() {
+			continue
+		}
+		v := Vouch{Term: time.Duration(response.Msg.GetTermMs()) * time.Millisecond}
+		if err := json.Unmarshal(response.Msg.GetMoves(), &v.Moves); err != nil {
+			return v, errs.Wrap(errs.Peer, err, "read a vouch", address)
+		}
+		return v, nil
+	}
+	return Vouch{}, errNotVouched
+}
--- a/internal/handover/node_service.go
+++ b/internal/handover/node_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 
 	"connectrpc.com/connect"
 
@@ -38,8 +39,20 @@
 	if m.GetOpened() {
 		move.Phase = PhaseOpened
 	}
-	inFlight := s.gate.Stop(move)
-	return connect.NewResponse(&handoverv1.StopResponse{Stopped: true, InFlight: inFlight}), nil
+	inFlight, stopped := s.gate.Stop(move)
+	return connect.NewResponse(&handoverv1.StopResponse{Stopped: stopped, InFlight: inFlight}), nil
+}
+
+// Vouch implements the handler.
+func (s *NodeService) Vouch(context.Context, *connect.Request[handoverv1.VouchRequest]) (*connect.Response[handoverv1.VouchResponse], error) {
+	moves, ok := s.gate.Vouch()
+	encoded, err := json.Marshal(moves)
+	if err != nil {
+		return nil, connect.NewError(connect.CodeInternal, err)
+	}
+	return connect.NewResponse(&handoverv1.VouchResponse{
+		Vouched: ok, TermMs: s.gate.timing.Term.Milliseconds(), Moves: encoded,
+	}), nil
 }
 
 // Permit implements the handler.
--- a/internal/handover/permission.go
+++ b/internal/handover/permission.go
@@ -129,6 +129,23 @@
 	return asks
 }
 
+// Lend returns the moves for a node that serves on this node's permission for
+// a term; false where this node is not registered itself or a move is between
+// arming and open.
+func (p *Permission) Lend() ([]Move, bool) {
+	if !p.Registered {
+		return nil, false
+	}
+	var moves []Move
+	for _, n := range p.moves {
+		if n.armed > 0 && n.move.Phase == PhaseArming || n.move.Phase == PhaseSealed {
+			return nil, false
+		}
+		moves = append(moves, n.move)
+	}
+	return moves, true
+}
+
 // Verdict answers for a request at now.
 func (p *Permission) Verdict(upstream, workspace string, now time.Time) Verdict {
 	if !p.Registered && !now.Before(p.VouchedUntil) {
--- a/internal/handover/schedule_test.go
+++ b/internal/handover/schedule_test.go
@@ -145,7 +145,7 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	var load, disturbing sync.WaitGroup
 	load.Go(func() { w.load(loadCtx, rand.New(rand.NewPCG(seed, 78)), result) })
-	time.Sleep(2 * time.Second)
+	time.Sleep(2 * w.timing.Term)
 	for _, leg := range simLegs {
 		for range faults {
 			fault := simFaults[random.IntN(len(simFaults))]
--- a/internal/handover/sim_test.go
+++ b/internal/handover/sim_test.go
@@ -154,7 +154,7 @@
 		Peer: n.side, Nodes: n.side, Claims: n.side.ledger, Preparer: simPreparer{},
 		Timing: w.timing, Metrics: metrics, Log: log, Now: time.Now,
 	})
-	agent := NewAgent(n.gate, store, n.side, n.name, w.timing, time.Now)
+	agent := NewAgent(n.gate, store, n.side, n.side, n.name, w.timing, time.Now)
 	life, driver, holder := n.life, n.driver, n.name+w.newID()
 	w.work.Go(func() { agent.Run(life) })
 	w.work.Go(func() { n.side.duty(life, n, driver, holder) })
@@ -269,7 +269,25 @@
 		if err != nil {
 			return 0, err
 		}
-		return n.parts().gate.Stop(m), nil
+		inFlight, stopped := n.parts().gate.Stop(m)
+		if !stopped {
+			return 0, errNotStopped
+		}
+		return inFlight, nil
+	})
+}
+
+func (s *simSide) Vouch(ctx context.Context, node string) (Vouch, error) {
+	return simCall(ctx, s.inner, func() (Vouch, error) {
+		for _, n := range s.nodes {
+			if _, ok := n.alive(); !ok || n.isCut() || n.name == node {
+				continue
+			}
+			if moves, ok := n.parts().gate.Vouch(); ok {
+				return Vouch{Term: s.world.timing.Term, Moves: moves}, nil
+			}
+		}
+		return Vouch{}, errNotVouched
 	})
 }
 
