node: gate, agent, driver, executor and orders wired

The gate is asked at entry and directly before each attempt; requests of a set that the other data centre serves are relayed. Sets with unrepeatable calls are refused to move until the ledger can export its claims.

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -32,6 +32,9 @@
 		s.refuse(w, err)
 		return
 	}
+	if s.elsewhere(w, r, c, p.upstream.Name, body) {
+		return
+	}
 	e := &exchange{server: s, call: c, completion: p}
 	e.sink = e.sinkFor(w)
 	e.open()
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -82,7 +82,7 @@
 
 // note remembers a failed attempt.
 func (e *exchange) note(l *lane, err error) {
-	if l.slot == nil || upstream.KindOf(err) == upstream.NotRun {
+	if l.slot == nil || provedNotRun(err) {
 		e.notRun++
 	}
 	if l.slot != nil {
--- a/internal/gateway/lane.go
+++ b/internal/gateway/lane.go
@@ -18,6 +18,8 @@
 	run      *quarantine.Run
 	// cancel ends the attempt's context; nil where it has none of its own.
 	cancel context.CancelFunc
+	// done tells the gate that the attempt has ended; nil before its start.
+	done   func()
 	sentAt time.Time
 	stream *upstream.Stream
 	// first is the answer's first payload, valid until the stream's next.
@@ -35,6 +37,10 @@
 // open hands the request to the replica and waits for the first payload.
 func (l *lane) open(ctx context.Context, body []byte) {
 	e := l.exchange
+	l.done, l.err = e.server.startWork(ctx, e.call, e.completion.upstream.Name)
+	if l.err != nil {
+		return
+	}
 	l.sentAt = time.Now()
 	l.stream, l.err = e.server.options.Engines.Start(ctx, l.slot.Replica.Address, upstream.EngineCall{
 		ID:     fmt.Sprintf("%s.%d", e.call.id, l.number),
@@ -56,6 +62,9 @@
 	if l.cancel != nil {
 		l.cancel()
 	}
+	if l.done != nil {
+		l.done()
+	}
 	if l.slot == nil {
 		return
 	}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"net/http"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
@@ -42,12 +44,19 @@
 	Answers *answer.Store
 	// Resolver finds answers, also those of other nodes. Default: this node's.
 	Resolver *answerrpc.Resolver
+	// Gate says whether work may start in this data centre. Default: always.
+	Gate Gate
+	// Relay carries requests to the data centre that serves them.
+	Relay *http.Client
 	// Registry takes the metrics.
 	Registry prometheus.Registerer
 	// Log takes one line a refusal and a failed attempt.
 	Log logrus.FieldLogger
 }
 
+// maxIdleRelays bounds the idle connections to the other data centre.
+const maxIdleRelays = 16
+
 func (o Options) withDefaults() Options {
 	if o.Retries == nil {
 		o.Retries = retry.NewPolicy(config.Limits{})
@@ -58,6 +67,12 @@
 	if o.SpreadQuarantine == nil {
 		o.SpreadQuarantine = func(...quarantine.Record) {}
 	}
+	if o.Gate == nil {
+		o.Gate = openGate{}
+	}
+	if o.Relay == nil {
+		o.Relay = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleRelays}}
+	}
 	if o.Answers == nil {
 		o.Answers = answer.NewStore(answer.Options{})
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -38,6 +38,9 @@
 		s.refuse(w, err)
 		return
 	}
+	if s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
+		return
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.giveUpAt)
 	defer cancel()
 	s.serveCall(ctx, w, sc)
@@ -152,6 +155,12 @@
 	if err != nil {
 		return nil, "", err
 	}
+	done, err := s.startWork(ctx, sc.call, sc.upstream.Name)
+	if err != nil {
+		slot.Finish(resultOf(err))
+		return nil, "", err
+	}
+	defer done()
 	wire := sc.wire
 	wire.ID = fmt.Sprintf("%s.%d", sc.call.id, attempt)
 	answer, err := s.options.Services.Do(ctx, slot.Replica.Address, wire)
--- a/internal/handover/moveplan/actor.go
+++ b/internal/handover/moveplan/actor.go
@@ -22,12 +22,14 @@
 type Actor struct {
 	store  *handover.MoveStore
 	driver *handover.Driver
-	now    func() time.Time
+	// movable returns why a set can't be moved, or nil.
+	movable func(set handover.Set) error
+	now     func() time.Time
 }
 
 // NewActor returns an Actor beside the driver of this process.
-func NewActor(store *handover.MoveStore, driver *handover.Driver, now func() time.Time) *Actor {
-	return &Actor{store: store, driver: driver, now: now}
+func NewActor(store *handover.MoveStore, driver *handover.Driver, movable func(handover.Set) error, now func() time.Time) *Actor {
+	return &Actor{store: store, driver: driver, movable: movable, now: now}
 }
 
 // Do implements intent.Actor.
@@ -66,6 +68,9 @@
 	if in.Kind == intent.KindMoveUpstream {
 		set = handover.Set{Upstreams: []string{in.Upstream}}
 	}
+	if err := a.movable(set); err != nil && task.Step.Kind == intent.StepOfferMove {
+		return handover.Move{}, &intent.FatalError{Reason: err.Error()}
+	}
 	move, err := a.store.Begin(ctx, task.Plan.ID, set, in.DataCentre, a.now())
 	var overlap *handover.OverlapError
 	if errors.As(err, &overlap) {
--- a/internal/lease/metrics.go
+++ b/internal/lease/metrics.go
@@ -1,6 +1,10 @@
 package lease
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 // Metrics counts grants, ends and failed calls of leases.
 type Metrics struct {
@@ -9,7 +13,8 @@
 	failed *prometheus.CounterVec
 }
 
-// NewMetrics registers the counters.
+// NewMetrics registers the counters; a process's sources share them where they
+// share a registerer.
 func NewMetrics(register prometheus.Registerer) (*Metrics, error) {
 	m := &Metrics{
 		gained: prometheus.NewCounter(prometheus.CounterOpts{
@@ -25,10 +30,26 @@
 			Help: "Lease calls without a usable answer, by step.",
 		}, []string{"step"}),
 	}
-	for _, collector := range []prometheus.Collector{m.gained, m.ended, m.failed} {
-		if err := register.Register(collector); err != nil {
-			return nil, err
-		}
+	var first, second, third error
+	m.gained, first = registered(register, m.gained)
+	m.ended, second = registered(register, m.ended)
+	m.failed, third = registered(register, m.failed)
+	if err := errors.Join(first, second, third); err != nil {
+		return nil, err
 	}
 	return m, nil
 }
+
+// registered registers the collector, or returns the one that is there.
+func registered[C prometheus.Collector](register prometheus.Registerer, collector C) (C, error) {
+	err := register.Register(collector)
+	var already prometheus.AlreadyRegisteredError
+	if !errors.As(err, &already) {
+		return collector, err
+	}
+	existing, ok := already.ExistingCollector.(C)
+	if !ok {
+		return collector, err
+	}
+	return existing, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	peers    *peers
 	answers  *answers
 	claims   *claims
+	moves    *moves
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -43,6 +44,7 @@
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -61,6 +63,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.moves.offer(&options)
 	return options
 }
 
@@ -84,6 +87,7 @@
 	n.members.start()
 	n.answers.start()
 	n.claims.start()
+	n.moves.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -102,6 +106,8 @@
 			first = err
 		}
 	}
+	n.moves.close()
+	n.moves.leave(ctx)
 	n.claims.close()
 	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
 		first = err
@@ -120,6 +126,7 @@
 }
 
 func (n *Node) close() {
+	n.moves.close()
 	n.claims.close()
 	n.answers.close()
 	n.members.close()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -39,6 +39,12 @@
 	Instances platform.Instances
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
+	// Counterparts are the base URLs of the other data centres' systems, by
+	// data centre.
+	Counterparts map[string][]string
+	// Home says whether this data centre serves an upstream for a workspace as
+	// long as no move says otherwise. Default: always.
+	Home func(upstream, workspace string) bool
 	// KeepTime is how long a leaving node keeps its listener open, so that
 	// callers who hold its address still reach it. Default: the entry TTL and
 	// a second.
@@ -58,6 +64,9 @@
 	if o.PeerAddress == "" && o.Peer != nil {
 		o.PeerAddress = o.Peer.Addr().String()
 	}
+	if o.Home == nil {
+		o.Home = func(string, string) bool { return true }
+	}
 	if o.KeepTime == 0 {
 		o.KeepTime = defaultKeepTime
 	}
