--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	answers  *answers
 	claims   *claims
 	credits  *credits
+	moves    *moves
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -45,6 +46,7 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -63,6 +65,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.moves.offer(&options)
 	return options
 }
 
@@ -87,6 +90,7 @@
 	n.answers.start()
 	n.claims.start()
 	n.credits.start()
+	n.moves.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -105,6 +109,8 @@
 			first = err
 		}
 	}
+	n.moves.close()
+	n.moves.leave(ctx)
 	n.claims.close()
 	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
 		first = err
@@ -123,6 +129,7 @@
 }
 
 func (n *Node) close() {
+	n.moves.close()
 	n.claims.close()
 	n.answers.close()
 	n.credits.close()
