node: configuration by the platform and peers, and the operators' service

Cause: nodes were given their configuration at the start and never another; nothing answered operators. Change: a node with a platform runs configsync (internal/node/config.go) and mounts the operators' service on its ops address (internal/node/operator.go); the embedded deployment accepts its configuration through the first node. The code for a write of unknown outcome in package intent is mapped again, to readback.ErrNotKnown.

--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -28,6 +28,9 @@
 	// NewestRevision returns the highest revision that any node of any region
 	// is known to have in force. May be nil: then the view's members count.
 	NewestRevision func() int64
+	// InForce, where not nil, is called with each revision when it comes into
+	// force here, one call after the other and in rising order.
+	InForce func(*config.Index)
 	// Seed makes the jitter repeatable.
 	Seed     uint64
 	Log      logrus.FieldLogger
@@ -42,6 +45,7 @@
 	peers      Peers
 	contacts   func() []string
 	newest     func() int64
+	inForce    func(*config.Index)
 	log        logrus.FieldLogger
 	metrics    *metrics
 	deltas     deltaLog
@@ -65,6 +69,10 @@
 	if contacts == nil {
 		contacts = func() []string { return nil }
 	}
+	inForce := options.InForce
+	if inForce == nil {
+		inForce = func(*config.Index) {}
+	}
 	newest := options.NewestRevision
 	if newest == nil {
 		newest = func() int64 { return 0 }
@@ -76,6 +84,7 @@
 		peers:      options.Peers,
 		contacts:   contacts,
 		newest:     newest,
+		inForce:    inForce,
 		log:        options.Log,
 		metrics:    newMetrics(options.Current, options.Registry),
 		rng:        rand.New(rand.NewPCG(options.Seed, 0)),
@@ -198,11 +207,12 @@
 	return false
 }
 
-// move puts state in force if it is higher.
+// move puts state in force if it is higher. Callers hold applying.
 func (s *Syncer) move(state *State, from source) bool {
 	if !s.current.Move(state) {
 		return false
 	}
+	s.inForce(state.Index)
 	s.metrics.moves.WithLabelValues(string(from)).Inc()
 	s.log.WithFields(logrus.Fields{
 		"step": "configuration", "peer": string(from), "revision": state.Revision(), "author": state.Author,
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -14,6 +14,7 @@
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/node"
 	"galenatrestle/internal/platform/memstore"
+	"galenatrestle/internal/settings"
 	"galenatrestle/internal/standin"
 	"galenatrestle/internal/standin/engine"
 	"galenatrestle/internal/standin/platform"
@@ -62,7 +63,7 @@
 		}
 		d.Nodes = append(d.Nodes, n)
 	}
-	return d.connect(config.NewIndex(1, document))
+	return d.connect(document)
 }
 
 func (d *Deployment) newNode(i int) (*node.Node, error) {
@@ -87,6 +88,7 @@
 		Seeds:            d.links,
 		Store:            client.store,
 		Instances:        client.store,
+		Operators:        []settings.Operator{{Name: OperatorName, KeySHA256: config.HashKey(OperatorKey)}},
 		KeepTime:         d.options.KeepTime,
 		Seed:             d.options.Seed + uint64(i),
 		Registry:         prometheus.NewRegistry(),
@@ -132,26 +134,53 @@
 const (
 	joinTimeout = 30 * time.Second
 	joinPoll    = 10 * time.Millisecond
+	// configAuthor accepts the first configuration.
+	configAuthor = "embedded"
 )
 
-// connect starts the nodes and waits until they know each other.
-func (d *Deployment) connect(index *config.Index) error {
+// connect starts the nodes, waits until they know each other, and has the
+// first one accept the configuration.
+func (d *Deployment) connect(document *config.Document) error {
 	for _, n := range d.Nodes {
-		n.Configure(index)
 		n.Start()
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), joinTimeout)
 	defer cancel()
-	for !d.joined() {
+	if err := await(ctx, d.joined); err != nil {
+		return fmt.Errorf("the nodes do not know each other: %w", err)
+	}
+	revision, err := d.Nodes[0].Accept(ctx, document, configAuthor)
+	if err != nil {
+		return fmt.Errorf("accept the configuration: %w", err)
+	}
+	inForce := func() bool { return d.inForce(revision) }
+	if err := await(ctx, inForce); err != nil {
+		return fmt.Errorf("revision %d is not in force on all nodes: %w", revision, err)
+	}
+	return nil
+}
+
+// await looks until the condition holds or ctx ends.
+func await(ctx context.Context, condition func() bool) error {
+	for !condition() {
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("the nodes do not know each other after %v", joinTimeout)
+			return ctx.Err()
 		case <-time.After(joinPoll):
 		}
 	}
 	return nil
 }
 
+func (d *Deployment) inForce(revision int64) bool {
+	for _, n := range d.Nodes {
+		if n.ConfigRevision() < revision {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Deployment) joined() bool {
 	for _, n := range d.Nodes {
 		if len(n.Members().Members()) < len(d.Nodes) {
--- a/internal/embedded/document.go
+++ b/internal/embedded/document.go
@@ -19,8 +19,9 @@
 	PrairieKey = "dev-key-prairie-spoke"
 	// TabKey is the key of workspace tabkassza.
 	TabKey = "dev-key-tabkassza"
-	// OperatorKey is the operators' key.
-	OperatorKey = "dev-key-operator"
+	// OperatorName and OperatorKey are those of the one operator.
+	OperatorName = "operator"
+	OperatorKey  = "dev-key-operator"
 )
 
 //go:embed config.yaml
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -30,10 +30,12 @@
 	if zone == "" {
 		zone = s.options.Members.Self().AvailabilityZone
 	}
-	writeJSON(w, http.StatusOK, listEntries(s.options.Members, zone))
+	writeJSON(w, http.StatusOK, ListEntries(s.options.Members, zone))
 }
 
-func listEntries(view membership.View, zone string) EntryList {
+// ListEntries returns the serving members' entry addresses, those of the zone first
+// and then the less loaded.
+func ListEntries(view membership.View, zone string) EntryList {
 	members := slices.DeleteFunc(view.Members(), func(m membership.Member) bool {
 		return m.State != membership.StateServing
 	})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,6 +23,7 @@
 	engines  *upstream.Engine
 	services *upstream.Service
 	members  *members
+	sync     *configuration
 	peers    *peers
 	answers  *answers
 	claims   *claims
@@ -40,6 +41,7 @@
 	}
 	n.peers = newPeers(options)
 	n.members = newMembers(options, n.peers, n.dispatch)
+	n.sync = newConfiguration(n)
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
@@ -83,6 +85,7 @@
 	n.servePeers()
 	n.members.start()
 	n.answers.start()
+	n.sync.start()
 	n.claims.start()
 }
 
@@ -121,6 +124,7 @@
 
 func (n *Node) close() {
 	n.claims.close()
+	n.sync.close()
 	n.answers.close()
 	n.members.close()
 	n.peers.close()
--- /dev/null
+++ b/internal/node/operator.go
@@ -0,0 +1,74 @@
+package node
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"galenatrestle/internal/gateway"
+	operatorv1 "galenatrestle/internal/gen/trestle/operator/v1"
+	"galenatrestle/internal/intent"
+	"galenatrestle/internal/operator"
+)
+
+// mountOperator adds the operators' service to the ops address of a node that
+// has a platform.
+func (n *Node) mountOperator(mux *http.ServeMux) {
+	if n.sync == nil {
+		return
+	}
+	plans := intent.NewStore(n.options.Store, n.sync.syncer, uuid.NewString, time.Now)
+	mux.Handle(operator.NewHandler(operator.Options{
+		Sync:       n.sync.syncer,
+		Current:    n.sync.current,
+		Repository: n.sync.repository,
+		View:       n.members.runner,
+		Planners:   []operator.Planner{operator.NewIntentPlanner(plans, n.sync.current, n.stats)},
+		Entries:    n.operatorEntries,
+		Operators:  n.options.Operators,
+		Log:        n.options.Log,
+		Registry:   n.options.Registry,
+	}))
+}
+
+// stats is what plans are worked out on. A node knows its own requests; what
+// all nodes have together is estimated as if each had as many.
+func (n *Node) stats() intent.Stats {
+	members := n.members.runner.Members()
+	stats := intent.Stats{
+		VMs:      make(map[string]intent.VMStats, len(members)),
+		Replicas: make(map[string]map[string]int),
+		Demand:   make(map[string]map[string]float64),
+	}
+	for _, member := range members {
+		stats.VMs[member.Name] = intent.VMStats{Load: member.Load}
+	}
+	for upstream, pool := range n.dispatch.Stats() {
+		inFlight := make(map[string]int, len(pool.Replicas))
+		for _, replica := range pool.Replicas {
+			inFlight[replica.Name] = replica.Running * len(members)
+		}
+		demand := make(map[string]float64, len(pool.Classes))
+		for _, class := range pool.Classes {
+			demand[class.Name] = float64((class.Running + class.Waiting) * len(members))
+		}
+		stats.Replicas[upstream] = inFlight
+		stats.Demand[upstream] = demand
+	}
+	return stats
+}
+
+// operatorEntries lists the entry addresses as callers of the zone are told them.
+func (n *Node) operatorEntries(zone string) ([]*operatorv1.Entry, int32) {
+	if zone == "" {
+		zone = n.options.AvailabilityZone
+	}
+	var entries []*operatorv1.Entry
+	for _, entry := range gateway.ListEntries(n.members.runner, zone).Entries {
+		entries = append(entries, &operatorv1.Entry{
+			Address: entry.Address, AvailabilityZone: entry.AvailabilityZone, State: entry.State,
+		})
+	}
+	return entries, gateway.EntryTTLSeconds
+}
--- a/internal/node/ops.go
+++ b/internal/node/ops.go
@@ -11,6 +11,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(n.options.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /healthz", n.health)
+	n.mountOperator(mux)
 	for pattern, handler := range n.options.OpsHandlers {
 		mux.Handle(pattern, handler)
 	}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -10,6 +10,7 @@
 	"galenatrestle/internal/gateway"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/settings"
 )
 
 // Options are what a Node is created with.
@@ -37,6 +38,8 @@
 	Store platform.Store
 	// Instances is the platform's list of VMs.
 	Instances platform.Instances
+	// Operators may use the operators' service on the ops address.
+	Operators []settings.Operator
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
 	// KeepTime is how long a leaving node keeps its listener open, so that
--- a/internal/operator/errors.go
+++ b/internal/operator/errors.go
@@ -8,6 +8,7 @@
 	"galenatrestle/internal/configsync"
 	"galenatrestle/internal/intent"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/readback"
 	"galenatrestle/internal/yamldoc"
 )
 
@@ -39,7 +40,7 @@
 	case errors.Is(err, configsync.ErrNoSuchProposal), errors.Is(err, configsync.ErrNoSuchRevision),
 		errors.Is(err, intent.ErrUnknownPlan), errors.Is(err, ErrUnknownPlan):
 		return connect.CodeNotFound
-	case errors.Is(err, configsync.ErrUnknownOutcome):
+	case errors.Is(err, configsync.ErrUnknownOutcome), errors.Is(err, readback.ErrNotKnown):
 		return connect.CodeUnknown
 	case errors.Is(err, platform.ErrUnavailable), errors.Is(err, platform.ErrRateLimited):
 		return connect.CodeUnavailable
