--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -29,6 +29,13 @@
     -H 'Trestle-Class: counter' -H 'Idempotency-Key: claim-1042' -H 'Content-Type: application/json' \
     -d '{"account":"shop-17","part":"torque sensor"}'
 
+What is in force, and a change of it:
+
+  export TRESTLE_OPS=%[2]s TRESTLE_OPERATOR_KEY=%[5]s
+  go run ./cmd/trestlectl status
+  go run ./cmd/trestlectl config show > config.yaml
+  go run ./cmd/trestlectl config apply config.yaml
+
 ready
 `
 
@@ -57,5 +64,5 @@
 	for _, n := range d.Nodes {
 		entries += fmt.Sprintf("  http://%s (%s, %s)\n", n.EntryAddress(), n.Name(), n.AvailabilityZone())
 	}
-	fmt.Fprintf(w, banner, entries, d.Nodes[0].OpsAddress(), d.Nodes[0].EntryAddress(), embedded.PrairieKey)
+	fmt.Fprintf(w, banner, entries, d.Nodes[0].OpsAddress(), d.Nodes[0].EntryAddress(), embedded.PrairieKey, embedded.OperatorKey)
 }
