--- a/internal/configsync/helpers_test.go
+++ b/internal/configsync/helpers_test.go
@@ -12,6 +12,7 @@
 
 	"galenatrestle/internal/config"
 	configsyncv1 "galenatrestle/internal/gen/trestle/configsync/v1"
+	"galenatrestle/internal/platform"
 )
 
 func asError[E error](err error, target *E) bool { return errors.As(err, target) }
@@ -35,6 +36,8 @@
 // cost is what nodes have sent and received.
 type cost struct {
 	messages, bytes, acceptorMessages, acceptorBytes float64
+	// Calls to the platform.
+	reads, writes, watches float64
 }
 
 func (c cost) minus(other cost) cost {
@@ -42,6 +45,7 @@
 		messages: c.messages - other.messages, bytes: c.bytes - other.bytes,
 		acceptorMessages: c.acceptorMessages - other.acceptorMessages,
 		acceptorBytes:    c.acceptorBytes - other.acceptorBytes,
+		reads:            c.reads - other.reads, writes: c.writes - other.writes, watches: c.watches - other.watches,
 	}
 }
 
@@ -49,6 +53,16 @@
 func (c *cluster) cost(t *testing.T) cost {
 	t.Helper()
 	var sum cost
+	for call, count := range c.store.Calls() {
+		switch {
+		case call == platform.CallWatch:
+			sum.watches += float64(count.Calls)
+		case call.IsWrite():
+			sum.writes += float64(count.Calls)
+		default:
+			sum.reads += float64(count.Calls)
+		}
+	}
 	for i, n := range c.nodes {
 		for _, message := range []string{messagePull, messageNotify} {
 			for _, direction := range []string{directionSent, directionReceived} {
--- a/internal/configsync/spread_test.go
+++ b/internal/configsync/spread_test.go
@@ -186,32 +186,58 @@
 }
 
 // idleTime is how long the cost of having nothing to do is counted.
-const idleTime = 20 * time.Second
+const idleTime = 40 * time.Second
 
-// TestCostOfAChange counts messages and bytes for one changed workspace.
+// TestCostOfAChange counts messages, bytes and calls to the platform, at rest
+// and for changes of one workspace.
 func TestCostOfAChange(t *testing.T) {
 	for _, nodes := range []int{8, 60} {
 		t.Run(fmt.Sprintf("nodes=%d", nodes), func(t *testing.T) {
 			bubble(t, nodes, func(t *testing.T, c *cluster) {
 				c.awaitAll(c.nodes[1].accept(1).Revision)
 				time.Sleep(idleTime)
-				idleBefore := c.cost(t)
-				time.Sleep(idleTime)
-				idle := c.cost(t).minus(idleBefore)
-				before := c.cost(t)
-				const changes = 10
-				for change := range changes {
-					c.awaitAll(c.nodes[1].accept(change + 2).Revision)
-				}
-				spent := c.cost(t).minus(before)
-				t.Logf("one change: %.1f messages and %.0f bytes sent or received a node, at the acceptor %.0f messages and %.0f bytes",
-					spent.messages/changes/float64(nodes), spent.bytes/changes/float64(nodes),
-					spent.acceptorMessages/changes, spent.acceptorBytes/changes)
-				t.Logf("idle: %.2f messages and %.1f bytes a node and second", idle.messages/idleTime.Seconds()/float64(nodes), idle.bytes/idleTime.Seconds()/float64(nodes))
-				if got := spent.acceptorMessages / changes; got > float64(4*nodes) {
-					t.Errorf("the acceptor had %.0f messages for one change", got)
-				}
+				c.checkIdle(t)
+				c.checkChanges(t)
 			})
 		})
 	}
 }
+
+func (c *cluster) checkIdle(t *testing.T) {
+	t.Helper()
+	nodes, seconds := float64(len(c.nodes)), idleTime.Seconds()
+	before := c.cost(t)
+	time.Sleep(idleTime)
+	idle := c.cost(t).minus(before)
+	t.Logf("idle: %.2f messages and %.1f bytes a node and second", idle.messages/seconds/nodes, idle.bytes/seconds/nodes)
+	t.Logf("idle: %.2f reads and %.2f watches of the platform a second, all nodes together", idle.reads/seconds, idle.watches/seconds)
+	// Each poll is jittered by a quarter; two nodes own the watches.
+	if most := 1.35 * pollsPerSecond; idle.reads/seconds > most {
+		t.Errorf("%.2f reads a second, the budget is %.2f", idle.reads/seconds, most)
+	}
+	if most := 2 * (idleTime.Seconds()/watchWait.Seconds() + 1); idle.watches > most {
+		t.Errorf("%.0f watches, the most is %.0f", idle.watches, most)
+	}
+}
+
+func (c *cluster) checkChanges(t *testing.T) {
+	t.Helper()
+	const changes = 10
+	nodes := float64(len(c.nodes))
+	before := c.cost(t)
+	for change := range changes {
+		c.awaitAll(c.nodes[1].accept(change + 2).Revision)
+		time.Sleep(time.Second)
+	}
+	spent := c.cost(t).minus(before)
+	t.Logf("one change: %.1f messages and %.0f bytes sent or received a node, at the acceptor %.0f messages and %.0f bytes",
+		spent.messages/changes/nodes, spent.bytes/changes/nodes, spent.acceptorMessages/changes, spent.acceptorBytes/changes)
+	t.Logf("one change and second: %.1f reads, %.1f writes and %.1f watches of the platform",
+		spent.reads/changes, spent.writes/changes, spent.watches/changes)
+	if got := spent.acceptorMessages / changes; got > 4*nodes {
+		t.Errorf("the acceptor had %.0f messages for one change", got)
+	}
+	if got := spent.writes / changes; got > 8 {
+		t.Errorf("%.1f writes for one change", got)
+	}
+}
