--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/platform/budget"
 	"galenatrestle/internal/upstream"
 )
 
@@ -23,6 +24,8 @@
 	engines  *upstream.Engine
 	services *upstream.Service
 	members  *members
+	sync     *configuration
+	duties   *budget.Counters
 	peers    *peers
 	answers  *answers
 	claims   *claims
@@ -42,6 +45,8 @@
 	}
 	n.peers = newPeers(options)
 	n.members = newMembers(options, n.peers, n.dispatch)
+	n.duties = newDutyCounters(options)
+	n.sync = newConfiguration(n)
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
@@ -88,6 +93,7 @@
 	n.servePeers()
 	n.members.start()
 	n.answers.start()
+	n.sync.start()
 	n.claims.start()
 	n.credits.start()
 	n.moves.start()
@@ -131,6 +137,7 @@
 func (n *Node) close() {
 	n.moves.close()
 	n.claims.close()
+	n.sync.close()
 	n.answers.close()
 	n.credits.close()
 	n.members.close()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -10,6 +10,7 @@
 	"galenatrestle/internal/gateway"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/settings"
 )
 
 // Options are what a Node is created with.
@@ -41,6 +42,8 @@
 	Store platform.Store
 	// Instances is the platform's list of VMs.
 	Instances platform.Instances
+	// Operators may use the operators' service on the ops address.
+	Operators []settings.Operator
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
 	// Counterparts are the base URLs of the other data centres' systems, by
