--- a/internal/load/attempt.go
+++ b/internal/load/attempt.go
@@ -8,6 +8,8 @@
 	Status int
 	// RequestID is Trestle-Request-Id, empty where no answer came.
 	RequestID string
+	// NodeAttempts is Trestle-Attempts: how often the system tried.
+	NodeAttempts string
 	// Outcome, Reason and RetryAfter are a refusal's headers.
 	Outcome    string
 	Reason     string
--- a/internal/load/caller.go
+++ b/internal/load/caller.go
@@ -50,6 +50,7 @@
 	}
 	defer response.Body.Close()
 	attempt := Attempt{Status: response.StatusCode, RequestID: response.Header.Get("Trestle-Request-Id")}
+	attempt.NodeAttempts = response.Header.Get("Trestle-Attempts")
 	switch {
 	case response.StatusCode < 200 || response.StatusCode > 299:
 		attempt.readRefusal(response)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -9,8 +9,8 @@
 	Attempts int
 	// Last is the attempt that ended it.
 	Last Attempt
-	// Right says that Last is a whole answer and the right one.
-	Right bool
+	// Wrong tells what is wrong with a whole answer; empty where it is right.
+	Wrong string
 	// FirstToken and Answer are counted from the planned time of arrival.
 	FirstToken time.Duration
 	Answer     time.Duration
@@ -22,14 +22,14 @@
 }
 
 // answered says whether the caller got the whole right answer.
-func (r *Result) answered() bool { return r.Last.Ending == EndingWhole && r.Right }
+func (r *Result) answered() bool { return r.Last.Ending == EndingWhole && r.Wrong == "" }
 
 // label names the end of the request as the report lists it.
 func (r *Result) label() string {
 	if r.Last.Ending == EndingRefused && r.Last.Reason != "" {
 		return r.Last.Reason
 	}
-	if r.Last.Ending == EndingWhole && !r.Right {
+	if r.Last.Ending == EndingWhole && r.Wrong != "" {
 		return "wrong-answer"
 	}
 	return string(r.Last.Ending)
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -56,7 +56,10 @@
 
 func (r *Runner) note(result *Result, attempt Attempt, due time.Time) {
 	result.Last = attempt
-	result.Right = attempt.Ending == EndingWhole && right(result.Request, attempt.Text, r.workload.EngineSeed)
+	result.Wrong = ""
+	if attempt.Ending == EndingWhole {
+		result.Wrong = wrong(result.Request, attempt.Text, r.workload.EngineSeed)
+	}
 	result.Tokens = tokens(result.Request, attempt.Text)
 	result.Answer = attempt.Ended.Sub(due)
 	if !attempt.FirstToken.IsZero() {
--- a/internal/load/violation.go
+++ b/internal/load/violation.go
@@ -72,8 +72,8 @@
 	switch {
 	case result.Last.Ending == EndingTruncated:
 		add(promiseWhole, "the stream ended cleanly without [DONE]")
-	case result.Last.Ending == EndingWhole && !result.Right:
-		add(promiseWhole, "the answer is not the expected one")
+	case result.Last.Ending == EndingWhole && result.Wrong != "":
+		add(promiseWhole, fmt.Sprintf("request id %s after %s attempts: %s", result.Last.RequestID, result.Last.NodeAttempts, result.Wrong))
 	}
 	if result.Last.Reason == string(refusal.ShedForHigher) && highest[result.Request.Stream.Class] {
 		add(promiseHighest, "shed for a higher tier, but none is above it")
