Do not take a connection closed before the answer for a whole answer

Cause: the promise test of an engine's loss failed once a retry met the crashed engine: net/http reports such a connection as io.EOF, package upstream kept it as the cause of a Crashed error, and the gateway's errors.Is(err, io.EOF) unwrapped it to a clean end: the caller got [DONE] after three of forty tokens, or an empty whole answer. Ruled out: the stand-in (it aborts) and the retry rules. Change: the gateway compares with io.EOF instead of unwrapping, and an upstream.Error never has io.EOF as its cause. Measured: TestEngineLossMidAnswerIsNeverACleanEnd failed before, passes after; the new test of package upstream fails on the old classify.go.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -119,7 +118,8 @@
 		}
 		data, err = l.stream.Next()
 	}
-	if errors.Is(err, io.EOF) {
+	// Compared, not unwrapped: a connection that broke has io.EOF as its cause.
+	if err == io.EOF {
 		return nil
 	}
 	return err
--- a/internal/promises/leaving_test.go
+++ b/internal/promises/leaving_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenatrestle/internal/embedded"
+	"galenatrestle/internal/node"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/standin/engine"
 )
@@ -23,7 +24,7 @@
 	d.Platform().SetInstances([]platform.Instance{{Name: "trestle-llm-0", State: platform.InstanceLeaving}})
 	waitUntil(t, "all nodes know that the engine is leaving", func() bool {
 		for _, n := range d.Nodes {
-			if n.LeavingReplicas() != 1 {
+			if leavingReplicas(n) != 1 {
 				return false
 			}
 		}
@@ -35,6 +36,19 @@
 	}
 }
 
+// leavingReplicas counts the replicas that the node gives nothing new.
+func leavingReplicas(n *node.Node) int {
+	leaving := 0
+	for _, stats := range n.Stats() {
+		for _, r := range stats.Replicas {
+			if r.Leaving {
+				leaving++
+			}
+		}
+	}
+	return leaving
+}
+
 // waitUntil polls for a condition that has no time of its own; a minute without
 // it fails the test.
 func waitUntil(t *testing.T, what string, holds func() bool) {
--- a/internal/upstream/classify.go
+++ b/internal/upstream/classify.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 )
 
 // errStalled is the cancel cause of a call whose upstream fell silent.
@@ -33,5 +34,9 @@
 }
 
 func failure(ctx context.Context, step, peer string, err error) *Error {
+	if errors.Is(err, io.EOF) {
+		// io.EOF itself means a clean end to whoever unwraps the error.
+		err = io.ErrUnexpectedEOF
+	}
 	return &Error{Kind: classify(ctx, err), Step: step, Peer: peer, Cause: err}
 }
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -223,3 +224,21 @@
 		}
 	})
 }
+
+// TestConnectionClosedBeforeTheAnswerIsNoCleanEnd has a server that closes the
+// connection after reading the request, which net/http reports as io.EOF.
+func TestConnectionClosedBeforeTheAnswerIsNoCleanEnd(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	engine := NewEngine(Options{})
+	defer engine.Close()
+	_, err := engine.Start(t.Context(), strings.TrimPrefix(server.URL, "http://"), EngineCall{Path: "/", Body: []byte("{}")})
+	if KindOf(err) != Crashed {
+		t.Errorf("error %v, want a crash", err)
+	}
+	if errors.Is(err, io.EOF) {
+		t.Errorf("error %v can be taken for a clean end", err)
+	}
+}
