Mend a clean end of a broken stream; a floor that small sites can live with

And the budget's floor of 3 refused most of what one engine had in its batch.

Change: only the bare io.EOF is an end, and no error of package upstream wraps it. The budget is the greater of 10 and the ratio's share. New tests: 40 streams while two of four engines crash and stay away; a connection closed before the answer.

--- a/internal/embedded/failure_test.go
+++ b/internal/embedded/failure_test.go
@@ -1,7 +1,11 @@
 package embedded
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -69,3 +73,35 @@
 		t.Fatal("the refusing engine ran something")
 	}
 }
+
+// TestManyBrokenAtOnce lets two of four engines crash and stay away while 40
+// streams run: each ends whole or with an error event after a true prefix.
+func TestManyBrokenAtOnce(t *testing.T) {
+	d := startWith(t, Options{Nodes: 1})
+	for i := range 2 {
+		if err := d.Engine(i).Faults().Switch(fault.Spec{Kind: fault.CrashMidAnswer}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	var wait sync.WaitGroup
+	var whole atomic.Int64
+	for i := range 40 {
+		prompt := fmt.Sprintf("tab number %d for table seven", i)
+		want := engine.ExpectedAnswer(prompt, 30)
+		stream := chatStream(t, d, 0, prompt, 30)
+		wait.Go(func() {
+			text, end := stream.read(0)
+			switch {
+			case end == "[DONE]" && text == want:
+				whole.Add(1)
+			case end == "[DONE]" || end == "" || !strings.HasPrefix(want, text):
+				t.Errorf("answer %q ends with %q, want %q", text, end, want)
+			}
+		})
+	}
+	wait.Wait()
+	t.Logf("%d of 40 whole, %d runs crashed", whole.Load(), crashes(d))
+	if crashes(d) == 0 {
+		t.Fatal("nothing crashed")
+	}
+}
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -119,7 +118,9 @@
 		}
 		data, err = l.stream.Next()
 	}
-	if errors.Is(err, io.EOF) {
+	// An *upstream.Error may have io.EOF for its cause: only the bare one is
+	// the end of a whole answer.
+	if err == io.EOF {
 		return nil
 	}
 	return err
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -10,8 +10,9 @@
 	budgetShards = 16
 	// maxKeysPerShard bounds the memory; keys past it share one window.
 	maxKeysPerShard = 256
-	// floor is how many attempts may be added in a window without successes.
-	floor = 3
+	// floor is how many attempts may be added in a window however few succeed,
+	// so that a small site can repeat what one replica had in its batch.
+	floor = 10
 	// notRunAllowance is how many attempts proved not run may be repeated in
 	// a window before they count against the budget.
 	notRunAllowance = 20
@@ -85,7 +86,7 @@
 	// What the allowance gave is taken off, so that both together stay within
 	// the ratio where there is traffic.
 	share := max(0, ratio*float64(total.successes)-float64(total.free))
-	if float64(total.spent) >= floor+share {
+	if float64(total.spent) >= max(floor, share) {
 		return false
 	}
 	w.at(now).spent++
--- a/internal/upstream/classify.go
+++ b/internal/upstream/classify.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"io"
 )
 
 // errStalled is the cancel cause of a call whose upstream fell silent.
@@ -32,6 +33,11 @@
 	}
 }
 
+// failure returns the error of a call after its hand-over. A cause of io.EOF
+// becomes io.ErrUnexpectedEOF, so that no failure is taken for a clean end.
 func failure(ctx context.Context, step, peer string, err error) *Error {
+	if errors.Is(err, io.EOF) {
+		err = io.ErrUnexpectedEOF
+	}
 	return &Error{Kind: classify(ctx, err), Step: step, Peer: peer, Cause: err}
 }
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -111,6 +111,7 @@
 		{"overloaded, but not 503", answer(500, openai.CodeOverloaded), Refused},
 		{"bad request", answer(400, "bad"), Refused},
 		{"dies before the answer", func(w http.ResponseWriter, _ *http.Request) { reset(w) }, Crashed},
+		{"closes before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Crashed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -119,6 +120,9 @@
 			if !errors.As(err, &failed) || failed.Kind != test.want || failed.Peer == "" || failed.Step == "" {
 				t.Fatalf("error %v, want kind %s with step and peer", err, test.want)
 			}
+			if errors.Is(err, io.EOF) {
+				t.Fatalf("error %v can be taken for a clean end", err)
+			}
 		})
 	}
 }
