--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -118,7 +118,8 @@
 		}
 		data, err = l.stream.Next()
 	}
-	// Compared, not unwrapped: a connection that broke has io.EOF as its cause.
+	// An *upstream.Error may have io.EOF for its cause: only the bare one is
+	// the end of a whole answer.
 	if err == io.EOF {
 		return nil
 	}
