claim: model check with two kinds of fault at once

Cause: the model tried each fault alone, faults come together. Change: bounds with a crash or a suspicion beside a lost or late write, and three holders with a crash.

--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -164,13 +164,12 @@
 	return true
 }
 
-// modelPolicies are a ring whose tail stays and one that moves with each write.
-func modelPolicies() map[string]Policy {
-	stays := Policy{Segments: 2, SegmentBytes: 1 << 20, InProgressLimit: time.Hour, KeyRetention: time.Hour}
-	moves := stays
-	moves.SegmentBytes = 1
-	return map[string]Policy{"tail stays": stays, "tail moves": moves}
-}
+// tailStays and tailMoves are a ring whose tail stays and one that moves with
+// each write.
+var (
+	tailStays = Policy{Segments: 2, SegmentBytes: 1 << 20, InProgressLimit: time.Hour, KeyRetention: time.Hour}
+	tailMoves = Policy{Segments: 2, SegmentBytes: 1, InProgressLimit: time.Hour, KeyRetention: time.Hour}
+)
 
 // newModel explores from a state in which node 0 is about to take over: nodes
 // and requests are alike, so that the first holder may be fixed.
@@ -187,30 +186,34 @@
 // TestModel visits every order of claims, writes, take-overs, crashes, lost and
 // late writes within the bound, and runs the real decisions in each.
 func TestModel(t *testing.T) {
-	bounds := map[string]budget{
-		"three holders": {takeovers: 2},
-		"crash":         {takeovers: 1, crashes: 1},
-		"lost answer":   {takeovers: 1, lost: 1},
-		"late write":    {takeovers: 1, late: 1},
-		"suspicion":     {takeovers: 1, suspicions: 1},
-		"release":       {takeovers: 1, releases: 1},
-	}
-	for policyName, policy := range modelPolicies() {
-		for boundName, bound := range bounds {
-			t.Run(policyName+", "+boundName, func(t *testing.T) {
-				t.Parallel()
-				m := newModel(&modelState{policy: policy, left: bound})
-				for _, failure := range m.failures {
-					t.Error(failure)
-				}
-				for _, wanted := range []string{"verdict run", "verdict recorded", "verdict in_progress", "write landed", "write superseded", "abandoned"} {
-					if m.reached[wanted] == 0 {
-						t.Errorf("the model never reached %q", wanted)
-					}
+	bounds := map[string]modelState{
+		"three holders": {policy: tailStays, left: budget{takeovers: 2}},
+		"crash":         {policy: tailStays, left: budget{takeovers: 1, crashes: 1}},
+		"lost answer":   {policy: tailStays, left: budget{takeovers: 1, lost: 1}},
+		"late write":    {policy: tailStays, left: budget{takeovers: 1, late: 1}},
+		"suspicion":     {policy: tailStays, left: budget{takeovers: 1, suspicions: 1}},
+		"release":       {policy: tailStays, left: budget{takeovers: 1, releases: 1}},
+
+		"three holders and crash, tail moves":   {policy: tailMoves, left: budget{takeovers: 2, crashes: 1}},
+		"crash and lost answer, tail moves":     {policy: tailMoves, left: budget{takeovers: 1, crashes: 1, lost: 1}},
+		"crash and late write, tail moves":      {policy: tailMoves, left: budget{takeovers: 1, crashes: 1, late: 1}},
+		"suspicion and lost answer, tail moves": {policy: tailMoves, left: budget{takeovers: 1, suspicions: 1, lost: 1}},
+		"release and late write, tail moves":    {policy: tailMoves, left: budget{takeovers: 1, releases: 1, late: 1}},
+	}
+	for name, start := range bounds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newModel(&start)
+			for _, failure := range m.failures {
+				t.Error(failure)
+			}
+			for _, wanted := range []string{"verdict run", "verdict recorded", "verdict in_progress", "write landed", "write superseded", "abandoned"} {
+				if m.reached[wanted] == 0 {
+					t.Errorf("the model never reached %q", wanted)
 				}
-				t.Logf("%d states, %v", len(m.seen), m.reached)
-			})
-		}
+			}
+			t.Logf("%d states, %v", len(m.seen), m.reached)
+		})
 	}
 }
 
@@ -223,7 +226,7 @@
 	}
 	for name, start := range broken {
 		t.Run(name, func(t *testing.T) {
-			start.policy = modelPolicies()["tail stays"]
+			start.policy = tailStays
 			m := newModel(&start)
 			if !slices.Contains(m.failures, "the call ran twice") {
 				t.Errorf("not found in %d states: %v", len(m.seen), m.failures)
