--- a/internal/gateway/lane.go
+++ b/internal/gateway/lane.go
@@ -18,6 +18,8 @@
 	run      *quarantine.Run
 	// cancel ends the attempt's context; nil where it has none of its own.
 	cancel context.CancelFunc
+	// done tells the gate that the attempt has ended; nil before its start.
+	done   func()
 	sentAt time.Time
 	stream *upstream.Stream
 	// first is the answer's first payload, valid until the stream's next.
@@ -35,12 +37,17 @@
 // open hands the request to the replica and waits for the first payload.
 func (l *lane) open(ctx context.Context, body []byte) {
 	e := l.exchange
+	l.done, l.err = e.server.startWork(ctx, e.call, e.completion.upstream.Name)
+	if l.err != nil {
+		return
+	}
 	l.sentAt = time.Now()
 	l.stream, l.err = e.server.options.Engines.Start(ctx, l.slot.Replica.Address, upstream.EngineCall{
-		ID:     fmt.Sprintf("%s.%d", e.call.id, l.number),
-		Path:   e.completion.path,
-		Body:   body,
-		Stream: !e.completion.opaque || e.completion.request.Stream,
+		ID:       fmt.Sprintf("%s.%d", e.call.id, l.number),
+		Path:     e.completion.path,
+		Body:     body,
+		Stream:   e.streamed(),
+		Patience: e.patience(),
 	})
 	if l.err != nil {
 		return
@@ -48,6 +55,17 @@
 	l.first, l.err = l.stream.Next()
 }
 
+// streamed says whether the engine is asked for a stream.
+func (e *exchange) streamed() bool { return !e.completion.opaque || e.completion.request.Stream }
+
+// patience is the longest wait for an attempt's first payload.
+func (e *exchange) patience() time.Duration {
+	if !e.streamed() {
+		return time.Until(e.call.giveUpAt)
+	}
+	return e.server.options.Retries.Patience(e.call.class.Name, e.completion.upstream.Name)
+}
+
 // close ends the attempt with its error, or nil for a whole answer.
 func (l *lane) close(err error) {
 	if l.stream != nil {
@@ -56,6 +74,9 @@
 	if l.cancel != nil {
 		l.cancel()
 	}
+	if l.done != nil {
+		l.done()
+	}
 	if l.slot == nil {
 		return
 	}
