--- /dev/null
+++ b/internal/gateway/exchange.go
@@ -0,0 +1,188 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"time"
+
+	"galenatrestle/internal/answer"
+	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/router"
+	"galenatrestle/internal/upstream"
+)
+
+// usageMark is how an engine's closing usage chunk is told from the others.
+var usageMark = []byte(`"choices":[]`)
+
+// exchange is one completion on its way: its attempts and what the caller has
+// seen so far. It is for one goroutine.
+type exchange struct {
+	server     *Server
+	call       *call
+	completion *completion
+	sink       sink
+	// record keeps the answer; nil where the store is full.
+	record *answer.Record
+	// kept counts the current attempt's events in the record.
+	kept int64
+	// continues is set while an attempt goes on from a delivered prefix.
+	continues *continuation
+
+	attempts int
+	// notRun counts the attempts proved not to have run.
+	notRun  int
+	replica string
+	avoid   []string
+	// current is the number of the attempt whose answer is passed on, begun
+	// whether it has brought a token.
+	current int
+	begun   bool
+	first   time.Time
+	tokens  int
+}
+
+// run makes attempts until the answer is whole or given up.
+func (e *exchange) run(ctx context.Context) {
+	for {
+		err := e.attempt(ctx)
+		if err == nil {
+			e.finish()
+			return
+		}
+		if refused := e.again(ctx, err); refused != nil {
+			e.giveUp(refused)
+			return
+		}
+	}
+}
+
+// attempt waits for a slot and runs the request once, or twice beside each
+// other where that is allowed.
+func (e *exchange) attempt(ctx context.Context) error {
+	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
+	if err != nil {
+		return err
+	}
+	e.attempts++
+	e.observeWait()
+	body, err := e.engineBody()
+	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
+	if err == nil {
+		l = e.openLane(ctx, l, body)
+		err = e.relay(l)
+	}
+	l.close(err)
+	if err != nil {
+		e.note(l, err)
+	}
+	return err
+}
+
+// note remembers a failed attempt.
+func (e *exchange) note(l *lane, err error) {
+	if l.slot == nil || upstream.KindOf(err) == upstream.NotRun {
+		e.notRun++
+	}
+	if l.slot != nil {
+		e.avoid = append(e.avoid, l.slot.Replica.Name)
+	}
+}
+
+// routerRequest is what the decisions know of the next attempt.
+func (e *exchange) routerRequest() router.Request {
+	request := e.completion.routerRequest(e.call)
+	request.Attempt = e.attempts + 1
+	request.Avoid = e.avoid
+	return request
+}
+
+func (e *exchange) observeWait() {
+	if e.attempts > 1 {
+		return
+	}
+	wait := time.Since(e.call.arrived).Seconds()
+	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
+}
+
+// relay passes an attempt's answer to the caller.
+func (e *exchange) relay(l *lane) error {
+	e.current, e.kept, e.begun = l.number, 0, false
+	data, err := l.first, l.err
+	if l.slot != nil {
+		e.replica = l.slot.Replica.Name
+	}
+	for err == nil {
+		if err := e.take(data, l); err != nil {
+			return err
+		}
+		data, err = l.stream.Next()
+	}
+	if errors.Is(err, io.EOF) {
+		return nil
+	}
+	return err
+}
+
+// engineBody is the body of the next attempt.
+func (e *exchange) engineBody() ([]byte, error) {
+	if e.continues != nil {
+		return e.continues.body, nil
+	}
+	return e.completion.engineBody(e.call.class.Tier)
+}
+
+// take passes one chunk on and counts it.
+func (e *exchange) take(data []byte, l *lane) error {
+	usage := bytes.Contains(data, usageMark)
+	if usage && e.completion.request.Stream && !e.completion.callerUsage {
+		return nil
+	}
+	if !usage {
+		e.tokens++
+		l.token(e.begun)
+		e.begun = true
+	}
+	if e.continues != nil {
+		data = e.continues.rebase(data)
+	}
+	if err := e.sink.chunk(data); err != nil {
+		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: l.slot.Replica.Address, Cause: err}
+	}
+	return nil
+}
+
+func (e *exchange) waste(cause string) {
+	if e.tokens > 0 {
+		e.server.metrics.wasted.WithLabelValues(e.call.class.Name, cause).Add(float64(e.tokens))
+	}
+}
+
+func (e *exchange) finish() {
+	now := time.Now()
+	e.server.options.Retries.Succeeded(now, e.call.class.Name, e.completion.upstream.Name)
+	err := e.sink.end()
+	e.keepEnd()
+	if err != nil && !e.followed() {
+		e.waste("caller_gone")
+		return
+	}
+	e.server.metrics.answered(e.call, e.first, now, e.tokens)
+}
+
+// giveUp tells the caller, at once, that there will be no answer.
+func (e *exchange) giveUp(refused *refusal.Error) {
+	e.waste(string(refused.Reason))
+	e.server.options.Log.WithFields(map[string]any{
+		"request":   e.call.id,
+		"class":     e.call.class.Name,
+		"workspace": e.call.workspace.Name,
+		"upstream":  e.completion.upstream.Name,
+		"attempt":   e.attempts,
+		"step":      refused.Step,
+		"peer":      refused.Peer,
+	}).WithError(refused).Info("request given up")
+	e.keepRefusal(refused)
+	e.sink.fail(refused)
+}
--- /dev/null
+++ b/internal/membership/runner_test.go
@@ -0,0 +1,65 @@
+package membership
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
+	"galenatrestle/internal/membership/membershiptest"
+)
+
+func TestRunnersJoinSpreadAndNoticeDeath(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		net := membershiptest.NewNet()
+		var running sync.WaitGroup
+		var runners []*Runner
+		var got sync.Map
+		stops := make(map[string]context.CancelFunc)
+		const n = 5
+		for i := range n {
+			name := nodeName("r", i)
+			self := Member{Name: name, Region: "r", PeerAddress: name, Incarnation: 1, State: StateServing}
+			r := NewRunner(self, Settings{}, net, rand.New(rand.NewPCG(3, uint64(i))))
+			r.AddSeed(nodeName("r", 0))
+			r.OnNote("k", func(n *membershipv1.Note) { got.Store(name, string(n.Value)) })
+			net.Start(name, r)
+			runners = append(runners, r)
+			own, stop := context.WithCancel(ctx)
+			stops[name] = stop
+			running.Go(func() { r.Run(own) })
+		}
+		time.Sleep(20 * time.Second)
+		first := runners[0]
+		if serving := first.View().Serving(); serving != n {
+			t.Errorf("%d members joined, want %d", serving, n)
+		}
+		note := &membershipv1.Note{Kind: "k", Key: "a", Version: 1, Value: []byte("v"), Expires: time.Now().Add(time.Minute).UnixMilli()}
+		if err := first.Publish(note); err != nil {
+			t.Error(err)
+		}
+		time.Sleep(3 * time.Second)
+		for i := 1; i < n; i++ {
+			if value, _ := got.Load(nodeName("r", i)); value != "v" {
+				t.Errorf("node %d got %v as note", i, value)
+			}
+		}
+		net.Stop(nodeName("r", 4))
+		stops[nodeName("r", 4)]()
+		time.Sleep(20 * time.Second)
+		for _, m := range first.Members() {
+			if m.Name == nodeName("r", 4) {
+				t.Errorf("the killed member is still %s", m.State)
+			}
+		}
+		cancel()
+		running.Wait()
+		for _, stop := range stops {
+			stop()
+		}
+	})
+}
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -220,16 +220,21 @@
 	if !p.changedAt.IsZero() {
 		return now
 	}
-	next := p.queue.NextExpiry()
-	if next.IsZero() || !p.anyFree() {
+	next := earlier(p.queue.NextExpiry(), p.reopens(now))
+	if p.queue.Len() == 0 || !p.anyFree(now) {
 		return next
 	}
 	// Requests wait though a replica is free: it is a straggler, which is
 	// forgotten with time.
-	if again := now.Add(lookAgain); again.Before(next) {
-		return again
+	return earlier(next, now.Add(lookAgain))
+}
+
+// earlier returns the earlier of two times, of which zero is never.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || (!b.IsZero() && b.Before(a)) {
+		return b
 	}
-	return next
+	return a
 }
 
 // lookAgain is when to look again at a free straggler.
--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -51,7 +51,7 @@
 			continue
 		}
 		avoidable = true
-		if r.free() && p.fastEnough(now, request, r) {
+		if r.free(now) && p.fastEnough(now, request, r) {
 			p.free = append(p.free, r)
 		}
 	}
@@ -59,7 +59,7 @@
 		return p.free
 	}
 	for _, r := range p.order {
-		if r.free() {
+		if r.free(now) {
 			p.free = append(p.free, r)
 		}
 	}
@@ -85,8 +85,8 @@
 	})
 }
 
-func (p *Pool) anyFree() bool {
-	return slices.ContainsFunc(p.order, (*replicaState).free)
+func (p *Pool) anyFree(now time.Time) bool {
+	return slices.ContainsFunc(p.order, func(r *replicaState) bool { return r.free(now) })
 }
 
 func (p *Pool) anyOpen() bool {
--- a/internal/router/pool_next.go
+++ b/internal/router/pool_next.go
@@ -49,7 +49,7 @@
 func (p *Pool) bindAll(now time.Time, events []Event) []Event {
 	var passed []*item
 	slots := p.slots()
-	for p.anyFree() && len(passed) < maxPassed {
+	for p.anyFree(now) && len(passed) < maxPassed {
 		i := p.queue.Pop(now, slots)
 		if i == nil {
 			break
@@ -93,6 +93,7 @@
 		replica.pace.Moved(now)
 	}
 	replica.running++
+	replica.circuit.Bound()
 	replica.learned.Used(replica.running, p.urgent())
 	cached := replica.prefixes.Match(i.Value.request.PrefixHashes)
 	replica.prefixes.Add(i.Value.request.PrefixHashes)
--- a/internal/router/pool_property_test.go
+++ b/internal/router/pool_property_test.go
@@ -203,7 +203,7 @@
 // whether all are.
 func (m *model) anyFast() bool {
 	return slices.ContainsFunc(m.pool.order, func(r *replicaState) bool {
-		return r.free() && (!r.suspect() || m.pool.allSuspect())
+		return r.free(m.now) && (!r.suspect() || m.pool.allSuspect())
 	})
 }
 
--- a/internal/router/replica_state.go
+++ b/internal/router/replica_state.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenatrestle/internal/balancer"
+	"galenatrestle/internal/circuit"
 	"galenatrestle/internal/concurrency"
 )
 
@@ -20,10 +21,12 @@
 	// negative where only this node's limit counts.
 	allowance int
 	report    Load
-	learned   *concurrency.Limit
-	floor     concurrency.Floor
-	pace      balancer.Pace
-	prefixes  balancer.Prefixes
+	// circuit keeps requests off a replica that fails at once.
+	circuit  circuit.Breaker
+	learned  *concurrency.Limit
+	floor    concurrency.Floor
+	pace     balancer.Pace
+	prefixes balancer.Prefixes
 	// slowness is the pace as a multiple of the pool's usual one.
 	slowness float64
 }
@@ -56,8 +59,8 @@
 }
 
 // free says whether the replica takes another request now.
-func (r *replicaState) free() bool {
-	return r.open() && r.running < r.limit()
+func (r *replicaState) free(now time.Time) bool {
+	return r.open() && r.running < r.limit() && r.circuit.Allows(now)
 }
 
 // suspect says whether the replica is taken for a straggler.
