--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -221,7 +221,7 @@
 		return now
 	}
 	next := earlier(p.queue.NextExpiry(), p.reopens(now))
-	if len(p.waiting) == 0 || !p.anyFree(now) {
+	if p.queue.Len() == 0 || !p.anyFree(now) {
 		return next
 	}
 	// Requests wait though a replica is free: it is a straggler, which is
