--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -11,12 +11,15 @@
 	"galenatrestle/internal/leaving"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/openai"
+	"galenatrestle/internal/router"
 )
 
 // How often the node looks at what brings no news by itself.
 const (
-	statusInterval    = time.Second
-	instancesInterval = 5 * time.Second
+	statusInterval = time.Second
+	// instancesInterval keeps the promise that a leaving upstream gets nothing
+	// new after 3 s, with a second to spare.
+	instancesInterval = 2 * time.Second
 	instancesTimeout  = 2 * time.Second
 )
 
@@ -83,6 +86,7 @@
 		m.running.Go(func() { _ = m.runner.Run(ctx) })
 	}
 	m.running.Go(func() { m.watch(ctx) })
+	m.running.Go(func() { m.watchLoads(ctx) })
 	if m.options.Instances != nil {
 		m.running.Go(func() { m.watchInstances(ctx) })
 	}
@@ -191,15 +195,5 @@
 	m.runner.ApplyInstances(entries)
 }
 
-// LeavingReplicas returns the number of replicas that get nothing new.
-func (n *Node) LeavingReplicas() int {
-	leaving := 0
-	for _, stats := range n.dispatch.Stats() {
-		for _, r := range stats.Replicas {
-			if r.Leaving {
-				leaving++
-			}
-		}
-	}
-	return leaving
-}
+// Stats returns the state of each upstream's queue and replicas at this node.
+func (n *Node) Stats() map[string]router.Stats { return n.dispatch.Stats() }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -27,6 +27,7 @@
 	answers  *answers
 	claims   *claims
 	moves    *moves
+	credits  *credits
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -45,6 +46,7 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -88,6 +90,7 @@
 	n.answers.start()
 	n.claims.start()
 	n.moves.start()
+	n.credits.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -129,6 +132,7 @@
 	n.moves.close()
 	n.claims.close()
 	n.answers.close()
+	n.credits.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
