--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/platform/budget"
 	"galenatrestle/internal/upstream"
 )
 
@@ -23,10 +24,13 @@
 	engines  *upstream.Engine
 	services *upstream.Service
 	members  *members
+	sync     *configuration
+	duties   *budget.Counters
 	peers    *peers
 	answers  *answers
 	claims   *claims
 	credits  *credits
+	moves    *moves
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -41,10 +45,13 @@
 	}
 	n.peers = newPeers(options)
 	n.members = newMembers(options, n.peers, n.dispatch)
+	n.duties = newDutyCounters(options)
+	n.sync = newConfiguration(n)
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -63,6 +70,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.moves.offer(&options)
 	return options
 }
 
@@ -85,8 +93,10 @@
 	n.servePeers()
 	n.members.start()
 	n.answers.start()
+	n.sync.start()
 	n.claims.start()
 	n.credits.start()
+	n.moves.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -105,6 +115,8 @@
 			first = err
 		}
 	}
+	n.moves.close()
+	n.moves.leave(ctx)
 	n.claims.close()
 	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
 		first = err
@@ -123,7 +135,9 @@
 }
 
 func (n *Node) close() {
+	n.moves.close()
 	n.claims.close()
+	n.sync.close()
 	n.answers.close()
 	n.credits.close()
 	n.members.close()
