--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -105,8 +105,9 @@
 func (t *Table) Counts() Counts { return t.counts }
 
 // SetStatus sets this node's own load (part of its slots in use) and the
-// configuration revision in force here.
+// configuration revision in force here, which never goes back.
 func (t *Table) SetStatus(now time.Time, load float64, revision int64) {
+	revision = max(revision, t.self.revision)
 	steps := uint32(math.Round(max(load, 0) * loadSteps))
 	if t.heardRevision(revision) {
 		t.regions.tellAll = true
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -201,3 +201,19 @@
 	}
 	return true
 }
+
+func TestRevisionNeverGoesBack(t *testing.T) {
+	f := joinedFleet(t, 2)
+	table := f.tables[nodeName("r", 0)]
+	table.SetStatus(f.now, 0.5, 7)
+	table.SetStatus(f.now, 0.9, 6)
+	if got := table.Snapshot().Self().ConfigRevision; got != 7 {
+		t.Errorf("revision went back to %d", got)
+	}
+	f.run(5 * time.Second)
+	for _, m := range f.tables[nodeName("r", 1)].Snapshot().Members() {
+		if m.Name == nodeName("r", 0) && m.ConfigRevision != 7 {
+			t.Errorf("the peer sees revision %d", m.ConfigRevision)
+		}
+	}
+}
