--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -105,11 +105,12 @@
 func (t *Table) Counts() Counts { return t.counts }
 
 // SetStatus sets this node's own load (part of its slots in use) and the
-// configuration revision in force here.
+// configuration revision in force here, which never goes back.
 func (t *Table) SetStatus(now time.Time, load float64, revision int64) {
+	revision = max(revision, t.self.revision)
 	steps := uint32(math.Round(max(load, 0) * loadSteps))
-	if revision > t.newestRevision {
-		t.newestRevision = revision
+	if t.heardRevision(revision) {
+		t.regions.tellAll = true
 	}
 	moved := max(steps, t.toldLoad) - min(steps, t.toldLoad)
 	if moved < loadChange && revision == t.self.revision && now.Before(t.nextStatus) {
