gateway: a connection closed before an answer is no whole answer

An engine that crashed closes connections without an answer; net/http returns io.EOF for it, the upstream client wraps that, and relay took any error around an io.EOF for the end of the answer.

Change: only the bare io.EOF, which the stream returns after its end mark, ends an answer.

--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -119,7 +118,9 @@
 		}
 		data, err = l.stream.Next()
 	}
-	if errors.Is(err, io.EOF) {
+	// Only the bare io.EOF is the end of the answer. A connection that the
+	// engine closed before it answered is an *upstream.Error around an io.EOF.
+	if err == io.EOF {
 		return nil
 	}
 	return err
