trestle-load: faults name stand-ins by pattern

Cause: crashing-prompt.yaml switched the fault on four engines only, so that at 20 engines the prompt was mostly answered elsewhere.

--- a/internal/load/fault.go
+++ b/internal/load/fault.go
@@ -8,7 +8,7 @@
 // Fault is a switch that is thrown at a time of the run.
 type Fault struct {
 	At config.Duration `yaml:"at" validate:"gte=0"`
-	// Standins are the stand-ins' names.
+	// Standins are the stand-ins' names, or path.Match patterns of them.
 	Standins []string        `yaml:"standins" validate:"required,min=1"`
 	Kind     fault.Kind      `yaml:"kind" validate:"required"`
 	For      config.Duration `yaml:"for,omitempty" validate:"gte=0"`
--- a/internal/load/injector.go
+++ b/internal/load/injector.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"path"
 	"time"
 
 	"galenatrestle/internal/standin"
@@ -40,8 +41,8 @@
 		if !sleepUntil(ctx, start.Add(f.At.Std())) {
 			return nil
 		}
-		for _, name := range f.Standins {
-			if err := i.throw(ctx, name, f); err != nil {
+		for _, pattern := range f.Standins {
+			if err := i.throwAll(ctx, pattern, f); err != nil {
 				return err
 			}
 		}
@@ -49,11 +50,29 @@
 	return nil
 }
 
-func (i *Injector) throw(ctx context.Context, name string, f Fault) error {
-	base, ok := i.bases[name]
-	if !ok {
-		return fmt.Errorf("fault %s: no stand-in is named %q", f.Kind, name)
+// throwAll throws the switch of each stand-in whose name matches.
+func (i *Injector) throwAll(ctx context.Context, pattern string, f Fault) error {
+	found := false
+	for name, base := range i.bases {
+		matches, err := path.Match(pattern, name)
+		if err != nil {
+			return fmt.Errorf("fault %s: stand-ins %q: %w", f.Kind, pattern, err)
+		}
+		if !matches {
+			continue
+		}
+		found = true
+		if err := i.throw(ctx, name, base, f); err != nil {
+			return err
+		}
+	}
+	if !found {
+		return fmt.Errorf("fault %s: no stand-in is named %q", f.Kind, pattern)
 	}
+	return nil
+}
+
+func (i *Injector) throw(ctx context.Context, name, base string, f Fault) error {
 	body, err := json.Marshal(f.spec())
 	if err != nil {
 		return err
