--- /dev/null
+++ b/internal/capacity/platformlink.go
@@ -0,0 +1,120 @@
+package capacity
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+
+	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/httpstore"
+	"galenatrestle/internal/platform/memstore"
+	standin "galenatrestle/internal/standin/platform"
+)
+
+const (
+	platformCalls = 200
+	instanceReads = 10
+	// instancesInterval is how often a node reads the platform's list of VMs.
+	instancesInterval = 5.0
+)
+
+// platformLink is a client of the platform and the stand-in that answers it.
+type platformLink struct {
+	listener *countingListener
+	store    *memstore.Store
+	client   *httpstore.Client
+	server   *http.Server
+}
+
+func newPlatformLink() (*platformLink, error) {
+	listener, err := newCountingListener()
+	if err != nil {
+		return nil, err
+	}
+	store := memstore.New(memstore.Config{WritesPerSecond: 1e6, ReadsPerSecond: 1e6})
+	link := &platformLink{
+		listener: listener, store: store,
+		client: httpstore.New(httpstore.Config{Address: listener.Addr().String()}),
+		server: &http.Server{Handler: standin.API(store)},
+	}
+	go func() { _ = link.server.Serve(listener) }()
+	return link, nil
+}
+
+func (l *platformLink) close() {
+	l.client.Close()
+	_ = l.server.Close()
+}
+
+// PlatformLink measures a write to the platform over loopback, both ends
+// together, by the bytes of its value.
+func PlatformLink(ctx context.Context, _ Fleet, sizes []int) ([]Slope, error) {
+	defer fewCores()()
+	base := Slope{Role: RolePlatformLink, Against: "bytes of the value", Target: 16 << 10}
+	cpu, wire := base, base
+	cpu.Quantity, cpu.Unit = "processor time of a write, both ends", "s"
+	wire.Quantity, wire.Unit = "bytes on the connection", "B"
+	link, err := newPlatformLink()
+	if err != nil {
+		return nil, err
+	}
+	defer link.close()
+	revision := int64(0)
+	for _, size := range sizes {
+		value := make([]byte, size)
+		before := link.listener.bytes.Load()
+		used := cpuOf(func() {
+			for range platformCalls {
+				var entry platform.Entry
+				entry, err = link.client.CompareAndSwap(ctx, "capacity", revision, value)
+				revision = entry.Revision
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		cpu.add(size, used.Seconds()/platformCalls)
+		wire.add(size, float64(link.listener.bytes.Load()-before)/platformCalls)
+	}
+	return fitAll(cpu, wire)
+}
+
+// Instances measures what reading the platform's list of VMs costs a node, by
+// the number of VMs in it.
+func Instances(ctx context.Context, fleet Fleet, vms []int) ([]Slope, error) {
+	base := Slope{Role: RoleInstances, Against: "VMs listed", Target: float64(fleet.Nodes + fleet.Replicas)}
+	wire, cpu := base, base
+	wire.Quantity, wire.Unit = "bytes in and out of a reader", "B/s"
+	cpu.Quantity, cpu.Unit = "processor time of a reader, both ends", "core"
+	link, err := newPlatformLink()
+	if err != nil {
+		return nil, err
+	}
+	defer link.close()
+	for _, n := range vms {
+		link.store.SetInstances(instanceList(n))
+		before := link.listener.bytes.Load()
+		used := cpuOf(func() {
+			for range instanceReads {
+				_, err = link.client.Instances(ctx)
+			}
+		})
+		if err != nil {
+			return nil, err
+		}
+		wire.add(n, float64(link.listener.bytes.Load()-before)/instanceReads/instancesInterval)
+		cpu.add(n, used.Seconds()/instanceReads/instancesInterval)
+	}
+	return fitAll(wire, cpu)
+}
+
+func instanceList(n int) []platform.Instance {
+	list := make([]platform.Instance, 0, n)
+	for i := range n {
+		list = append(list, platform.Instance{
+			Name: fmt.Sprintf("model-%d-%d", i%8, i/8), Address: fmt.Sprintf("10.%d.%d.1:8000", i%8, i/8),
+			AvailabilityZone: fmt.Sprintf("region-%d-zone-%d", i%6, i%17), State: platform.InstanceLive,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/capacity/quarantine.go
@@ -0,0 +1,80 @@
+package capacity
+
+import (
+	"context"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/quarantine/quarantinerpc"
+)
+
+const (
+	// exchangesPerSecond is how often a node exchanges all records with a
+	// peer, and by the mean is asked by one.
+	exchangesPerSecond = 2 * 0.1
+	exchangeWait       = 3 * time.Second
+	exchangePoll       = 5 * time.Millisecond
+	exchangeQuiet      = 20
+)
+
+// Quarantine measures the records of suspects and quarantined requests.
+func Quarantine(ctx context.Context, _ Fleet, records []int) ([]Slope, error) {
+	base := Slope{Role: RoleQuarantine, Against: "records", Target: quarantine.DefaultMaxRecords}
+	memory, wire := base, base
+	memory.Quantity, memory.Unit = "heap", "B"
+	wire.Quantity, wire.Unit = "bytes of full exchanges, in and out", "B/s"
+	for _, n := range records {
+		memory.add(n, heapOf(func() *quarantine.Tracker { return tracker(n) }))
+		bytes, err := exchangeBytes(ctx, n)
+		if err != nil {
+			return nil, err
+		}
+		wire.add(n, bytes*exchangesPerSecond)
+	}
+	return fitAll(memory, wire)
+}
+
+// tracker returns one with so many suspects.
+func tracker(records int) *quarantine.Tracker {
+	t := quarantine.NewTracker(0)
+	running := make([]quarantine.Fingerprint, records)
+	for i := range running {
+		running[i] = quarantine.FingerprintOf(workspaceName(i), modelName(0), nil)
+	}
+	t.Crash(time.Now(), running)
+	return t
+}
+
+// exchangeBytes returns the bytes of one full exchange of two nodes that have
+// the same records.
+func exchangeBytes(ctx context.Context, records int) (float64, error) {
+	mine, theirs := tracker(records), tracker(records)
+	link, err := newPeerLink(quarantinerpc.NewHandler(theirs))
+	if err != nil {
+		return 0, err
+	}
+	defer link.close()
+	peers := func() []string { return []string{link.address()} }
+	spreader := quarantinerpc.NewSpreader(mine, peers, link.clients, prometheus.NewRegistry())
+	ctx, stop := context.WithTimeout(ctx, exchangeWait)
+	defer stop()
+	go spreader.Run(ctx)
+	return float64(link.quiet()), nil
+}
+
+// quiet waits until bytes have come and then no more do.
+func (l *peerLink) quiet() int64 {
+	until := time.Now().Add(exchangeWait)
+	last, unchanged := int64(0), 0
+	for time.Now().Before(until) && unchanged < exchangeQuiet {
+		time.Sleep(exchangePoll)
+		bytes := l.listener.bytes.Load()
+		unchanged++
+		if bytes != last || bytes == 0 {
+			last, unchanged = bytes, 0
+		}
+	}
+	return last
+}
