dispatch: one map of weights for all pools, without the usual weight

Cause: each of 8 pools got its own map of 11,000 workspaces' weights, built anew at every change of configuration, most of them the default 1. Change: the map is built once, shared, and leaves out weight 1, which is what the queue takes for a missing one.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -40,10 +40,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	named := make(map[string]bool, len(document.Upstreams))
+	weights := weightsOf(document)
 	for i := range document.Upstreams {
 		upstream := &document.Upstreams[i]
 		named[upstream.Name] = true
-		d.configureUpstream(document, upstream)
+		d.configureUpstream(document, upstream, weights)
 	}
 	for name, s := range d.shards {
 		if !named[name] {
@@ -52,9 +53,8 @@
 	}
 }
 
-func (d *Dispatcher) configureUpstream(document *config.Document, upstream *config.Upstream) {
+func (d *Dispatcher) configureUpstream(document *config.Document, upstream *config.Upstream, weights map[string]float64) {
 	replicas := replicasOf(upstream)
-	weights := weightsOf(document)
 	s, known := d.shards[upstream.Name]
 	if !known {
 		d.shards[upstream.Name] = newShard(router.NewPool(router.Options{
@@ -92,10 +92,15 @@
 	return replicas
 }
 
+// weightsOf returns the workspaces' weights other than 1, which is what the
+// pools take where one is missing. All pools share the map.
 func weightsOf(document *config.Document) map[string]float64 {
-	weights := make(map[string]float64, len(document.Workspaces))
-	for _, w := range document.Workspaces {
-		weights[w.Name] = w.Weight
+	weights := make(map[string]float64)
+	for i := range document.Workspaces {
+		w := &document.Workspaces[i]
+		if w.Weight != 1 {
+			weights[w.Name] = w.Weight
+		}
 	}
 	return weights
 }
--- /dev/null
+++ b/internal/dispatch/weights_test.go
@@ -0,0 +1,18 @@
+package dispatch
+
+import (
+	"maps"
+	"testing"
+
+	"galenatrestle/internal/config"
+)
+
+func TestWeightsOfHoldsThoseOtherThanOne(t *testing.T) {
+	document := &config.Document{Workspaces: []config.Workspace{
+		{Name: "usual", Weight: 1}, {Name: "light", Weight: 0.5}, {Name: "heavy", Weight: 3},
+	}}
+	want := map[string]float64{"light": 0.5, "heavy": 3}
+	if got := weightsOf(document); !maps.Equal(got, want) {
+		t.Errorf("weights %v, want %v", got, want)
+	}
+}
