--- a/cmd/trestle-load/capacity.go
+++ b/cmd/trestle-load/capacity.go
@@ -30,7 +30,14 @@
 	if err != nil {
 		return err
 	}
-	if err := capacity.WriteTable(os.Stdout, slopes); err != nil || c.Plot == "" {
+	if err := capacity.WriteTable(os.Stdout, slopes); err != nil {
+		return err
+	}
+	if len(c.Only) > 0 {
+		return nil
+	}
+	fmt.Println()
+	if err := capacity.WriteBudget(os.Stdout, capacity.NodeAllowance(), capacity.Budget(options.Fleet, slopes)); err != nil || c.Plot == "" {
 		return err
 	}
 	return c.plot(slopes)
--- a/internal/capacity/handover.go
+++ b/internal/capacity/handover.go
@@ -41,7 +41,7 @@
 	for i := range n {
 		metrics := handover.NewMetrics(prometheus.NewRegistry())
 		gate := handover.NewGate(home, timing, metrics, time.Now)
-		go handover.NewAgent(gate, moves, nil, fmt.Sprintf("vm-%d", i), timing, time.Now).Run(ctx)
+		go handover.NewAgent(gate, moves, nil, nil, fmt.Sprintf("vm-%d", i), timing, time.Now).Run(ctx)
 	}
 	time.Sleep(timing.Resend)
 	before := readsOf(store)
