lease: few tries by the many that are not preferred

Cause: every node of the fleet tried for the control duty's lease four times in its length. Change: Holder.Prefer; the node prefers the duty's owner by rendezvous hash. The others try at one in 24 of their times, so that the duty finds a holder also where the preferred node lives but can't reach the platform (tested).

--- a/internal/lease/fixture_test.go
+++ b/internal/lease/fixture_test.go
@@ -60,6 +60,12 @@
 
 // startProcess runs a contender until the test ends.
 func startProcess(t *testing.T, store *memstore.Store, name string) *process {
+	t.Helper()
+	return startPreferring(t, store, name, always)
+}
+
+// startPreferring is startProcess for one that is preferred at times.
+func startPreferring(t *testing.T, store *memstore.Store, name string, preferred func() bool) *process {
 	t.Helper()
 	p := &process{store: &cutStore{Store: store}, ended: make(chan error, 1)}
 	p.lost.Store(EndReason(""))
@@ -80,6 +86,7 @@
 		},
 		OnLost: func(_ int64, reason EndReason) { p.lost.Store(reason) },
 	}, rand.New(rand.NewPCG(1, uint64(len(name)))))
+	p.holder.Prefer(preferred)
 	ctx, cancel := context.WithCancel(t.Context())
 	p.stop = cancel
 	go func() { p.ended <- p.holder.Run(ctx) }()
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -27,6 +27,8 @@
 	name      string
 	callbacks Callbacks
 	random    *rand.Rand
+	// preferred says whether this process should be the first to try.
+	preferred func() bool
 
 	mu   sync.Mutex
 	term *Term
@@ -34,7 +36,23 @@
 
 // NewHolder returns a holder; random is its own.
 func NewHolder(source *Source, name string, callbacks Callbacks, random *rand.Rand) *Holder {
-	return &Holder{source: source, name: name, callbacks: callbacks, random: random}
+	return &Holder{source: source, name: name, callbacks: callbacks, random: random, preferred: always}
+}
+
+func always() bool { return true }
+
+// triesOfOthers is how many times rarer one that is not preferred tries.
+const triesOfOthers = 24
+
+// Prefer keeps the tries of many contenders few: while preferred says no, this
+// one tries triesOfOthers times more rarely, so that the lease is found a holder
+// also where the preferred process can't reach the platform. A term that is
+// held goes on either way. It is called before Run.
+func (h *Holder) Prefer(preferred func() bool) { h.preferred = preferred }
+
+// tries says whether to try for the lease this time.
+func (h *Holder) tries() bool {
+	return h.preferred() || h.random.IntN(triesOfOthers) == 0
 }
 
 // Held returns the epoch of the term in force at now, and whether there is one.
@@ -52,6 +70,10 @@
 // and hands the lease on. It returns the error of that release, or nil.
 func (h *Holder) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
+		if !h.tries() {
+			h.rest(ctx)
+			continue
+		}
 		term, err := h.source.Acquire(ctx, h.name, h.callbacks.Observers...)
 		if err == nil {
 			if err := h.serve(ctx, term); err != nil {
--- /dev/null
+++ b/internal/lease/prefer_test.go
@@ -0,0 +1,62 @@
+package lease
+
+import (
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"galenatrestle/internal/platform"
+	"galenatrestle/internal/platform/memstore"
+)
+
+// startOthers runs n processes that are not preferred.
+func startOthers(t *testing.T, store *memstore.Store, n int) []*process {
+	t.Helper()
+	var all []*process
+	for i := range n {
+		all = append(all, startPreferring(t, store, strings.Repeat("o", i+1), func() bool { return false }))
+	}
+	return all
+}
+
+func TestOthersTryRarely(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		all := append(startOthers(t, store, 29), startPreferring(t, store, "preferred", always))
+		time.Sleep(2 * ttl)
+		before := store.Calls()[platform.CallAcquire].Calls
+		const lengths = 20
+		time.Sleep(lengths * ttl)
+		tries := store.Calls()[platform.CallAcquire].Calls - before
+		// Without a preference 29 waiting contenders make four tries a length.
+		if bound := int64(lengths * 29 * 4 / 12); tries == 0 || tries > bound {
+			t.Errorf("%d tries for a held lease, want between 1 and %d", tries, bound)
+		}
+		finish(t, all...)
+	})
+}
+
+func TestOthersStepInWhereThePreferredIsCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := memstore.New(memstore.Config{})
+		first := startPreferring(t, store, "preferred", always)
+		time.Sleep(ttl)
+		expect(t, "at first", first, 1)
+		first.store.cut.Store(true)
+		others := startOthers(t, store, 7)
+		time.Sleep(10 * ttl)
+		expect(t, "cut off", first, 0)
+		held := 0
+		for _, p := range others {
+			if _, ok := p.held(); ok {
+				held++
+			}
+		}
+		if held != 1 {
+			t.Errorf("%d of the others hold the lease, want 1", held)
+		}
+		first.store.cut.Store(false)
+		finish(t, append(others, first)...)
+	})
+}
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -80,11 +80,11 @@
 	})
 	link.server.Mount(handoverv1connect.NewHandoverServiceHandler(handover.NewService(receiver)))
 	link.server.Mount(handoverv1connect.NewNodeServiceHandler(handover.NewNodeService(m.gate, m.driver)))
-	return m.buildDuty(store, configuration)
+	return m.buildDuty(store, members, configuration)
 }
 
 // buildDuty creates what runs under the lease.
-func (m *moves) buildDuty(store *handover.MoveStore, configuration func() *config.Index) error {
+func (m *moves) buildDuty(store *handover.MoveStore, members membership.View, configuration func() *config.Index) error {
 	o := m.options
 	leaseMetrics, err := lease.NewMetrics(o.Registry)
 	if err != nil {
@@ -116,6 +116,7 @@
 		Observers: []lease.Observer{sender},
 	}
 	m.holder = lease.NewHolder(source, controlLease, callbacks, rand.New(rand.NewPCG(o.Seed, controlStream)))
+	m.holder.Prefer(func() bool { return members.Owner(controlLease).Name == o.Name })
 	return nil
 }
 
