--- a/internal/capacity/duties.go
+++ b/internal/capacity/duties.go
@@ -3,99 +3,110 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
-	"galenatrestle/internal/claim"
 	"galenatrestle/internal/lease"
 	"galenatrestle/internal/platform/memstore"
 )
 
-// measuredTTL is the lease time measured with; calls grow with its inverse.
-const measuredTTL = time.Second
+const (
+	// measuredTTL is the lease time measured with; calls a second grow with its
+	// inverse.
+	measuredTTL = time.Second
+	dutyName    = "duty"
+)
 
-// Leases measures the platform's writes in one lease time by the
-// leases held, and by further holders that wait.
-func Leases(ctx context.Context, _ Fleet, leases []int, d time.Duration) ([]Slope, error) {
-	held := Slope{
-		Role: RoleDuties, Quantity: "writes of the platform in one lease time, held", Unit: "1",
-		Against: "leases", Target: claim.DefaultShards,
-	}
-	waiting := Slope{
-		Role: RoleDuties, Quantity: "writes of the platform in one lease time, waiting", Unit: "1",
-		Against: "waiting holders", Target: 1,
-	}
-	one, err := leaseWrites(ctx, 1, 0, d)
-	if err != nil {
-		return nil, err
-	}
+// Leases measures the platform's writes in one lease time: by the leases held,
+// by contenders that wait for one lease, and by contenders that leave it to a
+// preferred one.
+func Leases(ctx context.Context, fleet Fleet, leases, contenders []int, d time.Duration) ([]Slope, error) {
+	base := Slope{Role: RoleDuties, Unit: "writes"}
+	held, waiting, others := base, base, base
+	held.Quantity, held.Against, held.Target = "writes in one lease time, held", "leases", 1
+	waiting.Quantity, waiting.Against, waiting.Target = "writes in one lease time, waiting", "contenders", float64(fleet.Nodes-1)
+	others.Quantity, others.Against, others.Target = "writes in one lease time, not preferred", "contenders", float64(fleet.Nodes-1)
 	for _, n := range leases {
-		rate, err := leaseWrites(ctx, n, 0, d)
+		rate, err := leaseWrites(ctx, d, func(c *contest) error { return c.holdAll(n) })
 		if err != nil {
 			return nil, err
 		}
 		held.add(n, rate)
-		all, err := leaseWrites(ctx, 1, n, d)
-		if err != nil {
-			return nil, err
+	}
+	for _, n := range contenders {
+		for slope, preferred := range map[*Slope]bool{&waiting: true, &others: false} {
+			rate, err := leaseWrites(ctx, d, func(c *contest) error { return c.contend(n, preferred) })
+			if err != nil {
+				return nil, err
+			}
+			slope.add(n, rate)
 		}
-		waiting.add(n, all-one)
 	}
-	return fitAll(held, waiting)
+	return fitAll(held, waiting, others)
 }
 
-// leaseWrites holds leases, has others wait for the first of them, and returns
-// the writes in one lease time.
-func leaseWrites(ctx context.Context, held, waiting int, d time.Duration) (float64, error) {
+// contest is some processes and their leases.
+type contest struct {
+	ctx     context.Context
+	store   *memstore.Store
+	holders sync.WaitGroup
+}
+
+// leaseWrites starts the processes and returns the writes in one lease time.
+func leaseWrites(ctx context.Context, d time.Duration, begin func(*contest) error) (float64, error) {
 	ctx, stop := context.WithCancel(ctx)
-	store := memstore.New(memstore.Config{WritesPerSecond: 1e6, ReadsPerSecond: 1e6})
-	var holders sync.WaitGroup
-	defer holders.Wait()
+	c := &contest{ctx: ctx, store: memstore.New(memstore.Config{WritesPerSecond: 1e6, ReadsPerSecond: 1e6})}
+	defer c.holders.Wait()
 	defer stop()
-	for i := range held {
-		term, err := acquire(ctx, store, i, i)
-		if err != nil {
-			return 0, err
-		}
-		holders.Go(func() {
-			<-ctx.Done()
-			_ = term.Release(context.WithoutCancel(ctx))
-		})
-	}
-	settings := lease.DefaultSettings(measuredTTL)
-	for i := range waiting {
-		holders.Go(func() { keepAsking(ctx, store, held+i, settings.TryEvery) })
+	if err := begin(c); err != nil {
+		return 0, err
 	}
-	before := writes(store)
+	before := writes(c.store)
 	time.Sleep(d)
-	return (writes(store) - before) * measuredTTL.Seconds() / d.Seconds(), nil
+	return (writes(c.store) - before) * measuredTTL.Seconds() / d.Seconds(), ctx.Err()
 }
 
-// keepAsking asks for the first lease as a waiting holder does.
-func keepAsking(ctx context.Context, store *memstore.Store, holder int, every time.Duration) {
-	for ctx.Err() == nil {
-		if term, err := acquire(ctx, store, 0, holder); err == nil {
-			_ = term.Release(ctx)
+// holdAll holds n leases of one process.
+func (c *contest) holdAll(n int) error {
+	source, err := c.source("holder")
+	if err != nil {
+		return err
+	}
+	for i := range n {
+		if _, err := source.Acquire(c.ctx, fmt.Sprintf("%s-%d", dutyName, i)); err != nil {
+			return err
 		}
-		select {
-		case <-time.After(every):
-		case <-ctx.Done():
+	}
+	return nil
+}
+
+// contend runs n processes that try for a lease which another has for good.
+func (c *contest) contend(n int, preferred bool) error {
+	if _, err := c.store.Acquire(c.ctx, dutyName, "elsewhere", time.Hour); err != nil {
+		return err
+	}
+	for i := range n {
+		source, err := c.source(fmt.Sprintf("contender-%d", i))
+		if err != nil {
+			return err
 		}
+		callbacks := lease.Callbacks{OnGained: func(context.Context, int64) {}, OnLost: func(int64, lease.EndReason) {}}
+		holder := lease.NewHolder(source, dutyName, callbacks, rand.New(rand.NewPCG(5, uint64(i))))
+		holder.Prefer(func() bool { return preferred })
+		c.holders.Go(func() { _ = holder.Run(c.ctx) })
 	}
+	return nil
 }
 
-func acquire(ctx context.Context, store *memstore.Store, name, holder int) (*lease.Term, error) {
+func (c *contest) source(name string) (*lease.Source, error) {
 	metrics, err := lease.NewMetrics(prometheus.NewRegistry())
 	if err != nil {
 		return nil, err
 	}
-	source, err := lease.NewSource(store, fmt.Sprintf("vm-%d/run", holder), lease.DefaultSettings(measuredTTL), metrics, time.Now)
-	if err != nil {
-		return nil, err
-	}
-	return source.Acquire(ctx, fmt.Sprintf("duty-%d", name))
+	return lease.NewSource(c.store, name, lease.DefaultSettings(measuredTTL), metrics, time.Now)
 }
 
 // writes returns the calls that count against the platform's write rate.
--- a/internal/capacity/entries.go
+++ b/internal/capacity/entries.go
@@ -46,8 +46,8 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	return gateway.New(gateway.Options{
-		Node: r.names[0], Config: func() *config.Index { return index },
-		Members:  r.tables[r.names[0]].Snapshot(),
+		Node: regionNode(0, 0), Config: func() *config.Index { return index },
+		Members:  r.tables[r.addresses[0]].Snapshot(),
 		Dispatch: dispatch.New("zone-0-0", 1),
 		Registry: prometheus.NewRegistry(), Log: log,
 	})
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -34,11 +34,18 @@
 		return ClaimWrites(ctx, o.Fleet, o.ClaimRates, o.Duration)
 	}},
 	{"leases", func(ctx context.Context, o Options) ([]Slope, error) {
-		return Leases(ctx, o.Fleet, o.Leases, o.Duration)
+		return Leases(ctx, o.Fleet, o.Leases, o.Contenders, o.Duration)
 	}},
 	{"answers", func(_ context.Context, o Options) ([]Slope, error) { return Answers(o.Fleet, o.Tokens) }},
 	{"entries", func(_ context.Context, o Options) ([]Slope, error) { return Entries(o.Fleet, o.Nodes) }},
 	{"quarantine", func(ctx context.Context, o Options) ([]Slope, error) { return Quarantine(ctx, o.Fleet, o.Records) }},
+	{"credits", func(ctx context.Context, o Options) ([]Slope, error) {
+		return Credits(ctx, o.Fleet, o.Nodes, o.Duration)
+	}},
+	{"load reports", func(ctx context.Context, o Options) ([]Slope, error) {
+		return Watching(ctx, o.Fleet, o.Engines, o.Duration)
+	}},
+	{"quotas", func(_ context.Context, o Options) ([]Slope, error) { return Quotas(o.Fleet, o.Workspaces) }},
 	{"leaving", func(_ context.Context, o Options) ([]Slope, error) { return Leaving(o.Fleet, o.Replicas) }},
 	{"hand-over", func(ctx context.Context, o Options) ([]Slope, error) {
 		return Handover(ctx, o.Fleet, o.Nodes, o.Duration/2)
--- a/internal/capacity/options.go
+++ b/internal/capacity/options.go
@@ -8,7 +8,8 @@
 	// Nodes are the sizes of a region.
 	Nodes []int
 	// Regions, Workspaces, Replicas, Claims, ClaimRates, Tokens, Records,
-	// Leases, Bytes, Requests and VMs are the sizes of what their names say.
+	// Leases, Contenders, Bytes, Requests, VMs and Engines are the sizes of what
+	// their names say.
 	Regions    []int
 	Workspaces []int
 	Replicas   []int
@@ -17,9 +18,11 @@
 	Tokens     []int
 	Records    []int
 	Leases     []int
+	Contenders []int
 	Bytes      []int
 	Requests   []int
 	VMs        []int
+	Engines    []int
 	// Only names the steps to run; empty means all.
 	Only []string
 	// PathRate is the requests a second of the data path, PathInterval the
@@ -40,13 +43,15 @@
 		Workspaces:   []int{1000, 2000, 5000, 11000},
 		Replicas:     []int{8, 16, 44, 128, 262},
 		Claims:       []int{1000, 2000, 4000, 8000},
-		ClaimRates:   []int{10, 25, 50, 100, 200},
-		Tokens:       []int{16, 64, 128, 256, 455},
+		ClaimRates:   []int{10, 20, 40, 60, 80},
+		Tokens:       []int{16, 64, 160, 455},
 		Records:      []int{64, 256, 1024, 4096},
-		Leases:       []int{1, 2, 4, 8, 16},
+		Leases:       []int{1, 4, 16},
+		Contenders:   []int{30, 60, 120},
 		Bytes:        []int{64, 1 << 10, 4 << 10, 16 << 10},
 		Requests:     []int{100, 300, 900},
 		VMs:          []int{100, 500, 1000, 2460},
+		Engines:      []int{2, 6, 12, 35},
 		PathRate:     50,
 		PathInterval: 10 * time.Millisecond,
 		Duration:     5 * time.Second,
--- a/internal/capacity/region.go
+++ b/internal/capacity/region.go
@@ -25,35 +25,49 @@
 // region carries the messages of some membership tables, encoded, in the
 // tables' own time. No message is lost.
 type region struct {
-	now    time.Time
-	rng    *rand.Rand
-	names  []string
-	tables map[string]*membership.Table
-	loads  map[string]float64
-	spent  map[string]*traffic
+	now time.Time
+	rng *rand.Rand
+	// addresses are those of the nodes, by which the maps are keyed.
+	addresses []string
+	tables    map[string]*membership.Table
+	loads     map[string]float64
+	spent     map[string]*traffic
 }
 
 // newRegion starts as many regions of n nodes each.
 func newRegion(regions, n int) *region {
-	r := &region{
-		now: time.UnixMilli(1_800_000_000_000), rng: rand.New(rand.NewPCG(1, 2)),
-		tables: make(map[string]*membership.Table), loads: make(map[string]float64),
-		spent: make(map[string]*traffic),
-	}
+	r := emptyRegion()
 	for i := range regions {
 		for j := range n {
-			r.start(i, j, regionNode(i, 0), regionNode((i+1)%regions, 0))
+			r.start(i, j, regionNode(i, j), regionNode(i, 0), regionNode((i+1)%regions, 0))
 		}
 	}
 	return r
 }
 
+// newRegionAt starts one region with a node at each peer address.
+func newRegionAt(addresses []string) *region {
+	r := emptyRegion()
+	for i, address := range addresses {
+		r.start(0, i, address, addresses[0])
+	}
+	return r
+}
+
+func emptyRegion() *region {
+	return &region{
+		now: time.UnixMilli(1_800_000_000_000), rng: rand.New(rand.NewPCG(1, 2)),
+		tables: make(map[string]*membership.Table), loads: make(map[string]float64),
+		spent: make(map[string]*traffic),
+	}
+}
+
 func regionNode(region, i int) string { return fmt.Sprintf("region-%d-vm-%02d", region, i) }
 
-func (r *region) start(regionNumber, i int, seeds ...string) {
-	name := regionNode(regionNumber, i)
+// start adds a node at the peer address.
+func (r *region) start(regionNumber, i int, address string, seeds ...string) {
 	self := membership.Member{
-		Name: name, PeerAddress: name, EntryAddress: fmt.Sprintf("10.%d.0.%d:8080", regionNumber, i),
+		Name: regionNode(regionNumber, i), PeerAddress: address, EntryAddress: fmt.Sprintf("10.%d.0.%d:8080", regionNumber, i),
 		Region: fmt.Sprintf("region-%d", regionNumber), AvailabilityZone: fmt.Sprintf("zone-%d-%d", regionNumber, i%3),
 		Incarnation: r.now.UnixMilli(), State: membership.StateServing, ConfigRevision: 1,
 	}
@@ -61,9 +75,9 @@
 	for _, seed := range seeds {
 		table.AddSeed(seed)
 	}
-	r.names = append(r.names, name)
-	r.tables[name] = table
-	r.spent[name] = &traffic{}
+	r.addresses = append(r.addresses, address)
+	r.tables[address] = table
+	r.spent[address] = &traffic{}
 }
 
 // run lets d pass. Once a second each node's load changes.
@@ -73,19 +87,19 @@
 		if r.now.UnixMilli()%1000 == 0 {
 			r.wander()
 		}
-		for _, name := range r.names {
-			for _, call := range r.tables[name].Tick(r.now) {
-				r.carry(name, call)
+		for _, address := range r.addresses {
+			for _, call := range r.tables[address].Tick(r.now) {
+				r.carry(address, call)
 			}
 		}
 	}
 }
 
 func (r *region) wander() {
-	for _, name := range r.names {
-		load := r.loads[name] + r.rng.NormFloat64()*loadWander
-		r.loads[name] = math.Min(math.Max(load, 0), maxLoad)
-		r.tables[name].SetStatus(r.now, r.loads[name], 1)
+	for _, address := range r.addresses {
+		load := r.loads[address] + r.rng.NormFloat64()*loadWander
+		r.loads[address] = math.Min(math.Max(load, 0), maxLoad)
+		r.tables[address].SetStatus(r.now, r.loads[address], 1)
 	}
 }
 
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -19,6 +19,9 @@
 	RolePeerLink      Role = "link between nodes"
 	RolePlatformLink  Role = "link to the platform"
 	RoleHandover      Role = "hand-over"
+	RoleCredits       Role = "replica credits"
+	RoleWatching      Role = "replica watching"
+	RoleQuotas        Role = "quotas"
 	RoleNode          Role = "whole node"
 )
 
