handover: a move there and back between two real deployments

Three faults that the first run against real nodes showed: the counterparts were called by HTTP/1.1, which the link does not take; a target node that had not read 'open' yet refused what the source relayed; a node that read 'arming' before it was armed held everything. Now the agent watches the moves, a node arms itself only on its first read, and a relayed request that met the other side too early is tried again by the node that relayed it.

--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -20,6 +20,8 @@
 	stepGate = "gate"
 	// movedRetryAfter is when a request that met a move is worth another try.
 	movedRetryAfter = time.Second
+	// relayPause is how long a relay that was not run waits before the next.
+	relayPause = 20 * time.Millisecond
 	// relayChunk is how much of a relayed answer is passed on at a time.
 	relayChunk = 16 << 10
 )
@@ -29,21 +31,22 @@
 	// Await waits, while the upstream is between two data centres, until work
 	// may start here, or returns where to relay to. Where neither relayTo nor
 	// err is set the work counts as in flight here until done is called.
-	Await(ctx context.Context, upstream, workspace string) (relayTo string, done func(), err error)
+	// A relayed request is never relayed again.
+	Await(ctx context.Context, upstream, workspace string, relayed bool) (relayTo string, done func(), err error)
 }
 
 // openGate lets everything start.
 type openGate struct{}
 
 // Await implements Gate.
-func (openGate) Await(context.Context, string, string) (string, func(), error) {
+func (openGate) Await(context.Context, string, string, bool) (string, func(), error) {
 	return "", func() {}, nil
 }
 
 // startWork is called directly before a request is handed to a replica; done
 // must be called when the attempt has ended.
 func (s *Server) startWork(ctx context.Context, c *call, upstream string) (done func(), err error) {
-	relayTo, done, err := s.options.Gate.Await(ctx, upstream, c.workspace.Name)
+	relayTo, done, err := s.options.Gate.Await(ctx, upstream, c.workspace.Name, false)
 	if err != nil {
 		return nil, err
 	}
@@ -64,31 +67,35 @@
 func (s *Server) elsewhere(w http.ResponseWriter, r *http.Request, c *call, upstream string, body []byte) bool {
 	ctx, cancel := context.WithDeadline(r.Context(), c.giveUpAt)
 	defer cancel()
-	relayTo, done, err := s.options.Gate.Await(ctx, upstream, c.workspace.Name)
-	if err != nil {
-		s.refuse(w, err)
-		return true
-	}
-	if relayTo == "" {
-		done()
-		return false
-	}
-	if r.Header.Get(headerRelayed) != "" {
-		s.refuse(w, moved("the upstream is between two data centres; ask again"))
-		return true
-	}
-	if err := s.relayTo(ctx, w, r, relayTo, body); err != nil {
-		s.refuse(w, err)
+	relayed := r.Header.Get(headerRelayed) != ""
+	for {
+		relayTo, done, err := s.options.Gate.Await(ctx, upstream, c.workspace.Name, relayed)
+		if err != nil {
+			s.refuse(w, err)
+			return true
+		}
+		if relayTo == "" {
+			done()
+			return false
+		}
+		refused := s.relayTo(ctx, w, r, relayTo, body)
+		if refused == nil {
+			return true
+		}
+		if refused.Outcome != refusal.NotRun || pause(ctx, relayPause) != nil {
+			s.refuse(w, refused)
+			return true
+		}
 	}
-	return true
 }
 
 // relayTo hands the request to the address and passes the answer on. It
-// returns a refusal only where nothing was passed on.
-func (s *Server) relayTo(ctx context.Context, w http.ResponseWriter, r *http.Request, address string, body []byte) error {
+// returns a refusal only where nothing was passed on; one that says NotRun may
+// be tried again.
+func (s *Server) relayTo(ctx context.Context, w http.ResponseWriter, r *http.Request, address string, body []byte) *refusal.Error {
 	request, err := http.NewRequestWithContext(ctx, r.Method, "http://"+address+r.URL.RequestURI(), bytes.NewReader(body))
 	if err != nil {
-		return err
+		return relayRefusal(err, address)
 	}
 	// Without GetBody the client can't send the request twice by itself.
 	request.GetBody = nil
@@ -99,6 +106,11 @@
 		return relayRefusal(err, address)
 	}
 	defer response.Body.Close()
+	if movedOn(response.Header) {
+		refused := moved("the upstream is between two data centres; ask again")
+		refused.Peer = address
+		return refused
+	}
 	header := w.Header()
 	for name, values := range response.Header {
 		header[name] = values
@@ -111,6 +123,12 @@
 	return nil
 }
 
+// movedOn says that the other data centre did not run the request because it
+// does not serve the upstream, or not yet.
+func movedOn(header http.Header) bool {
+	return header.Get(headerReason) == string(refusal.Moving) && header.Get(headerOutcome) == string(refusal.NotRun)
+}
+
 // copyFlushed passes each piece on as it comes.
 func copyFlushed(w http.ResponseWriter, from io.Reader) error {
 	flusher := http.NewResponseController(w)
--- a/internal/handover/agent.go
+++ b/internal/handover/agent.go
@@ -36,8 +36,13 @@
 	now      func() time.Time
 
 	registered bool
+	// revision is the platform's at the newest read.
+	revision int64
 }
 
+// asksPerTerm is how often an armed node asks for a permit in one term.
+const asksPerTerm = 4
+
 // NewAgent returns the agent of a node. now must carry the monotonic clock.
 func NewAgent(gate *Gate, store *MoveStore, permits Permits, vouchers Vouchers, node string, timing Timing, now func() time.Time) *Agent {
 	return &Agent{gate: gate, store: store, permits: permits, vouchers: vouchers, node: node, timing: timing, now: now}
@@ -46,21 +51,28 @@
 // Run feeds the gate until ctx ends. Errors are not returned: the next round
 // tries again, and the gate does the right thing meanwhile.
 func (a *Agent) Run(ctx context.Context) {
-	ticker := time.NewTicker(a.timing.Resend)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		_ = a.Round(ctx)
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
+		a.rest(ctx)
+	}
+}
+
+// rest waits for a change of the moves, or until the next permit is due.
+func (a *Agent) rest(ctx context.Context) {
+	if a.store.Await(ctx, a.revision, a.timing.Term/asksPerTerm) == nil {
+		return
+	}
+	timer := time.NewTimer(a.timing.Resend)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
 	}
 }
 
 // Round registers if need be, reads the moves and asks for permits once.
 func (a *Agent) Round(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/4)
+	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/asksPerTerm)
 	defer cancel()
 	err := a.read(ctx)
 	if err != nil && !a.registered {
@@ -82,6 +94,7 @@
 	if err != nil {
 		return err
 	}
+	a.revision = revision
 	if a.registered {
 		a.gate.Refresh(moves, revision)
 		return nil
--- a/internal/handover/counterpart.go
+++ b/internal/handover/counterpart.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync/atomic"
 
 	"connectrpc.com/connect"
@@ -16,15 +15,15 @@
 // Each data centre has a list of addresses; after a failure the next is tried
 // with the next message. It is safe for concurrent use.
 type Counterparts struct {
-	client    *http.Client
+	dialer    Dialer
 	addresses map[string][]string
 	next      atomic.Uint64
 }
 
-// NewCounterparts returns Counterparts for base URLs by data centre. The
-// client carries the keys of the links.
-func NewCounterparts(client *http.Client, addresses map[string][]string) *Counterparts {
-	return &Counterparts{client: client, addresses: addresses}
+// NewCounterparts returns Counterparts for peer addresses by data centre. The
+// dialer carries the keys of the links.
+func NewCounterparts(dialer Dialer, addresses map[string][]string) *Counterparts {
+	return &Counterparts{dialer: dialer, addresses: addresses}
 }
 
 // Deliver implements Counterpart.
@@ -34,7 +33,8 @@
 		return Receipt{}, fmt.Errorf("handover: data centre %q has no address in the settings", dataCentre)
 	}
 	address := list[c.next.Load()%uint64(len(list))]
-	client := handoverv1connect.NewHandoverServiceClient(c.client, address)
+	httpClient, baseURL := c.dialer.Dial(address)
+	client := handoverv1connect.NewHandoverServiceClient(httpClient, baseURL)
 	response, err := client.Deliver(ctx, connect.NewRequest(toWire(m)))
 	if err != nil {
 		c.next.Add(1)
--- a/internal/handover/gate.go
+++ b/internal/handover/gate.go
@@ -69,14 +69,16 @@
 
 // Await starts the request as Start does, but holds it while the verdict is
 // Wait. When ctx ends first it returns a refusal that the request was not run.
-func (g *Gate) Await(ctx context.Context, upstream, workspace string) (Verdict, func(), error) {
+// One that the other data centre has relayed is never relayed again but refused
+// as not run: its first node looks again and knows better by then.
+func (g *Gate) Await(ctx context.Context, upstream, workspace string, relayed bool) (Verdict, func(), error) {
 	for {
 		changed := g.watch()
 		verdict, done := g.Start(upstream, workspace)
-		switch verdict.Kind {
-		case Serve, Relay:
+		switch {
+		case verdict.Kind == Serve, verdict.Kind == Relay && !relayed:
 			return verdict, done, nil
-		case NotHere:
+		case verdict.Kind != Wait:
 			return verdict, nil, refusal.New(refusal.Moving, step, "this data centre does not serve the upstream for the workspace")
 		}
 		select {
--- a/internal/handover/move_store.go
+++ b/internal/handover/move_store.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"strings"
+	"time"
 
 	"galenatrestle/internal/errs"
 	"galenatrestle/internal/platform"
@@ -50,6 +51,12 @@
 	return moves, revision, nil
 }
 
+// Await returns when a move has changed after the revision, or after wait.
+func (s *MoveStore) Await(ctx context.Context, revision int64, wait time.Duration) error {
+	_, err := s.kv.Watch(ctx, MovePrefix, revision, wait)
+	return errs.Wrap(errs.Platform, err, "watch moves", MovePrefix)
+}
+
 // Move returns the record of a move, or ErrUnknownMove.
 func (s *MoveStore) Move(ctx context.Context, id string) (Move, error) {
 	entry, err := s.kv.Get(ctx, MovePrefix+id)
--- a/internal/handover/permission.go
+++ b/internal/handover/permission.go
@@ -62,9 +62,10 @@
 		return
 	}
 	n.move = m
-	if m.Role == RoleSource && m.Phase == PhaseArming && m.DriverEpoch > n.armed {
-		// Known from the record: this node may not have been asked at all, so
-		// it starts without a term.
+	if !p.Registered && m.Role == RoleSource && m.Phase == PhaseArming && m.DriverEpoch > n.armed {
+		// The first read after the registration: the driver may have listed
+		// the nodes before, so this one serves by permits from the start. One
+		// that registered before the record was written is asked to arm.
 		n.armed, n.until = m.DriverEpoch, time.Time{}
 	}
 }
@@ -177,9 +178,9 @@
 		return Verdict{Kind: Wait}, true
 	case n.move.Phase == PhaseOpened, n.move.Phase == PhaseDone:
 		return Verdict{Kind: Relay, Address: n.move.RelayAddress}, true
-	case now.Before(n.until):
-		// The permit lets pass; an older move may decide, but for the newest
-		// one of a set that is served here that is the same.
+	case n.armed == 0, now.Before(n.until):
+		// Not armed, though registered before the record: the seal waits for
+		// this node. Or the permit lets pass. An older move may then decide.
 		return Verdict{}, false
 	}
 	return Verdict{Kind: Wait}, true
--- a/internal/handover/sim_cut_test.go
+++ b/internal/handover/sim_cut_test.go
@@ -33,6 +33,13 @@
 	return s.Store.Get(ctx, key)
 }
 
+func (s *cutStore) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (platform.Batch, error) {
+	if s.node.isCut() {
+		return platform.Batch{}, platform.ErrUnavailable
+	}
+	return s.Store.Watch(ctx, prefix, after, wait)
+}
+
 func (s *cutStore) List(ctx context.Context, prefix string) ([]platform.Entry, int64, error) {
 	if s.node.isCut() {
 		return nil, 0, platform.ErrUnavailable
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -74,7 +73,7 @@
 	receiver := handover.NewReceiver(store, noClaims{}, metrics, o.Log, time.Now)
 	m.driver = handover.NewDriver(handover.DriverConfig{
 		Store: store, Address: o.PeerAddress, DataCentre: o.DataCentre, RelayAddress: o.EntryAddress,
-		Peer: handover.NewCounterparts(&http.Client{}, o.Counterparts), Nodes: nodes,
+		Peer: handover.NewCounterparts(linkDialer{link}, o.Counterparts), Nodes: nodes,
 		Claims: noClaims{}, Preparer: readiness{configuration: configuration},
 		Timing: timing, Metrics: metrics, Log: o.Log, Now: time.Now,
 	})
--- a/internal/node/moves_parts.go
+++ b/internal/node/moves_parts.go
@@ -38,8 +38,8 @@
 }
 
 // Await implements gateway.Gate.
-func (g callersGate) Await(ctx context.Context, upstream, workspace string) (string, func(), error) {
-	verdict, done, err := g.gate.Await(ctx, upstream, workspace)
+func (g callersGate) Await(ctx context.Context, upstream, workspace string, relayed bool) (string, func(), error) {
+	verdict, done, err := g.gate.Await(ctx, upstream, workspace, relayed)
 	if err != nil {
 		return "", nil, err
 	}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -43,7 +43,7 @@
 	Instances platform.Instances
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
-	// Counterparts are the base URLs of the other data centres' systems, by
+	// Counterparts are peer addresses of the other data centres' systems, by
 	// data centre.
 	Counterparts map[string][]string
 	// Home says whether this data centre serves an upstream for a workspace as
