--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -77,6 +78,8 @@
 		EntryAddress:     s.Advertise.Entry,
 		PeerAddress:      s.Advertise.Peer,
 		Seeds:            s.Peers.Seeds,
+		Counterparts:     s.Handover.Counterparts,
+		Home:             home(s.Handover.Away),
 		PeerKeys:         keys,
 		Operators:        s.Operators,
 		Store:            store,
@@ -88,6 +91,11 @@
 	return options, listenAll(s, &options)
 }
 
+// home says that all upstreams are served here but those that are away.
+func home(away []string) func(upstream, workspace string) bool {
+	return func(upstream, _ string) bool { return !slices.Contains(away, upstream) }
+}
+
 func keyFiles(t settings.TLS) peer.KeyFiles {
 	return peer.KeyFiles{Certificate: t.CertificateFile, Key: t.KeyFile, Authorities: t.AuthorityFile}
 }
--- a/internal/handover/arrow_test.go
+++ b/internal/handover/arrow_test.go
@@ -77,3 +77,10 @@
 		t.Errorf("no %s was sent", kind)
 	}
 }
+
+func takeDown(t *testing.T, side *simSide, length time.Duration) {
+	t.Helper()
+	if err := side.kv.Inject(memstore.Fault{Kind: memstore.Down, For: length}); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -17,6 +17,7 @@
 	Advertise Advertise `yaml:"advertise,omitempty"`
 	Platform  Platform  `yaml:"platform"`
 	Peers     Peers     `yaml:"peers,omitempty"`
+	Handover  Handover  `yaml:"handover,omitempty"`
 	// TLS names the key files for calls between nodes. Empty: plain text.
 	TLS TLS `yaml:"tls,omitempty"`
 	// Operators may use the operators' service. Empty: nobody may.
@@ -44,6 +45,16 @@
 	Seeds []string `yaml:"seeds,omitempty" validate:"max=64,dive,hostname_port"`
 }
 
+// Handover says what moves between data centres need.
+type Handover struct {
+	// Counterparts are peer addresses of the other data centres' nodes, as
+	// host:port, by data centre.
+	Counterparts map[string][]string `yaml:"counterparts,omitempty" validate:"max=16,dive,min=1,max=64,dive,hostname_port"`
+	// Away lists the upstreams that another data centre serves until a move
+	// brings them here.
+	Away []string `yaml:"away,omitempty" validate:"max=1000"`
+}
+
 // TLS names PEM files, relative to the settings file. They are read again
 // when they change.
 type TLS struct {
