--- a/cmd/trestle-load/embedded.go
+++ b/cmd/trestle-load/embedded.go
@@ -12,11 +12,13 @@
 // embeddedDeployment sizes a deployment that runs inside the tool, so that a
 // comparison needs nothing else.
 type embeddedDeployment struct {
-	Nodes    int     `help:"Run against this many nodes inside the tool, in place of --entry."`
-	Engines  int     `default:"20" help:"Engine replicas of the embedded deployment."`
-	Services int     `default:"3" help:"Plain-service replicas of the embedded deployment."`
-	Slots    int     `default:"8" help:"Slots of each engine."`
-	Speed    float64 `default:"1" help:"Divide the engines' times by this."`
+	Nodes    int `help:"Run against this many nodes inside the tool, in place of --entry."`
+	Engines  int `default:"20" help:"Engine replicas of the embedded deployment."`
+	Services int `default:"3" help:"Plain-service replicas of the embedded deployment."`
+	Slots    int `default:"8" help:"Slots of each engine."`
+	// ShareSlots switches credits on.
+	ShareSlots bool    `help:"Have the embedded nodes share the engines' slots by credits."`
+	Speed      float64 `default:"1" help:"Divide the engines' times by this."`
 }
 
 // check returns an error that names a size that makes no sense.
@@ -51,7 +53,8 @@
 		return func() {}, nil
 	}
 	options := embedded.Options{
-		Nodes: size.Nodes, Engines: size.Engines, Services: size.Services,
+		ShareSlots: size.ShareSlots,
+		Nodes:      size.Nodes, Engines: size.Engines, Services: size.Services,
 		Engine: engine.Options{Slots: size.Slots, Speed: size.Speed},
 		Seed:   max(1, w.EngineSeed),
 	}
--- a/internal/credit/settings.go
+++ b/internal/credit/settings.go
@@ -15,9 +15,9 @@
 	// LowShare is the part of a limit that nodes keep between them for requests
 	// less urgent than those of others, so that every class goes on.
 	LowShare float64
-	// Subset is the number of replicas of one upstream with which one node
-	// works.
-	Subset int
+	// Owners is the number of owners of one upstream's replicas with which one
+	// node works.
+	Owners int
 	// Prepaid is the number of slots of each replica held beyond those in use.
 	Prepaid int
 }
@@ -28,7 +28,7 @@
 	DefaultRenew     = 5 * time.Second
 	DefaultUrgent    = time.Second / 3
 	DefaultLowShare  = 0.1
-	DefaultSubset    = 8
+	DefaultOwners    = 8
 	DefaultPrepaid   = 2
 )
 
@@ -40,7 +40,7 @@
 	setDefault(&s.Renew, DefaultRenew)
 	setDefault(&s.Urgent, DefaultUrgent)
 	setDefault(&s.LowShare, DefaultLowShare)
-	setDefault(&s.Subset, DefaultSubset)
+	setDefault(&s.Owners, DefaultOwners)
 	setDefault(&s.Prepaid, DefaultPrepaid)
 	return s
 }
--- a/internal/credit/subset.go
+++ b/internal/credit/subset.go
@@ -18,13 +18,10 @@
 }
 
 // Subset returns the replicas of an upstream with which this node works: the
-// first by a hash of node and owner, so that one message covers several of
-// them and the nodes' choices spread evenly, and any others on which it still
-// runs something.
+// of the first owners by a hash of node and owner, so that the messages are
+// bounded and the nodes' choices spread evenly, and any others on which it still
+// runs something. With few nodes these are all.
 func (w *Wallet) Subset(now time.Time, need Need) []ReplicaNeed {
-	if len(need.Replicas) <= w.settings.Subset {
-		return need.Replicas
-	}
 	s, ok := w.subsets[need.Upstream]
 	if !ok || s.of != len(need.Replicas) || now.Sub(s.made) > w.settings.Renew {
 		s = w.choose(now, need)
@@ -41,16 +38,16 @@
 }
 
 func (w *Wallet) choose(now time.Time, need Need) *subset {
-	ranked := slices.Clone(need.Replicas)
-	slices.SortFunc(ranked, func(a, b ReplicaNeed) int {
-		if order := cmp.Compare(w.weight(b.Owner), w.weight(a.Owner)); order != 0 {
-			return order
-		}
-		return cmp.Compare(a.Name, b.Name)
+	ranked := owners(need.Replicas)
+	slices.SortFunc(ranked, func(a, b string) int {
+		return cmp.Or(cmp.Compare(w.weight(b), w.weight(a)), cmp.Compare(a, b))
 	})
-	names := make(map[string]bool, w.settings.Subset)
-	for _, r := range ranked[:w.settings.Subset] {
-		names[r.Name] = true
+	ranked = ranked[:min(w.settings.Owners, len(ranked))]
+	names := make(map[string]bool)
+	for _, r := range need.Replicas {
+		if slices.Contains(ranked, r.Owner) {
+			names[r.Name] = true
+		}
 	}
 	return &subset{names: names, of: len(need.Replicas), made: now}
 }
