router: never wait for a replica that does not work

A retry avoided the one fast replica, the others were a straggler, not fit for the highest tier, and two with open circuits: it waited until the straggler was forgotten. Found by taking the decisions out one by one; without the straggler's treatment it went.

Change: a request waits for a fast replica only while one that it need not avoid works; else a straggler is better than none. Where no fast replica works the stragglers are acquitted. Replicas at under 10 ms a token are never shrunk or suspected below 10 ms, and silence counts from half a second on: a busy node's own delays made stragglers of very fast engines.

--- a/internal/balancer/balancer_test.go
+++ b/internal/balancer/balancer_test.go
@@ -52,6 +52,13 @@
 	if got := p.Slowness(start.Add(10*forgetHalfLife), 0.025, 0, 0); got >= SuspectFrom {
 		t.Errorf("slowness = %.1f long after, want below %.1f", got, SuspectFrom)
 	}
+	var quick Pace
+	for range 100 {
+		quick.Observe(start, 0.009)
+	}
+	if got := quick.Slowness(start, 0.001, 1, 0); got >= SuspectFrom {
+		t.Errorf("slowness = %.1f of a replica at 9 ms a token, want below %.1f", got, SuspectFrom)
+	}
 	var silent Pace
 	silent.Moved(start)
 	if got := silent.Slowness(start.Add(5*time.Second), 0.025, 1, time.Second); got < SuspectFrom {
--- a/internal/balancer/pace.go
+++ b/internal/balancer/pace.go
@@ -16,6 +16,11 @@
 	// silenceFactor times the usual time between tokens without any token
 	// counts as a slowness of 1.
 	silenceFactor = 20
+	// leastUsual bounds the usual time between tokens from below, in
+	// seconds: the delays of a busy node must not make stragglers of very
+	// fast replicas. leastSilence does so for silence.
+	leastUsual   = 0.004
+	leastSilence = 0.5
 )
 
 // Pace is how fast a replica generates, as seen by this node.
@@ -47,13 +52,15 @@
 	if usual <= 0 {
 		return 1
 	}
+	pause := max(silenceFactor*usual, leastSilence)
+	usual = max(usual, leastUsual)
 	slowness := 1.0
 	if p.average > 0 {
 		slowness = p.average / usual
 	}
 	quiet := now.Sub(p.moved)
 	if running > 0 {
-		silent := (quiet - allowed).Seconds() / (silenceFactor * usual)
+		silent := (quiet - allowed).Seconds() / pause
 		return max(slowness, silent)
 	}
 	if slowness <= 1 {
--- a/internal/concurrency/limit.go
+++ b/internal/concurrency/limit.go
@@ -12,6 +12,10 @@
 	tolerance = 1.2
 	// steepest is the least factor of one step.
 	steepest = 0.8
+	// quickEnough is an average, in seconds, that never shrinks a limit: at
+	// such a pace the caller gains nothing, and the node's own delays tell
+	// more than the replica's load.
+	quickEnough = 0.010
 	// growth is the slots by which a used-up limit grows in a window. It is
 	// the same for all, while shrinking is by a factor: so the limits of
 	// several nodes at one replica draw near each other.
@@ -82,7 +86,10 @@
 	if reference <= 0 {
 		return
 	}
-	gradient := min(max(tolerance*reference/average, steepest), 1)
+	gradient := 1.0
+	if average > quickEnough {
+		gradient = min(max(tolerance*reference/average, steepest), 1)
+	}
 	next := l.limit * gradient
 	if gradient < 1 {
 		l.before = 0
--- a/internal/concurrency/limit_test.go
+++ b/internal/concurrency/limit_test.go
@@ -60,6 +60,16 @@
 	}
 }
 
+func TestQuickEnoughNeverShrinks(t *testing.T) {
+	l := NewLimit(8, 0)
+	for n := range 1000 {
+		l.Observe(start.Add(time.Duration(n)*window/minSamples), 0.009, 0.001)
+	}
+	if got := l.Value(); got != 8 {
+		t.Errorf("limit = %d at 9 ms a token, want 8", got)
+	}
+}
+
 func TestFloorForgets(t *testing.T) {
 	var f Floor
 	f.Observe(start, 0.020)
--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -40,22 +40,30 @@
 	return c
 }
 
-// fit lists the free replicas that the request need not avoid and, of the
-// stragglers, those that are fast enough for it. Where it avoids all open
-// replicas, avoiding has no point and all free ones count.
+// fit lists the free replicas for the request: of those that it need not avoid
+// the ones fast enough for it. It waits for these while one of them works; else
+// a straggler is better than none, and one to avoid better than waiting for none.
 func (p *Pool) fit(now time.Time, request *Request) []*replicaState {
 	p.free = p.free[:0]
-	avoidable := false
+	worthWaiting := false
 	for _, r := range p.order {
-		if !r.open() || slices.Contains(request.Avoid, r.Name) {
+		if request.avoids(r) || !p.fastEnough(now, request, r) {
 			continue
 		}
-		avoidable = true
-		if r.free(now) && p.fastEnough(now, request, r) {
+		worthWaiting = worthWaiting || r.works(now)
+		if r.free(now) {
 			p.free = append(p.free, r)
 		}
 	}
-	if avoidable {
+	if worthWaiting || len(p.free) > 0 {
+		return p.free
+	}
+	for _, r := range p.order {
+		if r.free(now) && !request.avoids(r) {
+			p.free = append(p.free, r)
+		}
+	}
+	if len(p.free) > 0 {
 		return p.free
 	}
 	for _, r := range p.order {
@@ -66,10 +74,14 @@
 	return p.free
 }
 
+func (r *Request) avoids(replica *replicaState) bool {
+	return slices.Contains(r.Avoid, replica.Name)
+}
+
 // fastEnough says whether a straggler may be tried with the request: not with
 // one of the highest tier, and only where the target leaves time for it.
 func (p *Pool) fastEnough(now time.Time, request *Request, r *replicaState) bool {
-	if !r.suspect() || p.allSuspect() {
+	if !r.suspect() {
 		return true
 	}
 	if request.Tier == p.highestTier {
@@ -79,12 +91,6 @@
 	return !request.AnswerBy.IsZero() && now.Add(slow).Before(request.AnswerBy)
 }
 
-func (p *Pool) allSuspect() bool {
-	return !slices.ContainsFunc(p.order, func(r *replicaState) bool {
-		return r.open() && !r.suspect()
-	})
-}
-
 func (p *Pool) anyFree(now time.Time) bool {
 	return slices.ContainsFunc(p.order, func(r *replicaState) bool { return r.free(now) })
 }
--- a/internal/router/pool_pace.go
+++ b/internal/router/pool_pace.go
@@ -27,7 +27,22 @@
 	}
 	for _, r := range p.order {
 		r.slowness = r.pace.Slowness(now, p.usual, r.running, p.patience())
-		if r.suspect() && !p.without.Limits {
+	}
+	p.treatStragglers(now)
+}
+
+// treatStragglers shrinks the limits of the stragglers, or acquits them where
+// no other replica works: slow ones are then the best there are.
+func (p *Pool) treatStragglers(now time.Time) {
+	works := slices.ContainsFunc(p.order, func(r *replicaState) bool {
+		return r.works(now) && !r.suspect()
+	})
+	for _, r := range p.order {
+		switch {
+		case !r.suspect():
+		case !works:
+			r.slowness = 1
+		case !p.without.Limits:
 			r.learned.Shrink()
 		}
 	}
--- a/internal/router/pool_property_test.go
+++ b/internal/router/pool_property_test.go
@@ -199,11 +199,10 @@
 	}
 }
 
-// anyFast says whether a replica is free that is not taken for a straggler, or
-// whether all are.
+// anyFast says whether a replica is free that is not taken for a straggler.
 func (m *model) anyFast() bool {
 	return slices.ContainsFunc(m.pool.order, func(r *replicaState) bool {
-		return r.free(m.now) && (!r.suspect() || m.pool.allSuspect())
+		return r.free(m.now) && !r.suspect()
 	})
 }
 
--- a/internal/router/pool_straggler_test.go
+++ b/internal/router/pool_straggler_test.go
@@ -61,3 +61,34 @@
 	}
 	t.Error("the straggler was never tried again")
 }
+
+// Where all others fail, or are to be avoided, a straggler is better than none.
+func TestStragglerIsUsedWhenTheOthersFail(t *testing.T) {
+	for _, result := range []Result{ResultCrashed, ResultFailed} {
+		checkRetryOnStraggler(t, result)
+	}
+}
+
+func checkRetryOnStraggler(t *testing.T, result Result) {
+	t.Helper()
+	p := testPool(4, "a", "b")
+	now := slowReplica(t, p)
+	r := request("quick", "quick")
+	r.Arrived, r.GiveUpAt = now, now.Add(time.Hour)
+	if refused := p.Submit(now, r); refused != nil {
+		t.Fatal(refused)
+	}
+	if events := p.Next(now); len(events) != 1 || events[0].Replica.Name != "b" {
+		t.Fatalf("Next = %+v, want a binding to b", events)
+	}
+	p.Finish(now, "quick", result)
+	r.Attempt, r.Avoid = 2, []string{"b"}
+	if refused := p.Submit(now, r); refused != nil {
+		t.Fatal(refused)
+	}
+	now = now.Add(2 * paceEvery)
+	events := p.Next(now)
+	if len(events) != 1 || events[0].Replica == nil || events[0].Replica.Name != "a" {
+		t.Fatalf("Next = %+v, want a binding to a at once", events)
+	}
+}
--- a/internal/router/replica_state.go
+++ b/internal/router/replica_state.go
@@ -63,6 +63,11 @@
 	return r.open() && r.running < r.limit() && r.circuit.Allows(now)
 }
 
+// works says whether the replica is open and did not fail last.
+func (r *replicaState) works(now time.Time) bool {
+	return r.open() && r.circuit.Allows(now) && r.circuit.ReopensAt().IsZero()
+}
+
 // suspect says whether the replica is taken for a straggler.
 func (r *replicaState) suspect() bool { return r.slowness >= balancer.SuspectFrom }
 
