handover: an agent at rest waits for news in place of reading the moves

Cause: every node asked the platform for the moves all the time, moving or not. Change: while no move is in progress and nothing is to be asked, the watch waits 30 s; a driver's call of the node cuts the wait short.

--- a/internal/handover/agent.go
+++ b/internal/handover/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -36,12 +37,18 @@
 	now      func() time.Time
 
 	registered bool
-	// revision is the platform's at the newest read.
+	// revision is the platform's at the newest read, and atRest says that no
+	// move was in progress then.
 	revision int64
+	atRest   bool
 }
 
-// asksPerTerm is how often an armed node asks for a permit in one term.
-const asksPerTerm = 4
+const (
+	// asksPerTerm is how often an armed node asks for a permit in one term.
+	asksPerTerm = 4
+	// restTime bounds one wait for a change while no move is in progress.
+	restTime = 30 * time.Second
+)
 
 // NewAgent returns the agent of a node. now must carry the monotonic clock.
 func NewAgent(gate *Gate, store *MoveStore, permits Permits, vouchers Vouchers, node string, timing Timing, now func() time.Time) *Agent {
@@ -57,9 +64,10 @@
 	}
 }
 
-// rest waits for a change of the moves, or until the next permit is due.
+// rest waits for a change of the moves, or until the next permit is due. While
+// nothing moves it costs the platform two calls in a restTime.
 func (a *Agent) rest(ctx context.Context) {
-	if a.store.Await(ctx, a.revision, a.timing.Term/asksPerTerm) == nil {
+	if a.awaitChange(ctx) == nil {
 		return
 	}
 	timer := time.NewTimer(a.timing.Resend)
@@ -70,6 +78,27 @@
 	}
 }
 
+// awaitChange returns nil once a move has changed in the platform or the time
+// to wait has passed, and an error where the wait was cut short, as by a
+// driver's call of this node.
+func (a *Agent) awaitChange(ctx context.Context) error {
+	changed := a.gate.watch()
+	wait := a.timing.Term / asksPerTerm
+	if a.atRest && len(a.gate.Asks()) == 0 {
+		wait = restTime
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return a.store.Await(ctx, a.revision, wait)
+}
+
 // Round registers if need be, reads the moves and asks for permits once.
 func (a *Agent) Round(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/asksPerTerm)
@@ -95,6 +124,7 @@
 		return err
 	}
 	a.revision = revision
+	a.atRest = !slices.ContainsFunc(moves, inProgress)
 	if a.registered {
 		a.gate.Refresh(moves, revision)
 		return nil
@@ -104,6 +134,8 @@
 	return nil
 }
 
+func inProgress(m Move) bool { return !m.Phase.Final() }
+
 func (a *Agent) ask(ctx context.Context, ask Ask) {
 	asked := a.now()
 	permitted, err := a.permits.Permit(ctx, ask, a.node)
