--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -15,6 +15,9 @@
 	run  func(ctx context.Context, o Options) ([]Slope, error)
 }
 
+// handoverSpan is how many durations the hand-over's idle reads take.
+const handoverSpan = 12
+
 // steps are run one after the other, so that they share no processor.
 var steps = []step{
 	{"data path", func(ctx context.Context, o Options) ([]Slope, error) {
@@ -48,7 +51,7 @@
 	{"quotas", func(_ context.Context, o Options) ([]Slope, error) { return Quotas(o.Fleet, o.Workspaces) }},
 	{"leaving", func(_ context.Context, o Options) ([]Slope, error) { return Leaving(o.Fleet, o.Replicas) }},
 	{"hand-over", func(ctx context.Context, o Options) ([]Slope, error) {
-		return Handover(ctx, o.Fleet, o.Nodes, o.Duration/2)
+		return Handover(ctx, o.Fleet, o.Nodes, handoverSpan*o.Duration)
 	}},
 	{"list of VMs", func(ctx context.Context, o Options) ([]Slope, error) {
 		return Instances(ctx, o.Fleet, o.VMs)
