intent: an operator declares a VM dead

A node that has not armed blocks a move; the intent takes the operator's word, always with an accepted risk, so that neither present nor later moves wait.

--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -15,6 +15,8 @@
 	KindLoad           Kind = "load"
 	KindUnload         Kind = "unload"
 	KindChangeRole     Kind = "change-role"
+	// KindDeclareDead is an operator's word that an entry VM runs no more.
+	KindDeclareDead Kind = "declare-vm-dead"
 )
 
 // Intent is what an operator wants; the fields that its kind does not name are
@@ -23,7 +25,7 @@
 	Kind Kind `json:"kind"`
 	// Config is the YAML document of an apply-config.
 	Config string `json:"config,omitempty"`
-	// VM is the entry VM of a drain-vm.
+	// VM is the entry VM of a drain-vm or a declare-vm-dead.
 	VM string `json:"vm,omitempty"`
 	// Upstream is named by all kinds but apply-config, drain-vm and
 	// move-workspaces.
@@ -60,7 +62,7 @@
 	switch i.Kind {
 	case KindApplyConfig:
 		return required("config", i.Config)
-	case KindDrainVM:
+	case KindDrainVM, KindDeclareDead:
 		return required("vm", i.VM)
 	case KindDrainReplica:
 		return firstError(required("upstream", i.Upstream), required("replica", i.Replica))
@@ -83,6 +85,8 @@
 		return fmt.Sprintf("apply a configuration of %d bytes", len(i.Config))
 	case KindDrainVM:
 		return "drain VM " + i.VM
+	case KindDeclareDead:
+		return "declare VM " + i.VM + " dead"
 	case KindDrainReplica:
 		return fmt.Sprintf("drain replica %s of upstream %s", i.Replica, i.Upstream)
 	case KindMoveUpstream:
--- a/internal/intent/planner.go
+++ b/internal/intent/planner.go
@@ -53,6 +53,8 @@
 		return b.drainVM()
 	case KindDrainReplica:
 		return b.drainReplica()
+	case KindDeclareDead:
+		return b.declareDead()
 	case KindMoveUpstream, KindMoveWorkspaces:
 		return b.move()
 	}
@@ -131,3 +133,19 @@
 	b.add(Step{Kind: StepAwaitReplica, Target: r.Name, Touches: touches, Capacity: left, InFlight: inFlight, Expected: expectedFlight})
 	return nil
 }
+
+// declareDead is always risky: no part of the system can prove that a VM runs
+// no more.
+func (b *builder) declareDead() error {
+	name := b.intent.VM
+	b.risky = true
+	b.risk("if VM %s still runs, it and another data centre may both start work of a moving set: make sure that it is off", name)
+	if _, ok := b.stats.VMs[name]; ok {
+		b.risk("VM %s is a live member just now", name)
+	}
+	b.add(Step{
+		Kind: StepDeclareDead, Target: name, Expected: expectedWrite, NoReturn: true,
+		Touches: []string{"registration of VM " + name, "moves that wait for it"},
+	})
+	return nil
+}
--- a/internal/intent/planner_test.go
+++ b/internal/intent/planner_test.go
@@ -24,6 +24,7 @@
 		{name: "load on each replica", in: Intent{Kind: KindLoad, Upstream: "tab-llm", Model: "m"}, steps: []StepKind{StepOrderLoad, StepOrderLoad, StepOrderLoad}},
 		{name: "load on a service", in: Intent{Kind: KindLoad, Upstream: "tab-api", Model: "m"}, wantField: "upstream"},
 		{name: "role of no kind", in: Intent{Kind: KindChangeRole, Upstream: "tab-llm", Role: "x"}, wantField: "role"},
+		{name: "declare a VM dead", in: Intent{Kind: KindDeclareDead, VM: "vm-9"}, steps: []StepKind{StepDeclareDead}, risk: true, noReturn: 1},
 		{name: "no kind", in: Intent{}, wantField: "kind"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/intent/step.go
+++ b/internal/intent/step.go
@@ -25,6 +25,7 @@
 	StepOrderLoad     StepKind = "order-load"
 	StepOrderUnload   StepKind = "order-unload"
 	StepOrderRole     StepKind = "order-role"
+	StepDeclareDead   StepKind = "declare-dead"
 )
 
 // StepState is how far a step is.
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -103,6 +103,7 @@
 	for _, kind := range moveplan.Kinds {
 		actors[kind] = mover
 	}
+	actors[intent.StepDeclareDead] = moveplan.NewDeadActor(store)
 	orders := orderplan.NewActor(sender, configuration)
 	for _, kind := range orderplan.Kinds {
 		actors[kind] = orders
--- a/internal/operator/intentplanner.go
+++ b/internal/operator/intentplanner.go
@@ -29,7 +29,7 @@
 	return []string{
 		string(intent.KindDrainVM), string(intent.KindDrainReplica),
 		string(intent.KindMoveUpstream), string(intent.KindMoveWorkspaces),
-		string(intent.KindLoad), string(intent.KindUnload), string(intent.KindChangeRole),
+		string(intent.KindLoad), string(intent.KindUnload), string(intent.KindChangeRole), string(intent.KindDeclareDead),
 	}
 }
 
