Have three nodes a region read the platform's list of VMs

Change: the three owners of duty/instances by rendezvous hash read it; what is leaving reaches the others as notes of membership. Every node reads once at its start, and one that knows no other goes on reading. Measured: test with six nodes: three readers, three again after one is killed; reads of the list fall from one a node and period to three a region (60 nodes: a twentieth). Conclusion: a reader still pays the whole list; it is 3 nodes of 60.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +22,10 @@
 	// new after 3 s, with a second to spare.
 	instancesInterval = 2 * time.Second
 	instancesTimeout  = 2 * time.Second
+	// instancesReaders is how many nodes of a region read the list, so that
+	// one of them may be gone or cut off.
+	instancesReaders = 3
+	instancesDuty    = "duty/instances"
 )
 
 // members is the node's picture of the other nodes and of what is leaving.
@@ -165,11 +170,15 @@
 	}
 }
 
-// watchInstances reads the platform's list until ctx ends. An outage leaves
-// everything as it is.
+// watchInstances reads the platform's list until ctx ends, first of all and
+// then while this node is one of the readers. An outage leaves everything as
+// it is.
 func (m *members) watchInstances(ctx context.Context) {
+	m.readInstances(ctx)
 	for {
-		m.readInstances(ctx)
+		if m.readsInstances() {
+			m.readInstances(ctx)
+		}
 		timer := time.NewTimer(instancesInterval)
 		select {
 		case <-ctx.Done():
@@ -180,6 +189,20 @@
 	}
 }
 
+// readsInstances says whether this node is one of the few of its region that
+// read the whole list: it grows with the fleet, and what is leaving spreads
+// between the nodes anyway. A node that knows no other reads for itself.
+func (m *members) readsInstances() bool {
+	self := m.runner.Self().Name
+	return slices.ContainsFunc(m.runner.Owners(instancesDuty, instancesReaders), func(reader membership.Member) bool {
+		return reader.Name == self
+	})
+}
+
+// ReadsInstances says whether the node reads the platform's list of VMs at
+// present.
+func (n *Node) ReadsInstances() bool { return n.members.readsInstances() }
+
 func (m *members) readInstances(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, instancesTimeout)
 	defer cancel()
