--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -26,6 +26,7 @@
 	Nodes    []*node.Node
 	options  Options
 	standins *standins
+	document config.Document
 	// links are the nodes' peer addresses.
 	links []string
 	// clients are the nodes' links to the platform.
@@ -63,11 +64,17 @@
 		}
 		d.Nodes = append(d.Nodes, n)
 	}
+	d.document = *document
 	return d.connect(document)
 }
 
 func (d *Deployment) newNode(i int) (*node.Node, error) {
-	entry, err := listen(d.options.ListenBase, i)
+	return d.newNodeAt(i, d.options.ListenBase)
+}
+
+// newNodeAt creates the i-th node with its entry on the port base+i.
+func (d *Deployment) newNodeAt(i, base int) (*node.Node, error) {
+	entry, err := listen(base, i)
 	if err != nil {
 		return nil, err
 	}
@@ -77,7 +84,7 @@
 	}
 	name := fmt.Sprintf("vm-%d", i)
 	client := newPlatformClient(d.standins.platformAddress)
-	d.clients = append(d.clients, client)
+	d.setClient(i, client)
 	options := node.Options{
 		Name:             name,
 		AvailabilityZone: zoneOf(i, d.options),
@@ -91,7 +98,7 @@
 		Instances:        client.store,
 		Operators:        []settings.Operator{{Name: OperatorName, KeySHA256: config.HashKey(OperatorKey)}},
 		KeepTime:         d.options.KeepTime,
-		Seed:             d.options.Seed + uint64(i),
+		Seed:             d.options.Seed + uint64(len(d.links)),
 		Registry:         prometheus.NewRegistry(),
 		Log:              d.options.Log.WithField("node", name),
 	}
@@ -203,6 +210,9 @@
 // Service returns the i-th plain-service stand-in.
 func (d *Deployment) Service(i int) *service.Service { return d.standins.services[i] }
 
+// Document returns the configuration the deployment began with.
+func (d *Deployment) Document() config.Document { return d.document }
+
 // Platform returns the platform stand-in.
 func (d *Deployment) Platform() *memstore.Store { return d.standins.platform }
 
