--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -106,16 +106,11 @@
 }
 
 // takeRecord puts an accepted record of the platform in force if it is higher.
-// It reports whether it did.
+// It reports whether it did. No lock is held while the document is read, so
+// that a slow platform keeps no notice waiting.
 func (s *Syncer) takeRecord(ctx context.Context, record Record, from source) (bool, error) {
-	s.applying.Lock()
-	defer s.applying.Unlock()
-	if !s.isNews(wireOfRecord(record), from) {
-		return false, nil
-	}
-	delta := deltaOf(record)
-	if delta != nil && s.applyDeltas([]*configsyncv1.Delta{delta}, from) {
-		return true, nil
+	if done, moved := s.takeDelta(record, from); done {
+		return moved, nil
 	}
 	document, err := s.repository.Document(ctx, record)
 	if err != nil {
@@ -126,9 +121,24 @@
 	if err != nil {
 		return false, err
 	}
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	return s.move(state, from), nil
 }
 
+// takeDelta takes a record without its document: done means that it is no news
+// or that its patch led there.
+func (s *Syncer) takeDelta(record Record, from source) (done, moved bool) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	if !s.isNews(wireOfRecord(record), from) {
+		return true, false
+	}
+	delta := deltaOf(record)
+	moved = delta != nil && s.applyDeltas([]*configsyncv1.Delta{delta}, from)
+	return moved, moved
+}
+
 // deltaOf returns the delta that a record carries, or nil.
 func deltaOf(record Record) *configsyncv1.Delta {
 	if record.Patch == nil {
