--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -8,7 +8,6 @@
 
 	"github.com/google/uuid"
 
-	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
 	"galenatrestle/internal/platform"
 )
 
@@ -165,104 +164,12 @@
 	return true
 }
 
-// requestSteps are what may happen to one request.
-func (m *model) requestSteps(s *modelState, i int, try func(bool, func(*modelState))) {
-	request := s.requests[i]
-	for h, node := range s.nodes {
-		serving := node.ring != nil && !node.fencing
-		try(serving && request.state == requestIdle && request.tries < 2, func(s *modelState) { m.begin(s, i, h) })
-		try(serving && request.state == requestSent && request.finishes < 1, func(s *modelState) {
-			s.finish(i, h, claimv1.Phase_PHASE_RECORDED)
-		})
-		try(serving && request.state == requestAbandoned && request.finishes < 1, func(s *modelState) {
-			s.finish(i, h, claimv1.Phase_PHASE_RELEASED)
-		})
-	}
-	waiting := request.state == requestWaiting
-	try(waiting && s.durable(request), func(s *modelState) { m.decided(s, i) })
-	try(waiting, func(s *modelState) {
-		s.requests[i].state = requestIdle
-		s.requests[i].uncertain = true
-	})
-	try(request.state == requestIdle && request.uncertain, func(s *modelState) { m.abandon(s, i) })
-	try(request.state == requestGranted, func(s *modelState) { m.run(s, i) })
-	try(request.state == requestGranted && s.left.releases > 0, func(s *modelState) {
-		// The send failed before its first byte.
-		s.left.releases--
-		m.abandon(s, i)
-	})
-}
-
-func (m *model) begin(s *modelState, i, h int) {
-	r := s.nodes[h].ring
-	command := BeginCommand{
-		Key: modelKey, Content: modelContent, Attempt: attemptOf(i), Node: nodeName(i), Now: modelNow, Gone: s.gone,
-	}
-	decision, change, err := r.apply(modelKey, command, modelNow)
-	if err != nil {
-		m.failures = append(m.failures, err.Error())
-		return
-	}
-	request := &s.requests[i]
-	request.state = requestWaiting
-	request.tries++
-	request.holder, request.tenure = h, r.epoch
-	request.change, request.decision = change, decision
-}
-
-// durable says whether the request's holder can answer it.
-func (s *modelState) durable(request modelRequest) bool {
-	r := s.nodes[request.holder].ring
-	return r != nil && r.epoch == request.tenure && (r.durable >= request.change || s.early)
-}
-
-// decided gives the request its verdict.
-func (m *model) decided(s *modelState, i int) {
-	request := &s.requests[i]
-	request.state = requestOver
-	m.reached["verdict "+request.decision.Verdict.String()]++
-	switch request.decision.Verdict {
-	case Run:
-		request.state = requestGranted
-	case Recorded:
-		if s.sends != 1 {
-			m.failures = append(m.failures, "an answer was recorded though nothing ran")
-		}
-	}
-}
-
-func (m *model) run(s *modelState, i int) {
-	s.sends++
-	s.requests[i].state = requestSent
-	if s.sends > 1 {
-		m.failures = append(m.failures, "the call ran twice")
-	}
-	if s.requests[i].told == toldNotRun {
-		m.failures = append(m.failures, "the call ran after its caller was told not-run")
-	}
-}
-
-// abandon tells the caller not-run.
-func (m *model) abandon(s *modelState, i int) {
-	s.requests[i].state = requestAbandoned
-	s.requests[i].told = toldNotRun
-	m.reached["abandoned"]++
-}
-
-func (s *modelState) finish(i, h int, phase claimv1.Phase) {
-	s.requests[i].finishes++
-	command := FinishCommand{Key: modelKey, Attempt: attemptOf(i), Phase: phase, Now: modelNow}
-	// What the ring cannot decode was checked by begin.
-	_, _, _ = s.nodes[h].ring.apply(modelKey, command, modelNow)
-}
-
-// modelPolicies are a ring whose tail stays and one that moves with each write.
-func modelPolicies() map[string]Policy {
-	stays := Policy{Segments: 2, SegmentBytes: 1 << 20, InProgressLimit: time.Hour, KeyRetention: time.Hour}
-	moves := stays
-	moves.SegmentBytes = 1
-	return map[string]Policy{"tail stays": stays, "tail moves": moves}
-}
+// tailStays and tailMoves are a ring whose tail stays and one that moves with
+// each write.
+var (
+	tailStays = Policy{Segments: 2, SegmentBytes: 1 << 20, InProgressLimit: time.Hour, KeyRetention: time.Hour}
+	tailMoves = Policy{Segments: 2, SegmentBytes: 1, InProgressLimit: time.Hour, KeyRetention: time.Hour}
+)
 
 // newModel explores from a state in which node 0 is about to take over: nodes
 // and requests are alike, so that the first holder may be fixed.
@@ -279,30 +186,34 @@
 // TestModel visits every order of claims, writes, take-overs, crashes, lost and
 // late writes within the bound, and runs the real decisions in each.
 func TestModel(t *testing.T) {
-	bounds := map[string]budget{
-		"three holders": {takeovers: 2},
-		"crash":         {takeovers: 1, crashes: 1},
-		"lost answer":   {takeovers: 1, lost: 1},
-		"late write":    {takeovers: 1, late: 1},
-		"suspicion":     {takeovers: 1, suspicions: 1},
-		"release":       {takeovers: 1, releases: 1},
-	}
-	for policyName, policy := range modelPolicies() {
-		for boundName, bound := range bounds {
-			t.Run(policyName+", "+boundName, func(t *testing.T) {
-				t.Parallel()
-				m := newModel(&modelState{policy: policy, left: bound})
-				for _, failure := range m.failures {
-					t.Error(failure)
-				}
-				for _, wanted := range []string{"verdict run", "verdict recorded", "verdict in_progress", "write landed", "write superseded", "abandoned"} {
-					if m.reached[wanted] == 0 {
-						t.Errorf("the model never reached %q", wanted)
-					}
+	bounds := map[string]modelState{
+		"three holders": {policy: tailStays, left: budget{takeovers: 2}},
+		"crash":         {policy: tailStays, left: budget{takeovers: 1, crashes: 1}},
+		"lost answer":   {policy: tailStays, left: budget{takeovers: 1, lost: 1}},
+		"late write":    {policy: tailStays, left: budget{takeovers: 1, late: 1}},
+		"suspicion":     {policy: tailStays, left: budget{takeovers: 1, suspicions: 1}},
+		"release":       {policy: tailStays, left: budget{takeovers: 1, releases: 1}},
+
+		"three holders and crash, tail moves":   {policy: tailMoves, left: budget{takeovers: 2, crashes: 1}},
+		"crash and lost answer, tail moves":     {policy: tailMoves, left: budget{takeovers: 1, crashes: 1, lost: 1}},
+		"crash and late write, tail moves":      {policy: tailMoves, left: budget{takeovers: 1, crashes: 1, late: 1}},
+		"suspicion and lost answer, tail moves": {policy: tailMoves, left: budget{takeovers: 1, suspicions: 1, lost: 1}},
+		"release and late write, tail moves":    {policy: tailMoves, left: budget{takeovers: 1, releases: 1, late: 1}},
+	}
+	for name, start := range bounds {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			m := newModel(&start)
+			for _, failure := range m.failures {
+				t.Error(failure)
+			}
+			for _, wanted := range []string{"verdict run", "verdict recorded", "verdict in_progress", "write landed", "write superseded", "abandoned"} {
+				if m.reached[wanted] == 0 {
+					t.Errorf("the model never reached %q", wanted)
 				}
-				t.Logf("%d states, %v", len(m.seen), m.reached)
-			})
-		}
+			}
+			t.Logf("%d states, %v", len(m.seen), m.reached)
+		})
 	}
 }
 
@@ -315,7 +226,7 @@
 	}
 	for name, start := range broken {
 		t.Run(name, func(t *testing.T) {
-			start.policy = modelPolicies()["tail stays"]
+			start.policy = tailStays
 			m := newModel(&start)
 			if !slices.Contains(m.failures, "the call ran twice") {
 				t.Errorf("not found in %d states: %v", len(m.seen), m.failures)
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -86,6 +86,7 @@
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
+		ShareSlots:       d.options.ShareSlots,
 		Store:            client.store,
 		Instances:        client.store,
 		Operators:        []settings.Operator{{Name: OperatorName, KeySHA256: config.HashKey(OperatorKey)}},
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"time"
 
@@ -82,7 +81,7 @@
 
 // note remembers a failed attempt.
 func (e *exchange) note(l *lane, err error) {
-	if l.slot == nil || upstream.KindOf(err) == upstream.NotRun {
+	if l.slot == nil || provedNotRun(err) {
 		e.notRun++
 	}
 	if l.slot != nil {
@@ -119,7 +118,9 @@
 		}
 		data, err = l.stream.Next()
 	}
-	if errors.Is(err, io.EOF) {
+	// An *upstream.Error may have io.EOF for its cause: only the bare one is
+	// the end of a whole answer.
+	if err == io.EOF {
 		return nil
 	}
 	return err
--- a/internal/handover/gate.go
+++ b/internal/handover/gate.go
@@ -15,11 +15,14 @@
 // what it started. It is safe for concurrent use.
 type Gate struct {
 	now     func() time.Time
+	timing  Timing
 	metrics *Metrics
 
-	mu       sync.Mutex
-	p        Permission
-	inFlight map[flight]int64
+	mu sync.Mutex
+	p  Permission
+	// vouchEnds is when the last permission lent to others is over.
+	vouchEnds time.Time
+	inFlight  map[flight]int64
 	// changed is closed and replaced at each change of the permission.
 	changed chan struct{}
 }
@@ -34,7 +37,7 @@
 // moves: until one of Registered and Vouched is called everything waits.
 func NewGate(home func(upstream, workspace string) bool, timing Timing, metrics *Metrics, now func() time.Time) *Gate {
 	return &Gate{
-		now: now, metrics: metrics,
+		now: now, timing: timing, metrics: metrics,
 		p:        Permission{Home: home, Term: timing.Term},
 		inFlight: make(map[flight]int64),
 		changed:  make(chan struct{}),
@@ -66,14 +69,16 @@
 
 // Await starts the request as Start does, but holds it while the verdict is
 // Wait. When ctx ends first it returns a refusal that the request was not run.
-func (g *Gate) Await(ctx context.Context, upstream, workspace string) (Verdict, func(), error) {
+// One that the other data centre has relayed is never relayed again but refused
+// as not run: its first node looks again and knows better by then.
+func (g *Gate) Await(ctx context.Context, upstream, workspace string, relayed bool) (Verdict, func(), error) {
 	for {
 		changed := g.watch()
 		verdict, done := g.Start(upstream, workspace)
-		switch verdict.Kind {
-		case Serve, Relay:
+		switch {
+		case verdict.Kind == Serve, verdict.Kind == Relay && !relayed:
 			return verdict, done, nil
-		case NotHere:
+		case verdict.Kind != Wait:
 			return verdict, nil, refusal.New(refusal.Moving, step, "this data centre does not serve the upstream for the workspace")
 		}
 		select {
@@ -94,6 +99,8 @@
 	g.change(func(p *Permission) {
 		p.Refresh(moves, revision)
 		p.Registered = true
+		// An earlier process of this node may have lent permission.
+		g.vouchEnds = g.now().Add(g.timing.quietAfter())
 	})
 }
 
@@ -118,11 +125,30 @@
 	return armed
 }
 
-// Stop is the driver's call that the set is sealed; it returns how many
-// requests of the set are in flight here.
-func (g *Gate) Stop(id string, set Set, epoch int64) int64 {
-	g.change(func(p *Permission) { p.Stop(id, set, epoch) })
-	return g.InFlight(set)
+// Stop is the driver's call that the move's set is sealed, or opened; it
+// returns how many requests of the set are in flight here. It is not stopped
+// while permission that this node lent to others may last.
+func (g *Gate) Stop(m Move) (inFlight int64, stopped bool) {
+	g.change(func(p *Permission) { p.Stop(m) })
+	return g.InFlight(m.Set), g.lentNothing()
+}
+
+func (g *Gate) lentNothing() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.now().Before(g.vouchEnds)
+}
+
+// Vouch lends this node's permission for a term to one that can't register;
+// false where this node has none to lend.
+func (g *Gate) Vouch() ([]Move, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	moves, ok := g.p.Lend()
+	if ok {
+		g.vouchEnds = g.now().Add(g.timing.quietAfter())
+	}
+	return moves, ok
 }
 
 // Permit brings the driver's answer to a question sent at asked.
--- a/internal/handover/permission.go
+++ b/internal/handover/permission.go
@@ -62,9 +62,10 @@
 		return
 	}
 	n.move = m
-	if m.Role == RoleSource && m.Phase == PhaseArming && m.DriverEpoch > n.armed {
-		// Known from the record: this node may not have been asked at all, so
-		// it starts without a term.
+	if !p.Registered && m.Role == RoleSource && m.Phase == PhaseArming && m.DriverEpoch > n.armed {
+		// The first read after the registration: the driver may have listed
+		// the nodes before, so this one serves by permits from the start. One
+		// that registered before the record was written is asked to arm.
 		n.armed, n.until = m.DriverEpoch, time.Time{}
 	}
 }
@@ -87,16 +88,16 @@
 	return true
 }
 
-// Stop tells that the move's set is sealed.
-func (p *Permission) Stop(id string, set Set, epoch int64) {
-	n := p.find(id)
+// Stop tells that the move's set is sealed, or opened by the target.
+func (p *Permission) Stop(m Move) {
+	n := p.find(m.ID)
 	if n == nil {
-		p.moves = slices.Insert(p.moves, 0, nodeMove{move: Move{ID: id, Role: RoleSource, Set: set, DriverEpoch: epoch}})
+		p.moves = slices.Insert(p.moves, 0, nodeMove{move: Move{ID: m.ID, Role: RoleSource, Set: m.Set, DriverEpoch: m.DriverEpoch}})
 		n = &p.moves[0]
 	}
 	n.until = time.Time{}
-	if !n.move.Phase.sealedHere() {
-		n.move.Phase = PhaseSealed
+	if n.move.Phase.rank() < m.Phase.rank() {
+		n.move.Phase, n.move.RelayAddress = m.Phase, m.RelayAddress
 	}
 }
 
@@ -129,6 +130,23 @@
 	return asks
 }
 
+// Lend returns the moves for a node that serves on this node's permission for
+// a term; false where this node is not registered itself or a move is between
+// arming and open.
+func (p *Permission) Lend() ([]Move, bool) {
+	if !p.Registered {
+		return nil, false
+	}
+	var moves []Move
+	for _, n := range p.moves {
+		if n.armed > 0 && n.move.Phase == PhaseArming || n.move.Phase == PhaseSealed {
+			return nil, false
+		}
+		moves = append(moves, n.move)
+	}
+	return moves, true
+}
+
 // Verdict answers for a request at now.
 func (p *Permission) Verdict(upstream, workspace string, now time.Time) Verdict {
 	if !p.Registered && !now.Before(p.VouchedUntil) {
@@ -160,9 +178,9 @@
 		return Verdict{Kind: Wait}, true
 	case n.move.Phase == PhaseOpened, n.move.Phase == PhaseDone:
 		return Verdict{Kind: Relay, Address: n.move.RelayAddress}, true
-	case now.Before(n.until):
-		// The permit lets pass; an older move may decide, but for the newest
-		// one of a set that is served here that is the same.
+	case n.armed == 0, now.Before(n.until):
+		// Not armed, though registered before the record: the seal waits for
+		// this node. Or the permit lets pass. An older move may then decide.
 		return Verdict{}, false
 	}
 	return Verdict{Kind: Wait}, true
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,8 @@
 	peers    *peers
 	answers  *answers
 	claims   *claims
+	credits  *credits
+	moves    *moves
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -48,6 +50,8 @@
 	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
+	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -66,6 +70,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.moves.offer(&options)
 	return options
 }
 
@@ -90,6 +95,8 @@
 	n.answers.start()
 	n.sync.start()
 	n.claims.start()
+	n.credits.start()
+	n.moves.start()
 }
 
 // Stop shuts the node down gracefully: out of the entries, listener open
@@ -108,6 +115,8 @@
 			first = err
 		}
 	}
+	n.moves.close()
+	n.moves.leave(ctx)
 	n.claims.close()
 	if err := n.peers.server.Shutdown(ctx); err != nil && first == nil {
 		first = err
@@ -126,9 +135,11 @@
 }
 
 func (n *Node) close() {
+	n.moves.close()
 	n.claims.close()
 	n.sync.close()
 	n.answers.close()
+	n.credits.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -30,6 +30,10 @@
 	PeerKeys *peer.Keys
 	// Seeds are peer addresses to begin with, besides the platform's list.
 	Seeds []string
+	// ShareSlots has the replicas' owners share their slots between the nodes
+	// (package credit). Without it each node uses replicas up to their limits
+	// by itself.
+	ShareSlots bool
 	// EntryAddress and PeerAddress are told to others. Default: the
 	// listeners' own addresses.
 	EntryAddress string
@@ -42,6 +46,12 @@
 	Operators []settings.Operator
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
+	// Counterparts are peer addresses of the other data centres' systems, by
+	// data centre.
+	Counterparts map[string][]string
+	// Home says whether this data centre serves an upstream for a workspace as
+	// long as no move says otherwise. Default: always.
+	Home func(upstream, workspace string) bool
 	// KeepTime is how long a leaving node keeps its listener open, so that
 	// callers who hold its address still reach it. Default: the entry TTL and
 	// a second.
@@ -61,6 +71,9 @@
 	if o.PeerAddress == "" && o.Peer != nil {
 		o.PeerAddress = o.Peer.Addr().String()
 	}
+	if o.Home == nil {
+		o.Home = func(string, string) bool { return true }
+	}
 	if o.KeepTime == 0 {
 		o.KeepTime = defaultKeepTime
 	}
--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -3,46 +3,92 @@
 import (
 	"slices"
 	"time"
+
+	"galenatrestle/internal/balancer"
+	"galenatrestle/internal/estimate"
 )
 
-// choose returns the replica for w by the power of two choices on this node's
-// own requests in flight, or nil where none is free.
-func (p *Pool) choose(now time.Time, w *waiting) *replicaState {
-	candidates := p.candidates(now, w)
-	if len(candidates) == 0 {
+// choose returns the replica for the request, or nil where none of the free
+// ones is fit for it.
+func (p *Pool) choose(now time.Time, request *Request) *replicaState {
+	free := p.fit(now, request)
+	if len(free) == 0 {
 		return nil
 	}
-	first := candidates[p.rand.IntN(len(candidates))]
-	second := candidates[p.rand.IntN(len(candidates))]
-	if second.running < first.running {
-		return second
+	p.candidates = p.candidates[:0]
+	for _, r := range free {
+		p.candidates = append(p.candidates, p.candidate(now, request, r))
+	}
+	need := balancer.Need{
+		Prefill: p.speed.Service(request.PromptTokens, 0),
+		Answer:  p.speed.Service(0, p.length(request, estimate.Median, usualTokens)),
+	}
+	return free[p.balancer.Choose(need, p.candidates)]
+}
+
+func (p *Pool) candidate(now time.Time, request *Request, r *replicaState) balancer.Candidate {
+	c := balancer.Candidate{
+		Running: r.running, Limit: r.limit(), Slowness: r.slowness,
+		Cached:          p.cacheGain * r.prefixes.Match(request.PrefixHashes),
+		SameZone:        r.AvailabilityZone == p.zone,
+		ReportedRunning: r.report.Running,
+		ReportAge:       -1,
+	}
+	if !r.report.At.IsZero() {
+		c.ReportAge = max(now.Sub(r.report.At), 0)
 	}
-	return first
+	return c
 }
 
-// candidates lists the free replicas that w need not avoid. Where w avoids all
-// open replicas, avoiding has no point and all free ones count.
-func (p *Pool) candidates(now time.Time, w *waiting) []*replicaState {
-	var free []*replicaState
-	avoidable := false
+// fit lists the free replicas for the request: of those that it need not avoid
+// the ones fast enough for it. It waits for these while one of them works; else
+// a straggler is better than none, and one to avoid better than waiting for none.
+func (p *Pool) fit(now time.Time, request *Request) []*replicaState {
+	p.free = p.free[:0]
+	worthWaiting := false
 	for _, r := range p.order {
-		if !r.open() || slices.Contains(w.request.Avoid, r.Name) {
+		if request.avoids(r) || !p.fastEnough(now, request, r) {
 			continue
 		}
-		avoidable = true
+		worthWaiting = worthWaiting || r.works(now)
 		if r.free(now) {
-			free = append(free, r)
+			p.free = append(p.free, r)
+		}
+	}
+	if worthWaiting || len(p.free) > 0 {
+		return p.free
+	}
+	for _, r := range p.order {
+		if r.free(now) && !request.avoids(r) {
+			p.free = append(p.free, r)
 		}
 	}
-	if avoidable {
-		return free
+	if len(p.free) > 0 {
+		return p.free
 	}
 	for _, r := range p.order {
 		if r.free(now) {
-			free = append(free, r)
+			p.free = append(p.free, r)
 		}
 	}
-	return free
+	return p.free
+}
+
+func (r *Request) avoids(replica *replicaState) bool {
+	return slices.Contains(r.Avoid, replica.Name)
+}
+
+// fastEnough says whether a straggler may be tried with the request: not with
+// one of the highest tier, and only where the target leaves time for it.
+func (p *Pool) fastEnough(now time.Time, request *Request, r *replicaState) bool {
+	if !r.suspect() {
+		return true
+	}
+	if request.Tier == p.highestTier {
+		return false
+	}
+	slow := time.Duration(r.slowness * float64(p.service(request, estimate.P90)))
+	return !request.AnswerBy.IsZero() && now.Add(slow).Before(request.AnswerBy)
 }
 
 func (p *Pool) anyFree(now time.Time) bool {
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -111,6 +112,7 @@
 		{"overloaded, but not 503", answer(500, openai.CodeOverloaded), Refused},
 		{"bad request", answer(400, "bad"), Refused},
 		{"dies before the answer", func(w http.ResponseWriter, _ *http.Request) { reset(w) }, Crashed},
+		{"closes before the answer", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, Crashed},
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
@@ -119,6 +121,9 @@
 			if !errors.As(err, &failed) || failed.Kind != test.want || failed.Peer == "" || failed.Step == "" {
 				t.Fatalf("error %v, want kind %s with step and peer", err, test.want)
 			}
+			if errors.Is(err, io.EOF) {
+				t.Fatalf("error %v can be taken for a clean end", err)
+			}
 		})
 	}
 }
@@ -211,6 +216,11 @@
 		if KindOf(err) != Timeout || time.Since(began) != time.Minute {
 			t.Fatalf("error %v after %v, want %s after a minute", err, time.Since(began), Timeout)
 		}
+		began = time.Now()
+		_, err = engine.Start(t.Context(), "engine:1", EngineCall{Path: "/", Patience: time.Second})
+		if KindOf(err) != Timeout || time.Since(began) != time.Second {
+			t.Fatalf("error %v after %v, want %s after a second", err, time.Since(began), Timeout)
+		}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if _, err := engine.Start(ctx, "engine:1", EngineCall{Path: "/"}); KindOf(err) != Timeout {
@@ -218,3 +228,21 @@
 		}
 	})
 }
+
+// TestConnectionClosedBeforeTheAnswerIsNoCleanEnd has a server that closes the
+// connection after reading the request, which net/http reports as io.EOF.
+func TestConnectionClosedBeforeTheAnswerIsNoCleanEnd(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		panic(http.ErrAbortHandler)
+	}))
+	defer server.Close()
+	engine := NewEngine(Options{})
+	defer engine.Close()
+	_, err := engine.Start(t.Context(), strings.TrimPrefix(server.URL, "http://"), EngineCall{Path: "/", Body: []byte("{}")})
+	if KindOf(err) != Crashed {
+		t.Errorf("error %v, want a crash", err)
+	}
+	if errors.Is(err, io.EOF) {
+		t.Errorf("error %v can be taken for a clean end", err)
+	}
+}
