--- /dev/null
+++ b/internal/router/pool_model_test.go
@@ -0,0 +1,139 @@
+package router
+
+import (
+	"slices"
+
+	"galenatrestle/internal/refusal"
+)
+
+func (m *model) submit(r Request) {
+	lowest := m.lowestWaiting()
+	if refused := m.pool.Submit(m.now, r); refused != nil {
+		if refused.Reason == refusal.QueueFull && len(m.waiting) >= 14 && lowest > r.Tier && m.classWaiting(r.Class) < 6 {
+			m.t.Fatalf("%s of tier %d refused while tier %d waits", r.ID, r.Tier, lowest)
+		}
+		m.end(r.ID, "refused")
+		return
+	}
+	m.waiting[r.ID] = r
+	m.requests[r.ID] = r
+	for _, event := range m.pool.shed {
+		victim := m.requests[event.ID]
+		if victim.Tier <= r.Tier || victim.Tier != lowest {
+			m.t.Fatalf("tier %d shed for tier %d while tier %d waited", victim.Tier, r.Tier, lowest)
+		}
+	}
+	m.next()
+}
+
+func (m *model) lowestWaiting() int {
+	lowest := -1
+	for _, r := range m.waiting {
+		lowest = max(lowest, r.Tier)
+	}
+	return lowest
+}
+
+func (m *model) classWaiting(class string) int {
+	n := 0
+	for _, r := range m.waiting {
+		if r.Class == class {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *model) end(id, how string) {
+	if before, ok := m.ended[id]; ok {
+		m.t.Fatalf("%s ended as %s and again as %s", id, before, how)
+	}
+	m.ended[id] = how
+}
+
+func (m *model) next() {
+	for _, event := range m.pool.Next(m.now) {
+		r, ok := m.waiting[event.ID]
+		if !ok {
+			m.t.Fatalf("event for %s, which does not wait", event.ID)
+		}
+		delete(m.waiting, event.ID)
+		if event.Refused != nil {
+			m.checkRefusal(r, event.Refused)
+			m.end(event.ID, "refused")
+			continue
+		}
+		if m.leaving[event.Replica.Name] {
+			m.t.Fatalf("%s bound to leaving %s", event.ID, event.Replica.Name)
+		}
+		m.running[event.ID] = event.Replica.Name
+	}
+	m.check()
+}
+
+// checkRefusal checks that a request that waited was given up for its own time
+// alone, or for a higher tier.
+func (m *model) checkRefusal(r Request, refused *refusal.Error) {
+	switch refused.Reason {
+	case refusal.ShedForHigher:
+	case refusal.GaveUpWaiting, refusal.TooLate:
+		if half := r.GiveUpAt.Sub(r.Arrived) / 2; m.now.Before(r.Arrived.Add(half)) {
+			m.t.Fatalf("%s refused as %s in the first half of its time", r.ID, refused.Reason)
+		}
+	default:
+		m.t.Fatalf("%s refused as %s while it waited", r.ID, refused.Reason)
+	}
+	if refused.RetryAfter <= 0 {
+		m.t.Fatalf("%s refused without RetryAfter", r.ID)
+	}
+}
+
+// check compares the books after Next.
+func (m *model) check() {
+	perReplica := make(map[string]int)
+	shared := make(map[string]int)
+	for id, name := range m.running {
+		perReplica[name]++
+		if m.pool.running[id].item.ByShare() {
+			shared[m.requests[id].Class]++
+		}
+	}
+	stats := m.pool.Stats(m.now)
+	for _, r := range stats.Replicas {
+		if r.Running != perReplica[r.Name] {
+			m.t.Fatalf("%s runs %d, want %d", r.Name, r.Running, perReplica[r.Name])
+		}
+	}
+	if len(m.pool.waiting) != len(m.waiting) || m.pool.queue.Len() != len(m.waiting) || len(m.pool.running) != len(m.running) {
+		m.t.Fatalf("pool holds %d waiting, %d running; want %d, %d", len(m.pool.waiting), len(m.pool.running), len(m.waiting), len(m.running))
+	}
+	for class, n := range shared {
+		if most := 20; n > max(1, most*3/10) {
+			m.t.Fatalf("class %s holds %d slots by its share", class, n)
+		}
+	}
+	m.checkWaiting()
+}
+
+// checkWaiting checks that none waits past its time, and that none that could
+// run now is left waiting.
+func (m *model) checkWaiting() {
+	for _, r := range m.waiting {
+		if !r.GiveUpAt.After(m.now) {
+			m.t.Fatalf("%s waits past its time", r.ID)
+		}
+		if len(r.Avoid) == 0 && m.anyFast() {
+			m.t.Fatalf("%s waits while a replica is free", r.ID)
+		}
+	}
+	if len(m.waiting) > 0 && m.pool.Deadline(m.now).IsZero() {
+		m.t.Fatal("requests wait and Deadline is zero")
+	}
+}
+
+// anyFast says whether a replica is free that is not taken for a straggler.
+func (m *model) anyFast() bool {
+	return slices.ContainsFunc(m.pool.order, func(r *replicaState) bool {
+		return r.free(m.now) && !r.suspect()
+	})
+}
