Move the commands' bodies to internal/command

Cause: a main package can't be imported, so that a test which runs several of our programs as processes would have to build them first. Change: each command's body is a package with a Main; cmd/ holds one line each. Nothing else is changed; the commands' scripts moved along and pass. Result: go test ./internal/command/... passes.

--- a/cmd/trestled/main.go
+++ b/cmd/trestled/main.go
@@ -2,46 +2,6 @@
 // service, the link to the other nodes and the control duties.
 package main
 
-import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
+import "galenatrestle/internal/command/trestled"
 
-	"github.com/alecthomas/kong"
-
-	"galenatrestle/internal/daemon"
-	"galenatrestle/internal/version"
-)
-
-const description = `Serve on one entry VM.
-
-SIGTERM and SIGINT shut the node down gracefully: it leaves the entries, keeps
-its listener open while callers hold its address, and finishes what runs.
-
-Examples:
-  trestled --settings /etc/trestle/trestled.yaml
-  trestled --settings trestled.yaml --check`
-
-// commandLine is trestled's command line.
-type commandLine struct {
-	Settings string           `help:"Settings file." required:"" type:"path"`
-	Check    bool             `help:"Check the settings and exit."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
-}
-
-func main() {
-	var cli commandLine
-	parser := kong.Parse(&cli,
-		kong.Name("trestled"),
-		kong.Description(description),
-		kong.Vars{"version": version.String()},
-	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if cli.Check {
-		parser.FatalIfErrorf(daemon.Check(cli.Settings))
-		return
-	}
-	parser.FatalIfErrorf(daemon.Run(ctx, cli.Settings, os.Stderr))
-}
+func main() { trestled.Main() }
--- a/cmd/trestlectl/intent.go
+++ b/internal/command/trestlectl/intent.go
@@ -1,4 +1,4 @@
-package main
+package trestlectl
 
 import (
 	"context"
--- a/cmd/trestlectl/main_test.go
+++ b/internal/command/trestlectl/main_test.go
@@ -1,4 +1,4 @@
-package main
+package trestlectl
 
 import (
 	"context"
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,7 +28,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"trestlectl": func() { os.Exit(run(os.Args[1:])) },
+		"trestlectl": Main,
 	})
 }
 
--- /dev/null
+++ b/internal/command/trestleload/main.go
@@ -0,0 +1,42 @@
+// Package trestleload is the command trestle-load. It offers load to entry
+// addresses and reports what became of it, or replays a trace against its stated
+// outcomes.
+package trestleload
+
+import (
+	"github.com/alecthomas/kong"
+
+	"galenatrestle/internal/version"
+)
+
+const description = `Offer load to a deployment and measure it.
+
+Examples:
+  trestle-load run bench/friday-night.yaml --entry 127.0.0.1:8080 --runs http://127.0.0.1:9090
+  trestle-load run bench/cold-morning.yaml --ask-entries --json
+  trestle-load run bench/straggler.yaml --embedded-nodes 8 --embedded-engines 20 --scale 5
+  trestle-load path --rate 2000 --tokens 16
+  trestle-load capacity --nodes 2,4,8 --plot capacity.svg
+  trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
+
+It exits with 1 where a promise was broken or an outcome differs.`
+
+// commands are the subcommands, each in a file of its own.
+type commands struct {
+	Run      runCommand       `cmd:"" help:"Run a workload, open loop, and report."`
+	Replay   replayCommand    `cmd:"" help:"Replay a trace and compare each outcome with the stated one."`
+	Path     pathCommand      `cmd:"" help:"Measure what the path through a node adds to a call straight to the engine."`
+	Capacity capacityCommand  `cmd:"" help:"Measure how the cost of each role grows, and what it is at the fleet's size."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// Main runs the command line of the process.
+func Main() {
+	var cli commands
+	ctx := kong.Parse(&cli,
+		kong.Name("trestle-load"),
+		kong.Description(description),
+		kong.Vars{"version": version.String()},
+	)
+	ctx.FatalIfErrorf(ctx.Run())
+}
--- a/cmd/trestle-load/main_test.go
+++ b/internal/command/trestleload/main_test.go
@@ -1,4 +1,4 @@
-package main
+package trestleload
 
 import (
 	"testing"
@@ -7,7 +7,7 @@
 )
 
 func TestMain(m *testing.M) {
-	testscript.Main(m, map[string]func(){"trestle-load": main})
+	testscript.Main(m, map[string]func(){"trestle-load": Main})
 }
 
 func TestScripts(t *testing.T) {
