Add process scenarios; the first brings a deployment up

Cause: nothing ran the commands as processes against each other. Change: package processtest, testscript scenarios with commands to start, kill, freeze and cut real processes.

--- /dev/null
+++ b/internal/processtest/main_test.go
@@ -0,0 +1,63 @@
+package processtest
+
+import (
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"galenatrestle/internal/command/standin"
+	"galenatrestle/internal/command/trestlectl"
+	"galenatrestle/internal/command/trestled"
+	"galenatrestle/internal/command/trestleload"
+)
+
+// scriptsAtOnce bounds the processes that run at one time: a script has about
+// ten.
+const scriptsAtOnce = 3
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"trestled":        trestled.Main,
+		"trestlectl":      trestlectl.Main,
+		"trestle-standin": standin.Main,
+		"trestle-load":    trestleload.Main,
+	})
+}
+
+type scriptCommand = func(ts *testscript.TestScript, neg bool, args []string)
+
+func TestScripts(t *testing.T) {
+	slots := make(chan struct{}, scriptsAtOnce)
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			slots <- struct{}{}
+			env.Defer(func() { <-slots })
+			return setup(env)
+		},
+		Cmds: map[string]scriptCommand{
+			"start":       startCommand,
+			"waitline":    waitLineCommand,
+			"waitexit":    waitExitCommand,
+			"kill9":       signalCommand(kill),
+			"term":        signalCommand(terminate),
+			"freeze":      signalCommand(freeze),
+			"thaw":        signalCommand(thaw),
+			"cut":         cutCommand,
+			"restore":     restoreCommand,
+			"waithttp":    waitHTTPCommand,
+			"exitcode":    exitCodeCommand,
+			"plan":        planCommand,
+			"confirmrace": confirmRaceCommand,
+			"up":          upCommand,
+			"chat":        chatCommand,
+			"stream":      streamCommand,
+			"streamend":   streamEndCommand,
+			"settle":      settleCommand,
+			"waitsettle":  waitSettleCommand,
+			"settleall":   settleAllCommand,
+			"settled":     settledCommand,
+			"checkruns":   checkRunsCommand,
+		},
+	})
+}
