--- a/internal/processtest/commands_test.go
+++ b/internal/processtest/commands_test.go
@@ -82,7 +82,7 @@
 	}
 	for _, s := range d.services {
 		if s.Name == name {
-			run(s, "service", "--latency", "100ms")
+			run(s, "service", "--latency", "300ms")
 			return
 		}
 	}
--- a/internal/processtest/main_test.go
+++ b/internal/processtest/main_test.go
@@ -46,6 +46,7 @@
 			"cut":         cutCommand,
 			"restore":     restoreCommand,
 			"waithttp":    waitHTTPCommand,
+			"holder":      holderCommand,
 			"exitcode":    exitCodeCommand,
 			"plan":        planCommand,
 			"confirmrace": confirmRaceCommand,
