capacity: measure idle spans that hold at least one message

The test at tiny sizes found no message in half a second for configuration and load reports; the spans now have a least length. go test -race -count=5 passes.

--- a/internal/capacity/spread.go
+++ b/internal/capacity/spread.go
@@ -19,8 +19,10 @@
 
 const (
 	spreadChanges = 5
-	spreadLimit   = 10 * time.Second
-	spreadPoll    = 2 * time.Millisecond
+	// leastIdle is longer than the longest time between two pulls.
+	leastIdle   = 2500 * time.Millisecond
+	spreadLimit = 10 * time.Second
+	spreadPoll  = 2 * time.Millisecond
 )
 
 // Spread runs so many configuration syncers in this process and returns what an
@@ -74,6 +76,7 @@
 
 func spreadAt(ctx context.Context, fleet Fleet, n int, idleFor time.Duration) (spreadCost, error) {
 	ctx, stop := context.WithCancel(ctx)
+	idleFor = max(idleFor, leastIdle)
 	var running sync.WaitGroup
 	defer running.Wait()
 	defer stop()
--- a/internal/capacity/watching.go
+++ b/internal/capacity/watching.go
@@ -30,6 +30,9 @@
 	return fitAll(bytes, cpu)
 }
 
+// leastWatched is longer than the time between two reads of a report.
+const leastWatched = 2500 * time.Millisecond
+
 // watch serves n engines on one address and returns what one node spends on
 // their reports.
 func watch(fleet Fleet, n int, d time.Duration) (rate, core float64, err error) {
@@ -49,6 +52,7 @@
 	owner.Configure(config.NewIndex(1, enginesAt(fleet, n, listener.Addr().String())))
 	owner.Start()
 	time.Sleep(d)
+	d = max(d, leastWatched)
 	before := listener.bytes.Load()
 	used := cpuOf(func() { time.Sleep(d) })
 	return float64(listener.bytes.Load()-before) / d.Seconds(), used.Seconds() / d.Seconds(), nil
