--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -20,10 +20,14 @@
 	Basis string
 }
 
-// Messages of a configuration change at each node, sent or received, as
+// messagesPerChange is the messages of a configuration change at each node, sent or received, as
 // package configsync's own test counts them at 60 nodes.
 const messagesPerChange = 9
 
+// tcpAndTLS is an estimate, as membership's test makes it, of a call's bytes in
+// TCP, IP and TLS, which a count on the connection leaves out.
+const tcpAndTLS = 186
+
 // lookup finds slopes by role and the beginning of their quantity.
 type lookup []Slope
 
@@ -47,6 +51,28 @@
 	return 0
 }
 
+// target returns the size at which the role runs.
+func (l lookup) target(role Role) float64 {
+	for _, s := range l {
+		if s.Role == role {
+			return s.Target
+		}
+	}
+	return 0
+}
+
+// instances is the mean node's part of reading the platform's list of VMs.
+func (l lookup) instances(fleet Fleet) Share {
+	reader := readsOfReader * l.at(RoleInstances, "bytes")
+	mean := readersPerRegion / fleet.NodesPerRegion()
+	return Share{
+		Role:           RoleInstances,
+		BytesPerSecond: mean * reader,
+		Core:           mean * readsOfReader * l.at(RoleInstances, "processor time"),
+		Basis:          fmt.Sprintf("mean of all nodes; a reader, %d a region, spends %s", readersPerRegion, Quantity(reader, "B/s")),
+	}
+}
+
 // Budget adds up what control takes at a node.
 func Budget(fleet Fleet, slopes []Slope) []Share {
 	l := lookup(slopes)
@@ -71,11 +97,23 @@
 			Bytes:          2 * l.at(RoleConfiguration, "heap of one revision"),
 			Basis:          "idle pulls, changes; two revisions during a change",
 		},
+		l.instances(fleet),
+		{
+			Role:           RoleCredits,
+			BytesPerSecond: l.at(RoleCredits, "bytes") + l.at(RoleCredits, "calls")*tcpAndTLS,
+			Core:           l.at(RoleCredits, "processor time"),
+			Basis:          "asks and grants; off by default",
+		},
+		{
+			Role:           RoleWatching,
+			BytesPerSecond: l.at(RoleWatching, "bytes") + l.target(RoleWatching)*tcpAndTLS,
+			Core:           l.at(RoleWatching, "processor time"),
+			Basis:          "load reports of the engines owned, if only those of the region are",
+		},
 		{
-			Role:           RoleInstances,
-			BytesPerSecond: l.at(RoleInstances, "bytes"),
-			Core:           l.at(RoleInstances, "processor time"),
-			Basis:          "a reader, every 5 s",
+			Role:  RoleQuotas,
+			Bytes: l.at(RoleQuotas, "heap"),
+			Basis: "all workspaces; not wired into the node yet",
 		},
 		{
 			Role:           RoleQuarantine,
@@ -91,8 +129,8 @@
 		},
 		{
 			Role:  RoleDecisions,
-			Bytes: float64(fleet.Models) * (l.at(RoleDecisions, "heap of the length estimates") + l.at(RoleDecisions, "heap of one pool")),
-			Basis: "pools and length estimates of all models",
+			Bytes: float64(fleet.Models) * l.at(RoleDecisions, "heap of the length estimates"),
+			Basis: "length estimates of all models at their bound",
 		},
 		{
 			Role:  RoleNode,
--- a/internal/capacity/budget_test.go
+++ b/internal/capacity/budget_test.go
@@ -11,7 +11,7 @@
 }
 
 func TestBudgetAddsUp(t *testing.T) {
-	fleet := Fleet{ChangesPerDay: secondsPerDay, Models: 2}
+	fleet := Fleet{ChangesPerDay: secondsPerDay, Models: 2, Nodes: 60, Regions: 2}
 	shares := Budget(fleet, []Slope{
 		straight(RolePeerLink, "processor time of a call", 0.002),
 		straight(RoleMembership, "bytes in and out", 1000),
@@ -21,7 +21,9 @@
 		straight(RoleConfiguration, "processor time of a small change at a node", 0.5),
 		straight(RoleConfiguration, "heap of one revision", 100),
 		straight(RoleNode, "heap with all replicas", 350),
-		straight(RoleDecisions, "heap of one pool", 7),
+		straight(RoleDecisions, "heap of the length estimates of one model", 7),
+		straight(RoleInstances, "bytes of one read", 20000),
+		straight(RoleCredits, "calls made and answered", 2),
 	})
 	var core, bytesPerSecond, memory float64
 	for _, s := range shares {
@@ -29,7 +31,7 @@
 		bytesPerSecond += s.BytesPerSecond
 		memory += s.Bytes
 	}
-	wantBytes := 1000 + 30 + messagesPerChange*callFraming + callFraming*exchangesPerSecond
+	wantBytes := 1000 + 30 + messagesPerChange*callFraming + callFraming*exchangesPerSecond + 1000 + 2*tcpAndTLS
 	wantCore := 0.01 + 3*0.001 + 0.5 + messagesPerChange*0.001 + exchangesPerSecond*0.001
 	const wantMemory = 200 + 250 + 14
 	for name, pair := range map[string][2]float64{
--- a/internal/capacity/platformlink.go
+++ b/internal/capacity/platformlink.go
@@ -14,8 +14,10 @@
 const (
 	platformCalls = 200
 	instanceReads = 10
-	// instancesInterval is how often a node reads the platform's list of VMs.
-	instancesInterval = 5.0
+	// readsOfReader is how often a reader reads the platform's list of VMs in a
+	// second, readersPerRegion how many nodes are readers.
+	readsOfReader    = 0.5
+	readersPerRegion = 3
 )
 
 // platformLink is a client of the platform and the stand-in that answers it.
@@ -84,8 +86,8 @@
 func Instances(ctx context.Context, fleet Fleet, vms []int) ([]Slope, error) {
 	base := Slope{Role: RoleInstances, Against: "VMs listed", Target: float64(fleet.Nodes + fleet.Replicas)}
 	wire, cpu := base, base
-	wire.Quantity, wire.Unit = "bytes in and out of a reader", "B/s"
-	cpu.Quantity, cpu.Unit = "processor time of a reader, both ends", "core"
+	wire.Quantity, wire.Unit = "bytes of one read", "B"
+	cpu.Quantity, cpu.Unit = "processor time of one read, both ends", "s"
 	link, err := newPlatformLink()
 	if err != nil {
 		return nil, err
@@ -102,8 +104,8 @@
 		if err != nil {
 			return nil, err
 		}
-		wire.add(n, float64(link.listener.bytes.Load()-before)/instanceReads/instancesInterval)
-		cpu.add(n, used.Seconds()/instanceReads/instancesInterval)
+		wire.add(n, float64(link.listener.bytes.Load()-before)/instanceReads)
+		cpu.add(n, used.Seconds()/instanceReads)
 	}
 	return fitAll(wire, cpu)
 }
