quarantine: compare digests before exchanging all records

Change: an exchange sends an order-free digest; only where the peer's differs do records go, both ways. Measured: nodes that know the same make one call without records (test counts them): bytes no longer grow with the records at rest. Conclusion: a changed record costs one whole exchange for each pair that meets before it has spread; news itself goes by the pushed records.

--- a/internal/quarantine/quarantinerpc/handler.go
+++ b/internal/quarantine/quarantinerpc/handler.go
@@ -24,9 +24,12 @@
 func (h *handler) Exchange(_ context.Context, request *connect.Request[quarantinev1.ExchangeRequest]) (*connect.Response[quarantinev1.ExchangeResponse], error) {
 	now := time.Now()
 	h.tracker.Merge(now, fromProto(request.Msg.GetRecords()))
-	response := &quarantinev1.ExchangeResponse{}
-	if request.Msg.GetAll() {
-		response.Records = toProto(h.tracker.Records(now))
+	if !request.Msg.GetAll() {
+		return connect.NewResponse(&quarantinev1.ExchangeResponse{}), nil
 	}
-	return connect.NewResponse(response), nil
+	records := h.tracker.Records(now)
+	if quarantine.Digest(records) == request.Msg.GetDigest() {
+		return connect.NewResponse(&quarantinev1.ExchangeResponse{Same: true}), nil
+	}
+	return connect.NewResponse(&quarantinev1.ExchangeResponse{Records: toProto(records)}), nil
 }
--- a/internal/quarantine/quarantinerpc/spreader.go
+++ b/internal/quarantine/quarantinerpc/spreader.go
@@ -112,7 +112,8 @@
 	_ = group.Wait()
 }
 
-// exchange asks one peer for everything and tells it everything.
+// exchange compares digests with one peer, and where they differ asks it for
+// everything and tells it everything.
 func (s *Spreader) exchange(ctx context.Context) {
 	addresses := s.peers()
 	if len(addresses) == 0 {
@@ -120,9 +121,13 @@
 	}
 	address := addresses[rand.IntN(len(addresses))]
 	records := s.tracker.Records(time.Now())
-	response := s.call(ctx, address, &quarantinev1.ExchangeRequest{Records: toProto(records), All: true})
-	if response != nil {
-		s.tracker.Merge(time.Now(), fromProto(response.GetRecords()))
+	response := s.call(ctx, address, &quarantinev1.ExchangeRequest{All: true, Digest: quarantine.Digest(records)})
+	if response == nil || response.GetSame() {
+		return
+	}
+	s.tracker.Merge(time.Now(), fromProto(response.GetRecords()))
+	if len(records) > 0 {
+		s.call(ctx, address, &quarantinev1.ExchangeRequest{Records: toProto(records)})
 	}
 }
 
--- a/internal/quarantine/quarantinerpc/spreader_test.go
+++ b/internal/quarantine/quarantinerpc/spreader_test.go
@@ -96,3 +96,22 @@
 		t.Errorf("got back %+v of %+v", back, records[0])
 	}
 }
+
+// TestEqualSetsExchangeTheirDigestOnly counts the calls of an exchange between
+// nodes that know the same: one, and it carries no record.
+func TestEqualSetsExchangeTheirDigestOnly(t *testing.T) {
+	there, address := served(t)
+	here := quarantine.NewTracker(0)
+	crashTwice(here, 1)
+	crashTwice(there, 2)
+	s := spreader(here, address)
+	s.exchange(t.Context())
+	first := testutil.ToFloat64(s.calls.WithLabelValues("done"))
+	s.exchange(t.Context())
+	if second := testutil.ToFloat64(s.calls.WithLabelValues("done")) - first; first != 2 || second != 1 {
+		t.Errorf("%v calls in the first exchange, %v in the second; want 2 and 1", first, second)
+	}
+	crashTwice(there, 3)
+	s.exchange(t.Context())
+	wantVerdict(t, here, 3, quarantine.Refuse)
+}
