--- a/internal/answer/bench_test.go
+++ b/internal/answer/bench_test.go
@@ -31,7 +31,10 @@
 // for, in bytes.
 func BenchmarkMemory(b *testing.B) {
 	const answers, tokens = 200, 500
-	data := []byte(strings.Repeat("x", chunkBytes))
+	chunks := make([][]byte, tokens)
+	for i := range chunks {
+		chunks[i] = []byte(chunk(i))
+	}
 	for range b.N {
 		var before, after runtime.MemStats
 		runtime.GC()
@@ -43,7 +46,7 @@
 				b.Fatal(err)
 			}
 			for i := range int64(tokens) {
-				_ = r.Append(start, 1, i+1, data)
+				_ = r.Append(start, 1, i+1, chunks[i])
 			}
 			_ = r.Finish(start, 1, tokens)
 		}
--- a/internal/answer/event.go
+++ b/internal/answer/event.go
@@ -8,5 +8,6 @@
 	Data []byte
 }
 
-// eventOverhead is what an event costs in memory beside its data, in bytes.
+// eventOverhead is what an event that waits for an earlier one costs in memory
+// beside its data, in bytes.
 const eventOverhead = 48
--- a/internal/answer/evict.go
+++ b/internal/answer/evict.go
@@ -127,7 +127,7 @@
 		return false
 	}
 	r.account(-r.bytes)
-	r.events = nil
+	r.events = packed{}
 	r.gone = true
 	return true
 }
--- a/internal/answer/reader.go
+++ b/internal/answer/reader.go
@@ -22,7 +22,7 @@
 	if r.gone {
 		return nil, ErrUnknown
 	}
-	if after < 0 || after > int64(len(r.events)) {
+	if after < 0 || after > int64(r.events.len()) {
 		return nil, ErrBadPosition
 	}
 	r.readers++
@@ -30,8 +30,8 @@
 }
 
 // Next waits for events and returns all that are there, or, once all are
-// returned and the answer has ended, none and the final status. The slice is
-// shared and must not be changed. It returns ctx's error.
+// returned and the answer has ended, none and the final status. It
+// returns ctx's error.
 func (r *Reader) Next(ctx context.Context) ([]Event, Status, error) {
 	for {
 		events, status, changed := r.look()
@@ -61,7 +61,7 @@
 	record := r.record
 	record.mu.Lock()
 	defer record.mu.Unlock()
-	events := record.events[r.after:len(record.events):len(record.events)]
+	events := record.events.after(r.after)
 	if len(events) > 0 {
 		r.after = events[len(events)-1].ID
 		status := record.status
@@ -75,14 +75,14 @@
 }
 
 // Snapshot returns the answer as far as it has come, or ErrUnknown where it was
-// evicted. The events are shared and must not be changed.
+// evicted.
 func (r *Record) Snapshot() (Status, []Event, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.gone {
 		return Status{}, nil, ErrUnknown
 	}
-	return r.status, r.events[:len(r.events):len(r.events)], nil
+	return r.status, r.events.after(0), nil
 }
 
 // Readers returns the number of open readers.
@@ -96,5 +96,5 @@
 func (r *Record) Begun() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.events) > 0
+	return r.events.len() > 0
 }
--- a/internal/answer/record.go
+++ b/internal/answer/record.go
@@ -22,7 +22,7 @@
 
 	mu     sync.Mutex
 	status Status
-	events []Event
+	events packed
 	// bytes is what the record is accounted for in the store.
 	bytes int64
 	// owner is the attempt whose events are taken, zero for none.
@@ -145,7 +145,7 @@
 // disown forgets the owner and what it left unordered.
 func (r *Record) disown() {
 	for _, data := range r.held {
-		r.account(-int64(len(data)) - eventOverhead)
+		r.account(-heldCost(data))
 	}
 	r.owner, r.next, r.last, r.held = 0, 1, unknownLast, nil
 }
@@ -176,17 +176,14 @@
 	if sequence < r.next || r.holds(sequence) || (r.last != unknownLast && sequence > r.last) {
 		return ErrStale
 	}
-	cost := int64(len(data)) + eventOverhead
-	if r.bytes+cost > r.store.options.MaxAnswerBytes || len(r.held) >= maxHeld {
+	if r.bytes+heldCost(data) > r.store.options.MaxAnswerBytes || len(r.held) >= maxHeld {
 		return ErrTooLarge
 	}
-	r.account(cost)
-	kept := append(make([]byte, 0, len(data)), data...)
 	if sequence > r.next {
-		r.hold(sequence, kept)
+		r.hold(sequence, data)
 		return nil
 	}
-	r.deliver(kept)
+	r.deliver(data)
 	r.deliverHeld()
 	r.wake()
 	return nil
@@ -201,11 +198,15 @@
 	if r.held == nil {
 		r.held = make(map[int64][]byte)
 	}
-	r.held[sequence] = data
+	r.held[sequence] = append(make([]byte, 0, len(data)), data...)
+	r.account(heldCost(data))
 }
 
+// heldCost is what an event costs that waits for an earlier one.
+func heldCost(data []byte) int64 { return int64(len(data)) + eventOverhead }
+
 func (r *Record) deliver(data []byte) {
-	r.events = append(r.events, Event{ID: int64(len(r.events)) + 1, Data: data})
+	r.account(r.events.add(data))
 	r.next++
 }
 
@@ -216,6 +217,7 @@
 			return
 		}
 		delete(r.held, r.next)
+		r.account(-heldCost(data))
 		r.deliver(data)
 	}
 }
