explain: the story of each request, asked at any node; status asks each node

Cause: operators had the call Explain and nothing behind it; status showed no lease, and every node's load as zero, as nobody ever sets it.

Change: package explain keeps typed events of each request in shards with counted bytes (4 MiB, the oldest evicted); the gateway adds them where a request is checked, queued, bound, started, answered, retried, hedged, claimed, relayed, refused. The pool tells the grounds of its choice with each binding. Package inspect asks the node that the id names, over the link between nodes, and says what is lost where that node is gone or was restarted. Status asks each node for its leases, load, revision and its last call to the platform, at no cost to the platform. Plain services' answers now count in attainment and queue wait.

Nothing is added a token but a counter in the lane. Tests: explain, embedded Explain and Status with -race -count=5.

--- a/internal/command/trestlectl/status.go
+++ b/internal/command/trestlectl/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	"connectrpc.com/connect"
 
@@ -25,13 +26,17 @@
 	status := response.Msg
 	console.printf("platform: %s\nconfiguration: revision %d in force on %d of %d nodes\n",
 		status.GetPlatform(), status.GetConfigRevision(), status.GetInForceOn(), len(status.GetNodes()))
+	nodes := console.table("NODE", "ZONE", "STATE", "REVISION", "LOAD", "PLATFORM", "ENTRY")
 	for _, node := range status.GetNodes() {
-		console.printf("node %s  %s/%s  %s  revision %d  load %.2f  %s\n", node.GetName(), node.GetRegion(),
-			node.GetAvailabilityZone(), node.GetState(), node.GetConfigRevision(), node.GetLoad(), node.GetEntryAddress())
+		nodes.row(node.GetName(), node.GetRegion()+"/"+node.GetAvailabilityZone(), node.GetState(),
+			node.GetConfigRevision(), fmt.Sprintf("%.2f", node.GetLoad()), node.GetPlatform(), node.GetEntryAddress())
 	}
+	nodes.flush()
+	leases := console.table("LEASE", "HOLDER", "EPOCH")
 	for _, lease := range status.GetLeases() {
-		console.printf("lease %s  %s  epoch %d\n", lease.GetName(), lease.GetHolder(), lease.GetEpoch())
+		leases.row(lease.GetName(), lease.GetHolder(), lease.GetEpoch())
 	}
+	leases.flush()
 	return nil
 }
 
@@ -39,7 +44,7 @@
 	RequestID string `arg:"" name:"request-id" help:"Value of the answer's Trestle-Request-Id header."`
 }
 
-// Run prints one decision a line.
+// Run prints one decision a line, with the time since the first.
 func (c *explainCommand) Run(ctx context.Context, console *console) error {
 	client, err := console.client()
 	if err != nil {
@@ -49,10 +54,18 @@
 	if err != nil {
 		return err
 	}
-	for _, decision := range response.Msg.GetDecisions() {
-		console.printf("%s  %s  %s  %s  %s\n", formatTime(decision.GetAtUnixMs()), decision.GetStep(),
-			decision.GetPeer(), decision.GetDecision(), decision.GetReason())
+	decisions := response.Msg.GetDecisions()
+	if len(decisions) == 0 {
+		return nil
 	}
+	first := decisions[0].GetAtUnixMs()
+	console.printf("request %s, arrived %s\n", c.RequestID, formatTime(first))
+	table := console.table("AFTER", "STEP", "DECISION", "PEER", "WHY")
+	for _, decision := range decisions {
+		table.row(fmt.Sprintf("%d ms", decision.GetAtUnixMs()-first), decision.GetStep(),
+			decision.GetDecision(), decision.GetPeer(), decision.GetReason())
+	}
+	table.flush()
 	return nil
 }
 
--- a/internal/dispatch/grant.go
+++ b/internal/dispatch/grant.go
@@ -8,5 +8,6 @@
 // grant is what a waiting request is woken with.
 type grant struct {
 	replica router.Replica
+	choice  router.Choice
 	refused *refusal.Error
 }
--- a/internal/dispatch/shard.go
+++ b/internal/dispatch/shard.go
@@ -67,7 +67,7 @@
 	if event.Refused != nil {
 		return grant{refused: event.Refused}
 	}
-	return grant{replica: *event.Replica}
+	return grant{replica: *event.Replica, choice: event.Choice}
 }
 
 // submit hands the request to the pool; the channel gets the one decision.
@@ -101,7 +101,7 @@
 	if g.refused != nil {
 		return nil, g.refused
 	}
-	return &Slot{Replica: g.replica, id: id, shard: s}, nil
+	return &Slot{Replica: g.replica, Choice: g.choice, id: id, shard: s}, nil
 }
 
 // abandon takes a request back whose caller is gone. A decision that came at
--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -12,6 +12,8 @@
 type Slot struct {
 	// Replica is where the attempt runs.
 	Replica router.Replica
+	// Choice is why it runs there.
+	Choice router.Choice
 
 	id       string
 	shard    *shard
--- a/internal/gateway/again.go
+++ b/internal/gateway/again.go
@@ -24,6 +24,7 @@
 	next := e.continuation()
 	decision := e.server.options.Retries.Decide(time.Now(), e.retryAttempt(failed, next))
 	e.server.metrics.retries.Count(decision)
+	e.call.decided(decision)
 	if decision.Action == retry.GiveUp {
 		decision.Refusal.Cause = err
 		return decision.Refusal
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/explain"
 )
 
 // call is what the checks established of one caller's request.
@@ -17,6 +18,8 @@
 	// caller's own timeout, whichever is sooner.
 	giveUpAt       time.Time
 	idempotencyKey string
+	// story keeps what happens to the request, for operators.
+	story *explain.Story
 }
 
 // firstTokenBy is the class's first-token target; zero where there is none.
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/claim"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/upstream"
 )
@@ -24,18 +25,19 @@
 func (s *Server) serveClaimed(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
 	grant, err := s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, sc.call, err)
 		return
 	}
+	sc.call.story.Add(time.Now(), &explain.Claimed{Verdict: grant.Verdict.String()})
 	switch grant.Verdict {
 	case claim.Run:
 		s.runClaimed(ctx, w, sc, grant.Token)
 	case claim.Recorded:
 		s.replay(w, sc, grant.Answer)
 	case claim.InProgress:
-		s.refuse(w, inProgress())
+		s.refuseCall(w, sc.call, inProgress())
 	default:
-		s.refuse(w, outcomeUnknown())
+		s.refuseCall(w, sc.call, outcomeUnknown())
 	}
 }
 
@@ -60,7 +62,7 @@
 	s.finishClaim(ctx, token, claimOutcome(done.answer, refused))
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(done.attempts))
-		s.refuse(w, refused)
+		s.refuseCall(w, sc.call, refused)
 		return
 	}
 	s.answerService(w, sc, done)
@@ -93,6 +95,7 @@
 
 // replay answers a repeat with what the one run answered.
 func (s *Server) replay(w http.ResponseWriter, sc *serviceCall, answer claim.Answer) {
+	s.answered(sc.call, time.Time{}, time.Now(), 0)
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -21,15 +21,15 @@
 		s.refuse(w, err)
 		return
 	}
+	w.Header().Set(headerRequestID, c.id)
 	body, err := readBody(c, w, r)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, c, err)
 		return
 	}
 	p, err := parseCompletion(c, path, body)
 	if err != nil {
-		w.Header().Set(headerRequestID, c.id)
-		s.refuse(w, err)
+		s.refuseCall(w, c, err)
 		return
 	}
 	if s.elsewhere(w, r, c, p.upstream.Name, body) {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/answer"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
@@ -60,11 +61,13 @@
 // attempt waits for a slot and runs the request once, or twice beside each
 // other where that is allowed.
 func (e *exchange) attempt(ctx context.Context) error {
+	e.call.queued(e.attempts+1, e.completion.upstream.Name)
 	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
 	if err != nil {
 		return err
 	}
 	e.attempts++
+	e.call.bound(e.attempts, slot)
 	e.observeWait()
 	body, err := e.engineBody()
 	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
@@ -101,8 +104,7 @@
 	if e.attempts > 1 {
 		return
 	}
-	wait := time.Since(e.call.arrived).Seconds()
-	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
+	e.server.metrics.waited(e.call)
 }
 
 // relay passes an attempt's answer to the caller.
@@ -167,9 +169,10 @@
 	e.keepEnd()
 	if err != nil && !e.followed() {
 		e.waste("caller_gone")
+		e.call.story.Add(now, explain.NewRefused(callerGone(err)))
 		return
 	}
-	e.server.metrics.answered(e.call, e.first, now, e.tokens)
+	e.server.answered(e.call, e.first, now, e.tokens)
 }
 
 // giveUp tells the caller, at once, that there will be no answer.
@@ -184,6 +187,7 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
+	e.call.story.Add(time.Now(), explain.NewRefused(refused))
 	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 )
 
@@ -71,7 +72,7 @@
 	for {
 		relayTo, done, err := s.options.Gate.Await(ctx, upstream, c.workspace.Name, relayed)
 		if err != nil {
-			s.refuse(w, err)
+			s.refuseCall(w, c, err)
 			return true
 		}
 		if relayTo == "" {
@@ -80,10 +81,11 @@
 		}
 		refused := s.relayTo(ctx, w, r, relayTo, body)
 		if refused == nil {
+			c.story.Add(time.Now(), &explain.Relayed{Peer: relayTo})
 			return true
 		}
 		if refused.Outcome != refusal.NotRun || pause(ctx, relayPause) != nil {
-			s.refuse(w, refused)
+			s.refuseCall(w, c, refused)
 			return true
 		}
 	}
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/retry"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
@@ -48,6 +49,7 @@
 		return <-opened
 	}
 	e.server.metrics.retries.CountHedge()
+	e.call.story.Add(time.Now(), &explain.Again{Decision: "hedge", Reason: string(retry.ReasonHedge), Waited: time.Since(began)})
 	e.attempts++
 	second := &lane{exchange: e, number: e.attempts}
 	secondCtx := second.withCancel(ctx)
@@ -90,6 +92,7 @@
 	if l.err != nil {
 		return
 	}
+	l.exchange.call.bound(l.number, l.slot)
 	if l.slot.Replica.Name == other {
 		l.err = errNoOtherReplica
 		return
--- a/internal/gateway/lane.go
+++ b/internal/gateway/lane.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/upstream"
 )
@@ -26,6 +27,8 @@
 	first []byte
 	// err is why there is no first payload.
 	err error
+	// tokens counts what it has brought.
+	tokens int
 }
 
 // withCancel gives the attempt a context of its own.
@@ -42,6 +45,7 @@
 		return
 	}
 	l.sentAt = time.Now()
+	e.call.started(l.number, l.slot)
 	l.stream, l.err = e.server.options.Engines.Start(ctx, l.slot.Replica.Address, upstream.EngineCall{
 		ID:       fmt.Sprintf("%s.%d", e.call.id, l.number),
 		Path:     e.completion.path,
@@ -77,6 +81,7 @@
 	if l.done != nil {
 		l.done()
 	}
+	l.exchange.call.ended(l.number, l.slot, l.tokens, err)
 	if l.slot == nil {
 		return
 	}
@@ -86,6 +91,7 @@
 
 // token notes one more token; began says whether the attempt had one before.
 func (l *lane) token(began bool) {
+	l.tokens++
 	if began {
 		l.slot.Tokens(1)
 		return
@@ -96,6 +102,7 @@
 		e.first = now
 	}
 	l.slot.FirstToken()
+	e.call.story.Add(now, &explain.FirstToken{Attempt: l.number, Peer: l.slot.Replica.Address})
 	e.server.guard.running.Answered(l.run)
 	if e.completion.opaque {
 		// Its first payload may be the whole answer.
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -61,10 +61,13 @@
 	m.refusals.WithLabelValues(string(refused.Reason), string(refused.Outcome)).Inc()
 }
 
+// waited observes how long a request waited for its first slot.
+func (m *metrics) waited(c *call) {
+	m.queueWait.WithLabelValues(c.class.Name).Observe(time.Since(c.arrived).Seconds())
+}
+
 // answered counts a whole answer.
-func (m *metrics) answered(c *call, first, end time.Time, tokens int) {
-	firstTarget := c.firstTokenBy()
-	onTarget := !end.After(c.answerBy()) && (firstTarget.IsZero() || !first.After(firstTarget))
+func (m *metrics) answered(c *call, onTarget bool, first, end time.Time, tokens int) {
 	label := strconv.FormatBool(onTarget)
 	m.answers.WithLabelValues(c.class.Name, label).Inc()
 	m.tokens.WithLabelValues(c.class.Name, label).Add(float64(tokens))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
@@ -11,6 +12,7 @@
 	"galenatrestle/internal/claim"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/retry"
@@ -44,6 +46,8 @@
 	Answers *answer.Store
 	// Resolver finds answers, also those of other nodes. Default: this node's.
 	Resolver *answerrpc.Resolver
+	// Explain keeps the requests' stories. Default: an empty one.
+	Explain *explain.Recorder
 	// Gate says whether work may start in this data centre. Default: always.
 	Gate Gate
 	// Relay carries requests to the data centre that serves them.
@@ -76,6 +80,9 @@
 	if o.Answers == nil {
 		o.Answers = answer.NewStore(answer.Options{})
 	}
+	if o.Explain == nil {
+		o.Explain = explain.NewRecorder(time.Now(), explain.DefaultMaxBytes, o.Registry)
+	}
 	if o.Resolver == nil {
 		nowhere := func(string) (string, bool) { return "", false }
 		o.Resolver = answerrpc.NewResolver(o.Node, o.Answers, nowhere, nil)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -35,7 +35,7 @@
 	w.Header().Set(headerRequestID, c.id)
 	sc, err := parseService(c, w, r)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, c, err)
 		return
 	}
 	if s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
@@ -105,7 +105,7 @@
 	served, refused := s.callUntilRun(ctx, sc)
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
-		s.refuse(w, refused)
+		s.refuseCall(w, sc.call, refused)
 		return
 	}
 	s.answerService(w, sc, served)
@@ -151,10 +151,15 @@
 
 // tryService waits for a slot and makes the call once.
 func (s *Server) tryService(ctx context.Context, sc *serviceCall, attempt int, avoid []string) (*upstream.ServiceAnswer, string, error) {
+	sc.call.queued(attempt, sc.upstream.Name)
 	slot, err := s.options.Dispatch.Acquire(ctx, sc.upstream.Name, sc.routerRequest(attempt, avoid))
 	if err != nil {
 		return nil, "", err
 	}
+	sc.call.bound(attempt, slot)
+	if attempt == 1 {
+		s.metrics.waited(sc.call)
+	}
 	done, err := s.startWork(ctx, sc.call, sc.upstream.Name)
 	if err != nil {
 		slot.Finish(resultOf(err))
@@ -163,8 +168,10 @@
 	defer done()
 	wire := sc.wire
 	wire.ID = fmt.Sprintf("%s.%d", sc.call.id, attempt)
+	sc.call.started(attempt, slot)
 	answer, err := s.options.Services.Do(ctx, slot.Replica.Address, wire)
 	slot.Finish(resultOf(err))
+	sc.call.ended(attempt, slot, 0, err)
 	if err == nil {
 		s.options.Retries.Succeeded(time.Now(), sc.call.class.Name, sc.upstream.Name)
 	}
@@ -194,6 +201,7 @@
 	}
 	decision := s.options.Retries.Decide(time.Now(), sc.retryAttempt(failed, attempts))
 	s.metrics.retries.Count(decision)
+	sc.call.decided(decision)
 	return decision.Action != retry.GiveUp
 }
 
@@ -224,6 +232,7 @@
 }
 
 func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, done served) {
+	s.answered(sc.call, time.Time{}, time.Now(), 0)
 	header := w.Header()
 	for name, values := range done.answer.Header {
 		header[name] = values
--- /dev/null
+++ b/internal/gateway/story.go
@@ -0,0 +1,80 @@
+package gateway
+
+import (
+	"errors"
+	"net/http"
+	"time"
+
+	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
+	"galenatrestle/internal/refusal"
+	"galenatrestle/internal/retry"
+	"galenatrestle/internal/upstream"
+)
+
+// begin starts the story of a checked request.
+func (s *Server) begin(c *call) {
+	c.story = s.options.Explain.Begin(c.arrived, c.id, &explain.Received{
+		Class: c.class.Name, Workspace: c.workspace.Name, Tier: c.class.Tier,
+	})
+}
+
+// refuseCall refuses a request of which no byte of an answer was sent, and ends
+// its story.
+func (s *Server) refuseCall(w http.ResponseWriter, c *call, err error) {
+	c.story.Add(time.Now(), explain.NewRefused(refusal.From(err)))
+	s.refuse(w, err)
+}
+
+// answered counts a whole answer and ends the request's story. Plain services
+// have no first token.
+func (s *Server) answered(c *call, first, end time.Time, tokens int) {
+	told := &explain.Answered{Tokens: tokens, Whole: c.answerBy().Sub(end)}
+	if target := c.firstTokenBy(); !target.IsZero() && !first.IsZero() {
+		told.First, told.HasFirst = target.Sub(first), true
+	}
+	c.story.Add(end, told)
+	s.metrics.answered(c, told.OnTarget(), first, end, tokens)
+}
+
+func (c *call) queued(attempt int, upstreamName string) {
+	c.story.Add(time.Now(), &explain.Queued{Attempt: attempt, Upstream: upstreamName})
+}
+
+func (c *call) bound(attempt int, slot *dispatch.Slot) {
+	c.story.Add(time.Now(), &explain.Bound{Attempt: attempt, Replica: slot.Replica.Name, Choice: slot.Choice})
+}
+
+func (c *call) started(attempt int, slot *dispatch.Slot) {
+	c.story.Add(time.Now(), &explain.Started{Attempt: attempt, Peer: slot.Replica.Address})
+}
+
+// ended notes the end of an attempt, which may have had no slot.
+func (c *call) ended(attempt int, slot *dispatch.Slot, tokens int, err error) {
+	peer, step := "", ""
+	if slot != nil {
+		peer = slot.Replica.Address
+	}
+	var failed *upstream.Error
+	if errors.As(err, &failed) {
+		step = failed.Step
+	}
+	c.story.Add(time.Now(), explain.NewEnded(attempt, peer, step, tokens, err))
+}
+
+// decided notes whether another attempt follows.
+func (c *call) decided(decision retry.Decision) {
+	told := &explain.Again{Decision: string(decision.Action), Reason: string(decision.Reason)}
+	if decision.Refusal != nil {
+		told.Reason = string(decision.Refusal.Reason)
+	}
+	c.story.Add(time.Now(), told)
+}
+
+// callerGone is why a whole answer could not be given.
+func callerGone(cause error) *refusal.Error {
+	return &refusal.Error{
+		Reason: refusal.CallerGone, Outcome: refusal.Unknown, Step: "answer",
+		Message: "the answer was whole, but the caller's connection broke", Cause: cause,
+	}
+}
--- /dev/null
+++ b/internal/lease/held.go
@@ -0,0 +1,43 @@
+package lease
+
+import (
+	"cmp"
+	"slices"
+
+	"galenatrestle/internal/platform"
+)
+
+// Held returns the leases whose terms are in force in this process, by name.
+func (s *Source) Held() []platform.Lease {
+	now := s.now()
+	var held []platform.Lease
+	for _, term := range s.open() {
+		if term.Held(now) {
+			held = append(held, term.lease)
+		}
+	}
+	slices.SortFunc(held, func(a, b platform.Lease) int { return cmp.Compare(a.Name, b.Name) })
+	return held
+}
+
+func (s *Source) open() []*Term {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	terms := make([]*Term, 0, len(s.terms))
+	for term := range s.terms {
+		terms = append(terms, term)
+	}
+	return terms
+}
+
+func (s *Source) opened(t *Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.terms[t] = struct{}{}
+}
+
+func (s *Source) forget(t *Term) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.terms, t)
+}
--- a/internal/lease/source.go
+++ b/internal/lease/source.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"galenatrestle/internal/errs"
@@ -34,6 +35,10 @@
 	settings Settings
 	metrics  *Metrics
 	now      func() time.Time
+
+	mu sync.Mutex
+	// terms are those that this process holds.
+	terms map[*Term]struct{}
 }
 
 // NewSource returns a source. The holder names this run of this process: no
@@ -44,7 +49,7 @@
 	if err := settings.Check(); err != nil {
 		return nil, err
 	}
-	return &Source{store: store, holder: holder, settings: settings, metrics: metrics, now: now}, nil
+	return &Source{store: store, holder: holder, settings: settings, metrics: metrics, now: now, terms: make(map[*Term]struct{})}, nil
 }
 
 // errTooLate says that a grant's answer came when it was no longer usable.
--- a/internal/lease/term.go
+++ b/internal/lease/term.go
@@ -34,6 +34,7 @@
 		idle:      make(chan struct{}),
 		grant:     g,
 	}
+	source.opened(t)
 	t.tellRenewed(g.asked)
 	go t.keep()
 	return t
@@ -94,6 +95,7 @@
 
 // closed tells the end once; t.mu is held.
 func (t *Term) closed() {
+	t.source.forget(t)
 	t.source.metrics.ended.WithLabelValues(string(t.grant.end)).Inc()
 	close(t.done)
 }
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/lease"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/peer"
+	"galenatrestle/internal/platform"
 )
 
 const (
@@ -29,36 +30,45 @@
 // node without a platform.
 type claims struct {
 	ledger *claim.Node
+	source *lease.Source
 	stop   context.CancelFunc
 	done   chan struct{}
 }
 
+// leases returns those that this process holds.
+func (c *claims) leases() []platform.Lease {
+	if c == nil {
+		return nil
+	}
+	return c.source.Held()
+}
+
 // newClaims creates the part and mounts its handler on the peer listener.
 func newClaims(options Options, members membership.View, link *peers) *claims {
 	if options.Store == nil {
 		return nil
 	}
-	ledger, err := newLedger(options, members, link)
+	ledger, source, err := newLedger(options, members, link)
 	if err != nil {
 		options.Log.WithError(err).WithField("step", "create ledger").Error("unrepeatable calls will be refused")
 		return nil
 	}
 	link.server.Mount(claimrpc.NewHandler(ledger))
-	return &claims{ledger: ledger}
+	return &claims{ledger: ledger, source: source}
 }
 
-func newLedger(options Options, members membership.View, link *peers) (*claim.Node, error) {
+func newLedger(options Options, members membership.View, link *peers) (*claim.Node, *lease.Source, error) {
 	metrics, err := lease.NewMetrics(options.Registry)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	// A lease's holder names one run of one process.
 	holder := options.Name + "/" + uuid.NewString()
 	source, err := lease.NewSource(options.Store, holder, lease.DefaultSettings(claimLeaseTTL), metrics, time.Now)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
-	return claim.NewNode(claim.Options{
+	ledger, err := claim.NewNode(claim.Options{
 		Store:      options.Store,
 		Leases:     claimLeases{source: source},
 		View:       members,
@@ -67,6 +77,7 @@
 		Log:        options.Log,
 		Random:     rand.New(rand.NewPCG(options.Seed, claimStream)),
 	})
+	return ledger, source, err
 }
 
 // scheme is "https" between nodes with keys, else "http".
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -43,11 +43,20 @@
 	driver   *handover.Driver
 	executor *intent.Executor
 	holder   *lease.Holder
+	source   *lease.Source
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	duty     sync.WaitGroup
 }
 
+// leases returns those that this process holds.
+func (m *moves) leases() []platform.Lease {
+	if m == nil || m.source == nil {
+		return nil
+	}
+	return m.source.Held()
+}
+
 // newMoves creates the part and mounts its handlers on the peer listener.
 func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index) *moves {
 	if options.Store == nil {
@@ -115,6 +124,7 @@
 		OnLost:    func(int64, lease.EndReason) { m.duty.Wait() },
 		Observers: []lease.Observer{sender},
 	}
+	m.source = source
 	m.holder = lease.NewHolder(source, controlLease, callbacks, rand.New(rand.NewPCG(o.Seed, controlStream)))
 	m.holder.Prefer(func() bool { return members.Owner(controlLease).Name == o.Name })
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,9 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/inspect"
 	"galenatrestle/internal/platform/budget"
 	"galenatrestle/internal/upstream"
 )
@@ -17,22 +19,24 @@
 
 // Node is one entry VM's process.
 type Node struct {
-	options  Options
-	config   atomic.Pointer[config.Index]
-	dispatch *dispatch.Dispatcher
-	gateway  *gateway.Server
-	engines  *upstream.Engine
-	services *upstream.Service
-	members  *members
-	sync     *configuration
-	duties   *budget.Counters
-	peers    *peers
-	answers  *answers
-	claims   *claims
-	credits  *credits
-	moves    *moves
-	servers  []*http.Server
-	leaving  atomic.Bool
+	options   Options
+	config    atomic.Pointer[config.Index]
+	dispatch  *dispatch.Dispatcher
+	gateway   *gateway.Server
+	engines   *upstream.Engine
+	services  *upstream.Service
+	members   *members
+	sync      *configuration
+	duties    *budget.Counters
+	peers     *peers
+	answers   *answers
+	claims    *claims
+	credits   *credits
+	moves     *moves
+	stories   *explain.Recorder
+	inspector *inspect.Asker
+	servers   []*http.Server
+	leaving   atomic.Bool
 }
 
 // New returns a node that does not serve yet.
@@ -52,6 +56,7 @@
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -65,6 +70,7 @@
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
+		Explain:  n.stories,
 		Registry: n.options.Registry,
 		Log:      n.options.Log,
 	}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -26,6 +26,7 @@
 		View:       n.members.runner,
 		Planners:   []operator.Planner{operator.NewIntentPlanner(plans, n.sync.current, n.stats)},
 		Entries:    n.operatorEntries,
+		Inspector:  n.inspector,
 		Operators:  n.options.Operators,
 		Log:        n.options.Log,
 		Registry:   n.options.Registry,
--- a/internal/operator/planner.go
+++ b/internal/operator/planner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	inspectv1 "galenatrestle/internal/gen/trestle/inspect/v1"
 	operatorv1 "galenatrestle/internal/gen/trestle/operator/v1"
 )
 
@@ -24,15 +25,14 @@
 	Plans(ctx context.Context) ([]*operatorv1.Plan, error)
 }
 
-// Explainer tells what happened to a request.
-type Explainer interface {
-	// Explain returns the request's decisions in their order; false where the
-	// request is not known here.
-	Explain(ctx context.Context, requestID string) ([]*operatorv1.Decision, bool)
+// Inspector asks the nodes what they alone know; *inspect.Asker is one.
+type Inspector interface {
+	// Explain returns the request's decisions in their order. Its error is a
+	// *connect.Error that says why nothing is known of the request.
+	Explain(ctx context.Context, requestID string) ([]*operatorv1.Decision, error)
+	// Report returns what a node tells of itself.
+	Report(ctx context.Context, node, address string) (*inspectv1.ReportResponse, error)
 }
 
 // Entries returns the entry addresses as callers of a zone are told them.
 type Entries func(availabilityZone string) (entries []*operatorv1.Entry, ttlSeconds int32)
-
-// Leases returns the leases of duties that this node knows of.
-type Leases func() []*operatorv1.Lease
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -25,11 +25,10 @@
 	View       membership.View
 	// Planners keep the plans of kinds other than config.
 	Planners []Planner
-	// Entries, Leases and Explainer may be nil: the calls then answer that the
-	// node has none.
+	// Entries and Inspector may be nil: the calls then answer that the node
+	// has none.
 	Entries   Entries
-	Leases    Leases
-	Explainer Explainer
+	Inspector Inspector
 	// Operators are those who may call.
 	Operators []settings.Operator
 	Log       logrus.FieldLogger
@@ -45,8 +44,7 @@
 	view       membership.View
 	planners   []Planner
 	entries    Entries
-	leases     Leases
-	explainer  Explainer
+	inspector  Inspector
 }
 
 // NewHandler returns the service's path and handler for the ops listener.
@@ -57,8 +55,7 @@
 		repository: options.Repository,
 		view:       options.View,
 		entries:    options.Entries,
-		leases:     options.Leases,
-		explainer:  options.Explainer,
+		inspector:  options.Inspector,
 	}
 	service.planners = append([]Planner{newConfigPlanner(options)}, options.Planners...)
 	guard := newGuard(options.Operators, newMetrics(options.Registry), options.Log)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"time"
 
 	"connectrpc.com/connect"
@@ -27,20 +26,7 @@
 	response := &operatorv1.GetStatusResponse{
 		ConfigRevision: revision, InForceOn: int32(inForce), Platform: s.probe(ctx),
 	}
-	self := s.view.Self().Name
-	for _, member := range s.view.Members() {
-		if member.Name == self {
-			member.ConfigRevision = s.current.Revision()
-		}
-		response.Nodes = append(response.Nodes, &operatorv1.Node{
-			Name: member.Name, AvailabilityZone: member.AvailabilityZone, Region: member.Region,
-			State: string(member.State), ConfigRevision: member.ConfigRevision, Load: member.Load,
-			EntryAddress: member.EntryAddress,
-		})
-	}
-	if s.leases != nil {
-		response.Leases = s.leases()
-	}
+	s.tellNodes(ctx, response)
 	return connect.NewResponse(response), nil
 }
 
@@ -64,13 +50,12 @@
 
 // Explain implements the service.
 func (s *Service) Explain(ctx context.Context, request *connect.Request[operatorv1.ExplainRequest]) (*connect.Response[operatorv1.ExplainResponse], error) {
-	id := request.Msg.GetRequestId()
-	if s.explainer == nil {
+	if s.inspector == nil {
 		return nil, connect.NewError(connect.CodeUnimplemented, errors.New("this node keeps no decisions"))
 	}
-	decisions, known := s.explainer.Explain(ctx, id)
-	if !known {
-		return nil, connect.NewError(connect.CodeNotFound, fmt.Errorf("field request_id value %q: no node knows this request, or its retention is over", id))
+	decisions, err := s.inspector.Explain(ctx, request.Msg.GetRequestId())
+	if err != nil {
+		return nil, err
 	}
 	return connect.NewResponse(&operatorv1.ExplainResponse{Decisions: decisions}), nil
 }
--- a/internal/platform/budget/counters.go
+++ b/internal/platform/budget/counters.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"sync/atomic"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
@@ -25,6 +27,7 @@
 // one.
 type Counters struct {
 	calls *prometheus.CounterVec
+	reach atomic.Pointer[Reach]
 }
 
 // NewCounters registers the counters.
@@ -42,6 +45,9 @@
 // count adds one call.
 func (c *Counters) count(duty string, call platform.Call, result string) {
 	c.calls.WithLabelValues(duty, string(call), result).Inc()
+	if result != resultOverBudget {
+		c.reach.Store(&Reach{At: time.Now(), Result: result})
+	}
 }
 
 // resultOf names the result of a call.
--- a/internal/router/event.go
+++ b/internal/router/event.go
@@ -7,6 +7,8 @@
 	ID string
 	// Replica is the replica the request is bound to.
 	Replica *Replica
+	// Choice is why it is bound to that one.
+	Choice Choice
 	// Refused is why the request was given up while it waited.
 	Refused *refusal.Error
 }
--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -8,12 +8,12 @@
 	"galenatrestle/internal/estimate"
 )
 
-// choose returns the replica for the request, or nil where none of the free
-// ones is fit for it.
-func (p *Pool) choose(now time.Time, request *Request) *replicaState {
+// choose returns the replica for the request and the grounds, or nil where none
+// of the free ones is fit for it.
+func (p *Pool) choose(now time.Time, request *Request) (*replicaState, Choice) {
 	free := p.fit(now, request)
 	if len(free) == 0 {
-		return nil
+		return nil, Choice{}
 	}
 	p.candidates = p.candidates[:0]
 	for _, r := range free {
@@ -23,7 +23,8 @@
 		Prefill: p.speed.Service(request.PromptTokens, 0),
 		Answer:  p.speed.Service(0, p.length(request, estimate.Median, usualTokens)),
 	}
-	return free[p.balancer.Choose(need, p.candidates)]
+	chosen := p.balancer.Choose(need, p.candidates)
+	return free[chosen], choiceOf(&p.candidates[chosen], len(free))
 }
 
 func (p *Pool) candidate(now time.Time, request *Request, r *replicaState) balancer.Candidate {
--- a/internal/router/pool_next.go
+++ b/internal/router/pool_next.go
@@ -61,12 +61,12 @@
 			events = append(events, p.giveUpLate(now, i))
 			continue
 		}
-		replica := p.choose(now, &i.Value.request)
+		replica, choice := p.choose(now, &i.Value.request)
 		if replica == nil {
 			passed = append(passed, i)
 			continue
 		}
-		events = append(events, p.bind(now, i, replica))
+		events = append(events, p.bind(now, i, replica, choice))
 	}
 	for _, i := range passed {
 		p.queue.Restore(now, i)
@@ -85,7 +85,7 @@
 	return slots
 }
 
-func (p *Pool) bind(now time.Time, i *item, replica *replicaState) Event {
+func (p *Pool) bind(now time.Time, i *item, replica *replicaState, choice Choice) Event {
 	p.leave(i)
 	p.stats.Bound++
 	i.Value.class.running++
@@ -100,5 +100,5 @@
 	id := i.Value.request.ID
 	p.running[id] = &running{item: i, replica: replica, boundAt: now, cached: cached}
 	chosen := replica.Replica
-	return Event{ID: id, Replica: &chosen}
+	return Event{ID: id, Replica: &chosen, Choice: choice}
 }
