quota: in force at every node, shared by an owner a workspace

Cause: package quota bounded nothing: it was wired nowhere, and each node knew only its own part of a quota.

Change: the callers' side takes requests and estimated tokens from the workspace's buckets after its checks and corrects them at the answer's end; package quotashare divides each quota between the nodes by demand. A repeat of a claimed call is answered over the quota too: the ledger tells what is known of a claim without claiming (Ledger.Known), which costs the platform no write.

Result: go test -race -count=5 -run 'Quota|RepeatIs' ./internal/embedded passes: three flooded nodes hold one workspace's quota, the other workspace is untouched, refusals are not-run with Retry-After, and a node that alone is flooded comes to more than its even part. TestMoveThereAndBackUnderLoad of internal/node fails under -race on this busy machine with and without the change: it ends at its minute.

--- a/internal/claim/claimrpc/client.go
+++ b/internal/claim/claimrpc/client.go
@@ -42,6 +42,7 @@
 		Attempt:     request.Attempt[:],
 		Node:        request.Node,
 		Boot:        request.Boot[:],
+		KnownOnly:   request.KnownOnly,
 	}
 	response, err := c.at(address).Begin(ctx, connect.NewRequest(message))
 	if err != nil {
--- a/internal/claim/claimrpc/handler.go
+++ b/internal/claim/claimrpc/handler.go
@@ -42,6 +42,7 @@
 	reply, err := h.server.ServeBegin(ctx, claim.BeginRequest{
 		Key: claim.KeyFromProto(message.GetKey()), Content: fingerprint,
 		Attempt: attempt, Node: message.GetNode(), Boot: boot,
+		KnownOnly: message.GetKnownOnly(),
 	})
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -79,10 +79,7 @@
 	if refused := key.Check(); refused != nil {
 		return Grant{}, refused
 	}
-	request := BeginRequest{
-		Key: key, Content: content, Attempt: uuid.New(),
-		Node: n.options.View.Self().Name, Boot: n.boot,
-	}
+	request := n.newRequest(key, content)
 	within, cancel := context.WithTimeout(ctx, n.options.BeginTimeout)
 	defer cancel()
 	reply, err := n.settleBegin(within, request)
@@ -99,6 +96,14 @@
 	return grant, nil
 }
 
+// newRequest is a request to claim the key for a new attempt of this process.
+func (n *Node) newRequest(key Key, content Fingerprint) BeginRequest {
+	return BeginRequest{
+		Key: key, Content: content, Attempt: uuid.New(),
+		Node: n.options.View.Self().Name, Boot: n.boot,
+	}
+}
+
 // settleBegin asks until the holder has answered or ctx ends. An attempt whose
 // claim may have been made is released in the background: it sends nothing.
 func (n *Node) settleBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
@@ -114,7 +119,7 @@
 		if ctx.Err() == nil && pause(ctx, n.options) {
 			continue
 		}
-		if uncertain {
+		if uncertain && !request.KnownOnly {
 			n.abandon(request)
 		}
 		if remembered.Verdict != 0 || remembered.Refused != "" {
--- a/internal/claim/peers.go
+++ b/internal/claim/peers.go
@@ -16,6 +16,9 @@
 	Attempt uuid.UUID
 	Node    string
 	Boot    uuid.UUID
+	// KnownOnly asks what is known of the claim and makes none: the answer is
+	// then QuotaExceeded.
+	KnownOnly bool
 }
 
 // BeginReply is the answer of the node asked: a verdict or a refusal.
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -60,6 +60,9 @@
 		return s.remembered(command), errNotHolder
 	}
 	command.Refuse = s.refusalForNew(now)
+	if request.KnownOnly {
+		command.Refuse = refusal.QuotaExceeded
+	}
 	return s.run(ctx, request.Key, command, now)
 }
 
--- a/internal/embedded/path_test.go
+++ b/internal/embedded/path_test.go
@@ -159,23 +159,29 @@
 // send makes one request to the first node.
 func send(t *testing.T, d *Deployment, method, path, body string, header map[string]string) answered {
 	t.Helper()
+	got, err := sendTo(d, 0, method, path, body, header)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return got
+}
+
+// sendTo makes one request to a node.
+func sendTo(d *Deployment, node int, method, path, body string, header map[string]string) (answered, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+d.Nodes[0].EntryAddress()+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+d.Nodes[node].EntryAddress()+path, strings.NewReader(body))
 	if err != nil {
-		t.Fatal(err)
+		return answered{}, err
 	}
 	for name, value := range header {
 		request.Header.Set(name, value)
 	}
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
-		t.Fatal(err)
+		return answered{}, err
 	}
 	defer response.Body.Close()
 	read, err := io.ReadAll(response.Body)
-	if err != nil {
-		t.Fatal(err)
-	}
-	return answered{status: response.StatusCode, header: response.Header, body: read}
+	return answered{status: response.StatusCode, header: response.Header, body: read}, err
 }
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -22,7 +22,7 @@
 
 // serveClaimed runs an unrepeatable call at most once: claim, call, record.
 func (s *Server) serveClaimed(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
-	grant, err := s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
+	grant, err := s.begin(ctx, sc)
 	if err != nil {
 		s.refuse(w, err)
 		return
@@ -39,6 +39,21 @@
 	}
 }
 
+// begin claims the call. Over the quota nothing new is claimed, but a repeat
+// is answered: its call has been counted, and asking again is how a caller
+// learns of an outcome that it must not guess.
+func (s *Server) begin(ctx context.Context, sc *serviceCall) (claim.Grant, error) {
+	refused := s.useRequest(sc.call)
+	if refused == nil {
+		return s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
+	}
+	grant, known, err := s.options.Ledger.Known(ctx, sc.claimKey(), sc.fingerprint())
+	if err == nil && !known {
+		err = refused
+	}
+	return grant, err
+}
+
 func (sc *serviceCall) claimKey() claim.Key {
 	return claim.Key{
 		Workspace:      sc.call.workspace.Name,
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -35,7 +35,14 @@
 	if s.elsewhere(w, r, c, p.upstream.Name, body) {
 		return
 	}
+	use, err := s.useQuota(c, p)
+	if err != nil {
+		w.Header().Set(headerRequestID, c.id)
+		s.refuse(w, err)
+		return
+	}
 	e := &exchange{server: s, call: c, completion: p}
+	defer func() { use.settle(e) }()
 	e.sink = e.sinkFor(w)
 	e.open()
 	ctx, cancel := e.linger(r)
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -143,6 +143,9 @@
 	return b.Bytes()
 }
 
+// promptTokens estimates the prompt's length in tokens.
+func (p *completion) promptTokens() int { return len(p.prompt)/bytesPerToken + 1 }
+
 // maxTokens is the caller's bound of the answer; zero where there is none.
 func (p *completion) maxTokens() int {
 	switch {
@@ -183,7 +186,7 @@
 		FirstTokenBy: c.firstTokenBy(),
 		AnswerBy:     c.answerBy(),
 		GiveUpAt:     c.giveUpAt,
-		PromptTokens: len(p.prompt)/bytesPerToken + 1,
+		PromptTokens: p.promptTokens(),
 		MaxTokens:    p.maxTokens(),
 		PrefixHashes: prefixHashes(p.prompt),
 		Fingerprint:  uint64(quarantine.FingerprintOf(c.workspace.Name, p.request.Model, p.prompt)),
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"time"
 
 	"galenatrestle/internal/answer"
+	"galenatrestle/internal/openai"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
@@ -40,6 +42,8 @@
 	begun   bool
 	first   time.Time
 	tokens  int
+	// usage is what the engine says of a whole answer, nil where it does not.
+	usage *openai.Usage
 }
 
 // run makes attempts until the answer is whole or given up.
@@ -138,6 +142,7 @@
 func (e *exchange) take(data []byte, l *lane) error {
 	usage := bytes.Contains(data, usageMark)
 	if usage && e.completion.request.Stream && !e.completion.callerUsage {
+		e.noteUsage(data)
 		return nil
 	}
 	if !usage {
@@ -148,12 +153,23 @@
 	if e.continues != nil {
 		data = e.continues.rebase(data)
 	}
+	if usage || e.completion.opaque {
+		e.noteUsage(data)
+	}
 	if err := e.sink.chunk(data); err != nil {
 		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: l.slot.Replica.Address, Cause: err}
 	}
 	return nil
 }
 
+// noteUsage remembers the engine's own count of tokens, if the chunk has one.
+func (e *exchange) noteUsage(data []byte) {
+	var chunk openai.Response
+	if json.Unmarshal(data, &chunk) == nil && chunk.Usage != nil {
+		e.usage = chunk.Usage
+	}
+}
+
 func (e *exchange) waste(cause string) {
 	if e.tokens > 0 {
 		e.server.metrics.wasted.WithLabelValues(e.call.class.Name, cause).Add(float64(e.tokens))
--- a/internal/gateway/noledger.go
+++ b/internal/gateway/noledger.go
@@ -16,5 +16,10 @@
 	return claim.Grant{}, refusal.New(refusal.ClaimStoreDown, "claim", "this node has no platform to record the call in")
 }
 
+// Known implements claim.Ledger; nothing was ever claimed.
+func (noLedger) Known(context.Context, claim.Key, claim.Fingerprint) (claim.Grant, bool, error) {
+	return claim.Grant{}, false, nil
+}
+
 // Finish implements claim.Ledger; nothing was ever begun.
 func (noLedger) Finish(context.Context, claim.Token, claim.Outcome) error { return nil }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -13,6 +13,7 @@
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/quota"
 	"galenatrestle/internal/retry"
 	"galenatrestle/internal/upstream"
 )
@@ -44,6 +45,8 @@
 	Answers *answer.Store
 	// Resolver finds answers, also those of other nodes. Default: this node's.
 	Resolver *answerrpc.Resolver
+	// Quotas bounds the workspaces' use. Default: no bounds.
+	Quotas *quota.Limiter
 	// Gate says whether work may start in this data centre. Default: always.
 	Gate Gate
 	// Relay carries requests to the data centre that serves them.
@@ -67,6 +70,9 @@
 	if o.SpreadQuarantine == nil {
 		o.SpreadQuarantine = func(...quarantine.Record) {}
 	}
+	if o.Quotas == nil {
+		o.Quotas = quota.NewLimiter()
+	}
 	if o.Gate == nil {
 		o.Gate = openGate{}
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -102,6 +102,10 @@
 		s.serveClaimed(ctx, w, sc)
 		return
 	}
+	if err := s.useRequest(sc.call); err != nil {
+		s.refuse(w, err)
+		return
+	}
 	served, refused := s.callUntilRun(ctx, sc)
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	answers  *answers
 	claims   *claims
 	credits  *credits
+	quotas   *quotas
 	moves    *moves
 	servers  []*http.Server
 	leaving  atomic.Bool
@@ -51,6 +52,7 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.quotas = newQuotas(options, n.members.runner, n.peers)
 	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
@@ -70,6 +72,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.quotas.offer(&options)
 	n.moves.offer(&options)
 	return options
 }
@@ -82,6 +85,7 @@
 	}
 	n.dispatch.Configure(index.Document())
 	n.answers.configure(index.Document())
+	n.quotas.configure(index.Document())
 	n.members.configure(index)
 	n.config.Store(index)
 }
@@ -96,6 +100,7 @@
 	n.sync.start()
 	n.claims.start()
 	n.credits.start()
+	n.quotas.start()
 	n.moves.start()
 }
 
@@ -140,6 +145,7 @@
 	n.sync.close()
 	n.answers.close()
 	n.credits.close()
+	n.quotas.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
--- a/internal/quota/limiter.go
+++ b/internal/quota/limiter.go
@@ -1,7 +1,6 @@
 package quota
 
 import (
-	"fmt"
 	"sync"
 	"time"
 
@@ -67,7 +66,7 @@
 	defer s.mu.Unlock()
 	u, ok := s.usages[workspace]
 	if !ok {
-		u = &usage{share: share}
+		u = &usage{share: share, demand: demand{at: now}}
 		s.usages[workspace] = u
 	}
 	if ok && u.quota == quota {
@@ -82,12 +81,9 @@
 	s := l.shard(workspace)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	u, ok := s.usages[workspace]
-	if !ok || u.share == share {
-		return
+	if u, ok := s.usages[workspace]; ok {
+		u.setShare(now, share)
 	}
-	u.share = share
-	u.apply(now)
 }
 
 // Take takes one request with its estimated tokens, prompt and answer, from the
@@ -100,14 +96,7 @@
 	if !ok {
 		return nil
 	}
-	wait := u.take(now, tokens)
-	if wait <= 0 {
-		return nil
-	}
-	message := fmt.Sprintf("workspace %s has used up its quota", workspace)
-	refused := refusal.New(refusal.QuotaExceeded, stepQuota, message)
-	refused.RetryAfter = wait
-	return refused
+	return u.takeOrRefuse(now, workspace, tokens)
 }
 
 // Correct puts the tokens that were used in place of those estimated, at the
@@ -119,5 +108,6 @@
 	if u, ok := s.usages[workspace]; ok {
 		u.tokens.refill(now)
 		u.tokens.take(used - estimated)
+		u.demand.correct(u, used-estimated)
 	}
 }
--- /dev/null
+++ b/internal/quotashare/exchange.go
@@ -0,0 +1,196 @@
+package quotashare
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/prometheus/client_golang/prometheus"
+
+	quotav1 "galenatrestle/internal/gen/trestle/quota/v1"
+	"galenatrestle/internal/gen/trestle/quota/v1/quotav1connect"
+	"galenatrestle/internal/membership"
+	"galenatrestle/internal/quota"
+)
+
+const (
+	// callTimeout bounds one call to an owner.
+	callTimeout = time.Second
+	// sweepInterval is the time between two clean-ups.
+	sweepInterval = 30 * time.Second
+)
+
+// Members is what the exchange reads of the membership.
+type Members interface {
+	View() *membership.Snapshot
+}
+
+// Options are what an Exchange is created with.
+type Options struct {
+	// Node is this node's name.
+	Node    string
+	Members Members
+	Caller  Caller
+	// Limiter tells the demands and is told the shares.
+	Limiter  *quota.Limiter
+	Settings Settings
+	// Rand spreads the nodes' reports over the interval.
+	Rand       *rand.Rand
+	Registerer prometheus.Registerer
+}
+
+// Exchange drives this node's Owner and Holder. It is safe for concurrent use.
+type Exchange struct {
+	options Options
+	metrics *metrics
+	calls   sync.WaitGroup
+
+	ownerMu sync.Mutex
+	owner   *Owner
+
+	holderMu sync.Mutex
+	holder   *Holder
+	// busy holds the owners with a call under way.
+	busy map[string]bool
+}
+
+// NewExchange returns an exchange that is not yet running.
+func NewExchange(options Options) *Exchange {
+	options.Settings = options.Settings.withDefaults()
+	return &Exchange{
+		options: options,
+		metrics: newMetrics(options.Registerer),
+		owner:   NewOwner(options.Settings),
+		holder:  NewHolder(options.Node, options.Settings),
+		busy:    make(map[string]bool),
+	}
+}
+
+// Handler returns the path and handler to mount on the peer listener.
+func (e *Exchange) Handler() (string, http.Handler) {
+	return quotav1connect.NewQuotaServiceHandler(e)
+}
+
+// Share implements the peer service.
+func (e *Exchange) Share(_ context.Context, r *connect.Request[quotav1.ShareRequest]) (*connect.Response[quotav1.ShareResponse], error) {
+	if len(r.Msg.GetWorkspaces()) > maxReports {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errTooManyReports)
+	}
+	grants := e.handle(r.Msg.GetNode(), reportsOf(r.Msg))
+	return connect.NewResponse(responseOf(grants)), nil
+}
+
+func (e *Exchange) handle(node string, reports []Report) []Grant {
+	live := servingNames(e.options.Members.View())
+	e.ownerMu.Lock()
+	defer e.ownerMu.Unlock()
+	e.metrics.handled.Add(float64(len(reports)))
+	return e.owner.Handle(time.Now(), node, live, reports)
+}
+
+// Run exchanges shares until ctx ends, and returns after the last call has.
+func (e *Exchange) Run(ctx context.Context) {
+	defer e.calls.Wait()
+	first := time.Duration(e.options.Rand.Int64N(int64(e.options.Settings.Interval))) + 1
+	timer := time.NewTimer(first)
+	defer timer.Stop()
+	swept := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-timer.C:
+			timer.Reset(e.options.Settings.Interval)
+			e.step(ctx, now)
+			if now.Sub(swept) > sweepInterval {
+				swept = now
+				e.sweep(now)
+			}
+		}
+	}
+}
+
+// EvenShare is the part of every quota that a node may use without an owner.
+func (e *Exchange) EvenShare() float64 {
+	view := e.options.Members.View()
+	return regionPart(view) * evenPart(view.Serving())
+}
+
+// step sends what is due and puts the shares in force.
+func (e *Exchange) step(ctx context.Context, now time.Time) {
+	view := e.options.Members.View()
+	part := regionPart(view)
+	for owner, reports := range e.plan(now, view, part) {
+		e.send(ctx, view, owner, reports)
+	}
+	e.putInForce(now, view, part)
+}
+
+func (e *Exchange) plan(now time.Time, view *membership.Snapshot, part float64) map[string][]Report {
+	needs := needsOf(view, part, e.options.Limiter.Demands(now))
+	e.holderMu.Lock()
+	defer e.holderMu.Unlock()
+	plan := e.holder.Plan(now, view.Serving(), needs, e.busy)
+	for owner := range plan {
+		e.busy[owner] = true
+	}
+	e.metrics.held.Set(float64(e.holder.Held()))
+	return plan
+}
+
+func (e *Exchange) send(ctx context.Context, view *membership.Snapshot, owner string, reports []Report) {
+	if owner == e.options.Node {
+		e.apply(owner, reports, e.handle(owner, reports), nil)
+		return
+	}
+	address := addressOf(view, owner)
+	e.calls.Go(func() {
+		grants, err := e.call(ctx, address, reports)
+		e.apply(owner, reports, grants, err)
+	})
+}
+
+func (e *Exchange) call(ctx context.Context, address string, reports []Report) ([]Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e.metrics.messages.Inc()
+	e.metrics.reported.Add(float64(len(reports)))
+	response, err := e.options.Caller.Share(ctx, address, requestOf(e.options.Node, reports))
+	if err != nil {
+		e.metrics.failed.Inc()
+		return nil, err
+	}
+	return grantsOf(response), nil
+}
+
+// apply takes in an owner's answer; the shares are in force from now on.
+func (e *Exchange) apply(owner string, reports []Report, grants []Grant, err error) {
+	now := time.Now()
+	e.holderMu.Lock()
+	delete(e.busy, owner)
+	if err != nil {
+		e.holder.Fail(now, owner, reports)
+	} else {
+		e.holder.Apply(now, owner, reports, grants)
+	}
+	e.holderMu.Unlock()
+	view := e.options.Members.View()
+	e.putInForce(now, view, regionPart(view))
+}
+
+func (e *Exchange) putInForce(now time.Time, view *membership.Snapshot, part float64) {
+	shares := make(map[string]float64)
+	e.holderMu.Lock()
+	defer e.holderMu.Unlock()
+	e.holder.Shares(now, func(workspace string, share float64) { shares[workspace] = share * part })
+	e.options.Limiter.SetShares(now, part*evenPart(view.Serving()), shares)
+}
+
+func (e *Exchange) sweep(now time.Time) {
+	e.ownerMu.Lock()
+	defer e.ownerMu.Unlock()
+	e.owner.Sweep(now)
+}
--- /dev/null
+++ b/internal/quotashare/settings.go
@@ -0,0 +1,67 @@
+package quotashare
+
+import "time"
+
+// Settings are the times and bounds of the exchange. Zero fields take the
+// defaults.
+type Settings struct {
+	// Interval is the time between two looks at the demand, and the shortest
+	// between two reports of one workspace.
+	Interval time.Duration
+	// Contended is the time between two reports of a workspace whose demands
+	// come near its quota.
+	Contended time.Duration
+	// Renew is the time between two reports of any other workspace.
+	Renew time.Duration
+	// LeaseTime is how long a share and a demand last without renewal.
+	LeaseTime time.Duration
+	// Grace is how long a share lasts after a report that got no answer.
+	Grace time.Duration
+	// Floor is the part of the quota that is divided evenly. A node whose demand
+	// is below its part of the floor says nothing.
+	Floor float64
+	// BytesPerSecond bounds what a node sends, estimated, over a long time.
+	BytesPerSecond float64
+}
+
+// The defaults of Settings.
+const (
+	DefaultInterval       = time.Second
+	DefaultContended      = 2 * time.Second
+	DefaultRenew          = 90 * time.Second
+	DefaultLeaseTime      = 5 * time.Minute
+	DefaultGrace          = 5 * time.Second
+	DefaultFloor          = 0.1
+	DefaultBytesPerSecond = 450
+)
+
+const (
+	// contendedPart is the part of the quota from which on demands count as near
+	// it.
+	contendedPart = 0.7
+	// settleTime is how long an owner that may be new gives even shares only: it
+	// does not know of the others' demands yet.
+	settleTime = 3 * time.Second
+	// maxWorkspaces bounds the workspaces that one owner keeps books on.
+	maxWorkspaces = 1 << 14
+	// maxReports bounds the reports of one message.
+	maxReports = 1024
+)
+
+func (s Settings) withDefaults() Settings {
+	setDefault(&s.Interval, DefaultInterval)
+	setDefault(&s.Contended, DefaultContended)
+	setDefault(&s.Renew, DefaultRenew)
+	setDefault(&s.LeaseTime, DefaultLeaseTime)
+	setDefault(&s.Grace, DefaultGrace)
+	setDefault(&s.Floor, DefaultFloor)
+	setDefault(&s.BytesPerSecond, DefaultBytesPerSecond)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
