--- a/internal/answer/packed.go
+++ b/internal/answer/packed.go
@@ -3,8 +3,6 @@
 import "encoding/binary"
 
 const (
-	// maxPackedHeader bounds the numbers before an event's own bytes.
-	maxPackedHeader = 4 * binary.MaxVarintLen32
 	// startBytes is the size of an event's entry in packed.starts.
 	startBytes = 4
 	// newTemplateOver is the length of own bytes from which an event becomes
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	answers   *answers
 	claims    *claims
 	credits   *credits
+	quotas    *quotas
 	moves     *moves
 	stories   *explain.Recorder
 	inspector *inspect.Asker
@@ -55,6 +56,7 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.quotas = newQuotas(options, n.members.runner, n.peers)
 	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
 	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
@@ -76,6 +78,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.quotas.offer(&options)
 	n.moves.offer(&options)
 	return options
 }
@@ -88,6 +91,7 @@
 	}
 	n.dispatch.Configure(index.Document())
 	n.answers.configure(index.Document())
+	n.quotas.configure(index.Document())
 	n.members.configure(index)
 	n.config.Store(index)
 }
@@ -102,6 +106,7 @@
 	n.sync.start()
 	n.claims.start()
 	n.credits.start()
+	n.quotas.start()
 	n.moves.start()
 }
 
@@ -146,6 +151,7 @@
 	n.sync.close()
 	n.answers.close()
 	n.credits.close()
+	n.quotas.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
