--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	c.giveUpAt = c.arrived.Add(usefulFor)
-	s.begin(c)
+	s.beginStory(c)
 	return c, nil
 }
 
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -23,7 +23,7 @@
 
 // serveClaimed runs an unrepeatable call at most once: claim, call, record.
 func (s *Server) serveClaimed(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
-	grant, err := s.begin(ctx, sc)
+	grant, err := s.claim(ctx, sc)
 	if err != nil {
 		s.refuseCall(w, sc.call, err)
 		return
@@ -41,10 +41,10 @@
 	}
 }
 
-// begin claims the call. Over the quota nothing new is claimed, but a repeat
+// claim claims the call. Over the quota nothing new is claimed, but a repeat
 // is answered: its call has been counted, and asking again is how a caller
 // learns of an outcome that it must not guess.
-func (s *Server) begin(ctx context.Context, sc *serviceCall) (claim.Grant, error) {
+func (s *Server) claim(ctx context.Context, sc *serviceCall) (claim.Grant, error) {
 	refused := s.useRequest(sc.call)
 	if refused == nil {
 		return s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -12,8 +12,8 @@
 	"galenatrestle/internal/upstream"
 )
 
-// begin starts the story of a checked request.
-func (s *Server) begin(c *call) {
+// beginStory starts the story of a checked request.
+func (s *Server) beginStory(c *call) {
 	c.story = s.options.Explain.Begin(c.arrived, c.id, &explain.Received{
 		Class: c.class.Name, Workspace: c.workspace.Name, Tier: c.class.Tier,
 	})
