--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/quotashare"
 )
 
 // Share is what one role takes of a node's allowance for control, in its steady
@@ -111,9 +112,10 @@
 			Basis:          "load reports of the engines owned, if only those of the region are",
 		},
 		{
-			Role:  RoleQuotas,
-			Bytes: l.at(RoleQuotas, "heap"),
-			Basis: "all workspaces; not wired into the node yet",
+			Role:           RoleQuotas,
+			BytesPerSecond: 2 * quotashare.DefaultBytesPerSecond,
+			Core:           l.at(RoleQuotas, "processor time of a second"),
+			Basis:          "as much received as its pace lets it send (a bound, not measured); its memory is in the whole node's",
 		},
 		{
 			Role:           RoleQuarantine,
