--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -42,16 +42,6 @@
 	return 0
 }
 
-// intercept returns the line's value at size zero.
-func (l lookup) intercept(role Role, quantity string) float64 {
-	for _, s := range l {
-		if s.Role == role && strings.HasPrefix(s.Quantity, quantity) {
-			return s.Line.Intercept
-		}
-	}
-	return 0
-}
-
 // target returns the size at which the role runs.
 func (l lookup) target(role Role) float64 {
 	for _, s := range l {
@@ -119,10 +109,10 @@
 		},
 		{
 			Role:           RoleQuarantine,
-			BytesPerSecond: l.intercept(RoleQuarantine, "bytes") + callFraming*exchangesPerSecond,
+			BytesPerSecond: l.at(RoleQuarantine, "bytes of exchanges between nodes that have the same") + tcpAndTLS*exchangesPerSecond,
 			Core:           exchangesPerSecond * end,
 			Bytes:          l.at(RoleQuarantine, "heap"),
-			Basis:          fmt.Sprintf("exchanges without records; heap of %d", quarantine.DefaultMaxRecords),
+			Basis:          fmt.Sprintf("exchanges between nodes alike; heap of %d records", quarantine.DefaultMaxRecords),
 		},
 		{
 			Role:  RoleLeaving,
--- a/internal/capacity/quarantine.go
+++ b/internal/capacity/quarantine.go
@@ -22,35 +22,41 @@
 // Quarantine measures the records of suspects and quarantined requests.
 func Quarantine(ctx context.Context, _ Fleet, records []int) ([]Slope, error) {
 	base := Slope{Role: RoleQuarantine, Against: "records", Target: quarantine.DefaultMaxRecords}
-	memory, wire := base, base
+	memory, alike, differing := base, base, base
 	memory.Quantity, memory.Unit = "heap", "B"
-	wire.Quantity, wire.Unit = "bytes of full exchanges, in and out", "B/s"
+	alike.Quantity, alike.Unit = "bytes of exchanges between nodes that have the same", "B/s"
+	differing.Quantity, differing.Unit = "bytes of exchanges between nodes that differ", "B/s"
 	for _, n := range records {
-		memory.add(n, heapOf(func() *quarantine.Tracker { return tracker(n) }))
-		bytes, err := exchangeBytes(ctx, n)
+		memory.add(n, heapOf(func() *quarantine.Tracker { return tracker(start, n) }))
+		bytes, err := exchangeBytes(ctx, n, n)
 		if err != nil {
 			return nil, err
 		}
-		wire.add(n, bytes*exchangesPerSecond)
+		alike.add(n, bytes*exchangesPerSecond)
+		if bytes, err = exchangeBytes(ctx, n, n-1); err != nil {
+			return nil, err
+		}
+		differing.add(n, bytes*exchangesPerSecond)
 	}
-	return fitAll(memory, wire)
+	return fitAll(memory, alike, differing)
 }
 
-// tracker returns one with so many suspects.
-func tracker(records int) *quarantine.Tracker {
+// tracker returns one with so many suspects of a crash.
+func tracker(crash time.Time, records int) *quarantine.Tracker {
 	t := quarantine.NewTracker(0)
 	running := make([]quarantine.Fingerprint, records)
 	for i := range running {
 		running[i] = quarantine.FingerprintOf(workspaceName(i), modelName(0), nil)
 	}
-	t.Crash(time.Now(), running)
+	t.Crash(crash, running)
 	return t
 }
 
-// exchangeBytes returns the bytes of one full exchange of two nodes that have
-// the same records.
-func exchangeBytes(ctx context.Context, records int) (float64, error) {
-	mine, theirs := tracker(records), tracker(records)
+// exchangeBytes returns the bytes of one exchange of two nodes, of which the
+// other has so many of the records.
+func exchangeBytes(ctx context.Context, records, others int) (float64, error) {
+	crash := time.Now()
+	mine, theirs := tracker(crash, records), tracker(crash, others)
 	link, err := newPeerLink(quarantinerpc.NewHandler(theirs))
 	if err != nil {
 		return 0, err
