--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -72,6 +72,7 @@
 	return Options{
 		Fleet: Target(), Nodes: []int{2, 4}, Regions: []int{2, 3}, Workspaces: []int{100, 200},
 		Replicas: []int{8, 200}, Claims: []int{50, 100}, ClaimRates: []int{20, 40}, Tokens: []int{2, 8},
+		Segments: 16, AnswerBytes: []int{0, 200},
 		Records: []int{10, 400}, Leases: []int{1, 2}, Contenders: []int{40, 80}, Bytes: []int{64, 4096}, Requests: []int{10, 200}, VMs: []int{10, 200}, Engines: []int{2, 4},
 		PathRate: 50, PathInterval: time.Millisecond, Duration: 500 * time.Millisecond,
 	}
--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -49,7 +49,7 @@
 	memory.Quantity, memory.Unit = fmt.Sprintf("heap of the holders, answers of %d bytes", answer), "B"
 	cpu.Quantity, cpu.Unit = fmt.Sprintf("processor time of all, answers of %d bytes", answer), "s"
 	for _, n := range claims {
-		l, err := newLedger(ctx, answer)
+		l, err := newLedger(ctx, claim.DefaultPolicy(), answer)
 		if err != nil {
 			return nil, err
 		}
@@ -77,7 +77,7 @@
 	bytes.Quantity, bytes.Unit = "bytes written to the platform", "B/s"
 	wait.Quantity, wait.Unit = "mean time of a claim and its record", "s"
 	for _, rate := range rates {
-		l, err := newLedger(ctx, claimAnswerBytes)
+		l, err := newLedger(ctx, claim.DefaultPolicy(), claimAnswerBytes)
 		if err != nil {
 			return nil, err
 		}
@@ -119,7 +119,7 @@
 	return c.Store.CompareAndSwap(ctx, key, expect, value)
 }
 
-func newLedger(ctx context.Context, answer int) (*ledger, error) {
+func newLedger(ctx context.Context, policy claim.Policy, answer int) (*ledger, error) {
 	l := &ledger{answer: answer, store: &writeCounter{Store: memstore.New(memstore.Config{WritesPerSecond: 1e6, ReadsPerSecond: 1e6, LogEvents: 1, LogBytes: 1})}}
 	metrics, err := lease.NewMetrics(prometheus.NewRegistry())
 	if err != nil {
@@ -132,7 +132,7 @@
 	self := membership.Member{Name: claimNode, PeerAddress: claimNode, State: membership.StateServing}
 	table := membership.NewTable(self, membership.Settings{}, rand.New(rand.NewPCG(1, 1)), time.Now())
 	l.node, err = claim.NewNode(claim.Options{
-		Store: l.store, Leases: claimLeases{source}, View: table.Snapshot(), Random: rand.New(rand.NewPCG(1, 2)),
+		Policy: policy, Store: l.store, Leases: claimLeases{source}, View: table.Snapshot(), Random: rand.New(rand.NewPCG(1, 2)),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/capacity/measure.go
+++ b/internal/capacity/measure.go
@@ -36,6 +36,9 @@
 	{"claim writes", func(ctx context.Context, o Options) ([]Slope, error) {
 		return ClaimWrites(ctx, o.Fleet, o.ClaimRates, o.Duration)
 	}},
+	{"full ledger", func(ctx context.Context, o Options) ([]Slope, error) {
+		return FullLedger(ctx, o.Segments, o.AnswerBytes)
+	}},
 	{"leases", func(ctx context.Context, o Options) ([]Slope, error) {
 		return Leases(ctx, o.Fleet, o.Leases, o.Contenders, o.Duration)
 	}},
--- a/internal/capacity/options.go
+++ b/internal/capacity/options.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/internal/claim"
+)
 
 // Options size the measurements.
 type Options struct {
@@ -25,6 +29,10 @@
 	Engines    []int
 	// Only names the steps to run; empty means all.
 	Only []string
+	// Segments of a claim ledger's shard, and AnswerBytes recorded in it, are
+	// those of a ledger that is filled.
+	Segments    int
+	AnswerBytes []int
 	// PathRate is the requests a second of the data path, PathInterval the
 	// engines' time between tokens.
 	PathRate     float64
@@ -44,6 +52,8 @@
 		Replicas:     []int{8, 16, 44, 128, 262},
 		Claims:       []int{1000, 2000, 4000, 8000},
 		ClaimRates:   []int{10, 20, 40, 60, 80},
+		Segments:     claim.DefaultSegments,
+		AnswerBytes:  []int{0, 100, 200},
 		Tokens:       []int{16, 64, 160, 455},
 		Records:      []int{64, 256, 1024, 4096},
 		Leases:       []int{1, 4, 16},
