trestle-load compare: settings side by side, beside a clairvoyant order

Cause: whether the nodes should share slots was judged by single runs, and no run said what was possible at all.

Beside it stands what one queue before all slots reaches with known lengths (package load/clairvoyant, computed offline).

--- a/cmd/trestle-load/embedded.go
+++ b/cmd/trestle-load/embedded.go
@@ -39,6 +39,16 @@
 	return slots * d.Speed / engine.DefaultTokenInterval.Seconds()
 }
 
+// ideal describes the engines to the clairvoyant order.
+func (d *embeddedDeployment) ideal() load.Ideal {
+	scaled := func(t time.Duration) time.Duration { return time.Duration(float64(t) / d.Speed) }
+	return load.Ideal{
+		Slots:           d.Engines * d.Slots,
+		TokenInterval:   scaled(engine.DefaultTokenInterval),
+		PrefillPerToken: scaled(engine.DefaultPrefillPerToken),
+	}
+}
+
 // embeddedStopTimeout bounds the graceful stop of the embedded deployment.
 const embeddedStopTimeout = 10 * time.Second
 
--- a/cmd/trestle-load/main.go
+++ b/cmd/trestle-load/main.go
@@ -14,6 +14,7 @@
   trestle-load run bench/friday-night.yaml --entry 127.0.0.1:8080 --runs http://127.0.0.1:9090
   trestle-load run bench/cold-morning.yaml --ask-entries --json
   trestle-load run bench/straggler.yaml --embedded-nodes 8 --embedded-engines 20 --scale 5
+  trestle-load compare bench/steady-mix.yaml --embedded-nodes 8 --loads 1,1.5,2 --seeds 1,2,3
   trestle-load path --rate 2000 --tokens 16
   trestle-load capacity --nodes 2,4,8 --plot capacity.svg
   trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
@@ -23,6 +24,7 @@
 // commands are the subcommands, each in a file of its own.
 type commands struct {
 	Run      runCommand       `cmd:"" help:"Run a workload, open loop, and report."`
+	Compare  compareCommand   `cmd:"" help:"Run workloads with several settings and print one table, beside a clairvoyant order."`
 	Replay   replayCommand    `cmd:"" help:"Replay a trace and compare each outcome with the stated one."`
 	Path     pathCommand      `cmd:"" help:"Measure what the path through a node adds to a call straight to the engine."`
 	Capacity capacityCommand  `cmd:"" help:"Measure how the cost of each role grows, and what it is at the fleet's size."`
--- a/cmd/trestle-load/run.go
+++ b/cmd/trestle-load/run.go
@@ -21,23 +21,10 @@
 
 // Run offers the workload; it fails where a promise was broken.
 func (c *runCommand) Run() error {
-	data, err := os.ReadFile(c.Workload)
+	w, err := c.read()
 	if err != nil {
 		return err
 	}
-	w, err := load.ParseWorkload(data)
-	if err != nil {
-		return fmt.Errorf("%s:\n%w", c.Workload, err)
-	}
-	if c.Seed != nil {
-		w.Seed = *c.Seed
-	}
-	if c.EngineSeed != nil {
-		w.EngineSeed = *c.EngineSeed
-	}
-	if err := c.scale(w); err != nil {
-		return err
-	}
 	requests := load.Plan(w)
 	load.Stamp(requests, uuid.NewString())
 	collector, truth, err := c.send(w, requests)
@@ -54,6 +41,28 @@
 	return nil
 }
 
+// read returns the workload with what the flags change.
+func (c *runCommand) read() (*load.Workload, error) {
+	data, err := os.ReadFile(c.Workload)
+	if err != nil {
+		return nil, err
+	}
+	w, err := load.ParseWorkload(data)
+	if err != nil {
+		return nil, fmt.Errorf("%s:\n%w", c.Workload, err)
+	}
+	if c.Seed != nil {
+		w.Seed = *c.Seed
+	}
+	if c.EngineSeed != nil {
+		w.EngineSeed = *c.EngineSeed
+	}
+	if err := c.scale(w); err != nil {
+		return nil, err
+	}
+	return w, nil
+}
+
 // scale sets the rates as the flags say.
 func (c *runCommand) scale(w *load.Workload) error {
 	if c.Scale <= 0 || c.Load < 0 {
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -45,17 +45,20 @@
 // DefaultTokenInterval is the time between tokens of Options that name none.
 const DefaultTokenInterval = 20 * time.Millisecond
 
+// DefaultPrefillPerToken is the time to read an uncached prompt word of Options
+// that name none.
+const DefaultPrefillPerToken = 200 * time.Microsecond
+
 // Defaults of Options.
 const (
-	defaultSlots           = 8
-	defaultBatchPerSlot    = 4
-	defaultQueueBound      = 1024
-	defaultPrefillPerToken = 200 * time.Microsecond
-	defaultCacheTokens     = 16384
-	defaultLoadLag         = 500 * time.Millisecond
-	defaultCacheEventLag   = time.Second
-	defaultCacheEventLoss  = 0.05
-	defaultRestartTime     = time.Second
+	defaultSlots          = 8
+	defaultBatchPerSlot   = 4
+	defaultQueueBound     = 1024
+	defaultCacheTokens    = 16384
+	defaultLoadLag        = 500 * time.Millisecond
+	defaultCacheEventLag  = time.Second
+	defaultCacheEventLoss = 0.05
+	defaultRestartTime    = time.Second
 )
 
 func (o Options) withDefaults() Options {
@@ -66,7 +69,7 @@
 	o.CacheEventLoss = orDefault(o.CacheEventLoss, defaultCacheEventLoss)
 	o.Speed = orDefault(o.Speed, 1)
 	o.TokenInterval = o.scaled(o.TokenInterval, DefaultTokenInterval)
-	o.PrefillPerToken = o.scaled(o.PrefillPerToken, defaultPrefillPerToken)
+	o.PrefillPerToken = o.scaled(o.PrefillPerToken, DefaultPrefillPerToken)
 	o.LoadLag = o.scaled(o.LoadLag, defaultLoadLag)
 	o.CacheEventLag = o.scaled(o.CacheEventLag, defaultCacheEventLag)
 	o.RestartTime = o.scaled(o.RestartTime, defaultRestartTime)
