--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -53,6 +53,9 @@
 	if err := json.Unmarshal(body, &p.request); err != nil {
 		return nil, badShape(err, body)
 	}
+	if err := checkNames(p.fields); err != nil {
+		return nil, err
+	}
 	if err := p.checkFields(c); err != nil {
 		return nil, err
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"path"
 	"strconv"
 	"time"
 
@@ -61,6 +60,9 @@
 		return nil, err
 	}
 	servicePath := "/" + r.PathValue("path")
+	if err := checkServicePath(servicePath); err != nil {
+		return nil, err
+	}
 	sc := &serviceCall{call: c, upstream: target, rule: ruleFor(target, r.Method, servicePath)}
 	if sc.rule != nil && !sc.rule.KeyOptional && c.idempotencyKey == "" {
 		return nil, named(refusal.IdempotencyNeeds, headerIdempotencyKey, "", "this call may not be repeated: send a key that names it")
@@ -76,25 +78,6 @@
 	return sc, nil
 }
 
-func withQuery(servicePath, query string) string {
-	if query == "" {
-		return servicePath
-	}
-	return servicePath + "?" + query
-}
-
-// ruleFor returns the first rule that matches, or nil.
-func ruleFor(target *config.Upstream, method, servicePath string) *config.Rule {
-	for i := range target.Unrepeatable {
-		rule := &target.Unrepeatable[i]
-		matched, err := path.Match(rule.Path, servicePath)
-		if err == nil && matched && rule.Method == method {
-			return rule
-		}
-	}
-	return nil
-}
-
 // serveCall runs the call, at most once where it may not be repeated, and
 // answers.
 func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
