Claims: keep ended claims as short records

Cause: each ended claim kept its key, fingerprint, attempt and for an hour its answer, so that a ledger with the defaults held 2.8 claims a second for the 24 hours of retention.

Change: past AnswerRetention, now 10 minutes instead of an hour, a recorded or unknown claim is packed: 12 bytes of the key's digest, phase, status, second, 4 bytes of the fingerprint, and the attempt where it is unknown, 27 or 43 bytes. That happens where the ring carries what it overwrites, without a write of its own. The index's digest went from 128 to 96 bits: with 1.5 million claims kept a new key meets another's digest with odds of 2e-23. Such a call is told of the other's outcome or that its key was reused; it is never run twice. Another content of a reused key passes for the same once in 2^32, and is told that the call ran; it is not run either.

Left: a node of the version before does not read short records. All nodes must run this version before one of them keeps a claim for 10 minutes, else a take-over by an old node forgets ended claims.

--- a/internal/claim/begin.go
+++ b/internal/claim/begin.go
@@ -36,7 +36,7 @@
 		}
 		return c.claim(state)
 	}
-	if !bytes.Equal(state.GetFingerprint(), c.Content[:]) {
+	if !c.Content.matches(state.GetFingerprint()) {
 		return state, Decision{Refused: refusal.IdempotencyReuse}
 	}
 	switch state.GetPhase() {
--- /dev/null
+++ b/internal/claim/day_test.go
@@ -0,0 +1,101 @@
+package claim
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+)
+
+// dayHours is longer than the retention of keys, so that the ring comes to the
+// size that it keeps.
+const dayHours = 30
+
+// BenchmarkDay measures one shard of a ledger at a rate of claims, each with an
+// answer of 200 bytes, for longer than its retention: how full it gets, what is
+// refused, what is written, and what it takes in memory and to take over. The
+// claims of one second share a write, as do their ends.
+func BenchmarkDay(b *testing.B) {
+	b.Run("default/rush", func(b *testing.B) {
+		for range b.N {
+			measureDay(b, DefaultPolicy(), rush)
+		}
+	})
+	larger := DefaultPolicy()
+	larger.Shards, larger.Segments = 64, 128
+	for _, way := range []struct {
+		name   string
+		policy Policy
+		rate   float64
+	}{
+		{"default", DefaultPolicy(), 5},
+		{"default", DefaultPolicy(), 10},
+		{"default", DefaultPolicy(), 16.5},
+		{"64 shards of 128 segments", larger, 16.5},
+		{"64 shards of 128 segments", larger, 40},
+	} {
+		b.Run(fmt.Sprintf("%s/%v a second", way.name, way.rate), func(b *testing.B) {
+			for range b.N {
+				measureDay(b, way.policy, func(int) float64 { return way.rate })
+			}
+		})
+	}
+}
+
+// rush is ten claims a second for three hours of each day and two a second on
+// its average.
+func rush(second int) float64 {
+	if second%(24*3600) < 3*3600 {
+		return 10
+	}
+	return 6.0 / 7
+}
+
+func measureDay(b *testing.B, policy Policy, rate func(second int) float64) {
+	bench := newRingBench(b, policy)
+	due, claims, refused, writes, written, fullest := 0.0, 0, 0, 0, 0, 0
+	write := func() {
+		bench.write()
+		writes++
+		written += len(bench.ring.body)
+	}
+	for second := range dayHours * 3600 {
+		bench.now = bench.now.Add(time.Second)
+		first := claims
+		for due += rate(second) / float64(policy.Shards); due >= 1; due-- {
+			if bench.ring.full() {
+				refused++
+				continue
+			}
+			bench.begin(keyNumber(claims), attemptNumber(claims), "")
+			claims++
+		}
+		if claims == first {
+			continue
+		}
+		bench.ring.compact = bench.ring.crowded()
+		write()
+		for n := first; n < claims; n++ {
+			bench.finish(keyNumber(n), attemptNumber(n), phaseRecorded, make([]byte, 200))
+		}
+		write()
+		fullest = max(fullest, bench.ring.bytes)
+	}
+	kept := len(bench.ring.index)
+	b.ReportMetric(100*float64(fullest)/float64(policy.capacity()), "%full")
+	b.ReportMetric(100*float64(refused)/float64(refused+claims), "%refused")
+	b.ReportMetric(float64(bench.ring.bytes)/float64(kept), "record-B/claim")
+	b.ReportMetric(float64(written)/float64(claims), "written-B/claim")
+	b.ReportMetric(float64(writes)/float64(claims), "writes/claim")
+	b.ReportMetric(float64(kept*policy.Shards), "kept-claims")
+	bench.ring = nil
+	bare := heap()
+	start := time.Now()
+	bench.recover(policy, 2)
+	took := time.Since(start)
+	used := heap() - bare
+	runtime.KeepAlive(bench)
+	b.ReportMetric(float64(used)*float64(policy.Shards)/1e6, "heap-MB")
+	b.ReportMetric(float64(used)/float64(kept), "heap-B/claim")
+	b.ReportMetric(took.Seconds()*1e3, "recover-ms")
+}
--- a/internal/claim/fingerprint.go
+++ b/internal/claim/fingerprint.go
@@ -1,6 +1,9 @@
 package claim
 
-import "crypto/sha256"
+import (
+	"bytes"
+	"crypto/sha256"
+)
 
 // Fingerprint identifies the content of a call, so that a key reused with
 // another content is found out.
@@ -15,3 +18,12 @@
 	writeField(digest, string(body))
 	return Fingerprint(digest.Sum(nil)[:len(Fingerprint{})])
 }
+
+// shortFingerprintBytes is how much of a fingerprint a short record keeps.
+// Another content passes for the same once in 2^32; it is not run either way.
+const shortFingerprintBytes = 4
+
+// matches compares with what a record keeps of a fingerprint.
+func (f Fingerprint) matches(kept []byte) bool {
+	return len(kept) >= shortFingerprintBytes && bytes.HasPrefix(f[:], kept)
+}
--- a/internal/claim/model_test.go
+++ b/internal/claim/model_test.go
@@ -169,6 +169,9 @@
 var (
 	tailStays = Policy{Segments: 2, SegmentBytes: 1 << 20, InProgressLimit: time.Hour, KeyRetention: time.Hour}
 	tailMoves = Policy{Segments: 2, SegmentBytes: 1, InProgressLimit: time.Hour, KeyRetention: time.Hour}
+	// tailShortens overwrites its only segment with each write and shortens
+	// each ended claim that it carries.
+	tailShortens = Policy{Segments: 1, SegmentBytes: 1, InProgressLimit: time.Hour, KeyRetention: time.Hour, AnswerRetention: -1}
 )
 
 // newModel explores from a state in which node 0 is about to take over: nodes
@@ -200,6 +203,12 @@
 		"suspicion and lost answer, tail moves": {policy: tailMoves, left: budget{takeovers: 1, suspicions: 1, lost: 1}},
 		"release and late write, tail moves":    {policy: tailMoves, left: budget{takeovers: 1, releases: 1, late: 1}},
 	}
+	for _, left := range []budget{
+		{takeovers: 2, crashes: 1}, {takeovers: 1, crashes: 1, lost: 1}, {takeovers: 1, crashes: 1, late: 1},
+		{takeovers: 1, suspicions: 1, lost: 1}, {takeovers: 1, releases: 1, late: 1},
+	} {
+		bounds[fmt.Sprintf("short records, %+v", left)] = modelState{policy: tailShortens, left: left}
+	}
 	for name, start := range bounds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -212,6 +221,9 @@
 					t.Errorf("the model never reached %q", wanted)
 				}
 			}
+			if start.policy.AnswerRetention < 0 && m.reached["short record"] == 0 {
+				t.Error("the model never met a short record")
+			}
 			t.Logf("%d states, %v", len(m.seen), m.reached)
 		})
 	}
--- a/internal/claim/modelrequest_test.go
+++ b/internal/claim/modelrequest_test.go
@@ -42,6 +42,9 @@
 		m.failures = append(m.failures, err.Error())
 		return
 	}
+	if r.index[digestOf(modelKey)].short {
+		m.reached["short record"]++
+	}
 	request := &s.requests[i]
 	request.state = requestWaiting
 	request.tries++
--- a/internal/claim/policy.go
+++ b/internal/claim/policy.go
@@ -14,7 +14,8 @@
 	// MaxAnswerBytes bounds the recorded body and headers of one call; a
 	// larger body is dropped and the status kept.
 	MaxAnswerBytes int
-	// AnswerRetention is how long a recorded body is kept.
+	// AnswerRetention is how long a recorded body is kept. Afterwards an ended
+	// claim is a short record.
 	AnswerRetention time.Duration
 	// KeyRetention is how long an ended claim is known; a repeat that comes
 	// later runs again.
@@ -30,7 +31,7 @@
 	DefaultSegments        = 512
 	DefaultSegmentBytes    = 16 << 10
 	DefaultMaxAnswerBytes  = 8 << 10
-	DefaultAnswerRetention = time.Hour
+	DefaultAnswerRetention = 10 * time.Minute
 	DefaultKeyRetention    = 24 * time.Hour
 	DefaultInProgressLimit = 15 * time.Minute
 )
--- a/internal/claim/recover.go
+++ b/internal/claim/recover.go
@@ -80,19 +80,29 @@
 	place.sequence = next.segment.GetSequence()
 	r.tail = place.sequence
 	r.sealed = next.segment.GetSealed()
+	for _, packed := range next.segment.GetShortRecords() {
+		if _, err := unpack(packed); err != nil {
+			return err
+		}
+		r.found(place, digest(packed[:len(digest{})]), held{encoded: packed, short: true})
+	}
 	for _, record := range next.segment.GetRecords() {
 		encoded, err := proto.Marshal(record)
 		if err != nil {
 			return err
 		}
-		id := digestOf(KeyFromProto(record.GetKey()))
-		r.bytes += len(encoded) - len(r.index[id].encoded)
-		r.index[id] = held{sequence: place.sequence, encoded: encoded}
-		place.digests = append(place.digests, id)
+		r.found(place, digestOf(KeyFromProto(record.GetKey())), held{encoded: encoded})
 	}
 	return nil
 }
 
+// found takes in one state of a segment.
+func (r *ring) found(place *slot, id digest, state held) {
+	state.sequence = place.sequence
+	r.replace(id, state)
+	place.digests = append(place.digests, id)
+}
+
 // rebuildTail encodes the tail's records again, each claim once.
 func (r *ring) rebuildTail() {
 	if r.sealed {
@@ -102,7 +112,7 @@
 	kept := write{}
 	for _, id := range place.digests {
 		if r.index[id].sequence == r.tail && !slices.Contains(kept.digests, id) {
-			kept.append(id, r.index[id].encoded)
+			kept.append(id, r.index[id])
 		}
 	}
 	place.digests = kept.digests
--- a/internal/claim/ring.go
+++ b/internal/claim/ring.go
@@ -4,13 +4,16 @@
 	"crypto/sha256"
 	"time"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
 )
 
-// digest is the index's key: half of a SHA-256 sum over the claim's key.
-type digest [16]byte
+// digest is the index's key: the first 96 bits of a SHA-256 sum over the
+// claim's key. Two keys with one digest are taken for one call, so that the
+// later one is not run.
+type digest [12]byte
 
 func digestOf(key Key) digest {
 	sum := sha256.New()
@@ -27,8 +30,29 @@
 	sequence int64
 	// change numbers the state; it is durable once the ring has written it.
 	change int64
-	// encoded is the marshalled claimv1.Record.
+	// encoded is the marshalled claimv1.Record, or the packed short record.
 	encoded []byte
+	short   bool
+}
+
+// size returns the bytes that the state takes in a segment.
+func (h held) size() int {
+	if h.encoded == nil {
+		return 0
+	}
+	return protowire.SizeTag(recordsField) + protowire.SizeBytes(len(h.encoded))
+}
+
+// state decodes the claim's latest state.
+func (h held) state() (*claimv1.Record, error) {
+	if h.short {
+		return unpack(h.encoded)
+	}
+	state := &claimv1.Record{}
+	if err := proto.Unmarshal(h.encoded, state); err != nil {
+		return nil, err
+	}
+	return state, nil
 }
 
 // slot is one platform key of the ring as last seen.
@@ -64,7 +88,7 @@
 	sealed bool
 	// body is the tail's encoded records.
 	body []byte
-	// bytes is the sum of the encoded states in the index.
+	// bytes is the sum of the sizes of the states in the index.
 	bytes int
 	// compact asks that the next write seals its segment, so that the ring
 	// moves on to what may be dropped.
@@ -89,6 +113,10 @@
 	if next == nil || next == state {
 		return decision, r.undurable(current), nil
 	}
+	if next.GetKey() == nil {
+		// A short record does not keep the key.
+		next.Key = KeyToProto(key)
+	}
 	number, err := r.put(id, next)
 	return decision, number, err
 }
@@ -98,7 +126,7 @@
 	if !exists {
 		return nil, nil
 	}
-	state, err := decode(current.encoded)
+	state, err := current.state()
 	if err != nil {
 		return nil, err
 	}
@@ -120,12 +148,17 @@
 		return 0, err
 	}
 	r.last++
-	r.bytes += len(encoded) - len(r.index[id].encoded)
-	r.index[id] = held{change: r.last, encoded: encoded}
+	r.replace(id, held{change: r.last, encoded: encoded})
 	r.pending = append(r.pending, change{number: r.last, digest: id, encoded: encoded})
 	return r.last, nil
 }
 
+// replace makes the state the claim's latest.
+func (r *ring) replace(id digest, next held) {
+	r.bytes += next.size() - r.index[id].size()
+	r.index[id] = next
+}
+
 // crowded says that the ring should move on to what may be dropped.
 func (r *ring) crowded() bool {
 	return float64(r.bytes) > compactPart*float64(r.policy.capacity())
@@ -140,11 +173,3 @@
 func (r *ring) bodyFree() bool {
 	return float64(r.bytes) > bodyFreePart*float64(r.policy.capacity())
 }
-
-func decode(encoded []byte) (*claimv1.Record, error) {
-	state := &claimv1.Record{}
-	if err := proto.Unmarshal(encoded, state); err != nil {
-		return nil, err
-	}
-	return state, nil
-}
--- /dev/null
+++ b/internal/claim/short_test.go
@@ -0,0 +1,109 @@
+package claim
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	claimv1 "galenatrestle/internal/gen/trestle/claim/v1"
+	"galenatrestle/internal/refusal"
+)
+
+// goRound makes the ring overwrite each of its segments.
+func (b *ringBench) goRound() {
+	b.t.Helper()
+	for range len(b.ring.slots) + 1 {
+		b.ring.compact = true
+		b.write()
+	}
+}
+
+// TestShortRecords asks for ended claims after they were shortened, before and
+// after a recovery, until their retention ends.
+func TestShortRecords(t *testing.T) {
+	cases := []struct {
+		name    string
+		phase   claimv1.Phase
+		content Fingerprint
+		verdict Verdict
+		refused refusal.Reason
+	}{
+		{"recorded", phaseRecorded, Fingerprint{}, Recorded, ""},
+		{"recorded, other content", phaseRecorded, modelContent, 0, refusal.IdempotencyReuse},
+		{"unknown", phaseUnknown, Fingerprint{}, Unknown, ""},
+		{"unknown, other content", phaseUnknown, modelContent, 0, refusal.IdempotencyReuse},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			policy := benchPolicy()
+			b := newRingBench(t, policy)
+			b.now = b.now.Add(time.Millisecond)
+			ended := b.now
+			b.begin(keyNumber(1), attemptNumber(1), "")
+			b.finish(keyNumber(1), attemptNumber(1), test.phase, make([]byte, 200))
+			b.write()
+			b.now = ended.Add(policy.AnswerRetention + time.Millisecond)
+			b.goRound()
+			if current := b.ring.index[digestOf(keyNumber(1))]; !current.short || current.size() > 48 {
+				t.Errorf("the claim takes %d bytes, short %v", current.size(), current.short)
+			}
+			ask := func(at time.Duration, verdict Verdict, refused refusal.Reason) {
+				t.Helper()
+				b.now = ended.Add(at)
+				command := BeginCommand{Key: keyNumber(1), Content: test.content, Attempt: uuid.New(), Now: b.now}
+				state, err := b.ring.lookup(b.ring.index[digestOf(keyNumber(1))], len(b.ring.index) > 0, b.now)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, got := Apply(state, command)
+				if got.Verdict != verdict || got.Refused != refused {
+					t.Errorf("after %v a repeat got %+v", at, got)
+				}
+				if got.Verdict == Recorded && (got.Answer.GetStatus() != 201 || !got.Answer.GetBodyDropped()) {
+					t.Errorf("the recorded answer is %v", got.Answer)
+				}
+			}
+			ask(policy.KeyRetention, test.verdict, test.refused)
+			b.recover(policy, 2)
+			ask(policy.KeyRetention, test.verdict, test.refused)
+			ask(policy.KeyRetention+2*time.Second, Run, "")
+		})
+	}
+}
+
+// TestShortUnknownIsRecorded lets the owner of a claim that was taken for lost
+// record its answer after the claim was shortened and recovered.
+func TestShortUnknownIsRecorded(t *testing.T) {
+	policy := benchPolicy()
+	b := newRingBench(t, policy)
+	b.begin(keyNumber(1), attemptNumber(1), "")
+	b.finish(keyNumber(1), attemptNumber(1), phaseUnknown, nil)
+	b.now = b.now.Add(policy.AnswerRetention + time.Second)
+	b.goRound()
+	b.recover(policy, 2)
+	b.finish(keyNumber(1), attemptNumber(2), phaseRecorded, []byte("another's"))
+	b.finish(keyNumber(1), attemptNumber(1), phaseRecorded, []byte("late"))
+	b.write()
+	b.recover(policy, 3)
+	if got := b.begin(keyNumber(1), uuid.New(), ""); got.Verdict != Recorded || string(got.Answer.GetBody()) != "late" {
+		t.Errorf("a repeat got %+v", got)
+	}
+}
+
+// TestRecoverRefusesBrokenShortRecords does not take what it cannot read for
+// nothing: a claim would be forgotten.
+func TestRecoverRefusesBrokenShortRecords(t *testing.T) {
+	state := &claimv1.Record{Phase: phaseRecorded, Fingerprint: modelContent[:], Attempt: make([]byte, 16)}
+	good := pack(digest{}, state)
+	state.Phase = phaseUnknown
+	unknown := pack(digest{}, state)
+	for name, packed := range map[string][]byte{
+		"too short": good[:len(good)-1], "too long": append(good[:len(good):len(good)], 0),
+		"no attempt": unknown[:shortBytes], "no phase": make([]byte, shortBytes),
+	} {
+		if _, err := unpack(packed); err == nil {
+			t.Errorf("%s was taken", name)
+		}
+	}
+}
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -12,8 +12,11 @@
 	"galenatrestle/internal/platform"
 )
 
-// recordsField is the field number of Segment.records.
-const recordsField = 6
+// The field numbers of Segment.records and Segment.short_records.
+const (
+	recordsField      = 6
+	shortRecordsField = 7
+)
 
 // write is one compare-and-swap on a shard's tail.
 type write struct {
@@ -78,7 +81,7 @@
 	if !exists || current.sequence != sequence {
 		return nil
 	}
-	state, err := decode(current.encoded)
+	state, err := current.state()
 	if err != nil {
 		return err
 	}
@@ -87,31 +90,35 @@
 		r.forget(id, current)
 		return nil
 	}
-	if kept != state {
-		if err := r.shrink(id, &current, kept); err != nil {
-			return err
-		}
+	if err := current.shrink(id, state, kept, shortens(kept, now, r.policy)); err != nil {
+		return err
 	}
 	current.sequence = next.sequence
-	r.index[id] = current
-	next.append(id, current.encoded)
+	r.replace(id, current)
+	next.append(id, current)
 	return nil
 }
 
 func (r *ring) forget(id digest, current held) {
-	r.bytes -= len(current.encoded)
+	r.bytes -= current.size()
 	delete(r.index, id)
 }
 
-func (r *ring) shrink(id digest, current *held, kept *claimv1.Record) error {
-	encoded, err := proto.Marshal(kept)
-	if err != nil {
-		return err
+// shrink encodes what is kept of the state, shortened where that may be.
+func (h *held) shrink(id digest, state, kept *claimv1.Record, shorten bool) error {
+	if h.short {
+		return nil
 	}
-	r.bytes += len(encoded) - len(current.encoded)
-	current.encoded = encoded
-	r.index[id] = *current
-	return nil
+	if shorten {
+		h.encoded, h.short = pack(id, kept), true
+		return nil
+	}
+	if kept == state {
+		return nil
+	}
+	encoded, err := proto.Marshal(kept)
+	h.encoded = encoded
+	return err
 }
 
 // maxBatchBytes bounds the changes that one write takes, so that a segment
@@ -136,19 +143,23 @@
 			current.sequence = next.sequence
 			r.index[waiting.digest] = current
 		}
-		next.append(waiting.digest, waiting.encoded)
+		next.append(waiting.digest, held{encoded: waiting.encoded})
 	}
 	r.pending = r.pending[taken:]
 }
 
 // append adds one record. The body is copied on its first growth, so that a
 // write never shares memory with the ring's.
-func (w *write) append(id digest, encoded []byte) {
+func (w *write) append(id digest, state held) {
 	if len(w.digests) == 0 {
-		w.body = append(make([]byte, 0, len(w.body)+len(encoded)+128), w.body...)
+		w.body = append(make([]byte, 0, len(w.body)+len(state.encoded)+128), w.body...)
+	}
+	field := protowire.Number(recordsField)
+	if state.short {
+		field = shortRecordsField
 	}
-	w.body = protowire.AppendTag(w.body, recordsField, protowire.BytesType)
-	w.body = protowire.AppendBytes(w.body, encoded)
+	w.body = protowire.AppendTag(w.body, field, protowire.BytesType)
+	w.body = protowire.AppendBytes(w.body, state.encoded)
 	w.digests = append(w.digests, id)
 }
 
