operator: every kind of intent in words, plans on what all nodes have in flight

Cause: plans were worked out on one node's requests times the number of nodes, a move's plan knew nothing of its target, the printed plan left out capacity, work in flight and times, and a confirmed plan stayed 'proposed' until the executor's first write.

Change: internal/drain: each node tells its work (in flight, by replica, by class, duties) to the others; intent.Stats is the sum, a node that does not answer is a risk in the plan, and a move asks the target's nodes what they have free. trestlectl takes 'move upstream NAME --to DC', 'drain vm', 'drain replica', 'load model', 'change role', 'declare dead', and prints for each step what it touches, the requests in flight, the slots left by class, start, time taken and what it waits for. A drain of a leaving replica or of the only VM is refused.

--- a/internal/command/trestlectl/intent.go
+++ b/internal/command/trestlectl/intent.go
@@ -10,14 +10,22 @@
 )
 
 type proposeCommand struct {
-	Kind string            `arg:"" help:"Kind of intent, such as config, drain-vm, drain-replica, move-upstream, load."`
-	Set  map[string]string `help:"Parameter of the intent; may be repeated." placeholder:"NAME=VALUE"`
-	File string            `help:"YAML document of an intent of kind config." placeholder:"FILE"`
+	Words    []string          `arg:"" help:"What is wanted: 'move upstream NAME', 'move workspaces A,B', 'drain vm NAME', 'drain replica NAME', 'load model NAME', 'unload model NAME', 'change role ROLE', 'declare dead VM', or a kind and --set."`
+	To       string            `help:"Data centre that a move goes to." placeholder:"DATA-CENTRE"`
+	Upstream string            `help:"Upstream of a replica, of a model or of a role."`
+	Replica  string            `help:"Replica that a load, an unload or a change of role is for. Default: all of the upstream, one after the other."`
+	Version  string            `name:"model-version" help:"Version of the model or adapter to load." placeholder:"VERSION"`
+	Set      map[string]string `help:"Parameter of the intent; may be repeated." placeholder:"NAME=VALUE"`
+	File     string            `help:"YAML document of an intent of kind config." placeholder:"FILE"`
 }
 
 // Run prints the plan.
 func (c *proposeCommand) Run(ctx context.Context, console *console) error {
-	request := &operatorv1.ProposeRequest{Kind: c.Kind, Parameters: c.Set}
+	kind, parameters, err := c.intent()
+	if err != nil {
+		return err
+	}
+	request := &operatorv1.ProposeRequest{Kind: kind, Parameters: parameters}
 	if c.File != "" {
 		data, err := readDocument(c.File)
 		if err != nil {
--- a/internal/command/trestlectl/main.go
+++ b/internal/command/trestlectl/main.go
@@ -26,7 +26,8 @@
   trestlectl intent confirm PLAN-ID
   trestlectl config apply config.yaml --confirm
   trestlectl config diff 41 42
-  trestlectl intent propose drain-vm --set vm=vm-3
+  trestlectl intent propose drain vm vm-3
+  trestlectl intent propose move upstream tab-llm --to east
   trestlectl status
   trestlectl explain REQUEST-ID
   trestlectl entries --availability-zone bp-angyal
--- a/internal/command/trestlectl/main_test.go
+++ b/internal/command/trestlectl/main_test.go
@@ -93,7 +93,7 @@
 		Seed: uint64(view.self), Log: log, Registry: registry,
 	})
 	plans := intent.NewStore(store, syncer, newID, time.Now)
-	noStats := func() intent.Stats { return intent.Stats{} }
+	noStats := func(context.Context, intent.Intent) intent.Stats { return intent.Stats{} }
 	mux := http.NewServeMux()
 	mux.Handle(configsyncv1connect.NewConfigSyncServiceHandler(configsync.NewHandler(syncer)))
 	mux.Handle(operator.NewHandler(operator.Options{
--- a/internal/command/trestlectl/print.go
+++ b/internal/command/trestlectl/print.go
@@ -28,15 +28,7 @@
 		c.printf("  %s\n", plan.GetDetail())
 	}
 	for _, step := range plan.GetSteps() {
-		expected := time.Duration(step.GetExpectedDurationMs()) * time.Millisecond
-		c.printf("  step %d: %s (%s, expected %s)", step.GetNumber(), step.GetDescription(), step.GetState(), expected)
-		if step.GetPointOfNoReturn() {
-			c.printf(", no return from here")
-		}
-		if step.GetDetail() != "" {
-			c.printf(": %s", step.GetDetail())
-		}
-		c.printf("\n")
+		c.printStep(step)
 	}
 	c.printChanges("  change: ", plan.GetChanges())
 	for _, risk := range plan.GetRisks() {
@@ -47,6 +39,41 @@
 	}
 }
 
+func (c *console) printStep(step *operatorv1.Step) {
+	expected := time.Duration(step.GetExpectedDurationMs()) * time.Millisecond
+	c.printf("  step %d: %s (%s, expected %s%s)", step.GetNumber(), step.GetDescription(), step.GetState(), expected, stepTimes(step))
+	if step.GetPointOfNoReturn() {
+		c.printf(", no return from here")
+	}
+	if step.GetDetail() != "" {
+		c.printf(": waits: %s", step.GetDetail())
+	}
+	c.printf("\n")
+	if len(step.GetTouches()) > 0 {
+		c.printf("    touches: %s; %d requests in flight\n", strings.Join(step.GetTouches(), ", "), step.GetInFlight())
+	}
+	for _, left := range step.GetCapacity() {
+		c.printf("    capacity: class %s on %s: %.1f slots left, %.1f needed", left.GetClass(), left.GetUpstream(), left.GetLeft(), left.GetNeeded())
+		if left.GetBelowTarget() {
+			c.printf(", below its target")
+		}
+		c.printf("\n")
+	}
+}
+
+// stepTimes says when a step started and how long it took, or has taken so far.
+func stepTimes(step *operatorv1.Step) string {
+	if step.GetStartedAtUnixMs() == 0 {
+		return ""
+	}
+	started := time.UnixMilli(step.GetStartedAtUnixMs())
+	since := ", started " + formatTime(step.GetStartedAtUnixMs())
+	if step.GetFinishedAtUnixMs() == 0 {
+		return since + ", so far " + time.Since(started).Round(time.Millisecond).String()
+	}
+	return since + ", took " + time.UnixMilli(step.GetFinishedAtUnixMs()).Sub(started).String()
+}
+
 func (c *console) printChanges(prefix string, changes []*operatorv1.Change) {
 	for _, change := range changes {
 		line := strings.TrimSpace(change.GetAction() + " " + change.GetWhat() + " " + change.GetName())
--- a/internal/intent/capacity.go
+++ b/internal/intent/capacity.go
@@ -27,6 +27,10 @@
 	return float64(total)
 }
 
+// Slots returns what the upstream's replicas that are not leaving offer
+// together.
+func Slots(u config.Upstream) float64 { return slots(u, "") }
+
 // capacityLeft gives the slots to the classes in the order of their tiers and
 // returns what each finds.
 func capacityLeft(doc *config.Document, upstream string, total float64, demand map[string]float64) []ClassCapacity {
--- a/internal/intent/intent.go
+++ b/internal/intent/intent.go
@@ -99,6 +99,18 @@
 	return fmt.Sprintf("%s %s %s on upstream %s %s", i.Kind, i.Model, i.Version, i.Upstream, i.Replica)
 }
 
+// Outcome says what an operator may do once the plan is done, where that needs
+// words.
+func (i Intent) Outcome() string {
+	switch i.Kind {
+	case KindDrainVM:
+		return "VM " + i.VM + " has no work left: it may be stopped"
+	case KindDrainReplica:
+		return "replica " + i.Replica + " has no work left: it may be stopped"
+	}
+	return ""
+}
+
 func (i Intent) checkWorkspaces() error {
 	if len(i.Workspaces) == 0 {
 		return required("workspaces", "")
--- a/internal/intent/planner.go
+++ b/internal/intent/planner.go
@@ -26,6 +26,9 @@
 	if err := b.build(); err != nil {
 		return nil, err
 	}
+	for _, name := range stats.Silent {
+		b.risk("VM %s does not answer: its requests in flight are not counted", name)
+	}
 	plan := &Plan{Intent: in, Base: base, Steps: b.steps, Risks: b.risks, State: StateProposed}
 	for _, s := range plan.Steps {
 		plan.NeedsAcceptRisk = plan.NeedsAcceptRisk || slices.ContainsFunc(s.Capacity, isBelowTarget)
@@ -92,6 +95,9 @@
 	if !ok {
 		return &FieldError{Field: "vm", Value: name, Message: "is not a live entry VM"}
 	}
+	if len(b.stats.VMs) == 1 {
+		return &FieldError{Field: "vm", Value: name, Message: "is the only entry VM: no other could go on with the plan"}
+	}
 	b.checkVMLoad(name)
 	touches := []string{"VM " + name}
 	b.add(Step{Kind: StepWithdrawEntry, Target: name, Touches: append(touches, "entry list"), InFlight: vm.InFlight, Expected: expectedWrite})
@@ -125,6 +131,9 @@
 	if err != nil {
 		return err
 	}
+	if r.Leaving {
+		return &FieldError{Field: "replica", Value: r.Name, Message: "is leaving already"}
+	}
 	left := capacityLeft(b.doc, u.Name, slots(u, r.Name), b.stats.Demand[u.Name])
 	b.noteBelowTarget(left)
 	inFlight := b.stats.Replicas[u.Name][r.Name]
--- a/internal/intent/planner_move.go
+++ b/internal/intent/planner_move.go
@@ -90,6 +90,20 @@
 	return list, nil
 }
 
+// Upstreams names the upstreams that a move's set may use; none for other kinds
+// and for a set that the document does not have.
+func (i Intent) Upstreams(doc *config.Document) []string {
+	if i.Kind != KindMoveUpstream && i.Kind != KindMoveWorkspaces {
+		return nil
+	}
+	list, _ := (&builder{intent: i, doc: doc}).movedUpstreams()
+	var names []string
+	for _, u := range list {
+		names = append(names, u.Name)
+	}
+	return names
+}
+
 func (b *builder) inFlight(upstreams []config.Upstream) int {
 	total := 0
 	for _, u := range upstreams {
--- a/internal/intent/stats.go
+++ b/internal/intent/stats.go
@@ -10,6 +10,8 @@
 	// Demand is the mean number of slots in use or waited for, by upstream and
 	// class.
 	Demand map[string]map[string]float64
+	// Silent are the entry VMs that did not say what they have in flight.
+	Silent []string
 	// Target is what the other data centre says of itself, for a move.
 	Target TargetStats
 }
--- a/internal/membership/runner.go
+++ b/internal/membership/runner.go
@@ -88,6 +88,9 @@
 // Leave marks this node as leaving; peers are told within a tick.
 func (r *Runner) Leave() { r.update(func(now time.Time) { r.table.Leave(now) }) }
 
+// Stay takes a Leave back.
+func (r *Runner) Stay() { r.update(func(now time.Time) { r.table.Stay(now) }) }
+
 // AddSeed adds a peer address from the settings.
 func (r *Runner) AddSeed(address string) {
 	r.update(func(time.Time) { r.table.AddSeed(address) })
--- a/internal/membership/table.go
+++ b/internal/membership/table.go
@@ -131,6 +131,12 @@
 	t.setSelfLeaving(now, true)
 }
 
+// Stay takes a Leave back; the platform's list may still say leaving.
+func (t *Table) Stay(now time.Time) {
+	t.stopping = false
+	t.setSelfLeaving(now, false)
+}
+
 func (t *Table) setSelfLeaving(now time.Time, leaving bool) {
 	if t.self.wire.Leaving == leaving {
 		return
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -106,6 +106,14 @@
 	}
 }
 
+// held counts the shards that this node holds.
+func (c *claims) held() int {
+	if c == nil {
+		return 0
+	}
+	return c.ledger.Held()
+}
+
 // start begins to hold shards.
 func (c *claims) start() {
 	if c == nil {
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -36,7 +37,9 @@
 // moves is the node's part in plans, moves between data centres and orders to
 // engines. On a node without a platform there are none, and everything starts.
 type moves struct {
-	options  Options
+	options Options
+	// actors are further ones for the steps of plans.
+	actors   map[intent.StepKind]intent.Actor
 	store    *handover.MoveStore
 	gate     *handover.Gate
 	agent    *handover.Agent
@@ -46,14 +49,15 @@
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	duty     sync.WaitGroup
+	turn     dutyTurn
 }
 
 // newMoves creates the part and mounts its handlers on the peer listener.
-func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index) *moves {
+func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index, actors map[intent.StepKind]intent.Actor) *moves {
 	if options.Store == nil {
 		return nil
 	}
-	m := &moves{options: options}
+	m := &moves{options: options, actors: actors}
 	if err := m.build(members, link, configuration); err != nil {
 		options.Log.WithError(err).WithField("step", "create moves").Error("plans and moves are not carried out here")
 		m.holder = nil
@@ -98,7 +102,7 @@
 	if err != nil {
 		return err
 	}
-	actors := map[intent.StepKind]intent.Actor{}
+	actors := maps.Clone(m.actors)
 	mover := moveplan.NewActor(store, m.driver, movable(configuration), time.Now)
 	for _, kind := range moveplan.Kinds {
 		actors[kind] = mover
@@ -155,9 +159,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	m.running.Go(func() { m.agent.Run(ctx) })
-	if m.holder != nil {
-		m.running.Go(func() { _ = m.holder.Run(ctx) })
-	}
+	m.startDuty(ctx)
 }
 
 // leave is a planned stop's last word: this node serves no more, so that no
@@ -176,7 +178,7 @@
 	if m == nil || m.stop == nil {
 		return
 	}
-	m.stop()
+	m.endDuty()
 	m.running.Wait()
 	m.stop = nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	claims   *claims
 	credits  *credits
 	moves    *moves
+	drains   *drains
 	servers  []*http.Server
 	leaving  atomic.Bool
 }
@@ -51,7 +52,8 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
-	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.drains = newDrains(n)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drainActors())
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -88,7 +90,7 @@
 
 // Start begins to serve on all listeners.
 func (n *Node) Start() {
-	n.serve("entry", n.options.Entry, n.gateway)
+	n.serve("entry", n.options.Entry, n.drains.count(n.gateway))
 	n.serve("ops", n.options.Ops, n.opsHandler())
 	n.servePeers()
 	n.members.start()
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -32,33 +32,6 @@
 	}))
 }
 
-// stats is what plans are worked out on. A node knows its own requests; what
-// all nodes have together is estimated as if each had as many.
-func (n *Node) stats() intent.Stats {
-	members := n.members.runner.Members()
-	stats := intent.Stats{
-		VMs:      make(map[string]intent.VMStats, len(members)),
-		Replicas: make(map[string]map[string]int),
-		Demand:   make(map[string]map[string]float64),
-	}
-	for _, member := range members {
-		stats.VMs[member.Name] = intent.VMStats{Load: member.Load}
-	}
-	for upstream, pool := range n.dispatch.Stats() {
-		inFlight := make(map[string]int, len(pool.Replicas))
-		for _, replica := range pool.Replicas {
-			inFlight[replica.Name] = replica.Running * len(members)
-		}
-		demand := make(map[string]float64, len(pool.Classes))
-		for _, class := range pool.Classes {
-			demand[class.Name] = float64((class.Running + class.Waiting) * len(members))
-		}
-		stats.Replicas[upstream] = inFlight
-		stats.Demand[upstream] = demand
-	}
-	return stats
-}
-
 // operatorEntries lists the entry addresses as callers of the zone are told them.
 func (n *Node) operatorEntries(zone string) ([]*operatorv1.Entry, int32) {
 	if zone == "" {
--- a/internal/operator/intentplanner.go
+++ b/internal/operator/intentplanner.go
@@ -5,6 +5,7 @@
 	"errors"
 	"slices"
 	"strings"
+	"time"
 
 	"galenatrestle/internal/configsync"
 	operatorv1 "galenatrestle/internal/gen/trestle/operator/v1"
@@ -15,12 +16,15 @@
 type intentPlanner struct {
 	store   *intent.Store
 	current *configsync.Current
-	stats   func() intent.Stats
+	stats   StatsFunc
 }
 
+// StatsFunc returns the present load, as far as a plan for the intent needs it.
+type StatsFunc func(ctx context.Context, wanted intent.Intent) intent.Stats
+
 // NewIntentPlanner returns a Planner over the store. Plans are worked out on
 // the configuration in force and on what stats returns.
-func NewIntentPlanner(store *intent.Store, current *configsync.Current, stats func() intent.Stats) Planner {
+func NewIntentPlanner(store *intent.Store, current *configsync.Current, stats StatsFunc) Planner {
 	return &intentPlanner{store: store, current: current, stats: stats}
 }
 
@@ -47,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	plan, err := intent.Build(wanted, index.Document(), base, p.stats())
+	plan, err := intent.Build(wanted, index.Document(), base, p.stats(ctx, wanted))
 	if err != nil {
 		return nil, err
 	}
@@ -66,8 +70,7 @@
 	}
 	wire := planToWire(plan)
 	if plan.State == intent.StateProposed {
-		// It is accepted; the executor has not written its first step yet.
-		wire.State = operatorv1.PlanState_PLAN_STATE_RUNNING
+		acceptedToWire(wire)
 	}
 	return &operatorv1.ConfirmResponse{Plan: wire}, nil
 }
@@ -87,7 +90,11 @@
 	if err != nil {
 		return nil, unknownIntent(err)
 	}
-	return planToWire(plan), nil
+	active, err := p.store.Active(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return planIn(plan, active), nil
 }
 
 // Plans implements Planner.
@@ -96,13 +103,33 @@
 	if err != nil {
 		return nil, err
 	}
+	active, err := p.store.Active(ctx)
+	if err != nil {
+		return nil, err
+	}
 	wire := make([]*operatorv1.Plan, 0, len(plans))
 	for _, plan := range plans {
-		wire = append(wire, planToWire(plan))
+		wire = append(wire, planIn(plan, active))
 	}
 	return wire, nil
 }
 
+// planIn translates a plan, which runs already where it is among the active
+// ones.
+func planIn(plan *intent.Plan, active []string) *operatorv1.Plan {
+	wire := planToWire(plan)
+	if plan.State == intent.StateProposed && slices.Contains(active, plan.ID) {
+		acceptedToWire(wire)
+	}
+	return wire
+}
+
+// acceptedToWire marks a plan whose first step no executor has written yet.
+func acceptedToWire(wire *operatorv1.Plan) {
+	wire.State = operatorv1.PlanState_PLAN_STATE_RUNNING
+	wire.Detail = "accepted; waits for the node that carries out plans"
+}
+
 func unknownIntent(err error) error {
 	if errors.Is(err, intent.ErrUnknownPlan) {
 		return ErrUnknownPlan
@@ -152,6 +179,9 @@
 	if plan.State == intent.StateAbandoning {
 		wire.Detail = "being undone"
 	}
+	if plan.State == intent.StateDone {
+		wire.Detail = plan.Intent.Outcome()
+	}
 	if plan.Intent.Upstream != "" {
 		wire.AffectedUpstreams = []string{plan.Intent.Upstream}
 	}
@@ -175,9 +205,24 @@
 }
 
 func stepToWire(step intent.Step) *operatorv1.Step {
-	return &operatorv1.Step{
+	wire := &operatorv1.Step{
 		Number: int32(step.Number), Description: strings.TrimSpace(string(step.Kind) + " " + step.Target),
 		Touches: step.Touches, State: string(step.State), Detail: step.Wait,
 		ExpectedDurationMs: step.Expected.Milliseconds(), PointOfNoReturn: step.NoReturn,
+		InFlight: int32(step.InFlight), StartedAtUnixMs: unixMs(step.Started), FinishedAtUnixMs: unixMs(step.Finished),
+	}
+	for _, c := range step.Capacity {
+		wire.Capacity = append(wire.Capacity, &operatorv1.Capacity{
+			Class: c.Class, Upstream: c.Upstream, Left: c.Left, Needed: c.Needed, BelowTarget: c.BelowTarget,
+		})
+	}
+	return wire
+}
+
+// unixMs is zero for a time that is not known yet.
+func unixMs(at time.Time) int64 {
+	if at.IsZero() {
+		return 0
 	}
+	return at.UnixMilli()
 }
