--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	credits   *credits
 	quotas    *quotas
 	moves     *moves
+	drains    *drains
 	stories   *explain.Recorder
 	inspector *inspect.Asker
 	servers   []*http.Server
@@ -57,7 +58,8 @@
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.quotas = newQuotas(options, n.members.runner, n.peers)
-	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.drains = newDrains(n)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drainActors())
 	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
@@ -98,7 +100,7 @@
 
 // Start begins to serve on all listeners.
 func (n *Node) Start() {
-	n.serve("entry", n.options.Entry, n.gateway)
+	n.serve("entry", n.options.Entry, n.drains.count(n.gateway))
 	n.serve("ops", n.options.Ops, n.opsHandler())
 	n.servePeers()
 	n.members.start()
