Give peers a time of their own when the platform hangs; scenario hang

Cause: a node's agent gave one timeout (1 s) to reading the moves from the platform and then to asking peers. A platform that takes connections and answers nothing used all of it, so that a node which started in such an outage got no vouch: its chats waited their whole give_up_after (40 s here) and were refused as moving. A platform that is dead refuses at once, so that the scenario outage didn't show it. An armed node's permits would have lapsed the same way. Change: reading and asking have a timeout each. Scenario hang freezes the platform and thaws it; its waitsettle goes on also while a call is said to be in progress, as callers are told to.

--- a/internal/handover/agent.go
+++ b/internal/handover/agent.go
@@ -58,11 +58,13 @@
 	}
 }
 
-// Round registers if need be, reads the moves and asks for permits once.
+// Round registers if need be, reads the moves and asks for permits once. Peers
+// are asked in a time of their own, so that a platform that hangs takes none of
+// it.
 func (a *Agent) Round(ctx context.Context) error {
+	err := a.read(ctx)
 	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/4)
 	defer cancel()
-	err := a.read(ctx)
 	if err != nil && !a.registered {
 		a.vouch(ctx)
 	}
@@ -73,6 +75,8 @@
 }
 
 func (a *Agent) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/4)
+	defer cancel()
 	if !a.registered {
 		if err := a.store.Register(ctx, a.node); err != nil {
 			return err
--- a/internal/processtest/calls_test.go
+++ b/internal/processtest/calls_test.go
@@ -14,6 +14,7 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/load"
+	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/standin/engine"
 )
 
@@ -104,14 +105,15 @@
 	}
 }
 
-// waitSettleCommand is "waitsettle ADDRESS KEY": it sends the call again for as
-// long as it is said to be not run, until it is answered.
+// waitSettleCommand is "waitsettle ADDRESS KEY": it sends the call again, as
+// callers are to, for as long as it is said to be not run or in progress, until
+// it is answered.
 func waitSettleCommand(ts *testscript.TestScript, neg bool, args []string) {
 	usage(ts, neg, len(args) != 2, "waitsettle ADDRESS KEY")
 	var attempt load.Attempt
 	waitUntil(func() bool {
 		attempt = of(ts).call(context.Background(), args[0], settleRequest(args[1]))
-		return outcome(attempt) != "not-run"
+		return outcome(attempt) != "not-run" && attempt.Reason != string(refusal.InProgress)
 	})
 	if attempt.Ending != load.EndingWhole {
 		ts.Fatalf("call %s at %s: %s", args[1], args[0], describe(attempt))
