--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -3,10 +3,13 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"time"
 
 	"galenatrestle/internal/answer"
+	"galenatrestle/internal/explain"
+	"galenatrestle/internal/openai"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
@@ -40,6 +43,8 @@
 	begun   bool
 	first   time.Time
 	tokens  int
+	// usage is what the engine says of a whole answer, nil where it does not.
+	usage *openai.Usage
 }
 
 // run makes attempts until the answer is whole or given up.
@@ -60,11 +65,13 @@
 // attempt waits for a slot and runs the request once, or twice beside each
 // other where that is allowed.
 func (e *exchange) attempt(ctx context.Context) error {
+	e.call.queued(e.attempts+1, e.completion.upstream.Name)
 	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
 	if err != nil {
 		return err
 	}
 	e.attempts++
+	e.call.bound(e.attempts, slot)
 	e.observeWait()
 	body, err := e.engineBody()
 	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
@@ -101,8 +108,7 @@
 	if e.attempts > 1 {
 		return
 	}
-	wait := time.Since(e.call.arrived).Seconds()
-	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
+	e.server.metrics.waited(e.call)
 }
 
 // relay passes an attempt's answer to the caller.
@@ -138,6 +144,7 @@
 func (e *exchange) take(data []byte, l *lane) error {
 	usage := bytes.Contains(data, usageMark)
 	if usage && e.completion.request.Stream && !e.completion.callerUsage {
+		e.noteUsage(data)
 		return nil
 	}
 	if !usage {
@@ -148,12 +155,23 @@
 	if e.continues != nil {
 		data = e.continues.rebase(data)
 	}
+	if usage || e.completion.opaque {
+		e.noteUsage(data)
+	}
 	if err := e.sink.chunk(data); err != nil {
 		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: l.slot.Replica.Address, Cause: err}
 	}
 	return nil
 }
 
+// noteUsage remembers the engine's own count of tokens, if the chunk has one.
+func (e *exchange) noteUsage(data []byte) {
+	var chunk openai.Response
+	if json.Unmarshal(data, &chunk) == nil && chunk.Usage != nil {
+		e.usage = chunk.Usage
+	}
+}
+
 func (e *exchange) waste(cause string) {
 	if e.tokens > 0 {
 		e.server.metrics.wasted.WithLabelValues(e.call.class.Name, cause).Add(float64(e.tokens))
@@ -167,9 +185,10 @@
 	e.keepEnd()
 	if err != nil && !e.followed() {
 		e.waste("caller_gone")
+		e.call.story.Add(now, explain.NewRefused(callerGone(err)))
 		return
 	}
-	e.server.metrics.answered(e.call, e.first, now, e.tokens)
+	e.server.answered(e.call, e.first, now, e.tokens)
 }
 
 // giveUp tells the caller, at once, that there will be no answer.
@@ -184,6 +203,7 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
+	e.call.story.Add(time.Now(), explain.NewRefused(refused))
 	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- a/internal/handover/agent_test.go
+++ b/internal/handover/agent_test.go
@@ -2,59 +2,63 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 )
 
-// lender lends permission as a registered peer does.
-type lender struct{ term time.Duration }
+// countingPermits counts the questions for permits and grants them.
+type countingPermits struct{ asked int }
 
-// Vouch implements Vouchers.
-func (l lender) Vouch(ctx context.Context, _ string) (Vouch, error) {
-	return Vouch{Term: l.term}, ctx.Err()
+func (c *countingPermits) Permit(context.Context, Ask, string) (bool, error) {
+	c.asked++
+	return true, nil
 }
 
-// permitter permits all that is asked in time.
-type permitter struct{}
-
-// Permit implements Permits.
-func (permitter) Permit(ctx context.Context, _ Ask, _ string) (bool, error) {
-	return ctx.Err() == nil, ctx.Err()
-}
-
-// TestPlatformThatHangsLeavesTimeForPeers has a platform that takes every call
-// and answers none.
-func TestPlatformThatHangsLeavesTimeForPeers(t *testing.T) {
+// TestAgentAtRest counts an agent's calls while nothing moves, and has it learn
+// of a move and of a driver's call at once.
+func TestAgentAtRest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		timing := DefaultTiming()
-		store := memstore.New(memstore.Config{})
+		kv := memstore.New(memstore.Config{})
+		ids := 0
+		store := NewMoveStore(kv, func() string { ids++; return fmt.Sprintf("id-%d", ids) })
 		home := func(string, string) bool { return true }
-		gate := NewGate(home, timing, NewMetrics(prometheus.NewRegistry()), time.Now)
-		agent := NewAgent(gate, NewMoveStore(store, uuid.NewString), permitter{}, lender{timing.Term}, "vm-1", timing, time.Now)
-		hang := memstore.Fault{Kind: memstore.Slow, Factor: float64(time.Hour.Milliseconds())}
-		if err := store.Inject(hang); err != nil {
-			t.Fatal(err)
+		gate := NewGate(home, DefaultTiming(), NewMetrics(prometheus.NewRegistry()), time.Now)
+		permits := &countingPermits{}
+		agent := NewAgent(gate, store, permits, nil, "vm-0", DefaultTiming(), time.Now)
+		ctx, stop := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); agent.Run(ctx) }()
+
+		const rests = 20
+		time.Sleep(rests * restTime)
+		calls := kv.Calls()[platform.CallList].Calls + kv.Calls()[platform.CallWatch].Calls
+		if calls < rests || calls > 2*rests+4 {
+			t.Errorf("%d calls in %d rests, want two a rest", calls, rests)
 		}
-		if err := agent.Round(t.Context()); err == nil {
-			t.Fatal("a platform that hangs has answered")
+
+		move := Move{ID: "m", Role: RoleSource, Set: Set{Upstreams: []string{"llm"}}, Phase: PhaseSealed, Epoch: 1, Created: 1}
+		if _, err := store.Write(ctx, move); err != nil {
+			t.Fatal(err)
 		}
-		if got := gate.Check("u", "w").Kind; got != Serve {
-			t.Errorf("a node that a peer vouches for: verdict %s, want %s", got, Serve)
+		synctest.Wait()
+		if verdict := gate.Check("llm", "w"); verdict.Kind == Serve {
+			t.Error("the sealed set is served after the platform has told of the seal")
 		}
-		set := Set{Upstreams: []string{"u"}}
-		gate.Arm("move", set, "driver", 1)
-		for range 3 {
-			time.Sleep(timing.Term / 2)
-			_ = agent.Round(t.Context())
-			if got := gate.Check("u", "w").Kind; got != Serve {
-				t.Fatalf("a node that asks for permits in time: verdict %s, want %s", got, Serve)
-			}
+
+		gate.Arm("n", Set{Upstreams: []string{"chat"}}, "driver", 1)
+		time.Sleep(DefaultTiming().Resend)
+		synctest.Wait()
+		if permits.asked == 0 {
+			t.Error("an armed node has not asked for a permit")
 		}
+		stop()
+		<-done
 	})
 }
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -44,11 +43,20 @@
 	driver   *handover.Driver
 	executor *intent.Executor
 	holder   *lease.Holder
+	source   *lease.Source
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	duty     sync.WaitGroup
 }
 
+// leases returns those that this process holds.
+func (m *moves) leases() []platform.Lease {
+	if m == nil || m.source == nil {
+		return nil
+	}
+	return m.source.Held()
+}
+
 // newMoves creates the part and mounts its handlers on the peer listener.
 func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index) *moves {
 	if options.Store == nil {
@@ -74,17 +82,17 @@
 	receiver := handover.NewReceiver(store, noClaims{}, metrics, o.Log, time.Now)
 	m.driver = handover.NewDriver(handover.DriverConfig{
 		Store: store, Address: o.PeerAddress, DataCentre: o.DataCentre, RelayAddress: o.EntryAddress,
-		Peer: handover.NewCounterparts(&http.Client{}, o.Counterparts), Nodes: nodes,
+		Peer: handover.NewCounterparts(linkDialer{link}, o.Counterparts), Nodes: nodes,
 		Claims: noClaims{}, Preparer: readiness{configuration: configuration},
 		Timing: timing, Metrics: metrics, Log: o.Log, Now: time.Now,
 	})
 	link.server.Mount(handoverv1connect.NewHandoverServiceHandler(handover.NewService(receiver)))
 	link.server.Mount(handoverv1connect.NewNodeServiceHandler(handover.NewNodeService(m.gate, m.driver)))
-	return m.buildDuty(store, configuration)
+	return m.buildDuty(store, members, configuration)
 }
 
 // buildDuty creates what runs under the lease.
-func (m *moves) buildDuty(store *handover.MoveStore, configuration func() *config.Index) error {
+func (m *moves) buildDuty(store *handover.MoveStore, members membership.View, configuration func() *config.Index) error {
 	o := m.options
 	leaseMetrics, err := lease.NewMetrics(o.Registry)
 	if err != nil {
@@ -104,6 +112,7 @@
 	for _, kind := range moveplan.Kinds {
 		actors[kind] = mover
 	}
+	actors[intent.StepDeclareDead] = moveplan.NewDeadActor(store)
 	orders := orderplan.NewActor(sender, configuration)
 	for _, kind := range orderplan.Kinds {
 		actors[kind] = orders
@@ -115,7 +124,9 @@
 		OnLost:    func(int64, lease.EndReason) { m.duty.Wait() },
 		Observers: []lease.Observer{sender},
 	}
+	m.source = source
 	m.holder = lease.NewHolder(source, controlLease, callbacks, rand.New(rand.NewPCG(o.Seed, controlStream)))
+	m.holder.Prefer(func() bool { return members.Owner(controlLease).Name == o.Name })
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,9 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/inspect"
 	"galenatrestle/internal/platform/budget"
 	"galenatrestle/internal/upstream"
 )
@@ -17,22 +19,25 @@
 
 // Node is one entry VM's process.
 type Node struct {
-	options  Options
-	config   atomic.Pointer[config.Index]
-	dispatch *dispatch.Dispatcher
-	gateway  *gateway.Server
-	engines  *upstream.Engine
-	services *upstream.Service
-	members  *members
-	sync     *configuration
-	duties   *budget.Counters
-	peers    *peers
-	answers  *answers
-	claims   *claims
-	credits  *credits
-	moves    *moves
-	servers  []*http.Server
-	leaving  atomic.Bool
+	options   Options
+	config    atomic.Pointer[config.Index]
+	dispatch  *dispatch.Dispatcher
+	gateway   *gateway.Server
+	engines   *upstream.Engine
+	services  *upstream.Service
+	members   *members
+	sync      *configuration
+	duties    *budget.Counters
+	peers     *peers
+	answers   *answers
+	claims    *claims
+	credits   *credits
+	quotas    *quotas
+	moves     *moves
+	stories   *explain.Recorder
+	inspector *inspect.Asker
+	servers   []*http.Server
+	leaving   atomic.Bool
 }
 
 // New returns a node that does not serve yet.
@@ -51,7 +56,9 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.quotas = newQuotas(options, n.members.runner, n.peers)
 	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -65,11 +72,13 @@
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
+		Explain:  n.stories,
 		Registry: n.options.Registry,
 		Log:      n.options.Log,
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.quotas.offer(&options)
 	n.moves.offer(&options)
 	return options
 }
@@ -82,6 +91,7 @@
 	}
 	n.dispatch.Configure(index.Document())
 	n.answers.configure(index.Document())
+	n.quotas.configure(index.Document())
 	n.members.configure(index)
 	n.config.Store(index)
 }
@@ -96,6 +106,7 @@
 	n.sync.start()
 	n.claims.start()
 	n.credits.start()
+	n.quotas.start()
 	n.moves.start()
 }
 
@@ -140,6 +151,7 @@
 	n.sync.close()
 	n.answers.close()
 	n.credits.close()
+	n.quotas.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
--- a/internal/pathcost/pathcost_test.go
+++ b/internal/pathcost/pathcost_test.go
@@ -26,6 +26,7 @@
 // with -bench Path -benchtime 1x.
 func BenchmarkPath(b *testing.B) {
 	for _, o := range []Options{
+		{Rate: 2000, Tokens: 1},
 		{Rate: 2000, Tokens: 16},
 		{Rate: 500, Tokens: 128},
 	} {
