--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -30,7 +30,7 @@
 	limiter := quota.NewLimiter()
 	exchange := quotashare.NewExchange(quotashare.Options{
 		Node:       options.Name,
-		Members:    members,
+		View:       func() quotashare.View { return members.View() },
 		Caller:     quotashare.NewCaller(link.clients),
 		Limiter:    limiter,
 		Rand:       rand.New(rand.NewPCG(options.Seed, quotaStream)),
--- a/internal/quotashare/exchange.go
+++ b/internal/quotashare/exchange.go
@@ -12,7 +12,6 @@
 
 	quotav1 "galenatrestle/internal/gen/trestle/quota/v1"
 	"galenatrestle/internal/gen/trestle/quota/v1/quotav1connect"
-	"galenatrestle/internal/membership"
 	"galenatrestle/internal/quota"
 )
 
@@ -23,17 +22,13 @@
 	sweepInterval = 30 * time.Second
 )
 
-// Members is what the exchange reads of the membership.
-type Members interface {
-	View() *membership.Snapshot
-}
-
 // Options are what an Exchange is created with.
 type Options struct {
 	// Node is this node's name.
-	Node    string
-	Members Members
-	Caller  Caller
+	Node string
+	// View returns the present picture of the nodes.
+	View   func() View
+	Caller Caller
 	// Limiter tells the demands and is told the shares.
 	Limiter  *quota.Limiter
 	Settings Settings
@@ -84,7 +79,7 @@
 }
 
 func (e *Exchange) handle(node string, reports []Report) []Grant {
-	live := servingNames(e.options.Members.View())
+	live := servingNames(e.options.View())
 	e.ownerMu.Lock()
 	defer e.ownerMu.Unlock()
 	e.metrics.handled.Add(float64(len(reports)))
@@ -115,13 +110,13 @@
 
 // EvenShare is the part of every quota that a node may use without an owner.
 func (e *Exchange) EvenShare() float64 {
-	view := e.options.Members.View()
+	view := e.options.View()
 	return regionPart(view) * evenPart(view.Serving())
 }
 
 // step sends what is due and puts the shares in force.
 func (e *Exchange) step(ctx context.Context, now time.Time) {
-	view := e.options.Members.View()
+	view := e.options.View()
 	part := regionPart(view)
 	for owner, reports := range e.plan(now, view, part) {
 		e.send(ctx, view, owner, reports)
@@ -129,7 +124,7 @@
 	e.putInForce(now, view, part)
 }
 
-func (e *Exchange) plan(now time.Time, view *membership.Snapshot, part float64) map[string][]Report {
+func (e *Exchange) plan(now time.Time, view View, part float64) map[string][]Report {
 	needs := needsOf(view, part, e.options.Limiter.Demands(now))
 	e.holderMu.Lock()
 	defer e.holderMu.Unlock()
@@ -141,7 +136,7 @@
 	return plan
 }
 
-func (e *Exchange) send(ctx context.Context, view *membership.Snapshot, owner string, reports []Report) {
+func (e *Exchange) send(ctx context.Context, view View, owner string, reports []Report) {
 	if owner == e.options.Node {
 		e.apply(owner, reports, e.handle(owner, reports), nil)
 		return
@@ -177,11 +172,11 @@
 		e.holder.Apply(now, owner, reports, grants)
 	}
 	e.holderMu.Unlock()
-	view := e.options.Members.View()
+	view := e.options.View()
 	e.putInForce(now, view, regionPart(view))
 }
 
-func (e *Exchange) putInForce(now time.Time, view *membership.Snapshot, part float64) {
+func (e *Exchange) putInForce(now time.Time, view View, part float64) {
 	shares := make(map[string]float64)
 	e.holderMu.Lock()
 	defer e.holderMu.Unlock()
--- a/internal/quotashare/members.go
+++ b/internal/quotashare/members.go
@@ -5,12 +5,22 @@
 	"galenatrestle/internal/quota"
 )
 
+// View is what the exchange reads of the membership; *membership.Snapshot is
+// one.
+type View interface {
+	membership.View
+	// Serving returns the number of members that own keys.
+	Serving() int
+	// Regions returns the summaries of the other regions.
+	Regions() []membership.Region
+}
+
 // ownerPrefix keeps the owners of quotas apart from those of other things with
 // the same name.
 const ownerPrefix = "quota/"
 
 // needsOf turns the demands into needs, in parts of the region's quota.
-func needsOf(view *membership.Snapshot, part float64, demands []quota.Demand) []Need {
+func needsOf(view View, part float64, demands []quota.Demand) []Need {
 	needs := make([]Need, len(demands))
 	for i, d := range demands {
 		needs[i] = Need{
@@ -24,7 +34,7 @@
 
 // regionPart is this region's part of every quota: its part of all serving
 // nodes.
-func regionPart(view *membership.Snapshot) float64 {
+func regionPart(view View) float64 {
 	here := max(view.Serving(), 1)
 	all := here
 	for _, region := range view.Regions() {
@@ -34,7 +44,7 @@
 }
 
 // servingNames returns the names of the members that own keys, in order.
-func servingNames(view *membership.Snapshot) []string {
+func servingNames(view View) []string {
 	var names []string
 	for _, m := range view.Members() {
 		if m.State != membership.StateLeaving {
@@ -44,7 +54,7 @@
 	return names
 }
 
-func addressOf(view *membership.Snapshot, name string) string {
+func addressOf(view View, name string) string {
 	for _, m := range view.Members() {
 		if m.Name == name {
 			return m.PeerAddress
--- a/internal/quotashare/owner.go
+++ b/internal/quotashare/owner.go
@@ -69,6 +69,11 @@
 	}
 	b.demands[node] = told{demand: min(report.Demand, 1), at: now}
 	total := b.total(now, o.settings.LeaseTime, live, node)
+	if total > contendedPart {
+		// Whoever still wants it asks often: older demands are of nodes that
+		// can't reach this one.
+		total = b.total(now, o.settings.ContendedLease, live, node)
+	}
 	grant := Grant{
 		Share:     o.settings.Floor*even + (1-o.settings.Floor)*b.demands[node].demand/total,
 		Contended: total > contendedPart,
--- a/internal/quotashare/settings.go
+++ b/internal/quotashare/settings.go
@@ -15,6 +15,9 @@
 	Renew time.Duration
 	// LeaseTime is how long a share and a demand last without renewal.
 	LeaseTime time.Duration
+	// ContendedLease is how long the demand of a node counts against the others'
+	// where the demands come near the quota.
+	ContendedLease time.Duration
 	// Grace is how long a share lasts after a report that got no answer.
 	Grace time.Duration
 	// Floor is the part of the quota that is divided evenly. A node whose demand
@@ -30,6 +33,7 @@
 	DefaultContended      = 2 * time.Second
 	DefaultRenew          = 90 * time.Second
 	DefaultLeaseTime      = 5 * time.Minute
+	DefaultContendedLease = time.Minute
 	DefaultGrace          = 5 * time.Second
 	DefaultFloor          = 0.1
 	DefaultBytesPerSecond = 450
@@ -53,6 +57,7 @@
 	setDefault(&s.Contended, DefaultContended)
 	setDefault(&s.Renew, DefaultRenew)
 	setDefault(&s.LeaseTime, DefaultLeaseTime)
+	setDefault(&s.ContendedLease, DefaultContendedLease)
 	setDefault(&s.Grace, DefaultGrace)
 	setDefault(&s.Floor, DefaultFloor)
 	setDefault(&s.BytesPerSecond, DefaultBytesPerSecond)
