Claims: size the ledger by the settings, and show how full it is

Cause: shards, segments and retention were constants of the code, and nothing told operators of a ledger that fills up before it refused.

Change: settings claims: key_retention, answer_retention, shards, segment_bytes and max_bytes with checked bounds; the number of segments follows from them. The defaults are those of the ledger (24 h, 10 min, 4 shards, 16 KiB, 32 MiB). Gauge trestle_claim_fill: the part taken of a shard's room for new claims, from what its claims take as short records, or from what it really holds above the mark where it begins to drop answers; 1 is where claims are refused. A shard that comes to 0.6 is logged. A full ledger asks for a pause of 30 s, not 1 s.

--- a/internal/claim/day_test.go
+++ b/internal/claim/day_test.go
@@ -81,6 +81,7 @@
 		write()
 		fullest = max(fullest, bench.ring.bytes)
 	}
+	b.ReportMetric(bench.ring.fill(), "fill")
 	kept := len(bench.ring.index)
 	b.ReportMetric(100*float64(fullest)/float64(policy.capacity()), "%full")
 	b.ReportMetric(100*float64(refused)/float64(refused+claims), "%refused")
--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -109,7 +109,8 @@
 	current.written(next, revision)
 	s.stuck = false
 	s.advance()
-	s.metrics.written(s.number, next, len(current.index), current.bytes)
+	s.metrics.written(s.number, next, current)
+	s.warnOfFill(current.fill())
 	return nil
 }
 
--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -20,6 +20,7 @@
 	unfinished prometheus.Gauge
 	retained   *prometheus.GaugeVec
 	bytes      *prometheus.GaugeVec
+	fill       *prometheus.GaugeVec
 }
 
 // Why a Begin or Finish was tried again.
@@ -52,10 +53,12 @@
 			Name: "trestle_claim_unfinished", Help: "Outcomes that wait to be recorded in the background.",
 		}),
 		retained: gauges("trestle_claim_retained", "Claims known in a shard held here.", "shard"),
-		bytes:    gauges("trestle_claim_retained_bytes", "Encoded bytes of the claims known in a shard held here.", "shard"),
+		fill: gauges("trestle_claim_fill",
+			"Part taken of the room that a shard held here has for new claims; from 0.6 on it needs more room, at 1 claims are refused.", "shard"),
+		bytes: gauges("trestle_claim_retained_bytes", "Encoded bytes of the claims known in a shard held here.", "shard"),
 	}
 	registerer.MustRegister(m.verdicts, m.refusals, m.retries, m.finishes, m.writes, m.writeBytes,
-		m.changes, m.takeovers, m.abandoned, m.unfinished, m.retained, m.bytes)
+		m.changes, m.takeovers, m.abandoned, m.unfinished, m.retained, m.bytes, m.fill)
 	return m
 }
 
@@ -72,12 +75,13 @@
 }
 
 // written counts a write that took effect.
-func (m *metrics) written(shard int, done write, retained, bytes int) {
+func (m *metrics) written(shard int, done write, current *ring) {
 	label := strconv.Itoa(shard)
 	m.writeBytes.Add(float64(len(done.value)))
 	m.changes.Add(float64(len(done.digests)))
-	m.retained.WithLabelValues(label).Set(float64(retained))
-	m.bytes.WithLabelValues(label).Set(float64(bytes))
+	m.retained.WithLabelValues(label).Set(float64(len(current.index)))
+	m.bytes.WithLabelValues(label).Set(float64(current.bytes))
+	m.fill.WithLabelValues(label).Set(current.fill())
 }
 
 // forgot notes that the shard is no longer held here.
@@ -85,4 +89,5 @@
 	label := strconv.Itoa(shard)
 	m.retained.DeleteLabelValues(label)
 	m.bytes.DeleteLabelValues(label)
+	m.fill.DeleteLabelValues(label)
 }
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -143,8 +143,11 @@
 	return refused
 }
 
-// retryAfter is the pause told to callers where the ledger is down or full.
-const retryAfter = time.Second
+// The pauses told to callers where the ledger is down and where it is full.
+const (
+	retryAfter     = time.Second
+	fullRetryAfter = 30 * time.Second
+)
 
 // refusedBy is the refusal that the holder gave.
 func refusedBy(reason refusal.Reason, key Key) *refusal.Error {
@@ -155,7 +158,7 @@
 		return refused
 	case refusal.ClaimLedger:
 		refused := refusal.New(reason, stepClaim, "the ledger of unrepeatable calls is full")
-		refused.RetryAfter = retryAfter
+		refused.RetryAfter = fullRetryAfter
 		return refused
 	}
 	refused := refusal.New(refusal.ClaimStoreDown, stepClaim, "the platform does not take claims now")
--- a/internal/claim/policy.go
+++ b/internal/claim/policy.go
@@ -45,6 +45,9 @@
 	bodyFreePart = 0.80
 )
 
+// fillWarning is the fill from which operators are warned.
+const fillWarning = 0.6
+
 // DefaultPolicy returns the defaults.
 func DefaultPolicy() Policy {
 	return Policy{
--- a/internal/claim/ring.go
+++ b/internal/claim/ring.go
@@ -169,6 +169,17 @@
 	return float64(r.bytes) > fullPart*float64(r.policy.capacity())
 }
 
+// fill returns the part taken of the room for new claims: 1 and more where none
+// may be made. A ring drops answers only once it is crowded, so that what counts
+// below that is what its claims take as short records.
+func (r *ring) fill() float64 {
+	capacity := float64(r.policy.capacity())
+	short := held{encoded: make([]byte, shortBytes)}
+	ended := float64(len(r.index)*short.size()) / (fullPart * capacity)
+	crowd := (float64(r.bytes) - compactPart*capacity) / ((fullPart - compactPart) * capacity)
+	return max(ended, crowd)
+}
+
 // bodyFree says that answers are recorded without their bodies.
 func (r *ring) bodyFree() bool {
 	return float64(r.bytes) > bodyFreePart*float64(r.policy.capacity())
--- a/internal/claim/ring_test.go
+++ b/internal/claim/ring_test.go
@@ -178,11 +178,17 @@
 	b := newRingBench(t, policy)
 	claimed := 0
 	for ; !b.ring.full(); claimed++ {
+		if fill := b.ring.fill(); fill > 1 {
+			t.Fatalf("the fill is %v, yet claims are taken", fill)
+		}
 		if b.begin(keyNumber(claimed), attemptNumber(claimed), "").Verdict != Run {
 			t.Fatal("a new claim did not run")
 		}
 		b.write()
 	}
+	if fill := b.ring.fill(); fill < 1 {
+		t.Errorf("the fill is %v, yet no claims are taken", fill)
+	}
 	if got := b.begin(keyNumber(claimed), attemptNumber(claimed), refusal.ClaimLedger); got.Refused != refusal.ClaimLedger {
 		t.Errorf("a claim past the bound got %+v", got)
 	}
@@ -201,7 +207,7 @@
 		b.ring.compact = true
 		b.write()
 	}
-	if b.ring.full() || len(b.ring.index) != 0 {
+	if b.ring.fill() > 0 || len(b.ring.index) != 0 {
 		t.Errorf("%d claims and %d bytes are left after their retention", len(b.ring.index), b.ring.bytes)
 	}
 }
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -32,6 +32,8 @@
 	// progress is closed and replaced whenever something became durable or
 	// the ring was dropped.
 	progress chan struct{}
+	// warned says that the fill is above the warning.
+	warned bool
 	// compacted is when a compaction was last asked for.
 	compacted time.Time
 }
@@ -178,6 +180,16 @@
 	}
 }
 
+// warnOfFill logs when the fill comes to the warning. It is called with
+// the lock held.
+func (s *shard) warnOfFill(fill float64) {
+	if fill >= fillWarning && !s.warned {
+		s.options.Log.WithFields(map[string]any{"shard": s.number, "fill": fill}).
+			Warn("claim shard is filling up: it needs more room or a shorter retention")
+	}
+	s.warned = fill >= fillWarning
+}
+
 // signal wakes the writer.
 func (s *shard) signal() {
 	select {
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -82,6 +82,7 @@
 		Home:             home(s.Handover.Away),
 		PeerKeys:         keys,
 		Operators:        s.Operators,
+		Claims:           s.Claims,
 		Store:            store,
 		Instances:        store,
 		Seed:             uint64(time.Now().UnixNano()),
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/lease"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/peer"
+	"galenatrestle/internal/settings"
 )
 
 const (
@@ -59,6 +60,7 @@
 		return nil, err
 	}
 	return claim.NewNode(claim.Options{
+		Policy:     claimPolicy(options.Claims),
 		Store:      options.Store,
 		Leases:     claimLeases{source: source},
 		View:       members,
@@ -69,6 +71,21 @@
 	})
 }
 
+// claimPolicy sizes the ledger by the settings, or by its defaults where there
+// are none.
+func claimPolicy(sizes settings.Claims) claim.Policy {
+	policy := claim.DefaultPolicy()
+	if sizes == (settings.Claims{}) {
+		return policy
+	}
+	policy.KeyRetention = sizes.KeyRetention.Std()
+	policy.AnswerRetention = sizes.AnswerRetention.Std()
+	policy.Shards = sizes.Shards
+	policy.SegmentBytes = sizes.SegmentBytes
+	policy.Segments = sizes.Segments()
+	return policy
+}
+
 // scheme is "https" between nodes with keys, else "http".
 func scheme(clients *peer.Clients) string {
 	scheme, _, _ := strings.Cut(clients.URL(""), "://")
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -46,6 +46,8 @@
 	Operators []settings.Operator
 	// OpsHandlers are further handlers on the ops address, by pattern.
 	OpsHandlers map[string]Handler
+	// Claims sizes the ledger of unrepeatable calls. Default: the settings'.
+	Claims settings.Claims
 	// Counterparts are peer addresses of the other data centres' systems, by
 	// data centre.
 	Counterparts map[string][]string
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -38,6 +38,7 @@
 	}
 	source.CheckTags(settings)
 	checkKeys(source, settings.Operators)
+	checkClaims(source, settings.Claims)
 	if err := source.Err(); err != nil {
 		return nil, err
 	}
@@ -60,6 +61,7 @@
 }
 
 func (s *Settings) fillDefaults() {
+	s.Claims.fillDefaults()
 	if s.Advertise.Entry == "" {
 		s.Advertise.Entry = s.Listen
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -18,6 +18,7 @@
 	Platform  Platform  `yaml:"platform"`
 	Peers     Peers     `yaml:"peers,omitempty"`
 	Handover  Handover  `yaml:"handover,omitempty"`
+	Claims    Claims    `yaml:"claims,omitempty"`
 	// TLS names the key files for calls between nodes. Empty: plain text.
 	TLS TLS `yaml:"tls,omitempty"`
 	// Operators may use the operators' service. Empty: nobody may.
