--- a/internal/settings/claims_test.go
+++ b/internal/settings/claims_test.go
@@ -35,7 +35,8 @@
 		{"{segment_bytes: 4095}", `claims.segment_bytes`},
 		{"{segment_bytes: 262145}", `claims.segment_bytes`},
 		{"{max_bytes: 1073741825}", `claims.max_bytes`},
-		{"{shards: 256}", `claims.max_bytes: value "33554432"`},
+		{"{shards: 256, max_bytes: 33554432}", ""},
+		{"{shards: 256, max_bytes: 33550336}", `claims.max_bytes: value "33550336"`},
 		{"{shards: 1, segment_bytes: 4096, max_bytes: 33558528}", `makes 8193 segments in each of 1 shards`},
 	}
 	for _, c := range cases {
