--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -27,6 +27,9 @@
 	if index == nil {
 		return nil, refusal.New(refusal.NotConfigured, "check", "this node has no configuration yet")
 	}
+	if err := checkOnce(r); err != nil {
+		return nil, err
+	}
 	workspace, err := authenticate(index, r)
 	if err != nil {
 		return nil, err
@@ -124,17 +127,17 @@
 	if r.ContentLength > bound {
 		return nil, tooLarge(bound)
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(c.giveUpAt)
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bound))
 	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
 		return body, nil
 	}
 	if _, over := err.(*http.MaxBytesError); over {
 		return nil, tooLarge(bound)
 	}
-	refused := refusal.New(refusal.CallerGone, "read body", "the request's body broke off")
-	refused.Peer = r.RemoteAddr
-	refused.Cause = err
-	return nil, refused
+	return nil, brokenBody(r, err)
 }
 
 func tooLarge(bound int64) error {
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -103,6 +103,7 @@
 	header.Set(headerReplay, "true")
 	header.Set(headerUpstream, sc.upstream.Name)
 	header.Set(headerAttempts, "0")
+	giveTime(w, len(answer.Body))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -103,6 +104,9 @@
 		if m.Role == "" {
 			return refusal.BadField(fmt.Sprintf("messages[%d].role", i), "", "a role is required")
 		}
+		if !slices.Contains(openai.Roles(), m.Role) {
+			return refusal.BadField(fmt.Sprintf("messages[%d].role", i), m.Role, "no such role")
+		}
 	}
 	if err := checkMax(c, "max_tokens", p.request.MaxTokens); err != nil {
 		return err
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"galenatrestle/internal/answer"
-	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 	"galenatrestle/internal/upstream"
@@ -169,7 +168,7 @@
 	e.keepEnd()
 	if err != nil && !e.followed() {
 		e.waste("caller_gone")
-		e.call.story.Add(now, explain.NewRefused(callerGone(err)))
+		e.server.endRefused(e.call, callerGone(err))
 		return
 	}
 	e.server.answered(e.call, e.first, now, e.tokens)
@@ -187,7 +186,7 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
-	e.call.story.Add(time.Now(), explain.NewRefused(refused))
+	e.server.endRefused(e.call, refused)
 	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 )
 
@@ -81,7 +80,7 @@
 		}
 		refused := s.relayTo(ctx, w, r, relayTo, body)
 		if refused == nil {
-			c.story.Add(time.Now(), &explain.Relayed{Peer: relayTo})
+			s.endRelayed(c, relayTo)
 			return true
 		}
 		if refused.Outcome != refusal.NotRun || pause(ctx, relayPause) != nil {
@@ -138,6 +137,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			giveTime(w, n)
 			if _, err := w.Write(buffer[:n]); err != nil {
 				return err
 			}
--- a/internal/gateway/metrics.go
+++ b/internal/gateway/metrics.go
@@ -12,6 +12,7 @@
 
 // metrics are the callers' side's figures.
 type metrics struct {
+	requests   *prometheus.CounterVec
 	refusals   *prometheus.CounterVec
 	answers    *prometheus.CounterVec
 	tokens     *prometheus.CounterVec
@@ -29,6 +30,7 @@
 
 func newMetrics(registry prometheus.Registerer) *metrics {
 	m := &metrics{
+		requests: counter("requests_total", "Requests whose key, class and headers were in order, by class and end.", "class", "end"),
 		refusals: counter("refusals_total", "Requests refused, by reason and outcome.", "reason", "outcome"),
 		answers:  counter("answers_total", "Whole answers, by class and whether on target.", "class", "on_target"),
 		tokens:   counter("answer_tokens_total", "Tokens of whole answers, by class and whether on target: goodput is on_target=true.", "class", "on_target"),
@@ -43,8 +45,12 @@
 		queueWait:  histogram("queue_wait_seconds", "Time from arrival to a slot.", "class"),
 		tokenGap:   histogram("token_gap_seconds", "Mean time between the tokens of an answer.", "class"),
 	}
-	registry.MustRegister(m.refusals, m.answers, m.tokens, m.wasted, m.unkept,
+	registry.MustRegister(m.requests, m.refusals, m.answers, m.tokens, m.wasted, m.unkept,
 		m.firstToken, m.answerTime, m.queueWait, m.tokenGap)
+	for _, reason := range refusal.Reasons() {
+		m.refusals.WithLabelValues(string(reason), string(refusal.NotRun))
+		m.refusals.WithLabelValues(string(reason), string(refusal.Unknown))
+	}
 	return m
 }
 
@@ -61,6 +67,11 @@
 	m.refusals.WithLabelValues(string(refused.Reason), string(refused.Outcome)).Inc()
 }
 
+// ended counts a request by its end.
+func (m *metrics) ended(c *call, how end) {
+	m.requests.WithLabelValues(c.class.Name, string(how)).Inc()
+}
+
 // waited observes how long a request waited for its first slot.
 func (m *metrics) waited(c *call) {
 	m.queueWait.WithLabelValues(c.class.Name).Observe(time.Since(c.arrived).Seconds())
@@ -69,6 +80,11 @@
 // answered counts a whole answer.
 func (m *metrics) answered(c *call, onTarget bool, first, end time.Time, tokens int) {
 	label := strconv.FormatBool(onTarget)
+	if onTarget {
+		m.ended(c, endOnTarget)
+	} else {
+		m.ended(c, endLate)
+	}
 	m.answers.WithLabelValues(c.class.Name, label).Inc()
 	m.tokens.WithLabelValues(c.class.Name, label).Add(float64(tokens))
 	m.answerTime.WithLabelValues(c.class.Name).Observe(end.Sub(c.arrived).Seconds())
--- a/internal/gateway/opaquesink.go
+++ b/internal/gateway/opaquesink.go
@@ -33,6 +33,7 @@
 	s.prepare(header)
 	header.Set(headerType, typeJSON)
 	s.keep(s.whole)
+	giveTime(s.w, len(s.whole))
 	_, err := s.w.Write(s.whole)
 	return err
 }
--- a/internal/gateway/respond.go
+++ b/internal/gateway/respond.go
@@ -15,6 +15,11 @@
 // refuse answers a request of which no byte of an answer was sent.
 func (s *Server) refuse(w http.ResponseWriter, err error) {
 	refused := refusal.From(err)
+	s.refuseAs(w, refused.Reason.Status(), refused)
+}
+
+// refuseAs refuses with another status than the reason's usual one.
+func (s *Server) refuseAs(w http.ResponseWriter, status int, refused *refusal.Error) {
 	s.metrics.refused(refused)
 	header := w.Header()
 	header.Set(headerOutcome, string(refused.Outcome))
@@ -22,7 +27,7 @@
 	if refused.RetryAfter > 0 {
 		header.Set(headerRetryAfter, retrySeconds(refused.RetryAfter))
 	}
-	writeJSON(w, refused.Reason.Status(), errorBody(refused))
+	writeJSON(w, status, errorBody(refused))
 }
 
 // retrySeconds writes a duration as whole seconds, rounded up.
@@ -74,6 +79,7 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	giveTime(w, len(body))
 	w.Header().Set(headerType, typeJSON)
 	w.WriteHeader(status)
 	_, _ = w.Write(append(body, '\n'))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -35,11 +35,13 @@
 	s.mux.HandleFunc("GET /requests/{id}", s.getAnswer)
 	s.mux.HandleFunc("GET /requests/{id}/stream", s.followAnswer)
 	s.mux.HandleFunc("/services/{upstream}/{path...}", s.service)
+	s.mux.HandleFunc("/", s.noEndpoint)
 	return s
 }
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	freshDeadlines(w)
 	s.mux.ServeHTTP(w, r)
 }
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -222,6 +222,7 @@
 	}
 	header.Set(headerUpstream, sc.upstream.Name+"/"+done.replica)
 	header.Set(headerAttempts, strconv.Itoa(done.attempts))
+	giveTime(w, len(done.answer.Body))
 	w.WriteHeader(done.answer.Status)
 	_, _ = w.Write(done.answer.Body)
 }
--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -22,10 +22,22 @@
 // refuseCall refuses a request of which no byte of an answer was sent, and ends
 // its story.
 func (s *Server) refuseCall(w http.ResponseWriter, c *call, err error) {
-	c.story.Add(time.Now(), explain.NewRefused(refusal.From(err)))
+	s.endRefused(c, refusal.From(err))
 	s.refuse(w, err)
 }
 
+// endRefused ends the story of a request without a whole answer.
+func (s *Server) endRefused(c *call, refused *refusal.Error) {
+	c.story.Add(time.Now(), explain.NewRefused(refused))
+	s.metrics.ended(c, endOf(refused.Reason))
+}
+
+// endRelayed ends the story of a request that another data centre answered.
+func (s *Server) endRelayed(c *call, address string) {
+	c.story.Add(time.Now(), &explain.Relayed{Peer: address})
+	s.metrics.ended(c, endRelayed)
+}
+
 // answered counts a whole answer and ends the request's story. Plain services
 // have no first token.
 func (s *Server) answered(c *call, first, end time.Time, tokens int) {
--- a/internal/gateway/streamsink.go
+++ b/internal/gateway/streamsink.go
@@ -10,10 +10,6 @@
 	"galenatrestle/internal/refusal"
 )
 
-// slowCaller is the longest that one event may take to be passed on; half of
-// it is always given.
-const slowCaller = 30 * time.Second
-
 // errCallerLost says that the caller's connection broke before.
 var errCallerLost = errors.New("the caller's connection is broken")
 
--- a/internal/gateway/wholesink.go
+++ b/internal/gateway/wholesink.go
@@ -85,6 +85,7 @@
 	header := s.w.Header()
 	s.prepare(header)
 	header.Set(headerType, typeJSON)
+	giveTime(s.w, len(body))
 	_, err = s.w.Write(append(body, '\n'))
 	return err
 }
--- /dev/null
+++ b/internal/openai/roles.go
@@ -0,0 +1,6 @@
+package openai
+
+// Roles returns the roles that a message may have.
+func Roles() []string {
+	return []string{"system", "developer", RoleUser, RoleAssistant, "tool", "function"}
+}
