--- a/internal/gateway/end.go
+++ b/internal/gateway/end.go
@@ -23,8 +23,8 @@
 	refusal.BadRequest: endRejected, refusal.BodyTooLarge: endRejected,
 	refusal.UnknownModel: endRejected, refusal.UnknownUpstream: endRejected,
 	refusal.UpstreamDenied: endRejected, refusal.IdempotencyNeeds: endRejected,
-	refusal.IdempotencyReuse: endRejected, refusal.Quarantined: endRejected,
-	refusal.QuotaExceeded: endOverQuota, refusal.CallerGone: endGone,
+	refusal.IdempotencyReuse: endRejected,
+	refusal.QuotaExceeded:    endOverQuota, refusal.CallerGone: endGone,
 }
 
 func endOf(reason refusal.Reason) end {
