--- a/cmd/trestle-dev/main.go
+++ b/cmd/trestle-dev/main.go
@@ -19,7 +19,8 @@
 
 Examples:
   trestle-dev
-  trestle-dev --listen-base 18080 --ops 19090`
+  trestle-dev --listen-base 18080 --ops 19090
+  trestle-dev --two-data-centres`
 
 func main() {
 	var options dev.Options
--- a/internal/dev/run.go
+++ b/internal/dev/run.go
@@ -46,6 +46,9 @@
 	if err != nil {
 		return err
 	}
+	if options.TwoDataCentres {
+		return runPair(ctx, options, log, stdout)
+	}
 	d, err := embedded.Start(embedded.Options{
 		ListenBase: options.ListenBase,
 		OpsPort:    options.Ops,
@@ -60,9 +63,14 @@
 }
 
 func announce(w io.Writer, d *embedded.Deployment) {
+	fmt.Fprintf(w, banner, entriesOf(d), d.Nodes[0].OpsAddress(), d.Nodes[0].EntryAddress(), embedded.PrairieKey, embedded.OperatorKey)
+}
+
+// entriesOf lists the entries, one a line.
+func entriesOf(d *embedded.Deployment) string {
 	entries := ""
 	for _, n := range d.Nodes {
 		entries += fmt.Sprintf("  http://%s (%s, %s)\n", n.EntryAddress(), n.Name(), n.AvailabilityZone())
 	}
-	fmt.Fprintf(w, banner, entries, d.Nodes[0].OpsAddress(), d.Nodes[0].EntryAddress(), embedded.PrairieKey, embedded.OperatorKey)
+	return entries
 }
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -78,18 +78,20 @@
 	if err != nil {
 		return nil, err
 	}
-	link, err := listen(0, 0)
+	link, err := d.options.peer(len(d.links))
 	if err != nil {
 		return nil, err
 	}
-	name := fmt.Sprintf("vm-%d", i)
+	name := d.options.nodeName(i)
 	client := newPlatformClient(d.standins.platformAddress)
 	d.setClient(i, client)
 	options := node.Options{
 		Name:             name,
 		AvailabilityZone: zoneOf(i, d.options),
 		Region:           "region-0",
-		DataCentre:       "data-centre-0",
+		DataCentre:       d.options.DataCentre,
+		Counterparts:     d.options.Counterparts,
+		Home:             d.options.home,
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
--- a/internal/embedded/options.go
+++ b/internal/embedded/options.go
@@ -1,6 +1,9 @@
 package embedded
 
 import (
+	"fmt"
+	"net"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -12,6 +15,16 @@
 
 // Options size a deployment. Zero values take the defaults named.
 type Options struct {
+	// DataCentre names the deployment's data centre, and with it the nodes.
+	// Default: data-centre-0, with nodes named vm-0 and so on.
+	DataCentre string
+	// Counterparts are peer addresses of other data centres' deployments.
+	Counterparts map[string][]string
+	// Away are the upstreams that another data centre serves until a move
+	// brings them here.
+	Away []string
+	// Peers are the nodes' peer listeners. Default: free ports.
+	Peers []net.Listener
 	// Nodes is the number of entry VMs. Default 3.
 	Nodes int
 	// Zones are the availability zones; nodes and replicas take them in turn.
@@ -47,9 +60,12 @@
 	defaultServices = 2
 	defaultKeepTime = 100 * time.Millisecond
 	defaultSeed     = 1
+	// defaultDataCentre has nodes without its name in theirs.
+	defaultDataCentre = "data-centre-0"
 )
 
 func (o Options) withDefaults() Options {
+	o.DataCentre = orDefault(o.DataCentre, defaultDataCentre)
 	o.Nodes = orDefault(o.Nodes, defaultNodes)
 	o.Engines = orDefault(o.Engines, defaultEngines)
 	o.Services = orDefault(o.Services, defaultServices)
@@ -65,6 +81,25 @@
 	return o
 }
 
+// nodeName names the i-th node.
+func (o Options) nodeName(i int) string {
+	if o.DataCentre == defaultDataCentre {
+		return fmt.Sprintf("vm-%d", i)
+	}
+	return fmt.Sprintf("%s-vm-%d", o.DataCentre, i)
+}
+
+// home says whether this data centre serves the upstream without a move.
+func (o Options) home(upstream, _ string) bool { return !slices.Contains(o.Away, upstream) }
+
+// peer returns the i-th node's peer listener.
+func (o Options) peer(i int) (net.Listener, error) {
+	if i < len(o.Peers) {
+		return o.Peers[i], nil
+	}
+	return listen(0, 0)
+}
+
 func orDefault[T comparable](value, fallback T) T {
 	var zero T
 	if value == zero {
