Process scenario: the platform comes back with an older configuration

Cause: with an empty platform no lower revision is ever heard of, so that scenario outage could not tell whether one would be taken. A node that knows no other has revision 1 accepted on the emptied platform while the others, on revision 3, are cut from it; then they hear of it. They say so, stay, and a late starter comes to 3 too.

--- a/internal/processtest/commands_test.go
+++ b/internal/processtest/commands_test.go
@@ -86,7 +86,7 @@
 			return
 		}
 	}
-	for _, n := range d.nodes {
+	for _, n := range append([]*nodeData{d.lone}, d.nodes...) {
 		if n.Name == name {
 			d.start(ts, name, "trestled", "--settings", name+".yaml")
 			return
--- a/internal/processtest/deployment_test.go
+++ b/internal/processtest/deployment_test.go
@@ -50,9 +50,11 @@
 	engines  []outside
 	services []outside
 	nodes    []*nodeData
-	relays   map[string]*relay
-	caller   *load.Caller
-	client   *http.Client
+	// lone is a node that knows none of the others.
+	lone   *nodeData
+	relays map[string]*relay
+	caller *load.Caller
+	client *http.Client
 
 	mu        sync.Mutex
 	processes map[string]*process
@@ -126,6 +128,9 @@
 		n.ErzsiSum, n.BelaSum = config.HashKey(keyOfErzsi), config.HashKey(keyOfBela)
 		d.nodes = append(d.nodes, n)
 	}
+	d.lone = &nodeData{Name: "vm-lone", Entry: address(), Peer: address(), Ops: address()}
+	d.lone.PlatformRelay, d.lone.PeerRelay = d.platform.Address, d.lone.Peer
+	d.lone.ErzsiSum, d.lone.BelaSum = config.HashKey(keyOfErzsi), config.HashKey(keyOfBela)
 	for _, n := range d.nodes {
 		for _, other := range d.nodes {
 			if other != n {
@@ -150,6 +155,7 @@
 		env.Setenv("ENTRY"+strconv.Itoa(i+1), n.Entry)
 		env.Setenv("OPS"+strconv.Itoa(i+1), n.Ops)
 	}
+	env.Setenv("OPS_LONE", d.lone.Ops)
 	env.Setenv("TRESTLE_OPS", d.nodes[0].Ops)
 	env.Setenv("TRESTLE_OPERATOR_KEY", keyOfErzsi)
 	env.Setenv("KEY_OF_BELA", keyOfBela)
@@ -162,7 +168,7 @@
 	Engines, Services []outside
 }
 
-// writeFiles writes vm-N.yaml, and config-1.yaml to config-3.yaml, which differ
+// writeFiles writes vm-N.yaml, vm-lone.yaml, and config-1.yaml to config-3.yaml, which differ
 // in a weight.
 func (d *deployment) writeFiles() error {
 	templates, err := template.ParseGlob(filepath.Join(testdata, "*.tmpl"))
@@ -176,7 +182,7 @@
 		}
 		return os.WriteFile(filepath.Join(d.dir, file), text.Bytes(), 0o600)
 	}
-	for _, n := range d.nodes {
+	for _, n := range append([]*nodeData{d.lone}, d.nodes...) {
 		if err := write(n.Name+".yaml", "settings.yaml.tmpl", n); err != nil {
 			return err
 		}
