--- a/cmd/trestle-load/embedded.go
+++ b/cmd/trestle-load/embedded.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"galenatrestle/internal/config"
 	"galenatrestle/internal/embedded"
 	"galenatrestle/internal/load"
 	"galenatrestle/internal/standin/engine"
@@ -17,8 +18,10 @@
 	Services int `default:"3" help:"Plain-service replicas of the embedded deployment."`
 	Slots    int `default:"8" help:"Slots of each engine."`
 	// ShareSlots switches credits on.
-	ShareSlots bool    `help:"Have the embedded nodes share the engines' slots by credits."`
-	Speed      float64 `default:"1" help:"Divide the engines' times by this."`
+	ShareSlots bool `help:"Have the embedded nodes share the engines' slots by credits."`
+	// Quota bounds workspaces' requests a second.
+	Quota map[string]float64 `help:"Quota of a workspace's requests a second, as NAME=RATE."`
+	Speed float64            `default:"1" help:"Divide the engines' times by this."`
 }
 
 // check returns an error that names a size that makes no sense.
@@ -27,12 +30,26 @@
 		return fmt.Errorf("--embedded-nodes %d, --embedded-engines %d, --embedded-services %d, --embedded-slots %d: want positive sizes",
 			d.Nodes, d.Engines, d.Services, d.Slots)
 	}
+	for name, rate := range d.Quota {
+		if rate <= 0 {
+			return fmt.Errorf("--embedded-quota %s: value %v is not above zero", name, rate)
+		}
+	}
 	if d.Speed <= 0 {
 		return fmt.Errorf("--embedded-speed: value %v is not above zero", d.Speed)
 	}
 	return nil
 }
 
+// quotas are the workspaces' quotas.
+func (d *embeddedDeployment) quotas() map[string]config.Quota {
+	quotas := make(map[string]config.Quota, len(d.Quota))
+	for name, rate := range d.Quota {
+		quotas[name] = config.Quota{RequestsPerSecond: rate, Burst: config.DefaultBurst}
+	}
+	return quotas
+}
+
 // capacity is the tokens a second of all engines with full slots.
 func (d *embeddedDeployment) capacity() float64 {
 	slots := float64(d.Engines * d.Slots)
@@ -54,6 +71,7 @@
 	}
 	options := embedded.Options{
 		ShareSlots: size.ShareSlots,
+		Quotas:     size.quotas(),
 		Nodes:      size.Nodes, Engines: size.Engines, Services: size.Services,
 		Engine: engine.Options{Slots: size.Slots, Speed: size.Speed},
 		Seed:   max(1, w.EngineSeed),
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -56,6 +56,7 @@
 	if err != nil {
 		return err
 	}
+	setQuotas(document, d.options.Quotas)
 	for i := range d.options.Nodes {
 		n, err := d.newNode(i)
 		if err != nil {
--- a/internal/embedded/document.go
+++ b/internal/embedded/document.go
@@ -53,6 +53,16 @@
 	return rendered.Bytes(), nil
 }
 
+// setQuotas replaces the quotas of the named workspaces.
+func setQuotas(document *config.Document, quotas map[string]config.Quota) {
+	for i := range document.Workspaces {
+		w := &document.Workspaces[i]
+		if quota, ok := quotas[w.Name]; ok {
+			w.Quota = quota
+		}
+	}
+}
+
 func silentLog() logrus.FieldLogger {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
--- a/internal/embedded/options.go
+++ b/internal/embedded/options.go
@@ -5,6 +5,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"galenatrestle/internal/config"
 	"galenatrestle/internal/platform/memstore"
 	"galenatrestle/internal/standin/engine"
 	"galenatrestle/internal/standin/service"
@@ -28,6 +29,8 @@
 	// Config is the configuration's text/template; its data is ConfigData.
 	// Default: the classes of both users.
 	Config string
+	// Quotas are the workspaces' quotas, by name, in place of those of Config.
+	Quotas map[string]config.Quota
 	// ListenBase is the first entry port, 0 for free ports.
 	ListenBase int
 	// OpsPort is the first node's operators' port, 0 for a free one.
--- a/internal/embedded/quota_test.go
+++ b/internal/embedded/quota_test.go
@@ -4,10 +4,11 @@
 	"fmt"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync"
 	"testing"
 	"time"
+
+	"galenatrestle/internal/config"
 )
 
 const (
@@ -18,10 +19,9 @@
 	quotaTries = 120
 )
 
-// withQuota is the default configuration with a quota on the workspace.
-func withQuota(workspace, quota string) string {
-	name := "  - name: " + workspace + "\n"
-	return strings.Replace(defaultConfig, name, name+"    quota: "+quota+"\n", 1)
+// tabQuota bounds the requests a second of workspace tabkassza.
+func tabQuota(perSecond, burst float64) map[string]config.Quota {
+	return map[string]config.Quota{"tabkassza": {RequestsPerSecond: perSecond, Burst: burst}}
 }
 
 // tally counts one workspace's answers at all nodes.
@@ -57,7 +57,7 @@
 // while another workspace goes on. The bounds follow from the time that it
 // took, however long that was.
 func TestQuotaHoldsOverAllNodes(t *testing.T) {
-	d := startWith(t, Options{Config: withQuota("tabkassza", fmt.Sprintf("{requests_per_second: %d, burst: %d}", quotaRequests, quotaBurst))})
+	d := startWith(t, Options{Quotas: tabQuota(quotaRequests, quotaBurst)})
 	const chat = `{"model":"trestle-llm","max_tokens":1,"messages":[{"role":"user","content":"hi"}]}`
 	var over, other tally
 	began := time.Now()
@@ -97,7 +97,7 @@
 // more than its even part of the quota, which it can't without the owner.
 func TestQuotaFollowsTheCallers(t *testing.T) {
 	const perSecond, burst, margin = 60.0, 1.0, 5
-	d := startWith(t, Options{Config: withQuota("tabkassza", fmt.Sprintf("{requests_per_second: %v, burst: %v}", perSecond, burst))})
+	d := startWith(t, Options{Quotas: tabQuota(perSecond, burst)})
 	began := time.Now()
 	var flood tally
 	eventually(t, "more than the even part", func() bool {
@@ -110,7 +110,7 @@
 // TestRepeatIsAnsweredOverTheQuota repeats an unrepeatable call after its
 // workspace has used up its quota, at each node.
 func TestRepeatIsAnsweredOverTheQuota(t *testing.T) {
-	d := startWith(t, Options{Config: withQuota("tabkassza", "{requests_per_second: 0.001, burst: 1}")})
+	d := startWith(t, Options{Quotas: tabQuota(0.001, 1)})
 	const path = "/services/member-ledger/claims"
 	header := func(key string) map[string]string {
 		return map[string]string{"Authorization": "Bearer " + TabKey, "Idempotency-Key": key}
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -1,7 +1,8 @@
 // Package quota bounds what each workspace uses at one node: requests and
 // estimated tokens a second, from token buckets that hold a few seconds of use.
 //
-// A node holds a share of each workspace's global quota, set from outside; the
+// A node holds a share of each workspace's global quota, set from outside (package
+// quotashare), and measures the demand, refused requests included; the
 // shares of all nodes should add up to 1. State is sharded by workspace, each
 // shard under its own lock; it is safe for concurrent use.
 //
--- a/internal/quotashare/owner.go
+++ b/internal/quotashare/owner.go
@@ -23,12 +23,6 @@
 	demands map[string]told
 }
 
-// told is what one node told of its demand.
-type told struct {
-	demand float64
-	at     time.Time
-}
-
 // NewOwner returns an owner that knows of no workspace.
 func NewOwner(settings Settings) *Owner {
 	return &Owner{settings: settings.withDefaults(), books: make(map[Key]*book)}
@@ -67,20 +61,18 @@
 		delete(b.demands, node)
 		return Grant{Share: even}
 	}
-	b.demands[node] = told{demand: min(report.Demand, 1), at: now}
-	total := b.total(now, o.settings.LeaseTime, live, node)
-	if total > contendedPart {
-		// Whoever still wants it asks often: older demands are of nodes that
-		// can't reach this one.
-		total = b.total(now, o.settings.ContendedLease, live, node)
-	}
+	d := b.demands[node].next(now, report.Demand)
+	b.demands[node] = d
+	total := b.total(now, o.settings, live, node)
 	grant := Grant{
-		Share:     o.settings.Floor*even + (1-o.settings.Floor)*b.demands[node].demand/total,
+		Share:     o.settings.Floor*even + (1-o.settings.Floor)*d.demand/total,
 		Contended: total > contendedPart,
 	}
 	if o.settling(now, b) {
-		return Grant{Share: min(grant.Share, even), Contended: true}
+		grant = Grant{Share: min(grant.Share, even), Contended: true}
 	}
+	d.contended = grant.Contended
+	b.demands[node] = d
 	return grant
 }
 
@@ -103,12 +95,12 @@
 
 // total sums the demands that count: of the serving nodes, and of the one that
 // asks in any case.
-func (b *book) total(now time.Time, lease time.Duration, live []string, asks string) float64 {
+func (b *book) total(now time.Time, s Settings, live []string, asks string) float64 {
 	sum := 0.0
 	known := false
 	for _, name := range live {
 		known = known || name == asks
-		if d, ok := b.demands[name]; ok && now.Sub(d.at) < lease {
+		if d, ok := b.demands[name]; ok && now.Sub(d.at) < d.lease(s) {
 			sum += d.demand
 		}
 	}
@@ -122,7 +114,7 @@
 func (o *Owner) Sweep(now time.Time) {
 	for key, b := range o.books {
 		for node, d := range b.demands {
-			if now.Sub(d.at) >= o.settings.LeaseTime {
+			if now.Sub(d.at) >= d.lease(o.settings) {
 				delete(b.demands, node)
 			}
 		}
--- a/internal/quotashare/settings.go
+++ b/internal/quotashare/settings.go
@@ -15,8 +15,8 @@
 	Renew time.Duration
 	// LeaseTime is how long a share and a demand last without renewal.
 	LeaseTime time.Duration
-	// ContendedLease is how long the demand of a node counts against the others'
-	// where the demands come near the quota.
+	// ContendedLease is how long at least a demand lasts without renewal where
+	// the demands come near the quota.
 	ContendedLease time.Duration
 	// Grace is how long a share lasts after a report that got no answer.
 	Grace time.Duration
@@ -33,7 +33,7 @@
 	DefaultContended      = 2 * time.Second
 	DefaultRenew          = 90 * time.Second
 	DefaultLeaseTime      = 5 * time.Minute
-	DefaultContendedLease = time.Minute
+	DefaultContendedLease = 15 * time.Second
 	DefaultGrace          = 5 * time.Second
 	DefaultFloor          = 0.1
 	DefaultBytesPerSecond = 450
