--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"galenatrestle/internal/answer"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
@@ -64,11 +65,13 @@
 // attempt waits for a slot and runs the request once, or twice beside each
 // other where that is allowed.
 func (e *exchange) attempt(ctx context.Context) error {
+	e.call.queued(e.attempts+1, e.completion.upstream.Name)
 	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
 	if err != nil {
 		return err
 	}
 	e.attempts++
+	e.call.bound(e.attempts, slot)
 	e.observeWait()
 	body, err := e.engineBody()
 	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
@@ -105,8 +108,7 @@
 	if e.attempts > 1 {
 		return
 	}
-	wait := time.Since(e.call.arrived).Seconds()
-	e.server.metrics.queueWait.WithLabelValues(e.call.class.Name).Observe(wait)
+	e.server.metrics.waited(e.call)
 }
 
 // relay passes an attempt's answer to the caller.
@@ -183,9 +185,10 @@
 	e.keepEnd()
 	if err != nil && !e.followed() {
 		e.waste("caller_gone")
+		e.call.story.Add(now, explain.NewRefused(callerGone(err)))
 		return
 	}
-	e.server.metrics.answered(e.call, e.first, now, e.tokens)
+	e.server.answered(e.call, e.first, now, e.tokens)
 }
 
 // giveUp tells the caller, at once, that there will be no answer.
@@ -200,6 +203,7 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
+	e.call.story.Add(time.Now(), explain.NewRefused(refused))
 	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"path"
 	"strconv"
 	"time"
 
@@ -35,7 +34,7 @@
 	w.Header().Set(headerRequestID, c.id)
 	sc, err := parseService(c, w, r)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, c, err)
 		return
 	}
 	if s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
@@ -61,6 +60,9 @@
 		return nil, err
 	}
 	servicePath := "/" + r.PathValue("path")
+	if err := checkServicePath(servicePath); err != nil {
+		return nil, err
+	}
 	sc := &serviceCall{call: c, upstream: target, rule: ruleFor(target, r.Method, servicePath)}
 	if sc.rule != nil && !sc.rule.KeyOptional && c.idempotencyKey == "" {
 		return nil, named(refusal.IdempotencyNeeds, headerIdempotencyKey, "", "this call may not be repeated: send a key that names it")
@@ -76,25 +78,6 @@
 	return sc, nil
 }
 
-func withQuery(servicePath, query string) string {
-	if query == "" {
-		return servicePath
-	}
-	return servicePath + "?" + query
-}
-
-// ruleFor returns the first rule that matches, or nil.
-func ruleFor(target *config.Upstream, method, servicePath string) *config.Rule {
-	for i := range target.Unrepeatable {
-		rule := &target.Unrepeatable[i]
-		matched, err := path.Match(rule.Path, servicePath)
-		if err == nil && matched && rule.Method == method {
-			return rule
-		}
-	}
-	return nil
-}
-
 // serveCall runs the call, at most once where it may not be repeated, and
 // answers.
 func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
@@ -109,7 +92,7 @@
 	served, refused := s.callUntilRun(ctx, sc)
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
-		s.refuse(w, refused)
+		s.refuseCall(w, sc.call, refused)
 		return
 	}
 	s.answerService(w, sc, served)
@@ -155,10 +138,15 @@
 
 // tryService waits for a slot and makes the call once.
 func (s *Server) tryService(ctx context.Context, sc *serviceCall, attempt int, avoid []string) (*upstream.ServiceAnswer, string, error) {
+	sc.call.queued(attempt, sc.upstream.Name)
 	slot, err := s.options.Dispatch.Acquire(ctx, sc.upstream.Name, sc.routerRequest(attempt, avoid))
 	if err != nil {
 		return nil, "", err
 	}
+	sc.call.bound(attempt, slot)
+	if attempt == 1 {
+		s.metrics.waited(sc.call)
+	}
 	done, err := s.startWork(ctx, sc.call, sc.upstream.Name)
 	if err != nil {
 		slot.Finish(resultOf(err))
@@ -167,8 +155,10 @@
 	defer done()
 	wire := sc.wire
 	wire.ID = fmt.Sprintf("%s.%d", sc.call.id, attempt)
+	sc.call.started(attempt, slot)
 	answer, err := s.options.Services.Do(ctx, slot.Replica.Address, wire)
 	slot.Finish(resultOf(err))
+	sc.call.ended(attempt, slot, 0, err)
 	if err == nil {
 		s.options.Retries.Succeeded(time.Now(), sc.call.class.Name, sc.upstream.Name)
 	}
@@ -198,6 +188,7 @@
 	}
 	decision := s.options.Retries.Decide(time.Now(), sc.retryAttempt(failed, attempts))
 	s.metrics.retries.Count(decision)
+	sc.call.decided(decision)
 	return decision.Action != retry.GiveUp
 }
 
@@ -228,6 +219,7 @@
 }
 
 func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, done served) {
+	s.answered(sc.call, time.Time{}, time.Now(), 0)
 	header := w.Header()
 	for name, values := range done.answer.Header {
 		header[name] = values
--- a/internal/handover/agent.go
+++ b/internal/handover/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 )
 
@@ -36,8 +37,19 @@
 	now      func() time.Time
 
 	registered bool
+	// revision is the platform's at the newest read, and atRest says that no
+	// move was in progress then.
+	revision int64
+	atRest   bool
 }
 
+const (
+	// asksPerTerm is how often an armed node asks for a permit in one term.
+	asksPerTerm = 4
+	// restTime bounds one wait for a change while no move is in progress.
+	restTime = 30 * time.Second
+)
+
 // NewAgent returns the agent of a node. now must carry the monotonic clock.
 func NewAgent(gate *Gate, store *MoveStore, permits Permits, vouchers Vouchers, node string, timing Timing, now func() time.Time) *Agent {
 	return &Agent{gate: gate, store: store, permits: permits, vouchers: vouchers, node: node, timing: timing, now: now}
@@ -46,23 +58,55 @@
 // Run feeds the gate until ctx ends. Errors are not returned: the next round
 // tries again, and the gate does the right thing meanwhile.
 func (a *Agent) Run(ctx context.Context) {
-	ticker := time.NewTicker(a.timing.Resend)
-	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		_ = a.Round(ctx)
+		a.rest(ctx)
+	}
+}
+
+// rest waits for a change of the moves, or until the next permit is due. While
+// nothing moves it costs the platform two calls in a restTime.
+func (a *Agent) rest(ctx context.Context) {
+	if a.awaitChange(ctx) == nil {
+		return
+	}
+	timer := time.NewTimer(a.timing.Resend)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// awaitChange returns nil once a move has changed in the platform or the time
+// to wait has passed, and an error where the wait was cut short, as by a
+// driver's call of this node, or the platform did not answer in time: a term
+// must outlast this wait and a Round.
+func (a *Agent) awaitChange(ctx context.Context) error {
+	changed := a.gate.watch()
+	wait := a.timing.Term / asksPerTerm
+	if a.atRest && len(a.gate.Asks()) == 0 {
+		wait = restTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+a.timing.Resend)
+	defer cancel()
+	go func() {
 		select {
-		case <-ticker.C:
+		case <-changed:
+			cancel()
 		case <-ctx.Done():
-			return
 		}
-	}
+	}()
+	return a.store.Await(ctx, a.revision, wait)
 }
 
-// Round registers if need be, reads the moves and asks for permits once.
+// Round registers if need be, reads the moves and asks for permits once. Peers
+// are asked in a time of their own, so that a platform that hangs takes none of
+// it.
 func (a *Agent) Round(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/4)
-	defer cancel()
 	err := a.read(ctx)
+	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/asksPerTerm)
+	defer cancel()
 	if err != nil && !a.registered {
 		a.vouch(ctx)
 	}
@@ -73,6 +117,8 @@
 }
 
 func (a *Agent) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/asksPerTerm)
+	defer cancel()
 	if !a.registered {
 		if err := a.store.Register(ctx, a.node); err != nil {
 			return err
@@ -82,6 +128,8 @@
 	if err != nil {
 		return err
 	}
+	a.revision = revision
+	a.atRest = !slices.ContainsFunc(moves, inProgress)
 	if a.registered {
 		a.gate.Refresh(moves, revision)
 		return nil
@@ -91,6 +139,8 @@
 	return nil
 }
 
+func inProgress(m Move) bool { return !m.Phase.Final() }
+
 func (a *Agent) ask(ctx context.Context, ask Ask) {
 	asked := a.now()
 	permitted, err := a.permits.Permit(ctx, ask, a.node)
--- a/internal/intent/planner.go
+++ b/internal/intent/planner.go
@@ -26,6 +26,9 @@
 	if err := b.build(); err != nil {
 		return nil, err
 	}
+	for _, name := range stats.Silent {
+		b.risk("VM %s does not answer: its requests in flight are not counted", name)
+	}
 	plan := &Plan{Intent: in, Base: base, Steps: b.steps, Risks: b.risks, State: StateProposed}
 	for _, s := range plan.Steps {
 		plan.NeedsAcceptRisk = plan.NeedsAcceptRisk || slices.ContainsFunc(s.Capacity, isBelowTarget)
@@ -53,6 +56,8 @@
 		return b.drainVM()
 	case KindDrainReplica:
 		return b.drainReplica()
+	case KindDeclareDead:
+		return b.declareDead()
 	case KindMoveUpstream, KindMoveWorkspaces:
 		return b.move()
 	}
@@ -90,6 +95,9 @@
 	if !ok {
 		return &FieldError{Field: "vm", Value: name, Message: "is not a live entry VM"}
 	}
+	if len(b.stats.VMs) == 1 {
+		return &FieldError{Field: "vm", Value: name, Message: "is the only entry VM: no other could go on with the plan"}
+	}
 	b.checkVMLoad(name)
 	touches := []string{"VM " + name}
 	b.add(Step{Kind: StepWithdrawEntry, Target: name, Touches: append(touches, "entry list"), InFlight: vm.InFlight, Expected: expectedWrite})
@@ -123,6 +131,9 @@
 	if err != nil {
 		return err
 	}
+	if r.Leaving {
+		return &FieldError{Field: "replica", Value: r.Name, Message: "is leaving already"}
+	}
 	left := capacityLeft(b.doc, u.Name, slots(u, r.Name), b.stats.Demand[u.Name])
 	b.noteBelowTarget(left)
 	inFlight := b.stats.Replicas[u.Name][r.Name]
@@ -131,3 +142,19 @@
 	b.add(Step{Kind: StepAwaitReplica, Target: r.Name, Touches: touches, Capacity: left, InFlight: inFlight, Expected: expectedFlight})
 	return nil
 }
+
+// declareDead is always risky: no part of the system can prove that a VM runs
+// no more.
+func (b *builder) declareDead() error {
+	name := b.intent.VM
+	b.risky = true
+	b.risk("if VM %s still runs, it and another data centre may both start work of a moving set: make sure that it is off", name)
+	if _, ok := b.stats.VMs[name]; ok {
+		b.risk("VM %s is a live member just now", name)
+	}
+	b.add(Step{
+		Kind: StepDeclareDead, Target: name, Expected: expectedWrite, NoReturn: true,
+		Touches: []string{"registration of VM " + name, "moves that wait for it"},
+	})
+	return nil
+}
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
-	"net/http"
 	"sync"
 	"time"
 
@@ -37,24 +37,36 @@
 // moves is the node's part in plans, moves between data centres and orders to
 // engines. On a node without a platform there are none, and everything starts.
 type moves struct {
-	options  Options
+	options Options
+	// actors are further ones for the steps of plans.
+	actors   map[intent.StepKind]intent.Actor
 	store    *handover.MoveStore
 	gate     *handover.Gate
 	agent    *handover.Agent
 	driver   *handover.Driver
 	executor *intent.Executor
 	holder   *lease.Holder
+	source   *lease.Source
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	duty     sync.WaitGroup
+	turn     dutyTurn
+}
+
+// leases returns those that this process holds.
+func (m *moves) leases() []platform.Lease {
+	if m == nil || m.source == nil {
+		return nil
+	}
+	return m.source.Held()
 }
 
 // newMoves creates the part and mounts its handlers on the peer listener.
-func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index) *moves {
+func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index, actors map[intent.StepKind]intent.Actor) *moves {
 	if options.Store == nil {
 		return nil
 	}
-	m := &moves{options: options}
+	m := &moves{options: options, actors: actors}
 	if err := m.build(members, link, configuration); err != nil {
 		options.Log.WithError(err).WithField("step", "create moves").Error("plans and moves are not carried out here")
 		m.holder = nil
@@ -74,7 +86,7 @@
 	receiver := handover.NewReceiver(store, noClaims{}, metrics, o.Log, time.Now)
 	m.driver = handover.NewDriver(handover.DriverConfig{
 		Store: store, Address: o.PeerAddress, DataCentre: o.DataCentre, RelayAddress: o.EntryAddress,
-		Peer: handover.NewCounterparts(&http.Client{}, o.Counterparts), Nodes: nodes,
+		Peer: handover.NewCounterparts(linkDialer{link}, o.Counterparts), Nodes: nodes,
 		Claims: noClaims{}, Preparer: readiness{configuration: configuration},
 		Timing: timing, Metrics: metrics, Log: o.Log, Now: time.Now,
 	})
@@ -99,11 +111,12 @@
 	if err != nil {
 		return err
 	}
-	actors := map[intent.StepKind]intent.Actor{}
+	actors := maps.Clone(m.actors)
 	mover := moveplan.NewActor(store, m.driver, movable(configuration), time.Now)
 	for _, kind := range moveplan.Kinds {
 		actors[kind] = mover
 	}
+	actors[intent.StepDeclareDead] = moveplan.NewDeadActor(store)
 	orders := orderplan.NewActor(sender, configuration)
 	for _, kind := range orderplan.Kinds {
 		actors[kind] = orders
@@ -115,6 +128,7 @@
 		OnLost:    func(int64, lease.EndReason) { m.duty.Wait() },
 		Observers: []lease.Observer{sender},
 	}
+	m.source = source
 	m.holder = lease.NewHolder(source, controlLease, callbacks, rand.New(rand.NewPCG(o.Seed, controlStream)))
 	m.holder.Prefer(func() bool { return members.Owner(controlLease).Name == o.Name })
 	return nil
@@ -155,9 +169,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	m.running.Go(func() { m.agent.Run(ctx) })
-	if m.holder != nil {
-		m.running.Go(func() { _ = m.holder.Run(ctx) })
-	}
+	m.startDuty(ctx)
 }
 
 // leave is a planned stop's last word: this node serves no more, so that no
@@ -176,7 +188,7 @@
 	if m == nil || m.stop == nil {
 		return
 	}
-	m.stop()
+	m.endDuty()
 	m.running.Wait()
 	m.stop = nil
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,9 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/inspect"
 	"galenatrestle/internal/platform/budget"
 	"galenatrestle/internal/upstream"
 )
@@ -17,23 +19,26 @@
 
 // Node is one entry VM's process.
 type Node struct {
-	options  Options
-	config   atomic.Pointer[config.Index]
-	dispatch *dispatch.Dispatcher
-	gateway  *gateway.Server
-	engines  *upstream.Engine
-	services *upstream.Service
-	members  *members
-	sync     *configuration
-	duties   *budget.Counters
-	peers    *peers
-	answers  *answers
-	claims   *claims
-	credits  *credits
-	quotas   *quotas
-	moves    *moves
-	servers  []*http.Server
-	leaving  atomic.Bool
+	options   Options
+	config    atomic.Pointer[config.Index]
+	dispatch  *dispatch.Dispatcher
+	gateway   *gateway.Server
+	engines   *upstream.Engine
+	services  *upstream.Service
+	members   *members
+	sync      *configuration
+	duties    *budget.Counters
+	peers     *peers
+	answers   *answers
+	claims    *claims
+	credits   *credits
+	quotas    *quotas
+	moves     *moves
+	drains    *drains
+	stories   *explain.Recorder
+	inspector *inspect.Asker
+	servers   []*http.Server
+	leaving   atomic.Bool
 }
 
 // New returns a node that does not serve yet.
@@ -53,7 +58,9 @@
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.quotas = newQuotas(options, n.members.runner, n.peers)
-	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.drains = newDrains(n)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drainActors())
+	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -67,6 +74,7 @@
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
+		Explain:  n.stories,
 		Registry: n.options.Registry,
 		Log:      n.options.Log,
 	}
@@ -92,7 +100,7 @@
 
 // Start begins to serve on all listeners.
 func (n *Node) Start() {
-	n.serve("entry", n.options.Entry, n.gateway)
+	n.serve("entry", n.options.Entry, n.drains.count(n.gateway))
 	n.serve("ops", n.options.Ops, n.opsHandler())
 	n.servePeers()
 	n.members.start()
