Claims: find a holder in another region, and don't take its callers for gone

Cause: nodes of all regions that share a platform share the ledger's shards, and one of them holds each. A node knew holders among its own region's members only, so that a call in any other region ended as claim_store_down; and a holder took the process of another region's node for gone, so that a call under way there was told unknown.

Change: a holder's lease names its peer address (claim.HolderName), and a node that does not know the holder as a member goes by that. A claim names the region of its node; for a node of another region only a newer boot, or InProgressLimit, makes the claim unknown.

Left: regions with platforms of their own have ledgers of their own. Nothing keeps a key that was claimed in one from running in the other: their callers must stay with one, as a move between data centres has it.

--- a/internal/claim/boots.go
+++ b/internal/claim/boots.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"strings"
 	"sync"
 
 	"github.com/google/uuid"
@@ -42,10 +43,23 @@
 	if bytes.Compare(boot[:], newest[:]) < 0 {
 		return true
 	}
-	_, live := memberNamed(b.view, node)
+	name, region, _ := strings.Cut(node, nameSeparator)
+	if region != "" && region != b.view.Self().Region {
+		// The members of other regions are not known here.
+		return false
+	}
+	_, live := memberNamed(b.view, name)
 	return !live
 }
 
+// processNode names the node in a claim, with its region where it has one.
+func processNode(self membership.Member) string {
+	if self.Region == "" {
+		return self.Name
+	}
+	return self.Name + nameSeparator + self.Region
+}
+
 func memberNamed(view membership.View, name string) (membership.Member, bool) {
 	if self := view.Self(); self.Name == name {
 		return self, true
--- a/internal/claim/fakecluster_test.go
+++ b/internal/claim/fakecluster_test.go
@@ -55,7 +55,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if current := c.tenures[name]; current != nil {
-		return nil, &platform.HeldError{Current: platform.Lease{Name: name, Holder: current.leases.node.name + "/run-1"}}
+		return nil, &platform.HeldError{Current: platform.Lease{Name: name, Holder: HolderName(current.leases.node.name, "run-1", current.leases.node.name)}}
 	}
 	c.epochs[name]++
 	tenure := &fakeTenure{leases: l, name: name, epoch: c.epochs[name], done: make(chan struct{})}
@@ -115,6 +115,10 @@
 	oneWay time.Duration
 	// ends, where set, says how the next call that is run ends.
 	ends func() OutcomeKind
+	// regions, where set, is the region of each node; preferredIn is then the
+	// owner that the views of a region name. Nodes know their region's alone.
+	regions     map[string]string
+	preferredIn map[string]string
 }
 
 type testNode struct {
@@ -144,14 +148,20 @@
 	return membership.Member{Name: name, PeerAddress: name, State: membership.StateServing}
 }
 
-func (v fakeView) Self() membership.Member { return member(v.self) }
+func (v fakeView) region() string { return v.cluster.regions[v.self] }
+
+func (v fakeView) Self() membership.Member {
+	self := member(v.self)
+	self.Region = v.region()
+	return self
+}
 
 func (v fakeView) Members() []membership.Member {
 	v.cluster.mu.Lock()
 	defer v.cluster.mu.Unlock()
 	var list []membership.Member
 	for _, node := range v.cluster.nodes {
-		if !node.dead {
+		if !node.dead && v.cluster.regions[node.name] == v.region() {
 			list = append(list, member(node.name))
 		}
 	}
@@ -161,6 +171,9 @@
 func (v fakeView) Owner(string) membership.Member {
 	v.cluster.mu.Lock()
 	defer v.cluster.mu.Unlock()
+	if v.cluster.regions != nil {
+		return member(v.cluster.preferredIn[v.region()])
+	}
 	return member(v.cluster.preferred)
 }
 
--- a/internal/claim/holdername.go
+++ b/internal/claim/holdername.go
@@ -7,17 +7,30 @@
 	"galenatrestle/internal/platform"
 )
 
-// runSeparator parts a node's name from the id of its process's run in the name
-// of a lease's holder, as in "vm-3/0192c1". A name without one is the node's.
-const runSeparator = "/"
+// nameSeparator parts the fields of a lease holder's name, as in
+// "vm-3/0192c1/10.0.0.3:8090".
+const nameSeparator = "/"
 
-// holderNode returns the name of the node that an error of Acquire names as the
-// lease's holder, or nothing.
-func holderNode(err error) string {
+// HolderName returns the name under which a node's run takes leases: the node,
+// the run's id, and the peer address, by which nodes of other regions, which do
+// not know the node as a member, find it.
+func HolderName(node, run, peerAddress string) string {
+	return strings.Join([]string{node, run, peerAddress}, nameSeparator)
+}
+
+// heldBy returns the holder that an error of Acquire names, or nothing.
+func heldBy(err error) string {
 	var held *platform.HeldError
 	if !errors.As(err, &held) {
 		return ""
 	}
-	node, _, _ := strings.Cut(held.Current.Holder, runSeparator)
-	return node
+	return held.Current.Holder
+}
+
+// readHolder returns the node and the peer address in a holder's name. The
+// address is empty in a name without one.
+func readHolder(holder string) (node, peerAddress string) {
+	node, rest, _ := strings.Cut(holder, nameSeparator)
+	_, peerAddress, _ = strings.Cut(rest, nameSeparator)
+	return node, peerAddress
 }
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -81,7 +81,7 @@
 	}
 	request := BeginRequest{
 		Key: key, Content: content, Attempt: uuid.New(),
-		Node: n.options.View.Self().Name, Boot: n.boot,
+		Node: processNode(n.options.View.Self()), Boot: n.boot,
 	}
 	within, cancel := context.WithTimeout(ctx, n.options.BeginTimeout)
 	defer cancel()
--- a/internal/claim/peers.go
+++ b/internal/claim/peers.go
@@ -25,7 +25,7 @@
 	// Refused is why nothing was claimed.
 	Refused refusal.Reason
 	// NotHolder says that the receiver does not hold the shard; Holder names
-	// the one it knows of. A verdict is then what it remembers of an earlier
+	// the one it knows of, as its lease does. A verdict is then what it remembers of an earlier
 	// tenure, to be told only where no holder can be asked.
 	NotHolder bool
 	Holder    string
--- a/internal/claim/tender.go
+++ b/internal/claim/tender.go
@@ -17,7 +17,8 @@
 	asked   chan struct{}
 
 	mu sync.Mutex
-	// holder is the node last known to hold the shard, empty where unknown.
+	// holder is the name of the one last known to hold the shard, empty where
+	// unknown.
 	holder string
 }
 
@@ -52,7 +53,7 @@
 	if !sleep(ctx, short) {
 		return false, false
 	}
-	timer := time.NewTimer(t.options.jitters.around(t.options.TendInterval))
+	timer := time.NewTimer(t.options.jitters.around(t.interval()))
 	defer timer.Stop()
 	select {
 	case <-t.asked:
@@ -64,13 +65,27 @@
 	}
 }
 
+// elsewhereRest is how many intervals pass between looks at a shard that is
+// held in another region, so that the regions' preferred holders together cost
+// the platform little. A holder that does not answer is noticed by those who ask.
+const elsewhereRest = 10
+
+// interval returns the mean pause between two looks.
+func (t *tender) interval() time.Duration {
+	node, address := readHolder(t.holderHint())
+	if _, known := memberNamed(t.options.View, node); !known && address != "" {
+		return elsewhereRest * t.options.TendInterval
+	}
+	return t.options.TendInterval
+}
+
 // tryHold holds the shard if its lease can be had.
 func (t *tender) tryHold(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, t.options.CallTimeout)
 	tenure, err := t.options.Leases.Acquire(call, t.name)
 	cancel()
 	if err != nil {
-		t.holderIs(holderNode(err))
+		t.holderIs(heldBy(err))
 		return
 	}
 	self := t.options.View.Self().Name
@@ -147,9 +162,12 @@
 // holderAddress returns the peer address of the node to ask. It is false where
 // that would be this node; then it tries to hold the shard.
 func (t *tender) holderAddress() (string, bool) {
-	hint := t.holderHint()
-	member, known := memberNamed(t.options.View, hint)
-	if hint == "" || !known {
+	node, address := readHolder(t.holderHint())
+	member, known := memberNamed(t.options.View, node)
+	if !known && address != "" {
+		return address, true
+	}
+	if !known {
 		member = t.options.View.Owner(t.name)
 	}
 	if t.isSelf(member) || member.PeerAddress == "" {
--- a/internal/claim/tenure.go
+++ b/internal/claim/tenure.go
@@ -16,7 +16,7 @@
 // Leases grants leases by name.
 type Leases interface {
 	// Acquire returns a tenure, or an error that wraps *platform.HeldError
-	// where another node holds the lease. A holder is named by its node, or by
-	// its node, a slash and an id of its run.
+	// where another node holds the lease. A holder is named as by HolderName,
+	// or by its node alone.
 	Acquire(ctx context.Context, name string) (Tenure, error)
 }
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -54,7 +54,7 @@
 		return nil, err
 	}
 	// A lease's holder names one run of one process.
-	holder := options.Name + "/" + uuid.NewString()
+	holder := claim.HolderName(options.Name, uuid.NewString(), options.PeerAddress)
 	source, err := lease.NewSource(options.Store, holder, lease.DefaultSettings(claimLeaseTTL), metrics, time.Now)
 	if err != nil {
 		return nil, err
