claim: give the regions' test the holder's name in its one order

Cause: after the merge the test named holders as node/address/run, so that no region found the other's holder; it failed in all 40 claims, as it should. Change: the arguments' order. Measured: package claim passes.

--- a/internal/claim/regions_test.go
+++ b/internal/claim/regions_test.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	holder := claim.HolderName(name, address, "run")
+	holder := claim.HolderName(name, "run", address)
 	source, err := lease.NewSource(store, holder, lease.DefaultSettings(10*time.Second), metrics, time.Now)
 	if err != nil {
 		t.Fatal(err)
