credits: on by default, quicker among few owners, with the slack of what waits

Change: nodes share slots by default (Options.OwnSlots is for measurements). A node that knows of no other keeps the replicas' own limits. Where a node works with 16 owners or fewer it asks up to six times a second, not three. Asks carry the slack of the most urgent request that waits in the highest tier waiting (router.Stats has it now): without it slots stayed with the node that had them, and promises.TestEveryClassIsServed failed once credits were on, for a node without slots starved beside an equal one. With it the test passes.

The test of urgent asks now checks both intervals, and that each owner has its turn, over twice the time.

--- a/internal/command/trestleload/compare.go
+++ b/internal/command/trestleload/compare.go
@@ -24,7 +24,7 @@
 var changes = map[string]func(*embeddedDeployment){
 	"own":      func(d *embeddedDeployment) { d.ShareSlots = false },
 	"credits":  func(d *embeddedDeployment) { d.ShareSlots = true },
-	"one-node": func(d *embeddedDeployment) { d.Nodes = 1 },
+	"one-node": func(d *embeddedDeployment) { d.Nodes, d.ShareSlots = 1, true },
 }
 
 // Run fails where a promise was broken in one of the runs.
--- a/internal/command/trestleload/comparison.go
+++ b/internal/command/trestleload/comparison.go
@@ -56,6 +56,9 @@
 	if err := table.Flush(); err != nil {
 		return err
 	}
+	if err := l.writeClasses(w, settings); err != nil {
+		return err
+	}
 	_, err := io.WriteString(w, "shares and goodput are means over the runs, worst and times (ms) the worst of them\n")
 	return err
 }
--- a/internal/command/trestleload/embedded.go
+++ b/internal/command/trestleload/embedded.go
@@ -17,7 +17,7 @@
 	Services int `default:"3" help:"Plain-service replicas of the embedded deployment."`
 	Slots    int `default:"8" help:"Slots of each engine."`
 	// ShareSlots switches credits on.
-	ShareSlots bool    `help:"Have the embedded nodes share the engines' slots by credits."`
+	ShareSlots bool    `default:"true" negatable:"" help:"Have the embedded nodes share the engines' slots by credits."`
 	Speed      float64 `default:"1" help:"Divide the engines' times by this."`
 }
 
@@ -63,8 +63,8 @@
 		return func() {}, nil
 	}
 	options := embedded.Options{
-		ShareSlots: size.ShareSlots,
-		Nodes:      size.Nodes, Engines: size.Engines, Services: size.Services,
+		OwnSlots: !size.ShareSlots,
+		Nodes:    size.Nodes, Engines: size.Engines, Services: size.Services,
 		Engine: engine.Options{Slots: size.Slots, Speed: size.Speed},
 		Seed:   max(1, w.EngineSeed),
 	}
--- a/internal/command/trestleload/tiers.go
+++ b/internal/command/trestleload/tiers.go
@@ -10,12 +10,7 @@
 }
 
 // attainment is 1 where nothing was offered.
-func (s tierSum) attainment() float64 {
-	if s.offered == 0 {
-		return 1
-	}
-	return float64(s.onTarget) / float64(s.offered)
-}
+func (s tierSum) attainment() float64 { return ratio(s.onTarget, s.offered) }
 
 // top adds up the classes of the highest tier, rest the others.
 func (r *comparedRun) top() tierSum  { return r.sum(true) }
--- a/internal/credit/settings.go
+++ b/internal/credit/settings.go
@@ -10,7 +10,8 @@
 	// Renew is the time between two asks to one owner.
 	Renew time.Duration
 	// Urgent is the shortest time between two asks, whichever their owners, that
-	// go out before their time because requests wait and no slot is left.
+	// go out before their time because requests wait and no slot is left. With few
+	// owners it is half of that.
 	Urgent time.Duration
 	// LowShare is the part of a limit that nodes keep between them for requests
 	// less urgent than those of others, so that every class goes on.
--- a/internal/credit/wallet.go
+++ b/internal/credit/wallet.go
@@ -97,7 +97,7 @@
 			due[owner] = asks[owner]
 		}
 	}
-	if owner := w.urgent(now, short); owner != "" {
+	if owner := w.urgent(now, short, len(asks)); owner != "" {
 		due[owner] = w.asksOf(now, owner, needs)
 	}
 	return due
@@ -166,10 +166,19 @@
 	return slices.Compact(names)
 }
 
+// Unbounded is the allowance of a node that has nobody to share with.
+const Unbounded = -1
+
 // Allowances returns the slots of each replica of an upstream that this node
-// may use: none outside its subset.
+// may use: none outside its subset, Unbounded where it is the only one.
 func (w *Wallet) Allowances(now time.Time, need Need, nodes int) map[string]int {
 	allowances := make(map[string]int, len(need.Replicas))
+	if nodes <= 1 {
+		for _, r := range need.Replicas {
+			allowances[r.Name] = Unbounded
+		}
+		return allowances
+	}
 	for _, r := range need.Replicas {
 		allowances[r.Name] = 0
 	}
@@ -199,10 +208,23 @@
 	state.next = now.Add(renew*9/10 + time.Duration(w.rng.Int64N(int64(renew/5))))
 }
 
+// fewOwners is the number of owners up to which a node asks before its time
+// twice as often: its regular messages cost less then.
+const fewOwners = 16
+
+// urgentInterval is the shortest time between two asks before their time at a
+// node that works with the given number of owners.
+func (w *Wallet) urgentInterval(owners int) time.Duration {
+	if owners <= fewOwners {
+		return w.settings.Urgent / 2
+	}
+	return w.settings.Urgent
+}
+
 // urgent returns the owner to ask before its time, or none: of the given ones
-// that was asked longest ago.
-func (w *Wallet) urgent(now time.Time, owners []string) string {
-	if len(owners) == 0 || now.Sub(w.lastUrgent) < w.settings.Urgent {
+// that was asked longest ago. all is the number of owners that the node asks.
+func (w *Wallet) urgent(now time.Time, owners []string, all int) string {
+	if len(owners) == 0 || now.Sub(w.lastUrgent) < w.urgentInterval(all) {
 		return ""
 	}
 	chosen := owners[0]
--- a/internal/credit/wallet_test.go
+++ b/internal/credit/wallet_test.go
@@ -12,11 +12,14 @@
 }
 
 // needOf returns a need of n replicas that are owned in turn by three nodes.
-func needOf(n, waiting int) Need {
+func needOf(n, waiting int) Need { return needOfOwners(n, 3, waiting) }
+
+// needOfOwners does so for a number of nodes.
+func needOfOwners(n, owners, waiting int) Need {
 	need := Need{Upstream: "u", Waiting: waiting}
 	for i := range n {
 		need.Replicas = append(need.Replicas, ReplicaNeed{
-			Name: fmt.Sprintf("r%d", i), Owner: fmt.Sprintf("vm-%d", i%3), Limit: 8,
+			Name: fmt.Sprintf("r%d", i), Owner: fmt.Sprintf("vm-%d", i%owners), Limit: 8,
 		})
 	}
 	return need
@@ -57,14 +60,30 @@
 }
 
 func TestUrgentAsksAreBoundedAndTakeTurns(t *testing.T) {
-	w := newTestWallet(Settings{Renew: time.Hour, LeaseTime: 3 * time.Hour})
-	needs := []Need{needOf(9, 5)}
+	for _, test := range []struct {
+		owners   int
+		interval time.Duration
+	}{
+		{3, DefaultUrgent / 2},
+		{fewOwners + 1, DefaultUrgent},
+	} {
+		t.Run(fmt.Sprintf("%d owners", test.owners), func(t *testing.T) {
+			urgentAsks(t, test.owners, test.interval)
+		})
+	}
+}
+
+func urgentAsks(t *testing.T, owners int, interval time.Duration) {
+	w := newTestWallet(Settings{Renew: time.Hour, LeaseTime: 3 * time.Hour, Owners: owners})
+	needs := []Need{needOfOwners(3*owners, owners, 5)}
 	w.Plan(start, needs)
 	asked := make(map[string]int)
-	const seconds = 30
+	const seconds = 60
+	total := 0
 	for at := time.Duration(0); at < seconds*time.Second; at += planInterval {
 		for owner, asks := range w.Plan(start.Add(at), needs) {
 			asked[owner]++
+			total++
 			sum := 0
 			for _, a := range asks {
 				sum += a.Want
@@ -74,18 +93,35 @@
 			}
 		}
 	}
-	bound := int(seconds*time.Second/DefaultUrgent) + 1
-	total := asked["vm-0"] + asked["vm-1"] + asked["vm-2"]
+	bound := int(seconds*time.Second/interval) + 1
 	if total > bound || total < bound/2 {
 		t.Errorf("%d urgent asks in %d s, bound %d", total, seconds, bound)
 	}
+	if len(asked) != owners {
+		t.Errorf("%d of %d owners were asked", len(asked), owners)
+	}
 	for owner, n := range asked {
-		if n < total/4 {
+		if n < total/owners-1 {
 			t.Errorf("%s was asked %d of %d times", owner, n, total)
 		}
 	}
 }
 
+func TestAloneNothingIsShared(t *testing.T) {
+	w := newTestWallet(Settings{})
+	need := needOf(2, 3)
+	for replica, slots := range w.Allowances(start, need, 1) {
+		if slots != Unbounded {
+			t.Errorf("%s: %d slots for the only node, want no bound", replica, slots)
+		}
+	}
+	for replica, slots := range w.Allowances(start, need, 2) {
+		if slots != 4 {
+			t.Errorf("%s: %d slots for one of two nodes, want 4", replica, slots)
+		}
+	}
+}
+
 func TestFreeSlotMakesNoUrgentAsk(t *testing.T) {
 	w := newTestWallet(Settings{Renew: time.Hour, LeaseTime: 3 * time.Hour})
 	needs := []Need{needOf(9, 5)}
--- a/internal/embedded/credits_test.go
+++ b/internal/embedded/credits_test.go
@@ -12,7 +12,7 @@
 // replicas have slots: all must be answered under the owners' grants.
 func TestSharedSlotsServeAll(t *testing.T) {
 	const requests = 60
-	d := startWith(t, Options{Nodes: 3, Engines: 2, ShareSlots: true})
+	d := startWith(t, Options{Nodes: 3, Engines: 2})
 	for _, n := range d.Nodes {
 		eventually(t, "allowances at "+n.Name(), func() bool { return allowed(n) })
 	}
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -93,7 +93,7 @@
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
-		ShareSlots:       d.options.ShareSlots,
+		OwnSlots:         d.options.OwnSlots,
 		Store:            client.store,
 		Instances:        client.store,
 		Operators:        []settings.Operator{{Name: OperatorName, KeySHA256: config.HashKey(OperatorKey)}},
--- a/internal/embedded/options.go
+++ b/internal/embedded/options.go
@@ -34,8 +34,8 @@
 	OpsPort int
 	// KeepTime is how long a leaving node keeps its listener open. Default 100 ms.
 	KeepTime time.Duration
-	// ShareSlots has the nodes share the replicas' slots by credits.
-	ShareSlots bool
+	// OwnSlots has each node use the replicas as if it were alone.
+	OwnSlots bool
 	// Seed feeds all random sources. Default 1.
 	Seed uint64
 	Log  logrus.FieldLogger
--- a/internal/node/credits.go
+++ b/internal/node/credits.go
@@ -22,9 +22,9 @@
 }
 
 // newCredits creates the part and mounts its handler on the peer listener; it
-// is idle unless Options.ShareSlots is set.
+// is idle without one, and where Options.OwnSlots is set.
 func newCredits(options Options, members *membership.Runner, link *peers, dispatcher *dispatch.Dispatcher) *credits {
-	if !options.ShareSlots {
+	if options.OwnSlots || options.Peer == nil {
 		return &credits{}
 	}
 	exchange := credit.NewExchange(credit.Options{
@@ -71,8 +71,12 @@
 	for _, class := range s.Classes {
 		switch {
 		case class.Waiting == 0:
-		case need.Waiting == 0 || class.Tier == need.Tier:
+		case need.Waiting == 0:
 			need.Tier = class.Tier
+			need.Slack = class.Slack
+			need.Waiting = class.Waiting
+		case class.Tier == need.Tier:
+			need.Slack = min(need.Slack, class.Slack)
 			need.Waiting += class.Waiting
 		default:
 			need.Rest += class.Waiting
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -30,10 +30,10 @@
 	PeerKeys *peer.Keys
 	// Seeds are peer addresses to begin with, besides the platform's list.
 	Seeds []string
-	// ShareSlots has the replicas' owners share their slots between the nodes
-	// (package credit). Without it each node uses replicas up to their limits
-	// by itself.
-	ShareSlots bool
+	// OwnSlots has this node use replicas up to their limits by itself, for
+	// measurements. Otherwise the replicas' owners share their slots between
+	// the nodes (package credit).
+	OwnSlots bool
 	// EntryAddress and PeerAddress are told to others. Default: the
 	// listeners' own addresses.
 	EntryAddress string
--- a/internal/router/pool_stats.go
+++ b/internal/router/pool_stats.go
@@ -6,13 +6,22 @@
 	"time"
 )
 
+func (p *Pool) slack(now time.Time, class string) time.Duration {
+	latest := p.queue.Earliest(class)
+	if latest.IsZero() {
+		return 0
+	}
+	return latest.Sub(now)
+}
+
 // Stats returns a snapshot, classes by tier and name, replicas as configured.
-func (p *Pool) Stats(_ time.Time) Stats {
+func (p *Pool) Stats(now time.Time) Stats {
 	stats := p.stats
 	for _, class := range p.classes {
 		stats.Classes = append(stats.Classes, ClassStats{
 			Name: class.Name, Tier: class.Tier,
 			Waiting: class.waiting, Running: class.running,
+			Slack: p.slack(now, class.Name),
 		})
 	}
 	slices.SortFunc(stats.Classes, func(a, b ClassStats) int {
--- a/internal/router/stats.go
+++ b/internal/router/stats.go
@@ -1,5 +1,7 @@
 package router
 
+import "time"
+
 // Stats is a snapshot of a pool.
 type Stats struct {
 	Classes  []ClassStats
@@ -16,6 +18,9 @@
 	Tier    int
 	Waiting int
 	Running int
+	// Slack is the time left until the most urgent of the waiting has to start
+	// to meet its target; negative where it is late, zero where none waits.
+	Slack time.Duration
 }
 
 // ReplicaStats is what the pool knows of one replica.
--- a/internal/scheduler/expire.go
+++ b/internal/scheduler/expire.go
@@ -14,6 +14,22 @@
 	return nil
 }
 
+// Earliest returns the earliest latest start of the class's waiting items, of the
+// late ones that of the oldest; zero: none waits.
+func (q *Queue[T]) Earliest(class string) time.Time {
+	var earliest time.Time
+	c, ok := q.byName[class]
+	if !ok {
+		return earliest
+	}
+	for _, item := range []*Item[T]{c.byLatest.first(), c.byArrival.first()} {
+		if item != nil && (earliest.IsZero() || item.Latest.Before(earliest)) {
+			earliest = item.Latest
+		}
+	}
+	return earliest
+}
+
 // NextExpiry returns when the next item stops to be of use; zero: none waits.
 func (q *Queue[T]) NextExpiry() time.Time {
 	var next time.Time
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -118,3 +118,20 @@
 		}
 	}
 }
+
+func TestEarliestIsThatOfTheMostUrgent(t *testing.T) {
+	q := newTestQueue()
+	if got := q.Earliest("high"); !got.IsZero() {
+		t.Errorf("of an empty class: %v, want none", got)
+	}
+	q.Push(start, "high", newItem("a", "w", time.Minute))
+	urgent := newItem("b", "w", 2*time.Second)
+	urgent.Arrived = start.Add(-time.Second)
+	q.Push(start, "high", urgent)
+	for _, now := range []time.Time{start, start.Add(3 * time.Second)} {
+		q.first(now)
+		if got := q.Earliest("high"); !got.Equal(urgent.Latest) {
+			t.Errorf("at %v: %v, want %v", now.Sub(start), got, urgent.Latest)
+		}
+	}
+}
