scheduler: the workspaces' shares hold between the classes of a tier too

Cause: a burst of one workspace made the requests of another one late, where the two used different classes of one tier: between these slack alone decided, and what has waited long in a burst has the least.

Change: the classes of a tier share the clock of the fair queueing, and while some of the tier are late the least start tag goes first, not the least slack. While none is late slack decides as before.

Conclusion: the steady workspace is unharmed, at the cost of the one that bursts. A workspace that uses two classes of a tier has two shares in it.

--- a/internal/scheduler/band.go
+++ b/internal/scheduler/band.go
@@ -5,13 +5,17 @@
 // band shares its class's turn between the workspaces by start-time fair
 // queueing over expected tokens. Within a workspace the least key is first.
 type band[T any] struct {
-	state   itemState
-	flows   map[string]*flow[T]
-	active  flowHeap[T]
-	virtual float64
-	live    int
+	state  itemState
+	flows  map[string]*flow[T]
+	active flowHeap[T]
+	clock  *clock
+	live   int
 }
 
+// clock is the virtual time of the fair queueing: the start tag of what went
+// last.
+type clock struct{ virtual float64 }
+
 func newBand[T any](state itemState) *band[T] {
 	return &band[T]{state: state, flows: make(map[string]*flow[T])}
 }
@@ -19,7 +23,7 @@
 func (b *band[T]) push(item *Item[T], key int64) {
 	f := b.flow(item.Workspace)
 	if f.live == 0 {
-		f.tag = max(f.tag, b.virtual)
+		f.tag = max(f.tag, b.clock.virtual)
 		heap.Push(&b.active, f)
 	}
 	item.state = b.state
@@ -44,7 +48,7 @@
 
 func (b *band[T]) prune() {
 	for name, f := range b.flows {
-		if f.live == 0 && (f.tag <= b.virtual || len(b.flows) > maxIdleFlows) {
+		if f.live == 0 && (f.tag <= b.clock.virtual || len(b.flows) > maxIdleFlows) {
 			delete(b.flows, name)
 		}
 	}
@@ -64,7 +68,7 @@
 // charge moves the item's workspace back by the item's weighted cost.
 func (b *band[T]) charge(item *Item[T], weight float64) {
 	f := b.flows[item.Workspace]
-	b.virtual = max(b.virtual, f.tag)
+	b.clock.virtual = max(b.clock.virtual, f.tag)
 	item.charge = item.Cost / weight
 	b.shift(f, item.charge)
 }
--- a/internal/scheduler/class_queue.go
+++ b/internal/scheduler/class_queue.go
@@ -24,6 +24,17 @@
 	}
 }
 
+// tierClocks are the clocks of a tier's bands, so that the start tags of all its
+// classes can be compared.
+type tierClocks struct {
+	onTime, late clock
+}
+
+func (c *classQueue[T]) setClocks(clocks *tierClocks) {
+	c.onTime.clock = &clocks.onTime
+	c.late.clock = &clocks.late
+}
+
 func (c *classQueue[T]) len() int { return c.onTime.live + c.late.live }
 
 func (c *classQueue[T]) push(now time.Time, item *Item[T]) {
--- a/internal/scheduler/queue.go
+++ b/internal/scheduler/queue.go
@@ -13,24 +13,36 @@
 	classes  []*classQueue[T]
 	byName   map[string]*classQueue[T]
 	weights  map[string]float64
+	clocks   map[int]*tierClocks
 	sequence uint64
 	live     int
 }
 
 // NewQueue returns an empty queue without classes.
 func NewQueue[T any]() *Queue[T] {
-	return &Queue[T]{byName: make(map[string]*classQueue[T])}
+	return &Queue[T]{byName: make(map[string]*classQueue[T]), clocks: make(map[int]*tierClocks)}
+}
+
+// clocksOf returns the clocks that all classes of a tier share.
+func (q *Queue[T]) clocksOf(tier int) *tierClocks {
+	clocks, ok := q.clocks[tier]
+	if !ok {
+		clocks = &tierClocks{}
+		q.clocks[tier] = clocks
+	}
+	return clocks
 }
 
 // SetClass adds a class or changes its settings.
 func (q *Queue[T]) SetClass(class Class) {
-	if c, ok := q.byName[class.Name]; ok {
-		c.Class = class
-	} else {
+	c, ok := q.byName[class.Name]
+	if !ok {
 		c = newClassQueue[T](class)
 		q.byName[class.Name] = c
 		q.classes = append(q.classes, c)
 	}
+	c.Class = class
+	c.setClocks(q.clocksOf(class.Tier))
 	slices.SortFunc(q.classes, func(a, b *classQueue[T]) int {
 		return cmp.Or(cmp.Compare(a.Tier, b.Tier), cmp.Compare(a.Name, b.Name))
 	})
@@ -44,6 +56,9 @@
 	}
 	delete(q.byName, name)
 	q.classes = slices.DeleteFunc(q.classes, func(other *classQueue[T]) bool { return other == c })
+	if !slices.ContainsFunc(q.classes, func(other *classQueue[T]) bool { return other.Tier == c.Tier }) {
+		delete(q.clocks, c.Tier)
+	}
 }
 
 // SetWeights sets the workspaces' fair shares; 1 where one is missing.
@@ -94,15 +109,20 @@
 	return next
 }
 
-// first returns the next item by tier, then on time before late, then slack.
+// first returns the next item by tier, then on time before late, then slack, or
+// in place of slack the workspaces' shares where the tier has late ones: not all
+// can be served in time then, and slack would have a workspace that asks for too
+// much draw the others along.
 func (q *Queue[T]) first(now time.Time) *Item[T] {
 	var best *Item[T]
+	late := false
 	for _, c := range q.classes {
 		if best != nil && c.Tier != best.class.Tier {
 			return best
 		}
 		item := c.first(now)
-		if item != nil && (best == nil || item.ahead(best)) {
+		late = late || c.late.live > 0
+		if item != nil && (best == nil || item.ahead(best, late)) {
 			best = item
 		}
 	}
@@ -110,13 +130,21 @@
 }
 
 // ahead orders the heads of two classes of one tier.
-func (i *Item[T]) ahead(other *Item[T]) bool {
+func (i *Item[T]) ahead(other *Item[T], byShare bool) bool {
 	if i.state != other.state {
 		return i.state == onTime
 	}
+	if mine, others := i.tag(), other.tag(); byShare && mine != others {
+		return mine < others
+	}
 	return i.Latest.Before(other.Latest)
 }
 
+// tag is the start tag of a waiting item's workspace.
+func (i *Item[T]) tag() float64 {
+	return i.class.band(i).flows[i.Workspace].tag
+}
+
 // owed returns the item of a class, other than next's, whose share is due.
 func (q *Queue[T]) owed(now time.Time, slots int, next *Item[T]) *Item[T] {
 	for _, c := range q.classes {
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -119,6 +119,38 @@
 	}
 }
 
+// While one class's burst makes some of its requests late, a workspace of
+// another class of the tier gets its share; slack decides while none is late.
+func TestBurstOfAClassLeavesTheOthersOfItsTierTheirShare(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		late bool
+		want string
+	}{
+		{"none late", false, "bbbbs"},
+		{"one late", true, "bsbbb"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := newTestQueue()
+			q.SetClass(Class{Name: "other", Tier: 0})
+			for i := range 4 {
+				q.Push(start, "high", newItem("b", "burst", time.Minute+time.Duration(i)))
+			}
+			q.Push(start, "other", newItem("s", "steady", 2*time.Minute))
+			if test.late {
+				q.Push(start, "high", newItem("l", "burst", -time.Second))
+			}
+			got := ""
+			for range 5 {
+				got += q.Pop(start, 4).Value
+			}
+			if got != test.want {
+				t.Errorf("order = %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
 func TestEarliestIsThatOfTheMostUrgent(t *testing.T) {
 	q := newTestQueue()
 	if got := q.Earliest("high"); !got.IsZero() {
