--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/quotashare"
 )
 
 // Share is what one role takes of a node's allowance for control, in its steady
@@ -41,16 +42,6 @@
 	return 0
 }
 
-// intercept returns the line's value at size zero.
-func (l lookup) intercept(role Role, quantity string) float64 {
-	for _, s := range l {
-		if s.Role == role && strings.HasPrefix(s.Quantity, quantity) {
-			return s.Line.Intercept
-		}
-	}
-	return 0
-}
-
 // target returns the size at which the role runs.
 func (l lookup) target(role Role) float64 {
 	for _, s := range l {
@@ -111,16 +102,17 @@
 			Basis:          "load reports of the engines owned, if only those of the region are",
 		},
 		{
-			Role:  RoleQuotas,
-			Bytes: l.at(RoleQuotas, "heap"),
-			Basis: "all workspaces; not wired into the node yet",
+			Role:           RoleQuotas,
+			BytesPerSecond: 2 * quotashare.DefaultBytesPerSecond,
+			Core:           l.at(RoleQuotas, "processor time of a second"),
+			Basis:          "as much received as its pace lets it send (a bound, not measured); its memory is in the whole node's",
 		},
 		{
 			Role:           RoleQuarantine,
-			BytesPerSecond: l.intercept(RoleQuarantine, "bytes") + callFraming*exchangesPerSecond,
+			BytesPerSecond: l.at(RoleQuarantine, "bytes of exchanges between nodes that have the same") + tcpAndTLS*exchangesPerSecond,
 			Core:           exchangesPerSecond * end,
 			Bytes:          l.at(RoleQuarantine, "heap"),
-			Basis:          fmt.Sprintf("exchanges without records; heap of %d", quarantine.DefaultMaxRecords),
+			Basis:          fmt.Sprintf("exchanges between nodes alike; heap of %d records", quarantine.DefaultMaxRecords),
 		},
 		{
 			Role:  RoleLeaving,
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,9 @@
 	if err := json.Unmarshal(body, &p.request); err != nil {
 		return nil, badShape(err, body)
 	}
+	if err := checkNames(p.fields); err != nil {
+		return nil, err
+	}
 	if err := p.checkFields(c); err != nil {
 		return nil, err
 	}
@@ -100,6 +104,9 @@
 		if m.Role == "" {
 			return refusal.BadField(fmt.Sprintf("messages[%d].role", i), "", "a role is required")
 		}
+		if !slices.Contains(openai.Roles(), m.Role) {
+			return refusal.BadField(fmt.Sprintf("messages[%d].role", i), m.Role, "no such role")
+		}
 	}
 	if err := checkMax(c, "max_tokens", p.request.MaxTokens); err != nil {
 		return err
