--- a/internal/node/metrics_test.go
+++ b/internal/node/metrics_test.go
@@ -25,7 +25,7 @@
 	kv := memstore.New(memstore.Config{})
 	n := New(Options{
 		Name: "vm-0", AvailabilityZone: "z", Region: "r", Entry: listenLoopback(t), Peer: listenLoopback(t),
-		Store: kv, Instances: kv, ShareSlots: true, Registry: registry,
+		Store: kv, Instances: kv, Registry: registry,
 	})
 	n.opsHandler()
 	t.Cleanup(n.Close)
