--- a/internal/command/trestleload/main.go
+++ b/internal/command/trestleload/main.go
@@ -18,6 +18,7 @@
   trestle-load compare bench/steady-mix.yaml --embedded-nodes 8 --loads 1,1.5,2 --seeds 1,2,3
   trestle-load path --rate 2000 --tokens 16
   trestle-load capacity --nodes 2,4,8 --plot capacity.svg
+  trestle-load faults --seeds 1..20
   trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
 
 It exits with 1 where a promise was broken or an outcome differs.`
@@ -29,6 +30,7 @@
 	Replay   replayCommand    `cmd:"" help:"Replay a trace and compare each outcome with the stated one."`
 	Path     pathCommand      `cmd:"" help:"Measure what the path through a node adds to a call straight to the engine."`
 	Capacity capacityCommand  `cmd:"" help:"Measure how the cost of each role grows, and what it is at the fleet's size."`
+	Faults   faultsCommand    `cmd:"" help:"Run schedules of random faults drawn from seeds and check what must always hold."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -58,7 +58,7 @@
 	result.Last = attempt
 	result.Wrong = ""
 	if attempt.Ending == EndingWhole {
-		result.Wrong = wrong(result.Request, attempt.Text, r.workload.EngineSeed)
+		result.Wrong = Wrong(result.Request, attempt.Text, r.workload.EngineSeed)
 	}
 	result.Tokens = tokens(result.Request, attempt.Text)
 	result.Answer = attempt.Ended.Sub(due)
--- a/internal/load/truth.go
+++ b/internal/load/truth.go
@@ -72,14 +72,14 @@
 		if run.IdempotencyKey != "" {
 			t.byKey[run.IdempotencyKey]++
 		}
-		t.byRequest[callersID(run.RequestID)]++
+		t.byRequest[CallersID(run.RequestID)]++
 	}
 }
 
-// callersID returns the request id as callers know it: an engine attempt is
+// CallersID returns the request id as callers know it: an engine attempt is
 // named by it, a dot and the attempt's number. Ids of service calls have no
 // number, and end in a part that is none.
-func callersID(attempt string) string {
+func CallersID(attempt string) string {
 	dot := strings.LastIndexByte(attempt, '.')
 	if dot < 0 {
 		return attempt
--- a/internal/load/verdict.go
+++ b/internal/load/verdict.go
@@ -9,9 +9,9 @@
 	"galenatrestle/internal/standin/service"
 )
 
-// wrong tells what is wrong with the text as the answer to the request, or
+// Wrong tells what is wrong with the text as the answer to the request, or
 // returns "" where it is the whole right answer.
-func wrong(request *Request, text string, engineSeed uint64) string {
+func Wrong(request *Request, text string, engineSeed uint64) string {
 	if request.Stream.Service != nil && rightEcho(request, text) {
 		return ""
 	}
