--- a/internal/faultrun/inject.go
+++ b/internal/faultrun/inject.go
@@ -108,7 +108,7 @@
 
 var platformFaults = map[Kind]memstore.FaultKind{
 	PlatformDown: memstore.Down, PlatformSlow: memstore.Slow, PlatformLost: memstore.LostAnswer,
-	PlatformGap: memstore.WatchGap, PlatformLapse: memstore.LeaseLapse,
+	PlatformGap: memstore.WatchGap, PlatformLapse: memstore.LeaseLapse, PlatformStale: memstore.StaleInstances,
 }
 
 // list has the platform's list say that an engine is leaving, or is not.
--- a/internal/faultrun/judge_all.go
+++ b/internal/faultrun/judge_all.go
@@ -86,8 +86,9 @@
 	for _, known := range spans {
 		for _, run := range j.truth.engines[known.engine] {
 			if run.Started.After(known.from.Add(onTheWay)) && run.Started.Before(known.to) {
-				detail := fmt.Sprintf("%s began %s %v after all nodes knew that it was leaving", engineName(known.engine), run.RequestID, run.Started.Sub(known.from))
-				list = append(list, Violation{Promise: promiseLeaving, Detail: detail})
+				detail := fmt.Sprintf("%s began %s at %s, %v after all nodes knew that it was leaving", engineName(known.engine),
+					run.RequestID, run.Started.UTC().Format(clockFormat), run.Started.Sub(known.from))
+				list = append(list, Violation{Promise: promiseLeaving, Detail: detail, RequestID: load.CallersID(run.RequestID)})
 			}
 		}
 	}
--- a/internal/faultrun/kind.go
+++ b/internal/faultrun/kind.go
@@ -20,6 +20,7 @@
 	PlatformLost      Kind = "platform-lost-answers"
 	PlatformGap       Kind = "platform-watch-gap"
 	PlatformLapse     Kind = "platform-lease-lapse"
+	PlatformStale     Kind = "platform-stale-instances"
 	PlatformRestored  Kind = "platform-restored"
 	NodeKilled        Kind = "node-killed"
 	NodeStopped       Kind = "node-stopped"
@@ -31,6 +32,6 @@
 var drawn = []Kind{
 	EngineCrash, EngineStraggler, EngineRefuse, EngineHang, EngineLeaving, ListedLeaving,
 	ServiceCrash, ServiceHang, ServiceRefuse,
-	PlatformDown, PlatformSlow, PlatformLost, PlatformGap, PlatformLapse,
+	PlatformDown, PlatformSlow, PlatformLost, PlatformGap, PlatformLapse, PlatformStale,
 	NodeKilled, NodeStopped, NodeCut, ConfigurationSent,
 }
--- a/internal/faultrun/limits.go
+++ b/internal/faultrun/limits.go
@@ -24,6 +24,9 @@
 	// onTheWay is how long a request that was sent before a node knew that a
 	// replica is leaving may take to begin there.
 	onTheWay = time.Second
+	// ownWordLasts is how long an engine's own word that it is leaving may
+	// stand for the platform's list, which nodes read every two seconds.
+	ownWordLasts = 3 * time.Second
 	// minOffered is the number of requests past which a class with no answer
 	// counts as not served.
 	minOffered = 20
--- a/internal/faultrun/result.go
+++ b/internal/faultrun/result.go
@@ -11,6 +11,9 @@
 	"galenatrestle/internal/load"
 )
 
+// clockFormat is how times of day are told.
+const clockFormat = "15:04:05.000"
+
 // Result is what one seed's run showed.
 type Result struct {
 	Schedule   Schedule
@@ -21,6 +24,7 @@
 	LeavingSpans int
 	// Open and Dropped count runs of which the stand-ins' lists can't tell all.
 	Open, Dropped int64
+	Began         time.Time
 	Took          time.Duration
 }
 
@@ -35,6 +39,8 @@
 	if len(r.Violations) == 0 {
 		return
 	}
+	fmt.Fprintf(w, "  began %s\n", r.Began.UTC().Format(clockFormat))
+	fmt.Fprintf(w, "  poison prompt %t, credits %t\n", r.Schedule.Poison, r.Schedule.ShareSlots)
 	for _, event := range r.Schedule.Events {
 		fmt.Fprintf(w, "  event %s\n", event)
 	}
@@ -67,7 +73,7 @@
 	fmt.Fprintf(w, "  violation: %s: %s\n", v.Promise, v.Detail)
 	if t := v.Try; t != nil {
 		fmt.Fprintf(w, "    %s class %s to %s at %s for %v, id %s, status %d, %s %s %s attempts %s, %d bytes, error %v\n",
-			t.Offer.Name, t.Offer.Stream.Class, t.Address, t.Sent.UTC().Format("15:04:05.000"), t.Ended.Sub(t.Sent),
+			t.Offer.Name, t.Offer.Stream.Class, t.Address, t.Sent.UTC().Format(clockFormat), t.Ended.Sub(t.Sent),
 			t.RequestID, t.Status, t.Ending, t.Outcome, t.Reason, t.NodeAttempts, len(t.Text), t.Err)
 	}
 	for _, line := range v.Story {
--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -27,7 +27,7 @@
 		Nodes: o.Nodes, Engines: o.Engines, Services: o.Services,
 		Engine:  engine.Options{Speed: engineSpeed, Slots: engineSlots},
 		Service: service.Options{Latency: serviceTime, RestartTime: time.Second / engineSpeed},
-		Config:  configuration, KeepTime: keepTime, Seed: seed,
+		Config:  configuration, KeepTime: keepTime, Seed: seed, ShareSlots: schedule.ShareSlots,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("seed %d: start: %w", seed, err)
@@ -115,6 +115,7 @@
 	result.Violations = append(result.Violations, j.classes(tries)...)
 	result.Violations = append(result.Violations, j.leaving(r.watcher.spans)...)
 	r.tell(ctx, result.Violations)
+	result.Began = r.began
 	result.Took = time.Since(r.began)
 	return result
 }
--- a/internal/faultrun/schedule.go
+++ b/internal/faultrun/schedule.go
@@ -17,6 +17,8 @@
 	Offers []Offer
 	// Poison says that one prompt crashes every engine that runs it.
 	Poison bool
+	// ShareSlots has the nodes share the replicas' slots by credits.
+	ShareSlots bool
 }
 
 // Offer is one planned request with its repeats.
@@ -37,12 +39,13 @@
 	// pairShare is the part of events that begin with the one before.
 	pairShare    = 0.5
 	poisonShare  = 0.3
+	creditShare  = 0.5
 	restoreShare = 0.07
 	// firstEvent and lastEvent are the parts of the run between which events begin.
 	firstEvent, lastEvent = 0.05, 0.75
 	minLength, moreLength = 100 * time.Millisecond, 1400 * time.Millisecond
-	// listedLength is that of ListedLeaving, longer since nodes have to hear of it.
-	listedLength = 2500 * time.Millisecond
+	// listedLength is that of ListedLeaving: nodes read the list every two seconds.
+	listedLength = 4 * time.Second
 	roughTick    = time.Millisecond
 )
 
@@ -52,6 +55,7 @@
 	s := Schedule{Seed: seed, Poison: random.Float64() < poisonShare}
 	s.Events = drawEvents(random, o)
 	s.Offers = drawOffers(random, o, s.Poison)
+	s.ShareSlots = random.Float64() < creditShare
 	return s
 }
 
--- a/internal/faultrun/story.go
+++ b/internal/faultrun/story.go
@@ -23,8 +23,8 @@
 func (r *running) tell(ctx context.Context, list []Violation) {
 	client := operatorv1connect.NewOperatorServiceClient(http.DefaultClient, "http://"+r.fleet.deployment.Nodes[0].OpsAddress())
 	for i := range list[:min(len(list), mostStories)] {
-		if t := list[i].Try; t != nil && t.RequestID != "" {
-			list[i].Story = story(ctx, client, t.RequestID)
+		if id := list[i].requestID(); id != "" {
+			list[i].Story = story(ctx, client, id)
 		}
 	}
 }
@@ -40,7 +40,7 @@
 	}
 	var lines []string
 	for _, d := range response.Msg.GetDecisions() {
-		at := time.UnixMilli(d.GetAtUnixMs()).UTC().Format("15:04:05.000")
+		at := time.UnixMilli(d.GetAtUnixMs()).UTC().Format(clockFormat)
 		lines = append(lines, fmt.Sprintf("%s %s %s %s %s", at, d.GetStep(), d.GetPeer(), d.GetDecision(), d.GetReason()))
 	}
 	return lines
--- a/internal/faultrun/violation.go
+++ b/internal/faultrun/violation.go
@@ -12,6 +12,8 @@
 	Detail  string
 	// Try is the request's, nil where none is meant.
 	Try *Try
+	// RequestID names the request where it has no Try.
+	RequestID string
 	// Story is what the request's node tells of it.
 	Story []string
 }
@@ -33,6 +35,14 @@
 	return Violation{Promise: promise, Detail: detail, Try: t}
 }
 
+// requestID returns the id of the request meant, or "".
+func (v Violation) requestID() string {
+	if v.Try != nil {
+		return v.Try.RequestID
+	}
+	return v.RequestID
+}
+
 // answered says whether the try got the whole right answer.
 func (t *Try) answered(seed uint64) bool {
 	return t.Ending == load.EndingWhole && load.Wrong(&t.Offer.Request, t.Text, seed) == ""
--- a/internal/faultrun/watch.go
+++ b/internal/faultrun/watch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenatrestle/internal/node"
+	"galenatrestle/internal/standin/fault"
 )
 
 // span is a time in which all nodes knew that an engine was leaving.
@@ -21,10 +22,15 @@
 	revisions map[*node.Node]int64
 	open      map[int]span
 	spans     []span
+	// ownWord is when an engine last said itself that it is leaving.
+	ownWord map[int]time.Time
 }
 
 func newWatcher(f *fleet) *watcher {
-	return &watcher{fleet: f, revisions: make(map[*node.Node]int64), open: make(map[int]span)}
+	return &watcher{
+		fleet: f, revisions: make(map[*node.Node]int64),
+		open: make(map[int]span), ownWord: make(map[int]time.Time),
+	}
 }
 
 // run looks until ctx ends.
@@ -43,7 +49,8 @@
 		w.lookAtRevision(n)
 	}
 	for engine := range w.fleet.deployment.Engines() {
-		if !complete || !w.fleet.isListed(engine) || !allKnow(nodes, engine) {
+		said := w.saysSo(engine, now)
+		if said || !complete || !w.fleet.isListed(engine) || !allKnow(nodes, engine) {
 			w.close(engine)
 			continue
 		}
@@ -56,6 +63,16 @@
 	}
 }
 
+// saysSo says whether the engine itself says that it is leaving, or did so just
+// before: nodes may know from that alone, and it takes its word back.
+func (w *watcher) saysSo(engine int, now time.Time) bool {
+	if _, on := w.fleet.deployment.Engine(engine).Faults().Get(fault.Leaving); on {
+		w.ownWord[engine] = now
+	}
+	last, ever := w.ownWord[engine]
+	return ever && now.Sub(last) < ownWordLasts
+}
+
 func (w *watcher) close(engine int) {
 	known, ok := w.open[engine]
 	if !ok {
