--- a/internal/faultrun/callers.go
+++ b/internal/faultrun/callers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -17,6 +18,10 @@
 	// Stale says that the address was kept past its time.
 	Stale bool
 	Sent  time.Time
+	// Resumed says that the rest of an answer was asked for, and Before is what
+	// had come of it.
+	Resumed bool
+	Before  string
 	load.Attempt
 }
 
@@ -77,10 +82,13 @@
 		open.Go(func() { c.try(ctx, tries[i]) })
 	}
 	open.Wait()
+	if tries[0].canResume() {
+		tries = append(tries, c.resume(ctx, tries[0], group))
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.tries = append(c.tries, tries...)
-	for _, t := range tries {
+	for _, t := range tries[:len(chosen)] {
 		if t.Ending == load.EndingWhole {
 			return true
 		}
@@ -94,6 +102,24 @@
 	t.Attempt = c.caller.Try(ctx, t.Address, &t.Offer.Request)
 }
 
+// canResume says whether the caller comes back for the rest of an answer.
+func (t *Try) canResume() bool {
+	cut := t.Ending == load.EndingGaveUp || t.Ending == load.EndingAborted
+	return cut && t.RequestID != "" && t.Offer.Resumes && !t.Offer.Stream.Whole
+}
+
+// resume asks for the rest of an answer, most often at another node.
+func (c *callers) resume(ctx context.Context, before *Try, group *addresses) *Try {
+	chosen, stale := group.take(ctx, 1)
+	t := &Try{Offer: before.Offer, Address: chosen[0], Stale: stale, Sent: time.Now(), Resumed: true, Before: before.Text}
+	ctx, cancel := context.WithTimeout(ctx, c.patience[t.Offer.Stream.Class])
+	defer cancel()
+	// Each event brings one word.
+	events := len(strings.Fields(before.Text))
+	t.Attempt = c.caller.Resume(ctx, t.Address, before.RequestID, t.Offer.Stream.Key, events)
+	return t
+}
+
 // sleep returns false where ctx ended first.
 func sleep(ctx context.Context, wait time.Duration) bool {
 	timer := time.NewTimer(max(0, wait))
--- a/internal/faultrun/judge.go
+++ b/internal/faultrun/judge.go
@@ -36,7 +36,7 @@
 // answer checks that the text is the caller's own, whole where it ended so.
 func (j *judge) answer(t *Try) []Violation {
 	if t.Ending == load.EndingWhole {
-		if wrong := load.Wrong(&t.Offer.Request, t.Text, j.seed); wrong != "" {
+		if wrong := load.Wrong(&t.Offer.Request, t.Before+t.Text, j.seed); wrong != "" {
 			return []Violation{violation(promiseWhole, t, wrong)}
 		}
 		return nil
@@ -45,7 +45,7 @@
 		return nil
 	}
 	want := engine.ExpectedAnswerSeeded(t.Offer.Prompt, t.Offer.MaxTokens, j.seed)
-	if !strings.HasPrefix(want, t.Text) {
+	if !strings.HasPrefix(want, t.Before+t.Text) {
 		return []Violation{violation(promiseWhole, t, "what came before the end is no beginning of the answer")}
 	}
 	return nil
@@ -56,7 +56,7 @@
 	switch {
 	case t.Ending == load.EndingTruncated:
 		return []Violation{violation(promiseWhole, t, "the stream ended cleanly without [DONE]")}
-	case t.Ending == load.EndingGaveUp && !t.Offer.Leaves:
+	case t.Ending == load.EndingGaveUp && (!t.Offer.Leaves || t.Resumed):
 		return []Violation{violation(promiseTime, t, fmt.Sprintf("no end after %v", t.Ended.Sub(t.Sent)))}
 	case t.Ending == load.EndingAborted:
 		return j.aborted(t)
--- a/internal/faultrun/judge_test.go
+++ b/internal/faultrun/judge_test.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// TestResumedAnswers checks both parts of an answer together.
+func TestResumedAnswers(t *testing.T) {
+	whole := engine.ExpectedAnswerSeeded("a b", 3, testSeed)
+	rest := chatTry(load.Attempt{Ending: load.EndingWhole, Text: whole[2:]})
+	rest.Resumed, rest.Before = true, whole[:2]
+	expect(t, testJudge(nil).tries([]*Try{rest}), "")
+	rest.Before = whole[:1]
+	expect(t, testJudge(nil).tries([]*Try{rest}), promiseWhole)
+	rest.Offer.Leaves, rest.Text, rest.Ending = true, "", load.EndingGaveUp
+	expect(t, testJudge(nil).tries([]*Try{rest}), promiseTime)
+}
+
 // TestRelayedAnswers tells a plain service's own 503 from a refusal of ours.
 func TestRelayedAnswers(t *testing.T) {
 	own := load.Attempt{Ending: load.EndingRefused, Status: 503, NodeAttempts: "1"}
--- a/internal/faultrun/offers.go
+++ b/internal/faultrun/offers.go
@@ -47,6 +47,7 @@
 	// crowdShare is the part of schedules with crowdFactor times the chats.
 	crowdShare, crowdFactor = 0.25, 3
 	leaveShare              = 0.08
+	resumeShare             = 0.7
 	resendShare             = 0.2
 	longestStay             = 200 * time.Millisecond
 	longestPause            = 700 * time.Millisecond
@@ -105,6 +106,7 @@
 	if random.Float64() < resendShare {
 		offer.Repeats = 1
 	}
+	offer.Resumes = random.Float64() < resumeShare
 	if random.Float64() < leaveShare {
 		offer.Leaves = true
 		stream.GiveUpAfter = config.Duration(1 + random.Int64N(int64(longestStay)))
--- a/internal/faultrun/result.go
+++ b/internal/faultrun/result.go
@@ -60,6 +60,9 @@
 		if label == "" && t.relayed() {
 			label = "service-503"
 		}
+		if t.Resumed {
+			label = "resumed:" + label
+		}
 		counts[label]++
 	}
 	parts := []string{fmt.Sprintf("%d offers, %d tries:", len(r.Schedule.Offers), len(r.Tries))}
--- a/internal/faultrun/schedule.go
+++ b/internal/faultrun/schedule.go
@@ -31,6 +31,8 @@
 	Pause   time.Duration
 	// Leaves says that the caller closes the connection in the middle.
 	Leaves bool
+	// Resumes says that it then asks for the rest of a streamed answer.
+	Resumes bool
 }
 
 // Bounds of what is drawn.
--- a/internal/faultrun/violation.go
+++ b/internal/faultrun/violation.go
@@ -45,7 +45,7 @@
 
 // answered says whether the try got the whole right answer.
 func (t *Try) answered(seed uint64) bool {
-	return t.Ending == load.EndingWhole && load.Wrong(&t.Offer.Request, t.Text, seed) == ""
+	return t.Ending == load.EndingWhole && load.Wrong(&t.Offer.Request, t.Before+t.Text, seed) == ""
 }
 
 // relayed says whether the refusal is the plain service's own answer, which is
