--- a/internal/gateway/story.go
+++ b/internal/gateway/story.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
@@ -22,10 +24,24 @@
 // refuseCall refuses a request of which no byte of an answer was sent, and ends
 // its story.
 func (s *Server) refuseCall(w http.ResponseWriter, c *call, err error) {
-	s.endRefused(c, refusal.From(err))
+	refused := refusal.From(err)
+	s.endRefused(c, refused)
+	s.logRefused(c, refused)
 	s.refuse(w, err)
 }
 
+// logRefused logs at the level info what is for no fault of the caller.
+func (s *Server) logRefused(c *call, refused *refusal.Error) {
+	level := logrus.DebugLevel
+	if endOf(refused.Reason) == endRefused {
+		level = logrus.InfoLevel
+	}
+	s.options.Log.WithFields(logrus.Fields{
+		"request": c.id, "class": c.class.Name, "workspace": c.workspace.Name,
+		"step": refused.Step, "peer": refused.Peer,
+	}).WithError(refused).Log(level, "request refused")
+}
+
 // endRefused ends the story of a request without a whole answer.
 func (s *Server) endRefused(c *call, refused *refusal.Error) {
 	c.story.Add(time.Now(), explain.NewRefused(refused))
