--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -79,10 +79,7 @@
 	if refused := key.Check(); refused != nil {
 		return Grant{}, refused
 	}
-	request := BeginRequest{
-		Key: key, Content: content, Attempt: uuid.New(),
-		Node: n.options.View.Self().Name, Boot: n.boot,
-	}
+	request := n.newRequest(key, content)
 	within, cancel := context.WithTimeout(ctx, n.options.BeginTimeout)
 	defer cancel()
 	reply, err := n.settleBegin(within, request)
@@ -99,6 +96,14 @@
 	return grant, nil
 }
 
+// newRequest is a request to claim the key for a new attempt of this process.
+func (n *Node) newRequest(key Key, content Fingerprint) BeginRequest {
+	return BeginRequest{
+		Key: key, Content: content, Attempt: uuid.New(),
+		Node: n.options.View.Self().Name, Boot: n.boot,
+	}
+}
+
 // settleBegin asks until the holder has answered or ctx ends. An attempt whose
 // claim may have been made is released in the background: it sends nothing.
 func (n *Node) settleBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
@@ -114,7 +119,7 @@
 		if ctx.Err() == nil && pause(ctx, n.options) {
 			continue
 		}
-		if uncertain {
+		if uncertain && !request.KnownOnly {
 			n.abandon(request)
 		}
 		if remembered.Verdict != 0 || remembered.Refused != "" {
@@ -143,8 +148,11 @@
 	return refused
 }
 
-// retryAfter is the pause told to callers where the ledger is down or full.
-const retryAfter = time.Second
+// The pauses told to callers where the ledger is down and where it is full.
+const (
+	retryAfter     = time.Second
+	fullRetryAfter = 30 * time.Second
+)
 
 // refusedBy is the refusal that the holder gave.
 func refusedBy(reason refusal.Reason, key Key) *refusal.Error {
@@ -155,7 +163,7 @@
 		return refused
 	case refusal.ClaimLedger:
 		refused := refusal.New(reason, stepClaim, "the ledger of unrepeatable calls is full")
-		refused.RetryAfter = retryAfter
+		refused.RetryAfter = fullRetryAfter
 		return refused
 	}
 	refused := refusal.New(refusal.ClaimStoreDown, stepClaim, "the platform does not take claims now")
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/explain"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/quota"
 	"galenatrestle/internal/retry"
 	"galenatrestle/internal/upstream"
 )
@@ -48,6 +49,8 @@
 	Resolver *answerrpc.Resolver
 	// Explain keeps the requests' stories. Default: an empty one.
 	Explain *explain.Recorder
+	// Quotas bounds the workspaces' use. Default: no bounds.
+	Quotas *quota.Limiter
 	// Gate says whether work may start in this data centre. Default: always.
 	Gate Gate
 	// Relay carries requests to the data centre that serves them.
@@ -71,6 +74,9 @@
 	if o.SpreadQuarantine == nil {
 		o.SpreadQuarantine = func(...quarantine.Record) {}
 	}
+	if o.Quotas == nil {
+		o.Quotas = quota.NewLimiter()
+	}
 	if o.Gate == nil {
 		o.Gate = openGate{}
 	}
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -16,6 +16,7 @@
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/settings"
 )
 
 const (
@@ -63,12 +64,13 @@
 		return nil, nil, err
 	}
 	// A lease's holder names one run of one process.
-	holder := options.Name + "/" + uuid.NewString()
+	holder := claim.HolderName(options.Name, options.PeerAddress, uuid.NewString())
 	source, err := lease.NewSource(options.Store, holder, lease.DefaultSettings(claimLeaseTTL), metrics, time.Now)
 	if err != nil {
 		return nil, nil, err
 	}
 	ledger, err := claim.NewNode(claim.Options{
+		Policy:     claimPolicy(options.Claims),
 		Store:      options.Store,
 		Leases:     claimLeases{source: source},
 		View:       members,
@@ -80,6 +82,21 @@
 	return ledger, source, err
 }
 
+// claimPolicy sizes the ledger by the settings, or by its defaults where there
+// are none.
+func claimPolicy(sizes settings.Claims) claim.Policy {
+	policy := claim.DefaultPolicy()
+	if sizes == (settings.Claims{}) {
+		return policy
+	}
+	policy.KeyRetention = sizes.KeyRetention.Std()
+	policy.AnswerRetention = sizes.AnswerRetention.Std()
+	policy.Shards = sizes.Shards
+	policy.SegmentBytes = sizes.SegmentBytes
+	policy.Segments = sizes.Segments()
+	return policy
+}
+
 // scheme is "https" between nodes with keys, else "http".
 func scheme(clients *peer.Clients) string {
 	scheme, _, _ := strings.Cut(clients.URL(""), "://")
@@ -117,6 +134,14 @@
 	}
 }
 
+// held counts the shards that this node holds.
+func (c *claims) held() int {
+	if c == nil {
+		return 0
+	}
+	return c.ledger.Held()
+}
+
 // start begins to hold shards.
 func (c *claims) start() {
 	if c == nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,7 +32,9 @@
 	answers   *answers
 	claims    *claims
 	credits   *credits
+	quotas    *quotas
 	moves     *moves
+	drains    *drains
 	stories   *explain.Recorder
 	inspector *inspect.Asker
 	servers   []*http.Server
@@ -55,7 +57,9 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
-	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load)
+	n.quotas = newQuotas(options, n.members.runner, n.peers)
+	n.drains = newDrains(n)
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drainActors())
 	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
@@ -76,6 +80,7 @@
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.quotas.offer(&options)
 	n.moves.offer(&options)
 	return options
 }
@@ -88,13 +93,14 @@
 	}
 	n.dispatch.Configure(index.Document())
 	n.answers.configure(index.Document())
+	n.quotas.configure(index.Document())
 	n.members.configure(index)
 	n.config.Store(index)
 }
 
 // Start begins to serve on all listeners.
 func (n *Node) Start() {
-	n.serve("entry", n.options.Entry, n.gateway)
+	n.serve("entry", n.options.Entry, n.drains.count(n.gateway))
 	n.serve("ops", n.options.Ops, n.opsHandler())
 	n.servePeers()
 	n.members.start()
@@ -102,6 +108,7 @@
 	n.sync.start()
 	n.claims.start()
 	n.credits.start()
+	n.quotas.start()
 	n.moves.start()
 }
 
@@ -146,6 +153,7 @@
 	n.sync.close()
 	n.answers.close()
 	n.credits.close()
+	n.quotas.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
