handover: the target loads models and checks its room; queued requests are relayed

Cause: the target said ready as soon as a replica was configured; requests that waited for a replica when the seal came were refused as moving after the open.

Change: the offer tells the source's requests in flight by upstream, up to its stated slots (a new field; older sources send none). Prepare checks configuration and free slots over all nodes of the target, then orders each replica to load model and adapters under the duty's lease; what is short is a refusal with the numbers before the seal. A queued request that finds its upstream moved, with nothing run and nothing passed on, is handed to the target within its deadline. A receipt of an abandoned move carries the reason.

First try counted all requests in flight as load: nodes that do not share slots run 32 on 16, so a move between equals was refused; hence the bound by the stated slots.

Left: a call with a claim that is queued at the seal is still refused (sets with unrepeatable rules can't move).

--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -36,6 +36,7 @@
 		return
 	}
 	e := &exchange{server: s, call: c, completion: p}
+	e.elsewhere = func() bool { return s.elsewhere(w, r, c, p.upstream.Name, body) }
 	e.sink = e.sinkFor(w)
 	e.open()
 	ctx, cancel := e.linger(r)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -40,6 +40,8 @@
 	begun   bool
 	first   time.Time
 	tokens  int
+	// elsewhere has another data centre answer; false where this one serves.
+	elsewhere func() bool
 }
 
 // run makes attempts until the answer is whole or given up.
@@ -50,10 +52,20 @@
 			e.finish()
 			return
 		}
-		if refused := e.again(ctx, err); refused != nil {
-			e.giveUp(refused)
-			return
+		refused := e.again(ctx, err)
+		if refused == nil {
+			continue
+		}
+		if hasMoved(refused) && !e.sink.begun() {
+			if e.elsewhere() {
+				e.keepRefusal(refused)
+				return
+			}
+			e.reset()
+			continue
 		}
+		e.giveUp(refused)
+		return
 	}
 }
 
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -62,6 +62,12 @@
 	return refused
 }
 
+// hasMoved says that the upstream moved to another data centre while the
+// request waited for a replica here, and that nothing of it has run.
+func hasMoved(refused *refusal.Error) bool {
+	return refused.Reason == refusal.Moving && refused.Step == stepGate && refused.Outcome == refusal.NotRun
+}
+
 // elsewhere answers a request whose upstream another data centre serves, or
 // that may not start here; it returns false for one to be served here.
 func (s *Server) elsewhere(w http.ResponseWriter, r *http.Request, c *call, upstream string, body []byte) bool {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -38,12 +38,13 @@
 		s.refuse(w, err)
 		return
 	}
-	if s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
-		return
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.giveUpAt)
 	defer cancel()
-	s.serveCall(ctx, w, sc)
+	for !s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
+		if s.serveCall(ctx, w, sc) {
+			return
+		}
+	}
 }
 
 // parseService checks a call of a plain service.
@@ -96,19 +97,24 @@
 }
 
 // serveCall runs the call, at most once where it may not be repeated, and
-// answers.
-func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
+// answers. It returns false, without an answer, for one without a claim whose
+// upstream moved away while it waited.
+func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) bool {
 	if sc.rule != nil && sc.call.idempotencyKey != "" {
 		s.serveClaimed(ctx, w, sc)
-		return
+		return true
 	}
 	served, refused := s.callUntilRun(ctx, sc)
+	if refused != nil && hasMoved(refused) {
+		return false
+	}
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
 		s.refuse(w, refused)
-		return
+		return true
 	}
 	s.answerService(w, sc, served)
+	return true
 }
 
 // served is how a call of a plain service came to its end.
--- a/internal/handover/driver_target.go
+++ b/internal/handover/driver_target.go
@@ -78,7 +78,7 @@
 }
 
 func (d *Driver) prepare(ctx context.Context, m Move) (TargetInput, bool, error) {
-	ready, err := d.cfg.Preparer.Prepare(ctx, m.Set)
+	ready, err := d.cfg.Preparer.Prepare(ctx, m)
 	var unable *UnableError
 	if errors.As(err, &unable) {
 		return TargetInput{Kind: TargetUnable, Reason: unable.Reason}, true, nil
--- a/internal/handover/message.go
+++ b/internal/handover/message.go
@@ -29,6 +29,8 @@
 	// Set and Epoch are of an offer; an opened carries the epoch alone.
 	Set   Set
 	Epoch int64
+	// Load is of an offer: the source's requests in flight by upstream.
+	Load map[string]int32
 	// RelayAddress is of an offer and of a ready.
 	RelayAddress string
 	// Part, Parts, Export, Late and Claims are of a transfer; an open carries
--- a/internal/handover/move.go
+++ b/internal/handover/move.go
@@ -17,6 +17,8 @@
 	Set  Set    `json:"set"`
 	// Peer is the name of the other data centre.
 	Peer string `json:"peer"`
+	// Load counts the source's requests in flight by upstream, as of the offer.
+	Load map[string]int32 `json:"load,omitempty"`
 	// Epoch counts the set's moves at the source; the target opens at one more.
 	Epoch int64 `json:"epoch"`
 	Phase Phase `json:"phase"`
--- a/internal/handover/moveplan/actor.go
+++ b/internal/handover/moveplan/actor.go
@@ -18,18 +18,22 @@
 	intent.StepTransfer, intent.StepOpen, intent.StepSettle,
 }
 
+// Load counts the requests in flight by upstream of what a move may take over.
+type Load func(ctx context.Context, wanted intent.Intent) (map[string]int32, error)
+
 // Actor implements intent.Actor for moves.
 type Actor struct {
 	store  *handover.MoveStore
 	driver *handover.Driver
 	// movable returns why a set can't be moved, or nil.
 	movable func(set handover.Set) error
+	load    Load
 	now     func() time.Time
 }
 
 // NewActor returns an Actor beside the driver of this process.
-func NewActor(store *handover.MoveStore, driver *handover.Driver, movable func(handover.Set) error, now func() time.Time) *Actor {
-	return &Actor{store: store, driver: driver, movable: movable, now: now}
+func NewActor(store *handover.MoveStore, driver *handover.Driver, movable func(handover.Set) error, load Load, now func() time.Time) *Actor {
+	return &Actor{store: store, driver: driver, movable: movable, load: load, now: now}
 }
 
 // Do implements intent.Actor.
@@ -71,7 +75,14 @@
 	if err := a.movable(set); err != nil && task.Step.Kind == intent.StepOfferMove {
 		return handover.Move{}, &intent.FatalError{Reason: err.Error()}
 	}
-	move, err := a.store.Begin(ctx, task.Plan.ID, set, in.DataCentre, a.now())
+	var load map[string]int32
+	if task.Step.Kind == intent.StepOfferMove {
+		var err error
+		if load, err = a.load(ctx, in); err != nil {
+			return handover.Move{}, err
+		}
+	}
+	move, err := a.store.BeginWith(ctx, task.Plan.ID, set, load, in.DataCentre, a.now())
 	var overlap *handover.OverlapError
 	if errors.As(err, &overlap) {
 		return move, &intent.FatalError{Reason: overlap.Error()}
--- a/internal/handover/ports.go
+++ b/internal/handover/ports.go
@@ -18,9 +18,10 @@
 
 // Preparer makes the target able to serve a set.
 type Preparer interface {
-	// Prepare loads and warms models and checks capacity; it returns false
-	// while that goes on, and an error that is an *UnableError where it can't.
-	Prepare(ctx context.Context, set Set) (bool, error)
+	// Prepare loads the models of the move's set and checks the capacity for
+	// its load; it returns false while that goes on, and an error that is an
+	// *UnableError where it can't.
+	Prepare(ctx context.Context, m Move) (bool, error)
 	// Release takes back what Prepare did.
 	Release(ctx context.Context, set Set) error
 }
--- a/internal/handover/sim_test.go
+++ b/internal/handover/sim_test.go
@@ -57,8 +57,8 @@
 
 type simPreparer struct{}
 
-func (simPreparer) Prepare(context.Context, Set) (bool, error) { return true, nil }
-func (simPreparer) Release(context.Context, Set) error         { return nil }
+func (simPreparer) Prepare(context.Context, Move) (bool, error) { return true, nil }
+func (simPreparer) Release(context.Context, Set) error          { return nil }
 
 // simNode is one process of one side.
 type simNode struct {
--- a/internal/handover/source_actions.go
+++ b/internal/handover/source_actions.go
@@ -7,7 +7,7 @@
 func (s Source) actions() []Action {
 	switch s.Move.Phase {
 	case PhaseOffered:
-		return []Action{s.send(Message{Kind: MessageOffer, Set: s.Move.Set, Epoch: s.Move.Epoch})}
+		return []Action{s.send(Message{Kind: MessageOffer, Set: s.Move.Set, Epoch: s.Move.Epoch, Load: s.Move.Load})}
 	case PhaseArming:
 		return s.armActions()
 	case PhaseSealed:
--- a/internal/handover/start.go
+++ b/internal/handover/start.go
@@ -12,6 +12,11 @@
 // it idempotent: a move that is known already is returned as it is. It returns
 // an *OverlapError where another move of the set goes on.
 func (s *MoveStore) Begin(ctx context.Context, id string, set Set, peer string, now time.Time) (Move, error) {
+	return s.BeginWith(ctx, id, set, nil, peer, now)
+}
+
+// BeginWith is Begin with the load that the target must have room for.
+func (s *MoveStore) BeginWith(ctx context.Context, id string, set Set, load map[string]int32, peer string, now time.Time) (Move, error) {
 	known, err := s.Move(ctx, id)
 	if err == nil || !errors.Is(err, ErrUnknownMove) {
 		return known, err
@@ -20,7 +25,7 @@
 	if err != nil {
 		return Move{}, err
 	}
-	m := Move{ID: id, Role: RoleSource, Set: set, Peer: peer, Phase: PhaseOffered, Changed: now, Created: nextCreated(moves)}
+	m := Move{ID: id, Role: RoleSource, Set: set, Load: load, Peer: peer, Phase: PhaseOffered, Changed: now, Created: nextCreated(moves)}
 	for _, other := range moves {
 		if other.Set.Overlaps(set) && !other.Phase.Final() {
 			return Move{}, &OverlapError{MoveID: other.ID, Set: other.Set}
--- a/internal/handover/target.go
+++ b/internal/handover/target.go
@@ -36,7 +36,7 @@
 // NewTarget returns the taking side that an offer opens.
 func NewTarget(offer Message, now time.Time) Target {
 	return Target{Move: Move{
-		ID: offer.MoveID, Role: RoleTarget, Set: offer.Set, Peer: offer.Sender,
+		ID: offer.MoveID, Role: RoleTarget, Set: offer.Set, Peer: offer.Sender, Load: offer.Load,
 		Epoch: offer.Epoch, Phase: PhasePreparing, RelayAddress: offer.RelayAddress, Changed: now,
 	}}
 }
@@ -63,6 +63,10 @@
 		t, receipt = t.take(in.Message, now)
 	}
 	receipt.Phase = t.Move.Phase
+	if t.Move.Phase == PhaseAbandoned && receipt.Reason == "" {
+		// A copy of the offer may overtake the refusal: both tell why.
+		receipt.Reason = t.Move.Reason
+	}
 	return t, t.actions(), receipt
 }
 
--- a/internal/handover/wire.go
+++ b/internal/handover/wire.go
@@ -9,7 +9,7 @@
 	e := &handoverv1.Envelope{Version: int32(m.Version), MoveId: m.MoveID, Sender: m.Sender}
 	switch m.Kind {
 	case MessageOffer:
-		e.Body = &handoverv1.Envelope_Offer{Offer: &handoverv1.Offer{Set: setToWire(m.Set), Epoch: m.Epoch, RelayAddress: m.RelayAddress}}
+		e.Body = &handoverv1.Envelope_Offer{Offer: &handoverv1.Offer{Set: setToWire(m.Set), Epoch: m.Epoch, RelayAddress: m.RelayAddress, Load: m.Load}}
 	case MessageReady:
 		e.Body = &handoverv1.Envelope_Ready{Ready: &handoverv1.Ready{RelayAddress: m.RelayAddress}}
 	case MessageRefuse:
@@ -39,6 +39,7 @@
 	switch body := e.GetBody().(type) {
 	case *handoverv1.Envelope_Offer:
 		m.Kind, m.Set, m.Epoch, m.RelayAddress = MessageOffer, setFromWire(body.Offer.GetSet()), body.Offer.GetEpoch(), body.Offer.GetRelayAddress()
+		m.Load = body.Offer.GetLoad()
 	case *handoverv1.Envelope_Ready:
 		m.Kind, m.RelayAddress = MessageReady, body.Ready.GetRelayAddress()
 	case *handoverv1.Envelope_Refuse:
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -38,6 +38,7 @@
 // engines. On a node without a platform there are none, and everything starts.
 type moves struct {
 	options Options
+	work    *drains
 	// actors are further ones for the steps of plans.
 	actors   map[intent.StepKind]intent.Actor
 	store    *handover.MoveStore
@@ -53,11 +54,11 @@
 }
 
 // newMoves creates the part and mounts its handlers on the peer listener.
-func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index, actors map[intent.StepKind]intent.Actor) *moves {
+func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index, work *drains, actors map[intent.StepKind]intent.Actor) *moves {
 	if options.Store == nil {
 		return nil
 	}
-	m := &moves{options: options, actors: actors}
+	m := &moves{options: options, actors: actors, work: work}
 	if err := m.build(members, link, configuration); err != nil {
 		options.Log.WithError(err).WithField("step", "create moves").Error("plans and moves are not carried out here")
 		m.holder = nil
@@ -69,6 +70,11 @@
 	o := m.options
 	timing := handover.DefaultTiming()
 	metrics := handover.NewMetrics(o.Registry)
+	weights, _ := o.Store.(platform.Weights)
+	sender, err := order.NewSender(order.NewHTTPTransport(), weights, order.DefaultDiscipline(controlLeaseTTL), order.NewMetrics(o.Registry), time.Now)
+	if err != nil {
+		return err
+	}
 	store := handover.NewMoveStore(o.Store, uuid.NewString)
 	nodes := handover.NewNodeClient(linkDialer{link}, addressOf(members), func() []string { return otherPeers(members) })
 	m.store = store
@@ -78,16 +84,16 @@
 	m.driver = handover.NewDriver(handover.DriverConfig{
 		Store: store, Address: o.PeerAddress, DataCentre: o.DataCentre, RelayAddress: o.EntryAddress,
 		Peer: handover.NewCounterparts(linkDialer{link}, o.Counterparts), Nodes: nodes,
-		Claims: noClaims{}, Preparer: readiness{configuration: configuration},
+		Claims: noClaims{}, Preparer: readiness{configuration: configuration, work: m.work, sender: sender},
 		Timing: timing, Metrics: metrics, Log: o.Log, Now: time.Now,
 	})
 	link.server.Mount(handoverv1connect.NewHandoverServiceHandler(handover.NewService(receiver)))
 	link.server.Mount(handoverv1connect.NewNodeServiceHandler(handover.NewNodeService(m.gate, m.driver)))
-	return m.buildDuty(store, members, configuration)
+	return m.buildDuty(store, sender, members, configuration)
 }
 
 // buildDuty creates what runs under the lease.
-func (m *moves) buildDuty(store *handover.MoveStore, members membership.View, configuration func() *config.Index) error {
+func (m *moves) buildDuty(store *handover.MoveStore, sender *order.Sender, members membership.View, configuration func() *config.Index) error {
 	o := m.options
 	leaseMetrics, err := lease.NewMetrics(o.Registry)
 	if err != nil {
@@ -97,13 +103,8 @@
 	if err != nil {
 		return err
 	}
-	weights, _ := o.Store.(platform.Weights)
-	sender, err := order.NewSender(order.NewHTTPTransport(), weights, order.DefaultDiscipline(controlLeaseTTL), order.NewMetrics(o.Registry), time.Now)
-	if err != nil {
-		return err
-	}
 	actors := maps.Clone(m.actors)
-	mover := moveplan.NewActor(store, m.driver, movable(configuration), time.Now)
+	mover := moveplan.NewActor(store, m.driver, movable(configuration), m.work.load, time.Now)
 	for _, kind := range moveplan.Kinds {
 		actors[kind] = mover
 	}
--- a/internal/node/moves_parts.go
+++ b/internal/node/moves_parts.go
@@ -94,38 +94,6 @@
 	return nil
 }
 
-// readiness says whether this data centre can take a set: its upstreams are
-// configured with replicas here.
-type readiness struct {
-	configuration func() *config.Index
-}
-
-// Prepare implements handover.Preparer.
-func (r readiness) Prepare(_ context.Context, set handover.Set) (bool, error) {
-	index := r.configuration()
-	if index == nil {
-		return false, nil
-	}
-	if err := movable(r.configuration)(set); err != nil {
-		return false, &handover.UnableError{Reason: err.Error()}
-	}
-	for _, name := range set.Upstreams {
-		u, ok := index.Upstream(name)
-		if !ok || serving(u) == 0 {
-			return false, &handover.UnableError{Reason: "upstream " + name + " has no replica here"}
-		}
-	}
-	for _, name := range set.Workspaces {
-		if !hasWorkspace(index.Document(), name) {
-			return false, &handover.UnableError{Reason: "workspace " + name + " is not configured here"}
-		}
-	}
-	return true, nil
-}
-
-// Release implements handover.Preparer: nothing was taken.
-func (readiness) Release(context.Context, handover.Set) error { return nil }
-
 func serving(u *config.Upstream) int {
 	n := 0
 	for _, replica := range u.Replicas {
@@ -136,15 +104,6 @@
 	return n
 }
 
-func hasWorkspace(doc *config.Document, name string) bool {
-	for _, w := range doc.Workspaces {
-		if w.Name == name {
-			return true
-		}
-	}
-	return false
-}
-
 // errNoBase says that this part confirms no plans.
 var errNoBase = errors.New("the executor confirms no plans")
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,7 +53,7 @@
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.drains = newDrains(n)
-	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drainActors())
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drains, n.drainActors())
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
--- a/internal/order/errors.go
+++ b/internal/order/errors.go
@@ -33,5 +33,8 @@
 	return fmt.Sprintf("order: held back: %s for %s", e.Reason, e.For)
 }
 
+// ErrNoOrders says that the engine takes no orders and does not tell its state.
+var ErrNoOrders = errors.New("order: the engine takes no orders")
+
 // ErrFenced says that the engine has seen a higher epoch.
 var ErrFenced = errors.New("order: refused by the engine: its epoch is higher")
--- a/internal/order/http.go
+++ b/internal/order/http.go
@@ -98,6 +98,9 @@
 		return state, err
 	}
 	defer response.Body.Close()
+	if response.StatusCode == http.StatusNotFound {
+		return state, ErrNoOrders
+	}
 	if response.StatusCode != http.StatusOK {
 		return state, fmt.Errorf("order: engine answered status %d to a read of its state", response.StatusCode)
 	}
