--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"path"
 	"strconv"
 	"time"
 
@@ -23,6 +22,8 @@
 	// rule is the rule by which the call may not be repeated, nil for none.
 	rule *config.Rule
 	wire upstream.ServiceCall
+	// counted says that the workspace's quota has the request.
+	counted bool
 }
 
 // service answers ANY /services/{upstream}/{path...}.
@@ -35,7 +36,7 @@
 	w.Header().Set(headerRequestID, c.id)
 	sc, err := parseService(c, w, r)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, c, err)
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.giveUpAt)
@@ -62,6 +63,9 @@
 		return nil, err
 	}
 	servicePath := "/" + r.PathValue("path")
+	if err := checkServicePath(servicePath); err != nil {
+		return nil, err
+	}
 	sc := &serviceCall{call: c, upstream: target, rule: ruleFor(target, r.Method, servicePath)}
 	if sc.rule != nil && !sc.rule.KeyOptional && c.idempotencyKey == "" {
 		return nil, named(refusal.IdempotencyNeeds, headerIdempotencyKey, "", "this call may not be repeated: send a key that names it")
@@ -77,25 +81,6 @@
 	return sc, nil
 }
 
-func withQuery(servicePath, query string) string {
-	if query == "" {
-		return servicePath
-	}
-	return servicePath + "?" + query
-}
-
-// ruleFor returns the first rule that matches, or nil.
-func ruleFor(target *config.Upstream, method, servicePath string) *config.Rule {
-	for i := range target.Unrepeatable {
-		rule := &target.Unrepeatable[i]
-		matched, err := path.Match(rule.Path, servicePath)
-		if err == nil && matched && rule.Method == method {
-			return rule
-		}
-	}
-	return nil
-}
-
 // serveCall runs the call, at most once where it may not be repeated, and
 // answers. It returns false, without an answer, for one without a claim whose
 // upstream moved away while it waited.
@@ -104,19 +89,32 @@
 		s.serveClaimed(ctx, w, sc)
 		return true
 	}
+	if err := s.countRequest(sc); err != nil {
+		s.refuse(w, err)
+		return true
+	}
 	served, refused := s.callUntilRun(ctx, sc)
 	if refused != nil && hasMoved(refused) {
 		return false
 	}
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
-		s.refuse(w, refused)
+		s.refuseCall(w, sc.call, refused)
 		return true
 	}
 	s.answerService(w, sc, served)
 	return true
 }
 
+// countRequest takes the call from its workspace's quota, once.
+func (s *Server) countRequest(sc *serviceCall) error {
+	if sc.counted {
+		return nil
+	}
+	sc.counted = true
+	return s.useRequest(sc.call)
+}
+
 // served is how a call of a plain service came to its end.
 type served struct {
 	answer   *upstream.ServiceAnswer
@@ -157,10 +155,15 @@
 
 // tryService waits for a slot and makes the call once.
 func (s *Server) tryService(ctx context.Context, sc *serviceCall, attempt int, avoid []string) (*upstream.ServiceAnswer, string, error) {
+	sc.call.queued(attempt, sc.upstream.Name)
 	slot, err := s.options.Dispatch.Acquire(ctx, sc.upstream.Name, sc.routerRequest(attempt, avoid))
 	if err != nil {
 		return nil, "", err
 	}
+	sc.call.bound(attempt, slot)
+	if attempt == 1 {
+		s.metrics.waited(sc.call)
+	}
 	done, err := s.startWork(ctx, sc.call, sc.upstream.Name)
 	if err != nil {
 		slot.Finish(resultOf(err))
@@ -169,8 +172,10 @@
 	defer done()
 	wire := sc.wire
 	wire.ID = fmt.Sprintf("%s.%d", sc.call.id, attempt)
+	sc.call.started(attempt, slot)
 	answer, err := s.options.Services.Do(ctx, slot.Replica.Address, wire)
 	slot.Finish(resultOf(err))
+	sc.call.ended(attempt, slot, 0, err)
 	if err == nil {
 		s.options.Retries.Succeeded(time.Now(), sc.call.class.Name, sc.upstream.Name)
 	}
@@ -200,6 +205,7 @@
 	}
 	decision := s.options.Retries.Decide(time.Now(), sc.retryAttempt(failed, attempts))
 	s.metrics.retries.Count(decision)
+	sc.call.decided(decision)
 	return decision.Action != retry.GiveUp
 }
 
@@ -230,12 +236,14 @@
 }
 
 func (s *Server) answerService(w http.ResponseWriter, sc *serviceCall, done served) {
+	s.answered(sc.call, time.Time{}, time.Now(), 0)
 	header := w.Header()
 	for name, values := range done.answer.Header {
 		header[name] = values
 	}
 	header.Set(headerUpstream, sc.upstream.Name+"/"+done.replica)
 	header.Set(headerAttempts, strconv.Itoa(done.attempts))
+	giveTime(w, len(done.answer.Body))
 	w.WriteHeader(done.answer.Status)
 	_, _ = w.Write(done.answer.Body)
 }
--- a/internal/handover/agent.go
+++ b/internal/handover/agent.go
@@ -80,14 +80,15 @@
 
 // awaitChange returns nil once a move has changed in the platform or the time
 // to wait has passed, and an error where the wait was cut short, as by a
-// driver's call of this node.
+// driver's call of this node, or the platform did not answer in time: a term
+// must outlast this wait and a Round.
 func (a *Agent) awaitChange(ctx context.Context) error {
 	changed := a.gate.watch()
 	wait := a.timing.Term / asksPerTerm
 	if a.atRest && len(a.gate.Asks()) == 0 {
 		wait = restTime
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, wait+a.timing.Resend)
 	defer cancel()
 	go func() {
 		select {
@@ -99,11 +100,13 @@
 	return a.store.Await(ctx, a.revision, wait)
 }
 
-// Round registers if need be, reads the moves and asks for permits once.
+// Round registers if need be, reads the moves and asks for permits once. Peers
+// are asked in a time of their own, so that a platform that hangs takes none of
+// it.
 func (a *Agent) Round(ctx context.Context) error {
+	err := a.read(ctx)
 	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/asksPerTerm)
 	defer cancel()
-	err := a.read(ctx)
 	if err != nil && !a.registered {
 		a.vouch(ctx)
 	}
@@ -114,6 +117,8 @@
 }
 
 func (a *Agent) read(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, a.timing.Term/asksPerTerm)
+	defer cancel()
 	if !a.registered {
 		if err := a.store.Register(ctx, a.node); err != nil {
 			return err
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -47,12 +47,21 @@
 	driver   *handover.Driver
 	executor *intent.Executor
 	holder   *lease.Holder
+	source   *lease.Source
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	duty     sync.WaitGroup
 	turn     dutyTurn
 }
 
+// leases returns those that this process holds.
+func (m *moves) leases() []platform.Lease {
+	if m == nil || m.source == nil {
+		return nil
+	}
+	return m.source.Held()
+}
+
 // newMoves creates the part and mounts its handlers on the peer listener.
 func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index, work *drains, actors map[intent.StepKind]intent.Actor) *moves {
 	if options.Store == nil {
@@ -120,6 +129,7 @@
 		OnLost:    func(int64, lease.EndReason) { m.duty.Wait() },
 		Observers: []lease.Observer{sender},
 	}
+	m.source = source
 	m.holder = lease.NewHolder(source, controlLease, callbacks, rand.New(rand.NewPCG(o.Seed, controlStream)))
 	m.holder.Prefer(func() bool { return members.Owner(controlLease).Name == o.Name })
 	return nil
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,7 +7,9 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/dispatch"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/gateway"
+	"galenatrestle/internal/inspect"
 	"galenatrestle/internal/platform/budget"
 	"galenatrestle/internal/upstream"
 )
@@ -17,23 +19,26 @@
 
 // Node is one entry VM's process.
 type Node struct {
-	options  Options
-	config   atomic.Pointer[config.Index]
-	dispatch *dispatch.Dispatcher
-	gateway  *gateway.Server
-	engines  *upstream.Engine
-	services *upstream.Service
-	members  *members
-	sync     *configuration
-	duties   *budget.Counters
-	peers    *peers
-	answers  *answers
-	claims   *claims
-	credits  *credits
-	moves    *moves
-	drains   *drains
-	servers  []*http.Server
-	leaving  atomic.Bool
+	options   Options
+	config    atomic.Pointer[config.Index]
+	dispatch  *dispatch.Dispatcher
+	gateway   *gateway.Server
+	engines   *upstream.Engine
+	services  *upstream.Service
+	members   *members
+	sync      *configuration
+	duties    *budget.Counters
+	peers     *peers
+	answers   *answers
+	claims    *claims
+	credits   *credits
+	quotas    *quotas
+	moves     *moves
+	drains    *drains
+	stories   *explain.Recorder
+	inspector *inspect.Asker
+	servers   []*http.Server
+	leaving   atomic.Bool
 }
 
 // New returns a node that does not serve yet.
@@ -52,8 +57,10 @@
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
+	n.quotas = newQuotas(options, n.members.runner, n.peers)
 	n.drains = newDrains(n)
 	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drains, n.drainActors())
+	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
 }
@@ -67,11 +74,13 @@
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
+		Explain:  n.stories,
 		Registry: n.options.Registry,
 		Log:      n.options.Log,
 	}
 	n.answers.offer(&options)
 	n.claims.offer(&options)
+	n.quotas.offer(&options)
 	n.moves.offer(&options)
 	return options
 }
@@ -84,6 +93,7 @@
 	}
 	n.dispatch.Configure(index.Document())
 	n.answers.configure(index.Document())
+	n.quotas.configure(index.Document())
 	n.members.configure(index)
 	n.config.Store(index)
 }
@@ -98,6 +108,7 @@
 	n.sync.start()
 	n.claims.start()
 	n.credits.start()
+	n.quotas.start()
 	n.moves.start()
 }
 
@@ -142,6 +153,7 @@
 	n.sync.close()
 	n.answers.close()
 	n.credits.close()
+	n.quotas.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
