Claims: gather the writes of a busy shard

Cause: a shard wrote as soon as its last write was done and its share of the platform's rate allowed, so that 200 claims a second took the whole budget of 200 writes a second for two changes a write.

Change: a shard takes a turn for each write, one in 40 ms, two at once when it has been idle (a lone claim and its end); 8 KiB of changes are written without waiting for the turn. GatherTime and GatherBytes set both.

--- a/internal/claim/bench_test.go
+++ b/internal/claim/bench_test.go
@@ -58,13 +58,14 @@
 // run sends the load for a time.
 func (l *ledgerLoad) run(ctx context.Context, nodes []*testNode, rate, first int, duration time.Duration) {
 	var group sync.WaitGroup
+	sent := first
 	ticker := time.NewTicker(benchTick)
 	defer ticker.Stop()
-	perTick := int(time.Duration(rate) * benchTick / time.Second)
 	for tick := range int(duration / benchTick) {
 		<-ticker.C
-		for i := range perTick {
-			number := first + tick*perTick + i
+		due := first + int(time.Duration(tick+1)*time.Duration(rate)*benchTick/time.Second)
+		for ; sent < due; sent++ {
+			number := sent
 			group.Go(func() { l.one(ctx, nodes[number%len(nodes)], number) })
 		}
 	}
@@ -97,24 +98,27 @@
 	for _, way := range ways {
 		b.Run(way.name, func(b *testing.B) {
 			for range b.N {
-				measureLedger(b, benchRate, way.shards, way.segments, way.segKiB)
+				measureLedger(b, benchRate, way.shards, way.segments, way.segKiB, 0)
 			}
 		})
 	}
-	for _, rate := range []int{200, 1000, 4000} {
-		b.Run(fmt.Sprintf("shards=4/segment=16KiB/rate=%d", rate), func(b *testing.B) {
-			for range b.N {
-				measureLedger(b, rate, 4, 512, 16)
-			}
-		})
+	for _, rate := range []int{20, 200, 1000, 2000, 4000} {
+		for _, gather := range []time.Duration{-1, DefaultGatherTime} {
+			b.Run(fmt.Sprintf("gather=%v/rate=%d", gather, rate), func(b *testing.B) {
+				for range b.N {
+					measureLedger(b, rate, 4, 512, 16, gather)
+				}
+			})
+		}
 	}
 }
 
-func measureLedger(b *testing.B, rate, shards, segments, segKiB int) {
+func measureLedger(b *testing.B, rate, shards, segments, segKiB int, gather time.Duration) {
 	c := newCluster()
 	c.store.latency = benchLatency
 	c.oneWay = benchOneWay
 	change := func(options *Options) {
+		options.GatherTime = gather
 		options.Policy.Shards = shards
 		options.Policy.Segments = segments
 		options.Policy.SegmentBytes = segKiB << 10
--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -45,6 +45,12 @@
 	return &fakeStore{entries: make(map[string]platform.Entry)}
 }
 
+func (f *fakeStore) written() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.writes
+}
+
 func (f *fakeStore) setDown(down bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -70,11 +70,11 @@
 	}
 }
 
-// flush writes until nothing waits, one write at a time and no faster than the
-// shard's share of the platform's rate.
+// flush writes until nothing waits, one write at a time, gathered, and no faster
+// than the shard's share of the platform's rate.
 func (s *shard) flush(live context.Context) error {
 	for s.waiting() {
-		if s.limiter.Wait(live) != nil {
+		if !s.gather(live) || s.limiter.Wait(live) != nil {
 			return nil
 		}
 		if err := s.write(live, s.ring); err != nil {
@@ -84,6 +84,33 @@
 	return nil
 }
 
+// gather waits until the next write is worthwhile: at once on an idle shard, else
+// once its turn has come or GatherBytes wait. It returns false when live ended
+// first.
+func (s *shard) gather(live context.Context) bool {
+	turn := s.gathering.Reserve()
+	timer := time.NewTimer(turn.Delay())
+	defer timer.Stop()
+	for s.waitingBytes() < s.options.GatherBytes {
+		select {
+		case <-timer.C:
+			return live.Err() == nil
+		case <-s.wake:
+		case <-live.Done():
+			turn.Cancel()
+			return false
+		}
+	}
+	turn.Cancel()
+	return live.Err() == nil
+}
+
+func (s *shard) waitingBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ring.pendingBytes
+}
+
 func (s *shard) waiting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -7,6 +7,7 @@
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
 
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/platform"
@@ -28,6 +29,12 @@
 
 	// WritesPerSecond bounds the platform writes of all shards together.
 	WritesPerSecond float64
+	// GatherTime is the mean time between two writes of a busy shard while
+	// fewer than GatherBytes wait. Negative: none.
+	GatherTime time.Duration
+	// GatherBytes is how many bytes of changes are written without waiting for
+	// GatherTime.
+	GatherBytes int
 	// BeginTimeout bounds one Begin where its context does not.
 	BeginTimeout time.Duration
 	// CallTimeout bounds one call to the platform or a peer.
@@ -48,6 +55,8 @@
 // The defaults of Options.
 const (
 	DefaultWritesPerSecond = 200
+	DefaultGatherTime      = 40 * time.Millisecond
+	DefaultGatherBytes     = 8 << 10
 	DefaultBeginTimeout    = 2 * time.Second
 	DefaultCallTimeout     = 500 * time.Millisecond
 	DefaultRetryInterval   = 50 * time.Millisecond
@@ -60,11 +69,25 @@
 // idle.
 const writeBurst = 4
 
+// gatherBurst is the number of writes that an idle shard makes at once without
+// gathering: one for a claim and one for its end.
+const gatherBurst = 2
+
+// gatherLimit returns the writes a second of a shard that gathers.
+func (o Options) gatherLimit() rate.Limit {
+	if o.GatherTime < 0 {
+		return rate.Inf
+	}
+	return rate.Every(o.GatherTime)
+}
+
 func (o Options) withDefaults() Options {
 	if o.Policy == (Policy{}) {
 		o.Policy = DefaultPolicy()
 	}
 	orElse(&o.WritesPerSecond, DefaultWritesPerSecond)
+	orElse(&o.GatherTime, DefaultGatherTime)
+	orElse(&o.GatherBytes, DefaultGatherBytes)
 	orElse(&o.BeginTimeout, DefaultBeginTimeout)
 	orElse(&o.CallTimeout, DefaultCallTimeout)
 	orElse(&o.RetryInterval, DefaultRetryInterval)
--- a/internal/claim/ring.go
+++ b/internal/claim/ring.go
@@ -95,6 +95,8 @@
 	compact bool
 
 	pending []change
+	// pendingBytes is the sum of the pending changes' encoded states.
+	pendingBytes int
 	// last numbers the newest change, durable the newest that is written.
 	last    int64
 	durable int64
@@ -150,6 +152,7 @@
 	r.last++
 	r.replace(id, held{change: r.last, encoded: encoded})
 	r.pending = append(r.pending, change{number: r.last, digest: id, encoded: encoded})
+	r.pendingBytes += len(encoded)
 	return r.last, nil
 }
 
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -20,6 +20,8 @@
 	metrics *metrics
 	limiter *rate.Limiter
 	wake    chan struct{}
+	// gathering gives each write of few bytes its turn.
+	gathering *rate.Limiter
 
 	mu sync.Mutex
 	// ring is nil where this node knows nothing of the shard.
@@ -42,9 +44,11 @@
 	perShard := options.WritesPerSecond / float64(options.Policy.Shards)
 	return &shard{
 		number: number, options: options, metrics: metrics,
-		limiter:  rate.NewLimiter(rate.Limit(perShard), writeBurst),
-		wake:     make(chan struct{}, 1),
-		progress: make(chan struct{}),
+		limiter: rate.NewLimiter(rate.Limit(perShard), writeBurst),
+		wake:    make(chan struct{}, 1),
+
+		gathering: rate.NewLimiter(options.gatherLimit(), gatherBurst),
+		progress:  make(chan struct{}),
 	}
 }
 
--- a/internal/claim/write.go
+++ b/internal/claim/write.go
@@ -138,6 +138,7 @@
 			break
 		}
 		taken++
+		r.pendingBytes -= len(waiting.encoded)
 		next.durable = waiting.number
 		if current, exists := r.index[waiting.digest]; exists {
 			current.sequence = next.sequence
