--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -20,6 +20,8 @@
 	metrics *metrics
 	limiter *rate.Limiter
 	wake    chan struct{}
+	// gathering gives each write of few bytes its turn.
+	gathering *rate.Limiter
 
 	mu sync.Mutex
 	// ring is nil where this node knows nothing of the shard.
@@ -32,6 +34,8 @@
 	// progress is closed and replaced whenever something became durable or
 	// the ring was dropped.
 	progress chan struct{}
+	// warned says that the fill is above the warning.
+	warned bool
 	// compacted is when a compaction was last asked for.
 	compacted time.Time
 }
@@ -40,9 +44,11 @@
 	perShard := options.WritesPerSecond / float64(options.Policy.Shards)
 	return &shard{
 		number: number, options: options, metrics: metrics,
-		limiter:  rate.NewLimiter(rate.Limit(perShard), writeBurst),
-		wake:     make(chan struct{}, 1),
-		progress: make(chan struct{}),
+		limiter: rate.NewLimiter(rate.Limit(perShard), writeBurst),
+		wake:    make(chan struct{}, 1),
+
+		gathering: rate.NewLimiter(options.gatherLimit(), gatherBurst),
+		progress:  make(chan struct{}),
 	}
 }
 
@@ -181,6 +187,16 @@
 	}
 }
 
+// warnOfFill logs when the fill comes to the warning. It is called with
+// the lock held.
+func (s *shard) warnOfFill(fill float64) {
+	if fill >= fillWarning && !s.warned {
+		s.options.Log.WithFields(map[string]any{"shard": s.number, "fill": fill}).
+			Warn("claim shard is filling up: it needs more room or a shorter retention")
+	}
+	s.warned = fill >= fillWarning
+}
+
 // signal wakes the writer.
 func (s *shard) signal() {
 	select {
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"galenatrestle/internal/answer"
-	"galenatrestle/internal/explain"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
@@ -43,6 +42,8 @@
 	begun   bool
 	first   time.Time
 	tokens  int
+	// elsewhere has another data centre answer; false where this one serves.
+	elsewhere func() bool
 	// usage is what the engine says of a whole answer, nil where it does not.
 	usage *openai.Usage
 }
@@ -55,10 +56,20 @@
 			e.finish()
 			return
 		}
-		if refused := e.again(ctx, err); refused != nil {
-			e.giveUp(refused)
-			return
+		refused := e.again(ctx, err)
+		if refused == nil {
+			continue
+		}
+		if hasMoved(refused) && !e.sink.begun() {
+			if e.elsewhere() {
+				e.keepRefusal(refused)
+				return
+			}
+			e.reset()
+			continue
 		}
+		e.giveUp(refused)
+		return
 	}
 }
 
@@ -185,7 +196,7 @@
 	e.keepEnd()
 	if err != nil && !e.followed() {
 		e.waste("caller_gone")
-		e.call.story.Add(now, explain.NewRefused(callerGone(err)))
+		e.server.endRefused(e.call, callerGone(err))
 		return
 	}
 	e.server.answered(e.call, e.first, now, e.tokens)
@@ -203,7 +214,7 @@
 		"step":      refused.Step,
 		"peer":      refused.Peer,
 	}).WithError(refused).Info("request given up")
-	e.call.story.Add(time.Now(), explain.NewRefused(refused))
+	e.server.endRefused(e.call, refused)
 	e.keepRefusal(refused)
 	e.sink.fail(refused)
 }
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -36,7 +37,10 @@
 // moves is the node's part in plans, moves between data centres and orders to
 // engines. On a node without a platform there are none, and everything starts.
 type moves struct {
-	options  Options
+	options Options
+	work    *drains
+	// actors are further ones for the steps of plans.
+	actors   map[intent.StepKind]intent.Actor
 	store    *handover.MoveStore
 	gate     *handover.Gate
 	agent    *handover.Agent
@@ -47,6 +51,7 @@
 	stop     context.CancelFunc
 	running  sync.WaitGroup
 	duty     sync.WaitGroup
+	turn     dutyTurn
 }
 
 // leases returns those that this process holds.
@@ -58,11 +63,11 @@
 }
 
 // newMoves creates the part and mounts its handlers on the peer listener.
-func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index) *moves {
+func newMoves(options Options, members membership.View, link *peers, configuration func() *config.Index, work *drains, actors map[intent.StepKind]intent.Actor) *moves {
 	if options.Store == nil {
 		return nil
 	}
-	m := &moves{options: options}
+	m := &moves{options: options, actors: actors, work: work}
 	if err := m.build(members, link, configuration); err != nil {
 		options.Log.WithError(err).WithField("step", "create moves").Error("plans and moves are not carried out here")
 		m.holder = nil
@@ -74,6 +79,11 @@
 	o := m.options
 	timing := handover.DefaultTiming()
 	metrics := handover.NewMetrics(o.Registry)
+	weights, _ := o.Store.(platform.Weights)
+	sender, err := order.NewSender(order.NewHTTPTransport(), weights, order.DefaultDiscipline(controlLeaseTTL), order.NewMetrics(o.Registry), time.Now)
+	if err != nil {
+		return err
+	}
 	store := handover.NewMoveStore(o.Store, uuid.NewString)
 	nodes := handover.NewNodeClient(linkDialer{link}, addressOf(members), func() []string { return otherPeers(members) })
 	m.store = store
@@ -83,16 +93,16 @@
 	m.driver = handover.NewDriver(handover.DriverConfig{
 		Store: store, Address: o.PeerAddress, DataCentre: o.DataCentre, RelayAddress: o.EntryAddress,
 		Peer: handover.NewCounterparts(linkDialer{link}, o.Counterparts), Nodes: nodes,
-		Claims: noClaims{}, Preparer: readiness{configuration: configuration},
+		Claims: noClaims{}, Preparer: readiness{configuration: configuration, work: m.work, sender: sender},
 		Timing: timing, Metrics: metrics, Log: o.Log, Now: time.Now,
 	})
 	link.server.Mount(handoverv1connect.NewHandoverServiceHandler(handover.NewService(receiver)))
 	link.server.Mount(handoverv1connect.NewNodeServiceHandler(handover.NewNodeService(m.gate, m.driver)))
-	return m.buildDuty(store, members, configuration)
+	return m.buildDuty(store, sender, members, configuration)
 }
 
 // buildDuty creates what runs under the lease.
-func (m *moves) buildDuty(store *handover.MoveStore, members membership.View, configuration func() *config.Index) error {
+func (m *moves) buildDuty(store *handover.MoveStore, sender *order.Sender, members membership.View, configuration func() *config.Index) error {
 	o := m.options
 	leaseMetrics, err := lease.NewMetrics(o.Registry)
 	if err != nil {
@@ -102,13 +112,8 @@
 	if err != nil {
 		return err
 	}
-	weights, _ := o.Store.(platform.Weights)
-	sender, err := order.NewSender(order.NewHTTPTransport(), weights, order.DefaultDiscipline(controlLeaseTTL), order.NewMetrics(o.Registry), time.Now)
-	if err != nil {
-		return err
-	}
-	actors := map[intent.StepKind]intent.Actor{}
-	mover := moveplan.NewActor(store, m.driver, movable(configuration), time.Now)
+	actors := maps.Clone(m.actors)
+	mover := moveplan.NewActor(store, m.driver, movable(configuration), m.work.load, time.Now)
 	for _, kind := range moveplan.Kinds {
 		actors[kind] = mover
 	}
@@ -165,9 +170,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	m.stop = cancel
 	m.running.Go(func() { m.agent.Run(ctx) })
-	if m.holder != nil {
-		m.running.Go(func() { _ = m.holder.Run(ctx) })
-	}
+	m.startDuty(ctx)
 }
 
 // leave is a planned stop's last word: this node serves no more, so that no
@@ -186,7 +189,7 @@
 	if m == nil || m.stop == nil {
 		return
 	}
-	m.stop()
+	m.endDuty()
 	m.running.Wait()
 	m.stop = nil
 }
