--- a/internal/capacity/budget.go
+++ b/internal/capacity/budget.go
@@ -93,7 +93,7 @@
 			Role:           RoleCredits,
 			BytesPerSecond: l.at(RoleCredits, "bytes") + l.at(RoleCredits, "calls")*tcpAndTLS,
 			Core:           l.at(RoleCredits, "processor time"),
-			Basis:          "asks and grants; off by default",
+			Basis:          "asks and grants when nothing waits",
 		},
 		{
 			Role:           RoleWatching,
--- a/internal/capacity/options.go
+++ b/internal/capacity/options.go
@@ -41,7 +41,7 @@
 	Duration time.Duration
 }
 
-// DefaultOptions returns the sizes of the page; all together take about three
+// DefaultOptions returns the sizes of the page; all together take about nine
 // minutes and stay under 1 GB.
 func DefaultOptions() Options {
 	return Options{
