--- a/internal/faultrun/run.go
+++ b/internal/faultrun/run.go
@@ -27,7 +27,7 @@
 		Nodes: o.Nodes, Engines: o.Engines, Services: o.Services,
 		Engine:  engine.Options{Speed: engineSpeed, Slots: engineSlots},
 		Service: service.Options{Latency: serviceTime, RestartTime: time.Second / engineSpeed},
-		Config:  configuration, KeepTime: keepTime, Seed: seed, ShareSlots: schedule.ShareSlots,
+		Config:  configuration, KeepTime: keepTime, Seed: seed, OwnSlots: !schedule.ShareSlots,
 	})
 	if err != nil {
 		return nil, fmt.Errorf("seed %d: start: %w", seed, err)
