--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -42,6 +42,8 @@
 	begun   bool
 	first   time.Time
 	tokens  int
+	// elsewhere has another data centre answer; false where this one serves.
+	elsewhere func() bool
 	// usage is what the engine says of a whole answer, nil where it does not.
 	usage *openai.Usage
 }
@@ -54,10 +56,20 @@
 			e.finish()
 			return
 		}
-		if refused := e.again(ctx, err); refused != nil {
-			e.giveUp(refused)
-			return
+		refused := e.again(ctx, err)
+		if refused == nil {
+			continue
+		}
+		if hasMoved(refused) && !e.sink.begun() {
+			if e.elsewhere() {
+				e.keepRefusal(refused)
+				return
+			}
+			e.reset()
+			continue
 		}
+		e.giveUp(refused)
+		return
 	}
 }
 
