--- a/internal/quotashare/cost_bench_test.go
+++ b/internal/quotashare/cost_bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"runtime"
+	"slices"
 	"strconv"
 	"testing"
 	"time"
@@ -109,6 +110,21 @@
 	return mean, most
 }
 
+// turns returns the median and the 90th percentile of the seconds since the
+// reports of contended workspaces.
+func (r *region) turns() (median, p90 float64) {
+	var ages []float64
+	for _, h := range r.holders {
+		for w := range r.contended {
+			if held := h.held[KeyOf(r.workspaces[w])]; held != nil {
+				ages = append(ages, r.now.Sub(held.asked).Seconds())
+			}
+		}
+	}
+	slices.Sort(ages)
+	return ages[len(ages)/2], ages[len(ages)*9/10]
+}
+
 func stats(values []float64, seconds float64) (mean, most float64) {
 	for _, v := range values {
 		mean += v / seconds / float64(len(values))
@@ -140,6 +156,9 @@
 				b.ReportMetric(most, "B/s-worst")
 				b.ReportMetric(calls, "calls/s")
 				b.ReportMetric(float64(took.Microseconds())/float64(600*size.nodes), "us/step")
+				median, p90 := r.turns()
+				b.ReportMetric(median, "s-turn-p50")
+				b.ReportMetric(p90, "s-turn-p90")
 				mean, most = r.sums()
 				b.ReportMetric(mean, "shares-mean")
 				b.ReportMetric(most, "shares-most")
