quotas: test that tokens are corrected at the answer's end

Cause: only the buckets' own tests covered the correction.

Change: a whole-path test with an answer much longer than the mean so far, whole and streamed.

--- a/internal/embedded/quota_test.go
+++ b/internal/embedded/quota_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/standin/engine"
 )
 
 const (
@@ -145,3 +146,30 @@
 	}
 	return n
 }
+
+// TestTokensAreCorrectedAtTheEnd has the workspace's mean answer learned from a
+// short one and then sends requests for long ones: they are let through by the
+// mean, but what they used is counted, so that few fit.
+func TestTokensAreCorrectedAtTheEnd(t *testing.T) {
+	const short, long, bucket, least, most = 5, 200, 300, 2, 4
+	quota := map[string]config.Quota{"tabkassza": {TokensPerSecond: 0.1, Burst: bucket * 10}}
+	for _, stream := range []bool{false, true} {
+		t.Run(fmt.Sprint("stream=", stream), func(t *testing.T) {
+			d := startWith(t, Options{Nodes: 1, Quotas: quota, Engine: engine.Options{Speed: 10}})
+			ask := func(tokens int) answered {
+				body := fmt.Sprintf(`{"model":"trestle-llm","stream":%v,"max_tokens":%d,"messages":[{"role":"user","content":"hi"}]}`, stream, tokens)
+				return send(t, d, "POST", "/v1/chat/completions", body, map[string]string{"Authorization": "Bearer " + TabKey})
+			}
+			if got := ask(short); got.status != http.StatusOK {
+				t.Fatalf("%d %s", got.status, got.body)
+			}
+			asked := 0
+			for asked <= most && ask(long).status == http.StatusOK {
+				asked++
+			}
+			if asked < least || asked > most {
+				t.Errorf("%d answers of %d tokens fit into %d, want %d to %d", asked, long, bucket, least, most)
+			}
+		})
+	}
+}
