--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -100,7 +100,7 @@
 func (n *Node) newRequest(key Key, content Fingerprint) BeginRequest {
 	return BeginRequest{
 		Key: key, Content: content, Attempt: uuid.New(),
-		Node: n.options.View.Self().Name, Boot: n.boot,
+		Node: processNode(n.options.View.Self()), Boot: n.boot,
 	}
 }
 
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -42,6 +42,7 @@
 		return
 	}
 	e := &exchange{server: s, call: c, completion: p}
+	e.elsewhere = func() bool { return s.elsewhere(w, r, c, p.upstream.Name, body) }
 	defer func() { use.settle(e) }()
 	e.sink = e.sinkFor(w)
 	e.open()
