--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	setQuotas(document, d.options.Quotas)
 	for i := range d.options.Nodes {
 		n, err := d.newNode(i)
 		if err != nil {
@@ -78,22 +79,24 @@
 	if err != nil {
 		return nil, err
 	}
-	link, err := listen(0, 0)
+	link, err := d.options.peer(len(d.links))
 	if err != nil {
 		return nil, err
 	}
-	name := fmt.Sprintf("vm-%d", i)
+	name := d.options.nodeName(i)
 	client := newPlatformClient(d.standins.platformAddress)
 	d.setClient(i, client)
 	options := node.Options{
 		Name:             name,
 		AvailabilityZone: zoneOf(i, d.options),
 		Region:           "region-0",
-		DataCentre:       "data-centre-0",
+		DataCentre:       d.options.DataCentre,
+		Counterparts:     d.options.Counterparts,
+		Home:             d.options.home,
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
-		ShareSlots:       d.options.ShareSlots,
+		OwnSlots:         d.options.OwnSlots,
 		Store:            client.store,
 		Instances:        client.store,
 		Operators:        []settings.Operator{{Name: OperatorName, KeySHA256: config.HashKey(OperatorKey)}},
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 )
 
@@ -63,6 +62,12 @@
 	return refused
 }
 
+// hasMoved says that the upstream moved to another data centre while the
+// request waited for a replica here, and that nothing of it has run.
+func hasMoved(refused *refusal.Error) bool {
+	return refused.Reason == refusal.Moving && refused.Step == stepGate && refused.Outcome == refusal.NotRun
+}
+
 // elsewhere answers a request whose upstream another data centre serves, or
 // that may not start here; it returns false for one to be served here.
 func (s *Server) elsewhere(w http.ResponseWriter, r *http.Request, c *call, upstream string, body []byte) bool {
@@ -81,7 +86,7 @@
 		}
 		refused := s.relayTo(ctx, w, r, relayTo, body)
 		if refused == nil {
-			c.story.Add(time.Now(), &explain.Relayed{Peer: relayTo})
+			s.endRelayed(c, relayTo)
 			return true
 		}
 		if refused.Outcome != refusal.NotRun || pause(ctx, relayPause) != nil {
@@ -138,6 +143,7 @@
 	for {
 		n, err := from.Read(buffer)
 		if n > 0 {
+			giveTime(w, n)
 			if _, err := w.Write(buffer[:n]); err != nil {
 				return err
 			}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -22,6 +22,8 @@
 	// rule is the rule by which the call may not be repeated, nil for none.
 	rule *config.Rule
 	wire upstream.ServiceCall
+	// counted says that the workspace's quota has the request.
+	counted bool
 }
 
 // service answers ANY /services/{upstream}/{path...}.
@@ -37,12 +39,13 @@
 		s.refuseCall(w, c, err)
 		return
 	}
-	if s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
-		return
-	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.giveUpAt)
 	defer cancel()
-	s.serveCall(ctx, w, sc)
+	for !s.elsewhere(w, r, c, sc.upstream.Name, sc.wire.Body) {
+		if s.serveCall(ctx, w, sc) {
+			return
+		}
+	}
 }
 
 // parseService checks a call of a plain service.
@@ -79,23 +82,37 @@
 }
 
 // serveCall runs the call, at most once where it may not be repeated, and
-// answers.
-func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
+// answers. It returns false, without an answer, for one without a claim whose
+// upstream moved away while it waited.
+func (s *Server) serveCall(ctx context.Context, w http.ResponseWriter, sc *serviceCall) bool {
 	if sc.rule != nil && sc.call.idempotencyKey != "" {
 		s.serveClaimed(ctx, w, sc)
-		return
+		return true
 	}
-	if err := s.useRequest(sc.call); err != nil {
+	if err := s.countRequest(sc); err != nil {
 		s.refuse(w, err)
-		return
+		return true
 	}
 	served, refused := s.callUntilRun(ctx, sc)
+	if refused != nil && hasMoved(refused) {
+		return false
+	}
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(served.attempts))
 		s.refuseCall(w, sc.call, refused)
-		return
+		return true
 	}
 	s.answerService(w, sc, served)
+	return true
+}
+
+// countRequest takes the call from its workspace's quota, once.
+func (s *Server) countRequest(sc *serviceCall) error {
+	if sc.counted {
+		return nil
+	}
+	sc.counted = true
+	return s.useRequest(sc.call)
 }
 
 // served is how a call of a plain service came to its end.
@@ -226,6 +243,7 @@
 	}
 	header.Set(headerUpstream, sc.upstream.Name+"/"+done.replica)
 	header.Set(headerAttempts, strconv.Itoa(done.attempts))
+	giveTime(w, len(done.answer.Body))
 	w.WriteHeader(done.answer.Status)
 	_, _ = w.Write(done.answer.Body)
 }
--- a/internal/scheduler/queue_test.go
+++ b/internal/scheduler/queue_test.go
@@ -118,3 +118,52 @@
 		}
 	}
 }
+
+// While one class's burst makes some of its requests late, a workspace of
+// another class of the tier gets its share; slack decides while none is late.
+func TestBurstOfAClassLeavesTheOthersOfItsTierTheirShare(t *testing.T) {
+	for _, test := range []struct {
+		name string
+		late bool
+		want string
+	}{
+		{"none late", false, "bbbbs"},
+		{"one late", true, "bsbbb"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			q := newTestQueue()
+			q.SetClass(Class{Name: "other", Tier: 0})
+			for i := range 4 {
+				q.Push(start, "high", newItem("b", "burst", time.Minute+time.Duration(i)))
+			}
+			q.Push(start, "other", newItem("s", "steady", 2*time.Minute))
+			if test.late {
+				q.Push(start, "high", newItem("l", "burst", -time.Second))
+			}
+			got := ""
+			for range 5 {
+				got += q.Pop(start, 4).Value
+			}
+			if got != test.want {
+				t.Errorf("order = %s, want %s", got, test.want)
+			}
+		})
+	}
+}
+
+func TestEarliestIsThatOfTheMostUrgent(t *testing.T) {
+	q := newTestQueue()
+	if got := q.Earliest("high"); !got.IsZero() {
+		t.Errorf("of an empty class: %v, want none", got)
+	}
+	q.Push(start, "high", newItem("a", "w", time.Minute))
+	urgent := newItem("b", "w", 2*time.Second)
+	urgent.Arrived = start.Add(-time.Second)
+	q.Push(start, "high", urgent)
+	for _, now := range []time.Time{start, start.Add(3 * time.Second)} {
+		q.first(now)
+		if got := q.Earliest("high"); !got.Equal(urgent.Latest) {
+			t.Errorf("at %v: %v, want %v", now.Sub(start), got, urgent.Latest)
+		}
+	}
+}
