handover, drain: records are bounded, crashed VMs are named, other regions are asked

Cause: records of finished moves were kept for ever; a VM that crashed stayed registered and made moves wait without status naming it; drains asked the nodes of one region alone.

Change: the driver removes an abandoned record after an hour, and a done one once a later move of the same set is done, never while its plan is not final. A target that is ready without parts abandons a move that the source does not know any more. trestlectl status lists VMs that are registered and no members, with what to do. Work in flight is asked of the other regions through a contact each; a region without an answer keeps a drain waiting and is a risk in a plan. With other regions known, status names no absent VMs: it can't tell them apart.

Left: the driver of moves reaches the nodes of its own region only.

--- a/internal/command/trestlectl/status.go
+++ b/internal/command/trestlectl/status.go
@@ -33,6 +33,9 @@
 	}
 	nodes.flush()
 	leases := console.table("LEASE", "HOLDER", "EPOCH")
+	for _, name := range status.GetAbsent() {
+		console.printf("VM %s  absent: it crashed or is cut off; moves between data centres wait for it; start it again or, if it is off for good: trestlectl intent propose declare dead %s\n", name, name)
+	}
 	for _, lease := range status.GetLeases() {
 		leases.row(lease.GetName(), lease.GetHolder(), lease.GetEpoch())
 	}
--- a/internal/drain/client.go
+++ b/internal/drain/client.go
@@ -26,11 +26,18 @@
 // Client calls the nodes.
 type Client struct {
 	dialer  Dialer
-	members membership.View
+	members Members
+}
+
+// Members are the nodes that can be asked.
+type Members interface {
+	membership.View
+	// Regions returns the other regions.
+	Regions() []membership.Region
 }
 
 // NewClient returns a Client of the members' nodes.
-func NewClient(dialer Dialer, members membership.View) *Client {
+func NewClient(dialer Dialer, members Members) *Client {
 	return &Client{dialer: dialer, members: members}
 }
 
@@ -42,7 +49,7 @@
 	Err  error
 }
 
-// All asks all members at once; the answers are in the members' order.
+// All asks all members of this region at once; the answers are in the members' order.
 func (c *Client) All(ctx context.Context) []Answer {
 	members := c.members.Members()
 	answers := make([]Answer, len(members))
--- a/internal/drain/drainplan/replica.go
+++ b/internal/drain/drainplan/replica.go
@@ -38,7 +38,7 @@
 		err := a.marker.MarkLeaving(ctx, in.Upstream, in.Replica, true, task.Plan.Operator)
 		return intent.Progress{Done: err == nil}, err
 	}
-	for _, answer := range a.nodes.All(ctx) {
+	for _, answer := range a.nodes.Everywhere(ctx) {
 		if answer.Err != nil {
 			return intent.Progress{}, answer.Err
 		}
--- a/internal/drain/local.go
+++ b/internal/drain/local.go
@@ -10,6 +10,8 @@
 type Local interface {
 	// Work returns what the node has in flight.
 	Work() *drainv1.GetWorkResponse
+	// RegionWork returns the work of the region's nodes.
+	RegionWork(ctx context.Context) *drainv1.GetRegionWorkResponse
 	// Withdraw takes the node out of the entries and has its duties handed on;
 	// it does not wait for that.
 	Withdraw()
--- a/internal/drain/service.go
+++ b/internal/drain/service.go
@@ -25,6 +25,11 @@
 	return connect.NewResponse(s.local.Work()), nil
 }
 
+// GetRegionWork implements the service.
+func (s service) GetRegionWork(ctx context.Context, _ *connect.Request[drainv1.GetRegionWorkRequest]) (*connect.Response[drainv1.GetRegionWorkResponse], error) {
+	return connect.NewResponse(s.local.RegionWork(ctx)), nil
+}
+
 // Withdraw implements the service.
 func (s service) Withdraw(context.Context, *connect.Request[drainv1.WithdrawRequest]) (*connect.Response[drainv1.WithdrawResponse], error) {
 	s.local.Withdraw()
--- a/internal/embedded/drain_test.go
+++ b/internal/embedded/drain_test.go
@@ -1,16 +1,9 @@
 package embedded
 
 import (
-	"bytes"
 	"context"
-	"io"
-	"math/rand/v2"
-	"net/http"
 	"slices"
-	"strconv"
 	"strings"
-	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -21,6 +14,7 @@
 	drainv1 "galenatrestle/internal/gen/trestle/drain/v1"
 	"galenatrestle/internal/gen/trestle/drain/v1/drainv1connect"
 	operatorv1 "galenatrestle/internal/gen/trestle/operator/v1"
+	"galenatrestle/internal/handover"
 	"galenatrestle/internal/intent"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/standin/engine"
@@ -96,61 +90,6 @@
 	return plan
 }
 
-// callers ask entries of /entries, read anew for each request, until stopped.
-type callers struct {
-	answered atomic.Int64
-	stop     context.CancelFunc
-	running  sync.WaitGroup
-}
-
-func startCallers(t *testing.T, d *Deployment, number int) *callers {
-	asking, stop := context.WithCancel(t.Context())
-	c := &callers{stop: stop}
-	for range number {
-		c.running.Go(func() {
-			for asking.Err() == nil {
-				entries := entriesAt(t, d, 0).Entries
-				entry := entries[rand.IntN(len(entries))].Address
-				status, text, err := chatAt(t.Context(), entry, 4)
-				if t.Context().Err() != nil {
-					return
-				}
-				if err != nil || status != http.StatusOK {
-					t.Errorf("request at %s: %d %s %v", entry, status, text, err)
-					return
-				}
-				c.answered.Add(1)
-			}
-		})
-	}
-	return c
-}
-
-// await returns after n more requests were answered.
-func (c *callers) await(t *testing.T, n int64) {
-	t.Helper()
-	until := c.answered.Load() + n
-	eventually(t, "more answers", func() bool { return c.answered.Load() >= until || t.Failed() })
-}
-
-// chatAt sends one chat that is answered whole.
-func chatAt(ctx context.Context, entry string, tokens int) (int, string, error) {
-	body := []byte(`{"model":"trestle-llm","max_tokens":` + strconv.Itoa(tokens) + `,"messages":[{"role":"user","content":"torque"}]}`)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+"/v1/chat/completions", bytes.NewReader(body))
-	if err != nil {
-		return 0, "", err
-	}
-	request.Header.Set("Authorization", "Bearer "+PrairieKey)
-	request.Header.Set("Trestle-Class", "counter")
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return 0, "", err
-	}
-	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
-	return response.StatusCode, string(text), err
-}
-
 // TestDrainsUnderLoadCutNothing drains a replica, then the VM that carries out
 // the plans, while callers go on: each request is answered by one run.
 func TestDrainsUnderLoadCutNothing(t *testing.T) {
@@ -230,6 +169,33 @@
 	eventually(t, "the drain's end", look(func() bool { return plan.State == intent.StateDone }))
 }
 
+// TestStatusNamesACrashedVM kills a VM: it stays registered, which status says
+// until it is declared dead.
+func TestStatusNamesACrashedVM(t *testing.T) {
+	d := startWith(t, Options{Nodes: 3, Engines: 1, Services: 1})
+	const killed = 1
+	dutyHolder(t, d)
+	name := d.Nodes[killed].Name()
+	registered := func() bool {
+		_, err := d.Platform().Get(t.Context(), handover.NodePrefix+name)
+		return err == nil
+	}
+	eventually(t, "the registration", registered)
+	d.Kill(killed)
+	absent := func() []string {
+		status, err := operatorOf(d).GetStatus(t.Context(), connect.NewRequest(&operatorv1.GetStatusRequest{}))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return status.Msg.GetAbsent()
+	}
+	eventually(t, "the killed VM is absent", func() bool { return slices.Equal(absent(), []string{name}) })
+	endOfPlan(t, d, beginPlan(t, d, "declare-vm-dead", map[string]string{"vm": name}).GetId())
+	if names := absent(); len(names) != 0 {
+		t.Errorf("%v are absent after the declaration", names)
+	}
+}
+
 // TestAbandonedDrainServesAgain abandons the drain of the VM that carries out
 // plans: it returns to the entries and takes duties again.
 func TestAbandonedDrainServesAgain(t *testing.T) {
--- a/internal/gen/trestle/drain/v1/drainv1connect/drain.connect.go
+++ b/internal/gen/trestle/drain/v1/drainv1connect/drain.connect.go
@@ -35,6 +35,9 @@
 const (
 	// DrainServiceGetWorkProcedure is the fully-qualified name of the DrainService's GetWork RPC.
 	DrainServiceGetWorkProcedure = "/trestle.drain.v1.DrainService/GetWork"
+	// DrainServiceGetRegionWorkProcedure is the fully-qualified name of the DrainService's
+	// GetRegionWork RPC.
+	DrainServiceGetRegionWorkProcedure = "/trestle.drain.v1.DrainService/GetRegionWork"
 	// DrainServiceWithdrawProcedure is the fully-qualified name of the DrainService's Withdraw RPC.
 	DrainServiceWithdrawProcedure = "/trestle.drain.v1.DrainService/Withdraw"
 	// DrainServiceRestoreProcedure is the fully-qualified name of the DrainService's Restore RPC.
@@ -47,6 +50,8 @@
 type DrainServiceClient interface {
 	// GetWork returns what the node has in flight.
 	GetWork(context.Context, *connect.Request[v1.GetWorkRequest]) (*connect.Response[v1.GetWorkResponse], error)
+	// GetRegionWork returns the work of all nodes of the answering node's region.
+	GetRegionWork(context.Context, *connect.Request[v1.GetRegionWorkRequest]) (*connect.Response[v1.GetRegionWorkResponse], error)
 	// Withdraw takes the node out of the entries and hands its duties on. It
 	// answers at once; GetWork tells how far it is.
 	Withdraw(context.Context, *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error)
@@ -74,6 +79,12 @@
 			connect.WithSchema(drainServiceMethods.ByName("GetWork")),
 			connect.WithClientOptions(opts...),
 		),
+		getRegionWork: connect.NewClient[v1.GetRegionWorkRequest, v1.GetRegionWorkResponse](
+			httpClient,
+			baseURL+DrainServiceGetRegionWorkProcedure,
+			connect.WithSchema(drainServiceMethods.ByName("GetRegionWork")),
+			connect.WithClientOptions(opts...),
+		),
 		withdraw: connect.NewClient[v1.WithdrawRequest, v1.WithdrawResponse](
 			httpClient,
 			baseURL+DrainServiceWithdrawProcedure,
@@ -97,10 +108,11 @@
 
 // drainServiceClient implements DrainServiceClient.
 type drainServiceClient struct {
-	getWork  *connect.Client[v1.GetWorkRequest, v1.GetWorkResponse]
-	withdraw *connect.Client[v1.WithdrawRequest, v1.WithdrawResponse]
-	restore  *connect.Client[v1.RestoreRequest, v1.RestoreResponse]
-	getFree  *connect.Client[v1.GetFreeRequest, v1.GetFreeResponse]
+	getWork       *connect.Client[v1.GetWorkRequest, v1.GetWorkResponse]
+	getRegionWork *connect.Client[v1.GetRegionWorkRequest, v1.GetRegionWorkResponse]
+	withdraw      *connect.Client[v1.WithdrawRequest, v1.WithdrawResponse]
+	restore       *connect.Client[v1.RestoreRequest, v1.RestoreResponse]
+	getFree       *connect.Client[v1.GetFreeRequest, v1.GetFreeResponse]
 }
 
 // GetWork calls trestle.drain.v1.DrainService.GetWork.
@@ -108,6 +120,11 @@
 	return c.getWork.CallUnary(ctx, req)
 }
 
+// GetRegionWork calls trestle.drain.v1.DrainService.GetRegionWork.
+func (c *drainServiceClient) GetRegionWork(ctx context.Context, req *connect.Request[v1.GetRegionWorkRequest]) (*connect.Response[v1.GetRegionWorkResponse], error) {
+	return c.getRegionWork.CallUnary(ctx, req)
+}
+
 // Withdraw calls trestle.drain.v1.DrainService.Withdraw.
 func (c *drainServiceClient) Withdraw(ctx context.Context, req *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error) {
 	return c.withdraw.CallUnary(ctx, req)
@@ -127,6 +144,8 @@
 type DrainServiceHandler interface {
 	// GetWork returns what the node has in flight.
 	GetWork(context.Context, *connect.Request[v1.GetWorkRequest]) (*connect.Response[v1.GetWorkResponse], error)
+	// GetRegionWork returns the work of all nodes of the answering node's region.
+	GetRegionWork(context.Context, *connect.Request[v1.GetRegionWorkRequest]) (*connect.Response[v1.GetRegionWorkResponse], error)
 	// Withdraw takes the node out of the entries and hands its duties on. It
 	// answers at once; GetWork tells how far it is.
 	Withdraw(context.Context, *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error)
@@ -150,6 +169,12 @@
 		connect.WithSchema(drainServiceMethods.ByName("GetWork")),
 		connect.WithHandlerOptions(opts...),
 	)
+	drainServiceGetRegionWorkHandler := connect.NewUnaryHandler(
+		DrainServiceGetRegionWorkProcedure,
+		svc.GetRegionWork,
+		connect.WithSchema(drainServiceMethods.ByName("GetRegionWork")),
+		connect.WithHandlerOptions(opts...),
+	)
 	drainServiceWithdrawHandler := connect.NewUnaryHandler(
 		DrainServiceWithdrawProcedure,
 		svc.Withdraw,
@@ -172,6 +197,8 @@
 		switch r.URL.Path {
 		case DrainServiceGetWorkProcedure:
 			drainServiceGetWorkHandler.ServeHTTP(w, r)
+		case DrainServiceGetRegionWorkProcedure:
+			drainServiceGetRegionWorkHandler.ServeHTTP(w, r)
 		case DrainServiceWithdrawProcedure:
 			drainServiceWithdrawHandler.ServeHTTP(w, r)
 		case DrainServiceRestoreProcedure:
@@ -191,6 +218,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.drain.v1.DrainService.GetWork is not implemented"))
 }
 
+func (UnimplementedDrainServiceHandler) GetRegionWork(context.Context, *connect.Request[v1.GetRegionWorkRequest]) (*connect.Response[v1.GetRegionWorkResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.drain.v1.DrainService.GetRegionWork is not implemented"))
+}
+
 func (UnimplementedDrainServiceHandler) Withdraw(context.Context, *connect.Request[v1.WithdrawRequest]) (*connect.Response[v1.WithdrawResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.drain.v1.DrainService.Withdraw is not implemented"))
 }
--- a/internal/handover/driver.go
+++ b/internal/handover/driver.go
@@ -31,10 +31,13 @@
 	Nodes        Nodes
 	Claims       ClaimMover
 	Preparer     Preparer
-	Timing       Timing
-	Metrics      *Metrics
-	Log          logrus.FieldLogger
-	Now          func() time.Time
+	// ActivePlans returns the ids of the plans that are not final; their moves'
+	// records are kept. Nil keeps all records.
+	ActivePlans func(ctx context.Context) ([]string, error)
+	Timing      Timing
+	Metrics     *Metrics
+	Log         logrus.FieldLogger
+	Now         func() time.Time
 }
 
 // Driver carries out this side's part of all moves. One process at a time runs
@@ -141,7 +144,7 @@
 		}
 		failed = errors.Join(failed, d.drive(ctx, m, epoch))
 	}
-	return failed
+	return errors.Join(failed, d.tidy(ctx, moves))
 }
 
 func (d *Driver) drive(ctx context.Context, m Move, epoch int64) error {
--- a/internal/handover/driver_target.go
+++ b/internal/handover/driver_target.go
@@ -69,6 +69,11 @@
 	switch {
 	case receipt.Phase == PhaseAbandoned && m.Phase == PhaseReady:
 		said.Kind = MessageAbandon
+	case receipt.Reason == RefusedUnknown && m.Phase == PhaseReady:
+		// A source keeps the record of each move that it has offered, until
+		// long after the move was abandoned.
+		said.Kind = MessageAbandon
+		said.Reason = "the source knows the move no more"
 	case receipt.Phase == PhaseDone && m.Phase == PhaseOpen:
 		said.Kind = MessageDone
 	default:
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -31,7 +31,7 @@
 
 // newDrains creates the part and mounts its handler on the peer listener.
 func newDrains(n *Node) *drains {
-	d := &drains{node: n, client: drain.NewClient(linkDialer{n.peers}, n.members.runner)}
+	d := &drains{node: n, client: drain.NewClient(linkDialer{n.peers}, withRegions{n.members.runner})}
 	n.peers.server.Mount(drain.NewHandler(d))
 	return d
 }
@@ -116,6 +116,11 @@
 	d.node.moves.takeUp()
 }
 
+// RegionWork implements drain.Local.
+func (d *drains) RegionWork(ctx context.Context) *drainv1.GetRegionWorkResponse {
+	return d.client.RegionWork(ctx)
+}
+
 // Free implements drain.Local.
 func (d *drains) Free(ctx context.Context, upstreams []string) (float64, error) {
 	index := d.node.config.Load()
@@ -130,7 +135,7 @@
 		}
 		free += intent.Slots(*u)
 	}
-	for _, answer := range d.client.All(ctx) {
+	for _, answer := range d.client.Everywhere(ctx) {
 		if answer.Err != nil {
 			return 0, answer.Err
 		}
--- a/internal/node/moves.go
+++ b/internal/node/moves.go
@@ -84,6 +84,7 @@
 	if err != nil {
 		return err
 	}
+	plans := intent.NewStore(o.Store, noBases{}, uuid.NewString, time.Now)
 	store := handover.NewMoveStore(o.Store, uuid.NewString)
 	nodes := handover.NewNodeClient(linkDialer{link}, addressOf(members), func() []string { return otherPeers(members) })
 	m.store = store
@@ -94,15 +95,16 @@
 		Store: store, Address: o.PeerAddress, DataCentre: o.DataCentre, RelayAddress: o.EntryAddress,
 		Peer: handover.NewCounterparts(linkDialer{link}, o.Counterparts), Nodes: nodes,
 		Claims: noClaims{}, Preparer: readiness{configuration: configuration, work: m.work, sender: sender},
-		Timing: timing, Metrics: metrics, Log: o.Log, Now: time.Now,
+		ActivePlans: plans.Active,
+		Timing:      timing, Metrics: metrics, Log: o.Log, Now: time.Now,
 	})
 	link.server.Mount(handoverv1connect.NewHandoverServiceHandler(handover.NewService(receiver)))
 	link.server.Mount(handoverv1connect.NewNodeServiceHandler(handover.NewNodeService(m.gate, m.driver)))
-	return m.buildDuty(store, sender, members, configuration)
+	return m.buildDuty(store, plans, sender, members, configuration)
 }
 
 // buildDuty creates what runs under the lease.
-func (m *moves) buildDuty(store *handover.MoveStore, sender *order.Sender, members membership.View, configuration func() *config.Index) error {
+func (m *moves) buildDuty(store *handover.MoveStore, plans *intent.Store, sender *order.Sender, members membership.View, configuration func() *config.Index) error {
 	o := m.options
 	leaseMetrics, err := lease.NewMetrics(o.Registry)
 	if err != nil {
@@ -122,7 +124,6 @@
 	for _, kind := range orderplan.Kinds {
 		actors[kind] = orders
 	}
-	plans := intent.NewStore(o.Store, noBases{}, uuid.NewString, time.Now)
 	m.executor = intent.NewExecutor(plans, actors, intent.NewMetrics(o.Registry), o.Log)
 	callbacks := lease.Callbacks{
 		OnGained:  m.gained,
--- a/internal/node/moves_test.go
+++ b/internal/node/moves_test.go
@@ -39,6 +39,8 @@
 	index  *config.Index
 	links  []net.Listener
 	nodes  []*Node
+	// regions are the nodes' regions in turn. Default: the data centre's name.
+	regions []string
 }
 
 func newDataCentre(t *testing.T, name string) *dataCentre {
@@ -89,8 +91,12 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i, link := range d.links {
+		region := d.name
+		if i < len(d.regions) {
+			region = d.regions[i]
+		}
 		n := New(Options{
-			Name: fmt.Sprintf("%s-%d", d.name, i), AvailabilityZone: "z", Region: d.name, DataCentre: d.name,
+			Name: fmt.Sprintf("%s-%d", d.name, i), AvailabilityZone: "z", Region: region, DataCentre: d.name,
 			Entry: listenLoopback(t), Peer: link, Seeds: seeds, Store: d.kv, Instances: d.kv,
 			Counterparts: map[string][]string{other.name: urls},
 			Home:         func(string, string) bool { return home },
@@ -137,9 +143,12 @@
 }
 
 // ask sends one chat to the node and returns the response's status and body.
-func ask(n *Node, i int) (int, string, error) {
-	body := fmt.Sprintf(`{"model":%q,"max_tokens":8,"messages":[{"role":"user","content":"tab %d"}]}`, moveModel, i)
-	request, err := http.NewRequest(http.MethodPost, "http://"+n.EntryAddress()+"/v1/chat/completions", strings.NewReader(body))
+func ask(n *Node, i int) (int, string, error) { return askFor(context.Background(), n, i, 8) }
+
+// askFor sends one chat that is answered with the number of tokens.
+func askFor(ctx context.Context, n *Node, i, tokens int) (int, string, error) {
+	body := fmt.Sprintf(`{"model":%q,"max_tokens":%d,"messages":[{"role":"user","content":"tab %d"}]}`, moveModel, tokens, i)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+n.EntryAddress()+"/v1/chat/completions", strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -27,6 +29,7 @@
 		Planners:   []operator.Planner{operator.NewIntentPlanner(plans, n.sync.current, n.stats)},
 		Entries:    n.operatorEntries,
 		Inspector:  n.inspector,
+		Absent:     n.absent,
 		Operators:  n.options.Operators,
 		Log:        n.options.Log,
 		Registry:   n.options.Registry,
@@ -46,3 +49,19 @@
 	}
 	return entries, gateway.EntryTTLSeconds
 }
+
+// absent returns the registered VMs that are no members here.
+func (n *Node) absent(ctx context.Context) ([]string, error) {
+	if n.moves == nil || n.moves.store == nil || len(n.members.runner.View().Regions()) > 0 {
+		// The VMs of other regions are registered too, and not known by name.
+		return nil, nil
+	}
+	registered, err := n.moves.store.Nodes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(registered, func(name string) bool {
+		_, member := n.drains.client.Member(name)
+		return member
+	}), nil
+}
--- a/internal/node/readiness.go
+++ b/internal/node/readiness.go
@@ -135,7 +135,7 @@
 	for _, name := range wanted.Upstreams(index.Document()) {
 		load[name] = 0
 	}
-	for _, answer := range d.client.All(ctx) {
+	for _, answer := range d.client.Everywhere(ctx) {
 		if answer.Err != nil {
 			return nil, answer.Err
 		}
--- a/internal/node/stats.go
+++ b/internal/node/stats.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
 
@@ -16,15 +17,19 @@
 		Replicas: make(map[string]map[string]int),
 		Demand:   make(map[string]map[string]float64),
 	}
-	for _, answer := range n.drains.client.All(ctx) {
+	region := n.options.Region
+	for _, answer := range n.drains.client.Everywhere(ctx) {
 		vm := intent.VMStats{Load: answer.Member.Load}
 		if answer.Err != nil {
-			stats.Silent = append(stats.Silent, answer.Member.Name)
+			stats.Silent = append(stats.Silent, cmp.Or(answer.Member.Name, "region "+answer.Member.Region))
 		} else {
 			vm.InFlight = int(answer.Work.GetInFlight())
 			addWork(&stats, answer.Work)
 		}
-		stats.VMs[answer.Member.Name] = vm
+		if answer.Member.Region == region {
+			// A VM is drained by the nodes of its own region.
+			stats.VMs[answer.Member.Name] = vm
+		}
 	}
 	stats.Target.Slots = n.targetSlots(ctx, wanted)
 	return stats
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -29,6 +30,9 @@
 	// has none.
 	Entries   Entries
 	Inspector Inspector
+	// Absent returns the VMs that are registered to serve but are no members;
+	// nil where the node does not know.
+	Absent func(ctx context.Context) ([]string, error)
 	// Operators are those who may call.
 	Operators []settings.Operator
 	Log       logrus.FieldLogger
@@ -45,6 +49,7 @@
 	planners   []Planner
 	entries    Entries
 	inspector  Inspector
+	absent     func(ctx context.Context) ([]string, error)
 }
 
 // NewHandler returns the service's path and handler for the ops listener.
@@ -56,6 +61,7 @@
 		view:       options.View,
 		entries:    options.Entries,
 		inspector:  options.Inspector,
+		absent:     options.Absent,
 	}
 	service.planners = append([]Planner{newConfigPlanner(options)}, options.Planners...)
 	guard := newGuard(options.Operators, newMetrics(options.Registry), options.Log)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -27,6 +27,13 @@
 		ConfigRevision: revision, InForceOn: int32(inForce), Platform: s.probe(ctx),
 	}
 	s.tellNodes(ctx, response)
+	if s.absent != nil && response.Platform == platformUp {
+		absent, err := s.absent(ctx)
+		if err != nil {
+			return nil, connect.NewError(connect.CodeUnavailable, err)
+		}
+		response.Absent = absent
+	}
 	return connect.NewResponse(response), nil
 }
 
