Claims: say not-run only where the key is known never to have run

Cause: a repeat in an outage was refused as claim_store_down with outcome not-run although an earlier request of its key may have run: its caller reads the answer for the call. A repeat of a call whose answer is no longer kept got the status and an empty body without being told why.

Change: a claim that could not be settled has outcome unknown. A replay whose answer is dropped carries Trestle-Body-Dropped: true.

--- a/internal/claim/doc.go
+++ b/internal/claim/doc.go
@@ -14,6 +14,6 @@
 // and the same records in the holders' memory.
 //
 // In a platform outage nothing new is claimed: Begin refuses with outcome
-// not-run. Verdicts that are already durable and known to the holder are still
+// not-run where the shard's holder knows that the key never ran, else unknown. Verdicts that are already durable and known to the holder are still
 // answered, and finished calls are recorded when the platform is back.
 package claim
--- a/internal/claim/fakecluster_test.go
+++ b/internal/claim/fakecluster_test.go
@@ -31,7 +31,16 @@
 
 func (t *fakeTenure) Epoch() int64          { return t.epoch }
 func (t *fakeTenure) Done() <-chan struct{} { return t.done }
-func (t *fakeTenure) stop()                 { t.once.Do(func() { close(t.done) }) }
+
+// Held implements Tenure: a holder's clock is right also where it was paused.
+func (t *fakeTenure) Held(time.Time) bool {
+	c := t.leases.cluster
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.tenures[t.name] == t
+}
+
+func (t *fakeTenure) stop() { t.once.Do(func() { close(t.done) }) }
 
 func (t *fakeTenure) Release(context.Context) error {
 	t.stop()
--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -23,7 +23,7 @@
 		case <-live.Done():
 		}
 	}()
-	if err := s.takeOver(live, tenure.Epoch(), holder); err != nil {
+	if err := s.takeOver(live, tenure, holder); err != nil {
 		return errs.Wrap(errs.Platform, err, stepTakeOver, shardPrefix(s.number))
 	}
 	err := s.writeAll(ctx, live)
@@ -32,13 +32,13 @@
 }
 
 // takeOver reads the ring and fences it by its first write.
-func (s *shard) takeOver(ctx context.Context, epoch int64, holder string) error {
+func (s *shard) takeOver(ctx context.Context, tenure Tenure, holder string) error {
 	prefix := shardPrefix(s.number)
 	entries, _, err := s.options.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
-	fresh, err := recoverRing(s.options.Policy, prefix, holder, epoch, entries)
+	fresh, err := recoverRing(s.options.Policy, prefix, holder, tenure.Epoch(), entries)
 	if err != nil {
 		return err
 	}
@@ -48,6 +48,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ring = fresh
+	s.tenure = tenure
 	s.holding = true
 	s.advance()
 	s.metrics.takeovers.Inc()
--- a/internal/claim/ledger.go
+++ b/internal/claim/ledger.go
@@ -5,9 +5,10 @@
 // Ledger is what the gateway needs: it asks before it sends an unrepeatable
 // call, and tells how the call ended.
 type Ledger interface {
-	// Begin claims the call. Every error is a *refusal.Error with outcome
-	// not-run: ClaimStoreDown when the claim could not be made durable in
-	// time, ClaimLedger when the ledger is full, IdempotencyReuse when the key
+	// Begin claims the call. Every error is a *refusal.Error. This request is
+	// then not sent; its outcome is not-run where no earlier request of the
+	// key has run either, else unknown: ClaimStoreDown when the claim could
+	// not be made durable in time, ClaimLedger when the ledger is full, IdempotencyReuse when the key
 	// was used with another content, IdempotencyNeeds or BadRequest for a key
 	// that cannot be claimed. Nothing may be sent unless the verdict is Run.
 	Begin(ctx context.Context, key Key, content Fingerprint) (Grant, error)
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -130,15 +130,18 @@
 	n.soon(FinishRequest{Key: request.Key, Attempt: request.Attempt, Phase: phaseReleased})
 }
 
-// gaveUp is the refusal of a claim that was not settled in time.
+// gaveUp is the refusal of a claim that was not settled in time. This request
+// was not sent, but no holder has said that no earlier one of its key was: its
+// caller reads the answer for the call, so that it must be unknown.
 func gaveUp(caller context.Context, cause error) *refusal.Error {
 	if errors.Is(caller.Err(), context.Canceled) {
 		refused := refusal.New(refusal.CallerGone, stepClaim, "the caller went away before the call was claimed")
-		refused.Cause = cause
+		refused.Outcome, refused.Cause = refusal.Unknown, cause
 		return refused
 	}
-	refused := refusal.New(refusal.ClaimStoreDown, stepClaim, "the call could not be claimed in time and was not sent")
-	refused.Cause = cause
+	refused := refusal.New(refusal.ClaimStoreDown, stepClaim,
+		"the call could not be claimed in time; it was not sent now, an earlier request with its key may have run")
+	refused.Outcome, refused.Cause = refusal.Unknown, cause
 	refused.RetryAfter = retryAfter
 	return refused
 }
@@ -149,7 +152,8 @@
 	fullRetryAfter = 30 * time.Second
 )
 
-// refusedBy is the refusal that the holder gave.
+// refusedBy is the refusal that the holder gave. It knows all claims of the
+// shard: where it refuses a new one, no earlier request of the key has run.
 func refusedBy(reason refusal.Reason, key Key) *refusal.Error {
 	switch reason {
 	case refusal.IdempotencyReuse:
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -29,6 +29,8 @@
 	// holding says that the ring takes changes; else it only answers what is
 	// durable and final.
 	holding bool
+	// tenure is the one that this node holds or held the shard in.
+	tenure Tenure
 	// stuck says that the write under way has failed stuckTries times.
 	stuck bool
 	// progress is closed and replaced whenever something became durable or
@@ -96,6 +98,9 @@
 	if err != nil {
 		return Decision{}, errUncertain
 	}
+	if refusesNew(decision) && !s.heldNow(current) {
+		return Decision{}, errNotHolder
+	}
 	if number == 0 || decision.Refused != "" {
 		return decision, nil
 	}
@@ -111,6 +116,20 @@
 	return Decision{}, err
 }
 
+// refusesNew says whether the decision tells that no earlier request of the key
+// has run, which only the shard's one holder knows.
+func refusesNew(decision Decision) bool {
+	return decision.Refused == refusal.ClaimStoreDown || decision.Refused == refusal.ClaimLedger
+}
+
+// heldNow says that the ring knew all claims of the shard until now: another
+// holder takes over only when the tenure is past by this one's clock.
+func (s *shard) heldNow(current *ring) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.holding && s.ring == current && s.tenure.Held(time.Now())
+}
+
 // remembered answers what was known when the shard was last held here: what was
 // durable, and in progress for what was not. It is told only where no holder
 // can be asked, as in a platform outage, and gives no right to run.
--- a/internal/claim/tenure.go
+++ b/internal/claim/tenure.go
@@ -1,6 +1,9 @@
 package claim
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // Tenure is one grant of a shard's lease.
 type Tenure interface {
@@ -9,6 +12,9 @@
 	// Done is closed when the holder must stop, well before the lease ends by
 	// the holder's monotonic clock.
 	Done() <-chan struct{}
+	// Held tells whether the tenure may be acted on at now, exact also where
+	// Done is not closed yet, as directly after a pause.
+	Held(now time.Time) bool
 	// Release gives the lease up. It is safe to call after Done.
 	Release(ctx context.Context) error
 }
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -18,6 +18,9 @@
 	// recorded; the ledger goes on recording it in the background.
 	finishTimeout = 2 * time.Second
 	headerReplay  = "Trestle-Replayed"
+	// headerBodyDropped says that the call ran and that its answer is no longer
+	// kept: the status is the one of the run, the body is empty.
+	headerBodyDropped = "Trestle-Body-Dropped"
 )
 
 // serveClaimed runs an unrepeatable call at most once: claim, call, record.
@@ -100,6 +103,9 @@
 	header.Set(headerReplay, "true")
 	header.Set(headerUpstream, sc.upstream.Name)
 	header.Set(headerAttempts, "0")
+	if answer.BodyDropped {
+		header.Set(headerBodyDropped, "true")
+	}
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
--- /dev/null
+++ b/internal/gateway/claimed_test.go
@@ -0,0 +1,44 @@
+package gateway
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"galenatrestle/internal/claim"
+	"galenatrestle/internal/config"
+	"galenatrestle/internal/refusal"
+)
+
+// TestReplay answers a repeat with the answer, and with the status alone where
+// the answer is no longer kept.
+func TestReplay(t *testing.T) {
+	cases := map[string]struct {
+		answer  claim.Answer
+		dropped string
+	}{
+		"kept":    {claim.Answer{Status: 201, Header: http.Header{"Content-Type": {"text/plain"}}, Body: []byte("done")}, ""},
+		"dropped": {claim.Answer{Status: 201, BodyDropped: true}, "true"},
+	}
+	for name, test := range cases {
+		recorder := httptest.NewRecorder()
+		sc := &serviceCall{upstream: &config.Upstream{Name: "member-ledger"}}
+		(&Server{}).replay(recorder, sc, test.answer)
+		got := recorder.Result()
+		if got.StatusCode != 201 || recorder.Body.String() != string(test.answer.Body) {
+			t.Errorf("%s: got %d %q", name, got.StatusCode, recorder.Body)
+		}
+		if got.Header.Get(headerReplay) != "true" || got.Header.Get(headerBodyDropped) != test.dropped {
+			t.Errorf("%s: got header %v", name, got.Header)
+		}
+	}
+}
+
+// TestNoLedgerIsUnknown does not say not-run of a key that another node may
+// have run.
+func TestNoLedgerIsUnknown(t *testing.T) {
+	_, err := noLedger{}.Begin(t.Context(), claim.Key{}, claim.Fingerprint{})
+	if got := refusal.From(err); got.Outcome != refusal.Unknown || got.Reason != refusal.ClaimStoreDown {
+		t.Errorf("got %v", got)
+	}
+}
--- a/internal/gateway/noledger.go
+++ b/internal/gateway/noledger.go
@@ -13,7 +13,10 @@
 
 // Begin implements claim.Ledger.
 func (noLedger) Begin(context.Context, claim.Key, claim.Fingerprint) (claim.Grant, error) {
-	return claim.Grant{}, refusal.New(refusal.ClaimStoreDown, "claim", "this node has no platform to record the call in")
+	refused := refusal.New(refusal.ClaimStoreDown, "claim", "this node has no platform to record the call in")
+	// Another node may have one, and have run an earlier request of the key.
+	refused.Outcome = refusal.Unknown
+	return claim.Grant{}, refused
 }
 
 // Finish implements claim.Ledger; nothing was ever begun.
