--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -11,6 +12,7 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
 
 	"galenatrestle/internal/claim"
 	"galenatrestle/internal/lease"
@@ -133,6 +135,7 @@
 	table := membership.NewTable(self, membership.Settings{}, rand.New(rand.NewPCG(1, 1)), time.Now())
 	l.node, err = claim.NewNode(claim.Options{
 		Policy: policy, Store: l.store, Leases: claimLeases{source}, View: table.Snapshot(), Random: rand.New(rand.NewPCG(1, 2)),
+		BeginTimeout: patience, CallTimeout: patience, Log: silentLog(),
 	})
 	if err != nil {
 		return nil, err
@@ -155,6 +158,17 @@
 	return term, nil
 }
 
+// patience keeps a loaded machine from failing a measurement: no figure comes
+// from these timeouts.
+const patience = time.Minute
+
+// silentLog drops the warnings of a ledger that is filled on purpose.
+func silentLog() logrus.FieldLogger {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return log
+}
+
 // errNoLedger says that no claim could be made.
 var errNoLedger = errors.New("capacity: the ledger took no claim")
 
