Call an attempt an attempt and a request's log its timeline

Cause: read as a newcomer, package gateway's lane and package explain's story were words of our own; the field says attempt and timeline. Change: names and files only. Measured: the packages' tests pass as before.

--- a/internal/embedded/explain_test.go
+++ b/internal/embedded/explain_test.go
@@ -20,34 +20,34 @@
 	return response.Msg.GetDecisions(), nil
 }
 
-func decisionsOf(story []*operatorv1.Decision) []string {
+func decisionsOf(timeline []*operatorv1.Decision) []string {
 	var decisions []string
-	for _, d := range story {
+	for _, d := range timeline {
 		decisions = append(decisions, d.GetDecision())
 	}
 	return decisions
 }
 
 // TestExplainAtAnotherNode breaks a request's first attempt, asks another node
-// than the request's for the story, and then ends the node that had it.
+// than the request's for the timeline, and then ends the node that had it.
 func TestExplainAtAnotherNode(t *testing.T) {
 	d := startWith(t, Options{})
 	switchAll(t, d, fault.Spec{Kind: fault.CrashMidAnswer})
 	body := `{"model":"trestle-llm","max_tokens":6,"messages":[{"role":"user","content":"` + prompt + `"}]}`
 	stream := openStream(t, d, 1, "POST", "/v1/chat/completions", body, nil)
 	id := stream.response.Header.Get("Trestle-Request-Id")
-	story, err := explain(d, id)
+	timeline, err := explain(d, id)
 	if err != nil {
 		t.Fatal(err)
 	}
-	decisions := decisionsOf(story)
+	decisions := decisionsOf(timeline)
 	for _, want := range []string{"received", "attempt 1 bound", "attempt 1 started", "attempt 1 ended without a whole answer", "attempt 2 bound"} {
 		if !slices.Contains(decisions, want) {
 			t.Errorf("no %q in %q", want, decisions)
 		}
 	}
 	if last := decisions[len(decisions)-1]; !strings.HasPrefix(last, "answered") && !strings.HasPrefix(last, "refused") {
-		t.Errorf("the story ends with %q", last)
+		t.Errorf("the timeline ends with %q", last)
 	}
 	d.Kill(1)
 	_, err = explain(d, id)
@@ -55,7 +55,7 @@
 		t.Errorf("after its node's end: %v", err)
 	}
 	if !strings.Contains(err.Error(), "memory") {
-		t.Errorf("%v does not say that the story was in the node's memory", err)
+		t.Errorf("%v does not say that the timeline was in the node's memory", err)
 	}
 }
 
--- a/internal/explain/recorder.go
+++ b/internal/explain/recorder.go
@@ -10,11 +10,11 @@
 
 const (
 	shardCount = 16
-	// DefaultMaxBytes bounds all stories of a node.
+	// DefaultMaxBytes bounds all timelines of a node.
 	DefaultMaxBytes = 4 << 20
 )
 
-// Recorder holds the stories of one node's requests. It is safe for concurrent
+// Recorder holds the timelines of one node's requests. It is safe for concurrent
 // use.
 type Recorder struct {
 	started    time.Time
@@ -32,49 +32,49 @@
 		started: now, seed: maphash.MakeSeed(), shardBytes: maxBytes / shardCount,
 		bytes: prometheus.NewGauge(prometheus.GaugeOpts{
 			Namespace: "trestle", Name: "explain_bytes",
-			Help: "Counted bytes of the requests' stories kept for trestlectl explain.",
+			Help: "Counted bytes of the requests' timelines kept for trestlectl explain.",
 		}),
 		evicted: prometheus.NewCounter(prometheus.CounterOpts{
 			Namespace: "trestle", Name: "explain_evicted_total",
-			Help: "Requests' stories evicted for lack of memory, the oldest first.",
+			Help: "Requests' timelines evicted for lack of memory, the oldest first.",
 		}),
 	}
 	for i := range r.shards {
 		r.shards[i].recorder = r
-		r.shards[i].stories = make(map[string]*list.Element)
+		r.shards[i].timelines = make(map[string]*list.Element)
 	}
 	registry.MustRegister(r.bytes, r.evicted)
 	return r
 }
 
-// Begin adds the story of a request that arrived.
-func (r *Recorder) Begin(arrived time.Time, id string, event *Received) *Story {
+// Begin adds the timeline of a request that arrived.
+func (r *Recorder) Begin(arrived time.Time, id string, event *Received) *Timeline {
 	s := r.shard(id)
-	story := &Story{shard: s, id: id, arrived: arrived, entries: make([]entry, 0, usualEvents)}
+	timeline := &Timeline{shard: s, id: id, arrived: arrived, entries: make([]entry, 0, usualEvents)}
 	s.mu.Lock()
-	s.stories[id] = s.order.PushBack(story)
-	s.account(story, overheadBytes+len(id)+usualEvents*entryBytes)
+	s.timelines[id] = s.order.PushBack(timeline)
+	s.account(timeline, overheadBytes+len(id)+usualEvents*entryBytes)
 	s.mu.Unlock()
-	story.Add(arrived, event)
-	return story
+	timeline.Add(arrived, event)
+	return timeline
 }
 
-// Find returns the story of a request, or false where it is not kept.
+// Find returns the timeline of a request, or false where it is not kept.
 func (r *Recorder) Find(id string) ([]Line, bool) {
 	s := r.shard(id)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	at, ok := s.stories[id]
+	at, ok := s.timelines[id]
 	if !ok {
 		return nil, false
 	}
-	return at.Value.(*Story).lines(), true
+	return at.Value.(*Timeline).lines(), true
 }
 
 // Started returns when the recorder was created: it knows nothing older.
 func (r *Recorder) Started() time.Time { return r.started }
 
-// Oldest returns the arrival of the oldest story kept, or zero for none.
+// Oldest returns the arrival of the oldest timeline kept, or zero for none.
 func (r *Recorder) Oldest() time.Time {
 	var oldest time.Time
 	for i := range r.shards {
@@ -90,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if front := s.order.Front(); front != nil {
-		return front.Value.(*Story).arrived
+		return front.Value.(*Timeline).arrived
 	}
 	return time.Time{}
 }
--- a/internal/explain/recorder_test.go
+++ b/internal/explain/recorder_test.go
@@ -19,15 +19,15 @@
 	return NewRecorder(start, testBytes, prometheus.NewRegistry())
 }
 
-func TestStoriesAreBoundedAndTheOldestGoFirst(t *testing.T) {
+func TestTimelinesAreBoundedAndTheOldestGoFirst(t *testing.T) {
 	r := newTestRecorder()
 	const requests = 2000
-	var stories []*Story
+	var timelines []*Timeline
 	for i := range requests {
 		at := start.Add(time.Duration(i) * time.Second)
 		s := r.Begin(at, fmt.Sprint("vm-0.", i), &Received{Class: "counter"})
 		s.Add(at, NewEnded(1, "replica", "call", 0, errors.New(strings.Repeat("x", 10*maxText))))
-		stories = append(stories, s)
+		timelines = append(timelines, s)
 		if used := testutil.ToFloat64(r.bytes); used > testBytes {
 			t.Fatalf("%v bytes after %d requests, want at most %d", used, i, testBytes)
 		}
@@ -45,16 +45,16 @@
 		t.Errorf("%d kept, %d evicted, the newest of them %d of %d", kept, evicted, lastGone, requests)
 	}
 	used := testutil.ToFloat64(r.bytes)
-	stories[0].Add(start, &Answered{})
+	timelines[0].Add(start, &Answered{})
 	if _, ok := r.Find("vm-0.0"); ok || testutil.ToFloat64(r.bytes) != used {
-		t.Error("an evicted story took another event")
+		t.Error("an evicted timeline took another event")
 	}
 	if oldest := r.Oldest(); !oldest.After(start) {
 		t.Errorf("oldest %v, want one after %v", oldest, start)
 	}
 }
 
-func TestAFullStoryKeepsItsEnd(t *testing.T) {
+func TestAFullTimelineKeepsItsEnd(t *testing.T) {
 	r := newTestRecorder()
 	s := r.Begin(start, "vm-0.a", &Received{})
 	for i := range 3 * maxEvents {
@@ -74,7 +74,7 @@
 	}
 }
 
-func BenchmarkStory(b *testing.B) {
+func BenchmarkTimeline(b *testing.B) {
 	r := NewRecorder(start, DefaultMaxBytes, prometheus.NewRegistry())
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
@@ -90,5 +90,5 @@
 	for i := range r.shards {
 		kept += r.shards[i].order.Len()
 	}
-	b.ReportMetric(float64(kept), "stories_kept")
+	b.ReportMetric(float64(kept), "timelines_kept")
 }
--- a/internal/explain/shard.go
+++ b/internal/explain/shard.go
@@ -5,34 +5,34 @@
 	"sync"
 )
 
-// shard holds a part of the stories under one lock.
+// shard holds a part of the timelines under one lock.
 type shard struct {
 	recorder *Recorder
 
-	mu      sync.Mutex
-	stories map[string]*list.Element
-	// order holds the stories by arrival, the oldest first.
+	mu        sync.Mutex
+	timelines map[string]*list.Element
+	// order holds the timelines by arrival, the oldest first.
 	order list.List
 	bytes int
 }
 
-// account adds to what a story and its shard are accounted for; the shard is
+// account adds to what a timeline and its shard are accounted for; the shard is
 // locked.
-func (s *shard) account(story *Story, bytes int) {
-	story.bytes += bytes
+func (s *shard) account(timeline *Timeline, bytes int) {
+	timeline.bytes += bytes
 	s.bytes += bytes
 	s.recorder.bytes.Add(float64(bytes))
 }
 
-// makeRoom evicts the oldest stories while the shard is over its bound; it is
+// makeRoom evicts the oldest timelines while the shard is over its bound; it is
 // locked.
 func (s *shard) makeRoom() {
 	for s.bytes > s.recorder.shardBytes && s.order.Len() > 0 {
-		story := s.order.Remove(s.order.Front()).(*Story)
-		delete(s.stories, story.id)
-		story.evicted = true
-		s.account(story, -story.bytes)
-		story.entries = nil
+		timeline := s.order.Remove(s.order.Front()).(*Timeline)
+		delete(s.timelines, timeline.id)
+		timeline.evicted = true
+		s.account(timeline, -timeline.bytes)
+		timeline.entries = nil
 		s.recorder.evicted.Inc()
 	}
 }
--- a/internal/explain/story.go
+++ b/internal/explain/timeline.go
@@ -8,20 +8,20 @@
 )
 
 const (
-	// maxEvents bounds a story's events, beside the one that ends it.
+	// maxEvents bounds a timeline's events, beside the one that ends it.
 	maxEvents = 48
 	// usualEvents is how many events a request usually has.
 	usualEvents = 8
 	// entryBytes is what a place for an event costs.
 	entryBytes = int(unsafe.Sizeof(entry{}))
-	// overheadBytes is what a story costs beside its id and its events: itself,
+	// overheadBytes is what a timeline costs beside its id and its events: itself,
 	// its place in the order and its part of the table.
-	overheadBytes = int(unsafe.Sizeof(Story{})) + int(unsafe.Sizeof(list.Element{})) + 64
+	overheadBytes = int(unsafe.Sizeof(Timeline{})) + int(unsafe.Sizeof(list.Element{})) + 64
 )
 
-// Story is one request's events in their order. A nil Story takes none. It is
+// Timeline is one request's events in their order. A nil Timeline takes none. It is
 // safe for concurrent use.
-type Story struct {
+type Timeline struct {
 	shard   *shard
 	id      string
 	arrived time.Time
@@ -29,7 +29,7 @@
 	// dropped counts the events for which there was no room.
 	dropped int
 	bytes   int
-	// evicted stories take no more events.
+	// evicted timelines take no more events.
 	evicted bool
 }
 
@@ -40,7 +40,7 @@
 }
 
 // Add appends an event that happens at now.
-func (s *Story) Add(now time.Time, event Event) {
+func (s *Timeline) Add(now time.Time, event Event) {
 	if s == nil {
 		return
 	}
@@ -59,8 +59,8 @@
 	s.shard.makeRoom()
 }
 
-// lines tells the story; the shard is locked.
-func (s *Story) lines() []Line {
+// lines tells the timeline; the shard is locked.
+func (s *Timeline) lines() []Line {
 	lines := make([]Line, 0, len(s.entries)+1)
 	for _, e := range s.entries {
 		line := e.event.line()
--- a/internal/gateway/lane.go
+++ b/internal/gateway/attempt.go
@@ -11,8 +11,8 @@
 	"galenatrestle/internal/upstream"
 )
 
-// lane is one attempt on a replica. It is used by one goroutine at a time.
-type lane struct {
+// attempt is one try of a request on a replica. It is used by one goroutine at a time.
+type attempt struct {
 	exchange *exchange
 	number   int
 	slot     *dispatch.Slot
@@ -32,31 +32,31 @@
 }
 
 // withCancel gives the attempt a context of its own.
-func (l *lane) withCancel(ctx context.Context) context.Context {
-	ctx, l.cancel = context.WithCancel(ctx)
+func (a *attempt) withCancel(ctx context.Context) context.Context {
+	ctx, a.cancel = context.WithCancel(ctx)
 	return ctx
 }
 
 // open hands the request to the replica and waits for the first payload.
-func (l *lane) open(ctx context.Context, body []byte) {
-	e := l.exchange
-	l.done, l.err = e.server.startWork(ctx, e.call, e.completion.upstream.Name)
-	if l.err != nil {
+func (a *attempt) open(ctx context.Context, body []byte) {
+	e := a.exchange
+	a.done, a.err = e.server.startWork(ctx, e.call, e.completion.upstream.Name)
+	if a.err != nil {
 		return
 	}
-	l.sentAt = time.Now()
-	e.call.started(l.number, l.slot)
-	l.stream, l.err = e.server.options.Engines.Start(ctx, l.slot.Replica.Address, upstream.EngineCall{
-		ID:       fmt.Sprintf("%s.%d", e.call.id, l.number),
+	a.sentAt = time.Now()
+	e.call.started(a.number, a.slot)
+	a.stream, a.err = e.server.options.Engines.Start(ctx, a.slot.Replica.Address, upstream.EngineCall{
+		ID:       fmt.Sprintf("%s.%d", e.call.id, a.number),
 		Path:     e.completion.path,
 		Body:     body,
 		Stream:   e.streamed(),
 		Patience: e.patience(),
 	})
-	if l.err != nil {
+	if a.err != nil {
 		return
 	}
-	l.first, l.err = l.stream.Next()
+	a.first, a.err = a.stream.Next()
 }
 
 // streamed says whether the engine is asked for a stream.
@@ -71,42 +71,42 @@
 }
 
 // close ends the attempt with its error, or nil for a whole answer.
-func (l *lane) close(err error) {
-	if l.stream != nil {
-		_ = l.stream.Close()
+func (a *attempt) close(err error) {
+	if a.stream != nil {
+		_ = a.stream.Close()
 	}
-	if l.cancel != nil {
-		l.cancel()
+	if a.cancel != nil {
+		a.cancel()
 	}
-	if l.done != nil {
-		l.done()
+	if a.done != nil {
+		a.done()
 	}
-	l.exchange.call.ended(l.number, l.slot, l.tokens, err)
-	if l.slot == nil {
+	a.exchange.call.ended(a.number, a.slot, a.tokens, err)
+	if a.slot == nil {
 		return
 	}
-	l.slot.Finish(resultOf(err))
-	l.exchange.server.guard.settle(time.Now(), l.run, err)
+	a.slot.Finish(resultOf(err))
+	a.exchange.server.guard.settle(time.Now(), a.run, err)
 }
 
 // token notes one more token; began says whether the attempt had one before.
-func (l *lane) token(began bool) {
-	l.tokens++
+func (a *attempt) token(began bool) {
+	a.tokens++
 	if began {
-		l.slot.Tokens(1)
+		a.slot.Tokens(1)
 		return
 	}
-	e := l.exchange
+	e := a.exchange
 	now := time.Now()
 	if e.first.IsZero() {
 		e.first = now
 	}
-	l.slot.FirstToken()
-	e.call.story.Add(now, &explain.FirstToken{Attempt: l.number, Peer: l.slot.Replica.Address})
-	e.server.guard.running.Answered(l.run)
+	a.slot.FirstToken()
+	e.call.timeline.Add(now, &explain.FirstToken{Attempt: a.number, Peer: a.slot.Replica.Address})
+	e.server.guard.running.Answered(a.run)
 	if e.completion.opaque {
 		// Its first payload may be the whole answer.
 		return
 	}
-	e.server.options.Retries.ObserveFirstToken(now, e.call.class.Name, e.completion.upstream.Name, now.Sub(l.sentAt))
+	e.server.options.Retries.ObserveFirstToken(now, e.call.class.Name, e.completion.upstream.Name, now.Sub(a.sentAt))
 }
--- a/internal/gateway/call.go
+++ b/internal/gateway/call.go
@@ -18,8 +18,8 @@
 	// caller's own timeout, whichever is sooner.
 	giveUpAt       time.Time
 	idempotencyKey string
-	// story keeps what happens to the request, for operators.
-	story *explain.Story
+	// timeline keeps what happens to the request, for operators.
+	timeline *explain.Timeline
 }
 
 // firstTokenBy is the class's first-token target; zero where there is none.
--- a/internal/gateway/check.go
+++ b/internal/gateway/check.go
@@ -55,7 +55,7 @@
 		return nil, err
 	}
 	c.giveUpAt = c.arrived.Add(usefulFor)
-	s.beginStory(c)
+	s.beginTimeline(c)
 	return c, nil
 }
 
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -31,7 +31,7 @@
 		s.refuseCall(w, sc.call, err)
 		return
 	}
-	sc.call.story.Add(time.Now(), &explain.Claimed{Verdict: grant.Verdict.String()})
+	sc.call.timeline.Add(time.Now(), &explain.Claimed{Verdict: grant.Verdict.String()})
 	switch grant.Verdict {
 	case claim.Run:
 		s.runClaimed(ctx, w, sc, grant.Token)
--- a/internal/gateway/exchange.go
+++ b/internal/gateway/exchange.go
@@ -51,7 +51,7 @@
 // run makes attempts until the answer is whole or given up.
 func (e *exchange) run(ctx context.Context) {
 	for {
-		err := e.attempt(ctx)
+		err := e.try(ctx)
 		if err == nil {
 			e.finish()
 			return
@@ -73,9 +73,9 @@
 	}
 }
 
-// attempt waits for a slot and runs the request once, or twice beside each
+// try waits for a slot and runs the request once, or twice beside each
 // other where that is allowed.
-func (e *exchange) attempt(ctx context.Context) error {
+func (e *exchange) try(ctx context.Context) error {
 	e.call.queued(e.attempts+1, e.completion.upstream.Name)
 	slot, run, err := e.server.acquire(ctx, e.completion.upstream.Name, e.routerRequest())
 	if err != nil {
@@ -85,25 +85,25 @@
 	e.call.bound(e.attempts, slot)
 	e.observeWait()
 	body, err := e.engineBody()
-	l := &lane{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
+	a := &attempt{exchange: e, number: e.attempts, slot: slot, run: run, err: err}
 	if err == nil {
-		l = e.openLane(ctx, l, body)
-		err = e.relay(l)
+		a = e.openAttempt(ctx, a, body)
+		err = e.relay(a)
 	}
-	l.close(err)
+	a.close(err)
 	if err != nil {
-		e.note(l, err)
+		e.note(a, err)
 	}
 	return err
 }
 
 // note remembers a failed attempt.
-func (e *exchange) note(l *lane, err error) {
-	if l.slot == nil || provedNotRun(err) {
+func (e *exchange) note(a *attempt, err error) {
+	if a.slot == nil || provedNotRun(err) {
 		e.notRun++
 	}
-	if l.slot != nil {
-		e.avoid = append(e.avoid, l.slot.Replica.Name)
+	if a.slot != nil {
+		e.avoid = append(e.avoid, a.slot.Replica.Name)
 	}
 }
 
@@ -123,17 +123,17 @@
 }
 
 // relay passes an attempt's answer to the caller.
-func (e *exchange) relay(l *lane) error {
-	e.current, e.kept, e.begun = l.number, 0, false
-	data, err := l.first, l.err
-	if l.slot != nil {
-		e.replica = l.slot.Replica.Name
+func (e *exchange) relay(a *attempt) error {
+	e.current, e.kept, e.begun = a.number, 0, false
+	data, err := a.first, a.err
+	if a.slot != nil {
+		e.replica = a.slot.Replica.Name
 	}
 	for err == nil {
-		if err := e.take(data, l); err != nil {
+		if err := e.take(data, a); err != nil {
 			return err
 		}
-		data, err = l.stream.Next()
+		data, err = a.stream.Next()
 	}
 	// An *upstream.Error may have io.EOF for its cause: only the bare one is
 	// the end of a whole answer.
@@ -152,7 +152,7 @@
 }
 
 // take passes one chunk on and counts it.
-func (e *exchange) take(data []byte, l *lane) error {
+func (e *exchange) take(data []byte, a *attempt) error {
 	usage := bytes.Contains(data, usageMark)
 	if usage && e.completion.request.Stream && !e.completion.callerUsage {
 		e.noteUsage(data)
@@ -160,7 +160,7 @@
 	}
 	if !usage {
 		e.tokens++
-		l.token(e.begun)
+		a.token(e.begun)
 		e.begun = true
 	}
 	if e.continues != nil {
@@ -170,7 +170,7 @@
 		e.noteUsage(data)
 	}
 	if err := e.sink.chunk(data); err != nil {
-		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: l.slot.Replica.Address, Cause: err}
+		return &upstream.Error{Kind: upstream.Broken, Step: "decode", Peer: a.slot.Replica.Address, Cause: err}
 	}
 	return nil
 }
--- a/internal/gateway/hedge.go
+++ b/internal/gateway/hedge.go
@@ -22,16 +22,16 @@
 	errNoOtherReplica = &upstream.Error{Kind: upstream.NotRun, Step: "hedge", Cause: errors.New("no other replica is free")}
 )
 
-// openLane opens the attempt and, where its first token is late and the class
-// allows it, a second one beside it. It returns the lane that answered first,
+// openAttempt opens the attempt and, where its first token is late and the class
+// allows it, a second one beside it. It returns the attempt that answered first,
 // or the last one that failed; the other is closed.
-func (e *exchange) openLane(ctx context.Context, primary *lane, body []byte) *lane {
+func (e *exchange) openAttempt(ctx context.Context, primary *attempt, body []byte) *attempt {
 	after, allowed := e.server.options.Retries.HedgeAfter(e.hedge(0))
 	if !allowed {
 		primary.open(ctx, body)
 		return primary
 	}
-	opened := make(chan *lane, 2)
+	opened := make(chan *attempt, 2)
 	began := time.Now()
 	primaryCtx := primary.withCancel(ctx)
 	go func() {
@@ -41,17 +41,17 @@
 	timer := time.NewTimer(after)
 	defer timer.Stop()
 	select {
-	case l := <-opened:
-		return l
+	case a := <-opened:
+		return a
 	case <-timer.C:
 	}
 	if !e.server.options.Retries.ShouldHedge(time.Now(), e.hedge(time.Since(began))) {
 		return <-opened
 	}
 	e.server.metrics.retries.CountHedge()
-	e.call.story.Add(time.Now(), &explain.Again{Decision: "hedge", Reason: string(retry.ReasonHedge), Waited: time.Since(began)})
+	e.call.timeline.Add(time.Now(), &explain.Again{Decision: "hedge", Reason: string(retry.ReasonHedge), Waited: time.Since(began)})
 	e.attempts++
-	second := &lane{exchange: e, number: e.attempts}
+	second := &attempt{exchange: e, number: e.attempts}
 	secondCtx := second.withCancel(ctx)
 	request := e.hedgeRequest(primary.slot.Replica.Name)
 	go func() {
@@ -61,9 +61,9 @@
 	return e.firstOf(opened, primary, second)
 }
 
-// firstOf returns the first lane that answers; the other one is cancelled.
+// firstOf returns the first attempt that answers; the other one is cancelled.
 // Where the first to come back has failed, the other is waited for.
-func (e *exchange) firstOf(opened <-chan *lane, primary, second *lane) *lane {
+func (e *exchange) firstOf(opened <-chan *attempt, primary, second *attempt) *attempt {
 	first := <-opened
 	if first.err != nil {
 		e.note(first, first.err)
@@ -87,17 +87,17 @@
 
 // openBeside waits for a slot on another replica than the first attempt's and
 // opens the attempt there.
-func (l *lane) openBeside(ctx context.Context, other string, request router.Request, body []byte) {
-	l.slot, l.run, l.err = l.exchange.server.acquire(ctx, l.exchange.completion.upstream.Name, request)
-	if l.err != nil {
+func (a *attempt) openBeside(ctx context.Context, other string, request router.Request, body []byte) {
+	a.slot, a.run, a.err = a.exchange.server.acquire(ctx, a.exchange.completion.upstream.Name, request)
+	if a.err != nil {
 		return
 	}
-	l.exchange.call.bound(l.number, l.slot)
-	if l.slot.Replica.Name == other {
-		l.err = errNoOtherReplica
+	a.exchange.call.bound(a.number, a.slot)
+	if a.slot.Replica.Name == other {
+		a.err = errNoOtherReplica
 		return
 	}
-	l.open(ctx, body)
+	a.open(ctx, body)
 }
 
 func (e *exchange) hedgeRequest(other string) router.Request {
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -47,7 +47,7 @@
 	Answers *answer.Store
 	// Resolver finds answers, also those of other nodes. Default: this node's.
 	Resolver *answerrpc.Resolver
-	// Explain keeps the requests' stories. Default: an empty one.
+	// Explain keeps the requests' timelines. Default: an empty one.
 	Explain *explain.Recorder
 	// Quotas bounds the workspaces' use. Default: no bounds.
 	Quotas *quota.Limiter
--- a/internal/gateway/story.go
+++ b/internal/gateway/timeline.go
@@ -14,15 +14,15 @@
 	"galenatrestle/internal/upstream"
 )
 
-// beginStory starts the story of a checked request.
-func (s *Server) beginStory(c *call) {
-	c.story = s.options.Explain.Begin(c.arrived, c.id, &explain.Received{
+// beginTimeline starts the timeline of a checked request.
+func (s *Server) beginTimeline(c *call) {
+	c.timeline = s.options.Explain.Begin(c.arrived, c.id, &explain.Received{
 		Class: c.class.Name, Workspace: c.workspace.Name, Tier: c.class.Tier,
 	})
 }
 
 // refuseCall refuses a request of which no byte of an answer was sent, and ends
-// its story.
+// its timeline.
 func (s *Server) refuseCall(w http.ResponseWriter, c *call, err error) {
 	refused := refusal.From(err)
 	s.endRefused(c, refused)
@@ -42,39 +42,39 @@
 	}).WithError(refused).Log(level, "request refused")
 }
 
-// endRefused ends the story of a request without a whole answer.
+// endRefused ends the timeline of a request without a whole answer.
 func (s *Server) endRefused(c *call, refused *refusal.Error) {
-	c.story.Add(time.Now(), explain.NewRefused(refused))
+	c.timeline.Add(time.Now(), explain.NewRefused(refused))
 	s.metrics.ended(c, endOf(refused.Reason))
 }
 
-// endRelayed ends the story of a request that another data centre answered.
+// endRelayed ends the timeline of a request that another data centre answered.
 func (s *Server) endRelayed(c *call, address string) {
-	c.story.Add(time.Now(), &explain.Relayed{Peer: address})
+	c.timeline.Add(time.Now(), &explain.Relayed{Peer: address})
 	s.metrics.ended(c, endRelayed)
 }
 
-// answered counts a whole answer and ends the request's story. Plain services
+// answered counts a whole answer and ends the request's timeline. Plain services
 // have no first token.
 func (s *Server) answered(c *call, first, end time.Time, tokens int) {
 	told := &explain.Answered{Tokens: tokens, Whole: c.answerBy().Sub(end)}
 	if target := c.firstTokenBy(); !target.IsZero() && !first.IsZero() {
 		told.First, told.HasFirst = target.Sub(first), true
 	}
-	c.story.Add(end, told)
+	c.timeline.Add(end, told)
 	s.metrics.answered(c, told.OnTarget(), first, end, tokens)
 }
 
 func (c *call) queued(attempt int, upstreamName string) {
-	c.story.Add(time.Now(), &explain.Queued{Attempt: attempt, Upstream: upstreamName})
+	c.timeline.Add(time.Now(), &explain.Queued{Attempt: attempt, Upstream: upstreamName})
 }
 
 func (c *call) bound(attempt int, slot *dispatch.Slot) {
-	c.story.Add(time.Now(), &explain.Bound{Attempt: attempt, Replica: slot.Replica.Name, Choice: slot.Choice})
+	c.timeline.Add(time.Now(), &explain.Bound{Attempt: attempt, Replica: slot.Replica.Name, Choice: slot.Choice})
 }
 
 func (c *call) started(attempt int, slot *dispatch.Slot) {
-	c.story.Add(time.Now(), &explain.Started{Attempt: attempt, Peer: slot.Replica.Address})
+	c.timeline.Add(time.Now(), &explain.Started{Attempt: attempt, Peer: slot.Replica.Address})
 }
 
 // ended notes the end of an attempt, which may have had no slot.
@@ -87,7 +87,7 @@
 	if errors.As(err, &failed) {
 		step = failed.Step
 	}
-	c.story.Add(time.Now(), explain.NewEnded(attempt, peer, step, tokens, err))
+	c.timeline.Add(time.Now(), explain.NewEnded(attempt, peer, step, tokens, err))
 }
 
 // decided notes whether another attempt follows.
@@ -96,7 +96,7 @@
 	if decision.Refusal != nil {
 		told.Reason = string(decision.Refusal.Reason)
 	}
-	c.story.Add(time.Now(), told)
+	c.timeline.Add(time.Now(), told)
 }
 
 // callerGone is why a whole answer could not be given.
--- a/internal/inspect/asker.go
+++ b/internal/inspect/asker.go
@@ -56,13 +56,13 @@
 	}
 	address, ok := a.locate(node)
 	if !ok {
-		return nil, unknown(connect.CodeNotFound, id, fmt.Sprintf("node %s is not a member: it was stopped or replaced. Stories are kept in a node's memory alone, so this one is lost", node))
+		return nil, unknown(connect.CodeNotFound, id, fmt.Sprintf("node %s is not a member: it was stopped or replaced. Timelines are kept in a node's memory alone, so this one is lost", node))
 	}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	response, err := a.client(address).Explain(ctx, connect.NewRequest(&inspectv1.ExplainRequest{RequestId: id}))
 	if err != nil {
-		return nil, unknown(connect.CodeUnavailable, id, fmt.Sprintf("node %s at %s, which keeps the request's story in its memory, gave no answer: %v", node, address, err))
+		return nil, unknown(connect.CodeUnavailable, id, fmt.Sprintf("node %s at %s, which keeps the request's timeline in its memory, gave no answer: %v", node, address, err))
 	}
 	return response.Msg, nil
 }
@@ -91,9 +91,9 @@
 	return connect.NewError(code, fmt.Errorf("field request_id value %q: %s", id, message))
 }
 
-// notKept says why a node that runs does not have a story.
+// notKept says why a node that runs does not have a timeline.
 func notKept(node string, told *inspectv1.ExplainResponse) string {
-	message := fmt.Sprintf("node %s has no such request. It keeps stories in its memory alone, since its process started at %s", node, utc(told.GetSinceUnixMs()))
+	message := fmt.Sprintf("node %s has no such request. It keeps timelines in its memory alone, since its process started at %s", node, utc(told.GetSinceUnixMs()))
 	if told.GetOldestUnixMs() == 0 {
 		return message + ", and has none"
 	}
--- a/internal/inspect/handler.go
+++ b/internal/inspect/handler.go
@@ -31,7 +31,7 @@
 	return connect.NewResponse(h.sources.Report()), nil
 }
 
-// tell returns a story, or since when stories are kept.
+// tell returns a timeline, or since when timelines are kept.
 func tell(recorder *explain.Recorder, id string) *inspectv1.ExplainResponse {
 	response := &inspectv1.ExplainResponse{
 		SinceUnixMs: recorder.Started().UnixMilli(), OldestUnixMs: unixMs(recorder.Oldest()),
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -15,8 +15,8 @@
 // mountInspector creates what tells operators of this node's requests and of
 // itself, and mounts its handler on the peer listener.
 func (n *Node) mountInspector() {
-	n.stories = explain.NewRecorder(time.Now(), explain.DefaultMaxBytes, n.options.Registry)
-	sources := inspect.Sources{Node: n.options.Name, Explain: n.stories, Report: n.report}
+	n.timelines = explain.NewRecorder(time.Now(), explain.DefaultMaxBytes, n.options.Registry)
+	sources := inspect.Sources{Node: n.options.Name, Explain: n.timelines, Report: n.report}
 	locate := func(node string) (string, bool) { return locatePeer(n.members.runner, node) }
 	n.inspector = inspect.NewAsker(sources, locate, n.peers.clients)
 	n.peers.server.Mount(inspect.NewHandler(sources))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,7 +35,7 @@
 	quotas    *quotas
 	moves     *moves
 	drains    *drains
-	stories   *explain.Recorder
+	timelines *explain.Recorder
 	inspector *inspect.Asker
 	servers   []*http.Server
 	leaving   atomic.Bool
@@ -74,7 +74,7 @@
 		Dispatch: n.dispatch,
 		Engines:  n.engines,
 		Services: n.services,
-		Explain:  n.stories,
+		Explain:  n.timelines,
 		Registry: n.options.Registry,
 		Log:      n.options.Log,
 	}
