router: a retry goes to an availability zone where the request has not failed

Change: an attempt that has replicas to avoid prefers free and fit replicas in zones in which none of these is. Where there are none it takes any, as before.

--- a/internal/router/pool_choose.go
+++ b/internal/router/pool_choose.go
@@ -11,7 +11,7 @@
 // choose returns the replica for the request and the grounds, or nil where none
 // of the free ones is fit for it.
 func (p *Pool) choose(now time.Time, request *Request) (*replicaState, Choice) {
-	free := p.fit(now, request)
+	free := p.elsewhere(request, p.fit(now, request))
 	if len(free) == 0 {
 		return nil, Choice{}
 	}
@@ -75,6 +75,22 @@
 	return p.free
 }
 
+// elsewhere keeps the replicas in availability zones in which the request has not
+// failed yet, where there are any: what one attempt met may have hit its whole
+// zone.
+func (p *Pool) elsewhere(request *Request, free []*replicaState) []*replicaState {
+	failed := func(r *replicaState) bool {
+		return slices.ContainsFunc(request.Avoid, func(name string) bool {
+			tried, ok := p.replicas[name]
+			return ok && tried.AvailabilityZone == r.AvailabilityZone
+		})
+	}
+	if len(request.Avoid) == 0 || !slices.ContainsFunc(free, func(r *replicaState) bool { return !failed(r) }) {
+		return free
+	}
+	return slices.DeleteFunc(free, failed)
+}
+
 func (r *Request) avoids(replica *replicaState) bool {
 	return slices.Contains(r.Avoid, replica.Name)
 }
