--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -23,7 +23,7 @@
 		case <-live.Done():
 		}
 	}()
-	if err := s.takeOver(live, tenure.Epoch(), holder); err != nil {
+	if err := s.takeOver(live, tenure, holder); err != nil {
 		return errs.Wrap(errs.Platform, err, stepTakeOver, shardPrefix(s.number))
 	}
 	err := s.writeAll(ctx, live)
@@ -32,13 +32,13 @@
 }
 
 // takeOver reads the ring and fences it by its first write.
-func (s *shard) takeOver(ctx context.Context, epoch int64, holder string) error {
+func (s *shard) takeOver(ctx context.Context, tenure Tenure, holder string) error {
 	prefix := shardPrefix(s.number)
 	entries, _, err := s.options.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
-	fresh, err := recoverRing(s.options.Policy, prefix, holder, epoch, entries)
+	fresh, err := recoverRing(s.options.Policy, prefix, holder, tenure.Epoch(), entries)
 	if err != nil {
 		return err
 	}
@@ -48,6 +48,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ring = fresh
+	s.tenure = tenure
 	s.holding = true
 	s.advance()
 	s.metrics.takeovers.Inc()
@@ -70,11 +71,11 @@
 	}
 }
 
-// flush writes until nothing waits, one write at a time and no faster than the
-// shard's share of the platform's rate.
+// flush writes until nothing waits, one write at a time, gathered, and no faster
+// than the shard's share of the platform's rate.
 func (s *shard) flush(live context.Context) error {
 	for s.waiting() {
-		if s.limiter.Wait(live) != nil {
+		if !s.gather(live) || s.limiter.Wait(live) != nil {
 			return nil
 		}
 		if err := s.write(live, s.ring); err != nil {
@@ -84,6 +85,33 @@
 	return nil
 }
 
+// gather waits until the next write is worthwhile: at once on an idle shard, else
+// once its turn has come or GatherBytes wait. It returns false when live ended
+// first.
+func (s *shard) gather(live context.Context) bool {
+	turn := s.gathering.Reserve()
+	timer := time.NewTimer(turn.Delay())
+	defer timer.Stop()
+	for s.waitingBytes() < s.options.GatherBytes {
+		select {
+		case <-timer.C:
+			return live.Err() == nil
+		case <-s.wake:
+		case <-live.Done():
+			turn.Cancel()
+			return false
+		}
+	}
+	turn.Cancel()
+	return live.Err() == nil
+}
+
+func (s *shard) waitingBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ring.pendingBytes
+}
+
 func (s *shard) waiting() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,7 +59,7 @@
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
 	n.quotas = newQuotas(options, n.members.runner, n.peers)
 	n.drains = newDrains(n)
-	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drainActors())
+	n.moves = newMoves(options, n.members.runner, n.peers, n.config.Load, n.drains, n.drainActors())
 	n.mountInspector()
 	n.gateway = gateway.New(n.gatewayOptions())
 	return n
