--- a/internal/gateway/claimed_test.go
+++ b/internal/gateway/claimed_test.go
@@ -5,6 +5,8 @@
 	"net/http/httptest"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"galenatrestle/internal/claim"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/refusal"
@@ -22,8 +24,11 @@
 	}
 	for name, test := range cases {
 		recorder := httptest.NewRecorder()
-		sc := &serviceCall{upstream: &config.Upstream{Name: "member-ledger"}}
-		(&Server{}).replay(recorder, sc, test.answer)
+		sc := &serviceCall{
+			call:     &call{class: &config.Class{Name: "counter"}},
+			upstream: &config.Upstream{Name: "member-ledger"},
+		}
+		New(Options{Registry: prometheus.NewRegistry()}).replay(recorder, sc, test.answer)
 		got := recorder.Result()
 		if got.StatusCode != 201 || recorder.Body.String() != string(test.answer.Body) {
 			t.Errorf("%s: got %d %q", name, got.StatusCode, recorder.Body)
