--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -68,6 +68,9 @@
 		return s.remembered(command), errNotHolder
 	}
 	command.Refuse = s.refusalForNew(now)
+	if request.KnownOnly {
+		command.Refuse = refusal.QuotaExceeded
+	}
 	return s.run(ctx, request.Key, command, now)
 }
 
@@ -119,7 +122,11 @@
 // refusesNew says whether the decision tells that no earlier request of the key
 // has run, which only the shard's one holder knows.
 func refusesNew(decision Decision) bool {
-	return decision.Refused == refusal.ClaimStoreDown || decision.Refused == refusal.ClaimLedger
+	switch decision.Refused {
+	case refusal.ClaimStoreDown, refusal.ClaimLedger, refusal.QuotaExceeded:
+		return true
+	}
+	return false
 }
 
 // heldNow says that the ring knew all claims of the shard until now: another
--- a/cmd/trestlectl/main_test.go
+++ b/internal/command/trestlectl/main_test.go
@@ -1,4 +1,4 @@
-package main
+package trestlectl
 
 import (
 	"context"
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -29,7 +28,7 @@
 
 func TestMain(m *testing.M) {
 	testscript.Main(m, map[string]func(){
-		"trestlectl": func() { os.Exit(run(os.Args[1:])) },
+		"trestlectl": Main,
 	})
 }
 
@@ -94,7 +93,7 @@
 		Seed: uint64(view.self), Log: log, Registry: registry,
 	})
 	plans := intent.NewStore(store, syncer, newID, time.Now)
-	noStats := func() intent.Stats { return intent.Stats{} }
+	noStats := func(context.Context, intent.Intent) intent.Stats { return intent.Stats{} }
 	mux := http.NewServeMux()
 	mux.Handle(configsyncv1connect.NewConfigSyncServiceHandler(configsync.NewHandler(syncer)))
 	mux.Handle(operator.NewHandler(operator.Options{
--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -26,6 +26,7 @@
 	Nodes    []*node.Node
 	options  Options
 	standins *standins
+	document config.Document
 	// links are the nodes' peer addresses.
 	links []string
 	// clients are the nodes' links to the platform.
@@ -56,6 +57,7 @@
 	if err != nil {
 		return err
 	}
+	setQuotas(document, d.options.Quotas)
 	for i := range d.options.Nodes {
 		n, err := d.newNode(i)
 		if err != nil {
@@ -63,35 +65,43 @@
 		}
 		d.Nodes = append(d.Nodes, n)
 	}
+	d.document = *document
 	return d.connect(document)
 }
 
 func (d *Deployment) newNode(i int) (*node.Node, error) {
-	entry, err := listen(d.options.ListenBase, i)
+	return d.newNodeAt(i, d.options.ListenBase)
+}
+
+// newNodeAt creates the i-th node with its entry on the port base+i.
+func (d *Deployment) newNodeAt(i, base int) (*node.Node, error) {
+	entry, err := listen(base, i)
 	if err != nil {
 		return nil, err
 	}
-	link, err := listen(0, 0)
+	link, err := d.options.peer(len(d.links))
 	if err != nil {
 		return nil, err
 	}
-	name := fmt.Sprintf("vm-%d", i)
+	name := d.options.nodeName(i)
 	client := newPlatformClient(d.standins.platformAddress)
-	d.clients = append(d.clients, client)
+	d.setClient(i, client)
 	options := node.Options{
 		Name:             name,
 		AvailabilityZone: zoneOf(i, d.options),
 		Region:           "region-0",
-		DataCentre:       "data-centre-0",
+		DataCentre:       d.options.DataCentre,
+		Counterparts:     d.options.Counterparts,
+		Home:             d.options.home,
 		Entry:            entry,
 		Peer:             link,
 		Seeds:            d.links,
-		ShareSlots:       d.options.ShareSlots,
+		OwnSlots:         d.options.OwnSlots,
 		Store:            client.store,
 		Instances:        client.store,
 		Operators:        []settings.Operator{{Name: OperatorName, KeySHA256: config.HashKey(OperatorKey)}},
 		KeepTime:         d.options.KeepTime,
-		Seed:             d.options.Seed + uint64(i),
+		Seed:             d.options.Seed + uint64(len(d.links)),
 		Registry:         prometheus.NewRegistry(),
 		Log:              d.options.Log.WithField("node", name),
 	}
@@ -203,6 +213,9 @@
 // Service returns the i-th plain-service stand-in.
 func (d *Deployment) Service(i int) *service.Service { return d.standins.services[i] }
 
+// Document returns the configuration the deployment began with.
+func (d *Deployment) Document() config.Document { return d.document }
+
 // Platform returns the platform stand-in.
 func (d *Deployment) Platform() *memstore.Store { return d.standins.platform }
 
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/claim"
+	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/upstream"
 )
@@ -25,23 +26,39 @@
 
 // serveClaimed runs an unrepeatable call at most once: claim, call, record.
 func (s *Server) serveClaimed(ctx context.Context, w http.ResponseWriter, sc *serviceCall) {
-	grant, err := s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
+	grant, err := s.claim(ctx, sc)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, sc.call, err)
 		return
 	}
+	sc.call.story.Add(time.Now(), &explain.Claimed{Verdict: grant.Verdict.String()})
 	switch grant.Verdict {
 	case claim.Run:
 		s.runClaimed(ctx, w, sc, grant.Token)
 	case claim.Recorded:
 		s.replay(w, sc, grant.Answer)
 	case claim.InProgress:
-		s.refuse(w, inProgress())
+		s.refuseCall(w, sc.call, inProgress())
 	default:
-		s.refuse(w, outcomeUnknown())
+		s.refuseCall(w, sc.call, outcomeUnknown())
 	}
 }
 
+// claim claims the call. Over the quota nothing new is claimed, but a repeat
+// is answered: its call has been counted, and asking again is how a caller
+// learns of an outcome that it must not guess.
+func (s *Server) claim(ctx context.Context, sc *serviceCall) (claim.Grant, error) {
+	refused := s.useRequest(sc.call)
+	if refused == nil {
+		return s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
+	}
+	grant, known, err := s.options.Ledger.Known(ctx, sc.claimKey(), sc.fingerprint())
+	if err == nil && !known {
+		err = refused
+	}
+	return grant, err
+}
+
 func (sc *serviceCall) claimKey() claim.Key {
 	return claim.Key{
 		Workspace:      sc.call.workspace.Name,
@@ -63,7 +80,7 @@
 	s.finishClaim(ctx, token, claimOutcome(done.answer, refused))
 	if refused != nil {
 		w.Header().Set(headerAttempts, strconv.Itoa(done.attempts))
-		s.refuse(w, refused)
+		s.refuseCall(w, sc.call, refused)
 		return
 	}
 	s.answerService(w, sc, done)
@@ -96,16 +113,24 @@
 
 // replay answers a repeat with what the one run answered.
 func (s *Server) replay(w http.ResponseWriter, sc *serviceCall, answer claim.Answer) {
+	s.answered(sc.call, time.Time{}, time.Now(), 0)
+	writeReplay(w, sc.upstream.Name, answer)
+}
+
+// writeReplay writes the recorded answer, or its status alone where the rest is
+// no longer kept.
+func writeReplay(w http.ResponseWriter, upstreamName string, answer claim.Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
 	}
 	header.Set(headerReplay, "true")
-	header.Set(headerUpstream, sc.upstream.Name)
+	header.Set(headerUpstream, upstreamName)
 	header.Set(headerAttempts, "0")
 	if answer.BodyDropped {
 		header.Set(headerBodyDropped, "true")
 	}
+	giveTime(w, len(answer.Body))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
--- a/internal/gateway/completion.go
+++ b/internal/gateway/completion.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strconv"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,6 +54,9 @@
 	if err := json.Unmarshal(body, &p.request); err != nil {
 		return nil, badShape(err, body)
 	}
+	if err := checkNames(p.fields); err != nil {
+		return nil, err
+	}
 	if err := p.checkFields(c); err != nil {
 		return nil, err
 	}
@@ -100,6 +104,9 @@
 		if m.Role == "" {
 			return refusal.BadField(fmt.Sprintf("messages[%d].role", i), "", "a role is required")
 		}
+		if !slices.Contains(openai.Roles(), m.Role) {
+			return refusal.BadField(fmt.Sprintf("messages[%d].role", i), m.Role, "no such role")
+		}
 	}
 	if err := checkMax(c, "max_tokens", p.request.MaxTokens); err != nil {
 		return err
@@ -143,6 +150,9 @@
 	return b.Bytes()
 }
 
+// promptTokens estimates the prompt's length in tokens.
+func (p *completion) promptTokens() int { return len(p.prompt)/bytesPerToken + 1 }
+
 // maxTokens is the caller's bound of the answer; zero where there is none.
 func (p *completion) maxTokens() int {
 	switch {
@@ -183,7 +193,7 @@
 		FirstTokenBy: c.firstTokenBy(),
 		AnswerBy:     c.answerBy(),
 		GiveUpAt:     c.giveUpAt,
-		PromptTokens: len(p.prompt)/bytesPerToken + 1,
+		PromptTokens: p.promptTokens(),
 		MaxTokens:    p.maxTokens(),
 		PrefixHashes: prefixHashes(p.prompt),
 		Fingerprint:  uint64(quarantine.FingerprintOf(c.workspace.Name, p.request.Model, p.prompt)),
--- a/internal/handover/driver_target.go
+++ b/internal/handover/driver_target.go
@@ -69,6 +69,11 @@
 	switch {
 	case receipt.Phase == PhaseAbandoned && m.Phase == PhaseReady:
 		said.Kind = MessageAbandon
+	case receipt.Reason == RefusedUnknown && m.Phase == PhaseReady:
+		// A source keeps the record of each move that it has offered, until
+		// long after the move was abandoned.
+		said.Kind = MessageAbandon
+		said.Reason = "the source knows the move no more"
 	case receipt.Phase == PhaseDone && m.Phase == PhaseOpen:
 		said.Kind = MessageDone
 	default:
@@ -78,7 +83,7 @@
 }
 
 func (d *Driver) prepare(ctx context.Context, m Move) (TargetInput, bool, error) {
-	ready, err := d.cfg.Preparer.Prepare(ctx, m.Set)
+	ready, err := d.cfg.Preparer.Prepare(ctx, m)
 	var unable *UnableError
 	if errors.As(err, &unable) {
 		return TargetInput{Kind: TargetUnable, Reason: unable.Reason}, true, nil
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/google/uuid"
@@ -26,39 +28,14 @@
 		View:       n.members.runner,
 		Planners:   []operator.Planner{operator.NewIntentPlanner(plans, n.sync.current, n.stats)},
 		Entries:    n.operatorEntries,
+		Inspector:  n.inspector,
+		Absent:     n.absent,
 		Operators:  n.options.Operators,
 		Log:        n.options.Log,
 		Registry:   n.options.Registry,
 	}))
 }
 
-// stats is what plans are worked out on. A node knows its own requests; what
-// all nodes have together is estimated as if each had as many.
-func (n *Node) stats() intent.Stats {
-	members := n.members.runner.Members()
-	stats := intent.Stats{
-		VMs:      make(map[string]intent.VMStats, len(members)),
-		Replicas: make(map[string]map[string]int),
-		Demand:   make(map[string]map[string]float64),
-	}
-	for _, member := range members {
-		stats.VMs[member.Name] = intent.VMStats{Load: member.Load}
-	}
-	for upstream, pool := range n.dispatch.Stats() {
-		inFlight := make(map[string]int, len(pool.Replicas))
-		for _, replica := range pool.Replicas {
-			inFlight[replica.Name] = replica.Running * len(members)
-		}
-		demand := make(map[string]float64, len(pool.Classes))
-		for _, class := range pool.Classes {
-			demand[class.Name] = float64((class.Running + class.Waiting) * len(members))
-		}
-		stats.Replicas[upstream] = inFlight
-		stats.Demand[upstream] = demand
-	}
-	return stats
-}
-
 // operatorEntries lists the entry addresses as callers of the zone are told them.
 func (n *Node) operatorEntries(zone string) ([]*operatorv1.Entry, int32) {
 	if zone == "" {
@@ -72,3 +49,19 @@
 	}
 	return entries, gateway.EntryTTLSeconds
 }
+
+// absent returns the registered VMs that are no members here.
+func (n *Node) absent(ctx context.Context) ([]string, error) {
+	if n.moves == nil || n.moves.store == nil || len(n.members.runner.View().Regions()) > 0 {
+		// The VMs of other regions are registered too, and not known by name.
+		return nil, nil
+	}
+	registered, err := n.moves.store.Nodes(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return slices.DeleteFunc(registered, func(name string) bool {
+		_, member := n.drains.client.Member(name)
+		return member
+	}), nil
+}
--- a/internal/operator/service.go
+++ b/internal/operator/service.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"context"
 	"net/http"
 
 	"connectrpc.com/connect"
@@ -25,11 +26,13 @@
 	View       membership.View
 	// Planners keep the plans of kinds other than config.
 	Planners []Planner
-	// Entries, Leases and Explainer may be nil: the calls then answer that the
-	// node has none.
+	// Entries and Inspector may be nil: the calls then answer that the node
+	// has none.
 	Entries   Entries
-	Leases    Leases
-	Explainer Explainer
+	Inspector Inspector
+	// Absent returns the VMs that are registered to serve but are no members;
+	// nil where the node does not know.
+	Absent func(ctx context.Context) ([]string, error)
 	// Operators are those who may call.
 	Operators []settings.Operator
 	Log       logrus.FieldLogger
@@ -45,8 +48,8 @@
 	view       membership.View
 	planners   []Planner
 	entries    Entries
-	leases     Leases
-	explainer  Explainer
+	inspector  Inspector
+	absent     func(ctx context.Context) ([]string, error)
 }
 
 // NewHandler returns the service's path and handler for the ops listener.
@@ -57,8 +60,8 @@
 		repository: options.Repository,
 		view:       options.View,
 		entries:    options.Entries,
-		leases:     options.Leases,
-		explainer:  options.Explainer,
+		inspector:  options.Inspector,
+		absent:     options.Absent,
 	}
 	service.planners = append([]Planner{newConfigPlanner(options)}, options.Planners...)
 	guard := newGuard(options.Operators, newMetrics(options.Registry), options.Log)
