--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -114,17 +114,23 @@
 // replay answers a repeat with what the one run answered.
 func (s *Server) replay(w http.ResponseWriter, sc *serviceCall, answer claim.Answer) {
 	s.answered(sc.call, time.Time{}, time.Now(), 0)
+	writeReplay(w, sc.upstream.Name, answer)
+}
+
+// writeReplay writes the recorded answer, or its status alone where the rest is
+// no longer kept.
+func writeReplay(w http.ResponseWriter, upstreamName string, answer claim.Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
 	}
 	header.Set(headerReplay, "true")
-	header.Set(headerUpstream, sc.upstream.Name)
+	header.Set(headerUpstream, upstreamName)
 	header.Set(headerAttempts, "0")
-	giveTime(w, len(answer.Body))
 	if answer.BodyDropped {
 		header.Set(headerBodyDropped, "true")
 	}
+	giveTime(w, len(answer.Body))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
 }
--- a/internal/gateway/claimed_test.go
+++ b/internal/gateway/claimed_test.go
@@ -5,16 +5,13 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/prometheus/client_golang/prometheus"
-
 	"galenatrestle/internal/claim"
-	"galenatrestle/internal/config"
 	"galenatrestle/internal/refusal"
 )
 
-// TestReplay answers a repeat with the answer, and with the status alone where
+// TestWriteReplay answers a repeat with the answer, and with the status alone where
 // the answer is no longer kept.
-func TestReplay(t *testing.T) {
+func TestWriteReplay(t *testing.T) {
 	cases := map[string]struct {
 		answer  claim.Answer
 		dropped string
@@ -24,11 +21,7 @@
 	}
 	for name, test := range cases {
 		recorder := httptest.NewRecorder()
-		sc := &serviceCall{
-			call:     &call{class: &config.Class{Name: "counter"}},
-			upstream: &config.Upstream{Name: "member-ledger"},
-		}
-		New(Options{Registry: prometheus.NewRegistry()}).replay(recorder, sc, test.answer)
+		writeReplay(recorder, "member-ledger", test.answer)
 		got := recorder.Result()
 		if got.StatusCode != 201 || recorder.Body.String() != string(test.answer.Body) {
 			t.Errorf("%s: got %d %q", name, got.StatusCode, recorder.Body)
