--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -19,6 +19,9 @@
 	// recorded; the ledger goes on recording it in the background.
 	finishTimeout = 2 * time.Second
 	headerReplay  = "Trestle-Replayed"
+	// headerBodyDropped says that the call ran and that its answer is no longer
+	// kept: the status is the one of the run, the body is empty.
+	headerBodyDropped = "Trestle-Body-Dropped"
 )
 
 // serveClaimed runs an unrepeatable call at most once: claim, call, record.
@@ -28,7 +31,7 @@
 		s.refuseCall(w, sc.call, err)
 		return
 	}
-	sc.call.story.Add(time.Now(), &explain.Claimed{Verdict: grant.Verdict.String()})
+	sc.call.timeline.Add(time.Now(), &explain.Claimed{Verdict: grant.Verdict.String()})
 	switch grant.Verdict {
 	case claim.Run:
 		s.runClaimed(ctx, w, sc, grant.Token)
@@ -111,13 +114,22 @@
 // replay answers a repeat with what the one run answered.
 func (s *Server) replay(w http.ResponseWriter, sc *serviceCall, answer claim.Answer) {
 	s.answered(sc.call, time.Time{}, time.Now(), 0)
+	writeReplay(w, sc.upstream.Name, answer)
+}
+
+// writeReplay writes the recorded answer, or its status alone where the rest is
+// no longer kept.
+func writeReplay(w http.ResponseWriter, upstreamName string, answer claim.Answer) {
 	header := w.Header()
 	for name, values := range answer.Header {
 		header[name] = values
 	}
 	header.Set(headerReplay, "true")
-	header.Set(headerUpstream, sc.upstream.Name)
+	header.Set(headerUpstream, upstreamName)
 	header.Set(headerAttempts, "0")
+	if answer.BodyDropped {
+		header.Set(headerBodyDropped, "true")
+	}
 	giveTime(w, len(answer.Body))
 	w.WriteHeader(answer.Status)
 	_, _ = w.Write(answer.Body)
