--- a/internal/dispatch/slot.go
+++ b/internal/dispatch/slot.go
@@ -18,21 +18,50 @@
 	id       string
 	shard    *shard
 	finished sync.Once
+	// untold counts the tokens that the pool does not know of; toldAt is when
+	// it was last told.
+	untold int
+	toldAt time.Time
 }
 
+// tokenBatch is the time for which tokens are gathered before the pool is told:
+// a few tokens at a usual pace, and far below the silence that makes a replica
+// suspect.
+const tokenBatch = 100 * time.Millisecond
+
 // FirstToken tells the decisions that the answer has begun.
 func (s *Slot) FirstToken() {
 	s.shard.update(func(now time.Time) { s.shard.pool.FirstToken(now, s.id) })
 }
 
-// Tokens tells the decisions that n more tokens came.
+// Tokens counts n more tokens. The decisions are told of them in batches, since
+// all requests of the upstream share the pool's lock. It is for one goroutine.
 func (s *Slot) Tokens(n int) {
-	s.shard.observe(func(now time.Time) { s.shard.pool.Tokens(now, s.id, n) })
+	s.untold += n
+	now := time.Now()
+	if now.Sub(s.toldAt) < tokenBatch {
+		return
+	}
+	s.toldAt = now
+	s.shard.observe(s.tellTokens)
+}
+
+// tellTokens tells the pool of the tokens it has not been told of. The shard's
+// lock is held.
+func (s *Slot) tellTokens(now time.Time) {
+	if s.untold == 0 {
+		return
+	}
+	s.shard.pool.Tokens(now, s.id, s.untold)
+	s.untold = 0
 }
 
 // Finish gives the slot back.
 func (s *Slot) Finish(result router.Result) {
 	s.finished.Do(func() {
-		s.shard.update(func(now time.Time) { s.shard.pool.Finish(now, s.id, result) })
+		s.shard.update(func(now time.Time) {
+			s.tellTokens(now)
+			s.shard.pool.Finish(now, s.id, result)
+		})
 	})
 }
