claim: say term and shard holder, as package lease does

Cause: tenure and tender were words of our own for a lease's term and for what holds a shard; package lease has had the field's word all along. Measured: packages claim, node and daemon pass as before.

--- a/internal/capacity/claims.go
+++ b/internal/capacity/claims.go
@@ -150,7 +150,7 @@
 type claimLeases struct{ source *lease.Source }
 
 // Acquire implements claim.Leases.
-func (c claimLeases) Acquire(ctx context.Context, name string) (claim.Tenure, error) {
+func (c claimLeases) Acquire(ctx context.Context, name string) (claim.Term, error) {
 	term, err := c.source.Acquire(ctx, name)
 	if err != nil {
 		return nil, err
--- a/internal/claim/fakecluster_test.go
+++ b/internal/claim/fakecluster_test.go
@@ -32,12 +32,12 @@
 func (t *fakeTenure) Epoch() int64          { return t.epoch }
 func (t *fakeTenure) Done() <-chan struct{} { return t.done }
 
-// Held implements Tenure: a holder's clock is right also where it was paused.
+// Held implements Term: a holder's clock is right also where it was paused.
 func (t *fakeTenure) Held(time.Time) bool {
 	c := t.leases.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.tenures[t.name] == t
+	return c.terms[t.name] == t
 }
 
 func (t *fakeTenure) stop() { t.once.Do(func() { close(t.done) }) }
@@ -47,13 +47,13 @@
 	c := t.leases.cluster
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.tenures[t.name] == t {
-		delete(c.tenures, t.name)
+	if c.terms[t.name] == t {
+		delete(c.terms, t.name)
 	}
 	return nil
 }
 
-func (l *fakeLeases) Acquire(ctx context.Context, name string) (Tenure, error) {
+func (l *fakeLeases) Acquire(ctx context.Context, name string) (Term, error) {
 	c := l.cluster
 	if err := c.store.wait(ctx); err != nil {
 		return nil, err
@@ -63,14 +63,14 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if current := c.tenures[name]; current != nil {
+	if current := c.terms[name]; current != nil {
 		return nil, &platform.HeldError{Current: platform.Lease{Name: name, Holder: HolderName(current.leases.node.name, "run-1", current.leases.node.name)}}
 	}
 	c.epochs[name]++
-	tenure := &fakeTenure{leases: l, name: name, epoch: c.epochs[name], done: make(chan struct{})}
-	c.tenures[name] = tenure
-	l.node.tenures = append(l.node.tenures, tenure)
-	return tenure, nil
+	term := &fakeTenure{leases: l, name: name, epoch: c.epochs[name], done: make(chan struct{})}
+	c.terms[name] = term
+	l.node.terms = append(l.node.terms, term)
+	return term, nil
 }
 
 // nodeStore is the platform as one node reaches it: not at all once it is dead.
@@ -98,10 +98,10 @@
 func (c *cluster) lapse(told bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for name, tenure := range c.tenures {
-		delete(c.tenures, name)
+	for name, term := range c.terms {
+		delete(c.terms, name)
 		if told {
-			tenure.stop()
+			term.stop()
 		}
 	}
 }
@@ -110,11 +110,11 @@
 type cluster struct {
 	store *fakeStore
 
-	mu      sync.Mutex
-	tenures map[string]*fakeTenure
-	epochs  map[string]int64
-	nodes   map[string]*testNode
-	sent    map[Key]int
+	mu     sync.Mutex
+	terms  map[string]*fakeTenure
+	epochs map[string]int64
+	nodes  map[string]*testNode
+	sent   map[Key]int
 	// preferred is the node that every view names as owner.
 	preferred string
 	// cut, where it returns true, breaks a forwarded call before or after it
@@ -136,13 +136,13 @@
 	stop context.CancelFunc
 	done chan struct{}
 	dead bool
-	// tenures are all that were granted to it.
-	tenures []*fakeTenure
+	// terms are all that were granted to it.
+	terms []*fakeTenure
 }
 
 func newCluster() *cluster {
 	return &cluster{
-		store: newFakeStore(), tenures: make(map[string]*fakeTenure), epochs: make(map[string]int64),
+		store: newFakeStore(), terms: make(map[string]*fakeTenure), epochs: make(map[string]int64),
 		nodes: make(map[string]*testNode), sent: make(map[Key]int), preferred: "n1",
 	}
 }
@@ -266,10 +266,10 @@
 func (c *cluster) kill(node *testNode) {
 	c.mu.Lock()
 	node.dead = true
-	for _, tenure := range node.tenures {
-		tenure.stop()
-		if c.tenures[tenure.name] == tenure {
-			delete(c.tenures, tenure.name)
+	for _, term := range node.terms {
+		term.stop()
+		if c.terms[term.name] == term {
+			delete(c.terms, term.name)
 		}
 	}
 	c.mu.Unlock()
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -11,12 +11,12 @@
 // nothing; after any other error the claim may have been made. With an error
 // comes what is remembered of the claim, if anything.
 func (n *Node) tryBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
-	part, tender := n.shardOf(request.Key)
+	part, shardHolder := n.shardOf(request.Key)
 	here, err := n.beginHere(ctx, part, request)
 	if !errors.Is(err, errNotHolder) {
 		return here, err
 	}
-	address, ok := tender.holderAddress()
+	address, ok := shardHolder.holderAddress()
 	if !ok {
 		n.metrics.retries.WithLabelValues(retryNoHolder).Inc()
 		return here, errNotHolder
@@ -25,11 +25,11 @@
 	defer cancel()
 	reply, err := n.options.Peers.Begin(call, address, request)
 	if err != nil {
-		n.peerFailed(tender)
+		n.peerFailed(shardHolder)
 		return here, errs.Wrap(errs.Peer, err, stepForward, address)
 	}
 	if reply.NotHolder {
-		n.notHolder(tender, reply.Holder)
+		n.notHolder(shardHolder, reply.Holder)
 		return reply.orElse(here), errNotHolder
 	}
 	return reply, nil
@@ -37,12 +37,12 @@
 
 // tryFinish asks the holder once.
 func (n *Node) tryFinish(ctx context.Context, request FinishRequest) error {
-	part, tender := n.shardOf(request.Key)
+	part, shardHolder := n.shardOf(request.Key)
 	err := part.finish(ctx, request)
 	if !errors.Is(err, errNotHolder) {
 		return err
 	}
-	address, ok := tender.holderAddress()
+	address, ok := shardHolder.holderAddress()
 	if !ok {
 		n.metrics.retries.WithLabelValues(retryNoHolder).Inc()
 		return errNotHolder
@@ -51,33 +51,33 @@
 	defer cancel()
 	reply, err := n.options.Peers.Finish(call, address, request)
 	if err != nil {
-		n.peerFailed(tender)
+		n.peerFailed(shardHolder)
 		return errs.Wrap(errs.Peer, err, stepForward, address)
 	}
 	if reply.NotHolder {
-		n.notHolder(tender, reply.Holder)
+		n.notHolder(shardHolder, reply.Holder)
 		return errNotHolder
 	}
 	return nil
 }
 
-func (n *Node) peerFailed(tender *tender) {
+func (n *Node) peerFailed(shardHolder *shardHolder) {
 	n.metrics.retries.WithLabelValues(retryPeer).Inc()
-	tender.holderIs("")
-	tender.ask()
+	shardHolder.holderIs("")
+	shardHolder.ask()
 }
 
-func (n *Node) notHolder(tender *tender, holder string) {
+func (n *Node) notHolder(shardHolder *shardHolder, holder string) {
 	n.metrics.retries.WithLabelValues(retryNotHolder).Inc()
-	tender.holderIs(holder)
+	shardHolder.holderIs(holder)
 	if holder == "" {
-		tender.ask()
+		shardHolder.ask()
 	}
 }
 
-func (n *Node) shardOf(key Key) (*shard, *tender) {
+func (n *Node) shardOf(key Key) (*shard, *shardHolder) {
 	number := key.Shard(len(n.shards))
-	return n.shards[number], n.tenders[number]
+	return n.shards[number], n.shardHolders[number]
 }
 
 // beginHere runs the request on the shard if it is held here.
@@ -97,11 +97,11 @@
 // ServeBegin answers a forwarded Begin. After an error the claim may have been
 // made.
 func (n *Node) ServeBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
-	part, tender := n.shardOf(request.Key)
+	part, shardHolder := n.shardOf(request.Key)
 	reply, err := n.beginHere(ctx, part, request)
 	if errors.Is(err, errNotHolder) {
-		tender.askIfOwner()
-		reply.NotHolder, reply.Holder = true, tender.holderHint()
+		shardHolder.askIfOwner()
+		reply.NotHolder, reply.Holder = true, shardHolder.holderHint()
 		return reply, nil
 	}
 	return reply, err
@@ -110,11 +110,11 @@
 // ServeFinish answers a forwarded Finish. After an error the outcome may be
 // durable.
 func (n *Node) ServeFinish(ctx context.Context, request FinishRequest) (FinishReply, error) {
-	part, tender := n.shardOf(request.Key)
+	part, shardHolder := n.shardOf(request.Key)
 	err := part.finish(ctx, request)
 	if errors.Is(err, errNotHolder) {
-		tender.askIfOwner()
-		return FinishReply{NotHolder: true, Holder: tender.holderHint()}, nil
+		shardHolder.askIfOwner()
+		return FinishReply{NotHolder: true, Holder: shardHolder.holderHint()}, nil
 	}
 	return FinishReply{}, err
 }
--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -10,20 +10,20 @@
 	"galenatrestle/internal/platform"
 )
 
-// hold takes the shard over and writes for it until the tenure ends, another
+// hold takes the shard over and writes for it until the term ends, another
 // holder supersedes this one, or ctx ends. When ctx ends, what waits is
 // written first.
-func (s *shard) hold(ctx context.Context, tenure Tenure, holder string) error {
+func (s *shard) hold(ctx context.Context, term Term, holder string) error {
 	live, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	go func() {
 		select {
-		case <-tenure.Done():
+		case <-term.Done():
 			stop()
 		case <-live.Done():
 		}
 	}()
-	if err := s.takeOver(live, tenure, holder); err != nil {
+	if err := s.takeOver(live, term, holder); err != nil {
 		return errs.Wrap(errs.Platform, err, stepTakeOver, shardPrefix(s.number))
 	}
 	err := s.writeAll(ctx, live)
@@ -32,13 +32,13 @@
 }
 
 // takeOver reads the ring and fences it by its first write.
-func (s *shard) takeOver(ctx context.Context, tenure Tenure, holder string) error {
+func (s *shard) takeOver(ctx context.Context, term Term, holder string) error {
 	prefix := shardPrefix(s.number)
 	entries, _, err := s.options.Store.List(ctx, prefix)
 	if err != nil {
 		return err
 	}
-	fresh, err := recoverRing(s.options.Policy, prefix, holder, tenure.Epoch(), entries)
+	fresh, err := recoverRing(s.options.Policy, prefix, holder, term.Epoch(), entries)
 	if err != nil {
 		return err
 	}
@@ -48,7 +48,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ring = fresh
-	s.tenure = tenure
+	s.term = term
 	s.holding = true
 	s.advance()
 	s.metrics.takeovers.Inc()
@@ -120,7 +120,7 @@
 
 // write makes the ring's next write. It returns nil when it has taken effect,
 // errSuperseded when another holder has the ring, and errUncertain when the
-// tenure ended before that was known.
+// term ended before that was known.
 func (s *shard) write(live context.Context, current *ring) error {
 	s.mu.Lock()
 	next, err := current.nextWrite(time.Now(), uuid.New())
--- a/internal/claim/lease_test.go
+++ b/internal/claim/lease_test.go
@@ -52,7 +52,7 @@
 // realLeases gives a ledger the terms of a lease.Source.
 type realLeases struct{ source *lease.Source }
 
-func (l realLeases) Acquire(ctx context.Context, name string) (Tenure, error) {
+func (l realLeases) Acquire(ctx context.Context, name string) (Term, error) {
 	term, err := l.source.Acquire(ctx, name)
 	if err != nil {
 		return nil, err
--- a/internal/claim/modelrequest_test.go
+++ b/internal/claim/modelrequest_test.go
@@ -48,14 +48,14 @@
 	request := &s.requests[i]
 	request.state = requestWaiting
 	request.tries++
-	request.holder, request.tenure = h, r.epoch
+	request.holder, request.term = h, r.epoch
 	request.change, request.decision = change, decision
 }
 
 // durable says whether the request's holder can answer it.
 func (s *modelState) durable(request modelRequest) bool {
 	r := s.nodes[request.holder].ring
-	return r != nil && r.epoch == request.tenure && (r.durable >= request.change || s.early)
+	return r != nil && r.epoch == request.term && (r.durable >= request.change || s.early)
 }
 
 // decided gives the request its verdict.
--- a/internal/claim/modelstate_test.go
+++ b/internal/claim/modelstate_test.go
@@ -36,7 +36,7 @@
 type modelRequest struct {
 	state     requestState
 	holder    int
-	tenure    int64
+	term      int64
 	change    int64
 	decision  Decision
 	told      told
@@ -210,7 +210,7 @@
 		to.add(request.tries, asInt(request.uncertain))
 	case requestWaiting:
 		r := m.nodes[request.holder].ring
-		dropped := r == nil || r.epoch != request.tenure
+		dropped := r == nil || r.epoch != request.term
 		to.add(request.tries, request.holder, asInt(dropped))
 		if !dropped {
 			to.add(int(max(0, request.change-r.durable)), int(request.decision.Verdict), len(request.decision.Refused))
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -15,13 +15,13 @@
 // Node is one node's ledger: it holds some of the shards and forwards the rest
 // to their holders. It implements Ledger.
 type Node struct {
-	options    Options
-	boot       uuid.UUID
-	boots      *boots
-	metrics    *metrics
-	shards     []*shard
-	tenders    []*tender
-	unfinished *unfinished
+	options      Options
+	boot         uuid.UUID
+	boots        *boots
+	metrics      *metrics
+	shards       []*shard
+	shardHolders []*shardHolder
+	unfinished   *unfinished
 }
 
 var _ Ledger = (*Node)(nil)
@@ -42,7 +42,7 @@
 	for number := range options.Policy.Shards {
 		part := newShard(number, options, n.metrics)
 		n.shards = append(n.shards, part)
-		n.tenders = append(n.tenders, newTender(part, options))
+		n.shardHolders = append(n.shardHolders, newShardHolder(part, options))
 	}
 	return n, nil
 }
@@ -53,9 +53,9 @@
 	tending, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
-	for _, tender := range n.tenders {
+	for _, shardHolder := range n.shardHolders {
 		group.Go(func() error {
-			tender.run(tending)
+			shardHolder.run(tending)
 			return nil
 		})
 	}
--- a/internal/claim/peers.go
+++ b/internal/claim/peers.go
@@ -29,7 +29,7 @@
 	Refused refusal.Reason
 	// NotHolder says that the receiver does not hold the shard; Holder names
 	// the one it knows of, as its lease does. A verdict is then what it remembers of an earlier
-	// tenure, to be told only where no holder can be asked.
+	// term, to be told only where no holder can be asked.
 	NotHolder bool
 	Holder    string
 }
--- a/internal/claim/regions_test.go
+++ b/internal/claim/regions_test.go
@@ -40,7 +40,7 @@
 // regionLeases gives the ledger the terms of a lease.Source.
 type regionLeases struct{ *lease.Source }
 
-func (l regionLeases) Acquire(ctx context.Context, name string) (claim.Tenure, error) {
+func (l regionLeases) Acquire(ctx context.Context, name string) (claim.Term, error) {
 	term, err := l.Source.Acquire(ctx, name)
 	if err != nil {
 		return nil, err
--- a/internal/claim/shard.go
+++ b/internal/claim/shard.go
@@ -13,7 +13,7 @@
 )
 
 // shard is one shard as this node sees it: held, or known from an earlier
-// tenure, or neither.
+// term, or neither.
 type shard struct {
 	number  int
 	options Options
@@ -29,8 +29,8 @@
 	// holding says that the ring takes changes; else it only answers what is
 	// durable and final.
 	holding bool
-	// tenure is the one that this node holds or held the shard in.
-	tenure Tenure
+	// term is the one that this node holds or held the shard in.
+	term Term
 	// stuck says that the write under way has failed stuckTries times.
 	stuck bool
 	// progress is closed and replaced whenever something became durable or
@@ -130,11 +130,11 @@
 }
 
 // heldNow says that the ring knew all claims of the shard until now: another
-// holder takes over only when the tenure is past by this one's clock.
+// holder takes over only when the term is past by this one's clock.
 func (s *shard) heldNow(current *ring) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.holding && s.ring == current && s.tenure.Held(time.Now())
+	return s.holding && s.ring == current && s.term.Held(time.Now())
 }
 
 // remembered answers what was known when the shard was last held here: what was
--- a/internal/claim/tender.go
+++ b/internal/claim/shardholder.go
@@ -8,9 +8,9 @@
 	"galenatrestle/internal/membership"
 )
 
-// tender decides for one shard whether this node tries to hold it, and knows
+// shardHolder decides for one shard whether this node tries to hold it, and knows
 // who holds it else. What it knows is soft state: the lease decides.
-type tender struct {
+type shardHolder struct {
 	part    *shard
 	options Options
 	name    string
@@ -26,13 +26,13 @@
 // before a held shard is handed on.
 const handOnAfter = 5
 
-func newTender(part *shard, options Options) *tender {
-	return &tender{part: part, options: options, name: shardPrefix(part.number), asked: make(chan struct{}, 1)}
+func newShardHolder(part *shard, options Options) *shardHolder {
+	return &shardHolder{part: part, options: options, name: shardPrefix(part.number), asked: make(chan struct{}, 1)}
 }
 
 // run holds the shard whenever this node is its preferred holder, or was asked
 // as the preferred one did not answer, and the lease is free.
-func (t *tender) run(ctx context.Context) {
+func (t *shardHolder) run(ctx context.Context) {
 	wanted := false
 	for {
 		if wanted || t.preferred() {
@@ -48,7 +48,7 @@
 
 // rest waits for the next look. An ask shortens the wait to a quarter, so that
 // a busy node without a holder does not use up the platform's rate.
-func (t *tender) rest(ctx context.Context) (wanted, live bool) {
+func (t *shardHolder) rest(ctx context.Context) (wanted, live bool) {
 	short := t.options.jitters.around(t.options.TendInterval / 4)
 	if !sleep(ctx, short) {
 		return false, false
@@ -71,7 +71,7 @@
 const elsewhereRest = 10
 
 // interval returns the mean pause between two looks.
-func (t *tender) interval() time.Duration {
+func (t *shardHolder) interval() time.Duration {
 	node, address := readHolder(t.holderHint())
 	if _, known := memberNamed(t.options.View, node); !known && address != "" {
 		return elsewhereRest * t.options.TendInterval
@@ -80,9 +80,9 @@
 }
 
 // tryHold holds the shard if its lease can be had.
-func (t *tender) tryHold(ctx context.Context) {
+func (t *shardHolder) tryHold(ctx context.Context) {
 	call, cancel := context.WithTimeout(ctx, t.options.CallTimeout)
-	tenure, err := t.options.Leases.Acquire(call, t.name)
+	term, err := t.options.Leases.Acquire(call, t.name)
 	cancel()
 	if err != nil {
 		t.holderIs(heldBy(err))
@@ -92,26 +92,26 @@
 	t.holderIs("")
 	until, stop := context.WithCancel(ctx)
 	go t.handOn(until, stop)
-	err = t.part.hold(until, tenure, self)
+	err = t.part.hold(until, term, self)
 	stop()
 	t.part.metrics.forgot(t.part.number)
 	if err != nil {
 		t.options.Log.WithError(err).WithField("shard", t.part.number).Warn("claim shard lost")
 	}
-	t.release(ctx, tenure)
+	t.release(ctx, term)
 }
 
-func (t *tender) release(ctx context.Context, tenure Tenure) {
+func (t *shardHolder) release(ctx context.Context, term Term) {
 	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), t.options.CallTimeout)
 	defer cancel()
-	if err := tenure.Release(call); err != nil {
+	if err := term.Release(call); err != nil {
 		t.options.Log.WithError(err).WithField("shard", t.part.number).Info("claim lease not released, it will lapse")
 	}
 }
 
 // handOn stops the holding when the shard should be handed to its preferred
 // holder. It returns when ctx ends.
-func (t *tender) handOn(ctx context.Context, stop func()) {
+func (t *shardHolder) handOn(ctx context.Context, stop func()) {
 	for others := 0; others < handOnAfter; {
 		if !sleep(ctx, t.options.TendInterval) {
 			return
@@ -125,35 +125,35 @@
 }
 
 // preferred says whether this node is the shard's preferred holder.
-func (t *tender) preferred() bool { return t.isSelf(t.options.View.Owner(t.name)) }
+func (t *shardHolder) preferred() bool { return t.isSelf(t.options.View.Owner(t.name)) }
 
-func (t *tender) isSelf(member membership.Member) bool {
+func (t *shardHolder) isSelf(member membership.Member) bool {
 	return member.Name == t.options.View.Self().Name
 }
 
 // ask makes this node try to hold the shard soon.
-func (t *tender) ask() {
+func (t *shardHolder) ask() {
 	select {
 	case t.asked <- struct{}{}:
 	default:
 	}
 }
 
-func (t *tender) askIfOwner() {
+func (t *shardHolder) askIfOwner() {
 	if t.preferred() {
 		t.ask()
 	}
 }
 
 // holderIs notes who holds the shard.
-func (t *tender) holderIs(name string) {
+func (t *shardHolder) holderIs(name string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.holder = name
 }
 
 // holderHint returns the holder as far as known, or nothing.
-func (t *tender) holderHint() string {
+func (t *shardHolder) holderHint() string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.holder
@@ -161,7 +161,7 @@
 
 // holderAddress returns the peer address of the node to ask. It is false where
 // that would be this node; then it tries to hold the shard.
-func (t *tender) holderAddress() (string, bool) {
+func (t *shardHolder) holderAddress() (string, bool) {
 	node, address := readHolder(t.holderHint())
 	member, known := memberNamed(t.options.View, node)
 	if !known && address != "" {
--- a/internal/node/claims.go
+++ b/internal/node/claims.go
@@ -109,7 +109,7 @@
 }
 
 // Acquire implements claim.Leases.
-func (l claimLeases) Acquire(ctx context.Context, name string) (claim.Tenure, error) {
+func (l claimLeases) Acquire(ctx context.Context, name string) (claim.Term, error) {
 	term, err := l.source.Acquire(ctx, name)
 	if err != nil {
 		return nil, err
