--- a/internal/lease/contract_test.go
+++ b/internal/lease/contract_test.go
@@ -8,6 +8,6 @@
 
 // What holds duties elsewhere fits what this package gives.
 var (
-	_ claim.Term   = (*lease.Term)(nil)
+	_ claim.Term     = (*lease.Term)(nil)
 	_ lease.Observer = (*order.Sender)(nil)
 )
