Wait for a time or a context's end in one place

Cause: read once more, the whole change had the same timer and select ten times: as sleep in claim, configsync, faultrun and resolve, as pause in the gateway, and written out in lease, load and node. Change: package ctxtime has it once, as Sleep; the ten go. What differs stays where it is: budget and memstore turn the end into errors of their own, and the handover's simulation has its own clockwork. Behaviour is unchanged.

--- a/internal/claim/fakestore_test.go
+++ b/internal/claim/fakestore_test.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/platform"
 )
 
@@ -70,7 +71,7 @@
 }
 
 func (f *fakeStore) wait(ctx context.Context) error {
-	if !sleep(ctx, f.latency) {
+	if ctxtime.Sleep(ctx, f.latency) != nil {
 		return platform.ErrUnavailable
 	}
 	f.mu.Lock()
--- a/internal/claim/pause.go
+++ b/internal/claim/pause.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 // jitters spreads pauses; it is safe for concurrent use.
@@ -23,16 +25,5 @@
 // pause waits between half and one and a half retry intervals. It returns false
 // when ctx ended first.
 func pause(ctx context.Context, options Options) bool {
-	return sleep(ctx, options.jitters.around(options.RetryInterval))
-}
-
-func sleep(ctx context.Context, duration time.Duration) bool {
-	timer := time.NewTimer(duration)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return ctxtime.Sleep(ctx, options.jitters.around(options.RetryInterval)) == nil
 }
--- a/internal/claim/shardholder.go
+++ b/internal/claim/shardholder.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/membership"
 )
 
@@ -50,7 +51,7 @@
 // a busy node without a holder does not use up the platform's rate.
 func (t *shardHolder) rest(ctx context.Context) (wanted, live bool) {
 	short := t.options.jitters.around(t.options.TendInterval / 4)
-	if !sleep(ctx, short) {
+	if ctxtime.Sleep(ctx, short) != nil {
 		return false, false
 	}
 	timer := time.NewTimer(t.options.jitters.around(t.interval()))
@@ -113,7 +114,7 @@
 // holder. It returns when ctx ends.
 func (t *shardHolder) handOn(ctx context.Context, stop func()) {
 	for others := 0; others < handOnAfter; {
-		if !sleep(ctx, t.options.TendInterval) {
+		if ctxtime.Sleep(ctx, t.options.TendInterval) != nil {
 			return
 		}
 		others++
--- a/internal/configsync/syncer.go
+++ b/internal/configsync/syncer.go
@@ -250,15 +250,3 @@
 	s.metrics.failures.WithLabelValues(step).Inc()
 	s.log.WithError(err).WithField("step", step).Debug("configuration step failed")
 }
-
-// sleep waits for d or the end of ctx; it reports whether ctx goes on.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/configsync/watch.go
+++ b/internal/configsync/watch.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 const (
@@ -32,7 +34,7 @@
 	for ctx.Err() == nil {
 		if !s.ownsWatch() {
 			s.metrics.watching.Set(0)
-			sleep(ctx, s.jitter(dutyCheck))
+			_ = ctxtime.Sleep(ctx, s.jitter(dutyCheck))
 			continue
 		}
 		s.metrics.watching.Set(1)
@@ -56,7 +58,7 @@
 	record, next, err := s.repository.WaitHead(ctx, after, watchWait)
 	if err != nil {
 		s.countFailure(err, "watch")
-		sleep(ctx, s.jitter(watchRetry))
+		_ = ctxtime.Sleep(ctx, s.jitter(watchRetry))
 		return after
 	}
 	if record != nil {
@@ -67,7 +69,7 @@
 
 // pollLoop reads the newest record now and then.
 func (s *Syncer) pollLoop(ctx context.Context) {
-	for sleep(ctx, s.jitter(s.pollPeriod())) {
+	for ctxtime.Sleep(ctx, s.jitter(s.pollPeriod())) == nil {
 		pollCtx, cancel := context.WithTimeout(ctx, pollTime)
 		s.poll(pollCtx)
 		cancel()
--- a/internal/faultrun/callers.go
+++ b/internal/faultrun/callers.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/load"
 )
 
@@ -53,7 +54,7 @@
 	start := time.Now()
 	var open sync.WaitGroup
 	for i := range offers {
-		if !sleep(ctx, time.Until(start.Add(offers[i].At))) {
+		if ctxtime.Sleep(ctx, time.Until(start.Add(offers[i].At))) != nil {
 			break
 		}
 		open.Go(func() { c.serve(ctx, &offers[i], c.groups[i%len(c.groups)]) })
@@ -66,7 +67,7 @@
 	for round := 0; ; round++ {
 		whole := c.send(ctx, offer, group)
 		done := whole && offer.IdempotencyKey == ""
-		if done || round >= offer.Repeats || !sleep(ctx, offer.Pause) {
+		if done || round >= offer.Repeats || ctxtime.Sleep(ctx, offer.Pause) != nil {
 			return
 		}
 	}
@@ -119,15 +120,3 @@
 	t.Attempt = c.caller.Resume(ctx, t.Address, before.RequestID, t.Offer.Stream.Key, events)
 	return t
 }
-
-// sleep returns false where ctx ended first.
-func sleep(ctx context.Context, wait time.Duration) bool {
-	timer := time.NewTimer(max(0, wait))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/faultrun/inject.go
+++ b/internal/faultrun/inject.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 	"galenatrestle/internal/standin/fault"
@@ -31,7 +32,7 @@
 	group, ctx := errgroup.WithContext(ctx)
 	for _, event := range events {
 		group.Go(func() error {
-			if !sleep(ctx, time.Until(start.Add(event.At))) {
+			if ctxtime.Sleep(ctx, time.Until(start.Add(event.At))) != nil {
 				return nil
 			}
 			if err := in.throw(ctx, event); err != nil {
@@ -68,7 +69,7 @@
 		in.fleet.cut(e.Target, e.For)
 	case ListedLeaving:
 		in.fleet.list(e.Target, true)
-		sleep(ctx, e.For)
+		_ = ctxtime.Sleep(ctx, e.For)
 		in.fleet.list(e.Target, false)
 	case ConfigurationSent:
 		in.fleet.accept(ctx, e)
--- a/internal/faultrun/truth.go
+++ b/internal/faultrun/truth.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/embedded"
 	"galenatrestle/internal/load"
 	"galenatrestle/internal/standin/runs"
@@ -24,7 +25,7 @@
 	until := time.Now().Add(settleTimeout)
 	for {
 		t := listRuns(d)
-		if t.open == 0 || time.Now().After(until) || !sleep(ctx, samplePause) {
+		if t.open == 0 || time.Now().After(until) || ctxtime.Sleep(ctx, samplePause) != nil {
 			return t
 		}
 	}
--- a/internal/faultrun/watch.go
+++ b/internal/faultrun/watch.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/node"
 	"galenatrestle/internal/standin/fault"
 )
@@ -37,7 +38,7 @@
 
 // run looks until ctx ends.
 func (w *watcher) run(ctx context.Context) {
-	for sleep(ctx, samplePause) {
+	for ctxtime.Sleep(ctx, samplePause) == nil {
 		w.look(time.Now())
 	}
 	for engine := range w.open {
@@ -130,7 +131,7 @@
 		if late == "" {
 			return
 		}
-		if !sleep(ctx, samplePause) {
+		if ctxtime.Sleep(ctx, samplePause) != nil {
 			f.broken(promiseConfiguration, late)
 			return
 		}
--- a/internal/gateway/gate.go
+++ b/internal/gateway/gate.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/refusal"
 )
 
@@ -89,7 +90,7 @@
 			s.endRelayed(c, relayTo)
 			return true
 		}
-		if refused.Outcome != refusal.NotRun || pause(ctx, relayPause) != nil {
+		if refused.Outcome != refusal.NotRun || ctxtime.Sleep(ctx, relayPause) != nil {
 			s.refuseCall(w, c, refused)
 			return true
 		}
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/refusal"
@@ -95,7 +96,7 @@
 		}
 		slot.Finish(router.ResultCancelled)
 		request.Avoid = append(request.Avoid, slot.Replica.Name)
-		if err := pause(ctx, suspectPause); err != nil {
+		if err := ctxtime.Sleep(ctx, suspectPause); err != nil {
 			return nil, nil, err
 		}
 	}
@@ -108,15 +109,3 @@
 	refused.RetryAfter = wait
 	return refused
 }
-
-// pause waits, or returns ctx's error.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/gateway/linger.go
+++ b/internal/gateway/linger.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenatrestle/internal/answer"
+	"galenatrestle/internal/ctxtime"
 )
 
 const (
@@ -39,7 +40,7 @@
 		return
 	}
 	for alone := time.Duration(0); alone < resumeGrace; alone += resumeCheck {
-		if pause(ctx, resumeCheck) != nil {
+		if ctxtime.Sleep(ctx, resumeCheck) != nil {
 			return
 		}
 		if record.Readers() > 0 {
--- a/internal/lease/holder.go
+++ b/internal/lease/holder.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 // Callbacks tell of a holder's terms, one after the other and from one
@@ -116,10 +118,5 @@
 func (h *Holder) rest(ctx context.Context) {
 	mean := h.source.settings.TryEvery
 	pause := mean/2 + time.Duration(h.random.Int64N(int64(mean)))
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	_ = ctxtime.Sleep(ctx, pause)
 }
--- a/internal/load/runner.go
+++ b/internal/load/runner.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 // Runner sends planned requests at their times, whether or not earlier ones
@@ -89,12 +91,5 @@
 	if wait <= 0 {
 		return ctx.Err() == nil
 	}
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return ctxtime.Sleep(ctx, wait) == nil
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/leaving"
 	"galenatrestle/internal/membership"
@@ -179,12 +180,8 @@
 		if m.readsInstances() {
 			m.readInstances(ctx)
 		}
-		timer := time.NewTimer(instancesInterval)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if ctxtime.Sleep(ctx, instancesInterval) != nil {
 			return
-		case <-timer.C:
 		}
 	}
 }
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 // Bounds on what a connection may take before its request is read.
@@ -38,12 +40,5 @@
 
 // waitKeepTime waits until no caller holds this node's address any more.
 func (n *Node) waitKeepTime(ctx context.Context) error {
-	timer := time.NewTimer(n.options.KeepTime)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return ctxtime.Sleep(ctx, n.options.KeepTime)
 }
--- a/internal/platform/resolve/resolve.go
+++ b/internal/platform/resolve/resolve.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
-	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/platform"
 )
 
@@ -61,7 +61,7 @@
 		if result, settled := r.look(ctx); settled {
 			return result
 		}
-		if !sleep(ctx, pause) {
+		if ctxtime.Sleep(ctx, pause) != nil {
 			return r.last
 		}
 		pause = min(2*pause, pauses.Max)
@@ -140,15 +140,3 @@
 	r.last.Err = err
 	return r.last, false
 }
-
-// sleep waits and tells whether ctx still lasts.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
