--- a/internal/command/trestled/main.go
+++ b/internal/command/trestled/main.go
@@ -45,5 +45,5 @@
 		parser.FatalIfErrorf(daemon.Check(cli.Settings))
 		return
 	}
-	parser.FatalIfErrorf(daemon.Run(ctx, cli.Settings, os.Stderr))
+	parser.FatalIfErrorf(daemon.Run(ctx, cli.Settings, os.Stdout, os.Stderr))
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -28,12 +28,16 @@
 	return err
 }
 
-// Run serves by the settings file until ctx ends, then stops gracefully.
-func Run(ctx context.Context, path string, stderr io.Writer) error {
+// Run serves by the settings file until ctx ends, then stops gracefully. A node
+// of pass-through routes logs to stdout, another one to stderr.
+func Run(ctx context.Context, path string, stdout, stderr io.Writer) error {
 	loaded, err := settings.Load(path)
 	if err != nil {
 		return err
 	}
+	if loaded.PassThrough != nil {
+		return runPassThrough(ctx, loaded, stdout)
+	}
 	options, err := nodeOptions(loaded, stderr)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/edge/announcer.go
@@ -0,0 +1,96 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/ctxtime"
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/nodesync"
+	"galenatrestle/internal/platform"
+)
+
+const (
+	// announceTTL is how long a node that stopped stays announced.
+	announceTTL = 9 * time.Second
+	// renewEvery leaves two more tries before the lease ends.
+	renewEvery = 3 * time.Second
+	// listEvery is how often the announced nodes are read. The nodes tell each
+	// other of themselves; this finds those that nobody has met yet.
+	listEvery = 3 * time.Second
+	// listEarly is the pace until another node is known.
+	listEarly = 500 * time.Millisecond
+)
+
+// announcer makes the node known in the platform's store and finds others there.
+type announcer struct {
+	store Store
+	self  func() nodesync.Node
+	nodes *nodesync.Nodes
+	clock boottime.Clock
+	log   *eventlog.Log
+	rand  *rand.Rand
+	// lease is zero where none is held.
+	lease int64
+}
+
+// run renews and lists until ctx ends.
+func (a *announcer) run(ctx context.Context) {
+	var renewAt boottime.Instant
+	for {
+		limited, cancel := context.WithTimeout(ctx, readTimeout)
+		if now := a.clock(); now >= renewAt {
+			if err := a.announce(limited); err != nil && ctx.Err() == nil {
+				a.log.Error("announce node", err)
+			} else {
+				renewAt = now.Add(renewEvery)
+			}
+		}
+		if err := a.list(limited); err != nil && ctx.Err() == nil {
+			a.log.Error("list nodes", err)
+		}
+		cancel()
+		pause := listEvery
+		if len(a.nodes.Alive(a.clock())) == 0 {
+			pause = listEarly
+		}
+		if ctxtime.Sleep(ctx, pause+time.Duration(a.rand.Int64N(int64(readJitter)))) != nil {
+			return
+		}
+	}
+}
+
+// announce renews the lease, or takes a new one and writes the node's entry.
+func (a *announcer) announce(ctx context.Context) error {
+	if a.lease != 0 {
+		err := a.store.Renew(ctx, a.lease)
+		if !errors.Is(err, platform.ErrNotFound) {
+			return err
+		}
+	}
+	lease, err := a.store.Grant(ctx, announceTTL)
+	if err != nil {
+		return err
+	}
+	if err := a.store.Announce(ctx, a.self(), lease); err != nil {
+		return err
+	}
+	a.lease = lease
+	return nil
+}
+
+// list takes in the announced nodes as candidates to ask. An entry says nothing
+// about whether the node is still there.
+func (a *announcer) list(ctx context.Context) error {
+	nodes, err := a.store.Nodes(ctx)
+	if err != nil {
+		return err
+	}
+	for _, n := range nodes {
+		a.nodes.Suggest(n, a.clock())
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/edge/listen.go
@@ -0,0 +1,63 @@
+package edge
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's headers.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long a caller's connection may be idle: longer than
+	// any configuration lets callers use one.
+	idleTimeout = 2 * time.Minute
+	// maxHeaderBytes bounds a request's headers.
+	maxHeaderBytes = 64 << 10
+)
+
+// listen opens all listeners, so that an address in use is told at the start.
+func (n *Node) listen() error {
+	s := n.options.Settings
+	answers := n.questions()
+	entry := &http.Server{
+		Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	}
+	listeners := []struct {
+		field, address string
+		serve          func(net.Listener) error
+	}{
+		{"listen", s.Listen, entry.Serve},
+		{"peer_listen", s.PeerListen, n.peers.Serve},
+		{"ops_listen", s.OpsListen, serveWith(n.opsHandler())},
+		{"pass_through.ready_listen", s.PassThrough.ReadyListen, serveWith(answers)},
+		{"pass_through.resolve_listen", s.PassThrough.ResolveListen, serveWith(answers)},
+	}
+	opened := make(map[string]bool)
+	for _, l := range listeners {
+		if l.address == "" || opened[l.address] {
+			continue
+		}
+		opened[l.address] = true
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return fmt.Errorf("settings field %s, value %q: %w", l.field, l.address, err)
+		}
+		n.servers = append(n.servers, &server{field: l.field, listener: listener, serve: l.serve})
+	}
+	return nil
+}
+
+func serveWith(handler http.Handler) func(net.Listener) error {
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	return s.Serve
+}
+
+func (n *Node) opsHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+	return mux
+}
--- /dev/null
+++ b/internal/edge/node.go
@@ -0,0 +1,245 @@
+package edge
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/forward"
+	"galenatrestle/internal/nodesync"
+	"galenatrestle/internal/passthrough"
+	"galenatrestle/internal/peer"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/replica"
+	"galenatrestle/internal/replicaconn"
+	"galenatrestle/internal/retrybudget"
+	"galenatrestle/internal/routesource"
+)
+
+// Node is one edge VM's process.
+type Node struct {
+	options   Options
+	log       *eventlog.Log
+	registry  *prometheus.Registry
+	routes    *routesource.Current
+	replicas  *replica.Set
+	conns     *replicaconn.Pool
+	placer    *placement.Placer
+	budget    *retrybudget.Budget
+	nodes     *nodesync.Nodes
+	sync      *nodesync.Sync
+	handler   *passthrough.Handler
+	reader    *reader
+	announcer *announcer
+	clients   *peer.Clients
+	peers     *peer.Server
+	servers   []*server
+	leaving   atomic.Bool
+	tasks     sync.WaitGroup
+}
+
+// server is one HTTP listener.
+type server struct {
+	field    string
+	listener net.Listener
+	serve    func(net.Listener) error
+}
+
+// New opens the listeners and puts the node together; Run serves.
+func New(options Options) (*Node, error) {
+	s := options.Settings
+	random := rand.New(rand.NewPCG(options.Seed, 1))
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n := &Node{
+		options:  options,
+		log:      eventlog.New(options.Output, s.Name),
+		registry: registry,
+		routes:   routesource.New(options.Decode),
+		replicas: replica.NewSet(),
+		nodes:    nodesync.NewNodes(s.Name, s.Peers.Seeds),
+	}
+	n.conns = replicaconn.NewPool(replicaconn.DefaultDialTimeout, n.countConnection())
+	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
+	n.budget = retrybudget.New(retrybudget.Limits{
+		Ratio: s.PassThrough.Retries.Ratio, Window: s.PassThrough.Retries.Window,
+		Allowance: s.PassThrough.Retries.Allowance, Nodes: n.shareOf(),
+	})
+	n.handler = n.newHandler(random)
+	n.reader = &reader{
+		store: options.Store, routes: n.routes, replicas: n.replicas, listed: n.listed,
+		clock: options.Clock, log: n.log,
+		metrics: newMetrics(registry, n.routes, n.replicas, options.Clock, n.log),
+	}
+	n.announcer = &announcer{
+		store: options.Store, self: n.self, nodes: n.nodes, clock: options.Clock, log: n.log,
+		rand: rand.New(rand.NewPCG(options.Seed, 2)),
+	}
+	if err := n.linkPeers(); err != nil {
+		return nil, err
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+func (n *Node) newHandler(random *rand.Rand) *passthrough.Handler {
+	s := n.options.Settings
+	tracker := quarantine.NewTracker(0)
+	forwarder := forward.New(forward.Options{
+		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
+		Budget: n.budget, Log: n.log, Registry: n.registry,
+	})
+	n.sync = nodesync.New(nodesync.Options{
+		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
+		Placer: n.placer, Tracker: tracker, Clock: n.options.Clock,
+		Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
+	})
+	return passthrough.New(passthrough.Options{
+		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
+		Random: rand.Float64, RevokeAfter: s.PassThrough.RevokeAfter, ApplyWithin: s.PassThrough.ApplyWithin,
+		Nodes: n.shareOf, Log: n.log, Registry: n.registry,
+	})
+}
+
+// linkPeers sets up the link to the other nodes.
+func (n *Node) linkPeers() error {
+	keys, err := peer.NewKeys(peer.KeyFiles{
+		Certificate: n.options.Settings.TLS.CertificateFile,
+		Key:         n.options.Settings.TLS.KeyFile,
+		Authorities: n.options.Settings.TLS.AuthorityFile,
+	}, n.registry)
+	if err != nil {
+		return err
+	}
+	n.clients = peer.NewClients(keys, peer.Settings{DialTimeout: peerDialTimeout, MaxConnections: 1}, n.registry)
+	n.sync.SetClients(n.clients)
+	n.peers = peer.NewServer(keys, n.registry)
+	n.peers.Mount(n.sync.Handler())
+	return nil
+}
+
+// peerDialTimeout bounds connecting to another node, a few milliseconds away.
+const peerDialTimeout = 300 * time.Millisecond
+
+// self is what this node tells of itself.
+func (n *Node) self() nodesync.Node {
+	s := n.options.Settings
+	return nodesync.Node{
+		Name: s.Name, AvailabilityZone: s.AvailabilityZone,
+		EntryAddress: s.Advertise.Entry, PeerAddress: s.Advertise.Peer,
+		Ready: n.Ready(), Leaving: n.leaving.Load(),
+	}
+}
+
+const (
+	// leastNodes is the number of nodes that share a bound as long as few are
+	// known: a node that has just started knows nobody.
+	leastNodes = 8
+	// sparePart is what may be added to the known nodes before the others know.
+	sparePart = 4
+)
+
+// shareOf is the number of nodes by which shared bounds are divided.
+func (n *Node) shareOf() int {
+	known := n.nodes.Count(n.options.Clock())
+	return max(known+known/sparePart, leastNodes)
+}
+
+// listed logs what changed among the replicas, and drops the connections to
+// those that are gone.
+func (n *Node) listed(changes []replica.Change) {
+	if len(changes) == 0 {
+		return
+	}
+	listing, readAt := n.replicas.Latest()
+	age := n.options.Clock().Sub(readAt)
+	for _, c := range changes {
+		n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
+		if c.Kind == replica.Gone {
+			n.conns.Forget(c.Replica.ID)
+		}
+	}
+}
+
+func (n *Node) countConnection() func(string) {
+	opened := prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "trestle_replica_connections_total", Help: "Connections opened to replicas.",
+	})
+	n.registry.MustRegister(opened)
+	return func(string) { opened.Inc() }
+}
+
+// Run serves until ctx ends, then stops gracefully within the grace time.
+func (n *Node) Run(ctx context.Context) error {
+	logged := make(chan struct{})
+	var logger sync.WaitGroup
+	logger.Go(func() { n.log.Run(logged) })
+	defer logger.Wait()
+	defer close(logged)
+	background, cancel := context.WithCancel(context.Background())
+	defer n.tasks.Wait()
+	defer cancel()
+	n.log.Write(&lifecycle{name: "start", fields: eventlog.Fields{"entry": n.options.Settings.Listen}})
+	n.start(background)
+	failed := make(chan error, len(n.servers))
+	for _, s := range n.servers {
+		go func() { failed <- s.run() }()
+	}
+	select {
+	case <-ctx.Done():
+	case err := <-failed:
+		n.log.Error("serve", err)
+		return err
+	}
+	n.stop()
+	return nil
+}
+
+// start begins what runs beside the listeners.
+func (n *Node) start(ctx context.Context) {
+	seed := n.options.Seed
+	n.tasks.Go(func() { n.reader.follow(ctx, "configuration", rand.New(rand.NewPCG(seed, 4)), n.reader.readRoutes) })
+	n.tasks.Go(func() { n.reader.follow(ctx, "replicas", rand.New(rand.NewPCG(seed, 5)), n.reader.readReplicas) })
+	n.tasks.Go(func() { n.announcer.run(ctx) })
+	n.tasks.Go(func() { n.sync.Run(ctx) })
+	n.tasks.Go(func() { n.tidy(ctx) })
+}
+
+// tidyEvery is how often idle connections are looked through.
+const tidyEvery = time.Second
+
+// tidy closes stale connections and follows the number of nodes.
+func (n *Node) tidy(ctx context.Context) {
+	ticker := time.NewTicker(tidyEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			n.conns.Tidy(now)
+			n.budget.SetNodes(n.shareOf())
+		}
+	}
+}
+
+func (s *server) run() error {
+	err := s.serve(s.listener)
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return fmt.Errorf("%s %s: %w", s.field, s.listener.Addr(), err)
+}
--- /dev/null
+++ b/internal/edge/store.go
@@ -0,0 +1,37 @@
+package edge
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"galenatrestle/internal/nodesync"
+	"galenatrestle/internal/replica"
+)
+
+// Store is what a node reads and writes in the platform's store.
+type Store interface {
+	// Configuration reads the operator's newest document.
+	Configuration(ctx context.Context) ([]byte, error)
+	// Replicas reads all registrations. A listing may come with an error that
+	// tells of entries which could not be decoded.
+	Replicas(ctx context.Context) (replica.Listing, error)
+	// Grant takes a lease, Renew extends it; platform.ErrNotFound says that it
+	// has ended.
+	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+	Renew(ctx context.Context, lease int64) error
+	// Announce makes the node known while the lease lasts.
+	Announce(ctx context.Context, n nodesync.Node, lease int64) error
+	// Nodes lists the announced nodes, as of some seconds ago.
+	Nodes(ctx context.Context) ([]nodesync.Node, error)
+}
+
+// Wire answers the platform's and callers' questions in their format.
+type Wire interface {
+	// ReadyPath is the path of the question whether the node is ready,
+	// ResolvePath that of the question which addresses to use.
+	ReadyPath() string
+	ResolvePath() string
+	// WriteResolve answers with the addresses, to be kept for ttl.
+	WriteResolve(w http.ResponseWriter, addresses []string, ttl time.Duration) error
+}
--- /dev/null
+++ b/internal/forward/attempt.go
@@ -0,0 +1,255 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/replicaconn"
+	"galenatrestle/internal/route"
+)
+
+// The steps of an attempt, as named in errors and logs.
+const (
+	stepChoose  = "choose"
+	stepConnect = "connect"
+	stepSend    = "send"
+	stepHead    = "read_head"
+	stepBody    = "read_body"
+	stepAnswer  = "answer"
+)
+
+// maxForeign bounds the answers to other attempts that are skipped on one
+// connection.
+const maxForeign = 2
+
+// attempt is one try at one replica. It is for one goroutine.
+type attempt struct {
+	exchange *exchange
+	place    *placement.Attempt
+	conn     *replicaconn.Conn
+	response *http.Response
+	headers  AnswerHeaders
+	// foreign says that answers to other attempts came on the connection.
+	foreign bool
+	// impatient is set when the attempt was ended for its silence.
+	impatient atomic.Bool
+	silence   *time.Timer
+	// detach stops the connection from being closed with the context.
+	detach func() bool
+}
+
+// try makes one attempt; nil: the answer was passed on whole.
+func (e *exchange) try() *Failure {
+	e.attempts++
+	place, failure := e.choose()
+	if failure != nil {
+		return failure
+	}
+	a := &attempt{exchange: e, place: place}
+	e.replica = place.Replica.ID
+	failure = a.run()
+	result := placement.Answered
+	if failure != nil {
+		result = failure.Result
+		e.avoid(place)
+	}
+	place.End(time.Now(), result)
+	return failure
+}
+
+// avoid keeps further attempts of the call from the replica.
+func (e *exchange) avoid(place *placement.Attempt) {
+	e.request.Avoid = append(e.request.Avoid, place.Replica.ID)
+	e.request.FailedZones = append(e.request.FailedZones, place.Replica.AvailabilityZone)
+}
+
+func (e *exchange) choose() (*placement.Attempt, *Failure) {
+	place := e.forwarder.options.Placer.Choose(time.Now(), e.call.Upstream, &e.request)
+	if place == nil {
+		return nil, &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
+	}
+	return place, nil
+}
+
+// run connects, sends the call and passes the answer on.
+func (a *attempt) run() *Failure {
+	e := a.exchange
+	replica := a.place.Replica
+	conn, err := e.forwarder.options.Conns.Open(e.ctx, replica.ID, replica.Address, e.call.MaxConnections)
+	if err != nil {
+		return a.unreached(stepConnect, err)
+	}
+	a.conn = conn
+	// Connecting takes time, in which the replica may have begun to leave.
+	if !e.forwarder.options.Replicas.Usable(replica.ID) {
+		conn.Close()
+		return &Failure{Result: placement.Cancelled, NotRun: true, Step: stepConnect, Peer: replica.Address, Cause: errLeaving}
+	}
+	a.detach = context.AfterFunc(e.ctx, conn.Close)
+	a.startSilence(a.patience())
+	failure := a.exchangeOn()
+	a.stopSilence()
+	a.release(failure)
+	return failure
+}
+
+// errLeaving says that a replica began to leave while the call was on its way.
+var errLeaving = errors.New("the replica is leaving")
+
+// release keeps the connection for another call, or closes it.
+func (a *attempt) release(f *Failure) {
+	if a.detach() && f == nil && !a.foreign {
+		a.conn.Keep(a.response)
+		return
+	}
+	a.conn.Close()
+}
+
+// unreached is the failure of an attempt of which no byte was sent.
+func (a *attempt) unreached(step string, err error) *Failure {
+	result := placement.Unreachable
+	if a.exchange.ctx.Err() != nil || errors.Is(err, replicaconn.ErrTooManyConnections) {
+		result = placement.Cancelled
+	}
+	return &Failure{Result: result, NotRun: true, Step: step, Peer: a.place.Replica.Address, Cause: err}
+}
+
+// exchangeOn sends the call on the connection and passes the answer on.
+func (a *attempt) exchangeOn() *Failure {
+	e := a.exchange
+	if !e.counted {
+		e.counted = true
+		e.forwarder.options.Budget.Request(time.Now(), e.call.Upstream)
+	}
+	if err := a.conn.Send(a.message()); err != nil {
+		return a.failed(stepSend, err)
+	}
+	if failure := a.receive(); failure != nil {
+		return failure
+	}
+	return a.take()
+}
+
+// message is the call as the replica gets it.
+func (a *attempt) message() *replicaconn.Request {
+	c := a.exchange.call
+	return &replicaconn.Request{
+		Method: c.Method,
+		Target: c.Target,
+		Host:   c.Host,
+		Body:   c.Body,
+		Header: a.exchange.forwarder.options.Codec.Attempt(c.Header, AttemptHeaders{
+			Remaining: time.Until(c.Deadline),
+			Replica:   a.place.Replica.ID,
+			Workspace: c.workspace(),
+			Tier:      route.Tier(c.Route, c.Workspace),
+			LastEvent: a.exchange.lastEvent,
+		}),
+	}
+}
+
+// receive reads answers until one is the call's own: a replica may send a
+// second answer to an earlier call late.
+func (a *attempt) receive() *Failure {
+	c := a.exchange.call
+	for range maxForeign + 1 {
+		response, err := a.conn.Receive(c.Method)
+		if err != nil {
+			return a.failed(stepHead, err)
+		}
+		a.response = response
+		a.headers = a.exchange.forwarder.options.Codec.Answer(response.Header)
+		if a.headers.ID == c.ID || (a.headers.ID == "" && refuses(response, a.headers)) {
+			return nil
+		}
+		a.foreign = true
+		if err := discard(response); err != nil {
+			return a.failed(stepHead, err)
+		}
+	}
+	return a.failed(stepHead, fmt.Errorf("the answer is to attempt %q", a.headers.ID))
+}
+
+// refuses says whether the answer is one that a replica gives before it has
+// read whose call it is.
+func refuses(r *http.Response, h AnswerHeaders) bool {
+	return h.NotExecuted || r.StatusCode == http.StatusMisdirectedRequest
+}
+
+// failed is the failure of an attempt whose connection or answer went wrong.
+func (a *attempt) failed(step string, cause error) *Failure {
+	f := &Failure{
+		Result:  placement.Broken,
+		Arrived: a.conn.Sent(),
+		NotRun:  !a.conn.Sent(),
+		Step:    step,
+		Peer:    a.place.Replica.Address,
+		Cause:   cause,
+	}
+	switch {
+	case a.impatient.Load():
+		f.Result = placement.Silent
+	case a.exchange.caller.Err() != nil:
+		f.Result = placement.Cancelled
+	case a.exchange.ctx.Err() != nil && a.exchange.firstByte.IsZero():
+		f.Result = placement.Silent
+	case a.exchange.ctx.Err() != nil:
+		f.Result = placement.Cancelled
+	}
+	return f
+}
+
+// take decides on the answer by its head, and passes it on.
+func (a *attempt) take() *Failure {
+	switch status := a.response.StatusCode; {
+	case refuses(a.response, a.headers):
+		return a.refused()
+	case status >= http.StatusOK && status < http.StatusMultipleChoices:
+		if !a.headers.Stamped || a.headers.Encoded {
+			return a.failed(stepAnswer, errors.New("the answer is not the replica's own"))
+		}
+		return a.passOn()
+	default:
+		return a.replicaFailed()
+	}
+}
+
+// refused is the failure of a call that the replica says it did not run.
+func (a *attempt) refused() *Failure {
+	result := placement.Full
+	if a.response.StatusCode == http.StatusMisdirectedRequest {
+		result = placement.Replaced
+	}
+	return &Failure{
+		Result: result, NotRun: true, Arrived: true, Step: stepAnswer, Peer: a.place.Replica.Address,
+		Cause: fmt.Errorf("not executed: status %d", a.response.StatusCode),
+	}
+}
+
+// replicaFailed reads a failure that the replica gave itself.
+func (a *attempt) replicaFailed() *Failure {
+	body, whole, err := readBounded(a.response.Body)
+	if err == nil && !whole {
+		err = errAnswerTooLong
+	}
+	if err != nil {
+		return a.failed(stepBody, err)
+	}
+	a.place.Begun(time.Now())
+	return &Failure{
+		Result: placement.Errored, Arrived: true, Step: stepAnswer, Peer: a.place.Replica.Address,
+		Status: a.response.StatusCode, Header: a.response.Header, Body: body,
+	}
+}
+
+func (a *attempt) passOn() *Failure {
+	if a.exchange.call.Route.Streaming {
+		return a.passStream()
+	}
+	return a.passWhole()
+}
--- /dev/null
+++ b/internal/forward/codec.go
@@ -0,0 +1,73 @@
+package forward
+
+import (
+	"net/http"
+	"time"
+
+	"galenatrestle/internal/placement"
+)
+
+// Codec names the headers of a wire format.
+type Codec interface {
+	// Caller decodes what a caller's headers say.
+	Caller(h http.Header) CallerHeaders
+	// Attempt returns the headers that go to a replica: the caller's, but for
+	// those of its connection and those that are the system's to set.
+	Attempt(caller http.Header, a AttemptHeaders) http.Header
+	// Answer decodes what a replica's headers say.
+	Answer(h http.Header) AnswerHeaders
+	// WithoutStamp removes the replica's mark from the headers of an answer
+	// that is not passed on as the replica gave it.
+	WithoutStamp(h http.Header)
+}
+
+// CallerHeaders is what a caller's headers say.
+type CallerHeaders struct {
+	// ID names the caller's attempt; each of its retries has a new one.
+	ID string
+	// Key is the caller's credential.
+	Key string
+	// Patience is how long the caller waits; zero where it does not say.
+	Patience time.Duration
+	// Prompt describes a call of an engine.
+	Prompt Prompt
+	// LastEvent is the last event that the caller has of a stream it resumes.
+	LastEvent string
+}
+
+// Prompt is what a caller says of its prompt.
+type Prompt struct {
+	// Tokens is the prompt's length, MaxAnswer the answer's largest one.
+	Tokens    int
+	MaxAnswer int
+	// AnswerHint is the caller's estimate of the answer's length; zero: none.
+	AnswerHint int
+	// Parts are the prompt's parts in order; the last is the call's own.
+	Parts []placement.Part
+}
+
+// AttemptHeaders is what the system tells a replica.
+type AttemptHeaders struct {
+	// Remaining is the time until the answer is of no more use.
+	Remaining time.Duration
+	// Replica is the identity that the attempt is meant for.
+	Replica string
+	// Workspace is the name of the caller's workspace; empty: none.
+	Workspace string
+	// Tier is the rank; 0 is the highest.
+	Tier int
+	// LastEvent resumes a stream behind this event; empty: from its start.
+	LastEvent string
+}
+
+// AnswerHeaders is what a replica's headers say.
+type AnswerHeaders struct {
+	// ID is the attempt that is answered; empty where the replica does not say.
+	ID string
+	// Stamped says that the answer bears the replica's mark.
+	Stamped bool
+	// NotExecuted says that the replica did not run the call.
+	NotExecuted bool
+	// Encoded says that the body is not the replica's own bytes.
+	Encoded bool
+}
--- /dev/null
+++ b/internal/forward/events.go
@@ -0,0 +1,99 @@
+package forward
+
+import (
+	"time"
+
+	"galenatrestle/internal/eventlog"
+)
+
+// answerEnded tells how a call ended.
+type answerEnded struct {
+	exchange *exchange
+	ending   Ending
+	took     time.Duration
+}
+
+// Name implements eventlog.Event.
+func (*answerEnded) Name() string { return "call_ended" }
+
+// Level implements eventlog.Event.
+func (ev *answerEnded) Level() eventlog.Level {
+	if ev.ending == EndedWhole {
+		return eventlog.Routine
+	}
+	return eventlog.Notable
+}
+
+// Fields implements eventlog.Event.
+func (ev *answerEnded) Fields() eventlog.Fields {
+	e := ev.exchange
+	fields := e.fields()
+	fields["ending"] = ev.ending
+	fields["ms"] = ev.took.Milliseconds()
+	fields["bytes"] = e.outlet.bytes
+	if !e.firstByte.IsZero() {
+		fields["first_byte_ms"] = e.firstByte.Sub(e.call.Arrived).Milliseconds()
+	}
+	if ev.ending != EndedWhole && e.last != nil {
+		fields["error"] = e.last.Error()
+	}
+	return fields
+}
+
+// fields names the call and how far it has come.
+func (e *exchange) fields() eventlog.Fields {
+	return eventlog.Fields{
+		"request":      e.call.ID,
+		"route":        e.call.Route.Name,
+		"upstream":     e.call.Upstream,
+		"replica":      e.replica,
+		"attempts":     e.attempts,
+		"may_have_run": e.mayHaveRun,
+		"left_ms":      time.Until(e.call.Deadline).Milliseconds(),
+	}
+}
+
+// attemptFailed tells why an attempt brought no whole answer.
+type attemptFailed struct {
+	exchange *exchange
+	failure  *Failure
+}
+
+// Name implements eventlog.Event.
+func (*attemptFailed) Name() string { return "attempt_failed" }
+
+// Level implements eventlog.Event.
+func (*attemptFailed) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (ev *attemptFailed) Fields() eventlog.Fields {
+	fields := ev.exchange.fields()
+	fields["error"] = ev.failure.Error()
+	fields["step"] = ev.failure.Step
+	fields["peer"] = ev.failure.Peer
+	fields["not_run"] = ev.failure.NotRun
+	return fields
+}
+
+// retryDecided tells whether another attempt follows.
+type retryDecided struct {
+	exchange *exchange
+	failure  *Failure
+	reason   stopReason
+}
+
+// Name implements eventlog.Event.
+func (*retryDecided) Name() string { return "retry_decided" }
+
+// Level implements eventlog.Event.
+func (*retryDecided) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (ev *retryDecided) Fields() eventlog.Fields {
+	e := ev.exchange
+	fields := e.fields()
+	fields["retry"] = ev.reason == ""
+	fields["reason"] = ev.reason
+	fields["budget_left"] = e.forwarder.options.Budget.Left(time.Now(), e.call.Upstream)
+	return fields
+}
--- /dev/null
+++ b/internal/forward/failure.go
@@ -0,0 +1,38 @@
+package forward
+
+import (
+	"fmt"
+	"net/http"
+
+	"galenatrestle/internal/placement"
+)
+
+// Failure is why an attempt brought no whole answer.
+type Failure struct {
+	// Result is how the replica is judged for it.
+	Result placement.Result
+	// NotRun says that the replica certainly did not run the call.
+	NotRun bool
+	// Arrived says that the replica got the call, which counts as load there.
+	Arrived bool
+	// Step and Peer are where it arose.
+	Step string
+	Peer string
+	// Status, Header and Body are the replica's own failure, to be passed on if
+	// no further attempt is made; Status is zero where it gave none.
+	Status int
+	Header http.Header
+	Body   []byte
+	Cause  error
+}
+
+// Error implements error.
+func (f *Failure) Error() string {
+	if f.Cause == nil {
+		return fmt.Sprintf("%s at %s: status %d", f.Step, f.Peer, f.Status)
+	}
+	return fmt.Sprintf("%s at %s: %v", f.Step, f.Peer, f.Cause)
+}
+
+// Unwrap returns the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
--- /dev/null
+++ b/internal/forward/metrics.go
@@ -0,0 +1,48 @@
+package forward
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics counts how calls end and what is decided on the way.
+type metrics struct {
+	calls     *prometheus.CounterVec
+	latency   *prometheus.HistogramVec
+	retries   *prometheus.CounterVec
+	firstByte *prometheus.HistogramVec
+}
+
+func newMetrics(registry prometheus.Registerer) *metrics {
+	buckets := []float64{0.01, 0.025, 0.05, 0.1, 0.15, 0.3, 0.6, 1, 2.5, 5, 15}
+	m := &metrics{
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_calls_total", Help: "Calls by upstream and how they ended.",
+		}, []string{"upstream", "ending"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "trestle_call_seconds", Help: "Time from a call's arrival to its end.", Buckets: buckets,
+		}, []string{"upstream"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "trestle_first_byte_seconds", Help: "Time from a call's arrival to the first byte of its answer.", Buckets: buckets,
+		}, []string{"upstream"}),
+		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_attempt_failures_total", Help: "Failed attempts by step, and why no further one was made (retried: one was).",
+		}, []string{"step", "decision"}),
+	}
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.retries)
+	return m
+}
+
+func (m *metrics) ended(c *Call, ending Ending, now time.Time) {
+	m.calls.WithLabelValues(c.Upstream, string(ending)).Inc()
+	m.latency.WithLabelValues(c.Upstream).Observe(now.Sub(c.Arrived).Seconds())
+}
+
+func (m *metrics) decided(f *Failure, reason stopReason) {
+	decision := string(reason)
+	if reason == "" {
+		decision = "retried"
+	}
+	m.retries.WithLabelValues(f.Step, decision).Inc()
+}
--- /dev/null
+++ b/internal/forward/options.go
@@ -0,0 +1,23 @@
+package forward
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/replica"
+	"galenatrestle/internal/replicaconn"
+	"galenatrestle/internal/retrybudget"
+)
+
+// Options are what a Forwarder works with.
+type Options struct {
+	Placer   *placement.Placer
+	Replicas *replica.Set
+	Conns    *replicaconn.Pool
+	Codec    Codec
+	Budget   *retrybudget.Budget
+	Crashes  *Crashes
+	Log      *eventlog.Log
+	Registry prometheus.Registerer
+}
--- /dev/null
+++ b/internal/forward/silence.go
@@ -0,0 +1,65 @@
+package forward
+
+import (
+	"time"
+
+	"galenatrestle/internal/route"
+)
+
+const (
+	// leastPatience bounds from below how long a first byte is awaited before
+	// the call is tried elsewhere.
+	leastPatience = 150 * time.Millisecond
+	// pauseFactor times the longest pause on time, and at least leastPause, is
+	// how long a stream's next event is awaited before the stream is resumed
+	// elsewhere.
+	pauseFactor = 4
+	leastPause  = 700 * time.Millisecond
+)
+
+// patience is how long the first byte is awaited; zero: to the deadline. Only a
+// call that may run again, with an attempt left, is ever ended for silence:
+// ending another one would give up an answer that may still come.
+func (a *attempt) patience() time.Duration {
+	e := a.exchange
+	if e.outlet.begun() {
+		return a.pause()
+	}
+	if !e.call.Route.MayRunAgain() || e.mayHaveRun+1 >= e.call.Route.MaxAttempts {
+		return 0
+	}
+	return max(e.call.Route.Objective, leastPatience)
+}
+
+// pause is how long a stream's next event is awaited; zero: to the deadline.
+func (a *attempt) pause() time.Duration {
+	e := a.exchange
+	if e.call.Route.Repeat != route.ResumableStream || !e.mayResume() {
+		return 0
+	}
+	return max(pauseFactor*e.call.Route.MaxPause, leastPause)
+}
+
+// startSilence ends the attempt after d without a further call; zero: never.
+func (a *attempt) startSilence(d time.Duration) {
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+	if d <= 0 {
+		return
+	}
+	if a.silence != nil {
+		a.silence.Reset(d)
+		return
+	}
+	a.silence = time.AfterFunc(d, func() {
+		a.impatient.Store(true)
+		a.conn.Close()
+	})
+}
+
+func (a *attempt) stopSilence() {
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+}
--- /dev/null
+++ b/internal/forward/stopreason.go
@@ -0,0 +1,17 @@
+package forward
+
+// stopReason is one entry of the closed list of why no further attempt is made.
+type stopReason string
+
+// The reasons.
+const (
+	callerLeft        stopReason = "caller_left"
+	deadlinePassed    stopReason = "deadline_passed"
+	noReplica         stopReason = "no_replica"
+	answerBegun       stopReason = "answer_begun"
+	tooManyRefusals   stopReason = "too_many_refusals"
+	mayHaveRun        stopReason = "may_have_run"
+	attemptsUsed      stopReason = "attempts_used"
+	rejectedByReplica stopReason = "rejected_by_replica"
+	noBudget          stopReason = "retry_budget_spent"
+)
--- /dev/null
+++ b/internal/nodesync/convert.go
@@ -0,0 +1,95 @@
+package nodesync
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"galenatrestle/internal/boottime"
+	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/replica"
+)
+
+func nodeToProto(n Node, now boottime.Instant) *nodesyncv1.Node {
+	return &nodesyncv1.Node{
+		Name: n.Name, AvailabilityZone: n.AvailabilityZone,
+		EntryAddress: n.EntryAddress, PeerAddress: n.PeerAddress,
+		Ready: n.Ready, Leaving: n.Leaving, HeardAge: now.Sub(n.HeardAt).Microseconds(),
+	}
+}
+
+// nodeFromProto counts the age from the instant at which the call began.
+func nodeFromProto(n *nodesyncv1.Node, began boottime.Instant) Node {
+	return Node{
+		Name: n.GetName(), AvailabilityZone: n.GetAvailabilityZone(),
+		EntryAddress: n.GetEntryAddress(), PeerAddress: n.GetPeerAddress(),
+		Ready: n.GetReady(), Leaving: n.GetLeaving(),
+		HeardAt: began.Add(-microseconds(n.GetHeardAge())),
+	}
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func replicasToProto(list []replica.Replica) []*nodesyncv1.Replica {
+	converted := make([]*nodesyncv1.Replica, 0, len(list))
+	for _, r := range list {
+		converted = append(converted, &nodesyncv1.Replica{
+			Id: r.ID, Upstream: r.Upstream, Address: r.Address,
+			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining,
+		})
+	}
+	return converted
+}
+
+func replicasFromProto(list []*nodesyncv1.Replica) []replica.Replica {
+	converted := make([]replica.Replica, 0, len(list))
+	for _, r := range list {
+		converted = append(converted, replica.Replica{
+			ID: r.GetId(), Upstream: r.GetUpstream(), Address: r.GetAddress(),
+			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(),
+		})
+	}
+	return converted
+}
+
+// digest is equal for listings of the same replicas, whatever their order.
+func digest(list []replica.Replica) uint64 {
+	var sum uint64
+	var slots [8]byte
+	for _, r := range list {
+		d := xxhash.New()
+		for _, text := range []string{r.ID, r.Upstream, r.Address, r.AvailabilityZone} {
+			_, _ = d.WriteString(text)
+			_, _ = d.Write([]byte{0})
+		}
+		binary.LittleEndian.PutUint64(slots[:], uint64(r.Slots)<<1)
+		if r.Draining {
+			slots[0] |= 1
+		}
+		_, _ = d.Write(slots[:])
+		sum += d.Sum64()
+	}
+	return sum
+}
+
+func loadsToProto(loads []placement.Load) []*nodesyncv1.Load {
+	converted := make([]*nodesyncv1.Load, 0, len(loads))
+	for _, l := range loads {
+		converted = append(converted, &nodesyncv1.Load{
+			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Prefill), Failures: float32(l.Failures),
+		})
+	}
+	return converted
+}
+
+func loadsFromProto(loads []*nodesyncv1.Load) []placement.Load {
+	converted := make([]placement.Load, 0, len(loads))
+	for _, l := range loads {
+		converted = append(converted, placement.Load{
+			Replica: l.GetReplica(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill()), Failures: float64(l.GetFailures()),
+		})
+	}
+	return converted
+}
--- /dev/null
+++ b/internal/nodesync/sync.go
@@ -0,0 +1,265 @@
+package nodesync
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/ctxtime"
+	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
+	"galenatrestle/internal/gen/trestle/nodesync/v1/nodesyncv1connect"
+	"galenatrestle/internal/peer"
+	"galenatrestle/internal/quarantine/quarantinerpc"
+	"galenatrestle/internal/replica"
+)
+
+const (
+	// roundEvery is the time between two rounds of calls.
+	roundEvery = 250 * time.Millisecond
+	// roundJitter spreads the rounds of nodes that started together.
+	roundJitter = 50 * time.Millisecond
+	// callsPerRound is the number of nodes asked in a round. With eight nodes
+	// news reach all in two rounds, for some 12 calls a second each way.
+	callsPerRound = 2
+	// callTimeout bounds one call; nodes are a few milliseconds apart.
+	callTimeout = 400 * time.Millisecond
+)
+
+// Sync exchanges state with other nodes. It is safe for concurrent use.
+type Sync struct {
+	options Options
+	// asking holds the peer addresses of calls in flight.
+	mu     sync.Mutex
+	asking map[string]bool
+}
+
+// New returns a Sync that asks nobody until Run.
+func New(options Options) *Sync {
+	return &Sync{options: options, asking: make(map[string]bool)}
+}
+
+// Handler returns the path and the handler to mount on the peer listener.
+func (s *Sync) Handler() (string, http.Handler) {
+	return nodesyncv1connect.NewNodeSyncServiceHandler(s)
+}
+
+// Run asks other nodes until ctx ends.
+func (s *Sync) Run(ctx context.Context) {
+	for {
+		s.Round(ctx)
+		jitter := time.Duration(s.options.Rand.Int64N(int64(roundJitter)))
+		if err := ctxtime.Sleep(ctx, roundEvery+jitter); err != nil {
+			return
+		}
+	}
+}
+
+// target is one node to ask; its name is empty where only a seed's address is
+// known.
+type target struct {
+	name    string
+	address string
+}
+
+// Round asks a few nodes, without waiting for their answers.
+func (s *Sync) Round(ctx context.Context) {
+	for _, t := range s.targets() {
+		go s.ask(ctx, t)
+	}
+}
+
+// targets draws the nodes of a round: mostly nodes that are alive, and now and
+// then one that was not heard of lately or a seed.
+func (s *Sync) targets() []target {
+	now := s.options.Clock()
+	var alive, silent []target
+	for _, n := range s.options.Nodes.all(now) {
+		t := target{n.Name, n.PeerAddress}
+		if now.Sub(n.HeardAt) < aliveFor {
+			alive = append(alive, t)
+		} else {
+			silent = append(silent, t)
+		}
+	}
+	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress) {
+		silent = append(silent, target{address: address})
+	}
+	s.shuffle(alive)
+	s.shuffle(silent)
+	chosen := alive[:min(len(alive), callsPerRound)]
+	return append(chosen, silent[:min(len(silent), 1+callsPerRound-len(chosen))]...)
+}
+
+func (s *Sync) shuffle(list []target) {
+	s.options.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+}
+
+// ask makes one call, unless one to the same node is in flight.
+func (s *Sync) ask(ctx context.Context, t target) {
+	if !s.begin(t.address) {
+		return
+	}
+	defer s.done(t.address)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	began := s.options.Clock()
+	client := nodesyncv1connect.NewNodeSyncServiceClient(
+		s.options.Clients.HTTPClient(t.address), s.options.Clients.URL(t.address))
+	response, err := client.Exchange(ctx, connect.NewRequest(s.request(began)))
+	if err != nil {
+		// A path that went silent takes nothing any more: begin a new one.
+		s.options.Clients.Forget(t.address)
+		s.options.Nodes.Failed(t.name, began)
+		s.options.Log.Write(&peerLost{target: t, err: err})
+		return
+	}
+	s.take(response.Msg, began)
+}
+
+func (s *Sync) begin(address string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.asking[address] {
+		return false
+	}
+	s.asking[address] = true
+	return true
+}
+
+func (s *Sync) done(address string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asking, address)
+}
+
+// request is this node's state and what it knows already.
+func (s *Sync) request(now boottime.Instant) *nodesyncv1.ExchangeRequest {
+	self := s.options.Self()
+	self.HeardAt = now
+	listing, _ := s.options.Replicas.Latest()
+	return &nodesyncv1.ExchangeRequest{
+		Self:             nodeToProto(self, now),
+		ConfigVersion:    s.options.Routes.Get().Version(),
+		ReplicasRevision: listing.Revision,
+		ReplicasDigest:   digest(listing.Replicas),
+		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
+		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+	}
+}
+
+// Exchange implements nodesyncv1connect.NodeSyncServiceHandler.
+func (s *Sync) Exchange(_ context.Context, request *connect.Request[nodesyncv1.ExchangeRequest]) (*connect.Response[nodesyncv1.ExchangeResponse], error) {
+	now := s.options.Clock()
+	m := request.Msg
+	caller := nodeFromProto(m.GetSelf(), now)
+	s.takeNode(caller)
+	s.options.Placer.SetPeer(caller.Name, loadsFromProto(m.GetLoads()), time.Now())
+	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
+	return connect.NewResponse(s.response(m)), nil
+}
+
+// response tells this node's state, with what the caller does not have.
+func (s *Sync) response(m *nodesyncv1.ExchangeRequest) *nodesyncv1.ExchangeResponse {
+	snapshot := s.options.Routes.Get()
+	listing, readAt := s.options.Replicas.Latest()
+	// The ages are taken after the state they tell of, so that they are not
+	// too young.
+	now := s.options.Clock()
+	self := s.options.Self()
+	self.HeardAt = now
+	answer := &nodesyncv1.ExchangeResponse{
+		Self:             nodeToProto(self, now),
+		ConfigVersion:    snapshot.Version(),
+		ConfigProofAge:   now.Sub(snapshot.ProvenAt).Microseconds(),
+		ReplicasRevision: listing.Revision,
+		ReplicasReadAge:  now.Sub(readAt).Microseconds(),
+		ReplicasDigest:   digest(listing.Replicas),
+		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
+		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+	}
+	for _, n := range s.options.Nodes.Alive(now) {
+		answer.Nodes = append(answer.Nodes, nodeToProto(n, now))
+	}
+	if snapshot.Version() > m.GetConfigVersion() {
+		answer.Config = snapshot.Document
+	}
+	if listing.Revision > m.GetReplicasRevision() && answer.ReplicasDigest != m.GetReplicasDigest() {
+		answer.Replicas = replicasToProto(listing.Replicas)
+	}
+	return answer
+}
+
+// take takes in another node's answer to a call that began at the instant.
+func (s *Sync) take(m *nodesyncv1.ExchangeResponse, began boottime.Instant) {
+	node := nodeFromProto(m.GetSelf(), began)
+	node.HeardAt = began
+	s.takeNode(node)
+	for _, n := range m.GetNodes() {
+		s.takeNode(nodeFromProto(n, began))
+	}
+	s.options.Placer.SetPeer(node.Name, loadsFromProto(m.GetLoads()), time.Now())
+	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
+	s.takeConfig(m, node.Name, began)
+	s.takeReplicas(m, began)
+}
+
+func (s *Sync) takeNode(n Node) {
+	if s.options.Nodes.Take(n) {
+		s.options.Log.Write(&peerFound{node: n})
+	}
+}
+
+// takeConfig takes a newer document, or the proof that the own one is the newest.
+func (s *Sync) takeConfig(m *nodesyncv1.ExchangeResponse, from string, began boottime.Instant) {
+	if m.GetConfigVersion() == 0 {
+		return
+	}
+	provenAt := began.Add(-microseconds(m.GetConfigProofAge()))
+	if len(m.GetConfig()) == 0 {
+		s.options.Routes.Prove(m.GetConfigVersion(), provenAt)
+		return
+	}
+	changed, err := s.options.Routes.Take(m.GetConfig(), provenAt)
+	if err != nil {
+		s.options.Log.Error("decode configuration of "+from, err)
+		return
+	}
+	if changed {
+		s.options.Log.Write(&configTaken{version: m.GetConfigVersion(), from: from, age: microseconds(m.GetConfigProofAge())})
+	}
+}
+
+// takeReplicas takes a newer listing.
+func (s *Sync) takeReplicas(m *nodesyncv1.ExchangeResponse, began boottime.Instant) {
+	own, _ := s.options.Replicas.Latest()
+	if m.GetReplicasRevision() == 0 || m.GetReplicasRevision() < own.Revision {
+		return
+	}
+	listing := replica.Listing{Revision: m.GetReplicasRevision(), Replicas: own.Replicas}
+	if m.GetReplicasDigest() != digest(own.Replicas) {
+		if len(m.GetReplicas()) == 0 {
+			return
+		}
+		listing.Replicas = replicasFromProto(m.GetReplicas())
+	}
+	readAt := began.Add(-microseconds(m.GetReplicasReadAge()))
+	s.options.Listed(s.options.Replicas.Take(listing, readAt, s.options.Clock()))
+}
+
+// SetClients gives the clients for calls of other nodes. It is called before
+// Run.
+func (s *Sync) SetClients(clients *peer.Clients) { s.options.Clients = clients }
+
+// Tell asks all nodes at once, so that they learn this node's state, and waits
+// for their answers.
+func (s *Sync) Tell(ctx context.Context) {
+	var calls sync.WaitGroup
+	for _, n := range s.options.Nodes.Alive(s.options.Clock()) {
+		calls.Go(func() { s.ask(ctx, target{n.Name, n.PeerAddress}) })
+	}
+	calls.Wait()
+}
--- /dev/null
+++ b/internal/passthrough/check.go
@@ -0,0 +1,137 @@
+package passthrough
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/forward"
+	"galenatrestle/internal/route"
+	"galenatrestle/internal/routesource"
+)
+
+const (
+	// revokeMargin is the part of the time for revocations within which a key
+	// may be used: the rest is for clocks that differ in rate.
+	revokeMargin = 0.85
+	// defaultTimeout bounds a request whose route and caller set no time.
+	defaultTimeout = 30 * time.Second
+	// defaultMaxBody bounds a body where the configuration does not.
+	defaultMaxBody = 4 << 20
+)
+
+// check decides whether the request is let in, and as what.
+func (h *Handler) check(w http.ResponseWriter, r *http.Request, arrived time.Time) (*forward.Call, *refused) {
+	snapshot := h.options.Routes.Get()
+	if snapshot.Table == nil {
+		return nil, &refuseNoConfiguration
+	}
+	age := h.options.Clock().Sub(snapshot.ProvenAt)
+	table := snapshot.Table
+	target := requestTarget(r)
+	path, _, _ := strings.Cut(target, "?")
+	matched, ok := table.Match(r.Host, path)
+	if !ok {
+		return nil, h.unlessStale(age, &refuseRoute)
+	}
+	headers := h.options.Codec.Caller(r.Header)
+	workspace, refusal := h.admit(table, matched, headers.Key, age)
+	if refusal != nil {
+		return nil, refusal
+	}
+	body, refusal := readBody(w, r, table.Limits.MaxBodyBytes)
+	if refusal != nil {
+		return nil, refusal
+	}
+	c := &forward.Call{
+		CallerHeaders: headers, Route: matched, Workspace: workspace, Upstream: matched.Pick(h.options.Random()),
+		Method: r.Method, Target: target, Host: r.Host, Header: r.Header, Body: body,
+		Arrived: arrived, Deadline: deadline(arrived, matched, headers.Patience),
+	}
+	c.MaxConnections = h.connections(table, c.Upstream)
+	return c, nil
+}
+
+// requestTarget is the request line's target as the caller sent it, without
+// the scheme and host of its absolute form.
+func requestTarget(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// admit checks the key. The snapshot's age counts from before the request came,
+// so that a key which it holds was revoked no earlier than that.
+func (h *Handler) admit(table *route.Table, r *route.Route, key string, age time.Duration) (*route.Workspace, *refused) {
+	if !table.NeedsKey(r) {
+		return nil, nil
+	}
+	limit := time.Duration(revokeMargin * float64(h.options.RevokeAfter))
+	if h.options.RevokeAfter > 0 && age > limit {
+		return nil, &refuseStale
+	}
+	workspace, ok := table.Workspace(key)
+	if !ok {
+		return nil, h.unlessStale(age, &refuseKey)
+	}
+	return workspace, nil
+}
+
+// unlessStale refuses for good only by a table that is known to be the newest:
+// a newer one may hold the route or key.
+func (h *Handler) unlessStale(age time.Duration, final *refused) *refused {
+	if h.options.ApplyWithin > 0 && age > h.options.ApplyWithin {
+		return &refuseStale
+	}
+	return final
+}
+
+// deadline is when the answer is of no more use.
+func deadline(arrived time.Time, r *route.Route, patience time.Duration) time.Time {
+	limit := r.Timeout
+	if limit <= 0 {
+		limit = defaultTimeout
+	}
+	if patience > 0 {
+		limit = min(limit, patience)
+	}
+	return arrived.Add(limit)
+}
+
+// connections is this node's share of what one replica accepts.
+func (h *Handler) connections(table *route.Table, upstream string) int {
+	u, ok := table.Upstream(upstream)
+	if !ok || u.MaxConnections == 0 {
+		return 0
+	}
+	return max(u.MaxConnections/max(h.options.Nodes(), 1), 1)
+}
+
+// readBody reads the whole body, so that it can be sent more than once.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, *refused) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, limit))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &refuseTooLarge
+	case err != nil:
+		return nil, &refuseUnreadable
+	default:
+		return body, nil
+	}
+}
+
+// freshness is the age of the snapshot's proof at now.
+func freshness(s routesource.Snapshot, now boottime.Instant) time.Duration {
+	return now.Sub(s.ProvenAt)
+}
--- /dev/null
+++ b/internal/placement/cache.go
@@ -0,0 +1,55 @@
+package placement
+
+import "time"
+
+const (
+	// cachedFor is how long a part is taken to stay in a replica's cache after
+	// its last use by this node: at the usual load a replica's memory is
+	// written over in about twice this time.
+	cachedFor = 12 * time.Second
+	// maxParts bounds the parts remembered for one replica.
+	maxParts = 1024
+)
+
+// cache remembers which prompt parts a replica was given last. It is a hint:
+// the replica may have dropped them.
+type cache struct {
+	usedAt map[uint64]time.Time
+}
+
+// add notes that the replica was given the parts.
+func (c *cache) add(now time.Time, parts []Part) {
+	if c.usedAt == nil {
+		c.usedAt = make(map[uint64]time.Time)
+	}
+	for _, p := range parts {
+		c.usedAt[p.ID] = now
+	}
+	if len(c.usedAt) > maxParts {
+		c.dropOld(now)
+	}
+}
+
+func (c *cache) dropOld(now time.Time) {
+	for id, at := range c.usedAt {
+		if now.Sub(at) > cachedFor/2 {
+			delete(c.usedAt, id)
+		}
+	}
+	if len(c.usedAt) > maxParts {
+		clear(c.usedAt)
+	}
+}
+
+// tokens is the length of the leading parts that the replica holds.
+func (c *cache) tokens(now time.Time, parts []Part) int {
+	total := 0
+	for _, p := range parts {
+		at, ok := c.usedAt[p.ID]
+		if !ok || now.Sub(at) > cachedFor {
+			return total
+		}
+		total += p.Tokens
+	}
+	return total
+}
--- /dev/null
+++ b/internal/placement/cost.go
@@ -0,0 +1,90 @@
+package placement
+
+import (
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The cost of a replica is in milliseconds of the caller's time.
+const (
+	// prefillRate is the prompt tokens that an engine reads in a millisecond.
+	prefillRate = 50.0
+	// runningCost is what each running request adds to an answer's time.
+	runningCost = 1.5
+	// failureCost is what one failure adds: more than any usual difference in
+	// load, so that a failing replica is used last.
+	failureCost = 250.0
+	// peerFailureWeight is the part that a failure seen by another node counts:
+	// its path to the replica may be at fault.
+	peerFailureWeight = 0.4
+	// zoneCost is what another availability zone costs: about two ways, and
+	// the bytes between zones.
+	zoneCost = 3.0
+	// failedZoneCost keeps a further attempt out of the zones in which the
+	// request has failed: their path may be at fault.
+	failedZoneCost = 60.0
+	// homeShare is the part of the shared prompt that is expected in the cache
+	// of the replica to which the hash of its parts leads, where this node has
+	// not seen it itself.
+	homeShare = 0.8
+	// silenceFrom is the silence that counts: longer than a usual first token
+	// behind a long prompt.
+	silenceFrom = 350 * time.Millisecond
+	// silenceWeight is the cost of each millisecond beyond it.
+	silenceWeight = 2.0
+	// avoidCost makes a replica that failed this request the last choice.
+	avoidCost = 1e6
+)
+
+// home is a replica's rank value for a prompt's shared parts: all nodes work
+// out the same order, and a lost replica moves only its own prompts.
+func home(part uint64, replica string) uint64 {
+	var key [8]byte
+	binary.LittleEndian.PutUint64(key[:], part)
+	d := xxhash.New()
+	_, _ = d.Write(key[:])
+	_, _ = d.WriteString(replica)
+	return d.Sum64()
+}
+
+// cost is the expected cost of the request at the replica. isHome says that
+// the prompt's parts lead there.
+func (u *upstream) cost(now time.Time, r *Request, s *state, isHome bool) float64 {
+	cost := float64(s.running+s.peersRunning) * runningCost
+	if r.PromptTokens > 0 {
+		cached := s.cache.tokens(now, r.Shared)
+		if isHome {
+			cached = max(cached, int(homeShare*float64(r.sharedTokens())))
+		}
+		cost += float64(s.prefill+s.peersPrefill+r.PromptTokens-cached) / prefillRate
+	} else {
+		cost += u.queueing(s)
+	}
+	cost += failureCost * (s.failuresAt(now) + peerFailureWeight*s.peersFailures)
+	if silence := s.silence(now); silence > silenceFrom {
+		cost += silenceWeight * float64((silence - silenceFrom).Milliseconds())
+	}
+	if s.replica.AvailabilityZone != u.zone {
+		cost += zoneCost
+	}
+	for _, zone := range r.FailedZones {
+		if zone == s.replica.AvailabilityZone {
+			cost += failedZoneCost
+			break
+		}
+	}
+	for _, id := range r.Avoid {
+		if id == s.replica.ID {
+			cost += avoidCost
+		}
+	}
+	return cost
+}
+
+// queueing is the wait for a slot of a plain service.
+func (u *upstream) queueing(s *state) float64 {
+	slots := max(s.replica.Slots, 1)
+	return u.workMS * float64(s.running+s.peersRunning) / float64(slots)
+}
--- /dev/null
+++ b/internal/placement/load.go
@@ -0,0 +1,111 @@
+package placement
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// peerLoadFor is how long what another node told of its load counts.
+	peerLoadFor = time.Second
+	// maxLoads bounds the replicas that one node tells of.
+	maxLoads = 128
+)
+
+// Load is one node's use of one replica.
+type Load struct {
+	Replica string
+	Running int
+	// Prefill is the prompt tokens that are being read.
+	Prefill int
+	// Failures is the node's failure score of the replica.
+	Failures float64
+}
+
+// peerLoads is what another node told last.
+type peerLoads struct {
+	loads []Load
+	at    time.Time
+}
+
+// Loads is this node's use of the replicas, the most used first.
+func (p *Placer) Loads(now time.Time) []Load {
+	var loads []Load
+	for _, u := range p.all() {
+		loads = u.loads(now, loads)
+	}
+	slices.SortFunc(loads, func(a, b Load) int {
+		if a.Running != b.Running {
+			return b.Running - a.Running
+		}
+		return strings.Compare(a.Replica, b.Replica)
+	})
+	return loads[:min(len(loads), maxLoads)]
+}
+
+func (p *Placer) all() []*upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := make([]*upstream, 0, len(p.upstreams))
+	for _, u := range p.upstreams {
+		list = append(list, u)
+	}
+	return list
+}
+
+func (u *upstream) loads(now time.Time, loads []Load) []Load {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, s := range u.states {
+		failures := s.failuresAt(now)
+		if s.silence(now) > silenceFrom {
+			failures += s.silence(now).Seconds()
+		}
+		if s.running == 0 && failures < negligibleFailures {
+			continue
+		}
+		loads = append(loads, Load{Replica: id, Running: s.running, Prefill: s.prefill, Failures: failures})
+	}
+	return loads
+}
+
+// SetPeer takes in what another node tells of its load.
+func (p *Placer) SetPeer(node string, loads []Load, now time.Time) {
+	sums := p.sumPeers(node, loads, now)
+	for _, u := range p.all() {
+		u.setPeers(sums)
+	}
+}
+
+// sumPeers remembers the node's loads and adds up those of all other nodes
+// that are recent.
+func (p *Placer) sumPeers(node string, loads []Load, now time.Time) map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.peers[node] = peerLoads{loads: loads, at: now}
+	sums := make(map[string]Load)
+	for name, told := range p.peers {
+		if now.Sub(told.at) > peerLoadFor {
+			delete(p.peers, name)
+			continue
+		}
+		for _, l := range told.loads {
+			sum := sums[l.Replica]
+			sum.Running += l.Running
+			sum.Prefill += l.Prefill
+			sum.Failures = max(sum.Failures, l.Failures)
+			sums[l.Replica] = sum
+		}
+	}
+	return sums
+}
+
+func (u *upstream) setPeers(sums map[string]Load) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for id, s := range u.states {
+		sum := sums[id]
+		s.peersRunning, s.peersPrefill, s.peersFailures = sum.Running, sum.Prefill, sum.Failures
+	}
+}
--- /dev/null
+++ b/internal/placement/placer.go
@@ -0,0 +1,66 @@
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/replica"
+)
+
+// Placer chooses replicas. It is safe for concurrent use.
+type Placer struct {
+	zone     string
+	replicas *replica.Set
+
+	mu        sync.Mutex
+	rand      *rand.Rand
+	upstreams map[string]*upstream
+	// peers holds what other nodes told of their loads.
+	peers map[string]peerLoads
+}
+
+// NewPlacer returns a placer for a node in the availability zone.
+func NewPlacer(zone string, replicas *replica.Set, random *rand.Rand) *Placer {
+	return &Placer{zone: zone, replicas: replicas, rand: random, upstreams: make(map[string]*upstream), peers: make(map[string]peerLoads)}
+}
+
+func (p *Placer) upstream(name string) *upstream {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	u, ok := p.upstreams[name]
+	if !ok {
+		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
+		p.upstreams[name] = u
+	}
+	return u
+}
+
+// Choose binds the request to a replica of the upstream. It returns nil where
+// no replica takes new requests. The attempt must be ended.
+func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
+	u := p.upstream(name)
+	replicas := p.replicas.Of(name)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	s := u.choose(now, r, replicas)
+	if s == nil {
+		return nil
+	}
+	return u.bind(now, r, s)
+}
+
+// bind counts the attempt at the replica. The lock is held.
+func (u *upstream) bind(now time.Time, r *Request, s *state) *Attempt {
+	a := &Attempt{Replica: s.replica, upstream: u, state: s, startedAt: now}
+	if r.PromptTokens > 0 {
+		a.prefill = r.PromptTokens - s.cache.tokens(now, r.Shared)
+		s.prefill += a.prefill
+		s.cache.add(now, r.Shared)
+	}
+	s.running++
+	if s.waitingSince.IsZero() || s.running == 1 {
+		s.waitingSince = now
+	}
+	return a
+}
--- /dev/null
+++ b/internal/placement/request.go
@@ -0,0 +1,30 @@
+package placement
+
+// Part is one part of a prompt, which replicas cache.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Request is what a choice needs to know.
+type Request struct {
+	// PromptTokens is the length of the whole prompt; zero for a plain service.
+	PromptTokens int
+	// AnswerTokens is the expected length of the answer.
+	AnswerTokens int
+	// Shared are the prompt's parts that other requests have too, in order.
+	Shared []Part
+	// Avoid names replicas that have failed this request already.
+	Avoid []string
+	// FailedZones are the availability zones of these.
+	FailedZones []string
+}
+
+// sharedTokens is the length of the shared parts.
+func (r *Request) sharedTokens() int {
+	total := 0
+	for _, p := range r.Shared {
+		total += p.Tokens
+	}
+	return total
+}
--- /dev/null
+++ b/internal/placement/upstream.go
@@ -0,0 +1,101 @@
+package placement
+
+import (
+	"math"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/replica"
+)
+
+// initialWorkMS is a plain service's expected time before any was seen.
+const initialWorkMS = 30.0
+
+// workWeight is the weight of one observation of a plain service's time.
+const workWeight = 0.05
+
+// upstream is the replicas of one upstream.
+type upstream struct {
+	zone string
+
+	mu     sync.Mutex
+	rand   *rand.Rand
+	states map[string]*state
+	// workMS is the usual time of a plain service's answer.
+	workMS float64
+}
+
+func newUpstream(zone string, random *rand.Rand) *upstream {
+	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS}
+}
+
+// follow takes the replicas that are known now. The lock is held.
+func (u *upstream) follow(replicas []replica.Replica) {
+	if len(u.states) > 2*len(replicas)+8 {
+		u.forget(replicas)
+	}
+	for _, r := range replicas {
+		if s, ok := u.states[r.ID]; ok {
+			s.replica = r
+			continue
+		}
+		u.states[r.ID] = &state{replica: r}
+	}
+}
+
+// forget drops the states of replicas that are gone and have no attempt.
+func (u *upstream) forget(replicas []replica.Replica) {
+	listed := make(map[string]bool, len(replicas))
+	for _, r := range replicas {
+		listed[r.ID] = true
+	}
+	for id, s := range u.states {
+		if !listed[id] && s.running == 0 {
+			delete(u.states, id)
+		}
+	}
+}
+
+// choose returns the cheapest of the replicas that take new requests, or nil.
+func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *state {
+	u.follow(replicas)
+	homeID := homeOf(r, replicas)
+	var best *state
+	least := math.Inf(1)
+	for _, candidate := range replicas {
+		if candidate.Draining {
+			continue
+		}
+		s := u.states[candidate.ID]
+		// Equal costs are split at random, so that nodes with the same view
+		// do not all take the same replica.
+		cost := u.cost(now, r, s, candidate.ID == homeID) * (1 + costJitter*u.rand.Float64())
+		if cost < least {
+			best, least = s, cost
+		}
+	}
+	return best
+}
+
+// costJitter spreads the choices of nodes whose views are equal.
+const costJitter = 0.1
+
+// homeOf is the replica to which the prompt's deepest shared part leads.
+func homeOf(r *Request, replicas []replica.Replica) string {
+	if len(r.Shared) == 0 {
+		return ""
+	}
+	part := r.Shared[len(r.Shared)-1].ID
+	var best uint64
+	id := ""
+	for _, candidate := range replicas {
+		if candidate.Draining {
+			continue
+		}
+		if rank := home(part, candidate.ID); id == "" || rank > best {
+			best, id = rank, candidate.ID
+		}
+	}
+	return id
+}
--- a/internal/quarantine/quarantinerpc/convert.go
+++ b/internal/quarantine/quarantinerpc/convert.go
@@ -7,7 +7,8 @@
 	"galenatrestle/internal/quarantine"
 )
 
-func toProto(records []quarantine.Record) []*quarantinev1.Record {
+// ToProto converts records to messages.
+func ToProto(records []quarantine.Record) []*quarantinev1.Record {
 	list := make([]*quarantinev1.Record, 0, len(records))
 	for _, r := range records {
 		list = append(list, &quarantinev1.Record{
@@ -21,7 +22,8 @@
 	return list
 }
 
-func fromProto(list []*quarantinev1.Record) []quarantine.Record {
+// FromProto converts messages to records.
+func FromProto(list []*quarantinev1.Record) []quarantine.Record {
 	records := make([]quarantine.Record, 0, len(list))
 	for _, r := range list {
 		records = append(records, quarantine.Record{
--- a/internal/quarantine/quarantinerpc/handler.go
+++ b/internal/quarantine/quarantinerpc/handler.go
@@ -23,7 +23,7 @@
 // Exchange implements quarantinev1connect.QuarantineServiceHandler.
 func (h *handler) Exchange(_ context.Context, request *connect.Request[quarantinev1.ExchangeRequest]) (*connect.Response[quarantinev1.ExchangeResponse], error) {
 	now := time.Now()
-	h.tracker.Merge(now, fromProto(request.Msg.GetRecords()))
+	h.tracker.Merge(now, FromProto(request.Msg.GetRecords()))
 	if !request.Msg.GetAll() {
 		return connect.NewResponse(&quarantinev1.ExchangeResponse{}), nil
 	}
@@ -31,5 +31,5 @@
 	if quarantine.Digest(records) == request.Msg.GetDigest() {
 		return connect.NewResponse(&quarantinev1.ExchangeResponse{Same: true}), nil
 	}
-	return connect.NewResponse(&quarantinev1.ExchangeResponse{Records: toProto(records)}), nil
+	return connect.NewResponse(&quarantinev1.ExchangeResponse{Records: ToProto(records)}), nil
 }
--- a/internal/quarantine/quarantinerpc/spreader.go
+++ b/internal/quarantine/quarantinerpc/spreader.go
@@ -100,7 +100,7 @@
 
 // send tells all peers of the records.
 func (s *Spreader) send(ctx context.Context, records []quarantine.Record) {
-	message := &quarantinev1.ExchangeRequest{Records: toProto(records)}
+	message := &quarantinev1.ExchangeRequest{Records: ToProto(records)}
 	var group errgroup.Group
 	group.SetLimit(parallelCalls)
 	for _, address := range s.peers() {
@@ -125,9 +125,9 @@
 	if response == nil || response.GetSame() {
 		return
 	}
-	s.tracker.Merge(time.Now(), fromProto(response.GetRecords()))
+	s.tracker.Merge(time.Now(), FromProto(response.GetRecords()))
 	if len(records) > 0 {
-		s.call(ctx, address, &quarantinev1.ExchangeRequest{Records: toProto(records)})
+		s.call(ctx, address, &quarantinev1.ExchangeRequest{Records: ToProto(records)})
 	}
 }
 
--- a/internal/quarantine/quarantinerpc/spreader_test.go
+++ b/internal/quarantine/quarantinerpc/spreader_test.go
@@ -85,12 +85,12 @@
 	crashTwice(tracker, 1<<63)
 	cleared, _ := tracker.Finished(time.Now(), 1<<63)
 	records := []quarantine.Record{cleared}
-	size := proto.Size(toProto(records)[0])
+	size := proto.Size(ToProto(records)[0])
 	t.Logf("a record takes %d bytes", size)
 	if size > 48 {
 		t.Errorf("a record takes %d bytes, want at most 48", size)
 	}
-	back := fromProto(toProto(records))[0]
+	back := FromProto(ToProto(records))[0]
 	if back.Fingerprint != records[0].Fingerprint || back.Level != records[0].Level ||
 		!back.Until.Equal(records[0].Until.Truncate(time.Microsecond)) {
 		t.Errorf("got back %+v of %+v", back, records[0])
--- /dev/null
+++ b/internal/replica/change.go
@@ -0,0 +1,17 @@
+package replica
+
+// ChangeKind says what happened to a replica.
+type ChangeKind string
+
+// The kinds of changes.
+const (
+	Appeared        ChangeKind = "appeared"
+	StartedDraining ChangeKind = "draining"
+	Gone            ChangeKind = "gone"
+)
+
+// Change is one difference between two states of a Set.
+type Change struct {
+	Replica Replica
+	Kind    ChangeKind
+}
--- /dev/null
+++ b/internal/replicaconn/keepalive.go
@@ -0,0 +1,24 @@
+package replicaconn
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// keepAlive is the idle time that a Keep-Alive header announces; zero: none.
+func keepAlive(h http.Header) time.Duration {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(strings.TrimSpace(value))
+		if err != nil || seconds <= 0 {
+			continue
+		}
+		return time.Duration(seconds) * time.Second
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,85 @@
+package route
+
+import (
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table answers which route and which workspace a request belongs to. It is
+// immutable.
+type Table struct {
+	Version int64
+	Limits  Limits
+	// byHost holds the routes of each host, the longest prefix first.
+	byHost     map[string][]*Route
+	upstreams  map[string]*Upstream
+	workspaces map[string]*Workspace
+	open       bool
+}
+
+// NewTable builds a table.
+func NewTable(d *Document) *Table {
+	t := &Table{
+		Version:    d.Version,
+		Limits:     d.Limits,
+		byHost:     make(map[string][]*Route),
+		upstreams:  make(map[string]*Upstream, len(d.Upstreams)),
+		workspaces: make(map[string]*Workspace),
+		open:       len(d.Workspaces) == 0,
+	}
+	for i := range d.Routes {
+		r := &d.Routes[i]
+		host := strings.ToLower(r.Host)
+		t.byHost[host] = append(t.byHost[host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+	for i := range d.Upstreams {
+		t.upstreams[d.Upstreams[i].Name] = &d.Upstreams[i]
+	}
+	for i := range d.Workspaces {
+		for _, key := range d.Workspaces[i].Keys {
+			t.workspaces[key] = &d.Workspaces[i].Workspace
+		}
+	}
+	return t
+}
+
+// Match returns the route of the host with the longest prefix that begins the
+// path, which is taken as sent, without decoding.
+func (t *Table) Match(host, path string) (*Route, bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Workspace returns the workspace that holds the key.
+func (t *Table) Workspace(key string) (*Workspace, bool) {
+	w, ok := t.workspaces[key]
+	return w, ok
+}
+
+// NeedsKey says whether a request on the route must carry a key.
+func (t *Table) NeedsKey(r *Route) bool { return !t.open && !r.Anonymous }
+
+// Upstream returns what the operator says of the upstream.
+func (t *Table) Upstream(name string) (*Upstream, bool) {
+	u, ok := t.upstreams[name]
+	return u, ok
+}
+
+// Tier returns the rank of the workspace's request on the route; w may be nil.
+func Tier(r *Route, w *Workspace) int {
+	if w != nil && w.HasTier {
+		return w.Tier
+	}
+	return r.Tier
+}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -62,6 +62,7 @@
 
 func (s *Settings) fillDefaults() {
 	s.Claims.fillDefaults()
+	s.PassThrough.fillDefaults()
 	if s.Advertise.Entry == "" {
 		s.Advertise.Entry = s.Listen
 	}
--- /dev/null
+++ b/internal/settings/passthrough.go
@@ -0,0 +1,68 @@
+package settings
+
+import "time"
+
+// PassThrough makes the process serve a deployment whose routes are given by
+// host and path prefix, written by an operator's tool to the platform's store,
+// and whose callers ask which addresses to use.
+type PassThrough struct {
+	// ReadyListen is where the platform asks whether the node is ready.
+	ReadyListen string `yaml:"ready_listen" validate:"required,listen_address"`
+	// ResolveListen is where callers ask which addresses to use. Empty: this
+	// node does not tell them.
+	ResolveListen string `yaml:"resolve_listen,omitempty" validate:"omitempty,listen_address"`
+	// RevokeAfter is how long after its revocation a key may still be used.
+	// Zero: not bounded.
+	RevokeAfter time.Duration `yaml:"revoke_after,omitempty" validate:"min=0"`
+	// ApplyWithin is how soon a configuration is in force at all nodes.
+	// Default 2s.
+	ApplyWithin time.Duration `yaml:"apply_within,omitempty" validate:"min=0"`
+	// Grace is the time from the stop signal to the kill. Default 8s.
+	Grace time.Duration `yaml:"grace,omitempty" validate:"min=0"`
+	// ResolveTTL is how long callers keep the addresses. Default 2s.
+	ResolveTTL time.Duration `yaml:"resolve_ttl,omitempty" validate:"min=0"`
+	// MemoryMB is the process's memory. Zero: not bounded.
+	MemoryMB int         `yaml:"memory_mb,omitempty" validate:"min=0"`
+	Retries  RetryBudget `yaml:"retry_budget,omitempty"`
+}
+
+// RetryBudget bounds the attempts that all nodes together add to the load of
+// one upstream.
+type RetryBudget struct {
+	// Ratio of added attempts to requests. Default 0.1.
+	Ratio float64 `yaml:"ratio,omitempty" validate:"min=0,max=10"`
+	// Window over which both are counted. Default 10s.
+	Window time.Duration `yaml:"window,omitempty" validate:"min=0"`
+	// Allowance is the added attempts in a window beyond the ratio. Default 10.
+	Allowance float64 `yaml:"allowance,omitempty" validate:"min=0"`
+}
+
+// The defaults of PassThrough: the platform's usual bounds.
+const (
+	defaultApplyWithin    = 2 * time.Second
+	defaultGrace          = 8 * time.Second
+	defaultResolveTTL     = 2 * time.Second
+	defaultRetryRatio     = 0.1
+	defaultRetryWindow    = 10 * time.Second
+	defaultRetryAllowance = 10
+)
+
+func (p *PassThrough) fillDefaults() {
+	if p == nil {
+		return
+	}
+	setDefault(&p.ApplyWithin, defaultApplyWithin)
+	setDefault(&p.Grace, defaultGrace)
+	setDefault(&p.ResolveTTL, defaultResolveTTL)
+	setDefault(&p.Retries.Ratio, defaultRetryRatio)
+	setDefault(&p.Retries.Window, defaultRetryWindow)
+	setDefault(&p.Retries.Allowance, defaultRetryAllowance)
+}
+
+// setDefault fills a field that was left out.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -24,6 +24,8 @@
 	// Operators may use the operators' service. Empty: nobody may.
 	Operators []Operator `yaml:"operators,omitempty" validate:"unique=Name,dive"`
 	Log       Log        `yaml:"log,omitempty"`
+	// PassThrough is nil where the node serves the product's own interface.
+	PassThrough *PassThrough `yaml:"pass_through,omitempty"`
 }
 
 // Advertise holds the addresses under which a process is reached. Each
