--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -12,9 +12,9 @@
 	// lastCallPart is when long answers are not begun any more: one that began
 	// later might not end in time.
 	lastCallPart = 0.37
-	// endPart is when the process ends at the latest, before the last sixth of
-	// the grace time.
-	endPart = 0.8
+	// endPart is when the process ends at the latest. Answers that were begun
+	// before lastCallPart may still come in the last sixth of the grace time.
+	endPart = 0.92
 	// leastPart is how long it serves at least: callers keep the address for a
 	// while after it is not told any more.
 	leastPart = 0.5
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,7 +10,6 @@
 
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/replicaconn"
-	"galenatrestle/internal/route"
 )
 
 // The steps of an attempt, as named in errors and logs.
@@ -147,7 +146,7 @@
 			Remaining: time.Until(c.Deadline),
 			Replica:   a.place.Replica.ID,
 			Workspace: c.workspace(),
-			Tier:      route.Tier(c.Route, c.Workspace),
+			Rank:      c.Rank,
 			LastEvent: a.exchange.lastEvent,
 		}),
 	}
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -16,6 +16,8 @@
 	Workspace *route.Workspace
 	// Upstream is the one picked among the route's.
 	Upstream string
+	// Rank is the call's urgency; 0 is the most urgent.
+	Rank int
 	// MaxConnections bounds this node's connections to one replica; zero: none.
 	MaxConnections int
 	Method         string
@@ -40,7 +42,7 @@
 
 // placementRequest is what a choice of a replica needs to know.
 func (c *Call) placementRequest() placement.Request {
-	r := placement.Request{PromptTokens: c.Prompt.Tokens, AnswerTokens: c.Prompt.AnswerHint}
+	r := placement.Request{Class: c.Route.Name, PromptTokens: c.Prompt.Tokens, AnswerTokens: c.Prompt.AnswerHint}
 	if r.AnswerTokens == 0 {
 		r.AnswerTokens = c.Prompt.MaxAnswer
 	}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -54,8 +54,8 @@
 	Replica string
 	// Workspace is the name of the caller's workspace; empty: none.
 	Workspace string
-	// Tier is the rank; 0 is the highest.
-	Tier int
+	// Rank is the urgency; 0 is the most urgent.
+	Rank int
 	// LastEvent resumes a stream behind this event; empty: from its start.
 	LastEvent string
 }
--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -78,7 +78,7 @@
 	converted := make([]*nodesyncv1.Load, 0, len(loads))
 	for _, l := range loads {
 		converted = append(converted, &nodesyncv1.Load{
-			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Prefill), Failures: float32(l.Failures),
+			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Prefill), Light: int32(l.Light), Failures: float32(l.Failures),
 		})
 	}
 	return converted
@@ -88,7 +88,7 @@
 	converted := make([]placement.Load, 0, len(loads))
 	for _, l := range loads {
 		converted = append(converted, placement.Load{
-			Replica: l.GetReplica(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill()), Failures: float64(l.GetFailures()),
+			Replica: l.GetReplica(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill()), Light: int(l.GetLight()), Failures: float64(l.GetFailures()),
 		})
 	}
 	return converted
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -15,6 +15,7 @@
 	startedAt time.Time
 	// prefill is what the attempt still counts for among the prompt tokens.
 	prefill int
+	light   bool
 	begun   bool
 	ended   bool
 }
@@ -52,6 +53,9 @@
 	defer a.upstream.mu.Unlock()
 	a.read()
 	a.state.running--
+	if a.light {
+		a.state.light--
+	}
 	if a.state.running == 0 {
 		a.state.waitingSince = time.Time{}
 	}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -17,6 +17,8 @@
 type Load struct {
 	Replica string
 	Running int
+	// Light is the number of running requests of light classes.
+	Light int
 	// Prefill is the prompt tokens that are being read.
 	Prefill int
 	// Failures is the node's failure score of the replica.
@@ -65,7 +67,7 @@
 		if s.running == 0 && failures < negligibleFailures {
 			continue
 		}
-		loads = append(loads, Load{Replica: id, Running: s.running, Prefill: s.prefill, Failures: failures})
+		loads = append(loads, Load{Replica: id, Running: s.running, Light: s.light, Prefill: s.prefill, Failures: failures})
 	}
 	return loads
 }
@@ -93,6 +95,7 @@
 		for _, l := range told.loads {
 			sum := sums[l.Replica]
 			sum.Running += l.Running
+			sum.Light += l.Light
 			sum.Prefill += l.Prefill
 			sum.Failures = max(sum.Failures, l.Failures)
 			sums[l.Replica] = sum
@@ -106,6 +109,7 @@
 	defer u.mu.Unlock()
 	for id, s := range u.states {
 		sum := sums[id]
-		s.peersRunning, s.peersPrefill, s.peersFailures = sum.Running, sum.Prefill, sum.Failures
+		s.peersRunning, s.peersLight = sum.Running, sum.Light
+		s.peersPrefill, s.peersFailures = sum.Prefill, sum.Failures
 	}
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -54,6 +54,9 @@
 func (u *upstream) bind(now time.Time, r *Request, s *state) *Attempt {
 	a := &Attempt{Replica: s.replica, upstream: u, state: s, startedAt: now}
 	if r.PromptTokens > 0 {
+		if a.light = !u.heavy(r); a.light {
+			s.light++
+		}
 		a.prefill = r.PromptTokens - s.cache.tokens(now, r.Shared)
 		s.prefill += a.prefill
 		s.cache.add(now, r.Shared)
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -8,6 +8,8 @@
 
 // Request is what a choice needs to know.
 type Request struct {
+	// Class groups requests of about the same size.
+	Class string
 	// PromptTokens is the length of the whole prompt; zero for a plain service.
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer.
--- /dev/null
+++ b/internal/placement/split.go
@@ -0,0 +1,125 @@
+package placement
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"galenatrestle/internal/replica"
+)
+
+// An engine reads long prompts between the tokens of the requests that run
+// there: a few of them in a row hold every running stream up beyond its longest
+// pause. The replicas of an engine are therefore split in two sides, one for
+// classes with long prompts and one for the others, by the load of each. All
+// nodes order the replicas alike, and learn of each other's load, so that their
+// splits differ by a replica at most.
+const (
+	// heavyFrom is the usual prompt of a class from which it counts as heavy:
+	// what an engine reads in one step.
+	heavyFrom = 2000
+	// promptWeight is the weight of one prompt in its class's usual one.
+	promptWeight = 0.05
+	// lightPerReplica is the light requests that a replica runs well at once,
+	// heavyPerReplica the heavy ones.
+	lightPerReplica = 20.0
+	heavyPerReplica = 4.0
+	// splitMemory is the time over which the loads are averaged: longer than
+	// the news of other nodes take, shorter than a burst.
+	splitMemory = time.Second
+	// lightAmongHeavy and heavyAmongLight are the costs of a replica of the
+	// other side, in milliseconds: about what the pauses and the longer wait
+	// for the first token are worth. A heavy request delays many light ones.
+	lightAmongHeavy = 150.0
+	heavyAmongLight = 400.0
+)
+
+// split is the averaged load of the two sides, in replicas.
+type split struct {
+	light, heavy float64
+	at           time.Time
+}
+
+// learnPrompt takes in the length of a prompt.
+func (u *upstream) learnPrompt(r *Request) {
+	if r.PromptTokens == 0 {
+		return
+	}
+	usual, known := u.prompts[r.Class]
+	if !known {
+		usual = float64(r.PromptTokens)
+	}
+	u.prompts[r.Class] = usual + promptWeight*(float64(r.PromptTokens)-usual)
+}
+
+// heavy says whether the request's class has long prompts.
+func (u *upstream) heavy(r *Request) bool { return u.prompts[r.Class] >= heavyFrom }
+
+// open lists the replicas that take new requests, in the order of the split.
+func (u *upstream) open(replicas []replica.Replica) []replica.Replica {
+	open := make([]replica.Replica, 0, len(replicas))
+	for _, r := range replicas {
+		if !r.Draining {
+			open = append(open, r)
+		}
+	}
+	slices.SortFunc(open, func(a, b replica.Replica) int {
+		x, y := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
+		switch {
+		case x < y:
+			return -1
+		case x > y:
+			return 1
+		default:
+			return strings.Compare(a.ID, b.ID)
+		}
+	})
+	return open
+}
+
+// lightSide is the number of replicas, from the first, that take light requests.
+func (u *upstream) lightSide(now time.Time, r *Request, open []replica.Replica) int {
+	if r.PromptTokens == 0 || len(open) < 2 {
+		return len(open)
+	}
+	u.average(now, open)
+	demand := u.split.light + u.split.heavy
+	if u.split.heavy < negligibleDemand || demand == 0 {
+		return len(open) - 1
+	}
+	side := int(math.Round(float64(len(open)) * u.split.light / demand))
+	return min(max(side, 1), len(open)-1)
+}
+
+// negligibleDemand is the demand, in replicas, of a side that has no requests.
+const negligibleDemand = 0.01
+
+// average takes the present load into the averages.
+func (u *upstream) average(now time.Time, open []replica.Replica) {
+	light, running := 0, 0
+	for _, r := range open {
+		s := u.states[r.ID]
+		light += s.light + s.peersLight
+		running += s.running + s.peersRunning
+	}
+	passed := now.Sub(u.split.at)
+	u.split.at = now
+	keep := math.Exp(-passed.Seconds() / splitMemory.Seconds())
+	u.split.light = keep*u.split.light + (1-keep)*float64(light)/lightPerReplica
+	u.split.heavy = keep*u.split.heavy + (1-keep)*float64(running-light)/heavyPerReplica
+}
+
+// sideCost is what it costs to place the request on the side.
+func (u *upstream) sideCost(r *Request, lightSide bool) float64 {
+	switch {
+	case r.PromptTokens == 0 || u.heavy(r) != lightSide:
+		return 0
+	case lightSide:
+		return heavyAmongLight
+	default:
+		return lightAmongHeavy
+	}
+}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -12,11 +12,14 @@
 	replica replica.Replica
 	// running counts this node's attempts there; prefill the prompt tokens of
 	// those that have brought nothing yet.
+	// light counts those of the running attempts whose class is light.
 	running int
 	prefill int
+	light   int
 	// peersRunning and peersPrefill are the other nodes' sums as last told.
 	peersRunning int
 	peersPrefill int
+	peersLight   int
 	// peersFailures is the other nodes' failure score as last told.
 	peersFailures float64
 	// failures is a score that halves every failureHalfLife; failedAt is when
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -24,10 +24,13 @@
 	states map[string]*state
 	// workMS is the usual time of a plain service's answer.
 	workMS float64
+	// prompts is the usual prompt of each class, in tokens.
+	prompts map[string]float64
+	split   split
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
-	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS}
+	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, prompts: make(map[string]float64)}
 }
 
 // follow takes the replicas that are known now. The lock is held.
@@ -60,17 +63,21 @@
 // choose returns the cheapest of the replicas that take new requests, or nil.
 func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *state {
 	u.follow(replicas)
-	homeID := homeOf(r, replicas)
+	u.learnPrompt(r)
+	open := u.open(replicas)
+	light := u.lightSide(now, r, open)
+	homeID := homeOf(r, open[light:])
+	if !u.heavy(r) {
+		homeID = homeOf(r, open[:light])
+	}
 	var best *state
 	least := math.Inf(1)
-	for _, candidate := range replicas {
-		if candidate.Draining {
-			continue
-		}
+	for i, candidate := range open {
 		s := u.states[candidate.ID]
 		// Equal costs are split at random, so that nodes with the same view
 		// do not all take the same replica.
 		cost := u.cost(now, r, s, candidate.ID == homeID) * (1 + costJitter*u.rand.Float64())
+		cost += u.sideCost(r, i < light)
 		if cost < least {
 			best, least = s, cost
 		}
@@ -90,9 +97,6 @@
 	var best uint64
 	id := ""
 	for _, candidate := range replicas {
-		if candidate.Draining {
-			continue
-		}
 		if rank := home(part, candidate.ID); id == "" || rank > best {
 			best, id = rank, candidate.ID
 		}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -16,6 +16,8 @@
 	upstreams  map[string]*Upstream
 	workspaces map[string]*Workspace
 	open       bool
+	// routeTiers is the number of tiers that routes may have.
+	routeTiers int
 }
 
 // NewTable builds a table.
@@ -32,6 +34,7 @@
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.routeTiers = max(t.routeTiers, r.Tier+1)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -76,10 +79,12 @@
 	return u, ok
 }
 
-// Tier returns the rank of the workspace's request on the route; w may be nil.
-func Tier(r *Route, w *Workspace) int {
-	if w != nil && w.HasTier {
-		return w.Tier
+// Rank orders the requests by urgency; 0 is the most urgent. The workspace's
+// tier goes first, and the route's decides among equals, so that a replica that
+// must choose between two requests never puts the route of the higher tier back.
+func (t *Table) Rank(r *Route, w *Workspace) int {
+	if w == nil || !w.HasTier {
+		return r.Tier
 	}
-	return r.Tier
+	return w.Tier*t.routeTiers + r.Tier
 }
