--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -18,6 +18,8 @@
 	Upstream string
 	// Rank is the call's urgency; 0 is the most urgent.
 	Rank int
+	// MemoryTokens is what a replica's memory holds; zero: not known.
+	MemoryTokens int
 	// MaxConnections bounds this node's connections to one replica; zero: none.
 	MaxConnections int
 	Method         string
@@ -42,7 +44,7 @@
 
 // placementRequest is what a choice of a replica needs to know.
 func (c *Call) placementRequest() placement.Request {
-	r := placement.Request{Class: c.Route.Name, PromptTokens: c.Prompt.Tokens, AnswerTokens: c.Prompt.AnswerHint}
+	r := placement.Request{Class: c.Route.Name, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, AnswerTokens: c.Prompt.AnswerHint}
 	if r.AnswerTokens == 0 {
 		r.AnswerTokens = c.Prompt.MaxAnswer
 	}
--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -78,7 +78,7 @@
 	converted := make([]*nodesyncv1.Load, 0, len(loads))
 	for _, l := range loads {
 		converted = append(converted, &nodesyncv1.Load{
-			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Prefill), Light: int32(l.Light), Failures: float32(l.Failures),
+			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Prefill), Light: int32(l.Light), Tokens: int32(l.Tokens), Failures: float32(l.Failures),
 		})
 	}
 	return converted
@@ -88,8 +88,24 @@
 	converted := make([]placement.Load, 0, len(loads))
 	for _, l := range loads {
 		converted = append(converted, placement.Load{
-			Replica: l.GetReplica(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill()), Light: int(l.GetLight()), Failures: float64(l.GetFailures()),
+			Replica: l.GetReplica(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill()), Light: int(l.GetLight()), Tokens: int(l.GetTokens()), Failures: float64(l.GetFailures()),
 		})
 	}
 	return converted
 }
+
+func placementsToProto(list []placement.Placement) []*nodesyncv1.Placement {
+	converted := make([]*nodesyncv1.Placement, 0, len(list))
+	for _, p := range list {
+		converted = append(converted, &nodesyncv1.Placement{Replica: p.Replica, Parts: p.Parts})
+	}
+	return converted
+}
+
+func placementsFromProto(list []*nodesyncv1.Placement) []placement.Placement {
+	converted := make([]placement.Placement, 0, len(list))
+	for _, p := range list {
+		converted = append(converted, placement.Placement{Replica: p.GetReplica(), Parts: p.GetParts()})
+	}
+	return converted
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -19,12 +19,12 @@
 
 const (
 	// roundEvery is the time between two rounds of calls.
-	roundEvery = 250 * time.Millisecond
+	roundEvery = 200 * time.Millisecond
 	// roundJitter spreads the rounds of nodes that started together.
 	roundJitter = 50 * time.Millisecond
 	// callsPerRound is the number of nodes asked in a round. With eight nodes
-	// news reach all in two rounds, for some 12 calls a second each way.
-	callsPerRound = 2
+	// news reach all in two rounds, for some 14 calls a second each way.
+	callsPerRound = 3
 	// callTimeout bounds one call; nodes are a few milliseconds apart.
 	callTimeout = 400 * time.Millisecond
 )
@@ -148,6 +148,7 @@
 		ReplicasDigest:   digest(listing.Replicas),
 		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
 	}
 }
 
@@ -158,6 +159,7 @@
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.takeNode(caller)
 	s.options.Placer.SetPeer(caller.Name, loadsFromProto(m.GetLoads()), time.Now())
+	s.options.Placer.SetPlacements(placementsFromProto(m.GetPlacements()), time.Now())
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	return connect.NewResponse(s.response(m)), nil
 }
@@ -180,6 +182,7 @@
 		ReplicasDigest:   digest(listing.Replicas),
 		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
 	}
 	for _, n := range s.options.Nodes.Alive(now) {
 		answer.Nodes = append(answer.Nodes, nodeToProto(n, now))
@@ -202,6 +205,7 @@
 		s.takeNode(nodeFromProto(n, began))
 	}
 	s.options.Placer.SetPeer(node.Name, loadsFromProto(m.GetLoads()), time.Now())
+	s.options.Placer.SetPlacements(placementsFromProto(m.GetPlacements()), time.Now())
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.takeConfig(m, node.Name, began)
 	s.takeReplicas(m, began)
--- a/internal/passthrough/check.go
+++ b/internal/passthrough/check.go
@@ -51,7 +51,9 @@
 		Method: r.Method, Target: target, Host: r.Host, Header: r.Header, Body: body,
 		Arrived: arrived, Deadline: deadline(arrived, matched, headers.Patience),
 	}
-	c.MaxConnections = h.connections(table, c.Upstream)
+	if u, ok := table.Upstream(c.Upstream); ok {
+		h.bound(c, u)
+	}
 	return c, nil
 }
 
@@ -102,13 +104,15 @@
 	return arrived.Add(limit)
 }
 
-// connections is this node's share of what one replica accepts.
-func (h *Handler) connections(table *route.Table, upstream string) int {
-	u, ok := table.Upstream(upstream)
-	if !ok || u.MaxConnections == 0 {
-		return 0
+// bound takes over what the operator says of the upstream's replicas.
+func (h *Handler) bound(c *forward.Call, u *route.Upstream) {
+	if u.Engine != nil {
+		c.MemoryTokens = u.Engine.MemoryTokens
+	}
+	if u.MaxConnections > 0 {
+		// This node's share of what one replica accepts of all nodes.
+		c.MaxConnections = max(u.MaxConnections/max(h.options.Nodes(), 1), 1)
 	}
-	return max(u.MaxConnections/max(h.options.Nodes(), 1), 1)
 }
 
 // readBody reads the whole body, so that it can be sent more than once.
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -15,9 +15,11 @@
 	startedAt time.Time
 	// prefill is what the attempt still counts for among the prompt tokens.
 	prefill int
-	light   bool
-	begun   bool
-	ended   bool
+	// tokens is what it takes of the replica's memory.
+	tokens int
+	light  bool
+	begun  bool
+	ended  bool
 }
 
 // Begun notes the first byte of the answer.
@@ -53,6 +55,7 @@
 	defer a.upstream.mu.Unlock()
 	a.read()
 	a.state.running--
+	a.state.tokens -= a.tokens
 	if a.light {
 		a.state.light--
 	}
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -19,11 +19,20 @@
 
 // add notes that the replica was given the parts.
 func (c *cache) add(now time.Time, parts []Part) {
+	ids := make([]uint64, len(parts))
+	for i, p := range parts {
+		ids[i] = p.ID
+	}
+	c.note(now, ids)
+}
+
+// note is add for the parts' identities.
+func (c *cache) note(now time.Time, ids []uint64) {
 	if c.usedAt == nil {
 		c.usedAt = make(map[uint64]time.Time)
 	}
-	for _, p := range parts {
-		c.usedAt[p.ID] = now
+	for _, id := range ids {
+		c.usedAt[id] = now
 	}
 	if len(c.usedAt) > maxParts {
 		c.dropOld(now)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -13,6 +13,14 @@
 	prefillRate = 50.0
 	// runningCost is what each running request adds to an answer's time.
 	runningCost = 1.5
+	// rereadCost is what each shared token adds that must be read again though
+	// another replica has it, beyond the time it takes: operators pay for it,
+	// about as much as for an answer late by this time.
+	rereadCost = 0.07
+	// crowdedFrom is the part of a replica's memory from which it counts as
+	// filling up, crowdedCost the cost of the whole of it.
+	crowdedFrom = 0.6
+	crowdedCost = 1500.0
 	// failureCost is what one failure adds: more than any usual difference in
 	// load, so that a failing replica is used last.
 	failureCost = 250.0
@@ -28,7 +36,7 @@
 	// homeShare is the part of the shared prompt that is expected in the cache
 	// of the replica to which the hash of its parts leads, where this node has
 	// not seen it itself.
-	homeShare = 0.8
+	homeShare = 0.5
 	// silenceFrom is the silence that counts: longer than a usual first token
 	// behind a long prompt.
 	silenceFrom = 350 * time.Millisecond
@@ -59,6 +67,8 @@
 			cached = max(cached, int(homeShare*float64(r.sharedTokens())))
 		}
 		cost += float64(s.prefill+s.peersPrefill+r.PromptTokens-cached) / prefillRate
+		cost += rereadCost * float64(r.sharedTokens()-cached)
+		cost += crowding(r, s)
 	} else {
 		cost += u.queueing(s)
 	}
@@ -83,6 +93,16 @@
 	return cost
 }
 
+// crowding is the cost of a replica whose memory fills up: an engine that runs
+// out of it puts requests back and reads them again.
+func crowding(r *Request, s *state) float64 {
+	if r.MemoryTokens == 0 {
+		return 0
+	}
+	used := float64(s.tokens+s.peersTokens+r.tokens()) / float64(r.MemoryTokens)
+	return max(used-crowdedFrom, 0) * crowdedCost
+}
+
 // queueing is the wait for a slot of a plain service.
 func (u *upstream) queueing(s *state) float64 {
 	slots := max(s.replica.Slots, 1)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -21,6 +21,8 @@
 	Light int
 	// Prefill is the prompt tokens that are being read.
 	Prefill int
+	// Tokens is what the running requests take of the replica's memory.
+	Tokens int
 	// Failures is the node's failure score of the replica.
 	Failures float64
 }
@@ -67,7 +69,7 @@
 		if s.running == 0 && failures < negligibleFailures {
 			continue
 		}
-		loads = append(loads, Load{Replica: id, Running: s.running, Light: s.light, Prefill: s.prefill, Failures: failures})
+		loads = append(loads, Load{Replica: id, Running: s.running, Light: s.light, Prefill: s.prefill, Tokens: s.tokens, Failures: failures})
 	}
 	return loads
 }
@@ -97,6 +99,7 @@
 			sum.Running += l.Running
 			sum.Light += l.Light
 			sum.Prefill += l.Prefill
+			sum.Tokens += l.Tokens
 			sum.Failures = max(sum.Failures, l.Failures)
 			sums[l.Replica] = sum
 		}
@@ -110,6 +113,6 @@
 	for id, s := range u.states {
 		sum := sums[id]
 		s.peersRunning, s.peersLight = sum.Running, sum.Light
-		s.peersPrefill, s.peersFailures = sum.Prefill, sum.Failures
+		s.peersPrefill, s.peersTokens, s.peersFailures = sum.Prefill, sum.Tokens, sum.Failures
 	}
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -59,7 +59,10 @@
 		}
 		a.prefill = r.PromptTokens - s.cache.tokens(now, r.Shared)
 		s.prefill += a.prefill
+		a.tokens = r.tokens()
+		s.tokens += a.tokens
 		s.cache.add(now, r.Shared)
+		u.placed.add(now, s.replica.ID, r.Shared)
 	}
 	s.running++
 	if s.waitingSince.IsZero() || s.running == 1 {
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -14,6 +14,8 @@
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer.
 	AnswerTokens int
+	// MemoryTokens bounds the tokens in a replica's memory; zero: not known.
+	MemoryTokens int
 	// Shared are the prompt's parts that other requests have too, in order.
 	Shared []Part
 	// Avoid names replicas that have failed this request already.
@@ -22,6 +24,9 @@
 	FailedZones []string
 }
 
+// tokens is what the request takes of a replica's memory.
+func (r *Request) tokens() int { return r.PromptTokens + r.AnswerTokens }
+
 // sharedTokens is the length of the shared parts.
 func (r *Request) sharedTokens() int {
 	total := 0
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -11,15 +11,18 @@
 type state struct {
 	replica replica.Replica
 	// running counts this node's attempts there; prefill the prompt tokens of
-	// those that have brought nothing yet.
+	// those that have brought nothing yet; tokens is what all of them take of
+	// the replica's memory.
 	// light counts those of the running attempts whose class is light.
 	running int
 	prefill int
 	light   int
+	tokens  int
 	// peersRunning and peersPrefill are the other nodes' sums as last told.
 	peersRunning int
 	peersPrefill int
 	peersLight   int
+	peersTokens  int
 	// peersFailures is the other nodes' failure score as last told.
 	peersFailures float64
 	// failures is a score that halves every failureHalfLife; failedAt is when
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -27,6 +27,8 @@
 	// prompts is the usual prompt of each class, in tokens.
 	prompts map[string]float64
 	split   split
+	// placed is where prompts were sent lately, for the other nodes.
+	placed placements
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -16,8 +16,8 @@
 	upstreams  map[string]*Upstream
 	workspaces map[string]*Workspace
 	open       bool
-	// routeTiers is the number of tiers that routes may have.
-	routeTiers int
+	// workspaceTiers is the number of tiers that workspaces may have.
+	workspaceTiers int
 }
 
 // NewTable builds a table.
@@ -29,12 +29,13 @@
 		upstreams:  make(map[string]*Upstream, len(d.Upstreams)),
 		workspaces: make(map[string]*Workspace),
 		open:       len(d.Workspaces) == 0,
+
+		workspaceTiers: 1,
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
-		t.routeTiers = max(t.routeTiers, r.Tier+1)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -43,6 +44,7 @@
 		t.upstreams[d.Upstreams[i].Name] = &d.Upstreams[i]
 	}
 	for i := range d.Workspaces {
+		t.workspaceTiers = max(t.workspaceTiers, d.Workspaces[i].Tier+1)
 		for _, key := range d.Workspaces[i].Keys {
 			t.workspaces[key] = &d.Workspaces[i].Workspace
 		}
@@ -79,12 +81,13 @@
 	return u, ok
 }
 
-// Rank orders the requests by urgency; 0 is the most urgent. The workspace's
-// tier goes first, and the route's decides among equals, so that a replica that
-// must choose between two requests never puts the route of the higher tier back.
+// Rank orders the requests by urgency; 0 is the most urgent. The route's tier
+// goes first and the workspace's decides among equals: a replica that must put
+// a request back then never puts back one of a route of a higher tier, which is
+// what callers are promised by class.
 func (t *Table) Rank(r *Route, w *Workspace) int {
 	if w == nil || !w.HasTier {
-		return r.Tier
+		return r.Tier * t.workspaceTiers
 	}
-	return w.Tier*t.routeTiers + r.Tier
+	return r.Tier*t.workspaceTiers + w.Tier
 }
