--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -57,7 +57,7 @@
 		if len(a.nodes.Alive(a.clock())) == 0 {
 			pause = listEarly
 		}
-		if ctxtime.Sleep(ctx, pause+time.Duration(a.rand.Int64N(int64(readJitter)))) != nil {
+		if ctxtime.Sleep(ctx, pause+time.Duration(a.rand.Int64N(int64(pause/4)))) != nil {
 			return
 		}
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -211,8 +211,8 @@
 // start begins what runs beside the listeners.
 func (n *Node) start(ctx context.Context) {
 	seed := n.options.Seed
-	n.tasks.Go(func() { n.reader.follow(ctx, "configuration", rand.New(rand.NewPCG(seed, 4)), n.reader.readRoutes) })
-	n.tasks.Go(func() { n.reader.follow(ctx, "replicas", rand.New(rand.NewPCG(seed, 5)), n.reader.readReplicas) })
+	n.tasks.Go(func() { n.reader.follow(ctx, "configuration", rand.New(rand.NewPCG(seed, 4)), n.reader.routesAge, n.reader.readRoutes) })
+	n.tasks.Go(func() { n.reader.follow(ctx, "replicas", rand.New(rand.NewPCG(seed, 5)), n.reader.replicasAge, n.reader.readReplicas) })
 	n.tasks.Go(func() { n.announcer.run(ctx) })
 	n.tasks.Go(func() { n.sync.Run(ctx) })
 	n.tasks.Go(func() { n.tidy(ctx) })
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -13,14 +13,16 @@
 )
 
 const (
-	// readEvery is the time between two reads of the store. Registrations
-	// change with each of their heartbeats, so that a watch would return many
-	// times a second; a read at this pace costs less, and is well within the
-	// two seconds in which a leaving replica or a new configuration must be
-	// known.
-	readEvery = 600 * time.Millisecond
-	// readJitter spreads the reads of nodes that started together.
-	readJitter = 100 * time.Millisecond
+	// readAt is the age of a copy at which a node reads the store itself: until
+	// then it learns from the others, to whom it tells its age, so that a
+	// deployment reads a few times a second, however many nodes it has.
+	// Registrations change with each of their heartbeats, so that a watch would
+	// return many times a second. With the jitter, a read's time and a round
+	// between nodes, this is within the two seconds in which a leaving replica
+	// or a new configuration must be known.
+	readAt = 600 * time.Millisecond
+	// readJitter spreads the reads, so that one node's read saves the others'.
+	readJitter = 500 * time.Millisecond
 	// readTimeout bounds one read: a store that is slower counts as away.
 	readTimeout = 900 * time.Millisecond
 	// longestPause bounds the growing pause after failed reads.
@@ -43,10 +45,13 @@
 }
 
 // follow calls read again and again until ctx ends.
-func (r *reader) follow(ctx context.Context, name string, random *rand.Rand, read func(context.Context) error) {
+func (r *reader) follow(ctx context.Context, name string, random *rand.Rand, age func() time.Duration, read func(context.Context) error) {
 	pause := firstPause
 	lost := false
 	for {
+		if !awaitAge(ctx, random, age) {
+			return
+		}
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		err := read(limited)
 		cancel()
@@ -54,24 +59,45 @@
 		if ctx.Err() != nil {
 			return
 		}
-		next := readEvery
-		if err != nil {
-			next = pause
-			pause = min(2*pause, longestPause)
-		} else {
-			pause = firstPause
-		}
 		if lost != (err != nil) {
 			lost = err != nil
 			r.log.Write(&storeChanged{what: name, err: err})
 		}
-		next += time.Duration(random.Int64N(int64(readJitter)))
-		if ctxtime.Sleep(ctx, next) != nil {
+		if err == nil {
+			pause = firstPause
+			continue
+		}
+		if ctxtime.Sleep(ctx, pause/2+time.Duration(random.Int64N(int64(pause)))) != nil {
 			return
 		}
+		pause = min(2*pause, longestPause)
 	}
 }
 
+// awaitAge waits until the copy is due for a read; false: ctx has ended. Each
+// wait draws its own limit, so that the nodes take turns.
+func awaitAge(ctx context.Context, random *rand.Rand, age func() time.Duration) bool {
+	limit := readAt + time.Duration(random.Int64N(int64(readJitter)))
+	for {
+		left := limit - age()
+		if left <= 0 {
+			return ctx.Err() == nil
+		}
+		if ctxtime.Sleep(ctx, left) != nil {
+			return false
+		}
+	}
+}
+
+// routesAge is the time since the routing table was known to be the newest.
+func (r *reader) routesAge() time.Duration { return r.clock().Sub(r.routes.Get().ProvenAt) }
+
+// replicasAge is the age of the newest read of the registrations.
+func (r *reader) replicasAge() time.Duration {
+	_, readAt := r.replicas.Latest()
+	return r.clock().Sub(readAt)
+}
+
 // readRoutes reads the operator's configuration. The read is linearizable, so
 // that what it returns was the newest at some instant after its start.
 func (r *reader) readRoutes(ctx context.Context) error {
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -69,6 +69,7 @@
 		cost += float64(s.prefill+s.peersPrefill+r.PromptTokens-cached) / prefillRate
 		cost += rereadCost * float64(r.sharedTokens()-cached)
 		cost += crowding(r, s)
+		cost += u.stalling(r, s, r.PromptTokens-cached)
 	} else {
 		cost += u.queueing(s)
 	}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -32,9 +32,16 @@
 	splitMemory = time.Second
 	// lightAmongHeavy and heavyAmongLight are the costs of a replica of the
 	// other side, in milliseconds: about what the pauses and the longer wait
-	// for the first token are worth. A heavy request delays many light ones.
+	// for the first token are worth.
 	lightAmongHeavy = 150.0
-	heavyAmongLight = 400.0
+	heavyAmongLight = 100.0
+	// stallFrom is the time of reading prompts in a row, in milliseconds, from
+	// which the running light streams begin to be held up beyond their longest
+	// pause, and stallTo that from which all of them are. stallCost is the cost
+	// of each of them.
+	stallFrom = 100.0
+	stallTo   = 200.0
+	stallCost = 300.0
 )
 
 // split is the averaged load of the two sides, in replicas.
@@ -112,6 +119,18 @@
 	u.split.heavy = keep*u.split.heavy + (1-keep)*float64(running-light)/heavyPerReplica
 }
 
+// stalling is the cost of holding up the light streams that run at the replica
+// while the request's prompt is read there, of which uncached tokens are not in
+// the cache.
+func (u *upstream) stalling(r *Request, s *state, uncached int) float64 {
+	if !u.heavy(r) {
+		return 0
+	}
+	stall := float64(s.prefill+s.peersPrefill+uncached) / prefillRate
+	part := min(max((stall-stallFrom)/(stallTo-stallFrom), 0), 1)
+	return part * stallCost * float64(s.light+s.peersLight)
+}
+
 // sideCost is what it costs to place the request on the side.
 func (u *upstream) sideCost(r *Request, lightSide bool) float64 {
 	switch {
