--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -25,7 +25,7 @@
 )
 
 // runPassThrough serves callers by pass-through routes until ctx ends.
-func runPassThrough(ctx context.Context, s *settings.Settings, output io.Writer) error {
+func runPassThrough(ctx context.Context, path string, s *settings.Settings, output io.Writer) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectAt)
 	if s.PassThrough.MemoryMB > 0 {
@@ -44,5 +44,6 @@
 	if err != nil {
 		return err
 	}
+	go followSettings(ctx, path, n)
 	return n.Run(ctx)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	if loaded.PassThrough != nil {
-		return runPassThrough(ctx, loaded, stdout)
+		return runPassThrough(ctx, path, loaded, stdout)
 	}
 	options, err := nodeOptions(loaded, stderr)
 	if err != nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -25,6 +25,7 @@
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/retrybudget"
 	"galenatrestle/internal/routesource"
+	"galenatrestle/internal/settings"
 )
 
 // Node is one edge VM's process.
@@ -47,6 +48,8 @@
 	servers   []*server
 	leaving   atomic.Bool
 	tasks     sync.WaitGroup
+	// settings are those in force; options.Settings are those of the start.
+	settings atomic.Pointer[settings.Settings]
 }
 
 // server is one HTTP listener.
@@ -70,13 +73,11 @@
 		replicas: replica.NewSet(),
 		nodes:    nodesync.NewNodes(s.Name, s.Peers.Seeds),
 	}
+	n.settings.Store(s)
 	n.conns = replicaconn.NewPool(replicaconn.DefaultDialTimeout, n.countConnection())
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
-	n.budget = retrybudget.New(retrybudget.Limits{
-		Ratio: s.PassThrough.Retries.Ratio, Window: s.PassThrough.Retries.Window,
-		Allowance: s.PassThrough.Retries.Allowance, Nodes: n.shareOf(),
-	})
-	n.handler = n.newHandler(random)
+	n.budget = retrybudget.New(n.retryLimits())
+	n.handler = n.newHandler()
 	n.reader = &reader{
 		store: options.Store, routes: n.routes, replicas: n.replicas, listed: n.listed,
 		clock: options.Clock, log: n.log,
@@ -95,12 +96,12 @@
 	return n, nil
 }
 
-func (n *Node) newHandler(random *rand.Rand) *passthrough.Handler {
-	s := n.options.Settings
+func (n *Node) newHandler() *passthrough.Handler {
 	tracker := quarantine.NewTracker(0)
+	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, Log: n.log, Registry: n.registry,
+		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Log: n.log, Registry: n.registry,
 	})
 	n.sync = nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
@@ -109,7 +110,7 @@
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
-		Random: rand.Float64, RevokeAfter: s.PassThrough.RevokeAfter, ApplyWithin: s.PassThrough.ApplyWithin,
+		Random: rand.Float64, Bounds: n.bounds,
 		Nodes: n.shareOf, Log: n.log, Registry: n.registry,
 	})
 }
@@ -211,8 +212,12 @@
 // start begins what runs beside the listeners.
 func (n *Node) start(ctx context.Context) {
 	seed := n.options.Seed
-	n.tasks.Go(func() { n.reader.follow(ctx, "configuration", rand.New(rand.NewPCG(seed, 4)), n.reader.routesAge, n.reader.readRoutes) })
-	n.tasks.Go(func() { n.reader.follow(ctx, "replicas", rand.New(rand.NewPCG(seed, 5)), n.reader.replicasAge, n.reader.readReplicas) })
+	n.tasks.Go(func() {
+		n.reader.follow(ctx, "configuration", rand.New(rand.NewPCG(seed, 4)), n.reader.routesAge, n.reader.readRoutes)
+	})
+	n.tasks.Go(func() {
+		n.reader.follow(ctx, "replicas", rand.New(rand.NewPCG(seed, 5)), n.reader.replicasAge, n.reader.readReplicas)
+	})
 	n.tasks.Go(func() { n.announcer.run(ctx) })
 	n.tasks.Go(func() { n.sync.Run(ctx) })
 	n.tasks.Go(func() { n.tidy(ctx) })
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -51,7 +51,9 @@
 	}
 	a := &attempt{exchange: e, place: place}
 	e.replica = place.Replica.ID
+	run := e.forwarder.options.Crashes.start(place.Replica, e.fingerprint)
 	failure = a.run()
+	e.forwarder.options.Crashes.end(run, place.Replica, failure)
 	result := placement.Answered
 	if failure != nil {
 		result = failure.Result
--- a/internal/forward/ending.go
+++ b/internal/forward/ending.go
@@ -17,6 +17,8 @@
 	EndedTimeout Ending = "timeout"
 	// EndedBroken streams were cut after their start.
 	EndedBroken Ending = "broken"
+	// EndedQuarantined calls are refused for having crashed replicas.
+	EndedQuarantined Ending = "quarantined"
 	// EndedCallerGone calls were left by their caller.
 	EndedCallerGone Ending = "caller_gone"
 )
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/replica"
 )
 
 // answerEnded tells how a call ended.
@@ -97,3 +99,31 @@
 	fields["budget_left"] = e.forwarder.options.Budget.Left(time.Now(), e.call.Upstream)
 	return fields
 }
+
+// replicaCrashed tells that a replica crashed while calls of this node ran there.
+type replicaCrashed struct {
+	replica replica.Replica
+	running int
+	records []quarantine.Record
+	now     time.Time
+}
+
+// Name implements eventlog.Event.
+func (*replicaCrashed) Name() string { return "replica_crashed" }
+
+// Level implements eventlog.Event.
+func (*replicaCrashed) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (ev *replicaCrashed) Fields() eventlog.Fields {
+	quarantined := 0
+	for _, r := range ev.records {
+		if r.Until.After(ev.now) {
+			quarantined++
+		}
+	}
+	return eventlog.Fields{
+		"replica": ev.replica.ID, "upstream": ev.replica.Upstream, "address": ev.replica.Address,
+		"running": ev.running, "quarantined": quarantined,
+	}
+}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/route"
 )
 
@@ -28,6 +29,8 @@
 	ctx     context.Context
 	outlet  *outlet
 	request placement.Request
+	// fingerprint identifies the call's content.
+	fingerprint quarantine.Fingerprint
 
 	// attempts counts all, arrivals those that reached a replica, mayHaveRun
 	// those of which it is not proved that they did not run.
@@ -50,6 +53,10 @@
 
 // run makes attempts until the answer is whole or none is left to make.
 func (e *exchange) run() Ending {
+	if left, refused := e.forwarder.options.Crashes.refuses(time.Now(), e.fingerprint); refused {
+		e.outlet.notRun(left)
+		return EndedQuarantined
+	}
 	for {
 		failure := e.try()
 		if failure == nil {
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -31,6 +31,8 @@
 		outlet:    newOutlet(w, f.options.Codec, c),
 		request:   c.placementRequest(),
 		lastEvent: c.LastEvent,
+
+		fingerprint: c.fingerprint(),
 	}
 	defer e.outlet.close()
 	ending := e.run()
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -40,6 +40,13 @@
 	}
 }
 
+// SetSeeds replaces the seeds' peer addresses.
+func (n *Nodes) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seeds = seeds
+}
+
 // Take takes in what is known of a node; older news than what is known already
 // change nothing. It reports whether the node was unknown or not alive before.
 func (n *Nodes) Take(node Node) bool {
--- a/internal/passthrough/check.go
+++ b/internal/passthrough/check.go
@@ -72,8 +72,8 @@
 	if !table.NeedsKey(r) {
 		return nil, nil
 	}
-	limit := time.Duration(revokeMargin * float64(h.options.RevokeAfter))
-	if h.options.RevokeAfter > 0 && age > limit {
+	revokeAfter := h.options.Bounds().RevokeAfter
+	if revokeAfter > 0 && age > time.Duration(revokeMargin*float64(revokeAfter)) {
 		return nil, &refuseStale
 	}
 	workspace, ok := table.Workspace(key)
@@ -86,7 +86,7 @@
 // unlessStale refuses for good only by a table that is known to be the newest:
 // a newer one may hold the route or key.
 func (h *Handler) unlessStale(age time.Duration, final *refused) *refused {
-	if h.options.ApplyWithin > 0 && age > h.options.ApplyWithin {
+	if within := h.options.Bounds().ApplyWithin; within > 0 && age > within {
 		return &refuseStale
 	}
 	return final
--- a/internal/passthrough/options.go
+++ b/internal/passthrough/options.go
@@ -19,14 +19,20 @@
 	Clock     boottime.Clock
 	// Random returns values in [0, 1) for the split of a route.
 	Random func() float64
-	// RevokeAfter is how long after its revocation a key may still be used;
-	// zero: keys are not checked for revocation.
-	RevokeAfter time.Duration
-	// ApplyWithin is how soon a configuration must be in force.
-	ApplyWithin time.Duration
+	// Bounds returns the bounds in force.
+	Bounds func() Bounds
 	// Nodes is the largest number of nodes, which share the connections that a
 	// replica accepts.
 	Nodes    func() int
 	Log      *eventlog.Log
 	Registry prometheus.Registerer
 }
+
+// Bounds are the times within which a change of the configuration takes effect.
+type Bounds struct {
+	// RevokeAfter is how long after its revocation a key may still be used;
+	// zero: keys are not checked for revocation.
+	RevokeAfter time.Duration
+	// ApplyWithin is how soon a configuration must be in force.
+	ApplyWithin time.Duration
+}
--- a/internal/replicaconn/pool.go
+++ b/internal/replicaconn/pool.go
@@ -85,6 +85,22 @@
 	if !p.reserve(replica, limit) {
 		return nil, ErrTooManyConnections
 	}
+	return p.connect(ctx, replica, address)
+}
+
+// Probe connects to the replica and keeps the connection for a later request.
+func (p *Pool) Probe(ctx context.Context, replica, address string) error {
+	p.reserve(replica, 0)
+	c, err := p.connect(ctx, replica, address)
+	if err != nil {
+		return err
+	}
+	p.put(c)
+	return nil
+}
+
+// connect opens a new connection, for which a place was reserved.
+func (p *Pool) connect(ctx context.Context, replica, address string) (*Conn, error) {
 	conn, err := p.dial(ctx, address)
 	if err != nil {
 		p.unreserve(replica)
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -49,6 +49,17 @@
 	return &Budget{limits: limits, upstreams: make(map[string]*window)}
 }
 
+// SetLimits puts other limits in force; the counts of a changed window start
+// anew.
+func (b *Budget) SetLimits(limits Limits) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if limits.Window != b.limits.Window {
+		clear(b.upstreams)
+	}
+	b.limits = limits
+}
+
 // SetNodes changes the number of nodes that share the allowance.
 func (b *Budget) SetNodes(nodes int) {
 	b.mu.Lock()
