--- a/internal/command/trestlectl/cli.go
+++ b/internal/command/trestlectl/cli.go
@@ -17,6 +17,7 @@
 	Intent  intentCommand  `cmd:"" help:"Propose, confirm and abandon plans."`
 	Status  statusCommand  `cmd:"" help:"Show the nodes, what is in force where, and the leases."`
 	Explain explainCommand `cmd:"" help:"Tell what happened to a request and why."`
+	Trace   traceCommand   `cmd:"" help:"Join the log lines of nodes into one request's timeline; needs no node."`
 	Entries entriesCommand `cmd:"" help:"Show the entry addresses as callers are told them."`
 }
 
--- a/internal/command/trestlectl/main.go
+++ b/internal/command/trestlectl/main.go
@@ -30,6 +30,7 @@
   trestlectl intent propose move upstream tab-llm --to east
   trestlectl status
   trestlectl explain REQUEST-ID
+  trestlectl trace REQUEST-ID vm-1.log vm-2.log
   trestlectl entries --availability-zone bp-angyal
 
 The operator's key is read from the file of --key-file or from
--- a/internal/daemon/failover_test.go
+++ b/internal/daemon/failover_test.go
@@ -15,11 +15,13 @@
 		t.Fatal(err)
 	}
 	deadAddress := dead.Addr().String()
+	// The live one is opened first: the system may give a port that was just
+	// closed to the next listener.
+	live := httptest.NewServer(http.NotFoundHandler())
+	defer live.Close()
 	if err := dead.Close(); err != nil {
 		t.Fatal(err)
 	}
-	live := httptest.NewServer(http.NotFoundHandler())
-	defer live.Close()
 	f := newFailover([]string{deadAddress, strings.TrimPrefix(live.URL, "http://")})
 	client := &http.Client{Transport: f.transport()}
 	defer client.CloseIdleConnections()
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/config"
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/platform"
@@ -373,7 +374,7 @@
 	n := d.nodes[0]
 	changed := *n.settings.Load()
 	bounds := *changed.PassThrough
-	bounds.RevokeAfter = time.Minute
+	bounds.RevokeAfter = config.Duration(time.Minute)
 	changed.PassThrough = &bounds
 	n.Reload(&changed)
 	if n.bounds().RevokeAfter != time.Minute {
--- a/internal/edge/questions.go
+++ b/internal/edge/questions.go
@@ -40,7 +40,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	if err := n.options.Wire.WriteResolve(w, addresses, n.settings.Load().PassThrough.ResolveTTL); err != nil {
+	if err := n.options.Wire.WriteResolve(w, addresses, n.settings.Load().PassThrough.ResolveTTL.Std()); err != nil {
 		n.log.Error("answer resolve", err)
 	}
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -40,11 +40,11 @@
 // bounds are the times within which a configuration takes effect.
 func (n *Node) bounds() passthrough.Bounds {
 	p := n.settings.Load().PassThrough
-	return passthrough.Bounds{RevokeAfter: p.RevokeAfter, ApplyWithin: p.ApplyWithin}
+	return passthrough.Bounds{RevokeAfter: p.RevokeAfter.Std(), ApplyWithin: p.ApplyWithin.Std()}
 }
 
 // retryLimits is the bound on added attempts that all nodes share.
 func (n *Node) retryLimits() retrybudget.Limits {
 	r := n.settings.Load().PassThrough.Retries
-	return retrybudget.Limits{Ratio: r.Ratio, Window: r.Window, Allowance: r.Allowance, Nodes: n.shareOf()}
+	return retrybudget.Limits{Ratio: r.Ratio, Window: r.Window.Std(), Allowance: r.Allowance, Nodes: n.shareOf()}
 }
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -27,7 +27,7 @@
 // stop lets callers go to other nodes, serves those that come all the same, and
 // returns when nothing is in flight or the time is over.
 func (n *Node) stop() {
-	grace := n.settings.Load().PassThrough.Grace
+	grace := n.settings.Load().PassThrough.Grace.Std()
 	began := time.Now()
 	n.leaving.Store(true)
 	n.handler.Stop()
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -51,6 +51,8 @@
 	}
 	a := &attempt{exchange: e, place: place}
 	e.replica = place.Replica.ID
+	listing, _ := e.forwarder.options.Replicas.Latest()
+	e.forwarder.options.Log.Write(&attemptStarted{exchange: e, place: place, revision: listing.Revision})
 	run := e.forwarder.options.Crashes.start(place.Replica, e.fingerprint)
 	failure = a.run()
 	e.forwarder.options.Crashes.end(run, place.Replica, failure)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/replica"
 )
@@ -127,3 +128,28 @@
 		"running": ev.running, "quarantined": quarantined,
 	}
 }
+
+// attemptStarted tells which replica was chosen, and by what.
+type attemptStarted struct {
+	exchange *exchange
+	place    *placement.Attempt
+	revision int64
+}
+
+// Name implements eventlog.Event.
+func (*attemptStarted) Name() string { return "attempt_started" }
+
+// Level implements eventlog.Event.
+func (*attemptStarted) Level() eventlog.Level { return eventlog.Routine }
+
+// Fields implements eventlog.Event.
+func (ev *attemptStarted) Fields() eventlog.Fields {
+	c := ev.place.Choice
+	return eventlog.Fields{
+		"request": ev.exchange.call.ID, "route": ev.exchange.call.Route.Name, "upstream": ev.exchange.call.Upstream,
+		"replica": ev.place.Replica.ID, "peer": ev.place.Replica.Address, "attempt": ev.exchange.attempts,
+		"rank": ev.exchange.call.Rank, "workspace": ev.exchange.call.workspace(),
+		"cost_ms": int(c.Cost), "among": c.Among, "running": c.Running, "prefill": c.Prefill,
+		"cached": c.Cached, "failures": float64(int(c.Failures*100)) / 100, "replicas_revision": ev.revision,
+	}
+}
--- /dev/null
+++ b/internal/logtrace/doc.go
@@ -0,0 +1,3 @@
+// Package logtrace joins the log lines of several nodes into the timeline of one
+// request. It holds no state.
+package logtrace
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -9,6 +9,8 @@
 // Attempt is one request's stay at a replica. It is for one goroutine.
 type Attempt struct {
 	Replica replica.Replica
+	// Choice is what the replica was chosen by.
+	Choice Choice
 
 	upstream  *upstream
 	state     *state
--- /dev/null
+++ b/internal/placement/choice.go
@@ -0,0 +1,28 @@
+package placement
+
+import "time"
+
+// Choice is what was known of a replica when it was chosen, for the log.
+type Choice struct {
+	// Cost is the expected cost in milliseconds, Among the number of replicas
+	// it was chosen from.
+	Cost  float64
+	Among int
+	// Running counts the requests there, and Prefill their prompt tokens that
+	// are still to be read, both with what other nodes told.
+	Running int
+	Prefill int
+	// Cached is the tokens of the prompt that its cache is thought to hold.
+	Cached int
+	// Failures is the failure score of this node.
+	Failures float64
+}
+
+// explain tells what the replica was chosen by. The lock is held.
+func (u *upstream) explain(now time.Time, r *Request, s *state) Choice {
+	return Choice{
+		Cost: u.chosenCost, Among: u.chosenFrom,
+		Running: s.running + s.peersRunning, Prefill: s.prefill + s.peersPrefill,
+		Cached: s.cache.tokens(now, r.Shared), Failures: s.failuresAt(now),
+	}
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -52,7 +52,7 @@
 
 // bind counts the attempt at the replica. The lock is held.
 func (u *upstream) bind(now time.Time, r *Request, s *state) *Attempt {
-	a := &Attempt{Replica: s.replica, upstream: u, state: s, startedAt: now}
+	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, s), upstream: u, state: s, startedAt: now}
 	if r.PromptTokens > 0 {
 		if a.light = !u.heavy(r); a.light {
 			s.light++
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"strings"
@@ -66,7 +67,7 @@
 func (u *upstream) heavy(r *Request) bool { return u.prompts[r.Class] >= heavyFrom }
 
 // open lists the replicas that take new requests, in the order of the split.
-func (u *upstream) open(replicas []replica.Replica) []replica.Replica {
+func open(replicas []replica.Replica) []replica.Replica {
 	open := make([]replica.Replica, 0, len(replicas))
 	for _, r := range replicas {
 		if !r.Draining {
@@ -74,15 +75,10 @@
 		}
 	}
 	slices.SortFunc(open, func(a, b replica.Replica) int {
-		x, y := xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)
-		switch {
-		case x < y:
-			return -1
-		case x > y:
-			return 1
-		default:
-			return strings.Compare(a.ID, b.ID)
+		if order := cmp.Compare(xxhash.Sum64String(a.ID), xxhash.Sum64String(b.ID)); order != 0 {
+			return order
 		}
+		return strings.Compare(a.ID, b.ID)
 	})
 	return open
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -22,6 +22,10 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	states map[string]*state
+	// followed is the replicas that states were made for, openNow those of them
+	// that take new requests, in the order of the split.
+	followed []replica.Replica
+	openNow  []replica.Replica
 	// workMS is the usual time of a plain service's answer.
 	workMS float64
 	// prompts is the usual prompt of each class, in tokens.
@@ -29,6 +33,9 @@
 	split   split
 	// placed is where prompts were sent lately, for the other nodes.
 	placed placements
+	// chosenFrom and chosenCost tell of the last choice.
+	chosenFrom int
+	chosenCost float64
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
@@ -37,6 +44,11 @@
 
 // follow takes the replicas that are known now. The lock is held.
 func (u *upstream) follow(replicas []replica.Replica) {
+	if sameSlice(u.followed, replicas) {
+		return
+	}
+	u.followed = replicas
+	u.openNow = open(replicas)
 	if len(u.states) > 2*len(replicas)+8 {
 		u.forget(replicas)
 	}
@@ -49,6 +61,12 @@
 	}
 }
 
+// sameSlice says whether both are one slice. The set of replicas hands out the
+// same one until something changes.
+func sameSlice(a, b []replica.Replica) bool {
+	return len(a) == len(b) && len(a) > 0 && &a[0] == &b[0]
+}
+
 // forget drops the states of replicas that are gone and have no attempt.
 func (u *upstream) forget(replicas []replica.Replica) {
 	listed := make(map[string]bool, len(replicas))
@@ -66,7 +84,7 @@
 func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *state {
 	u.follow(replicas)
 	u.learnPrompt(r)
-	open := u.open(replicas)
+	open := u.openNow
 	light := u.lightSide(now, r, open)
 	homeID := homeOf(r, open[light:])
 	if !u.heavy(r) {
@@ -84,6 +102,7 @@
 			best, least = s, cost
 		}
 	}
+	u.chosenFrom, u.chosenCost = len(open), least
 	return best
 }
 
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -1,6 +1,10 @@
 package settings
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/internal/config"
+)
 
 // PassThrough makes the process serve a deployment whose routes are given by
 // host and path prefix, written by an operator's tool to the platform's store,
@@ -13,14 +17,14 @@
 	ResolveListen string `yaml:"resolve_listen,omitempty" validate:"omitempty,listen_address"`
 	// RevokeAfter is how long after its revocation a key may still be used.
 	// Zero: not bounded.
-	RevokeAfter time.Duration `yaml:"revoke_after,omitempty" validate:"min=0"`
+	RevokeAfter config.Duration `yaml:"revoke_after,omitempty" validate:"min=0"`
 	// ApplyWithin is how soon a configuration is in force at all nodes.
 	// Default 2s.
-	ApplyWithin time.Duration `yaml:"apply_within,omitempty" validate:"min=0"`
+	ApplyWithin config.Duration `yaml:"apply_within,omitempty" validate:"min=0"`
 	// Grace is the time from the stop signal to the kill. Default 8s.
-	Grace time.Duration `yaml:"grace,omitempty" validate:"min=0"`
+	Grace config.Duration `yaml:"grace,omitempty" validate:"min=0"`
 	// ResolveTTL is how long callers keep the addresses. Default 2s.
-	ResolveTTL time.Duration `yaml:"resolve_ttl,omitempty" validate:"min=0"`
+	ResolveTTL config.Duration `yaml:"resolve_ttl,omitempty" validate:"min=0"`
 	// MemoryMB is the process's memory. Zero: not bounded.
 	MemoryMB int         `yaml:"memory_mb,omitempty" validate:"min=0"`
 	Retries  RetryBudget `yaml:"retry_budget,omitempty"`
@@ -32,18 +36,18 @@
 	// Ratio of added attempts to requests. Default 0.1.
 	Ratio float64 `yaml:"ratio,omitempty" validate:"min=0,max=10"`
 	// Window over which both are counted. Default 10s.
-	Window time.Duration `yaml:"window,omitempty" validate:"min=0"`
+	Window config.Duration `yaml:"window,omitempty" validate:"min=0"`
 	// Allowance is the added attempts in a window beyond the ratio. Default 10.
 	Allowance float64 `yaml:"allowance,omitempty" validate:"min=0"`
 }
 
 // The defaults of PassThrough: the platform's usual bounds.
 const (
-	defaultApplyWithin    = 2 * time.Second
-	defaultGrace          = 8 * time.Second
-	defaultResolveTTL     = 2 * time.Second
+	defaultApplyWithin    = config.Duration(2 * time.Second)
+	defaultGrace          = config.Duration(8 * time.Second)
+	defaultResolveTTL     = config.Duration(2 * time.Second)
 	defaultRetryRatio     = 0.1
-	defaultRetryWindow    = 10 * time.Second
+	defaultRetryWindow    = config.Duration(10 * time.Second)
 	defaultRetryAllowance = 10
 )
 
--- /dev/null
+++ b/internal/settings/passthrough_test.go
@@ -0,0 +1,130 @@
+package settings
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"galenatrestle/internal/config"
+)
+
+// platformValues are what the platform fills the deployment's template with.
+const platformValues = `{
+ "nodeName":"edge-1","zone":"hall-a","region":"west","ip":"10.1.0.19","internalPorts":[7200,7215],
+ "seeds":["10.1.0.19:8748","10.2.0.13:8748"],
+ "listen":{"frontend":"10.1.0.19:8740","ready":"10.1.0.19:8749","control":"10.1.0.19:8748","directory":"10.1.0.19:8746"},
+ "limits":{"memoryMb":284},"platform":{"address":"10.200.1.7:8742"},
+ "bounds":{"graceS":8,"configApplyMs":2000,"revokeMs":5000,"retryBudgetRatio":0.2,"retryWindowS":10,"retryBudgetSlack":54}}`
+
+var (
+	section     = regexp.MustCompile(`(?s)\{\{#([a-zA-Z.]+)\}\}\n(.*?)\{\{/[a-zA-Z.]+\}\}\n`)
+	placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9.]+)(\|json)?\}\}`)
+)
+
+// render fills the template as the platform does, as far as ours needs it.
+func render(t *testing.T, template string, values map[string]any) string {
+	t.Helper()
+	template = section.ReplaceAllStringFunc(template, func(found string) string {
+		parts := section.FindStringSubmatch(found)
+		if look(values, parts[1]) == nil {
+			return ""
+		}
+		return parts[2]
+	})
+	return placeholder.ReplaceAllStringFunc(template, func(found string) string {
+		parts := placeholder.FindStringSubmatch(found)
+		value := look(values, parts[1])
+		if parts[2] != "" {
+			encoded, err := json.Marshal(value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return string(encoded)
+		}
+		return fmt.Sprint(value)
+	})
+}
+
+// look returns the value at the path, nil where there is none.
+func look(values any, path string) any {
+	for name := range strings.SplitSeq(path, ".") {
+		switch v := values.(type) {
+		case map[string]any:
+			values = v[name]
+		case []any:
+			var index int
+			if _, err := fmt.Sscan(name, &index); err != nil || index >= len(v) {
+				return nil
+			}
+			values = v[index]
+		default:
+			return nil
+		}
+	}
+	return values
+}
+
+func deployTemplate(t *testing.T) (string, map[string]any) {
+	t.Helper()
+	template, err := os.ReadFile("../../deploy/settings.yaml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var values map[string]any
+	if err := json.Unmarshal([]byte(platformValues), &values); err != nil {
+		t.Fatal(err)
+	}
+	return string(template), values
+}
+
+func TestTheDeploymentsTemplateGivesUsableSettings(t *testing.T) {
+	template, values := deployTemplate(t)
+	s, err := Parse([]byte(render(t, template, values)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := PassThrough{
+		ReadyListen: "10.1.0.19:8749", ResolveListen: "10.1.0.19:8746", RevokeAfter: config.Duration(5 * time.Second),
+		ApplyWithin: config.Duration(2 * time.Second), Grace: config.Duration(8 * time.Second), ResolveTTL: config.Duration(2 * time.Second), MemoryMB: 284,
+		Retries: RetryBudget{Ratio: 0.2, Window: config.Duration(10 * time.Second), Allowance: 54},
+	}
+	if *s.PassThrough != want {
+		t.Errorf("%+v, want %+v", *s.PassThrough, want)
+	}
+	if s.Listen != "10.1.0.19:8740" || s.Advertise.Peer != "10.1.0.19:8748" || len(s.Peers.Seeds) != 2 {
+		t.Errorf("listen %s, peer %s, seeds %v", s.Listen, s.Advertise.Peer, s.Peers.Seeds)
+	}
+}
+
+func TestBoundsThatADeploymentDoesNotSetTakeTheirDefaults(t *testing.T) {
+	template, values := deployTemplate(t)
+	values["bounds"] = map[string]any{}
+	s, err := Parse([]byte(render(t, template, values)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := s.PassThrough
+	if p.RevokeAfter != 0 || p.ApplyWithin != defaultApplyWithin || p.Grace != defaultGrace || p.Retries.Window != defaultRetryWindow {
+		t.Errorf("%+v", *p)
+	}
+}
+
+func TestABadPassThroughFieldIsNamed(t *testing.T) {
+	template, values := deployTemplate(t)
+	good := render(t, template, values)
+	for _, c := range []struct{ old, new, want string }{
+		{`ready_listen: "10.1.0.19:8749"`, `ready_listen: "here"`, `pass_through.ready_listen: value "here"`},
+		{"grace: 8s", "grace: -8s", `pass_through.grace: value "-8s"`},
+		{"grace: 8s", "grace: soon", "grace"},
+		{"ratio: 0.2", "ratio: 20", `pass_through.retry_budget.ratio: value "20"`},
+		{"memory_mb", "memory", `pass_through.memory: value "memory"`},
+	} {
+		if _, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
+			t.Errorf("%s: error %v, want %q in it", c.new, err, c.want)
+		}
+	}
+}
