--- /dev/null
+++ b/internal/command/trestleload/soak.go
@@ -0,0 +1,105 @@
+package trestleload
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"galenatrestle/internal/soak"
+)
+
+// soakCommand runs the real program under faults from outside.
+type soakCommand struct {
+	Trestled string        `arg:"" type:"existingfile" help:"The program under test, as built."`
+	Seeds    string        `default:"1..10" help:"Seeds, as FIRST..LAST."`
+	Nodes    int           `default:"3" help:"Processes of the program in each run."`
+	Callers  int           `default:"6" help:"Callers at once in each run."`
+	For      time.Duration `default:"10s" help:"How long faults begin in each run."`
+	AtOnce   int           `default:"2" help:"Seeds that run side by side."`
+	Keep     string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
+}
+
+// Run implements the subcommand; it fails where a promise was broken or a run
+// failed.
+func (c *soakCommand) Run() error {
+	first, last, err := seedRange(c.Seeds)
+	if err != nil {
+		return err
+	}
+	if c.AtOnce < 1 || c.Nodes < 1 || c.Callers < 1 {
+		return fmt.Errorf("--at-once %d, --nodes %d and --callers %d must be above zero", c.AtOnce, c.Nodes, c.Callers)
+	}
+	trestled, err := filepath.Abs(c.Trestled)
+	if err != nil {
+		return err
+	}
+	var mu sync.Mutex
+	broken := 0
+	var group errgroup.Group
+	group.SetLimit(c.AtOnce)
+	for seed := first; seed <= last; seed++ {
+		group.Go(func() error {
+			report, err := c.play(seed, trestled)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil || len(report.Violations) > 0 {
+				broken++
+			}
+			printSoak(seed, report, err)
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	fmt.Printf("%d seeds, %d with a breach\n", last-first+1, broken)
+	if broken > 0 {
+		return fmt.Errorf("%d of %d seeds broke a promise", broken, last-first+1)
+	}
+	return nil
+}
+
+// play runs one seed, and removes its files unless it failed and they are kept.
+func (c *soakCommand) play(seed uint64, trestled string) (soak.Report, error) {
+	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("soak-%d-", seed))
+	if err != nil {
+		return soak.Report{}, err
+	}
+	report, err := soak.Run(context.Background(), soak.Options{
+		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers,
+	})
+	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
+		return report, joinRemove(err, dir)
+	}
+	return report, err
+}
+
+// joinRemove removes the directory; an error of the run goes first.
+func joinRemove(err error, dir string) error {
+	removed := os.RemoveAll(dir)
+	if err != nil {
+		return err
+	}
+	return removed
+}
+
+func printSoak(seed uint64, report soak.Report, err error) {
+	fmt.Printf("seed %d: %d calls, %d served, %d runs, %d violations\n", seed, report.Calls, report.Served, report.Runs, len(report.Violations))
+	if err != nil {
+		fmt.Println("  failed:", err)
+	}
+	if len(report.Violations) == 0 {
+		return
+	}
+	for _, v := range report.Violations {
+		fmt.Println("  broken:", v)
+	}
+	for _, e := range report.Events {
+		fmt.Println("  event:", e)
+	}
+}
--- /dev/null
+++ b/internal/soak/judge.go
@@ -0,0 +1,113 @@
+package soak
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"galenatrestle/platform/platformtest"
+)
+
+const (
+	// revokeSlack and drainSlack are for the scheduling of a busy machine: the
+	// times are taken in the soak's own process.
+	revokeSlack = 300 * time.Millisecond
+	drainSlack  = 1500 * time.Millisecond
+	// leastServed is the part of the calls that must be served again once all
+	// faults are over.
+	leastServed = 0.9
+	// recovery is the time after the last fault from which they count.
+	recovery = 5 * time.Second
+)
+
+// judge checks what callers and replicas saw.
+func (w *world) judge(calls []*sent) {
+	runs := make(map[string][]platformtest.Run)
+	for _, r := range w.runs.All() {
+		runs[r.ID] = append(runs[r.ID], r)
+		w.judgeRun(r)
+	}
+	for _, s := range calls {
+		w.judgeCall(s, runs[s.id])
+	}
+	w.judgeRecovery(calls)
+	for _, n := range w.nodes {
+		if n.exits > 0 {
+			w.violate("%s ended by itself %d times", n.name, n.exits)
+		}
+	}
+}
+
+func (w *world) judgeRun(r platformtest.Run) {
+	if r.Key != "" {
+		w.violate("%s: the caller's key reached replica %s", r.ID, r.Replica)
+	}
+	drained, ok := w.drained[r.Replica]
+	if late := r.At.Sub(drained) - drainWithin - drainSlack; ok && late > 0 && w.disturbedAt.Before(drained) {
+		w.violate("%s: replica %s got it %s after its time to leave", r.ID, r.Replica, late)
+	}
+}
+
+func (w *world) judgeCall(s *sent, runs []platformtest.Run) {
+	once := strings.HasPrefix(s.path, "/claim/")
+	if once && len(runs) > 1 {
+		w.violate("%s ran %d times, first at %s and %s", s.id, len(runs), runs[0].Replica, runs[1].Replica)
+	}
+	if once && s.err == nil && promised(s.status) && len(runs) > 0 {
+		w.violate("%s was answered %d and ran at %s", s.id, s.status, runs[0].Replica)
+	}
+	if revoked, ok := w.revoked[s.key]; ok && len(runs) > 0 && s.at.Sub(revoked) > revokeAfter+revokeSlack {
+		w.violate("%s ran though its key %s was revoked %s before it was sent", s.id, s.key, s.at.Sub(revoked))
+	}
+	for _, r := range runs {
+		if r.Workspace != "of-"+s.key {
+			w.violate("%s ran as workspace %q with %s", s.id, r.Workspace, s.key)
+		}
+	}
+	if s.whole() {
+		w.judgeAnswer(s, runs)
+	}
+}
+
+// promised says whether the status says that the call was not run.
+func promised(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests ||
+		status == http.StatusMisdirectedRequest || status == http.StatusRequestTimeout
+}
+
+func (w *world) judgeAnswer(s *sent, runs []platformtest.Run) {
+	want := platformtest.Answer(s.id)
+	if strings.HasPrefix(s.path, "/chat/") {
+		var events strings.Builder
+		for n := 1; n <= platformtest.Events(s.id); n++ {
+			events.WriteString(platformtest.Event(s.id, n))
+		}
+		want = events.String()
+	}
+	if s.body != want {
+		w.violate("%s got %q, want %q", s.id, s.body, want)
+	}
+	for _, r := range runs {
+		if r.Replica == s.stamp {
+			return
+		}
+	}
+	w.violate("%s bears the stamp %q of a replica that did not run it", s.id, s.stamp)
+}
+
+// judgeRecovery checks that all is served once the faults are over.
+func (w *world) judgeRecovery(calls []*sent) {
+	asked, served := 0, 0
+	for _, s := range calls {
+		if _, revoked := w.revoked[s.key]; revoked || s.at.Before(w.disturbedAt.Add(recovery)) {
+			continue
+		}
+		asked++
+		if s.whole() {
+			served++
+		}
+	}
+	if asked == 0 || float64(served) < leastServed*float64(asked) {
+		w.violate("%d of %d calls were served after the last fault", served, asked)
+	}
+}
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,144 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Bounds of the deployment, which the settings tell the nodes.
+const (
+	revokeAfter  = 3 * time.Second
+	applyWithin  = 2 * time.Second
+	drainWithin  = 2 * time.Second
+	grace        = 3 * time.Second
+	retryPer10s  = 60
+	retryRatio   = 0.2
+	startTimeout = 10 * time.Second
+)
+
+// node is one process of the program and its paths.
+type node struct {
+	name    string
+	command []string
+	dir     string
+	store   *proxy
+	entry   string
+	peer    string
+	ops     string
+	ready   string
+
+	mu      sync.Mutex
+	process *exec.Cmd
+	ended   chan struct{}
+	// stopping is set while the run itself ends the process.
+	stopping bool
+	// exits counts the ends that the run did not cause.
+	exits int
+}
+
+// newNode chooses the addresses and writes the settings, with the seeds' peers.
+func newNode(name, dir string, command []string, store *proxy) (*node, error) {
+	n := &node{name: name, command: command, dir: dir, store: store}
+	for _, address := range []*string{&n.entry, &n.peer, &n.ops, &n.ready} {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		defer listener.Close()
+		*address = listener.Addr().String()
+	}
+	return n, nil
+}
+
+func (n *node) settings() string { return filepath.Join(n.dir, n.name+".yaml") }
+
+// writeSettings writes the settings file whole.
+func (n *node) writeSettings(seed string) error {
+	text := fmt.Sprintf(`name: %s
+availability_zone: hall-a
+region: west
+data_centre: west
+listen: %s
+peer_listen: %s
+ops_listen: %s
+platform: {addresses: ["%s"]}
+peers: {seeds: ["%s"]}
+log: {format: json}
+pass_through:
+  ready_listen: %s
+  resolve_listen: %s
+  revoke_after: %s
+  apply_within: %s
+  grace: %s
+  retry_budget: {ratio: %g, window: 10s, allowance: %d}
+`, n.name, n.entry, n.peer, n.ops, n.store.address(), seed, n.ready, n.ready, revokeAfter, applyWithin, grace, retryRatio, retryPer10s)
+	next := n.settings() + ".new"
+	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, n.settings())
+}
+
+// start starts the process; its log is appended to a file of its own.
+func (n *node) start() error {
+	log, err := os.OpenFile(filepath.Join(n.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	process := exec.Command(n.command[0], append(n.command[1:], "--settings", n.settings())...)
+	process.Stdout, process.Stderr = log, log
+	if err := process.Start(); err != nil {
+		return err
+	}
+	n.process, n.ended, n.stopping = process, make(chan struct{}), false
+	go n.wait(process, n.ended)
+	return nil
+}
+
+func (n *node) wait(process *exec.Cmd, ended chan struct{}) {
+	// The exit code tells nothing that the log does not.
+	_ = process.Wait()
+	n.mu.Lock()
+	if !n.stopping {
+		n.exits++
+	}
+	n.mu.Unlock()
+	close(ended)
+}
+
+// signal sends a signal to the process that runs now. ends says that it is meant
+// to end by it.
+func (n *node) signal(s syscall.Signal, ends bool) <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if ends {
+		n.stopping = true
+	}
+	// A process that has just ended takes no signal.
+	_ = n.process.Process.Signal(s)
+	return n.ended
+}
+
+// stop asks the process to stop and reports whether it did in its grace time.
+func (n *node) stop() bool {
+	ended := n.signal(syscall.SIGTERM, true)
+	select {
+	case <-ended:
+		return true
+	case <-time.After(grace):
+		<-n.signal(syscall.SIGKILL, true)
+		return false
+	}
+}
+
+// kill ends the process at once.
+func (n *node) kill() { <-n.signal(syscall.SIGKILL, true) }
--- /dev/null
+++ b/internal/soak/run.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Options are one run's.
+type Options struct {
+	Seed uint64
+	// Command starts the program under test, without its settings.
+	Command []string
+	// Dir takes settings and logs.
+	Dir    string
+	Nodes  int
+	Length time.Duration
+	// Callers is the number of callers at once.
+	Callers int
+}
+
+// Report is what a run found.
+type Report struct {
+	Calls, Served, Runs int
+	// Events are the faults in their order.
+	Events     []string
+	Violations []string
+}
+
+// Run plays the seed's schedule and judges it.
+func Run(ctx context.Context, o Options) (Report, error) {
+	w, err := newWorld(o)
+	if err != nil {
+		return Report{}, err
+	}
+	defer w.close()
+	for i, n := range w.nodes {
+		if err := n.writeSettings(w.nodes[(i+1)%len(w.nodes)].peer); err != nil {
+			return Report{}, err
+		}
+		if err := n.start(); err != nil {
+			return Report{}, err
+		}
+	}
+	if err := w.awaitReady(ctx); err != nil {
+		return Report{}, err
+	}
+	events := schedule(o.Seed, o.Length)
+	calls := w.play(ctx, events)
+	w.judge(calls)
+	return w.report(events, calls), nil
+}
+
+// awaitReady waits until all nodes say that they are ready.
+func (w *world) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for _, n := range w.nodes {
+		for !ready(ctx, n) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("%s is not ready after %s", n.name, startTimeout)
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, n *node) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+"/v1/readyz", nil)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// play carries out the events while callers send, and some time after.
+func (w *world) play(ctx context.Context, events []event) []*sent {
+	sending, stop := context.WithCancel(ctx)
+	defer stop()
+	var callers []*caller
+	var sends, faults sync.WaitGroup
+	for i := range w.options.Callers {
+		c := newCaller(w, i)
+		callers = append(callers, c)
+		sends.Go(func() { c.run(sending) })
+	}
+	began := time.Now()
+	busy := make([]sync.Mutex, len(w.nodes))
+	for _, e := range events {
+		time.Sleep(e.at - time.Since(began))
+		faults.Go(func() {
+			if aboutNode(e.kind) {
+				// A process is stopped, killed and restarted by one event at a time.
+				lock := &busy[e.target%len(busy)]
+				lock.Lock()
+				defer lock.Unlock()
+			}
+			w.do(e)
+		})
+	}
+	faults.Wait()
+	time.Sleep(recovery + time.Second)
+	stop()
+	sends.Wait()
+	var calls []*sent
+	for _, c := range callers {
+		calls = append(calls, c.calls...)
+	}
+	return calls
+}
+
+func aboutNode(k kind) bool {
+	return k == killNode || k == stopNode || k == pauseNode || k == hupNode
+}
+
+func (w *world) report(events []event, calls []*sent) Report {
+	r := Report{Calls: len(calls), Runs: len(w.runs.All()), Violations: w.violations}
+	for _, s := range calls {
+		if s.whole() {
+			r.Served++
+		}
+	}
+	for _, e := range events {
+		r.Events = append(r.Events, e.String())
+	}
+	return r
+}
--- /dev/null
+++ b/internal/soak/schedule.go
@@ -0,0 +1,68 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// kind is one kind of fault or planned change.
+type kind string
+
+// The kinds.
+const (
+	killNode      kind = "kill_node"
+	pauseNode     kind = "pause_node"
+	stopNode      kind = "stop_node"
+	hupNode       kind = "hup_node"
+	cutStore      kind = "cut_store"
+	storeDown     kind = "store_down"
+	storeSlow     kind = "store_slow"
+	replicaSlow   kind = "replica_slow"
+	replicaDark   kind = "replica_dark"
+	replicaReset  kind = "replica_reset"
+	replicaOneWay kind = "replica_one_way"
+	replicaCrash  kind = "replica_crash"
+	replicaLeaves kind = "replica_leaves"
+	configChange  kind = "config_change"
+	revokeKey     kind = "revoke_key"
+)
+
+var kinds = []kind{
+	killNode, pauseNode, stopNode, hupNode, cutStore, storeDown, storeSlow, replicaSlow, replicaDark,
+	replicaReset, replicaOneWay, replicaCrash, replicaLeaves, configChange, revokeKey,
+}
+
+// event is one entry of a schedule.
+type event struct {
+	at   time.Duration
+	kind kind
+	// target chooses among the things that the kind is about.
+	target int
+	lasts  time.Duration
+}
+
+func (e event) String() string {
+	return fmt.Sprintf("%s %s %d for %s", e.at.Round(time.Millisecond), e.kind, e.target, e.lasts.Round(time.Millisecond))
+}
+
+// longestFault bounds how long a fault lasts.
+const longestFault = 2500 * time.Millisecond
+
+// schedule draws about two events a second; they come in series and overlap. The
+// last part of the run is left without faults.
+func schedule(seed uint64, length time.Duration) []event {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var events []event
+	for range int(2 * length.Seconds()) {
+		events = append(events, event{
+			at:     time.Duration(random.Int64N(int64(length))),
+			kind:   kinds[random.IntN(len(kinds))],
+			target: random.IntN(1000),
+			lasts:  longestFault/10 + time.Duration(random.Int64N(int64(longestFault))),
+		})
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return int(a.at - b.at) })
+	return events
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"galenatrestle/internal/command/trestled"
+	"galenatrestle/platform/platformtest"
+)
+
+type runOf = platformtest.Run
+
+// asProgram makes the test binary run as the program under test.
+const asProgram = "TRESTLE_SOAK_PROGRAM"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		trestled.Main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+// seeds are played in each run of the tests: two that were drawn once, and every
+// seed that ever failed, with the cause.
+var seeds = []uint64{1, 2}
+
+func TestSeeds(t *testing.T) {
+	t.Setenv(asProgram, "1")
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			report, err := Run(t.Context(), Options{
+				Seed: seed, Command: []string{os.Args[0]}, Dir: t.TempDir(), Nodes: 3, Length: 6 * time.Second, Callers: 6,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+			if report.Served == 0 {
+				t.Error("no call was served")
+			}
+			if t.Failed() {
+				for _, e := range report.Events {
+					t.Log(e)
+				}
+			}
+		})
+	}
+}
+
+func TestAScheduleIsThatOfItsSeed(t *testing.T) {
+	a, b, c := schedule(7, time.Minute), schedule(7, time.Minute), schedule(8, time.Minute)
+	if !reflect.DeepEqual(a, b) || reflect.DeepEqual(a, c) {
+		t.Error("the schedule does not follow the seed")
+	}
+	drawn := make(map[kind]bool)
+	for _, e := range a {
+		drawn[e.kind] = true
+	}
+	if len(drawn) != len(kinds) {
+		t.Errorf("%d of %d kinds in a minute", len(drawn), len(kinds))
+	}
+}
+
+// TestTheJudgeSeesEachBreach plants one breach of each promise.
+func TestTheJudgeSeesEachBreach(t *testing.T) {
+	now := time.Now()
+	answered := func(id, path, body string) *sent {
+		return &sent{id: id, key: "key-0", path: path, at: now, status: 200, body: body, stamp: "i-1"}
+	}
+	run := func(id string) runOf { return runOf{ID: id, Replica: "i-1", Workspace: "of-key-0", At: now} }
+	tests := map[string]struct {
+		call *sent
+		runs []runOf
+	}{
+		"ran twice":                     {answered("a", "/claim/", "done a"), []runOf{run("a"), run("a")}},
+		"refused and ran":               {&sent{id: "a", key: "key-0", path: "/claim/", at: now, status: 503}, []runOf{run("a")}},
+		"another's answer":              {answered("a", "/parts/", "done b"), []runOf{run("a")}},
+		"cut stream that looks whole":   {answered("a", "/chat/", "id: 1\ndata: a 1\n\n"), []runOf{run("a")}},
+		"stamp of one that did not run": {answered("a", "/parts/", "done a"), nil},
+		"another's workspace":           {answered("a", "/parts/", "done a"), []runOf{{ID: "a", Replica: "i-1", Workspace: "of-key-1", At: now}}},
+	}
+	for name, test := range tests {
+		w := &world{}
+		w.judgeCall(test.call, test.runs)
+		if len(w.violations) != 1 {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+	w := &world{revoked: map[string]time.Time{"key-0": now.Add(-time.Minute)}}
+	w.judgeCall(&sent{id: "a", key: "key-0", path: "/parts/", at: now, status: 504}, []runOf{run("a")})
+	if len(w.violations) != 1 {
+		t.Errorf("revoked key: violations %q", w.violations)
+	}
+	w = &world{drained: map[string]time.Time{"i-1": now.Add(-time.Minute)}, disturbedAt: now.Add(-time.Hour)}
+	w.judgeRun(run("a"))
+	w.judgeRun(runOf{ID: "b", Replica: "i-2", Key: "key-0", At: now})
+	if len(w.violations) != 2 {
+		t.Errorf("drained replica and key: violations %q", w.violations)
+	}
+	w = &world{disturbedAt: now.Add(-time.Minute)}
+	w.judgeRecovery([]*sent{{at: now, status: 502}})
+	if len(w.violations) != 1 {
+		t.Errorf("recovery: violations %q", w.violations)
+	}
+}
--- /dev/null
+++ b/internal/soak/world.go
@@ -0,0 +1,282 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"galenatrestle/platform/platformtest"
+)
+
+// world is the deployment: nodes, replicas, the store and the paths.
+type world struct {
+	options Options
+	store   *platformtest.Store
+	runs    *platformtest.Runs
+	nodes   []*node
+	began   time.Time
+
+	mu       sync.Mutex
+	replicas []*runningReplica
+	started  int
+	version  int64
+	keys     []string
+	revoked  map[string]time.Time
+	drained  map[string]time.Time
+	// disturbedAt is the end of the last fault so far.
+	disturbedAt time.Time
+	violations  []string
+	closers     []func()
+}
+
+// runningReplica is one incarnation of a replica behind its proxy.
+type runningReplica struct {
+	id      string
+	service string
+	server  *http.Server
+	proxy   *proxy
+}
+
+const (
+	modelReplicas  = 4
+	ledgerReplicas = 3
+	firstKeys      = 6
+	replicaSlots   = 8
+)
+
+// newWorld starts everything but the nodes' processes.
+func newWorld(o Options) (*world, error) {
+	w := &world{
+		options: o, store: platformtest.NewStore(), runs: &platformtest.Runs{}, began: time.Now(),
+		revoked: make(map[string]time.Time), drained: make(map[string]time.Time),
+	}
+	address, err := w.listen(w.store)
+	if err != nil {
+		return nil, err
+	}
+	for i := range firstKeys {
+		w.keys = append(w.keys, fmt.Sprintf("key-%d", i))
+	}
+	w.configure()
+	for i := range modelReplicas + ledgerReplicas {
+		service := "model"
+		if i >= modelReplicas {
+			service = "ledger"
+		}
+		if err := w.addReplica(service); err != nil {
+			return nil, err
+		}
+	}
+	for i := range o.Nodes {
+		path, err := newProxy(address)
+		if err != nil {
+			return nil, err
+		}
+		w.closers = append(w.closers, path.close)
+		n, err := newNode(fmt.Sprintf("vm-%d", i+1), o.Dir, o.Command, path)
+		if err != nil {
+			return nil, err
+		}
+		w.nodes = append(w.nodes, n)
+	}
+	return w, nil
+}
+
+// listen serves the handler on a loopback port.
+func (w *world) listen(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler}
+	go server.Serve(listener)
+	w.closers = append(w.closers, func() { _ = server.Close() })
+	return listener.Addr().String(), nil
+}
+
+// configure writes the next version. The lock is held, or nobody else is there.
+func (w *world) configure() {
+	w.version += 2
+	w.store.Configure(w.version, w.keys)
+}
+
+// addReplica starts a replica and registers it.
+func (w *world) addReplica(service string) error {
+	w.started++
+	id := fmt.Sprintf("i-%03d", w.started)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: &platformtest.Replica{ID: id, Runs: w.runs, Slots: replicaSlots}}
+	go server.Serve(listener)
+	path, err := newProxy(listener.Addr().String())
+	if err != nil {
+		return err
+	}
+	w.replicas = append(w.replicas, &runningReplica{id: id, service: service, server: server, proxy: path})
+	w.store.Register(id, service, path.address(), "ready")
+	return nil
+}
+
+// do carries out one event; it returns when its effect is over.
+func (w *world) do(e event) {
+	n := w.nodes[e.target%len(w.nodes)]
+	switch e.kind {
+	case killNode:
+		n.kill()
+		w.pauseThen(e.lasts, func() { w.restart(n) })
+	case stopNode:
+		if !n.stop() {
+			w.violate("%s did not stop within its grace time", n.name)
+		}
+		w.restart(n)
+	case pauseNode:
+		n.signal(syscall.SIGSTOP, false)
+		w.pauseThen(e.lasts, func() { n.signal(syscall.SIGCONT, false) })
+	case hupNode:
+		if err := n.writeSettings(w.nodes[(e.target+1)%len(w.nodes)].peer); err != nil {
+			w.violate("settings of %s: %v", n.name, err)
+		}
+		n.signal(syscall.SIGHUP, false)
+	case cutStore:
+		n.store.set([]mode{silence, refuse, cutAnswers, slow}[e.target%4])
+		w.pauseThen(e.lasts, func() { n.store.set(pass); n.store.reset() })
+	case storeDown:
+		w.store.SetDown(true)
+		w.pauseThen(e.lasts, func() { w.store.SetDown(false) })
+	case storeSlow:
+		w.store.SetDelay(300 * time.Millisecond)
+		w.pauseThen(e.lasts, func() { w.store.SetDelay(0) })
+	case configChange, revokeKey:
+		w.reconfigure(e)
+	default:
+		w.disturbReplica(e)
+	}
+	w.mu.Lock()
+	w.disturbedAt = time.Now()
+	w.mu.Unlock()
+}
+
+func (w *world) pauseThen(d time.Duration, then func()) {
+	time.Sleep(d)
+	then()
+}
+
+func (w *world) restart(n *node) {
+	if err := n.start(); err != nil {
+		w.violate("start of %s: %v", n.name, err)
+	}
+}
+
+// reconfigure writes a new version, without one key where that is revoked.
+func (w *world) reconfigure(e event) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if e.kind == revokeKey && len(w.keys) > 2 {
+		gone := w.keys[e.target%len(w.keys)]
+		var kept []string
+		for _, key := range w.keys {
+			if key != gone {
+				kept = append(kept, key)
+			}
+		}
+		w.keys = kept
+		w.configure()
+		w.revoked[gone] = time.Now()
+		return
+	}
+	w.keys = append(w.keys, fmt.Sprintf("key-v%d", w.version))
+	w.configure()
+}
+
+func (w *world) disturbReplica(e event) {
+	w.mu.Lock()
+	r := w.replicas[e.target%len(w.replicas)]
+	w.mu.Unlock()
+	switch e.kind {
+	case replicaSlow:
+		r.proxy.set(slow)
+		w.pauseThen(e.lasts, func() { r.proxy.set(pass) })
+	case replicaDark:
+		r.proxy.set(silence)
+		w.pauseThen(e.lasts, func() { r.proxy.set(pass); r.proxy.reset() })
+	case replicaOneWay:
+		r.proxy.set(cutAnswers)
+		w.pauseThen(e.lasts, func() { r.proxy.set(pass); r.proxy.reset() })
+	case replicaReset:
+		r.proxy.reset()
+	case replicaCrash:
+		w.replace(r, func() { _ = r.server.Close(); r.proxy.close() }, e.lasts)
+	case replicaLeaves:
+		w.leave(r)
+	}
+}
+
+// replace ends a replica and starts another one in its place.
+func (w *world) replace(r *runningReplica, end func(), after time.Duration) {
+	if !w.take(r) {
+		return
+	}
+	end()
+	w.pauseThen(after, func() { w.store.Deregister(r.id) })
+}
+
+// take removes a replica from the running ones and starts its successor; false:
+// it is gone already.
+func (w *world) take(r *runningReplica) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for i, running := range w.replicas {
+		if running != r {
+			continue
+		}
+		w.replicas = append(w.replicas[:i:i], w.replicas[i+1:]...)
+		if err := w.addReplica(r.service); err != nil {
+			w.violations = append(w.violations, err.Error())
+		}
+		return true
+	}
+	return false
+}
+
+// leave lets a replica drain as on a planned stop.
+func (w *world) leave(r *runningReplica) {
+	if !w.take(r) {
+		return
+	}
+	w.store.Register(r.id, r.service, r.proxy.address(), "draining")
+	w.mu.Lock()
+	w.drained[r.id] = time.Now()
+	w.mu.Unlock()
+	time.Sleep(drainWithin + time.Second)
+	w.store.Deregister(r.id)
+	_ = r.server.Close()
+	r.proxy.close()
+}
+
+func (w *world) violate(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.violations = append(w.violations, fmt.Sprintf(format, args...))
+}
+
+// close ends what was started.
+func (w *world) close() {
+	for _, n := range w.nodes {
+		n.signal(syscall.SIGCONT, false)
+		n.kill()
+	}
+	for _, end := range w.closers {
+		end()
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, r := range w.replicas {
+		_ = r.server.Close()
+		r.proxy.close()
+	}
+}
