--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -89,6 +89,19 @@
 	return n.list(func(node Node) bool { return n.alive(node, now) })
 }
 
+// aliveCount is the number of nodes that were heard of lately.
+func (n *Nodes) aliveCount(now boottime.Instant) int {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	count := 0
+	for _, node := range n.known {
+		if n.alive(node, now) {
+			count++
+		}
+	}
+	return count
+}
+
 // all lists the nodes that are still asked.
 func (n *Nodes) all(now boottime.Instant) []Node {
 	return n.list(func(node Node) bool { return now.Sub(node.HeardAt) < rememberFor })
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -32,7 +32,9 @@
 // Sync exchanges state with other nodes. It is safe for concurrent use.
 type Sync struct {
 	options Options
-	// asking holds the peer addresses of calls in flight.
+
+	// mu guards the random source, and asking: the peer addresses of calls in
+	// flight.
 	mu     sync.Mutex
 	asking map[string]bool
 }
@@ -51,13 +53,19 @@
 func (s *Sync) Run(ctx context.Context) {
 	for {
 		s.Round(ctx)
-		jitter := time.Duration(s.options.Rand.Int64N(int64(roundJitter)))
+		jitter := s.jitter()
 		if err := ctxtime.Sleep(ctx, roundEvery+jitter); err != nil {
 			return
 		}
 	}
 }
 
+func (s *Sync) jitter() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Duration(s.options.Rand.Int64N(int64(roundJitter)))
+}
+
 // target is one node to ask; its name is empty where only a seed's address is
 // known.
 type target struct {
@@ -95,6 +103,8 @@
 }
 
 func (s *Sync) shuffle(list []target) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.options.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
 
@@ -158,7 +168,7 @@
 	m := request.Msg
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.takeNode(caller)
-	s.options.Placer.SetPeer(caller.Name, loadsFromProto(m.GetLoads()), time.Now())
+	s.options.Placer.SetPeer(caller.Name, loadsFromProto(m.GetLoads()), s.options.Nodes.aliveCount(now), time.Now())
 	s.options.Placer.SetPlacements(placementsFromProto(m.GetPlacements()), time.Now())
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	return connect.NewResponse(s.response(m)), nil
@@ -184,7 +194,7 @@
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
 	}
-	for _, n := range s.options.Nodes.Alive(now) {
+	for _, n := range s.some(s.options.Nodes.Alive(now)) {
 		answer.Nodes = append(answer.Nodes, nodeToProto(n, now))
 	}
 	if snapshot.Version() > m.GetConfigVersion() {
@@ -196,6 +206,21 @@
 	return answer
 }
 
+// maxTold bounds the nodes told in one answer: news of each node then still pass
+// through a fleet of a hundred within the time for which it counts as alive.
+const maxTold = 24
+
+// some draws the nodes of an answer.
+func (s *Sync) some(nodes []Node) []Node {
+	if len(nodes) <= maxTold {
+		return nodes
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.options.Rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	return nodes[:maxTold]
+}
+
 // take takes in another node's answer to a call that began at the instant.
 func (s *Sync) take(m *nodesyncv1.ExchangeResponse, began boottime.Instant) {
 	node := nodeFromProto(m.GetSelf(), began)
@@ -204,7 +229,7 @@
 	for _, n := range m.GetNodes() {
 		s.takeNode(nodeFromProto(n, began))
 	}
-	s.options.Placer.SetPeer(node.Name, loadsFromProto(m.GetLoads()), time.Now())
+	s.options.Placer.SetPeer(node.Name, loadsFromProto(m.GetLoads()), s.options.Nodes.aliveCount(began), time.Now())
 	s.options.Placer.SetPlacements(placementsFromProto(m.GetPlacements()), time.Now())
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.takeConfig(m, node.Name, began)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -74,17 +75,19 @@
 	return loads
 }
 
-// SetPeer takes in what another node tells of its load.
-func (p *Placer) SetPeer(node string, loads []Load, now time.Time) {
-	sums := p.sumPeers(node, loads, now)
+// SetPeer takes in what another node tells of its load; alive is the number of
+// other nodes that serve.
+func (p *Placer) SetPeer(node string, loads []Load, alive int, now time.Time) {
+	sums := p.sumPeers(node, loads, alive, now)
 	for _, u := range p.all() {
 		u.setPeers(sums)
 	}
 }
 
-// sumPeers remembers the node's loads and adds up those of all other nodes
-// that are recent.
-func (p *Placer) sumPeers(node string, loads []Load, now time.Time) map[string]Load {
+// sumPeers remembers the node's loads and adds up those of all other nodes that
+// are recent. Callers spread over all nodes alike, so that where only some were
+// heard of, as in a large fleet, their sum stands for all of them.
+func (p *Placer) sumPeers(node string, loads []Load, alive int, now time.Time) map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.peers[node] = peerLoads{loads: loads, at: now}
@@ -104,9 +107,23 @@
 			sums[l.Replica] = sum
 		}
 	}
+	if heard := len(p.peers); heard < alive {
+		scale(sums, float64(alive)/float64(heard))
+	}
 	return sums
 }
 
+// scale multiplies what is counted.
+func scale(sums map[string]Load, by float64) {
+	for replica, sum := range sums {
+		sum.Running = int(math.Round(by * float64(sum.Running)))
+		sum.Light = int(math.Round(by * float64(sum.Light)))
+		sum.Prefill = int(math.Round(by * float64(sum.Prefill)))
+		sum.Tokens = int(math.Round(by * float64(sum.Tokens)))
+		sums[replica] = sum
+	}
+}
+
 func (u *upstream) setPeers(sums map[string]Load) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -149,7 +149,7 @@
 	p, set := fleet(3, 1)
 	p.Choose(start, "u", &Request{}).End(start, Cancelled)
 	ids := []string{set.Of("u")[0].ID, set.Of("u")[1].ID}
-	p.SetPeer("other", []Load{{Replica: ids[0], Failures: 5}, {Replica: ids[1], Running: 90}}, start)
+	p.SetPeer("other", []Load{{Replica: ids[0], Failures: 5}, {Replica: ids[1], Running: 90}}, 1, start)
 	for range 10 {
 		a := p.Choose(start, "u", &Request{})
 		if slices.Contains(ids, a.Replica.ID) {
@@ -158,7 +158,7 @@
 		a.End(start, Cancelled)
 	}
 	// News that are not renewed are forgotten with the next news of another node.
-	p.SetPeer("third", nil, start.Add(2*time.Second))
+	p.SetPeer("third", nil, 1, start.Add(2*time.Second))
 	used := make(map[string]bool)
 	for range 40 {
 		a := p.Choose(start, "u", &Request{})
@@ -241,3 +241,16 @@
 		t.Errorf("%d placements are told after a minute", len(left))
 	}
 }
+
+func TestTheLoadOfSomeNodesStandsForAll(t *testing.T) {
+	p, set := fleet(1, 1)
+	p.Choose(start, "u", &Request{}).End(start, Cancelled)
+	id := set.Of("u")[0].ID
+	for i := range 4 {
+		p.SetPeer(fmt.Sprint(i), []Load{{Replica: id, Running: 3, Prefill: 100}}, 12, start)
+	}
+	s := p.upstream("u").states[id]
+	if s.peersRunning != 36 || s.peersPrefill != 1200 {
+		t.Errorf("4 of 12 nodes with 3 running requests count as %d, and %d tokens", s.peersRunning, s.peersPrefill)
+	}
+}
