--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -20,9 +20,9 @@
 	// return many times a second. With the jitter, a read's time and a round
 	// between nodes, this is within the two seconds in which a leaving replica
 	// or a new configuration must be known.
-	readAt = 600 * time.Millisecond
+	readAt = 800 * time.Millisecond
 	// readJitter spreads the reads, so that one node's read saves the others'.
-	readJitter = 500 * time.Millisecond
+	readJitter = 600 * time.Millisecond
 	// readTimeout bounds one read: a store that is slower counts as away.
 	readTimeout = 900 * time.Millisecond
 	// longestPause bounds the growing pause after failed reads.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -76,9 +76,32 @@
 	if place == nil {
 		return nil, &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	}
+	if e.attempts == 1 && e.hopeless(&place.Choice) {
+		place.End(time.Now(), placement.Cancelled)
+		return nil, &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errOverloaded}
+	}
 	return place, nil
 }
 
+// hopeless says whether the call had better not begin, since its first token
+// would come too late or the replicas' memory is full. Replicas that are given
+// more than that put running calls back, lose their caches and read the same
+// parts again and again, until nothing is on time.
+func (e *exchange) hopeless(c *placement.Choice) bool {
+	objective := e.call.Route.Objective
+	late := objective > 0 && c.Wait > time.Duration(hopelessFactor*float64(objective))
+	return late || c.Used > fullFrom
+}
+
+const (
+	// hopelessFactor times the objective is the expected wait from which a call
+	// is refused before it costs anything.
+	hopelessFactor = 1.5
+	// fullFrom is the part of a replica's memory, with each running call's whole
+	// prompt counted, from which it gets no more.
+	fullFrom = 0.75
+)
+
 // run connects, sends the call and passes the answer on.
 func (a *attempt) run() *Failure {
 	e := a.exchange
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"math"
 	"time"
 
 	"galenatrestle/internal/eventlog"
@@ -149,7 +150,10 @@
 		"request": ev.exchange.call.ID, "route": ev.exchange.call.Route.Name, "upstream": ev.exchange.call.Upstream,
 		"replica": ev.place.Replica.ID, "peer": ev.place.Replica.Address, "attempt": ev.exchange.attempts,
 		"rank": ev.exchange.call.Rank, "workspace": ev.exchange.call.workspace(),
-		"cost_ms": int(c.Cost), "among": c.Among, "running": c.Running, "prefill": c.Prefill,
-		"cached": c.Cached, "failures": float64(int(c.Failures*100)) / 100, "replicas_revision": ev.revision,
+		"cost_ms": int(c.Cost), "wait_ms": c.Wait.Milliseconds(), "memory_used": hundredths(c.Used), "among": c.Among, "running": c.Running, "prefill": c.Prefill,
+		"cached": c.Cached, "failures": hundredths(c.Failures), "replicas_revision": ev.revision,
 	}
 }
+
+// hundredths rounds a figure for the log.
+func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -18,6 +18,9 @@
 	// run: long enough for a replica's queue to move on, short against the
 	// usual objectives.
 	refusedRetryAfter = 200 * time.Millisecond
+	// overloadRetryAfter is what a caller is told to wait whose call would have
+	// been too late: about the time in which a replica reads what waits there.
+	overloadRetryAfter = 600 * time.Millisecond
 )
 
 // exchange is one call on its way. It is for one goroutine.
@@ -48,6 +51,9 @@
 	replica   string
 }
 
+// errOverloaded says that all replicas have more to read than can be of use.
+var errOverloaded = errors.New("the first token would come too late")
+
 // errNoReplica says that no replica takes new requests.
 var errNoReplica = errors.New("no replica takes new requests")
 
@@ -102,6 +108,8 @@
 		return deadlinePassed
 	case errors.Is(f, errNoReplica):
 		return noReplica
+	case errors.Is(f, errOverloaded):
+		return overloaded
 	case e.outlet.begun() && e.call.Route.Repeat != route.ResumableStream:
 		return answerBegun
 	case e.attempts-e.mayHaveRun >= maxNotRun:
@@ -130,7 +138,7 @@
 		e.outlet.replicaFailure(f)
 		return EndedReplicaFailure
 	case e.mayHaveRun == 0:
-		e.outlet.notRun(refusedRetryAfter)
+		e.outlet.notRun(retryAfter(f))
 		return EndedRefused
 	case e.ctx.Err() != nil:
 		e.outlet.status(http.StatusGatewayTimeout)
@@ -140,3 +148,11 @@
 		return EndedUnknown
 	}
 }
+
+// retryAfter is when a caller whose call was not run should come back.
+func retryAfter(f *Failure) time.Duration {
+	if errors.Is(f, errOverloaded) {
+		return overloadRetryAfter
+	}
+	return refusedRetryAfter
+}
--- a/internal/forward/stopreason.go
+++ b/internal/forward/stopreason.go
@@ -8,6 +8,7 @@
 	callerLeft        stopReason = "caller_left"
 	deadlinePassed    stopReason = "deadline_passed"
 	noReplica         stopReason = "no_replica"
+	overloaded        stopReason = "overloaded"
 	answerBegun       stopReason = "answer_begun"
 	tooManyRefusals   stopReason = "too_many_refusals"
 	mayHaveRun        stopReason = "may_have_run"
--- /dev/null
+++ b/internal/nodesync/hub_test.go
@@ -0,0 +1,105 @@
+package nodesync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/replica"
+)
+
+// largeFleet is nodes of three availability zones that know each other, each
+// with one running request on replica "i".
+func largeFleet(n int) []*testNode {
+	listing := replica.Listing{Revision: 1, Replicas: []replica.Replica{{ID: "i", Upstream: "u", Address: "x:1"}}}
+	var nodes []*testNode
+	for i := range n {
+		zone := fmt.Sprintf("z%d", i%3)
+		node := newTestNode(fmt.Sprintf("vm-%02d", i), 100*second)
+		node.options.Replicas.Take(listing, 99*second, 99*second)
+		node.options.Placer = placement.NewPlacer(zone, node.options.Replicas, node.options.Rand)
+		plain := node.options.Self
+		node.options.Self = func() Node {
+			self := plain()
+			self.AvailabilityZone = zone
+			return self
+		}
+		node.options.Placer.Choose(time.Now(), "u", &placement.Request{})
+		nodes = append(nodes, node)
+	}
+	for _, a := range nodes {
+		for _, b := range nodes {
+			self := b.options.Self()
+			self.HeardAt = 100 * second
+			a.options.Nodes.Take(self)
+		}
+	}
+	return nodes
+}
+
+// round has each node ask its targets of one round.
+func round(t *testing.T, nodes []*testNode) (calls int) {
+	t.Helper()
+	byAddress := make(map[string]*testNode)
+	for _, n := range nodes {
+		byAddress[n.options.Self().PeerAddress] = n
+	}
+	for _, n := range nodes {
+		for _, target := range n.targets() {
+			if to, ok := byAddress[target.address]; ok && to != n {
+				n.asks(t, to, 0, 0)
+				calls++
+			}
+		}
+	}
+	return calls
+}
+
+func TestAllNodesAgreeOnTheHubOfAZone(t *testing.T) {
+	nodes := largeFleet(30)
+	for _, zone := range []string{"z0", "z1", "z2"} {
+		want := nodes[0].hubOf(zone, 100*second)
+		if want.AvailabilityZone != zone {
+			t.Fatalf("the hub of %s is %+v", zone, want)
+		}
+		for _, n := range nodes {
+			if got := n.hubOf(zone, 100*second); got.Name != want.Name {
+				t.Errorf("%s takes %s for the hub of %s, others %s", n.options.Self().Name, got.Name, zone, want.Name)
+			}
+		}
+	}
+	if hub := largeFleet(6)[0].hubOf("z0", 100*second); hub.Name != "" {
+		t.Errorf("a fleet of six has hub %s", hub.Name)
+	}
+}
+
+func TestTheFleetsLoadReachesAllNodesInAFewRounds(t *testing.T) {
+	nodes := largeFleet(30)
+	calls := 0
+	for range 3 {
+		calls += round(t, nodes)
+	}
+	for _, n := range nodes {
+		sums := n.options.Placer.Others(time.Now())
+		if got := sums["i"]; got != 29 {
+			t.Errorf("%s counts %d running requests of the other nodes, want 29", n.options.Self().Name, got)
+		}
+	}
+	if perRound := calls / 3; perRound > 3*len(nodes) {
+		t.Errorf("%d calls a round for %d nodes", perRound, len(nodes))
+	}
+}
+
+func TestAnotherNodeAddsUpWhereTheHubIsGone(t *testing.T) {
+	nodes := largeFleet(30)
+	gone := nodes[0].hubOf("z1", 100*second)
+	for _, n := range nodes {
+		n.options.Nodes.Failed(gone.Name, boottime.Instant(101*time.Second))
+	}
+	next := nodes[0].hubOf("z1", 100*second)
+	if next.Name == gone.Name || next.Name == "" {
+		t.Errorf("after %s the hub is %q", gone.Name, next.Name)
+	}
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -98,7 +98,7 @@
 	}
 	s.shuffle(alive)
 	s.shuffle(silent)
-	chosen := alive[:min(len(alive), callsPerRound)]
+	chosen := s.withHubs(alive[:min(len(alive), callsPerRound)], now)
 	return append(chosen, silent[:min(len(silent), 1+callsPerRound-len(chosen))]...)
 }
 
@@ -119,7 +119,8 @@
 	began := s.options.Clock()
 	client := nodesyncv1connect.NewNodeSyncServiceClient(
 		s.options.Clients.HTTPClient(t.address), s.options.Clients.URL(t.address))
-	response, err := client.Exchange(ctx, connect.NewRequest(s.request(began)))
+	request := s.request(began)
+	response, err := client.Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		// A path that went silent takes nothing any more: begin a new one.
 		s.options.Clients.Forget(t.address)
@@ -127,7 +128,7 @@
 		s.options.Log.Write(&peerLost{target: t, err: err})
 		return
 	}
-	s.take(response.Msg, began)
+	s.take(response.Msg, request, began)
 }
 
 func (s *Sync) begin(address string) bool {
@@ -168,10 +169,11 @@
 	m := request.Msg
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.takeNode(caller)
-	s.options.Placer.SetPeer(caller.Name, loadsFromProto(m.GetLoads()), s.options.Nodes.aliveCount(now), time.Now())
-	s.options.Placer.SetPlacements(placementsFromProto(m.GetPlacements()), time.Now())
+	s.takeLoads(caller, m.GetLoads(), m.GetPlacements(), now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
-	return connect.NewResponse(s.response(m)), nil
+	answer := s.response(m)
+	s.tellSums(answer, caller)
+	return connect.NewResponse(answer), nil
 }
 
 // response tells this node's state, with what the caller does not have.
@@ -221,16 +223,16 @@
 	return nodes[:maxTold]
 }
 
-// take takes in another node's answer to a call that began at the instant.
-func (s *Sync) take(m *nodesyncv1.ExchangeResponse, began boottime.Instant) {
+// take takes in another node's answer to what was asked from the instant on.
+func (s *Sync) take(m *nodesyncv1.ExchangeResponse, asked *nodesyncv1.ExchangeRequest, began boottime.Instant) {
 	node := nodeFromProto(m.GetSelf(), began)
 	node.HeardAt = began
 	s.takeNode(node)
 	for _, n := range m.GetNodes() {
 		s.takeNode(nodeFromProto(n, began))
 	}
-	s.options.Placer.SetPeer(node.Name, loadsFromProto(m.GetLoads()), s.options.Nodes.aliveCount(began), time.Now())
-	s.options.Placer.SetPlacements(placementsFromProto(m.GetPlacements()), time.Now())
+	s.takeLoads(node, m.GetLoads(), m.GetPlacements(), began)
+	s.takeSums(m, node, asked)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.takeConfig(m, node.Name, began)
 	s.takeReplicas(m, began)
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -69,7 +69,7 @@
 	}
 	a.now += back
 	b.now += back
-	a.take(response.Msg, began)
+	a.take(response.Msg, request, began)
 }
 
 // TestAProofIsNeverBelievedToBeFresherThanItIs exchanges with long delays in
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -50,14 +50,18 @@
 	}
 }
 
-// tokens is the length of the leading parts that the replica holds.
+// tokens is the length of the leading parts that the replica holds. Prompts are
+// cached from their start, so that a part which it was given stands for all
+// before it.
 func (c *cache) tokens(now time.Time, parts []Part) int {
-	total := 0
-	for _, p := range parts {
-		at, ok := c.usedAt[p.ID]
-		if !ok || now.Sub(at) > cachedFor {
-			return total
+	deepest := -1
+	for i, p := range parts {
+		if at, ok := c.usedAt[p.ID]; ok && now.Sub(at) <= cachedFor {
+			deepest = i
 		}
+	}
+	total := 0
+	for _, p := range parts[:deepest+1] {
 		total += p.Tokens
 	}
 	return total
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -8,6 +8,11 @@
 	// it was chosen from.
 	Cost  float64
 	Among int
+	// Wait is the expected time to the first token.
+	Wait time.Duration
+	// Used is the part of the replica's memory that the running requests and
+	// this one take, each by itself; zero: not known.
+	Used float64
 	// Running counts the requests there, and Prefill their prompt tokens that
 	// are still to be read, both with what other nodes told.
 	Running int
@@ -20,9 +25,14 @@
 
 // explain tells what the replica was chosen by. The lock is held.
 func (u *upstream) explain(now time.Time, r *Request, s *state) Choice {
-	return Choice{
+	c := Choice{
 		Cost: u.chosenCost, Among: u.chosenFrom,
 		Running: s.running + s.peersRunning, Prefill: s.prefill + s.peersPrefill,
 		Cached: s.cache.tokens(now, r.Shared), Failures: s.failuresAt(now),
 	}
+	if r.PromptTokens > 0 {
+		c.Used = u.used(r, s)
+		c.Wait = time.Duration(float64(c.Prefill+r.PromptTokens-c.Cached) / prefillRate * float64(time.Millisecond))
+	}
+	return c
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -16,11 +16,11 @@
 	// rereadCost is what each shared token adds that must be read again though
 	// another replica has it, beyond the time it takes: operators pay for it,
 	// about as much as for an answer late by this time.
-	rereadCost = 0.07
+	rereadCost = 0.2
 	// crowdedFrom is the part of a replica's memory from which it counts as
 	// filling up, crowdedCost the cost of the whole of it.
 	crowdedFrom = 0.6
-	crowdedCost = 1500.0
+	crowdedCost = 6000.0
 	// failureCost is what one failure adds: more than any usual difference in
 	// load, so that a failing replica is used last.
 	failureCost = 250.0
@@ -36,7 +36,7 @@
 	// homeShare is the part of the shared prompt that is expected in the cache
 	// of the replica to which the hash of its parts leads, where this node has
 	// not seen it itself.
-	homeShare = 0.5
+	homeShare = 0.9
 	// silenceFrom is the silence that counts: longer than a usual first token
 	// behind a long prompt.
 	silenceFrom = 350 * time.Millisecond
@@ -68,7 +68,8 @@
 		}
 		cost += float64(s.prefill+s.peersPrefill+r.PromptTokens-cached) / prefillRate
 		cost += rereadCost * float64(r.sharedTokens()-cached)
-		cost += crowding(r, s)
+		// An engine that runs out of memory puts requests back and reads them again.
+		cost += max(u.used(r, s)-crowdedFrom, 0) * crowdedCost
 		cost += u.stalling(r, s, r.PromptTokens-cached)
 	} else {
 		cost += u.queueing(s)
@@ -94,14 +95,13 @@
 	return cost
 }
 
-// crowding is the cost of a replica whose memory fills up: an engine that runs
-// out of it puts requests back and reads them again.
-func crowding(r *Request, s *state) float64 {
+// used is the part of the replica's memory that the running requests and this
+// one take, each by itself; zero where the memory is not known.
+func (u *upstream) used(r *Request, s *state) float64 {
 	if r.MemoryTokens == 0 {
 		return 0
 	}
-	used := float64(s.tokens+s.peersTokens+r.tokens()) / float64(r.MemoryTokens)
-	return max(used-crowdedFrom, 0) * crowdedCost
+	return float64(s.tokens+s.peersTokens+r.tokens()) / float64(r.MemoryTokens)
 }
 
 // queueing is the wait for a slot of a plain service.
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -12,6 +12,8 @@
 	peerLoadFor = time.Second
 	// maxLoads bounds the replicas that one node tells of.
 	maxLoads = 128
+	// maxFleetLoads bounds the replicas of a sum.
+	maxFleetLoads = 512
 )
 
 // Load is one node's use of one replica.
@@ -30,23 +32,32 @@
 
 // peerLoads is what another node told last.
 type peerLoads struct {
+	zone  string
 	loads []Load
 	at    time.Time
 }
 
+// recent says whether the loads still count.
+func (l *peerLoads) recent(now time.Time) bool { return now.Sub(l.at) <= peerLoadFor }
+
 // Loads is this node's use of the replicas, the most used first.
 func (p *Placer) Loads(now time.Time) []Load {
 	var loads []Load
 	for _, u := range p.all() {
 		loads = u.loads(now, loads)
 	}
+	return mostUsed(loads, maxLoads)
+}
+
+// mostUsed cuts the list to the most used replicas.
+func mostUsed(loads []Load, most int) []Load {
 	slices.SortFunc(loads, func(a, b Load) int {
 		if a.Running != b.Running {
 			return b.Running - a.Running
 		}
 		return strings.Compare(a.Replica, b.Replica)
 	})
-	return loads[:min(len(loads), maxLoads)]
+	return loads[:min(len(loads), most)]
 }
 
 func (p *Placer) all() []*upstream {
@@ -77,42 +88,144 @@
 
 // SetPeer takes in what another node tells of its load; alive is the number of
 // other nodes that serve.
-func (p *Placer) SetPeer(node string, loads []Load, alive int, now time.Time) {
-	sums := p.sumPeers(node, loads, alive, now)
-	for _, u := range p.all() {
-		u.setPeers(sums)
+func (p *Placer) SetPeer(node, zone string, loads []Load, alive int, now time.Time) {
+	p.mu.Lock()
+	p.peers[node] = peerLoads{zone: zone, loads: loads, at: now}
+	p.forgetOld(now)
+	p.mu.Unlock()
+	p.apply(alive, now)
+}
+
+// SetZone takes in what the nodes of another availability zone use together.
+func (p *Placer) SetZone(zone string, loads []Load, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.zones[zone] = peerLoads{zone: zone, loads: loads, at: now}
+}
+
+// SetFleet takes in what all nodes use together, of which own is this node's
+// part.
+func (p *Placer) SetFleet(loads, own []Load, now time.Time) {
+	others := addUp(nil, loads)
+	for _, l := range own {
+		if sum, ok := others[l.Replica]; ok {
+			others[l.Replica] = sum.minus(l)
+		}
 	}
+	p.mu.Lock()
+	p.fleet, p.fleetAt = others, now
+	p.mu.Unlock()
+	p.apply(0, now)
+}
+
+// ZoneLoads is what the nodes of this node's availability zone use together, as
+// far as they have told it.
+func (p *Placer) ZoneLoads(now time.Time) []Load {
+	return listed(p.zoneSum(now))
 }
 
-// sumPeers remembers the node's loads and adds up those of all other nodes that
-// are recent. Callers spread over all nodes alike, so that where only some were
-// heard of, as in a large fleet, their sum stands for all of them.
-func (p *Placer) sumPeers(node string, loads []Load, alive int, now time.Time) map[string]Load {
+// FleetLoads is what all nodes use together, as far as this node was told.
+func (p *Placer) FleetLoads(now time.Time) []Load {
+	sums := p.zoneSum(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.peers[node] = peerLoads{loads: loads, at: now}
-	sums := make(map[string]Load)
+	for _, told := range p.zones {
+		if told.recent(now) {
+			sums = addUp(sums, told.loads)
+		}
+	}
+	return listed(sums)
+}
+
+func (p *Placer) zoneSum(now time.Time) map[string]Load {
+	sums := addUp(nil, p.Loads(now))
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, told := range p.peers {
+		if told.zone == p.zone && told.recent(now) {
+			sums = addUp(sums, told.loads)
+		}
+	}
+	return sums
+}
+
+// forgetOld drops what nodes told too long ago. The lock is held.
+func (p *Placer) forgetOld(now time.Time) {
 	for name, told := range p.peers {
-		if now.Sub(told.at) > peerLoadFor {
+		if !told.recent(now) {
 			delete(p.peers, name)
-			continue
 		}
-		for _, l := range told.loads {
-			sum := sums[l.Replica]
-			sum.Running += l.Running
-			sum.Light += l.Light
-			sum.Prefill += l.Prefill
-			sum.Tokens += l.Tokens
-			sum.Failures = max(sum.Failures, l.Failures)
-			sums[l.Replica] = sum
+	}
+}
+
+// apply has the upstreams count what the other nodes use.
+func (p *Placer) apply(alive int, now time.Time) {
+	sums := p.others(alive, now)
+	for _, u := range p.all() {
+		u.setPeers(sums)
+	}
+}
+
+// others is what the other nodes use: as one that adds it up for this zone has
+// told, or else the sum of those that have told it themselves. Callers spread
+// over all nodes alike, so that where only some were heard of, as in a large
+// fleet, their sum stands for all of them.
+func (p *Placer) others(alive int, now time.Time) map[string]Load {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if now.Sub(p.fleetAt) <= peerLoadFor {
+		return p.fleet
+	}
+	var sums map[string]Load
+	heard := 0
+	for _, told := range p.peers {
+		if told.recent(now) {
+			sums = addUp(sums, told.loads)
+			heard++
 		}
 	}
-	if heard := len(p.peers); heard < alive {
+	if heard > 0 && heard < alive {
 		scale(sums, float64(alive)/float64(heard))
 	}
 	return sums
 }
 
+// addUp adds the loads to the sums by replica. The highest failure score counts.
+func addUp(sums map[string]Load, loads []Load) map[string]Load {
+	if sums == nil {
+		sums = make(map[string]Load, len(loads))
+	}
+	for _, l := range loads {
+		sum := sums[l.Replica]
+		sum.Replica = l.Replica
+		sum.Running += l.Running
+		sum.Light += l.Light
+		sum.Prefill += l.Prefill
+		sum.Tokens += l.Tokens
+		sum.Failures = max(sum.Failures, l.Failures)
+		sums[l.Replica] = sum
+	}
+	return sums
+}
+
+// minus takes one node's part out of a sum.
+func (l Load) minus(part Load) Load {
+	l.Running = max(l.Running-part.Running, 0)
+	l.Light = max(l.Light-part.Light, 0)
+	l.Prefill = max(l.Prefill-part.Prefill, 0)
+	l.Tokens = max(l.Tokens-part.Tokens, 0)
+	return l
+}
+
+// listed is the sums as a list, bounded as one node's.
+func listed(sums map[string]Load) []Load {
+	list := make([]Load, 0, len(sums))
+	for _, l := range sums {
+		list = append(list, l)
+	}
+	return mostUsed(list, maxFleetLoads)
+}
+
 // scale multiplies what is counted.
 func scale(sums map[string]Load, by float64) {
 	for replica, sum := range sums {
@@ -133,3 +246,13 @@
 		s.peersPrefill, s.peersTokens, s.peersFailures = sum.Prefill, sum.Tokens, sum.Failures
 	}
 }
+
+// Others is the requests that other nodes run on each replica, as this node
+// believes, for pages that show its view.
+func (p *Placer) Others(now time.Time) map[string]int {
+	running := make(map[string]int)
+	for id, l := range p.others(0, now) {
+		running[id] = l.Running
+	}
+	return running
+}
--- a/internal/placement/placements.go
+++ b/internal/placement/placements.go
@@ -6,6 +6,9 @@
 	// placedFor is how long a placement is told to other nodes: until each of
 	// them has most likely been asked once.
 	placedFor = 1500 * time.Millisecond
+	// relayedFor is how long a placement is told on that another node told: some
+	// three rounds of calls.
+	relayedFor = 600 * time.Millisecond
 	// maxPlaced bounds the replicas whose placements one node tells.
 	maxPlaced = 128
 	// maxPlacedParts bounds the parts told of one replica.
@@ -23,10 +26,15 @@
 	at map[string]map[uint64]time.Time
 }
 
+// add notes that a prompt with these parts was sent to the replica. The deepest
+// one stands for all before it.
 func (p *placements) add(now time.Time, replica string, parts []Part) {
-	if len(parts) == 0 {
-		return
+	if len(parts) > 0 {
+		p.note(now, replica, parts[len(parts)-1].ID)
 	}
+}
+
+func (p *placements) note(at time.Time, replica string, part uint64) {
 	if p.at == nil {
 		p.at = make(map[string]map[uint64]time.Time)
 	}
@@ -35,8 +43,18 @@
 		placed = make(map[uint64]time.Time)
 		p.at[replica] = placed
 	}
-	for _, part := range parts {
-		placed[part.ID] = now
+	if at.After(placed[part]) {
+		placed[part] = at
+	}
+}
+
+// relay notes another node's placement to be told on for relayedFor. What the
+// cache knew just before was told on already.
+func (p *placements) relay(now time.Time, placed Placement, known *cache) {
+	for _, part := range placed.Parts {
+		if now.Sub(known.usedAt[part]) > relayedFor {
+			p.note(now.Add(relayedFor-placedFor), placed.Replica, part)
+		}
 	}
 }
 
@@ -72,14 +90,20 @@
 	return list
 }
 
-// SetPlacements takes in where another node sent prompts lately.
-func (p *Placer) SetPlacements(list []Placement, now time.Time) {
+// SetPlacements takes in where another node sent prompts lately. With relay set
+// this node tells it on for a while, to those that the other one did not meet.
+func (p *Placer) SetPlacements(list []Placement, relay bool, now time.Time) {
 	for _, u := range p.all() {
 		u.mu.Lock()
 		for _, placed := range list {
-			if s, ok := u.states[placed.Replica]; ok {
-				s.cache.note(now, placed.Parts)
+			s, ok := u.states[placed.Replica]
+			if !ok {
+				continue
+			}
+			if relay {
+				u.placed.relay(now, placed, &s.cache)
 			}
+			s.cache.note(now, placed.Parts)
 		}
 		u.mu.Unlock()
 	}
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -56,7 +56,7 @@
 		home[session] = a.Replica.ID
 		a.Begun(now)
 		a.End(now, Answered)
-		two.SetPlacements(one.Placements(now), now)
+		two.SetPlacements(one.Placements(now), false, now)
 		for _, p := range []*Placer{one, two} {
 			b := p.Choose(now.Add(time.Second), "u", long(session))
 			if b.Replica.ID != home[session] {
@@ -149,7 +149,7 @@
 	p, set := fleet(3, 1)
 	p.Choose(start, "u", &Request{}).End(start, Cancelled)
 	ids := []string{set.Of("u")[0].ID, set.Of("u")[1].ID}
-	p.SetPeer("other", []Load{{Replica: ids[0], Failures: 5}, {Replica: ids[1], Running: 90}}, 1, start)
+	p.SetPeer("other", "z0", []Load{{Replica: ids[0], Failures: 5}, {Replica: ids[1], Running: 90}}, 1, start)
 	for range 10 {
 		a := p.Choose(start, "u", &Request{})
 		if slices.Contains(ids, a.Replica.ID) {
@@ -158,7 +158,7 @@
 		a.End(start, Cancelled)
 	}
 	// News that are not renewed are forgotten with the next news of another node.
-	p.SetPeer("third", nil, 1, start.Add(2*time.Second))
+	p.SetPeer("third", "z0", nil, 1, start.Add(2*time.Second))
 	used := make(map[string]bool)
 	for range 40 {
 		a := p.Choose(start, "u", &Request{})
@@ -247,7 +247,7 @@
 	p.Choose(start, "u", &Request{}).End(start, Cancelled)
 	id := set.Of("u")[0].ID
 	for i := range 4 {
-		p.SetPeer(fmt.Sprint(i), []Load{{Replica: id, Running: 3, Prefill: 100}}, 12, start)
+		p.SetPeer(fmt.Sprint(i), "z0", []Load{{Replica: id, Running: 3, Prefill: 100}}, 12, start)
 	}
 	s := p.upstream("u").states[id]
 	if s.peersRunning != 36 || s.peersPrefill != 1200 {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -27,6 +27,9 @@
 	// lightPerReplica is the light requests that a replica runs well at once,
 	// heavyPerReplica the heavy ones.
 	lightPerReplica = 20.0
+	// lightAtMost is the light requests up to which a replica is filled rather
+	// than that the heavy side gives one up.
+	lightAtMost     = 26.0
 	heavyPerReplica = 4.0
 	// splitMemory is the time over which the loads are averaged: longer than
 	// the news of other nodes take, shorter than a burst.
@@ -91,7 +94,10 @@
 	u.average(now, open)
 	light, heavy := u.split.light+assumedDemand, u.split.heavy+assumedDemand
 	side := int(math.Round(float64(len(open)) * light / (light + heavy)))
-	return min(max(side, 1), len(open)-1)
+	// Heavy requests that queue up do not take the replicas which the light
+	// ones need, and those of a light side that is full spread no further.
+	least := int(math.Ceil(u.split.light * lightPerReplica / lightAtMost))
+	return min(max(side, least, 1), len(open)-1)
 }
 
 // assumedDemand is added to each side's demand, in replicas, so that a side
