--- a/internal/capacity/credits.go
+++ b/internal/capacity/credits.go
@@ -145,7 +145,7 @@
 // and TLS are left out of the bytes.
 func spentOnCredits(nodes []*creditNode) (bytes, calls float64) {
 	for _, node := range nodes {
-		bytes += float64(node.link.listener.bytes.Load())
+		bytes += float64(node.link.listener.Bytes.Load())
 		calls += counted(node.registry, "trestle_credit_messages_total")
 	}
 	return bytes, calls
--- a/internal/capacity/peerlink.go
+++ b/internal/capacity/peerlink.go
@@ -41,13 +41,13 @@
 			}
 		}
 		call(peerCalls / 4)
-		before := link.listener.bytes.Load()
+		before := link.listener.Bytes.Load()
 		used := cpuOf(func() { call(peerCalls) })
 		if err != nil {
 			return nil, err
 		}
 		cpu.add(size, used.Seconds()/peerCalls)
-		wire.add(size, float64(link.listener.bytes.Load()-before)/peerCalls)
+		wire.add(size, float64(link.listener.Bytes.Load()-before)/peerCalls)
 	}
 	return fitAll(cpu, wire)
 }
--- a/internal/capacity/platformlink.go
+++ b/internal/capacity/platformlink.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 
+	"galenatrestle/internal/bytecount"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/httpstore"
 	"galenatrestle/internal/platform/memstore"
@@ -22,14 +23,14 @@
 
 // platformLink is a client of the platform and the stand-in that answers it.
 type platformLink struct {
-	listener *countingListener
+	listener *bytecount.Listener
 	store    *memstore.Store
 	client   *httpstore.Client
 	server   *http.Server
 }
 
 func newPlatformLink() (*platformLink, error) {
-	listener, err := newCountingListener()
+	listener, err := bytecount.Listen()
 	if err != nil {
 		return nil, err
 	}
@@ -64,7 +65,7 @@
 	revision := int64(0)
 	for _, size := range sizes {
 		value := make([]byte, size)
-		before := link.listener.bytes.Load()
+		before := link.listener.Bytes.Load()
 		used := cpuOf(func() {
 			for range platformCalls {
 				var entry platform.Entry
@@ -76,7 +77,7 @@
 			return nil, err
 		}
 		cpu.add(size, used.Seconds()/platformCalls)
-		wire.add(size, float64(link.listener.bytes.Load()-before)/platformCalls)
+		wire.add(size, float64(link.listener.Bytes.Load()-before)/platformCalls)
 	}
 	return fitAll(cpu, wire)
 }
@@ -95,7 +96,7 @@
 	defer link.close()
 	for _, n := range vms {
 		link.store.SetInstances(instanceList(n))
-		before := link.listener.bytes.Load()
+		before := link.listener.Bytes.Load()
 		used := cpuOf(func() {
 			for range instanceReads {
 				_, err = link.client.Instances(ctx)
@@ -104,7 +105,7 @@
 		if err != nil {
 			return nil, err
 		}
-		wire.add(n, float64(link.listener.bytes.Load()-before)/instanceReads)
+		wire.add(n, float64(link.listener.Bytes.Load()-before)/instanceReads)
 		cpu.add(n, used.Seconds()/instanceReads)
 	}
 	return fitAll(wire, cpu)
--- a/internal/capacity/quarantine.go
+++ b/internal/capacity/quarantine.go
@@ -76,7 +76,7 @@
 	last, unchanged := int64(0), 0
 	for time.Now().Before(until) && unchanged < exchangeQuiet {
 		time.Sleep(exchangePoll)
-		bytes := l.listener.bytes.Load()
+		bytes := l.listener.Bytes.Load()
 		unchanged++
 		if bytes != last || bytes == 0 {
 			last, unchanged = bytes, 0
--- a/internal/capacity/watching.go
+++ b/internal/capacity/watching.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"galenatrestle/internal/bytecount"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/standin/engine"
 )
@@ -37,7 +38,7 @@
 // their reports.
 func watch(fleet Fleet, n int, d time.Duration) (rate, core float64, err error) {
 	defer fewCores()()
-	listener, err := newCountingListener()
+	listener, err := bytecount.Listen()
 	if err != nil {
 		return 0, 0, err
 	}
@@ -53,9 +54,9 @@
 	owner.Start()
 	time.Sleep(d)
 	d = max(d, leastWatched)
-	before := listener.bytes.Load()
+	before := listener.Bytes.Load()
 	used := cpuOf(func() { time.Sleep(d) })
-	return float64(listener.bytes.Load()-before) / d.Seconds(), used.Seconds() / d.Seconds(), nil
+	return float64(listener.Bytes.Load()-before) / d.Seconds(), used.Seconds() / d.Seconds(), nil
 }
 
 // enginesAt returns a document whose replicas all have the one address.
--- a/internal/configsync/wire_test.go
+++ b/internal/configsync/wire_test.go
@@ -2,48 +2,16 @@
 
 import (
 	"context"
-	"net"
-	"sync/atomic"
 	"testing"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bytecount"
 	"galenatrestle/internal/gen/trestle/configsync/v1/configsyncv1connect"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/peer"
 )
 
-// countingListener counts the bytes of all its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes atomic.Int64
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (l *countingListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countingConn{Conn: conn, bytes: &l.bytes}, nil
-}
-
-func (c *countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c *countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // oneView is the view of a node that knows nobody.
 type oneView struct{ address string }
 
@@ -56,11 +24,10 @@
 // TestConnectCarriesPullsAndNotices sends each message over a real connection
 // and prints what it costs there.
 func TestConnectCarriesPullsAndNotices(t *testing.T) {
-	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	listener, err := bytecount.Listen()
 	if err != nil {
 		t.Fatal(err)
 	}
-	listener := &countingListener{Listener: inner}
 	registry := prometheus.NewRegistry()
 	keys, err := peer.NewKeys(peer.KeyFiles{}, registry)
 	if err != nil {
@@ -70,7 +37,7 @@
 	defer clients.Close()
 	newSyncer := func(current *Current) *Syncer {
 		return New(Options{
-			Current: current, View: oneView{inner.Addr().String()}, Peers: NewConnectPeers(clients),
+			Current: current, View: oneView{listener.Addr().String()}, Peers: NewConnectPeers(clients),
 			Log: quiet(), Registry: prometheus.NewRegistry(),
 		})
 	}
@@ -85,7 +52,7 @@
 	}()
 
 	far.Move(stateOf(t, 1, 1))
-	syncer, address := newSyncer(near), inner.Addr().String()
+	syncer, address := newSyncer(near), listener.Addr().String()
 	ctx := context.Background()
 	syncer.pull(ctx, address)
 	if near.Revision() != 1 || near.State().ID != "id-1" {
@@ -100,11 +67,11 @@
 
 	const calls = 100
 	per := func(call func()) float64 {
-		before := listener.bytes.Load()
+		before := listener.Bytes.Load()
 		for range calls {
 			call()
 		}
-		return float64(listener.bytes.Load()-before) / calls
+		return float64(listener.Bytes.Load()-before) / calls
 	}
 	idlePull := per(func() { syncer.pull(ctx, address) })
 	notice := per(func() { syncer.notify(ctx, address) })
--- a/internal/embedded/quota_test.go
+++ b/internal/embedded/quota_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -173,3 +175,43 @@
 		})
 	}
 }
+
+// TestARefusalByQuotaEndsTheRequest sends a plain call and a chat past the quota:
+// each must be counted among the requests, and have an end in its timeline.
+func TestARefusalByQuotaEndsTheRequest(t *testing.T) {
+	d := startWith(t, Options{Quotas: tabQuota(0.001, 1)})
+	header := map[string]string{"Authorization": "Bearer " + TabKey}
+	const chat = `{"model":"trestle-llm","max_tokens":1,"messages":[{"role":"user","content":"hi"}]}`
+	refused := 0
+	for _, path := range []string{"/services/member-ledger/tabs", "/v1/chat/completions", "/services/member-ledger/tabs"} {
+		got := send(t, d, "POST", path, chat, header)
+		if got.status == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	if refused < 2 {
+		t.Fatalf("%d of 3 requests were refused", refused)
+	}
+	response, err := http.Get("http://" + d.Nodes[0].OpsAddress() + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	page, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	counted := 0.0
+	for line := range strings.Lines(string(page)) {
+		if strings.HasPrefix(line, "trestle_requests_total{") && strings.Contains(line, `end="over_quota"`) {
+			value, err := strconv.ParseFloat(strings.TrimSpace(line[strings.LastIndex(line, " "):]), 64)
+			if err != nil {
+				t.Fatal(err)
+			}
+			counted += value
+		}
+	}
+	if int(counted) != refused {
+		t.Errorf("%d requests counted as over their quota, want %d", int(counted), refused)
+	}
+}
--- a/internal/gateway/complete.go
+++ b/internal/gateway/complete.go
@@ -37,8 +37,7 @@
 	}
 	use, err := s.useQuota(c, p)
 	if err != nil {
-		w.Header().Set(headerRequestID, c.id)
-		s.refuse(w, err)
+		s.refuseCall(w, c, err)
 		return
 	}
 	e := &exchange{server: s, call: c, completion: p}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -90,7 +90,7 @@
 		return true
 	}
 	if err := s.countRequest(sc); err != nil {
-		s.refuse(w, err)
+		s.refuseCall(w, sc.call, err)
 		return true
 	}
 	served, refused := s.callUntilRun(ctx, sc)
--- a/internal/membership/overhead_test.go
+++ b/internal/membership/overhead_test.go
@@ -12,29 +12,12 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
+	"galenatrestle/internal/bytecount"
 	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
 	"galenatrestle/internal/gen/trestle/membership/v1/membershipv1connect"
 	"galenatrestle/internal/peer"
 )
 
-// countingConn counts the bytes of a connection, both ways.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // TestOverheadOfACall measures on loopback what a unary call costs beyond its
 // messages, once the connection is open, and holds callOverhead to it.
 func TestOverheadOfACall(t *testing.T) {
@@ -93,6 +76,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return countingConn{Conn: conn, bytes: bytes}, nil
+		return bytecount.Conn{Conn: conn, Bytes: bytes}, nil
 	}
 }
--- a/internal/standin/platform/bench_test.go
+++ b/internal/standin/platform/bench_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"galenatrestle/internal/bytecount"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/httpstore"
 	"galenatrestle/internal/platform/memstore"
@@ -18,26 +19,6 @@
 // unlimited takes the rates away, so that the code's own speed shows.
 var unlimited = memstore.Config{WritesPerSecond: 1e9, ReadsPerSecond: 1e9, WeightsPerSecond: 1e9}
 
-// countingConn counts the bytes of a connection in both directions.
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read counts what came.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write counts what went.
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
 // backends are the implementations to compare; each gives its store and the
 // count of bytes on the wire.
 func backends(b *testing.B) map[string]func() (platform.Store, *atomic.Int64) {
@@ -52,7 +33,7 @@
 			transport := &http.Transport{DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 				var dialer net.Dialer
 				conn, err := dialer.DialContext(ctx, network, address)
-				return countingConn{conn, bytes}, err
+				return bytecount.Conn{Conn: conn, Bytes: bytes}, err
 			}}
 			client := httpstore.New(httpstore.Config{Address: server.Listener.Addr().String(), Transport: transport})
 			b.Cleanup(client.Close)
