--- a/internal/daemon/followsettings.go
+++ b/internal/daemon/followsettings.go
@@ -3,10 +3,9 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
+	"galenatrestle/internal/hangup"
 	"galenatrestle/internal/settings"
 )
 
@@ -23,9 +22,6 @@
 // followSettings reads the settings again on SIGHUP and when the file changes,
 // until ctx ends.
 func followSettings(ctx context.Context, path string, to reloader) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	ticker := time.NewTicker(settingsEvery)
 	defer ticker.Stop()
 	last := modified(path)
@@ -33,7 +29,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-signals:
+		case <-hangup.Signals():
 		case <-ticker.C:
 			if modified(path).Equal(last) {
 				continue
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -44,9 +44,7 @@
 // passLong passes the rest of a long body on as it comes.
 func (a *attempt) passLong(start []byte) *Failure {
 	out := a.exchange.outlet
-	if err := out.start(a.response, a.response.ContentLength); err != nil {
-		return a.delivered(err)
-	}
+	out.start(a.response, a.response.ContentLength)
 	if err := out.write(start); err != nil {
 		return a.delivered(err)
 	}
--- a/internal/forward/outlet.go
+++ b/internal/forward/outlet.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -36,38 +37,32 @@
 // begun says whether the caller has seen a part of the answer.
 func (o *outlet) begun() bool { return o.started }
 
-// connectionHeaders concern one connection and are not passed on.
-var connectionHeaders = []string{
+// ConnectionHeaders concern one connection and are not passed on, in either
+// direction.
+var ConnectionHeaders = []string{
 	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection",
 	"Te", "Trailer", "Transfer-Encoding", "Upgrade",
 }
 
 // start writes the head of a replica's answer; a negative length is unknown.
-func (o *outlet) start(r *http.Response, length int64) error {
+func (o *outlet) start(r *http.Response, length int64) {
 	o.copyHeader(r.Header)
 	if length >= 0 {
 		o.w.Header().Set("Content-Length", strconv.FormatInt(length, 10))
 	}
 	o.started = true
 	o.w.WriteHeader(r.StatusCode)
-	return nil
 }
 
-// copyHeader takes over the headers that are not of one connection.
+// copyHeader takes over the headers that are not of one connection. What this side
+// says of the caller's own connection stays.
 func (o *outlet) copyHeader(from http.Header) {
 	to := o.w.Header()
 	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range connectionHeaders {
-		if name == "Connection" && to.Get(name) == "close" && from.Get(name) == "" {
-			continue
-		}
-		if from.Get(name) != "" {
-			to.Del(name)
+		if name != "Content-Length" && !slices.Contains(ConnectionHeaders, name) {
+			to[name] = values
 		}
 	}
-	to.Del("Content-Length")
 }
 
 func (o *outlet) write(data []byte) error {
@@ -89,9 +84,7 @@
 
 // whole writes a whole answer.
 func (o *outlet) whole(r *http.Response, body []byte) error {
-	if err := o.start(r, int64(len(body))); err != nil {
-		return err
-	}
+	o.start(r, int64(len(body)))
 	return o.write(body)
 }
 
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -64,9 +64,7 @@
 	e := a.exchange
 	if !e.outlet.begun() {
 		a.begun()
-		if err := e.outlet.start(a.response, -1); err != nil {
-			return err
-		}
+		e.outlet.start(a.response, -1)
 	} else {
 		a.place.Heard(time.Now())
 	}
