--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -128,6 +128,24 @@
 	return n.ended
 }
 
+// awaitListening waits until the process takes connections, for a while at most.
+func (n *node) awaitListening() {
+	for range listenTries {
+		conn, err := net.DialTimeout("tcp", n.ready, listenPause)
+		if err == nil {
+			_ = conn.Close()
+			return
+		}
+		time.Sleep(listenPause)
+	}
+}
+
+// A process that has just started is looked for so many times, after such a pause.
+const (
+	listenTries = 100
+	listenPause = 20 * time.Millisecond
+)
+
 // stop asks the process to stop and reports whether it did in its grace time.
 func (n *node) stop() bool {
 	ended := n.signal(syscall.SIGTERM, true)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -141,6 +141,9 @@
 		if err := n.writeSettings(w.nodes[(e.target+1)%len(w.nodes)].peer); err != nil {
 			w.violate("settings of %s: %v", n.name, err)
 		}
+		// Before a process has set up its signals, in the first milliseconds, SIGHUP
+		// ends any program: one that listens has.
+		n.awaitListening()
 		n.signal(syscall.SIGHUP, false)
 	case cutStore:
 		n.store.set([]mode{silence, refuse, cutAnswers, slow}[e.target%4])
