--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -46,12 +46,11 @@
 func newNode(name, dir string, command []string, store *proxy) (*node, error) {
 	n := &node{name: name, command: command, dir: dir, store: store}
 	for _, address := range []*string{&n.entry, &n.peer, &n.ops, &n.ready} {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		free, err := ports.free()
 		if err != nil {
 			return nil, err
 		}
-		defer listener.Close()
-		*address = listener.Addr().String()
+		*address = free
 	}
 	return n, nil
 }
