--- a/internal/soak/ports.go
+++ b/internal/soak/ports.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync"
 )
 
@@ -19,20 +20,27 @@
 	next int
 }
 
-// ports are those of all runs of this process.
-var ports = portList{next: firstPort}
+// ports are those of all runs of this process. Another soak beside it begins at
+// another place: it must not take a port while a node of this one is restarted.
+var ports = portList{next: firstPort + os.Getpid()*portsApart%(lastPort-firstPort)}
+
+// portsApart is more than the ports of one soak of fifty seeds.
+const portsApart = 1009
 
 // free returns a loopback address on which nobody listens.
 func (p *portList) free() (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for ; p.next < lastPort; p.next++ {
+	for range lastPort - firstPort {
+		p.next++
+		if p.next >= lastPort {
+			p.next = firstPort
+		}
 		address := fmt.Sprintf("127.0.0.1:%d", p.next)
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
 		}
-		p.next++
 		return address, listener.Close()
 	}
 	return "", fmt.Errorf("no free port from %d to %d", firstPort, lastPort)
