--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -224,7 +224,7 @@
 	// Where this side closed the connection, the reason for it is the cause.
 	switch {
 	case a.impatient.Load():
-		f.Result, f.Cause = placement.Silent, errSilent
+		f.Result, f.Cause, f.Prepaid = placement.Silent, errSilent, true
 	case a.exchange.caller.Err() != nil:
 		f.Result, f.Cause = placement.Cancelled, errCallerGone
 	case a.exchange.ctx.Err() != nil && a.exchange.firstByte.IsZero():
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -91,7 +91,7 @@
 // taken from the retry budget.
 func (e *exchange) again(f *Failure) bool {
 	reason := e.refuseAgain(f)
-	if reason == "" && e.arrivals > 0 && !e.forwarder.options.Budget.Take(time.Now(), e.call.Upstream) {
+	if reason == "" && e.arrivals > 0 && !f.Prepaid && !e.forwarder.options.Budget.Take(time.Now(), e.call.Upstream) {
 		reason = noBudget
 	}
 	e.forwarder.metrics.decided(f, reason)
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -15,6 +15,8 @@
 	NotRun bool
 	// Arrived says that the replica got the call, which counts as load there.
 	Arrived bool
+	// Prepaid says that the retry budget has given an attempt in its place.
+	Prepaid bool
 	// Step and Peer are where it arose.
 	Step string
 	Peer string
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -257,6 +257,22 @@
 	})
 }
 
+func TestASilentReplicaIsNotLeftWhereNoOtherMayBeTried(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := replicas(func(c *forwardtest.Conn) bool {
+			time.Sleep(700 * time.Millisecond)
+			return c.Answer(http.StatusOK, "done")
+		}, hangUp)
+		f := forwardtest.NewFleet(t, list...)
+		for f.Budget.Take(time.Now(), upstream) {
+		}
+		w, ending := serve(t, f, call(route.Idempotent, 2))
+		if ending != forward.EndedWhole || w.Body.String() != "done" || requests(list) != 1 {
+			t.Errorf("ending %s, body %q after %d requests: the answer was given up though no other attempt was allowed", ending, w.Body, requests(list))
+		}
+	})
+}
+
 func TestACallerWhoLeavesEndsTheReplicasWork(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		ended := make(chan time.Time, 1)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -10,6 +10,9 @@
 	// leastPatience bounds from below how long a first byte is awaited before
 	// the call is tried elsewhere.
 	leastPatience = 150 * time.Millisecond
+	// waitFactor times the expected wait is added to the patience: a replica that
+	// is busy is not silent.
+	waitFactor = 2
 	// pauseFactor times the longest pause on time, and at least leastPause, is
 	// how long a stream's next event is awaited before the stream is resumed
 	// elsewhere.
@@ -28,7 +31,7 @@
 	if !e.call.Route.MayRunAgain() || e.mayHaveRun+1 >= e.call.Route.MaxAttempts {
 		return 0
 	}
-	return max(e.call.Route.Objective, leastPatience)
+	return max(e.call.Route.Objective, leastPatience) + waitFactor*a.place.Choice.Wait
 }
 
 // pause is how long a stream's next event is awaited; zero: to the deadline.
@@ -52,10 +55,18 @@
 		a.silence.Reset(d)
 		return
 	}
-	a.silence = time.AfterFunc(d, func() {
-		a.impatient.Store(true)
-		a.conn.Close()
-	})
+	a.silence = time.AfterFunc(d, a.leave)
+}
+
+// leave ends the attempt for its silence, if the budget has an attempt to put in
+// its place: without one the answer that may still come is all there is.
+func (a *attempt) leave() {
+	e := a.exchange
+	if !e.forwarder.options.Budget.Take(time.Now(), e.call.Upstream) {
+		return
+	}
+	a.impatient.Store(true)
+	a.conn.Close()
 }
 
 func (a *attempt) stopSilence() {
