--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -8,19 +8,12 @@
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
 )
 
 const (
-	// readAt is the age of a copy at which a node reads the store itself: until
-	// then it learns from the others, to whom it tells its age, so that a
-	// deployment reads a few times a second, however many nodes it has.
-	// Registrations change with each of their heartbeats, so that a watch would
-	// return many times a second. With the jitter, a read's time and a round
-	// between nodes, this is within the two seconds in which a leaving replica
-	// or a new configuration must be known.
-	readAt = 800 * time.Millisecond
 	// readJitter spreads the reads, so that one node's read saves the others'.
 	readJitter = 600 * time.Millisecond
 	// readTimeout bounds one read: a store that is slower counts as away.
@@ -32,6 +25,20 @@
 	firstPause = 100 * time.Millisecond
 )
 
+// readAt is the age of a copy at which a node reads the store itself. Until then it
+// learns from the others, who tell its age, so that a deployment reads a few times a
+// second, however many nodes it has. Registrations change with each of their
+// heartbeats, so that a watch would return many times a second. With the jitter, a
+// read's time and a round between nodes, each is within the two seconds in which a
+// leaving replica or a new configuration must be known.
+var readAt = map[nodesync.Role]time.Duration{
+	nodesync.Equal: 800 * time.Millisecond,
+	// A hub reads for its availability zone, whose nodes ask it several times a
+	// second, and read themselves only where it has failed.
+	nodesync.Hub:    300 * time.Millisecond,
+	nodesync.Member: 1300 * time.Millisecond,
+}
+
 // reader keeps the copies of the store's records fresh. Its two loops share
 // nothing but the log.
 type reader struct {
@@ -39,9 +46,11 @@
 	routes   *routesource.Current
 	replicas *replica.Set
 	listed   func([]replica.Change)
-	clock    boottime.Clock
-	log      *eventlog.Log
-	metrics  *metrics
+	// role is the node's part in spreading what it reads.
+	role    func() nodesync.Role
+	clock   boottime.Clock
+	log     *eventlog.Log
+	metrics *metrics
 }
 
 // follow calls read again and again until ctx ends.
@@ -49,7 +58,7 @@
 	pause := firstPause
 	lost := false
 	for {
-		if !awaitAge(ctx, random, age) {
+		if !r.awaitAge(ctx, random, age) {
 			return
 		}
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
@@ -76,10 +85,10 @@
 
 // awaitAge waits until the copy is due for a read; false: ctx has ended. Each
 // wait draws its own limit, so that the nodes take turns.
-func awaitAge(ctx context.Context, random *rand.Rand, age func() time.Duration) bool {
-	limit := readAt + time.Duration(random.Int64N(int64(readJitter)))
+func (r *reader) awaitAge(ctx context.Context, random *rand.Rand, age func() time.Duration) bool {
+	jitter := time.Duration(random.Int64N(int64(readJitter)))
 	for {
-		left := limit - age()
+		left := readAt[r.role()] + jitter - age()
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -45,10 +45,37 @@
 	return hub
 }
 
+// Role is a node's part in spreading news.
+type Role int
+
+// The roles.
+const (
+	// Equal nodes are those of a fleet without hubs.
+	Equal Role = iota
+	// Hub nodes add up for their availability zone.
+	Hub
+	// Member nodes ask a hub.
+	Member
+)
+
+// Role is this node's part now.
+func (s *Sync) Role() Role {
+	self := s.options.Self()
+	switch s.hubOf(self.AvailabilityZone, s.options.Clock()).Name {
+	case "":
+		return Equal
+	case self.Name:
+		return Hub
+	default:
+		return Member
+	}
+}
+
 // isHub says whether this node adds up for its availability zone.
 func (s *Sync) isHub(now boottime.Instant) bool {
 	self := s.options.Self()
-	return s.hubOf(self.AvailabilityZone, now).Name == self.Name
+	hub := s.hubOf(self.AvailabilityZone, now).Name
+	return hub != "" && hub == self.Name
 }
 
 // withHubs is the nodes to ask in a round: in a fleet with hubs the own zone's
--- a/internal/nodesync/hub_test.go
+++ b/internal/nodesync/hub_test.go
@@ -103,3 +103,16 @@
 		t.Errorf("after %s the hub is %q", gone.Name, next.Name)
 	}
 }
+
+func TestEachZoneHasOneHub(t *testing.T) {
+	roles := make(map[Role]int)
+	for _, n := range largeFleet(30) {
+		roles[n.Role()]++
+	}
+	if roles[Hub] != 3 || roles[Member] != 27 {
+		t.Errorf("roles %v, want a hub in each of three zones", roles)
+	}
+	if role := largeFleet(6)[0].Role(); role != Equal {
+		t.Errorf("role %d in a fleet of six", role)
+	}
+}
