--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -37,7 +37,9 @@
 	foreign bool
 	// impatient is set when the attempt was ended for its silence.
 	impatient atomic.Bool
-	silence   *time.Timer
+	// silence ends the attempt where timed is set.
+	silence *time.Timer
+	timed   bool
 	// detach stops the connection from being closed with the context.
 	detach func() bool
 }
@@ -123,17 +125,17 @@
 	a.detach = context.AfterFunc(e.ctx, conn.Close)
 	a.startSilence(a.patience())
 	failure := a.exchangeOn()
-	a.stopSilence()
-	a.release(failure)
+	a.release(failure, a.stopSilence())
 	return failure
 }
 
 // errLeaving says that a replica began to leave while the call was on its way.
 var errLeaving = errors.New("the replica is leaving")
 
-// release keeps the connection for another call, or closes it.
-func (a *attempt) release(f *Failure) {
-	if a.detach() && f == nil && !a.foreign {
+// release keeps the connection for another call, or closes it. safe says that it is
+// not being closed for silence.
+func (a *attempt) release(f *Failure, safe bool) {
+	if a.detach() && safe && f == nil && !a.foreign {
 		a.conn.Keep(a.response)
 		return
 	}
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -48,7 +48,8 @@
 	if a.silence != nil {
 		a.silence.Stop()
 	}
-	if d <= 0 {
+	a.timed = d > 0
+	if !a.timed {
 		return
 	}
 	if a.silence != nil {
@@ -69,8 +70,9 @@
 	a.conn.Close()
 }
 
-func (a *attempt) stopSilence() {
-	if a.silence != nil {
-		a.silence.Stop()
-	}
+// stopSilence reports whether the attempt's connection is certainly not ended for
+// silence any more. Where its time was up just now, it may be closed at any moment,
+// and must not serve another call.
+func (a *attempt) stopSilence() bool {
+	return !a.timed || a.silence.Stop()
 }
