--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -80,7 +80,9 @@
 	n.conns = replicaconn.NewPool(replicaconn.TCPDial(replicaconn.DefaultDialTimeout), n.countConnection())
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.budget = retrybudget.New(n.retryLimits())
-	n.handler = n.newHandler()
+	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
+	n.sync = n.newSync(tracker)
+	n.handler = n.newHandler(tracker)
 	n.reader = &reader{
 		store: options.Store, routes: n.routes, replicas: n.replicas, listed: n.listed,
 		role: n.sync.Role, clock: options.Clock, log: n.log,
@@ -99,18 +101,23 @@
 	return n, nil
 }
 
-func (n *Node) newHandler() *passthrough.Handler {
-	tracker := quarantine.NewTracker(0)
+// newSync returns the exchange with the other nodes, which carries the tracker's
+// records.
+func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
+	return nodesync.New(nodesync.Options{
+		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
+		Placer: n.placer, Tracker: tracker, Clock: n.options.Clock,
+		Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
+	})
+}
+
+// newHandler returns the callers' side.
+func (n *Node) newHandler(tracker *quarantine.Tracker) *passthrough.Handler {
 	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
 		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Log: n.log, Registry: n.registry,
 	})
-	n.sync = nodesync.New(nodesync.Options{
-		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
-		Placer: n.placer, Tracker: tracker, Clock: n.options.Clock,
-		Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
-	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
 		Random: rand.Float64, Bounds: n.bounds,
--- a/internal/nodesync/hub_test.go
+++ b/internal/nodesync/hub_test.go
@@ -12,11 +12,14 @@
 
 // largeFleet is nodes of three availability zones that know each other, each
 // with one running request on replica "i".
-func largeFleet(n int) []*testNode {
+func largeFleet(n int) []*testNode { return fleetOf(n, 3) }
+
+// fleetOf is largeFleet with so many availability zones.
+func fleetOf(n, zones int) []*testNode {
 	listing := replica.Listing{Revision: 1, Replicas: []replica.Replica{{ID: "i", Upstream: "u", Address: "x:1"}}}
 	var nodes []*testNode
 	for i := range n {
-		zone := fmt.Sprintf("z%d", i%3)
+		zone := fmt.Sprintf("z%d", i%zones)
 		node := newTestNode(fmt.Sprintf("vm-%02d", i), 100*second)
 		node.options.Replicas.Take(listing, 99*second, 99*second)
 		node.options.Placer = placement.NewPlacer(zone, node.options.Replicas, node.options.Rand)
@@ -116,3 +119,21 @@
 		t.Errorf("role %d in a fleet of six", role)
 	}
 }
+
+func TestAHubOfManyZonesAsksEachOtherHub(t *testing.T) {
+	const zones = 9
+	for _, n := range fleetOf(45, zones) {
+		n.options.Nodes.Suggest(Node{Name: "silent", PeerAddress: "silent:1"}, n.now)
+		targets := n.targets()
+		if n.Role() == Hub && len(targets) < zones-1 {
+			t.Errorf("a hub asks %d nodes, want the hubs of %d other zones", len(targets), zones-1)
+		}
+		asksSilent := false
+		for _, target := range targets {
+			asksSilent = asksSilent || target.name == "silent"
+		}
+		if !asksSilent {
+			t.Errorf("%s does not look for the node that was announced", n.options.Self().Name)
+		}
+	}
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -99,7 +99,9 @@
 	s.shuffle(alive)
 	s.shuffle(silent)
 	chosen := s.withHubs(alive[:min(len(alive), callsPerRound)], now)
-	return append(chosen, silent[:min(len(silent), 1+callsPerRound-len(chosen))]...)
+	// One silent node at least is looked for, however many are asked.
+	missing := max(callsPerRound-len(chosen), 0) + 1
+	return append(chosen, silent[:min(len(silent), missing)]...)
 }
 
 func (s *Sync) shuffle(list []target) {
