--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -29,7 +29,7 @@
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectAt)
 	if s.PassThrough.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(memoryPart * float64(s.PassThrough.MemoryMB) * megabyte))
+		debug.SetMemoryLimit(int64(memoryPart * s.PassThrough.MemoryMB * megabyte))
 	}
 	n, err := edge.New(edge.Options{
 		Settings: s,
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -39,6 +39,7 @@
 	source.CheckTags(settings)
 	checkKeys(source, settings.Operators)
 	checkClaims(source, settings.Claims)
+	checkPassThrough(source, settings.PassThrough)
 	if err := source.Err(); err != nil {
 		return nil, err
 	}
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/yamldoc"
 )
 
 // PassThrough makes the process serve a deployment whose routes are given by
@@ -26,7 +27,7 @@
 	// ResolveTTL is how long callers keep the addresses. Default 2s.
 	ResolveTTL config.Duration `yaml:"resolve_ttl,omitempty" validate:"min=0"`
 	// MemoryMB is the process's memory. Zero: not bounded.
-	MemoryMB int         `yaml:"memory_mb,omitempty" validate:"min=0"`
+	MemoryMB float64     `yaml:"memory_mb,omitempty" validate:"min=0"`
 	Retries  RetryBudget `yaml:"retry_budget,omitempty"`
 }
 
@@ -51,6 +52,28 @@
 	defaultRetryAllowance = 10
 )
 
+// leastTime is the shortest of the times by which the process divides its work.
+const leastTime = config.Duration(time.Second)
+
+// checkPassThrough notes times that are too short to work with; zero takes the
+// default.
+func checkPassThrough(source *yamldoc.Source, p *PassThrough) {
+	if p == nil {
+		return
+	}
+	for _, field := range []struct {
+		name  string
+		value config.Duration
+	}{
+		{"pass_through.grace", p.Grace},
+		{"pass_through.retry_budget.window", p.Retries.Window},
+	} {
+		if field.value != 0 && field.value < leastTime {
+			source.Add(field.name, field.value.String(), "must be at least "+leastTime.String())
+		}
+	}
+}
+
 func (p *PassThrough) fillDefaults() {
 	if p == nil {
 		return
--- a/internal/settings/passthrough_test.go
+++ b/internal/settings/passthrough_test.go
@@ -121,6 +121,8 @@
 		{"grace: 8s", "grace: -8s", `pass_through.grace: value "-8s"`},
 		{"grace: 8s", "grace: soon", "grace"},
 		{"ratio: 0.2", "ratio: 20", `pass_through.retry_budget.ratio: value "20"`},
+		{"window: 10s", "window: 1ns", `pass_through.retry_budget.window: value "1ns": must be at least 1s`},
+		{"grace: 8s", "grace: 20ms", `pass_through.grace: value "20ms": must be at least 1s`},
 		{"memory_mb", "memory", `pass_through.memory: value "memory"`},
 	} {
 		if _, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
