--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"galenatrestle/platform"
 	"galenatrestle/platform/platformtest"
 )
 
@@ -87,7 +88,7 @@
 }
 
 func (c *caller) ask(ctx context.Context, n *node) ([]string, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+"/v1/resolve?name="+platformtest.Host, nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+platform.Wire{}.ResolvePath()+"?name="+platformtest.Host, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"galenatrestle/platform"
 )
 
 // Options are one run's.
@@ -69,7 +71,7 @@
 }
 
 func ready(ctx context.Context, n *node) bool {
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+"/v1/readyz", nil)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.ready+platform.Wire{}.ReadyPath(), nil)
 	if err != nil {
 		return false
 	}
