--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -33,23 +33,6 @@
 	return fields
 }
 
-// configTaken tells that a configuration read from the store came into force.
-type configTaken struct {
-	version int64
-	took    time.Duration
-}
-
-// Name implements eventlog.Event.
-func (*configTaken) Name() string { return "config_taken" }
-
-// Level implements eventlog.Event.
-func (*configTaken) Level() eventlog.Level { return eventlog.Notable }
-
-// Fields implements eventlog.Event.
-func (e *configTaken) Fields() eventlog.Fields {
-	return eventlog.Fields{"version": e.version, "from": "store", "age_ms": e.took.Milliseconds()}
-}
-
 // replicaChanged tells what is believed of a replica from now on.
 type replicaChanged struct {
 	change   replica.Change
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -21,7 +21,7 @@
 	registry.MustRegister(m.reads,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "trestle_config_proof_age_seconds", Help: "Time since the configuration was known to be the newest.",
-		}, func() float64 { return clock().Sub(routes.Get().ProvenAt).Seconds() }),
+		}, func() float64 { return routes.Get().Age(clock()).Seconds() }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "trestle_config_version", Help: "Version of the configuration in force.",
 		}, func() float64 { return float64(routes.Get().Version()) }),
--- a/internal/edge/questions.go
+++ b/internal/edge/questions.go
@@ -15,7 +15,7 @@
 	if snapshot.Table == nil || !n.replicas.Known() || n.leaving.Load() {
 		return false
 	}
-	return n.options.Clock().Sub(snapshot.ProvenAt) < readyAge
+	return snapshot.Age(n.options.Clock()) < readyAge
 }
 
 // questions answers the platform's and callers' questions.
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -99,7 +99,7 @@
 }
 
 // routesAge is the time since the routing table was known to be the newest.
-func (r *reader) routesAge() time.Duration { return r.clock().Sub(r.routes.Get().ProvenAt) }
+func (r *reader) routesAge() time.Duration { return r.routes.Get().Age(r.clock()) }
 
 // replicasAge is the age of the newest read of the registrations.
 func (r *reader) replicasAge() time.Duration {
@@ -120,7 +120,7 @@
 		return err
 	}
 	if changed {
-		r.log.Write(&configTaken{version: r.routes.Get().Version(), took: r.clock().Sub(began)})
+		r.log.Write(&routesource.Taken{Version: r.routes.Get().Version(), From: "store", Age: r.clock().Sub(began)})
 	}
 	return nil
 }
--- a/internal/nodesync/events.go
+++ b/internal/nodesync/events.go
@@ -1,10 +1,6 @@
 package nodesync
 
-import (
-	"time"
-
-	"galenatrestle/internal/eventlog"
-)
+import "galenatrestle/internal/eventlog"
 
 // peerFound tells that a node was heard of for the first time, or again.
 type peerFound struct{ node Node }
@@ -36,21 +32,3 @@
 func (e *peerLost) Fields() eventlog.Fields {
 	return eventlog.Fields{"peer": e.target.name, "address": e.target.address, "error": e.err.Error()}
 }
-
-// configTaken tells that a configuration came into force.
-type configTaken struct {
-	version int64
-	from    string
-	age     time.Duration
-}
-
-// Name implements eventlog.Event.
-func (*configTaken) Name() string { return "config_taken" }
-
-// Level implements eventlog.Event.
-func (*configTaken) Level() eventlog.Level { return eventlog.Notable }
-
-// Fields implements eventlog.Event.
-func (e *configTaken) Fields() eventlog.Fields {
-	return eventlog.Fields{"version": e.version, "from": e.from, "age_ms": e.age.Milliseconds()}
-}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/quarantine/quarantinerpc"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/routesource"
 )
 
 const (
@@ -190,7 +191,7 @@
 	answer := &nodesyncv1.ExchangeResponse{
 		Self:             nodeToProto(self, now),
 		ConfigVersion:    snapshot.Version(),
-		ConfigProofAge:   now.Sub(snapshot.ProvenAt).Microseconds(),
+		ConfigProofAge:   snapshot.Age(now).Microseconds(),
 		ReplicasRevision: listing.Revision,
 		ReplicasReadAge:  now.Sub(readAt).Microseconds(),
 		ReplicasDigest:   digest(listing.Replicas),
@@ -262,7 +263,7 @@
 		return
 	}
 	if changed {
-		s.options.Log.Write(&configTaken{version: m.GetConfigVersion(), from: from, age: microseconds(m.GetConfigProofAge())})
+		s.options.Log.Write(&routesource.Taken{Version: m.GetConfigVersion(), From: from, Age: microseconds(m.GetConfigProofAge())})
 	}
 }
 
--- a/internal/passthrough/check.go
+++ b/internal/passthrough/check.go
@@ -7,10 +7,8 @@
 	"strings"
 	"time"
 
-	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/route"
-	"galenatrestle/internal/routesource"
 )
 
 const (
@@ -29,7 +27,7 @@
 	if snapshot.Table == nil {
 		return nil, &refuseNoConfiguration
 	}
-	age := h.options.Clock().Sub(snapshot.ProvenAt)
+	age := snapshot.Age(h.options.Clock())
 	table := snapshot.Table
 	target := requestTarget(r)
 	path, _, _ := strings.Cut(target, "?")
@@ -134,8 +132,3 @@
 		return body, nil
 	}
 }
-
-// freshness is the age of the snapshot's proof at now.
-func freshness(s routesource.Snapshot, now boottime.Instant) time.Duration {
-	return now.Sub(s.ProvenAt)
-}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -20,7 +20,6 @@
 	// tokens is what it takes of the replica's memory.
 	tokens int
 	light  bool
-	begun  bool
 	ended  bool
 }
 
@@ -28,7 +27,6 @@
 func (a *Attempt) Begun(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
-	a.begun = true
 	a.read()
 	a.state.heardAt = now
 	a.state.recover(now)
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -24,8 +24,6 @@
 	replica string
 	net     net.Conn
 	reader  *bufio.Reader
-	// usedBefore says that the connection served an earlier request.
-	usedBefore bool
 	// idleFor is how long the replica keeps the connection idle; zero: it did
 	// not say.
 	idleFor time.Duration
@@ -38,9 +36,6 @@
 	closed  sync.Once
 }
 
-// UsedBefore says whether the connection served an earlier request.
-func (c *Conn) UsedBefore() bool { return c.usedBefore }
-
 // Sent says whether a byte of the current request was handed to the socket:
 // from then on the replica may run it.
 func (c *Conn) Sent() bool { return c.sent.Load() > 0 }
@@ -114,7 +109,6 @@
 		return
 	}
 	c.writing.Wait()
-	c.usedBefore = true
 	c.idleFor = keepAlive(response.Header)
 	c.pool.put(c)
 }
--- a/internal/routesource/current.go
+++ b/internal/routesource/current.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/route"
@@ -25,6 +26,9 @@
 	return s.Table.Version
 }
 
+// Age is the time since the table was known to be the newest.
+func (s Snapshot) Age(now boottime.Instant) time.Duration { return now.Sub(s.ProvenAt) }
+
 // Current holds the newest table. It is safe for concurrent use.
 type Current struct {
 	decode func([]byte) (*route.Document, error)
