--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -219,19 +219,46 @@
 	synctest.Test(t, func(t *testing.T) {
 		list := []*forwardtest.Replica{forwardtest.NewReplica("i-0", upstream, answerOK).LeaveBodies()}
 		f := forwardtest.NewFleet(t, list...)
-		for range 2 {
-			c := call(route.AtMostOnce, 1)
-			c.Body = []byte(strings.Repeat("x", 64<<10))
-			if w, _ := serve(t, f, c); w.Code != http.StatusOK {
-				t.Errorf("status %d", w.Code)
-			}
-		}
+		callTwiceWithLongBodies(t, f)
 		if list[0].Opened() != 2 {
 			t.Errorf("%d connections: a request followed the rest of another one's body", list[0].Opened())
 		}
 	})
 }
 
+// A replica that reads the body after its answer may get the next request on
+// the same connection or on another, but never within a body.
+func TestNoRequestFollowsABodyThatIsNotWhole(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		list := []*forwardtest.Replica{forwardtest.NewReplica("i-0", upstream, answerOK).BodiesAfterAnswers()}
+		f := forwardtest.NewFleet(t, list...)
+		callTwiceWithLongBodies(t, f)
+		got := list[0].Requests()
+		if len(got) != 2 {
+			t.Fatalf("%d requests came, of two", len(got))
+		}
+		for _, r := range got {
+			if r.Method != http.MethodPost || r.ContentLength != longBody {
+				t.Errorf("came: %s with %d bytes", r.Method, r.ContentLength)
+			}
+		}
+	})
+}
+
+// longBody is a body in bytes that the in-memory connections take in parts.
+const longBody = 64 << 10
+
+func callTwiceWithLongBodies(t *testing.T, f *forwardtest.Fleet) {
+	t.Helper()
+	for range 2 {
+		c := call(route.AtMostOnce, 1)
+		c.Body = []byte(strings.Repeat("x", longBody))
+		if w, _ := serve(t, f, c); w.Code != http.StatusOK {
+			t.Errorf("status %d", w.Code)
+		}
+	}
+}
+
 func TestTheDeadlineEndsACallAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := replicas(hang, answerOK)
--- a/internal/forward/forwardtest/replica.go
+++ b/internal/forward/forwardtest/replica.go
@@ -19,7 +19,7 @@
 type Conn struct {
 	net.Conn
 	Request *http.Request
-	// Body is the request's body; nil where ReadBody was not asked for.
+	// Body is the request's body; nil where it is not read before the answer.
 	Body []byte
 	// Number counts the replica's requests from 1.
 	Number int
@@ -56,12 +56,23 @@
 	return err
 }
 
+// bodyReading says when a replica reads the body of a request.
+type bodyReading int
+
+const (
+	bodyBeforeAnswer bodyReading = iota
+	bodyAfterAnswer
+	bodyNever
+)
+
 // Replica is a replica on in-memory connections.
 type Replica struct {
 	replica.Replica
 	script Script
-	// unread replicas do not read bodies by themselves.
-	unread bool
+	// bodies says when the replica reads the bodies of requests.
+	bodies bodyReading
+	// crashed is closed by Crash.
+	crashed chan struct{}
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -75,12 +86,21 @@
 	return &Replica{
 		Replica: replica.Replica{ID: id, Upstream: upstream, Address: id, Slots: 4},
 		script:  script,
+		crashed: make(chan struct{}),
 	}
 }
 
-// LeaveBodies leaves the bodies of requests unread.
+// LeaveBodies has the replica answer without reading the request's body, nor
+// anything else on that connection.
 func (r *Replica) LeaveBodies() *Replica {
-	r.unread = true
+	r.bodies = bodyNever
+	return r
+}
+
+// BodiesAfterAnswers has the replica read a request's body once it has answered,
+// as servers do that take another request on the connection.
+func (r *Replica) BodiesAfterAnswers() *Replica {
+	r.bodies = bodyAfterAnswer
 	return r
 }
 
@@ -102,7 +122,11 @@
 func (r *Replica) Crash() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.down {
+		return
+	}
 	r.down = true
+	close(r.crashed)
 	for _, c := range r.open {
 		_ = c.Close()
 	}
@@ -131,18 +155,36 @@
 		if err != nil {
 			return
 		}
-		c := &Conn{Conn: conn, Request: request, Number: r.note(request)}
-		if !r.unread {
-			if c.Body, err = io.ReadAll(request.Body); err != nil {
-				return
-			}
-		}
-		if !r.script(c) {
+		if !r.answer(conn, request) {
 			return
 		}
 	}
 }
 
+// answer runs the script for a request; false ends the connection.
+func (r *Replica) answer(conn net.Conn, request *http.Request) bool {
+	c := &Conn{Conn: conn, Request: request, Number: r.note(request)}
+	if r.bodies == bodyBeforeAnswer {
+		var err error
+		if c.Body, err = io.ReadAll(request.Body); err != nil {
+			return false
+		}
+	}
+	if !r.script(c) {
+		return false
+	}
+	switch r.bodies {
+	case bodyNever:
+		<-r.crashed
+		return false
+	case bodyAfterAnswer:
+		_, err := io.Copy(io.Discard, request.Body)
+		return err == nil
+	default:
+		return true
+	}
+}
+
 func (r *Replica) note(request *http.Request) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
