--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -185,6 +185,39 @@
 	}
 }
 
+// A replica that took over another's address is asked for the one that had it,
+// says so, and is not asked again before the list of replicas names it.
+func TestAReusedAddressRunsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ran := make(map[string]int)
+		runsFor := func(id string) forwardtest.Script {
+			return func(c *forwardtest.Conn) bool {
+				if c.Request.Header.Get(forwardtest.HeaderReplica) != id {
+					return c.Refuse(http.StatusMisdirectedRequest)
+				}
+				ran[id]++
+				return answerOK(c)
+			}
+		}
+		list := []*forwardtest.Replica{
+			forwardtest.NewReplica("i-gone", upstream, runsFor("i-new")),
+			forwardtest.NewReplica("i-1", upstream, runsFor("i-1")),
+		}
+		f := forwardtest.NewFleet(t, list...)
+		for range 20 {
+			if w, _ := serve(t, f, call(route.AtMostOnce, 1)); w.Code != http.StatusOK {
+				t.Errorf("status %d", w.Code)
+			}
+		}
+		if ran["i-new"] != 0 || ran["i-1"] != 20 {
+			t.Errorf("runs: %v", ran)
+		}
+		if asked := len(list[0].Requests()); asked > 1 {
+			t.Errorf("the replaced replica was asked %d times", asked)
+		}
+	})
+}
+
 func TestALateSecondAnswerIsSkipped(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := replicas(func(c *forwardtest.Conn) bool {
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -138,7 +138,7 @@
 }
 
 func TestAFailingReplicaIsAvoidedAndTriedAgain(t *testing.T) {
-	for _, result := range []Result{Broken, Silent, Unreachable, Errored, Full} {
+	for _, result := range []Result{Broken, Silent, Unreachable, Errored, Full, Replaced} {
 		p, _ := fleet(3, 1)
 		first := p.Choose(start, "u", &Request{})
 		first.End(start, result)
--- a/internal/replicaconn/pool_test.go
+++ b/internal/replicaconn/pool_test.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // listen returns a TCP listener's address, and its connections as they come.
@@ -121,6 +123,34 @@
 	}
 }
 
+// A path that goes silent sends no reset: the system ends a connection whose
+// bytes stay unacknowledged, and probes one on which nothing comes.
+func TestASilentPathEndsItsConnection(t *testing.T) {
+	address, _ := listen(t)
+	conn, err := TCPDial(time.Second)(t.Context(), address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	raw, err := conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, option := range map[string]struct{ level, option, want int }{
+		"unacknowledged bytes, in ms": {unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unackedTimeout.Milliseconds())},
+		"probes":                      {unix.SOL_SOCKET, unix.SO_KEEPALIVE, 1},
+		"probes until the end":        {unix.IPPROTO_TCP, unix.TCP_KEEPCNT, probeCount},
+		"seconds to the first probe":  {unix.IPPROTO_TCP, unix.TCP_KEEPIDLE, int((probeAfter + time.Second - 1) / time.Second)},
+		"seconds from probe to probe": {unix.IPPROTO_TCP, unix.TCP_KEEPINTVL, int((probeEvery + time.Second - 1) / time.Second)},
+	} {
+		var got int
+		_ = raw.Control(func(fd uintptr) { got, err = unix.GetsockoptInt(int(fd), option.level, option.option) })
+		if err != nil || got != option.want {
+			t.Errorf("%s: %d, error %v, want %d", name, got, err, option.want)
+		}
+	}
+}
+
 func TestAReplicaGetsNoMoreConnectionsThanItsLimit(t *testing.T) {
 	address, conns := listen(t)
 	p := NewPool(TCPDial(time.Second), nil)
