--- a/internal/eventlog/log.go
+++ b/internal/eventlog/log.go
@@ -69,9 +69,12 @@
 
 // Write writes the event, unless there are too many.
 func (l *Log) Write(e Event) {
-	if !l.admit(time.Now(), e.Level()) {
-		return
+	if l.admit(time.Now(), e.Level()) {
+		l.write(e)
 	}
+}
+
+func (l *Log) write(e Event) {
 	entry := l.logger.WithFields(e.Fields())
 	if e.Level() == Notable {
 		entry.Warn(e.Name())
