--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -1,11 +1,8 @@
 package nodesync
 
 import (
-	"encoding/binary"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"galenatrestle/internal/boottime"
 	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
 	"galenatrestle/internal/placement"
@@ -54,26 +51,6 @@
 	return converted
 }
 
-// digest is equal for listings of the same replicas, whatever their order.
-func digest(list []replica.Replica) uint64 {
-	var sum uint64
-	var slots [8]byte
-	for _, r := range list {
-		d := xxhash.New()
-		for _, text := range []string{r.ID, r.Upstream, r.Address, r.AvailabilityZone} {
-			_, _ = d.WriteString(text)
-			_, _ = d.Write([]byte{0})
-		}
-		binary.LittleEndian.PutUint64(slots[:], uint64(r.Slots)<<1)
-		if r.Draining {
-			slots[0] |= 1
-		}
-		_, _ = d.Write(slots[:])
-		sum += d.Sum64()
-	}
-	return sum
-}
-
 func loadsToProto(loads []placement.Load) []*nodesyncv1.Load {
 	converted := make([]*nodesyncv1.Load, 0, len(loads))
 	for _, l := range loads {
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -20,31 +20,31 @@
 // hubsFrom is the number of nodes from which there are hubs.
 const hubsFrom = 16
 
-// hubOf is the node that adds up for the availability zone, this one included;
+// hubs is the node that adds up for each availability zone, this one included;
 // empty: none does.
-func (s *Sync) hubOf(zone string, now boottime.Instant) Node {
+func (s *Sync) hubs(now boottime.Instant) map[string]Node {
 	self := s.options.Self()
-	serving := s.options.Nodes.Serving(now)
-	if len(serving)+1 < hubsFrom {
-		return Node{}
-	}
-	var hub Node
-	var lowest uint64
-	consider := func(n Node) {
-		rank := xxhash.Sum64String(n.Name)
-		if n.AvailabilityZone == zone && (hub.Name == "" || rank < lowest) {
-			hub, lowest = n, rank
-		}
+	nodes := s.options.Nodes.Serving(now)
+	if len(nodes)+1 < hubsFrom {
+		return nil
 	}
 	if !self.Leaving {
-		consider(self)
+		nodes = append(nodes, self)
 	}
-	for _, n := range serving {
-		consider(n)
+	hubs := make(map[string]Node)
+	for _, n := range nodes {
+		hub, found := hubs[n.AvailabilityZone]
+		if !found || xxhash.Sum64String(n.Name) < xxhash.Sum64String(hub.Name) {
+			hubs[n.AvailabilityZone] = n
+		}
 	}
-	return hub
+	return hubs
 }
 
+// hubOf is the node that adds up for the availability zone; its name is empty
+// where none does.
+func (s *Sync) hubOf(zone string, now boottime.Instant) Node { return s.hubs(now)[zone] }
+
 // Role is a node's part in spreading news.
 type Role int
 
@@ -82,40 +82,34 @@
 // hub, for a hub the other zones' hubs, and one of those drawn at random.
 func (s *Sync) withHubs(drawn []target, now boottime.Instant) []target {
 	self := s.options.Self()
-	own := s.hubOf(self.AvailabilityZone, now)
-	if own.Name == "" {
+	hubs := s.hubs(now)
+	own, found := hubs[self.AvailabilityZone]
+	if !found {
 		return drawn
 	}
 	targets := drawn[:min(len(drawn), 1)]
 	if own.Name != self.Name {
 		return append(targets, target{own.Name, own.PeerAddress})
 	}
-	zones := make(map[string]bool)
-	for _, n := range s.options.Nodes.Serving(now) {
-		if n.AvailabilityZone == self.AvailabilityZone || zones[n.AvailabilityZone] {
-			continue
+	for zone, hub := range hubs {
+		if zone != self.AvailabilityZone {
+			targets = append(targets, target{hub.Name, hub.PeerAddress})
 		}
-		zones[n.AvailabilityZone] = true
-		hub := s.hubOf(n.AvailabilityZone, now)
-		targets = append(targets, target{hub.Name, hub.PeerAddress})
 	}
 	return targets
 }
 
 // takeLoads takes in what a node tells of its load and placements. A hub tells
 // the placements on.
-func (s *Sync) takeLoads(n Node, loads []*nodesyncv1.Load, placed []*nodesyncv1.Placement, now boottime.Instant) {
+func (s *Sync) takeLoads(n Node, loads []*nodesyncv1.Load, placed []*nodesyncv1.Placement, isHub bool, now boottime.Instant) {
 	at := time.Now()
 	s.options.Placer.SetPeer(n.Name, n.AvailabilityZone, loadsFromProto(loads), s.options.Nodes.aliveCount(now), at)
-	s.options.Placer.SetPlacements(placementsFromProto(placed), s.isHub(now), at)
+	s.options.Placer.SetPlacements(placementsFromProto(placed), isHub, at)
 }
 
-// tellSums adds the sums to an answer: a hub tells its own zone's nodes that of
+// tellSums adds a hub's sums to its answer: it tells its own zone's nodes that of
 // the fleet, and others that of the zone.
 func (s *Sync) tellSums(answer *nodesyncv1.ExchangeResponse, caller Node) {
-	if !s.isHub(s.options.Clock()) {
-		return
-	}
 	if caller.AvailabilityZone == s.options.Self().AvailabilityZone {
 		answer.FleetLoads = loadsToProto(s.options.Placer.FleetLoads(time.Now()))
 		return
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -159,7 +159,7 @@
 		Self:             nodeToProto(self, now),
 		ConfigVersion:    s.options.Routes.Get().Version(),
 		ReplicasRevision: listing.Revision,
-		ReplicasDigest:   digest(listing.Replicas),
+		ReplicasDigest:   listing.Digest,
 		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
@@ -172,10 +172,13 @@
 	m := request.Msg
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.takeNode(caller)
-	s.takeLoads(caller, m.GetLoads(), m.GetPlacements(), now)
+	isHub := s.isHub(now)
+	s.takeLoads(caller, m.GetLoads(), m.GetPlacements(), isHub, now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	answer := s.response(m)
-	s.tellSums(answer, caller)
+	if isHub {
+		s.tellSums(answer, caller)
+	}
 	return connect.NewResponse(answer), nil
 }
 
@@ -194,7 +197,7 @@
 		ConfigProofAge:   snapshot.Age(now).Microseconds(),
 		ReplicasRevision: listing.Revision,
 		ReplicasReadAge:  now.Sub(readAt).Microseconds(),
-		ReplicasDigest:   digest(listing.Replicas),
+		ReplicasDigest:   listing.Digest,
 		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
@@ -234,7 +237,7 @@
 	for _, n := range m.GetNodes() {
 		s.takeNode(nodeFromProto(n, began))
 	}
-	s.takeLoads(node, m.GetLoads(), m.GetPlacements(), began)
+	s.takeLoads(node, m.GetLoads(), m.GetPlacements(), s.isHub(began), began)
 	s.takeSums(m, node, asked)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.takeConfig(m, node.Name, began)
@@ -273,12 +276,12 @@
 	if m.GetReplicasRevision() == 0 || m.GetReplicasRevision() < own.Revision {
 		return
 	}
-	listing := replica.Listing{Revision: m.GetReplicasRevision(), Replicas: own.Replicas}
-	if m.GetReplicasDigest() != digest(own.Replicas) {
+	listing := replica.Listing{Revision: m.GetReplicasRevision(), Replicas: own.Replicas, Digest: own.Digest}
+	if m.GetReplicasDigest() != own.Digest {
 		if len(m.GetReplicas()) == 0 {
 			return
 		}
-		listing.Replicas = replicasFromProto(m.GetReplicas())
+		listing = replica.Listing{Revision: m.GetReplicasRevision(), Replicas: replicasFromProto(m.GetReplicas())}
 	}
 	readAt := began.Add(-microseconds(m.GetReplicasReadAge()))
 	s.options.Listed(s.options.Replicas.Take(listing, readAt, s.options.Clock()))
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -1,7 +1,36 @@
 package replica
 
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+)
+
 // Listing is all registrations as of one revision of the store.
 type Listing struct {
 	Revision int64
 	Replicas []Replica
+	// Digest is equal for listings of the same replicas, whatever their order.
+	// A Set works it out where it is zero.
+	Digest uint64
+}
+
+// digest adds up the replicas' hashes.
+func digest(list []Replica) uint64 {
+	var sum uint64
+	var slots [8]byte
+	for _, r := range list {
+		d := xxhash.New()
+		for _, text := range []string{r.ID, r.Upstream, r.Address, r.AvailabilityZone} {
+			_, _ = d.WriteString(text)
+			_, _ = d.Write([]byte{0})
+		}
+		binary.LittleEndian.PutUint64(slots[:], uint64(r.Slots)<<1)
+		if r.Draining {
+			slots[0] |= 1
+		}
+		_, _ = d.Write(slots[:])
+		sum += d.Sum64()
+	}
+	return sum
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -47,6 +47,9 @@
 		s.keepTill = now.Add(returnTime)
 	}
 	s.readAt = max(s.readAt, readAt)
+	if l.Digest == 0 {
+		l.Digest = digest(l.Replicas)
+	}
 	s.listing = l
 	return s.replace(s.next(now))
 }
