--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/gen/trestle/credit/v1/creditv1connect"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/peer"
+	"galenatrestle/internal/rounds"
 )
 
 const (
@@ -108,25 +109,14 @@
 // Run exchanges credits until ctx ends, and returns after the last call has.
 func (e *Exchange) Run(ctx context.Context) {
 	defer e.calls.Wait()
-	ticker := time.NewTicker(planInterval)
-	defer ticker.Stop()
-	swept := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-ticker.C:
-			e.step(ctx)
-			if now.Sub(swept) > sweepInterval {
-				swept = now
-				e.sweep(now)
-			}
-		}
-	}
+	rounds.Rounds{
+		First: planInterval, Interval: planInterval, SweepEvery: sweepInterval,
+		Step: e.step, Sweep: e.sweep,
+	}.Run(ctx)
 }
 
 // step sends what is due and passes on the allowances.
-func (e *Exchange) step(ctx context.Context) {
+func (e *Exchange) step(ctx context.Context, _ time.Time) {
 	view := e.options.Members.View()
 	needs := e.options.Needs()
 	for i := range needs {
--- a/internal/handover/receiver.go
+++ b/internal/handover/receiver.go
@@ -118,15 +118,7 @@
 		in.Kind = TargetImported
 	}
 	next, _, receipt := t.Step(in, r.now())
-	if !changed(move, next.Move) {
-		return receipt, nil
-	}
-	_, err := r.store.Write(ctx, next.Move)
-	if err != nil {
-		return Receipt{}, err
-	}
-	r.metrics.countPhase(move, next.Move)
-	return receipt, nil
+	return r.record(ctx, move, next.Move, receipt)
 }
 
 // toSource notes a message of the target in the record; the driver goes on
@@ -142,14 +134,18 @@
 		next = s.note(in, r.now())
 	}
 	receipt.Phase = next.Move.Phase
-	if !changed(move, next.Move) {
+	return r.record(ctx, move, next.Move, receipt)
+}
+
+// record makes the move's next state durable before the receipt is given.
+func (r *Receiver) record(ctx context.Context, move, next Move, receipt Receipt) (Receipt, error) {
+	if !changed(move, next) {
 		return receipt, nil
 	}
-	_, err := r.store.Write(ctx, next.Move)
-	if err != nil {
+	if _, err := r.store.Write(ctx, next); err != nil {
 		return Receipt{}, err
 	}
-	r.metrics.countPhase(move, next.Move)
+	r.metrics.countPhase(move, next)
 	return receipt, nil
 }
 
--- a/internal/quotashare/exchange.go
+++ b/internal/quotashare/exchange.go
@@ -13,6 +13,7 @@
 	quotav1 "galenatrestle/internal/gen/trestle/quota/v1"
 	"galenatrestle/internal/gen/trestle/quota/v1/quotav1connect"
 	"galenatrestle/internal/quota"
+	"galenatrestle/internal/rounds"
 )
 
 const (
@@ -89,23 +90,11 @@
 // Run exchanges shares until ctx ends, and returns after the last call has.
 func (e *Exchange) Run(ctx context.Context) {
 	defer e.calls.Wait()
-	first := time.Duration(e.options.Rand.Int64N(int64(e.options.Settings.Interval))) + 1
-	timer := time.NewTimer(first)
-	defer timer.Stop()
-	swept := time.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case now := <-timer.C:
-			timer.Reset(e.options.Settings.Interval)
-			e.step(ctx, now)
-			if now.Sub(swept) > sweepInterval {
-				swept = now
-				e.sweep(now)
-			}
-		}
-	}
+	interval := e.options.Settings.Interval
+	rounds.Rounds{
+		First: time.Duration(e.options.Rand.Int64N(int64(interval))) + 1, Interval: interval, SweepEvery: sweepInterval,
+		Step: e.step, Sweep: e.sweep,
+	}.Run(ctx)
 }
 
 // EvenShare is the part of every quota that a node may use without an owner.
