--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 
@@ -85,15 +86,15 @@
 	if o.Policy == (Policy{}) {
 		o.Policy = DefaultPolicy()
 	}
-	orElse(&o.WritesPerSecond, DefaultWritesPerSecond)
-	orElse(&o.GatherTime, DefaultGatherTime)
-	orElse(&o.GatherBytes, DefaultGatherBytes)
-	orElse(&o.BeginTimeout, DefaultBeginTimeout)
-	orElse(&o.CallTimeout, DefaultCallTimeout)
-	orElse(&o.RetryInterval, DefaultRetryInterval)
-	orElse(&o.TendInterval, DefaultTendInterval)
-	orElse(&o.MaxPending, DefaultMaxPending)
-	orElse(&o.MaxUnfinished, DefaultMaxUnfinished)
+	o.WritesPerSecond = cmp.Or(o.WritesPerSecond, DefaultWritesPerSecond)
+	o.GatherTime = cmp.Or(o.GatherTime, DefaultGatherTime)
+	o.GatherBytes = cmp.Or(o.GatherBytes, DefaultGatherBytes)
+	o.BeginTimeout = cmp.Or(o.BeginTimeout, DefaultBeginTimeout)
+	o.CallTimeout = cmp.Or(o.CallTimeout, DefaultCallTimeout)
+	o.RetryInterval = cmp.Or(o.RetryInterval, DefaultRetryInterval)
+	o.TendInterval = cmp.Or(o.TendInterval, DefaultTendInterval)
+	o.MaxPending = cmp.Or(o.MaxPending, DefaultMaxPending)
+	o.MaxUnfinished = cmp.Or(o.MaxUnfinished, DefaultMaxUnfinished)
 	if o.Registerer == nil {
 		o.Registerer = prometheus.NewRegistry()
 	}
@@ -107,10 +108,3 @@
 	o.jitters = &jitters{random: o.Random}
 	return o
 }
-
-func orElse[T comparable](value *T, otherwise T) {
-	var zero T
-	if *value == zero {
-		*value = otherwise
-	}
-}
--- a/internal/config/defaults.go
+++ b/internal/config/defaults.go
@@ -1,6 +1,9 @@
 package config
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // The defaults of fields that a document leaves out.
 const (
@@ -38,39 +41,32 @@
 }
 
 func (w *Workspace) fillDefaults() {
-	setDefault(&w.Weight, DefaultWeight)
+	w.Weight = cmp.Or(w.Weight, DefaultWeight)
 	if w.Quota.RequestsPerSecond > 0 || w.Quota.TokensPerSecond > 0 {
-		setDefault(&w.Quota.Burst, DefaultBurst)
+		w.Quota.Burst = cmp.Or(w.Quota.Burst, DefaultBurst)
 	}
 }
 
 func (c *Class) fillDefaults() {
-	setDefault(&c.MinShareAfter, c.GiveUpAfter/2)
-	setDefault(&c.QueueBound, DefaultQueueBound)
-	setDefault(&c.Retention, DefaultRetention)
+	c.MinShareAfter = cmp.Or(c.MinShareAfter, c.GiveUpAfter/2)
+	c.QueueBound = cmp.Or(c.QueueBound, DefaultQueueBound)
+	c.Retention = cmp.Or(c.Retention, DefaultRetention)
 }
 
 func (u *Upstream) fillDefaults() {
 	if u.Kind == KindEngine {
-		setDefault(&u.Model, u.Name)
+		u.Model = cmp.Or(u.Model, u.Name)
 	}
-	setDefault(&u.SlotsPerReplica, DefaultSlotsPerReplica)
+	u.SlotsPerReplica = cmp.Or(u.SlotsPerReplica, DefaultSlotsPerReplica)
 	dropEmpty(&u.Adapters)
 	dropEmpty(&u.Unrepeatable)
 }
 
 func (l *Limits) fillDefaults() {
-	setDefault(&l.MaxBodyBytes, DefaultMaxBodyBytes)
-	setDefault(&l.MaxTokens, DefaultMaxTokens)
-	setDefault(&l.RetryBudget, DefaultRetryBudget)
-	setDefault(&l.MaxAttempts, DefaultMaxAttempts)
-}
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	l.MaxBodyBytes = cmp.Or(l.MaxBodyBytes, DefaultMaxBodyBytes)
+	l.MaxTokens = cmp.Or(l.MaxTokens, DefaultMaxTokens)
+	l.RetryBudget = cmp.Or(l.RetryBudget, DefaultRetryBudget)
+	l.MaxAttempts = cmp.Or(l.MaxAttempts, DefaultMaxAttempts)
 }
 
 // dropEmpty makes an empty list equal to one that is left out.
--- a/internal/credit/settings.go
+++ b/internal/credit/settings.go
@@ -1,6 +1,9 @@
 package credit
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings are the times and bounds of the exchange. Zero fields take the
 // defaults.
@@ -37,18 +40,11 @@
 const maxReplicas = 4096
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.LeaseTime, DefaultLeaseTime)
-	setDefault(&s.Renew, DefaultRenew)
-	setDefault(&s.Urgent, DefaultUrgent)
-	setDefault(&s.LowShare, DefaultLowShare)
-	setDefault(&s.Owners, DefaultOwners)
-	setDefault(&s.Prepaid, DefaultPrepaid)
+	s.LeaseTime = cmp.Or(s.LeaseTime, DefaultLeaseTime)
+	s.Renew = cmp.Or(s.Renew, DefaultRenew)
+	s.Urgent = cmp.Or(s.Urgent, DefaultUrgent)
+	s.LowShare = cmp.Or(s.LowShare, DefaultLowShare)
+	s.Owners = cmp.Or(s.Owners, DefaultOwners)
+	s.Prepaid = cmp.Or(s.Prepaid, DefaultPrepaid)
 	return s
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/embedded/options.go
+++ b/internal/embedded/options.go
@@ -1,6 +1,7 @@
 package embedded
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"slices"
@@ -68,13 +69,13 @@
 )
 
 func (o Options) withDefaults() Options {
-	o.DataCentre = orDefault(o.DataCentre, defaultDataCentre)
-	o.Nodes = orDefault(o.Nodes, defaultNodes)
-	o.Engines = orDefault(o.Engines, defaultEngines)
-	o.Services = orDefault(o.Services, defaultServices)
-	o.KeepTime = orDefault(o.KeepTime, defaultKeepTime)
-	o.Seed = orDefault(o.Seed, defaultSeed)
-	o.Config = orDefault(o.Config, defaultConfig)
+	o.DataCentre = cmp.Or(o.DataCentre, defaultDataCentre)
+	o.Nodes = cmp.Or(o.Nodes, defaultNodes)
+	o.Engines = cmp.Or(o.Engines, defaultEngines)
+	o.Services = cmp.Or(o.Services, defaultServices)
+	o.KeepTime = cmp.Or(o.KeepTime, defaultKeepTime)
+	o.Seed = cmp.Or(o.Seed, defaultSeed)
+	o.Config = cmp.Or(o.Config, defaultConfig)
 	if len(o.Zones) == 0 {
 		o.Zones = []string{"saskatoon-hall", "regina-hall"}
 	}
@@ -102,11 +103,3 @@
 	}
 	return listen(0, 0)
 }
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
-}
--- a/internal/membership/settings.go
+++ b/internal/membership/settings.go
@@ -1,6 +1,9 @@
 package membership
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Bounds of the state.
 const (
@@ -95,19 +98,13 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDuration(&s.ProbeInterval, DefaultProbeInterval)
-	setDuration(&s.ProbeTimeout, DefaultProbeTimeout)
-	setDuration(&s.SuspicionTime, DefaultSuspicionTime)
-	setDuration(&s.StatusRefresh, DefaultStatusRefresh)
-	setDuration(&s.RegionInterval, DefaultRegionInterval)
+	s.ProbeInterval = cmp.Or(s.ProbeInterval, DefaultProbeInterval)
+	s.ProbeTimeout = cmp.Or(s.ProbeTimeout, DefaultProbeTimeout)
+	s.SuspicionTime = cmp.Or(s.SuspicionTime, DefaultSuspicionTime)
+	s.StatusRefresh = cmp.Or(s.StatusRefresh, DefaultStatusRefresh)
+	s.RegionInterval = cmp.Or(s.RegionInterval, DefaultRegionInterval)
 	if s.IndirectProbes == 0 {
 		s.IndirectProbes = DefaultIndirectProbes
 	}
 	return s
 }
-
-func setDuration(field *time.Duration, value time.Duration) {
-	if *field == 0 {
-		*field = value
-	}
-}
--- a/internal/platform/memstore/config.go
+++ b/internal/platform/memstore/config.go
@@ -1,5 +1,7 @@
 package memstore
 
+import "cmp"
+
 // Config holds the rates and bounds of the store. A zero field means its
 // default.
 type Config struct {
@@ -28,18 +30,10 @@
 
 // withDefaults fills the zero fields.
 func (c Config) withDefaults() Config {
-	c.WritesPerSecond = orDefault(c.WritesPerSecond, DefaultWritesPerSecond)
-	c.ReadsPerSecond = orDefault(c.ReadsPerSecond, DefaultReadsPerSecond)
-	c.WeightsPerSecond = orDefault(c.WeightsPerSecond, DefaultWeightsPerSecond)
-	c.LogEvents = orDefault(c.LogEvents, DefaultLogEvents)
-	c.LogBytes = orDefault(c.LogBytes, DefaultLogBytes)
+	c.WritesPerSecond = cmp.Or(c.WritesPerSecond, DefaultWritesPerSecond)
+	c.ReadsPerSecond = cmp.Or(c.ReadsPerSecond, DefaultReadsPerSecond)
+	c.WeightsPerSecond = cmp.Or(c.WeightsPerSecond, DefaultWeightsPerSecond)
+	c.LogEvents = cmp.Or(c.LogEvents, DefaultLogEvents)
+	c.LogBytes = cmp.Or(c.LogBytes, DefaultLogBytes)
 	return c
 }
-
-// orDefault returns value, or fallback where value is zero.
-func orDefault[T int | float64](value, fallback T) T {
-	if value == 0 {
-		return fallback
-	}
-	return value
-}
--- a/internal/quotashare/settings.go
+++ b/internal/quotashare/settings.go
@@ -1,6 +1,9 @@
 package quotashare
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Settings are the times and bounds of the exchange. Zero fields take the
 // defaults.
@@ -53,20 +56,13 @@
 )
 
 func (s Settings) withDefaults() Settings {
-	setDefault(&s.Interval, DefaultInterval)
-	setDefault(&s.Contended, DefaultContended)
-	setDefault(&s.Renew, DefaultRenew)
-	setDefault(&s.LeaseTime, DefaultLeaseTime)
-	setDefault(&s.ContendedLease, DefaultContendedLease)
-	setDefault(&s.Grace, DefaultGrace)
-	setDefault(&s.Floor, DefaultFloor)
-	setDefault(&s.BytesPerSecond, DefaultBytesPerSecond)
+	s.Interval = cmp.Or(s.Interval, DefaultInterval)
+	s.Contended = cmp.Or(s.Contended, DefaultContended)
+	s.Renew = cmp.Or(s.Renew, DefaultRenew)
+	s.LeaseTime = cmp.Or(s.LeaseTime, DefaultLeaseTime)
+	s.ContendedLease = cmp.Or(s.ContendedLease, DefaultContendedLease)
+	s.Grace = cmp.Or(s.Grace, DefaultGrace)
+	s.Floor = cmp.Or(s.Floor, DefaultFloor)
+	s.BytesPerSecond = cmp.Or(s.BytesPerSecond, DefaultBytesPerSecond)
 	return s
 }
-
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
--- a/internal/settings/claims.go
+++ b/internal/settings/claims.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
@@ -49,18 +50,11 @@
 func (c Claims) Segments() int { return c.MaxBytes / (c.Shards * c.SegmentBytes) }
 
 func (c *Claims) fillDefaults() {
-	orElse(&c.KeyRetention, DefaultClaimKeyRetention)
-	orElse(&c.AnswerRetention, DefaultClaimAnswerRetention)
-	orElse(&c.Shards, DefaultClaimShards)
-	orElse(&c.SegmentBytes, DefaultClaimSegmentBytes)
-	orElse(&c.MaxBytes, DefaultClaimMaxBytes)
-}
-
-func orElse[T comparable](value *T, otherwise T) {
-	var zero T
-	if *value == zero {
-		*value = otherwise
-	}
+	c.KeyRetention = cmp.Or(c.KeyRetention, DefaultClaimKeyRetention)
+	c.AnswerRetention = cmp.Or(c.AnswerRetention, DefaultClaimAnswerRetention)
+	c.Shards = cmp.Or(c.Shards, DefaultClaimShards)
+	c.SegmentBytes = cmp.Or(c.SegmentBytes, DefaultClaimSegmentBytes)
+	c.MaxBytes = cmp.Or(c.MaxBytes, DefaultClaimMaxBytes)
 }
 
 // checkClaims notes sizes that don't fit each other.
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"cmp"
 	"time"
 
 	"galenatrestle/internal/config"
@@ -78,18 +79,10 @@
 	if p == nil {
 		return
 	}
-	setDefault(&p.ApplyWithin, defaultApplyWithin)
-	setDefault(&p.Grace, defaultGrace)
-	setDefault(&p.ResolveTTL, defaultResolveTTL)
-	setDefault(&p.Retries.Ratio, defaultRetryRatio)
-	setDefault(&p.Retries.Window, defaultRetryWindow)
-	setDefault(&p.Retries.Allowance, defaultRetryAllowance)
-}
-
-// setDefault fills a field that was left out.
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
+	p.ApplyWithin = cmp.Or(p.ApplyWithin, defaultApplyWithin)
+	p.Grace = cmp.Or(p.Grace, defaultGrace)
+	p.ResolveTTL = cmp.Or(p.ResolveTTL, defaultResolveTTL)
+	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
+	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
+	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
 }
--- a/internal/standin/engine/options.go
+++ b/internal/standin/engine/options.go
@@ -1,6 +1,9 @@
 package engine
 
-import "time"
+import (
+	"cmp"
+	"time"
+)
 
 // Options describe one engine. Zero values take the default named with them.
 type Options struct {
@@ -62,12 +65,12 @@
 )
 
 func (o Options) withDefaults() Options {
-	o.Slots = orDefault(o.Slots, defaultSlots)
-	o.BatchBound = orDefault(o.BatchBound, defaultBatchPerSlot*o.Slots)
-	o.QueueBound = orDefault(o.QueueBound, defaultQueueBound)
-	o.CacheTokens = orDefault(o.CacheTokens, defaultCacheTokens)
-	o.CacheEventLoss = orDefault(o.CacheEventLoss, defaultCacheEventLoss)
-	o.Speed = orDefault(o.Speed, 1)
+	o.Slots = cmp.Or(o.Slots, defaultSlots)
+	o.BatchBound = cmp.Or(o.BatchBound, defaultBatchPerSlot*o.Slots)
+	o.QueueBound = cmp.Or(o.QueueBound, defaultQueueBound)
+	o.CacheTokens = cmp.Or(o.CacheTokens, defaultCacheTokens)
+	o.CacheEventLoss = cmp.Or(o.CacheEventLoss, defaultCacheEventLoss)
+	o.Speed = cmp.Or(o.Speed, 1)
 	o.TokenInterval = o.scaled(o.TokenInterval, DefaultTokenInterval)
 	o.PrefillPerToken = o.scaled(o.PrefillPerToken, DefaultPrefillPerToken)
 	o.LoadLag = o.scaled(o.LoadLag, defaultLoadLag)
@@ -77,13 +80,5 @@
 }
 
 func (o Options) scaled(value, fallback time.Duration) time.Duration {
-	return time.Duration(float64(orDefault(value, fallback)) / o.Speed)
-}
-
-func orDefault[T comparable](value, fallback T) T {
-	var zero T
-	if value == zero {
-		return fallback
-	}
-	return value
+	return time.Duration(float64(cmp.Or(value, fallback)) / o.Speed)
 }
--- a/internal/standin/engine/routes.go
+++ b/internal/standin/engine/routes.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -60,7 +61,7 @@
 
 func (e *Engine) listCacheEvents(w http.ResponseWriter, r *http.Request) {
 	after := r.URL.Query().Get("after")
-	sequence, err := strconv.ParseInt(orDefault(after, "0"), 10, 64)
+	sequence, err := strconv.ParseInt(cmp.Or(after, "0"), 10, 64)
 	if err != nil {
 		reply.Error(w, http.StatusBadRequest, "bad_request", fmt.Sprintf("field after: value %q is no number", after))
 		return
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"io"
@@ -34,7 +35,7 @@
 // the connection, which tells the engine to stop. Errors are *Error.
 func (e *Engine) Start(ctx context.Context, address string, call EngineCall) (*Stream, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	setDefault(&call.Patience, e.options.StallTimeout)
+	call.Patience = cmp.Or(call.Patience, e.options.StallTimeout)
 	stall := time.AfterFunc(call.Patience, func() { cancel(errStalled) })
 	response, err := e.send(ctx, address, call)
 	if err != nil {
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"cmp"
 	"net"
 	"net/http"
 	"time"
@@ -39,22 +40,15 @@
 }
 
 func (o Options) withDefaults() Options {
-	setDefault(&o.DialTimeout, DefaultDialTimeout)
-	setDefault(&o.IdlePerAddress, DefaultIdlePerAddress)
-	setDefault(&o.IdleTimeout, DefaultIdleTimeout)
-	setDefault(&o.StallTimeout, DefaultStallTimeout)
-	setDefault(&o.MaxAnswerBytes, DefaultMaxAnswerBytes)
-	setDefault(&o.MaxPayloadBytes, DefaultMaxPayloadBytes)
+	o.DialTimeout = cmp.Or(o.DialTimeout, DefaultDialTimeout)
+	o.IdlePerAddress = cmp.Or(o.IdlePerAddress, DefaultIdlePerAddress)
+	o.IdleTimeout = cmp.Or(o.IdleTimeout, DefaultIdleTimeout)
+	o.StallTimeout = cmp.Or(o.StallTimeout, DefaultStallTimeout)
+	o.MaxAnswerBytes = cmp.Or(o.MaxAnswerBytes, DefaultMaxAnswerBytes)
+	o.MaxPayloadBytes = cmp.Or(o.MaxPayloadBytes, DefaultMaxPayloadBytes)
 	return o
 }
 
-func setDefault[T comparable](field *T, value T) {
-	var zero T
-	if *field == zero {
-		*field = value
-	}
-}
-
 // newTransport returns a transport without proxies, compression or HTTP/2.
 func newTransport(o Options) *http.Transport {
 	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAliveProbeInterval}
