--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -292,6 +292,42 @@
 	}
 }
 
+func TestTheFirstBytesTimeIsObservedOfAnswersThatBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := forwardtest.NewFleet(t, replicas(answerOK, answerOK)...)
+		serve(t, f, call(route.AtMostOnce, 1))
+		silent := forwardtest.NewFleet(t, replicas(hang)...)
+		serve(t, silent, call(route.AtMostOnce, 1))
+		for name, test := range map[string]struct {
+			fleet *forwardtest.Fleet
+			want  uint64
+		}{"answered": {f, 1}, "silent": {silent, 0}} {
+			if got := observed(t, test.fleet, "trestle_first_byte_seconds"); got != test.want {
+				t.Errorf("%s: %d first bytes observed, want %d", name, got, test.want)
+			}
+		}
+	})
+}
+
+// observed is the number of observations of the fleet's histogram.
+func observed(t *testing.T, f *forwardtest.Fleet, name string) uint64 {
+	t.Helper()
+	families, err := f.Metrics.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := uint64(0)
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			total += m.GetHistogram().GetSampleCount()
+		}
+	}
+	return total
+}
+
 func TestTheDeadlineEndsACallAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		list := replicas(hang, answerOK)
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -36,7 +36,7 @@
 	}
 	defer e.outlet.close()
 	ending := e.run()
-	f.metrics.ended(c, ending, time.Now())
+	f.metrics.ended(c, ending, e.firstByte, time.Now())
 	f.options.Log.Write(&answerEnded{exchange: e, ending: ending, took: time.Since(c.Arrived)})
 	return ending
 }
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -29,6 +29,8 @@
 	Conns   *replicaconn.Pool
 	Budget  *retrybudget.Budget
 	Tracker *quarantine.Tracker
+	// Metrics is where the forwarder's metrics are.
+	Metrics *prometheus.Registry
 	// Connecting is called before each new connection, if set.
 	Connecting func(address string)
 
@@ -39,7 +41,7 @@
 // NewFleet returns a forwarder before the replicas, of which it chooses in the
 // order of a fixed random source. The replicas end with the test.
 func NewFleet(t testing.TB, replicas ...*Replica) *Fleet {
-	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(0)}
+	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(0), Metrics: prometheus.NewRegistry()}
 	for _, r := range replicas {
 		f.replicas[r.Address] = r
 		t.Cleanup(r.Crash)
@@ -52,7 +54,7 @@
 		Placer:   placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1))),
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		Crashes: forward.NewCrashes(f.Tracker, f.probe, log),
-		Log:     log, Registry: prometheus.NewRegistry(),
+		Log:     log, Registry: f.Metrics,
 	})
 	return f
 }
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -34,9 +34,13 @@
 	return m
 }
 
-func (m *metrics) ended(c *Call, ending Ending, now time.Time) {
+// ended counts a call whose answer began at firstByte; zero: none did.
+func (m *metrics) ended(c *Call, ending Ending, firstByte, now time.Time) {
 	m.calls.WithLabelValues(c.Upstream, string(ending)).Inc()
 	m.latency.WithLabelValues(c.Upstream).Observe(now.Sub(c.Arrived).Seconds())
+	if !firstByte.IsZero() {
+		m.firstByte.WithLabelValues(c.Upstream).Observe(firstByte.Sub(c.Arrived).Seconds())
+	}
 }
 
 func (m *metrics) decided(f *Failure, reason stopReason) {
