--- a/internal/capacity/credits.go
+++ b/internal/capacity/credits.go
@@ -36,15 +36,7 @@
 		calls.add(n, cost.calls)
 		cpu.add(n, cost.core)
 	}
-	var fitted []Slope
-	for _, s := range []Slope{bytes, calls, cpu} {
-		f, err := newSlope(s, Log2)
-		if err != nil {
-			return nil, err
-		}
-		fitted = append(fitted, f)
-	}
-	return fitted, nil
+	return fitOn(Log2, bytes, calls, cpu)
 }
 
 // creditCost is one size's figures, a node and second.
--- a/internal/capacity/membership.go
+++ b/internal/capacity/membership.go
@@ -41,13 +41,9 @@
 // fitMembership fits what news costs against the logarithm, and the table's
 // size against the number of members.
 func fitMembership(bytes, calls, cpu, memory Slope) ([]Slope, error) {
-	var fitted []Slope
-	for _, s := range []Slope{bytes, calls, cpu} {
-		f, err := newSlope(s, Log2)
-		if err != nil {
-			return nil, err
-		}
-		fitted = append(fitted, f)
+	fitted, err := fitOn(Log2, bytes, calls, cpu)
+	if err != nil {
+		return nil, err
 	}
 	kept, err := newSlope(memory, Linear)
 	return append(fitted, kept), err
--- a/internal/capacity/slope.go
+++ b/internal/capacity/slope.go
@@ -52,10 +52,13 @@
 }
 
 // fitAll fits straight lines for all.
-func fitAll(slopes ...Slope) ([]Slope, error) {
+func fitAll(slopes ...Slope) ([]Slope, error) { return fitOn(Linear, slopes...) }
+
+// fitOn fits lines on the scale for all.
+func fitOn(scale Scale, slopes ...Slope) ([]Slope, error) {
 	fitted := make([]Slope, 0, len(slopes))
 	for _, s := range slopes {
-		f, err := newSlope(s, Linear)
+		f, err := newSlope(s, scale)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/credit/exchange.go
+++ b/internal/credit/exchange.go
@@ -155,7 +155,7 @@
 		e.apply(owner, e.handle(owner, asks))
 		return
 	}
-	address := addressOf(view, owner)
+	address := membership.PeerAddress(view, owner)
 	e.calls.Go(func() {
 		grants, err := e.call(ctx, address, asks)
 		if err != nil {
@@ -165,15 +165,6 @@
 	})
 }
 
-func addressOf(view *membership.Snapshot, name string) string {
-	for _, m := range view.Members() {
-		if m.Name == name {
-			return m.PeerAddress
-		}
-	}
-	return ""
-}
-
 func (e *Exchange) call(ctx context.Context, address string, asks []Ask) ([]Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -24,14 +24,11 @@
 func (n *Node) listen() error {
 	s := n.options.Settings
 	answers := n.questions()
-	entry := &http.Server{
-		Handler: n.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-	}
 	listeners := []struct {
 		field, address string
 		serve          func(net.Listener) error
 	}{
-		{"listen", s.Listen, entry.Serve},
+		{"listen", s.Listen, serveWith(n.handler)},
 		{"peer_listen", s.PeerListen, n.peers.Serve},
 		{"ops_listen", s.OpsListen, serveWith(n.opsHandler())},
 		{"pass_through.ready_listen", s.PassThrough.ReadyListen, serveWith(answers)},
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -1,10 +1,6 @@
 package forward
 
-import (
-	"time"
-
-	"galenatrestle/internal/route"
-)
+import "time"
 
 const (
 	// leastPatience bounds from below how long a first byte is awaited before
@@ -37,7 +33,7 @@
 // pause is how long a stream's next event is awaited; zero: to the deadline.
 func (a *attempt) pause() time.Duration {
 	e := a.exchange
-	if e.call.Route.Repeat != route.ResumableStream || !e.mayResume() {
+	if !e.mayResume() {
 		return 0
 	}
 	return max(pauseFactor*e.call.Route.MaxPause, leastPause)
--- a/internal/membership/member.go
+++ b/internal/membership/member.go
@@ -44,3 +44,14 @@
 	// Owner returns the serving member that owns the key by rendezvous hash.
 	Owner(key string) Member
 }
+
+// PeerAddress is the peer address of the member with the name; empty where the
+// view has none.
+func PeerAddress(view View, name string) string {
+	for _, m := range view.Members() {
+		if m.Name == name {
+			return m.PeerAddress
+		}
+	}
+	return ""
+}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -87,12 +87,8 @@
 // locatePeer returns the address at which peers reach a node, or false where
 // it is not among the members.
 func locatePeer(members membership.View, name string) (string, bool) {
-	for _, m := range members.Members() {
-		if m.Name == name && m.PeerAddress != "" {
-			return m.PeerAddress, true
-		}
-	}
-	return "", false
+	address := membership.PeerAddress(members, name)
+	return address, address != ""
 }
 
 // otherPeers returns the peer addresses of the other members.
--- a/internal/node/inspect.go
+++ b/internal/node/inspect.go
@@ -47,15 +47,6 @@
 // usedPart is the part of the slots that this node may use which its requests
 // use or wait for.
 func usedPart(stats map[string]router.Stats) float64 {
-	requests, slots := 0, 0
-	for _, pool := range stats {
-		for _, replica := range pool.Replicas {
-			requests += replica.Running
-			slots += replica.Limit
-		}
-		for _, class := range pool.Classes {
-			requests += class.Waiting
-		}
-	}
+	requests, slots := slotsInUse(stats)
 	return float64(requests) / float64(max(slots, 1))
 }
--- a/internal/node/moves_parts.go
+++ b/internal/node/moves_parts.go
@@ -22,14 +22,7 @@
 
 // addressOf finds a member's peer address by its name.
 func addressOf(members membership.View) func(string) string {
-	return func(name string) string {
-		for _, m := range members.Members() {
-			if m.Name == name {
-				return m.PeerAddress
-			}
-		}
-		return ""
-	}
+	return func(name string) string { return membership.PeerAddress(members, name) }
 }
 
 // callersGate gives the callers' side the node's gate.
--- a/internal/node/replicas.go
+++ b/internal/node/replicas.go
@@ -54,18 +54,24 @@
 
 // loadOf is the part of this node's slots in use, above 1 while requests wait.
 func loadOf(stats map[string]router.Stats) float64 {
-	used, slots := 0, 0
-	for _, s := range stats {
-		for _, r := range s.Replicas {
-			used += r.Running
-			slots += r.Limit
-		}
-		for _, c := range s.Classes {
-			used += c.Waiting
-		}
-	}
+	requests, slots := slotsInUse(stats)
 	if slots == 0 {
 		return 0
 	}
-	return float64(used) / float64(slots)
+	return float64(requests) / float64(slots)
+}
+
+// slotsInUse counts the requests that run or wait here, and the slots that this
+// node may use.
+func slotsInUse(stats map[string]router.Stats) (requests, slots int) {
+	for _, pool := range stats {
+		for _, replica := range pool.Replicas {
+			requests += replica.Running
+			slots += replica.Limit
+		}
+		for _, class := range pool.Classes {
+			requests += class.Waiting
+		}
+	}
+	return requests, slots
 }
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -59,9 +59,11 @@
 )
 
 // Role is this node's part now.
-func (s *Sync) Role() Role {
+func (s *Sync) Role() Role { return s.role(s.options.Clock()) }
+
+func (s *Sync) role(now boottime.Instant) Role {
 	self := s.options.Self()
-	switch s.hubOf(self.AvailabilityZone, s.options.Clock()).Name {
+	switch s.hubOf(self.AvailabilityZone, now).Name {
 	case "":
 		return Equal
 	case self.Name:
@@ -72,11 +74,7 @@
 }
 
 // isHub says whether this node adds up for its availability zone.
-func (s *Sync) isHub(now boottime.Instant) bool {
-	self := s.options.Self()
-	hub := s.hubOf(self.AvailabilityZone, now).Name
-	return hub != "" && hub == self.Name
-}
+func (s *Sync) isHub(now boottime.Instant) bool { return s.role(now) == Hub }
 
 // withHubs is the nodes to ask in a round: in a fleet with hubs the own zone's
 // hub, for a hub the other zones' hubs, and one of those drawn at random.
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -24,9 +24,9 @@
 }
 
 // explain tells what the replica was chosen by. The lock is held.
-func (u *upstream) explain(now time.Time, r *Request, s *state) Choice {
+func (u *upstream) explain(now time.Time, r *Request, s *state, cost float64) Choice {
 	c := Choice{
-		Cost: u.chosenCost, Among: u.chosenFrom,
+		Cost: cost, Among: len(u.openNow),
 		Running: s.running + s.peersRunning, Prefill: s.prefill + s.peersPrefill,
 		Cached: s.cache.tokens(now, r.Shared), Failures: s.failuresAt(now),
 	}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -48,16 +48,17 @@
 	replicas := p.replicas.Of(name)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s := u.choose(now, r, replicas)
+	s, cost := u.choose(now, r, replicas)
 	if s == nil {
 		return nil
 	}
-	return u.bind(now, r, s)
+	return u.bind(now, r, s, cost)
 }
 
-// bind counts the attempt at the replica. The lock is held.
-func (u *upstream) bind(now time.Time, r *Request, s *state) *Attempt {
-	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, s), upstream: u, state: s, startedAt: now}
+// bind counts the attempt at the replica, which was chosen for its cost. The lock
+// is held.
+func (u *upstream) bind(now time.Time, r *Request, s *state, cost float64) *Attempt {
+	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, s, cost), upstream: u, state: s, startedAt: now}
 	if r.PromptTokens > 0 {
 		if a.light = !u.heavy(r); a.light {
 			s.light++
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -36,9 +36,6 @@
 	placed placements
 	// waiting is room for backlog.
 	waiting []int
-	// chosenFrom and chosenCost tell of the last choice.
-	chosenFrom int
-	chosenCost float64
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
@@ -83,8 +80,9 @@
 	}
 }
 
-// choose returns the cheapest of the replicas that take new requests, or nil.
-func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *state {
+// choose returns the cheapest of the replicas that take new requests and its
+// cost, or nil.
+func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) (*state, float64) {
 	u.follow(replicas)
 	u.learnPrompt(r)
 	open := u.openNow
@@ -107,8 +105,7 @@
 			best, least = s, cost
 		}
 	}
-	u.chosenFrom, u.chosenCost = len(open), least
-	return best
+	return best, least
 }
 
 // backlog is the time that the replicas need to read the prompts that wait there,
--- a/internal/quotashare/exchange.go
+++ b/internal/quotashare/exchange.go
@@ -12,6 +12,7 @@
 
 	quotav1 "galenatrestle/internal/gen/trestle/quota/v1"
 	"galenatrestle/internal/gen/trestle/quota/v1/quotav1connect"
+	"galenatrestle/internal/membership"
 	"galenatrestle/internal/quota"
 	"galenatrestle/internal/rounds"
 )
@@ -130,7 +131,7 @@
 		e.apply(owner, reports, e.handle(owner, reports), nil)
 		return
 	}
-	address := addressOf(view, owner)
+	address := membership.PeerAddress(view, owner)
 	e.calls.Go(func() {
 		grants, err := e.call(ctx, address, reports)
 		e.apply(owner, reports, grants, err)
--- a/internal/quotashare/members.go
+++ b/internal/quotashare/members.go
@@ -53,12 +53,3 @@
 	}
 	return names
 }
-
-func addressOf(view View, name string) string {
-	for _, m := range view.Members() {
-		if m.Name == name {
-			return m.PeerAddress
-		}
-	}
-	return ""
-}
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -62,12 +62,17 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
-		_ = c.(*net.TCPConn).SetLinger(0)
-		_ = c.Close()
+		abort(c)
 	}
 	clear(p.conns)
 }
 
+// abort ends a connection by a reset.
+func abort(c net.Conn) {
+	_ = c.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
 func (p *proxy) close() {
 	_ = p.listener.Close()
 	p.reset()
@@ -86,14 +91,12 @@
 func (p *proxy) serve(near net.Conn) {
 	m, target := p.now()
 	if m == refuse {
-		_ = near.(*net.TCPConn).SetLinger(0)
-		_ = near.Close()
+		abort(near)
 		return
 	}
 	far, err := net.Dial("tcp", target)
 	if err != nil {
-		_ = near.(*net.TCPConn).SetLinger(0)
-		_ = near.Close()
+		abort(near)
 		return
 	}
 	p.mu.Lock()
