Claims: hints of a shard's holder carry its epoch, so that calls find it

Cause: while nodes are replaced, nodes that held hints from before named each other as a shard's holder (X says Y, Y says X). A node that heard one of them asked the two in turn until its two seconds were over; neither was the preferred holder, so that none asked the platform. And a peer's old hint replaced what the platform itself had just said.

Change: a hint carries the lease's epoch and replaces an older one only; where an answer leads no further, the hint is dropped and the platform asked by trying for the lease. Asks that came during a take-over are not acted on after a hand-over.

Ruled out: leases not released (all releases took under 130 ms), late take-overs (under 350 ms), pauses of the holder.

--- a/internal/claim/claimrpc/claimrpc_test.go
+++ b/internal/claim/claimrpc/claimrpc_test.go
@@ -55,7 +55,7 @@
 		"recorded": {Verdict: claim.Recorded, Answer: claim.Answer{Status: 201, Header: http.Header{"A": {"1", "2"}}, Body: []byte("b")}},
 		"refused":  {Refused: refusal.ClaimLedger},
 		"elsewhere, remembered": {
-			Verdict: claim.Unknown, NotHolder: true, Holder: "n2",
+			Verdict: claim.Unknown, NotHolder: true, Hint: claim.Hint{Holder: "n2", Epoch: 7},
 		},
 	}
 	for name, reply := range replies {
@@ -74,7 +74,7 @@
 }
 
 func TestFinishCarriesRequestAndReply(t *testing.T) {
-	h := &holder{finish: claim.FinishReply{NotHolder: true, Holder: "n3"}}
+	h := &holder{finish: claim.FinishReply{NotHolder: true, Hint: claim.Hint{Holder: "n3", Epoch: 8}}}
 	request := claim.FinishRequest{
 		Key: key, Attempt: uuid.New(), Phase: claimv1.Phase_PHASE_RECORDED, Answer: &claimv1.Answer{Status: 200, Body: []byte("b")},
 	}
--- a/internal/claim/claimrpc/client.go
+++ b/internal/claim/claimrpc/client.go
@@ -52,7 +52,7 @@
 		Verdict:   claim.Verdict(response.Msg.GetVerdict()),
 		Refused:   refusal.Reason(response.Msg.GetRefusal()),
 		NotHolder: response.Msg.GetNotHolder(),
-		Holder:    response.Msg.GetHolder(),
+		Hint:      claim.Hint{Holder: response.Msg.GetHolder(), Epoch: response.Msg.GetHolderEpoch()},
 	}
 	if answer := response.Msg.GetAnswer(); answer != nil {
 		reply.Answer = claim.AnswerFromProto(answer)
@@ -72,7 +72,10 @@
 	if err != nil {
 		return claim.FinishReply{}, err
 	}
-	return claim.FinishReply{NotHolder: response.Msg.GetNotHolder(), Holder: response.Msg.GetHolder()}, nil
+	return claim.FinishReply{
+		NotHolder: response.Msg.GetNotHolder(),
+		Hint:      claim.Hint{Holder: response.Msg.GetHolder(), Epoch: response.Msg.GetHolderEpoch()},
+	}, nil
 }
 
 func (c *Client) at(address string) claimv1connect.ClaimServiceClient {
--- a/internal/claim/claimrpc/handler.go
+++ b/internal/claim/claimrpc/handler.go
@@ -51,7 +51,9 @@
 		Verdict:   claimv1.Verdict(reply.Verdict),
 		Refusal:   string(reply.Refused),
 		NotHolder: reply.NotHolder,
-		Holder:    reply.Holder,
+		Holder:    reply.Hint.Holder,
+
+		HolderEpoch: reply.Hint.Epoch,
 	}
 	if reply.Verdict == claim.Recorded {
 		response.Answer = claim.AnswerToProto(reply.Answer)
@@ -73,5 +75,9 @@
 	if err != nil {
 		return nil, connect.NewError(connect.CodeUnavailable, err)
 	}
-	return connect.NewResponse(&claimv1.FinishResponse{NotHolder: reply.NotHolder, Holder: reply.Holder}), nil
+	return connect.NewResponse(&claimv1.FinishResponse{
+		NotHolder:   reply.NotHolder,
+		Holder:      reply.Hint.Holder,
+		HolderEpoch: reply.Hint.Epoch,
+	}), nil
 }
--- a/internal/claim/fakecluster_test.go
+++ b/internal/claim/fakecluster_test.go
@@ -64,7 +64,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if current := c.terms[name]; current != nil {
-		return nil, &platform.HeldError{Current: platform.Lease{Name: name, Holder: HolderName(current.leases.node.name, "run-1", current.leases.node.name)}}
+		return nil, &platform.HeldError{Current: platform.Lease{Name: name, Holder: HolderName(current.leases.node.name, "run-1", current.leases.node.name), Epoch: current.epoch}}
 	}
 	c.epochs[name]++
 	term := &fakeTenure{leases: l, name: name, epoch: c.epochs[name], done: make(chan struct{})}
--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -29,7 +29,7 @@
 		return here, errs.Wrap(errs.Peer, err, stepForward, address)
 	}
 	if reply.NotHolder {
-		n.notHolder(shardHolder, reply.Holder)
+		n.notHolder(shardHolder, reply.Hint)
 		return reply.orElse(here), errNotHolder
 	}
 	return reply, nil
@@ -55,7 +55,7 @@
 		return errs.Wrap(errs.Peer, err, stepForward, address)
 	}
 	if reply.NotHolder {
-		n.notHolder(shardHolder, reply.Holder)
+		n.notHolder(shardHolder, reply.Hint)
 		return errNotHolder
 	}
 	return nil
@@ -63,14 +63,17 @@
 
 func (n *Node) peerFailed(shardHolder *shardHolder) {
 	n.metrics.retries.WithLabelValues(retryPeer).Inc()
-	shardHolder.holderIs("")
+	shardHolder.forget()
 	shardHolder.ask()
 }
 
-func (n *Node) notHolder(shardHolder *shardHolder, holder string) {
+// notHolder follows the hint of a peer that does not hold the shard. Where it
+// leads no further, the platform is asked by trying for the lease: peers with old
+// hints would else send a call from one to the other until it gives up.
+func (n *Node) notHolder(shardHolder *shardHolder, hint Hint) {
 	n.metrics.retries.WithLabelValues(retryNotHolder).Inc()
-	shardHolder.holderIs(holder)
-	if holder == "" {
+	if !shardHolder.learn(hint) {
+		shardHolder.forget()
 		shardHolder.ask()
 	}
 }
@@ -101,7 +104,7 @@
 	reply, err := n.beginHere(ctx, part, request)
 	if errors.Is(err, errNotHolder) {
 		shardHolder.askIfOwner()
-		reply.NotHolder, reply.Holder = true, shardHolder.holderHint()
+		reply.NotHolder, reply.Hint = true, shardHolder.holderHint()
 		return reply, nil
 	}
 	return reply, err
@@ -114,7 +117,7 @@
 	err := part.finish(ctx, request)
 	if errors.Is(err, errNotHolder) {
 		shardHolder.askIfOwner()
-		return FinishReply{NotHolder: true, Holder: shardHolder.holderHint()}, nil
+		return FinishReply{NotHolder: true, Hint: shardHolder.holderHint()}, nil
 	}
 	return FinishReply{}, err
 }
--- a/internal/claim/holdername.go
+++ b/internal/claim/holdername.go
@@ -1,11 +1,6 @@
 package claim
 
-import (
-	"errors"
-	"strings"
-
-	"galenatrestle/internal/platform"
-)
+import "strings"
 
 // nameSeparator parts the fields of a lease holder's name, as in
 // "vm-3/0192c1/10.0.0.3:8090".
@@ -18,15 +13,6 @@
 	return strings.Join([]string{node, run, peerAddress}, nameSeparator)
 }
 
-// heldBy returns the holder that an error of Acquire names, or nothing.
-func heldBy(err error) string {
-	var held *platform.HeldError
-	if !errors.As(err, &held) {
-		return ""
-	}
-	return held.Current.Holder
-}
-
 // readHolder returns the node and the peer address in a holder's name. The
 // address is empty in a name without one.
 func readHolder(holder string) (node, peerAddress string) {
--- a/internal/claim/peers.go
+++ b/internal/claim/peers.go
@@ -27,11 +27,11 @@
 	Answer  Answer
 	// Refused is why nothing was claimed.
 	Refused refusal.Reason
-	// NotHolder says that the receiver does not hold the shard; Holder names
-	// the one it knows of, as its lease does. A verdict is then what it remembers of an earlier
-	// term, to be told only where no holder can be asked.
+	// NotHolder says that the receiver does not hold the shard; Hint tells who
+	// does. A verdict is then what it remembers of an earlier term, to be told
+	// only where no holder can be asked.
 	NotHolder bool
-	Holder    string
+	Hint      Hint
 }
 
 // orElse returns the reply, or the other where this one says nothing.
@@ -52,8 +52,10 @@
 
 // FinishReply is the holder's answer.
 type FinishReply struct {
+	// NotHolder says that the receiver does not hold the shard; Hint tells who
+	// does.
 	NotHolder bool
-	Holder    string
+	Hint      Hint
 }
 
 // Peers calls other nodes by their peer address.
--- a/internal/claim/shardholder.go
+++ b/internal/claim/shardholder.go
@@ -18,9 +18,8 @@
 	asked   chan struct{}
 
 	mu sync.Mutex
-	// holder is the name of the one last known to hold the shard, empty where
-	// unknown.
-	holder string
+	// hint is the newest that is known of the holder.
+	hint Hint
 }
 
 // handOnAfter is how many looks in a row must find another preferred holder
@@ -73,7 +72,7 @@
 
 // interval returns the mean pause between two looks.
 func (t *shardHolder) interval() time.Duration {
-	node, address := readHolder(t.holderHint())
+	node, address := readHolder(t.holderHint().Holder)
 	if _, known := memberNamed(t.options.View, node); !known && address != "" {
 		return elsewhereRest * t.options.TendInterval
 	}
@@ -86,11 +85,11 @@
 	term, err := t.options.Leases.Acquire(call, t.name)
 	cancel()
 	if err != nil {
-		t.holderIs(heldBy(err))
+		t.learn(heldBy(err))
 		return
 	}
 	self := t.options.View.Self().Name
-	t.holderIs("")
+	t.forget()
 	until, stop := context.WithCancel(ctx)
 	go t.handOn(until, stop)
 	err = t.part.hold(until, term, self)
@@ -100,6 +99,7 @@
 		t.options.Log.WithError(err).WithField("shard", t.part.number).Warn("claim shard lost")
 	}
 	t.release(ctx, term)
+	t.dropAsk()
 }
 
 func (t *shardHolder) release(ctx context.Context, term Term) {
@@ -146,24 +146,46 @@
 	}
 }
 
-// holderIs notes who holds the shard.
-func (t *shardHolder) holderIs(name string) {
+// dropAsk forgets that this node was asked. Calls that came while it took the
+// shard over ask for what it has done; acted on after a hand-over, they would
+// take the shard back from its preferred holder.
+func (t *shardHolder) dropAsk() {
+	select {
+	case <-t.asked:
+	default:
+	}
+}
+
+// learn takes in a hint, and tells whether it was better than what was known.
+func (t *shardHolder) learn(hint Hint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !hint.improves(t.hint) {
+		return false
+	}
+	t.hint = hint
+	return true
+}
+
+// forget drops the holder that the hint names, as it did not answer as one. Its
+// epoch stays known, so that older hints are not followed.
+func (t *shardHolder) forget() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.holder = name
+	t.hint.Holder = ""
 }
 
-// holderHint returns the holder as far as known, or nothing.
-func (t *shardHolder) holderHint() string {
+// holderHint returns what is known of the holder.
+func (t *shardHolder) holderHint() Hint {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.holder
+	return t.hint
 }
 
 // holderAddress returns the peer address of the node to ask. It is false where
 // that would be this node; then it tries to hold the shard.
 func (t *shardHolder) holderAddress() (string, bool) {
-	node, address := readHolder(t.holderHint())
+	node, address := readHolder(t.holderHint().Holder)
 	member, known := memberNamed(t.options.View, node)
 	if !known && address != "" {
 		return address, true
