Entries name only nodes that have a configuration; the rolling test keeps the product's margin

Entries leave out members whose configuration revision is not known yet; a deployment in one process has started once all its nodes name each other.

It keeps the product's second now, callers keep addresses as long as before, and an error is printed in full.

--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/gateway"
 	"galenatrestle/internal/node"
 	"galenatrestle/internal/platform/memstore"
 	"galenatrestle/internal/settings"
@@ -168,6 +169,9 @@
 	if err := await(ctx, inForce); err != nil {
 		return fmt.Errorf("revision %d is not in force on all nodes: %w", revision, err)
 	}
+	if err := await(ctx, d.named); err != nil {
+		return fmt.Errorf("the nodes do not all name each other to callers: %w", err)
+	}
 	return nil
 }
 
@@ -192,6 +196,16 @@
 	return true
 }
 
+// named says whether each node sends callers to all nodes.
+func (d *Deployment) named() bool {
+	for _, n := range d.Nodes {
+		if len(gateway.ListEntries(n.Members(), "").Entries) < len(d.Nodes) {
+			return false
+		}
+	}
+	return true
+}
+
 func (d *Deployment) joined() bool {
 	for _, n := range d.Nodes {
 		if len(n.Members().Members()) < len(d.Nodes) {
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -33,11 +33,11 @@
 	writeJSON(w, http.StatusOK, ListEntries(s.options.Members, zone))
 }
 
-// ListEntries returns the serving members' entry addresses, those of the zone first
-// and then the less loaded.
+// ListEntries returns the entry addresses of the members that can serve, those of
+// the zone first and then the less loaded.
 func ListEntries(view membership.View, zone string) EntryList {
 	members := slices.DeleteFunc(view.Members(), func(m membership.Member) bool {
-		return m.State != membership.StateServing
+		return !canServe(m)
 	})
 	slices.SortStableFunc(members, func(a, b membership.Member) int {
 		return compareMembers(a, b, zone)
@@ -53,6 +53,12 @@
 	return list
 }
 
+// canServe says whether a member would take a request: one that has just started
+// refuses all until it has a configuration.
+func canServe(m membership.Member) bool {
+	return m.State == membership.StateServing && m.ConfigRevision > 0
+}
+
 // compareMembers puts members of the zone first, then the less loaded.
 func compareMembers(a, b membership.Member, zone string) int {
 	aNear, bNear := a.AvailabilityZone == zone, b.AvailabilityZone == zone
--- a/internal/membership/table_test.go
+++ b/internal/membership/table_test.go
@@ -202,6 +202,30 @@
 	return true
 }
 
+// TestFirstConfigurationIsKnownWithinASecond has a member that joined without a
+// configuration put one in force that the others have: callers are sent to it only
+// once the others know.
+func TestFirstConfigurationIsKnownWithinASecond(t *testing.T) {
+	f := joinedFleet(t, 3)
+	newest := f.tables[nodeName("r", 1)]
+	newest.SetStatus(f.now, 0, 7)
+	late := f.add("r", 3, nodeName("r", 0))
+	late.self.revision = 0
+	f.run(10 * time.Second)
+	late.SetStatus(f.now, 0, 7)
+	took := f.until(5*time.Second, func() bool {
+		for _, m := range f.tables[nodeName("r", 0)].Snapshot().Members() {
+			if m.Name == nodeName("r", 3) {
+				return m.ConfigRevision == 7
+			}
+		}
+		return false
+	})
+	if took > time.Second {
+		t.Errorf("the first configuration of a member was known after %v", took)
+	}
+}
+
 func TestRevisionNeverGoesBack(t *testing.T) {
 	f := joinedFleet(t, 2)
 	table := f.tables[nodeName("r", 0)]
--- a/internal/promises/rolling_test.go
+++ b/internal/promises/rolling_test.go
@@ -25,8 +25,12 @@
 	until   time.Time
 }
 
-// keep is how long addresses are kept; the nodes' keep time is longer.
-const keep = 300 * time.Millisecond
+// keep is how long addresses are kept. As in a deployment, a stopped node goes on
+// serving for a second longer, in which the others hear that it leaves.
+const (
+	keep     = 300 * time.Millisecond
+	keepTime = keep + time.Second
+)
 
 // entry returns the address in use, and asks again once it is too old.
 func (k *keeper) entry() (string, error) {
@@ -66,7 +70,7 @@
 // other under load: no request is cut, lost or run twice.
 func TestReplacingEveryNodeCutsNothing(t *testing.T) {
 	const nodes, callers = 8, 6
-	d := start(t, embedded.Options{Nodes: nodes, KeepTime: 2 * keep, Engine: engine.Options{Speed: 5}})
+	d := start(t, embedded.Options{Nodes: nodes, KeepTime: keepTime, Engine: engine.Options{Speed: 5}})
 	first := []string{d.Nodes[0].EntryAddress(), d.Nodes[nodes-1].EntryAddress()}
 	ctx, stop := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
@@ -125,14 +129,14 @@
 	if unrepeatable {
 		o := settle(context.Background(), address, "roll-"+name)
 		if o.status != http.StatusOK {
-			return fmt.Errorf("unrepeatable call at %s: %+v", address, o)
+			return fmt.Errorf("unrepeatable call at %s: %+v (error: %v)", address, o, o.err)
 		}
 		return nil
 	}
 	c := call{address: address, key: embedded.PrairieKey, class: "counter", prompt: "question " + name, tokens: 30, stream: true}
 	o := chat(context.Background(), c)
 	if want := engine.ExpectedAnswer(c.prompt, c.tokens); !o.clean || o.text != want {
-		return fmt.Errorf("chat at %s: %+v", address, o)
+		return fmt.Errorf("chat at %s: %+v (error: %v)", address, o, o.err)
 	}
 	return nil
 }
