Node sync at hundreds of nodes: changes of listings only, loads to hubs only, several hubs a zone

Each changed registration had the listing of 3,000 replicas (240 kB) sent to every node several times; each exchange compared the whole listing again (0.5 ms), added up all loads, and told loads and placements to nodes that had the sums from their hub; one hub answered 500 asks a second with sums worked out anew each time.

Change: listings are told as what changed since the digest that the asking node has, checked by the digest of the result (package replica, delta.go); a listing of the same digest costs nothing; members tell loads to their hub only, as long as its sums come; a zone has a hub for each 32 nodes, those with the most processor first, which are told in each answer; sums stand for 50 ms; the choice of the hubs for 100 ms. Hubs are chosen among nodes that are not ready too: in an outage of the store none is, the fleet had no hubs then, and each node looked for the store's return itself. Members wait 2 to 5 s between failed reads.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -106,7 +106,7 @@
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
-		Placer: n.placer, Tracker: tracker, Clock: n.options.Clock,
+		Placer: n.placer, Tracker: tracker, SumsFor: nodesync.DefaultSumsFor, Clock: n.options.Clock,
 		Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
@@ -152,6 +152,7 @@
 		Name: s.Name, AvailabilityZone: s.AvailabilityZone,
 		EntryAddress: n.entryAddress, PeerAddress: n.peerAddress,
 		Ready: n.Ready(), Leaving: n.leaving.Load(),
+		ProcessorShare: s.PassThrough.ProcessorShare,
 	}
 }
 
@@ -223,10 +224,10 @@
 func (n *Node) start(ctx context.Context) {
 	seed := n.options.Seed
 	n.tasks.Go(func() {
-		n.reader.follow(ctx, "configuration", rand.New(rand.NewPCG(seed, 4)), n.reader.routesAge, n.reader.readRoutes)
+		n.reader.follow(ctx, n.reader.configuration(), rand.New(rand.NewPCG(seed, 4)))
 	})
 	n.tasks.Go(func() {
-		n.reader.follow(ctx, "replicas", rand.New(rand.NewPCG(seed, 5)), n.reader.replicasAge, n.reader.readReplicas)
+		n.reader.follow(ctx, n.reader.registrations(), rand.New(rand.NewPCG(seed, 5)))
 	})
 	n.tasks.Go(func() { n.announcer.run(ctx) })
 	n.tasks.Go(func() { n.sync.Run(ctx) })
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -18,11 +18,6 @@
 	readJitter = 600 * time.Millisecond
 	// readTimeout bounds one read: a store that is slower counts as away.
 	readTimeout = 900 * time.Millisecond
-	// longestPause bounds the growing pause after failed reads.
-	longestPause = 1200 * time.Millisecond
-	// firstPause is the pause after the first failed read. Before anything is
-	// known a node cannot serve, and asks again soon.
-	firstPause = 100 * time.Millisecond
 )
 
 // readAt is the age of a copy at which a node reads the store itself. Until then it
@@ -35,8 +30,11 @@
 	nodesync.Equal: 800 * time.Millisecond,
 	// A hub reads for its availability zone, whose nodes ask it several times a
 	// second, and read themselves only where it has failed.
-	nodesync.Hub:    300 * time.Millisecond,
-	nodesync.Member: 1300 * time.Millisecond,
+	nodesync.Hub: 300 * time.Millisecond,
+	// The further hubs of a large zone are asked as often, but learn of the first
+	// one's reads within two rounds.
+	nodesync.FurtherHub: 800 * time.Millisecond,
+	nodesync.Member:     1300 * time.Millisecond,
 }
 
 // reader keeps the copies of the store's records fresh. Its two loops share
@@ -53,36 +51,54 @@
 	metrics *metrics
 }
 
-// follow calls read again and again until ctx ends.
-func (r *reader) follow(ctx context.Context, name string, random *rand.Rand, age func() time.Duration, read func(context.Context) error) {
-	pause := firstPause
+// record is one of the store's records of which a reader keeps a copy.
+type record struct {
+	name string
+	// age is that of the copy.
+	age func() time.Duration
+	// known says whether there is a copy.
+	known func() bool
+	read  func(context.Context) error
+}
+
+// follow reads the record again and again until ctx ends.
+func (r *reader) follow(ctx context.Context, record record, random *rand.Rand) {
+	pause := time.Duration(0)
 	lost := false
 	for {
-		if !r.awaitAge(ctx, random, age) {
+		if !r.awaitAge(ctx, random, record.age) {
 			return
 		}
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
-		err := read(limited)
+		err := record.read(limited)
 		cancel()
-		r.metrics.read(name, err)
+		r.metrics.read(record.name, err)
 		if ctx.Err() != nil {
 			return
 		}
 		if lost != (err != nil) {
 			lost = err != nil
-			r.log.Write(&storeChanged{what: name, err: err})
+			r.log.Write(&storeChanged{what: record.name, err: err})
 		}
 		if err == nil {
-			pause = firstPause
+			pause = 0
 			continue
 		}
+		pause = r.backoff(record).next(pause)
 		if ctxtime.Sleep(ctx, pause/2+time.Duration(random.Int64N(int64(pause)))) != nil {
 			return
 		}
-		pause = min(2*pause, longestPause)
 	}
 }
 
+// backoff is how the reader waits between failed reads of the record.
+func (r *reader) backoff(record record) backoff {
+	if !record.known() {
+		return startBackoff
+	}
+	return backoffs[r.role()]
+}
+
 // awaitAge waits until the copy is due for a read; false: ctx has ended. Each
 // wait draws its own limit, so that the nodes take turns.
 func (r *reader) awaitAge(ctx context.Context, random *rand.Rand, age func() time.Duration) bool {
@@ -98,6 +114,17 @@
 	}
 }
 
+// configuration is the operator's configuration.
+func (r *reader) configuration() record {
+	known := func() bool { return r.routes.Get().Version() > 0 }
+	return record{name: "configuration", age: r.routesAge, known: known, read: r.readRoutes}
+}
+
+// registrations are those of the replicas.
+func (r *reader) registrations() record {
+	return record{name: "replicas", age: r.replicasAge, known: r.replicas.Known, read: r.readReplicas}
+}
+
 // routesAge is the time since the routing table was known to be the newest.
 func (r *reader) routesAge() time.Duration { return r.routes.Get().Age(r.clock()) }
 
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/nodesync"
+	"galenatrestle/internal/replica"
+	"galenatrestle/internal/routesource"
 )
 
 // TestANodeReadsOnlyWhatNobodyHasReadLately lets other nodes' reads make the copy
@@ -45,3 +53,48 @@
 		}
 	})
 }
+
+// TestFewReadsFailInAnOutage counts the reads of a node whose store does not answer
+// for a while: the members of a large fleet leave it to their hub to find it again.
+func TestFewReadsFailInAnOutage(t *testing.T) {
+	const outage = 10 * time.Second
+	cases := []struct {
+		name  string
+		role  nodesync.Role
+		known bool
+		least int
+		most  int
+	}{
+		{"a member", nodesync.Member, true, 2, 5},
+		{"a further hub", nodesync.FurtherHub, true, 4, 9},
+		{"a hub", nodesync.Hub, true, 8, 16},
+		{"a node of a small fleet", nodesync.Equal, true, 8, 16},
+		{"a member that knows nothing yet", nodesync.Member, false, 8, 16},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &reader{
+					role: func() nodesync.Role { return test.role },
+					log:  eventlog.New(io.Discard, "vm-0"),
+				}
+				r.metrics = newMetrics(prometheus.NewRegistry(), routesource.New(nil), replica.NewSet(), boottime.Now, r.log)
+				reads := 0
+				ctx, cancel := context.WithTimeout(t.Context(), outage)
+				defer cancel()
+				r.follow(ctx, record{
+					name:  "replicas",
+					age:   func() time.Duration { return time.Hour },
+					known: func() bool { return test.known },
+					read: func(context.Context) error {
+						reads++
+						return errors.New("the store does not answer")
+					},
+				}, rand.New(rand.NewPCG(1, 1)))
+				if reads < test.least || reads > test.most {
+					t.Errorf("%d reads in %s, want %d to %d", reads, outage, test.least, test.most)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/entries.go
+++ b/internal/gateway/entries.go
@@ -34,10 +34,14 @@
 }
 
 // ListEntries returns the entry addresses of the members that can serve, those of
-// the zone first and then the less loaded.
+// the zone first and then the less loaded. Until the first configuration of the
+// deployment those are all that run.
 func ListEntries(view membership.View, zone string) EntryList {
-	members := slices.DeleteFunc(view.Members(), func(m membership.Member) bool {
-		return !canServe(m)
+	members := view.Members()
+	configured := slices.ContainsFunc(members, hasConfiguration)
+	members = slices.DeleteFunc(members, func(m membership.Member) bool {
+		// One that has just started refuses all until it has the configuration.
+		return m.State != membership.StateServing || configured && !hasConfiguration(m)
 	})
 	slices.SortStableFunc(members, func(a, b membership.Member) int {
 		return compareMembers(a, b, zone)
@@ -53,11 +57,7 @@
 	return list
 }
 
-// canServe says whether a member would take a request: one that has just started
-// refuses all until it has a configuration.
-func canServe(m membership.Member) bool {
-	return m.State == membership.StateServing && m.ConfigRevision > 0
-}
+func hasConfiguration(m membership.Member) bool { return m.ConfigRevision > 0 }
 
 // compareMembers puts members of the zone first, then the less loaded.
 func compareMembers(a, b membership.Member, zone string) int {
--- a/internal/gateway/entries_test.go
+++ b/internal/gateway/entries_test.go
@@ -23,11 +23,28 @@
 		{Name: "vm-2", EntryAddress: "10.0.0.3:80", State: membership.StateLeaving, ConfigRevision: 3},
 		{Name: "vm-3", EntryAddress: "10.0.0.4:80", State: membership.StateServing, ConfigRevision: 2},
 	}
-	var got []string
-	for _, entry := range ListEntries(view, "").Entries {
-		got = append(got, entry.Address)
+	if got, want := addresses(view), []string{"10.0.0.1:80", "10.0.0.4:80"}; !slices.Equal(got, want) {
+		t.Errorf("entries %v, want %v", got, want)
 	}
-	if want := []string{"10.0.0.1:80", "10.0.0.4:80"}; !slices.Equal(got, want) {
+}
+
+// TestListEntriesBeforeTheFirstConfiguration names all that run: an operator who
+// sets a deployment up looks for them there.
+func TestListEntriesBeforeTheFirstConfiguration(t *testing.T) {
+	view := fixedView{
+		{Name: "vm-0", EntryAddress: "10.0.0.1:80", State: membership.StateServing},
+		{Name: "vm-1", EntryAddress: "10.0.0.2:80", State: membership.StateServing},
+		{Name: "vm-2", EntryAddress: "10.0.0.3:80", State: membership.StateLeaving},
+	}
+	if got, want := addresses(view), []string{"10.0.0.1:80", "10.0.0.2:80"}; !slices.Equal(got, want) {
 		t.Errorf("entries %v, want %v", got, want)
 	}
 }
+
+func addresses(view membership.View) []string {
+	var list []string
+	for _, entry := range ListEntries(view, "").Entries {
+		list = append(list, entry.Address)
+	}
+	return list
+}
--- a/internal/nodesync/bench_test.go
+++ b/internal/nodesync/bench_test.go
@@ -17,13 +17,13 @@
 // of several sizes; bytes/op are those of both messages. The asked node is a hub
 // where there are some, and each node uses ten replicas.
 func BenchmarkExchange(b *testing.B) {
-	for _, size := range []struct{ nodes, replicas int }{{8, 20}, {66, 60}, {360, 350}} {
+	for _, size := range []struct{ nodes, replicas int }{{8, 20}, {66, 60}, {360, 350}, {300, 3000}} {
 		b.Run(fmt.Sprintf("nodes=%d/replicas=%d", size.nodes, size.replicas), func(b *testing.B) {
 			asking, hub := benchFleet(size.nodes, size.replicas)
 			bytes := 0
 			b.ResetTimer()
 			for range b.N {
-				request := asking.request(asking.now)
+				request := asking.request(target{name: hub.options.Self().Name}, asking.now)
 				response, err := hub.Exchange(context.Background(), connect.NewRequest(request))
 				if err != nil {
 					b.Fatal(err)
@@ -43,22 +43,22 @@
 		listing.Replicas = append(listing.Replicas, replica.Replica{ID: fmt.Sprintf("i-%010d", i), Upstream: "u", Address: fmt.Sprintf("10.1.64.%d:8400", i), Slots: 32})
 	}
 	nodes := largeFleet(n)
-	hubName := nodes[0].hubOf("z0", 100*second).Name
+	hubs := nodes[0].hubs(100 * second)
 	for i, node := range nodes {
+		node.options.SumsFor = DefaultSumsFor
 		node.options.Replicas.Take(listing, 100*second, 100*second)
-		for range 10 {
-			node.options.Placer.Choose(time.Now(), "u", &placement.Request{PromptTokens: 900, Shared: []placement.Part{{ID: uint64(i), Tokens: 100}}})
-		}
-		self := node.options.Self()
-		if self.Name == hubName || (hubName == "" && i == 0) {
-			hub = node
-		} else if self.AvailabilityZone == "z0" {
-			asking = node
+		for session := range 10 {
+			node.options.Placer.Choose(time.Now(), "u", &placement.Request{PromptTokens: 900, Shared: []placement.Part{{ID: uint64(i*10 + session), Tokens: 100}}})
 		}
 	}
+	hub, asking = nodes[0], nodes[1]
+	if len(hubs) > 0 {
+		hub = named(nodes, hubs[0].Name)
+		asking = memberOf(nodes, hubs[0].Name)
+	}
 	for _, node := range nodes {
 		self := node.options.Self()
-		hub.options.Placer.SetPeer(self.Name, self.AvailabilityZone, node.options.Placer.Loads(time.Now()), n, time.Now().Add(time.Hour))
+		hub.options.Placer.SetPeer(self.Name, node.options.Placer.Loads(time.Now()), hubFor(self, hubs).Name == hub.options.Self().Name, n, time.Now().Add(time.Hour))
 	}
 	return asking, hub
 }
--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -14,6 +14,7 @@
 		Name: n.Name, AvailabilityZone: n.AvailabilityZone,
 		EntryAddress: n.EntryAddress, PeerAddress: n.PeerAddress,
 		Ready: n.Ready, Leaving: n.Leaving, HeardAge: now.Sub(n.HeardAt).Microseconds(),
+		ProcessorShare: n.ProcessorShare,
 	}
 }
 
@@ -23,6 +24,8 @@
 		Name: n.GetName(), AvailabilityZone: n.GetAvailabilityZone(),
 		EntryAddress: n.GetEntryAddress(), PeerAddress: n.GetPeerAddress(),
 		Ready: n.GetReady(), Leaving: n.GetLeaving(),
+		ProcessorShare: n.GetProcessorShare(),
+
 		HeardAt: began.Add(-microseconds(n.GetHeardAge())),
 	}
 }
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -1,6 +1,9 @@
 package nodesync
 
 import (
+	"cmp"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,39 +14,127 @@
 
 // In a small fleet each node hears from each other one within a second. In a
 // larger one it would hear of a part only, or have to call hundreds of times a
-// second. There, one node of each availability zone adds up the load of its zone,
-// and is asked for the sum by the zone's nodes and by the other zones' hubs: load
-// news reach all nodes in two rounds, for a few calls a node. Which node that is
-// follows from the names of those that serve; where two nodes differ on it for a
-// while, both add up, and nothing is lost but some accuracy.
-
-// hubsFrom is the number of nodes from which there are hubs.
-const hubsFrom = 16
-
-// hubs is the node that adds up for each availability zone, this one included;
-// empty: none does.
-func (s *Sync) hubs(now boottime.Instant) map[string]Node {
+// second. There, hubs add up the loads of some nodes of their availability zone
+// each, and are asked for the sum of the fleet by these and for their part by the
+// other hubs: load news reach all nodes in two rounds, for a few calls a node. Which
+// nodes these are follows from the names of those that serve; where two nodes differ
+// on it for a while, both add up, and nothing is lost but some accuracy.
+
+const (
+	// hubsFrom is the number of nodes from which there are hubs.
+	hubsFrom = 16
+	// nodesPerHub bounds the nodes that ask one hub: at 5 times a second and
+	// 10 kB an answer that is 1.6 MB a second.
+	nodesPerHub = 32
+)
+
+// hubsFor is how long the choice of the hubs stands where no node is known to have
+// changed: only nodes that fall silent are noticed that late.
+const hubsFor = 100 * time.Millisecond
+
+// hubList is the choice of the hubs for a while. It is safe for concurrent use.
+type hubList struct {
+	mu      sync.Mutex
+	hubs    []Node
+	at      boottime.Instant
+	changes uint64
+	leaving bool
+}
+
+// hubs are the nodes that add up, those of one availability zone one after the
+// other; none in a small fleet. The list is shared and not to be changed.
+func (s *Sync) hubs(now boottime.Instant) []Node {
 	self := s.options.Self()
-	nodes := s.options.Nodes.Serving(now)
+	changes := s.options.Nodes.changeCount()
+	l := &s.hubList
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	age := now.Sub(l.at)
+	if l.at != 0 && age >= 0 && age < hubsFor && l.changes == changes && l.leaving == self.Leaving {
+		return l.hubs
+	}
+	l.hubs, l.at, l.changes, l.leaving = s.chooseHubs(self, now), now, changes, self.Leaving
+	return l.hubs
+}
+
+func (s *Sync) chooseHubs(self Node, now boottime.Instant) []Node {
+	nodes := s.options.Nodes.staying(now)
 	if len(nodes)+1 < hubsFrom {
 		return nil
 	}
 	if !self.Leaving {
+		self.rank = rankOf(self.Name)
 		nodes = append(nodes, self)
 	}
-	hubs := make(map[string]Node)
-	for _, n := range nodes {
-		hub, found := hubs[n.AvailabilityZone]
-		if !found || xxhash.Sum64String(n.Name) < xxhash.Sum64String(hub.Name) {
-			hubs[n.AvailabilityZone] = n
-		}
+	slices.SortFunc(nodes, compareForHub)
+	var hubs []Node
+	for len(nodes) > 0 {
+		inZone := zoneLength(nodes)
+		count := (inZone + nodesPerHub - 1) / nodesPerHub
+		hubs = append(hubs, nodes[:count]...)
+		nodes = nodes[inZone:]
 	}
 	return hubs
 }
 
-// hubOf is the node that adds up for the availability zone; its name is empty
-// where none does.
-func (s *Sync) hubOf(zone string, now boottime.Instant) Node { return s.hubs(now)[zone] }
+// compareForHub puts nodes of one availability zone together, those first that
+// become hubs first: the ones that are ready, of these the ones with the most
+// processor, and then some that all nodes agree on. Where none is ready, as in an
+// outage of the platform's store, there are hubs all the same: without them each
+// node would look for the store's return itself.
+func compareForHub(a, b Node) int {
+	return cmp.Or(
+		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone),
+		compareReady(a, b),
+		cmp.Compare(b.ProcessorShare, a.ProcessorShare),
+		cmp.Compare(a.rank, b.rank),
+	)
+}
+
+// compareReady puts ready nodes first.
+func compareReady(a, b Node) int {
+	switch {
+	case a.Ready == b.Ready:
+		return 0
+	case a.Ready:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// zoneLength is the number of nodes at the front that are of one availability zone.
+func zoneLength(nodes []Node) int {
+	for i, n := range nodes {
+		if n.AvailabilityZone != nodes[0].AvailabilityZone {
+			return i
+		}
+	}
+	return len(nodes)
+}
+
+// rankOf orders the nodes; all nodes have the same order.
+func rankOf(name string) uint64 { return xxhash.Sum64String(name) }
+
+// hubFor is the one of the hubs that adds up for the node; its name is empty where
+// none does.
+func hubFor(n Node, hubs []Node) Node {
+	var own Node
+	var lowest uint64
+	for _, hub := range hubs {
+		if hub.Name == n.Name {
+			return hub
+		}
+		if hub.AvailabilityZone != n.AvailabilityZone {
+			continue
+		}
+		// Each hub of the zone gets about the same part of its nodes.
+		if rank := rankOf(n.Name + hub.Name); own.Name == "" || rank < lowest {
+			own, lowest = hub, rank
+		}
+	}
+	return own
+}
 
 // Role is a node's part in spreading news.
 type Role int
@@ -52,78 +143,100 @@
 const (
 	// Equal nodes are those of a fleet without hubs.
 	Equal Role = iota
-	// Hub nodes add up for their availability zone.
+	// Hub nodes are the first of their availability zone that add up for others.
 	Hub
+	// FurtherHub nodes add up too, in a zone that is too large for one.
+	FurtherHub
 	// Member nodes ask a hub.
 	Member
 )
 
+// addsUp says whether a node of the role adds up for others.
+func (r Role) addsUp() bool { return r == Hub || r == FurtherHub }
+
 // Role is this node's part now.
-func (s *Sync) Role() Role { return s.role(s.options.Clock()) }
+func (s *Sync) Role() Role { return roleOf(s.options.Self(), s.hubs(s.options.Clock())) }
 
-func (s *Sync) role(now boottime.Instant) Role {
-	self := s.options.Self()
-	switch s.hubOf(self.AvailabilityZone, now).Name {
+func roleOf(n Node, hubs []Node) Role {
+	switch hubFor(n, hubs).Name {
 	case "":
 		return Equal
-	case self.Name:
-		return Hub
+	case n.Name:
 	default:
 		return Member
 	}
+	first := slices.IndexFunc(hubs, func(hub Node) bool { return hub.AvailabilityZone == n.AvailabilityZone })
+	if hubs[first].Name == n.Name {
+		return Hub
+	}
+	return FurtherHub
 }
 
-// isHub says whether this node adds up for its availability zone.
-func (s *Sync) isHub(now boottime.Instant) bool { return s.role(now) == Hub }
-
-// withHubs is the nodes to ask in a round: in a fleet with hubs the own zone's
-// hub, for a hub the other zones' hubs, and one of those drawn at random.
+// withHubs is the nodes to ask in a round: in a fleet with hubs the own hub, for a
+// hub all others, and one of those drawn at random.
 func (s *Sync) withHubs(drawn []target, now boottime.Instant) []target {
 	self := s.options.Self()
 	hubs := s.hubs(now)
-	own, found := hubs[self.AvailabilityZone]
-	if !found {
+	own := hubFor(self, hubs)
+	if own.Name == "" {
 		return drawn
 	}
 	targets := drawn[:min(len(drawn), 1)]
 	if own.Name != self.Name {
 		return append(targets, target{own.Name, own.PeerAddress})
 	}
-	for zone, hub := range hubs {
-		if zone != self.AvailabilityZone {
+	for _, hub := range hubs {
+		if hub.Name != self.Name {
 			targets = append(targets, target{hub.Name, hub.PeerAddress})
 		}
 	}
 	return targets
 }
 
-// takeLoads takes in what a node tells of its load and placements. A hub tells
-// the placements on.
-func (s *Sync) takeLoads(n Node, loads []*nodesyncv1.Load, placed []*nodesyncv1.Placement, isHub bool, now boottime.Instant) {
-	at := time.Now()
-	s.options.Placer.SetPeer(n.Name, n.AvailabilityZone, loadsFromProto(loads), s.options.Nodes.aliveCount(now), at)
-	s.options.Placer.SetPlacements(placementsFromProto(placed), isHub, at)
+// loadTerms is what a request says of loads.
+type loadTerms struct {
+	// without: neither side tells loads and placements.
+	without bool
+	// addsUp: the asked node adds up for this one.
+	addsUp bool
 }
 
-// tellSums adds a hub's sums to its answer: it tells its own zone's nodes that of
-// the fleet, and others that of the zone.
-func (s *Sync) tellSums(answer *nodesyncv1.ExchangeResponse, caller Node) {
-	if caller.AvailabilityZone == s.options.Self().AvailabilityZone {
-		answer.FleetLoads = loadsToProto(s.options.Placer.FleetLoads(time.Now()))
-		return
+// termsWith is what a request to the node says of loads: with hubs they go only to
+// and from these, unless their sums do not come.
+func (s *Sync) termsWith(name string, now boottime.Instant) loadTerms {
+	hubs := s.hubs(now)
+	self := s.options.Self()
+	own := hubFor(self, hubs)
+	switch {
+	case own.Name == "":
+		return loadTerms{}
+	case own.Name == name:
+		return loadTerms{addsUp: true}
+	case own.Name == self.Name && slices.ContainsFunc(hubs, func(hub Node) bool { return hub.Name == name }):
+		return loadTerms{}
+	default:
+		return loadTerms{without: s.options.Placer.FleetKnown(time.Now())}
 	}
-	answer.ZoneLoads = loadsToProto(s.options.Placer.ZoneLoads(time.Now()))
 }
 
-// takeSums takes in the sums of a hub, of which the loads told in the request are
-// this node's part. A hub's own view of the fleet is what it adds up itself.
-func (s *Sync) takeSums(m *nodesyncv1.ExchangeResponse, from Node, asked *nodesyncv1.ExchangeRequest) {
-	now := time.Now()
-	if zone := m.GetZoneLoads(); len(zone) > 0 {
-		s.options.Placer.SetZone(from.AvailabilityZone, loadsFromProto(zone), now)
-		s.options.Placer.SetFleet(s.options.Placer.FleetLoads(now), s.options.Placer.Loads(now), now)
-	}
-	if fleet := m.GetFleetLoads(); len(fleet) > 0 {
-		s.options.Placer.SetFleet(loadsFromProto(fleet), loadsFromProto(asked.GetLoads()), now)
-	}
+// takeLoads takes in what a node tells of its load and placements. A hub tells the
+// placements on, and adds up the loads of those that ask it to.
+func (s *Sync) takeLoads(n Node, told toldLoads, now boottime.Instant) {
+	at := time.Now()
+	s.options.Placer.SetPeer(n.Name, loadsFromProto(told.loads), told.addsUp, s.options.Nodes.aliveCount(now), at)
+	s.options.Placer.SetPlacements(placementsFromProto(told.placements), told.toHub, at)
+}
+
+// toldLoads is what a node told of its use of the replicas.
+type toldLoads struct {
+	loads      []*nodesyncv1.Load
+	placements []*nodesyncv1.Placement
+	// addsUp: this node adds up for that one; toHub: this node is a hub.
+	addsUp, toHub bool
+}
+
+// tellLoads adds this node's loads and placements to its answer.
+func (s *Sync) tellLoads(answer *nodesyncv1.ExchangeResponse) {
+	answer.Loads = loadsToProto(s.options.Placer.Loads(time.Now()))
+	answer.Placements = placementsToProto(s.options.Placer.Placements(time.Now()))
 }
--- a/internal/nodesync/node.go
+++ b/internal/nodesync/node.go
@@ -12,6 +12,16 @@
 	// Ready nodes serve; leaving ones are about to stop.
 	Ready   bool
 	Leaving bool
+	// ProcessorShare is the part of a core that it has; zero where not known.
+	ProcessorShare float32
 	// HeardAt is the latest instant at which it was alive.
 	HeardAt boottime.Instant
+	// rank is rankOf the name.
+	rank uint64
+}
+
+// alike says whether both tell the same of a node, but for the time.
+func (n Node) alike(other Node) bool {
+	n.HeardAt, n.rank = other.HeardAt, other.rank
+	return n == other
 }
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -28,6 +28,8 @@
 	known map[string]Node
 	// seeds are peer addresses whose nodes have not answered yet.
 	seeds []string
+	// changes counts the changes of who serves, but for nodes that fall silent.
+	changes uint64
 	// failedAt is when a call of a node last found nobody there.
 	failedAt map[string]boottime.Instant
 }
@@ -66,6 +68,13 @@
 		return false
 	}
 	delete(n.failedAt, node.Name)
+	if !had || !n.alive(old, node.HeardAt) || !old.alike(node) {
+		n.changes++
+	}
+	node.rank = old.rank
+	if !had {
+		node.rank = rankOf(node.Name)
+	}
 	n.known[node.Name] = node
 	return !had || node.HeardAt.Sub(old.HeardAt) > aliveFor
 }
@@ -75,13 +84,31 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if _, known := n.known[name]; known {
+		n.changes++
 		n.failedAt[name] = at
 	}
 }
 
+// changeCount is the number of changes of who serves until now.
+func (n *Nodes) changeCount() uint64 {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	return n.changes
+}
+
 // Serving lists the nodes that callers may be sent to, by name.
 func (n *Nodes) Serving(now boottime.Instant) []Node {
-	return n.list(func(node Node) bool { return n.alive(node, now) && node.Ready && !node.Leaving })
+	return n.list(func(node Node) bool { return n.serves(node, now) })
+}
+
+// serves says whether callers may be sent to the node. The lock is held.
+func (n *Nodes) serves(node Node, now boottime.Instant) bool {
+	return n.alive(node, now) && node.Ready && !node.Leaving
+}
+
+// staying lists the nodes that were heard of lately and are not about to stop.
+func (n *Nodes) staying(now boottime.Instant) []Node {
+	return n.list(func(node Node) bool { return n.alive(node, now) && !node.Leaving })
 }
 
 // Alive lists the nodes that were heard of lately, by name.
@@ -148,7 +175,7 @@
 	if _, had := n.known[node.Name]; had || node.Name == n.self || len(n.known) >= MaxNodes {
 		return
 	}
-	node.Ready, node.Leaving = false, false
+	node.Ready, node.Leaving, node.rank = false, false, rankOf(node.Name)
 	node.HeardAt = now.Add(-aliveFor)
 	n.known[node.Name] = node
 }
--- a/internal/nodesync/options.go
+++ b/internal/nodesync/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
@@ -25,7 +26,14 @@
 	Tracker *quarantine.Tracker
 	// Clients may be given later by SetClients.
 	Clients *peer.Clients
+	// SumsFor is how long a hub tells the same sums; zero: it adds up for each
+	// answer.
+	SumsFor time.Duration
 	Clock   boottime.Clock
 	Rand    *rand.Rand
 	Log     *eventlog.Log
 }
+
+// DefaultSumsFor is a quarter of the time between two rounds: a member hears little
+// later, and a hub adds up twenty times a second at most.
+const DefaultSumsFor = roundEvery / 4
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"connectrpc.com/connect"
@@ -14,7 +15,6 @@
 	"galenatrestle/internal/gen/trestle/nodesync/v1/nodesyncv1connect"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/quarantine/quarantinerpc"
-	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
 )
 
@@ -38,6 +38,10 @@
 	// flight.
 	mu     sync.Mutex
 	asking map[string]bool
+	// wholeListing says that the next request asks for the whole listing.
+	wholeListing atomic.Bool
+	sums         sums
+	hubList      hubList
 }
 
 // New returns a Sync that asks nobody until Run.
@@ -122,7 +126,7 @@
 	began := s.options.Clock()
 	client := nodesyncv1connect.NewNodeSyncServiceClient(
 		s.options.Clients.HTTPClient(t.address), s.options.Clients.URL(t.address))
-	request := s.request(began)
+	request := s.request(t, began)
 	response, err := client.Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		// A path that went silent takes nothing any more: begin a new one.
@@ -150,20 +154,30 @@
 	delete(s.asking, address)
 }
 
-// request is this node's state and what it knows already.
-func (s *Sync) request(now boottime.Instant) *nodesyncv1.ExchangeRequest {
+// request is this node's state and what it knows already, for the node asked.
+func (s *Sync) request(t target, now boottime.Instant) *nodesyncv1.ExchangeRequest {
 	self := s.options.Self()
 	self.HeardAt = now
 	listing, _ := s.options.Replicas.Latest()
-	return &nodesyncv1.ExchangeRequest{
+	terms := s.termsWith(t.name, now)
+	request := &nodesyncv1.ExchangeRequest{
 		Self:             nodeToProto(self, now),
 		ConfigVersion:    s.options.Routes.Get().Version(),
 		ReplicasRevision: listing.Revision,
 		ReplicasDigest:   listing.Digest,
-		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
+		TakesChanges:     true,
+		WithoutLoads:     terms.without,
+		AddsUp:           terms.addsUp,
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
-		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
 	}
+	if s.wholeListing.Swap(false) {
+		request.ReplicasRevision, request.ReplicasDigest = 0, 0
+	}
+	if !terms.without {
+		request.Loads = loadsToProto(s.options.Placer.Loads(time.Now()))
+		request.Placements = placementsToProto(s.options.Placer.Placements(time.Now()))
+	}
+	return request
 }
 
 // Exchange implements nodesyncv1connect.NodeSyncServiceHandler.
@@ -172,12 +186,16 @@
 	m := request.Msg
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.takeNode(caller)
-	isHub := s.isHub(now)
-	s.takeLoads(caller, m.GetLoads(), m.GetPlacements(), isHub, now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
+	if m.GetWithoutLoads() {
+		return connect.NewResponse(s.response(m)), nil
+	}
+	isHub := s.Role().addsUp()
+	s.takeLoads(caller, toldLoads{m.GetLoads(), m.GetPlacements(), m.GetAddsUp(), isHub}, now)
 	answer := s.response(m)
-	if isHub {
-		s.tellSums(answer, caller)
+	s.tellLoads(answer)
+	if isHub || m.GetAddsUp() {
+		s.tellSums(answer, !m.GetAddsUp())
 	}
 	return connect.NewResponse(answer), nil
 }
@@ -198,37 +216,20 @@
 		ReplicasRevision: listing.Revision,
 		ReplicasReadAge:  now.Sub(readAt).Microseconds(),
 		ReplicasDigest:   listing.Digest,
-		Loads:            loadsToProto(s.options.Placer.Loads(time.Now())),
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
-		Placements:       placementsToProto(s.options.Placer.Placements(time.Now())),
 	}
-	for _, n := range s.some(s.options.Nodes.Alive(now)) {
+	for _, n := range s.told(now) {
 		answer.Nodes = append(answer.Nodes, nodeToProto(n, now))
 	}
 	if snapshot.Version() > m.GetConfigVersion() {
 		answer.Config = snapshot.Document
 	}
 	if listing.Revision > m.GetReplicasRevision() && answer.ReplicasDigest != m.GetReplicasDigest() {
-		answer.Replicas = replicasToProto(listing.Replicas)
+		s.tellListing(answer, m, listing)
 	}
 	return answer
 }
 
-// maxTold bounds the nodes told in one answer: news of each node then still pass
-// through a fleet of a hundred within the time for which it counts as alive.
-const maxTold = 24
-
-// some draws the nodes of an answer.
-func (s *Sync) some(nodes []Node) []Node {
-	if len(nodes) <= maxTold {
-		return nodes
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.options.Rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	return nodes[:maxTold]
-}
-
 // take takes in another node's answer to what was asked from the instant on.
 func (s *Sync) take(m *nodesyncv1.ExchangeResponse, asked *nodesyncv1.ExchangeRequest, began boottime.Instant) {
 	node := nodeFromProto(m.GetSelf(), began)
@@ -237,11 +238,14 @@
 	for _, n := range m.GetNodes() {
 		s.takeNode(nodeFromProto(n, began))
 	}
-	s.takeLoads(node, m.GetLoads(), m.GetPlacements(), s.isHub(began), began)
-	s.takeSums(m, node, asked)
+	if !asked.GetWithoutLoads() {
+		isHub := s.Role().addsUp()
+		s.takeLoads(node, toldLoads{loads: m.GetLoads(), placements: m.GetPlacements(), toHub: isHub}, began)
+		s.takeSums(m, node, asked, isHub)
+	}
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.takeConfig(m, node.Name, began)
-	s.takeReplicas(m, began)
+	s.takeReplicas(m, node.Name, began)
 }
 
 func (s *Sync) takeNode(n Node) {
@@ -270,23 +274,6 @@
 	}
 }
 
-// takeReplicas takes a newer listing.
-func (s *Sync) takeReplicas(m *nodesyncv1.ExchangeResponse, began boottime.Instant) {
-	own, _ := s.options.Replicas.Latest()
-	if m.GetReplicasRevision() == 0 || m.GetReplicasRevision() < own.Revision {
-		return
-	}
-	listing := replica.Listing{Revision: m.GetReplicasRevision(), Replicas: own.Replicas, Digest: own.Digest}
-	if m.GetReplicasDigest() != own.Digest {
-		if len(m.GetReplicas()) == 0 {
-			return
-		}
-		listing = replica.Listing{Revision: m.GetReplicasRevision(), Replicas: replicasFromProto(m.GetReplicas())}
-	}
-	readAt := began.Add(-microseconds(m.GetReplicasReadAge()))
-	s.options.Listed(s.options.Replicas.Take(listing, readAt, s.options.Clock()))
-}
-
 // SetClients gives the clients for calls of other nodes. It is called before
 // Run.
 func (s *Sync) SetClients(clients *peer.Clients) { s.options.Clients = clients }
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -60,7 +60,7 @@
 func (a *testNode) asks(t *testing.T, b *testNode, out, back boottime.Instant) {
 	t.Helper()
 	began := a.now
-	request := a.request(began)
+	request := a.request(target{name: b.options.Self().Name}, began)
 	a.now += out
 	b.now += out
 	response, err := b.Exchange(context.Background(), connect.NewRequest(request))
@@ -113,7 +113,7 @@
 	// The same replicas at a later revision need not be sent again.
 	listing.Revision = 9
 	b.options.Replicas.Take(listing, b.now, b.now)
-	if answer := b.response(a.request(a.now)); len(answer.GetReplicas()) != 0 {
+	if answer := b.response(a.request(target{name: b.options.Self().Name}, a.now)); len(answer.GetReplicas()) != 0 {
 		t.Error("a listing was sent that the caller has")
 	}
 	a.asks(t, b, 0, 0)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -32,9 +32,10 @@
 
 // peerLoads is what another node told last.
 type peerLoads struct {
-	zone  string
 	loads []Load
-	at    time.Time
+	// counted loads are part of this node's GroupLoads.
+	counted bool
+	at      time.Time
 }
 
 // recent says whether the loads still count.
@@ -86,21 +87,36 @@
 	return loads
 }
 
-// SetPeer takes in what another node tells of its load; alive is the number of
-// other nodes that serve.
-func (p *Placer) SetPeer(node, zone string, loads []Load, alive int, now time.Time) {
+// SetPeer takes in what another node tells of its load, counted if this node adds
+// up for it; alive is the number of other nodes that serve.
+func (p *Placer) SetPeer(node string, loads []Load, counted bool, alive int, now time.Time) {
 	p.mu.Lock()
-	p.peers[node] = peerLoads{zone: zone, loads: loads, at: now}
-	p.forgetOld(now)
+	p.peers[node] = peerLoads{loads: loads, counted: counted, at: now}
+	forgetOld(p.peers, now)
+	fleetKnown := p.fleetKnown(now)
 	p.mu.Unlock()
-	p.apply(alive, now)
+	if !fleetKnown {
+		p.apply(alive, now)
+	}
+}
+
+// FleetKnown says whether one that adds up the loads of all nodes told the sum
+// lately. It counts then, and what single nodes tell does not.
+func (p *Placer) FleetKnown(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.fleetKnown(now)
 }
 
-// SetZone takes in what the nodes of another availability zone use together.
-func (p *Placer) SetZone(zone string, loads []Load, now time.Time) {
+// fleetKnown is FleetKnown with the lock held.
+func (p *Placer) fleetKnown(now time.Time) bool { return now.Sub(p.fleetAt) <= peerLoadFor }
+
+// SetGroup takes in what the nodes use together for which another one adds up.
+func (p *Placer) SetGroup(hub string, loads []Load, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.zones[zone] = peerLoads{zone: zone, loads: loads, at: now}
+	p.groups[hub] = peerLoads{loads: loads, at: now}
+	forgetOld(p.groups, now)
 }
 
 // SetFleet takes in what all nodes use together, of which own is this node's
@@ -118,18 +134,17 @@
 	p.apply(0, now)
 }
 
-// ZoneLoads is what the nodes of this node's availability zone use together, as
-// far as they have told it.
-func (p *Placer) ZoneLoads(now time.Time) []Load {
-	return listed(p.zoneSum(now))
+// GroupLoads is what this node and those for which it adds up use together.
+func (p *Placer) GroupLoads(now time.Time) []Load {
+	return listed(p.groupSum(now))
 }
 
 // FleetLoads is what all nodes use together, as far as this node was told.
 func (p *Placer) FleetLoads(now time.Time) []Load {
-	sums := p.zoneSum(now)
+	sums := p.groupSum(now)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, told := range p.zones {
+	for _, told := range p.groups {
 		if told.recent(now) {
 			sums = addUp(sums, told.loads)
 		}
@@ -137,23 +152,23 @@
 	return listed(sums)
 }
 
-func (p *Placer) zoneSum(now time.Time) map[string]Load {
+func (p *Placer) groupSum(now time.Time) map[string]Load {
 	sums := addUp(nil, p.Loads(now))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, told := range p.peers {
-		if told.zone == p.zone && told.recent(now) {
+		if told.counted && told.recent(now) {
 			sums = addUp(sums, told.loads)
 		}
 	}
 	return sums
 }
 
-// forgetOld drops what nodes told too long ago. The lock is held.
-func (p *Placer) forgetOld(now time.Time) {
-	for name, told := range p.peers {
-		if !told.recent(now) {
-			delete(p.peers, name)
+// forgetOld drops what was told too long ago.
+func forgetOld(told map[string]peerLoads, now time.Time) {
+	for name, loads := range told {
+		if !loads.recent(now) {
+			delete(told, name)
 		}
 	}
 }
@@ -173,7 +188,7 @@
 func (p *Placer) others(alive int, now time.Time) map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if now.Sub(p.fleetAt) <= peerLoadFor {
+	if p.fleetKnown(now) {
 		return p.fleet
 	}
 	var sums map[string]Load
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -16,10 +16,10 @@
 	mu        sync.Mutex
 	rand      *rand.Rand
 	upstreams map[string]*upstream
-	// peers holds what other nodes told of their loads, zones what the nodes of
-	// other availability zones use together.
-	peers map[string]peerLoads
-	zones map[string]peerLoads
+	// peers holds what other nodes told of their loads, groups what those use
+	// together for which another node adds up, by that node.
+	peers  map[string]peerLoads
+	groups map[string]peerLoads
 	// fleet is what all other nodes use together, as told at fleetAt.
 	fleet   map[string]Load
 	fleetAt time.Time
@@ -27,7 +27,7 @@
 
 // NewPlacer returns a placer for a node in the availability zone.
 func NewPlacer(zone string, replicas *replica.Set, random *rand.Rand) *Placer {
-	return &Placer{zone: zone, replicas: replicas, rand: random, upstreams: make(map[string]*upstream), peers: make(map[string]peerLoads), zones: make(map[string]peerLoads)}
+	return &Placer{zone: zone, replicas: replicas, rand: random, upstreams: make(map[string]*upstream), peers: make(map[string]peerLoads), groups: make(map[string]peerLoads)}
 }
 
 func (p *Placer) upstream(name string) *upstream {
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -95,7 +95,7 @@
 				}
 				loads = append(loads, load)
 			}
-			p.SetPeer("other", "z0", loads, 1, start)
+			p.SetPeer("other", loads, false, 1, start)
 			again := p.Choose(start, "u", long(100))
 			if stayed := again.Replica.ID == first.Replica.ID; stayed != test.stays {
 				t.Errorf("the session stayed at its replica: %v", stayed)
@@ -179,7 +179,7 @@
 	p, set := fleet(3, 1)
 	p.Choose(start, "u", &Request{}).End(start, Cancelled)
 	ids := []string{set.Of("u")[0].ID, set.Of("u")[1].ID}
-	p.SetPeer("other", "z0", []Load{{Replica: ids[0], Failures: 5}, {Replica: ids[1], Running: 90}}, 1, start)
+	p.SetPeer("other", []Load{{Replica: ids[0], Failures: 5}, {Replica: ids[1], Running: 90}}, false, 1, start)
 	for range 10 {
 		a := p.Choose(start, "u", &Request{})
 		if slices.Contains(ids, a.Replica.ID) {
@@ -188,7 +188,7 @@
 		a.End(start, Cancelled)
 	}
 	// News that are not renewed are forgotten with the next news of another node.
-	p.SetPeer("third", "z0", nil, 1, start.Add(2*time.Second))
+	p.SetPeer("third", nil, false, 1, start.Add(2*time.Second))
 	used := make(map[string]bool)
 	for range 40 {
 		a := p.Choose(start, "u", &Request{})
@@ -277,7 +277,7 @@
 	p.Choose(start, "u", &Request{}).End(start, Cancelled)
 	id := set.Of("u")[0].ID
 	for i := range 4 {
-		p.SetPeer(fmt.Sprint(i), "z0", []Load{{Replica: id, Running: 3, Prefill: 100}}, 12, start)
+		p.SetPeer(fmt.Sprint(i), []Load{{Replica: id, Running: 3, Prefill: 100}}, false, 12, start)
 	}
 	s := p.upstream("u").states[id]
 	if s.peersRunning != 36 || s.peersPrefill != 1200 {
--- /dev/null
+++ b/internal/replica/delta_test.go
@@ -0,0 +1,79 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+)
+
+// TestDeltasLeadFromEachListingToTheNewest changes a set at random and follows it
+// with a second one by the differences alone.
+func TestDeltasLeadFromEachListingToTheNewest(t *testing.T) {
+	for seed := range uint64(50) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		source := NewSet()
+		var seen []Listing
+		current := map[string]Replica{}
+		for step := range 20 {
+			id := fmt.Sprintf("r%d", random.IntN(6))
+			if r, had := current[id]; had && random.IntN(2) == 0 {
+				delete(current, id)
+			} else {
+				r.ID, r.Upstream, r.Draining, r.Slots = id, "u", !r.Draining, step
+				current[id] = r
+			}
+			l := Listing{Revision: int64(step + 1)}
+			for _, r := range current {
+				l.Replicas = append(l.Replicas, r)
+			}
+			source.Take(l, at(step*100), at(step*100))
+			newest, _ := source.Latest()
+			seen = append(seen, newest)
+			for back, old := range seen[:step] {
+				if old.Digest == newest.Digest || len(old.Replicas) == 0 {
+					continue
+				}
+				delta, found := source.Since(old.Digest)
+				if !found {
+					t.Fatalf("seed %d, step %d: nothing leads on from listing %d", seed, step, back)
+				}
+				if got := Digest(delta.Apply(old.Replicas)); got != newest.Digest {
+					t.Fatalf("seed %d, step %d: from listing %d by %+v to digest %x, want %x", seed, step, back, delta, got, newest.Digest)
+				}
+			}
+		}
+	}
+}
+
+func TestAnUnknownListingHasNoDelta(t *testing.T) {
+	s := NewSet()
+	s.Take(listing(1, "a"), at(0), at(0))
+	s.Take(listing(2, "a", "b"), at(100), at(100))
+	if delta, found := s.Since(12345); found {
+		t.Errorf("delta %+v of a listing that this set never had", delta)
+	}
+	for i := range 2 * maxDeltas {
+		s.Take(listing(int64(3+i), "a", fmt.Sprint(i)), at(200+i), at(200+i))
+	}
+	if len(s.deltas) > maxDeltas {
+		t.Errorf("%d deltas are remembered", len(s.deltas))
+	}
+}
+
+// TestTheSameListingCostsNothing: each exchange with another node confirms it.
+func TestTheSameListingCostsNothing(t *testing.T) {
+	s := NewSet()
+	s.Take(listing(1, "a", "b", "c"), at(0), at(0))
+	same, _ := s.Latest()
+	revision := same.Revision
+	allocations := testing.AllocsPerRun(100, func() {
+		revision++
+		s.Take(Listing{Revision: revision, Replicas: same.Replicas, Digest: same.Digest}, at(int(revision)*100), at(int(revision)*100))
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations for a listing of the same replicas", allocations)
+	}
+	if newest, readAt := s.Latest(); newest.Revision != revision || readAt != at(int(revision)*100) {
+		t.Errorf("listing of revision %d read at %v", newest.Revision, readAt)
+	}
+}
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -15,8 +15,8 @@
 	Digest uint64
 }
 
-// digest adds up the replicas' hashes.
-func digest(list []Replica) uint64 {
+// Digest adds up the replicas' hashes.
+func Digest(list []Replica) uint64 {
 	var sum uint64
 	var slots [8]byte
 	for _, r := range list {
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -25,6 +25,8 @@
 	listing  Listing
 	readAt   boottime.Instant
 	keepTill boottime.Instant
+	// deltas lead from earlier listings to the one in force, oldest first.
+	deltas []Delta
 	// known holds the replicas of the listing and those kept after an outage.
 	known      map[string]Replica
 	byUpstream map[string][]Replica
@@ -48,7 +50,16 @@
 	}
 	s.readAt = max(s.readAt, readAt)
 	if l.Digest == 0 {
-		l.Digest = digest(l.Replicas)
+		l.Digest = Digest(l.Replicas)
+	}
+	if l.Digest != s.listing.Digest {
+		s.remember(l)
+	} else if len(s.known) == len(l.Replicas) {
+		// The same replicas again and none kept besides: each exchange with
+		// another node brings that, and comparing a thousand takes half a
+		// millisecond.
+		s.listing = l
+		return nil
 	}
 	s.listing = l
 	return s.replace(s.next(now))
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -28,8 +28,12 @@
 	// ResolveTTL is how long callers keep the addresses. Default 2s.
 	ResolveTTL config.Duration `yaml:"resolve_ttl,omitempty" validate:"min=0"`
 	// MemoryMB is the process's memory. Zero: not bounded.
-	MemoryMB float64     `yaml:"memory_mb,omitempty" validate:"min=0"`
-	Retries  RetryBudget `yaml:"retry_budget,omitempty"`
+	MemoryMB float64 `yaml:"memory_mb,omitempty" validate:"min=0"`
+	// ProcessorShare is the part of a core that the process gets. Of the nodes of
+	// an availability zone, those with the most add up for the others. Zero: not
+	// known.
+	ProcessorShare float32     `yaml:"processor_share,omitempty" validate:"min=0"`
+	Retries        RetryBudget `yaml:"retry_budget,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
