Node sync: few asks across availability zones, the same number of hubs at all nodes; reads of many pages

Cause: at 300 nodes most bytes between zones were asks of nodes drawn at random, who tell nothing that the hubs do not; a node hears of half of the others within the time that counts as alive there, so that nodes worked out different numbers of hubs for a zone. And a read of 3,000 registrations takes seven calls and a megabyte, a second on a link of 10 Mbit/s, but was cut after 0.9 s, and begun again.

--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -16,8 +16,10 @@
 const (
 	// readJitter spreads the reads, so that one node's read saves the others'.
 	readJitter = 600 * time.Millisecond
-	// readTimeout bounds one read: a store that is slower counts as away.
-	readTimeout = 900 * time.Millisecond
+	// readTimeout bounds one read, of several calls where a listing has pages: seven
+	// for 3,000 replicas, and a megabyte, which takes a second on a slow link. The
+	// store's client bounds each call.
+	readTimeout = 4 * time.Second
 )
 
 // readAt is the age of a copy at which a node reads the store itself. Until then it
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -68,11 +68,13 @@
 	}
 	slices.SortFunc(nodes, compareForHub)
 	var hubs []Node
+	sizes := s.options.Nodes.zoneSizes(now)
+	sizes[self.AvailabilityZone]++
 	for len(nodes) > 0 {
-		inZone := zoneLength(nodes)
-		count := (inZone + nodesPerHub - 1) / nodesPerHub
-		hubs = append(hubs, nodes[:count]...)
-		nodes = nodes[inZone:]
+		zone := nodes[:zoneLength(nodes)]
+		count := (sizes[zone[0].AvailabilityZone] + nodesPerHub - 1) / nodesPerHub
+		hubs = append(hubs, zone[:min(count, len(zone))]...)
+		nodes = nodes[len(zone):]
 	}
 	return hubs
 }
@@ -172,22 +174,43 @@
 	return FurtherHub
 }
 
-// withHubs is the nodes to ask in a round: in a fleet with hubs the own hub, for a
-// hub all others, and one of those drawn at random.
+const (
+	// strayRounds is the number of rounds of which one asks a node besides the hubs,
+	// so that news spread also where the hubs fail.
+	strayRounds = 2
+	// acrossRounds is the number of rounds of which one asks such a node of any
+	// availability zone; bytes between zones are paid for, and the hubs bring the
+	// news of the others.
+	acrossRounds = 8
+)
+
+// stray is the node to ask besides the hubs in the round, if any: one of the drawn.
+func stray(drawn []target, zone string, round uint64) []target {
+	if round%strayRounds != 0 {
+		return nil
+	}
+	if round%acrossRounds != 0 {
+		drawn = slices.DeleteFunc(drawn, func(t target) bool { return t.zone != zone })
+	}
+	return drawn[:min(len(drawn), 1)]
+}
+
+// withHubs is the nodes to ask in a round, of those drawn at random: in a fleet with
+// hubs the own hub, for a hub all others, and now and then another node.
 func (s *Sync) withHubs(drawn []target, now boottime.Instant) []target {
 	self := s.options.Self()
 	hubs := s.hubs(now)
 	own := hubFor(self, hubs)
 	if own.Name == "" {
-		return drawn
+		return drawn[:min(len(drawn), callsPerRound)]
 	}
-	targets := drawn[:min(len(drawn), 1)]
+	targets := stray(drawn, self.AvailabilityZone, s.rounds.Add(1))
 	if own.Name != self.Name {
-		return append(targets, target{own.Name, own.PeerAddress})
+		return append(targets, targetOf(own))
 	}
 	for _, hub := range hubs {
 		if hub.Name != self.Name {
-			targets = append(targets, target{hub.Name, hub.PeerAddress})
+			targets = append(targets, targetOf(hub))
 		}
 	}
 	return targets
--- a/internal/nodesync/hub_loads_test.go
+++ b/internal/nodesync/hub_loads_test.go
@@ -173,3 +173,41 @@
 		t.Errorf("the hub is %s, want %s, which alone is ready", hub.Name, ready.Name)
 	}
 }
+
+// TestMembersMostlyAskInTheirZone: what crosses availability zones is paid for.
+func TestMembersMostlyAskInTheirZone(t *testing.T) {
+	nodes := largeFleet(30)
+	hub := nodes[0].hubOf("z0", nodes[0].now)
+	member := memberOf(nodes, hub.Name)
+	asked := make(map[string]int)
+	for range 80 {
+		for _, target := range member.targets() {
+			if target.name == hub.Name {
+				asked["hub"]++
+			} else {
+				asked[target.zone]++
+			}
+		}
+	}
+	across := asked["z1"] + asked["z2"]
+	if asked["hub"] < 80 || asked["z0"] < 20 || across == 0 || across > 15 {
+		t.Errorf("asked %v in 80 rounds", asked)
+	}
+}
+
+// TestSilentNodesCountForTheNumberOfHubs: nodes that hear of different ones lately
+// still agree on the hubs.
+func TestSilentNodesCountForTheNumberOfHubs(t *testing.T) {
+	nodes := fleetOf(240, 3)
+	want := len(nodes[0].hubs(nodes[0].now))
+	a := nodes[1]
+	a.now += 5 * second
+	for _, n := range nodes[:120] {
+		self := n.options.Self()
+		self.HeardAt = a.now
+		a.options.Nodes.Take(self)
+	}
+	if got := len(a.hubs(a.now)); got != want {
+		t.Errorf("%d hubs where half of the nodes were heard of lately, want %d", got, want)
+	}
+}
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -111,6 +111,17 @@
 	return n.list(func(node Node) bool { return n.alive(node, now) && !node.Leaving })
 }
 
+// zoneSizes is the number of nodes of each availability zone, those included that
+// were silent lately: in a fleet of hundreds a node hears of most others less than
+// once a second, and all are to work out the same number of hubs.
+func (n *Nodes) zoneSizes(now boottime.Instant) map[string]int {
+	sizes := make(map[string]int)
+	for _, node := range n.all(now) {
+		sizes[node.AvailabilityZone]++
+	}
+	return sizes
+}
+
 // Alive lists the nodes that were heard of lately, by name.
 func (n *Nodes) Alive(now boottime.Instant) []Node {
 	return n.list(func(node Node) bool { return n.alive(node, now) })
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -40,8 +40,10 @@
 	asking map[string]bool
 	// wholeListing says that the next request asks for the whole listing.
 	wholeListing atomic.Bool
-	sums         sums
-	hubList      hubList
+	// rounds counts the rounds.
+	rounds  atomic.Uint64
+	sums    sums
+	hubList hubList
 }
 
 // New returns a Sync that asks nobody until Run.
@@ -71,13 +73,15 @@
 	return time.Duration(s.options.Rand.Int64N(int64(roundJitter)))
 }
 
-// target is one node to ask; its name is empty where only a seed's address is
-// known.
+// target is one node to ask; only the address of a seed is known.
 type target struct {
 	name    string
 	address string
+	zone    string
 }
 
+func targetOf(n Node) target { return target{n.Name, n.PeerAddress, n.AvailabilityZone} }
+
 // Round asks a few nodes, without waiting for their answers.
 func (s *Sync) Round(ctx context.Context) {
 	for _, t := range s.targets() {
@@ -91,7 +95,7 @@
 	now := s.options.Clock()
 	var alive, silent []target
 	for _, n := range s.options.Nodes.all(now) {
-		t := target{n.Name, n.PeerAddress}
+		t := targetOf(n)
 		if now.Sub(n.HeardAt) < aliveFor {
 			alive = append(alive, t)
 		} else {
@@ -103,7 +107,7 @@
 	}
 	s.shuffle(alive)
 	s.shuffle(silent)
-	chosen := s.withHubs(alive[:min(len(alive), callsPerRound)], now)
+	chosen := s.withHubs(alive, now)
 	// One silent node at least is looked for, however many are asked.
 	missing := max(callsPerRound-len(chosen), 0) + 1
 	return append(chosen, silent[:min(len(silent), missing)]...)
@@ -283,7 +287,7 @@
 func (s *Sync) Tell(ctx context.Context) {
 	var calls sync.WaitGroup
 	for _, n := range s.options.Nodes.Alive(s.options.Clock()) {
-		calls.Go(func() { s.ask(ctx, target{n.Name, n.PeerAddress}) })
+		calls.Go(func() { s.ask(ctx, targetOf(n)) })
 	}
 	calls.Wait()
 }
