Node sync: nodes heard of now and then are not looked for

Cause: at 300 nodes about half were unheard for the 1.5 s that count as alive, and each round asked up to three of these besides the hub: most of the calls. They are looked for after a time that grows with the fleet now; nodes that the store names and nobody has met are at once. The choice of targets is a file of its own.

--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -174,48 +174,6 @@
 	return FurtherHub
 }
 
-const (
-	// strayRounds is the number of rounds of which one asks a node besides the hubs,
-	// so that news spread also where the hubs fail.
-	strayRounds = 2
-	// acrossRounds is the number of rounds of which one asks such a node of any
-	// availability zone; bytes between zones are paid for, and the hubs bring the
-	// news of the others.
-	acrossRounds = 8
-)
-
-// stray is the node to ask besides the hubs in the round, if any: one of the drawn.
-func stray(drawn []target, zone string, round uint64) []target {
-	if round%strayRounds != 0 {
-		return nil
-	}
-	if round%acrossRounds != 0 {
-		drawn = slices.DeleteFunc(drawn, func(t target) bool { return t.zone != zone })
-	}
-	return drawn[:min(len(drawn), 1)]
-}
-
-// withHubs is the nodes to ask in a round, of those drawn at random: in a fleet with
-// hubs the own hub, for a hub all others, and now and then another node.
-func (s *Sync) withHubs(drawn []target, now boottime.Instant) []target {
-	self := s.options.Self()
-	hubs := s.hubs(now)
-	own := hubFor(self, hubs)
-	if own.Name == "" {
-		return drawn[:min(len(drawn), callsPerRound)]
-	}
-	targets := stray(drawn, self.AvailabilityZone, s.rounds.Add(1))
-	if own.Name != self.Name {
-		return append(targets, targetOf(own))
-	}
-	for _, hub := range hubs {
-		if hub.Name != self.Name {
-			targets = append(targets, targetOf(hub))
-		}
-	}
-	return targets
-}
-
 // loadTerms is what a request says of loads.
 type loadTerms struct {
 	// without: neither side tells loads and placements.
--- a/internal/nodesync/hub_loads_test.go
+++ b/internal/nodesync/hub_loads_test.go
@@ -211,3 +211,24 @@
 		t.Errorf("%d hubs where half of the nodes were heard of lately, want %d", got, want)
 	}
 }
+
+// TestNodesHeardOfNowAndThenAreNotLookedFor: in a large fleet that are most.
+func TestNodesHeardOfNowAndThenAreNotLookedFor(t *testing.T) {
+	nodes := fleetOf(240, 3)
+	a := nodes[1]
+	a.now += 2 * second
+	for _, n := range nodes[:120] {
+		self := n.options.Self()
+		self.HeardAt = a.now
+		a.options.Nodes.Take(self)
+	}
+	for range 20 {
+		if targets := a.targets(); len(targets) > callsPerRound {
+			t.Fatalf("%d nodes are asked in a round", len(targets))
+		}
+	}
+	a.options.Nodes.Suggest(Node{Name: "new", PeerAddress: "new:1"}, a.now)
+	if !slices.ContainsFunc(a.targets(), func(t target) bool { return t.name == "new" }) {
+		t.Error("a node that was announced is not looked for")
+	}
+}
--- a/internal/nodesync/node.go
+++ b/internal/nodesync/node.go
@@ -18,10 +18,12 @@
 	HeardAt boottime.Instant
 	// rank is rankOf the name.
 	rank uint64
+	// unmet nodes were only suggested.
+	unmet bool
 }
 
 // alike says whether both tell the same of a node, but for the time.
 func (n Node) alike(other Node) bool {
-	n.HeardAt, n.rank = other.HeardAt, other.rank
+	n.HeardAt, n.rank, n.unmet = other.HeardAt, other.rank, other.unmet
 	return n == other
 }
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -186,7 +186,7 @@
 	if _, had := n.known[node.Name]; had || node.Name == n.self || len(n.known) >= MaxNodes {
 		return
 	}
-	node.Ready, node.Leaving, node.rank = false, false, rankOf(node.Name)
+	node.Ready, node.Leaving, node.rank, node.unmet = false, false, rankOf(node.Name), true
 	node.HeardAt = now.Add(-aliveFor)
 	n.known[node.Name] = node
 }
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -73,15 +73,6 @@
 	return time.Duration(s.options.Rand.Int64N(int64(roundJitter)))
 }
 
-// target is one node to ask; only the address of a seed is known.
-type target struct {
-	name    string
-	address string
-	zone    string
-}
-
-func targetOf(n Node) target { return target{n.Name, n.PeerAddress, n.AvailabilityZone} }
-
 // Round asks a few nodes, without waiting for their answers.
 func (s *Sync) Round(ctx context.Context) {
 	for _, t := range s.targets() {
@@ -89,36 +80,6 @@
 	}
 }
 
-// targets draws the nodes of a round: mostly nodes that are alive, and now and
-// then one that was not heard of lately or a seed.
-func (s *Sync) targets() []target {
-	now := s.options.Clock()
-	var alive, silent []target
-	for _, n := range s.options.Nodes.all(now) {
-		t := targetOf(n)
-		if now.Sub(n.HeardAt) < aliveFor {
-			alive = append(alive, t)
-		} else {
-			silent = append(silent, t)
-		}
-	}
-	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress) {
-		silent = append(silent, target{address: address})
-	}
-	s.shuffle(alive)
-	s.shuffle(silent)
-	chosen := s.withHubs(alive, now)
-	// One silent node at least is looked for, however many are asked.
-	missing := max(callsPerRound-len(chosen), 0) + 1
-	return append(chosen, silent[:min(len(silent), missing)]...)
-}
-
-func (s *Sync) shuffle(list []target) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.options.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-}
-
 // ask makes one call, unless one to the same node is in flight.
 func (s *Sync) ask(ctx context.Context, t target) {
 	if !s.begin(t.address) {
