Claims: a holder is asked at the address of its lease, not at that of the view

Cause: of 14 copies of TestReplacingEveryNodeCutsNothing beside load one still failed: for 2 s a node asked the holder of a shard at the address that the replaced process of that VM had had, since its view of the members was behind; each refused connection had it ask the platform, which named the holder again, with its new address.

Change: the address in the lease holder's name is used; the view's only where there is none. TestAHolderIsAskedAtTheAddressOfItsLease failed before.

--- a/internal/claim/hint_test.go
+++ b/internal/claim/hint_test.go
@@ -47,3 +47,24 @@
 		}
 	}
 }
+
+// TestAHolderIsAskedAtTheAddressOfItsLease has a node that was replaced hold the
+// shard, while another one still has the address of the process before in its view.
+func TestAHolderIsAskedAtTheAddressOfItsLease(t *testing.T) {
+	within(t, func(t *testing.T, _ *cluster, nodes []*testNode) {
+		holder := nodes[1].shardHolders[0]
+		holder.forget()
+		holder.learn(Hint{Holder: HolderName("n3", "run-2", "n3-replaced"), Epoch: 9})
+		if address, ok := holder.holderAddress(); !ok || address != "n3-replaced" {
+			t.Errorf("the holder is asked at %q, want the address in its lease", address)
+		}
+		holder.learn(Hint{Holder: HolderName("n2", "run-1", "n2"), Epoch: 10})
+		if address, ok := holder.holderAddress(); ok {
+			t.Errorf("a node asks itself at %q", address)
+		}
+		holder.learn(Hint{Holder: "n3", Epoch: 11})
+		if address, ok := holder.holderAddress(); !ok || address != "n3" {
+			t.Errorf("a holder that tells no address is asked at %q, want that of the view", address)
+		}
+	})
+}
--- a/internal/claim/shardholder.go
+++ b/internal/claim/shardholder.go
@@ -182,18 +182,21 @@
 	return t.hint
 }
 
-// holderAddress returns the peer address of the node to ask. It is false where
-// that would be this node; then it tries to hold the shard.
+// holderAddress returns the peer address of the node to ask: the one that the
+// holder took the lease with, since the view may still have that of the process
+// before it. It is false where that would be this node; then it tries to hold the
+// shard.
 func (t *shardHolder) holderAddress() (string, bool) {
 	node, address := readHolder(t.holderHint().Holder)
-	member, known := memberNamed(t.options.View, node)
-	if !known && address != "" {
+	self := t.options.View.Self().Name
+	if address != "" && node != self {
 		return address, true
 	}
+	member, known := memberNamed(t.options.View, node)
 	if !known {
 		member = t.options.View.Owner(t.name)
 	}
-	if t.isSelf(member) || member.PeerAddress == "" {
+	if member.Name == self || member.PeerAddress == "" {
 		t.ask()
 		return "", false
 	}
