Node sync: only a hub tells sums

Cause: found by reading. A node that another one takes for its hub, while it does not itself, told the sum of what it knew as the whole fleet's, and used it itself; that leaves out all other hubs' parts. It tells none now, and the other node falls back on what single nodes tell, as before there were several hubs. TestANodeThatIsNoHubTellsNoSums failed before.

--- a/internal/nodesync/hub_loads_test.go
+++ b/internal/nodesync/hub_loads_test.go
@@ -232,3 +232,23 @@
 		t.Error("a node that was announced is not looked for")
 	}
 }
+
+// TestANodeThatIsNoHubTellsNoSums: it hears of no other hub's part, so that what it
+// could tell as the fleet's use would be a small part of it.
+func TestANodeThatIsNoHubTellsNoSums(t *testing.T) {
+	nodes := largeFleet(30)
+	for range 3 {
+		round(t, nodes)
+	}
+	hub := nodes[0].hubOf("z0", nodes[0].now)
+	member := memberOf(nodes, hub.Name)
+	request := member.request(target{name: hub.Name}, member.now)
+	other := memberOf(nodes, nodes[0].hubOf("z1", nodes[0].now).Name)
+	response, err := other.Exchange(t.Context(), connect.NewRequest(request))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if sums := response.Msg; len(sums.GetFleetLoads()) > 0 || len(sums.GetGroupLoads()) > 0 {
+		t.Errorf("sums of the fleet %v and of a group %v", sums.GetFleetLoads(), sums.GetGroupLoads())
+	}
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -159,7 +159,7 @@
 	s.takeLoads(caller, toldLoads{m.GetLoads(), m.GetPlacements(), m.GetAddsUp(), isHub}, now)
 	answer := s.response(m)
 	s.tellLoads(answer)
-	if isHub || m.GetAddsUp() {
+	if isHub {
 		s.tellSums(answer, !m.GetAddsUp())
 	}
 	return connect.NewResponse(answer), nil
