--- /dev/null
+++ b/internal/placement/bench_test.go
@@ -0,0 +1,48 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"galenatrestle/internal/replica"
+)
+
+// BenchmarkChoose is one choice among engines, with the news of other nodes.
+func BenchmarkChoose(b *testing.B) {
+	for _, replicas := range []int{12, 60, 3000} {
+		b.Run(fmt.Sprintf("replicas=%d", replicas), func(b *testing.B) {
+			p, now := benchPlacer(replicas)
+			for i := range b.N {
+				a := p.Choose(now, "u", &Request{PromptTokens: 900, Shared: []Part{{ID: uint64(i % 500), Tokens: 700}}})
+				a.End(now, Answered)
+			}
+		})
+	}
+}
+
+// BenchmarkLoads is what a node tells of its own load, and what it takes in.
+func BenchmarkLoads(b *testing.B) {
+	p, now := benchPlacer(3000)
+	loads := p.Loads(now)
+	for b.Loop() {
+		p.SetFleet(loads, p.Loads(now), now)
+	}
+}
+
+// benchPlacer returns a placer among so many engines, of which ten are in use.
+func benchPlacer(replicas int) (*Placer, time.Time) {
+	set := replica.NewSet()
+	listing := replica.Listing{Revision: 1}
+	for i := range replicas {
+		listing.Replicas = append(listing.Replicas, replica.Replica{ID: fmt.Sprintf("i-%010d", i), Upstream: "u", Slots: 32})
+	}
+	set.Take(listing, 1, 1)
+	p := NewPlacer("z0", set, rand.New(rand.NewPCG(1, 1)))
+	now := time.Unix(1000, 0)
+	for i := range 10 {
+		p.Choose(now, "u", &Request{PromptTokens: 900, Shared: []Part{{ID: uint64(i), Tokens: 700}}})
+	}
+	return p, now
+}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -74,15 +74,15 @@
 func (u *upstream) loads(now time.Time, loads []Load) []Load {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for id, s := range u.states {
+	for _, s := range u.all {
 		failures := s.failuresAt(now)
-		if s.silence(now) > silenceFrom {
-			failures += s.silence(now).Seconds()
+		if silence := s.silence(now); silence > silenceFrom {
+			failures += silence.Seconds()
 		}
 		if s.running == 0 && failures < negligibleFailures {
 			continue
 		}
-		loads = append(loads, Load{Replica: id, Running: s.running, Light: s.light, Prefill: s.prefill, Tokens: s.tokens, Failures: failures})
+		loads = append(loads, Load{Replica: s.replica.ID, Running: s.running, Light: s.light, Prefill: s.prefill, Tokens: s.tokens, Failures: failures})
 	}
 	return loads
 }
@@ -255,8 +255,8 @@
 func (u *upstream) setPeers(sums map[string]Load) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for id, s := range u.states {
-		sum := sums[id]
+	for _, s := range u.all {
+		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersLight = sum.Running, sum.Light
 		s.peersPrefill, s.peersTokens, s.peersFailures = sum.Prefill, sum.Tokens, sum.Failures
 	}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -87,7 +87,7 @@
 }
 
 // lightSide is the number of replicas, from the first, that take light requests.
-func (u *upstream) lightSide(now time.Time, r *Request, open []replica.Replica) int {
+func (u *upstream) lightSide(now time.Time, r *Request, open []*state) int {
 	if r.PromptTokens == 0 || len(open) < 2 {
 		return len(open)
 	}
@@ -105,10 +105,9 @@
 const assumedDemand = 0.3
 
 // average takes the present load into the averages.
-func (u *upstream) average(now time.Time, open []replica.Replica) {
+func (u *upstream) average(now time.Time, open []*state) {
 	light, running := 0, 0
-	for _, r := range open {
-		s := u.states[r.ID]
+	for _, s := range open {
 		light += s.light + s.peersLight
 		running += s.running + s.peersRunning
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -23,10 +24,12 @@
 	mu     sync.Mutex
 	rand   *rand.Rand
 	states map[string]*state
-	// followed is the replicas that states were made for, openNow those of them
-	// that take new requests, in the order of the split.
+	// all is the states as a list, which is much quicker to go through.
+	all []*state
+	// followed is the replicas that states were made for, openNow the states of
+	// those that take new requests, in the order of the split.
 	followed []replica.Replica
-	openNow  []replica.Replica
+	openNow  []*state
 	// workMS is the usual time of a plain service's answer.
 	workMS float64
 	// prompts is the usual prompt of each class, in tokens.
@@ -48,7 +51,6 @@
 		return
 	}
 	u.followed = replicas
-	u.openNow = open(replicas)
 	if len(u.states) > 2*len(replicas)+8 {
 		u.forget(replicas)
 	}
@@ -59,6 +61,11 @@
 		}
 		u.states[r.ID] = &state{replica: r}
 	}
+	u.all = slices.Collect(maps.Values(u.states))
+	u.openNow = u.openNow[:0]
+	for _, r := range open(replicas) {
+		u.openNow = append(u.openNow, u.states[r.ID])
+	}
 }
 
 // sameSlice says whether both are one slice. The set of replicas hands out the
@@ -95,11 +102,10 @@
 	reread := rereadCost * (1 + u.backlog(side)/backlogDoubles)
 	var best *state
 	least := math.Inf(1)
-	for i, candidate := range open {
-		s := u.states[candidate.ID]
+	for i, s := range open {
 		// Equal costs are split at random, so that nodes with the same view
 		// do not all take the same replica.
-		cost := u.cost(now, r, s, candidate.ID == homeID, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
+		cost := u.cost(now, r, s, s.replica.ID == homeID, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < light)
 		if cost < least {
 			best, least = s, cost
@@ -111,13 +117,12 @@
 // backlog is the time that the replicas need to read the prompts that wait there,
 // in milliseconds: the median, so that one with a long queue does not count as
 // all of them.
-func (u *upstream) backlog(replicas []replica.Replica) float64 {
-	if len(replicas) == 0 {
+func (u *upstream) backlog(states []*state) float64 {
+	if len(states) == 0 {
 		return 0
 	}
 	u.waiting = u.waiting[:0]
-	for _, r := range replicas {
-		s := u.states[r.ID]
+	for _, s := range states {
 		u.waiting = append(u.waiting, s.prefill+s.peersPrefill)
 	}
 	slices.Sort(u.waiting)
@@ -134,16 +139,16 @@
 )
 
 // homeOf is the replica to which the prompt's deepest shared part leads.
-func homeOf(r *Request, replicas []replica.Replica) string {
+func homeOf(r *Request, states []*state) string {
 	if len(r.Shared) == 0 {
 		return ""
 	}
 	part := r.Shared[len(r.Shared)-1].ID
 	var best uint64
 	id := ""
-	for _, candidate := range replicas {
-		if rank := home(part, candidate.ID); id == "" || rank > best {
-			best, id = rank, candidate.ID
+	for _, s := range states {
+		if rank := home(part, s.replica.ID); id == "" || rank > best {
+			best, id = rank, s.replica.ID
 		}
 	}
 	return id
