--- a/internal/embedded/pair_test.go
+++ b/internal/embedded/pair_test.go
@@ -78,7 +78,10 @@
 // TestMoveWithoutRoomIsRefusedBeforeTheSeal moves the load of two engines to a
 // data centre that has one.
 func TestMoveWithoutRoomIsRefusedBeforeTheSeal(t *testing.T) {
-	pair, err := StartPair(Options{Nodes: 2, Engines: 2, Services: 1}, Options{Nodes: 2, Engines: 1, Services: 1})
+	// Slow engines, so that all slots of the west are in use also where a busy machine
+	// holds the callers up: a load of up to 8 has room in the east.
+	slow := engine.Options{Speed: 0.2}
+	pair, err := StartPair(Options{Nodes: 2, Engines: 2, Services: 1, Engine: slow}, Options{Nodes: 2, Engines: 1, Services: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
