Prompts to read told by rank, shared parts copied between replicas, a learned reading speed

Now the tokens to read are told by rank, a request waits for those of its own rank and before, and while one rank is refused the less urgent ones are too (package overload, apart from I/O).

Shared parts are copied from the replica that has read them where the engine can (2 or 3 times 9,000 tokens a second, against reading them again).

The reading speed of the engines was a constant, 50 tokens a ms. It is learned now from times to the first token (package enginespeed).

A registration may tell when its process started: the same identity with another start is another process, which holds nothing.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/replicaconn"
 )
@@ -78,35 +79,33 @@
 	if place == nil {
 		return nil, &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	}
-	if e.attempts == 1 && e.hopeless(&place.Choice) {
+	if e.attempts > 1 {
+		return place, nil
+	}
+	if verdict := e.admit(&place.Choice); verdict.Refused() {
 		place.End(time.Now(), placement.Cancelled)
-		return nil, &Failure{
-			Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: place.Replica.Address,
-			Cause: fmt.Errorf("%w: %s expected at the best of %d replicas, memory used %.2f, %d requests there",
-				errOverloaded, place.Choice.Wait.Round(time.Millisecond), place.Choice.Among, place.Choice.Used, place.Choice.Running),
-		}
+		return nil, e.turnedAway(place, verdict)
 	}
 	return place, nil
 }
 
-// hopeless says whether the call had better not begin, since its first token
-// would come too late or the replicas' memory is full. Replicas that are given
-// more than that put running calls back, lose their caches and read the same
-// parts again and again, until nothing is on time.
-func (e *exchange) hopeless(c *placement.Choice) bool {
-	objective := e.call.Route.Objective
-	late := objective > 0 && c.Wait > time.Duration(hopelessFactor*float64(objective))
-	return late || c.Used > fullFrom
+// admit decides whether the call may begin at the replica that was chosen for it.
+func (e *exchange) admit(c *placement.Choice) overload.Verdict {
+	return e.forwarder.gates.Of(e.call.Upstream).Decide(time.Now(), overload.Request{
+		Rank: e.call.Rank, Objective: e.call.Route.Objective,
+		Ahead: c.Wait - c.Own, Own: c.Own, MemoryUsed: c.Used,
+	})
 }
 
-const (
-	// hopelessFactor times the objective is the expected wait from which a call
-	// is refused before it costs anything.
-	hopelessFactor = 1.5
-	// fullFrom is the part of a replica's memory, with each running call's whole
-	// prompt counted, from which it gets no more.
-	fullFrom = 0.75
-)
+// turnedAway is the failure of a call that was not let in.
+func (e *exchange) turnedAway(place *placement.Attempt, v overload.Verdict) *Failure {
+	c := &place.Choice
+	return &Failure{
+		Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: place.Replica.Address, RetryAfter: v.RetryAfter,
+		Cause: fmt.Errorf("%w (%s): %s expected at the best of %d replicas, memory used %.2f, %d requests there",
+			errOverloaded, v.Reason, c.Wait.Round(time.Millisecond), c.Among, c.Used, c.Running),
+	}
+}
 
 // run connects, sends the call and passes the answer on.
 func (a *attempt) run() *Failure {
@@ -181,6 +180,7 @@
 			Workspace: c.workspace(),
 			Rank:      c.Rank,
 			LastEvent: a.exchange.lastEvent,
+			CopyFrom:  a.place.CopyFrom,
 		}),
 	}
 }
@@ -281,7 +281,7 @@
 	if err != nil {
 		return a.failed(stepBody, err)
 	}
-	a.place.Begun(time.Now())
+	a.place.Responded(time.Now())
 	return &Failure{
 		Result: placement.Errored, Arrived: true, Step: stepAnswer, Peer: a.place.Replica.Address,
 		Status: a.response.StatusCode, Header: a.response.Header, Body: body,
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -20,6 +20,8 @@
 	Rank int
 	// MemoryTokens is what a replica's memory holds; zero: not known.
 	MemoryTokens int
+	// CopiesPrompts says that a replica can copy cached prompt parts from another.
+	CopiesPrompts bool
 	// MaxConnections bounds this node's connections to one replica; zero: none.
 	MaxConnections int
 	Method         string
@@ -44,7 +46,7 @@
 
 // placementRequest is what a choice of a replica needs to know.
 func (c *Call) placementRequest() placement.Request {
-	r := placement.Request{Class: c.Route.Name, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, AnswerTokens: c.Prompt.AnswerHint}
+	r := placement.Request{Class: c.Route.Name, Rank: c.Rank, Objective: c.Route.Objective, MaxPause: c.Route.MaxPause, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, CopiesPrompts: c.CopiesPrompts, AnswerTokens: c.Prompt.AnswerHint}
 	if r.AnswerTokens == 0 {
 		r.AnswerTokens = c.Prompt.MaxAnswer
 	}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -52,6 +52,9 @@
 	Remaining time.Duration
 	// Replica is the identity that the attempt is meant for.
 	Replica string
+	// CopyFrom is the address of a replica from which the one asked copies what it
+	// lacks of the prompt; empty: none.
+	CopyFrom string
 	// Workspace is the name of the caller's workspace; empty: none.
 	Workspace string
 	// Rank is the urgency; 0 is the most urgent.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -150,8 +150,8 @@
 		"request": ev.exchange.call.ID, "route": ev.exchange.call.Route.Name, "upstream": ev.exchange.call.Upstream,
 		"replica": ev.place.Replica.ID, "peer": ev.place.Replica.Address, "attempt": ev.exchange.attempts,
 		"rank": ev.exchange.call.Rank, "workspace": ev.exchange.call.workspace(),
-		"cost_ms": int(c.Cost), "wait_ms": c.Wait.Milliseconds(), "memory_used": hundredths(c.Used), "among": c.Among, "running": c.Running, "prefill": c.Prefill,
-		"cached": c.Cached, "failures": hundredths(c.Failures), "replicas_revision": ev.revision,
+		"cost_ms": int(c.Cost), "wait_ms": c.Wait.Milliseconds(), "memory_used": hundredths(c.Used), "among": c.Among, "running": c.Running, "to_read": c.ToRead, "ahead": c.Ahead,
+		"cached": c.Cached, "copy_from": ev.place.CopyFrom, "failures": hundredths(c.Failures), "read_speed": hundredths(c.ReadSpeed), "replicas_revision": ev.revision,
 	}
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -18,9 +19,6 @@
 	// run: long enough for a replica's queue to move on, short against the
 	// usual objectives.
 	refusedRetryAfter = 200 * time.Millisecond
-	// overloadRetryAfter is what a caller is told to wait whose call would have
-	// been too late: about the time in which a replica reads what waits there.
-	overloadRetryAfter = 600 * time.Millisecond
 )
 
 // exchange is one call on its way. It is for one goroutine.
@@ -51,8 +49,8 @@
 	replica   string
 }
 
-// errOverloaded says that all replicas have more to read than can be of use.
-var errOverloaded = errors.New("the first token would come too late")
+// errOverloaded says that the call was turned away before it could cost anything.
+var errOverloaded = errors.New("turned away for overload")
 
 // errNoReplica says that no replica takes new requests.
 var errNoReplica = errors.New("no replica takes new requests")
@@ -151,8 +149,5 @@
 
 // retryAfter is when a caller whose call was not run should come back.
 func retryAfter(f *Failure) time.Duration {
-	if errors.Is(f, errOverloaded) {
-		return overloadRetryAfter
-	}
-	return refusedRetryAfter
+	return cmp.Or(f.RetryAfter, refusedRetryAfter)
 }
--- a/internal/forward/failure.go
+++ b/internal/forward/failure.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"time"
 
 	"galenatrestle/internal/placement"
 )
@@ -26,6 +27,9 @@
 	Header http.Header
 	Body   []byte
 	Cause  error
+	// RetryAfter is when a caller whose call was not run should come back; zero: at
+	// the usual time.
+	RetryAfter time.Duration
 }
 
 // Error implements error.
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -4,12 +4,15 @@
 	"context"
 	"net/http"
 	"time"
+
+	"galenatrestle/internal/overload"
 )
 
 // Forwarder takes calls to their end. It is safe for concurrent use.
 type Forwarder struct {
 	options Options
 	metrics *metrics
+	gates   overload.Gates
 }
 
 // New returns a forwarder.
--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -37,7 +37,7 @@
 	for _, r := range list {
 		converted = append(converted, &nodesyncv1.Replica{
 			Id: r.ID, Upstream: r.Upstream, Address: r.Address,
-			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining,
+			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining, StartedAt: r.StartedAt,
 		})
 	}
 	return converted
@@ -48,7 +48,7 @@
 	for _, r := range list {
 		converted = append(converted, replica.Replica{
 			ID: r.GetId(), Upstream: r.GetUpstream(), Address: r.GetAddress(),
-			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(),
+			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(), StartedAt: r.GetStartedAt(),
 		})
 	}
 	return converted
@@ -58,7 +58,7 @@
 	converted := make([]*nodesyncv1.Load, 0, len(loads))
 	for _, l := range loads {
 		converted = append(converted, &nodesyncv1.Load{
-			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Prefill), Light: int32(l.Light), Tokens: int32(l.Tokens), Failures: float32(l.Failures),
+			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.Reading.Total()), PrefillByRank: readingToProto(l.Reading), Light: int32(l.Light), Tokens: int32(l.Tokens), Failures: float32(l.Failures),
 		})
 	}
 	return converted
@@ -68,12 +68,39 @@
 	converted := make([]placement.Load, 0, len(loads))
 	for _, l := range loads {
 		converted = append(converted, placement.Load{
-			Replica: l.GetReplica(), Running: int(l.GetRunning()), Prefill: int(l.GetPrefill()), Light: int(l.GetLight()), Tokens: int(l.GetTokens()), Failures: float64(l.GetFailures()),
+			Replica: l.GetReplica(), Running: int(l.GetRunning()), Reading: readingFromProto(l), Light: int(l.GetLight()), Tokens: int(l.GetTokens()), Failures: float64(l.GetFailures()),
 		})
 	}
 	return converted
 }
 
+// readingToProto leaves out the zeros at the end.
+func readingToProto(r placement.Reading) []int32 {
+	var told []int32
+	for rank, tokens := range r {
+		if tokens == 0 {
+			continue
+		}
+		told = append(told, make([]int32, rank-len(told))...)
+		told = append(told, int32(tokens))
+	}
+	return told
+}
+
+// readingFromProto takes what is told without ranks for the most urgent one: it is
+// ahead of every request.
+func readingFromProto(l *nodesyncv1.Load) placement.Reading {
+	var r placement.Reading
+	told := l.GetPrefillByRank()
+	if len(told) == 0 {
+		r[0] = int(l.GetPrefill())
+	}
+	for rank, tokens := range told[:min(len(told), placement.Ranks)] {
+		r[rank] = int(tokens)
+	}
+	return r
+}
+
 func placementsToProto(list []placement.Placement) []*nodesyncv1.Placement {
 	converted := make([]*nodesyncv1.Placement, 0, len(list))
 	for _, p := range list {
--- /dev/null
+++ b/internal/overload/request.go
@@ -0,0 +1,19 @@
+package overload
+
+import "time"
+
+// Request is what the decision needs to know.
+type Request struct {
+	// Rank is the urgency; 0 is the most urgent.
+	Rank int
+	// Objective is the time within which the first token is on time; zero: none is
+	// set, and the request is never too late.
+	Objective time.Duration
+	// Ahead is the expected time until the best replica begins to read the prompt,
+	// and Own that for reading it.
+	Ahead time.Duration
+	Own   time.Duration
+	// MemoryUsed is the part of that replica's memory that its requests take with
+	// this one.
+	MemoryUsed float64
+}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -11,24 +11,42 @@
 	Replica replica.Replica
 	// Choice is what the replica was chosen by.
 	Choice Choice
+	// CopyFrom is the address of another replica that may have read parts of the
+	// prompt which this one has not; empty: none.
+	CopyFrom string
 
 	upstream  *upstream
 	state     *state
 	startedAt time.Time
-	// prefill is what the attempt still counts for among the prompt tokens.
-	prefill int
+	// reading is what the attempt still counts for among the prompt tokens of its
+	// rank.
+	reading int
+	rank    int
+	// work is the prompt tokens that the replica had to read before the first token.
+	work int
+	// shared are the prompt's shared parts.
+	shared []Part
 	// tokens is what it takes of the replica's memory.
 	tokens int
 	light  bool
 	ended  bool
 }
 
-// Begun notes the first byte of the answer.
+// Begun notes the first byte of an answer that counts.
 func (a *Attempt) Begun(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
-	a.read()
-	a.state.heardAt = now
+	a.upstream.reading.Observe(a.work, now.Sub(a.startedAt))
+	a.state.cache.read(now, a.shared)
+	a.heard(now)
+	a.state.recover(now)
+}
+
+// Responded notes that the replica gave a failure of its own.
+func (a *Attempt) Responded(now time.Time) {
+	a.upstream.mu.Lock()
+	defer a.upstream.mu.Unlock()
+	a.heard(now)
 	a.state.recover(now)
 }
 
@@ -36,13 +54,19 @@
 func (a *Attempt) Heard(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
+	a.heard(now)
+}
+
+// heard notes a sign of the replica: the prompt is read by then. The lock is held.
+func (a *Attempt) heard(now time.Time) {
+	a.read()
 	a.state.heardAt = now
 }
 
 // read takes the attempt out of the prompts that are being read.
 func (a *Attempt) read() {
-	a.state.prefill -= a.prefill
-	a.prefill = 0
+	a.state.reading.add(a.rank, -a.reading)
+	a.reading = 0
 }
 
 // End notes how the attempt ended. Further calls do nothing.
--- a/internal/placement/cache.go
+++ b/internal/placement/cache.go
@@ -7,6 +7,11 @@
 	// its last use by this node: at the usual load a replica's memory is
 	// written over in about twice this time.
 	cachedFor = 12 * time.Second
+	// readAfter is how long after a prompt was sent to a replica its parts count as
+	// read there, where this node did not see the answer begin: longer than most
+	// prompts wait. Copying a part that is not read yet brings nothing, and it is
+	// read twice.
+	readAfter = time.Second
 	// maxParts bounds the parts remembered for one replica.
 	maxParts = 1024
 )
@@ -14,55 +19,88 @@
 // cache remembers which prompt parts a replica was given last. It is a hint:
 // the replica may have dropped them.
 type cache struct {
-	usedAt map[uint64]time.Time
+	parts map[uint64]cachedPart
+}
+
+// cachedPart is one part that a replica was given.
+type cachedPart struct {
+	usedAt time.Time
+	// readAt is when the replica has read the part, as far as is known.
+	readAt time.Time
 }
 
 // add notes that the replica was given the parts.
 func (c *cache) add(now time.Time, parts []Part) {
-	ids := make([]uint64, len(parts))
-	for i, p := range parts {
-		ids[i] = p.ID
+	for _, p := range parts {
+		c.note(now, p.ID)
 	}
-	c.note(now, ids)
+	c.bound(now)
 }
 
-// note is add for the parts' identities.
-func (c *cache) note(now time.Time, ids []uint64) {
-	if c.usedAt == nil {
-		c.usedAt = make(map[uint64]time.Time)
+// note notes the use of one part.
+func (c *cache) note(now time.Time, id uint64) {
+	if c.parts == nil {
+		c.parts = make(map[uint64]cachedPart)
 	}
-	for _, id := range ids {
-		c.usedAt[id] = now
+	part, known := c.parts[id]
+	if !known || now.Sub(part.usedAt) > cachedFor {
+		part.readAt = now.Add(readAfter)
 	}
-	if len(c.usedAt) > maxParts {
-		c.dropOld(now)
+	part.usedAt = now
+	c.parts[id] = part
+}
+
+// read notes that the replica has read the parts.
+func (c *cache) read(now time.Time, parts []Part) {
+	for _, p := range parts {
+		if part, known := c.parts[p.ID]; known && part.readAt.After(now) {
+			part.readAt = now
+			c.parts[p.ID] = part
+		}
 	}
 }
 
-func (c *cache) dropOld(now time.Time) {
-	for id, at := range c.usedAt {
-		if now.Sub(at) > cachedFor/2 {
-			delete(c.usedAt, id)
+// usedSince says how long ago the part was used; a part that is not known counts
+// as never used.
+func (c *cache) usedSince(now time.Time, id uint64) time.Duration {
+	return now.Sub(c.parts[id].usedAt)
+}
+
+// bound forgets old parts where there are too many.
+func (c *cache) bound(now time.Time) {
+	if len(c.parts) <= maxParts {
+		return
+	}
+	for id, part := range c.parts {
+		if now.Sub(part.usedAt) > cachedFor/2 {
+			delete(c.parts, id)
 		}
 	}
-	if len(c.usedAt) > maxParts {
-		clear(c.usedAt)
+	if len(c.parts) > maxParts {
+		clear(c.parts)
 	}
 }
 
-// tokens is the length of the leading parts that the replica holds. Prompts are
-// cached from their start, so that a part which it was given stands for all
-// before it.
-func (c *cache) tokens(now time.Time, parts []Part) int {
-	deepest := -1
-	for i, p := range parts {
-		if at, ok := c.usedAt[p.ID]; ok && now.Sub(at) <= cachedFor {
-			deepest = i
+// deepest is the index of the last of the parts that the replica was given and has
+// not dropped, or -1. Prompts are cached from their start, so that a part stands
+// for all before it.
+func (c *cache) deepest(now time.Time, parts []Part) int {
+	for i := len(parts) - 1; i >= 0; i-- {
+		if part, known := c.parts[parts[i].ID]; known && now.Sub(part.usedAt) <= cachedFor {
+			return i
 		}
 	}
-	total := 0
-	for _, p := range parts[:deepest+1] {
-		total += p.Tokens
-	}
-	return total
+	return -1
+}
+
+// tokens is the length of the leading parts that the replica was given.
+func (c *cache) tokens(now time.Time, parts []Part) int {
+	return length(parts[:c.deepest(now, parts)+1])
+}
+
+// hasRead says whether the replica has read the deepest of the parts that it was
+// given.
+func (c *cache) hasRead(now time.Time, parts []Part) bool {
+	i := c.deepest(now, parts)
+	return i >= 0 && !c.parts[parts[i].ID].readAt.After(now)
 }
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -8,31 +8,42 @@
 	// it was chosen from.
 	Cost  float64
 	Among int
-	// Wait is the expected time to the first token.
+	// Wait is the expected time to the first token, of which Own is that for reading
+	// this prompt.
 	Wait time.Duration
+	Own  time.Duration
 	// Used is the part of the replica's memory that the running requests and
 	// this one take, each by itself; zero: not known.
 	Used float64
-	// Running counts the requests there, and Prefill their prompt tokens that
-	// are still to be read, both with what other nodes told.
+	// Running counts the requests there, ToRead their prompt tokens that are still
+	// to be read, and Ahead the part of these that is read before this request, all
+	// with what other nodes told.
 	Running int
-	Prefill int
-	// Cached is the tokens of the prompt that its cache is thought to hold.
+	ToRead  int
+	Ahead   int
+	// Cached is the tokens of the prompt that its cache is thought to hold, or that
+	// it copies from another replica.
 	Cached int
 	// Failures is the failure score of this node.
 	Failures float64
+	// ReadSpeed is the prompt tokens that the upstream's replicas are thought to read
+	// in a millisecond.
+	ReadSpeed float64
 }
 
 // explain tells what the replica was chosen by. The lock is held.
-func (u *upstream) explain(now time.Time, r *Request, s *state, cost float64) Choice {
+func (u *upstream) explain(now time.Time, r *Request, d *decision) Choice {
+	s := d.state
 	c := Choice{
-		Cost: cost, Among: len(u.openNow),
-		Running: s.running + s.peersRunning, Prefill: s.prefill + s.peersPrefill,
-		Cached: s.cache.tokens(now, r.Shared), Failures: s.failuresAt(now),
+		Cost: d.cost, Among: len(u.openNow),
+		Running: s.running + s.peersRunning, ToRead: s.toRead(), Ahead: s.ahead(r.Rank),
+		Cached: d.cached, Failures: s.failuresAt(now),
 	}
 	if r.PromptTokens > 0 {
+		c.ReadSpeed = u.reading.TokensPerMS()
 		c.Used = u.used(r, s)
-		c.Wait = time.Duration(float64(c.Prefill+r.PromptTokens-c.Cached) / prefillRate * float64(time.Millisecond))
+		c.Own = u.reading.Time(r.PromptTokens - c.Cached)
+		c.Wait = u.reading.Time(c.Ahead) + c.Own
 	}
 	return c
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -1,22 +1,19 @@
 package placement
 
-import (
-	"encoding/binary"
-	"time"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "time"
 
 // The cost of a replica is in milliseconds of the caller's time.
 const (
-	// prefillRate is the prompt tokens that an engine reads in a millisecond.
-	prefillRate = 50.0
 	// runningCost is what each running request adds to an answer's time.
 	runningCost = 1.5
 	// rereadCost is what each shared token adds that must be read again though
 	// another replica has it, beyond the time it takes: operators pay for it,
 	// about as much as for an answer late by this time.
 	rereadCost = 0.2
+	// copyCost is what each shared token adds that the replica copies from another
+	// one: the copy takes the network and its place in memory, and operators pay for
+	// it, but much less than for reading it again.
+	copyCost = 0.1
 	// backlogDoubles is the backlog, in milliseconds of reading at each replica,
 	// that adds rereadCost once more. Where all replicas have prompts waiting,
 	// whatever is read again holds up all that wait: a session that leaves its
@@ -53,28 +50,16 @@
 	avoidCost = 1e6
 )
 
-// home is a replica's rank value for a prompt's shared parts: all nodes work
-// out the same order, and a lost replica moves only its own prompts.
-func home(part uint64, replica string) uint64 {
-	var key [8]byte
-	binary.LittleEndian.PutUint64(key[:], part)
-	d := xxhash.New()
-	_, _ = d.Write(key[:])
-	_, _ = d.WriteString(replica)
-	return d.Sum64()
-}
-
-// cost is the expected cost of the request at the replica. isHome says that
-// the prompt's parts lead there; reread is what each shared token costs that must
-// be read again.
-func (u *upstream) cost(now time.Time, r *Request, s *state, isHome bool, reread float64) float64 {
+// cost is the expected cost of the request at the replica. reread is what each
+// shared token costs that must be read again.
+func (u *upstream) cost(now time.Time, r *Request, s *state, p *prefix, reread float64) float64 {
 	cost := float64(s.running+s.peersRunning) * runningCost
 	if r.PromptTokens > 0 {
-		cached := s.cache.tokens(now, r.Shared)
-		if isHome {
-			cached = max(cached, int(homeShare*float64(r.sharedTokens())))
-		}
-		cost += float64(s.prefill+s.peersPrefill+r.PromptTokens-cached) / prefillRate
+		cached := p.cachedAt(now, r, s)
+		copied := p.copied(s, cached)
+		cost += copyCost * float64(copied)
+		cached += copied
+		cost += u.reading.Milliseconds(s.ahead(r.Rank) + r.PromptTokens - cached)
 		cost += reread * float64(r.sharedTokens()-cached)
 		// An engine that runs out of memory puts requests back and reads them again.
 		cost += max(u.used(r, s)-crowdedFrom, 0) * crowdedCost
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -22,8 +22,8 @@
 	Running int
 	// Light is the number of running requests of light classes.
 	Light int
-	// Prefill is the prompt tokens that are being read.
-	Prefill int
+	// Reading is the prompt tokens that are not read yet.
+	Reading Reading
 	// Tokens is what the running requests take of the replica's memory.
 	Tokens int
 	// Failures is the node's failure score of the replica.
@@ -82,7 +82,7 @@
 		if s.running == 0 && failures < negligibleFailures {
 			continue
 		}
-		loads = append(loads, Load{Replica: s.replica.ID, Running: s.running, Light: s.light, Prefill: s.prefill, Tokens: s.tokens, Failures: failures})
+		loads = append(loads, Load{Replica: s.replica.ID, Running: s.running, Light: s.light, Reading: s.reading, Tokens: s.tokens, Failures: failures})
 	}
 	return loads
 }
@@ -215,7 +215,7 @@
 		sum.Replica = l.Replica
 		sum.Running += l.Running
 		sum.Light += l.Light
-		sum.Prefill += l.Prefill
+		sum.Reading = sum.Reading.plus(&l.Reading)
 		sum.Tokens += l.Tokens
 		sum.Failures = max(sum.Failures, l.Failures)
 		sums[l.Replica] = sum
@@ -227,7 +227,7 @@
 func (l Load) minus(part Load) Load {
 	l.Running = max(l.Running-part.Running, 0)
 	l.Light = max(l.Light-part.Light, 0)
-	l.Prefill = max(l.Prefill-part.Prefill, 0)
+	l.Reading = l.Reading.minus(&part.Reading)
 	l.Tokens = max(l.Tokens-part.Tokens, 0)
 	return l
 }
@@ -246,7 +246,9 @@
 	for replica, sum := range sums {
 		sum.Running = int(math.Round(by * float64(sum.Running)))
 		sum.Light = int(math.Round(by * float64(sum.Light)))
-		sum.Prefill = int(math.Round(by * float64(sum.Prefill)))
+		for rank, tokens := range sum.Reading {
+			sum.Reading[rank] = int(math.Round(by * float64(tokens)))
+		}
 		sum.Tokens = int(math.Round(by * float64(sum.Tokens)))
 		sums[replica] = sum
 	}
@@ -258,7 +260,7 @@
 	for _, s := range u.all {
 		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersLight = sum.Running, sum.Light
-		s.peersPrefill, s.peersTokens, s.peersFailures = sum.Prefill, sum.Tokens, sum.Failures
+		s.peersReading, s.peersTokens, s.peersFailures = sum.Reading, sum.Tokens, sum.Failures
 	}
 }
 
--- a/internal/placement/placements.go
+++ b/internal/placement/placements.go
@@ -52,7 +52,7 @@
 // cache knew just before was told on already.
 func (p *placements) relay(now time.Time, placed Placement, known *cache) {
 	for _, part := range placed.Parts {
-		if now.Sub(known.usedAt[part]) > relayedFor {
+		if known.usedSince(now, part) > relayedFor {
 			p.note(now.Add(relayedFor-placedFor), placed.Replica, part)
 		}
 	}
@@ -103,7 +103,10 @@
 			if relay {
 				u.placed.relay(now, placed, &s.cache)
 			}
-			s.cache.note(now, placed.Parts)
+			for _, part := range placed.Parts {
+				s.cache.note(now, part)
+			}
+			s.cache.bound(now)
 		}
 		u.mu.Unlock()
 	}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -48,23 +48,28 @@
 	replicas := p.replicas.Of(name)
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	s, cost := u.choose(now, r, replicas)
-	if s == nil {
+	d := u.choose(now, r, replicas)
+	if d == nil {
 		return nil
 	}
-	return u.bind(now, r, s, cost)
+	return u.bind(now, r, d)
 }
 
-// bind counts the attempt at the replica, which was chosen for its cost. The lock
-// is held.
-func (u *upstream) bind(now time.Time, r *Request, s *state, cost float64) *Attempt {
-	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, s, cost), upstream: u, state: s, startedAt: now}
+// bind counts the attempt at the replica that was chosen. The lock is held.
+func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
+	s := d.state
+	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, d), upstream: u, state: s, startedAt: now}
+	if d.source != nil {
+		a.CopyFrom = d.source.replica.Address
+	}
 	if r.PromptTokens > 0 {
 		if a.light = !u.heavy(r); a.light {
 			s.light++
 		}
-		a.prefill = r.PromptTokens - s.cache.tokens(now, r.Shared)
-		s.prefill += a.prefill
+		a.rank, a.reading = r.Rank, r.PromptTokens-d.cached
+		s.reading.add(a.rank, a.reading)
+		a.shared = r.Shared
+		a.work = a.Choice.Ahead + a.reading
 		a.tokens = r.tokens()
 		s.tokens += a.tokens
 		s.cache.add(now, r.Shared)
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -89,9 +89,9 @@
 			first.End(start, Answered)
 			var loads []Load
 			for _, r := range set.Of("u") {
-				load := Load{Replica: r.ID, Running: 4, Prefill: test.elsewhere}
+				load := Load{Replica: r.ID, Running: 4, Reading: Reading{test.elsewhere}}
 				if r.ID == first.Replica.ID {
-					load.Prefill = muchToRead
+					load.Reading = Reading{muchToRead}
 				}
 				loads = append(loads, load)
 			}
@@ -277,10 +277,34 @@
 	p.Choose(start, "u", &Request{}).End(start, Cancelled)
 	id := set.Of("u")[0].ID
 	for i := range 4 {
-		p.SetPeer(fmt.Sprint(i), []Load{{Replica: id, Running: 3, Prefill: 100}}, false, 12, start)
+		p.SetPeer(fmt.Sprint(i), []Load{{Replica: id, Running: 3, Reading: Reading{60, 0, 40}}}, false, 12, start)
 	}
 	s := p.upstream("u").states[id]
-	if s.peersRunning != 36 || s.peersPrefill != 1200 {
-		t.Errorf("4 of 12 nodes with 3 running requests count as %d, and %d tokens", s.peersRunning, s.peersPrefill)
+	if s.peersRunning != 36 || s.peersReading != (Reading{720, 0, 480}) {
+		t.Errorf("4 of 12 nodes with 3 running requests count as %d, and %v tokens", s.peersRunning, s.peersReading)
+	}
+}
+
+func TestAReplicaThatStartedAgainUnderItsIdentityHoldsNothing(t *testing.T) {
+	p, set := fleet(6, 1)
+	first := p.Choose(start, "u", long(100))
+	first.Begun(start)
+	first.End(start, Unreachable)
+	u := p.upstream("u")
+	if u.states[first.Replica.ID].cache.tokens(start, long(100).Shared) == 0 {
+		t.Fatal("the replica was given the prompt, and counts as without it")
+	}
+	l := replica.Listing{Revision: 2}
+	for _, r := range set.Of("u") {
+		if r.ID == first.Replica.ID {
+			r.StartedAt = 1_787_333_850_123
+		}
+		l.Replicas = append(l.Replicas, r)
+	}
+	set.Take(l, 2, 2)
+	p.Choose(start, "u", short()).End(start, Cancelled)
+	s := u.states[first.Replica.ID]
+	if tokens := s.cache.tokens(start, long(100).Shared); tokens > 0 || s.failuresAt(start) > 0 {
+		t.Errorf("it counts as holding %d tokens, with a failure score of %.1f", tokens, s.failuresAt(start))
 	}
 }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // Part is one part of a prompt, which replicas cache.
 type Part struct {
 	ID     uint64
@@ -10,12 +12,20 @@
 type Request struct {
 	// Class groups requests of about the same size.
 	Class string
+	// Rank is the urgency; 0 is the most urgent.
+	Rank int
+	// Objective is the time within which the first token is on time, and MaxPause the
+	// longest pause between two events on time; zero: not set.
+	Objective time.Duration
+	MaxPause  time.Duration
 	// PromptTokens is the length of the whole prompt; zero for a plain service.
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer.
 	AnswerTokens int
 	// MemoryTokens bounds the tokens in a replica's memory; zero: not known.
 	MemoryTokens int
+	// CopiesPrompts says that a replica can copy cached parts from another one.
+	CopiesPrompts bool
 	// Shared are the prompt's parts that other requests have too, in order.
 	Shared []Part
 	// Avoid names replicas that have failed this request already.
@@ -29,8 +39,13 @@
 
 // sharedTokens is the length of the shared parts.
 func (r *Request) sharedTokens() int {
+	return length(r.Shared)
+}
+
+// length is the tokens of the parts.
+func length(parts []Part) int {
 	total := 0
-	for _, p := range r.Shared {
+	for _, p := range parts {
 		total += p.Tokens
 	}
 	return total
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -125,7 +125,7 @@
 	if !u.heavy(r) {
 		return 0
 	}
-	stall := float64(s.prefill+s.peersPrefill+uncached) / prefillRate
+	stall := u.reading.Milliseconds(s.toRead() + uncached)
 	part := min(max((stall-stallFrom)/(stallTo-stallFrom), 0), 1)
 	return part * stallCost * float64(s.light+s.peersLight)
 }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -10,17 +10,17 @@
 // state is what is known of one replica.
 type state struct {
 	replica replica.Replica
-	// running counts this node's attempts there; prefill the prompt tokens of
+	// running counts this node's attempts there; reading the prompt tokens of
 	// those that have brought nothing yet; tokens is what all of them take of
 	// the replica's memory.
 	// light counts those of the running attempts whose class is light.
 	running int
-	prefill int
+	reading Reading
 	light   int
 	tokens  int
-	// peersRunning and peersPrefill are the other nodes' sums as last told.
+	// peersRunning and the like are the other nodes' sums as last told.
 	peersRunning int
-	peersPrefill int
+	peersReading Reading
 	peersLight   int
 	peersTokens  int
 	// peersFailures is the other nodes' failure score as last told.
@@ -36,6 +36,13 @@
 	cache        cache
 }
 
+// toRead is the prompt tokens that all nodes have sent there and that are not read
+// yet.
+func (s *state) toRead() int { return s.reading.Total() + s.peersReading.Total() }
+
+// ahead is the part of toRead that is read before a new request of the rank.
+func (s *state) ahead(rank int) int { return s.reading.upTo(rank) + s.peersReading.upTo(rank) }
+
 // failureHalfLife is the time in which a failure counts half: long enough to
 // keep off a replica that fails part of its requests, short enough to come back
 // to one that was restarted.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/enginespeed"
 	"galenatrestle/internal/replica"
 )
 
@@ -32,6 +33,8 @@
 	openNow  []*state
 	// workMS is the usual time of a plain service's answer.
 	workMS float64
+	// reading is the learned speed at which the replicas read prompts.
+	reading *enginespeed.Reading
 	// prompts is the usual prompt of each class, in tokens.
 	prompts map[string]float64
 	split   split
@@ -42,7 +45,7 @@
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
-	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, prompts: make(map[string]float64)}
+	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, reading: enginespeed.NewReading(), prompts: make(map[string]float64)}
 }
 
 // follow takes the replicas that are known now. The lock is held.
@@ -55,10 +58,11 @@
 		u.forget(replicas)
 	}
 	for _, r := range replicas {
-		if s, ok := u.states[r.ID]; ok {
+		if s, ok := u.states[r.ID]; ok && s.replica.StartedAt == r.StartedAt {
 			s.replica = r
 			continue
 		}
+		// A process that started again under its old identity holds nothing of before.
 		u.states[r.ID] = &state{replica: r}
 	}
 	u.all = slices.Collect(maps.Values(u.states))
@@ -87,9 +91,18 @@
 	}
 }
 
-// choose returns the cheapest of the replicas that take new requests and its
-// cost, or nil.
-func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) (*state, float64) {
+// decision is a replica and what it was chosen by.
+type decision struct {
+	state *state
+	cost  float64
+	// cached is the tokens of the prompt that the replica has or copies from source;
+	// nil: from none.
+	cached int
+	source *state
+}
+
+// choose returns the cheapest of the replicas that take new requests, or nil.
+func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *decision {
 	u.follow(replicas)
 	u.learnPrompt(r)
 	open := u.openNow
@@ -98,20 +111,24 @@
 	if !u.heavy(r) {
 		side = open[:light]
 	}
-	homeID := homeOf(r, side)
+	where := findPrefix(now, r, open, side)
 	reread := rereadCost * (1 + u.backlog(side)/backlogDoubles)
 	var best *state
 	least := math.Inf(1)
 	for i, s := range open {
 		// Equal costs are split at random, so that nodes with the same view
 		// do not all take the same replica.
-		cost := u.cost(now, r, s, s.replica.ID == homeID, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
+		cost := u.cost(now, r, s, &where, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < light)
 		if cost < least {
 			best, least = s, cost
 		}
 	}
-	return best, least
+	if best == nil {
+		return nil
+	}
+	cached := best.cache.tokens(now, r.Shared)
+	return &decision{state: best, cost: least, cached: cached + where.copied(best, cached), source: where.source(best, cached)}
 }
 
 // backlog is the time that the replicas need to read the prompts that wait there,
@@ -123,10 +140,10 @@
 	}
 	u.waiting = u.waiting[:0]
 	for _, s := range states {
-		u.waiting = append(u.waiting, s.prefill+s.peersPrefill)
+		u.waiting = append(u.waiting, s.toRead())
 	}
 	slices.Sort(u.waiting)
-	return float64(u.waiting[len(u.waiting)/2]) / prefillRate
+	return u.reading.Milliseconds(u.waiting[len(u.waiting)/2])
 }
 
 const (
@@ -137,19 +154,3 @@
 	// what another availability zone costs.
 	tieSpread = 1.0
 )
-
-// homeOf is the replica to which the prompt's deepest shared part leads.
-func homeOf(r *Request, states []*state) string {
-	if len(r.Shared) == 0 {
-		return ""
-	}
-	part := r.Shared[len(r.Shared)-1].ID
-	var best uint64
-	id := ""
-	for _, s := range states {
-		if rank := home(part, s.replica.ID); id == "" || rank > best {
-			best, id = rank, s.replica.ID
-		}
-	}
-	return id
-}
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -18,7 +18,7 @@
 // Digest adds up the replicas' hashes.
 func Digest(list []Replica) uint64 {
 	var sum uint64
-	var slots [8]byte
+	var slots, started [8]byte
 	for _, r := range list {
 		d := xxhash.New()
 		for _, text := range []string{r.ID, r.Upstream, r.Address, r.AvailabilityZone} {
@@ -30,6 +30,8 @@
 			slots[0] |= 1
 		}
 		_, _ = d.Write(slots[:])
+		binary.LittleEndian.PutUint64(started[:], uint64(r.StartedAt))
+		_, _ = d.Write(started[:])
 		sum += d.Sum64()
 	}
 	return sum
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -2,8 +2,11 @@
 
 // Replica is one registered process of an upstream.
 type Replica struct {
-	// ID is new at each start of the process.
+	// ID names the replica. A process that starts again may keep it.
 	ID string
+	// StartedAt is the Unix millisecond of the process's start, by its own clock;
+	// zero: it does not say. Together with the ID it names one process.
+	StartedAt int64
 	// Upstream is the name of the upstream it serves.
 	Upstream string
 	// Address is its IP address and port. A later process may get it again.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -89,6 +89,8 @@
 		switch {
 		case !had:
 			changes = append(changes, Change{Replica: r, Kind: Appeared})
+		case r.StartedAt != old.StartedAt:
+			changes = append(changes, Change{Replica: old, Kind: Gone}, Change{Replica: r, Kind: Appeared})
 		case r.Draining && !old.Draining:
 			changes = append(changes, Change{Replica: r, Kind: StartedDraining})
 		}
--- a/internal/route/upstream.go
+++ b/internal/route/upstream.go
@@ -17,4 +17,7 @@
 	Slots int
 	// MemoryTokens bounds the tokens of running requests and cached prompts.
 	MemoryTokens int
+	// CopiesPrompts says that a replica can copy what another one has cached of a
+	// prompt.
+	CopiesPrompts bool
 }
