Refusal for overload: 1.5 of the objective, or a fifth of the time that is left

What a long queue spoils is the answers that run meanwhile: they reach their deadline unfinished, so that the limit goes by the time left.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -92,7 +92,7 @@
 // admit decides whether the call may begin at the replica that was chosen for it.
 func (e *exchange) admit(c *placement.Choice) overload.Verdict {
 	return e.forwarder.gates.Of(e.call.Upstream).Decide(time.Now(), overload.Request{
-		Rank: e.call.Rank, Objective: e.call.Route.Objective,
+		Rank: e.call.Rank, Objective: e.call.Route.Objective, Left: time.Until(e.call.Deadline),
 		Ahead: c.Wait - c.Own, Own: c.Own, MemoryUsed: c.Used,
 	})
 }
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -8,7 +8,12 @@
 const (
 	// lateFactor times the objective is the expected time to the first token from
 	// which a request is refused.
-	lateFactor = 0.7
+	lateFactor = 1.5
+	// queueShare is the part of the time that a caller waits at most which may pass in
+	// the queue. While a replica reads what waits there, the answers that run make
+	// little way: where each may wait for longer, those with many tokens reach their
+	// deadline unfinished.
+	queueShare = 0.2
 	// leastAllowed is the part of the objective that a request may wait at least: a
 	// prompt that is long by itself is no reason to refuse it on an idle replica.
 	leastAllowed = 0.25
@@ -65,6 +70,9 @@
 // allowed is the longest time that the request may wait for its turn.
 func (r *Request) allowed() time.Duration {
 	whole := time.Duration(lateFactor * float64(r.Objective))
+	if r.Left > 0 {
+		whole = min(whole, time.Duration(queueShare*float64(r.Left)))
+	}
 	least := time.Duration(leastAllowed * float64(r.Objective))
 	return max(whole-r.Own, least)
 }
--- a/internal/overload/request.go
+++ b/internal/overload/request.go
@@ -9,6 +9,9 @@
 	// Objective is the time within which the first token is on time; zero: none is
 	// set, and the request is never too late.
 	Objective time.Duration
+	// Left is the time until the caller gives up or the route's timeout; zero: not
+	// known.
+	Left time.Duration
 	// Ahead is the expected time until the best replica begins to read the prompt,
 	// and Own that for reading it.
 	Ahead time.Duration
