Reads of the store by turns, copies from a second home, returns by what is ahead; a fleet in discrete time

Store: all nodes that read for others drew their time alike, and several read before the first one's news came. They read in turns now. A node that learns all from others notices a lost store by its announcements (the log's store_lost came only by its own reads).

The first home is asked for first; it copies from the second one of the order, which may hold what moved.

A refused caller comes back when what is ahead of it is read, after 0.4 s at least and a third of its time left at most, in place of 0.6 s.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -23,8 +23,11 @@
 	// other of themselves; this finds those that nobody has met yet. With both at
 	// 3 s, a fleet of 88 nodes spent a fifth of its calls of the store on them.
 	listEvery = 8 * time.Second
-	// listEarly is the pace until another node is known.
+	// listEarly is the pace until another node is known, listFew that while fewer than
+	// fewNodes are.
 	listEarly = 500 * time.Millisecond
+	listFew   = 3 * time.Second
+	fewNodes  = 4
 )
 
 // announcer makes the node known in the platform's store and finds others there.
@@ -37,6 +40,8 @@
 	rand  *rand.Rand
 	// lease is zero where none is held.
 	lease int64
+	// lost says that the last listing failed.
+	lost bool
 }
 
 // run renews and lists until ctx ends.
@@ -51,20 +56,39 @@
 				renewAt = now.Add(renewEvery)
 			}
 		}
-		if err := a.list(limited); err != nil && ctx.Err() == nil {
-			a.log.Error("list nodes", err)
-		}
+		err := a.list(limited)
 		cancel()
-		pause := listEvery
-		if len(a.nodes.Alive(a.clock())) == 0 {
-			pause = listEarly
+		if ctx.Err() == nil {
+			a.noteStore(err)
 		}
+		pause := listPause(len(a.nodes.Alive(a.clock())))
 		if ctxtime.Sleep(ctx, pause+time.Duration(a.rand.Int64N(int64(pause/4)))) != nil {
 			return
 		}
 	}
 }
 
+// noteStore tells when the store is lost or regained. A node that learns all else from
+// others notices it here.
+func (a *announcer) noteStore(err error) {
+	if lost := err != nil; lost != a.lost {
+		a.lost = lost
+		a.log.Write(&storeChanged{what: "nodes", err: err})
+	}
+}
+
+// listPause is the time until the next listing, with so many other nodes alive.
+func listPause(others int) time.Duration {
+	switch {
+	case others == 0:
+		return listEarly
+	case others < fewNodes:
+		return listFew
+	default:
+		return listEvery
+	}
+}
+
 // announce renews the lease, or takes a new one and writes the node's entry.
 func (a *announcer) announce(ctx context.Context) error {
 	if a.lease != 0 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -85,7 +85,7 @@
 	n.handler = n.newHandler(tracker)
 	n.reader = &reader{
 		store: options.Store, routes: n.routes, replicas: n.replicas, listed: n.listed,
-		role: n.sync.Role, clock: options.Clock, log: n.log,
+		role: n.sync.Role, turn: n.sync.Turn, clock: options.Clock, log: n.log,
 		metrics: newMetrics(registry, n.routes, n.replicas, options.Clock, n.log),
 	}
 	n.announcer = &announcer{
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -14,8 +14,16 @@
 )
 
 const (
-	// readJitter spreads the reads, so that one node's read saves the others'.
+	// readJitter spreads the reads of nodes that have no turn.
 	readJitter = 600 * time.Millisecond
+	// turnStep is how much later the next node in the order reads, where the one before
+	// has not: longer than that one's read takes to be heard of. By turns a fleet of
+	// seven made 184 calls of the store on a quiet day, against 291 with a jitter alone.
+	turnStep = 250 * time.Millisecond
+	// mostSteps bounds how late a node reads though all before it have failed.
+	mostSteps = 2
+	// turnJitter tells nodes apart that believe to have the same turn.
+	turnJitter = 100 * time.Millisecond
 	// readTimeout bounds one read, of several calls where a listing has pages: seven
 	// for 3,000 replicas, and a megabyte, which takes a second on a slow link. The
 	// store's client bounds each call.
@@ -32,7 +40,7 @@
 	nodesync.Equal: 800 * time.Millisecond,
 	// A hub reads for its availability zone, whose nodes ask it several times a
 	// second, and read themselves only where it has failed.
-	nodesync.Hub: 300 * time.Millisecond,
+	nodesync.Hub: 500 * time.Millisecond,
 	// The further hubs of a large zone are asked as often, but learn of the first
 	// one's reads within two rounds.
 	nodesync.FurtherHub: 800 * time.Millisecond,
@@ -47,7 +55,9 @@
 	replicas *replica.Set
 	listed   func([]replica.Change)
 	// role is the node's part in spreading what it reads.
-	role    func() nodesync.Role
+	role func() nodesync.Role
+	// turn is its place among the nodes that read for others.
+	turn    func() int
 	clock   boottime.Clock
 	log     *eventlog.Log
 	metrics *metrics
@@ -101,12 +111,24 @@
 	return backoffs[r.role()]
 }
 
-// awaitAge waits until the copy is due for a read; false: ctx has ended. Each
-// wait draws its own limit, so that the nodes take turns.
+// dueAge is the age at which this node reads a copy. One read saves the others':
+// nodes that read for the same ones do it in turns, the others at different ages.
+// spread is drawn for each wait, between 0 and 1.
+func (r *reader) dueAge(spread float64) time.Duration {
+	switch role := r.role(); role {
+	case nodesync.Equal, nodesync.Hub:
+		step := turnStep * time.Duration(min(r.turn(), mostSteps))
+		return readAt[role] + step + time.Duration(spread*float64(turnJitter))
+	default:
+		return readAt[role] + time.Duration(spread*float64(readJitter))
+	}
+}
+
+// awaitAge waits until the copy is due for a read; false: ctx has ended.
 func (r *reader) awaitAge(ctx context.Context, random *rand.Rand, age func() time.Duration) bool {
-	jitter := time.Duration(random.Int64N(int64(readJitter)))
+	spread := random.Float64()
 	for {
-		left := readAt[r.role()] + jitter - age()
+		left := r.dueAge(spread) - age()
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -23,7 +23,7 @@
 func TestANodeReadsOnlyWhatNobodyHasReadLately(t *testing.T) {
 	for role, least := range readAt {
 		synctest.Test(t, func(t *testing.T) {
-			r := &reader{role: func() nodesync.Role { return role }}
+			r := &reader{role: func() nodesync.Role { return role }, turn: func() int { return 9 }}
 			began := time.Now()
 			told := began
 			age := func() time.Duration {
@@ -45,7 +45,7 @@
 
 func TestAWaitForAReadEndsWithItsContext(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		r := &reader{role: func() nodesync.Role { return nodesync.Equal }}
+		r := &reader{role: func() nodesync.Role { return nodesync.Equal }, turn: func() int { return 0 }}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
 		if r.awaitAge(ctx, rand.New(rand.NewPCG(1, 1)), func() time.Duration { return 0 }) {
@@ -76,6 +76,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				r := &reader{
 					role: func() nodesync.Role { return test.role },
+					turn: func() int { return 0 },
 					log:  eventlog.New(io.Discard, "vm-0"),
 				}
 				r.metrics = newMetrics(prometheus.NewRegistry(), routesource.New(nil), replica.NewSet(), boottime.Now, r.log)
--- /dev/null
+++ b/internal/fleetsim/call.go
@@ -0,0 +1,47 @@
+package fleetsim
+
+import "time"
+
+// call is one request of a caller, with its return after a refusal.
+type call struct {
+	class        *Class
+	arrived      time.Duration
+	deadline     time.Duration
+	returned     bool
+	session      uint64
+	ownTokens    int
+	answerTokens int
+	longestPause time.Duration
+	outcome      outcome
+	settled      bool
+}
+
+// outcome says how a call ended.
+type outcome int
+
+const (
+	failed outcome = iota
+	onTime
+	late
+	refused
+)
+
+// settle notes how the call ended.
+func (c *call) settle(o outcome) {
+	if !c.settled {
+		c.outcome, c.settled = o, true
+	}
+}
+
+// judge is the outcome of a whole answer.
+func (c *call) judge(j *job) outcome {
+	if j.lastAt > c.deadline {
+		return failed
+	}
+	inTime := j.firstAt-c.arrived <= c.class.Objective
+	smooth := c.class.MaxPause == 0 || c.longestPause <= c.class.MaxPause
+	if inTime && smooth {
+		return onTime
+	}
+	return late
+}
--- /dev/null
+++ b/internal/fleetsim/class.go
@@ -0,0 +1,32 @@
+package fleetsim
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Class is one kind of requests, and what their callers expect.
+type Class struct {
+	Name string
+	Rank int
+	// PerSecond is how many come at the usual load.
+	PerSecond float64
+	Objective time.Duration
+	MaxPause  time.Duration
+	Patience  time.Duration
+	// OwnTokens and AnswerTokens are the usual lengths; they vary by Spread, the
+	// deviation of their logarithm.
+	OwnTokens    float64
+	AnswerTokens float64
+	Spread       float64
+	// Sessions is the number of shared prompts, each of SharedTokens.
+	Sessions     int
+	SharedTokens int
+}
+
+// length draws a length with the mean.
+func length(random *rand.Rand, mean, spread float64) int {
+	x := mean * math.Exp(spread*random.NormFloat64()-spread*spread/2)
+	return int(max(1, min(x, 8*mean)))
+}
--- /dev/null
+++ b/internal/fleetsim/decisions_test.go
@@ -0,0 +1,89 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+)
+
+// Where shared parts are copied from the replica that has read them, a request whose
+// replica is busy goes to another one without the parts being read twice.
+func TestSharedPartsAreReadOnceWhereTheyCanBeCopied(t *testing.T) {
+	copied := play(t, coldBurst, nil)
+	read := play(t, coldBurst, func(s *Scenario) { s.Copies = false })
+	if copied.ReadAgain > read.ReadAgain/2 {
+		t.Errorf("%d thousand tokens are read again with copies, %d without", copied.ReadAgain, read.ReadAgain)
+	}
+	if copied.OnTimeShare() < read.OnTimeShare()+0.01 {
+		t.Errorf("%.3f are on time with copies, %.3f without", copied.OnTimeShare(), read.OnTimeShare())
+	}
+}
+
+// tooMuch is a burst of more than the engines can read.
+func tooMuch(seed uint64) Scenario {
+	s := coldBurst(seed)
+	s.Bursts[0].Times = 4.5
+	return s
+}
+
+// Where more comes than can be read, refusing some at once leaves more on time than
+// letting all wait, and also more in absolute numbers.
+func TestRefusingWhatComesTooMuchLeavesMoreOnTime(t *testing.T) {
+	gated := play(t, tooMuch, nil)
+	all := play(t, tooMuch, func(s *Scenario) { s.Ungated = true })
+	if gated.OnTimeShare() < all.OnTimeShare()+0.1 {
+		t.Errorf("%.3f are on time with refusals, %.3f without", gated.OnTimeShare(), all.OnTimeShare())
+	}
+}
+
+// The classes of more urgent ranks have shorter objectives; they must not be refused
+// for what less urgent ones have queued up.
+func TestTheMoreUrgentClassIsNotRefusedForTheLessUrgentOne(t *testing.T) {
+	r := play(t, tooMuch, nil)
+	refused := func(class string) float64 {
+		return float64(r.Classes[class].Refused) / float64(r.Classes[class].Asked)
+	}
+	if refused(question) > 0.01 || refused(letter) > 0.02 {
+		t.Errorf("refused: %.3f of the questions, %.3f of the letters", refused(question), refused(letter))
+	}
+	if refused(history) < 0.05 {
+		t.Errorf("%.3f of the histories are refused: the load is no test", refused(history))
+	}
+}
+
+// A fleet of slow engines, with the same capacity in all, is decided on by the speed
+// that it shows: taken for quick ones, its queues grow too long before any is refused.
+func TestDecisionsFollowTheSpeedOfTheEngines(t *testing.T) {
+	for name, test := range map[string]struct {
+		speed   float64
+		engines int
+		burst   float64
+		least   float64
+	}{
+		"half the speed, twice as many": {0.5, 18, 2.6, 0.725},
+		"a quarter, four times as many": {0.25, 36, 2.6, 0.44},
+		"a quarter, in an overload":     {0.25, 36, 4.5, 0.30},
+		"three times the speed":         {3, 3, 2.6, 0.90},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := play(t, coldBurst, func(s *Scenario) {
+				s.Model, s.Engines, s.Bursts[0].Times = s.Model.of(test.speed), test.engines, test.burst
+			})
+			if r.OnTimeShare() < test.least {
+				t.Errorf("%.3f are on time, want %.2f", r.OnTimeShare(), test.least)
+			}
+		})
+	}
+}
+
+// A crash takes caches along: the sessions of the lost engines are read once more at
+// others, and the rest of the fleet stays on time.
+func TestACrashUnderLoadCostsLittleBeyondWhatRanThere(t *testing.T) {
+	r := play(t, coldBurst, func(s *Scenario) {
+		s.Bursts = nil
+		s.Length = 26 * time.Second
+		s.Crashes = []Crash{{At: 8 * time.Second, For: 3 * time.Second, Engines: 2}}
+	})
+	if r.OnTimeShare() < 0.93 {
+		t.Errorf("%.3f are on time", r.OnTimeShare())
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/node.go
@@ -0,0 +1,43 @@
+package fleetsim
+
+import (
+	"fmt"
+	"math/rand/v2"
+
+	"galenatrestle/internal/overload"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/replica"
+)
+
+// node is one node of the product: its decisions and what it believes.
+type node struct {
+	name   string
+	placer *placement.Placer
+	gates  overload.Gates
+	random *rand.Rand
+}
+
+// newNodes returns nodes that know the engines.
+func newNodes(s *Scenario, replicas *replica.Set) []*node {
+	nodes := make([]*node, s.Nodes)
+	for i := range nodes {
+		random := rand.New(rand.NewPCG(s.Seed, uint64(1000+i)))
+		zone := fmt.Sprintf("z%d", i%zones)
+		nodes[i] = &node{name: fmt.Sprintf("vm-%d", i), placer: placement.NewPlacer(zone, replicas, random), random: random}
+	}
+	return nodes
+}
+
+// zones is the number of availability zones.
+const zones = 3
+
+// listing registers the engines.
+func listing(engines []*engine) replica.Listing {
+	l := replica.Listing{Revision: 1}
+	for i, e := range engines {
+		l.Replicas = append(l.Replicas, replica.Replica{
+			ID: e.id, Upstream: upstream, Address: e.id, AvailabilityZone: fmt.Sprintf("z%d", i%zones), Slots: e.model.Slots,
+		})
+	}
+	return l
+}
--- /dev/null
+++ b/internal/fleetsim/report.go
@@ -0,0 +1,54 @@
+package fleetsim
+
+import "fmt"
+
+// Report is what became of the calls.
+type Report struct {
+	Classes map[string]*Tally
+	// ReadTokens is the prompt tokens that the engines read, ReadAgain those of shared
+	// parts that some engine had read before, both in thousands.
+	ReadTokens int
+	ReadAgain  int
+}
+
+// Tally counts the calls of one class.
+type Tally struct {
+	Asked, OnTime, Late, Refused, Failed int
+}
+
+// OnTimeShare is the part of the class's calls that were answered on time.
+func (t *Tally) OnTimeShare() float64 {
+	if t.Asked == 0 {
+		return 0
+	}
+	return float64(t.OnTime) / float64(t.Asked)
+}
+
+// OnTimeShare is the part of all calls that were answered on time.
+func (r *Report) OnTimeShare() float64 {
+	var all Tally
+	for _, t := range r.Classes {
+		all.Asked += t.Asked
+		all.OnTime += t.OnTime
+	}
+	return all.OnTimeShare()
+}
+
+// String shows a line for each class.
+func (t *Tally) String() string {
+	return fmt.Sprintf("asked %d, on time %d, late %d, refused %d, failed %d", t.Asked, t.OnTime, t.Late, t.Refused, t.Failed)
+}
+
+func (t *Tally) count(o outcome) {
+	t.Asked++
+	switch o {
+	case onTime:
+		t.OnTime++
+	case late:
+		t.Late++
+	case refused:
+		t.Refused++
+	default:
+		t.Failed++
+	}
+}
--- /dev/null
+++ b/internal/fleetsim/scenario.go
@@ -0,0 +1,47 @@
+package fleetsim
+
+import "time"
+
+// Scenario is a fleet, its load and what befalls it.
+type Scenario struct {
+	Nodes   int
+	Engines int
+	Model   EngineModel
+	Classes []Class
+	Length  time.Duration
+	// NewsEvery is the time between two exchanges of a node with the others.
+	NewsEvery time.Duration
+	// Bursts multiply a class's load for a while.
+	Bursts []Burst
+	// Crashes take engines away.
+	Crashes []Crash
+	// Copies says that engines copy shared parts from each other.
+	Copies bool
+	// Ungated lets every request in.
+	Ungated bool
+	Seed    uint64
+}
+
+// Burst multiplies the load of a class.
+type Burst struct {
+	Class    string
+	From, To time.Duration
+	Times    float64
+}
+
+// Crash takes so many engines away for a while.
+type Crash struct {
+	At, For time.Duration
+	Engines int
+}
+
+// times is by what the class's load is multiplied at the time.
+func (s *Scenario) times(class string, now time.Duration) float64 {
+	times := 1.0
+	for _, b := range s.Bursts {
+		if b.Class == class && now >= b.From && now < b.To {
+			times *= b.Times
+		}
+	}
+	return times
+}
--- /dev/null
+++ b/internal/nodesync/turn.go
@@ -0,0 +1,47 @@
+package nodesync
+
+import "galenatrestle/internal/boottime"
+
+// Turn is this node's place among the nodes that read the platform's store for the
+// others: all of a small fleet, or the first hubs of the availability zones. All that
+// know the same nodes agree on the order. Others have no place of their own: zero.
+func (s *Sync) Turn() int {
+	now := s.options.Clock()
+	self := s.options.Self()
+	hubs := s.hubs(now)
+	switch roleOf(self, hubs) {
+	case Equal:
+		return s.turnAmongAll(self, now)
+	case Hub:
+		return turnAmongFirst(self, hubs)
+	default:
+		return 0
+	}
+}
+
+// turnAmongAll is the place of a node in a fleet without hubs.
+func (s *Sync) turnAmongAll(self Node, now boottime.Instant) int {
+	rank := rankOf(self.Name)
+	turn := 0
+	for _, n := range s.options.Nodes.staying(now) {
+		if n.rank < rank {
+			turn++
+		}
+	}
+	return turn
+}
+
+// turnAmongFirst is the place of a hub among the first ones of the availability
+// zones, in which the list has them.
+func turnAmongFirst(self Node, hubs []Node) int {
+	turn := 0
+	for i, hub := range hubs {
+		if hub.Name == self.Name {
+			break
+		}
+		if i == 0 || hubs[i-1].AvailabilityZone != hub.AvailabilityZone {
+			turn++
+		}
+	}
+	return turn
+}
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -25,9 +25,12 @@
 	// was: some rounds of news between nodes, in which the loads that it was refused
 	// for become known.
 	closedFor = time.Second
-	// retryAfter is what a refused caller is told to wait: about the time in which a
-	// replica reads what waits there.
-	retryAfter = 600 * time.Millisecond
+	// leastReturn is the shortest time after which a refused caller should come back:
+	// some rounds of news between nodes.
+	leastReturn = 400 * time.Millisecond
+	// returnShare is the part of the time left after which a caller had better not come
+	// back: the rest is for its answer. Callers wait no longer than that.
+	returnShare = 1.0 / 3
 )
 
 // Gate decides for one upstream. It is safe for concurrent use.
@@ -52,7 +55,16 @@
 	if reason == "" {
 		return Verdict{}
 	}
-	return Verdict{Reason: reason, RetryAfter: retryAfter}
+	return Verdict{Reason: reason, RetryAfter: r.returnAfter()}
+}
+
+// returnAfter is when the caller should come back: when what is ahead now is read.
+func (r *Request) returnAfter() time.Duration {
+	after := max(r.Ahead, leastReturn)
+	if r.Left > 0 {
+		after = min(after, time.Duration(returnShare*float64(r.Left)))
+	}
+	return after
 }
 
 // reason is why the request is refused for its own sake; empty: it is not.
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -9,8 +9,10 @@
 
 // prefix is what is known of where the shared parts of one prompt are.
 type prefix struct {
-	// home is the replica to which the parts lead where no other is known.
-	home *state
+	// home is the replica to which the parts lead where no other is known, and second
+	// the one that follows it in the order.
+	home   *state
+	second *state
 	// copies says that a replica can copy parts from another one.
 	copies bool
 	// holder is the replica that has read most of them, heldTokens how much; nil:
@@ -25,7 +27,8 @@
 	if len(r.Shared) == 0 {
 		return prefix{}
 	}
-	p := prefix{home: homeOf(r, side), copies: r.CopiesPrompts}
+	p := prefix{copies: r.CopiesPrompts}
+	p.home, p.second = homesOf(r, side)
 	if !r.CopiesPrompts {
 		return p
 	}
@@ -57,13 +60,16 @@
 }
 
 // source is the replica from which another one copies shared parts, or nil. Where
-// no holder is known, the home may have them: asking it costs next to nothing.
+// no holder is known, as after the nodes' restart, one of the homes may have them:
+// asking it costs next to nothing.
 func (p *prefix) source(s *state, cached int) *state {
 	switch {
 	case p.copied(s, cached) > 0:
 		return p.holder
 	case p.copies && p.holder == nil && p.home != s && cached == 0:
 		return p.home
+	case p.copies && p.holder == nil && p.home == s && cached == 0:
+		return p.second
 	default:
 		return nil
 	}
@@ -80,15 +86,20 @@
 	return d.Sum64()
 }
 
-// homeOf is the replica to which the prompt's deepest shared part leads.
-func homeOf(r *Request, states []*state) *state {
+// homesOf are the first two replicas to which the prompt's deepest shared part leads.
+func homesOf(r *Request, states []*state) (*state, *state) {
 	part := r.Shared[len(r.Shared)-1].ID
-	var best uint64
-	var first *state
+	var best, next uint64
+	var first, second *state
 	for _, s := range states {
-		if rank := homeRank(part, s.replica.ID); first == nil || rank > best {
+		rank := homeRank(part, s.replica.ID)
+		switch {
+		case first == nil || rank > best:
+			next, second = best, first
 			best, first = rank, s
+		case second == nil || rank > next:
+			next, second = rank, s
 		}
 	}
-	return first
+	return first, second
 }
