--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -100,6 +100,7 @@
 // turnedAway is the failure of a call that was not let in.
 func (e *exchange) turnedAway(place *placement.Attempt, v overload.Verdict) *Failure {
 	c := &place.Choice
+	e.forwarder.metrics.turned.WithLabelValues(e.call.Upstream, string(v.Reason)).Inc()
 	return &Failure{
 		Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: place.Replica.Address, RetryAfter: v.RetryAfter,
 		Cause: fmt.Errorf("%w (%s): %s expected at the best of %d replicas, memory used %.2f, %d requests there",
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,6 +12,7 @@
 	latency   *prometheus.HistogramVec
 	retries   *prometheus.CounterVec
 	firstByte *prometheus.HistogramVec
+	turned    *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -29,8 +30,11 @@
 		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_attempt_failures_total", Help: "Failed attempts by step, and why no further one was made (retried: one was).",
 		}, []string{"step", "decision"}),
+		turned: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_turned_away_total", Help: "Calls of engines refused for overload before any attempt, by upstream and reason.",
+		}, []string{"upstream", "reason"}),
 	}
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.retries)
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.retries, m.turned)
 	return m
 }
 
--- a/internal/placement/placer_test.go
+++ b/internal/placement/placer_test.go
@@ -24,7 +24,7 @@
 	l := replica.Listing{Revision: revision}
 	for i := range n {
 		l.Replicas = append(l.Replicas, replica.Replica{
-			ID: fmt.Sprintf("i-%02d", i), Upstream: "u", AvailabilityZone: fmt.Sprintf("z%d", i%2),
+			ID: fmt.Sprintf("i-%02d", i), Upstream: "u", Address: fmt.Sprintf("10.0.0.%d:80", i), AvailabilityZone: fmt.Sprintf("z%d", i%2),
 			Slots: 32, Draining: slices.Contains(draining, i),
 		})
 	}
