Sides of the split follow the load within 0.4 s; no copies from a replica that just failed; cost in parts

Cause: at the start of a burst of short prompts on the grown site (full size) their first tokens took 0.3 to 0.8 s and answers 2.7 s for the first four seconds, as the light side grew with an average over a second.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The cost of a replica is in milliseconds of the caller's time.
 const (
@@ -12,7 +15,9 @@
 	rereadCost = 0.2
 	// copyCost is what each shared token adds that the replica copies from another
 	// one: the copy takes the network and its place in memory, and operators pay for
-	// it, but much less than for reading it again.
+	// it, but much less than for reading it again. Cheaper copies scatter sessions over
+	// the fleet, as all nodes see the same idle replica: on 10 replicas before 22 nodes a
+	// price of 0.1 had 0.914 of a day's value served, 0.3 had 0.922.
 	copyCost = 0.3
 	// backlogDoubles is the backlog, in milliseconds of reading at each replica,
 	// that adds rereadCost once more. Where all replicas have prompts waiting,
@@ -55,41 +60,56 @@
 func (u *upstream) cost(now time.Time, r *Request, s *state, p *prefix, reread float64) float64 {
 	cost := float64(s.running+s.peersRunning) * runningCost
 	if r.PromptTokens > 0 {
-		cached := p.cachedAt(now, r, s)
-		copied := p.copied(s, cached)
-		cost += copyCost * float64(copied)
-		cached += copied
-		cost += u.reading.Milliseconds(s.toRead() + r.PromptTokens - cached)
-		cost += reread * float64(r.sharedTokens()-cached)
-		// An engine that runs out of memory puts requests back and reads them again.
-		cost += max(u.used(r, s)-crowdedFrom, 0) * crowdedCost
-		cost += u.stalling(r, s, r.PromptTokens-cached)
+		cost += u.promptCost(now, r, s, p, reread)
 	} else {
 		cost += u.queueing(s)
 	}
-	cost += failureCost * (s.failuresAt(now) + peerFailureWeight*s.peersFailures)
+	return cost + troubleCost(now, s) + u.pathCost(r, s)
+}
+
+// promptCost is that of getting the prompt read, and of what it does to the requests
+// that run there. Whatever waits there counts, also less urgent prompts that are read
+// later: they hold up the answer.
+func (u *upstream) promptCost(now time.Time, r *Request, s *state, p *prefix, reread float64) float64 {
+	cached := p.cachedAt(now, r, s)
+	copied := p.copied(s, cached)
+	uncached := r.PromptTokens - cached - copied
+	cost := copyCost * float64(copied)
+	cost += u.reading.Milliseconds(s.toRead() + uncached)
+	cost += reread * float64(r.sharedTokens()-cached-copied)
+	// An engine that runs out of memory puts requests back and reads them again.
+	cost += max(u.used(r, s)-crowdedFrom, 0) * crowdedCost
+	return cost + u.stalling(r, s, uncached)
+}
+
+// troubleCost is what failures and silence of the replica count for.
+func troubleCost(now time.Time, s *state) float64 {
+	cost := failureCost * (s.failuresAt(now) + peerFailureWeight*s.peersFailures)
 	if silence := s.silence(now); silence > silenceFrom {
 		cost += silenceWeight * float64((silence - silenceFrom).Milliseconds())
 	}
+	return cost
+}
+
+// pathCost is what the replica's place counts for, and that the request has failed
+// there or near it.
+func (u *upstream) pathCost(r *Request, s *state) float64 {
+	cost := 0.0
 	if s.replica.AvailabilityZone != u.zone {
 		cost += zoneCost
 	}
-	for _, zone := range r.FailedZones {
-		if zone == s.replica.AvailabilityZone {
-			cost += failedZoneCost
-			break
-		}
+	if slices.Contains(r.FailedZones, s.replica.AvailabilityZone) {
+		cost += failedZoneCost
 	}
-	for _, id := range r.Avoid {
-		if id == s.replica.ID {
-			cost += avoidCost
-		}
+	if slices.Contains(r.Avoid, s.replica.ID) {
+		cost += avoidCost
 	}
 	return cost
 }
 
-// used is the part of the replica's memory that the running requests and this
-// one take, each by itself; zero where the memory is not known.
+// used is the part of the replica's memory that the running requests and this one
+// take, shared parts counted for the first that brought them; zero where the memory is
+// not known.
 func (u *upstream) used(r *Request, s *state) float64 {
 	if r.MemoryTokens == 0 {
 		return 0
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -21,6 +21,10 @@
 	heldTokens int
 }
 
+// doubtfulFrom is the failure score from which a replica is not copied from: one lost
+// connection, after which its cache is most likely gone, too.
+const doubtfulFrom = 1.0
+
 // findPrefix looks for the replicas that hold the prompt's shared parts, and for
 // their home among those of the side.
 func findPrefix(now time.Time, r *Request, open, side []*state) prefix {
@@ -34,7 +38,7 @@
 	}
 	for _, s := range open {
 		tokens := s.cache.tokens(now, r.Shared)
-		if tokens > p.heldTokens && s.cache.hasRead(now, r.Shared) {
+		if tokens > p.heldTokens && s.cache.hasRead(now, r.Shared) && s.failuresAt(now) < doubtfulFrom {
 			p.holder, p.heldTokens = s, tokens
 		}
 	}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -31,9 +31,10 @@
 	// than that the heavy side gives one up.
 	lightAtMost     = 26.0
 	heavyPerReplica = 4.0
-	// splitMemory is the time over which the loads are averaged: longer than
-	// the news of other nodes take, shorter than a burst.
-	splitMemory = time.Second
+	// splitMemory is the time over which the loads are averaged: longer than the news
+	// of other nodes take, much shorter than a burst. With a burst of long prompts and
+	// then one of short ones on 9 replicas, 0.4 s had 0.875 of all on time, 1 s 0.858.
+	splitMemory = 400 * time.Millisecond
 	// lightAmongHeavy and heavyAmongLight are the costs of a replica of the
 	// other side, in milliseconds: about what the pauses and the longer wait
 	// for the first token are worth.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -127,8 +127,13 @@
 	if best == nil {
 		return nil
 	}
-	cached := best.cache.tokens(now, r.Shared)
-	return &decision{state: best, cost: least, cached: cached + where.copied(best, cached), source: where.source(best, cached)}
+	return decide(now, r, best, least, &where)
+}
+
+// decide is the decision for the replica.
+func decide(now time.Time, r *Request, s *state, cost float64, p *prefix) *decision {
+	cached := s.cache.tokens(now, r.Shared)
+	return &decision{state: s, cost: cost, cached: cached + p.copied(s, cached), source: p.source(s, cached)}
 }
 
 // backlog is the time that the replicas need to read the prompts that wait there,
