Soak: its processes have process groups of their own

Seen twice before, not traced then: the soak ended with no line and no summary, its processes left behind. Cause: it pauses processes, and they were in its own process group. When the shell that began the soak ends, the group loses its last parent in the session, and the kernel hangs up (SIGHUP) an orphaned group in which a process is stopped. The program under test takes SIGHUP for a reload and lives on; the soak dies. Ruled out: an end under a session of its own (setsid; it lives on), the out-of-memory killer (nothing in the kernel's log).

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -95,6 +95,9 @@
 	defer n.mu.Unlock()
 	process := exec.Command(n.command[0], append(n.command[1:], "--settings", n.settings())...)
 	process.Stdout, process.Stderr = log, log
+	// In the soak's own process group a paused process ends the soak: when the shell that
+	// began it ends, the kernel hangs up a group in which a process is stopped.
+	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
 	if err := process.Start(); err != nil {
 		return err
 	}
