Fields that nobody reads go; one way to tell that the store is lost; a switch without repeated conditions

Found on reading the change once more; behaviour stays as it is.

- placement.Request had Objective and MaxPause, left from trials that were dropped.
- The reader and the announcer each kept their own 'lost' and wrote the same event at its changes: both use storeWatch now.
- prefix.source repeated three conditions in two cases.
- fleetsim: an engine's cache kept times that nothing read, and add took one; the test added up tallies field by field (Tally.Add).
The comment of MemoryTokens says that the model itself forgets nothing.
- enginespeed.Reading.First was called by its test only, which works it out itself; the assertion is the same.
A loop that stood twice in the tests of hubs is hearsOf.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -40,13 +40,13 @@
 	rand  *rand.Rand
 	// lease is zero where none is held.
 	lease int64
-	// lost says that the last listing failed.
-	lost bool
 }
 
 // run renews and lists until ctx ends.
 func (a *announcer) run(ctx context.Context) {
 	var renewAt boottime.Instant
+	// A node that learns all else from others notices a lost store here.
+	watch := storeWatch{what: "nodes", log: a.log}
 	for {
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		if now := a.clock(); now >= renewAt {
@@ -59,7 +59,7 @@
 		err := a.list(limited)
 		cancel()
 		if ctx.Err() == nil {
-			a.noteStore(err)
+			watch.note(err)
 		}
 		pause := listPause(len(a.nodes.Alive(a.clock())))
 		if ctxtime.Sleep(ctx, pause+time.Duration(a.rand.Int64N(int64(pause/4)))) != nil {
@@ -68,15 +68,6 @@
 	}
 }
 
-// noteStore tells when the store is lost or regained. A node that learns all else from
-// others notices it here.
-func (a *announcer) noteStore(err error) {
-	if lost := err != nil; lost != a.lost {
-		a.lost = lost
-		a.log.Write(&storeChanged{what: "nodes", err: err})
-	}
-}
-
 // listPause is the time until the next listing, with so many other nodes alive.
 func listPause(others int) time.Duration {
 	switch {
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -33,6 +33,22 @@
 	return fields
 }
 
+// storeWatch tells in the log when the reads of one record begin to fail, and when they
+// work again. It is for one goroutine.
+type storeWatch struct {
+	what string
+	log  *eventlog.Log
+	lost bool
+}
+
+// note takes in how a read ended.
+func (w *storeWatch) note(err error) {
+	if lost := err != nil; lost != w.lost {
+		w.lost = lost
+		w.log.Write(&storeChanged{what: w.what, err: err})
+	}
+}
+
 // replicaChanged tells what is believed of a replica from now on.
 type replicaChanged struct {
 	change   replica.Change
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -76,7 +76,7 @@
 // follow reads the record again and again until ctx ends.
 func (r *reader) follow(ctx context.Context, record record, random *rand.Rand) {
 	pause := time.Duration(0)
-	lost := false
+	watch := storeWatch{what: record.name, log: r.log}
 	for {
 		if !r.awaitAge(ctx, random, record.age) {
 			return
@@ -88,10 +88,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		if lost != (err != nil) {
-			lost = err != nil
-			r.log.Write(&storeChanged{what: record.name, err: err})
-		}
+		watch.note(err)
 		if err == nil {
 			pause = 0
 			continue
--- a/internal/enginespeed/reading.go
+++ b/internal/enginespeed/reading.go
@@ -67,12 +67,6 @@
 // TokensPerMS is the speed.
 func (r *Reading) TokensPerMS() float64 { return 1 / r.perToken }
 
-// First is the time that every answer takes until its first token, whatever its
-// prompt.
-func (r *Reading) First() time.Duration {
-	return time.Duration(r.first * float64(time.Millisecond))
-}
-
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
 func bounded(x, least, most float64) float64 { return min(max(x, least), most) }
--- a/internal/enginespeed/reading_test.go
+++ b/internal/enginespeed/reading_test.go
@@ -39,7 +39,7 @@
 					r.Observe(tokens, e.answer(tokens, 0.8+0.4*random.Float64()))
 				}
 				for _, tokens := range []int{500, 3000, 20_000} {
-					got := r.First() + r.Time(tokens)
+					got := time.Duration(r.first*float64(time.Millisecond)) + r.Time(tokens)
 					want := e.answer(tokens, 1)
 					if ratio := float64(got) / float64(want); ratio < 0.7 || ratio > 1.4 {
 						t.Errorf("seed %d: %s expected for %d tokens, they take %s", seed, got, tokens, want)
--- a/internal/fleetsim/engine.go
+++ b/internal/fleetsim/engine.go
@@ -17,8 +17,8 @@
 	// request adds to it.
 	StepMS       float64
 	PerRequestMS float64
-	// Slots is the requests that run at once, MemoryTokens what all of them and the
-	// cache may take.
+	// Slots is the requests that run at once. MemoryTokens is what nodes are told of a
+	// replica's memory; the model itself forgets nothing.
 	Slots        int
 	MemoryTokens int
 	// TokensPerEvent is the tokens that one event of an answer holds.
@@ -33,8 +33,8 @@
 	freeAt time.Duration
 	// jobs are those that were sent here, in the order of their rank and arrival.
 	jobs []*job
-	// cache holds when a part was last used here, for those that were read.
-	cache map[uint64]time.Duration
+	// cache holds the parts that were read here.
+	cache map[uint64]bool
 	// down is until when the engine answers nothing.
 	down time.Duration
 	// readTokens counts the prompt tokens that were read, readAgain those of shared
@@ -44,7 +44,7 @@
 }
 
 // add takes a job. from is the engine from which it copies shared parts, or nil.
-func (e *engine) add(now time.Duration, j *job, from *engine, readBefore map[uint64]bool) {
+func (e *engine) add(j *job, from *engine, readBefore map[uint64]bool) {
 	cached := e.holds(j.shared)
 	if from != nil {
 		cached = max(cached, from.holds(j.shared))
@@ -67,7 +67,7 @@
 // holds is the number of leading parts that the engine has read.
 func (e *engine) holds(parts []placement.Part) int {
 	for i, part := range parts {
-		if _, has := e.cache[part.ID]; !has {
+		if !e.cache[part.ID] {
 			return i
 		}
 	}
@@ -102,7 +102,7 @@
 		if j.justRead {
 			j.justRead = false
 			for _, part := range j.shared {
-				e.cache[part.ID] = now
+				e.cache[part.ID] = true
 				readBefore[part.ID] = true
 			}
 		}
@@ -117,6 +117,6 @@
 		j.broken = true
 	}
 	e.jobs = nil
-	e.cache = make(map[uint64]time.Duration)
+	e.cache = make(map[uint64]bool)
 	e.down = until
 }
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -66,7 +66,7 @@
 		readBefore: make(map[uint64]bool),
 	}
 	for i := range s.Engines {
-		e := &engine{model: s.Model, id: fmt.Sprintf("i-%02d-%d", i, s.Seed), cache: make(map[uint64]time.Duration)}
+		e := &engine{model: s.Model, id: fmt.Sprintf("i-%02d-%d", i, s.Seed), cache: make(map[uint64]bool)}
 		f.engines = append(f.engines, e)
 		f.byID[e.id] = e
 	}
@@ -144,7 +144,7 @@
 // request is the call as the decision sees it.
 func (f *fleet) request(c *call) placement.Request {
 	r := placement.Request{
-		Class: c.class.Name, Rank: c.class.Rank, Objective: c.class.Objective, MaxPause: c.class.MaxPause,
+		Class: c.class.Name, Rank: c.class.Rank,
 		PromptTokens: c.ownTokens, AnswerTokens: c.answerTokens,
 		MemoryTokens: f.scenario.Model.MemoryTokens, CopiesPrompts: f.scenario.Copies,
 	}
@@ -175,7 +175,7 @@
 		j.broken = true
 		return
 	}
-	e.add(now, j, f.byID[a.CopyFrom], f.readBefore)
+	e.add(j, f.byID[a.CopyFrom], f.readBefore)
 }
 
 // listen tells the nodes what came of their attempts.
--- a/internal/fleetsim/play_test.go
+++ b/internal/fleetsim/play_test.go
@@ -63,16 +63,10 @@
 		sum.ReadTokens += r.ReadTokens
 		sum.ReadAgain += r.ReadAgain
 		for name, tally := range r.Classes {
-			all, ok := sum.Classes[name]
-			if !ok {
-				all = &Tally{}
-				sum.Classes[name] = all
+			if sum.Classes[name] == nil {
+				sum.Classes[name] = &Tally{}
 			}
-			all.Asked += tally.Asked
-			all.OnTime += tally.OnTime
-			all.Late += tally.Late
-			all.Refused += tally.Refused
-			all.Failed += tally.Failed
+			sum.Classes[name].Add(tally)
 		}
 	}
 	for name, tally := range sum.Classes {
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -28,8 +28,7 @@
 func (r *Report) OnTimeShare() float64 {
 	var all Tally
 	for _, t := range r.Classes {
-		all.Asked += t.Asked
-		all.OnTime += t.OnTime
+		all.Add(t)
 	}
 	return all.OnTimeShare()
 }
@@ -39,6 +38,15 @@
 	return fmt.Sprintf("asked %d, on time %d, late %d, refused %d, failed %d", t.Asked, t.OnTime, t.Late, t.Refused, t.Failed)
 }
 
+// Add takes in another tally.
+func (t *Tally) Add(other *Tally) {
+	t.Asked += other.Asked
+	t.OnTime += other.OnTime
+	t.Late += other.Late
+	t.Refused += other.Refused
+	t.Failed += other.Failed
+}
+
 func (t *Tally) count(o outcome) {
 	t.Asked++
 	switch o {
--- a/internal/nodesync/hub_loads_test.go
+++ b/internal/nodesync/hub_loads_test.go
@@ -200,6 +200,15 @@
 	}
 }
 
+// hearsOf has the node hear of the others now.
+func (n *testNode) hearsOf(others []*testNode) {
+	for _, other := range others {
+		self := other.options.Self()
+		self.HeardAt = n.now
+		n.options.Nodes.Take(self)
+	}
+}
+
 // TestSilentNodesCountForTheNumberOfHubs: nodes that hear of different ones lately
 // still agree on the hubs.
 func TestSilentNodesCountForTheNumberOfHubs(t *testing.T) {
@@ -207,11 +216,7 @@
 	want := len(nodes[0].hubs(nodes[0].now))
 	a := nodes[1]
 	a.now += 5 * second
-	for _, n := range nodes[:120] {
-		self := n.options.Self()
-		self.HeardAt = a.now
-		a.options.Nodes.Take(self)
-	}
+	a.hearsOf(nodes[:120])
 	if got := len(a.hubs(a.now)); got != want {
 		t.Errorf("%d hubs where half of the nodes were heard of lately, want %d", got, want)
 	}
@@ -222,11 +227,7 @@
 	nodes := fleetOf(240, 3)
 	a := nodes[1]
 	a.now += 2 * second
-	for _, n := range nodes[:120] {
-		self := n.options.Self()
-		self.HeardAt = a.now
-		a.options.Nodes.Take(self)
-	}
+	a.hearsOf(nodes[:120])
 	for range 20 {
 		if targets := a.targets(); len(targets) > callsPerRound {
 			t.Fatalf("%d nodes are asked in a round", len(targets))
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -70,12 +70,12 @@
 	switch {
 	case p.copied(s, cached) > 0:
 		return p.holder
-	case p.copies && p.holder == nil && p.home != s && cached == 0:
-		return p.home
-	case p.copies && p.holder == nil && p.home == s && cached == 0:
+	case !p.copies || p.holder != nil || cached > 0:
+		return nil
+	case s == p.home:
 		return p.second
 	default:
-		return nil
+		return p.home
 	}
 }
 
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -1,7 +1,5 @@
 package placement
 
-import "time"
-
 // Part is one part of a prompt, which replicas cache.
 type Part struct {
 	ID     uint64
@@ -14,10 +12,6 @@
 	Class string
 	// Rank is the urgency; 0 is the most urgent.
 	Rank int
-	// Objective is the time within which the first token is on time, and MaxPause the
-	// longest pause between two events on time; zero: not set.
-	Objective time.Duration
-	MaxPause  time.Duration
 	// PromptTokens is the length of the whole prompt; zero for a plain service.
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -95,9 +95,9 @@
 type decision struct {
 	state *state
 	cost  float64
-	// cached is the tokens of the prompt that the replica has or copies from source;
-	// nil: from none.
+	// cached is the tokens of the prompt that the replica has, or copies from source.
 	cached int
+	// source is the replica to copy from; nil: none.
 	source *state
 }
 
