--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -104,8 +104,9 @@
 // testWire implements Wire.
 type testWire struct{}
 
-func (testWire) ReadyPath() string   { return "/ready" }
-func (testWire) ResolvePath() string { return "/resolve" }
+func (testWire) ReadyPath() string                 { return "/ready" }
+func (testWire) ResolvePath() string               { return "/resolve" }
+func (testWire) CallerZone(r *http.Request) string { return r.URL.Query().Get("zone") }
 func (testWire) WriteResolve(w http.ResponseWriter, addresses []string, _ time.Duration) error {
 	return json.NewEncoder(w).Encode(addresses)
 }
--- a/internal/edge/questions.go
+++ b/internal/edge/questions.go
@@ -2,7 +2,11 @@
 
 import (
 	"net/http"
+	"slices"
 	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/nodesync"
 )
 
 // readyAge is the age of the configuration's proof up to which a node is ready.
@@ -32,10 +36,9 @@
 	}
 }
 
-// answerResolve tells callers which addresses to use: those of the nodes that
-// serve, or where none is known to, of those that are alive.
-func (n *Node) answerResolve(w http.ResponseWriter, _ *http.Request) {
-	addresses := n.entryAddresses()
+// answerResolve tells callers which addresses to use.
+func (n *Node) answerResolve(w http.ResponseWriter, r *http.Request) {
+	addresses := n.entryAddresses(n.options.Wire.CallerZone(r))
 	if len(addresses) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -48,25 +51,41 @@
 // maxAddresses is the most that callers take.
 const maxAddresses = 64
 
-func (n *Node) entryAddresses() []string {
+// entryAddresses are those of the nodes that serve, or where none is known to, of
+// those that are alive. In a fleet that is too large to be told whole, callers of each
+// availability zone are told some of their own: the first ones by name took all the
+// load of a fleet of 295 nodes, most of it across zones.
+func (n *Node) entryAddresses(zone string) []string {
 	now := n.options.Clock()
-	var addresses []string
+	serving := n.nodes.Serving(now)
 	if n.Ready() {
-		addresses = append(addresses, n.entryAddress)
+		serving = append(serving, n.self())
+	}
+	if len(serving) > maxAddresses {
+		serving = n.sync.Entries(zone)
 	}
-	for _, node := range n.nodes.Serving(now) {
-		addresses = append(addresses, node.EntryAddress)
+	if len(serving) > 0 {
+		return entryAddressesOf(serving)
 	}
-	if len(addresses) > 0 {
-		return addresses[:min(len(addresses), maxAddresses)]
+	if alive := n.alive(now); len(alive) > 0 {
+		return entryAddressesOf(alive)
 	}
+	return nil
+}
+
+// alive is the nodes that may serve though none tells that it does.
+func (n *Node) alive(now boottime.Instant) []nodesync.Node {
+	alive := slices.DeleteFunc(n.nodes.Alive(now), func(node nodesync.Node) bool { return node.Leaving })
 	if !n.leaving.Load() {
-		addresses = append(addresses, n.entryAddress)
+		alive = append([]nodesync.Node{n.self()}, alive...)
 	}
-	for _, node := range n.nodes.Alive(now) {
-		if !node.Leaving {
-			addresses = append(addresses, node.EntryAddress)
-		}
+	return alive
+}
+
+func entryAddressesOf(nodes []nodesync.Node) []string {
+	addresses := make([]string, 0, len(nodes))
+	for _, n := range nodes[:min(len(nodes), maxAddresses)] {
+		addresses = append(addresses, n.EntryAddress)
 	}
-	return addresses[:min(len(addresses), maxAddresses)]
+	return addresses
 }
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -32,6 +32,8 @@
 	// ResolvePath that of the question which addresses to use.
 	ReadyPath() string
 	ResolvePath() string
+	// CallerZone is the availability zone that such a question tells; empty: none.
+	CallerZone(r *http.Request) string
 	// WriteResolve answers with the addresses, to be kept for ttl.
 	WriteResolve(w http.ResponseWriter, addresses []string, ttl time.Duration) error
 }
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -56,38 +56,13 @@
 	return l.hubs
 }
 
-// chooseHubs are the first nodes of each availability zone, as many as its size asks
-// for.
-func (s *Sync) chooseHubs(self Node, now boottime.Instant) []Node {
-	nodes := s.options.Nodes.staying(now)
-	if len(nodes)+1 < leastNodesWithHubs {
-		return nil
-	}
-	if !self.Leaving {
-		self.rank = rankOf(self.Name)
-		nodes = append(nodes, self)
-	}
-	slices.SortFunc(nodes, compareForHub)
-	var hubs []Node
-	sizes := s.options.Nodes.zoneSizes(now)
-	sizes[self.AvailabilityZone]++
-	for len(nodes) > 0 {
-		zone := nodes[:zoneLength(nodes)]
-		count := (sizes[zone[0].AvailabilityZone] + nodesPerHub - 1) / nodesPerHub
-		hubs = append(hubs, zone[:min(count, len(zone))]...)
-		nodes = nodes[len(zone):]
-	}
-	return hubs
-}
-
-// compareForHub puts nodes of one availability zone together, those first that
-// become hubs first: the ones that are ready, of these the ones with the most
-// processor, and then some that all nodes agree on. Where none is ready, as in an
-// outage of the platform's store, there are hubs all the same: without them each
-// node would look for the store's return itself.
-func compareForHub(a, b Node) int {
+// compareForHub orders the nodes of one availability zone, those first that become
+// hubs first: the ones that are ready, of these the ones with the most processor, and
+// then some that all nodes agree on. Where none is ready, as in an outage of the
+// platform's store, there are hubs all the same: without them each node would look
+// for the store's return itself.
+func compareForHub(a, b *Node) int {
 	return cmp.Or(
-		cmp.Compare(a.AvailabilityZone, b.AvailabilityZone),
 		compareReady(a, b),
 		cmp.Compare(b.ProcessorShare, a.ProcessorShare),
 		cmp.Compare(a.rank, b.rank),
@@ -95,7 +70,7 @@
 }
 
 // compareReady puts ready nodes first.
-func compareReady(a, b Node) int {
+func compareReady(a, b *Node) int {
 	switch {
 	case a.Ready == b.Ready:
 		return 0
@@ -106,16 +81,6 @@
 	}
 }
 
-// zoneLength is the number of nodes at the front that are of one availability zone.
-func zoneLength(nodes []Node) int {
-	for i, n := range nodes {
-		if n.AvailabilityZone != nodes[0].AvailabilityZone {
-			return i
-		}
-	}
-	return len(nodes)
-}
-
 // rankOf orders the nodes; all nodes have the same order.
 func rankOf(name string) uint64 { return xxhash.Sum64String(name) }
 
--- a/internal/nodesync/hub_loads_test.go
+++ b/internal/nodesync/hub_loads_test.go
@@ -134,7 +134,7 @@
 	nodes := fleetOf(240, 3)
 	hubs := nodes[0].hubs(nodes[0].now)
 	for _, n := range nodes[:20] {
-		told := n.told(n.now)
+		told := n.told("", n.now)
 		if len(told) > len(hubs)+maxTold {
 			t.Errorf("%d nodes are told", len(told))
 		}
@@ -190,7 +190,7 @@
 			if target.name == hub.Name {
 				asked["hub"]++
 			} else {
-				asked[target.zone]++
+				asked[named(nodes, target.name).options.Self().AvailabilityZone]++
 			}
 		}
 	}
--- a/internal/nodesync/loads.go
+++ b/internal/nodesync/loads.go
@@ -38,7 +38,7 @@
 // placements on, and adds up the loads of those that ask it to.
 func (s *Sync) takeLoads(n Node, told toldLoads, now boottime.Instant) {
 	at := time.Now()
-	s.options.Placer.SetPeer(n.Name, loadsFromProto(told.loads), told.addsUp, s.options.Nodes.aliveCount(now), at)
+	s.options.Placer.SetPeer(n.Name, loadsFromProto(told.loads), told.addsUp, s.options.Nodes.AliveCount(now), at)
 	s.options.Placer.SetPlacements(placementsFromProto(told.placements), told.toHub, at)
 }
 
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -19,27 +19,55 @@
 	rememberFor = 60 * time.Second
 )
 
+// record is a node and what became of the last call of it.
+type record struct {
+	Node
+	// failed says that nobody answered at the node's address, at failedAt, and that
+	// no later sign came since.
+	failed   bool
+	failedAt boottime.Instant
+}
+
+// alive says whether the node was heard of lately and not found gone since.
+func (r *record) alive(now boottime.Instant) bool {
+	return !r.failed && r.heardWithin(aliveFor, now)
+}
+
+// serves says whether callers may be sent to the node.
+func (r *record) serves(now boottime.Instant) bool {
+	return r.alive(now) && r.Ready && !r.Leaving
+}
+
+// stays says whether the node was heard of lately and is not about to stop.
+func (r *record) stays(now boottime.Instant) bool { return r.alive(now) && !r.Leaving }
+
+// remembered says whether the node is still asked.
+func (r *record) remembered(now boottime.Instant) bool { return r.heardWithin(rememberFor, now) }
+
+func (r *record) heardWithin(span time.Duration, now boottime.Instant) bool {
+	return now.Sub(r.HeardAt) < span
+}
+
 // Nodes are the nodes that are known, this one left out. It is safe for
 // concurrent use.
 type Nodes struct {
 	self string
 
-	mu    sync.RWMutex
-	known map[string]Node
+	mu sync.RWMutex
+	// known finds a record by the node's name; ordered has the same records by name.
+	// It is kept in order: sorting hundreds of nodes for each look at them took a
+	// third of a node's processor time at rest in a fleet of 300.
+	known   map[string]*record
+	ordered []*record
 	// seeds are peer addresses whose nodes have not answered yet.
 	seeds []string
 	// changes counts the changes of who serves, but for nodes that fall silent.
 	changes uint64
-	// failedAt is when a call of a node last found nobody there.
-	failedAt map[string]boottime.Instant
 }
 
 // NewNodes returns a table that knows only the seeds' peer addresses.
 func NewNodes(self string, seeds []string) *Nodes {
-	return &Nodes{
-		self: self, known: make(map[string]Node), seeds: seeds,
-		failedAt: make(map[string]boottime.Instant),
-	}
+	return &Nodes{self: self, known: make(map[string]*record), seeds: seeds}
 }
 
 // SetSeeds replaces the seeds' peer addresses.
@@ -58,34 +86,58 @@
 		return false
 	}
 	old, had := n.known[node.Name]
-	if had && node.HeardAt <= old.HeardAt {
-		return false
-	}
-	if !had && len(n.known) >= MaxNodes {
-		return false
+	if !had {
+		node.rank = rankOf(node.Name)
+		return n.add(node, node.HeardAt)
 	}
-	if failed, ok := n.failedAt[node.Name]; ok && node.HeardAt <= failed {
+	if node.HeardAt <= old.HeardAt || old.failed && node.HeardAt <= old.failedAt {
 		return false
 	}
-	delete(n.failedAt, node.Name)
-	if !had || !n.alive(old, node.HeardAt) || !old.alike(node) {
+	if !old.alive(node.HeardAt) || !old.alike(node) {
 		n.changes++
 	}
+	found := node.HeardAt.Sub(old.HeardAt) > aliveFor
 	node.rank = old.rank
-	if !had {
-		node.rank = rankOf(node.Name)
+	*old = record{Node: node}
+	return found
+}
+
+// add remembers a node that was not known, unless there are too many. The lock is
+// held.
+func (n *Nodes) add(node Node, now boottime.Instant) bool {
+	if len(n.known) >= MaxNodes {
+		n.forgetSilent(now)
+	}
+	if len(n.known) >= MaxNodes {
+		return false
 	}
-	n.known[node.Name] = node
-	return !had || node.HeardAt.Sub(old.HeardAt) > aliveFor
+	r := &record{Node: node}
+	at, _ := slices.BinarySearchFunc(n.ordered, node.Name, func(r *record, name string) int { return strings.Compare(r.Name, name) })
+	n.known[node.Name] = r
+	n.ordered = slices.Insert(n.ordered, at, r)
+	n.changes++
+	return true
+}
+
+// forgetSilent makes room for nodes that are new where VMs are replaced for weeks.
+// The lock is held.
+func (n *Nodes) forgetSilent(now boottime.Instant) {
+	n.ordered = slices.DeleteFunc(n.ordered, func(r *record) bool {
+		if r.remembered(now) {
+			return false
+		}
+		delete(n.known, r.Name)
+		return true
+	})
 }
 
 // Failed notes that nobody answered at the node's address at the instant.
 func (n *Nodes) Failed(name string, at boottime.Instant) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, known := n.known[name]; known {
+	if r, known := n.known[name]; known {
 		n.changes++
-		n.failedAt[name] = at
+		r.failed, r.failedAt = true, at
 	}
 }
 
@@ -96,86 +148,88 @@
 	return n.changes
 }
 
-// Serving lists the nodes that callers may be sent to, by name.
-func (n *Nodes) Serving(now boottime.Instant) []Node {
-	return n.list(func(node Node) bool { return n.serves(node, now) })
-}
-
-// serves says whether callers may be sent to the node. The lock is held.
-func (n *Nodes) serves(node Node, now boottime.Instant) bool {
-	return n.alive(node, now) && node.Ready && !node.Leaving
-}
-
-// staying lists the nodes that were heard of lately and are not about to stop.
-func (n *Nodes) staying(now boottime.Instant) []Node {
-	return n.list(func(node Node) bool { return n.alive(node, now) && !node.Leaving })
-}
-
-// zoneSizes is the number of nodes of each availability zone, those included that
-// were silent lately: in a fleet of hundreds a node hears of most others less than
-// once a second, and all are to work out the same number of hubs.
-func (n *Nodes) zoneSizes(now boottime.Instant) map[string]int {
-	sizes := make(map[string]int)
-	for _, node := range n.all(now) {
-		sizes[node.AvailabilityZone]++
+// visit shows each record, by the nodes' names. The records are not to be kept or
+// changed.
+func (n *Nodes) visit(see func(*record)) {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	for _, r := range n.ordered {
+		see(r)
 	}
-	return sizes
 }
 
-// Alive lists the nodes that were heard of lately, by name.
-func (n *Nodes) Alive(now boottime.Instant) []Node {
-	return n.list(func(node Node) bool { return n.alive(node, now) })
+// list is the nodes that keep accepts, by name.
+func (n *Nodes) list(keep func(*record) bool) []Node {
+	var list []Node
+	n.visit(func(r *record) {
+		if keep(r) {
+			list = append(list, r.Node)
+		}
+	})
+	return list
 }
 
-// aliveCount is the number of nodes that were heard of lately.
-func (n *Nodes) aliveCount(now boottime.Instant) int {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
+// count is the number of nodes that keep accepts.
+func (n *Nodes) count(keep func(*record) bool) int {
 	count := 0
-	for _, node := range n.known {
-		if n.alive(node, now) {
+	n.visit(func(r *record) {
+		if keep(r) {
 			count++
 		}
-	}
+	})
 	return count
 }
 
-// all lists the nodes that are still asked.
-func (n *Nodes) all(now boottime.Instant) []Node {
-	return n.list(func(node Node) bool { return now.Sub(node.HeardAt) < rememberFor })
+// draw is up to most of the nodes that keep accepts, each with the same chance; intN
+// returns a random number below its argument.
+func (n *Nodes) draw(most int, intN func(int) int, keep func(*record) bool) []Node {
+	if most <= 0 {
+		return nil
+	}
+	drawn := make([]Node, 0, most)
+	seen := 0
+	n.visit(func(r *record) {
+		if !keep(r) {
+			return
+		}
+		seen++
+		if len(drawn) < most {
+			drawn = append(drawn, r.Node)
+		} else if at := intN(seen); at < most {
+			drawn[at] = r.Node
+		}
+	})
+	return drawn
 }
 
-// alive says whether a node was heard of lately and not found gone since. The
-// lock is held.
-func (n *Nodes) alive(node Node, now boottime.Instant) bool {
-	if _, failed := n.failedAt[node.Name]; failed {
-		return false
-	}
-	return now.Sub(node.HeardAt) < aliveFor
+// Serving lists the nodes that callers may be sent to, by name.
+func (n *Nodes) Serving(now boottime.Instant) []Node {
+	return n.list(func(r *record) bool { return r.serves(now) })
 }
 
-func (n *Nodes) list(keep func(Node) bool) []Node {
-	n.mu.RLock()
-	defer n.mu.RUnlock()
-	var list []Node
-	for _, node := range n.known {
-		if keep(node) {
-			list = append(list, node)
-		}
-	}
-	slices.SortFunc(list, func(a, b Node) int { return strings.Compare(a.Name, b.Name) })
-	return list
+// Alive lists the nodes that were heard of lately, by name.
+func (n *Nodes) Alive(now boottime.Instant) []Node {
+	return n.list(func(r *record) bool { return r.alive(now) })
+}
+
+// AliveCount is the number of nodes that were heard of lately.
+func (n *Nodes) AliveCount(now boottime.Instant) int {
+	return n.count(func(r *record) bool { return r.alive(now) })
+}
+
+// Count is the number of nodes that may serve, this one included: those that
+// were heard of within rememberFor.
+func (n *Nodes) Count(now boottime.Instant) int {
+	return n.count(func(r *record) bool { return r.remembered(now) }) + 1
 }
 
 // unansweredSeeds are the seeds at whose addresses no known node is.
 func (n *Nodes) unansweredSeeds(self string) []string {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
-	answered := map[string]bool{self: true}
-	for _, node := range n.known {
-		answered[node.PeerAddress] = true
-	}
-	return slices.DeleteFunc(slices.Clone(n.seeds), func(address string) bool { return answered[address] })
+	return slices.DeleteFunc(slices.Clone(n.seeds), func(address string) bool {
+		return address == self || slices.ContainsFunc(n.ordered, func(r *record) bool { return r.PeerAddress == address })
+	})
 }
 
 // Suggest adds a node that may exist, to be asked: nothing is known of its
@@ -183,14 +237,10 @@
 func (n *Nodes) Suggest(node Node, now boottime.Instant) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, had := n.known[node.Name]; had || node.Name == n.self || len(n.known) >= MaxNodes {
+	if _, had := n.known[node.Name]; had || node.Name == n.self {
 		return
 	}
 	node.Ready, node.Leaving, node.rank, node.unmet = false, false, rankOf(node.Name), true
 	node.HeardAt = now.Add(-aliveFor)
-	n.known[node.Name] = node
+	n.add(node, now)
 }
-
-// Count is the number of nodes that may serve, this one included: those that
-// were heard of within rememberFor.
-func (n *Nodes) Count(now boottime.Instant) int { return len(n.all(now)) + 1 }
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -183,7 +183,7 @@
 		ReplicasDigest:   listing.Digest,
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 	}
-	for _, n := range s.told(now) {
+	for _, n := range s.told(m.GetSelf().GetAvailabilityZone(), now) {
 		answer.Nodes = append(answer.Nodes, nodeToProto(n, now))
 	}
 	if snapshot.Version() > m.GetConfigVersion() {
@@ -219,11 +219,10 @@
 	}
 }
 
-// takeConfig takes a newer document, or the proof that the own one is the newest.
+// takeConfig takes a newer document, or the proof that the own one is the newest or
+// that there is none yet: before the first one, a fleet of 300 nodes made two
+// thousand reads of the store where each looked for it.
 func (s *Sync) takeConfig(m *nodesyncv1.ExchangeResponse, from string, began boottime.Instant) {
-	if m.GetConfigVersion() == 0 {
-		return
-	}
 	provenAt := began.Add(-microseconds(m.GetConfigProofAge()))
 	if len(m.GetConfig()) == 0 {
 		s.options.Routes.Prove(m.GetConfigVersion(), provenAt)
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -101,6 +101,27 @@
 	}
 }
 
+// TestThatThereIsNoConfigurationYetSpreads: else each node of a fleet that starts
+// asks the store for it again and again.
+func TestThatThereIsNoConfigurationYetSpreads(t *testing.T) {
+	a, b, c := newTestNode("a", 100*second), newTestNode("b", 10*second), newTestNode("c", 5*second)
+	a.asks(t, c, 0, 0)
+	if age := a.options.Routes.Get().Age(a.now); age < 1000*time.Hour {
+		t.Errorf("a node that has read nothing tells that it did %s ago", age)
+	}
+	b.options.Routes.Prove(0, 9*second)
+	a.asks(t, b, 0, second)
+	if age := a.options.Routes.Get().Age(a.now); age != 2*time.Second {
+		t.Errorf("there was none %s ago, want 2s", age)
+	}
+	_, _ = a.options.Routes.Take([]byte("7"), a.now)
+	b.options.Routes.Prove(0, b.now)
+	a.asks(t, b, 0, 0)
+	if got := a.options.Routes.Get(); got.Version() != 7 || got.Age(a.now) != 0 {
+		t.Errorf("version %d, age %s after news that there was none", got.Version(), got.Age(a.now))
+	}
+}
+
 func TestListingsSpreadWithTheirAge(t *testing.T) {
 	a, b := newTestNode("a", 100*second), newTestNode("b", 10*second)
 	listing := replica.Listing{Revision: 5, Replicas: []replica.Replica{{ID: "i", Upstream: "u", Address: "x:1", Slots: 3, Draining: true}}}
--- a/internal/nodesync/targets.go
+++ b/internal/nodesync/targets.go
@@ -1,7 +1,6 @@
 package nodesync
 
 import (
-	"slices"
 	"time"
 
 	"galenatrestle/internal/boottime"
@@ -11,35 +10,40 @@
 type target struct {
 	name    string
 	address string
-	zone    string
 }
 
-func targetOf(n Node) target { return target{n.Name, n.PeerAddress, n.AvailabilityZone} }
+func targetOf(n Node) target { return target{n.Name, n.PeerAddress} }
+
+func targetsOf(nodes []Node) []target {
+	targets := make([]target, 0, len(nodes))
+	for _, n := range nodes {
+		targets = append(targets, targetOf(n))
+	}
+	return targets
+}
 
 // targets draws the nodes of a round: mostly nodes that are alive, and now and
 // then one that was not heard of lately or a seed.
 func (s *Sync) targets() []target {
 	now := s.options.Clock()
-	var alive, silent []target
-	nodes := s.options.Nodes.all(now)
-	silentAfter := silentAfter(len(nodes))
-	for _, n := range nodes {
-		switch age := now.Sub(n.HeardAt); {
-		case age < aliveFor:
-			alive = append(alive, targetOf(n))
-		case n.unmet || age >= silentAfter:
-			silent = append(silent, targetOf(n))
-		}
-	}
-	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress) {
-		silent = append(silent, target{address: address})
-	}
-	s.shuffle(alive)
-	s.shuffle(silent)
-	chosen := s.withHubs(alive, now)
+	chosen := s.withHubs(now)
 	// One silent node at least is looked for, however many are asked.
 	missing := max(callsPerRound-len(chosen), 0) + 1
-	return append(chosen, silent[:min(len(silent), missing)]...)
+	return append(chosen, s.silent(missing, now)...)
+}
+
+// silent draws up to most of the nodes that were not heard of lately and of the seeds
+// that have not answered.
+func (s *Sync) silent(most int, now boottime.Instant) []target {
+	silentAfter := silentAfter(s.options.Nodes.Count(now) - 1)
+	drawn := targetsOf(s.options.Nodes.draw(most, s.intN, func(r *record) bool {
+		return r.remembered(now) && !r.heardWithin(aliveFor, now) && (r.unmet || !r.heardWithin(silentAfter, now))
+	}))
+	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress) {
+		drawn = append(drawn, target{address: address})
+	}
+	s.shuffle(drawn)
+	return drawn[:min(len(drawn), most)]
 }
 
 // freshNodes is the number of nodes of which a node hears within aliveFor: some
@@ -63,27 +67,29 @@
 	acrossRounds = 8
 )
 
-// stray is the node to ask besides the hubs in the round, if any: one of the drawn.
-func stray(drawn []target, zone string, round uint64) []target {
+// stray is the node to ask besides the hubs in the round, if any.
+func (s *Sync) stray(zone string, now boottime.Instant) []target {
+	round := s.rounds.Add(1)
 	if round%strayRounds != 0 {
 		return nil
 	}
-	if round%acrossRounds != 0 {
-		drawn = slices.DeleteFunc(drawn, func(t target) bool { return t.zone != zone })
-	}
-	return drawn[:min(len(drawn), 1)]
+	across := round%acrossRounds == 0
+	return targetsOf(s.options.Nodes.draw(1, s.intN, func(r *record) bool {
+		return r.heardWithin(aliveFor, now) && (across || r.AvailabilityZone == zone)
+	}))
 }
 
-// withHubs is the nodes to ask in a round, of those drawn at random: in a fleet with
-// hubs the own hub, for a hub all others, and now and then another node.
-func (s *Sync) withHubs(drawn []target, now boottime.Instant) []target {
+// withHubs is the nodes to ask in a round of those that are alive: in a fleet with
+// hubs the own hub, for a hub all others, and now and then another node; else some
+// drawn at random.
+func (s *Sync) withHubs(now boottime.Instant) []target {
 	self := s.options.Self()
 	hubs := s.hubs(now)
 	own := hubFor(self, hubs)
 	if own.Name == "" {
-		return drawn[:min(len(drawn), callsPerRound)]
+		return targetsOf(s.options.Nodes.draw(callsPerRound, s.intN, func(r *record) bool { return r.heardWithin(aliveFor, now) }))
 	}
-	targets := stray(drawn, self.AvailabilityZone, s.rounds.Add(1))
+	targets := s.stray(self.AvailabilityZone, now)
 	if own.Name != self.Name {
 		return append(targets, targetOf(own))
 	}
@@ -100,3 +106,10 @@
 	defer s.mu.Unlock()
 	s.options.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
 }
+
+// intN returns a random number below n.
+func (s *Sync) intN(n int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.options.Rand.IntN(n)
+}
--- a/internal/nodesync/turn.go
+++ b/internal/nodesync/turn.go
@@ -22,13 +22,7 @@
 // turnAmongAll is the place of a node in a fleet without hubs.
 func (s *Sync) turnAmongAll(self Node, now boottime.Instant) int {
 	rank := rankOf(self.Name)
-	turn := 0
-	for _, n := range s.options.Nodes.staying(now) {
-		if n.rank < rank {
-			turn++
-		}
-	}
-	return turn
+	return s.options.Nodes.count(func(r *record) bool { return r.stays(now) && r.rank < rank })
 }
 
 // turnAmongFirst is the place of a hub among the first ones of the availability
