--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -23,58 +23,106 @@
 	// other of themselves; this finds those that nobody has met yet. With both at
 	// 3 s, a fleet of 88 nodes spent a fifth of its calls of the store on them.
 	listEvery = 8 * time.Second
+	// listMember is the pace of a node that has a hub: the hubs meet the nodes that
+	// are new, and tell of them.
+	listMember = time.Minute
 	// listEarly is the pace until another node is known, listFew that while fewer than
 	// fewNodes are.
 	listEarly = 500 * time.Millisecond
 	listFew   = 3 * time.Second
 	fewNodes  = 4
+	// settleFor is the time from its start in which a node leaves it to the seeds to be
+	// found by others: by then a node that a seed answers knows its role, and most
+	// nodes of a large fleet need not be announced. Where each of 295 nodes announced
+	// itself and read the list of all, a start took 8 calls of the store a node.
+	settleFor = 2 * time.Second
+	// announcerTick is how often the announcer looks at what is due.
+	announcerTick = 250 * time.Millisecond
 )
 
-// announcer makes the node known in the platform's store and finds others there.
+// announcer makes the node known in the platform's store, where others need it to
+// meet the fleet, and finds others there.
 type announcer struct {
 	store Store
 	self  func() nodesync.Node
-	nodes *nodesync.Nodes
-	clock boottime.Clock
-	log   *eventlog.Log
-	rand  *rand.Rand
+	// role is the node's part in spreading news; isSeed says whether others are to
+	// find it by their settings.
+	role   func() nodesync.Role
+	isSeed bool
+	nodes  *nodesync.Nodes
+	clock  boottime.Clock
+	log    *eventlog.Log
+	rand   *rand.Rand
 	// lease is zero where none is held.
 	lease int64
+	// settledAt is the end of settleFor, renewAt when the lease is to be renewed or
+	// taken, listAt when the announced nodes are to be read.
+	settledAt, renewAt, listAt boottime.Instant
+	// watch notices a lost store for a node that learns all else from others.
+	watch storeWatch
 }
 
 // run renews and lists until ctx ends.
 func (a *announcer) run(ctx context.Context) {
-	var renewAt boottime.Instant
-	// A node that learns all else from others notices a lost store here.
-	watch := storeWatch{what: "nodes", log: a.log}
+	now := a.clock()
+	a.settledAt = now.Add(settleFor)
+	if !a.isSeed {
+		// The seeds may answer meanwhile.
+		a.listAt = now.Add(listEarly)
+	}
+	a.watch = storeWatch{what: "nodes", log: a.log}
 	for {
-		limited, cancel := context.WithTimeout(ctx, readTimeout)
-		if now := a.clock(); now >= renewAt {
-			if err := a.announce(limited); err != nil && ctx.Err() == nil {
-				a.log.Error("announce node", err)
-			} else {
-				renewAt = now.Add(renewEvery)
-			}
+		a.round(ctx)
+		if ctxtime.Sleep(ctx, announcerTick) != nil {
+			return
 		}
+	}
+}
+
+// round makes the calls that are due.
+func (a *announcer) round(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	if now := a.clock(); now >= a.renewAt && a.mustBeFound(now) {
+		a.renewAt = now.Add(renewEvery)
+		if err := a.announce(limited); err != nil && ctx.Err() == nil {
+			a.log.Error("announce node", err)
+			a.renewAt = now.Add(a.listPause())
+		}
+	}
+	if now := a.clock(); now >= a.listAt {
 		err := a.list(limited)
-		cancel()
 		if ctx.Err() == nil {
-			watch.note(err)
-		}
-		pause := listPause(len(a.nodes.Alive(a.clock())))
-		if ctxtime.Sleep(ctx, pause+time.Duration(a.rand.Int64N(int64(pause/4)))) != nil {
-			return
+			a.watch.note(err)
 		}
+		pause := a.listPause()
+		a.listAt = a.clock().Add(pause + time.Duration(a.rand.Int64N(int64(pause/4))))
+	}
+}
+
+// mustBeFound says whether the store has to tell of the node: a node that starts needs
+// some that answer, and these are the seeds and the hubs, or all nodes of a small
+// fleet.
+func (a *announcer) mustBeFound(now boottime.Instant) bool {
+	switch role := a.role(); {
+	case a.isSeed:
+		return true
+	case now < a.settledAt:
+		return false
+	default:
+		return role != nodesync.Member
 	}
 }
 
-// listPause is the time until the next listing, with so many other nodes alive.
-func listPause(others int) time.Duration {
-	switch {
+// listPause is the time until the next listing.
+func (a *announcer) listPause() time.Duration {
+	switch others := a.nodes.AliveCount(a.clock()); {
 	case others == 0:
 		return listEarly
 	case others < fewNodes:
 		return listFew
+	case a.role() == nodesync.Member:
+		return listMember
 	default:
 		return listEvery
 	}
--- /dev/null
+++ b/internal/edge/announcer_test.go
@@ -0,0 +1,76 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/nodesync"
+)
+
+// runAnnouncer has a node's announcer work for a while; others are the nodes that it
+// has heard of by then. It returns the store and its calls.
+func runAnnouncer(t *testing.T, role nodesync.Role, isSeed bool, others int, span time.Duration) (*storeStandIn, int) {
+	store := &storeStandIn{nodes: make(map[string]nodesync.Node)}
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		clock := func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
+		nodes := nodesync.NewNodes("self", nil)
+		a := &announcer{
+			store: seenBy{store, "self"}, self: func() nodesync.Node { return nodesync.Node{Name: "self"} },
+			role: func() nodesync.Role { return role }, isSeed: isSeed, nodes: nodes,
+			clock: clock, log: eventlog.New(io.Discard, "self"), rand: rand.New(rand.NewPCG(1, 1)),
+		}
+		for i := range others {
+			nodes.Take(nodesync.Node{Name: fmt.Sprintf("vm-%d", i), HeardAt: clock().Add(span)})
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), span)
+		defer cancel()
+		a.run(ctx)
+	})
+	return store, store.reads
+}
+
+// TestOnlyNodesThatOthersNeedAreAnnounced counts the calls of a node's first minute:
+// a fleet of hundreds starts at once.
+func TestOnlyNodesThatOthersNeedAreAnnounced(t *testing.T) {
+	cases := []struct {
+		name      string
+		role      nodesync.Role
+		seed      bool
+		others    int
+		announced bool
+		most      int
+	}{
+		{"a member of a large fleet", nodesync.Member, false, 294, false, 2},
+		{"a member that is a seed", nodesync.Member, true, 294, true, 5},
+		{"a hub", nodesync.Hub, false, 294, true, 12},
+		{"a node of a small fleet", nodesync.Equal, false, 6, true, 12},
+		{"a node that meets nobody", nodesync.Equal, false, 0, true, 130},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			store, calls := runAnnouncer(t, test.role, test.seed, test.others, time.Minute)
+			if _, announced := store.nodes["self"]; announced != test.announced {
+				t.Errorf("announced: %t", announced)
+			}
+			if calls > test.most {
+				t.Errorf("%d calls in a minute, want %d at most", calls, test.most)
+			}
+		})
+	}
+}
+
+// TestANodeThatMeetsNobodyIsAnnouncedSoon: its seeds may be gone for long.
+func TestANodeThatMeetsNobodyIsAnnouncedSoon(t *testing.T) {
+	store, _ := runAnnouncer(t, nodesync.Equal, false, 0, settleFor+time.Second)
+	if len(store.nodes) != 1 {
+		t.Error("a node that knows nobody is not announced")
+	}
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
@@ -83,13 +85,16 @@
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
 	n.handler = n.newHandler(tracker)
+	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
 		store: options.Store, routes: n.routes, replicas: n.replicas, listed: n.listed,
 		role: n.sync.Role, turn: n.sync.Turn, clock: options.Clock, log: n.log,
-		metrics: newMetrics(registry, n.routes, n.replicas, options.Clock, n.log),
+		firstReadAt: n.firstReadAt(isSeed),
+		metrics:     newMetrics(registry, n.routes, n.replicas, options.Clock, n.log),
 	}
 	n.announcer = &announcer{
-		store: options.Store, self: n.self, nodes: n.nodes, clock: options.Clock, log: n.log,
+		store: options.Store, self: n.self, role: n.sync.Role, isSeed: isSeed,
+		nodes: n.nodes, clock: options.Clock, log: n.log,
 		rand: rand.New(rand.NewPCG(options.Seed, 2)),
 	}
 	if err := n.linkPeers(); err != nil {
@@ -101,6 +106,19 @@
 	return n, nil
 }
 
+// firstReadWait is how long at a fleet's first start the nodes leave it to the seeds to
+// read the store. Nobody is served yet, and the first configuration may not be there:
+// each of 295 nodes made eight calls of the store before the first caller came.
+const firstReadWait = 3 * time.Second
+
+// firstReadAt is when the node may read the store though it knows nothing.
+func (n *Node) firstReadAt(isSeed bool) boottime.Instant {
+	if !n.options.Settings.PassThrough.FirstStart || isSeed {
+		return 0
+	}
+	return n.options.Clock().Add(firstReadWait)
+}
+
 // newSync returns the exchange with the other nodes, which carries the tracker's
 // records.
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"time"
 
@@ -9,6 +10,7 @@
 	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/nodesync"
+	"galenatrestle/internal/platform"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
 )
@@ -57,10 +59,13 @@
 	// role is the node's part in spreading what it reads.
 	role func() nodesync.Role
 	// turn is its place among the nodes that read for others.
-	turn    func() int
-	clock   boottime.Clock
-	log     *eventlog.Log
-	metrics *metrics
+	turn func() int
+	// firstReadAt is when the node may read what it has no copy of: at its start, but
+	// for a fleet's first one.
+	firstReadAt boottime.Instant
+	clock       boottime.Clock
+	log         *eventlog.Log
+	metrics     *metrics
 }
 
 // record is one of the store's records of which a reader keeps a copy.
@@ -125,7 +130,7 @@
 func (r *reader) awaitAge(ctx context.Context, random *rand.Rand, age func() time.Duration) bool {
 	spread := random.Float64()
 	for {
-		left := r.dueAge(spread) - age()
+		left := max(r.dueAge(spread)-age(), r.untilFirst())
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
@@ -135,6 +140,15 @@
 	}
 }
 
+// untilFirst is the time for which the node leaves the reading to others though it
+// knows nothing.
+func (r *reader) untilFirst() time.Duration {
+	if r.firstReadAt == 0 {
+		return 0
+	}
+	return r.firstReadAt.Sub(r.clock())
+}
+
 // configuration is the operator's configuration.
 func (r *reader) configuration() record {
 	known := func() bool { return r.routes.Get().Version() > 0 }
@@ -160,6 +174,11 @@
 func (r *reader) readRoutes(ctx context.Context) error {
 	began := r.clock()
 	document, err := r.store.Configuration(ctx)
+	if errors.Is(err, platform.ErrNotFound) {
+		// None was written yet, which the other nodes are told.
+		r.routes.Prove(0, began)
+		return nil
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -99,3 +99,41 @@
 		})
 	}
 }
+
+// TestAFirstStartIsReadByTheSeeds: at a fleet's first start nobody is served, and what
+// the seeds have read comes from them.
+func TestAFirstStartIsReadByTheSeeds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &reader{role: func() nodesync.Role { return nodesync.Member }, turn: func() int { return 0 }}
+		began, told := time.Now(), time.Time{}
+		r.clock = func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
+		r.firstReadAt = r.clock().Add(firstReadWait)
+		age := func() time.Duration {
+			// The news come after two seconds, and stop after ten.
+			if passed := time.Since(began); passed > 2*time.Second && passed < 10*time.Second {
+				told = time.Now()
+			}
+			return time.Since(told)
+		}
+		if !r.awaitAge(t.Context(), rand.New(rand.NewPCG(1, 1)), age) {
+			t.Fatal("the wait ended without a reason")
+		}
+		if waited := time.Since(began); waited < 10*time.Second {
+			t.Errorf("read after %s, though others had read it", waited)
+		}
+	})
+}
+
+// TestAFirstStartWithoutSeedsIsRead: none of them answers.
+func TestAFirstStartWithoutSeedsIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		r := &reader{role: func() nodesync.Role { return nodesync.Equal }, turn: func() int { return 0 }}
+		r.clock = func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
+		r.firstReadAt = r.clock().Add(firstReadWait)
+		r.awaitAge(t.Context(), rand.New(rand.NewPCG(1, 1)), func() time.Duration { return time.Hour })
+		if waited := time.Since(began); waited != firstReadWait {
+			t.Errorf("read after %s, want %s", waited, firstReadWait)
+		}
+	})
+}
--- a/internal/routesource/current.go
+++ b/internal/routesource/current.go
@@ -14,7 +14,8 @@
 	Table *route.Table
 	// Document is the encoded document that the table was built from.
 	Document []byte
-	// ProvenAt is an instant at which the table was the newest.
+	// ProvenAt is an instant at which the table was the newest, or without a table
+	// one at which there was no document.
 	ProvenAt boottime.Instant
 }
 
@@ -26,8 +27,16 @@
 	return s.Table.Version
 }
 
-// Age is the time since the table was known to be the newest.
-func (s Snapshot) Age(now boottime.Instant) time.Duration { return now.Sub(s.ProvenAt) }
+// neverProven is the age where nothing was ever read: older than any node is.
+const neverProven = 100 * 365 * 24 * time.Hour
+
+// Age is the time since the table was known to be the newest, or that there is none.
+func (s Snapshot) Age(now boottime.Instant) time.Duration {
+	if s.ProvenAt == 0 {
+		return neverProven
+	}
+	return now.Sub(s.ProvenAt)
+}
 
 // Current holds the newest table. It is safe for concurrent use.
 type Current struct {
@@ -83,7 +92,8 @@
 }
 
 // Prove notes that the version was the newest at provenAt, as another node has
-// proved. It says nothing about an older version than the one in force.
+// proved; version zero: that there was no document. It says nothing about an older
+// version than the one in force.
 func (c *Current) Prove(version int64, provenAt boottime.Instant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -92,7 +102,7 @@
 
 // prove renews the proof. The lock is held.
 func (c *Current) prove(version int64, provenAt boottime.Instant) {
-	if c.snapshot.Table == nil || version != c.snapshot.Version() {
+	if version != c.snapshot.Version() {
 		return
 	}
 	c.snapshot.ProvenAt = max(c.snapshot.ProvenAt, provenAt)
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -32,8 +32,12 @@
 	// ProcessorShare is the part of a core that the process gets. Of the nodes of
 	// an availability zone, those with the most add up for the others. Zero: not
 	// known.
-	ProcessorShare float32     `yaml:"processor_share,omitempty" validate:"min=0"`
-	Retries        RetryBudget `yaml:"retry_budget,omitempty"`
+	ProcessorShare float32 `yaml:"processor_share,omitempty" validate:"min=0"`
+	// FirstStart says that the whole system starts for the first time: its nodes wait
+	// some seconds for what the seeds read of the platform's store before they read it
+	// themselves.
+	FirstStart bool        `yaml:"first_start,omitempty"`
+	Retries    RetryBudget `yaml:"retry_budget,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
