--- a/internal/intent/executor.go
+++ b/internal/intent/executor.go
@@ -61,7 +61,7 @@
 			return false, fmt.Errorf("plan %s at epoch %d, not %d: %w", id, plan.Epoch, epoch, ErrSuperseded)
 		}
 		if plan.State.Final() {
-			return e.retire(ctx, plan)
+			return true, e.store.retire(ctx, plan)
 		}
 		more, err := e.turn(ctx, plan, epoch)
 		if readback.IsConflict(err) {
--- a/internal/intent/record.go
+++ b/internal/intent/record.go
@@ -1,10 +1,6 @@
 package intent
 
-import (
-	"context"
-
-	"galenatrestle/internal/platform/readback"
-)
+import "context"
 
 // recordWait records why a step waits, if that has changed.
 func (e *Executor) recordWait(ctx context.Context, plan *Plan, number int, wait string) error {
@@ -48,20 +44,3 @@
 	}
 	return err
 }
-
-// retire takes a final plan from the head.
-func (e *Executor) retire(ctx context.Context, plan *Plan) (bool, error) {
-	for {
-		h, revision, err := e.store.readHead(ctx)
-		if err != nil {
-			return true, err
-		}
-		if !h.has(plan.ID) {
-			return true, nil
-		}
-		err = e.store.writeHead(ctx, h.without(plan, e.store.now()), revision)
-		if !readback.IsConflict(err) {
-			return true, err
-		}
-	}
-}
--- a/internal/intent/store.go
+++ b/internal/intent/store.go
@@ -39,16 +39,65 @@
 	return &Store{kv: kv, bases: bases, newID: newID, now: now}
 }
 
-// Base returns what a plan worked out now stands on.
+// Base returns what a plan worked out now stands on. Plans that are final but still in
+// the head are taken from it first: an operator who sees that a plan is done may propose
+// the next one before the executor has done so, and that one must not be stale for it.
 func (s *Store) Base(ctx context.Context) (Base, error) {
 	revision, _, _, err := s.bases.ConfigRevision(ctx)
 	if err != nil {
 		return Base{}, errs.Wrap(errs.Platform, err, "read base", "configuration")
 	}
-	_, headRevision, err := s.readHead(ctx)
+	h, headRevision, err := s.readHead(ctx)
+	if err != nil {
+		return Base{}, err
+	}
+	retired, err := s.retireFinal(ctx, h.Active)
+	if err != nil {
+		return Base{}, err
+	}
+	if retired {
+		_, headRevision, err = s.readHead(ctx)
+	}
 	return Base{Config: revision, Head: headRevision}, err
 }
 
+// retireFinal takes those of the plans that are final from the head, and says whether
+// there were any.
+func (s *Store) retireFinal(ctx context.Context, active []string) (bool, error) {
+	retired := false
+	for _, id := range active {
+		plan, err := s.Plan(ctx, id)
+		if err != nil {
+			return retired, err
+		}
+		if !plan.State.Final() {
+			continue
+		}
+		if err := s.retire(ctx, plan); err != nil {
+			return retired, err
+		}
+		retired = true
+	}
+	return retired, nil
+}
+
+// retire takes a final plan from the head, if it is still there.
+func (s *Store) retire(ctx context.Context, plan *Plan) error {
+	for {
+		h, revision, err := s.readHead(ctx)
+		if err != nil {
+			return err
+		}
+		if !h.has(plan.ID) {
+			return nil
+		}
+		err = s.writeHead(ctx, h.without(plan, s.now()), revision)
+		if !readback.IsConflict(err) {
+			return err
+		}
+	}
+}
+
 // Propose stores a plan that Build returned and gives it its id. Nothing
 // happens until it is confirmed.
 func (s *Store) Propose(ctx context.Context, plan *Plan, operator string) (*Plan, error) {
--- a/internal/intent/store_test.go
+++ b/internal/intent/store_test.go
@@ -36,6 +36,32 @@
 	}
 }
 
+// TestAPlanProposedAfterAnotherIsDoneIsNotStale: the executor makes a plan final before
+// it takes it from the head, and an operator may propose the next one in between.
+func TestAPlanProposedAfterAnotherIsDoneIsNotStale(t *testing.T) {
+	b := newBench()
+	first := b.propose(t, drain)
+	confirmed, err := b.store.Confirm(t.Context(), first.ID, "anna", false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := confirmed.clone()
+	done.State = StateDone
+	if _, err := b.store.writePlan(t.Context(), done); err != nil {
+		t.Fatal(err)
+	}
+	base, err := b.store.Base(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.store.retire(t.Context(), done); err != nil {
+		t.Fatal(err)
+	}
+	if after, err := b.store.Base(t.Context()); err != nil || after != base {
+		t.Errorf("base %+v before the executor's next step, %+v after it (%v): the next plan is stale", base, after, err)
+	}
+}
+
 func TestConfirmNeedsAcceptedRisk(t *testing.T) {
 	b := newBench()
 	plan := b.propose(t, Intent{Kind: KindDrainReplica, Upstream: "tab-api", Replica: "r0"})
