--- a/internal/fleetsim/decisions_test.go
+++ b/internal/fleetsim/decisions_test.go
@@ -75,6 +75,39 @@
 	}
 }
 
+// smallEngine runs sixteen requests at once and tells ten tokens in an event.
+var smallEngine = EngineModel{
+	TokensPerMS: 52, Chunk: 2048, StepMS: 4.7, PerRequestMS: 0.03, Slots: 16, MemoryTokens: 250_000, TokensPerEvent: 10,
+}
+
+// fullPlaces is a burst of short prompts with long answers on engines that run few
+// requests at once: their places are taken long before there is much to read.
+func fullPlaces(seed uint64) Scenario {
+	s := coldBurst(seed)
+	s.Model, s.Engines, s.Nodes, s.Length = smallEngine, 13, 18, 32*time.Second
+	s.Classes = []Class{
+		{Name: letter, Rank: 1, PerSecond: 28, Objective: 600 * time.Millisecond, MaxPause: 500 * time.Millisecond, Patience: 5 * time.Second,
+			OwnTokens: 2900, AnswerTokens: 50, Spread: 0.9, Sessions: 80, SharedTokens: 6300},
+		{Name: question, Rank: 0, PerSecond: 19, Objective: 300 * time.Millisecond, MaxPause: 300 * time.Millisecond, Patience: 15 * time.Second,
+			OwnTokens: 630, AnswerTokens: 290, Spread: 0.7, Sessions: 150, SharedTokens: 200},
+	}
+	s.Bursts = []Burst{{question, 6 * time.Second, 15 * time.Second, 3.5}}
+	return s
+}
+
+// A request beyond a replica's places waits for an answer of seconds to end. Decisions
+// that know of the places spread such a burst before that.
+func TestRequestsGoWhereThereIsAPlace(t *testing.T) {
+	known := play(t, fullPlaces, nil)
+	unknown := play(t, fullPlaces, func(s *Scenario) { s.PlacesUntold = true })
+	if got, without := known.Classes[question].OnTimeShare(), unknown.Classes[question].OnTimeShare(); got < without+0.05 {
+		t.Errorf("%.3f of the questions are on time, %.3f without the places", got, without)
+	}
+	if known.OnTimeShare() < unknown.OnTimeShare()+0.02 {
+		t.Errorf("%.3f of all are on time, %.3f without the places", known.OnTimeShare(), unknown.OnTimeShare())
+	}
+}
+
 // A crash takes caches along: the sessions of the lost engines are read once more at
 // others, and the rest of the fleet stays on time.
 func TestACrashUnderLoadCostsLittleBeyondWhatRanThere(t *testing.T) {
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -71,7 +71,7 @@
 		f.byID[e.id] = e
 	}
 	replicas := replica.NewSet()
-	replicas.Take(listing(f.engines), 1, 1)
+	replicas.Take(listing(s, f.engines), 1, 1)
 	f.nodes = newNodes(s, replicas)
 	return f
 }
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -32,11 +32,15 @@
 const zones = 3
 
 // listing registers the engines.
-func listing(engines []*engine) replica.Listing {
+func listing(s *Scenario, engines []*engine) replica.Listing {
 	l := replica.Listing{Revision: 1}
+	slots := s.Model.Slots
+	if s.PlacesUntold {
+		slots = 0
+	}
 	for i, e := range engines {
 		l.Replicas = append(l.Replicas, replica.Replica{
-			ID: e.id, Upstream: upstream, Address: e.id, AvailabilityZone: fmt.Sprintf("z%d", i%zones), Slots: e.model.Slots,
+			ID: e.id, Upstream: upstream, Address: e.id, AvailabilityZone: fmt.Sprintf("z%d", i%zones), Slots: slots,
 		})
 	}
 	return l
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -17,6 +17,8 @@
 	Crashes []Crash
 	// Copies says that engines copy shared parts from each other.
 	Copies bool
+	// PlacesUntold keeps from the nodes how many requests an engine runs at once.
+	PlacesUntold bool
 	// Ungated lets every request in.
 	Ungated bool
 	Seed    uint64
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -30,6 +30,8 @@
 	tokens int
 	light  bool
 	ended  bool
+	// begunAt is when the answer began.
+	begunAt time.Time
 }
 
 // Begun notes the first byte of an answer that counts.
@@ -38,6 +40,7 @@
 	defer a.upstream.mu.Unlock()
 	a.upstream.reading.Observe(a.work, now.Sub(a.startedAt))
 	a.state.cache.read(now, a.shared)
+	a.begunAt = now
 	a.heard(now)
 	a.state.recover(now)
 }
@@ -92,6 +95,9 @@
 		a.state.heardAt = now
 		a.state.recover(now)
 		a.upstream.learn(now.Sub(a.startedAt))
+		if !a.begunAt.IsZero() {
+			a.upstream.learnAnswer(now.Sub(a.begunAt))
+		}
 	default:
 		a.state.fail(now, penalties[result])
 	}
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -9,9 +9,10 @@
 	Cost  float64
 	Among int
 	// Wait is the expected time to the first token, of which Own is that for reading
-	// this prompt.
-	Wait time.Duration
-	Own  time.Duration
+	// this prompt, and Place that until the replica has a place for the request.
+	Wait  time.Duration
+	Own   time.Duration
+	Place time.Duration
 	// Used is the part of the replica's memory that the running requests and
 	// this one take, each by itself; zero: not known.
 	Used float64
@@ -43,7 +44,8 @@
 		c.ReadSpeed = u.reading.TokensPerMS()
 		c.Used = u.used(r, s)
 		c.Own = u.reading.Time(r.PromptTokens - c.Cached)
-		c.Wait = u.reading.Time(c.Ahead) + c.Own
+		c.Place = time.Duration(u.placeWait(s, r.Rank) * float64(time.Millisecond))
+		c.Wait = u.reading.Time(c.Ahead) + c.Place + c.Own
 	}
 	return c
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -20,6 +20,8 @@
 	// together for which another node adds up, by that node.
 	peers  map[string]peerLoads
 	groups map[string]peerLoads
+	// usedAt is when a replica was last chosen.
+	usedAt time.Time
 	// fleet is what all other nodes use together, as told at fleetAt.
 	fleet   map[string]Load
 	fleetAt time.Time
@@ -45,6 +47,7 @@
 // no replica takes new requests. The attempt must be ended.
 func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
 	u := p.upstream(name)
+	p.used(now)
 	replicas := p.replicas.Of(name)
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -55,6 +58,19 @@
 	return u.bind(now, r, d)
 }
 
+func (p *Placer) used(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.usedAt = now
+}
+
+// UsedWithin says whether a replica was chosen not longer than that ago.
+func (p *Placer) UsedWithin(span time.Duration, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Sub(p.usedAt) <= span
+}
+
 // bind counts the attempt at the replica that was chosen. The lock is held.
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -92,12 +92,13 @@
 	if r.PromptTokens == 0 || len(open) < 2 {
 		return len(open)
 	}
-	u.average(now, open)
+	usual, atMost := lightPer(open)
+	u.average(now, open, usual)
 	light, heavy := u.split.light+assumedDemand, u.split.heavy+assumedDemand
 	side := int(math.Round(float64(len(open)) * light / (light + heavy)))
 	// Heavy requests that queue up do not take the replicas which the light
 	// ones need, and those of a light side that is full spread no further.
-	least := int(math.Ceil(u.split.light * lightPerReplica / lightAtMost))
+	least := int(math.Ceil(u.split.light * usual / atMost))
 	return min(max(side, least, 1), len(open)-1)
 }
 
@@ -105,8 +106,9 @@
 // without requests, as at the start, has room for the first of them.
 const assumedDemand = 0.3
 
-// average takes the present load into the averages.
-func (u *upstream) average(now time.Time, open []*state) {
+// average takes the present load into the averages, in which a replica runs so many
+// light requests well.
+func (u *upstream) average(now time.Time, open []*state, lightPer float64) {
 	light, running := 0, 0
 	for _, s := range open {
 		light += s.light + s.peersLight
@@ -115,7 +117,7 @@
 	passed := now.Sub(u.split.at)
 	u.split.at = now
 	keep := math.Exp(-passed.Seconds() / splitMemory.Seconds())
-	u.split.light = keep*u.split.light + (1-keep)*float64(light)/lightPerReplica
+	u.split.light = keep*u.split.light + (1-keep)*float64(light)/lightPer
 	u.split.heavy = keep*u.split.heavy + (1-keep)*float64(running-light)/heavyPerReplica
 }
 
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -33,6 +33,9 @@
 	openNow  []*state
 	// workMS is the usual time of a plain service's answer.
 	workMS float64
+	// answerMS is the usual time from the first byte of an engine's answer to its end;
+	// zero: none was seen.
+	answerMS float64
 	// reading is the learned speed at which the replicas read prompts.
 	reading *enginespeed.Reading
 	// prompts is the usual prompt of each class, in tokens.
