--- a/internal/fleetsim/class.go
+++ b/internal/fleetsim/class.go
@@ -23,6 +23,10 @@
 	// Sessions is the number of shared prompts, each of SharedTokens.
 	Sessions     int
 	SharedTokens int
+	// Common is the number of parts of CommonTokens with which the shared prompts begin;
+	// zero: they have none in common.
+	Common       int
+	CommonTokens int
 }
 
 // length draws a length with the mean.
--- a/internal/fleetsim/engine.go
+++ b/internal/fleetsim/engine.go
@@ -41,10 +41,13 @@
 	// parts that some engine had read before.
 	readTokens int
 	readAgain  int
+	// arrivals counts the jobs that were sent here.
+	arrivals int
 }
 
 // add takes a job. from is the engine from which it copies shared parts, or nil.
 func (e *engine) add(j *job, from *engine, readBefore map[uint64]bool) {
+	e.arrivals++
 	cached := e.holds(j.shared)
 	if from != nil {
 		cached = max(cached, from.holds(j.shared))
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -36,6 +36,8 @@
 	returns    []comeback
 	readBefore map[uint64]bool
 	jobs       []*job
+	// sums are those of the hubs that may still be told, oldest first.
+	sums []sums
 }
 
 // comeback is a refused call that is sent once more.
@@ -93,22 +95,29 @@
 	for i := range f.scenario.Classes {
 		class := &f.scenario.Classes[i]
 		perTick := class.PerSecond * f.scenario.times(class.Name, now) * tick.Seconds()
-		if f.random.Float64() >= perTick {
-			continue
-		}
-		c := &call{
-			class: class, arrived: now, deadline: now + class.Patience,
-			ownTokens:    length(f.random, class.OwnTokens, class.Spread),
-			answerTokens: length(f.random, class.AnswerTokens, class.Spread),
-		}
-		if class.Sessions > 0 {
-			c.session = uint64(i+1)<<32 | uint64(f.random.IntN(class.Sessions)+1)
+		for ; perTick > 0; perTick-- {
+			if f.random.Float64() < perTick {
+				f.call(now, i)
+			}
 		}
-		f.calls = append(f.calls, c)
-		f.send(now, c)
 	}
 }
 
+// call draws a call of the class, and sends it.
+func (f *fleet) call(now time.Duration, i int) {
+	class := &f.scenario.Classes[i]
+	c := &call{
+		class: class, arrived: now, deadline: now + class.Patience,
+		ownTokens:    length(f.random, class.OwnTokens, class.Spread),
+		answerTokens: length(f.random, class.AnswerTokens, class.Spread),
+	}
+	if class.Sessions > 0 {
+		c.session = uint64(i+1)<<32 | uint64(f.random.IntN(class.Sessions)+1)
+	}
+	f.calls = append(f.calls, c)
+	f.send(now, c)
+}
+
 // comeBack sends the refused calls once more whose time has come.
 func (f *fleet) comeBack(now time.Duration) {
 	waiting := f.returns[:0]
@@ -148,8 +157,14 @@
 		PromptTokens: c.ownTokens, AnswerTokens: c.answerTokens,
 		MemoryTokens: f.scenario.Model.MemoryTokens, CopiesPrompts: f.scenario.Copies,
 	}
+	if common := c.class.Common; common > 0 {
+		// Sessions share the first part of their prompts with many others.
+		id := c.session>>32<<32 | uint64(1)<<31 | c.session%uint64(common)
+		r.Shared = append(r.Shared, placement.Part{ID: id, Tokens: c.class.CommonTokens})
+		r.PromptTokens += c.class.CommonTokens
+	}
 	if c.session != 0 {
-		r.Shared = []placement.Part{{ID: c.session, Tokens: c.class.SharedTokens}}
+		r.Shared = append(r.Shared, placement.Part{ID: c.session, Tokens: c.class.SharedTokens})
 		r.PromptTokens += c.class.SharedTokens
 	}
 	return r
@@ -209,10 +224,17 @@
 // exchange lets each node tell some others of its loads and placements, in turns.
 func (f *fleet) exchange(now time.Duration) {
 	every := f.scenario.NewsEvery
+	if f.scenario.Hubs {
+		f.addUp(now)
+	}
 	for i, n := range f.nodes {
 		if (now+every*time.Duration(i)/time.Duration(len(f.nodes)))%every >= tick {
 			continue
 		}
+		if f.scenario.Hubs {
+			f.tellSums(n, now)
+			continue
+		}
 		at := epoch.Add(now)
 		for _, k := range f.random.Perm(len(f.nodes))[:min(askedAtOnce, len(f.nodes))] {
 			if other := f.nodes[k]; other != n {
@@ -240,9 +262,12 @@
 			r.Classes[c.class.Name].count(c.outcome)
 		}
 	}
+	most, all := 0, 0
 	for _, e := range f.engines {
 		r.ReadTokens += e.readTokens / 1000
 		r.ReadAgain += e.readAgain / 1000
+		most, all = max(most, e.arrivals), all+e.arrivals
 	}
+	r.Busiest = float64(most*len(f.engines)) / float64(max(all, 1))
 	return r
 }
--- a/internal/fleetsim/play_test.go
+++ b/internal/fleetsim/play_test.go
@@ -62,6 +62,7 @@
 		r := Play(s)
 		sum.ReadTokens += r.ReadTokens
 		sum.ReadAgain += r.ReadAgain
+		sum.Busiest += r.Busiest / float64(len(seeds))
 		for name, tally := range r.Classes {
 			if sum.Classes[name] == nil {
 				sum.Classes[name] = &Tally{}
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -9,6 +9,8 @@
 	// parts that some engine had read before, both in thousands.
 	ReadTokens int
 	ReadAgain  int
+	// Busiest is the calls at the engine that got most, by the mean of all.
+	Busiest float64
 }
 
 // Tally counts the calls of one class.
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -11,6 +11,8 @@
 	Length  time.Duration
 	// NewsEvery is the time between two exchanges of a node with the others.
 	NewsEvery time.Duration
+	// Hubs says that nodes hear of each other by the sums of hubs, as in a large fleet.
+	Hubs bool
 	// Bursts multiply a class's load for a while.
 	Bursts []Burst
 	// Crashes take engines away.
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -109,14 +109,18 @@
 // average takes the present load into the averages, in which a replica runs so many
 // light requests well.
 func (u *upstream) average(now time.Time, open []*state, lightPer float64) {
-	light, running := 0, 0
+	light, running, own := 0, 0, 0
 	for _, s := range open {
+		own += s.running
 		light += s.light + s.peersLight
 		running += s.running + s.peersRunning
 	}
 	passed := now.Sub(u.split.at)
 	u.split.at = now
 	keep := math.Exp(-passed.Seconds() / splitMemory.Seconds())
+	if running > 0 {
+		u.ownShare = keep*u.ownShare + (1-keep)*float64(own)/float64(running)
+	}
 	u.split.light = keep*u.split.light + (1-keep)*float64(light)/lightPer
 	u.split.heavy = keep*u.split.heavy + (1-keep)*float64(running-light)/heavyPerReplica
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -36,6 +36,8 @@
 	// answerMS is the usual time from the first byte of an engine's answer to its end;
 	// zero: none was seen.
 	answerMS float64
+	// ownShare is the part of the running requests that this node has placed, averaged.
+	ownShare float64
 	// reading is the learned speed at which the replicas read prompts.
 	reading *enginespeed.Reading
 	// prompts is the usual prompt of each class, in tokens.
@@ -48,7 +50,7 @@
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
-	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, reading: enginespeed.NewReading(), prompts: make(map[string]float64)}
+	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, reading: enginespeed.NewReading(), ownShare: 1, prompts: make(map[string]float64)}
 }
 
 // follow takes the replicas that are known now. The lock is held.
@@ -116,9 +118,13 @@
 	}
 	where := findPrefix(now, r, open, side)
 	reread := rereadCost * (1 + u.backlog(side)/backlogDoubles)
+	share := u.candidateShare(side)
 	var best *state
 	least := math.Inf(1)
 	for i, s := range open {
+		if !u.isCandidate(s, &where, share) && (best != nil || i < len(open)-1) {
+			continue
+		}
 		// Equal costs are split at random, so that nodes with the same view
 		// do not all take the same replica.
 		cost := u.cost(now, r, s, &where, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
