--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -24,6 +24,9 @@
 		random := rand.New(rand.NewPCG(s.Seed, uint64(1000+i)))
 		zone := fmt.Sprintf("z%d", i%zones)
 		nodes[i] = &node{name: fmt.Sprintf("vm-%d", i), placer: placement.NewPlacer(zone, replicas, random), random: random}
+		if s.SeeAll {
+			nodes[i].placer.SeeAll()
+		}
 	}
 	return nodes
 }
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -21,6 +21,8 @@
 	Copies bool
 	// PlacesUntold keeps from the nodes how many requests an engine runs at once.
 	PlacesUntold bool
+	// SeeAll has nodes look at all engines for each request.
+	SeeAll bool
 	// Ungated lets every request in.
 	Ungated bool
 	Seed    uint64
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -20,6 +20,9 @@
 
 // candidateShare is the part of a side's replicas that a request is placed among.
 func (u *upstream) candidateShare(side []*state) float64 {
+	if u.seeAll {
+		return 1
+	}
 	seen := nodesThatSeeAll * u.ownShare
 	return max(seen*seen, leastCandidates/float64(max(len(side), 1)))
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -20,6 +20,8 @@
 	// together for which another node adds up, by that node.
 	peers  map[string]peerLoads
 	groups map[string]peerLoads
+	// seeAll has each request placed among all replicas.
+	seeAll bool
 	// usedAt is when a replica was last chosen.
 	usedAt time.Time
 	// fleet is what all other nodes use together, as told at fleetAt.
@@ -38,11 +40,16 @@
 	u, ok := p.upstreams[name]
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
+		u.seeAll = p.seeAll
 		p.upstreams[name] = u
 	}
 	return u
 }
 
+// SeeAll has requests placed among all replicas also in a large fleet, for comparisons.
+// It is called before the first Choose.
+func (p *Placer) SeeAll() { p.seeAll = true }
+
 // Choose binds the request to a replica of the upstream. It returns nil where
 // no replica takes new requests. The attempt must be ended.
 func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -38,6 +38,8 @@
 	answerMS float64
 	// ownShare is the part of the running requests that this node has placed, averaged.
 	ownShare float64
+	// seeAll has all replicas looked at.
+	seeAll bool
 	// reading is the learned speed at which the replicas read prompts.
 	reading *enginespeed.Reading
 	// prompts is the usual prompt of each class, in tokens.
