--- a/internal/nodesync/hubchoice_test.go
+++ b/internal/nodesync/hubchoice_test.go
@@ -105,3 +105,23 @@
 		t.Errorf("%d and %d records", len(nodes.ordered), len(nodes.known))
 	}
 }
+
+// TestTheSidesOfALongPartitionFindEachOther: longer than a silent node is asked. What
+// the settings and the store name is asked again.
+func TestTheSidesOfALongPartitionFindEachOther(t *testing.T) {
+	a := newTestNode("a", 100*second)
+	a.options.Nodes.SetSeeds([]string{"seed:1"})
+	a.options.Nodes.Take(Node{Name: "seed", PeerAddress: "seed:1", HeardAt: a.now})
+	a.options.Nodes.Take(Node{Name: "other", PeerAddress: "other:1", HeardAt: a.now})
+	a.now += boottime.Instant(rememberFor) + second
+	a.options.Nodes.Suggest(Node{Name: "other", PeerAddress: "other:1"}, a.now)
+	asked := make(map[string]bool)
+	for range 20 {
+		for _, target := range a.targets() {
+			asked[target.address] = true
+		}
+	}
+	if !asked["seed:1"] || !asked["other:1"] {
+		t.Errorf("asked %v after the partition", asked)
+	}
+}
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -223,24 +223,32 @@
 	return n.count(func(r *record) bool { return r.remembered(now) }) + 1
 }
 
-// unansweredSeeds are the seeds at whose addresses no known node is.
-func (n *Nodes) unansweredSeeds(self string) []string {
+// unansweredSeeds are the seeds at whose addresses no node was heard of for long.
+func (n *Nodes) unansweredSeeds(self string, now boottime.Instant) []string {
 	n.mu.RLock()
 	defer n.mu.RUnlock()
 	return slices.DeleteFunc(slices.Clone(n.seeds), func(address string) bool {
-		return address == self || slices.ContainsFunc(n.ordered, func(r *record) bool { return r.PeerAddress == address })
+		return address == self || slices.ContainsFunc(n.ordered, func(r *record) bool {
+			return r.PeerAddress == address && r.remembered(now)
+		})
 	})
 }
 
 // Suggest adds a node that may exist, to be asked: nothing is known of its
-// state, and what is known of a node already stays.
+// state, and what is known of a node already stays. One that was silent for long is
+// asked again: after a long partition nobody else would begin.
 func (n *Nodes) Suggest(node Node, now boottime.Instant) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if _, had := n.known[node.Name]; had || node.Name == n.self {
+	old, had := n.known[node.Name]
+	if had && old.remembered(now) || node.Name == n.self {
 		return
 	}
 	node.Ready, node.Leaving, node.rank, node.unmet = false, false, rankOf(node.Name), true
 	node.HeardAt = now.Add(-aliveFor)
+	if had {
+		*old = record{Node: node}
+		return
+	}
 	n.add(node, now)
 }
--- a/internal/nodesync/targets.go
+++ b/internal/nodesync/targets.go
@@ -39,7 +39,7 @@
 	drawn := targetsOf(s.options.Nodes.draw(most, s.intN, func(r *record) bool {
 		return r.remembered(now) && !r.heardWithin(aliveFor, now) && (r.unmet || !r.heardWithin(silentAfter, now))
 	}))
-	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress) {
+	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress, now) {
 		drawn = append(drawn, target{address: address})
 	}
 	s.shuffle(drawn)
