--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -200,7 +200,7 @@
 		t.Errorf("asked %v", got)
 	}
 	a.options.Nodes.Take(Node{Name: "b", PeerAddress: "b:1", HeardAt: a.now})
-	if got := a.options.Nodes.unansweredSeeds("a:1"); len(got) != 1 || got[0] != "c:1" {
+	if got := a.options.Nodes.unansweredSeeds("a:1", a.now); len(got) != 1 || got[0] != "c:1" {
 		t.Errorf("still asked as seeds: %v", got)
 	}
 }
