--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -1,5 +1,10 @@
 package placement
 
+import (
+	"math"
+	"time"
+)
+
 // A node of a large fleet hears a third of a second late what the others have placed. In
 // that time dozens of requests come, and where each node takes the replica that looks
 // idlest of all, all go to the same few. So a node that places a small part of the load
@@ -15,7 +20,10 @@
 	leastCandidates = 4.0
 	// nodesThatSeeAll is the number of nodes up to which each looks at all replicas. The
 	// part falls with the square from there.
-	nodesThatSeeAll = 24.0
+	nodesThatSeeAll = 32.0
+	// shareMemory is the time over which the running requests are averaged: some
+	// answers of each node.
+	shareMemory = 2 * time.Second
 )
 
 // candidateShare is the part of a side's replicas that a request is placed among.
@@ -23,10 +31,27 @@
 	if u.seeAll {
 		return 1
 	}
-	seen := nodesThatSeeAll * u.ownShare
+	seen := nodesThatSeeAll * u.ownShare()
 	return max(seen*seen, leastCandidates/float64(max(len(side), 1)))
 }
 
+// ownShare is the part of the running requests that this node has placed.
+func (u *upstream) ownShare() float64 {
+	if u.runningAll == 0 {
+		return 1
+	}
+	return u.runningOwn / u.runningAll
+}
+
+// averageRunning takes the present numbers of running requests into the averages. They
+// are averaged one by one: the part itself wavers between nothing and several times its
+// mean where a node has placed a handful.
+func (u *upstream) averageRunning(passed time.Duration, own, all int) {
+	keep := math.Exp(-passed.Seconds() / shareMemory.Seconds())
+	u.runningOwn = keep*u.runningOwn + (1-keep)*float64(own)
+	u.runningAll = keep*u.runningAll + (1-keep)*float64(all)
+}
+
 // isCandidate says whether the replica is looked at: it is known for the prompt, or
 // drawn.
 func (u *upstream) isCandidate(s *state, p *prefix, share float64) bool {
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -118,9 +118,7 @@
 	passed := now.Sub(u.split.at)
 	u.split.at = now
 	keep := math.Exp(-passed.Seconds() / splitMemory.Seconds())
-	if running > 0 {
-		u.ownShare = keep*u.ownShare + (1-keep)*float64(own)/float64(running)
-	}
+	u.averageRunning(passed, own, running)
 	u.split.light = keep*u.split.light + (1-keep)*float64(light)/lightPer
 	u.split.heavy = keep*u.split.heavy + (1-keep)*float64(running-light)/heavyPerReplica
 }
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -36,8 +36,9 @@
 	// answerMS is the usual time from the first byte of an engine's answer to its end;
 	// zero: none was seen.
 	answerMS float64
-	// ownShare is the part of the running requests that this node has placed, averaged.
-	ownShare float64
+	// runningOwn and runningAll are the running requests of this node and of all,
+	// averaged.
+	runningOwn, runningAll float64
 	// seeAll has all replicas looked at.
 	seeAll bool
 	// reading is the learned speed at which the replicas read prompts.
@@ -52,7 +53,7 @@
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
-	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, reading: enginespeed.NewReading(), ownShare: 1, prompts: make(map[string]float64)}
+	return &upstream{zone: zone, rand: random, states: make(map[string]*state), workMS: initialWorkMS, reading: enginespeed.NewReading(), prompts: make(map[string]float64)}
 }
 
 // follow takes the replicas that are known now. The lock is held.
