--- a/internal/edge/questions.go
+++ b/internal/edge/questions.go
@@ -64,13 +64,10 @@
 	if len(serving) > maxAddresses {
 		serving = n.sync.Entries(zone)
 	}
-	if len(serving) > 0 {
-		return entryAddressesOf(serving)
+	if len(serving) == 0 {
+		serving = n.alive(now)
 	}
-	if alive := n.alive(now); len(alive) > 0 {
-		return entryAddressesOf(alive)
-	}
-	return nil
+	return entryAddressesOf(serving)
 }
 
 // alive is the nodes that may serve though none tells that it does.
--- a/internal/fleetsim/hubs.go
+++ b/internal/fleetsim/hubs.go
@@ -29,12 +29,10 @@
 	}
 	at := epoch.Add(now)
 	s := sums{at: now, own: make(map[*node][]placement.Load)}
-	total := make(map[string]placement.Load)
+	var total map[string]placement.Load
 	for _, n := range f.nodes {
 		s.own[n] = n.placer.Loads(at)
-		for _, l := range s.own[n] {
-			total[l.Replica] = plus(total[l.Replica], l)
-		}
+		total = placement.AddUp(total, s.own[n])
 		s.placements = append(s.placements, n.placer.Placements(at, time.Time{})...)
 	}
 	for _, l := range total {
@@ -43,18 +41,6 @@
 	f.sums = append(f.sums, s)
 }
 
-// plus is what both use of one replica.
-func plus(a, b placement.Load) placement.Load {
-	b.Running += a.Running
-	b.Light += a.Light
-	b.Tokens += a.Tokens
-	b.Failures = max(a.Failures, b.Failures)
-	for rank, tokens := range a.Reading {
-		b.Reading[rank] += tokens
-	}
-	return b
-}
-
 // tellSums gives the node what the hubs knew sumsAge ago.
 func (f *fleet) tellSums(n *node, now time.Duration) {
 	for len(f.sums) > 1 && f.sums[1].at <= now-sumsAge {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -74,8 +74,9 @@
 	return loads
 }
 
-// addUp adds the loads to the sums by replica. The highest failure score counts.
-func addUp(sums map[string]Load, loads []Load) map[string]Load {
+// AddUp adds the loads to the sums by replica, nil for none yet, and returns them. The
+// highest failure score counts.
+func AddUp(sums map[string]Load, loads []Load) map[string]Load {
 	if sums == nil {
 		sums = make(map[string]Load, len(loads))
 	}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -51,7 +51,7 @@
 // SetFleet takes in what all nodes use together, of which own is this node's
 // part.
 func (p *Placer) SetFleet(loads, own []Load, now time.Time) {
-	others := addUp(nil, loads)
+	others := AddUp(nil, loads)
 	for _, l := range own {
 		if sum, ok := others[l.Replica]; ok {
 			others[l.Replica] = sum.minus(l)
@@ -75,19 +75,19 @@
 	defer p.mu.Unlock()
 	for _, told := range p.groups {
 		if told.recent(now) {
-			sums = addUp(sums, told.loads)
+			sums = AddUp(sums, told.loads)
 		}
 	}
 	return listed(sums)
 }
 
 func (p *Placer) groupSum(now time.Time) map[string]Load {
-	sums := addUp(nil, p.Loads(now))
+	sums := AddUp(nil, p.Loads(now))
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, told := range p.peers {
 		if told.counted && told.recent(now) {
-			sums = addUp(sums, told.loads)
+			sums = AddUp(sums, told.loads)
 		}
 	}
 	return sums
@@ -124,7 +124,7 @@
 	heard := 0
 	for _, told := range p.peers {
 		if told.recent(now) {
-			sums = addUp(sums, told.loads)
+			sums = AddUp(sums, told.loads)
 			heard++
 		}
 	}
