--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -31,7 +31,7 @@
 	if s.PassThrough.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryPart * s.PassThrough.MemoryMB * megabyte))
 	}
-	n, err := edge.New(edge.Options{
+	options := edge.Options{
 		Settings: s,
 		Store:    platform.NewStore(s.Platform.Addresses[0]),
 		Codec:    platform.Codec{},
@@ -40,7 +40,11 @@
 		Clock:    boottime.Now,
 		Seed:     uint64(time.Now().UnixNano()),
 		Output:   output,
-	})
+	}
+	if duties := s.PassThrough.Duties; duties != nil {
+		options.Duties = platform.NewDuties(duties.Address)
+	}
+	n, err := edge.New(options)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/duty/dutytest/store.go
@@ -0,0 +1,204 @@
+package dutytest
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/platform"
+)
+
+// Store is the platform's store in memory. It is safe for concurrent use.
+type Store struct {
+	mu       sync.Mutex
+	revision int64
+	entries  map[string]entry
+	leases   map[int64]lease
+	faults   StoreFaults
+	random   *rand.Rand
+	calls    int
+	// waits counts the writes that are made later.
+	waits sync.WaitGroup
+}
+
+// StoreFaults are what may go wrong. The zero value is a store that is well.
+type StoreFaults struct {
+	// Down refuses all calls; Lapse has the leases run out meanwhile.
+	Down, Lapse bool
+	// LostPart is the part of the writes whose answer is lost, LatePart the part of
+	// these that are made a while later, if their conditions still hold.
+	LostPart, LatePart float64
+}
+
+// lateFor is how much later a late write is made at most.
+const lateFor = 6 * time.Second
+
+type entry struct {
+	platform.Entry
+	lease int64
+}
+
+type lease struct {
+	ttl  time.Duration
+	ends time.Time
+}
+
+// NewStore returns an empty store.
+func NewStore(seed uint64) *Store {
+	return &Store{
+		entries: make(map[string]entry), leases: make(map[int64]lease), random: rand.New(rand.NewPCG(seed, 0)),
+	}
+}
+
+// SetFaults sets what goes wrong from now on.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	for id, l := range s.leases {
+		if s.faults.Down && !s.faults.Lapse {
+			// Leases pause while the store is down.
+			l.ends = now.Add(l.ttl)
+			s.leases[id] = l
+		}
+	}
+	s.faults = f
+}
+
+// Calls is the number of calls that came.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Wait waits until no write is outstanding.
+func (s *Store) Wait() { s.waits.Wait() }
+
+// begin counts a call and ends the leases that have run out; the lock is held after it.
+func (s *Store) begin() error {
+	s.mu.Lock()
+	s.calls++
+	if s.faults.Down {
+		return platform.ErrUnavailable
+	}
+	now := time.Now()
+	for id, l := range s.leases {
+		if !now.Before(l.ends) {
+			s.end(id)
+		}
+	}
+	return nil
+}
+
+// end ends a lease and removes its keys. The lock is held.
+func (s *Store) end(id int64) {
+	delete(s.leases, id)
+	for key, e := range s.entries {
+		if e.lease == id {
+			s.revision++
+			delete(s.entries, key)
+		}
+	}
+}
+
+// Get implements duty.Store.
+func (s *Store) Get(_ context.Context, key string) (platform.Entry, error) {
+	err := s.begin()
+	defer s.mu.Unlock()
+	if err != nil {
+		return platform.Entry{}, err
+	}
+	e, ok := s.entries[key]
+	if !ok {
+		return platform.Entry{}, platform.ErrNotFound
+	}
+	return e.Entry, nil
+}
+
+// Grant implements duty.Store.
+func (s *Store) Grant(_ context.Context, ttl time.Duration) (int64, error) {
+	err := s.begin()
+	defer s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	s.revision++
+	s.leases[s.revision] = lease{ttl: ttl, ends: time.Now().Add(ttl)}
+	return s.revision, nil
+}
+
+// Renew implements duty.Store.
+func (s *Store) Renew(_ context.Context, id int64) error {
+	err := s.begin()
+	defer s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	l, ok := s.leases[id]
+	if !ok {
+		return platform.ErrNotFound
+	}
+	l.ends = time.Now().Add(l.ttl)
+	s.leases[id] = l
+	return nil
+}
+
+// End implements duty.Store.
+func (s *Store) End(_ context.Context, id int64) error {
+	err := s.begin()
+	defer s.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	if _, ok := s.leases[id]; !ok {
+		return platform.ErrNotFound
+	}
+	s.end(id)
+	return nil
+}
+
+// Commit implements duty.Store.
+func (s *Store) Commit(_ context.Context, t platform.Transaction) (int64, error) {
+	err := s.begin()
+	defer s.mu.Unlock()
+	if err != nil {
+		return 0, err
+	}
+	if s.random.Float64() >= s.faults.LostPart {
+		return s.commit(t)
+	}
+	if s.random.Float64() >= s.faults.LatePart {
+		// Made, or refused, without an answer.
+		_, _ = s.commit(t)
+		return 0, platform.ErrUnavailable
+	}
+	after := time.Duration(s.random.Int64N(int64(lateFor)))
+	s.waits.Go(func() {
+		time.Sleep(after)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		_, _ = s.commit(t)
+	})
+	return 0, platform.ErrUnavailable
+}
+
+// commit makes the transaction. The lock is held.
+func (s *Store) commit(t platform.Transaction) (int64, error) {
+	for _, c := range t.Conditions {
+		if s.entries[c.Key].Revision != c.Revision {
+			return 0, platform.ErrConflict
+		}
+	}
+	for _, w := range t.Writes {
+		if _, ok := s.leases[w.Lease]; w.Lease != 0 && !ok {
+			return 0, platform.ErrNotFound
+		}
+	}
+	s.revision++
+	for _, w := range t.Writes {
+		s.entries[w.Key] = entry{Entry: platform.Entry{Key: w.Key, Value: w.Value, Revision: s.revision}, lease: w.Lease}
+	}
+	return s.revision, nil
+}
--- /dev/null
+++ b/internal/duty/holder_test.go
@@ -0,0 +1,239 @@
+package duty_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/ctxtime"
+	"galenatrestle/internal/duty"
+	"galenatrestle/internal/duty/dutytest"
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/platform"
+)
+
+const ttl = 3 * time.Second
+
+// actor calls the platform again and again while it is the holder.
+type actor struct{ judge *dutytest.Judge }
+
+func (a actor) Run(ctx context.Context, term duty.Term) {
+	for ctx.Err() == nil {
+		if term.Held() {
+			// What the platform says the judge notes.
+			_ = a.judge.Take(term, "subject", func() {})
+		}
+		if ctxtime.Sleep(ctx, 100*time.Millisecond) != nil {
+			return
+		}
+	}
+}
+
+// cutStore is the store as one node reaches it.
+type cutStore struct {
+	duty.Store
+	cut func() bool
+}
+
+func (s cutStore) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if s.cut() {
+		return platform.Entry{}, platform.ErrUnavailable
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s cutStore) Renew(ctx context.Context, id int64) error {
+	if s.cut() {
+		return platform.ErrUnavailable
+	}
+	return s.Store.Renew(ctx, id)
+}
+
+// fleet is some nodes that try for one duty, inside a synctest bubble.
+type fleet struct {
+	t     *testing.T
+	store *dutytest.Store
+	judge *dutytest.Judge
+	began time.Time
+	stops map[string]context.CancelFunc
+	done  map[string]chan struct{}
+	cut   map[string]bool
+	runs  int
+}
+
+func newFleet(t *testing.T, seed uint64) *fleet {
+	return &fleet{
+		t: t, store: dutytest.NewStore(seed), judge: dutytest.NewJudge(ttl, seed), began: time.Now(),
+		stops: make(map[string]context.CancelFunc), done: make(map[string]chan struct{}), cut: make(map[string]bool),
+	}
+}
+
+func (f *fleet) clock() boottime.Instant { return boottime.Instant(time.Since(f.began)) + 1 }
+
+func (f *fleet) start(name string) {
+	f.runs++
+	holder, err := duty.NewHolder(duty.Options{
+		Store: cutStore{f.store, func() bool { return f.cut[name] }}, Key: "holder", Node: name, Process: fmt.Sprint(name, "/", f.runs), TTL: ttl,
+		Contends: func() bool { return true }, Works: []duty.Work{actor{f.judge}}, Clock: f.clock,
+		Rand: rand.New(rand.NewPCG(uint64(f.runs), 2)), Log: eventlog.New(io.Discard, name), Registry: prometheus.NewRegistry(),
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{})
+	f.stops[name], f.done[name] = cancel, done
+	go func() {
+		defer close(done)
+		holder.Run(ctx)
+	}()
+}
+
+// stop ends a node as planned.
+func (f *fleet) stop(name string) {
+	f.stops[name]()
+	<-f.done[name]
+}
+
+// finish stops all nodes and reports what the judge saw.
+func (f *fleet) finish() {
+	f.store.SetFaults(dutytest.StoreFaults{})
+	for name := range f.stops {
+		f.stop(name)
+	}
+	f.store.Wait()
+	f.judge.Wait()
+	for _, broken := range f.judge.Broken() {
+		f.t.Error(broken)
+	}
+}
+
+// holderAt is who called last.
+func (f *fleet) holder() string {
+	calls := f.judge.Calls()
+	if len(calls) == 0 {
+		return ""
+	}
+	return calls[len(calls)-1].Holder
+}
+
+// lastCall is how long ago that was.
+func (f *fleet) lastCall() time.Duration {
+	calls := f.judge.Calls()
+	if len(calls) == 0 {
+		return time.Since(f.began)
+	}
+	return time.Since(calls[len(calls)-1].At)
+}
+
+func TestAHolderThatIsCutOffIsFollowedAndSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.start("a")
+		f.start("b")
+		time.Sleep(5 * time.Second)
+		first := f.holder()
+		if first == "" {
+			t.Fatal("nobody holds the duty after 5 s")
+		}
+		f.cut[first] = true
+		time.Sleep(2 * ttl)
+		if second := f.holder(); second == first || f.lastCall() > time.Second {
+			t.Errorf("%s after %s was cut off from the store for %s; last call %s ago", second, first, 2*ttl, f.lastCall())
+		}
+		f.finish()
+	})
+}
+
+func TestAPlannedStopHandsOnAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.start("a")
+		f.start("b")
+		time.Sleep(2 * ttl)
+		first := f.holder()
+		f.stop(first)
+		time.Sleep(ttl / 2)
+		if f.holder() == first {
+			t.Errorf("nobody followed %s within %s", first, ttl/2)
+		}
+		f.start(first)
+		time.Sleep(ttl)
+		f.finish()
+	})
+}
+
+// TestHoldersThatStopSoonDoNotTakeTurns stops each holder right after its first call: the
+// one before may not act again within the lease.
+func TestHoldersThatStopSoonDoNotTakeTurns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1)
+		f.start("a")
+		f.start("b")
+		for range 20 {
+			time.Sleep(ttl / 4)
+			name := f.holder()
+			if name == "" || f.lastCall() > ttl/4 {
+				continue
+			}
+			f.stop(name)
+			f.start(name)
+		}
+		f.finish()
+	})
+}
+
+// TestNoFenceComesTwice has the leases lapse in outages of the store, and answers of
+// writes get lost or the writes made late, in random turns.
+func TestNoFenceComesTwice(t *testing.T) {
+	for seed := range uint64(200) {
+		synctest.Test(t, func(t *testing.T) { playRandomFaults(t, seed) })
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+func playRandomFaults(t *testing.T, seed uint64) {
+	f := newFleet(t, seed)
+	random := rand.New(rand.NewPCG(seed, 3))
+	names := []string{"a", "b", "c"}
+	for _, name := range names {
+		f.start(name)
+	}
+	for range 30 {
+		name := names[random.IntN(len(names))]
+		switch random.IntN(6) {
+		case 0:
+			f.store.SetFaults(dutytest.StoreFaults{Down: true, Lapse: random.IntN(2) == 0})
+		case 1:
+			f.store.SetFaults(dutytest.StoreFaults{LostPart: 0.5, LatePart: 0.5})
+		case 2:
+			f.store.SetFaults(dutytest.StoreFaults{})
+			f.judge.SetLate(random.Float64() / 2)
+		case 3:
+			f.stop(name)
+			f.start(name)
+		case 4:
+			f.cut[name] = !f.cut[name]
+		case 5:
+			f.judge.SetLate(0)
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(2 * ttl))))
+	}
+	f.store.SetFaults(dutytest.StoreFaults{})
+	f.judge.SetLate(0)
+	clear(f.cut)
+	time.Sleep(3 * ttl)
+	if f.lastCall() > time.Second {
+		t.Errorf("nobody acts %s after the faults ended", 3*ttl)
+	}
+	f.finish()
+}
--- /dev/null
+++ b/internal/duty/store.go
@@ -0,0 +1,21 @@
+package duty
+
+import (
+	"context"
+	"time"
+
+	"galenatrestle/internal/platform"
+)
+
+// Store is what duties need of the platform's store. Reads are linearizable.
+type Store interface {
+	// Get returns the key's entry, or platform.ErrNotFound.
+	Get(ctx context.Context, key string) (platform.Entry, error)
+	// Grant takes a lease, Renew extends it, End ends it; platform.ErrNotFound says that
+	// it has ended.
+	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
+	Renew(ctx context.Context, lease int64) error
+	End(ctx context.Context, lease int64) error
+	// Commit makes the transaction and returns its revision, or platform.ErrConflict.
+	Commit(ctx context.Context, t platform.Transaction) (revision int64, err error)
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -47,6 +47,7 @@
 	announcer *announcer
 	clients   *peer.Clients
 	peers     *peer.Server
+	duties    *duties
 	servers   []*server
 	// entryAddress and peerAddress are what others are told.
 	entryAddress string
@@ -82,6 +83,7 @@
 	n.conns = replicaconn.NewPool(replicaconn.TCPDial(replicaconn.DefaultDialTimeout), n.countConnection())
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.budget = retrybudget.New(n.retryLimits())
+	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
 	n.handler = n.newHandler(tracker)
@@ -127,7 +129,7 @@
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
 		Placer: n.placer, Tracker: tracker, IdleTicks: n.idleTicks, SumsFor: nodesync.DefaultSumsFor, Clock: n.options.Clock,
-		Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
+		Time: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
 
@@ -153,6 +155,7 @@
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
 		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Log: n.log, Registry: n.registry,
+		Began: n.duties.began(),
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
@@ -175,7 +178,7 @@
 	n.sync.SetClients(n.clients)
 	n.peers = peer.NewServer(keys, n.registry)
 	n.peers.Mount(n.sync.Handler())
-	return nil
+	return n.duties.link()
 }
 
 // peerDialTimeout bounds connecting to another node, a few milliseconds away.
@@ -188,7 +191,7 @@
 		Name: s.Name, AvailabilityZone: s.AvailabilityZone,
 		EntryAddress: n.entryAddress, PeerAddress: n.peerAddress,
 		Ready: n.Ready(), Leaving: n.leaving.Load(),
-		ProcessorShare: s.PassThrough.ProcessorShare,
+		ProcessorShare: s.PassThrough.ProcessorShare, DutyFence: n.duties.fence(),
 	}
 }
 
@@ -242,6 +245,10 @@
 	defer cancel()
 	n.log.Write(&lifecycle{name: "start", fields: eventlog.Fields{"entry": n.options.Settings.Listen}})
 	n.start(background)
+	// The duties are handed on at the start of a planned stop, not at its end.
+	dutiesCtx, endDuties := context.WithCancel(background)
+	defer endDuties()
+	n.tasks.Go(func() { n.duties.run(dutiesCtx) })
 	failed := make(chan error, len(n.servers))
 	for _, s := range n.servers {
 		go func() { failed <- s.run() }()
@@ -252,6 +259,7 @@
 		n.log.Error("serve", err)
 		return err
 	}
+	endDuties()
 	n.stop()
 	return nil
 }
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -30,6 +30,8 @@
 	listing  replica.Listing
 	leases   int64
 	nodes    map[string]nodesync.Node
+	// keys are what the duties keep, by key.
+	keys map[string]platform.Entry
 	down     map[string]bool
 	reads    int
 }
@@ -75,6 +77,36 @@
 
 func (s seenBy) Renew(context.Context, int64) error { return nil }
 
+func (s seenBy) End(context.Context, int64) error { return nil }
+
+func (s seenBy) Get(_ context.Context, key string) (platform.Entry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	entry, ok := s.keys[key]
+	if !ok {
+		return entry, errors.Join(platform.ErrNotFound, s.reach())
+	}
+	return entry, s.reach()
+}
+
+func (s seenBy) Commit(_ context.Context, t platform.Transaction) (int64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.reach(); err != nil {
+		return 0, err
+	}
+	for _, c := range t.Conditions {
+		if s.keys[c.Key].Revision != c.Revision {
+			return 0, platform.ErrConflict
+		}
+	}
+	s.leases++
+	for _, w := range t.Writes {
+		s.keys[w.Key] = platform.Entry{Key: w.Key, Value: w.Value, Revision: s.leases}
+	}
+	return s.leases, nil
+}
+
 func (s seenBy) Announce(_ context.Context, n nodesync.Node, _ int64) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -163,7 +195,7 @@
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: &storeStandIn{nodes: make(map[string]nodesync.Node), down: make(map[string]bool)}}
+	d := &deployment{t: t, store: &storeStandIn{nodes: make(map[string]nodesync.Node), down: make(map[string]bool), keys: make(map[string]platform.Entry)}}
 	d.service = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(forwardtest.HeaderID, r.Header.Get(forwardtest.HeaderID))
 		w.Header().Set(forwardtest.HeaderStamp, "s")
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -17,6 +17,8 @@
 	// Decode reads the operator's configuration.
 	Decode func([]byte) (*route.Document, error)
 	Wire   Wire
+	// Duties takes the calls of the fleet's duties; nil where it has none.
+	Duties DutyPlatform
 	Clock  boottime.Clock
 	// Seed feeds the random choices.
 	Seed uint64
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -5,21 +5,19 @@
 	"net/http"
 	"time"
 
+	"galenatrestle/internal/duty"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
 )
 
 // Store is what a node reads and writes in the platform's store.
 type Store interface {
+	duty.Store
 	// Configuration reads the operator's newest document.
 	Configuration(ctx context.Context) ([]byte, error)
 	// Replicas reads all registrations. A listing may come with an error that
 	// tells of entries which could not be decoded.
 	Replicas(ctx context.Context) (replica.Listing, error)
-	// Grant takes a lease, Renew extends it; platform.ErrNotFound says that it
-	// has ended.
-	Grant(ctx context.Context, ttl time.Duration) (lease int64, err error)
-	Renew(ctx context.Context, lease int64) error
 	// Announce makes the node known while the lease lasts.
 	Announce(ctx context.Context, n nodesync.Node, lease int64) error
 	// Nodes lists the announced nodes, as of some seconds ago.
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -224,6 +224,11 @@
 		Peer:    a.place.Replica.Address,
 		Cause:   cause,
 	}
+	if f.Arrived && !a.exchange.call.Route.Streaming {
+		// A plain service works on what it has read at once; a stream begins to run
+		// with its first event.
+		a.exchange.ran()
+	}
 	// Where this side closed the connection, the reason for it is the cause.
 	switch {
 	case a.impatient.Load():
@@ -283,6 +288,7 @@
 		return a.failed(stepBody, err)
 	}
 	a.place.Responded(time.Now())
+	a.exchange.ran()
 	return &Failure{
 		Result: placement.Errored, Arrived: true, Step: stepAnswer, Peer: a.place.Replica.Address,
 		Status: a.response.StatusCode, Header: a.response.Header, Body: body,
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -44,6 +44,8 @@
 	lastEvent string
 	// last is why the last attempt brought no whole answer.
 	last *Failure
+	// metered says that the call was counted as one that began to run.
+	metered bool
 	// firstByte is when the answer began; replica is who gave the last attempt.
 	firstByte time.Time
 	replica   string
@@ -97,6 +99,15 @@
 	return reason == ""
 }
 
+// ran counts the call, once, as one that a replica began to run.
+func (e *exchange) ran() {
+	if e.metered || e.forwarder.options.Began == nil {
+		return
+	}
+	e.metered = true
+	e.forwarder.options.Began(e.call.workspace())
+}
+
 // refuseAgain returns why no further attempt may be made; empty: it may.
 func (e *exchange) refuseAgain(f *Failure) stopReason {
 	switch {
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -20,4 +20,7 @@
 	Crashes  *Crashes
 	Log      *eventlog.Log
 	Registry prometheus.Registerer
+	// Began is told of each request that begins to run, by its workspace; nil: nobody
+	// counts.
+	Began func(workspace string)
 }
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -82,6 +82,7 @@
 func (a *attempt) begun() {
 	now := time.Now()
 	a.place.Begun(now)
+	a.exchange.ran()
 	if a.exchange.firstByte.IsZero() {
 		a.exchange.firstByte = now
 	}
--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -14,7 +14,7 @@
 		Name: n.Name, AvailabilityZone: n.AvailabilityZone,
 		EntryAddress: n.EntryAddress, PeerAddress: n.PeerAddress,
 		Ready: n.Ready, Leaving: n.Leaving, HeardAge: now.Sub(n.HeardAt).Microseconds(),
-		ProcessorShare: n.ProcessorShare,
+		ProcessorShare: n.ProcessorShare, DutyFence: n.DutyFence,
 	}
 }
 
@@ -24,7 +24,7 @@
 		Name: n.GetName(), AvailabilityZone: n.GetAvailabilityZone(),
 		EntryAddress: n.GetEntryAddress(), PeerAddress: n.GetPeerAddress(),
 		Ready: n.GetReady(), Leaving: n.GetLeaving(),
-		ProcessorShare: n.GetProcessorShare(),
+		ProcessorShare: n.GetProcessorShare(), DutyFence: n.GetDutyFence(),
 
 		HeardAt: began.Add(-microseconds(n.GetHeardAge())),
 	}
@@ -37,7 +37,7 @@
 	for _, r := range list {
 		converted = append(converted, &nodesyncv1.Replica{
 			Id: r.ID, Upstream: r.Upstream, Address: r.Address,
-			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining, StartedAt: r.StartedAt,
+			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining, Reclaimable: r.Reclaimable, StartedAt: r.StartedAt,
 		})
 	}
 	return converted
@@ -48,7 +48,7 @@
 	for _, r := range list {
 		converted = append(converted, replica.Replica{
 			ID: r.GetId(), Upstream: r.GetUpstream(), Address: r.GetAddress(),
-			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(), StartedAt: r.GetStartedAt(),
+			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(), Reclaimable: r.GetReclaimable(), StartedAt: r.GetStartedAt(),
 		})
 	}
 	return converted
--- a/internal/nodesync/node.go
+++ b/internal/nodesync/node.go
@@ -14,6 +14,8 @@
 	Leaving bool
 	// ProcessorShare is the part of a core that it has; zero where not known.
 	ProcessorShare float32
+	// DutyFence is the fencing token of the duties that it holds; zero: it holds none.
+	DutyFence int64
 	// HeardAt is the latest instant at which it was alive.
 	HeardAt boottime.Instant
 	// rank is rankOf the name.
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -212,6 +212,16 @@
 	return n.list(func(r *record) bool { return r.alive(now) })
 }
 
+// HeardWithin lists the nodes that were heard of within the time, by name.
+func (n *Nodes) HeardWithin(span time.Duration, now boottime.Instant) []Node {
+	return n.list(func(r *record) bool { return r.heardWithin(span, now) })
+}
+
+// DutiesHeld says whether a node that was heard of lately holds the fleet's duties.
+func (n *Nodes) DutiesHeld(now boottime.Instant) bool {
+	return n.count(func(r *record) bool { return r.DutyFence != 0 && r.alive(now) }) > 0
+}
+
 // AliveCount is the number of nodes that were heard of lately.
 func (n *Nodes) AliveCount(now boottime.Instant) int {
 	return n.count(func(r *record) bool { return r.alive(now) })
--- a/internal/nodesync/options.go
+++ b/internal/nodesync/options.go
@@ -6,6 +6,7 @@
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/fleettime"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
@@ -32,8 +33,11 @@
 	// answer.
 	SumsFor time.Duration
 	Clock   boottime.Clock
-	Rand    *rand.Rand
-	Log     *eventlog.Log
+	// Time is the fleet's time of day; nil where nothing is counted by it, and nodes do
+	// not tell theirs.
+	Time *fleettime.Clock
+	Rand *rand.Rand
+	Log  *eventlog.Log
 }
 
 // DefaultSumsFor is a quarter of the time between two rounds: a member hears little
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -147,7 +147,7 @@
 	listing, _ := s.options.Replicas.Latest()
 	terms := s.termsWith(t.name, now)
 	request := &nodesyncv1.ExchangeRequest{
-		Self:             nodeToProto(self, now),
+		Self:             s.ownToProto(self, now),
 		ConfigVersion:    s.options.Routes.Get().Version(),
 		ReplicasRevision: listing.Revision,
 		ReplicasDigest:   listing.Digest,
@@ -172,6 +172,7 @@
 	m := request.Msg
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.takeNode(caller)
+	s.takeTime(m.GetSelf(), now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	if m.GetWithoutLoads() {
 		return connect.NewResponse(s.response(m)), nil
@@ -196,7 +197,7 @@
 	self := s.options.Self()
 	self.HeardAt = now
 	answer := &nodesyncv1.ExchangeResponse{
-		Self:             nodeToProto(self, now),
+		Self:             s.ownToProto(self, now),
 		ConfigVersion:    snapshot.Version(),
 		ConfigProofAge:   snapshot.Age(now).Microseconds(),
 		ReplicasRevision: listing.Revision,
@@ -221,6 +222,7 @@
 	node := nodeFromProto(m.GetSelf(), began)
 	node.HeardAt = began
 	s.takeNode(node)
+	s.takeTime(m.GetSelf(), s.options.Clock())
 	for _, n := range m.GetNodes() {
 		s.takeNode(nodeFromProto(n, began))
 	}
@@ -234,6 +236,22 @@
 	s.takeReplicas(m, node.Name, began)
 }
 
+// ownToProto is this node and its time of day.
+func (s *Sync) ownToProto(self Node, now boottime.Instant) *nodesyncv1.Node {
+	told := nodeToProto(self, now)
+	if s.options.Time != nil {
+		told.WallTime = s.options.Time.Wall().UnixMicro()
+	}
+	return told
+}
+
+// takeTime takes in another node's time of day, heard at the instant.
+func (s *Sync) takeTime(n *nodesyncv1.Node, heardAt boottime.Instant) {
+	if s.options.Time != nil && n.GetWallTime() != 0 {
+		s.options.Time.Told(n.GetName(), time.UnixMicro(n.GetWallTime()), heardAt)
+	}
+}
+
 func (s *Sync) takeNode(n Node) {
 	if s.options.Nodes.Take(n) {
 		s.options.Log.Write(&peerFound{node: n})
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -153,3 +153,15 @@
 	}
 	return running
 }
+
+// Running is the requests of the upstream that run or wait at its replicas, of all nodes.
+func (p *Placer) Running(name string) int {
+	u := p.upstream(name)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	running := 0
+	for _, s := range u.all {
+		running += s.running + s.peersRunning
+	}
+	return running
+}
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -13,6 +13,9 @@
 	ErrUnavailable = errors.New("platform: unavailable")
 	// ErrRateLimited says that the platform refused the call before doing it.
 	ErrRateLimited = errors.New("platform: rate limited")
+	// ErrConflict says that a condition of a transaction did not hold: it certainly did
+	// nothing.
+	ErrConflict = errors.New("platform: a condition does not hold")
 	// ErrTooLarge says that a value is over MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
 )
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -25,10 +25,13 @@
 			_, _ = d.WriteString(text)
 			_, _ = d.Write([]byte{0})
 		}
-		binary.LittleEndian.PutUint64(slots[:], uint64(r.Slots)<<1)
+		binary.LittleEndian.PutUint64(slots[:], uint64(r.Slots)<<2)
 		if r.Draining {
 			slots[0] |= 1
 		}
+		if r.Reclaimable {
+			slots[0] |= 2
+		}
 		_, _ = d.Write(slots[:])
 		binary.LittleEndian.PutUint64(started[:], uint64(r.StartedAt))
 		_, _ = d.Write(started[:])
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -16,4 +16,7 @@
 	Slots int
 	// Draining replicas get nothing new.
 	Draining bool
+	// Reclaimable replicas cost less, and the platform may take all of an availability
+	// zone away at short notice.
+	Reclaimable bool
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"maps"
 	"net"
 	"slices"
 	"strings"
@@ -81,6 +82,17 @@
 	return u, ok
 }
 
+// Scaled are the upstreams whose replicas may be ordered, by name.
+func (t *Table) Scaled() []*Upstream {
+	var scaled []*Upstream
+	for _, name := range slices.Sorted(maps.Keys(t.upstreams)) {
+		if u := t.upstreams[name]; u.Scaling != nil {
+			scaled = append(scaled, u)
+		}
+	}
+	return scaled
+}
+
 // Rank orders the requests by urgency; 0 is the most urgent. The route's tier
 // goes first and the workspace's decides among equals: a replica that must put
 // a request back then never puts back one of a route of a higher tier, which is
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -41,6 +41,8 @@
 	// themselves.
 	FirstStart bool        `yaml:"first_start,omitempty"`
 	Retries    RetryBudget `yaml:"retry_budget,omitempty"`
+	// Duties is what one node at a time does for the whole fleet; nil: nothing.
+	Duties *Duties `yaml:"duties,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -85,6 +87,7 @@
 			source.Add(field.name, field.value.String(), "must be at least "+leastTime.String())
 		}
 	}
+	checkDuties(source, p.Duties)
 }
 
 func (p *PassThrough) fillDefaults() {
@@ -95,6 +98,7 @@
 	p.LeaveWithin = cmp.Or(p.LeaveWithin, defaultLeaveWithin)
 	p.Grace = cmp.Or(p.Grace, defaultGrace)
 	p.ResolveTTL = cmp.Or(p.ResolveTTL, defaultResolveTTL)
+	p.Duties.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
--- /dev/null
+++ b/internal/usage/peers.go
@@ -0,0 +1,108 @@
+package usage
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+
+	usagev1 "galenatrestle/internal/gen/trestle/usage/v1"
+	"galenatrestle/internal/gen/trestle/usage/v1/usagev1connect"
+	"galenatrestle/internal/peer"
+)
+
+// Service gives this node's counts to the one that reports them.
+type Service struct {
+	// source names this run of the process.
+	source string
+	meter  *Meter
+}
+
+// NewService returns the service of the meter.
+func NewService(source string, meter *Meter) *Service { return &Service{source: source, meter: meter} }
+
+// Handler returns the path and the handler to mount on the peer listener.
+func (s *Service) Handler() (string, http.Handler) {
+	return usagev1connect.NewUsageServiceHandler(s)
+}
+
+// Counts implements usagev1connect.UsageServiceHandler.
+func (s *Service) Counts(_ context.Context, request *connect.Request[usagev1.CountsRequest]) (*connect.Response[usagev1.CountsResponse], error) {
+	answer := &usagev1.CountsResponse{Source: s.source}
+	for window, counts := range s.meter.Since(request.Msg.GetFromWindow()) {
+		told := &usagev1.WindowCounts{Window: window}
+		for workspace, n := range counts {
+			told.Workspaces = append(told.Workspaces, &usagev1.WorkspaceCount{Workspace: workspace, Requests: n})
+		}
+		answer.Windows = append(answer.Windows, told)
+	}
+	return connect.NewResponse(answer), nil
+}
+
+const (
+	// askTimeout bounds asking one node.
+	askTimeout = 500 * time.Millisecond
+	// askAtOnce bounds the nodes that are asked at a time, so that the holder goes on
+	// serving meanwhile.
+	askAtOnce = 8
+)
+
+// Gatherer asks all nodes for their counts.
+type Gatherer struct {
+	own     *Service
+	clients *peer.Clients
+	// addresses are the other nodes' peer addresses.
+	addresses func() []string
+}
+
+// NewGatherer returns a gatherer; own is this node's service.
+func NewGatherer(own *Service, clients *peer.Clients, addresses func() []string) *Gatherer {
+	return &Gatherer{own: own, clients: clients, addresses: addresses}
+}
+
+// Gather returns what this node and those that answer counted from the window on, and how
+// many did not answer. They are asked again the next time.
+func (g *Gatherer) Gather(ctx context.Context, first int64) (told []Told, silent int) {
+	told = []Told{{Source: g.own.source, Windows: g.own.meter.Since(first)}}
+	var mu sync.Mutex
+	var asking sync.WaitGroup
+	places := make(chan struct{}, askAtOnce)
+	for _, address := range g.addresses() {
+		places <- struct{}{}
+		asking.Go(func() {
+			defer func() { <-places }()
+			answer, err := g.ask(ctx, address, first)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				// That a node does not answer the exchange between nodes logs.
+				silent++
+				return
+			}
+			told = append(told, answer)
+		})
+	}
+	asking.Wait()
+	return told, silent
+}
+
+func (g *Gatherer) ask(ctx context.Context, address string, first int64) (Told, error) {
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	client := usagev1connect.NewUsageServiceClient(g.clients.HTTPClient(address), g.clients.URL(address))
+	response, err := client.Counts(limited, connect.NewRequest(&usagev1.CountsRequest{FromWindow: first}))
+	if err != nil {
+		return Told{}, err
+	}
+	told := Told{Source: response.Msg.GetSource(), Windows: make(map[int64]Counts)}
+	for _, window := range response.Msg.GetWindows() {
+		counts := make(Counts, len(window.GetWorkspaces()))
+		for _, w := range window.GetWorkspaces() {
+			counts[w.GetWorkspace()] = w.GetRequests()
+		}
+		told.Windows[window.GetWindow()] = counts
+	}
+	return told, nil
+}
