--- a/internal/duty/holder_test.go
+++ b/internal/duty/holder_test.go
@@ -175,15 +175,17 @@
 func TestHoldersThatStopSoonDoNotTakeTurns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		f := newFleet(t, 1)
-		f.start("a")
-		f.start("b")
-		for range 20 {
-			time.Sleep(ttl / 4)
+		for _, name := range []string{"a", "b", "c"} {
+			f.start(name)
+		}
+		for range 40 {
+			time.Sleep(ttl / 15)
 			name := f.holder()
-			if name == "" || f.lastCall() > ttl/4 {
+			if name == "" || f.lastCall() > ttl/15 {
 				continue
 			}
 			f.stop(name)
+			time.Sleep(ttl / 5)
 			f.start(name)
 		}
 		f.finish()
--- a/internal/settings/passthrough_test.go
+++ b/internal/settings/passthrough_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"reflect"
 	"regexp"
 	"strings"
 	"testing"
@@ -18,23 +19,18 @@
  "seeds":["10.1.0.19:8748","10.2.0.13:8748"],
  "listen":{"frontend":"10.1.0.19:8740","ready":"10.1.0.19:8749","control":"10.1.0.19:8748","directory":"10.1.0.19:8746"},
  "limits":{"memoryMb":284},"platform":{"address":"10.200.1.7:8742"},
- "bounds":{"graceS":8,"configApplyMs":2000,"revokeMs":5000,"retryBudgetRatio":0.2,"retryWindowS":10,"retryBudgetSlack":54}}`
+ "bounds":{"graceS":8,"configApplyMs":2000,"revokeMs":5000,"retryBudgetRatio":0.2,"retryWindowS":10,"retryBudgetSlack":54,"leaseMs":3000,"windowS":5,"usageDelayS":10},
+ "cloud":{"address":"10.200.0.70:8181","duties":["metering","autoscale"]}}`
 
 var (
-	section     = regexp.MustCompile(`(?s)\{\{#([a-zA-Z.]+)\}\}\n(.*?)\{\{/[a-zA-Z.]+\}\}\n`)
+	section     = regexp.MustCompile(`\{\{#([a-zA-Z.]+)\}\}\n`)
 	placeholder = regexp.MustCompile(`\{\{([a-zA-Z0-9.]+)(\|json)?\}\}`)
 )
 
 // render fills the template as the platform does, as far as ours needs it.
 func render(t *testing.T, template string, values map[string]any) string {
 	t.Helper()
-	template = section.ReplaceAllStringFunc(template, func(found string) string {
-		parts := section.FindStringSubmatch(found)
-		if look(values, parts[1]) == nil {
-			return ""
-		}
-		return parts[2]
-	})
+	template = sections(t, template, values)
 	return placeholder.ReplaceAllStringFunc(template, func(found string) string {
 		parts := placeholder.FindStringSubmatch(found)
 		value := look(values, parts[1])
@@ -49,6 +45,24 @@
 	})
 }
 
+// sections leaves out the sections whose value is missing; they may hold others.
+func sections(t *testing.T, template string, values map[string]any) string {
+	t.Helper()
+	at := section.FindStringSubmatchIndex(template)
+	if at == nil {
+		return template
+	}
+	name := template[at[2]:at[3]]
+	inside, after, ended := strings.Cut(template[at[1]:], "{{/"+name+"}}\n")
+	if !ended {
+		t.Fatalf("section %s has no end", name)
+	}
+	if look(values, name) == nil {
+		inside = ""
+	}
+	return template[:at[0]] + sections(t, inside, values) + sections(t, after, values)
+}
+
 // look returns the value at the path, nil where there is none.
 func look(values any, path string) any {
 	for name := range strings.SplitSeq(path, ".") {
@@ -91,8 +105,12 @@
 		ReadyListen: "10.1.0.19:8749", ResolveListen: "10.1.0.19:8746", RevokeAfter: config.Duration(5 * time.Second),
 		ApplyWithin: config.Duration(2 * time.Second), LeaveWithin: config.Duration(2 * time.Second), Grace: config.Duration(8 * time.Second), ResolveTTL: config.Duration(2 * time.Second), MemoryMB: 284,
 		Retries: RetryBudget{Ratio: 0.2, Window: config.Duration(10 * time.Second), Allowance: 54},
+		Duties: &Duties{
+			Address: "10.200.0.70:8181", Kinds: []DutyKind{Metering, Autoscale}, Lease: config.Duration(3 * time.Second),
+			UsageWindow: config.Duration(5 * time.Second), UsageDelay: config.Duration(10 * time.Second),
+		},
 	}
-	if *s.PassThrough != want {
+	if !reflect.DeepEqual(*s.PassThrough, want) {
 		t.Errorf("%+v, want %+v", *s.PassThrough, want)
 	}
 	if s.Listen != "10.1.0.19:8740" || s.Advertise.Peer != "10.1.0.19:8748" || len(s.Peers.Seeds) != 2 {
@@ -103,12 +121,13 @@
 func TestBoundsThatADeploymentDoesNotSetTakeTheirDefaults(t *testing.T) {
 	template, values := deployTemplate(t)
 	values["bounds"] = map[string]any{}
+	values["cloud"] = map[string]any{}
 	s, err := Parse([]byte(render(t, template, values)))
 	if err != nil {
 		t.Fatal(err)
 	}
 	p := s.PassThrough
-	if p.RevokeAfter != 0 || p.ApplyWithin != defaultApplyWithin || p.Grace != defaultGrace || p.Retries.Window != defaultRetryWindow {
+	if p.RevokeAfter != 0 || p.ApplyWithin != defaultApplyWithin || p.Grace != defaultGrace || p.Retries.Window != defaultRetryWindow || p.Duties != nil {
 		t.Errorf("%+v", *p)
 	}
 }
@@ -118,6 +137,9 @@
 	good := render(t, template, values)
 	for _, c := range []struct{ old, new, want string }{
 		{`ready_listen: "10.1.0.19:8749"`, `ready_listen: "here"`, `pass_through.ready_listen: value "here"`},
+		{`address: "10.200.0.70:8181"`, `address: "cloud"`, `pass_through.duties.address: value "cloud"`},
+		{"lease: 3000ms", "lease: 3ms", `pass_through.duties.lease: value "3ms": must be at least 1s`},
+		{"usage_window: 5s", "usage_window: -5s", `pass_through.duties.usage_window: value "-5s"`},
 		{"grace: 8s", "grace: -8s", `pass_through.grace: value "-8s"`},
 		{"grace: 8s", "grace: soon", "grace"},
 		{"ratio: 0.2", "ratio: 20", `pass_through.retry_budget.ratio: value "20"`},
--- /dev/null
+++ b/internal/usage/reporter_test.go
@@ -0,0 +1,235 @@
+package usage_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/ctxtime"
+	"galenatrestle/internal/duty"
+	"galenatrestle/internal/duty/dutytest"
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/usage"
+)
+
+const (
+	length = 5 * time.Second
+	delay  = 10 * time.Second
+	ttl    = 3 * time.Second
+	perS   = 20
+)
+
+// cloud has the judge take the reports.
+type cloud struct{ judge *dutytest.Judge }
+
+func (c cloud) Report(_ context.Context, term duty.Term, r usage.Report) error {
+	return c.judge.Report(term, r.Window, r.Requests)
+}
+
+// fleet is nodes that count and try for the duty, inside a synctest bubble.
+type fleet struct {
+	t      *testing.T
+	store  *dutytest.Store
+	judge  *dutytest.Judge
+	began  time.Time
+	meters map[string]*usage.Meter
+	stops  map[string]func()
+	dead   map[string]bool
+	runs   int
+}
+
+func newFleet(t *testing.T, seed uint64, names ...string) *fleet {
+	f := &fleet{
+		t: t, store: dutytest.NewStore(seed), judge: dutytest.NewJudge(ttl, seed), began: time.Now(),
+		meters: make(map[string]*usage.Meter), stops: make(map[string]func()), dead: make(map[string]bool),
+	}
+	for _, name := range names {
+		f.start(name)
+	}
+	return f
+}
+
+func (f *fleet) clock() boottime.Instant { return boottime.Instant(time.Since(f.began)) + 1 }
+
+// gather asks all nodes but those that are dead.
+func (f *fleet) gather(_ context.Context, first int64) (told []usage.Told, silent int) {
+	for name, m := range f.meters {
+		if f.dead[name] {
+			silent++
+			continue
+		}
+		told = append(told, usage.Told{Source: name, Windows: m.Since(first)})
+	}
+	return told, silent
+}
+
+// start begins a run of a node, which knows nothing of the one before.
+func (f *fleet) start(name string) {
+	f.runs++
+	process := fmt.Sprint(name, "/", f.runs)
+	meter := usage.NewMeter(length, time.Now)
+	f.meters[process] = meter
+	registry := prometheus.NewRegistry()
+	log := eventlog.New(io.Discard, name)
+	reporter := usage.NewReporter(usage.ReporterOptions{
+		Store: f.store, Platform: cloud{f.judge}, Gather: f.gather, Length: length, Delay: delay,
+		Now: time.Now, Clock: f.clock, Log: log, Metrics: usage.NewMetrics(registry),
+	})
+	holder, err := duty.NewHolder(duty.Options{
+		Store: f.store, Key: "holder", Node: name, Process: process, TTL: ttl, Contends: func() bool { return true },
+		Works: []duty.Work{reporter}, Clock: f.clock, Rand: rand.New(rand.NewPCG(uint64(f.runs), 2)), Log: log, Registry: registry,
+	})
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(f.t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		go f.count(ctx, meter)
+		holder.Run(ctx)
+	}()
+	f.stops[name] = func() {
+		cancel()
+		<-done
+		f.dead[process] = true
+	}
+}
+
+// count has a request begin again and again.
+func (f *fleet) count(ctx context.Context, meter *usage.Meter) {
+	for ctxtime.Sleep(ctx, time.Second/perS) == nil {
+		meter.Began("shop")
+	}
+}
+
+func (f *fleet) finish() {
+	f.store.SetFaults(dutytest.StoreFaults{})
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.store.Wait()
+	f.judge.Wait()
+	for _, broken := range f.judge.Broken() {
+		f.t.Error(broken)
+	}
+}
+
+// overdue are the windows since the start that are not reported though it is time.
+func (f *fleet) overdue() []int64 {
+	reports := f.judge.Reports()
+	var missing []int64
+	for w := usage.Window(f.began, length) + 1; !usage.End(w, length).Add(delay).After(time.Now()); w++ {
+		if _, ok := reports[w]; !ok {
+			missing = append(missing, w)
+		}
+	}
+	return missing
+}
+
+func TestEachWindowIsReportedInTimeAndRight(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "a", "b", "c")
+		time.Sleep(62 * time.Second)
+		if missing := f.overdue(); len(missing) > 0 {
+			t.Errorf("windows %v are overdue", missing)
+		}
+		want := int64(3 * perS * length / time.Second)
+		for window, counts := range f.judge.Reports() {
+			// The first window began before the fleet; a request at its edge may fall
+			// on either side.
+			if off := counts["shop"] - want; window > usage.Window(f.began, length) && (off < -3 || off > 3) {
+				t.Errorf("window %d: %d requests, want %d", window, counts["shop"], want)
+			}
+		}
+		f.finish()
+	})
+}
+
+// TestAnOutageOfTheStoreCostsNoWindow is an outage that is shorter than the platform's
+// delay.
+func TestAnOutageOfTheStoreCostsNoWindow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "a", "b")
+		time.Sleep(12 * time.Second)
+		f.store.SetFaults(dutytest.StoreFaults{Down: true, Lapse: true})
+		time.Sleep(6 * time.Second)
+		f.store.SetFaults(dutytest.StoreFaults{})
+		for range 40 {
+			time.Sleep(time.Second)
+			if missing := f.overdue(); len(missing) > 0 {
+				t.Fatalf("windows %v are overdue %s after the start", missing, time.Since(f.began))
+			}
+		}
+		f.finish()
+	})
+}
+
+// TestAllNodesKilledCostsTheLastSeconds kills every process in the middle of a window: what
+// was counted until a few seconds before is reported by the next run, in time.
+func TestAllNodesKilledCostsTheLastSeconds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, 1, "a", "b", "c")
+		time.Sleep(length - time.Since(f.began)%length + 3*length + 4*time.Second)
+		window := usage.Window(time.Now(), length)
+		for _, name := range []string{"a", "b", "c"} {
+			f.stops[name]()
+		}
+		time.Sleep(1500 * time.Millisecond)
+		for _, name := range []string{"a", "b", "c"} {
+			f.start(name)
+		}
+		time.Sleep(delay + 2*length)
+		if missing := f.overdue(); len(missing) > 0 {
+			t.Errorf("windows %v are overdue", missing)
+		}
+		counted := f.judge.Reports()[window]["shop"]
+		if least := int64(3 * perS); counted < least {
+			t.Errorf("%d requests are reported of the window with the kill, want %d at least", counted, least)
+		}
+		f.finish()
+	})
+}
+
+// TestNoWindowIsReportedTwiceInDifferentWays plays faults of the store, late calls and
+// changes of the holder in random turns.
+func TestNoWindowIsReportedTwiceInDifferentWays(t *testing.T) {
+	for seed := range uint64(60) {
+		synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+func playFaults(t *testing.T, seed uint64) {
+	names := []string{"a", "b", "c"}
+	f := newFleet(t, seed, names...)
+	random := rand.New(rand.NewPCG(seed, 3))
+	for range 20 {
+		name := names[random.IntN(len(names))]
+		switch random.IntN(5) {
+		case 0:
+			f.store.SetFaults(dutytest.StoreFaults{Down: true, Lapse: random.IntN(2) == 0})
+		case 1:
+			f.store.SetFaults(dutytest.StoreFaults{LostPart: 0.5, LatePart: 0.5})
+		case 2:
+			f.store.SetFaults(dutytest.StoreFaults{})
+			f.judge.SetLate(random.Float64() / 2)
+		case 3:
+			f.stops[name]()
+			f.start(name)
+		case 4:
+			f.judge.SetLate(0)
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(length))))
+	}
+	f.finish()
+}
