--- a/internal/autoscale/capacity.go
+++ b/internal/autoscale/capacity.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"galenatrestle/internal/boottime"
 )
 
 // Record is what the next holder goes on from, as it is written to the store.
@@ -27,9 +29,22 @@
 	return max(shrunk, busyHeadroom*float64(o.Busy)/float64(max(o.Slots, 1)))
 }
 
-// present is the capacity of what is registered: what the operator had before anything
-// was ordered.
-func present(o *Observation) float64 {
-	zones := float64(len(o.Zones))
-	return float64(o.ready(OnDemand)) + float64(o.ready(Reclaimable))*(zones-1)/zones
+// stableFor is how long the number of replicas has to stand before it counts as what the
+// operator has: at a fleet's start they register one after the other.
+const stableFor = 2 * time.Second
+
+// arrivals follows the replicas of an upstream of which nobody has wanted any number yet.
+type arrivals struct {
+	ready int
+	since boottime.Instant
+}
+
+// present is the capacity of what is registered, once the number of replicas has stood
+// for a while.
+func (a *arrivals) present(now boottime.Instant, o *Observation) (float64, bool) {
+	ready := o.ready(OnDemand) + o.ready(Reclaimable)
+	if ready != a.ready {
+		a.ready, a.since = ready, now
+	}
+	return float64(ready), ready > 0 && now.Sub(a.since) >= stableFor
 }
--- a/internal/autoscale/observation.go
+++ b/internal/autoscale/observation.go
@@ -38,6 +38,16 @@
 	return sum
 }
 
+// readyIn is the number of replicas of the pool that take requests.
+func (o *Observation) readyIn(p Pool) int {
+	for _, z := range o.Zones {
+		if z.Name == p.AvailabilityZone {
+			return z.Ready[p.Kind]
+		}
+	}
+	return 0
+}
+
 // names are the zones' names.
 func (o *Observation) names() []string {
 	names := make([]string, len(o.Zones))
--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -56,6 +56,17 @@
 	return due
 }
 
+// Placed notes that an order was sent. One that makes room for the other kind has that
+// ordered again at once: its last order may have been cut to the bound of the zone.
+func (b *Orders) Placed(now boottime.Instant, o Order, ready int) {
+	b.last[o.Pool] = ordered{replicas: o.Replicas, at: now}
+	if o.Kind == OnDemand && o.Replicas < ready {
+		other := o.Pool
+		other.Kind = Reclaimable
+		delete(b.last, other)
+	}
+}
+
 // settled says whether nothing is to be ordered: the pool is as wanted, or the last order
 // may still show its effect.
 func (b *Orders) settled(now boottime.Instant, o *Observation, want Order, ready int) bool {
@@ -72,12 +83,10 @@
 	if o.Age > newsAge {
 		return false
 	}
-	return kind == Reclaimable || zone.Ready[Reclaimable] >= mix[zone.Name][Reclaimable]
-}
-
-// Placed notes that an order was sent.
-func (b *Orders) Placed(now boottime.Instant, o Order) {
-	b.last[o.Pool] = ordered{replicas: o.Replicas, at: now}
+	// Both kinds share a zone's bound: where it is reached, more reclaimable ones come
+	// only when on-demand ones leave.
+	room := o.Scaling.Max - zone.Ready[OnDemand]
+	return kind == Reclaimable || zone.Ready[Reclaimable] >= min(mix[zone.Name][Reclaimable], room)
 }
 
 // Refused notes that the pool has nothing to give.
--- a/internal/autoscale/portfolio.go
+++ b/internal/autoscale/portfolio.go
@@ -13,6 +13,9 @@
 // reclaimable ones of any one zone are taken away. Zones in dry have no reclaimable ones
 // to give at the moment.
 func portfolio(capacity float64, s *route.Scaling, zones []string, dry map[string]bool) Mix {
+	if s.ReclaimablePrice <= 0 || len(zones) == 1 {
+		return onDemand(capacity, s, zones)
+	}
 	var wet []string
 	for _, zone := range zones {
 		if !dry[zone] {
@@ -22,8 +25,8 @@
 	// Before any zone is lost each has its part of what remains without the largest;
 	// where one is lost already the others take its part.
 	spread := max(min(len(zones)-1, len(wet)), 1)
-	each := bounded(capacity/float64(spread), s)
-	if reclaimablePrice(each, s, wet) >= onDemandPrice(capacity, s, zones) || len(wet) == 0 || len(zones) == 1 {
+	each := bounded(max(capacity/float64(spread), capacity*spare(s)/float64(len(zones))), s)
+	if reclaimablePrice(each, s, wet) >= onDemandPrice(capacity, s, zones) || len(wet) == 0 {
 		return onDemand(capacity, s, zones)
 	}
 	mix := make(Mix)
@@ -38,6 +41,11 @@
 	return mix
 }
 
+// spare is how many reclaimable replicas are worth having for each on-demand one. What
+// waits costs callers falls about with the number of replicas, their price grows with it:
+// the sum is least where the number is the inverse root of the price.
+func spare(s *route.Scaling) float64 { return 1 / math.Sqrt(s.ReclaimablePrice) }
+
 // onDemand spreads the capacity evenly, so that a zone that fails is one part of it.
 func onDemand(capacity float64, s *route.Scaling, zones []string) Mix {
 	mix := make(Mix)
--- a/internal/autoscale/scaler.go
+++ b/internal/autoscale/scaler.go
@@ -46,7 +46,7 @@
 
 // Run implements duty.Work.
 func (s *Scaler) Run(ctx context.Context, term duty.Term) {
-	session := &session{options: s.options, term: term, orders: NewOrders()}
+	session := &session{options: s.options, term: term, orders: NewOrders(), arrivals: make(map[string]*arrivals)}
 	for ctx.Err() == nil && !session.fenced {
 		session.look(ctx)
 		if ctxtime.Sleep(ctx, lookEvery) != nil {
@@ -60,6 +60,8 @@
 	options Options
 	term    duty.Term
 	orders  *Orders
+	// arrivals are those of the upstreams that have no capacity yet.
+	arrivals map[string]*arrivals
 	// record is nil until it was read; revision is that of its key.
 	record   *Record
 	revision int64
@@ -84,7 +86,9 @@
 	for _, o := range s.options.Observe() {
 		before, known := s.record.Capacity[o.Upstream]
 		if !known {
-			before = present(&o)
+			if before, known = s.arrivalsOf(o.Upstream).present(now, &o); !known {
+				continue
+			}
 		}
 		s.record.Capacity[o.Upstream] = capacity(before, &o, passed)
 		s.order(ctx, now, &o)
@@ -92,6 +96,15 @@
 	s.save(ctx)
 }
 
+func (s *session) arrivalsOf(upstream string) *arrivals {
+	a, ok := s.arrivals[upstream]
+	if !ok {
+		a = &arrivals{}
+		s.arrivals[upstream] = a
+	}
+	return a
+}
+
 // order sends the orders that are due for an upstream.
 func (s *session) order(ctx context.Context, now boottime.Instant, o *Observation) {
 	wanted := s.record.Capacity[o.Upstream]
@@ -100,7 +113,7 @@
 		if !s.term.Held() || s.fenced {
 			return
 		}
-		s.orders.Placed(now, order)
+		s.orders.Placed(now, order, o.readyIn(order.Pool))
 		err := s.options.Platform.Order(ctx, s.term, order)
 		s.options.Metrics.ordered(order, err)
 		s.options.Log.Write(&orderSent{order: order, wanted: wanted, observed: o, fence: s.term.Fence, err: err})
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -31,9 +31,9 @@
 	leases   int64
 	nodes    map[string]nodesync.Node
 	// keys are what the duties keep, by key.
-	keys map[string]platform.Entry
-	down     map[string]bool
-	reads    int
+	keys  map[string]platform.Entry
+	down  map[string]bool
+	reads int
 }
 
 // seenBy is the store as one node reaches it.
