--- a/internal/autoscale/capacity.go
+++ b/internal/autoscale/capacity.go
@@ -39,12 +39,16 @@
 	since boottime.Instant
 }
 
-// present is the capacity of what is registered, once the number of replicas has stood
-// for a while.
-func (a *arrivals) present(now boottime.Instant, o *Observation) (float64, bool) {
-	ready := o.ready(OnDemand) + o.ready(Reclaimable)
-	if ready != a.ready {
+// present is the capacity of what is registered, and whether more may be on their way:
+// the number of replicas has not stood for long. Reclaimable ones, which are ordered
+// meanwhile, count only where there are no others.
+func (a *arrivals) present(now boottime.Instant, o *Observation) (capacity float64, arriving bool) {
+	ready := o.ready(OnDemand)
+	if ready == 0 {
+		ready = o.ready(Reclaimable)
+	}
+	if a.since == 0 || ready != a.ready {
 		a.ready, a.since = ready, now
 	}
-	return float64(ready), ready > 0 && now.Sub(a.since) >= stableFor
+	return float64(ready), ready == 0 || now.Sub(a.since) < stableFor
 }
--- /dev/null
+++ b/internal/autoscale/orders_test.go
@@ -0,0 +1,128 @@
+package autoscale
+
+import (
+	"testing"
+	"time"
+
+	"galenatrestle/internal/boottime"
+)
+
+// zone is an availability zone with so many replicas ready.
+func zone(name string, onDemand, reclaimable int) Zone {
+	return Zone{Name: name, Ready: map[Kind]int{OnDemand: onDemand, Reclaimable: reclaimable}, Leaving: map[Kind]int{}}
+}
+
+func observed(zones ...Zone) *Observation {
+	s := scaling(0.2)
+	s.Boot = 4 * time.Second
+	return &Observation{Upstream: "model", Scaling: *s, Slots: 16, Zones: zones}
+}
+
+func mixOf(onDemand, reclaimable int) Mix {
+	return Mix{"a": {OnDemand: onDemand, Reclaimable: reclaimable}}
+}
+
+// replicasOf is what is ordered of the kind; -1: nothing.
+func replicasOf(due []Order, kind Kind) int {
+	for _, o := range due {
+		if o.Kind == kind {
+			return o.Replicas
+		}
+	}
+	return -1
+}
+
+func TestOnDemandReplicasStayUntilTheOthersServe(t *testing.T) {
+	b := NewOrders()
+	now := boottime.Instant(time.Hour)
+	o := observed(zone("a", 30, 0))
+	due := b.Due(now, o, mixOf(1, 45))
+	if replicasOf(due, Reclaimable) != 45 || replicasOf(due, OnDemand) != -1 {
+		t.Fatalf("ordered %v, want 45 reclaimable ones and nothing taken away", due)
+	}
+	b.Placed(now, due[0], 0)
+	now = now.Add(time.Second)
+	if due := b.Due(now, o, mixOf(1, 45)); len(due) != 0 {
+		t.Errorf("ordered again after a second: %v", due)
+	}
+	// The zone's bound of 60 leaves room for 30 of the 45.
+	now = now.Add(3 * time.Second)
+	o = observed(zone("a", 30, 30))
+	due = b.Due(now, o, mixOf(1, 45))
+	if replicasOf(due, OnDemand) != 1 {
+		t.Fatalf("ordered %v, want the on-demand ones away: the zone is full", due)
+	}
+	b.Placed(now, due[0], 30)
+	if due := b.Due(now.Add(time.Second), observed(zone("a", 1, 30)), mixOf(1, 45)); replicasOf(due, Reclaimable) != 45 {
+		t.Errorf("ordered %v, want the rest of the reclaimable ones", due)
+	}
+}
+
+func TestNothingIsTakenAwayByOldNewsOrWhileReplicasArrive(t *testing.T) {
+	for _, change := range []func(*Observation){
+		func(o *Observation) { o.Age = newsAge + time.Second },
+		func(o *Observation) { o.Arriving = true },
+	} {
+		o := observed(zone("a", 30, 60))
+		change(o)
+		if due := NewOrders().Due(boottime.Instant(time.Hour), o, mixOf(1, 30)); len(due) != 0 {
+			t.Errorf("ordered %v", due)
+		}
+	}
+}
+
+func TestAnOrderWithoutEffectIsRepeated(t *testing.T) {
+	b := NewOrders()
+	now := boottime.Instant(time.Hour)
+	order := Order{Pool: Pool{Upstream: "model", AvailabilityZone: "a", Kind: Reclaimable}, Replicas: 45}
+	b.Placed(now, order, 0)
+	o := observed(zone("a", 1, 20))
+	within := now.Add(o.Scaling.Boot + effectLag - time.Second)
+	if due := b.Due(within, o, mixOf(1, 45)); replicasOf(due, Reclaimable) != -1 {
+		t.Errorf("ordered %v before the effect could show", due)
+	}
+	if due := b.Due(within.Add(time.Second), o, mixOf(1, 45)); replicasOf(due, Reclaimable) != 45 {
+		t.Errorf("ordered %v, want the order again", due)
+	}
+}
+
+func TestAZoneThatHasNoneIsLeftAloneForAWhile(t *testing.T) {
+	b := NewOrders()
+	now := boottime.Instant(time.Hour)
+	o := observed(zone("a", 0, 0), zone("b", 0, 30), zone("c", 0, 30))
+	pool := Pool{Upstream: "model", AvailabilityZone: "a", Kind: Reclaimable}
+	b.Refused(now, Order{Pool: pool, Replicas: 30})
+	if dry := b.Dry(now.Add(dryFor/2), o); !dry["a"] || dry["b"] {
+		t.Errorf("dry are %v, want a", dry)
+	}
+	if dry := b.Dry(now.Add(dryFor), o); len(dry) != 0 {
+		t.Errorf("dry are %v, want none any more", dry)
+	}
+}
+
+// TestOrdersAreFew plays a load that wavers around its mean for five minutes: a replica
+// that leaves takes its cached prompts with it.
+func TestOrdersAreFew(t *testing.T) {
+	b := NewOrders()
+	now := boottime.Instant(time.Hour)
+	o := observed(zone("a", 20, 0), zone("b", 20, 0), zone("c", 20, 0))
+	wanted, orders := 60.0, 0
+	for tick := range 600 {
+		now = now.Add(lookEvery)
+		o.Busy = 200 + 150*(tick/20%2)
+		wanted = capacity(wanted, o, lookEvery)
+		mix := portfolio(wanted, &o.Scaling, o.names(), nil)
+		for _, order := range b.Due(now, o, mix) {
+			orders++
+			b.Placed(now, order, o.readyIn(order.Pool))
+			for i := range o.Zones {
+				if o.Zones[i].Name == order.AvailabilityZone {
+					o.Zones[i].Ready[order.Kind] = order.Replicas
+				}
+			}
+		}
+	}
+	if most := 5 * 30; orders > most {
+		t.Errorf("%d orders in five minutes, want %d at most", orders, most)
+	}
+}
--- a/internal/autoscale/scaler.go
+++ b/internal/autoscale/scaler.go
@@ -84,18 +84,26 @@
 	}
 	s.lookedAt = now
 	for _, o := range s.options.Observe() {
-		before, known := s.record.Capacity[o.Upstream]
-		if !known {
-			if before, known = s.arrivalsOf(o.Upstream).present(now, &o); !known {
-				continue
-			}
-		}
-		s.record.Capacity[o.Upstream] = capacity(before, &o, passed)
-		s.order(ctx, now, &o)
+		wanted := s.want(now, &o, passed)
+		s.order(ctx, now, &o, wanted)
 	}
 	s.save(ctx)
 }
 
+// want is the capacity that is wanted of the upstream from now on.
+func (s *session) want(now boottime.Instant, o *Observation, passed time.Duration) float64 {
+	before, known := s.record.Capacity[o.Upstream]
+	if !known {
+		// What the operator has is matched as it arrives, and nothing is taken away.
+		before, o.Arriving = s.arrivalsOf(o.Upstream).present(now, o)
+	}
+	wanted := capacity(before, o, passed)
+	if !o.Arriving {
+		s.record.Capacity[o.Upstream] = wanted
+	}
+	return wanted
+}
+
 func (s *session) arrivalsOf(upstream string) *arrivals {
 	a, ok := s.arrivals[upstream]
 	if !ok {
@@ -106,8 +114,7 @@
 }
 
 // order sends the orders that are due for an upstream.
-func (s *session) order(ctx context.Context, now boottime.Instant, o *Observation) {
-	wanted := s.record.Capacity[o.Upstream]
+func (s *session) order(ctx context.Context, now boottime.Instant, o *Observation, wanted float64) {
 	mix := portfolio(wanted, &o.Scaling, o.names(), s.orders.Dry(now, o))
 	for _, order := range s.orders.Due(now, o, mix) {
 		if !s.term.Held() || s.fenced {
