--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -31,6 +31,7 @@
 		w.judgeCall(s, runs[s.id])
 	}
 	w.judgeRecovery(calls)
+	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
 			w.violate("%s ended by itself %d times", n.name, n.exits)
@@ -111,3 +112,14 @@
 		w.violate("%d of %d calls were served after the last fault", served, asked)
 	}
 }
+
+// judgeDuties checks what the holders of the duties told the platform: by the rules of
+// fences, and that windows are reported again once all faults are over.
+func (w *world) judgeDuties() {
+	for _, broken := range w.duties.Judge.Broken() {
+		w.violate("duties: %s", broken)
+	}
+	if len(w.duties.Judge.Reports()) == 0 {
+		w.violate("duties: no window of usage was reported in %s", time.Since(w.began).Round(time.Second))
+	}
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -20,6 +20,12 @@
 	retryPer10s  = 60
 	retryRatio   = 0.2
 	startTimeout = 10 * time.Second
+	dutyLease    = 2 * time.Second
+	usageWindow  = time.Second
+	usageDelay   = 10 * time.Second
+	// lateDuties is the part of the duties' calls that are carried out seconds later,
+	// unanswered.
+	lateDuties = 0.1
 )
 
 // node is one process of the program and its paths.
@@ -28,10 +34,12 @@
 	command []string
 	dir     string
 	store   *proxy
-	entry   string
-	peer    string
-	ops     string
-	ready   string
+	// duties is the address that takes the calls of the fleet's duties.
+	duties string
+	entry  string
+	peer   string
+	ops    string
+	ready  string
 
 	mu      sync.Mutex
 	process *exec.Cmd
@@ -43,8 +51,8 @@
 }
 
 // newNode chooses the addresses and writes the settings, with the seeds' peers.
-func newNode(name, dir string, command []string, store *proxy) (*node, error) {
-	n := &node{name: name, command: command, dir: dir, store: store}
+func newNode(name, dir string, command []string, store *proxy, duties string) (*node, error) {
+	n := &node{name: name, command: command, dir: dir, store: store, duties: duties}
 	for _, address := range []*string{&n.entry, &n.peer, &n.ops, &n.ready} {
 		free, err := ports.free()
 		if err != nil {
@@ -76,7 +84,9 @@
   apply_within: %s
   grace: %s
   retry_budget: {ratio: %g, window: 10s, allowance: %d}
-`, n.name, n.entry, n.peer, n.ops, n.store.address(), seed, n.ready, n.ready, revokeAfter, applyWithin, grace, retryRatio, retryPer10s)
+  duties: {address: "%s", kinds: [metering, autoscale], lease: %s, usage_window: %s, usage_delay: %s}
+`, n.name, n.entry, n.peer, n.ops, n.store.address(), seed, n.ready, n.ready, revokeAfter, applyWithin, grace, retryRatio, retryPer10s,
+		n.duties, dutyLease, usageWindow, usageDelay)
 	next := n.settings() + ".new"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -15,6 +15,7 @@
 type world struct {
 	options Options
 	store   *platformtest.Store
+	duties  *platformtest.Duties
 	runs    *platformtest.Runs
 	nodes   []*node
 	began   time.Time
@@ -50,13 +51,18 @@
 // newWorld starts everything but the nodes' processes.
 func newWorld(o Options) (*world, error) {
 	w := &world{
-		options: o, store: platformtest.NewStore(), runs: &platformtest.Runs{}, began: time.Now(),
+		options: o, store: platformtest.NewStore(), duties: platformtest.NewDuties(dutyLease, o.Seed), runs: &platformtest.Runs{}, began: time.Now(),
 		revoked: make(map[string]time.Time), drained: make(map[string]time.Time),
 	}
 	address, err := w.listen(w.store)
 	if err != nil {
 		return nil, err
 	}
+	w.duties.Judge.SetLate(lateDuties)
+	dutiesAddress, err := w.listen(w.duties)
+	if err != nil {
+		return nil, err
+	}
 	for i := range firstKeys {
 		w.keys = append(w.keys, fmt.Sprintf("key-%d", i))
 	}
@@ -76,7 +82,7 @@
 			return nil, err
 		}
 		w.closers = append(w.closers, path.close)
-		n, err := newNode(fmt.Sprintf("vm-%d", i+1), o.Dir, o.Command, path)
+		n, err := newNode(fmt.Sprintf("vm-%d", i+1), o.Dir, o.Command, path, dutiesAddress)
 		if err != nil {
 			return nil, err
 		}
