--- a/internal/edge/announcer_test.go
+++ b/internal/edge/announcer_test.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/duty/dutytest"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
@@ -21,7 +22,7 @@
 // runAnnouncer has a node's announcer work for a while; others are the nodes that it
 // has heard of by then. It returns the store and its calls.
 func runAnnouncer(t *testing.T, role nodesync.Role, isSeed bool, others int, span time.Duration) (*storeStandIn, int) {
-	store := &storeStandIn{nodes: make(map[string]nodesync.Node)}
+	store := &storeStandIn{nodes: make(map[string]nodesync.Node), kv: dutytest.NewStore(1)}
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
 		clock := func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
--- /dev/null
+++ b/internal/edge/duties_test.go
@@ -0,0 +1,75 @@
+package edge
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+
+	"galenatrestle/internal/autoscale"
+	"galenatrestle/internal/duty"
+	"galenatrestle/internal/duty/dutytest"
+	"galenatrestle/internal/usage"
+)
+
+// dutyStandIn takes the duties' calls.
+type dutyStandIn struct{ judge *dutytest.Judge }
+
+// Report implements usage.Platform.
+func (s dutyStandIn) Report(_ context.Context, term duty.Term, r usage.Report) error {
+	return s.judge.Report(term, r.Window, r.Requests)
+}
+
+// Order implements autoscale.Platform.
+func (s dutyStandIn) Order(_ context.Context, term duty.Term, o autoscale.Order) error {
+	return s.judge.Take(term, fmt.Sprint(o.Pool, o.Replicas), func() {})
+}
+
+// reported is what the platform was told that the workspace used.
+func (s dutyStandIn) reported(workspace string) int64 {
+	var sum int64
+	for _, counts := range s.judge.Reports() {
+		sum += counts[workspace]
+	}
+	return sum
+}
+
+func TestOneNodeTellsThePlatformWhatAllServed(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.allServe()
+	d.eventually("a node holds the duties", func() bool { return d.nodes[0].duties.fence()+d.nodes[1].duties.fence() > 0 })
+	const calls = 7
+	for range calls {
+		for _, n := range d.nodes {
+			if status := d.status(n, "first"); status != http.StatusOK {
+				t.Fatalf("status %d", status)
+			}
+			// A request without a known key does not run.
+			d.status(n, "other")
+		}
+	}
+	d.eventually("all calls are reported", func() bool { return d.duties.reported("shop") == calls*int64(len(d.nodes)) })
+	for _, broken := range d.duties.judge.Broken() {
+		t.Error(broken)
+	}
+}
+
+func TestAStoppingNodeHandsTheDutiesOn(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.allServe()
+	d.eventually("a node holds the duties", func() bool { return d.nodes[0].duties.fence()+d.nodes[1].duties.fence() > 0 })
+	first, second := d.nodes[0], d.nodes[1]
+	if first.duties.fence() == 0 {
+		first, second = second, first
+	}
+	first.stop()
+	<-first.done
+	d.eventually("the other node holds the duties", func() bool { return second.duties.fence() > 0 })
+	before := len(d.duties.judge.Reports())
+	d.eventually("windows are reported again", func() bool { return len(d.duties.judge.Reports()) > before })
+	for _, broken := range d.duties.judge.Broken() {
+		t.Error(broken)
+	}
+}
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -15,6 +15,7 @@
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/duty/dutytest"
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/platform"
@@ -28,10 +29,9 @@
 	mu       sync.Mutex
 	document []byte
 	listing  replica.Listing
-	leases   int64
 	nodes    map[string]nodesync.Node
-	// keys are what the duties keep, by key.
-	keys  map[string]platform.Entry
+	// kv has the leases and what the duties keep.
+	kv    *dutytest.Store
 	down  map[string]bool
 	reads int
 }
@@ -68,43 +68,38 @@
 	return s.listing, nil
 }
 
-func (s seenBy) Grant(context.Context, time.Duration) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.leases++
-	return s.leases, s.reach()
+func (s seenBy) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
+	if err := s.reached(); err != nil {
+		return 0, err
+	}
+	return s.kv.Grant(ctx, ttl)
 }
 
-func (s seenBy) Renew(context.Context, int64) error { return nil }
+func (s seenBy) Renew(ctx context.Context, lease int64) error {
+	return s.kv.Renew(ctx, lease)
+}
 
-func (s seenBy) End(context.Context, int64) error { return nil }
+func (s seenBy) End(ctx context.Context, lease int64) error { return s.kv.End(ctx, lease) }
 
-func (s seenBy) Get(_ context.Context, key string) (platform.Entry, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	entry, ok := s.keys[key]
-	if !ok {
-		return entry, errors.Join(platform.ErrNotFound, s.reach())
+func (s seenBy) Get(ctx context.Context, key string) (platform.Entry, error) {
+	if err := s.reached(); err != nil {
+		return platform.Entry{}, err
 	}
-	return entry, s.reach()
+	return s.kv.Get(ctx, key)
 }
 
-func (s seenBy) Commit(_ context.Context, t platform.Transaction) (int64, error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err := s.reach(); err != nil {
+func (s seenBy) Commit(ctx context.Context, t platform.Transaction) (int64, error) {
+	if err := s.reached(); err != nil {
 		return 0, err
 	}
-	for _, c := range t.Conditions {
-		if s.keys[c.Key].Revision != c.Revision {
-			return 0, platform.ErrConflict
-		}
-	}
-	s.leases++
-	for _, w := range t.Writes {
-		s.keys[w.Key] = platform.Entry{Key: w.Key, Value: w.Value, Revision: s.leases}
-	}
-	return s.leases, nil
+	return s.kv.Commit(ctx, t)
+}
+
+// reached is reach without the lock held.
+func (s seenBy) reached() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.reach()
 }
 
 func (s seenBy) Announce(_ context.Context, n nodesync.Node, _ int64) error {
@@ -147,6 +142,7 @@
 type deployment struct {
 	t       *testing.T
 	store   *storeStandIn
+	duties  dutyStandIn
 	service *httptest.Server
 	nodes   []*runningNode
 }
@@ -189,13 +185,16 @@
 			Name: "r", Host: "h.example", Prefix: "/", Repeat: route.Idempotent, MaxAttempts: 2,
 			Timeout: 5 * time.Second, Objective: time.Second, Targets: []route.Target{{Upstream: "u", Weight: 1}},
 		}},
+		Upstreams: []route.Upstream{{Name: "u", Scaling: &route.Scaling{
+			Min: 1, Max: 4, Boot: time.Second, ReclaimablePrice: 0.2, ZonePrices: map[string]float64{"hall-a": 1, "hall-b": 1},
+		}}},
 		Workspaces: []route.KeyedWorkspace{{Workspace: route.Workspace{Name: "shop"}, Keys: []string{key}}},
 	}, nil
 }
 
 func newDeployment(t *testing.T) *deployment {
 	t.Helper()
-	d := &deployment{t: t, store: &storeStandIn{nodes: make(map[string]nodesync.Node), down: make(map[string]bool), keys: make(map[string]platform.Entry)}}
+	d := &deployment{t: t, duties: dutyStandIn{dutytest.NewJudge(time.Second, 1)}, store: &storeStandIn{nodes: make(map[string]nodesync.Node), down: make(map[string]bool), kv: dutytest.NewStore(1)}}
 	d.service = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(forwardtest.HeaderID, r.Header.Get(forwardtest.HeaderID))
 		w.Header().Set(forwardtest.HeaderStamp, "s")
@@ -211,7 +210,7 @@
 }
 
 func (d *deployment) replica(id string) replica.Replica {
-	return replica.Replica{ID: id, Upstream: "u", Address: strings.TrimPrefix(d.service.URL, "http://"), Slots: 2}
+	return replica.Replica{ID: id, Upstream: "u", AvailabilityZone: "hall-a", Address: strings.TrimPrefix(d.service.URL, "http://"), Slots: 2}
 }
 
 func (d *deployment) start(name string) *runningNode {
@@ -230,6 +229,7 @@
   resolve_listen: 127.0.0.1:0
   revoke_after: 5s
   grace: 2s
+  duties: {address: "127.0.0.1:1", kinds: [metering, autoscale], lease: 1s, usage_window: 1s, usage_delay: 5s}
 `, name)))
 	if err != nil {
 		d.t.Fatal(err)
@@ -237,7 +237,7 @@
 	log := &lockedBuffer{}
 	n, err := New(Options{
 		Settings: loaded, Store: seenBy{d.store, name}, Codec: forwardtest.Codec{}, Decode: decodeDocument,
-		Wire: testWire{}, Clock: boottime.Now, Seed: 1, Output: log,
+		Wire: testWire{}, Clock: boottime.Now, Seed: 1, Output: log, Duties: d.duties,
 	})
 	if err != nil {
 		d.t.Fatal(err)
