--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -37,6 +37,7 @@
 	fields["bytes"] = e.outlet.bytes
 	if !e.firstByte.IsZero() {
 		fields["first_byte_ms"] = e.firstByte.Sub(e.call.Arrived).Milliseconds()
+		fields["longest_pause_ms"] = e.longestPause.Milliseconds()
 	}
 	if ev.ending != EndedWhole && e.last != nil {
 		fields["error"] = e.last.Error()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -46,9 +46,13 @@
 	last *Failure
 	// metered says that the call was counted as one that began to run.
 	metered bool
-	// firstByte is when the answer began; replica is who gave the last attempt.
-	firstByte time.Time
-	replica   string
+	// firstByte is when the answer began, lastByte when its newest events came, and
+	// longestPause the longest time between two of them; replica is who gave the last
+	// attempt.
+	firstByte    time.Time
+	lastByte     time.Time
+	longestPause time.Duration
+	replica      string
 }
 
 // errOverloaded says that the call was turned away before it could cost anything.
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -68,6 +68,7 @@
 	} else {
 		a.place.Heard(time.Now())
 	}
+	e.heard(time.Now())
 	a.startSilence(a.pause())
 	if err := e.outlet.writeNow(events); err != nil {
 		return err
@@ -78,6 +79,14 @@
 	return nil
 }
 
+// heard notes the time of new events of the answer.
+func (e *exchange) heard(now time.Time) {
+	if !e.lastByte.IsZero() {
+		e.longestPause = max(e.longestPause, now.Sub(e.lastByte))
+	}
+	e.lastByte = now
+}
+
 // begun notes the first byte of the answer that counts.
 func (a *attempt) begun() {
 	now := time.Now()
