Autoscale: at a first start reclaimable replicas are ordered as the others register

Now only reclaimable ones are ordered early, each order more than the last, and only where the settings say that the whole system starts for the first time. Nothing on demand is ordered before the number has stood.

--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -56,6 +56,19 @@
 	return due
 }
 
+// More are the orders of reclaimable replicas that add to what was ordered of them.
+func (b *Orders) More(o *Observation, mix Mix) []Order {
+	var more []Order
+	for _, zone := range o.Zones {
+		pool := Pool{Upstream: o.Upstream, AvailabilityZone: zone.Name, Kind: Reclaimable}
+		want := Order{Pool: pool, Replicas: mix[zone.Name][Reclaimable]}
+		if want.Replicas > max(b.last[pool].replicas, zone.Ready[Reclaimable]) {
+			more = append(more, want)
+		}
+	}
+	return more
+}
+
 // Placed notes that an order was sent. One that makes room for the other kind has that
 // ordered again at once: its last order may have been cut to the bound of the zone.
 func (b *Orders) Placed(now boottime.Instant, o Order, ready int) {
--- a/internal/autoscale/scaler.go
+++ b/internal/autoscale/scaler.go
@@ -33,9 +33,12 @@
 	// Observe tells of the upstreams whose replicas may be ordered; none as long as too
 	// little is known.
 	Observe func() []Observation
-	Clock   boottime.Clock
-	Log     *eventlog.Log
-	Metrics *Metrics
+	// FirstStart says that the whole system starts for the first time: no replica is
+	// there that this system has ordered.
+	FirstStart bool
+	Clock      boottime.Clock
+	Log        *eventlog.Log
+	Metrics    *Metrics
 }
 
 // Scaler is the duty of ordering replicas. It implements duty.Work.
@@ -84,8 +87,12 @@
 	}
 	s.lookedAt = now
 	for _, o := range s.options.Observe() {
-		if wanted, known := s.want(now, &o, passed); known {
+		wanted, known := s.want(now, &o, passed)
+		switch {
+		case known:
 			s.order(ctx, now, &o, wanted)
+		case s.options.FirstStart:
+			s.orderEarly(ctx, now, &o)
 		}
 	}
 	s.save(ctx)
@@ -118,7 +125,24 @@
 // order sends the orders that are due for an upstream.
 func (s *session) order(ctx context.Context, now boottime.Instant, o *Observation, wanted float64) {
 	mix := portfolio(wanted, &o.Scaling, o.names(), s.orders.Dry(now, o))
-	for _, order := range s.orders.Due(now, o, mix) {
+	s.send(ctx, now, o, wanted, s.orders.Due(now, o, mix))
+}
+
+// orderEarly orders reclaimable replicas for those that have registered so far, so that
+// they serve when the first callers come. At a fleet's first start nobody has ordered any
+// before, and a later order only adds to the earlier one.
+func (s *session) orderEarly(ctx context.Context, now boottime.Instant, o *Observation) {
+	seen := float64(o.ready(OnDemand))
+	if seen == 0 {
+		return
+	}
+	mix := portfolio(seen, &o.Scaling, o.names(), s.orders.Dry(now, o))
+	s.send(ctx, now, o, seen, s.orders.More(o, mix))
+}
+
+// send sends orders until the duties end.
+func (s *session) send(ctx context.Context, now boottime.Instant, o *Observation, wanted float64, due []Order) {
+	for _, order := range due {
 		if !s.term.Held() || s.fenced {
 			return
 		}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -109,7 +109,8 @@
 	if s.Has(settings.Autoscale) {
 		works = append(works, autoscale.New(autoscale.Options{
 			Store: n.options.Store, Platform: n.options.Duties, Observe: d.observe,
-			Clock: n.options.Clock, Log: n.log, Metrics: autoscale.NewMetrics(n.registry),
+			FirstStart: n.options.Settings.PassThrough.FirstStart,
+			Clock:      n.options.Clock, Log: n.log, Metrics: autoscale.NewMetrics(n.registry),
 		}))
 	}
 	holder, err := duty.NewHolder(duty.Options{
