Usage: a report does not wait for nodes that can't have counted in its window

A node that is cut off serves nobody once its proof of the keys is too old: whoever fell silent for longer than that, the window and 2 s is not asked any more. Ruled out: fixing earlier for all, which would leave out the counts of nodes that are cut off for 8 s.

--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -40,8 +40,8 @@
 	// firstContenders is the number of nodes that try for free duties at once: two, for
 	// one may not reach the store.
 	firstContenders = 2
-	// countedFor is how long after its last sign a node is asked for its counts.
-	countedFor = 15 * time.Second
+	// gatherSlack is how long after a window's end its counts are asked for at least.
+	gatherSlack = 2 * time.Second
 )
 
 // newDuties returns the node's part, or nil where the deployment has no duties.
@@ -147,11 +147,15 @@
 	return d.random.IntN(1+n.nodes.AliveCount(now)) == 0
 }
 
-// countingNodes are the peer addresses of the nodes that may have counted: also of those
-// that fell silent a while ago, for they may be cut off only.
+// countingNodes are the peer addresses of the nodes that may have counted in a window that
+// is open or has just ended. One that fell silent may be cut off only and serve callers
+// until its proof of their keys is too old; a report that waited for one that is gone for
+// longer would be late for nothing.
 func (d *duties) countingNodes() []string {
+	s := d.node.options.Settings.PassThrough
+	counts := s.RevokeAfter.Std() + s.Duties.UsageWindow.Std() + gatherSlack
 	var addresses []string
-	for _, node := range d.node.nodes.HeardWithin(countedFor, d.node.options.Clock()) {
+	for _, node := range d.node.nodes.HeardWithin(counts, d.node.options.Clock()) {
 		addresses = append(addresses, node.PeerAddress)
 	}
 	return addresses
