--- a/internal/autoscale/scaler_test.go
+++ b/internal/autoscale/scaler_test.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,6 +23,7 @@
 
 // cloud is a platform that carries orders out, inside a synctest bubble.
 type cloud struct {
+	mu    sync.Mutex
 	zones map[string]map[Kind]int
 	// dry zones have no reclaimable replicas to give.
 	dry    map[string]bool
@@ -32,6 +35,8 @@
 
 // Order implements Platform.
 func (c *cloud) Order(_ context.Context, _ duty.Term, o Order) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.orders++
 	have := c.zones[o.AvailabilityZone]
 	if o.Kind == Reclaimable && o.Replicas > have[Reclaimable] && c.dry[o.AvailabilityZone] {
@@ -43,6 +48,8 @@
 		return nil
 	}
 	time.AfterFunc(bootTime, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
 		other := OnDemand
 		if o.Kind == OnDemand {
 			other = Reclaimable
@@ -52,7 +59,7 @@
 	return nil
 }
 
-// note remembers the fewest replicas that there ever were.
+// note remembers the fewest replicas that there ever were. The lock is held.
 func (c *cloud) note() {
 	all := 0
 	for _, kinds := range c.zones {
@@ -63,6 +70,8 @@
 
 // observation is what is registered of the first part of the replicas.
 func (c *cloud) observation(part float64, busy int) Observation {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	o := Observation{Upstream: "model", Scaling: *scaling(0.2), Slots: 16, Busy: busy}
 	o.Scaling.Boot = bootTime
 	for _, name := range o.Scaling.Zones() {
@@ -75,6 +84,31 @@
 	return o
 }
 
+// reclaim takes the zone's reclaimable replicas away, until wet is called.
+func (c *cloud) reclaim(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.zones[zone][Reclaimable] = 0
+	c.dry[zone] = true
+}
+
+func (c *cloud) wet(zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dry[zone] = false
+}
+
+// now is the replicas of each zone.
+func (c *cloud) now() map[string]map[Kind]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	zones := make(map[string]map[Kind]int, len(c.zones))
+	for name, kinds := range c.zones {
+		zones[name] = maps.Clone(kinds)
+	}
+	return zones
+}
+
 func newCloud(each int) *cloud {
 	c := &cloud{zones: make(map[string]map[Kind]int), dry: make(map[string]bool), least: 3 * each}
 	for _, name := range []string{"a", "b", "c"} {
@@ -130,7 +164,7 @@
 			if c.least < 90 {
 				t.Errorf("first seen after %s: %d replicas were left of 90", firstAfter, c.least)
 			}
-			for zone, kinds := range c.zones {
+			for zone, kinds := range c.now() {
 				if kinds[OnDemand] != 1 || kinds[Reclaimable] < 44 {
 					t.Errorf("first seen after %s: zone %s ends with %v, want the on-demand ones replaced", firstAfter, zone, kinds)
 				}
@@ -147,16 +181,15 @@
 		store := held(t)
 		all := func(time.Duration) []Observation { return []Observation{c.observation(1, 0)} }
 		play(t, c, store, 30*time.Second, all)
-		before := c.zones["a"][Reclaimable]
-		c.zones["b"][Reclaimable] = 0
-		c.dry["b"] = true
+		before := c.now()["a"][Reclaimable]
+		c.reclaim("b")
 		play(t, c, store, 10*time.Second, all)
-		if got := c.zones["a"][Reclaimable]; got < before {
+		if got := c.now()["a"][Reclaimable]; got < before {
 			t.Errorf("%d reclaimable replicas in a zone that lost none, want the %d of before", got, before)
 		}
-		c.dry["b"] = false
+		c.wet("b")
 		play(t, c, store, 10*time.Second, all)
-		if got := c.zones["b"][Reclaimable]; got < before-5 {
+		if got := c.now()["b"][Reclaimable]; got < before-5 {
 			t.Errorf("%d reclaimable replicas are back in the zone that lost them, want about %d", got, before)
 		}
 	})
@@ -171,7 +204,7 @@
 			part := float64(passed) / float64(3*time.Second)
 			return []Observation{c.observation(min(part, 1), 0)}
 		})
-		for zone, kinds := range c.zones {
+		for zone, kinds := range c.now() {
 			if kinds[Reclaimable] < 25 {
 				t.Errorf("zone %s: %v eight seconds after the start", zone, kinds)
 			}
--- a/internal/duty/holder_test.go
+++ b/internal/duty/holder_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -64,8 +65,24 @@
 	began time.Time
 	stops map[string]context.CancelFunc
 	done  map[string]chan struct{}
-	cut   map[string]bool
 	runs  int
+
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+// isCut says whether the node is cut off from the store.
+func (f *fleet) isCut(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[name]
+}
+
+// setCut cuts the node off from the store, or connects it again.
+func (f *fleet) setCut(name string, cut bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.cut[name] = cut
 }
 
 func newFleet(t *testing.T, seed uint64) *fleet {
@@ -80,7 +97,7 @@
 func (f *fleet) start(name string) {
 	f.runs++
 	holder, err := duty.NewHolder(duty.Options{
-		Store: cutStore{f.store, func() bool { return f.cut[name] }}, Key: "holder", Node: name, Process: fmt.Sprint(name, "/", f.runs), TTL: ttl,
+		Store: cutStore{f.store, func() bool { return f.isCut(name) }}, Key: "holder", Node: name, Process: fmt.Sprint(name, "/", f.runs), TTL: ttl,
 		Contends: func() bool { return true }, Works: []duty.Work{actor{f.judge}}, Clock: f.clock,
 		Rand: rand.New(rand.NewPCG(uint64(f.runs), 2)), Log: eventlog.New(io.Discard, name), Registry: prometheus.NewRegistry(),
 	})
@@ -143,7 +160,7 @@
 		if first == "" {
 			t.Fatal("nobody holds the duty after 5 s")
 		}
-		f.cut[first] = true
+		f.setCut(first, true)
 		time.Sleep(2 * ttl)
 		if second := f.holder(); second == first || f.lastCall() > time.Second {
 			t.Errorf("%s after %s was cut off from the store for %s; last call %s ago", second, first, 2*ttl, f.lastCall())
@@ -224,7 +241,7 @@
 			f.stop(name)
 			f.start(name)
 		case 4:
-			f.cut[name] = !f.cut[name]
+			f.setCut(name, !f.isCut(name))
 		case 5:
 			f.judge.SetLate(0)
 		}
@@ -232,7 +249,9 @@
 	}
 	f.store.SetFaults(dutytest.StoreFaults{})
 	f.judge.SetLate(0)
-	clear(f.cut)
+	for _, name := range names {
+		f.setCut(name, false)
+	}
 	time.Sleep(3 * ttl)
 	if f.lastCall() > time.Second {
 		t.Errorf("nobody acts %s after the faults ended", 3*ttl)
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,14 +36,16 @@
 
 // fleet is nodes that count and try for the duty, inside a synctest bubble.
 type fleet struct {
-	t      *testing.T
-	store  *dutytest.Store
-	judge  *dutytest.Judge
-	began  time.Time
+	t     *testing.T
+	store *dutytest.Store
+	judge *dutytest.Judge
+	began time.Time
+	stops map[string]func()
+	runs  int
+
+	mu     sync.Mutex
 	meters map[string]*usage.Meter
-	stops  map[string]func()
 	dead   map[string]bool
-	runs   int
 }
 
 func newFleet(t *testing.T, seed uint64, names ...string) *fleet {
@@ -60,6 +63,8 @@
 
 // gather asks all nodes but those that are dead.
 func (f *fleet) gather(_ context.Context, first int64) (told []usage.Told, silent int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	for name, m := range f.meters {
 		if f.dead[name] {
 			silent++
@@ -75,7 +80,9 @@
 	f.runs++
 	process := fmt.Sprint(name, "/", f.runs)
 	meter := usage.NewMeter(length, time.Now)
+	f.mu.Lock()
 	f.meters[process] = meter
+	f.mu.Unlock()
 	registry := prometheus.NewRegistry()
 	log := eventlog.New(io.Discard, name)
 	reporter := usage.NewReporter(usage.ReporterOptions{
@@ -99,6 +106,8 @@
 	f.stops[name] = func() {
 		cancel()
 		<-done
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.dead[process] = true
 	}
 }
