Autoscale: a zone that has no reclaimable replicas to give keeps those that it has

Cause, found by reading: a zone that refused the replacement of a few crashed replicas counted as dry, and for it none were wanted: the next look ordered away all that it had. Of a kind that is missing from a mix a zone now keeps what it has. The test has one and three dry zones with 40 and 44 replicas; before, none were left. Besides: Zone.Leaving was read by nobody, and the works of a term need no type of their own.

--- a/internal/autoscale/observation.go
+++ b/internal/autoscale/observation.go
@@ -24,9 +24,8 @@
 // Zone is one availability zone of an Observation.
 type Zone struct {
 	Name string
-	// Ready counts the replicas of each kind that take requests, Leaving those that do
-	// not any more.
-	Ready, Leaving map[Kind]int
+	// Ready counts the replicas of each kind that take requests.
+	Ready map[Kind]int
 }
 
 // ready is the number of replicas of the kind that take requests.
@@ -57,18 +56,16 @@
 	return names
 }
 
-// CountZone counts the replicas of an availability zone.
+// CountZone counts the replicas of an availability zone that are not leaving.
 func CountZone(name string, replicas []replica.Replica) Zone {
-	z := Zone{Name: name, Ready: make(map[Kind]int), Leaving: make(map[Kind]int)}
+	z := Zone{Name: name, Ready: make(map[Kind]int)}
 	for _, r := range replicas {
-		kind := OnDemand
-		if r.Reclaimable {
-			kind = Reclaimable
-		}
-		if r.Draining {
-			z.Leaving[kind]++
-		} else {
-			z.Ready[kind]++
+		switch {
+		case r.Draining:
+		case r.Reclaimable:
+			z.Ready[Reclaimable]++
+		default:
+			z.Ready[OnDemand]++
 		}
 	}
 	return z
--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -43,7 +43,11 @@
 	for _, zone := range o.Zones {
 		for _, kind := range []Kind{Reclaimable, OnDemand} {
 			pool := Pool{Upstream: o.Upstream, AvailabilityZone: zone.Name, Kind: kind}
-			want := Order{Pool: pool, Replicas: mix[zone.Name][kind]}
+			replicas, wanted := mix[zone.Name][kind]
+			if !wanted {
+				continue
+			}
+			want := Order{Pool: pool, Replicas: replicas}
 			if b.settled(now, o, want, zone.Ready[kind]) {
 				continue
 			}
--- a/internal/autoscale/orders_test.go
+++ b/internal/autoscale/orders_test.go
@@ -9,7 +9,7 @@
 
 // zone is an availability zone with so many replicas ready.
 func zone(name string, onDemand, reclaimable int) Zone {
-	return Zone{Name: name, Ready: map[Kind]int{OnDemand: onDemand, Reclaimable: reclaimable}, Leaving: map[Kind]int{}}
+	return Zone{Name: name, Ready: map[Kind]int{OnDemand: onDemand, Reclaimable: reclaimable}}
 }
 
 func observed(zones ...Zone) *Observation {
@@ -95,6 +95,26 @@
 	}
 }
 
+// TestADryZoneKeepsWhatItHas has a zone refuse the replacement of a few replicas that
+// crashed: those that are left go on.
+func TestADryZoneKeepsWhatItHas(t *testing.T) {
+	for _, dryZones := range [][]string{{"a"}, {"a", "b", "c"}} {
+		b := NewOrders()
+		now := boottime.Instant(time.Hour)
+		o := observed(zone("a", 1, 40), zone("b", 1, 44), zone("c", 1, 44))
+		for _, name := range dryZones {
+			pool := Pool{Upstream: "model", AvailabilityZone: name, Kind: Reclaimable}
+			b.Refused(now, Order{Pool: pool, Replicas: 44})
+		}
+		mix := portfolio(60, &o.Scaling, o.names(), b.Dry(now, o))
+		for _, order := range b.Due(now, o, mix) {
+			if order.Kind == Reclaimable && order.Replicas < o.readyIn(order.Pool) {
+				t.Errorf("dry %v: %d of %d are left in %s", dryZones, order.Replicas, o.readyIn(order.Pool), order.AvailabilityZone)
+			}
+		}
+	}
+}
+
 // TestOrdersAreFew plays a load that wavers around its mean for five minutes: a replica
 // that leaves takes its cached prompts with it.
 func TestOrdersAreFew(t *testing.T) {
--- a/internal/autoscale/portfolio.go
+++ b/internal/autoscale/portfolio.go
@@ -6,13 +6,24 @@
 	"galenatrestle/internal/route"
 )
 
-// Mix is how many replicas of each kind each availability zone should have.
+// Mix is how many replicas of each kind each availability zone should have. Of a kind
+// that is missing a zone keeps what it has.
 type Mix map[string]map[Kind]int
 
 // portfolio is the cheapest mix that has the capacity, in replicas, also when all
 // reclaimable ones of any one zone are taken away. Zones in dry have no reclaimable ones
-// to give at the moment.
+// to give at the moment: they keep those that they have, and the others take their part.
 func portfolio(capacity float64, s *route.Scaling, zones []string, dry map[string]bool) Mix {
+	mix := cheapest(capacity, s, zones, dry)
+	for zone := range dry {
+		delete(mix[zone], Reclaimable)
+	}
+	return mix
+}
+
+// cheapest is the mix of the least price, with reclaimable replicas from all zones that
+// have any to give.
+func cheapest(capacity float64, s *route.Scaling, zones []string, dry map[string]bool) Mix {
 	if s.ReclaimablePrice <= 0 || len(zones) == 1 {
 		return onDemand(capacity, s, zones)
 	}
@@ -33,17 +44,12 @@
 	for _, zone := range zones {
 		mix[zone] = map[Kind]int{OnDemand: s.Min, Reclaimable: max(each-s.Min, 0)}
 	}
-	for zone := range dry {
-		if _, known := mix[zone]; known {
-			mix[zone][Reclaimable] = 0
-		}
-	}
 	return mix
 }
 
-// spare is how many reclaimable replicas are worth having for each on-demand one. What
-// waits costs callers falls about with the number of replicas, their price grows with it:
-// the sum is least where the number is the inverse root of the price.
+// spare is how many reclaimable replicas are worth having for each on-demand one. Waiting
+// falls about as the number of replicas grows, and their price grows with it: the sum of
+// both is least where the number is the inverse root of the price.
 func spare(s *route.Scaling) float64 { return 1 / math.Sqrt(s.ReclaimablePrice) }
 
 // onDemand spreads the capacity evenly, so that a zone that fails is one part of it.
--- a/internal/autoscale/portfolio_test.go
+++ b/internal/autoscale/portfolio_test.go
@@ -39,8 +39,8 @@
 func TestTheOtherZonesTakeTheLoadOfOneThatHasNone(t *testing.T) {
 	s := scaling(0.2)
 	mix := portfolio(60, s, s.Zones(), map[string]bool{"b": true})
-	if mix["b"][Reclaimable] != 0 {
-		t.Errorf("%d are ordered where there are none", mix["b"][Reclaimable])
+	if replicas, ordered := mix["b"][Reclaimable]; ordered {
+		t.Errorf("%d are ordered where there are none", replicas)
 	}
 	if got := mix["a"][Reclaimable] + mix["c"][Reclaimable]; got < 58 {
 		t.Errorf("%d in the other zones, want the capacity of 60", got)
--- a/internal/autoscale/scaler_test.go
+++ b/internal/autoscale/scaler_test.go
@@ -75,7 +75,7 @@
 	o := Observation{Upstream: "model", Scaling: *scaling(0.2), Slots: 16, Busy: busy}
 	o.Scaling.Boot = bootTime
 	for _, name := range o.Scaling.Zones() {
-		z := Zone{Name: name, Ready: map[Kind]int{}, Leaving: map[Kind]int{}}
+		z := Zone{Name: name, Ready: map[Kind]int{}}
 		for kind, n := range c.zones[name] {
 			z.Ready[kind] = int(part * float64(n))
 		}
--- a/internal/duty/holder.go
+++ b/internal/duty/holder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -35,7 +36,8 @@
 type Holder struct {
 	options Options
 	lease   *lease.Holder
-	works   works
+	// works are those of the term in force.
+	works sync.WaitGroup
 	// fence is the token of the term in force; zero: none is.
 	fence atomic.Int64
 }
@@ -82,17 +84,20 @@
 func (h *Holder) gained(ctx context.Context, fence int64) {
 	h.fence.Store(fence)
 	h.options.Log.Write(&gained{node: h.options.Node, fence: fence})
-	h.works.start(ctx, h.options.Works, Term{
+	term := Term{
 		Holder: h.options.Node, Fence: fence, Key: h.options.Key,
 		Held: func() bool {
 			held, ok := h.lease.Held(time.Now())
 			return ok && held == fence
 		},
-	})
+	}
+	for _, work := range h.options.Works {
+		h.works.Go(func() { work.Run(ctx, term) })
+	}
 }
 
 func (h *Holder) lost(fence int64, reason lease.EndReason) {
-	h.works.wait()
+	h.works.Wait()
 	h.fence.Store(0)
 	h.options.Log.Write(&lost{node: h.options.Node, fence: fence, reason: reason})
 }
--- a/internal/duty/term.go
+++ b/internal/duty/term.go
@@ -1,9 +1,6 @@
 package duty
 
-import (
-	"context"
-	"sync"
-)
+import "context"
 
 // Term is one node's time as the holder.
 type Term struct {
@@ -21,16 +18,3 @@
 type Work interface {
 	Run(ctx context.Context, term Term)
 }
-
-// works are the running works of one term.
-type works struct {
-	group sync.WaitGroup
-}
-
-func (w *works) start(ctx context.Context, list []Work, term Term) {
-	for _, work := range list {
-		w.group.Go(func() { work.Run(ctx, term) })
-	}
-}
-
-func (w *works) wait() { w.group.Wait() }
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -31,6 +31,7 @@
 	meter  *usage.Meter
 	counts *usage.Service
 	holder *duty.Holder
+	// random is drawn from by the holder's goroutine alone.
 	random *rand.Rand
 }
 
@@ -51,9 +52,8 @@
 		return nil
 	}
 	d := &duties{
-		node: n,
-		time: fleettime.New(n.options.Clock, time.Now),
-		// Each tick of the holder draws from a source of its own.
+		node:   n,
+		time:   fleettime.New(n.options.Clock, time.Now),
 		random: rand.New(rand.NewPCG(n.options.Seed, 6)),
 	}
 	d.meter = usage.NewMeter(s.UsageWindow.Std(), d.time.Now)
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -32,8 +32,9 @@
 	waitPart = 0.6
 	// callTimeout bounds one call of the store.
 	callTimeout = 900 * time.Millisecond
-	// storeRecordTimes is how many times the platform's delay an unsent window is kept.
-	storeRecordTimes = 4
+	// keepDelays is for how many of the platform's delays an unsent window is kept beyond
+	// the nodes' own counts.
+	keepDelays = 4
 )
 
 // Told is what one source counted.
@@ -132,7 +133,7 @@
 		book = NewBook(s.options.Length, s.options.Now())
 	}
 	s.book, s.revision = book, entry.Revision
-	keep := s.options.Length*keepWindows + storeRecordTimes*s.options.Delay
+	keep := s.options.Length*keepWindows + keepDelays*s.options.Delay
 	if skipped := book.Skip(s.options.Now().Add(-keep)); skipped > 0 {
 		s.options.Log.Write(&windowsSkipped{windows: skipped})
 	}
