Autoscale: on-demand replicas stay in a zone that has no others to give

Found by reading the change once more: where a zone refused the reclaimable replicas that were to replace its on-demand ones, none were wanted of them, and so their replacement counted as complete: 29 of 30 on-demand replicas were ordered away. They stay now until the zone gives others. The test fails without the line. Besides, maps.Clone in place of a copy of our own.

--- a/internal/autoscale/orders.go
+++ b/internal/autoscale/orders.go
@@ -100,10 +100,15 @@
 	if o.Age > newsAge {
 		return false
 	}
+	if kind == Reclaimable {
+		return true
+	}
+	// A zone that has no reclaimable ones to give keeps its on-demand ones.
+	replacing, toBeHad := mix[zone.Name][Reclaimable]
 	// Both kinds share a zone's bound: where it is reached, more reclaimable ones come
 	// only when on-demand ones leave.
 	room := o.Scaling.Max - zone.Ready[OnDemand]
-	return kind == Reclaimable || zone.Ready[Reclaimable] >= min(mix[zone.Name][Reclaimable], room)
+	return toBeHad && zone.Ready[Reclaimable] >= min(replacing, room)
 }
 
 // Refused notes that the pool has nothing to give.
--- a/internal/autoscale/orders_test.go
+++ b/internal/autoscale/orders_test.go
@@ -115,6 +115,21 @@
 	}
 }
 
+// TestOnDemandReplicasStayWhereNoOthersAreToBeHad has a zone refuse the reclaimable replicas
+// that were to replace the on-demand ones.
+func TestOnDemandReplicasStayWhereNoOthersAreToBeHad(t *testing.T) {
+	b := NewOrders()
+	now := boottime.Instant(time.Hour)
+	o := observed(zone("a", 30, 0), zone("b", 30, 30), zone("c", 30, 30))
+	b.Refused(now, Order{Pool: Pool{Upstream: "model", AvailabilityZone: "a", Kind: Reclaimable}, Replicas: 44})
+	mix := portfolio(90, &o.Scaling, o.names(), b.Dry(now, o))
+	for _, order := range b.Due(now, o, mix) {
+		if order.AvailabilityZone == "a" && order.Replicas < 30 {
+			t.Errorf("%d of 30 replicas are left in a zone that has no others to give", order.Replicas)
+		}
+	}
+}
+
 // TestOrdersAreFew plays a load that wavers around its mean for five minutes: a replica
 // that leaves takes its cached prompts with it.
 func TestOrdersAreFew(t *testing.T) {
--- a/internal/autoscale/scaler.go
+++ b/internal/autoscale/scaler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"time"
 
@@ -179,18 +180,10 @@
 	if record.Capacity == nil {
 		record.Capacity = make(map[string]float64)
 	}
-	s.record, s.revision, s.saved = record, entry.Revision, copied(record.Capacity)
+	s.record, s.revision, s.saved = record, entry.Revision, maps.Clone(record.Capacity)
 	return true
 }
 
-func copied(m map[string]float64) map[string]float64 {
-	c := make(map[string]float64, len(m))
-	for name, value := range m {
-		c[name] = value
-	}
-	return c
-}
-
 // save writes what is wanted where it has changed by much, unless another node holds the
 // duty. Where the write's outcome is not known the record is read again.
 func (s *session) save(ctx context.Context) {
@@ -213,7 +206,7 @@
 		s.options.Log.Error("write wanted replicas", err)
 		return
 	}
-	s.revision, s.saved = revision, copied(s.record.Capacity)
+	s.revision, s.saved = revision, maps.Clone(s.record.Capacity)
 }
 
 func (s *session) worthSaving() bool {
