Logs and metrics of the rates that replicas name

The adapter decodes the header; a table dates what each answer says. No decision depends on it yet: a grep for the header's name found no line of the product before, and the replicas' share stays as it was.

A limit is lifted only by a whole answer to a request that was sent after the limit was last named: answers overtake each other.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -23,6 +23,7 @@
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/retrybudget"
@@ -39,6 +40,7 @@
 	replicas  *replica.Set
 	conns     *replicaconn.Pool
 	placer    *placement.Placer
+	limits    *ratelimit.Table
 	budget    *retrybudget.Budget
 	nodes     *nodesync.Nodes
 	sync      *nodesync.Sync
@@ -81,6 +83,8 @@
 	}
 	n.settings.Store(s)
 	n.conns = replicaconn.NewPool(replicaconn.TCPDial(replicaconn.DefaultDialTimeout), n.countConnection())
+	n.limits = ratelimit.NewTable(options.Clock)
+	ratelimit.RegisterMetrics(registry, n.limits)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.budget = retrybudget.New(n.retryLimits())
 	n.duties = newDuties(n)
@@ -154,7 +158,7 @@
 	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Log: n.log, Registry: n.registry,
+		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Limits: n.limits, Log: n.log, Registry: n.registry,
 		Began: n.duties.began(),
 	})
 	return passthrough.New(passthrough.Options{
@@ -221,6 +225,7 @@
 		n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
 		if c.Kind == replica.Gone {
 			n.conns.Forget(c.Replica.ID)
+			n.limits.Forget(c.Replica.ID)
 		}
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -8,8 +8,10 @@
 	"sync/atomic"
 	"time"
 
+	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replicaconn"
 )
 
@@ -34,6 +36,8 @@
 	conn     *replicaconn.Conn
 	response *http.Response
 	headers  AnswerHeaders
+	// sentAt is when the call began to be sent.
+	sentAt boottime.Instant
 	// foreign says that answers to other attempts came on the connection.
 	foreign bool
 	// impatient is set when the attempt was ended for its silence.
@@ -158,12 +162,14 @@
 		e.counted = true
 		e.forwarder.options.Budget.Request(time.Now(), e.call.Upstream)
 	}
+	a.sentAt = e.forwarder.options.Limits.Now()
 	if err := a.conn.Send(a.message()); err != nil {
 		return a.failed(stepSend, err)
 	}
 	if failure := a.receive(); failure != nil {
 		return failure
 	}
+	a.noteLimit()
 	return a.take()
 }
 
@@ -208,6 +214,23 @@
 	return a.failed(stepHead, fmt.Errorf("the answer is to attempt %q", a.headers.ID))
 }
 
+// noteLimit takes in what the answer says of the rate at which the replica takes requests.
+func (a *attempt) noteLimit() {
+	f := a.exchange.forwarder
+	if a.response.StatusCode == http.StatusMisdirectedRequest {
+		// Another process answered.
+		return
+	}
+	limit, changed := f.options.Limits.Answered(ratelimit.Answer{
+		Replica: a.place.Replica, Limited: a.headers.RateLimited, PerSecond: a.headers.RateLimit,
+		Whole:  a.headers.Stamped && a.response.StatusCode < http.StatusMultipleChoices,
+		SentAt: a.sentAt, At: f.options.Limits.Now(),
+	})
+	if changed {
+		f.options.Log.Write(&ratelimit.Changed{Limit: limit, Request: a.exchange.call.ID})
+	}
+}
+
 // refuses says whether the answer is one that a replica gives before it has
 // read whose call it is.
 func refuses(r *http.Response, h AnswerHeaders) bool {
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -73,4 +73,8 @@
 	NotExecuted bool
 	// Encoded says that the body is not the replica's own bytes.
 	Encoded bool
+	// RateLimited says that the replica takes RateLimit requests a second from all nodes
+	// together.
+	RateLimited bool
+	RateLimit   float64
 }
--- a/internal/forward/forwardtest/codec.go
+++ b/internal/forward/forwardtest/codec.go
@@ -19,6 +19,7 @@
 	HeaderLastEvent   = "Last-Event-Id"
 	HeaderPatience    = "Patience-Ms"
 	HeaderKey         = "Key"
+	HeaderRateLimit   = "Rate-Limit"
 )
 
 // Codec implements forward.Codec.
@@ -48,10 +49,14 @@
 
 // Answer implements forward.Codec.
 func (Codec) Answer(h http.Header) forward.AnswerHeaders {
-	return forward.AnswerHeaders{
+	a := forward.AnswerHeaders{
 		ID: h.Get(HeaderID), Stamped: h.Get(HeaderStamp) != "",
 		NotExecuted: h.Get(HeaderNotExecuted) != "", Encoded: h.Get("Content-Encoding") != "",
 	}
+	if perSecond, err := strconv.ParseFloat(h.Get(HeaderRateLimit), 64); err == nil {
+		a.RateLimit, a.RateLimited = perSecond, true
+	}
+	return a
 }
 
 // WithoutStamp implements forward.Codec.
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -17,6 +17,7 @@
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/retrybudget"
@@ -54,6 +55,7 @@
 		Placer:   placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1))),
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		Crashes: forward.NewCrashes(f.Tracker, f.probe, log),
+		Limits:  ratelimit.NewTable(func() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) }),
 		Log:     log, Registry: f.Metrics,
 	})
 	return f
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -5,6 +5,7 @@
 
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/retrybudget"
@@ -18,6 +19,7 @@
 	Codec    Codec
 	Budget   *retrybudget.Budget
 	Crashes  *Crashes
+	Limits   *ratelimit.Table
 	Log      *eventlog.Log
 	Registry prometheus.Registerer
 	// Began is told of each request that begins to run, by its workspace; nil: nobody
--- /dev/null
+++ b/internal/ratelimit/answer.go
@@ -0,0 +1,19 @@
+package ratelimit
+
+import (
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/replica"
+)
+
+// Answer is what one answer of a replica says of its rate.
+type Answer struct {
+	Replica replica.Replica
+	// Limited says that the answer names a rate, PerSecond.
+	Limited   bool
+	PerSecond float64
+	// Whole answers are the replica's own to a request that it ran well. One without a
+	// rate lifts an earlier limit; a failure without one says nothing.
+	Whole bool
+	// SentAt is when the request was sent, At when the head of its answer came.
+	SentAt, At boottime.Instant
+}
--- /dev/null
+++ b/internal/ratelimit/events.go
@@ -0,0 +1,39 @@
+package ratelimit
+
+import (
+	"time"
+
+	"galenatrestle/internal/eventlog"
+)
+
+// Changed tells that a replica named another rate than before, or none any more.
+type Changed struct {
+	Limit Limit
+	// Request is the request whose answer said so, where it was this node's; From is the
+	// node that told it, where it was another one.
+	Request string
+	From    string
+	// Age is the time since that answer.
+	Age time.Duration
+}
+
+// Name implements eventlog.Event.
+func (*Changed) Name() string { return "rate_limit_changed" }
+
+// Level implements eventlog.Event.
+func (*Changed) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (e *Changed) Fields() eventlog.Fields {
+	fields := eventlog.Fields{"replica": e.Limit.Replica, "lifted": e.Limit.Lifted, "age_ms": e.Age.Milliseconds()}
+	if !e.Limit.Lifted {
+		fields["per_second"] = e.Limit.PerSecond
+	}
+	if e.Request != "" {
+		fields["request"] = e.Request
+	}
+	if e.From != "" {
+		fields["from"] = e.From
+	}
+	return fields
+}
--- /dev/null
+++ b/internal/ratelimit/table.go
@@ -0,0 +1,84 @@
+package ratelimit
+
+import (
+	"maps"
+	"sync"
+	"sync/atomic"
+
+	"galenatrestle/internal/boottime"
+)
+
+// Table is the limits that this node knows. It is safe for concurrent use.
+type Table struct {
+	clock boottime.Clock
+
+	mu    sync.Mutex
+	known map[string]Limit
+	// inForce has those that are not lifted. A map that was stored is not changed.
+	inForce atomic.Pointer[map[string]Limit]
+}
+
+// NewTable returns a table without limits.
+func NewTable(clock boottime.Clock) *Table {
+	return &Table{clock: clock, known: make(map[string]Limit)}
+}
+
+// Now is the instant by which limits are dated.
+func (t *Table) Now() boottime.Instant { return t.clock() }
+
+// InForce is the limits in force by the replicas' identities, nil for none. The map is
+// shared and not to be changed.
+func (t *Table) InForce() map[string]Limit {
+	limits := t.inForce.Load()
+	if limits == nil {
+		return nil
+	}
+	return *limits
+}
+
+// Answered takes in what an answer says. It reports the limit that is in force or lifted by
+// it, where that is news.
+func (t *Table) Answered(a Answer) (Limit, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := Limit{Replica: a.Replica.ID, StartedAt: a.Replica.StartedAt, PerSecond: a.PerSecond, Lifted: !a.Limited, At: a.At}
+	old, known := t.known[l.Replica]
+	if l.Lifted && !(known && !old.Lifted && a.Whole && a.SentAt > old.At) {
+		// An answer that was on its way when the limit was named says nothing of it.
+		return Limit{}, false
+	}
+	return l, t.take(l)
+}
+
+// take puts the limit in force unless a newer one is known, and reports whether that
+// changes anything but its age. The lock is held.
+func (t *Table) take(l Limit) bool {
+	old, known := t.known[l.Replica]
+	if known && l.At <= old.At {
+		return false
+	}
+	t.known[l.Replica] = l
+	if known && l.StartedAt == old.StartedAt && l.Lifted == old.Lifted && l.PerSecond == old.PerSecond {
+		return false
+	}
+	t.publish()
+	return true
+}
+
+// Forget drops what is known of a replica that is gone.
+func (t *Table) Forget(replica string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.known[replica]; !known {
+		return
+	}
+	delete(t.known, replica)
+	t.publish()
+}
+
+// publish renews inForce. The lock is held.
+func (t *Table) publish() {
+	limits := maps.Clone(t.known)
+	maps.DeleteFunc(limits, func(_ string, l Limit) bool { return l.Lifted })
+	t.inForce.Store(&limits)
+}
