A failing test of a replica's rate over all nodes; replicas of the soak name rates

TestNodesTogetherKeepToTheRateThatAReplicaNames runs five real processes before replicas of which three name a rate for 11 s, and counts what reaches each in 4 s from nodes that had passed on an answer with the rate half a second before.

The soak draws such times (--spells, three a run) apart from the faults, so that the faults of earlier seeds stay what they were; --no-faults plays them alone.

--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -20,6 +20,8 @@
 	Nodes    int           `default:"3" help:"Processes of the program in each run."`
 	Callers  int           `default:"6" help:"Callers at once in each run."`
 	For      time.Duration `default:"10s" help:"How long faults begin in each run."`
+	Spells   int           `default:"3" help:"Times in each run that a replica names the requests a second that it takes."`
+	NoFaults bool          `help:"Leave out all faults but those rates."`
 	AtOnce   int           `default:"2" help:"Seeds that run side by side."`
 	Keep     string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
 }
@@ -34,6 +36,9 @@
 	if c.AtOnce < 1 || c.Nodes < 1 || c.Callers < 1 {
 		return fmt.Errorf("--at-once %d, --nodes %d and --callers %d must be above zero", c.AtOnce, c.Nodes, c.Callers)
 	}
+	if c.Spells < 0 {
+		return fmt.Errorf("--spells %d must not be below zero", c.Spells)
+	}
 	trestled, err := filepath.Abs(c.Trestled)
 	if err != nil {
 		return err
@@ -71,7 +76,7 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers,
+		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, Spells: c.Spells, WithoutFaults: c.NoFaults,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,6 +25,11 @@
 	body   string
 	stamp  string
 	err    error
+	// entry is the node's address that it was sent to, endedAt when its answer was whole,
+	// and limited says that the answer named its replica's rate.
+	entry   string
+	endedAt time.Time
+	limited bool
 }
 
 // whole says whether the caller got the whole answer.
@@ -105,7 +110,7 @@
 
 // call sends one call of a kind drawn at random.
 func (c *caller) call(entry string) *sent {
-	s := &sent{id: fmt.Sprintf("%s-%d", c.name, c.count), at: time.Now()}
+	s := &sent{id: fmt.Sprintf("%s-%d", c.name, c.count), at: time.Now(), entry: entry}
 	s.path = []string{"/claim/", "/parts/", "/chat/"}[c.random.IntN(3)]
 	c.world.mu.Lock()
 	s.key = c.world.keys[c.random.IntN(len(c.world.keys))]
@@ -135,7 +140,8 @@
 	}
 	defer response.Body.Close()
 	s.status, s.stamp = response.StatusCode, response.Header.Get(platformtest.HeaderStamp)
+	s.limited = response.Header.Get(platformtest.HeaderRate) != ""
 	body, err := io.ReadAll(response.Body)
-	s.body, s.err = string(body), err
+	s.body, s.err, s.endedAt = string(body), err, time.Now()
 	return s
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -31,6 +31,7 @@
 		w.judgeCall(s, runs[s.id])
 	}
 	w.judgeRecovery(calls)
+	w.judgeLimits(calls)
 	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -48,6 +48,15 @@
 	stopping bool
 	// exits counts the ends that the run did not cause.
 	exits int
+	// disturbances are when faults of the process began and ended.
+	disturbances []time.Time
+}
+
+// disturbed notes that a fault of the process begins or ends now.
+func (n *node) disturbed() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.disturbances = append(n.disturbances, time.Now())
 }
 
 // newNode chooses the addresses and writes the settings, with the seeds' peers.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -1,9 +1,11 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,6 +23,10 @@
 	Length time.Duration
 	// Callers is the number of callers at once.
 	Callers int
+	// Spells is the number of times that a replica names a rate for a while.
+	Spells int
+	// WithoutFaults leaves out all else that befalls the deployment.
+	WithoutFaults bool
 }
 
 // Report is what a run found.
@@ -49,12 +55,22 @@
 	if err := w.awaitReady(ctx); err != nil {
 		return Report{}, err
 	}
-	events := schedule(o.Seed, o.Length)
+	events := o.events()
 	calls := w.play(ctx, events)
 	w.judge(calls)
 	return w.report(events, calls), nil
 }
 
+// events are the faults and spells of the run, in their order.
+func (o *Options) events() []event {
+	events := spells(o.Seed, o.Length, o.Spells)
+	if !o.WithoutFaults {
+		events = append(events, schedule(o.Seed, o.Length)...)
+	}
+	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
+	return events
+}
+
 // awaitReady waits until all nodes say that they are ready.
 func (w *world) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startTimeout)
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -25,6 +25,7 @@
 	replicaOneWay kind = "replica_one_way"
 	replicaCrash  kind = "replica_crash"
 	replicaLeaves kind = "replica_leaves"
+	replicaLimit  kind = "replica_limit"
 	configChange  kind = "config_change"
 	revokeKey     kind = "revoke_key"
 )
@@ -41,12 +42,37 @@
 	// target chooses among the things that the kind is about.
 	target int
 	lasts  time.Duration
+	// rate is the requests a second that a replica names.
+	rate float64
 }
 
 func (e event) String() string {
 	return fmt.Sprintf("%s %s %d for %s", e.at.Round(time.Millisecond), e.kind, e.target, e.lasts.Round(time.Millisecond))
 }
 
+const (
+	// leastSpell is how long a replica names a rate at least: the time until it counts
+	// and two windows in which requests are added up.
+	leastSpell = rateStable + 2*rateWindow
+	// lowestRate and highestRate bound the rates, in requests a second.
+	lowestRate  = 0.5
+	highestRate = 4.0
+)
+
+// spells draws the times in which replicas name a rate, apart from the faults, so that a
+// seed's faults are the same with and without them.
+func spells(seed uint64, length time.Duration, count int) []event {
+	random := rand.New(rand.NewPCG(seed, 2))
+	var events []event
+	for range count {
+		events = append(events, event{
+			at: time.Duration(random.Int64N(int64(length))), kind: replicaLimit, target: random.IntN(1000),
+			lasts: leastSpell, rate: lowestRate + random.Float64()*(highestRate-lowestRate),
+		})
+	}
+	return events
+}
+
 // longestFault bounds how long a fault lasts.
 const longestFault = 2500 * time.Millisecond
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,6 +63,24 @@
 	}
 }
 
+// Nodes that each kept to a replica's rate as if they were alone, or took no notice of it,
+// sent it several times what it takes.
+func TestNodesTogetherKeepToTheRateThatAReplicaNames(t *testing.T) {
+	t.Setenv(asProgram, "1")
+	t.Setenv("GORACE", "atexit_sleep_ms=0")
+	report, err := Run(t.Context(), Options{
+		Seed: 1, Command: []string{os.Args[0]}, Dir: t.TempDir(), Nodes: 5, Length: 2 * time.Second, Callers: 12,
+		Spells: 3, WithoutFaults: true,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	t.Logf("%d of %d calls served", report.Served, report.Calls)
+}
+
 // length is how long faults begin: as it was when the seed failed.
 func length(seed uint64) time.Duration {
 	if seed > 1000 {
@@ -127,3 +145,38 @@
 		t.Errorf("recovery: violations %q", w.violations)
 	}
 }
+
+func TestTheJudgeSeesMoreRequestsThanAReplicaTakes(t *testing.T) {
+	now := time.Now()
+	s := spell{replica: "i-1", perSecond: 1, from: now.Add(-time.Minute), until: now.Add(time.Minute)}
+	told := &sent{id: "told", entry: "vm-1", stamp: "i-1", limited: true, at: now.Add(-2 * time.Second), endedAt: now.Add(-time.Second)}
+	tests := map[string]struct {
+		disturbed []time.Duration
+		entry     string
+		count     int
+		broken    int
+	}{
+		"as many as it takes":     {nil, "vm-1", 11, 0},
+		"more":                    {nil, "vm-1", 12, 1},
+		"from a node not told":    {nil, "vm-2", 12, 0},
+		"from one just disturbed": {[]time.Duration{-4 * time.Second}, "vm-1", 12, 0},
+		"from one long disturbed": {[]time.Duration{-9 * time.Second}, "vm-1", 12, 1},
+	}
+	for name, test := range tests {
+		n := &node{entry: "vm-1"}
+		for _, ago := range test.disturbed {
+			n.disturbances = append(n.disturbances, now.Add(ago))
+		}
+		w := &world{limits: []spell{s}, nodes: []*node{n}, runs: &platformtest.Runs{}}
+		calls := []*sent{told}
+		for i := range test.count {
+			id := fmt.Sprint(i)
+			calls = append(calls, &sent{id: id, entry: test.entry})
+			w.runs.Arrived(platformtest.Arrival{ID: id, Replica: "i-1", At: now.Add(time.Duration(i) * time.Millisecond)})
+		}
+		w.judgeLimits(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -27,6 +27,7 @@
 	keys     []string
 	revoked  map[string]time.Time
 	drained  map[string]time.Time
+	limits   []spell
 	// disturbedAt is the end of the last fault so far.
 	disturbedAt time.Time
 	violations  []string
@@ -37,8 +38,11 @@
 type runningReplica struct {
 	id      string
 	service string
+	handler *platformtest.Replica
 	server  *http.Server
 	proxy   *proxy
+	// limited says that it names a rate.
+	limited bool
 }
 
 const (
@@ -117,13 +121,14 @@
 	if err != nil {
 		return err
 	}
-	server := &http.Server{Handler: &platformtest.Replica{ID: id, Runs: w.runs, Slots: replicaSlots}}
+	handler := &platformtest.Replica{ID: id, Runs: w.runs, Slots: replicaSlots}
+	server := &http.Server{Handler: handler}
 	go server.Serve(listener)
 	path, err := newProxy(listener.Addr().String())
 	if err != nil {
 		return err
 	}
-	w.replicas = append(w.replicas, &runningReplica{id: id, service: service, server: server, proxy: path})
+	w.replicas = append(w.replicas, &runningReplica{id: id, service: service, handler: handler, server: server, proxy: path})
 	w.store.Register(id, service, path.address(), "ready")
 	return nil
 }
@@ -131,6 +136,10 @@
 // do carries out one event; it returns when its effect is over.
 func (w *world) do(e event) {
 	n := w.nodes[e.target%len(w.nodes)]
+	if aboutNode(e.kind) {
+		n.disturbed()
+		defer n.disturbed()
+	}
 	switch e.kind {
 	case killNode:
 		n.kill()
@@ -218,6 +227,8 @@
 		w.pauseThen(e.lasts, func() { r.proxy.set(pass); r.proxy.reset() })
 	case replicaReset:
 		r.proxy.reset()
+	case replicaLimit:
+		w.limit(r, e)
 	case replicaCrash:
 		w.replace(r, func() { _ = r.server.Close(); r.proxy.close() }, e.lasts)
 	case replicaLeaves:
