Ratelimit: a request to a replica that names a rate needs a permit of one node

What callers saw: nothing; two engines that had named 1.2 and 1.8 requests a second got 19 and 16 in 4 s (LIMIT), and went on getting 4 a second.

Cause: no node read the rate that replicas name in their answers. And had it been read, nothing bounded what all nodes together send to one replica: the class of fault is a bound of the whole fleet on one replica, kept by nobody or by each node for itself.

Evidence: in five real processes each node logged the rate with the first answer that had it and went on; single nodes alone sent up to 19 requests in 4 s where all together may send 7.4. News that came late, or each node keeping the rate for itself, would have shown otherwise.

Change: rates spread in the exchanges between nodes, dated by the answers' times. One node issues the permits of a replica; a request placed there asks it for one, and goes elsewhere without it. Where all replicas name rates and none has a permit left, the caller is told when to come back.

Why it works: the issuer's bucket gives 4 times the rate and a quarter of a second's permits in 4 s, to all nodes. A new issuer begins with nothing, a node that does not take itself for the issuer gives nothing, and parts of a fleet that can't hear each other use their part of the rate.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -23,7 +23,6 @@
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
-	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/retrybudget"
@@ -40,7 +39,7 @@
 	replicas  *replica.Set
 	conns     *replicaconn.Pool
 	placer    *placement.Placer
-	limits    *ratelimit.Table
+	rates     *rates
 	budget    *retrybudget.Budget
 	nodes     *nodesync.Nodes
 	sync      *nodesync.Sync
@@ -83,9 +82,9 @@
 	}
 	n.settings.Store(s)
 	n.conns = replicaconn.NewPool(replicaconn.TCPDial(replicaconn.DefaultDialTimeout), n.countConnection())
-	n.limits = ratelimit.NewTable(options.Clock)
-	ratelimit.RegisterMetrics(registry, n.limits)
+	n.rates = newRates(n)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
+	n.placer.SetPermits(n.rates.permits)
 	n.budget = retrybudget.New(n.retryLimits())
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
@@ -132,7 +131,7 @@
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, Listed: n.listed,
-		Placer: n.placer, Tracker: tracker, IdleTicks: n.idleTicks, SumsFor: nodesync.DefaultSumsFor, Clock: n.options.Clock,
+		Placer: n.placer, Tracker: tracker, Limits: n.rates.limits, IdleTicks: n.idleTicks, SumsFor: nodesync.DefaultSumsFor, Clock: n.options.Clock,
 		Time: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
@@ -158,7 +157,7 @@
 	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Limits: n.limits, Log: n.log, Registry: n.registry,
+		Budget: n.budget, Crashes: forward.NewCrashes(tracker, probe, n.log), Limits: n.rates.limits, Permits: n.rates.permits, Log: n.log, Registry: n.registry,
 		Began: n.duties.began(),
 	})
 	return passthrough.New(passthrough.Options{
@@ -182,6 +181,7 @@
 	n.sync.SetClients(n.clients)
 	n.peers = peer.NewServer(keys, n.registry)
 	n.peers.Mount(n.sync.Handler())
+	n.rates.link()
 	return n.duties.link()
 }
 
@@ -225,7 +225,7 @@
 		n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
 		if c.Kind == replica.Gone {
 			n.conns.Forget(c.Replica.ID)
-			n.limits.Forget(c.Replica.ID)
+			n.rates.forget(c.Replica.ID)
 		}
 	}
 }
--- /dev/null
+++ b/internal/edge/rates.go
@@ -0,0 +1,40 @@
+package edge
+
+import "galenatrestle/internal/ratelimit"
+
+// rates is a node's part in keeping to the request rates that replicas name.
+type rates struct {
+	node    *Node
+	limits  *ratelimit.Table
+	permits *ratelimit.Permits
+	issuer  *ratelimit.Issuer
+}
+
+func newRates(n *Node) *rates {
+	limits := ratelimit.NewTable(n.options.Clock)
+	ratelimit.RegisterMetrics(n.registry, limits)
+	return &rates{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer()}
+}
+
+// link sets up the exchange of permits with the other nodes.
+func (r *rates) link() {
+	n := r.node
+	exchange := ratelimit.NewExchange(ratelimit.Options{
+		Table: r.limits, Issuer: r.issuer, Self: n.options.Settings.Name,
+		IssuerOf: r.issuerOf, Share: n.sync.HeardShare, Known: n.replicas.Has, Clients: n.clients, Log: n.log, Registry: n.registry,
+	})
+	n.peers.Mount(exchange.Handler())
+	r.permits.SetAsk(exchange.Ask)
+}
+
+func (r *rates) issuerOf(replica string) (name, address string) {
+	issuer := r.node.sync.IssuerOf(replica)
+	return issuer.Name, issuer.PeerAddress
+}
+
+// forget drops what is known of a replica that is gone.
+func (r *rates) forget(replica string) {
+	r.limits.Forget(replica)
+	r.permits.Forget(replica)
+	r.issuer.Forget(replica)
+}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -79,9 +79,9 @@
 }
 
 func (e *exchange) choose() (*placement.Attempt, *Failure) {
-	place := e.forwarder.options.Placer.Choose(time.Now(), e.call.Upstream, &e.request)
-	if place == nil {
-		return nil, &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
+	place, failure := e.place()
+	if failure != nil {
+		return nil, failure
 	}
 	if e.attempts > 1 {
 		return place, nil
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -58,9 +58,6 @@
 // errOverloaded says that the call was turned away before it could cost anything.
 var errOverloaded = errors.New("turned away for overload")
 
-// errNoReplica says that no replica takes new requests.
-var errNoReplica = errors.New("no replica takes new requests")
-
 // run makes attempts until the answer is whole or none is left to make.
 func (e *exchange) run() Ending {
 	if left, refused := e.forwarder.options.Crashes.refuses(time.Now(), e.fingerprint); refused {
@@ -121,6 +118,8 @@
 		return deadlinePassed
 	case errors.Is(f, errNoReplica):
 		return noReplica
+	case errors.Is(f, errRateLimited):
+		return rateLimited
 	case errors.Is(f, errOverloaded):
 		return overloaded
 	case e.outlet.begun() && e.call.Route.Repeat != route.ResumableStream:
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -30,6 +30,8 @@
 	Conns   *replicaconn.Pool
 	Budget  *retrybudget.Budget
 	Tracker *quarantine.Tracker
+	// Permits are those of this node.
+	Permits *ratelimit.Permits
 	// Metrics is where the forwarder's metrics are.
 	Metrics *prometheus.Registry
 	// Connecting is called before each new connection, if set.
@@ -51,12 +53,16 @@
 	f.Conns = replicaconn.NewPool(f.dial, nil)
 	f.Budget = retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 40, Nodes: 1})
 	log := eventlog.New(io.Discard, "test")
+	limits := ratelimit.NewTable(func() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) })
+	f.Permits = ratelimit.NewPermits(limits)
+	placer := placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1)))
+	placer.SetPermits(f.Permits)
 	f.Forwarder = forward.New(forward.Options{
-		Placer:   placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1))),
+		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		Crashes: forward.NewCrashes(f.Tracker, f.probe, log),
-		Limits:  ratelimit.NewTable(func() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) }),
-		Log:     log, Registry: f.Metrics,
+		Limits:  limits, Permits: f.Permits,
+		Log: log, Registry: f.Metrics,
 	})
 	return f
 }
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -20,6 +20,7 @@
 	Budget   *retrybudget.Budget
 	Crashes  *Crashes
 	Limits   *ratelimit.Table
+	Permits  *ratelimit.Permits
 	Log      *eventlog.Log
 	Registry prometheus.Registerer
 	// Began is told of each request that begins to run, by its workspace; nil: nobody
--- /dev/null
+++ b/internal/forward/place.go
@@ -0,0 +1,64 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"galenatrestle/internal/placement"
+)
+
+const (
+	// permitWait bounds the time in which a call asks for permits: some calls between nodes.
+	permitWait = 100 * time.Millisecond
+	// limitedRetryAfter is the shortest time after which a caller should come back for whom
+	// no replica had a permit left.
+	limitedRetryAfter = 400 * time.Millisecond
+	// returnPart is the part of the time left after which a caller had better not come back.
+	returnPart = 3
+)
+
+// errNoReplica says that no replica takes new requests.
+var errNoReplica = errors.New("no replica takes new requests")
+
+// errRateLimited says that all replicas name rates, which are used up.
+var errRateLimited = errors.New("the request rates of all replicas are used up")
+
+// place binds the call to a replica. For one that names a rate it gets a permit first; where
+// there is none, another replica is chosen.
+func (e *exchange) place() (*placement.Attempt, *Failure) {
+	options := &e.forwarder.options
+	var waited context.Context
+	for {
+		place := options.Placer.Choose(time.Now(), e.call.Upstream, &e.request)
+		if place == nil {
+			return nil, e.unplaced()
+		}
+		if !place.NeedsPermit {
+			return place, nil
+		}
+		if waited == nil {
+			limited, cancel := context.WithTimeout(e.ctx, permitWait)
+			defer cancel()
+			waited = limited
+		}
+		if options.Permits.Acquire(waited, &place.Replica) {
+			place.Permitted(time.Now())
+			return place, nil
+		}
+		place.End(time.Now(), placement.Cancelled)
+		e.request.WithoutLimited = waited.Err() != nil
+	}
+}
+
+// unplaced is the failure of a call for which there is no replica.
+func (e *exchange) unplaced() *Failure {
+	f := &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
+	now := time.Now()
+	if held := e.forwarder.options.Placer.Held(now, e.call.Upstream); held.Replicas > 0 {
+		f.RetryAfter = min(max(held.Next.Sub(now), limitedRetryAfter), e.call.Deadline.Sub(now)/returnPart)
+		f.Cause = fmt.Errorf("%w: %d of them, no permit left", errRateLimited, held.Replicas)
+	}
+	return f
+}
--- a/internal/forward/stopreason.go
+++ b/internal/forward/stopreason.go
@@ -9,6 +9,7 @@
 	deadlinePassed    stopReason = "deadline_passed"
 	noReplica         stopReason = "no_replica"
 	overloaded        stopReason = "overloaded"
+	rateLimited       stopReason = "rate_limited"
 	answerBegun       stopReason = "answer_begun"
 	tooManyRefusals   stopReason = "too_many_refusals"
 	mayHaveRun        stopReason = "may_have_run"
--- a/internal/nodesync/options.go
+++ b/internal/nodesync/options.go
@@ -10,6 +10,7 @@
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
 )
@@ -25,6 +26,8 @@
 	Listed  func([]replica.Change)
 	Placer  *placement.Placer
 	Tracker *quarantine.Tracker
+	// Limits are the rates that replicas name.
+	Limits *ratelimit.Table
 	// Clients may be given later by SetClients.
 	Clients *peer.Clients
 	// IdleTicks is the number of rounds of which a node that serves nobody makes one.
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/gen/trestle/nodesync/v1/nodesyncv1connect"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/quarantine/quarantinerpc"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/routesource"
 )
 
@@ -155,6 +156,7 @@
 		WithoutLoads:     terms.without,
 		AddsUp:           terms.addsUp,
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+		RateLimits:       ratelimit.ToProto(s.options.Limits.Told(), now),
 	}
 	if s.wholeListing.Swap(false) {
 		request.ReplicasRevision, request.ReplicasDigest = 0, 0
@@ -174,6 +176,7 @@
 	s.takeNode(caller)
 	s.takeTime(m.GetSelf(), now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
+	s.takeLimits(m.GetRateLimits(), caller.Name, now)
 	if m.GetWithoutLoads() {
 		return connect.NewResponse(s.response(m)), nil
 	}
@@ -204,6 +207,7 @@
 		ReplicasReadAge:  now.Sub(readAt).Microseconds(),
 		ReplicasDigest:   listing.Digest,
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+		RateLimits:       ratelimit.ToProto(s.options.Limits.Told(), now),
 	}
 	for _, n := range s.told(m.GetSelf().GetAvailabilityZone(), now) {
 		answer.Nodes = append(answer.Nodes, nodeToProto(n, now))
@@ -234,6 +238,7 @@
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.takeConfig(m, node.Name, began)
 	s.takeReplicas(m, node.Name, began)
+	s.takeLimits(m.GetRateLimits(), node.Name, began)
 }
 
 // ownToProto is this node and its time of day.
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -17,6 +17,7 @@
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/route"
 	"galenatrestle/internal/routesource"
@@ -49,6 +50,7 @@
 		IdleTicks: func() int { return 1 },
 		Placer:    placement.NewPlacer("", set, random),
 		Tracker:   quarantine.NewTracker(0),
+		Limits:    ratelimit.NewTable(func() boottime.Instant { return n.now }),
 		Clock:     func() boottime.Instant { return n.now },
 		Rand:      random,
 		Log:       eventlog.New(io.Discard, name),
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -14,6 +14,9 @@
 	// CopyFrom is the address of another replica that may have read parts of the
 	// prompt which this one has not; empty: none.
 	CopyFrom string
+	// NeedsPermit says that the replica names a rate: the attempt may begin with a permit
+	// only.
+	NeedsPermit bool
 
 	upstream  *upstream
 	state     *state
@@ -34,6 +37,24 @@
 	begunAt time.Time
 }
 
+// Permitted notes that there is a permit for the attempt.
+func (a *Attempt) Permitted(now time.Time) {
+	a.upstream.mu.Lock()
+	defer a.upstream.mu.Unlock()
+	a.startedAt = now
+	a.sent(now)
+}
+
+// sent notes that the request is on its way to the replica. The lock is held.
+func (a *Attempt) sent(now time.Time) {
+	s := a.state
+	s.cache.add(now, a.shared)
+	a.upstream.placed.add(now, s.replica.ID, a.shared)
+	if s.waitingSince.IsZero() || s.running == 1 {
+		s.waitingSince = now
+	}
+}
+
 // Begun notes the first byte of an answer that counts.
 func (a *Attempt) Begun(now time.Time) {
 	a.upstream.mu.Lock()
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
 
@@ -22,6 +23,8 @@
 	groups map[string]peerLoads
 	// seeAll has each request placed among all replicas.
 	seeAll bool
+	// permits are those for replicas that name a rate; nil: none is kept to.
+	permits *ratelimit.Permits
 	// usedAt is when a replica was last chosen.
 	usedAt time.Time
 	// fleet is what all other nodes use together, as told at fleetAt.
@@ -40,7 +43,7 @@
 	u, ok := p.upstreams[name]
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
-		u.seeAll = p.seeAll
+		u.seeAll, u.permits = p.seeAll, p.permits
 		p.upstreams[name] = u
 	}
 	return u
@@ -50,8 +53,14 @@
 // It is called before the first Choose.
 func (p *Placer) SeeAll() { p.seeAll = true }
 
+// SetPermits has replicas that name a rate left alone while there is no permit. It is called
+// before the first Choose.
+func (p *Placer) SetPermits(permits *ratelimit.Permits) { p.permits = permits }
+
 // Choose binds the request to a replica of the upstream. It returns nil where
-// no replica takes new requests. The attempt must be ended.
+// no replica takes new requests, or all of them name rates and have no permit left: Held
+// tells these apart. The attempt must be ended, and one that NeedsPermit must not begin
+// before it is Permitted.
 func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
 	u := p.upstream(name)
 	p.used(now)
@@ -81,7 +90,8 @@
 // bind counts the attempt at the replica that was chosen. The lock is held.
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
-	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, d), upstream: u, state: s, startedAt: now}
+	limits := u.newLimited(now)
+	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, d), NeedsPermit: limits.named(s), upstream: u, state: s, startedAt: now}
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
@@ -95,12 +105,10 @@
 		a.work = a.Choice.Ahead + a.reading
 		a.tokens = r.tokens() - d.cached
 		s.tokens += a.tokens
-		s.cache.add(now, r.Shared)
-		u.placed.add(now, s.replica.ID, r.Shared)
 	}
 	s.running++
-	if s.waitingSince.IsZero() || s.running == 1 {
-		s.waitingSince = now
+	if !a.NeedsPermit {
+		a.sent(now)
 	}
 	return a
 }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -22,6 +22,8 @@
 	CopiesPrompts bool
 	// Shared are the prompt's parts that other requests have too, in order.
 	Shared []Part
+	// WithoutLimited keeps the request from replicas that name a rate.
+	WithoutLimited bool
 	// Avoid names replicas that have failed this request already.
 	Avoid []string
 	// FailedZones are the availability zones of these.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"galenatrestle/internal/enginespeed"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
 
@@ -41,6 +42,8 @@
 	runningOwn, runningAll float64
 	// seeAll has all replicas looked at.
 	seeAll bool
+	// permits are those for replicas that name a rate; nil: none is kept to.
+	permits *ratelimit.Permits
 	// reading is the learned speed at which the replicas read prompts.
 	reading *enginespeed.Reading
 	// prompts is the usual prompt of each class, in tokens.
@@ -122,24 +125,37 @@
 	where := findPrefix(now, r, open, side)
 	reread := rereadCost * (1 + u.backlog(side)/backlogDoubles)
 	share := u.candidateShare(side)
+	best, least := u.cheapest(now, r, light, &where, reread, share)
+	if best == nil && share < 1 {
+		// All that were drawn name rates and have no permit left.
+		best, least = u.cheapest(now, r, light, &where, reread, 1)
+	}
+	if best == nil {
+		return nil
+	}
+	return decide(now, r, best, least, &where)
+}
+
+// cheapest is the replica of the lowest cost, and that cost, among a share of the open ones
+// of which the first take light requests; nil: none of these may be used.
+func (u *upstream) cheapest(now time.Time, r *Request, light int, where *prefix, reread, share float64) (*state, float64) {
 	var best *state
 	least := math.Inf(1)
-	for i, s := range open {
-		if !u.isCandidate(s, &where, share) && (best != nil || i < len(open)-1) {
+	limits := u.newLimited(now)
+	limits.none = r.WithoutLimited
+	for i, s := range u.openNow {
+		if !u.isCandidate(s, where, share) && (best != nil || i < len(u.openNow)-1) {
 			continue
 		}
 		// Equal costs are split at random, so that nodes with the same view
 		// do not all take the same replica.
-		cost := u.cost(now, r, s, &where, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
+		cost := u.cost(now, r, s, where, reread)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < light)
-		if cost < least {
+		if cost < least && limits.allow(s) {
 			best, least = s, cost
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return decide(now, r, best, least, &where)
+	return best, least
 }
 
 // decide is the decision for the replica.
--- /dev/null
+++ b/internal/ratelimit/permits.go
@@ -0,0 +1,89 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"galenatrestle/internal/replica"
+)
+
+const (
+	// leastPause is the time before a replica is considered again for which a permit was
+	// refused.
+	leastPause = 100 * time.Millisecond
+	// unansweredPause is that time where the issuer did not answer.
+	unansweredPause = 250 * time.Millisecond
+)
+
+// Permits gets the permits for this node's requests. It is safe for concurrent use.
+type Permits struct {
+	table *Table
+	ask   Ask
+
+	mu sync.Mutex
+	// pausedTill is until when no permit of a replica is asked for.
+	pausedTill map[string]time.Time
+}
+
+// Ask asks the replica's issuer for a permit under the limit.
+type Ask func(ctx context.Context, l Limit) (Grant, error)
+
+// NewPermits returns permits for the limits of the table.
+func NewPermits(table *Table) *Permits {
+	return &Permits{table: table, pausedTill: make(map[string]time.Time)}
+}
+
+// SetAsk gives the way to the issuers. It is called before the first Acquire.
+func (p *Permits) SetAsk(ask Ask) { p.ask = ask }
+
+// Limits is the limits in force by the replicas' identities, nil for none. The map is shared
+// and not to be changed.
+func (p *Permits) Limits() map[string]Limit { return p.table.InForce() }
+
+// Limited says whether the limits have one of this process of a replica.
+func Limited(limits map[string]Limit, r *replica.Replica) bool {
+	if len(limits) == 0 {
+		return false
+	}
+	l, limited := limits[r.ID]
+	return limited && l.StartedAt == r.StartedAt
+}
+
+// Next is from when on a permit of the replica may be asked for; one that is not after now
+// stands for now.
+func (p *Permits) Next(replica string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.pausedTill[replica]
+}
+
+// Acquire gets a permit for one request to the replica, which is to be sent at once. It
+// reports whether there is one; where there is none, the replica is left alone for a while.
+func (p *Permits) Acquire(ctx context.Context, r *replica.Replica) bool {
+	l, limited := p.table.InForce()[r.ID]
+	if !limited || l.StartedAt != r.StartedAt {
+		return true
+	}
+	grant, err := p.ask(ctx, l)
+	switch {
+	case err != nil:
+		p.pause(r.ID, unansweredPause)
+	case !grant.Given:
+		p.pause(r.ID, max(grant.RetryAfter, leastPause))
+	}
+	return err == nil && grant.Given
+}
+
+func (p *Permits) pause(replica string, d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pausedTill[replica] = time.Now().Add(d)
+}
+
+// Forget drops what is known of a replica that is gone.
+func (p *Permits) Forget(replica string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.pausedTill, replica)
+}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -4,6 +4,7 @@
 	"maps"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"galenatrestle/internal/boottime"
 )
@@ -50,6 +51,50 @@
 	return l, t.take(l)
 }
 
+// Take takes in the limits that another node told, and returns those that are news.
+func (t *Table) Take(limits []Limit) []Limit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var news []Limit
+	for _, l := range limits {
+		if t.take(l) {
+			news = append(news, l)
+		}
+	}
+	return news
+}
+
+// Newest is the given limit, or a newer one that is known of the same replica.
+func (t *Table) Newest(l Limit) Limit {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if known, ok := t.known[l.Replica]; ok && known.At >= l.At {
+		return known
+	}
+	return l
+}
+
+// Told is the limits that other nodes are told: those in force, and those lifted lately.
+func (t *Table) Told() []Limit {
+	now := t.clock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var told []Limit
+	for _, l := range t.known {
+		if (!l.Lifted || now.Sub(l.At) < liftedNews) && len(told) < maxTold {
+			told = append(told, l)
+		}
+	}
+	return told
+}
+
+const (
+	// liftedNews is how long it is told that a limit was lifted: some tens of rounds.
+	liftedNews = 10 * time.Second
+	// maxTold bounds the limits in one message.
+	maxTold = 256
+)
+
 // take puts the limit in force unless a newer one is known, and reports whether that
 // changes anything but its age. The lock is held.
 func (t *Table) take(l Limit) bool {
@@ -58,7 +103,7 @@
 		return false
 	}
 	t.known[l.Replica] = l
-	if known && l.StartedAt == old.StartedAt && l.Lifted == old.Lifted && l.PerSecond == old.PerSecond {
+	if !known && l.Lifted || known && l.StartedAt == old.StartedAt && l.Lifted == old.Lifted && l.PerSecond == old.PerSecond {
 		return false
 	}
 	t.publish()
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -135,6 +135,14 @@
 	return ok && !r.Draining
 }
 
+// Has says whether the process of a replica is known.
+func (s *Set) Has(id string, startedAt int64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	r, ok := s.known[id]
+	return ok && r.StartedAt == startedAt
+}
+
 // Latest returns the newest listing and when its read began; zero where there
 // is none.
 func (s *Set) Latest() (Listing, boottime.Instant) {
