Forward: a call is let in before it asks for a permit; engines that name rates in fleetsim

What callers saw: where all engines name rates, more refusals than the rates ask for. Cause: a call that the overload gate turned away had taken a permit before, which nobody used. A replica is chosen, the gate decides, and only then a permit is asked for.

fleetsim plays engines that name rates.

Tried and dropped: a node that refuses a rank for want of permits refuses the less urgent ones for a second.

--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -7,6 +7,7 @@
 
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
 
@@ -36,6 +37,8 @@
 	returns    []comeback
 	readBefore map[uint64]bool
 	jobs       []*job
+	// issuer gives the permits of engines that name rates.
+	issuer *ratelimit.Issuer
 	// sums are those of the hubs that may still be told, oldest first.
 	sums []sums
 }
@@ -51,6 +54,7 @@
 	f := newFleet(&s)
 	for now := time.Duration(0); now < s.Length; now += tick {
 		f.crash(now)
+		f.limit(now)
 		f.arrive(now)
 		f.comeBack(now)
 		for _, e := range f.engines {
@@ -65,7 +69,7 @@
 func newFleet(s *Scenario) *fleet {
 	f := &fleet{
 		scenario: s, random: rand.New(rand.NewPCG(s.Seed, 1)), byID: make(map[string]*engine),
-		readBefore: make(map[uint64]bool),
+		readBefore: make(map[uint64]bool), issuer: ratelimit.NewIssuer(),
 	}
 	for i := range s.Engines {
 		e := &engine{model: s.Model, id: fmt.Sprintf("i-%02d-%d", i, s.Seed), cache: make(map[uint64]bool)}
@@ -136,18 +140,23 @@
 	n := f.nodes[f.random.IntN(len(f.nodes))]
 	request := f.request(c)
 	at := epoch.Add(now)
-	attempt := n.placer.Choose(at, upstream, &request)
-	choice := &attempt.Choice
-	verdict := n.gates.Of(upstream).Decide(at, overload.Request{
-		Rank: c.class.Rank, Objective: c.class.Objective, Left: c.deadline - now,
-		Ahead: choice.Wait - choice.Own, Own: choice.Own, MemoryUsed: choice.Used,
-	})
-	if verdict.Refused() && !f.scenario.Ungated {
+	for {
+		attempt := n.placer.Choose(at, upstream, &request)
+		if attempt == nil {
+			f.refuse(now, c, overload.Verdict{RetryAfter: limitedRetryAfter})
+			return
+		}
+		if verdict := n.admit(at, c, c.deadline-now, &attempt.Choice); verdict.Refused() && !f.scenario.Ungated {
+			attempt.End(at, placement.Cancelled)
+			f.refuse(now, c, verdict)
+			return
+		}
+		if f.permitted(n, at, attempt) {
+			f.start(now, c, &request, attempt)
+			return
+		}
 		attempt.End(at, placement.Cancelled)
-		f.refuse(now, c, verdict)
-		return
 	}
-	f.start(now, c, &request, attempt)
 }
 
 // request is the call as the decision sees it.
--- /dev/null
+++ b/internal/fleetsim/limits.go
@@ -0,0 +1,55 @@
+package fleetsim
+
+import (
+	"context"
+	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/overload"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
+	"galenatrestle/internal/replica"
+)
+
+// limit has engines name rates as the scenario says. All nodes know of them at once.
+func (f *fleet) limit(now time.Duration) {
+	for _, l := range f.scenario.RateLimits {
+		if l.At != now {
+			continue
+		}
+		for _, i := range f.random.Perm(len(f.engines))[:l.Engines] {
+			named := ratelimit.Answer{
+				Replica: replica.Replica{ID: f.engines[i].id}, Limited: true, PerSecond: l.PerSecond, At: boottime.Instant(now + 1),
+			}
+			for _, n := range f.nodes {
+				n.limits.Answered(named)
+			}
+		}
+	}
+}
+
+// limitedRetryAfter is when a caller comes back for whom no engine had a permit.
+const limitedRetryAfter = 400 * time.Millisecond
+
+// permitted gets a permit for an attempt that needs one.
+func (f *fleet) permitted(n *node, at time.Time, a *placement.Attempt) bool {
+	if !a.NeedsPermit {
+		return true
+	}
+	n.permits.SetAsk(func(_ context.Context, l ratelimit.Limit) (ratelimit.Grant, error) {
+		return f.issuer.Issue(at, l, 1), nil
+	})
+	if !n.permits.Acquire(context.Background(), at, &a.Replica) {
+		return false
+	}
+	a.Permitted(at)
+	return true
+}
+
+// admit is the node's decision whether the call may begin.
+func (n *node) admit(at time.Time, c *call, left time.Duration, choice *placement.Choice) overload.Verdict {
+	return n.gates.Of(upstream).Decide(at, overload.Request{
+		Rank: c.class.Rank, Objective: c.class.Objective, Left: left,
+		Ahead: choice.Wait - choice.Own, Own: choice.Own, MemoryUsed: choice.Used,
+	})
+}
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -4,8 +4,10 @@
 	"fmt"
 	"math/rand/v2"
 
+	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
 
@@ -15,6 +17,9 @@
 	placer *placement.Placer
 	gates  overload.Gates
 	random *rand.Rand
+	// limits are the rates that it knows.
+	limits  *ratelimit.Table
+	permits *ratelimit.Permits
 }
 
 // newNodes returns nodes that know the engines.
@@ -23,10 +28,14 @@
 	for i := range nodes {
 		random := rand.New(rand.NewPCG(s.Seed, uint64(1000+i)))
 		zone := fmt.Sprintf("z%d", i%zones)
-		nodes[i] = &node{name: fmt.Sprintf("vm-%d", i), placer: placement.NewPlacer(zone, replicas, random), random: random}
+		n := &node{name: fmt.Sprintf("vm-%d", i), placer: placement.NewPlacer(zone, replicas, random), random: random}
+		n.limits = ratelimit.NewTable(func() boottime.Instant { return 0 })
+		n.permits = ratelimit.NewPermits(n.limits)
+		n.placer.SetPermits(n.permits)
 		if s.SeeAll {
-			nodes[i].placer.SeeAll()
+			n.placer.SeeAll()
 		}
+		nodes[i] = n
 	}
 	return nodes
 }
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -17,6 +17,8 @@
 	Bursts []Burst
 	// Crashes take engines away.
 	Crashes []Crash
+	// RateLimits have engines name rates.
+	RateLimits []RateLimit
 	// Copies says that engines copy shared parts from each other.
 	Copies bool
 	// PlacesUntold keeps from the nodes how many requests an engine runs at once.
@@ -41,6 +43,13 @@
 	Engines int
 }
 
+// RateLimit has so many engines name a rate, in requests a second, from a time on.
+type RateLimit struct {
+	At        time.Duration
+	Engines   int
+	PerSecond float64
+}
+
 // times is by what the class's load is multiplied at the time.
 func (s *Scenario) times(class string, now time.Duration) float64 {
 	times := 1.0
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -78,21 +78,6 @@
 	e.request.FailedZones = append(e.request.FailedZones, place.Replica.AvailabilityZone)
 }
 
-func (e *exchange) choose() (*placement.Attempt, *Failure) {
-	place, failure := e.place()
-	if failure != nil {
-		return nil, failure
-	}
-	if e.attempts > 1 {
-		return place, nil
-	}
-	if verdict := e.admit(&place.Choice); verdict.Refused() {
-		place.End(time.Now(), placement.Cancelled)
-		return nil, e.turnedAway(place, verdict)
-	}
-	return place, nil
-}
-
 // admit decides whether the call may begin at the replica that was chosen for it.
 func (e *exchange) admit(c *placement.Choice) overload.Verdict {
 	return e.forwarder.gates.Of(e.call.Upstream).Decide(time.Now(), overload.Request{
@@ -101,6 +86,20 @@
 	})
 }
 
+// turnAway refuses a call that may not begin at the replica chosen for it; nil: it may, as
+// each further attempt may.
+func (e *exchange) turnAway(place *placement.Attempt) *Failure {
+	if e.attempts > 1 {
+		return nil
+	}
+	verdict := e.admit(&place.Choice)
+	if !verdict.Refused() {
+		return nil
+	}
+	place.End(time.Now(), placement.Cancelled)
+	return e.turnedAway(place, verdict)
+}
+
 // turnedAway is the failure of a call that was not let in.
 func (e *exchange) turnedAway(place *placement.Attempt, v overload.Verdict) *Failure {
 	c := &place.Choice
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -25,31 +25,36 @@
 // errRateLimited says that all replicas name rates, which are used up.
 var errRateLimited = errors.New("the request rates of all replicas are used up")
 
-// place binds the call to a replica. For one that names a rate it gets a permit first; where
-// there is none, another replica is chosen.
-func (e *exchange) place() (*placement.Attempt, *Failure) {
-	options := &e.forwarder.options
-	var waited context.Context
+// choose binds the call to a replica. For one that names a rate it gets a permit; where there
+// is none, another replica is chosen.
+func (e *exchange) choose() (*placement.Attempt, *Failure) {
+	permitBy := time.Now().Add(permitWait)
+	e.request.WithoutLimited = false
 	for {
-		place := options.Placer.Choose(time.Now(), e.call.Upstream, &e.request)
+		place := e.forwarder.options.Placer.Choose(time.Now(), e.call.Upstream, &e.request)
 		if place == nil {
 			return nil, e.unplaced()
 		}
-		if !place.NeedsPermit {
-			return place, nil
-		}
-		if waited == nil {
-			limited, cancel := context.WithTimeout(e.ctx, permitWait)
-			defer cancel()
-			waited = limited
+		if failure := e.turnAway(place); failure != nil {
+			return nil, failure
 		}
-		if options.Permits.Acquire(waited, &place.Replica) {
-			place.Permitted(time.Now())
+		if !place.NeedsPermit || e.permitted(place, permitBy) {
 			return place, nil
 		}
 		place.End(time.Now(), placement.Cancelled)
-		e.request.WithoutLimited = waited.Err() != nil
+		e.request.WithoutLimited = time.Now().After(permitBy)
+	}
+}
+
+// permitted gets a permit for the attempt, if there is one.
+func (e *exchange) permitted(place *placement.Attempt, by time.Time) bool {
+	ctx, cancel := context.WithDeadline(e.ctx, by)
+	defer cancel()
+	if !e.forwarder.options.Permits.Acquire(ctx, time.Now(), &place.Replica) {
+		return false
 	}
+	place.Permitted(time.Now())
+	return true
 }
 
 // unplaced is the failure of a call for which there is no replica.
--- a/internal/nodesync/ratelimits_test.go
+++ b/internal/nodesync/ratelimits_test.go
@@ -26,7 +26,7 @@
 }
 
 func TestARateThatAReplicaNamesIsKnownToAllNodesInAFewRounds(t *testing.T) {
-	for _, count := range []int{7, 60} {
+	for _, count := range []int{7, 60, 360} {
 		t.Run(fmt.Sprint(count), func(t *testing.T) {
 			nodes := largeFleet(count)
 			nodes[count-1].names("i", true)
@@ -67,7 +67,7 @@
 }
 
 func TestAllNodesNameTheSameIssuer(t *testing.T) {
-	for _, count := range []int{1, 7, 60} {
+	for _, count := range []int{1, 7, 60, 360} {
 		issuers := make(map[string]bool)
 		nodes := largeFleet(count)
 		for i := range 50 {
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -60,7 +60,7 @@
 
 // Acquire gets a permit for one request to the replica, which is to be sent at once. It
 // reports whether there is one; where there is none, the replica is left alone for a while.
-func (p *Permits) Acquire(ctx context.Context, r *replica.Replica) bool {
+func (p *Permits) Acquire(ctx context.Context, now time.Time, r *replica.Replica) bool {
 	l, limited := p.table.InForce()[r.ID]
 	if !limited || l.StartedAt != r.StartedAt {
 		return true
@@ -68,17 +68,17 @@
 	grant, err := p.ask(ctx, l)
 	switch {
 	case err != nil:
-		p.pause(r.ID, unansweredPause)
+		p.pause(r.ID, now.Add(unansweredPause))
 	case !grant.Given:
-		p.pause(r.ID, max(grant.RetryAfter, leastPause))
+		p.pause(r.ID, now.Add(max(grant.RetryAfter, leastPause)))
 	}
 	return err == nil && grant.Given
 }
 
-func (p *Permits) pause(replica string, d time.Duration) {
+func (p *Permits) pause(replica string, till time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pausedTill[replica] = time.Now().Add(d)
+	p.pausedTill[replica] = till
 }
 
 // Forget drops what is known of a replica that is gone.
