--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -15,15 +15,15 @@
 
 // soakCommand runs the real program under faults from outside.
 type soakCommand struct {
-	Trestled string        `arg:"" type:"existingfile" help:"The program under test, as built."`
-	Seeds    string        `default:"1..10" help:"Seeds, as FIRST..LAST."`
-	Nodes    int           `default:"3" help:"Processes of the program in each run."`
-	Callers  int           `default:"6" help:"Callers at once in each run."`
-	For      time.Duration `default:"10s" help:"How long faults begin in each run."`
-	Spells   int           `default:"3" help:"Times in each run that a replica names the requests a second that it takes."`
-	NoFaults bool          `help:"Leave out all faults but those rates."`
-	AtOnce   int           `default:"2" help:"Seeds that run side by side."`
-	Keep     string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
+	Trestled   string        `arg:"" type:"existingfile" help:"The program under test, as built."`
+	Seeds      string        `default:"1..10" help:"Seeds, as FIRST..LAST."`
+	Nodes      int           `default:"3" help:"Processes of the program in each run."`
+	Callers    int           `default:"6" help:"Callers at once in each run."`
+	For        time.Duration `default:"10s" help:"How long faults begin in each run."`
+	RateLimits int           `default:"3" help:"Times in each run that a replica names the requests a second that it takes."`
+	NoFaults   bool          `help:"Leave out all faults; replicas still name rates."`
+	AtOnce     int           `default:"2" help:"Seeds that run side by side."`
+	Keep       string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
 }
 
 // Run implements the subcommand; it fails where a promise was broken or a run
@@ -36,8 +36,8 @@
 	if c.AtOnce < 1 || c.Nodes < 1 || c.Callers < 1 {
 		return fmt.Errorf("--at-once %d, --nodes %d and --callers %d must be above zero", c.AtOnce, c.Nodes, c.Callers)
 	}
-	if c.Spells < 0 {
-		return fmt.Errorf("--spells %d must not be below zero", c.Spells)
+	if c.RateLimits < 0 {
+		return fmt.Errorf("--rate-limits %d must not be below zero", c.RateLimits)
 	}
 	trestled, err := filepath.Abs(c.Trestled)
 	if err != nil {
@@ -76,7 +76,7 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, Spells: c.Spells, WithoutFaults: c.NoFaults,
+		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits, WithoutFaults: c.NoFaults,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -222,8 +222,8 @@
 	}
 	limit, changed := f.options.Limits.Answered(ratelimit.Answer{
 		Replica: a.place.Replica, Limited: a.headers.RateLimited, PerSecond: a.headers.RateLimit,
-		Whole:  a.headers.Stamped && a.response.StatusCode < http.StatusMultipleChoices,
-		SentAt: a.sentAt, At: f.options.Limits.Now(),
+		Succeeded: a.headers.Stamped && a.response.StatusCode < http.StatusMultipleChoices,
+		SentAt:    a.sentAt, At: f.options.Limits.Now(),
 	})
 	if changed {
 		f.options.Log.Write(&ratelimit.Changed{Limit: limit, Request: a.exchange.call.ID})
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -61,9 +61,9 @@
 func (e *exchange) unplaced() *Failure {
 	f := &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	now := time.Now()
-	if held := e.forwarder.options.Placer.Held(now, e.call.Upstream); held.Replicas > 0 {
-		f.RetryAfter = min(max(held.Next.Sub(now), limitedRetryAfter), e.call.Deadline.Sub(now)/returnPart)
-		f.Cause = fmt.Errorf("%w: %d of them, no permit left", errRateLimited, held.Replicas)
+	if limited := e.forwarder.options.Placer.RateLimited(now, e.call.Upstream); limited.Replicas > 0 {
+		f.RetryAfter = min(max(limited.Next.Sub(now), limitedRetryAfter), e.call.Deadline.Sub(now)/returnPart)
+		f.Cause = fmt.Errorf("%w: %d of them, no permit left", errRateLimited, limited.Replicas)
 	}
 	return f
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -58,8 +58,8 @@
 func (p *Placer) SetPermits(permits *ratelimit.Permits) { p.permits = permits }
 
 // Choose binds the request to a replica of the upstream. It returns nil where
-// no replica takes new requests, or all of them name rates and have no permit left: Held
-// tells these apart. The attempt must be ended, and one that NeedsPermit must not begin
+// no replica takes new requests, or all of them name rates and have no permit left:
+// RateLimited tells these apart. The attempt must be ended, and one that NeedsPermit must not begin
 // before it is Permitted.
 func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
 	u := p.upstream(name)
@@ -90,8 +90,8 @@
 // bind counts the attempt at the replica that was chosen. The lock is held.
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
-	limits := u.newLimited(now)
-	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, d), NeedsPermit: limits.named(s), upstream: u, state: s, startedAt: now}
+	limits := u.rateLimits(now)
+	a := &Attempt{Replica: s.replica, Choice: u.explain(now, r, d), NeedsPermit: limits.apply(s), upstream: u, state: s, startedAt: now}
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
--- a/internal/placement/limited_test.go
+++ b/internal/placement/ratelimits_test.go
@@ -59,12 +59,12 @@
 	if a := refuse(t, p, permits); a != nil {
 		t.Fatalf("%s was chosen", a.Replica.ID)
 	}
-	held := p.Held(time.Now(), "u")
-	if held.Replicas != 3 || time.Until(held.Next) < 50*time.Second {
-		t.Errorf("held %+v", held)
+	found := p.RateLimited(time.Now(), "u")
+	if found.Replicas != 3 || time.Until(found.Next) < 50*time.Second {
+		t.Errorf("found %+v", found)
 	}
-	if held := p.Held(time.Now(), "other"); held.Replicas != 0 {
-		t.Errorf("an upstream without replicas is held: %+v", held)
+	if found := p.RateLimited(time.Now(), "other"); found.Replicas != 0 {
+		t.Errorf("an upstream without replicas has limited ones: %+v", found)
 	}
 }
 
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -141,8 +141,8 @@
 func (u *upstream) cheapest(now time.Time, r *Request, light int, where *prefix, reread, share float64) (*state, float64) {
 	var best *state
 	least := math.Inf(1)
-	limits := u.newLimited(now)
-	limits.none = r.WithoutLimited
+	limits := u.rateLimits(now)
+	limits.avoid = r.WithoutLimited
 	for i, s := range u.openNow {
 		if !u.isCandidate(s, where, share) && (best != nil || i < len(u.openNow)-1) {
 			continue
--- a/internal/ratelimit/answer.go
+++ b/internal/ratelimit/answer.go
@@ -11,9 +11,9 @@
 	// Limited says that the answer names a rate, PerSecond.
 	Limited   bool
 	PerSecond float64
-	// Whole answers are the replica's own to a request that it ran well. One without a
+	// Succeeded answers are the replica's own to a request that it ran well. One without a
 	// rate lifts an earlier limit; a failure without one says nothing.
-	Whole bool
+	Succeeded bool
 	// SentAt is when the request was sent, At when the head of its answer came.
 	SentAt, At boottime.Instant
 }
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -56,6 +56,8 @@
 	// pausedTill is until when a node asks for no permit, knowsAt when it hears of the limit
 	// and missesAt when it takes the killed issuer for gone.
 	pausedTill, knowsAt, missesAt []time.Duration
+	// asks counts the asks for permits.
+	asks int
 }
 
 const limitedReplica = "i-1"
@@ -114,6 +116,7 @@
 // ask is the answer of the node's issuer to an ask that arrives at the time; none comes from
 // one that is gone or on the other side.
 func (f *fleet) ask(at time.Duration, node int) (Grant, bool) {
+	f.asks++
 	issuer := f.issuerOf(at, node)
 	cut := f.load.split > 0 && at >= f.load.split && (issuer < f.load.nodes/2) != (node < f.load.nodes/2)
 	if cut || f.load.killed > 0 && issuer == 0 && at >= f.load.killed {
@@ -226,7 +229,7 @@
 }
 
 // BenchmarkWays compares ways to keep to the rate, over four seeds: the fullest window, by
-// what is allowed, and the part of the rate that is used.
+// what is allowed, the part of the rate that is used, and the asks for permits a second.
 func BenchmarkWays(b *testing.B) {
 	ways := map[string]func(load, *rand.Rand) way{
 		"permits":    func(l load, random *rand.Rand) way { return newFleet(l, random) },
@@ -238,12 +241,17 @@
 			b.Run(fmt.Sprintf("%s/%s", name, wayName), func(b *testing.B) {
 				l.length = 40 * time.Second
 				for b.Loop() {
-					var fullest, used float64
+					var fullest, used, asks float64
 					for seed := range uint64(4) {
 						random := rand.New(rand.NewPCG(seed, 1))
-						got := play(l, newWay(l, random), random)
+						w := newWay(l, random)
+						got := play(l, w, random)
 						fullest, used = max(fullest, got.fullest), used+got.used/4
+						if f, ok := w.(*fleet); ok {
+							asks += float64(f.asks) / l.length.Seconds() / 4
+						}
 					}
+					b.ReportMetric(asks, "asks/s")
 					b.ReportMetric(fullest, "fullest")
 					b.ReportMetric(used, "used")
 				}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -44,7 +44,7 @@
 	defer t.mu.Unlock()
 	l := Limit{Replica: a.Replica.ID, StartedAt: a.Replica.StartedAt, PerSecond: a.PerSecond, Lifted: !a.Limited, At: a.At}
 	old, known := t.known[l.Replica]
-	if l.Lifted && !(known && !old.Lifted && a.Whole && a.SentAt > old.At) {
+	if l.Lifted && !(known && !old.Lifted && a.Succeeded && a.SentAt > old.At) {
 		// An answer that was on its way when the limit was named says nothing of it.
 		return Limit{}, false
 	}
--- a/internal/ratelimit/table_test.go
+++ b/internal/ratelimit/table_test.go
@@ -15,12 +15,12 @@
 
 // named is an answer that names a rate.
 func named(perSecond float64, sent, came int) Answer {
-	return Answer{Replica: replica.Replica{ID: "i-1", StartedAt: 7}, Limited: true, PerSecond: perSecond, Whole: true, SentAt: at(sent), At: at(came)}
+	return Answer{Replica: replica.Replica{ID: "i-1", StartedAt: 7}, Limited: true, PerSecond: perSecond, Succeeded: true, SentAt: at(sent), At: at(came)}
 }
 
 // unnamed is a whole answer without a rate.
 func unnamed(sent, came int) Answer {
-	return Answer{Replica: replica.Replica{ID: "i-1", StartedAt: 7}, Whole: true, SentAt: at(sent), At: at(came)}
+	return Answer{Replica: replica.Replica{ID: "i-1", StartedAt: 7}, Succeeded: true, SentAt: at(sent), At: at(came)}
 }
 
 func TestALimitHoldsUntilAnAnswerToALaterRequestNamesNone(t *testing.T) {
@@ -38,7 +38,7 @@
 		t.Error("lifted by the answer to a request that was sent before the limit was last named")
 	}
 	failed := unnamed(25, 31)
-	failed.Whole = false
+	failed.Succeeded = false
 	if _, changed := table.Answered(failed); changed {
 		t.Error("lifted by a failure")
 	}
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -19,15 +19,17 @@
 	rateAllowance = 5.0
 )
 
-// spell is a time in which a replica named a rate.
-type spell struct {
+// rateLimit is a time in which a replica named a rate.
+type rateLimit struct {
 	replica     string
 	perSecond   float64
 	from, until time.Time
 }
 
 // allowed is the requests that the replica may get in a window.
-func (s *spell) allowed() float64 { return rateFactor*s.perSecond*rateWindow.Seconds() + rateAllowance }
+func (l *rateLimit) allowed() float64 {
+	return rateFactor*l.perSecond*rateWindow.Seconds() + rateAllowance
+}
 
 // limit has the replica name a rate for the event's time.
 func (w *world) limit(r *runningReplica, e event) {
@@ -35,13 +37,13 @@
 		return
 	}
 	defer w.setLimited(r, false)
-	s := spell{replica: r.id, perSecond: e.rate, from: time.Now()}
+	l := rateLimit{replica: r.id, perSecond: e.rate, from: time.Now()}
 	r.handler.SetRate(e.rate)
 	w.pauseThen(e.lasts, func() { r.handler.SetRate(0) })
-	s.until = time.Now()
+	l.until = time.Now()
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.limits = append(w.limits, s)
+	w.limits = append(w.limits, l)
 }
 
 // setLimited notes that the replica names a rate, or none any more; false: it did so
@@ -63,19 +65,19 @@
 	}
 	arrivals := w.runs.Arrivals()
 	for i := range w.limits {
-		s := &w.limits[i]
+		l := &w.limits[i]
 		var counted []time.Time
 		for _, a := range arrivals {
-			if a.Replica == s.replica && !a.At.Before(s.from.Add(rateStable)) && a.At.Before(s.until) && w.wasTold(s, byID[a.ID], a, calls) {
+			if a.Replica == l.replica && !a.At.Before(l.from.Add(rateStable)) && a.At.Before(l.until) && w.wasTold(l, byID[a.ID], a, calls) {
 				counted = append(counted, a.At)
 			}
 		}
-		w.judgeSpell(s, counted)
+		w.judgeLimit(l, counted)
 	}
 }
 
-// judgeSpell reports the fullest window.
-func (w *world) judgeSpell(s *spell, counted []time.Time) {
+// judgeLimit reports the fullest window.
+func (w *world) judgeLimit(l *rateLimit, counted []time.Time) {
 	first, most := 0, 0
 	var at time.Time
 	for last, arrived := range counted {
@@ -86,22 +88,22 @@
 			most, at = n, arrived
 		}
 	}
-	if float64(most) > s.allowed() {
+	if float64(most) > l.allowed() {
 		w.violate("replica %s had named %.1f requests a second %s before and got %d in %s from nodes that it had told; allowed %.1f",
-			s.replica, s.perSecond, at.Sub(s.from).Round(time.Millisecond), most, rateWindow, s.allowed())
+			l.replica, l.perSecond, at.Sub(l.from).Round(time.Millisecond), most, rateWindow, l.allowed())
 	}
 }
 
 // wasTold says whether the node that sent the request had passed on an answer with the
 // rate, and was not disturbed since or just before.
-func (w *world) wasTold(s *spell, c *sent, a platformtest.Arrival, calls []*sent) bool {
+func (w *world) wasTold(l *rateLimit, c *sent, a platformtest.Arrival, calls []*sent) bool {
 	if c == nil {
 		return false
 	}
 	undisturbed := w.undisturbedSince(c.entry, a.At)
 	for _, told := range calls {
-		if told.entry == c.entry && told.limited && told.stamp == s.replica &&
-			told.at.After(undisturbed) && told.endedAt.After(s.from) && a.At.Sub(told.endedAt) >= rateTold {
+		if told.entry == c.entry && told.limited && told.stamp == l.replica &&
+			told.at.After(undisturbed) && told.endedAt.After(l.from) && a.At.Sub(told.endedAt) >= rateTold {
 			return true
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -23,8 +23,8 @@
 	Length time.Duration
 	// Callers is the number of callers at once.
 	Callers int
-	// Spells is the number of times that a replica names a rate for a while.
-	Spells int
+	// RateLimits is the number of times that a replica names a rate for a while.
+	RateLimits int
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 }
@@ -61,9 +61,9 @@
 	return w.report(events, calls), nil
 }
 
-// events are the faults and spells of the run, in their order.
+// events are the faults of the run and the times of replicas' rates, in their order.
 func (o *Options) events() []event {
-	events := spells(o.Seed, o.Length, o.Spells)
+	events := rateLimits(o.Seed, o.Length, o.RateLimits)
 	if !o.WithoutFaults {
 		events = append(events, schedule(o.Seed, o.Length)...)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -51,23 +51,23 @@
 }
 
 const (
-	// leastSpell is how long a replica names a rate at least: the time until it counts
-	// and two windows in which requests are added up.
-	leastSpell = rateStable + 2*rateWindow
+	// rateLimitLasts is how long a replica names a rate: the time until it counts and two
+	// windows in which requests are added up.
+	rateLimitLasts = rateStable + 2*rateWindow
 	// lowestRate and highestRate bound the rates, in requests a second.
 	lowestRate  = 0.5
 	highestRate = 4.0
 )
 
-// spells draws the times in which replicas name a rate, apart from the faults, so that a
+// rateLimits draws the times in which replicas name a rate, apart from the faults, so that a
 // seed's faults are the same with and without them.
-func spells(seed uint64, length time.Duration, count int) []event {
+func rateLimits(seed uint64, length time.Duration, count int) []event {
 	random := rand.New(rand.NewPCG(seed, 2))
 	var events []event
 	for range count {
 		events = append(events, event{
 			at: time.Duration(random.Int64N(int64(length))), kind: replicaLimit, target: random.IntN(1000),
-			lasts: leastSpell, rate: lowestRate + random.Float64()*(highestRate-lowestRate),
+			lasts: rateLimitLasts, rate: lowestRate + random.Float64()*(highestRate-lowestRate),
 		})
 	}
 	return events
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -70,7 +70,7 @@
 	t.Setenv("GORACE", "atexit_sleep_ms=0")
 	report, err := Run(t.Context(), Options{
 		Seed: 1, Command: []string{os.Args[0]}, Dir: t.TempDir(), Nodes: 5, Length: 2 * time.Second, Callers: 12,
-		Spells: 3, WithoutFaults: true,
+		RateLimits: 3, WithoutFaults: true,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -148,7 +148,7 @@
 
 func TestTheJudgeSeesMoreRequestsThanAReplicaTakes(t *testing.T) {
 	now := time.Now()
-	s := spell{replica: "i-1", perSecond: 1, from: now.Add(-time.Minute), until: now.Add(time.Minute)}
+	limit := rateLimit{replica: "i-1", perSecond: 1, from: now.Add(-time.Minute), until: now.Add(time.Minute)}
 	told := &sent{id: "told", entry: "vm-1", stamp: "i-1", limited: true, at: now.Add(-2 * time.Second), endedAt: now.Add(-time.Second)}
 	tests := map[string]struct {
 		disturbed []time.Duration
@@ -167,7 +167,7 @@
 		for _, ago := range test.disturbed {
 			n.disturbances = append(n.disturbances, now.Add(ago))
 		}
-		w := &world{limits: []spell{s}, nodes: []*node{n}, runs: &platformtest.Runs{}}
+		w := &world{limits: []rateLimit{limit}, nodes: []*node{n}, runs: &platformtest.Runs{}}
 		calls := []*sent{told}
 		for i := range test.count {
 			id := fmt.Sprint(i)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -27,7 +27,7 @@
 	keys     []string
 	revoked  map[string]time.Time
 	drained  map[string]time.Time
-	limits   []spell
+	limits   []rateLimit
 	// disturbedAt is the end of the last fault so far.
 	disturbedAt time.Time
 	violations  []string
