Log: the line of an ask for a permit names its request and the limit's age

The line permit_asked was written by the exchange between nodes, which does not know the request: from a request's id nobody got to the permit that it did not get. The forwarder writes it, with the request, the issuer, the rate asked under and its age, and the answer. No decision changes.

--- a/internal/fleetsim/limits.go
+++ b/internal/fleetsim/limits.go
@@ -39,7 +39,7 @@
 	n.permits.SetAsk(func(_ context.Context, l ratelimit.Limit) (ratelimit.Grant, error) {
 		return f.issuer.Issue(at, l, 1), nil
 	})
-	if !n.permits.Acquire(context.Background(), at, &a.Replica) {
+	if asked := n.permits.Acquire(context.Background(), at, &a.Replica); !asked.Given() {
 		return false
 	}
 	a.Permitted(at)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -7,6 +7,7 @@
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
 
@@ -160,5 +161,37 @@
 	return fields
 }
 
+// permitAsked tells what came of an ask for a permit of the replica that was chosen.
+type permitAsked struct {
+	exchange *exchange
+	replica  string
+	asked    ratelimit.Asked
+}
+
+// Name implements eventlog.Event.
+func (*permitAsked) Name() string { return "permit_asked" }
+
+// Level implements eventlog.Event.
+func (ev *permitAsked) Level() eventlog.Level {
+	if ev.asked.Err != nil {
+		return eventlog.Notable
+	}
+	return eventlog.Routine
+}
+
+// Fields implements eventlog.Event.
+func (ev *permitAsked) Fields() eventlog.Fields {
+	a := &ev.asked
+	fields := eventlog.Fields{
+		"request": ev.exchange.call.ID, "upstream": ev.exchange.call.Upstream, "attempt": ev.exchange.attempts, "replica": ev.replica,
+		"issuer": a.Grant.Issuer, "rate_limit": a.Limit.PerSecond, "age_ms": a.Age.Milliseconds(),
+		"given": a.Given(), "retry_after_ms": a.Grant.RetryAfter.Milliseconds(),
+	}
+	if a.Err != nil {
+		fields["error"] = a.Err.Error()
+	}
+	return fields
+}
+
 // hundredths rounds a figure for the log.
 func hundredths(x float64) float64 { return math.Round(x*100) / 100 }
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -50,7 +50,9 @@
 func (e *exchange) permitted(place *placement.Attempt, by time.Time) bool {
 	ctx, cancel := context.WithDeadline(e.ctx, by)
 	defer cancel()
-	if !e.forwarder.options.Permits.Acquire(ctx, time.Now(), &place.Replica) {
+	asked := e.forwarder.options.Permits.Acquire(ctx, time.Now(), &place.Replica)
+	e.forwarder.options.Log.Write(&permitAsked{exchange: e, replica: place.Replica.ID, asked: asked})
+	if !asked.Given() {
 		return false
 	}
 	place.Permitted(time.Now())
--- a/internal/placement/ratelimits_test.go
+++ b/internal/placement/ratelimits_test.go
@@ -34,7 +34,7 @@
 		if a == nil || !a.NeedsPermit {
 			return a
 		}
-		if permits.Acquire(t.Context(), time.Now(), &a.Replica) {
+		if asked := permits.Acquire(t.Context(), time.Now(), &a.Replica); asked.Given() {
 			t.Fatal("a permit was given")
 		}
 		a.End(time.Now(), Cancelled)
--- a/internal/ratelimit/events.go
+++ b/internal/ratelimit/events.go
@@ -37,34 +37,3 @@
 	}
 	return fields
 }
-
-// permitAsked tells what an issuer answered to an ask of this node.
-type permitAsked struct {
-	issuer string
-	limit  Limit
-	grant  Grant
-	err    error
-}
-
-// Name implements eventlog.Event.
-func (*permitAsked) Name() string { return "permit_asked" }
-
-// Level implements eventlog.Event.
-func (e *permitAsked) Level() eventlog.Level {
-	if e.err != nil {
-		return eventlog.Notable
-	}
-	return eventlog.Routine
-}
-
-// Fields implements eventlog.Event.
-func (e *permitAsked) Fields() eventlog.Fields {
-	fields := eventlog.Fields{
-		"replica": e.limit.Replica, "issuer": e.issuer, "per_second": e.limit.PerSecond,
-		"given": e.grant.Given, "retry_after_ms": e.grant.RetryAfter.Milliseconds(),
-	}
-	if e.err != nil {
-		fields["error"] = e.err.Error()
-	}
-	return fields
-}
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -8,7 +8,6 @@
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 
-	"galenatrestle/internal/eventlog"
 	ratelimitv1 "galenatrestle/internal/gen/trestle/ratelimit/v1"
 	"galenatrestle/internal/gen/trestle/ratelimit/v1/ratelimitv1connect"
 	"galenatrestle/internal/peer"
@@ -32,7 +31,6 @@
 	// Known says whether the process of the replica is registered.
 	Known    func(replica string, startedAt int64) bool
 	Clients  *peer.Clients
-	Log      *eventlog.Log
 	Registry prometheus.Registerer
 }
 
@@ -66,8 +64,8 @@
 	} else {
 		grant, err = e.call(ctx, address, l)
 	}
+	grant.Issuer = name
 	e.asked.WithLabelValues(resultOf(grant, err)).Inc()
-	e.options.Log.Write(&permitAsked{issuer: name, limit: l, grant: grant, err: err})
 	return grant, err
 }
 
--- a/internal/ratelimit/exchange_test.go
+++ b/internal/ratelimit/exchange_test.go
@@ -1,14 +1,12 @@
 package ratelimit
 
 import (
-	"io"
 	"testing"
 
 	"connectrpc.com/connect"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
-	"galenatrestle/internal/eventlog"
 	ratelimitv1 "galenatrestle/internal/gen/trestle/ratelimit/v1"
 )
 
@@ -18,7 +16,7 @@
 		Table: table, Issuer: NewIssuer(), Self: "vm-1",
 		IssuerOf: func(string) (string, string) { return issuer, "" },
 		Share:    func() float64 { return 1 }, Known: func(string, int64) bool { return known },
-		Log: eventlog.New(io.Discard, "vm-1"), Registry: prometheus.NewRegistry(),
+		Registry: prometheus.NewRegistry(),
 	})
 }
 
--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -28,6 +28,8 @@
 // Grant is the answer to an ask for a permit.
 type Grant struct {
 	Given bool
+	// Issuer is the name of the node that answered.
+	Issuer string
 	// RetryAfter is when the next permit may be there, where none is given.
 	RetryAfter time.Duration
 }
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -29,6 +29,19 @@
 // Ask asks the replica's issuer for a permit under the limit.
 type Ask func(ctx context.Context, l Limit) (Grant, error)
 
+// Asked is what came of an ask for a permit.
+type Asked struct {
+	// Limit is what was asked under, Age the time since the answer that named it.
+	Limit Limit
+	Age   time.Duration
+	Grant Grant
+	// Err says why the issuer did not answer.
+	Err error
+}
+
+// Given says whether there is a permit.
+func (a *Asked) Given() bool { return a.Err == nil && a.Grant.Given }
+
 // NewPermits returns permits for the limits of the table.
 func NewPermits(table *Table) *Permits {
 	return &Permits{table: table, pausedTill: make(map[string]time.Time)}
@@ -58,21 +71,24 @@
 	return p.pausedTill[replica]
 }
 
-// Acquire gets a permit for one request to the replica, which is to be sent at once. It
-// reports whether there is one; where there is none, the replica is left alone for a while.
-func (p *Permits) Acquire(ctx context.Context, now time.Time, r *replica.Replica) bool {
-	l, limited := p.table.InForce()[r.ID]
-	if !limited || l.StartedAt != r.StartedAt {
-		return true
+// Acquire gets a permit for one request to the replica, which is to be sent at once. Where
+// there is none, the replica is left alone for a while. One whose limit was lifted just now
+// needs none, and is given without an ask.
+func (p *Permits) Acquire(ctx context.Context, now time.Time, r *replica.Replica) Asked {
+	limits := p.table.InForce()
+	if !Limited(limits, r) {
+		return Asked{Grant: Grant{Given: true}}
 	}
-	grant, err := p.ask(ctx, l)
+	l := limits[r.ID]
+	asked := Asked{Limit: l, Age: p.table.Now().Sub(l.At)}
+	asked.Grant, asked.Err = p.ask(ctx, l)
 	switch {
-	case err != nil:
+	case asked.Err != nil:
 		p.pause(r.ID, now.Add(unansweredPause))
-	case !grant.Given:
-		p.pause(r.ID, now.Add(max(grant.RetryAfter, leastPause)))
+	case !asked.Grant.Given:
+		p.pause(r.ID, now.Add(max(asked.Grant.RetryAfter, leastPause)))
 	}
-	return err == nil && grant.Given
+	return asked
 }
 
 func (p *Permits) pause(replica string, till time.Time) {
