Ratelimit: permits that nobody asks for are kept for a second

What callers saw: replicas that name rates got less than they take where that is near what would come anyway, and the others had to take the rest. Cause: requests come unevenly, and an issuer kept a quarter of a second's permits only, one at the rates of engines.

Why it holds: 4 s of the rate, a second's more and one are less than one and a half times 4 s of it and 5.

--- a/internal/ratelimit/issuer.go
+++ b/internal/ratelimit/issuer.go
@@ -11,8 +11,9 @@
 	// leastRate is the permits a second for a replica that names less: without any
 	// request nobody would learn that it takes more again.
 	leastRate = 0.1
-	// burstTime is the time for which permits that nobody asked for are kept.
-	burstTime = 250 * time.Millisecond
+	// keptFor is the time for which permits that nobody asked for are kept: requests come
+	// unevenly, and a permit that is lost is a request that another replica must take.
+	keptFor = time.Second
 )
 
 // Issuer gives out the permits of the replicas for which this node is responsible. It is
@@ -57,7 +58,7 @@
 // bucket is the replica's, filled at the rate. A new one is empty: another node may have
 // issued permits just before. The lock is held.
 func (i *Issuer) bucket(now time.Time, replica string, perSecond float64) *rate.Limiter {
-	burst := max(int(perSecond*burstTime.Seconds()), 1)
+	burst := 1 + int(perSecond*keptFor.Seconds())
 	b, ok := i.buckets[replica]
 	if !ok {
 		b = rate.NewLimiter(rate.Limit(perSecond), burst)
