Forward: one rule for when a refused caller comes back

Found on reading the change again: the refusal for want of a permit worked out its Retry-After by a copy of the overload gate's rule (at least 0.4 s, at most a third of the time left), without its guard: a call whose deadline passed while it asked for permits was told a negative time. Both use overload.ReturnAfter now; the test has times left of zero and less. Nothing else changes.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -6,18 +6,12 @@
 	"fmt"
 	"time"
 
+	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
 )
 
-const (
-	// permitWait bounds the time in which a call asks for permits: some calls between nodes.
-	permitWait = 100 * time.Millisecond
-	// limitedRetryAfter is the shortest time after which a caller should come back for whom
-	// no replica had a permit left.
-	limitedRetryAfter = 400 * time.Millisecond
-	// returnPart is the part of the time left after which a caller had better not come back.
-	returnPart = 3
-)
+// permitWait bounds the time in which a call asks for permits: some calls between nodes.
+const permitWait = 100 * time.Millisecond
 
 // errNoReplica says that no replica takes new requests.
 var errNoReplica = errors.New("no replica takes new requests")
@@ -64,7 +58,7 @@
 	f := &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	now := time.Now()
 	if limited := e.forwarder.options.Placer.RateLimited(now, e.call.Upstream); limited.Replicas > 0 {
-		f.RetryAfter = min(max(limited.Next.Sub(now), limitedRetryAfter), e.call.Deadline.Sub(now)/returnPart)
+		f.RetryAfter = overload.ReturnAfter(limited.Next.Sub(now), e.call.Deadline.Sub(now))
 		f.Cause = fmt.Errorf("%w: %d of them, no permit left", errRateLimited, limited.Replicas)
 	}
 	return f
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -55,14 +55,15 @@
 	if reason == "" {
 		return Verdict{}
 	}
-	return Verdict{Reason: reason, RetryAfter: r.returnAfter()}
+	return Verdict{Reason: reason, RetryAfter: ReturnAfter(r.Ahead, r.Left)}
 }
 
-// returnAfter is when the caller should come back: when what is ahead now is read.
-func (r *Request) returnAfter() time.Duration {
-	after := max(r.Ahead, leastReturn)
-	if r.Left > 0 {
-		after = min(after, time.Duration(returnShare*float64(r.Left)))
+// ReturnAfter is when a refused caller should come back: when what is ahead of it is over, as
+// far as the time left to it allows; zero or less left: not known.
+func ReturnAfter(ahead, left time.Duration) time.Duration {
+	after := max(ahead, leastReturn)
+	if left > 0 {
+		after = min(after, time.Duration(returnShare*float64(left)))
 	}
 	return after
 }
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -92,3 +92,11 @@
 		t.Error("the gate of an upstream forgets at once")
 	}
 }
+
+func TestNobodyIsToldToComeBackBeforeNow(t *testing.T) {
+	for _, left := range []time.Duration{-second, 0, second, time.Minute} {
+		if after := ReturnAfter(-second, left); after <= 0 {
+			t.Errorf("with %s left: return after %s", left, after)
+		}
+	}
+}
