--- a/internal/peer/settings.go
+++ b/internal/peer/settings.go
@@ -14,6 +14,8 @@
 	// HeaderTimeout bounds the wait for a response's headers. Calls that need
 	// less set a deadline on their context.
 	HeaderTimeout time.Duration
+	// IdleTimeout is how long a connection stays open after its last call.
+	IdleTimeout time.Duration
 }
 
 // The defaults of Settings.
@@ -22,6 +24,7 @@
 	DefaultMaxConnections = 2
 	DefaultDialTimeout    = 2 * time.Second
 	DefaultHeaderTimeout  = time.Minute
+	DefaultIdleTimeout    = 5 * time.Minute
 )
 
 func (s Settings) withDefaults() Settings {
@@ -37,5 +40,8 @@
 	if s.HeaderTimeout == 0 {
 		s.HeaderTimeout = DefaultHeaderTimeout
 	}
+	if s.IdleTimeout == 0 {
+		s.IdleTimeout = DefaultIdleTimeout
+	}
 	return s
 }
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -13,9 +13,8 @@
 
 // Health of idle connections: a peer that vanished is noticed by a ping.
 const (
-	pingAfter       = 15 * time.Second
-	pingTimeout     = 5 * time.Second
-	idleConnTimeout = 5 * time.Minute
+	pingAfter   = 15 * time.Second
+	pingTimeout = 5 * time.Second
 )
 
 // transport adds step and peer to the errors of an HTTP transport.
@@ -52,7 +51,7 @@
 		TLSHandshakeTimeout:   c.settings.DialTimeout,
 		ResponseHeaderTimeout: c.settings.HeaderTimeout,
 		MaxConnsPerHost:       c.settings.MaxConnections,
-		IdleConnTimeout:       idleConnTimeout,
+		IdleConnTimeout:       c.settings.IdleTimeout,
 		Protocols:             &protocols,
 		HTTP2:                 &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
