Members of a large fleet keep a part of the replica listing, and all agree on the hubs

Causes and changes: - Each node held all registrations. Now hubs do; a member keeps the part of its availability zone: small upstreams whole, of a large one 64 replicas or more of the zone and a quarter as many of each other zone, by a hash of their IDs. Listings are kept ordered. - The number of hubs followed from the nodes that each node has heard of; nodes now tell the largest recent count of each zone. - Each hub called all others.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -71,6 +71,35 @@
 	}
 }
 
+// listingReplaced reports a listing with many changes.
+type listingReplaced struct {
+	listing replica.Listing
+	counts  map[replica.ChangeKind]int
+	age     time.Duration
+}
+
+func newListingReplaced(l replica.Listing, changes []replica.Change, age time.Duration) *listingReplaced {
+	counts := make(map[replica.ChangeKind]int)
+	for _, c := range changes {
+		counts[c.Kind]++
+	}
+	return &listingReplaced{listing: l, counts: counts, age: age}
+}
+
+// Name implements eventlog.Event.
+func (*listingReplaced) Name() string { return "replica_listing_replaced" }
+
+// Level implements eventlog.Event.
+func (*listingReplaced) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (e *listingReplaced) Fields() eventlog.Fields {
+	return eventlog.Fields{
+		"replicas": len(e.listing.Replicas), "part_of_zone": e.listing.Zone, "changes": e.counts,
+		"revision": e.listing.Revision, "age_ms": e.age.Milliseconds(),
+	}
+}
+
 // lifecycle reports a start, reload or stop of the process.
 type lifecycle struct {
 	name   string
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -77,7 +77,7 @@
 		log:      eventlog.New(options.Output, s.Name),
 		registry: registry,
 		routes:   routesource.New(options.Decode),
-		replicas: replica.NewSet(),
+		replicas: newReplicaSet(options),
 		nodes:    nodesync.NewNodes(s.Name, s.Peers.Seeds),
 	}
 	n.settings.Store(s)
@@ -85,16 +85,17 @@
 	n.rateLimiter = newRateLimiter(n)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
-	n.budget = retrybudget.New(n.retryLimits())
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
+	n.budget = retrybudget.New(n.retryLimits())
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
 		store: options.Store, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
-		role: n.sync.Role, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
-		firstReadAt: n.firstReadAt(isSeed),
+		keepsWholeListing: n.sync.KeepsWholeListing,
+		role:              n.sync.Role, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
+		firstReadAt: n.firstReadAt(isSeed, random),
 		applyWithin: func() time.Duration { return n.settings.Load().PassThrough.ApplyWithin.Std() },
 		leaveWithin: func() time.Duration { return n.settings.Load().PassThrough.LeaveWithin.Std() },
 		metrics:     newMetrics(registry, n.routes, n.replicas, options.Clock, n.log),
@@ -113,18 +114,43 @@
 	return n, nil
 }
 
+// newReplicaSet returns the set of replicas. A node that may hold the fleet's duties counts the
+// replicas of each availability zone and therefore uses all of them.
+func newReplicaSet(options Options) *replica.Set {
+	if options.Duties != nil {
+		return replica.NewSet()
+	}
+	return replica.NewZoneSet(options.Settings.AvailabilityZone)
+}
+
 // firstReadDelay is how long nodes other than seeds wait before they read the store at a
 // fleet's first start. There is no traffic yet and the configuration may be missing, so
 // reads by every node would only load the store.
 const firstReadDelay = 3 * time.Second
 
+const (
+	// restartReadDelay is how long a node that restarts waits for the copies of other nodes
+	// before it reads the store: in a large fleet a read of the registrations takes dozens
+	// of calls.
+	restartReadDelay = 300 * time.Millisecond
+	// restartReadJitter spreads the reads of nodes that restart together, so that most of
+	// them get the copies that the first ones read.
+	restartReadJitter = 600 * time.Millisecond
+)
+
 // firstReadAt returns when the node may read records that it has no copy of; zero means
 // at once.
-func (n *Node) firstReadAt(isSeed bool) boottime.Instant {
-	if !n.options.Settings.PassThrough.FirstStart || isSeed {
+func (n *Node) firstReadAt(isSeed bool, random *rand.Rand) boottime.Instant {
+	switch {
+	case isSeed:
+		return 0
+	case n.options.Settings.PassThrough.FirstStart:
+		return n.options.Clock().Add(firstReadDelay)
+	case len(n.options.Settings.Peers.Seeds) == 0:
 		return 0
+	default:
+		return n.options.Clock().Add(restartReadDelay + time.Duration(random.Int64N(int64(restartReadJitter))))
 	}
-	return n.options.Clock().Add(firstReadDelay)
 }
 
 // newSync returns the exchange with the other nodes, which also carries the tracker's
@@ -177,7 +203,7 @@
 	if err != nil {
 		return err
 	}
-	n.clients = peer.NewClients(keys, peer.Settings{DialTimeout: peerDialTimeout, MaxConnections: 1}, n.registry)
+	n.clients = peer.NewClients(keys, peer.Settings{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxConnections: 1}, n.registry)
 	n.sync.SetClients(n.clients)
 	n.peers = peer.NewServer(keys, n.registry)
 	n.peers.Mount(n.sync.Handler())
@@ -185,8 +211,13 @@
 	return n.duties.setUp()
 }
 
-// peerDialTimeout bounds connecting to another node.
-const peerDialTimeout = 300 * time.Millisecond
+const (
+	// peerDialTimeout bounds connecting to another node.
+	peerDialTimeout = 300 * time.Millisecond
+	// peerIdleTimeout is longer than the pauses between calls to the same node, and short enough
+	// not to keep connections to nodes that are called once.
+	peerIdleTimeout = 8 * time.Second
+)
 
 // self returns the node's state as sent to other nodes.
 func (n *Node) self() nodesync.Node {
@@ -209,10 +240,14 @@
 
 // assumedNodeCount returns the number of nodes among which fleet-wide limits are divided.
 func (n *Node) assumedNodeCount() int {
-	known := n.nodes.KnownCount(n.options.Clock())
+	known := n.sync.FleetSize()
 	return max(known+known/marginDivisor, minAssumedNodes)
 }
 
+// maxLoggedChanges is the number of changes of one listing that are logged one by one. Further
+// ones, as after a start, are only counted.
+const maxLoggedChanges = 64
+
 // onReplicaChanges logs the changes and drops the state and connections of removed
 // replicas.
 func (n *Node) onReplicaChanges(changes []replica.Change) {
@@ -221,8 +256,13 @@
 	}
 	listing, readAt := n.replicas.Latest()
 	age := n.options.Clock().Sub(readAt)
-	for _, c := range changes {
-		n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
+	if len(changes) > maxLoggedChanges {
+		n.log.Write(newListingReplaced(listing, changes, age))
+	}
+	for i, c := range changes {
+		if i < maxLoggedChanges {
+			n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
+		}
 		if c.Kind == replica.Removed {
 			n.conns.Forget(c.Replica.ID)
 			n.rateLimiter.forget(c.Replica.ID)
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -65,6 +65,9 @@
 	routes           *routesource.Current
 	replicas         *replica.Set
 	onReplicaChanges func([]replica.Change)
+	// keepsWholeListing reports whether the node keeps all registrations, not only the part
+	// that it uses.
+	keepsWholeListing func() bool
 	// role is the node's role in the exchange between nodes.
 	role func() nodesync.Role
 	// readerIndex is the node's position among the nodes that read for others.
@@ -216,6 +219,9 @@
 	if err != nil {
 		r.log.Error("decode registrations", err)
 	}
+	if !r.keepsWholeListing() {
+		listing = r.replicas.Narrow(listing)
+	}
 	r.onReplicaChanges(r.replicas.Update(listing, began, r.clock()))
 	return nil
 }
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -117,6 +117,10 @@
 
 func (r Role) aggregates() bool { return r == PrimaryHub || r == SecondaryHub }
 
+func (s *Sync) isHub(name string) bool {
+	return slices.ContainsFunc(s.hubs(s.options.Clock()), func(hub Node) bool { return hub.Name == name })
+}
+
 // Role returns this node's current role.
 func (s *Sync) Role() Role { return roleOf(s.options.Self(), s.hubs(s.options.Clock())) }
 
--- a/internal/nodesync/hubchoice.go
+++ b/internal/nodesync/hubchoice.go
@@ -10,8 +10,9 @@
 // zoneCandidates collects the hub candidates of one availability zone.
 type zoneCandidates struct {
 	name string
-	// size includes nodes that were silent for longer than aliveTimeout: in a large fleet
-	// most nodes are heard of less often, and all must compute the same number of hubs.
+	// size includes nodes that were silent for longer than aliveTimeout, and is the largest
+	// recent count of all nodes: in a large fleet most nodes are heard of less often, and all
+	// must compute the same number of hubs.
 	size int
 	hubs topNodes
 }
@@ -34,6 +35,19 @@
 	return z
 }
 
+// applyZoneSizes tells other nodes the counts of this node and replaces them by the largest
+// recent ones.
+func (s *Sync) applyZoneSizes(zones zoneList, now boottime.Instant) {
+	counted := make(map[string]zoneSize, len(zones))
+	for _, z := range zones {
+		counted[z.name] = zoneSize{nodes: z.size, countedAt: now}
+	}
+	s.zoneSizes.merge(counted, now)
+	for _, z := range zones {
+		z.size = max(z.size, s.zoneSizes.of(z.name, now))
+	}
+}
+
 // chooseHubs returns the best candidates of each availability zone. It makes two passes
 // instead of sorting, because it runs ten times a second or more.
 func (s *Sync) chooseHubs(self Node, now boottime.Instant) []Node {
@@ -48,6 +62,7 @@
 			activeCount++
 		}
 	})
+	s.applyZoneSizes(zones, now)
 	if activeCount+1 < minNodesForHubs {
 		return nil
 	}
--- a/internal/nodesync/listing.go
+++ b/internal/nodesync/listing.go
@@ -8,11 +8,23 @@
 	"galenatrestle/internal/replica"
 )
 
-// addListing adds the replica listing to a response: only the changes since the caller's
-// listing if possible, because the full listing of a large fleet takes a quarter of a
-// megabyte.
-func (s *Sync) addListing(reply *nodesyncv1.ExchangeResponse, request *nodesyncv1.ExchangeRequest, listing replica.Listing) {
-	delta, known := s.options.Replicas.DeltaSince(request.GetReplicasDigest())
+// addListing adds the replica listing that the caller keeps to a response: only the changes
+// since the caller's listing if possible, because the full listing of a large fleet takes a
+// quarter of a megabyte. It adds nothing if this node does not have that listing.
+func (s *Sync) addListing(reply *nodesyncv1.ExchangeResponse, request *nodesyncv1.ExchangeRequest, now boottime.Instant) {
+	zone := request.GetReplicasZone()
+	// Read before the listing; otherwise an older listing might be sent as fresh.
+	_, readAt := s.options.Replicas.Latest()
+	listing, ok := s.options.Replicas.ListingFor(zone)
+	if !ok {
+		return
+	}
+	reply.ReplicasRevision, reply.ReplicasReadAge = listing.Revision, now.Sub(readAt).Microseconds()
+	reply.ReplicasDigest, reply.ReplicasZone = listing.Digest, listing.Zone
+	if listing.Revision <= request.GetReplicasRevision() || listing.Digest == request.GetReplicasDigest() {
+		return
+	}
+	delta, known := s.options.Replicas.DeltaFor(zone, request.GetReplicasDigest())
 	if !known || !request.GetTakesChanges() {
 		reply.Replicas = replicasToProto(listing.Replicas)
 		return
@@ -46,7 +58,7 @@
 // decodeListing returns the listing of a response. It is zero if it cannot be built from
 // ownListing.
 func decodeListing(m *nodesyncv1.ExchangeResponse, ownListing replica.Listing) (replica.Listing, error) {
-	listing := replica.Listing{Revision: m.GetReplicasRevision(), Digest: m.GetReplicasDigest()}
+	listing := replica.Listing{Revision: m.GetReplicasRevision(), Zone: m.GetReplicasZone(), Digest: m.GetReplicasDigest()}
 	switch {
 	case listing.Digest == ownListing.Digest:
 		listing.Replicas = ownListing.Replicas
--- a/internal/nodesync/loads.go
+++ b/internal/nodesync/loads.go
@@ -14,6 +14,8 @@
 	omit bool
 	// aggregate: the callee is the hub that aggregates this node's loads.
 	aggregate bool
+	// betweenHubs: both nodes are hubs, which exchange sums, and no loads of single nodes.
+	betweenHubs bool
 }
 
 // loadOptionsFor returns the options for a request to the node. In a fleet with hubs,
@@ -28,7 +30,7 @@
 	case ownHub.Name == name:
 		return loadOptions{aggregate: true}
 	case ownHub.Name == self.Name && slices.ContainsFunc(hubs, func(hub Node) bool { return hub.Name == name }):
-		return loadOptions{}
+		return loadOptions{betweenHubs: true}
 	default:
 		return loadOptions{omit: s.options.Placer.HasFleetLoads(time.Now())}
 	}
@@ -38,7 +40,9 @@
 // placements, and aggregates the loads if requested.
 func (s *Sync) mergeLoads(n Node, received receivedLoads, now boottime.Instant) {
 	at := time.Now()
-	s.options.Placer.SetPeerLoads(n.Name, loadsFromProto(received.loads), received.aggregate, s.options.Nodes.AliveCount(now), at)
+	if len(received.loads) > 0 || received.aggregate || !received.inSums && !received.selfIsHub {
+		s.options.Placer.SetPeerLoads(n.Name, loadsFromProto(received.loads), received.aggregate, s.options.Nodes.AliveCount(now), at)
+	}
 	s.options.Placer.SetPlacements(placementsFromProto(received.placements), received.selfIsHub, at)
 }
 
@@ -46,16 +50,18 @@
 type receivedLoads struct {
 	loads      []*nodesyncv1.Load
 	placements []*nodesyncv1.Placement
-	// aggregate: this node aggregates the loads of the sender. selfIsHub: this node is
-	// a hub.
-	aggregate, selfIsHub bool
+	// aggregate: this node aggregates the loads of the sender. inSums: the sender's loads are
+	// in the sums that it sent. selfIsHub: this node is a hub.
+	aggregate, inSums, selfIsHub bool
 }
 
-// addLoads adds this node's loads and the placements that the recipient does not have
-// yet.
-func (s *Sync) addLoads(reply *nodesyncv1.ExchangeResponse, recipient string) {
+// addLoads adds this node's loads, unless the recipient gets them in sums, and the placements
+// that it does not have yet.
+func (s *Sync) addLoads(reply *nodesyncv1.ExchangeResponse, recipient string, inSums bool) {
 	now := time.Now()
-	reply.Loads = loadsToProto(s.options.Placer.Loads(now))
+	if !inSums {
+		reply.Loads = loadsToProto(s.options.Placer.Loads(now))
+	}
 	reply.Placements = placementsToProto(s.options.Placer.Placements(now, s.cursors.since(recipient)))
 	s.cursors.set(recipient, now)
 }
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	// MaxNodes bounds the node table.
-	MaxNodes = 1024
+	// MaxNodes bounds the node table. A record takes about 300 bytes. Nodes that do not fit are
+	// not counted, so that nodes would compute different numbers of hubs.
+	MaxNodes = 8192
 	// aliveTimeout is how long a node counts as alive after it was last seen: about
 	// seven rounds.
 	aliveTimeout = 1500 * time.Millisecond
@@ -152,6 +153,14 @@
 	}
 }
 
+// is reports whether the node is known and accepted.
+func (n *Nodes) is(name string, accept func(*record) bool) bool {
+	n.mu.RLock()
+	defer n.mu.RUnlock()
+	r, known := n.byName[name]
+	return known && accept(r)
+}
+
 func (n *Nodes) list(keep func(*record) bool) []Node {
 	var list []Node
 	n.visit(func(r *record) {
--- a/internal/nodesync/sums.go
+++ b/internal/nodesync/sums.go
@@ -5,52 +5,152 @@
 	"time"
 
 	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
+	"galenatrestle/internal/placement"
+	"galenatrestle/internal/replica"
 )
 
 // hubSums caches the sums of a hub in their wire format. It is safe for concurrent use.
 type hubSums struct {
 	mu         sync.Mutex
 	computedAt time.Time
-	// group is the load from the members of this hub, fleet the load from all nodes.
-	group, fleet []*nodesyncv1.Load
+	current    sums
+	// partDemand determines the sizes of the parts of the listing that the members keep.
+	partDemand partDemand
+	// used has the replicas that the nodes of an availability zone use, by zone.
+	used map[string]usedReplicas
+}
+
+// sums are the summed loads that a hub tells.
+type sums struct {
+	// fleet is the load from all nodes on the replicas that the members use, remote that from
+	// the nodes of other availability zones.
+	fleet, remote []*nodesyncv1.Load
+	// group is the load from the members of this hub, zone that from the nodes of this
+	// availability zone.
+	group, zone []placement.Load
+}
+
+// usedReplicas are replicas by ID, as of the listing with the digest.
+type usedReplicas struct {
+	digest uint64
+	byID   map[string]replica.Replica
 }
 
 // currentSums returns the sums, recomputing them if they are older than SumsMaxAge: in a
 // fleet of hundreds that takes half a millisecond, and a hub is called a hundred times a
 // second.
-func (s *Sync) currentSums(now time.Time) (group, fleet []*nodesyncv1.Load) {
+func (s *Sync) currentSums(now time.Time) sums {
 	s.sums.mu.Lock()
 	defer s.sums.mu.Unlock()
 	if now.Sub(s.sums.computedAt) < s.options.SumsMaxAge {
-		return s.sums.group, s.sums.fleet
+		return s.sums.current
 	}
 	placer := s.options.Placer
-	loads := placer.FleetLoads(now)
-	placer.SetFleetLoads(loads, placer.Loads(now), now)
-	s.sums.group, s.sums.fleet, s.sums.computedAt = loadsToProto(placer.GroupLoads(now)), loadsToProto(loads), now
-	return s.sums.group, s.sums.fleet
+	fleet := placer.FleetLoads(now)
+	placer.SetFleetLoads(fleet, placer.Loads(now), now)
+	zone := s.options.Replicas.Zone()
+	if used := s.replicasOf(zone); used != nil {
+		fleet = onlyOn(used, fleet)
+		s.options.Replicas.SetPartSizes(s.sums.partDemand.observe(now, zoneDemand(fleet, used, zone)))
+	}
+	s.sums.computedAt = now
+	s.sums.current = sums{
+		fleet: loadsToProto(fleet), remote: loadsToProto(placer.RemoteLoads(now)),
+		group: placer.GroupLoads(now), zone: placer.ZoneLoads(now),
+	}
+	return s.sums.current
+}
+
+// replicasOf returns the replicas that the nodes of an availability zone use, by ID; nil if they
+// use all, or if this node cannot tell. The lock of the sums is held.
+func (s *Sync) replicasOf(zone string) map[string]replica.Replica {
+	listing, ok := s.options.Replicas.ListingFor(zone)
+	if !ok || listing.Zone == "" {
+		return nil
+	}
+	cached, known := s.sums.used[zone]
+	if known && cached.digest == listing.Digest {
+		return cached.byID
+	}
+	byID := make(map[string]replica.Replica, len(listing.Replicas))
+	for _, r := range listing.Replicas {
+		byID[r.ID] = r
+	}
+	if s.sums.used == nil {
+		s.sums.used = make(map[string]usedReplicas)
+	}
+	s.sums.used[zone] = usedReplicas{digest: listing.Digest, byID: byID}
+	return byID
+}
+
+// onlyOn returns the loads on the replicas; all if used is nil.
+func onlyOn(used map[string]replica.Replica, loads []placement.Load) []placement.Load {
+	if used == nil {
+		return loads
+	}
+	kept := make([]placement.Load, 0, min(len(loads), len(used)))
+	for _, l := range loads {
+		if _, ok := used[l.Replica]; ok {
+			kept = append(kept, l)
+		}
+	}
+	return kept
 }
 
-// addSums adds the sum of this hub's group to a response to another hub, or the fleet's
-// sum to a response to a member.
-func (s *Sync) addSums(reply *nodesyncv1.ExchangeResponse, toHub bool) {
-	group, fleet := s.currentSums(time.Now())
-	if toHub {
-		reply.GroupLoads = group
-		return
+// addSums adds the sums that the caller needs to a response of a hub: the fleet's sum for a
+// member, and this hub's group for another hub. If hubs call other zones only through the primary
+// hubs, a hub of another zone gets the zone's sum, and a primary hub passes on the sums of other
+// zones within its own.
+func (s *Sync) addSums(reply *nodesyncv1.ExchangeResponse, caller Node, isMember bool) {
+	current := s.currentSums(time.Now())
+	self := s.options.Self()
+	hubs := s.hubs(s.options.Clock())
+	throughPrimary := callsThroughPrimary(hubs)
+	switch {
+	case isMember:
+		reply.FleetLoads = current.fleet
+	case caller.AvailabilityZone == self.AvailabilityZone:
+		reply.GroupLoads = loadsToProto(current.group)
+		if throughPrimary && roleOf(self, hubs) == PrimaryHub {
+			reply.RemoteLoads = current.remote
+		}
+	case throughPrimary:
+		reply.ZoneLoads = loadsToProto(s.loadsFor(caller.AvailabilityZone, current.zone))
+	default:
+		reply.GroupLoads = loadsToProto(s.loadsFor(caller.AvailabilityZone, current.group))
 	}
-	reply.FleetLoads = fleet
+}
+
+// loadsFor returns those of the loads that the nodes of the availability zone need.
+func (s *Sync) loadsFor(zone string, loads []placement.Load) []placement.Load {
+	s.sums.mu.Lock()
+	defer s.sums.mu.Unlock()
+	return onlyOn(s.replicasOf(zone), loads)
 }
 
 // mergeSums merges the sums of a hub. The fleet's sum includes the loads that this node
 // sent in the request; the placer subtracts them.
-func (s *Sync) mergeSums(m *nodesyncv1.ExchangeResponse, from Node, request *nodesyncv1.ExchangeRequest, isHub bool) {
+func (s *Sync) mergeSums(m *nodesyncv1.ExchangeResponse, from Node, request *nodesyncv1.ExchangeRequest, role Role) {
 	now := time.Now()
-	if group := m.GetGroupLoads(); isHub && len(group) > 0 {
-		s.options.Placer.SetGroupLoads(from.Name, loadsFromProto(group), now)
-		s.currentSums(now)
+	if role.aggregates() {
+		s.mergeGroups(m, from, role, now)
 	}
 	if fleet := m.GetFleetLoads(); len(fleet) > 0 {
 		s.options.Placer.SetFleetLoads(loadsFromProto(fleet), loadsFromProto(request.GetLoads()), now)
 	}
 }
+
+// mergeGroups merges the sums of another hub into those of this hub.
+func (s *Sync) mergeGroups(m *nodesyncv1.ExchangeResponse, from Node, role Role, now time.Time) {
+	placer := s.options.Placer
+	if group := m.GetGroupLoads(); len(group) > 0 {
+		placer.SetGroupLoads(from.Name, from.AvailabilityZone != s.options.Self().AvailabilityZone, loadsFromProto(group), now)
+	}
+	if zone := m.GetZoneLoads(); len(zone) > 0 {
+		placer.SetZoneLoads(from.AvailabilityZone, loadsFromProto(zone), now)
+	}
+	if remote := m.GetRemoteLoads(); len(remote) > 0 && role == SecondaryHub {
+		placer.SetZoneLoads("", loadsFromProto(remote), now)
+	}
+	s.currentSums(now)
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -31,13 +31,17 @@
 	recentUseWindow = 3 * time.Second
 	// callTimeout bounds one call; the latency between nodes is a few milliseconds.
 	callTimeout = 400 * time.Millisecond
+	// joinTimeout bounds a call to a seed that was not reached yet. When a large fleet starts, all
+	// nodes call the seeds at once: if they gave up early and called again, the seeds would spend
+	// their time on calls that nobody waits for.
+	joinTimeout = 3 * time.Second
 )
 
 // Sync exchanges state with other nodes. It is safe for concurrent use.
 type Sync struct {
 	options Options
 
-	// mu guards options.Rand and inFlight, the peer addresses with a call in flight.
+	// mu guards options.Rand, scope and inFlight, the peer addresses with a call in flight.
 	mu       sync.Mutex
 	inFlight map[string]bool
 	// fullListingNeeded makes the next request ask for the full listing.
@@ -46,6 +50,11 @@
 	sums              hubSums
 	hubCache          hubCache
 	cursors           placementCursors
+	scope             listingScope
+	// zonePartner and remotePartner are the nodes of this and of other availability zones that
+	// this node calls in addition to the hubs.
+	zonePartner, remotePartner partner
+	zoneSizes                  zoneSizes
 }
 
 // New returns a Sync. It makes no calls until Run, Round or Announce is called.
@@ -100,7 +109,7 @@
 		return
 	}
 	defer s.endCall(t.address)
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, t.timeout())
 	defer cancel()
 	callStart := s.options.Clock()
 	client := nodesyncv1connect.NewNodeSyncServiceClient(
@@ -148,17 +157,21 @@
 		ConfigVersion:    s.options.Routes.Get().Version(),
 		ReplicasRevision: listing.Revision,
 		ReplicasDigest:   listing.Digest,
+		ReplicasZone:     s.listingZone(now),
 		TakesChanges:     true,
+		ZoneSizes:        s.zoneSizes.toProto(now),
 		WithoutLoads:     loads.omit,
 		AddsUp:           loads.aggregate,
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 		RateLimits:       ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
 	}
-	if s.fullListingNeeded.Swap(false) {
+	if s.fullListingNeeded.Swap(false) || listing.Zone != request.ReplicasZone && listing.Zone != "" {
 		request.ReplicasRevision, request.ReplicasDigest = 0, 0
 	}
-	if !loads.omit {
+	if !loads.omit && !loads.betweenHubs {
 		request.Loads = loadsToProto(s.options.Placer.Loads(time.Now()))
+	}
+	if !loads.omit {
 		request.Placements = placementsToProto(s.options.Placer.Placements(time.Now(), s.cursors.since(t.name)))
 	}
 	return request
@@ -170,6 +183,7 @@
 	m := request.Msg
 	caller := nodeFromProto(m.GetSelf(), now)
 	s.mergeNode(caller)
+	s.zoneSizes.merge(zoneSizesFromProto(m.GetZoneSizes(), now), now)
 	s.observeTime(m.GetSelf(), now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.mergeRateLimits(m.GetRateLimits(), caller.Name, now)
@@ -177,11 +191,11 @@
 		return connect.NewResponse(s.response(m)), nil
 	}
 	isHub := s.Role().aggregates()
-	s.mergeLoads(caller, receivedLoads{m.GetLoads(), m.GetPlacements(), m.GetAddsUp(), isHub}, now)
+	s.mergeLoads(caller, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), aggregate: m.GetAddsUp(), selfIsHub: isHub}, now)
 	reply := s.response(m)
-	s.addLoads(reply, caller.Name)
+	s.addLoads(reply, caller.Name, isHub && (m.GetAddsUp() || s.isHub(caller.Name)))
 	if isHub {
-		s.addSums(reply, !m.GetAddsUp())
+		s.addSums(reply, caller, m.GetAddsUp())
 	}
 	return connect.NewResponse(reply), nil
 }
@@ -189,30 +203,25 @@
 // response returns this node's state and whatever newer state the caller lacks.
 func (s *Sync) response(m *nodesyncv1.ExchangeRequest) *nodesyncv1.ExchangeResponse {
 	snapshot := s.options.Routes.Get()
-	listing, readAt := s.options.Replicas.Latest()
 	// Compute the ages after reading the state; otherwise they would be too low.
 	now := s.options.Clock()
 	self := s.options.Self()
 	self.LastSeen = now
 	reply := &nodesyncv1.ExchangeResponse{
-		Self:             s.selfToProto(self, now),
-		ConfigVersion:    snapshot.Version(),
-		ConfigProofAge:   snapshot.Age(now).Microseconds(),
-		ReplicasRevision: listing.Revision,
-		ReplicasReadAge:  now.Sub(readAt).Microseconds(),
-		ReplicasDigest:   listing.Digest,
-		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
-		RateLimits:       ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
+		Self:           s.selfToProto(self, now),
+		ConfigVersion:  snapshot.Version(),
+		ConfigProofAge: snapshot.Age(now).Microseconds(),
+		Crashes:        recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+		RateLimits:     ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
 	}
+	reply.ZoneSizes = s.zoneSizes.toProto(now)
 	for _, n := range s.nodesForResponse(m.GetSelf().GetAvailabilityZone(), now) {
 		reply.Nodes = append(reply.Nodes, nodeToProto(n, now))
 	}
 	if snapshot.Version() > m.GetConfigVersion() {
 		reply.Config = snapshot.Document
 	}
-	if listing.Revision > m.GetReplicasRevision() && reply.ReplicasDigest != m.GetReplicasDigest() {
-		s.addListing(reply, m, listing)
-	}
+	s.addListing(reply, m, now)
 	return reply
 }
 
@@ -225,10 +234,11 @@
 	for _, n := range m.GetNodes() {
 		s.mergeNode(nodeFromProto(n, callStart))
 	}
+	s.zoneSizes.merge(zoneSizesFromProto(m.GetZoneSizes(), callStart), s.options.Clock())
 	if !request.GetWithoutLoads() {
-		isHub := s.Role().aggregates()
-		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), selfIsHub: isHub}, callStart)
-		s.mergeSums(m, node, request, isHub)
+		role := s.Role()
+		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.aggregates()}, callStart)
+		s.mergeSums(m, node, request, role)
 	}
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.mergeConfig(m, node.Name, callStart)
@@ -278,12 +288,28 @@
 // SetClients sets the clients for calls to other nodes. It must be called before Run.
 func (s *Sync) SetClients(clients *peer.Clients) { s.options.Clients = clients }
 
-// Announce calls all alive nodes at once, so that they learn this node's state, and
-// waits for the calls to finish.
+// maxAnnounceCalls bounds the calls of Announce: each of them needs a connection.
+const maxAnnounceCalls = 64
+
+// Announce calls other nodes at once, so that they learn this node's state, and waits for the
+// calls to finish.
 func (s *Sync) Announce(ctx context.Context) {
 	var calls sync.WaitGroup
-	for _, n := range s.options.Nodes.Alive(s.options.Clock()) {
+	for _, n := range s.announceTargets() {
 		calls.Go(func() { s.call(ctx, targetOf(n)) })
 	}
 	calls.Wait()
 }
+
+// announceTargets returns all alive nodes. In a large fleet it returns the hubs and the entry
+// nodes of the zone only: no other node sends callers or loads here.
+func (s *Sync) announceTargets() []Node {
+	now := s.options.Clock()
+	nodes := s.options.Nodes.Alive(now)
+	if len(nodes) <= maxAnnounceCalls {
+		return nodes
+	}
+	self := s.options.Self()
+	nearest := append(s.entryNodes(self.AvailabilityZone, self, now), s.hubs(now)...)
+	return uniqueNodes(self.Name, nil, nearest, maxAnnounceCalls)
+}
--- a/internal/nodesync/targets.go
+++ b/internal/nodesync/targets.go
@@ -12,6 +12,13 @@
 	address string
 }
 
+func (t target) timeout() time.Duration {
+	if t.name == "" {
+		return joinTimeout
+	}
+	return callTimeout
+}
+
 func targetOf(n Node) target { return target{n.Name, n.PeerAddress} }
 
 func targetsOf(nodes []Node) []target {
@@ -29,14 +36,22 @@
 	chosen := s.aliveTargets(now)
 	// Probe at least one silent node in each round.
 	missing := max(callsPerRound-len(chosen), 0) + 1
-	return append(chosen, s.silentTargets(missing, now)...)
+	candidatesOnly := len(chosen) > 0 && s.Role() == Member && s.rounds.Load()%memberProbeRounds != 0
+	return append(chosen, s.silentTargets(missing, candidatesOnly, now)...)
 }
 
-// silentTargets returns up to limit random silent nodes and unanswered seeds.
-func (s *Sync) silentTargets(limit int, now boottime.Instant) []target {
+// memberProbeRounds is the interval, in rounds, at which a member probes nodes that have become
+// silent. In a large fleet it hears of most nodes too rarely to tell; the hubs probe in each
+// round.
+const memberProbeRounds = 8
+
+// silentTargets returns up to limit random silent nodes and unanswered seeds. With
+// candidatesOnly set, only those silent nodes that were never seen are returned.
+func (s *Sync) silentTargets(limit int, candidatesOnly bool, now boottime.Instant) []target {
 	threshold := silenceThreshold(s.options.Nodes.KnownCount(now) - 1)
 	sampled := targetsOf(s.options.Nodes.sample(limit, s.intN, func(r *record) bool {
-		return r.retained(now) && !r.seenWithin(aliveTimeout, now) && (r.candidate || !r.seenWithin(threshold, now))
+		silent := !candidatesOnly && !r.seenWithin(threshold, now)
+		return r.retained(now) && !r.seenWithin(aliveTimeout, now) && (r.candidate || silent)
 	}))
 	for _, address := range s.options.Nodes.unansweredSeeds(s.options.Self().PeerAddress, now) {
 		sampled = append(sampled, target{address: address})
@@ -65,20 +80,26 @@
 	crossZoneRounds = 8
 )
 
+// nonHubTargets returns the node to call in addition to the hubs in a round, if any.
 func (s *Sync) nonHubTargets(zone string, now boottime.Instant) []target {
 	round := s.rounds.Add(1)
 	if round%nonHubRounds != 0 {
 		return nil
 	}
-	crossZone := round%crossZoneRounds == 0
-	return targetsOf(s.options.Nodes.sample(1, s.intN, func(r *record) bool {
-		return r.seenWithin(aliveTimeout, now) && (crossZone || r.AvailabilityZone == zone)
-	}))
+	if round%crossZoneRounds == 0 {
+		if t, found := s.partnerOf(&s.remotePartner, now, func(r *record) bool { return r.AvailabilityZone != zone }); found {
+			return []target{t}
+		}
+	}
+	if t, found := s.partnerOf(&s.zonePartner, now, func(r *record) bool { return r.AvailabilityZone == zone }); found {
+		return []target{t}
+	}
+	return nil
 }
 
 // aliveTargets returns the recently seen nodes to call in a round. Without hubs they are
-// random nodes. With hubs, a member calls its hub, a hub calls all other hubs, and both
-// sometimes call a random node too.
+// random nodes. With hubs, a member calls its hub, a hub calls other hubs, and both sometimes
+// call a random node too.
 func (s *Sync) aliveTargets(now boottime.Instant) []target {
 	self := s.options.Self()
 	hubs := s.hubs(now)
@@ -90,12 +111,29 @@
 	if ownHub.Name != self.Name {
 		return append(targets, targetOf(ownHub))
 	}
-	for _, hub := range hubs {
-		if hub.Name != self.Name {
-			targets = append(targets, targetOf(hub))
+	return append(targets, targetsOf(hubsToCall(self, hubs))...)
+}
+
+// maxHubsCallingAll is the number of hubs up to which each calls all others. With more, their
+// calls would grow with the square of the fleet.
+const maxHubsCallingAll = 16
+
+// callsThroughPrimary reports whether only the primary hubs call other availability zones.
+func callsThroughPrimary(hubs []Node) bool { return len(hubs) > maxHubsCallingAll }
+
+// hubsToCall returns the hubs that a hub calls.
+func hubsToCall(self Node, hubs []Node) []Node {
+	callsAll := !callsThroughPrimary(hubs)
+	isPrimary := roleOf(self, hubs) == PrimaryHub
+	var list []Node
+	for i, hub := range hubs {
+		sameZone := hub.AvailabilityZone == self.AvailabilityZone
+		primary := i == 0 || hubs[i-1].AvailabilityZone != hub.AvailabilityZone
+		if hub.Name != self.Name && (callsAll || sameZone || isPrimary && primary) {
+			list = append(list, hub)
 		}
 	}
-	return targets
+	return list
 }
 
 func (s *Sync) shuffle(list []target) {
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -9,7 +9,9 @@
 type peerLoads struct {
 	loads []Load
 	// inGroup loads are included in this node's GroupLoads.
-	inGroup    bool
+	inGroup bool
+	// remote loads are those of nodes in other availability zones.
+	remote     bool
 	receivedAt time.Time
 }
 
@@ -39,12 +41,23 @@
 // hasFleetLoads is HasFleetLoads with the lock held.
 func (p *Placer) hasFleetLoads(now time.Time) bool { return now.Sub(p.fleetLoadsAt) <= peerLoadTTL }
 
-// SetGroupLoads records the summed loads of another group. hub is the node that aggregates them.
-func (p *Placer) SetGroupLoads(hub string, loads []Load, now time.Time) {
+// SetGroupLoads records the summed loads of another group. hub is the node that aggregates them;
+// remote means that it is in another availability zone.
+func (p *Placer) SetGroupLoads(hub string, remote bool, loads []Load, now time.Time) {
+	p.setGroup("hub/"+hub, peerLoads{loads: loads, remote: remote, receivedAt: now})
+}
+
+// SetZoneLoads records the summed loads of the nodes of another availability zone, or of all
+// other zones if the zone is empty.
+func (p *Placer) SetZoneLoads(zone string, loads []Load, now time.Time) {
+	p.setGroup("zone/"+zone, peerLoads{loads: loads, remote: true, receivedAt: now})
+}
+
+func (p *Placer) setGroup(name string, report peerLoads) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.groups[hub] = peerLoads{loads: loads, receivedAt: now}
-	dropExpired(p.groups, now)
+	p.groups[name] = report
+	dropExpired(p.groups, report.receivedAt)
 }
 
 // SetFleetLoads records the summed loads of all nodes. own is this node's part of them.
@@ -66,18 +79,33 @@
 	return sumsToList(p.sumGroupLoads(now))
 }
 
+// ZoneLoads returns the summed loads of this node's group and of the other groups in its
+// availability zone with a recent report.
+func (p *Placer) ZoneLoads(now time.Time) []Load {
+	return sumsToList(p.addGroups(p.sumGroupLoads(now), now, func(report *peerLoads) bool { return !report.remote }))
+}
+
+// RemoteLoads returns the summed loads of the nodes of other availability zones.
+func (p *Placer) RemoteLoads(now time.Time) []Load {
+	return sumsToList(p.addGroups(nil, now, func(report *peerLoads) bool { return report.remote }))
+}
+
 // FleetLoads returns the summed loads of this node's group and of the other groups with a
 // recent report.
 func (p *Placer) FleetLoads(now time.Time) []Load {
-	sums := p.sumGroupLoads(now)
+	return sumsToList(p.addGroups(p.sumGroupLoads(now), now, func(*peerLoads) bool { return true }))
+}
+
+// addGroups adds the loads of the other groups that have a recent report and are accepted.
+func (p *Placer) addGroups(sums map[string]Load, now time.Time, accept func(*peerLoads) bool) map[string]Load {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, report := range p.groups {
-		if report.recent(now) {
+		if report.recent(now) && accept(&report) {
 			sums = SumLoads(sums, report.loads)
 		}
 	}
-	return sumsToList(sums)
+	return sums
 }
 
 func (p *Placer) sumGroupLoads(now time.Time) map[string]Load {
--- a/internal/replica/delta.go
+++ b/internal/replica/delta.go
@@ -5,33 +5,27 @@
 	"slices"
 )
 
-// maxDeltas bounds the stored deltas: about three seconds at ten changes a second, in which
-// other nodes fetch the listing several times.
-const maxDeltas = 32
-
 // Delta is the difference between two listings.
 type Delta struct {
 	// From is the digest of the listing to which the delta applies.
 	From uint64
-	// Changed are the replicas that are new or whose registration changed.
+	// Changed are the replicas that are new or whose registration changed, ordered by ID.
 	Changed []Replica
 	// Removed are the IDs of replicas that are no longer listed.
 	Removed []string
 }
 
+// diffListings returns the delta between two listings that are ordered by ID.
 func diffListings(old, next Listing) Delta {
 	delta := Delta{From: old.Digest}
-	remaining := make(map[string]Replica, len(old.Replicas))
-	for _, r := range old.Replicas {
-		remaining[r.ID] = r
-	}
-	for _, r := range next.Replicas {
-		if previous, had := remaining[r.ID]; !had || previous != r {
-			delta.Changed = append(delta.Changed, r)
+	pairs(old.Replicas, next.Replicas, func(o, n *Replica) {
+		switch {
+		case n == nil:
+			delta.Removed = append(delta.Removed, o.ID)
+		case o == nil || *o != *n:
+			delta.Changed = append(delta.Changed, *n)
 		}
-		delete(remaining, r.ID)
-	}
-	delta.Removed = slices.Sorted(maps.Keys(remaining))
+	})
 	return delta
 }
 
@@ -56,47 +50,20 @@
 	return composed
 }
 
-// Apply returns a copy of list with the delta applied.
+// Apply returns a copy of the list with the delta applied, ordered by ID.
 func (d Delta) Apply(list []Replica) []Replica {
-	changed := make(map[string]bool, len(d.Changed))
-	for _, r := range d.Changed {
-		changed[r.ID] = true
-	}
-	next := slices.DeleteFunc(slices.Clone(list), func(r Replica) bool {
-		return changed[r.ID] || slices.Contains(d.Removed, r.ID)
-	})
-	return append(next, d.Changed...)
-}
-
-// rememberDelta stores the delta from the current listing to next, dropping the oldest delta
-// beyond maxDeltas. The lock is held.
-func (s *Set) rememberDelta(next Listing) {
-	s.deltas = append(s.deltas, diffListings(s.listing, next))
-	if over := len(s.deltas) - maxDeltas; over > 0 {
-		s.deltas = slices.Delete(s.deltas, 0, over)
+	removed := make(map[string]bool, len(d.Removed))
+	for _, id := range d.Removed {
+		removed[id] = true
 	}
-}
-
-// DeltaSince returns the delta from the listing with the digest to the newest one; false if it
-// is no longer stored. Zero is not a valid digest.
-func (s *Set) DeltaSince(digest uint64) (Delta, bool) {
-	if digest == 0 {
-		return Delta{}, false
-	}
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	first := -1
-	for i, delta := range s.deltas {
-		if delta.From == digest {
-			first = i
+	next := make([]Replica, 0, len(list)+len(d.Changed))
+	pairs(sortedByID(list), sortedByID(d.Changed), func(old, changed *Replica) {
+		switch {
+		case changed != nil:
+			next = append(next, *changed)
+		case !removed[old.ID]:
+			next = append(next, *old)
 		}
-	}
-	if first < 0 {
-		return Delta{}, false
-	}
-	composed := s.deltas[first]
-	for _, delta := range s.deltas[first+1:] {
-		composed = composed.compose(delta)
-	}
-	return composed, true
+	})
+	return next
 }
--- a/internal/replica/delta_test.go
+++ b/internal/replica/delta_test.go
@@ -33,7 +33,7 @@
 				if old.Digest == newest.Digest || len(old.Replicas) == 0 {
 					continue
 				}
-				delta, found := source.DeltaSince(old.Digest)
+				delta, found := source.DeltaFor("", old.Digest)
 				if !found {
 					t.Fatalf("seed %d, step %d: no delta from listing %d", seed, step, back)
 				}
@@ -49,7 +49,7 @@
 	s := NewSet()
 	s.Update(listing(1, "a"), at(0), at(0))
 	s.Update(listing(2, "a", "b"), at(100), at(100))
-	if delta, found := s.DeltaSince(12345); found {
+	if delta, found := s.DeltaFor("", 12345); found {
 		t.Errorf("got delta %+v for a digest that the set never had", delta)
 	}
 	for i := range 2 * maxDeltas {
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -6,9 +6,13 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// Listing is all registrations as of one revision of the store.
+// Listing is the registrations as of one revision of the store.
 type Listing struct {
 	Revision int64
+	// Zone is empty if the listing has all registrations. Otherwise it has the part that nodes
+	// of this availability zone keep.
+	Zone string
+	// Replicas may have any order. A Set keeps them ordered by ID.
 	Replicas []Replica
 	// Digest is equal for listings of the same replicas in any order. A Set computes it if it is
 	// zero.
@@ -18,24 +22,26 @@
 // Digest returns an order-independent hash of the replicas.
 func Digest(list []Replica) uint64 {
 	var sum uint64
-	var slots, started [8]byte
-	for _, r := range list {
-		d := xxhash.New()
-		for _, text := range []string{r.ID, r.Upstream, r.Address, r.AvailabilityZone} {
-			_, _ = d.WriteString(text)
-			_, _ = d.Write([]byte{0})
-		}
-		binary.LittleEndian.PutUint64(slots[:], uint64(r.Slots)<<2)
-		if r.Draining {
-			slots[0] |= 1
-		}
-		if r.Reclaimable {
-			slots[0] |= 2
-		}
-		_, _ = d.Write(slots[:])
-		binary.LittleEndian.PutUint64(started[:], uint64(r.StartedAt))
-		_, _ = d.Write(started[:])
-		sum += d.Sum64()
+	var encoded []byte
+	for i := range list {
+		encoded = list[i].appendTo(encoded[:0])
+		sum += xxhash.Sum64(encoded)
 	}
 	return sum
 }
+
+// appendTo appends an unambiguous encoding of the replica.
+func (r *Replica) appendTo(encoded []byte) []byte {
+	for _, text := range [...]string{r.ID, r.Upstream, r.Address, r.AvailabilityZone} {
+		encoded = append(append(encoded, text...), 0)
+	}
+	slots := uint64(r.Slots) << 2
+	if r.Draining {
+		slots |= 1
+	}
+	if r.Reclaimable {
+		slots |= 2
+	}
+	encoded = binary.LittleEndian.AppendUint64(encoded, slots)
+	return binary.LittleEndian.AppendUint64(encoded, uint64(r.StartedAt))
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -1,8 +1,6 @@
 package replica
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -20,20 +18,33 @@
 
 // Set is the set of known replicas. It is safe for concurrent use.
 type Set struct {
-	mu               sync.RWMutex
-	listing          Listing
+	// zone is the availability zone whose part of the listing this node uses; empty: it uses all
+	// replicas.
+	zone string
+
+	mu sync.RWMutex
+	history
+	parts parts
+	// divisible: nodes may keep parts of the current listing, which is whole.
+	divisible        bool
 	readAt           boottime.Instant
 	keepMissingUntil boottime.Instant
-	// deltas are the differences between successive listings up to the current one, oldest first.
-	deltas []Delta
-	// known is the replicas of the listing and those kept after an outage, by ID.
-	known      map[string]Replica
+	// known is the replicas of the listing and those kept after an outage, ordered by ID.
+	known []Replica
+	// byUpstream is the known replicas that this node uses.
 	byUpstream map[string][]Replica
 }
 
-// NewSet returns an empty set.
-func NewSet() *Set {
-	return &Set{known: make(map[string]Replica), byUpstream: make(map[string][]Replica)}
+// NewSet returns an empty set of which this node uses all replicas.
+func NewSet() *Set { return NewZoneSet("") }
+
+// NewZoneSet returns an empty set of which this node uses the part of the availability zone.
+func NewZoneSet(zone string) *Set {
+	return &Set{
+		zone:       zone,
+		byUpstream: make(map[string][]Replica),
+		parts:      parts{byZone: make(map[string]*part)},
+	}
 }
 
 // Update replaces the current listing by one whose read began at readAt, and returns the
@@ -48,79 +59,78 @@
 		s.keepMissingUntil = now.Add(outageGrace)
 	}
 	s.readAt = max(s.readAt, readAt)
+	l.Replicas = sortedByID(l.Replicas)
 	if l.Digest == 0 {
 		l.Digest = Digest(l.Replicas)
 	}
-	if l.Digest != s.listing.Digest {
-		s.rememberDelta(l)
-	} else if len(s.known) == len(l.Replicas) {
+	confirmed := l.Digest == s.listing.Digest
+	s.advance(l)
+	if confirmed && len(s.known) == len(l.Replicas) {
 		// Every exchange with another node confirms the current listing; skip the comparison of all
 		// replicas.
-		s.listing = l
 		return nil
 	}
-	s.listing = l
+	if !confirmed {
+		s.updateParts()
+	}
 	return s.setKnown(s.withMissing(now))
 }
 
 // withMissing returns the replicas of the listing and, within outageGrace, those that are
 // missing from it. The lock is held.
-func (s *Set) withMissing(now boottime.Instant) map[string]Replica {
-	next := make(map[string]Replica, len(s.listing.Replicas))
-	for _, r := range s.listing.Replicas {
-		next[r.ID] = r
-	}
+func (s *Set) withMissing(now boottime.Instant) []Replica {
 	if now.Sub(s.keepMissingUntil) >= 0 {
-		return next
+		return s.listing.Replicas
 	}
-	for id, r := range s.known {
-		if _, listed := next[id]; !listed {
-			next[id] = r
+	next := make([]Replica, 0, max(len(s.known), len(s.listing.Replicas)))
+	pairs(s.known, s.listing.Replicas, func(known, listed *Replica) {
+		if listed != nil {
+			next = append(next, *listed)
+			return
 		}
-	}
+		next = append(next, *known)
+	})
 	return next
 }
 
 // setKnown replaces the known replicas and returns the changes. The lock is held.
-func (s *Set) setKnown(next map[string]Replica) []Change {
+func (s *Set) setKnown(next []Replica) []Change {
 	var changes []Change
-	for id, r := range next {
-		old, had := s.known[id]
+	differ := false
+	pairs(s.known, next, func(old, r *Replica) {
+		differ = differ || old == nil || r == nil || *old != *r
 		switch {
-		case !had:
-			changes = append(changes, Change{Replica: r, Kind: Added})
+		case old == nil:
+			changes = append(changes, Change{Replica: *r, Kind: Added})
+		case r == nil:
+			changes = append(changes, Change{Replica: *old, Kind: Removed})
 		case r.StartedAt != old.StartedAt:
-			changes = append(changes, Change{Replica: old, Kind: Removed}, Change{Replica: r, Kind: Added})
+			changes = append(changes, Change{Replica: *old, Kind: Removed}, Change{Replica: *r, Kind: Added})
 		case r.Draining && !old.Draining:
-			changes = append(changes, Change{Replica: r, Kind: StartedDraining})
-		}
-	}
-	for id, r := range s.known {
-		if _, has := next[id]; !has {
-			changes = append(changes, Change{Replica: r, Kind: Removed})
+			changes = append(changes, Change{Replica: *r, Kind: StartedDraining})
 		}
-	}
-	if maps.Equal(s.known, next) {
-		return nil
-	}
+	})
 	s.known = next
-	s.byUpstream = groupByUpstream(next)
+	if differ {
+		s.group()
+	}
 	return changes
 }
 
-// groupByUpstream lists the replicas by upstream, sorted by ID so that all nodes have the same
-// order.
-func groupByUpstream(known map[string]Replica) map[string][]Replica {
-	grouped := make(map[string][]Replica)
-	for _, id := range slices.Sorted(maps.Keys(known)) {
-		r := known[id]
-		grouped[r.Upstream] = append(grouped[r.Upstream], r)
+// group computes byUpstream anew. The lock is held.
+func (s *Set) group() {
+	used := s.known
+	if s.divisible && s.zone != "" {
+		used = sortedByID(Listing{Replicas: s.known}.Part(s.zone, s.parts.sizes).Replicas)
+	}
+	s.byUpstream = make(map[string][]Replica)
+	for _, r := range used {
+		s.byUpstream[r.Upstream] = append(s.byUpstream[r.Upstream], r)
 	}
-	return grouped
 }
 
-// ForUpstream returns the upstream's replicas, including draining ones. Callers must not
-// modify the slice.
+// ForUpstream returns the upstream's replicas that this node uses, including draining ones.
+// Callers must not modify the slice.
 func (s *Set) ForUpstream(upstream string) []Replica {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
@@ -131,7 +141,7 @@
 func (s *Set) Usable(id string) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	r, ok := s.known[id]
+	r, ok := find(s.known, id)
 	return ok && !r.Draining
 }
 
@@ -139,10 +149,14 @@
 func (s *Set) HasProcess(id string, startedAt int64) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	r, ok := s.known[id]
+	r, ok := find(s.known, id)
 	return ok && r.StartedAt == startedAt
 }
 
+// Zone returns the availability zone whose part of the listing this node uses; empty: it uses all
+// replicas.
+func (s *Set) Zone() string { return s.zone }
+
 // Latest returns the newest listing and when its read began; zero values before the first.
 func (s *Set) Latest() (Listing, boottime.Instant) {
 	s.mu.RLock()
