Follow the changes of the registrations, and log role changes

Cause: a read of the registrations of 10,000 replicas took 50 calls, about once a second at each reader, and told little new. Change: a reader that read within the last 5 s asks for the changes since; it lists anew after a failed read, a longer pause or lost history. A member of a large fleet no longer lists the announced nodes at its start. role_changed in the log tells role, hub and what the node knows.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -57,6 +57,8 @@
 	// settledAt is the end of settlePeriod, renewAt when to renew or grant the lease, listAt
 	// when to list the announced nodes.
 	settledAt, renewAt, listAt boottime.Instant
+	// listed is set once the announced nodes were listed, or need not be.
+	listed bool
 	// outages logs store outages. A node that gets all its copies from other nodes detects
 	// one by the failed listing.
 	outages outageLogger
@@ -92,7 +94,12 @@
 			a.renewAt = now.Add(a.nextListInterval())
 		}
 	}
+	if now := a.clock(); now >= a.listAt && !a.listed && a.role() == nodesync.Member {
+		// Other nodes have already told this one of the fleet.
+		a.listed, a.listAt = true, now.Add(memberListInterval/2+time.Duration(a.rand.Int64N(int64(memberListInterval))))
+	}
 	if now := a.clock(); now >= a.listAt {
+		a.listed = true
 		err := a.list(limited)
 		a.metrics.countRead("nodes", err)
 		if ctx.Err() == nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -92,7 +92,7 @@
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
-		store: options.Store, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
+		store: options.Store, registrations: registrations{store: options.Store, clock: options.Clock}, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
 		keepsWholeListing: n.sync.KeepsWholeListing,
 		role:              n.sync.Role, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
 		firstReadAt: n.firstReadAt(isSeed, random),
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -69,6 +69,10 @@
 	return s.listing, nil
 }
 
+func (s nodeStore) ReplicaChanges(context.Context, int64) (replica.StoreChanges, error) {
+	return replica.StoreChanges{}, platform.ErrCompacted
+}
+
 func (s nodeStore) Grant(ctx context.Context, ttl time.Duration) (int64, error) {
 	if err := s.countCall(); err != nil {
 		return 0, err
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -32,8 +32,7 @@
 
 // readAgeByRole is the age of a copy at which a node reads the store itself, for changes
 // that must propagate within defaultPropagationBound. Until then it gets newer copies from
-// other nodes, so the load on the store does not grow with the fleet. A watch would not
-// help: registrations change with each heartbeat. Including jitter, the read and a round
+// other nodes, so the load on the store does not grow with the fleet. Including jitter, the read and a round
 // between nodes, each age stays within defaultPropagationBound.
 var readAgeByRole = map[nodesync.Role]time.Duration{
 	nodesync.Peer: 800 * time.Millisecond,
@@ -62,6 +61,7 @@
 // record.
 type reader struct {
 	store            Store
+	registrations    registrations
 	routes           *routesource.Current
 	replicas         *replica.Set
 	onReplicaChanges func([]replica.Change)
@@ -212,7 +212,7 @@
 // readReplicas reads the registrations. Entries that cannot be decoded are logged.
 func (r *reader) readReplicas(ctx context.Context) error {
 	began := r.clock()
-	listing, err := r.store.Replicas(ctx)
+	listing, err := r.registrations.read(ctx)
 	if err != nil && listing.Revision == 0 {
 		return err
 	}
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -16,6 +16,7 @@
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
+	"galenatrestle/internal/settings"
 )
 
 func defaultBoundFunc() time.Duration { return defaultPropagationBound }
@@ -154,3 +155,32 @@
 		}
 	})
 }
+
+// TestRestartedNodeWaitsForCopies guards against nodes that restart together and all read the
+// store, which takes dozens of calls each in a large fleet.
+func TestRestartedNodeWaitsForCopies(t *testing.T) {
+	now := boottime.Instant(time.Hour)
+	firstRead := func(change func(*settings.Settings), isSeed bool) time.Duration {
+		s := &settings.Settings{Peers: settings.Peers{Seeds: []string{"192.0.2.1:1"}}, PassThrough: &settings.PassThrough{}}
+		change(s)
+		n := &Node{options: Options{Settings: s, Clock: func() boottime.Instant { return now }}}
+		at := n.firstReadAt(isSeed, rand.New(rand.NewPCG(1, 1)))
+		if at == 0 {
+			return 0
+		}
+		return at.Sub(now)
+	}
+	restarted := func(*settings.Settings) {}
+	if wait := firstRead(restarted, false); wait < restartReadDelay || wait > restartReadDelay+restartReadJitter {
+		t.Errorf("a restarted node waits %s", wait)
+	}
+	if wait := firstRead(restarted, true); wait != 0 {
+		t.Errorf("a seed waits %s", wait)
+	}
+	if wait := firstRead(func(s *settings.Settings) { s.Peers.Seeds = nil }, false); wait != 0 {
+		t.Errorf("a node without seeds waits %s", wait)
+	}
+	if wait := firstRead(func(s *settings.Settings) { s.PassThrough.FirstStart = true }, false); wait != firstReadDelay {
+		t.Errorf("at a fleet's first start a node waits %s", wait)
+	}
+}
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -18,6 +18,9 @@
 	// Replicas reads all registrations. A listing may come with an error that lists entries
 	// which could not be decoded.
 	Replicas(ctx context.Context) (replica.Listing, error)
+	// ReplicaChanges reads the changes of the registrations after the revision. It returns
+	// platform.ErrCompacted if the store no longer has them.
+	ReplicaChanges(ctx context.Context, after int64) (replica.StoreChanges, error)
 	// Announce writes the node's entry, which expires with the lease.
 	Announce(ctx context.Context, n nodesync.Node, lease int64) error
 	// Nodes lists the announced nodes; the result may be some seconds old.
--- a/internal/nodesync/events.go
+++ b/internal/nodesync/events.go
@@ -26,3 +26,19 @@
 func (e *peerLost) Fields() eventlog.Fields {
 	return eventlog.Fields{"peer": e.target.name, "address": e.target.address, "error": e.err.Error()}
 }
+
+// roleChanged is logged when the node's role or the hub that aggregates its loads changes.
+type roleChanged struct {
+	role       Role
+	hub        Node
+	hubs       int
+	fleetNodes int
+}
+
+func (*roleChanged) Name() string { return "role_changed" }
+
+func (*roleChanged) Level() eventlog.Level { return eventlog.Notable }
+
+func (e *roleChanged) Fields() eventlog.Fields {
+	return eventlog.Fields{"role": e.role.String(), "hub": e.hub.Name, "hubs": e.hubs, "fleet_nodes": e.fleetNodes}
+}
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -115,6 +115,20 @@
 	Member
 )
 
+// String returns the role's name in logs.
+func (r Role) String() string {
+	switch r {
+	case PrimaryHub:
+		return "primary_hub"
+	case SecondaryHub:
+		return "secondary_hub"
+	case Member:
+		return "member"
+	default:
+		return "peer"
+	}
+}
+
 func (r Role) aggregates() bool { return r == PrimaryHub || r == SecondaryHub }
 
 func (s *Sync) isHub(name string) bool {
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -41,7 +41,7 @@
 type Sync struct {
 	options Options
 
-	// mu guards options.Rand, scope and inFlight, the peer addresses with a call in flight.
+	// mu guards options.Rand, scope, the logged role, the partners and inFlight, the peer addresses with a call in flight.
 	mu       sync.Mutex
 	inFlight map[string]bool
 	// fullListingNeeded makes the next request ask for the full listing.
@@ -51,6 +51,9 @@
 	hubCache          hubCache
 	cursors           placementCursors
 	scope             listingScope
+	// loggedRole and loggedHub are the role and hub that were logged last.
+	loggedRole Role
+	loggedHub  string
 	// zonePartner and remotePartner are the nodes of this and of other availability zones that
 	// this node calls in addition to the hubs.
 	zonePartner, remotePartner partner
@@ -98,11 +101,27 @@
 
 // Round starts calls to a few nodes without waiting for their responses.
 func (s *Sync) Round(ctx context.Context) {
+	s.logRole()
 	for _, t := range s.targets() {
 		go s.call(ctx, t)
 	}
 }
 
+// logRole logs the role if it or the hub has changed since the last round.
+func (s *Sync) logRole() {
+	hubs := s.hubs(s.options.Clock())
+	self := s.options.Self()
+	hub := hubFor(self, hubs)
+	role := roleOf(self, hubs)
+	s.mu.Lock()
+	changed := role != s.loggedRole || hub.Name != s.loggedHub
+	s.loggedRole, s.loggedHub = role, hub.Name
+	s.mu.Unlock()
+	if changed {
+		s.options.Log.Write(&roleChanged{role: role, hub: hub, hubs: len(hubs), fleetNodes: s.FleetSize()})
+	}
+}
+
 // call makes one call, unless a call to the same address is in flight.
 func (s *Sync) call(ctx context.Context, t target) {
 	if !s.beginCall(t.address) {
--- a/internal/platform/errors.go
+++ b/internal/platform/errors.go
@@ -16,6 +16,8 @@
 	// ErrConflict says that a condition of a transaction did not hold: it certainly did
 	// nothing.
 	ErrConflict = errors.New("platform: a condition does not hold")
+	// ErrCompacted says that the store no longer has the changes after the revision.
+	ErrCompacted = errors.New("platform: history is no longer available")
 	// ErrTooLarge says that a value is over MaxValueBytes.
 	ErrTooLarge = errors.New("platform: value too large")
 )
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -19,6 +19,15 @@
 	Digest uint64
 }
 
+// Ordered returns the listing with its replicas ordered by ID and its digest.
+func (l Listing) Ordered() Listing {
+	l.Replicas = sortedByID(l.Replicas)
+	if l.Digest == 0 {
+		l.Digest = Digest(l.Replicas)
+	}
+	return l
+}
+
 // Digest returns an order-independent hash of the replicas.
 func Digest(list []Replica) uint64 {
 	var sum uint64
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -59,10 +59,7 @@
 		s.keepMissingUntil = now.Add(outageGrace)
 	}
 	s.readAt = max(s.readAt, readAt)
-	l.Replicas = sortedByID(l.Replicas)
-	if l.Digest == 0 {
-		l.Digest = Digest(l.Replicas)
-	}
+	l = l.Ordered()
 	confirmed := l.Digest == s.listing.Digest
 	s.advance(l)
 	if confirmed && len(s.known) == len(l.Replicas) {
