Fetch long listings in pages, and spread the first reads of members

The hubs there ask the hubs that have it for all 10,000 registrations, 673 kB in one response, ten at once: none arrives within the 0.4 s of a call, the call is repeated and the hub counts as failed. The members then all read the store by themselves, 50 calls each, and none of the reads ended. Change: responses carry up to 1,024 replicas; a longer listing is fetched by a call of its own, one at a time, in pages, within 5 s. A node without any listing asks for its part first. Members of a fleet of more than 100 nodes spread their first reads, 10 ms a node. peer_found is logged after the silence that is usual at the fleet's size (111,744 lines of 113,000 before).

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -94,7 +94,7 @@
 	n.reader = &reader{
 		store: options.Store, registrations: registrations{store: options.Store, clock: options.Clock}, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
 		keepsWholeListing: n.sync.KeepsWholeListing,
-		role:              n.sync.Role, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
+		role:              n.sync.Role, fleetSize: n.sync.FleetSize, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
 		firstReadAt: n.firstReadAt(isSeed, random),
 		applyWithin: func() time.Duration { return n.settings.Load().PassThrough.ApplyWithin.Std() },
 		leaveWithin: func() time.Duration { return n.settings.Load().PassThrough.LeaveWithin.Std() },
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -70,6 +70,8 @@
 	keepsWholeListing func() bool
 	// role is the node's role in the exchange between nodes.
 	role func() nodesync.Role
+	// fleetSize returns the number of nodes.
+	fleetSize func() int
 	// readerIndex is the node's position among the nodes that read for others.
 	readerIndex func() int
 	// firstReadAt is when the node may read records that it has no copy of; zero means at
@@ -102,6 +104,14 @@
 		if !r.waitUntilDue(ctx, random, rec) {
 			return
 		}
+		if spread := r.firstReadSpread(rec); spread > 0 {
+			if ctxtime.Sleep(ctx, time.Duration(random.Int64N(int64(spread)))) != nil {
+				return
+			}
+			if rec.hasCopy() {
+				continue
+			}
+		}
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		err := rec.read(limited)
 		cancel()
@@ -121,6 +131,23 @@
 	}
 }
 
+const (
+	// unspreadNodes is the fleet size up to which members without a copy read the store at once.
+	unspreadNodes = 100
+	// spreadPerNode limits the members of a larger fleet that start to read the store to a hundred a
+	// second, since a read of the registrations takes dozens of calls there.
+	spreadPerNode = 10 * time.Millisecond
+)
+
+// firstReadSpread returns the time over which the members of a large fleet spread their reads while
+// they have no copy. Most of them get one from their hub in the meantime.
+func (r *reader) firstReadSpread(rec record) time.Duration {
+	if rec.hasCopy() || r.role() != nodesync.Member {
+		return 0
+	}
+	return max(time.Duration(r.fleetSize()-unspreadNodes), 0) * spreadPerNode
+}
+
 // backoffFor returns the pauses between failed reads of the record.
 func (r *reader) backoffFor(rec record) backoff {
 	if !rec.hasCopy() {
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -95,6 +95,7 @@
 				r := &reader{
 					role:        func() nodesync.Role { return test.role },
 					readerIndex: func() int { return 0 },
+					fleetSize:   func() int { return 12 },
 					log:         eventlog.New(io.Discard, "vm-0"),
 				}
 				r.metrics = newMetrics(prometheus.NewRegistry(), routesource.New(nil), replica.NewSet(), boottime.Now, r.log)
@@ -184,3 +185,24 @@
 		t.Errorf("at a fleet's first start a node waits %s", wait)
 	}
 }
+
+// TestMembersWithoutCopySpreadTheirReads guards against all members of a large fleet reading the store
+// at once, so that no read succeeds.
+func TestMembersWithoutCopySpreadTheirReads(t *testing.T) {
+	spreadOf := func(role nodesync.Role, nodes int, hasCopy bool) time.Duration {
+		r := &reader{role: func() nodesync.Role { return role }, fleetSize: func() int { return nodes }}
+		return r.firstReadSpread(record{hasCopy: func() bool { return hasCopy }})
+	}
+	if got := spreadOf(nodesync.Member, 1100, false); got != 10*time.Second {
+		t.Errorf("a thousand members spread their reads over %s, want 10s", got)
+	}
+	for name, got := range map[string]time.Duration{
+		"a member of a small fleet": spreadOf(nodesync.Member, 82, false),
+		"a hub":                     spreadOf(nodesync.PrimaryHub, 1100, false),
+		"a member with a copy":      spreadOf(nodesync.Member, 1100, true),
+	} {
+		if got != 0 {
+			t.Errorf("%s waits for up to %s", name, got)
+		}
+	}
+}
--- a/internal/gen/trestle/nodesync/v1/nodesyncv1connect/nodesync.connect.go
+++ b/internal/gen/trestle/nodesync/v1/nodesyncv1connect/nodesync.connect.go
@@ -36,12 +36,16 @@
 	// NodeSyncServiceExchangeProcedure is the fully-qualified name of the NodeSyncService's Exchange
 	// RPC.
 	NodeSyncServiceExchangeProcedure = "/trestle.nodesync.v1.NodeSyncService/Exchange"
+	// NodeSyncServiceListingProcedure is the fully-qualified name of the NodeSyncService's Listing RPC.
+	NodeSyncServiceListingProcedure = "/trestle.nodesync.v1.NodeSyncService/Listing"
 )
 
 // NodeSyncServiceClient is a client for the trestle.nodesync.v1.NodeSyncService service.
 type NodeSyncServiceClient interface {
 	// Exchange tells the caller's state and asks for the other node's.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Listing returns a replica listing in pages; none if the answering node does not have it.
+	Listing(context.Context, *connect.Request[v1.ListingRequest]) (*connect.ServerStreamForClient[v1.ListingPage], error)
 }
 
 // NewNodeSyncServiceClient constructs a client for the trestle.nodesync.v1.NodeSyncService service.
@@ -61,12 +65,19 @@
 			connect.WithSchema(nodeSyncServiceMethods.ByName("Exchange")),
 			connect.WithClientOptions(opts...),
 		),
+		listing: connect.NewClient[v1.ListingRequest, v1.ListingPage](
+			httpClient,
+			baseURL+NodeSyncServiceListingProcedure,
+			connect.WithSchema(nodeSyncServiceMethods.ByName("Listing")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // nodeSyncServiceClient implements NodeSyncServiceClient.
 type nodeSyncServiceClient struct {
 	exchange *connect.Client[v1.ExchangeRequest, v1.ExchangeResponse]
+	listing  *connect.Client[v1.ListingRequest, v1.ListingPage]
 }
 
 // Exchange calls trestle.nodesync.v1.NodeSyncService.Exchange.
@@ -74,10 +85,17 @@
 	return c.exchange.CallUnary(ctx, req)
 }
 
+// Listing calls trestle.nodesync.v1.NodeSyncService.Listing.
+func (c *nodeSyncServiceClient) Listing(ctx context.Context, req *connect.Request[v1.ListingRequest]) (*connect.ServerStreamForClient[v1.ListingPage], error) {
+	return c.listing.CallServerStream(ctx, req)
+}
+
 // NodeSyncServiceHandler is an implementation of the trestle.nodesync.v1.NodeSyncService service.
 type NodeSyncServiceHandler interface {
 	// Exchange tells the caller's state and asks for the other node's.
 	Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error)
+	// Listing returns a replica listing in pages; none if the answering node does not have it.
+	Listing(context.Context, *connect.Request[v1.ListingRequest], *connect.ServerStream[v1.ListingPage]) error
 }
 
 // NewNodeSyncServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -93,10 +111,18 @@
 		connect.WithSchema(nodeSyncServiceMethods.ByName("Exchange")),
 		connect.WithHandlerOptions(opts...),
 	)
+	nodeSyncServiceListingHandler := connect.NewServerStreamHandler(
+		NodeSyncServiceListingProcedure,
+		svc.Listing,
+		connect.WithSchema(nodeSyncServiceMethods.ByName("Listing")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trestle.nodesync.v1.NodeSyncService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case NodeSyncServiceExchangeProcedure:
 			nodeSyncServiceExchangeHandler.ServeHTTP(w, r)
+		case NodeSyncServiceListingProcedure:
+			nodeSyncServiceListingHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -109,3 +135,7 @@
 func (UnimplementedNodeSyncServiceHandler) Exchange(context.Context, *connect.Request[v1.ExchangeRequest]) (*connect.Response[v1.ExchangeResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.nodesync.v1.NodeSyncService.Exchange is not implemented"))
 }
+
+func (UnimplementedNodeSyncServiceHandler) Listing(context.Context, *connect.Request[v1.ListingRequest], *connect.ServerStream[v1.ListingPage]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("trestle.nodesync.v1.NodeSyncService.Listing is not implemented"))
+}
--- a/internal/nodesync/fleet_bench_test.go
+++ b/internal/nodesync/fleet_bench_test.go
@@ -132,6 +132,9 @@
 		panic(err)
 	}
 	n.handleResponse(response.Msg, request, n.now)
+	if response.Msg.GetReplicasOmitted() {
+		n.fetchFrom(to)
+	}
 	size := proto.Size(request) + proto.Size(response.Msg)
 	from, callee := n.options.Self(), to.options.Self()
 	for _, name := range []string{from.Name, callee.Name} {
--- a/internal/nodesync/listing.go
+++ b/internal/nodesync/listing.go
@@ -8,6 +8,10 @@
 	"galenatrestle/internal/replica"
 )
 
+// maxReplicasInResponse is the number of replicas up to which a whole listing is part of a response.
+// A longer one would not arrive within callTimeout while several nodes ask for it.
+const maxReplicasInResponse = 1024
+
 // addListing adds the replica listing that the caller keeps to a response: only the changes
 // since the caller's listing if possible, because the full listing of a large fleet takes a
 // quarter of a megabyte. It adds nothing if this node does not have that listing.
@@ -25,7 +29,11 @@
 		return
 	}
 	delta, known := s.options.Replicas.DeltaFor(zone, request.GetReplicasDigest())
-	if !known || !request.GetTakesChanges() {
+	switch {
+	case request.GetTakesChanges() && !known && len(listing.Replicas) > maxReplicasInResponse:
+		reply.ReplicasOmitted = true
+		return
+	case !known || !request.GetTakesChanges():
 		reply.Replicas = replicasToProto(listing.Replicas)
 		return
 	}
@@ -51,8 +59,7 @@
 	if listing.Revision == 0 {
 		return
 	}
-	readAt := callStart.Add(-microseconds(m.GetReplicasReadAge()))
-	s.options.OnReplicaChanges(s.options.Replicas.Update(listing, readAt, s.options.Clock()))
+	s.applyListing(listing, callStart.Add(-microseconds(m.GetReplicasReadAge())))
 }
 
 // decodeListing returns the listing of a response. It is zero if it cannot be built from
@@ -72,7 +79,7 @@
 		if replica.Digest(listing.Replicas) != listing.Digest {
 			return replica.Listing{}, errDeltaMismatch
 		}
-	case len(m.GetReplicas()) == 0:
+	case len(m.GetReplicas()) == 0 || m.GetReplicasOmitted():
 		return replica.Listing{}, nil
 	default:
 		listing.Replicas, listing.Digest = replicasFromProto(m.GetReplicas()), 0
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -94,7 +94,7 @@
 	if !old.alive(node.LastSeen) || !old.sameState(node) {
 		n.changes++
 	}
-	wasSilent := node.LastSeen.Sub(old.LastSeen) > aliveTimeout
+	wasSilent := node.LastSeen.Sub(old.LastSeen) > silenceThreshold(len(n.byName))
 	node.rank = old.rank
 	*old = record{Node: node}
 	return wasSilent
--- a/internal/nodesync/scale_test.go
+++ b/internal/nodesync/scale_test.go
@@ -68,6 +68,9 @@
 				}
 				bytes += proto.Size(request) + proto.Size(response.Msg)
 				n.handleResponse(response.Msg, request, n.now)
+				if response.Msg.GetReplicasOmitted() {
+					n.fetchFrom(to)
+				}
 			}
 		}
 		for _, n := range nodes {
@@ -77,6 +80,13 @@
 	return bytes
 }
 
+// fetchFrom does what fetchListing does, without a connection.
+func (n *testNode) fetchFrom(to *testNode) {
+	if listing, ok := to.options.Replicas.ListingFor(n.zoneToRequest(n.now)); ok {
+		n.applyListing(listing, n.now)
+	}
+}
+
 // TestStartingFleetAgreesOnHubs guards against nodes of a large fleet that know only a part of
 // it and therefore compute different numbers of hubs.
 func TestStartingFleetAgreesOnHubs(t *testing.T) {
--- a/internal/nodesync/scope.go
+++ b/internal/nodesync/scope.go
@@ -53,5 +53,15 @@
 	return zone
 }
 
+// zoneToRequest returns the availability zone whose part of the listing to ask other nodes for; empty:
+// the whole listing. A node that has none asks for its part first, which arrives sooner.
+func (s *Sync) zoneToRequest(now boottime.Instant) string {
+	zone := s.listingZone(now)
+	if !s.options.Replicas.HasListing() {
+		return s.options.Replicas.Zone()
+	}
+	return zone
+}
+
 // KeepsWholeListing reports whether this node keeps the whole replica listing.
 func (s *Sync) KeepsWholeListing() bool { return s.listingZone(s.options.Clock()) == "" }
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -46,11 +46,13 @@
 	inFlight map[string]bool
 	// fullListingNeeded makes the next request ask for the full listing.
 	fullListingNeeded atomic.Bool
-	rounds            atomic.Uint64
-	sums              hubSums
-	hubCache          hubCache
-	cursors           placementCursors
-	scope             listingScope
+	// fetching is set while a listing is fetched from another node.
+	fetching atomic.Bool
+	rounds   atomic.Uint64
+	sums     hubSums
+	hubCache hubCache
+	cursors  placementCursors
+	scope    listingScope
 	// loggedRole and loggedHub are the role and hub that were logged last.
 	loggedRole Role
 	loggedHub  string
@@ -128,6 +130,7 @@
 		return
 	}
 	defer s.endCall(t.address)
+	callerContext := ctx
 	ctx, cancel := context.WithTimeout(ctx, t.timeout())
 	defer cancel()
 	callStart := s.options.Clock()
@@ -148,6 +151,9 @@
 		s.cursors.set(t.name, sentAt)
 	}
 	s.handleResponse(response.Msg, request, callStart)
+	if response.Msg.GetReplicasOmitted() {
+		go s.fetchListing(callerContext, t)
+	}
 }
 
 func (s *Sync) beginCall(address string) bool {
@@ -176,7 +182,7 @@
 		ConfigVersion:    s.options.Routes.Get().Version(),
 		ReplicasRevision: listing.Revision,
 		ReplicasDigest:   listing.Digest,
-		ReplicasZone:     s.listingZone(now),
+		ReplicasZone:     s.zoneToRequest(now),
 		TakesChanges:     true,
 		ZoneSizes:        s.zoneSizes.toProto(now),
 		WithoutLoads:     loads.omit,
