Members of a large fleet leave the first reads to the hubs

No read ended, those of the hubs neither, so that no node had a listing. Change: primary hubs read first; the other nodes of a fleet of more than 100 wait 3 s more, members spread over 0.1 s a node, and look for their hub's copy meanwhile.

--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -104,8 +104,8 @@
 		if !r.waitUntilDue(ctx, random, rec) {
 			return
 		}
-		if spread := r.firstReadSpread(rec); spread > 0 {
-			if ctxtime.Sleep(ctx, time.Duration(random.Int64N(int64(spread)))) != nil {
+		if !rec.hasCopy() {
+			if !r.waitForCopy(ctx, random, rec) {
 				return
 			}
 			if rec.hasCopy() {
@@ -132,22 +132,56 @@
 }
 
 const (
-	// unspreadNodes is the fleet size up to which members without a copy read the store at once.
+	// unspreadNodes is the fleet size up to which nodes without a copy read the store at once.
 	unspreadNodes = 100
-	// spreadPerNode limits the members of a larger fleet that start to read the store to a hundred a
-	// second, since a read of the registrations takes dozens of calls there.
-	spreadPerNode = 10 * time.Millisecond
+	// hubReadTime is how long the other nodes of a larger fleet leave the first reads to the primary
+	// hubs.
+	hubReadTime = 3 * time.Second
+	// spreadPerNode limits the members of a larger fleet that read the store by themselves to ten a
+	// second: a listing of ten replicas a node takes megabytes of the store's link.
+	spreadPerNode = 100 * time.Millisecond
 )
 
-// firstReadSpread returns the time over which the members of a large fleet spread their reads while
-// they have no copy. Most of them get one from their hub in the meantime.
-func (r *reader) firstReadSpread(rec record) time.Duration {
-	if rec.hasCopy() || r.role() != nodesync.Member {
-		return 0
+// firstReadDelayRange returns the time before which a node of a large fleet that has no copy does not
+// read the store, and the time after it over which the nodes spread their reads. Most of them get a
+// copy from their hub in the meantime.
+func (r *reader) firstReadDelayRange(rec record) (delay, spread time.Duration) {
+	others := r.fleetSize() - unspreadNodes
+	if rec.hasCopy() || others <= 0 {
+		return 0, 0
+	}
+	switch r.role() {
+	case nodesync.SecondaryHub:
+		return hubReadTime, hubReadTime
+	case nodesync.Member:
+		return hubReadTime, time.Duration(others) * spreadPerNode
+	default:
+		return 0, 0
 	}
-	return max(time.Duration(r.fleetSize()-unspreadNodes), 0) * spreadPerNode
 }
 
+// waitForCopy waits, in a large fleet, for other nodes' copies of a record that this node has none of.
+// It returns false if ctx ended.
+func (r *reader) waitForCopy(ctx context.Context, random *rand.Rand, rec record) bool {
+	delay, spread := r.firstReadDelayRange(rec)
+	if spread > 0 {
+		delay += time.Duration(random.Int64N(int64(spread)))
+	}
+	for began := time.Now(); !rec.hasCopy() && time.Since(began) < delay; {
+		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
+			return false
+		}
+		if now, _ := r.firstReadDelayRange(rec); now == 0 {
+			// The node has become one of those that read first.
+			return true
+		}
+	}
+	return ctx.Err() == nil
+}
+
+// copyPollInterval is how often waitForCopy looks for a copy.
+const copyPollInterval = 200 * time.Millisecond
+
 // backoffFor returns the pauses between failed reads of the record.
 func (r *reader) backoffFor(rec record) backoff {
 	if !rec.hasCopy() {
