Order what the store tells by era and revision

A listing with a lower revision was dropped for as long as it took revisions to catch up, a fencing token could be given twice or be lower, a lease's number could belong to another holder. For 2 s after one, replicas that the older copy lacks are kept, and a draining process goes on to drain. store_restored in the log, trestle_store_era.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -52,8 +52,9 @@
 	log     *eventlog.Log
 	metrics *metrics
 	rand    *rand.Rand
-	// lease is zero if the node has none.
-	lease int64
+	// lease is zero if the node has none. announcedEra is the store's era at the last tick.
+	lease        int64
+	announcedEra int64
 	// settledAt is the end of settlePeriod, renewAt when to renew or grant the lease, listAt
 	// when to list the announced nodes.
 	settledAt, renewAt, listAt boottime.Instant
@@ -85,6 +86,10 @@
 func (a *announcer) tick(ctx context.Context) {
 	limited, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	if era := a.store.Era(); era != a.announcedEra {
+		// The store may have lost the entry and its lease.
+		a.announcedEra, a.renewAt = era, 0
+	}
 	if now := a.clock(); now >= a.renewAt && a.shouldAnnounce(now) {
 		a.renewAt = now.Add(renewInterval)
 		err := a.announce(limited)
--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -49,6 +49,21 @@
 	}
 }
 
+// storeRestored reports that the store was restored from an older copy, which loses what was written
+// since: leases, announcements and registrations.
+type storeRestored struct{ era, previous int64 }
+
+// Name implements eventlog.Event.
+func (*storeRestored) Name() string { return "store_restored" }
+
+// Level implements eventlog.Event.
+func (*storeRestored) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (e *storeRestored) Fields() eventlog.Fields {
+	return eventlog.Fields{"era": e.era, "previous_era": e.previous}
+}
+
 // replicaChanged reports a change in the known state of a replica.
 type replicaChanged struct {
 	change   replica.Change
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -92,7 +92,7 @@
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
-		store: options.Store, registrations: registrations{store: options.Store, clock: options.Clock}, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
+		store: options.Store, registrations: registrations{store: options.Store, clock: options.Clock}, eras: &eraWatcher{store: options.Store, log: n.log}, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
 		keepsWholeListing: n.sync.KeepsWholeListing,
 		role:              n.sync.Role, fleetSize: n.sync.FleetSize, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
 		firstReadAt: n.firstReadAt(isSeed, random),
@@ -105,6 +105,9 @@
 		nodes: n.nodes, clock: options.Clock, log: n.log, metrics: n.reader.metrics,
 		rand: rand.New(rand.NewPCG(options.Seed, 2)),
 	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "trestle_store_era", Help: "How often the store was restored from an older copy, as it tells.",
+	}, func() float64 { return float64(options.Store.Era()) }))
 	if err := n.setUpPeers(); err != nil {
 		return nil, err
 	}
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -34,6 +34,7 @@
 	kv    *dutytest.Store
 	down  map[string]bool
 	calls int
+	era   int64
 }
 
 // nodeStore is the store as seen by one node.
@@ -69,6 +70,12 @@
 	return s.listing, nil
 }
 
+func (s nodeStore) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func (s nodeStore) ReplicaChanges(context.Context, int64) (replica.StoreChanges, error) {
 	return replica.StoreChanges{}, platform.ErrCompacted
 }
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -62,6 +62,7 @@
 type reader struct {
 	store            Store
 	registrations    registrations
+	eras             *eraWatcher
 	routes           *routesource.Current
 	replicas         *replica.Set
 	onReplicaChanges func([]replica.Change)
@@ -116,6 +117,9 @@
 		err := rec.read(limited)
 		cancel()
 		r.metrics.countRead(rec.name, err)
+		if err == nil && r.eras != nil {
+			r.eras.observe()
+		}
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -21,6 +21,9 @@
 	// ReplicaChanges reads the changes of the registrations after the revision. It returns
 	// platform.ErrCompacted if the store no longer has them.
 	ReplicaChanges(ctx context.Context, after int64) (replica.StoreChanges, error)
+	// Era is the newest era of the store that an answer has told; it rises when the store is
+	// restored from an older copy.
+	Era() int64
 	// Announce writes the node's entry, which expires with the lease.
 	Announce(ctx context.Context, n nodesync.Node, lease int64) error
 	// Nodes lists the announced nodes; the result may be some seconds old.
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/platform"
 )
 
 const (
@@ -13,6 +14,7 @@
 	outageGap = 2 * time.Second
 	// outageGrace is how long a replica that is missing after an outage is kept. The platform
 	// states that registrations that expired in an outage return about two seconds after it.
+	// It also applies after the store was restored from an older copy.
 	outageGrace = 2 * time.Second
 )
 
@@ -29,8 +31,10 @@
 	divisible        bool
 	readAt           boottime.Instant
 	keepMissingUntil boottime.Instant
-	// known is the replicas of the listing and those kept after an outage, ordered by ID.
-	known []Replica
+	// known is the replicas of the listing and those kept after an outage, ordered by ID. adjusted is
+	// set if it differs from the listing.
+	known    []Replica
+	adjusted bool
 	// byUpstream is the known replicas that this node uses.
 	byUpstream map[string][]Replica
 }
@@ -55,14 +59,14 @@
 	if l.Revision < s.listing.Revision {
 		return nil
 	}
-	if s.readAt != 0 && readAt.Sub(s.readAt) > outageGap {
+	if s.readAt != 0 && (readAt.Sub(s.readAt) > outageGap || s.wasRestored(l)) {
 		s.keepMissingUntil = now.Add(outageGrace)
 	}
 	s.readAt = max(s.readAt, readAt)
 	l = l.Ordered()
 	confirmed := l.Digest == s.listing.Digest
 	s.advance(l)
-	if confirmed && len(s.known) == len(l.Replicas) {
+	if confirmed && !s.adjusted {
 		// Every exchange with another node confirms the current listing; skip the comparison of all
 		// replicas.
 		return nil
@@ -73,19 +77,32 @@
 	return s.setKnown(s.withMissing(now))
 }
 
-// withMissing returns the replicas of the listing and, within outageGrace, those that are
-// missing from it. The lock is held.
+// wasRestored reports whether the store was restored from an older copy between the current listing
+// and the next one. The lock is held.
+func (s *Set) wasRestored(next Listing) bool {
+	return platform.Position(next.Revision).Era() > platform.Position(s.listing.Revision).Era()
+}
+
+// withMissing returns the replicas of the listing and, within outageGrace, those that are missing
+// from it. A process that was seen draining goes on to drain, also if an older copy of the store
+// tells otherwise. The lock is held.
 func (s *Set) withMissing(now boottime.Instant) []Replica {
+	s.adjusted = false
 	if now.Sub(s.keepMissingUntil) >= 0 {
 		return s.listing.Replicas
 	}
 	next := make([]Replica, 0, max(len(s.known), len(s.listing.Replicas)))
 	pairs(s.known, s.listing.Replicas, func(known, listed *Replica) {
-		if listed != nil {
-			next = append(next, *listed)
+		if listed == nil {
+			s.adjusted = true
+			next = append(next, *known)
 			return
 		}
-		next = append(next, *known)
+		r := *listed
+		if !r.Draining && known != nil && known.Draining && known.StartedAt == r.StartedAt {
+			s.adjusted, r.Draining = true, true
+		}
+		next = append(next, r)
 	})
 	return next
 }
--- a/internal/replica/set_test.go
+++ b/internal/replica/set_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/platform"
 )
 
 func at(ms int) boottime.Instant { return boottime.Instant(time.Duration(ms) * time.Millisecond) }
@@ -60,6 +61,24 @@
 	}
 }
 
+// TestRestoredStoreDoesNotUndoDraining guards against new requests to a process that is leaving, and
+// against dropping one that has registered since, after the store came back from an older copy.
+func TestRestoredStoreDoesNotUndoDraining(t *testing.T) {
+	s := NewSet()
+	before := listing(int64(platform.NewPosition(1, 90)), "a", "b")
+	before.Replicas[0].Draining = true
+	s.Update(before, at(1000), at(1010))
+	s.Update(listing(int64(platform.NewPosition(2, 80)), "a"), at(1500), at(1510))
+	if s.Usable("a") || !s.Usable("b") {
+		t.Errorf("usable after the restore: a %v, b %v; want b only", s.Usable("a"), s.Usable("b"))
+	}
+	s.Update(listing(int64(platform.NewPosition(2, 90)), "a"), at(2500), at(2510))
+	s.Update(listing(int64(platform.NewPosition(2, 95)), "a"), at(3600), at(3610))
+	if s.Usable("b") {
+		t.Error("b is usable although it did not register again")
+	}
+}
+
 func TestDrainingReplicaIsNotUsable(t *testing.T) {
 	s := NewSet()
 	s.Update(listing(1, "a"), at(1000), at(1010))
