Spread the reads of registrations by members of a large fleet, also with an old copy

No read ended, those of the hubs neither, and all members tried again. Change: the age at which a member or a secondary hub reads a large record has a jitter that follows the fleet's size, 0.1 s a node beyond 100. Fleets of up to 100 nodes are unchanged. Test: TestMembersWithoutCopySpreadTheirReads, on the age itself.

--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -95,6 +95,8 @@
 	read    func(context.Context) error
 	// bound returns the time within which a change must reach all nodes.
 	bound func() time.Duration
+	// large records take so much of the store's link that only few nodes can read them at a time.
+	large bool
 }
 
 // poll reads the record whenever its copy is due, until ctx ends.
@@ -146,15 +148,15 @@
 	spreadPerNode = 100 * time.Millisecond
 )
 
-// firstReadDelayRange returns the time before which a node of a large fleet that has no copy does not
-// read the store, and the time after it over which the nodes spread their reads. Most of them get a
-// copy from their hub in the meantime.
-func (r *reader) firstReadDelayRange(rec record) (delay, spread time.Duration) {
+// spreadOfRole returns how long the nodes of a role in a large fleet leave the reads of a large record
+// to the primary hubs, and the time after it over which they spread their own reads. Most of them get
+// a copy from their hub in the meantime. If all read at once, no read would end, not even the hubs'.
+func (r *reader) spreadOfRole(role nodesync.Role) (delay, spread time.Duration) {
 	others := r.fleetSize() - unspreadNodes
-	if rec.hasCopy() || others <= 0 {
+	if others <= 0 {
 		return 0, 0
 	}
-	switch r.role() {
+	switch role {
 	case nodesync.SecondaryHub:
 		return hubReadTime, hubReadTime
 	case nodesync.Member:
@@ -167,7 +169,7 @@
 // waitForCopy waits, in a large fleet, for other nodes' copies of a record that this node has none of.
 // It returns false if ctx ended.
 func (r *reader) waitForCopy(ctx context.Context, random *rand.Rand, rec record) bool {
-	delay, spread := r.firstReadDelayRange(rec)
+	delay, spread := r.spreadOfRole(r.role())
 	if spread > 0 {
 		delay += time.Duration(random.Int64N(int64(spread)))
 	}
@@ -175,7 +177,7 @@
 		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
 			return false
 		}
-		if now, _ := r.firstReadDelayRange(rec); now == 0 {
+		if now, _ := r.spreadOfRole(r.role()); now == 0 {
 			// The node has become one of those that read first.
 			return true
 		}
@@ -198,15 +200,20 @@
 // others are staggered in the read order and the rest by jitter, so that the copy from one
 // read can reach the others before theirs is due. spread is a random number in [0, 1),
 // drawn once per wait.
-func (r *reader) dueAge(spread float64, bound time.Duration) time.Duration {
+func (r *reader) dueAge(spread float64, rec record) time.Duration {
 	role := r.role()
-	due := time.Duration(float64(readAgeByRole[role]) * slackFactor(bound))
+	due := time.Duration(float64(readAgeByRole[role]) * slackFactor(rec.bound()))
+	jitter := readJitter
+	if rec.large {
+		_, spreadTime := r.spreadOfRole(role)
+		jitter = max(jitter, spreadTime)
+	}
 	switch role {
 	case nodesync.Peer, nodesync.PrimaryHub:
 		step := staggerStep * time.Duration(min(r.readerIndex(), maxStaggerSteps))
 		return due + step + time.Duration(spread*float64(staggerJitter))
 	default:
-		return due + time.Duration(spread*float64(readJitter))
+		return due + time.Duration(spread*float64(jitter))
 	}
 }
 
@@ -214,7 +221,7 @@
 func (r *reader) waitUntilDue(ctx context.Context, random *rand.Rand, rec record) bool {
 	spread := random.Float64()
 	for {
-		left := max(r.dueAge(spread, rec.bound())-rec.age(), r.untilFirstRead())
+		left := max(r.dueAge(spread, rec)-rec.age(), r.untilFirstRead())
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
@@ -239,7 +246,7 @@
 }
 
 func (r *reader) registrationsRecord() record {
-	return record{name: "replicas", age: r.replicasAge, hasCopy: r.replicas.HasListing, read: r.readReplicas, bound: r.leaveWithin}
+	return record{name: "replicas", age: r.replicasAge, hasCopy: r.replicas.HasListing, read: r.readReplicas, bound: r.leaveWithin, large: true}
 }
 
 // routesAge returns the time since the routing table was last proven to be the newest.
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -28,7 +28,9 @@
 func TestReadAgeFollowsBound(t *testing.T) {
 	for role := range readAgeByRole {
 		r := &reader{role: func() nodesync.Role { return role }, readerIndex: func() int { return 0 }}
-		due := func(bound time.Duration) time.Duration { return r.dueAge(0, bound) }
+		due := func(bound time.Duration) time.Duration {
+			return r.dueAge(0, record{bound: func() time.Duration { return bound }})
+		}
 		if due(0) != due(defaultPropagationBound) || due(time.Second) != due(defaultPropagationBound) {
 			t.Errorf("role %d: due at %s without a bound, %s with a short one", role, due(0), due(time.Second))
 		}
@@ -189,26 +191,24 @@
 // TestMembersWithoutCopySpreadTheirReads guards against all members of a large fleet reading the store
 // at once, so that no read succeeds.
 func TestMembersWithoutCopySpreadTheirReads(t *testing.T) {
-	latestRead := func(role nodesync.Role, nodes int, hasCopy bool) time.Duration {
-		r := &reader{role: func() nodesync.Role { return role }, fleetSize: func() int { return nodes }}
-		delay, spread := r.firstReadDelayRange(record{hasCopy: func() bool { return hasCopy }})
-		return delay + spread
+	latestRead := func(role nodesync.Role, nodes int) time.Duration {
+		r := &reader{role: func() nodesync.Role { return role }, fleetSize: func() int { return nodes }, readerIndex: func() int { return 0 }}
+		return r.dueAge(1, record{bound: defaultBoundFunc, large: true})
 	}
-	if got := latestRead(nodesync.Member, 1100, false); got < 100*time.Second {
+	if got := latestRead(nodesync.Member, 1100); got < 100*time.Second {
 		t.Errorf("a thousand members read within %s", got)
 	}
-	if got := latestRead(nodesync.SecondaryHub, 1100, false); got != 2*hubReadTime {
+	if got := latestRead(nodesync.SecondaryHub, 1100); got < hubReadTime || got > 2*hubReadTime {
 		t.Errorf("secondary hubs read within %s", got)
 	}
-	for name, got := range map[string]time.Duration{
-		"a member of a small fleet": latestRead(nodesync.Member, 82, false),
-		"a primary hub":             latestRead(nodesync.PrimaryHub, 1100, false),
-		"a member with a copy":      latestRead(nodesync.Member, 1100, true),
-	} {
-		if got != 0 {
-			t.Errorf("%s waits for up to %s", name, got)
+	for _, role := range []nodesync.Role{nodesync.Member, nodesync.SecondaryHub} {
+		if got := latestRead(role, 82); got != readAgeByRole[role]+readJitter {
+			t.Errorf("nodes of role %s in a small fleet read within %s", role, got)
 		}
 	}
+	if small, large := latestRead(nodesync.PrimaryHub, 82), latestRead(nodesync.PrimaryHub, 1100); small != large {
+		t.Errorf("primary hubs read within %s in a large fleet, %s in a small one", large, small)
+	}
 }
 
 // TestWaitingMemberTakesCopyOfItsHub checks that a member of a large fleet does not read the store if
