--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -5,6 +5,7 @@
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
 )
@@ -39,6 +40,27 @@
 	return m
 }
 
+// registerFleetMetrics registers gauges of what the node knows of the fleet and the store.
+func (n *Node) registerFleetMetrics() {
+	gauge := func(name, help string, value func() float64) {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("trestle_store_era", "How often the store was restored from an older copy, as it tells.",
+		func() float64 { return float64(n.options.Store.Era()) })
+	gauge("trestle_fleet_nodes", "Nodes of the fleet, as known to this node.",
+		func() float64 { return float64(n.sync.FleetSize()) })
+	gauge("trestle_hub", "1 if this node is a hub.", func() float64 {
+		if role := n.sync.Role(); role == nodesync.PrimaryHub || role == nodesync.SecondaryHub {
+			return 1
+		}
+		return 0
+	})
+	gauge("trestle_replicas_kept", "Registrations that this node keeps.", func() float64 {
+		listing, _ := n.replicas.Latest()
+		return float64(len(listing.Replicas))
+	})
+}
+
 func (m *metrics) countRead(what string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -105,9 +105,7 @@
 		nodes: n.nodes, clock: options.Clock, log: n.log, metrics: n.reader.metrics,
 		rand: rand.New(rand.NewPCG(options.Seed, 2)),
 	}
-	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
-		Name: "trestle_store_era", Help: "How often the store was restored from an older copy, as it tells.",
-	}, func() float64 { return float64(options.Store.Era()) }))
+	n.registerFleetMetrics()
 	if err := n.setUpPeers(); err != nil {
 		return nil, err
 	}
