Cut-off nodes of a large fleet call the store as members do

Change: with more than 100 nodes known such a node has the intervals of a member, lists nodes every 3 s, and goes on to keep its part of the listing. Tests: TestCutOffNodesOfLargeFleetCallStoreAsMembers, TestCutOffNodeKeepsItsPart, a case of TestOnlySeedsHubsAndSmallFleetsAreAnnounced.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -29,7 +29,9 @@
 	// fewer than smallFleetSize are.
 	aloneListInterval      = 500 * time.Millisecond
 	smallFleetListInterval = 3 * time.Second
-	smallFleetSize         = 4
+	// cutOffListInterval applies to a node of a large fleet that has lost all others.
+	cutOffListInterval = 3 * time.Second
+	smallFleetSize     = 4
 	// settlePeriod is the time after the start in which only seeds announce themselves. By
 	// its end a node that reached a seed knows its role, and most nodes of a large fleet
 	// need no announcement.
@@ -131,6 +133,8 @@
 // nextListInterval returns the time until the next listing, without jitter.
 func (a *announcer) nextListInterval() time.Duration {
 	switch others := a.nodes.AliveCount(a.clock()); {
+	case others == 0 && a.role() == nodesync.Member:
+		return cutOffListInterval
 	case others == 0:
 		return aloneListInterval
 	case others < smallFleetSize:
--- a/internal/edge/announcer_test.go
+++ b/internal/edge/announcer_test.go
@@ -59,6 +59,7 @@
 		{"a hub", nodesync.PrimaryHub, false, 294, true, 12},
 		{"a node of a small fleet", nodesync.Peer, false, 6, true, 12},
 		{"a node without peers", nodesync.Peer, false, 0, true, 130},
+		{"a node cut off from a large fleet", nodesync.Member, false, 0, false, 25},
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -94,14 +94,14 @@
 	n.reader = &reader{
 		store: options.Store, registrations: registrations{store: options.Store, clock: options.Clock}, eras: &eraWatcher{store: options.Store, log: n.log}, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
 		keepsWholeListing: n.sync.KeepsWholeListing,
-		role:              n.sync.Role, fleetSize: n.sync.FleetSize, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
+		role:              n.roleAtStore, fleetSize: n.sync.FleetSize, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
 		firstReadAt: n.firstReadAt(isSeed, random),
 		applyWithin: func() time.Duration { return n.settings.Load().PassThrough.ApplyWithin.Std() },
 		leaveWithin: func() time.Duration { return n.settings.Load().PassThrough.LeaveWithin.Std() },
 		metrics:     newMetrics(registry, n.routes, n.replicas, options.Clock, n.log),
 	}
 	n.announcer = &announcer{
-		store: options.Store, self: n.self, role: n.sync.Role, isSeed: isSeed,
+		store: options.Store, self: n.self, role: n.roleAtStore, isSeed: isSeed,
 		nodes: n.nodes, clock: options.Clock, log: n.log, metrics: n.reader.metrics,
 		rand: rand.New(rand.NewPCG(options.Seed, 2)),
 	}
@@ -194,6 +194,20 @@
 	})
 }
 
+// roleAtStore returns the role that determines the node's calls of the store. A node that is cut off
+// from the others of a large fleet has no hub, but must not call the store as the nodes of a small
+// fleet do: hundreds may be cut off together.
+func (n *Node) roleAtStore() nodesync.Role {
+	return roleAtStore(n.sync.Role(), n.sync.FleetSize())
+}
+
+func roleAtStore(role nodesync.Role, fleetSize int) nodesync.Role {
+	if role == nodesync.Peer && fleetSize > unspreadNodes {
+		return nodesync.Member
+	}
+	return role
+}
+
 // setUpPeers creates the clients and the server for calls between nodes.
 func (n *Node) setUpPeers() error {
 	keys, err := peer.NewKeys(peer.KeyFiles{
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -211,6 +211,23 @@
 	}
 }
 
+// TestCutOffNodesOfLargeFleetCallStoreAsMembers guards against hundreds of nodes that are cut off
+// together and all read the registrations each second.
+func TestCutOffNodesOfLargeFleetCallStoreAsMembers(t *testing.T) {
+	for _, test := range []struct {
+		role  nodesync.Role
+		nodes int
+		want  nodesync.Role
+	}{
+		{nodesync.Peer, 985, nodesync.Member}, {nodesync.Peer, 8, nodesync.Peer},
+		{nodesync.PrimaryHub, 985, nodesync.PrimaryHub}, {nodesync.Member, 20, nodesync.Member},
+	} {
+		if got := roleAtStore(test.role, test.nodes); got != test.want {
+			t.Errorf("role %s in a fleet of %d: %s, want %s", test.role, test.nodes, got, test.want)
+		}
+	}
+}
+
 // TestWaitingMemberTakesCopyOfItsHub checks that a member of a large fleet does not read the store if
 // its hub has the record soon after the start.
 func TestWaitingMemberTakesCopyOfItsHub(t *testing.T) {
--- a/internal/nodesync/scale_test.go
+++ b/internal/nodesync/scale_test.go
@@ -251,3 +251,21 @@
 		t.Errorf("time limits of calls: %v", timeouts)
 	}
 }
+
+// TestCutOffNodeKeepsItsPart guards against nodes of a large fleet that are cut off together and all
+// begin to keep the whole listing.
+func TestCutOffNodeKeepsItsPart(t *testing.T) {
+	nodes := startingFleet(60)
+	rounds(t, nodes, 20)
+	member := findMember(nodes)
+	zone := member.options.Self().AvailabilityZone
+	for range 5 * ticksPerSecond {
+		member.now += second / ticksPerSecond
+		if got := member.listingZone(member.now); got != zone {
+			t.Fatalf("role %s: the node keeps the listing of zone %q", member.Role(), got)
+		}
+	}
+	if role := member.Role(); role != Peer {
+		t.Errorf("role %s, want that of a node without hubs", role)
+	}
+}
--- a/internal/nodesync/scope.go
+++ b/internal/nodesync/scope.go
@@ -45,6 +45,10 @@
 		return ""
 	}
 	role := s.Role()
+	if role == Peer && s.FleetSize() >= minNodesForHubs {
+		// The node is cut off from the hubs of a larger fleet.
+		role = Member
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.scope.keepsWhole(role, now) {
