--- a/internal/nodesync/doc.go
+++ b/internal/nodesync/doc.go
@@ -11,6 +11,9 @@
 // differences, delays and pauses. The other node subtracts the ages in a request from its
 // arrival.
 //
+// In a large fleet only hubs keep the whole replica listing; they tell each member the part
+// that the nodes of its availability zone use.
+//
 // The state has one entry per node and is bounded by MaxNodes. The exchange works
 // without the platform.
 package nodesync
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -14,8 +14,8 @@
 // In a small fleet nodes exchange loads directly. In a larger one that would take
 // hundreds of calls a second per node. There, each hub sums the loads of a group of nodes
 // in its availability zone, members fetch the fleet's sum from their hub, and hubs fetch
-// each other's group sums. Loads reach all nodes in three rounds. Each node computes the
-// hubs from its own view of the fleet; while views differ, two nodes may aggregate a
+// each other's group sums. Loads reach all nodes in three rounds, or in five if only the
+// primary hubs call other zones. Each node computes the hubs from its own view of the fleet; while views differ, two nodes may aggregate a
 // group, which only makes the sums less accurate.
 
 const (
