A node that becomes a hub notices at once that its copies are due

Cause, found by reading: a member of a large fleet drew its turn to read the registrations, up to 0.1 s a node later, and slept until then, also after it had become the primary hub of its zone. With all hubs lost, none would have read for up to a minute and a half. The wait for a copy also held back reads of the configuration, which take one call. Change: the due time is looked at once a second; only large records wait. Test: TestNewHubReadsSoon (failed before: read 61 s after the node became a hub).

--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -107,7 +107,7 @@
 		if !r.waitUntilDue(ctx, random, rec) {
 			return
 		}
-		if !rec.hasCopy() {
+		if rec.large && !rec.hasCopy() {
 			if !r.waitForCopy(ctx, random, rec) {
 				return
 			}
@@ -138,7 +138,7 @@
 }
 
 const (
-	// unspreadNodes is the fleet size up to which nodes without a copy read the store at once.
+	// unspreadNodes is the fleet size up to which nodes do not spread their reads of large records.
 	unspreadNodes = 100
 	// hubReadTime is how long the other nodes of a larger fleet leave the first reads to the primary
 	// hubs.
@@ -166,7 +166,8 @@
 	}
 }
 
-// waitForCopy waits, in a large fleet, for other nodes' copies of a record that this node has none of.
+// waitForCopy waits, in a large fleet, for other nodes' copies of a large record that this node has
+// none of.
 // It returns false if ctx ended.
 func (r *reader) waitForCopy(ctx context.Context, random *rand.Rand, rec record) bool {
 	delay, spread := r.spreadOfRole(r.role())
@@ -217,6 +218,9 @@
 	}
 }
 
+// maxDueSleep is how soon a node that has become a hub notices that its copy is due earlier.
+const maxDueSleep = time.Second
+
 // waitUntilDue waits until the copy is due for a read. It returns false if ctx ended.
 func (r *reader) waitUntilDue(ctx context.Context, random *rand.Rand, rec record) bool {
 	spread := random.Float64()
@@ -225,7 +229,7 @@
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
-		if ctxtime.Sleep(ctx, left) != nil {
+		if ctxtime.Sleep(ctx, min(left, maxDueSleep)) != nil {
 			return false
 		}
 	}
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -211,6 +211,30 @@
 	}
 }
 
+// TestNewHubReadsSoon guards against a member of a large fleet that waits for its own late turn to read
+// the registrations after it has become a primary hub.
+func TestNewHubReadsSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := time.Now()
+		becameHub := began.Add(5 * time.Second)
+		role := func() nodesync.Role {
+			if time.Now().Before(becameHub) {
+				return nodesync.Member
+			}
+			return nodesync.PrimaryHub
+		}
+		r := &reader{role: role, fleetSize: func() int { return 2000 }, readerIndex: func() int { return 0 }}
+		rec := record{age: func() time.Duration { return time.Since(began) }, bound: defaultBoundFunc, large: true}
+		// This seed draws a turn after a minute.
+		if !r.waitUntilDue(t.Context(), rand.New(rand.NewPCG(1, 1)), rec) {
+			t.Fatal("the wait ended with its context")
+		}
+		if waited := time.Since(becameHub); waited < 0 || waited > 2*time.Second {
+			t.Errorf("read %s after the node became a hub", waited)
+		}
+	})
+}
+
 // TestCutOffNodesOfLargeFleetCallStoreAsMembers guards against hundreds of nodes that are cut off
 // together and all read the registrations each second.
 func TestCutOffNodesOfLargeFleetCallStoreAsMembers(t *testing.T) {
