All availability zones of a large fleet use the same replicas

Change: a part has as many replicas of each zone, the same ones for the nodes of all zones. The cost of another zone keeps requests without common parts in their own.

--- a/internal/replica/part.go
+++ b/internal/replica/part.go
@@ -10,22 +10,20 @@
 )
 
 // A node of a large fleet uses a few of the replicas of an upstream. It keeps a part of the
-// listing: all replicas of small upstreams, and of a large upstream those that come first in
-// the order of a hash of their IDs, most of them in its own availability zone. All nodes of a
-// zone compute the same part without talking to each other, so that prompts with common parts
-// meet at few replicas. A part of one size contains the parts of all smaller sizes.
+// listing: all replicas of small upstreams, and of a large upstream those of each availability
+// zone that come first in the order of a hash of their IDs. All nodes compute the same part
+// without talking to each other, so that prompts with common parts meet at the same replicas,
+// whichever zone they come from. A part of one size contains the parts of all smaller sizes.
 const (
 	// maxWholeUpstream is the number of replicas up to which an upstream is always kept whole.
 	maxWholeUpstream = 512
-	// MinPartSize is the smallest number of available replicas of the own availability zone in
-	// the part of a large upstream.
+	// MinPartSize is the smallest number of available replicas of each availability zone in the
+	// part of a large upstream.
 	MinPartSize = 64
-	// remotePartDivisor determines the replicas of each other zone in a part, in case those of
-	// the own zone fail: the part size divided by it.
-	remotePartDivisor = 4
 )
 
-// PartSizes is the part size by upstream. Upstreams that are not in it have MinPartSize.
+// PartSizes is the part size by upstream, in available replicas of each availability zone.
+// Upstreams that are not in it have MinPartSize.
 type PartSizes map[string]int
 
 func (s PartSizes) of(upstream string) int { return max(s[upstream], MinPartSize) }
@@ -51,11 +49,7 @@
 		return l
 	}
 	for key, members := range groups {
-		size := sizes.of(key.upstream)
-		if key.zone != zone {
-			size /= remotePartDivisor
-		}
-		kept = appendFirst(kept, members, size)
+		kept = appendFirst(kept, members, sizes.of(key.upstream))
 	}
 	kept = sortedByID(kept)
 	return Listing{Revision: l.Revision, Zone: zone, Replicas: kept, Digest: Digest(kept)}
