--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -15,7 +15,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
-	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
@@ -124,36 +123,6 @@
 	return replica.NewZoneSet(options.Settings.AvailabilityZone)
 }
 
-// firstReadDelay is how long nodes other than seeds wait before they read the store at a
-// fleet's first start. There is no traffic yet and the configuration may be missing, so
-// reads by every node would only load the store.
-const firstReadDelay = 3 * time.Second
-
-const (
-	// restartReadDelay is how long a node that restarts waits for the copies of other nodes
-	// before it reads the store: in a large fleet a read of the registrations takes dozens
-	// of calls.
-	restartReadDelay = 300 * time.Millisecond
-	// restartReadJitter spreads the reads of nodes that restart together, so that most of
-	// them get the copies that the first ones read.
-	restartReadJitter = 600 * time.Millisecond
-)
-
-// firstReadAt returns when the node may read records that it has no copy of; zero means
-// at once.
-func (n *Node) firstReadAt(isSeed bool, random *rand.Rand) boottime.Instant {
-	switch {
-	case isSeed:
-		return 0
-	case n.options.Settings.PassThrough.FirstStart:
-		return n.options.Clock().Add(firstReadDelay)
-	case len(n.options.Settings.Peers.Seeds) == 0:
-		return 0
-	default:
-		return n.options.Clock().Add(restartReadDelay + time.Duration(random.Int64N(int64(restartReadJitter))))
-	}
-}
-
 // newSync returns the exchange with the other nodes, which also carries the tracker's
 // records.
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
@@ -194,20 +163,6 @@
 	})
 }
 
-// roleAtStore returns the role that determines the node's calls of the store. A node that is cut off
-// from the others of a large fleet has no hub, but must not call the store as the nodes of a small
-// fleet do: hundreds may be cut off together.
-func (n *Node) roleAtStore() nodesync.Role {
-	return roleAtStore(n.sync.Role(), n.sync.FleetSize())
-}
-
-func roleAtStore(role nodesync.Role, fleetSize int) nodesync.Role {
-	if role == nodesync.Peer && fleetSize > unspreadNodes {
-		return nodesync.Member
-	}
-	return role
-}
-
 // setUpPeers creates the clients and the server for calls between nodes.
 func (n *Node) setUpPeers() error {
 	keys, err := peer.NewKeys(peer.KeyFiles{
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -137,58 +137,6 @@
 	}
 }
 
-const (
-	// unspreadNodes is the fleet size up to which nodes do not spread their reads of large records.
-	unspreadNodes = 100
-	// hubReadTime is how long the other nodes of a larger fleet leave the first reads to the primary
-	// hubs.
-	hubReadTime = 3 * time.Second
-	// spreadPerNode limits the members of a larger fleet that read the store by themselves to ten a
-	// second: a listing of ten replicas a node takes megabytes of the store's link.
-	spreadPerNode = 100 * time.Millisecond
-)
-
-// spreadOfRole returns how long the nodes of a role in a large fleet leave the reads of a large record
-// to the primary hubs, and the time after it over which they spread their own reads. Most of them get
-// a copy from their hub in the meantime. If all read at once, no read would end, not even the hubs'.
-func (r *reader) spreadOfRole(role nodesync.Role) (delay, spread time.Duration) {
-	others := r.fleetSize() - unspreadNodes
-	if others <= 0 {
-		return 0, 0
-	}
-	switch role {
-	case nodesync.SecondaryHub:
-		return hubReadTime, hubReadTime
-	case nodesync.Member:
-		return hubReadTime, time.Duration(others) * spreadPerNode
-	default:
-		return 0, 0
-	}
-}
-
-// waitForCopy waits, in a large fleet, for other nodes' copies of a large record that this node has
-// none of.
-// It returns false if ctx ended.
-func (r *reader) waitForCopy(ctx context.Context, random *rand.Rand, rec record) bool {
-	delay, spread := r.spreadOfRole(r.role())
-	if spread > 0 {
-		delay += time.Duration(random.Int64N(int64(spread)))
-	}
-	for began := time.Now(); !rec.hasCopy() && time.Since(began) < delay; {
-		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
-			return false
-		}
-		if now, _ := r.spreadOfRole(r.role()); now == 0 {
-			// The node has become one of those that read first.
-			return true
-		}
-	}
-	return ctx.Err() == nil
-}
-
-// copyPollInterval is how often waitForCopy looks for a copy.
-const copyPollInterval = 200 * time.Millisecond
-
 // backoffFor returns the pauses between failed reads of the record.
 func (r *reader) backoffFor(rec record) backoff {
 	if !rec.hasCopy() {
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -152,3 +152,18 @@
 	}
 	return SecondaryHub
 }
+
+// logRole logs the role if it or the hub has changed since the last round.
+func (s *Sync) logRole() {
+	hubs := s.hubs(s.options.Clock())
+	self := s.options.Self()
+	hub := hubFor(self, hubs)
+	role := roleOf(self, hubs)
+	s.mu.Lock()
+	changed := role != s.loggedRole || hub.Name != s.loggedHub
+	s.loggedRole, s.loggedHub = role, hub.Name
+	s.mu.Unlock()
+	if changed {
+		s.options.Log.Write(&roleChanged{role: role, hub: hub, hubs: len(hubs), fleetNodes: s.FleetSize()})
+	}
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -109,21 +109,6 @@
 	}
 }
 
-// logRole logs the role if it or the hub has changed since the last round.
-func (s *Sync) logRole() {
-	hubs := s.hubs(s.options.Clock())
-	self := s.options.Self()
-	hub := hubFor(self, hubs)
-	role := roleOf(self, hubs)
-	s.mu.Lock()
-	changed := role != s.loggedRole || hub.Name != s.loggedHub
-	s.loggedRole, s.loggedHub = role, hub.Name
-	s.mu.Unlock()
-	if changed {
-		s.options.Log.Write(&roleChanged{role: role, hub: hub, hubs: len(hubs), fleetNodes: s.FleetSize()})
-	}
-}
-
 // call makes one call, unless a call to the same address is in flight.
 func (s *Sync) call(ctx context.Context, t target) {
 	if !s.beginCall(t.address) {
@@ -312,29 +297,3 @@
 
 // SetClients sets the clients for calls to other nodes. It must be called before Run.
 func (s *Sync) SetClients(clients *peer.Clients) { s.options.Clients = clients }
-
-// maxAnnounceCalls bounds the calls of Announce: each of them needs a connection.
-const maxAnnounceCalls = 64
-
-// Announce calls other nodes at once, so that they learn this node's state, and waits for the
-// calls to finish.
-func (s *Sync) Announce(ctx context.Context) {
-	var calls sync.WaitGroup
-	for _, n := range s.announceTargets() {
-		calls.Go(func() { s.call(ctx, targetOf(n)) })
-	}
-	calls.Wait()
-}
-
-// announceTargets returns all alive nodes. In a large fleet it returns the hubs and the entry
-// nodes of the zone only: no other node sends callers or loads here.
-func (s *Sync) announceTargets() []Node {
-	now := s.options.Clock()
-	nodes := s.options.Nodes.Alive(now)
-	if len(nodes) <= maxAnnounceCalls {
-		return nodes
-	}
-	self := s.options.Self()
-	nearest := append(s.entryNodes(self.AvailabilityZone, self, now), s.hubs(now)...)
-	return uniqueNodes(self.Name, nil, nearest, maxAnnounceCalls)
-}
