Compute a part once for all zones, and do not sort an unchanged listing

Now once a listing; zone is only the label of the answer. - A hub left out of the sums for another zone the loads on replicas outside the part, also where nodes use all replicas (a fleet with duties and an upstream of over 512 replicas): loads of 10 replicas of 128 were told. The filter is now what the nodes use. Behaviour is otherwise the same; no assertion is changed.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -26,12 +26,10 @@
 	// memberListInterval is longer, since a member learns of new nodes from its hub.
 	memberListInterval = time.Minute
 	// aloneListInterval applies while no other node is known, smallFleetListInterval while
-	// fewer than smallFleetSize are.
+	// fewer than smallFleetSize are, as on a node that is cut off from a large fleet.
 	aloneListInterval      = 500 * time.Millisecond
 	smallFleetListInterval = 3 * time.Second
-	// cutOffListInterval applies to a node of a large fleet that has lost all others.
-	cutOffListInterval = 3 * time.Second
-	smallFleetSize     = 4
+	smallFleetSize         = 4
 	// settlePeriod is the time after the start in which only seeds announce themselves. By
 	// its end a node that reached a seed knows its role, and most nodes of a large fleet
 	// need no announcement.
@@ -133,9 +131,7 @@
 // nextListInterval returns the time until the next listing, without jitter.
 func (a *announcer) nextListInterval() time.Duration {
 	switch others := a.nodes.AliveCount(a.clock()); {
-	case others == 0 && a.role() == nodesync.Member:
-		return cutOffListInterval
-	case others == 0:
+	case others == 0 && a.role() != nodesync.Member:
 		return aloneListInterval
 	case others < smallFleetSize:
 		return smallFleetListInterval
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -91,7 +91,10 @@
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
-		store: options.Store, registrations: registrations{store: options.Store, clock: options.Clock}, eras: &eraWatcher{store: options.Store, log: n.log}, routes: n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
+		store:         options.Store,
+		registrations: registrations{store: options.Store, clock: options.Clock},
+		eras:          &eraWatcher{store: options.Store, log: n.log},
+		routes:        n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
 		keepsWholeListing: n.sync.KeepsWholeListing,
 		role:              n.roleAtStore, fleetSize: n.sync.FleetSize, readerIndex: n.sync.StoreReaderIndex, clock: options.Clock, log: n.log,
 		firstReadAt: n.firstReadAt(isSeed, random),
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -32,8 +32,8 @@
 
 // readAgeByRole is the age of a copy at which a node reads the store itself, for changes
 // that must propagate within defaultPropagationBound. Until then it gets newer copies from
-// other nodes, so the load on the store does not grow with the fleet. Including jitter, the read and a round
-// between nodes, each age stays within defaultPropagationBound.
+// other nodes, so the load on the store does not grow with the fleet. Including jitter, the
+// read and a round between nodes, each age stays within defaultPropagationBound.
 var readAgeByRole = map[nodesync.Role]time.Duration{
 	nodesync.Peer: 800 * time.Millisecond,
 	// A primary hub reads for the nodes of its availability zone, which read themselves only
@@ -119,7 +119,7 @@
 		err := rec.read(limited)
 		cancel()
 		r.metrics.countRead(rec.name, err)
-		if err == nil && r.eras != nil {
+		if err == nil {
 			r.eras.observe()
 		}
 		if ctx.Err() != nil {
--- a/internal/nodesync/fetch.go
+++ b/internal/nodesync/fetch.go
@@ -9,7 +9,6 @@
 
 	"galenatrestle/internal/boottime"
 	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
-	"galenatrestle/internal/gen/trestle/nodesync/v1/nodesyncv1connect"
 	"galenatrestle/internal/replica"
 )
 
@@ -71,8 +70,7 @@
 // receiveListing returns the listing of another node and its age, or a zero listing if that node does
 // not have it.
 func (s *Sync) receiveListing(ctx context.Context, t target, zone string) (replica.Listing, time.Duration, error) {
-	client := nodesyncv1connect.NewNodeSyncServiceClient(s.options.Clients.HTTPClient(t.address), s.options.Clients.URL(t.address))
-	stream, err := client.Listing(ctx, connect.NewRequest(&nodesyncv1.ListingRequest{Zone: zone}))
+	stream, err := s.client(t).Listing(ctx, connect.NewRequest(&nodesyncv1.ListingRequest{Zone: zone}))
 	if err != nil {
 		return replica.Listing{}, 0, err
 	}
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -15,8 +15,8 @@
 // hundreds of calls a second per node. There, each hub sums the loads of a group of nodes
 // in its availability zone, members fetch the fleet's sum from their hub, and hubs fetch
 // each other's group sums. Loads reach all nodes in three rounds, or in five if only the
-// primary hubs call other zones. Each node computes the hubs from its own view of the fleet; while views differ, two nodes may aggregate a
-// group, which only makes the sums less accurate.
+// primary hubs call other zones. Each node computes the hubs from its own view of the fleet;
+// while views differ, two nodes may aggregate a group, which only makes the sums less accurate.
 
 const (
 	// minNodesForHubs is the fleet size from which on there are hubs.
@@ -131,8 +131,14 @@
 
 func (r Role) aggregates() bool { return r == PrimaryHub || r == SecondaryHub }
 
-func (s *Sync) isHub(name string) bool {
-	return slices.ContainsFunc(s.hubs(s.options.Clock()), func(hub Node) bool { return hub.Name == name })
+// hasNode reports whether the node with the name is one of the hubs.
+func hasNode(hubs []Node, name string) bool {
+	return slices.ContainsFunc(hubs, func(hub Node) bool { return hub.Name == name })
+}
+
+// isFirstOfZone reports whether the hub at the index is the primary one of its availability zone.
+func isFirstOfZone(hubs []Node, i int) bool {
+	return i == 0 || hubs[i-1].AvailabilityZone != hubs[i].AvailabilityZone
 }
 
 // Role returns this node's current role.
--- a/internal/nodesync/loads.go
+++ b/internal/nodesync/loads.go
@@ -1,7 +1,6 @@
 package nodesync
 
 import (
-	"slices"
 	"time"
 
 	"galenatrestle/internal/boottime"
@@ -29,7 +28,7 @@
 		return loadOptions{}
 	case ownHub.Name == name:
 		return loadOptions{aggregate: true}
-	case ownHub.Name == self.Name && slices.ContainsFunc(hubs, func(hub Node) bool { return hub.Name == name }):
+	case ownHub.Name == self.Name && hasNode(hubs, name):
 		return loadOptions{betweenHubs: true}
 	default:
 		return loadOptions{omit: s.options.Placer.HasFleetLoads(time.Now())}
--- a/internal/nodesync/scale_test.go
+++ b/internal/nodesync/scale_test.go
@@ -270,3 +270,23 @@
 		t.Errorf("role %s, want that of a node without hubs", role)
 	}
 }
+
+// TestHubsOfWholeListingsTellAllLoads guards against leaving loads out between availability zones where
+// nodes use all replicas, as in a fleet with duties.
+func TestHubsOfWholeListingsTellAllLoads(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		nodes := largeFleet(30)
+		hub, other := findNode(nodes, nodes[0].hubOf("z0", 100*second).Name), findNode(nodes, nodes[0].hubOf("z1", 100*second).Name)
+		hub.options.Replicas.Update(listingOf(5, 1000), hub.now, hub.now)
+		for range 300 {
+			hub.options.Placer.Choose(time.Now(), "u", &placement.Request{})
+		}
+		response, err := hub.Exchange(t.Context(), connect.NewRequest(other.request(target{name: hub.options.Self().Name}, other.now)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, want := len(response.Msg.GetGroupLoads()), len(hub.options.Placer.GroupLoads(time.Now())); got != want || want <= replica.MinPartSize {
+			t.Errorf("loads of %d replicas are told, want %d", got, want)
+		}
+	})
+}
--- a/internal/nodesync/sums.go
+++ b/internal/nodesync/sums.go
@@ -16,24 +16,20 @@
 	current    sums
 	// partDemand determines the sizes of the parts of the listing that the members keep.
 	partDemand partDemand
-	// used has the replicas that the nodes of an availability zone use, by zone.
-	used map[string]usedReplicas
+	// used are the replicas that nodes use, by ID, as of the listing with usedDigest.
+	used       map[string]replica.Replica
+	usedDigest uint64
 }
 
 // sums are the summed loads that a hub tells.
 type sums struct {
-	// fleet is the load from all nodes on the replicas that the members use, remote that from
-	// the nodes of other availability zones.
-	fleet, remote []*nodesyncv1.Load
-	// group is the load from the members of this hub, zone that from the nodes of this
-	// availability zone.
-	group, zone []placement.Load
-}
-
-// usedReplicas are replicas by ID, as of the listing with the digest.
-type usedReplicas struct {
-	digest uint64
-	byID   map[string]replica.Replica
+	// fleet is the load from all nodes and group that from the members of this hub, on the replicas
+	// that nodes use; ownGroup is group without this restriction.
+	fleet, group, ownGroup []*nodesyncv1.Load
+	// zone is the load from the nodes of this availability zone, on the replicas that nodes use, and
+	// remote that from the nodes of other zones; set only if hubs call other zones through the
+	// primary hubs.
+	zone, remote []*nodesyncv1.Load
 }
 
 // currentSums returns the sums, recomputing them if they are older than SumsMaxAge: in a
@@ -46,41 +42,37 @@
 		return s.sums.current
 	}
 	placer := s.options.Placer
-	fleet := placer.FleetLoads(now)
+	used := s.usedReplicas()
+	fleet, group := placer.FleetLoads(now), placer.GroupLoads(now)
 	placer.SetFleetLoads(fleet, placer.Loads(now), now)
-	zone := s.options.Replicas.Zone()
-	if used := s.replicasOf(zone); used != nil {
-		fleet = onlyOn(used, fleet)
-		s.options.Replicas.SetPartSizes(s.sums.partDemand.observe(now, zoneDemand(fleet, used, zone)))
+	fleet = onlyOn(used, fleet)
+	if used != nil {
+		s.options.Replicas.SetPartSizes(s.sums.partDemand.observe(now, zoneDemand(fleet, used, s.options.Replicas.Zone())))
 	}
-	s.sums.computedAt = now
-	s.sums.current = sums{
-		fleet: loadsToProto(fleet), remote: loadsToProto(placer.RemoteLoads(now)),
-		group: placer.GroupLoads(now), zone: placer.ZoneLoads(now),
+	current := sums{fleet: loadsToProto(fleet), group: loadsToProto(onlyOn(used, group)), ownGroup: loadsToProto(group)}
+	if callsThroughPrimary(s.hubs(s.options.Clock())) {
+		current.zone = loadsToProto(onlyOn(used, placer.ZoneLoads(now)))
+		current.remote = loadsToProto(placer.RemoteLoads(now))
 	}
-	return s.sums.current
+	s.sums.computedAt, s.sums.current = now, current
+	return current
 }
 
-// replicasOf returns the replicas that the nodes of an availability zone use, by ID; nil if they
-// use all, or if this node cannot tell. The lock of the sums is held.
-func (s *Sync) replicasOf(zone string) map[string]replica.Replica {
-	listing, ok := s.options.Replicas.ListingFor(zone)
+// usedReplicas returns the replicas that nodes use, by ID; nil if they use all. The lock of the sums is
+// held.
+func (s *Sync) usedReplicas() map[string]replica.Replica {
+	listing, ok := s.options.Replicas.ListingFor(s.options.Replicas.Zone())
 	if !ok || listing.Zone == "" {
 		return nil
 	}
-	cached, known := s.sums.used[zone]
-	if known && cached.digest == listing.Digest {
-		return cached.byID
-	}
-	byID := make(map[string]replica.Replica, len(listing.Replicas))
-	for _, r := range listing.Replicas {
-		byID[r.ID] = r
-	}
-	if s.sums.used == nil {
-		s.sums.used = make(map[string]usedReplicas)
+	if s.sums.used == nil || s.sums.usedDigest != listing.Digest {
+		s.sums.used = make(map[string]replica.Replica, len(listing.Replicas))
+		for _, r := range listing.Replicas {
+			s.sums.used[r.ID] = r
+		}
+		s.sums.usedDigest = listing.Digest
 	}
-	s.sums.used[zone] = usedReplicas{digest: listing.Digest, byID: byID}
-	return byID
+	return s.sums.used
 }
 
 // onlyOn returns the loads on the replicas; all if used is nil.
@@ -110,24 +102,17 @@
 	case isMember:
 		reply.FleetLoads = current.fleet
 	case caller.AvailabilityZone == self.AvailabilityZone:
-		reply.GroupLoads = loadsToProto(current.group)
+		reply.GroupLoads = current.ownGroup
 		if throughPrimary && roleOf(self, hubs) == PrimaryHub {
 			reply.RemoteLoads = current.remote
 		}
 	case throughPrimary:
-		reply.ZoneLoads = loadsToProto(s.loadsFor(caller.AvailabilityZone, current.zone))
+		reply.ZoneLoads = current.zone
 	default:
-		reply.GroupLoads = loadsToProto(s.loadsFor(caller.AvailabilityZone, current.group))
+		reply.GroupLoads = current.group
 	}
 }
 
-// loadsFor returns those of the loads that the nodes of the availability zone need.
-func (s *Sync) loadsFor(zone string, loads []placement.Load) []placement.Load {
-	s.sums.mu.Lock()
-	defer s.sums.mu.Unlock()
-	return onlyOn(s.replicasOf(zone), loads)
-}
-
 // mergeSums merges the sums of a hub. The fleet's sum includes the loads that this node
 // sent in the request; the placer subtracts them.
 func (s *Sync) mergeSums(m *nodesyncv1.ExchangeResponse, from Node, request *nodesyncv1.ExchangeRequest, role Role) {
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -119,11 +119,9 @@
 	ctx, cancel := context.WithTimeout(ctx, t.timeout())
 	defer cancel()
 	callStart := s.options.Clock()
-	client := nodesyncv1connect.NewNodeSyncServiceClient(
-		s.options.Clients.HTTPClient(t.address), s.options.Clients.URL(t.address))
 	sentAt := time.Now()
 	request := s.request(t, callStart)
-	response, err := client.Exchange(ctx, connect.NewRequest(request))
+	response, err := s.client(t).Exchange(ctx, connect.NewRequest(request))
 	if err != nil {
 		// The connection may be dead; the next call must open a new one.
 		s.options.Clients.Forget(t.address)
@@ -141,6 +139,10 @@
 	}
 }
 
+func (s *Sync) client(t target) nodesyncv1connect.NodeSyncServiceClient {
+	return nodesyncv1connect.NewNodeSyncServiceClient(s.options.Clients.HTTPClient(t.address), s.options.Clients.URL(t.address))
+}
+
 func (s *Sync) beginCall(address string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -203,7 +205,7 @@
 	isHub := s.Role().aggregates()
 	s.mergeLoads(caller, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), aggregate: m.GetAddsUp(), selfIsHub: isHub}, now)
 	reply := s.response(m)
-	s.addLoads(reply, caller.Name, isHub && (m.GetAddsUp() || s.isHub(caller.Name)))
+	s.addLoads(reply, caller.Name, isHub && (m.GetAddsUp() || hasNode(s.hubs(now), caller.Name)))
 	if isHub {
 		s.addSums(reply, caller, m.GetAddsUp())
 	}
--- a/internal/nodesync/targets.go
+++ b/internal/nodesync/targets.go
@@ -128,8 +128,7 @@
 	var list []Node
 	for i, hub := range hubs {
 		sameZone := hub.AvailabilityZone == self.AvailabilityZone
-		primary := i == 0 || hubs[i-1].AvailabilityZone != hub.AvailabilityZone
-		if hub.Name != self.Name && (callsAll || sameZone || isPrimary && primary) {
+		if hub.Name != self.Name && (callsAll || sameZone || isPrimary && isFirstOfZone(hubs, i)) {
 			list = append(list, hub)
 		}
 	}
--- a/internal/nodesync/turn.go
+++ b/internal/nodesync/turn.go
@@ -31,7 +31,7 @@
 		if hub.Name == self.Name {
 			break
 		}
-		if i == 0 || hubs[i-1].AvailabilityZone != hub.AvailabilityZone {
+		if isFirstOfZone(hubs, i) {
 			index++
 		}
 	}
--- a/internal/replica/part.go
+++ b/internal/replica/part.go
@@ -34,10 +34,22 @@
 // Part returns the part of a whole listing that nodes of the availability zone keep. It is the
 // same listing if all upstreams are small. Draining replicas among those kept are in it too.
 func (l Listing) Part(zone string, sizes PartSizes) Listing {
-	upstreamSizes := l.upstreamSizes()
+	kept, divided := partOf(l.Replicas, sizes)
+	if !divided {
+		return l
+	}
+	return Listing{Revision: l.Revision, Zone: zone, Replicas: kept, Digest: Digest(kept)}
+}
+
+// partOf returns the replicas of the part, ordered by ID; divided is false if all upstreams are
+// small, so that the part has all replicas.
+func partOf(list []Replica, sizes PartSizes) (kept []Replica, divided bool) {
+	upstreamSizes := make(map[string]int)
+	for _, r := range list {
+		upstreamSizes[r.Upstream]++
+	}
 	groups := make(map[group][]ranked)
-	var kept []Replica
-	for _, r := range l.Replicas {
+	for _, r := range list {
 		if upstreamSizes[r.Upstream] <= maxWholeUpstream {
 			kept = append(kept, r)
 			continue
@@ -46,31 +58,12 @@
 		groups[key] = append(groups[key], ranked{hash: xxhash.Sum64String(r.ID), replica: r})
 	}
 	if len(groups) == 0 {
-		return l
+		return list, false
 	}
 	for key, members := range groups {
 		kept = appendFirst(kept, members, sizes.of(key.upstream))
 	}
-	kept = sortedByID(kept)
-	return Listing{Revision: l.Revision, Zone: zone, Replicas: kept, Digest: Digest(kept)}
-}
-
-func (l Listing) upstreamSizes() map[string]int {
-	sizes := make(map[string]int)
-	for _, r := range l.Replicas {
-		sizes[r.Upstream]++
-	}
-	return sizes
-}
-
-// divisible reports whether the parts of a whole listing differ from it.
-func (l Listing) divisible() bool {
-	for _, size := range l.upstreamSizes() {
-		if size > maxWholeUpstream {
-			return true
-		}
-	}
-	return false
+	return sortedByID(kept), true
 }
 
 // ranked is a replica and the hash that orders the replicas of a group.
@@ -97,61 +90,20 @@
 	return kept
 }
 
-// parts caches the parts of a whole listing by availability zone.
-type parts struct {
-	sizes PartSizes
-	// resized counts the changes of sizes.
-	resized int
-	byZone  map[string]*part
-}
-
-// part is the part of one availability zone with its recent deltas.
-type part struct {
-	history
-	// source is the digest of the whole listing, and resized the count of size changes that the
-	// part was computed from.
-	source  uint64
-	resized int
-}
-
-// update returns the zone's history after computing the part of the whole listing anew if the
-// listing or the sizes have changed.
-func (p *parts) update(zone string, whole Listing) *history {
-	cached, known := p.byZone[zone]
-	if !known {
-		cached = &part{}
-		p.byZone[zone] = cached
-	}
-	if !known || cached.source != whole.Digest || cached.resized != p.resized {
-		cached.advance(whole.Part(zone, p.sizes))
-		cached.source, cached.resized = whole.Digest, p.resized
-	}
-	cached.listing.Revision = whole.Revision
-	return &cached.history
-}
-
-// SetPartSizes sets the sizes of the parts of a whole listing.
+// SetPartSizes sets the sizes of the part of a whole listing.
 func (s *Set) SetPartSizes(sizes PartSizes) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if maps.Equal(sizes, s.parts.sizes) {
+	if maps.Equal(sizes, s.partSizes) {
 		return
 	}
-	s.parts.sizes = maps.Clone(sizes)
-	s.parts.resized++
-	if s.divisible {
-		s.updateParts()
+	s.partSizes = maps.Clone(sizes)
+	s.updatePart()
+	if s.divided {
 		s.group()
 	}
 }
 
-// PartSizes returns the sizes that SetPartSizes has set.
-func (s *Set) PartSizes() PartSizes {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	return maps.Clone(s.parts.sizes)
-}
-
 // Narrow returns the part of a whole listing that this node uses, of the same sizes as the part
 // that it has.
 func (s *Set) Narrow(l Listing) Listing {
@@ -159,7 +111,7 @@
 		return l
 	}
 	s.mu.RLock()
-	sizes := s.parts.sizes
+	sizes := s.partSizes
 	if s.listing.Zone != "" {
 		sizes = s.listing.availableSizes()
 	}
@@ -187,7 +139,11 @@
 	if h == nil {
 		return Listing{}, false
 	}
-	return h.listing, true
+	listing := h.listing
+	if h == &s.part {
+		listing.Zone, listing.Revision = zone, s.listing.Revision
+	}
+	return listing, true
 }
 
 // DeltaFor returns the delta from the zone's listing with the digest to the newest one; false if
@@ -202,27 +158,35 @@
 	return h.since(digest)
 }
 
-// updateParts computes the parts in use anew, so that their histories have the same steps as that
-// of the whole listing. The lock is held.
-func (s *Set) updateParts() {
-	if s.divisible = s.listing.Zone == "" && s.listing.divisible(); !s.divisible {
-		clear(s.parts.byZone)
-		return
-	}
-	for zone := range s.parts.byZone {
-		s.parts.update(zone, s.listing)
+// updatePart computes the part anew at each change of the listing, so that its history has the same
+// steps. The lock is held.
+func (s *Set) updatePart() {
+	s.divided = false
+	if s.partWanted && s.listing.Zone == "" {
+		var kept []Replica
+		if kept, s.divided = partOf(s.listing.Replicas, s.partSizes); s.divided {
+			s.part.advance(Listing{Replicas: kept, Digest: Digest(kept)})
+			return
+		}
 	}
+	s.part = history{}
 }
 
 // historyFor returns the history of the listing that nodes of the zone keep, or nil. The lock is
 // held.
 func (s *Set) historyFor(zone string) *history {
 	switch {
-	case s.listing.Zone == zone, s.listing.Zone == "" && !s.divisible:
+	case s.listing.Zone == zone:
 		return &s.history
-	case s.listing.Zone == "":
-		return s.parts.update(zone, s.listing)
-	default:
+	case s.listing.Zone != "":
 		return nil
 	}
+	if !s.partWanted {
+		s.partWanted = true
+		s.updatePart()
+	}
+	if s.divided {
+		return &s.part
+	}
+	return &s.history
 }
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -26,11 +26,13 @@
 
 	mu sync.RWMutex
 	history
-	parts parts
-	// divisible: nodes may keep parts of the current listing, which is whole.
-	divisible        bool
-	readAt           boottime.Instant
-	keepMissingUntil boottime.Instant
+	// part is the history of the part of the listing if divided is set: the listing is whole and has a
+	// large upstream. It is followed if partWanted is set: nodes use or have asked for the part.
+	part                history
+	divided, partWanted bool
+	partSizes           PartSizes
+	readAt              boottime.Instant
+	keepMissingUntil    boottime.Instant
 	// known is the replicas of the listing and those kept after an outage, ordered by ID. adjusted is
 	// set if it differs from the listing.
 	known    []Replica
@@ -44,11 +46,7 @@
 
 // NewZoneSet returns an empty set of which this node uses the part of the availability zone.
 func NewZoneSet(zone string) *Set {
-	return &Set{
-		zone:       zone,
-		byUpstream: make(map[string][]Replica),
-		parts:      parts{byZone: make(map[string]*part)},
-	}
+	return &Set{zone: zone, partWanted: zone != "", byUpstream: make(map[string][]Replica)}
 }
 
 // Update replaces the current listing by one whose read began at readAt, and returns the
@@ -63,8 +61,13 @@
 		s.keepMissingUntil = now.Add(outageGrace)
 	}
 	s.readAt = max(s.readAt, readAt)
-	l = l.Ordered()
-	confirmed := l.Digest == s.listing.Digest
+	confirmed := l.Digest != 0 && l.Digest == s.listing.Digest
+	if confirmed {
+		l.Replicas = s.listing.Replicas
+	} else {
+		l = l.Ordered()
+		confirmed = l.Digest == s.listing.Digest
+	}
 	s.advance(l)
 	if confirmed && !s.adjusted {
 		// Every exchange with another node confirms the current listing; skip the comparison of all
@@ -72,7 +75,7 @@
 		return nil
 	}
 	if !confirmed {
-		s.updateParts()
+		s.updatePart()
 	}
 	return s.setKnown(s.withMissing(now))
 }
@@ -134,8 +137,12 @@
 // group computes byUpstream anew. The lock is held.
 func (s *Set) group() {
 	used := s.known
-	if s.divisible && s.zone != "" {
-		used = sortedByID(Listing{Replicas: s.known}.Part(s.zone, s.parts.sizes).Replicas)
+	switch {
+	case s.zone == "" || !s.divided:
+	case s.adjusted:
+		used, _ = partOf(s.known, s.partSizes)
+	default:
+		used = s.part.listing.Replicas
 	}
 	s.byUpstream = make(map[string][]Replica)
 	for _, r := range used {
--- a/internal/replica/set_bench_test.go
+++ b/internal/replica/set_bench_test.go
@@ -23,3 +23,15 @@
 		})
 	}
 }
+
+// BenchmarkConfirmListing measures an exchange that confirms the current listing, as a hub has hundreds
+// of in a second.
+func BenchmarkConfirmListing(b *testing.B) {
+	s := NewSet()
+	s.Update(zonedListing(1, 2000, "a", "b", "c", "d", "e"), at(0), at(0))
+	for i := range b.N {
+		own, _ := s.Latest()
+		own.Revision++
+		s.Update(own, at(i), at(i))
+	}
+}
