--- a/internal/answer/record_test.go
+++ b/internal/answer/record_test.go
@@ -13,6 +13,7 @@
 
 	"pgregory.net/rapid"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/refusal"
 )
 
@@ -196,7 +197,7 @@
 }
 
 func TestReaderWaits(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		r := open(t, NewStore(Options{}), "n.1")
 		var got []int64
 		ended := make(chan State)
--- a/internal/autoscale/scaler_test.go
+++ b/internal/autoscale/scaler_test.go
@@ -8,12 +8,12 @@
 	"maps"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/duty"
 	"galenatrestle/internal/duty/dutytest"
@@ -155,7 +155,7 @@
 // registered yet when a fleet starts.
 func TestUnregisteredReplicasAreNotRemoved(t *testing.T) {
 	for _, firstAfter := range []time.Duration{0, time.Second, 5 * time.Second} {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			p := newFakePlatform(30)
 			runScalerAtStart(t, p, newHolderStore(t), 40*time.Second, firstAfter > 0, func(passed time.Duration) []Observation {
 				fraction := float64(passed-firstAfter) / float64(3*time.Second)
@@ -176,7 +176,7 @@
 // TestNextHolderResumesWantedCapacity guards against a new holder shrinking the capacity
 // after a zone lost its reclaimable replicas.
 func TestNextHolderResumesWantedCapacity(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		p := newFakePlatform(30)
 		store := newHolderStore(t)
 		all := func(time.Duration) []Observation { return []Observation{p.observation(1, 0)} }
@@ -198,7 +198,7 @@
 // TestFirstStartOrdersReclaimableEarly guards against reclaimable replicas being too late
 // for the first requests, which come about ten seconds after the nodes.
 func TestFirstStartOrdersReclaimableEarly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		p := newFakePlatform(30)
 		runScalerAtStart(t, p, newHolderStore(t), 4*time.Second, true, func(passed time.Duration) []Observation {
 			fraction := float64(passed) / float64(3*time.Second)
@@ -213,7 +213,7 @@
 }
 
 func TestStaleObservationIsNotStable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		p := newFakePlatform(30)
 		runScaler(t, p, newHolderStore(t), 20*time.Second, func(time.Duration) []Observation {
 			o := p.observation(0.1, 0)
@@ -227,7 +227,7 @@
 }
 
 func TestUnavailableStoreOrdersNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		p := newFakePlatform(30)
 		store := dutytest.NewStore(1)
 		store.SetFaults(dutytest.StoreFaults{Down: true})
--- /dev/null
+++ b/internal/bubbletest/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package bubbletest
+
+const raceDetectorEnabled = false
--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -7,9 +7,9 @@
 	"math"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/pathcost"
 )
 
@@ -94,7 +94,7 @@
 			if s.name == leasesStep {
 				// Half a second of leases that are renewed every third of one: on a
 				// busy machine's clock they may not be renewed in it at all.
-				synctest.Test(t, func(t *testing.T) { checkStep(t, s.run, options) })
+				bubbletest.Run(t, func(t *testing.T) { checkStep(t, s.run, options) })
 				return
 			}
 			checkStep(t, s.run, options)
--- a/internal/claim/crash_test.go
+++ b/internal/claim/crash_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 var testKey = Key{Workspace: "bp-pubs", Upstream: "tab-api", IdempotencyKey: "tab-7"}
@@ -12,7 +13,7 @@
 // preferred holder.
 func withCluster(t *testing.T, body func(t *testing.T, c *cluster, nodes []*testNode)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		c := newCluster()
 		c.store.latency = 3 * time.Millisecond
 		nodes := []*testNode{c.start(t, "n1", nil), c.start(t, "n2", nil), c.start(t, "n3", nil)}
--- a/internal/claim/lease_test.go
+++ b/internal/claim/lease_test.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/lease"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
@@ -85,7 +85,7 @@
 // recorded claims stay recorded, in-progress claims become unknown, and new claims run
 // once the lease has expired.
 func TestHolderDies(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		c := newCluster()
 		store := memstore.New(memstore.Config{})
 		nodes := make(map[string]*testNode)
--- a/internal/claim/outage_test.go
+++ b/internal/claim/outage_test.go
@@ -3,9 +3,9 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/refusal"
 )
 
@@ -95,7 +95,7 @@
 // A full ledger must refuse new claims and accept them again after the old ones have
 // expired.
 func TestLedgerFull(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		c := newCluster()
 		small := func(options *Options) {
 			options.Policy.Shards = 1
--- a/internal/claim/random_test.go
+++ b/internal/claim/random_test.go
@@ -5,8 +5,9 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 const (
@@ -101,7 +102,7 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(2) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runRandomFaults(t, seed) })
+			bubbletest.Run(t, func(t *testing.T) { runRandomFaults(t, seed) })
 		})
 	}
 }
--- a/internal/claim/region_test.go
+++ b/internal/claim/region_test.go
@@ -2,15 +2,16 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 // withTwoRegions runs body with two nodes in each of two regions that share a platform.
 // The first region holds the shard.
 func withTwoRegions(t *testing.T, body func(t *testing.T, c *cluster, east, west []*testNode)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		c := newCluster()
 		c.store.latency = 3 * time.Millisecond
 		c.regions = map[string]string{"e1": "east", "e2": "east", "w1": "west", "w2": "west"}
--- a/internal/claim/regions_test.go
+++ b/internal/claim/regions_test.go
@@ -6,11 +6,11 @@
 	"fmt"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/claim"
 	"galenatrestle/internal/lease"
 	"galenatrestle/internal/membership"
@@ -75,7 +75,7 @@
 // TestClaimsFromAnotherRegion claims at a node whose region holds no shard, repeats the
 // calls in the other region, and then stops the holder.
 func TestClaimsFromAnotherRegion(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		peers := regionPeers{}
 		east, west := newRegionNode(t, store, peers, "east"), newRegionNode(t, store, peers, "west")
--- a/internal/configsync/cluster_test.go
+++ b/internal/configsync/cluster_test.go
@@ -7,11 +7,11 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/config"
 	configsyncv1 "galenatrestle/internal/gen/trestle/configsync/v1"
 	"galenatrestle/internal/membership"
@@ -224,7 +224,7 @@
 
 // bubble runs the test in a bubble with a started cluster.
 func bubble(t *testing.T, nodes int, test func(t *testing.T, c *cluster)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		c := newCluster(t, nodes)
 		c.start()
 		defer c.halt()
--- a/internal/configsync/faults_test.go
+++ b/internal/configsync/faults_test.go
@@ -7,9 +7,9 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform/memstore"
 )
 
@@ -45,7 +45,7 @@
 func TestRandomFaults(t *testing.T) {
 	for seed := range uint64(faultSeeds) {
 		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { runChaos(t, seed) })
+			bubbletest.Run(t, func(t *testing.T) { runChaos(t, seed) })
 		})
 	}
 }
--- a/internal/ctxtime/sleep_test.go
+++ b/internal/ctxtime/sleep_test.go
@@ -4,12 +4,13 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 func TestSleepEndsWithTheTimerOrTheContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		begun := time.Now()
 		if err := Sleep(t.Context(), time.Second); err != nil || time.Since(begun) != time.Second {
 			t.Errorf("error %v after %s, want none after 1s", err, time.Since(begun))
--- a/internal/duty/holder_test.go
+++ b/internal/duty/holder_test.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/duty"
 	"galenatrestle/internal/duty/dutytest"
@@ -150,7 +150,7 @@
 }
 
 func TestCutOffHolderStopsAndIsReplaced(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		f.start("a")
 		f.start("b")
@@ -169,7 +169,7 @@
 }
 
 func TestGracefulStopHandsOverAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		f.start("a")
 		f.start("b")
@@ -189,7 +189,7 @@
 // Stops each holder right after its first call: the previous holder may not act again
 // within the lease.
 func TestShortTermsDoNotAlternate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := newFleet(t, 1)
 		for _, name := range []string{"a", "b", "c"} {
 			f.start(name)
@@ -212,7 +212,7 @@
 // writes, in random order: no two terms may get the same fencing token.
 func TestFencingTokensAreUnique(t *testing.T) {
 	for seed := range uint64(200) {
-		synctest.Test(t, func(t *testing.T) { runRandomFaults(t, seed) })
+		bubbletest.Run(t, func(t *testing.T) { runRandomFaults(t, seed) })
 		if t.Failed() {
 			t.Fatalf("guarantees violated with seed %d", seed)
 		}
--- a/internal/edge/announcer_test.go
+++ b/internal/edge/announcer_test.go
@@ -6,12 +6,12 @@
 	"io"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/duty/dutytest"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/nodesync"
@@ -23,7 +23,7 @@
 // returns the store and the number of calls to it.
 func runAnnouncer(t *testing.T, role nodesync.Role, isSeed bool, others int, span time.Duration) (*fakeStore, int) {
 	store := &fakeStore{nodes: make(map[string]nodesync.Node), kv: dutytest.NewStore(1)}
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		began := time.Now()
 		clock := func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
 		nodes := nodesync.NewNodes("self", nil)
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -6,12 +6,12 @@
 	"io"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
@@ -43,7 +43,7 @@
 // TestFreshCopyIsNotRead guards against reads of a copy that other nodes keep fresh.
 func TestFreshCopyIsNotRead(t *testing.T) {
 	for role, readAge := range readAgeByRole {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			r := &reader{role: func() nodesync.Role { return role }, readerIndex: func() int { return 9 }}
 			began := time.Now()
 			lastUpdate := began
@@ -65,7 +65,7 @@
 }
 
 func TestWaitUntilDueEndsWithContext(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		r := &reader{role: func() nodesync.Role { return nodesync.Peer }, readerIndex: func() int { return 0 }}
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
@@ -93,7 +93,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				r := &reader{
 					role:        func() nodesync.Role { return test.role },
 					readerIndex: func() int { return 0 },
@@ -125,7 +125,7 @@
 // TestFirstStartUsesCopiesFromSeeds guards against every node of a new fleet reading the
 // store.
 func TestFirstStartUsesCopiesFromSeeds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		r := &reader{role: func() nodesync.Role { return nodesync.Member }, readerIndex: func() int { return 0 }}
 		began, lastUpdate := time.Now(), time.Time{}
 		r.clock = func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
@@ -147,7 +147,7 @@
 }
 
 func TestFirstStartWithoutSeedsReadsAfterDelay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		began := time.Now()
 		r := &reader{role: func() nodesync.Role { return nodesync.Peer }, readerIndex: func() int { return 0 }}
 		r.clock = func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
@@ -214,7 +214,7 @@
 // TestNewHubReadsSoon guards against a member of a large fleet that waits for its own late turn to read
 // the registrations after it has become a primary hub.
 func TestNewHubReadsSoon(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		began := time.Now()
 		becameHub := began.Add(5 * time.Second)
 		role := func() nodesync.Role {
@@ -255,7 +255,7 @@
 // TestWaitingMemberTakesCopyOfItsHub checks that a member of a large fleet does not read the store if
 // its hub has the record soon after the start.
 func TestWaitingMemberTakesCopyOfItsHub(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		began := time.Now()
 		hasCopy := func() bool { return time.Since(began) > 2*time.Second }
 		r := &reader{role: func() nodesync.Role { return nodesync.Member }, fleetSize: func() int { return 985 }}
--- a/internal/eventlog/log_test.go
+++ b/internal/eventlog/log_test.go
@@ -8,8 +8,9 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 type event struct {
@@ -70,7 +71,7 @@
 }
 
 func TestRoutineLinesAreLeftOutFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		var out bytes.Buffer
 		l := New(&out, "vm-1")
 		for range 1000 {
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -12,6 +12,7 @@
 	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/route"
@@ -83,7 +84,7 @@
 }
 
 func TestCallAndResponseAreForwardedUnchanged(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(answerOK)
 		f := forwardtest.NewFleet(t, list...)
 		w, ending := serve(t, f, call(route.AtMostOnce, 1))
@@ -132,7 +133,7 @@
 func TestOnlyIdempotentCallIsRetriedWhenItMayHaveRun(t *testing.T) {
 	for name, script := range unknownOutcomes {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				list := replicas(script, answerOK)
 				w, ending := serve(t, forwardtest.NewFleet(t, list...), call(route.AtMostOnce, 3))
 				if ending != forward.EndedUnknown || w.Code != http.StatusBadGateway || requests(list) != 1 {
@@ -167,7 +168,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				list := replicas(test.scripts...)
 				w, _ := serve(t, forwardtest.NewFleet(t, list...), call(test.repeat, 2))
 				if w.Code != test.status || requests(list) != test.wantRequests {
@@ -187,7 +188,7 @@
 // Guards against calls run by a replica that took over another one's address. Such a
 // replica answers 421 once and gets no more calls until it is registered.
 func TestReplicaAtReusedAddressRunsNothing(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		ran := make(map[string]int)
 		runsFor := func(id string) forwardtest.Script {
 			return func(c *forwardtest.Conn) bool {
@@ -218,7 +219,7 @@
 }
 
 func TestResponseToEarlierCallIsSkipped(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(func(c *forwardtest.Conn) bool {
 			return c.AnswerFor("earlier", http.StatusOK, "not yours") && c.Answer(http.StatusOK, "yours")
 		})
@@ -235,7 +236,7 @@
 }
 
 func TestConnectionIsReusedAfterCompleteResponse(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(answerOK)
 		f := forwardtest.NewFleet(t, list...)
 		for range 3 {
@@ -248,7 +249,7 @@
 }
 
 func TestConnectionIsNotReusedIfBodyWasNotRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := []*forwardtest.Replica{forwardtest.NewReplica("i-0", upstream, answerOK).NeverReadBodies()}
 		f := forwardtest.NewFleet(t, list...)
 		callTwiceWithLongBodies(t, f)
@@ -262,7 +263,7 @@
 // replica that reads the body after its response may get the next request on the
 // same connection or on a new one.
 func TestNoRequestFollowsIncompleteBody(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := []*forwardtest.Replica{forwardtest.NewReplica("i-0", upstream, answerOK).ReadBodiesAfterAnswers()}
 		f := forwardtest.NewFleet(t, list...)
 		callTwiceWithLongBodies(t, f)
@@ -293,7 +294,7 @@
 }
 
 func TestFirstByteLatencyIsObservedOnlyForStartedResponses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := forwardtest.NewFleet(t, replicas(answerOK, answerOK)...)
 		serve(t, f, call(route.AtMostOnce, 1))
 		unresponsive := forwardtest.NewFleet(t, replicas(neverAnswer)...)
@@ -328,7 +329,7 @@
 }
 
 func TestDeadlineEndsCallImmediately(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(neverAnswer, answerOK)
 		began := time.Now()
 		w, ending := serve(t, forwardtest.NewFleet(t, list...), call(route.AtMostOnce, 2))
@@ -339,7 +340,7 @@
 }
 
 func TestUnresponsiveReplicaIsAbandonedForRetryableCall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(neverAnswer, answerOK)
 		began := time.Now()
 		w, ending := serve(t, forwardtest.NewFleet(t, list...), call(route.Idempotent, 2))
@@ -353,7 +354,7 @@
 }
 
 func TestUnresponsiveReplicaIsKeptWithoutRetryBudget(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(func(c *forwardtest.Conn) bool {
 			time.Sleep(700 * time.Millisecond)
 			return c.Answer(http.StatusOK, "done")
@@ -369,7 +370,7 @@
 }
 
 func TestCallerDisconnectClosesReplicaConnection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		ended := make(chan time.Time, 1)
 		list := replicas(func(c *forwardtest.Conn) bool {
 			neverAnswer(c)
@@ -387,7 +388,7 @@
 }
 
 func TestReplicaRemovedDuringConnectGetsNoRequest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(answerOK, answerOK)
 		f := forwardtest.NewFleet(t, list...)
 		var gone string
@@ -415,7 +416,7 @@
 }
 
 func TestRetriesStopWhenBudgetIsSpent(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(closeConnection, closeConnection)
 		f := forwardtest.NewFleet(t, list...)
 		const calls = 100
@@ -430,7 +431,7 @@
 }
 
 func TestCallWithoutReplicasIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		w, ending := serve(t, forwardtest.NewFleet(t), call(route.AtMostOnce, 1))
 		if ending != forward.EndedRefused || w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
 			t.Errorf("ending %s, status %d, header %v", ending, w.Code, w.Header())
@@ -439,7 +440,7 @@
 }
 
 func TestCallThatCrashesReplicasIsQuarantined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		var list []*forwardtest.Replica
 		for i := range 6 {
 			var r *forwardtest.Replica
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/ratelimit"
@@ -44,7 +44,7 @@
 		"unanswered": {fakeIssuer{err: errors.New("no answer")}, 1},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				list := replicas(answerWithRateLimit)
 				f := forwardtest.NewFleet(t, list...)
 				f.Permits.SetAcquireFunc(test.issuer.ask)
@@ -71,7 +71,7 @@
 }
 
 func TestOtherReplicaIsChosenWithoutPermit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(answerWithRateLimit, answerOK)
 		f := forwardtest.NewFleet(t, list...)
 		var issuer fakeIssuer
@@ -93,7 +93,7 @@
 
 // Guards against calls that wait for a permit issuer that does not respond.
 func TestPermitWaitIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(answerWithRateLimit, answerWithRateLimit, answerWithRateLimit, answerOK)
 		f := forwardtest.NewFleet(t, list...)
 		f.Permits.SetAcquireFunc(func(ctx context.Context, _ ratelimit.Limit) (ratelimit.Grant, error) {
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -5,13 +5,14 @@
 	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/retrybudget"
 )
 
 // Guards against reusing a connection whose idle timer fired as the response
 // arrived: it may be closed while another call uses it.
 func TestConnectionIsNotReusedAfterIdleTimeout(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		// Without retry budget, the timer fires but does not abort the attempt.
 		budget := retrybudget.New(retrybudget.Limits{Window: time.Second})
 		a := &attempt{exchange: &exchange{
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -3,9 +3,9 @@
 import (
 	"net/http"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/route"
@@ -46,7 +46,7 @@
 	}
 	for name, first := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				var resumedAt string
 				list := replicas(first, func(c *forwardtest.Conn) bool {
 					resumedAt = c.Request.Header.Get(forwardtest.HeaderLastEvent)
@@ -62,7 +62,7 @@
 }
 
 func TestNonResumableStreamEndsBroken(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(events(false, event1), events(true, event2))
 		c := call(route.AtMostOnce, 2)
 		c.Route.Streaming = true
@@ -74,7 +74,7 @@
 }
 
 func TestStreamRetriedBeforeFirstEventSendsHeadersOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(events(false), events(true, event1))
 		w, ending := serve(t, forwardtest.NewFleet(t, list...), call(route.ResumableStream, 2))
 		if ending != forward.EndedComplete || w.Code != http.StatusOK || w.Body.String() != event1 {
@@ -84,7 +84,7 @@
 }
 
 func TestEventsAreFlushedAsTheyArrive(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(func(c *forwardtest.Conn) bool {
 			_ = c.StartStream()
 			for _, e := range []string{event1, event2, event3} {
--- a/internal/gateway/slowcaller_test.go
+++ b/internal/gateway/slowcaller_test.go
@@ -7,8 +7,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 // onePipe is a listener that accepts one connection.
@@ -40,7 +41,7 @@
 }
 
 func TestCallerThatDoesNotReadIsLetGo(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		const length = 1 << 20
 		began, ended := time.Now(), make(chan time.Duration, 1)
 		caller, stop := serveOne(func(w http.ResponseWriter, _ *http.Request) {
@@ -61,7 +62,7 @@
 
 func TestCallerThatDoesNotSendItsBodyIsRefused(t *testing.T) {
 	c := fuzzCall(t)
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		const useful = 20 * time.Second
 		began, refused := time.Now(), make(chan error, 1)
 		caller, stop := serveOne(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/handover/abandon_test.go
+++ b/internal/handover/abandon_test.go
@@ -6,14 +6,15 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 // TestAbandonBeforeTheSealIsFree abandons a move whose nodes are armed, under
 // load: no request is refused, and the next move of the set goes through.
 func TestAbandonBeforeTheSealIsFree(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := newSimWorld(ctx, 1)
 		w.callersAt = 1
@@ -63,7 +64,7 @@
 // TestPlatformDownWhileArmed takes the source's platform down for long while
 // its nodes are armed: the driver's permits keep them serving.
 func TestPlatformDownWhileArmed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		w := newSimWorld(ctx, 1)
 		time.Sleep(time.Second)
--- a/internal/handover/agent_hang_test.go
+++ b/internal/handover/agent_hang_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform/memstore"
 )
 
@@ -31,7 +31,7 @@
 // TestPlatformThatHangsLeavesTimeForPeers has a platform that takes every call
 // and answers none.
 func TestPlatformThatHangsLeavesTimeForPeers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		timing := DefaultTiming()
 		store := memstore.New(memstore.Config{})
 		home := func(string, string) bool { return true }
--- a/internal/handover/agent_test.go
+++ b/internal/handover/agent_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 )
@@ -24,7 +25,7 @@
 // TestAgentAtRest counts an agent's calls while nothing moves, and has it learn
 // of a move and of a driver's call at once.
 func TestAgentAtRest(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		kv := memstore.New(memstore.Config{})
 		ids := 0
 		store := NewMoveStore(kv, func() string { ids++; return fmt.Sprintf("id-%d", ids) })
--- a/internal/handover/arrow_test.go
+++ b/internal/handover/arrow_test.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform/memstore"
 )
 
@@ -52,7 +52,7 @@
 				for _, after := range []bool{false, true} {
 					name := fmt.Sprintf("%s, side %d, %s, after %t", kind, side, fault.name, after)
 					t.Run(name, func(t *testing.T) {
-						synctest.Test(t, func(t *testing.T) { strikeAt(t, kind, after, side, fault) })
+						bubbletest.Run(t, func(t *testing.T) { strikeAt(t, kind, after, side, fault) })
 					})
 				}
 			}
--- a/internal/handover/schedule_test.go
+++ b/internal/handover/schedule_test.go
@@ -7,9 +7,9 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform/memstore"
 )
 
@@ -219,7 +219,7 @@
 // TestMoveWithoutFaults sends a request a millisecond and looks at the longest
 // waits at the gate.
 func TestMoveWithoutFaults(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		w, result := runSchedule(t, 1, 0, func(w *simWorld) func(MessageKind, bool) {
 			w.interval, w.callersAt = time.Millisecond, 1
 			return nil
@@ -256,7 +256,7 @@
 			t.Parallel()
 			requests, answered := 0, 0
 			for seed := worker; seed < schedules; seed += workers {
-				synctest.Test(t, func(t *testing.T) {
+				bubbletest.Run(t, func(t *testing.T) {
 					_, result := runSchedule(t, seed, 1+int(seed%3), nil)
 					requests += len(result.answers)
 					for _, a := range result.answers {
--- a/internal/intent/executor_test.go
+++ b/internal/intent/executor_test.go
@@ -4,7 +4,8 @@
 	"errors"
 	"fmt"
 	"testing"
-	"testing/synctest"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 // move has a step without return in its middle.
@@ -26,7 +27,7 @@
 	for n := 1; n <= writes; n++ {
 		for _, afterward := range []bool{false, true} {
 			t.Run(fmt.Sprint(n, afterward), func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) { killedAtWrite(t, n, afterward) })
+				bubbletest.Run(t, func(t *testing.T) { killedAtWrite(t, n, afterward) })
 			})
 		}
 	}
--- a/internal/lease/holder_test.go
+++ b/internal/lease/holder_test.go
@@ -5,6 +5,7 @@
 	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 )
@@ -37,7 +38,7 @@
 }
 
 func TestRenewalsKeepOneEpoch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		p := startProcess(t, store, "a")
 		time.Sleep(10 * ttl)
@@ -50,7 +51,7 @@
 }
 
 func TestOutageLongerThanTheLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		p := startProcess(t, store, "a")
 		time.Sleep(ttl / 2)
@@ -80,7 +81,7 @@
 }
 
 func TestShortOutageKeepsTheTerm(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		p := startProcess(t, store, "a")
 		time.Sleep(ttl)
@@ -92,7 +93,7 @@
 }
 
 func TestPausedPastTheLease(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		paused := startProcess(t, store, "a")
 		time.Sleep(time.Second)
@@ -112,7 +113,7 @@
 }
 
 func TestLostAnswerOfAcquire(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		inject(t, store, memstore.Fault{Kind: memstore.LostAnswer, Factor: 1})
 		p := startProcess(t, store, "a")
@@ -130,7 +131,7 @@
 }
 
 func TestLostAnswersOfRenewals(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		p := startProcess(t, store, "a")
 		time.Sleep(time.Second)
@@ -146,7 +147,7 @@
 }
 
 func TestEarlyEndIsNoticedAtRenewal(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		p := startProcess(t, store, "a")
 		time.Sleep(time.Second)
@@ -171,7 +172,7 @@
 	}
 	for name, sent := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				store := memstore.New(memstore.Config{})
 				inject(t, store, memstore.Fault{Kind: memstore.Slow, Factor: float64(slow / time.Millisecond)})
 				start := time.Now()
@@ -191,7 +192,7 @@
 }
 
 func TestGrantAnsweredAfterPauseIsUnusable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		inject(t, store, memstore.Fault{Kind: memstore.Slow, Factor: 1000, For: 2 * time.Second})
 		p := startProcess(t, store, "a")
@@ -221,7 +222,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				store := memstore.New(memstore.Config{})
 				first := startProcess(t, store, "a")
 				synctest.Wait()
--- a/internal/lease/prefer_test.go
+++ b/internal/lease/prefer_test.go
@@ -3,9 +3,9 @@
 import (
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 )
@@ -21,7 +21,7 @@
 }
 
 func TestUnpreferredTriesRarely(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		all := append(startUnpreferred(t, store, 29), startWithPreference(t, store, "preferred", always))
 		time.Sleep(2 * ttl)
@@ -38,7 +38,7 @@
 }
 
 func TestUnpreferredTakesOverWhenPreferredIsCutOff(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		store := memstore.New(memstore.Config{})
 		first := startWithPreference(t, store, "preferred", always)
 		time.Sleep(ttl)
--- a/internal/lease/random_test.go
+++ b/internal/lease/random_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform/memstore"
 )
 
@@ -34,7 +35,7 @@
 func TestOneHolderUnderRandomFaults(t *testing.T) {
 	terms := 0
 	for seed := range uint64(30) {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(seed, 1))
 			store := memstore.New(memstore.Config{Seed: seed})
 			processes := []*process{startProcess(t, store, "a"), startProcess(t, store, "bb"), startProcess(t, store, "ccc")}
--- a/internal/leaving/tracker_test.go
+++ b/internal/leaving/tracker_test.go
@@ -6,11 +6,11 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/membership/membershiptest"
 	"galenatrestle/internal/platform"
@@ -32,7 +32,7 @@
 			t.RecordInstances([]platform.Instance{{Name: name, State: platform.InstanceLeaving}})
 		},
 	}
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		trackers, stop := startNodes(t)
 		defer stop()
 		for title, record := range recorders {
@@ -51,7 +51,7 @@
 }
 
 func TestServingSignalReachesAllNodes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		trackers, stop := startNodes(t)
 		defer stop()
 		trackers[0].RecordEngineLeaving("r")
--- a/internal/load/injector_test.go
+++ b/internal/load/injector_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/standin"
 	"galenatrestle/internal/standin/engine"
@@ -13,7 +13,7 @@
 )
 
 func TestInjectorThrowsByPatternAndTime(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		engines := map[string]standin.Standin{}
 		for _, name := range []string{"llm-0", "llm-1", "llm-11", "api-1"} {
 			engines[name] = engine.New(engine.Options{Name: name, Model: "m"})
--- a/internal/load/run_test.go
+++ b/internal/load/run_test.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/standin"
 	"galenatrestle/internal/standin/engine"
 	"galenatrestle/internal/standin/service"
@@ -78,7 +78,7 @@
 }
 
 func TestRunAgainstHonestEntry(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		w := parse(t, small)
 		requests := Plan(w)
 		Stamp(requests, "run")
@@ -179,7 +179,7 @@
 func TestBrokenPromisesAreFound(t *testing.T) {
 	for _, tt := range misbehaviours() {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				entry := newFakeEntry()
 				w := parse(t, small)
 				request := Request{Name: "shops-1", Stream: &w.Streams[0], Prompt: "shops-1 text", MaxTokens: 3}
@@ -206,7 +206,7 @@
 }
 
 func TestResendAndGiveUp(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		entry := newFakeEntry()
 		times := 0
 		entry.handle["shops-1"] = func(w http.ResponseWriter, r *http.Request) {
@@ -245,7 +245,7 @@
 {"at":"1s","workspace":"w","class":"counter","model":"tab-llm","prompt":"three","answer_tokens":4,"outcome":"not-run|answered"}
 {"at":"2s","workspace":"w","class":"counter","model":"none","prompt":"four","outcome":"unknown_model"}
 `
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		w, requests, err := ReadTrace(strings.NewReader(trace), map[string]string{"w": "k"})
 		if err != nil {
 			t.Fatal(err)
--- a/internal/membership/runner_test.go
+++ b/internal/membership/runner_test.go
@@ -5,15 +5,15 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	membershipv1 "galenatrestle/internal/gen/trestle/membership/v1"
 	"galenatrestle/internal/membership/membershiptest"
 )
 
 func TestRunnersJoinGossipAndDetectDeath(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		net := membershiptest.NewNetwork()
 		var running sync.WaitGroup
--- a/internal/nodesync/hub_loads_test.go
+++ b/internal/nodesync/hub_loads_test.go
@@ -3,18 +3,18 @@
 import (
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 )
 
 // TestMembersSendLoadsToHubsOnly guards against sending loads twice, directly and in
 // sums.
 func TestMembersSendLoadsToHubsOnly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		nodes := largeFleet(30)
 		hub := nodes[0].hubOf("z0", 100*second)
 		member, other := memberOf(nodes, hub.Name), memberOf(nodes, nodes[0].hubOf("z1", 100*second).Name)
@@ -77,7 +77,7 @@
 
 // TestLargeZoneHasSeveralHubs guards against overloading a hub with too many members.
 func TestLargeZoneHasSeveralHubs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		nodes := fleetOf(240, 3)
 		hubs := nodes[0].hubs(nodes[0].now)
 		if want := 3 * 3; len(hubs) != want {
@@ -241,7 +241,7 @@
 
 // TestNonHubSendsNoSums: without the sums of other hubs, its fleet sum would be too low.
 func TestNonHubSendsNoSums(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		nodes := largeFleet(30)
 		for range 3 {
 			round(t, nodes)
--- a/internal/nodesync/hub_test.go
+++ b/internal/nodesync/hub_test.go
@@ -3,10 +3,10 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/replica"
 )
@@ -81,7 +81,7 @@
 
 func TestFleetLoadReachesAllNodesInThreeRounds(t *testing.T) {
 	// Loads expire after a second; a fake clock keeps slow machines from expiring them.
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		nodes := largeFleet(30)
 		calls := 0
 		for range 3 {
--- a/internal/nodesync/scale_test.go
+++ b/internal/nodesync/scale_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
 	"google.golang.org/protobuf/proto"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/replica"
 )
@@ -188,7 +188,7 @@
 
 // TestLoadReachesAllNodesThroughPrimaryHubs covers a fleet whose hubs do not all call each other.
 func TestLoadReachesAllNodesThroughPrimaryHubs(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		nodes := fleetOf(600, 5)
 		if hubs := nodes[0].hubs(nodes[0].now); !callsThroughPrimary(hubs) {
 			t.Fatalf("only %d hubs", len(hubs))
@@ -274,7 +274,7 @@
 // TestHubsOfWholeListingsTellAllLoads guards against leaving loads out between availability zones where
 // nodes use all replicas, as in a fleet with duties.
 func TestHubsOfWholeListingsTellAllLoads(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		nodes := largeFleet(30)
 		hub, other := findNode(nodes, nodes[0].hubOf("z0", 100*second).Name), findNode(nodes, nodes[0].hubOf("z1", 100*second).Name)
 		hub.options.Replicas.Update(listingOf(5, 1000), hub.now, hub.now)
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -8,12 +8,12 @@
 	"math/rand/v2"
 	"strconv"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"connectrpc.com/connect"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
@@ -258,7 +258,7 @@
 // TestPlacementsAreNotSentRepeatedly: only a node that may have restarted is sent all
 // placements again.
 func TestPlacementsAreNotSentRepeatedly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		a, b := newTestNode("a", 100*second), newTestNode("b", 100*second)
 		listing := replica.Listing{Revision: 1, Replicas: []replica.Replica{{ID: "i", Upstream: "u", Address: "x:1"}}}
 		b.options.Replicas.Update(listing, b.now, b.now)
--- a/internal/order/sender_test.go
+++ b/internal/order/sender_test.go
@@ -9,11 +9,11 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/platform"
 )
@@ -94,7 +94,7 @@
 	for _, honours := range []bool{true, false} {
 		for pauseAt := time.Duration(0); pauseAt < testTTL; pauseAt += testTTL / 8 {
 			for _, latency := range []time.Duration{0, 2 * time.Second} {
-				synctest.Test(t, func(t *testing.T) { testPausedHolder(t, honours, pauseAt, latency) })
+				bubbletest.Run(t, func(t *testing.T) { testPausedHolder(t, honours, pauseAt, latency) })
 			}
 		}
 	}
--- a/internal/passthrough/handler_test.go
+++ b/internal/passthrough/handler_test.go
@@ -6,12 +6,12 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/route"
@@ -101,7 +101,7 @@
 	}
 	for name, test := range tests {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				h := newHarness(t)
 				if test.configured {
 					h.setConfiguration(test.age)
@@ -127,7 +127,7 @@
 // Guards against accepting keys by an outdated table after the VM was suspended, which
 // advances only the boot-time clock.
 func TestSuspendedVMDoesNotTrustItsOldTable(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		h := newHarness(t)
 		h.setConfiguration(0)
 		if w := h.send("/closed/x", "good", ""); w.Code != 200 {
@@ -157,7 +157,7 @@
 }
 
 func TestStoppingHandlerClosesConnectionsAndRefusesStreaming(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		h := newHarness(t)
 		h.setConfiguration(0)
 		h.DisableKeepAlives()
--- a/internal/platform/budget/budget_test.go
+++ b/internal/platform/budget/budget_test.go
@@ -5,12 +5,12 @@
 	"errors"
 	"math/rand/v2"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/testutil"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 )
@@ -33,7 +33,7 @@
 }
 
 func TestCallsWaitForTheirTurn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		inner, store, counters := newStore(t, Config{Duty: "d", PerSecond: 10, Burst: 2, MaxWait: time.Second})
 		start := time.Now()
 		for range 5 {
@@ -61,7 +61,7 @@
 }
 
 func TestDutiesDoNotTakeEachOthersCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		inner, greedy, counters := newStore(t, Config{Duty: "greedy", PerSecond: 10, Burst: 1})
 		modest := New(inner, Config{Duty: "modest", PerSecond: 10, Burst: 1}, counters)
 		if !get(t.Context(), greedy) || get(t.Context(), greedy) {
--- a/internal/platform/memstore/fault_test.go
+++ b/internal/platform/memstore/fault_test.go
@@ -4,9 +4,9 @@
 	"errors"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 )
 
@@ -19,7 +19,7 @@
 }
 
 func TestDownFailsCallsWithoutEffect(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		inject(t, s, Fault{Kind: Down, For: time.Minute})
 		time.Sleep(time.Minute - 1)
@@ -37,7 +37,7 @@
 }
 
 func TestSlowDelaysCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		inject(t, s, Fault{Kind: Slow, Factor: 250})
 		start := time.Now()
--- a/internal/platform/memstore/lease_test.go
+++ b/internal/platform/memstore/lease_test.go
@@ -3,9 +3,9 @@
 import (
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 )
 
@@ -22,7 +22,7 @@
 }
 
 func TestEpochGrowsAtEachGrant(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		steps := []struct {
 			name   string
@@ -48,7 +48,7 @@
 }
 
 func TestHeldLeaseRefusesOthers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		lease := acquire(t, s, "a")
 		time.Sleep(ttl / 2)
@@ -68,7 +68,7 @@
 }
 
 func TestLostLeaseIsNotRenewed(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		old := acquire(t, s, "a")
 		time.Sleep(ttl)
--- a/internal/platform/memstore/store_test.go
+++ b/internal/platform/memstore/store_test.go
@@ -5,9 +5,9 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 )
 
@@ -75,7 +75,7 @@
 }
 
 func TestRates(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{WritesPerSecond: 40, ReadsPerSecond: 80, WeightsPerSecond: 1})
 		calls := map[platform.Call]func() error{
 			platform.CallRenew:   func() error { _, err := s.Renew(t.Context(), platform.Lease{}); return err },
--- a/internal/platform/memstore/watch_test.go
+++ b/internal/platform/memstore/watch_test.go
@@ -6,6 +6,7 @@
 	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 )
 
@@ -30,7 +31,7 @@
 }
 
 func TestWatchWaitsForItsPrefix(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		entry := put(t, s, "a/1", 0, "x")
 		done := startWatch(t, s, "a/", entry.Revision, time.Minute)
@@ -54,7 +55,7 @@
 }
 
 func TestWatchEndsAfterWait(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		put(t, s, "b", 0, "x")
 		got := <-startWatch(t, s, "a", 1, 3*time.Second)
@@ -110,7 +111,7 @@
 }
 
 func TestDownCutsWaitingWatch(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Config{})
 		done := startWatch(t, s, "", 0, time.Hour)
 		if err := s.Inject(Fault{Kind: Down, For: time.Second}); err != nil {
--- a/internal/platform/resolve/resolve_test.go
+++ b/internal/platform/resolve/resolve_test.go
@@ -5,9 +5,9 @@
 	"errors"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/memstore"
 )
@@ -67,7 +67,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				mem := memstore.New(memstore.Config{})
 				expect := put(t, mem, "k", 0, "old")
 				if test.stale {
@@ -102,7 +102,7 @@
 }
 
 func TestOutageLongerThanContextIsUnknown(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		mem := memstore.New(memstore.Config{})
 		if err := mem.Inject(memstore.Fault{Kind: memstore.Down}); err != nil {
 			t.Fatal(err)
--- a/internal/quotashare/exchange_test.go
+++ b/internal/quotashare/exchange_test.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 const fleetWindow = 20 * time.Second
@@ -57,7 +58,7 @@
 	}
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				f := newFleet(ctx, t, !test.alone, test.offered)
 				first := f.run(fleetWindow)
--- a/internal/rounds/asks_test.go
+++ b/internal/rounds/asks_test.go
@@ -4,8 +4,9 @@
 	"context"
 	"errors"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 // handled is one call of HandleResponse.
@@ -16,7 +17,7 @@
 }
 
 func TestOwnerIsInFlightUntilResponseIsHandled(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		var got []handled
 		client := &OwnerClient[int, int]{
 			Self:        "vm-0",
--- a/internal/rounds/rounds_test.go
+++ b/internal/rounds/rounds_test.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
+
+	"galenatrestle/internal/bubbletest"
 )
 
 func TestStepsAndSweepsRunAtTheirIntervals(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		began := time.Now()
 		var steps, sweeps []time.Duration
 		ctx, cancel := context.WithTimeout(t.Context(), 1050*time.Millisecond)
--- a/internal/standin/engine/answer_test.go
+++ b/internal/standin/engine/answer_test.go
@@ -4,8 +4,8 @@
 	"encoding/json"
 	"strings"
 	"testing"
-	"testing/synctest"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/testnet"
 )
@@ -23,7 +23,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				client := testnet.Serve(t, New(Options{Name: "e1", Model: testModel}))
 				want := ExpectedAnswer(tt.prompt, tt.maxTokens)
 				if got := streamAnswer(t, client, chat(tt.prompt, tt.maxTokens, true)); got != want {
@@ -50,7 +50,7 @@
 }
 
 func TestTextCompletionWithUsage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		client := testnet.Serve(t, New(Options{Name: "e1", Model: testModel}))
 		limit := 5
 		request := openai.Request{Model: testModel, Prompt: "torque sensor", MaxTokens: &limit}
@@ -82,7 +82,7 @@
 
 func TestResumeGoesOnAfterTheDeliveredPrefix(t *testing.T) {
 	for _, maxTokens := range []int{9, 0} {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			client := testnet.Serve(t, New(Options{Name: "e1", Model: testModel}))
 			const prompt = "odd charges on the tab"
 			want := ExpectedAnswer(prompt, maxTokens)
--- a/internal/standin/engine/batch_test.go
+++ b/internal/standin/engine/batch_test.go
@@ -6,12 +6,13 @@
 	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/testnet"
 )
 
 func TestTimeBetweenTokensGrowsPastTheSlots(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		e := New(Options{Name: "e1", Model: testModel, Slots: 2, TokenInterval: 10 * time.Millisecond, PrefillPerToken: 1})
 		client := testnet.Serve(t, e)
 		took := func(streams int) time.Duration {
@@ -39,7 +40,7 @@
 }
 
 func TestPriorityOrdersTheQueue(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		e := New(Options{Name: "e1", Model: testModel, Slots: 1, BatchBound: 1})
 		client := testnet.Serve(t, e)
 		order := make(chan string, 3)
@@ -64,7 +65,7 @@
 }
 
 func TestClosedConnectionCancelsTheRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		e := New(Options{Name: "e1", Model: testModel})
 		client := testnet.Serve(t, e)
 		response, err := post(t, client, "/v1/chat/completions", chat("a b", 1000, true))
@@ -81,7 +82,7 @@
 }
 
 func TestCancelByRequestID(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		e := New(Options{Name: "e1", Model: testModel})
 		client := testnet.Serve(t, e)
 		response, err := post(t, client, "/v1/chat/completions", chat("a b", 1000, true))
@@ -100,7 +101,7 @@
 }
 
 func TestLoadReportLags(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		client := testnet.Serve(t, New(Options{Name: "e1", Model: testModel, LoadLag: time.Second}))
 		go streamAnswer(t, client, chat("a", 500, true))
 		synctest.Wait()
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -8,9 +8,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/testnet"
 )
@@ -97,7 +97,7 @@
 }
 
 func TestCachedPrefixIsNotReadAgain(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		e := New(Options{Name: "e1", Model: testModel, PrefillPerToken: time.Millisecond, CacheTokens: 64, CacheEventLoss: -1})
 		client := testnet.Serve(t, e)
 		first := func(prompt string) time.Duration {
@@ -125,7 +125,7 @@
 
 func TestOrdersAndFencing(t *testing.T) {
 	for _, honours := range []bool{true, false} {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			client := testnet.Serve(t, New(Options{Name: "e1", Model: testModel, HonoursFencing: honours}))
 			orders := []struct {
 				order openai.Order
@@ -158,7 +158,7 @@
 }
 
 func TestKVMovesBetweenEngines(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		prompt := strings.Repeat("history ", 64)
 		source := testnet.Serve(t, New(Options{Name: "e1", Model: testModel}))
 		targetEngine := New(Options{Name: "e2", Model: testModel, PrefillPerToken: time.Millisecond})
--- a/internal/standin/engine/fault_test.go
+++ b/internal/standin/engine/fault_test.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/standin/fault"
@@ -24,7 +24,7 @@
 	}
 	t.Run("refuse and leaving do not run", func(t *testing.T) {
 		for kind, code := range map[fault.Kind]string{fault.Refuse: openai.CodeOverloaded, fault.Leaving: openai.CodeLeaving} {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				e := New(Options{Name: "e1", Model: testModel})
 				client := testnet.Serve(t, e)
 				switchOn(t, e, fault.Spec{Kind: kind, For: config.Duration(time.Second)})
@@ -49,7 +49,7 @@
 		}
 	})
 	t.Run("straggler", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			e := New(Options{Name: "e1", Model: testModel, PrefillPerToken: 1})
 			client := testnet.Serve(t, e)
 			start := time.Now()
@@ -64,7 +64,7 @@
 		})
 	})
 	t.Run("hang sends nothing and ends", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			e := New(Options{Name: "e1", Model: testModel})
 			client := testnet.Serve(t, e)
 			switchOn(t, e, fault.Spec{Kind: fault.Hang, For: config.Duration(time.Minute)})
@@ -76,7 +76,7 @@
 		})
 	})
 	t.Run("a caller that gives up on a hung engine is seen", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubbletest.Run(t, func(t *testing.T) {
 			e := New(Options{Name: "e1", Model: testModel})
 			client := testnet.Serve(t, e)
 			client.Timeout = time.Second
@@ -93,7 +93,7 @@
 }
 
 func TestCrashEndsAHandlerWhoseCallerDoesNotRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		e := New(Options{Name: "e1", Model: testModel})
 		var active atomic.Int32
 		client := testnet.Serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -131,7 +131,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				e := New(Options{Name: "e1", Model: testModel})
 				client := testnet.Serve(t, e)
 				if err := e.Faults().Switch(tt.spec); err != nil {
--- a/internal/standin/platform/timeout_test.go
+++ b/internal/standin/platform/timeout_test.go
@@ -7,9 +7,9 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/httpstore"
 	"galenatrestle/internal/platform/memstore"
@@ -58,7 +58,7 @@
 	}
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				store := memstore.New(memstore.Config{})
 				client := httpstore.New(httpstore.Config{Timeout: timeout, Transport: direct{API(store)}})
 				if err := store.Inject(memstore.Fault{Kind: memstore.Slow, Factor: test.slow}); err != nil {
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -5,9 +5,9 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/standin/fault"
 	"galenatrestle/internal/testnet"
@@ -25,7 +25,7 @@
 }
 
 func TestRunsAndEchoes(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		s := New(Options{Name: "ledger-1", Latency: 5 * time.Millisecond})
 		client := testnet.Serve(t, s)
 		for run := int64(1); run <= 2; run++ {
@@ -68,7 +68,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(string(tt.kind), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
 				s := New(Options{Name: "ledger-1"})
 				client := testnet.Serve(t, s)
 				if err := s.Faults().Switch(fault.Spec{Kind: tt.kind, For: config.Duration(tt.lastsFor)}); err != nil {
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -10,9 +10,9 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/openai"
 )
 
@@ -204,7 +204,7 @@
 
 // TestSilentEngine uses an in-memory connection, so that time is the bubble's.
 func TestSilentEngine(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		engine := NewEngine(Options{StallTimeout: time.Minute})
 		engine.transport.DialContext = func(context.Context, string, string) (net.Conn, error) {
 			near, far := net.Pipe()
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/duty"
 	"galenatrestle/internal/duty/dutytest"
@@ -144,7 +144,7 @@
 }
 
 func TestReportsAreTimelyAndCorrect(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := newFleet(t, 1, "a", "b", "c")
 		time.Sleep(62 * time.Second)
 		if missing := f.overdue(); len(missing) > 0 {
@@ -164,7 +164,7 @@
 
 // TestStoreOutageDelaysNoReport has an outage that is shorter than the platform's delay.
 func TestStoreOutageDelaysNoReport(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := newFleet(t, 1, "a", "b")
 		time.Sleep(12 * time.Second)
 		f.store.SetFaults(dutytest.StoreFaults{Down: true, Lapse: true})
@@ -183,7 +183,7 @@
 // TestCrashOfAllNodesLosesOnlyLastSeconds kills all processes in the middle of a window. The
 // new processes must report the counts up to a few seconds before the crash, in time.
 func TestCrashOfAllNodesLosesOnlyLastSeconds(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
 		f := newFleet(t, 1, "a", "b", "c")
 		time.Sleep(length - time.Since(f.began)%length + 3*length + 4*time.Second)
 		window := usage.Window(time.Now(), length)
@@ -210,7 +210,7 @@
 // under random store faults, late calls and changes of the holder.
 func TestReportsOfAWindowAreIdentical(t *testing.T) {
 	for seed := range uint64(60) {
-		synctest.Test(t, func(t *testing.T) { playFaults(t, seed) })
+		bubbletest.Run(t, func(t *testing.T) { playFaults(t, seed) })
 		if t.Failed() {
 			t.Fatalf("seed %d", seed)
 		}
