Take copies of the registrations with an older revision and the same replicas

Cause: a node that lists the registrations gets the store's revision; one that follows their changes has that of the last change. A member that had listed once took all copies of its hub for older ones until the next change, and listed again every few seconds; each listing is dozens of calls in a large fleet. Ruled out: hubs that were behind (their reads went on once a second, all from revision 3045). Change: a listing of the same era with the same digest confirms the current one, whatever its revision.

--- a/internal/nodesync/listing.go
+++ b/internal/nodesync/listing.go
@@ -47,7 +47,8 @@
 // mergeReplicas applies the listing of a response unless it is older than this node's.
 func (s *Sync) mergeReplicas(m *nodesyncv1.ExchangeResponse, from string, callStart boottime.Instant) {
 	ownListing, _ := s.options.Replicas.Latest()
-	if m.GetReplicasRevision() == 0 || m.GetReplicasRevision() < ownListing.Revision {
+	isOlder := m.GetReplicasRevision() < ownListing.Revision && m.GetReplicasDigest() != ownListing.Digest
+	if m.GetReplicasRevision() == 0 || isOlder {
 		return
 	}
 	listing, err := decodeListing(m, ownListing)
--- a/internal/nodesync/listing_test.go
+++ b/internal/nodesync/listing_test.go
@@ -80,3 +80,16 @@
 	a.exchangeWith(t, b, 0, 0)
 	checkListing(t, a, b)
 }
+
+// Members that had listed the registrations by themselves read them every few seconds, since the copies of
+// hubs, which follow the changes, had older revisions.
+func TestMemberWithNewerRevisionTakesCopyOfHub(t *testing.T) {
+	member, hub := newTestNode("member", 100*second), newTestNode("hub", 100*second)
+	replicas := []replica.Replica{{ID: "i", Upstream: "u", Address: "x:1"}}
+	member.options.Replicas.Update(replica.Listing{Revision: 20, Replicas: replicas}.Ordered(), 90*second, 90*second)
+	hub.options.Replicas.Update(replica.Listing{Revision: 10, Replicas: replicas}.Ordered(), 99*second, 99*second)
+	member.exchangeWith(t, hub, 0, 0)
+	if _, readAt := member.options.Replicas.Latest(); readAt != 99*second {
+		t.Errorf("copy read at %d, want 99", readAt/second)
+	}
+}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -50,10 +50,13 @@
 }
 
 // Update replaces the current listing by one whose read began at readAt, and returns the
-// changes. A listing with an older revision is ignored.
+// changes. A listing with an older revision is ignored, unless it confirms the current one.
 func (s *Set) Update(l Listing, readAt, now boottime.Instant) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if l.Revision < s.listing.Revision && s.confirms(l) {
+		l.Revision = s.listing.Revision
+	}
 	if l.Revision < s.listing.Revision {
 		return nil
 	}
@@ -80,6 +83,14 @@
 	return s.setKnown(s.withMissing(now))
 }
 
+// confirms reports whether the listing has the same replicas as the current one. The revision of a
+// listing that follows the changes is that of the last change; one that was listed anew at the same
+// time has the newer revision of the store. The lock is held.
+func (s *Set) confirms(l Listing) bool {
+	return l.Digest != 0 && l.Digest == s.listing.Digest && l.Zone == s.listing.Zone &&
+		platform.Position(l.Revision).Era() == platform.Position(s.listing.Revision).Era()
+}
+
 // wasRestored reports whether the store was restored from an older copy between the current listing
 // and the next one. The lock is held.
 func (s *Set) wasRestored(next Listing) bool {
--- a/internal/replica/set_test.go
+++ b/internal/replica/set_test.go
@@ -89,3 +89,30 @@
 		t.Errorf("usable %v, replicas %v, changes %v; want a listed, not usable and changed to draining", s.Usable("a"), ids(s), changes)
 	}
 }
+
+// A node that had listed the registrations took the copies of nodes that follow the changes for older
+// ones, and listed them again and again.
+func TestOlderRevisionConfirmsTheSameReplicas(t *testing.T) {
+	s := NewSet()
+	s.Update(listing(20, "a", "b").Ordered(), at(1000), at(1010))
+	s.Update(listing(10, "a", "b").Ordered(), at(1500), at(1510))
+	got, readAt := s.Latest()
+	if readAt != at(1500) || got.Revision != 20 {
+		t.Errorf("listing of revision %d read at %d, want 20 at %d", got.Revision, readAt, at(1500))
+	}
+	s.Update(listing(10, "a").Ordered(), at(2000), at(2010))
+	if _, readAt := s.Latest(); readAt != at(1500) || !slices.Equal(ids(s), []string{"a", "b"}) {
+		t.Errorf("an older listing that differs was taken: read at %d, replicas %v", readAt, ids(s))
+	}
+}
+
+func TestCopyOfEarlierEraConfirmsNothing(t *testing.T) {
+	s := NewSet()
+	current := listing(int64(platform.NewPosition(2, 5)), "a").Ordered()
+	s.Update(current, at(1000), at(1010))
+	current.Revision = int64(platform.NewPosition(1, 900))
+	s.Update(current, at(1500), at(1510))
+	if _, readAt := s.Latest(); readAt != at(1000) {
+		t.Errorf("listing read at %d, want %d", readAt, at(1000))
+	}
+}
