Follow the changes of the registrations also from other nodes' copies

Cause: a hub that takes over the reads of another one had no read of its own within 5 s and listed all registrations: 50 calls with 10,000 replicas. Change: it follows from the whole copy that it has, if that is newer than its last read and its last failure.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -92,7 +92,7 @@
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
 		store:         options.Store,
-		registrations: registrations{store: options.Store, clock: options.Clock},
+		registrations: registrations{store: options.Store, clock: options.Clock, copy: n.replicas.Latest},
 		eras:          &eraWatcher{store: options.Store, log: n.log},
 		routes:        n.routes, replicas: n.replicas, onReplicaChanges: n.onReplicaChanges,
 		keepsWholeListing: n.sync.KeepsWholeListing,
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -28,37 +28,55 @@
 type registrations struct {
 	store Store
 	clock boottime.Clock
+	// copy returns the node's current listing, which may come from another node, and when its read
+	// began; nil: there is none.
+	copy func() (replica.Listing, boottime.Instant)
 	// listing is the result of the last read, which began at readAt; zero if changes cannot be
 	// followed from it.
 	listing replica.Listing
 	readAt  boottime.Instant
+	// failedAt is when the last failed read began.
+	failedAt boottime.Instant
 }
 
 // read returns the current registrations. A listing may come with an error that lists entries which
 // could not be decoded.
 func (r *registrations) read(ctx context.Context) (replica.Listing, error) {
 	began := r.clock()
-	last := r.listing
-	recent := began.Sub(r.readAt) <= maxFollowGap
+	last, found := r.followable(began)
 	r.listing = replica.Listing{}
-	if len(last.Replicas) >= minFollowedReplicas && recent {
+	if found {
 		listing, err := r.follow(ctx, last)
 		if err == nil {
 			r.listing, r.readAt = listing, began
 			return listing, nil
 		}
 		if !errors.Is(err, platform.ErrCompacted) {
+			r.failedAt = began
 			return replica.Listing{}, err
 		}
 	}
 	listing, err := r.store.Replicas(ctx)
 	if listing.Revision == 0 {
+		r.failedAt = began
 		return listing, err
 	}
 	r.listing, r.readAt = listing.Ordered(), began
 	return r.listing, err
 }
 
+// followable returns a listing from which the changes can be followed: that of the last read, or the
+// copy of a later read by another node.
+func (r *registrations) followable(now boottime.Instant) (replica.Listing, bool) {
+	listing, readAt := r.listing, r.readAt
+	if r.copy != nil {
+		if copied, copiedAt := r.copy(); copied.Zone == "" && copiedAt > max(readAt, r.failedAt) {
+			listing, readAt = copied, copiedAt
+		}
+	}
+	return listing, len(listing.Replicas) >= minFollowedReplicas && now.Sub(readAt) <= maxFollowGap
+}
+
 // follow returns the listing with all changes since its revision.
 func (r *registrations) follow(ctx context.Context, listing replica.Listing) (replica.Listing, error) {
 	for range maxFollowCalls {
--- a/internal/edge/registrations_test.go
+++ b/internal/edge/registrations_test.go
@@ -119,3 +119,37 @@
 		})
 	}
 }
+
+// A hub that took over the reads of another one listed all registrations, in dozens of calls.
+func TestChangesAreFollowedFromCopyOfOtherNode(t *testing.T) {
+	store, now := newRegistrationStore(3000), boottime.Instant(time.Minute)
+	copied, err := store.Replicas(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	copied = copied.Ordered()
+	copiedAt := now.Add(-time.Second)
+	r := registrations{
+		store: store, clock: func() boottime.Instant { return now },
+		copy: func() (replica.Listing, boottime.Instant) { return copied, copiedAt },
+	}
+	if _, err := r.read(t.Context()); err != nil || store.listings != 1 || store.follows != 1 {
+		t.Errorf("%d listings, %d calls for changes, error %v; want 1 and 1", store.listings, store.follows, err)
+	}
+	part := registrations{store: store, clock: r.clock, copy: func() (replica.Listing, boottime.Instant) {
+		listing := copied
+		listing.Zone = "z"
+		return listing, copiedAt
+	}}
+	if _, err := part.read(t.Context()); err != nil || store.listings != 2 || store.follows != 1 {
+		t.Errorf("with a part: %d listings, %d calls for changes, error %v; want 2 and 1", store.listings, store.follows, err)
+	}
+	store.err = platform.ErrUnavailable
+	if _, err := r.read(t.Context()); err == nil {
+		t.Fatal("the read did not fail")
+	}
+	store.err = nil
+	if _, err := r.read(t.Context()); err != nil || store.listings != 3 {
+		t.Errorf("after a failed read: %d listings, error %v; want 3", store.listings, err)
+	}
+}
