Nodes that restart together wait for the first read of the registrations

Cause: nodes of a large fleet that restart together know too few others to take it for a large one, and all read the registrations 0.3 to 0.9 s after their start. Each read is dozens of calls and megabytes. Change: a node without registrations tells in its exchanges that it begins to read them; the others wait up to 4 s for its copy, and a node that has been a primary hub for 0.4 s does not wait. A node that has begun goes on by its own pauses. The number of readers no longer follows what each node happens to know. Weighed: a hint of the fleet's size in the store (a call more at each start, and stale after a change); waiting longer at each restart (slower where a single node restarts). Figures: tests fail before.

--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -73,6 +73,11 @@
 	role func() nodesync.Role
 	// fleetSize returns the number of nodes.
 	fleetSize func() int
+	// beginFirstRead tells other nodes that this one begins to read the registrations without
+	// having a copy; sinceOthersFirstRead returns the time since another node last did, if that is
+	// known.
+	beginFirstRead       func()
+	sinceOthersFirstRead func() (time.Duration, bool)
 	// readerIndex is the node's position among the nodes that read for others.
 	readerIndex func() int
 	// firstReadAt is when the node may read records that it has no copy of; zero means at
@@ -114,6 +119,7 @@
 			if rec.hasCopy() {
 				continue
 			}
+			r.beginFirstRead()
 		}
 		limited, cancel := context.WithTimeout(ctx, readTimeout)
 		err := rec.read(limited)
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -258,7 +258,7 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		began := time.Now()
 		hasCopy := func() bool { return time.Since(began) > 2*time.Second }
-		r := &reader{role: func() nodesync.Role { return nodesync.Member }, fleetSize: func() int { return 985 }}
+		r := &reader{role: func() nodesync.Role { return nodesync.Member }, fleetSize: func() int { return 985 }, sinceOthersFirstRead: noFirstRead}
 		if !r.waitForCopy(t.Context(), rand.New(rand.NewPCG(1, 1)), record{hasCopy: hasCopy}) {
 			t.Fatal("the wait ended with its context")
 		}
@@ -267,3 +267,46 @@
 		}
 	})
 }
+
+func noFirstRead() (time.Duration, bool) { return 0, false }
+
+// TestRestartedNodesWaitForTheFirstRead guards against nodes of a restarted fleet that know too few
+// others to take it for a large one and all read the registrations, so that each read takes seconds.
+func TestRestartedNodesWaitForTheFirstRead(t *testing.T) {
+	cases := []struct {
+		name string
+		role nodesync.Role
+		// readBegan is when another node's first read began, copyAt when its copy arrives.
+		readBegan, copyAt    time.Duration
+		minWaited, maxWaited time.Duration
+	}{
+		{"no other node reads", nodesync.Member, time.Hour, time.Hour, 0, 0},
+		{"another node's copy arrives", nodesync.Member, 0, 1500 * time.Millisecond, 1500 * time.Millisecond, 1500*time.Millisecond + copyPollInterval},
+		{"another node's read fails", nodesync.Member, 0, time.Hour, firstReadTime, 2*firstReadTime + copyPollInterval},
+		{"other nodes keep beginning to read", nodesync.Member, -1, time.Hour, maxCopyWait, maxCopyWait + copyPollInterval},
+		{"a primary hub", nodesync.PrimaryHub, 0, time.Hour, hubSettleTime, hubSettleTime + copyPollInterval},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				began := time.Now()
+				sinceOthersFirstRead := func() (time.Duration, bool) {
+					if test.readBegan < 0 {
+						return 0, true
+					}
+					return time.Since(began) - test.readBegan, time.Since(began) >= test.readBegan
+				}
+				r := &reader{
+					role:                 func() nodesync.Role { return test.role },
+					fleetSize:            func() int { return 40 },
+					sinceOthersFirstRead: sinceOthersFirstRead,
+				}
+				hasCopy := func() bool { return time.Since(began) >= test.copyAt }
+				r.waitForCopy(t.Context(), rand.New(rand.NewPCG(1, 1)), record{hasCopy: hasCopy})
+				if waited := time.Since(began); waited < test.minWaited || waited > test.maxWaited {
+					t.Errorf("waited %s, want %s to %s", waited, test.minWaited, test.maxWaited)
+				}
+			})
+		})
+	}
+}
--- a/internal/edge/readspread.go
+++ b/internal/edge/readspread.go
@@ -72,28 +72,48 @@
 	}
 }
 
-// waitForCopy waits, in a large fleet, for other nodes' copies of a large record that this node has
-// none of.
-// It returns false if ctx ended.
+const (
+	// copyPollInterval is how often waitForCopy looks for a copy.
+	copyPollInterval = 200 * time.Millisecond
+	// firstReadTime is how long the nodes without a copy wait for one that another node reads.
+	firstReadTime = 2 * time.Second
+	// maxCopyWait bounds that wait if ever more nodes begin to read.
+	maxCopyWait = 5 * time.Second
+	// hubSettleTime is how long a node must be a primary hub to read although another node does. A
+	// node that starts may be one until it knows the others.
+	hubSettleTime = 400 * time.Millisecond
+)
+
+// waitForCopy waits for other nodes' copies of a large record that this node has none of, until a
+// copy arrives or the node has to read by itself. It returns false if ctx ended.
 func (r *reader) waitForCopy(ctx context.Context, random *rand.Rand, rec record) bool {
-	delay, spread := r.spreadOfRole(r.role())
-	if spread > 0 {
-		delay += time.Duration(random.Int64N(int64(spread)))
-	}
-	for began := time.Now(); !rec.hasCopy() && time.Since(began) < delay; {
-		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
-			return false
+	began, hubSince := time.Now(), time.Now()
+	fraction := random.Float64()
+	for !rec.hasCopy() {
+		role := r.role()
+		if role != nodesync.PrimaryHub {
+			hubSince = time.Now()
 		}
-		if now, _ := r.spreadOfRole(r.role()); now == 0 {
-			// The node has become one of those that read first.
+		if time.Since(hubSince) >= hubSettleTime || r.mayReadFirst(role, time.Since(began), fraction) {
 			return true
 		}
 	}
 	return ctx.Err() == nil
 }
 
-// copyPollInterval is how often waitForCopy looks for a copy.
-const copyPollInterval = 200 * time.Millisecond
+		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
+			return false
+		}
+// mayReadFirst reports whether a node without a copy that has waited for the given time reads the
+// store. fraction is the node's random position among those that wait.
+func (r *reader) mayReadFirst(role nodesync.Role, waited time.Duration, fraction float64) bool {
+	delay, spread := r.spreadOfRole(role)
+	if waited < delay+time.Duration(fraction*float64(spread)) {
+		return false
+	}
+	since, known := r.sinceOthersFirstRead()
+	return !known || waited >= maxCopyWait || since >= firstReadTime+time.Duration(fraction*float64(firstReadTime))
+}
 
 // roleAtStore returns the role that determines the node's calls of the store. A node that is cut off
 // from the others of a large fleet has no hub, but must not call the store as the nodes of a small
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -60,6 +60,7 @@
 	// this node calls in addition to the hubs.
 	zonePartner, remotePartner partner
 	zoneSizes                  zoneSizes
+	firstReads                 firstReads
 }
 
 // New returns a Sync. It makes no calls until Run, Round or Announce is called.
@@ -172,6 +173,7 @@
 		ReplicasZone:     s.zoneToRequest(now),
 		TakesChanges:     true,
 		ZoneSizes:        s.zoneSizes.toProto(now),
+		FirstReadAge:     s.firstReadAge(now),
 		WithoutLoads:     loads.omit,
 		AddsUp:           loads.aggregate,
 		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
@@ -197,6 +199,7 @@
 	s.mergeNode(caller)
 	s.zoneSizes.merge(zoneSizesFromProto(m.GetZoneSizes(), now), now)
 	s.observeTime(m.GetSelf(), now)
+	s.mergeFirstRead(m.GetFirstReadAge(), now)
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
 	s.mergeRateLimits(m.GetRateLimits(), caller.Name, now)
 	if m.GetWithoutLoads() {
@@ -227,6 +230,7 @@
 		RateLimits:     ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
 	}
 	reply.ZoneSizes = s.zoneSizes.toProto(now)
+	reply.FirstReadAge = s.firstReadAge(now)
 	for _, n := range s.nodesForResponse(m.GetSelf().GetAvailabilityZone(), now) {
 		reply.Nodes = append(reply.Nodes, nodeToProto(n, now))
 	}
@@ -247,6 +251,7 @@
 		s.mergeNode(nodeFromProto(n, callStart))
 	}
 	s.zoneSizes.merge(zoneSizesFromProto(m.GetZoneSizes(), callStart), s.options.Clock())
+	s.mergeFirstRead(m.GetFirstReadAge(), callStart)
 	if !request.GetWithoutLoads() {
 		role := s.Role()
 		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.aggregates()}, callStart)
