--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -23,16 +23,19 @@
 	// also learn of each other through nodesync; the listing finds those not yet reached by
 	// it.
 	defaultListInterval = 8 * time.Second
-	// memberListInterval is longer, since a member learns of new nodes from its hub.
+	// memberListInterval is longer, since members and secondary hubs learn of new nodes from
+	// hubs.
 	memberListInterval = time.Minute
+	// memberListSpread is the least interval between the listings of all members together.
+	memberListSpread = 600 * time.Millisecond
 	// aloneListInterval applies while no other node is known, smallFleetListInterval while
 	// fewer than smallFleetSize are, as on a node that is cut off from a large fleet.
 	aloneListInterval      = 500 * time.Millisecond
 	smallFleetListInterval = 3 * time.Second
 	smallFleetSize         = 4
-	// settlePeriod is the time after the start in which only seeds announce themselves. By
-	// its end a node that reached a seed knows its role, and most nodes of a large fleet
-	// need no announcement.
+	// settlePeriod is how long a node that is no seed must not be a member before it announces
+	// itself. A node that has reached no other one since its start is none, and neither is one
+	// that is a hub until it knows the others.
 	settlePeriod = 2 * time.Second
 	// announcerTick is the interval at which the announcer checks what is due.
 	announcerTick = 500 * time.Millisecond
@@ -45,19 +48,21 @@
 	self  func() nodesync.Node
 	// role is the node's role in the exchange between nodes; isSeed is set if the node is
 	// in the seed list of the settings.
-	role    func() nodesync.Role
-	isSeed  bool
-	nodes   *nodesync.Nodes
-	clock   boottime.Clock
-	log     *eventlog.Log
-	metrics *metrics
-	rand    *rand.Rand
+	role   func() nodesync.Role
+	isSeed bool
+	nodes  *nodesync.Nodes
+	// fleetSize returns the number of nodes.
+	fleetSize func() int
+	clock     boottime.Clock
+	log       *eventlog.Log
+	metrics   *metrics
+	rand      *rand.Rand
 	// lease is zero if the node has none. announcedEra is the store's era at the last tick.
 	lease        int64
 	announcedEra int64
-	// settledAt is the end of settlePeriod, renewAt when to renew or grant the lease, listAt
-	// when to list the announced nodes.
-	settledAt, renewAt, listAt boottime.Instant
+	// neededSince is since when starting nodes may need this one to join, renewAt when to renew or
+	// grant the lease, listAt when to list the announced nodes.
+	neededSince, renewAt, listAt boottime.Instant
 	// listed is set once the announced nodes were listed, or need not be.
 	listed bool
 	// outages logs store outages. A node that gets all its copies from other nodes detects
@@ -68,7 +73,7 @@
 // run renews the lease and lists nodes until ctx ends.
 func (a *announcer) run(ctx context.Context) {
 	now := a.clock()
-	a.settledAt = now.Add(settlePeriod)
+	a.neededSince = now
 	if !a.isSeed {
 		// Gives the seeds time to answer first.
 		a.listAt = now.Add(aloneListInterval)
@@ -90,7 +95,7 @@
 		// The store may have lost the entry and its lease.
 		a.announcedEra, a.renewAt = era, 0
 	}
-	if now := a.clock(); now >= a.renewAt && a.shouldAnnounce(now) {
+	if now := a.clock(); a.shouldAnnounce(now) && now >= a.renewAt {
 		a.renewAt = now.Add(renewInterval)
 		err := a.announce(limited)
 		a.metrics.countRead("announcement", err)
@@ -99,9 +104,10 @@
 			a.renewAt = now.Add(a.nextListInterval())
 		}
 	}
-	if now := a.clock(); now >= a.listAt && !a.listed && a.role() == nodesync.Member {
+	if now := a.clock(); now >= a.listAt && !a.listed && a.learnsFromHubs() {
 		// Other nodes have already told this one of the fleet.
-		a.listed, a.listAt = true, now.Add(memberListInterval/2+time.Duration(a.rand.Int64N(int64(memberListInterval))))
+		interval := a.memberInterval()
+		a.listed, a.listAt = true, now.Add(interval/2+time.Duration(a.rand.Int64N(int64(interval))))
 	}
 	if now := a.clock(); now >= a.listAt {
 		a.listed = true
@@ -118,14 +124,10 @@
 // shouldAnnounce reports whether the node needs an entry in the store. Starting nodes
 // join through seeds and hubs, or through any node of a small fleet.
 func (a *announcer) shouldAnnounce(now boottime.Instant) bool {
-	switch role := a.role(); {
-	case a.isSeed:
-		return true
-	case now < a.settledAt:
-		return false
-	default:
-		return role != nodesync.Member
+	if a.role() == nodesync.Member {
+		a.neededSince = now
 	}
+	return a.isSeed || now.Sub(a.neededSince) >= settlePeriod
 }
 
 // nextListInterval returns the time until the next listing, without jitter.
@@ -135,13 +137,26 @@
 		return aloneListInterval
 	case others < smallFleetSize:
 		return smallFleetListInterval
-	case a.role() == nodesync.Member:
-		return memberListInterval
+	case a.learnsFromHubs():
+		return a.memberInterval()
 	default:
 		return defaultListInterval
 	}
 }
 
+// learnsFromHubs reports whether hubs tell this node of new nodes. The primary hubs list the
+// announced nodes for it.
+func (a *announcer) learnsFromHubs() bool {
+	role := a.role()
+	return role == nodesync.Member || role == nodesync.SecondaryHub
+}
+
+// memberInterval returns the interval between a member's listings, so that those of all members
+// together do not become more often with the size of the fleet.
+func (a *announcer) memberInterval() time.Duration {
+	return max(memberListInterval, time.Duration(a.fleetSize())*memberListSpread)
+}
+
 // announce renews the lease, or grants a new one and writes the node's entry.
 func (a *announcer) announce(ctx context.Context) error {
 	if a.lease != 0 {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -105,7 +105,7 @@
 	}
 	n.announcer = &announcer{
 		store: options.Store, self: n.self, role: n.roleAtStore, isSeed: isSeed,
-		nodes: n.nodes, clock: options.Clock, log: n.log, metrics: n.reader.metrics,
+		nodes: n.nodes, fleetSize: n.sync.FleetSize, clock: options.Clock, log: n.log, metrics: n.reader.metrics,
 		rand: rand.New(rand.NewPCG(options.Seed, 2)),
 	}
 	n.registerFleetMetrics()
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -179,7 +179,7 @@
 func (r *reader) waitUntilDue(ctx context.Context, random *rand.Rand, rec record) bool {
 	spread := random.Float64()
 	for {
-		left := max(r.dueAge(spread, rec)-rec.age(), r.untilFirstRead())
+		left := max(r.dueAge(spread, rec)-rec.age(), r.untilFirstRead(rec))
 		if left <= 0 {
 			return ctx.Err() == nil
 		}
@@ -189,13 +189,17 @@
 	}
 }
 
-// untilFirstRead returns the time left until firstReadAt; it is not positive if the node
-// may read.
-func (r *reader) untilFirstRead() time.Duration {
+// untilFirstRead returns the time left until the node may read the record; it is not positive if
+// it may.
+func (r *reader) untilFirstRead(rec record) time.Duration {
 	if r.firstReadAt == 0 {
 		return 0
 	}
-	return r.firstReadAt.Sub(r.clock())
+	at := r.firstReadAt
+	if r.role() == nodesync.PrimaryHub && rec.age() < firstReadDelay {
+		at = at.Add(-hubLeadTime)
+	}
+	return at.Sub(r.clock())
 }
 
 func (r *reader) configurationRecord() record {
--- a/internal/edge/reader_test.go
+++ b/internal/edge/reader_test.go
@@ -310,3 +310,24 @@
 		})
 	}
 }
+
+// At a fleet's first start the copies of all nodes were due at the end of firstReadDelay, so that all
+// read the configuration at once.
+func TestHubReadsBeforeOtherNodesAtFirstStart(t *testing.T) {
+	firstRead := func(role nodesync.Role) (waited time.Duration) {
+		bubbletest.Run(t, func(t *testing.T) {
+			began := time.Now()
+			r := &reader{role: func() nodesync.Role { return role }, readerIndex: func() int { return 0 }}
+			r.clock = func() boottime.Instant { return boottime.Instant(time.Since(began)) + 1 }
+			r.firstReadAt = r.clock().Add(firstReadDelay)
+			// A seed has read at the start.
+			r.waitUntilDue(t.Context(), rand.New(rand.NewPCG(1, 1)), recordWithAge(func() time.Duration { return time.Since(began) }))
+			waited = time.Since(began)
+		})
+		return waited
+	}
+	hub, member := firstRead(nodesync.PrimaryHub), firstRead(nodesync.Member)
+	if hub > firstReadDelay-time.Second || member < firstReadDelay {
+		t.Errorf("a primary hub reads after %s, a member after %s", hub, member)
+	}
+}
--- a/internal/edge/readspread.go
+++ b/internal/edge/readspread.go
@@ -18,6 +18,10 @@
 // reads by every node would only load the store.
 const firstReadDelay = 3 * time.Second
 
+// hubLeadTime is how much earlier a primary hub reads again what other nodes have told it.
+// Otherwise the copies of all nodes are due at the end of firstReadDelay, and all read at once.
+const hubLeadTime = firstReadDelay / 2
+
 const (
 	// restartReadDelay is how long a node that restarts waits for the copies of other nodes
 	// before it reads the store: in a large fleet a read of the registrations takes dozens
@@ -97,13 +101,13 @@
 		if time.Since(hubSince) >= hubSettleTime || r.mayReadFirst(role, time.Since(began), fraction) {
 			return true
 		}
+		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
+			return false
+		}
 	}
 	return ctx.Err() == nil
 }
 
-		if ctxtime.Sleep(ctx, copyPollInterval) != nil {
-			return false
-		}
 // mayReadFirst reports whether a node without a copy that has waited for the given time reads the
 // store. fraction is the node's random position among those that wait.
 func (r *reader) mayReadFirst(role nodesync.Role, waited time.Duration, fraction float64) bool {
