Entry nodes of a large fleet share half of each limit among themselves

Cause: the connections to a replica and the retries are divided by 1.25 times all nodes. With 985 nodes, 50 to 80 of which serve callers, an entry node had 0.8 retries in 10 s besides a fifth of its requests (no retry in its first requests), and one connection to each replica. Besides, weak nodes that serve an eighth of a zone's callers open as many connections as strong ones. Change: in fleets that name only some nodes to callers, half of each limit is divided by the entry nodes and half by all; the count is kept for 100 ms in place of counting the nodes for each request.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -42,6 +42,7 @@
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
+	sharing     *limitSharing
 	handler     *passthrough.Handler
 	reader      *reader
 	announcer   *announcer
@@ -87,6 +88,7 @@
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
+	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits())
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
@@ -163,7 +165,7 @@
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
 		Random: rand.Float64, Bounds: n.bounds,
-		NodeCount: n.assumedNodeCount, Log: n.log, Registry: n.registry,
+		NodeCount: n.sharing.nodeCount, Log: n.log, Registry: n.registry,
 	})
 }
 
@@ -204,20 +206,6 @@
 	}
 }
 
-const (
-	// minAssumedNodes applies while few nodes are known, as just after a start.
-	minAssumedNodes = 8
-	// marginDivisor adds 1/marginDivisor to the known nodes, for nodes that have joined but
-	// are not known everywhere yet.
-	marginDivisor = 4
-)
-
-// assumedNodeCount returns the number of nodes among which fleet-wide limits are divided.
-func (n *Node) assumedNodeCount() int {
-	known := n.sync.FleetSize()
-	return max(known+known/marginDivisor, minAssumedNodes)
-}
-
 // maxLoggedChanges is the number of changes of one listing that are logged one by one. Further
 // ones, as after a start, are only counted.
 const maxLoggedChanges = 64
@@ -310,7 +298,7 @@
 			return
 		case now := <-ticker.C:
 			n.conns.CloseExpired(now)
-			n.budget.SetNodes(n.assumedNodeCount())
+			n.budget.SetNodes(n.sharing.nodeCount())
 		}
 	}
 }
--- a/internal/edge/reload.go
+++ b/internal/edge/reload.go
@@ -45,5 +45,5 @@
 // retryLimits returns the limits on retries, which all nodes share.
 func (n *Node) retryLimits() retrybudget.Limits {
 	r := n.settings.Load().PassThrough.Retries
-	return retrybudget.Limits{Ratio: r.Ratio, Window: r.Window.Std(), Allowance: r.Allowance, Nodes: n.assumedNodeCount()}
+	return retrybudget.Limits{Ratio: r.Ratio, Window: r.Window.Std(), Allowance: r.Allowance, Nodes: n.sharing.nodeCount()}
 }
--- a/internal/nodesync/zonesizes.go
+++ b/internal/nodesync/zonesizes.go
@@ -1,6 +1,7 @@
 package nodesync
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"sync"
@@ -65,13 +66,16 @@
 }
 
 // total returns the sum of the recent counts.
-func (z *zoneSizes) total(now boottime.Instant) int {
+func (z *zoneSizes) total(now boottime.Instant) int { return z.totalUpTo(math.MaxInt, now) }
+
+// totalUpTo returns the sum of the recent counts, each of at most limit.
+func (z *zoneSizes) totalUpTo(limit int, now boottime.Instant) int {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	total := 0
 	for _, size := range z.byZone {
 		if size.recent(now) {
-			total += size.nodes
+			total += min(size.nodes, limit)
 		}
 	}
 	return total
