--- a/internal/nodesync/entries.go
+++ b/internal/nodesync/entries.go
@@ -6,20 +6,11 @@
 	"galenatrestle/internal/boottime"
 )
 
-// EntryNodesPerZone is the largest number of entry nodes per availability zone in a fleet
+// EntryNodesPerZone is the number of entry nodes per availability zone in a fleet
 // that is too large to list all nodes. Nodes with the same view of the fleet choose the same
 // ones, so that callers keep their connections.
 const EntryNodesPerZone = 16
 
-const (
-	// weakShare is the part of the largest processor share below which a node is left out of the
-	// entry nodes, if the others suffice: at least minStrongNodes with strongFraction of the
-	// processors of all.
-	weakShare      = 0.5
-	minStrongNodes = 8
-	strongFraction = 0.8
-)
-
 // EntryNodes returns the nodes that callers of the availability zone should connect to:
 // those of the zone with the largest processor share, filled up from other zones if there
 // are too few. An empty zone means this node's zone.
@@ -49,7 +40,7 @@
 	})
 	missing := EntryNodesPerZone - len(sameZone.nodes)
 	if missing <= 0 {
-		return withoutWeakNodes(sameZone.nodes)
+		return sameZone.nodes
 	}
 	s.options.Nodes.visit(func(r *record) {
 		if r.serving(now) && r.AvailabilityZone != zone {
@@ -63,24 +54,6 @@
 	return cmp.Or(cmp.Compare(b.ProcessorShare, a.ProcessorShare), cmp.Compare(a.rank, b.rank))
 }
 
-// withoutWeakNodes leaves out nodes of a small processor share that add little to the others: each
-// entry node opens its own connections to the replicas. The nodes are ordered by compareEntryNodes.
-func withoutWeakNodes(nodes []Node) []Node {
-	var all, strong float32
-	strongNodes := 0
-	for _, n := range nodes {
-		all += n.ProcessorShare
-		if n.ProcessorShare >= weakShare*nodes[0].ProcessorShare {
-			strong += n.ProcessorShare
-			strongNodes++
-		}
-	}
-	if strongNodes < minStrongNodes || strong < strongFraction*all {
-		return nodes
-	}
-	return nodes[:strongNodes]
-}
-
 // IsEntryNode reports whether callers of this node's availability zone are told to connect to it.
 func (s *Sync) IsEntryNode() bool {
 	return hasNode(s.EntryNodes(""), s.options.Self().Name)
