--- a/internal/nodesync/entries.go
+++ b/internal/nodesync/entries.go
@@ -6,8 +6,8 @@
 	"galenatrestle/internal/boottime"
 )
 
-// EntryNodesPerZone is the number of entry nodes per availability zone in a fleet
-// that is too large to list all nodes. Nodes with the same view of the fleet choose the same
+// EntryNodesPerZone is the number of entry nodes per availability zone in a fleet that is
+// too large to list all nodes. Nodes with the same view of the fleet choose the same
 // ones, so that callers keep their connections.
 const EntryNodesPerZone = 16
 
