--- a/internal/edge/announcer_test.go
+++ b/internal/edge/announcer_test.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// TestMembersListingsDoNotGrowWithFleet guards against members that all list the announced nodes once a
-// minute: a third of a large fleet's calls to the store.
+// TestMembersListingsDoNotGrowWithFleet guards against members of a large fleet that all list the announced
+// nodes once a minute.
 func TestMembersListingsDoNotGrowWithFleet(t *testing.T) {
 	const span = 10 * time.Minute
 	perSecond := func(nodes int) float64 {
--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -121,13 +121,7 @@
 			}
 			r.beginFirstRead()
 		}
-		limited, cancel := context.WithTimeout(ctx, readTimeout)
-		err := rec.read(limited)
-		cancel()
-		r.metrics.countRead(rec.name, err)
-		if err == nil {
-			r.eras.observe()
-		}
+		err := r.read(ctx, rec)
 		if ctx.Err() != nil {
 			return
 		}
@@ -143,6 +137,18 @@
 	}
 }
 
+// read reads the record once.
+func (r *reader) read(ctx context.Context, rec record) error {
+	limited, cancel := context.WithTimeout(ctx, readTimeout)
+	defer cancel()
+	err := rec.read(limited)
+	r.metrics.countRead(rec.name, err)
+	if err == nil {
+		r.eras.observe()
+	}
+	return err
+}
+
 // backoffFor returns the pauses between failed reads of the record.
 func (r *reader) backoffFor(rec record) backoff {
 	if !rec.hasCopy() {
--- a/internal/edge/sharing_test.go
+++ b/internal/edge/sharing_test.go
@@ -17,8 +17,8 @@
 func (f fakeFleet) MaxEntryNodes() int { return min(f.size, 80) }
 func (f fakeFleet) IsEntryNode() bool  { return f.isEntry }
 
-// The entry nodes of a fleet of 985 nodes had 1/1231 of each limit, so that they made no retries in their
-// first seconds and kept one connection to each replica.
+// Entry nodes had the same shares as the many nodes that serve no callers: too little for one retry or a
+// second connection to a replica.
 func TestEntryNodesShareOfLimitsDoesNotFollowFleet(t *testing.T) {
 	for _, size := range []int{300, 985, 2000} {
 		entry := assumedNodeCount(fakeFleet{size, true})
--- a/internal/nodesync/firstread.go
+++ b/internal/nodesync/firstread.go
@@ -21,6 +21,14 @@
 	ownBegan bool
 }
 
+// begin records that this node begins a first read.
+func (f *firstReads) begin(now boottime.Instant) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.latest, f.ownBegan = max(f.latest, now), true
+}
+
+// merge records when another node began a first read.
 func (f *firstReads) merge(beganAt boottime.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -32,28 +40,30 @@
 func (f *firstReads) since(now boottime.Instant) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	since := now.Sub(f.latest)
-	return since, f.latest != 0 && since < firstReadRetention
+	return f.sinceLocked(now)
 }
 
-// BeginFirstRead records that this node, which has no registrations, begins to read them.
-func (s *Sync) BeginFirstRead() {
-	f := &s.firstReads
-	f.merge(s.options.Clock())
+// sinceOthers is since, but false if this node has begun itself.
+func (f *firstReads) sinceOthers(now boottime.Instant) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.ownBegan = true
+	since, known := f.sinceLocked(now)
+	return since, known && !f.ownBegan
 }
 
+func (f *firstReads) sinceLocked(now boottime.Instant) (time.Duration, bool) {
+	since := now.Sub(f.latest)
+	return since, f.latest != 0 && since < firstReadRetention
+}
+
+// BeginFirstRead records that this node, which has no registrations, begins to read them.
+func (s *Sync) BeginFirstRead() { s.firstReads.begin(s.options.Clock()) }
+
 // SinceOthersFirstRead returns the time since another node without registrations last began to read
 // them. The result is false if none is known to have begun recently, or if this node has begun
 // itself: other nodes tell it of its own read, too.
 func (s *Sync) SinceOthersFirstRead() (time.Duration, bool) {
-	f := &s.firstReads
-	since, known := f.since(s.options.Clock())
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return since, known && !f.ownBegan
+	return s.firstReads.sinceOthers(s.options.Clock())
 }
 
 // firstReadAge returns the time since the latest first read for a message, in microseconds; zero
