One place each for what a copy's age decides, a hub is, and a round of a model fleet is

Found on reading the change once more; no behaviour, bound or assertion changes. - Whether an older listing is taken was decided in nodesync and again in replica.Set: only the set decides now. - firstReads had three methods for one lookup and two ways to lock: its flag is atomic, and begin goes through merge. - The gauge of hubs spelled out what Role.aggregates already told: it is Role.IsHub now, used by both. - shouldAnnounce changed the state that it judged, so that the order of a condition mattered: the tick does it first. - The smallest assumed node count was applied at two places: withMargin does it. - registrations took a missing source of copies into account that only tests left out. - rounds in the tests and the model of BenchmarkFleet were two loops of one kind: both use tick and callAnother.

--- a/internal/edge/announcer.go
+++ b/internal/edge/announcer.go
@@ -95,7 +95,10 @@
 		// The store may have lost the entry and its lease.
 		a.announcedEra, a.renewAt = era, 0
 	}
-	if now := a.clock(); a.shouldAnnounce(now) && now >= a.renewAt {
+	if a.role() == nodesync.Member {
+		a.neededSince = a.clock()
+	}
+	if now := a.clock(); now >= a.renewAt && a.shouldAnnounce(now) {
 		a.renewAt = now.Add(renewInterval)
 		err := a.announce(limited)
 		a.metrics.countRead("announcement", err)
@@ -124,9 +127,6 @@
 // shouldAnnounce reports whether the node needs an entry in the store. Starting nodes
 // join through seeds and hubs, or through any node of a small fleet.
 func (a *announcer) shouldAnnounce(now boottime.Instant) bool {
-	if a.role() == nodesync.Member {
-		a.neededSince = now
-	}
 	return a.isSeed || now.Sub(a.neededSince) >= settlePeriod
 }
 
--- a/internal/edge/metrics.go
+++ b/internal/edge/metrics.go
@@ -5,7 +5,6 @@
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
-	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/routesource"
 )
@@ -50,7 +49,7 @@
 	gauge("trestle_fleet_nodes", "Nodes of the fleet, as known to this node.",
 		func() float64 { return float64(n.sync.FleetSize()) })
 	gauge("trestle_hub", "1 if this node is a hub.", func() float64 {
-		if role := n.sync.Role(); role == nodesync.PrimaryHub || role == nodesync.SecondaryHub {
+		if n.sync.Role().IsHub() {
 			return 1
 		}
 		return 0
--- a/internal/edge/registrations.go
+++ b/internal/edge/registrations.go
@@ -29,7 +29,7 @@
 	store Store
 	clock boottime.Clock
 	// copy returns the node's current listing, which may come from another node, and when its read
-	// began; nil: there is none.
+	// began.
 	copy func() (replica.Listing, boottime.Instant)
 	// listing is the result of the last read, which began at readAt; zero if changes cannot be
 	// followed from it.
@@ -69,10 +69,8 @@
 // copy of a later read by another node.
 func (r *registrations) followable(now boottime.Instant) (replica.Listing, bool) {
 	listing, readAt := r.listing, r.readAt
-	if r.copy != nil {
-		if copied, copiedAt := r.copy(); copied.Zone == "" && copiedAt > max(readAt, r.failedAt) {
-			listing, readAt = copied, copiedAt
-		}
+	if copied, copiedAt := r.copy(); copied.Zone == "" && copiedAt > max(readAt, r.failedAt) {
+		listing, readAt = copied, copiedAt
 	}
 	return listing, len(listing.Replicas) >= minFollowedReplicas && now.Sub(readAt) <= maxFollowGap
 }
--- a/internal/edge/registrations_test.go
+++ b/internal/edge/registrations_test.go
@@ -54,11 +54,13 @@
 	return s
 }
 
+func noCopy() (replica.Listing, boottime.Instant) { return replica.Listing{}, 0 }
+
 // TestChangesOfLargeListingAreFollowed guards against reading all registrations each time, which
 // takes dozens of calls in a large fleet.
 func TestChangesOfLargeListingAreFollowed(t *testing.T) {
 	store, now := newRegistrationStore(3000), boottime.Instant(time.Second)
-	r := registrations{store: store, clock: func() boottime.Instant { return now }}
+	r := registrations{store: store, clock: func() boottime.Instant { return now }, copy: noCopy}
 	for read := range 5 {
 		store.replicas[read].Draining = true
 		listing, err := r.read(t.Context())
@@ -74,7 +76,7 @@
 
 func TestSmallListingIsNotFollowed(t *testing.T) {
 	store := newRegistrationStore(100)
-	r := registrations{store: store, clock: func() boottime.Instant { return 1 }}
+	r := registrations{store: store, clock: func() boottime.Instant { return 1 }, copy: noCopy}
 	for range 3 {
 		if _, err := r.read(t.Context()); err != nil {
 			t.Fatal(err)
@@ -100,7 +102,7 @@
 	for _, test := range cases {
 		t.Run(test.name, func(t *testing.T) {
 			store, now := newRegistrationStore(3000), boottime.Instant(time.Second)
-			r := registrations{store: store, clock: func() boottime.Instant { return now }}
+			r := registrations{store: store, clock: func() boottime.Instant { return now }, copy: noCopy}
 			if _, err := r.read(t.Context()); err != nil {
 				t.Fatal(err)
 			}
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -57,15 +57,18 @@
 // some more nodes than are known.
 func assumedNodeCount(f fleet) int {
 	size := f.FleetSize()
-	all := float64(max(withMargin(size), minAssumedNodes))
+	all := withMargin(size)
 	if size <= maxAddresses {
 		return int(all)
 	}
 	share := (1 - entryPart) / all
 	if f.IsEntryNode() {
-		share += entryPart / float64(max(withMargin(f.MaxEntryNodes()), minAssumedNodes))
+		share += entryPart / withMargin(f.MaxEntryNodes())
 	}
 	return int(1 / share)
 }
 
-func withMargin(nodes int) int { return nodes + nodes/marginDivisor }
+// withMargin returns the number of nodes to assume if the given number is known.
+func withMargin(known int) float64 {
+	return float64(max(known+known/marginDivisor, minAssumedNodes))
+}
--- a/internal/nodesync/firstread.go
+++ b/internal/nodesync/firstread.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"galenatrestle/internal/boottime"
@@ -18,21 +19,18 @@
 	mu     sync.Mutex
 	latest boottime.Instant
 	// ownBegan is set once this node has begun a first read.
-	ownBegan bool
+	ownBegan atomic.Bool
 }
 
 // begin records that this node begins a first read. Further attempts do not count: other nodes must
 // not go on waiting for a node that cannot reach the store.
 func (f *firstReads) begin(now boottime.Instant) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.ownBegan {
-		return
+	if f.ownBegan.CompareAndSwap(false, true) {
+		f.merge(now)
 	}
-	f.latest, f.ownBegan = max(f.latest, now), true
 }
 
-// merge records when another node began a first read.
+// merge records when this or another node began a first read.
 func (f *firstReads) merge(beganAt boottime.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -44,18 +42,6 @@
 func (f *firstReads) since(now boottime.Instant) (time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.sinceLocked(now)
-}
-
-// sinceOthers is since, but false if this node has begun itself.
-func (f *firstReads) sinceOthers(now boottime.Instant) (time.Duration, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	since, known := f.sinceLocked(now)
-	return since, known && !f.ownBegan
-}
-
-func (f *firstReads) sinceLocked(now boottime.Instant) (time.Duration, bool) {
 	since := now.Sub(f.latest)
 	return since, f.latest != 0 && since < firstReadRetention
 }
@@ -67,7 +53,8 @@
 // them. The result is false if none is known to have begun recently, or if this node has begun
 // itself: other nodes tell it of its own read, too.
 func (s *Sync) SinceOthersFirstRead() (time.Duration, bool) {
-	return s.firstReads.sinceOthers(s.options.Clock())
+	since, known := s.firstReads.since(s.options.Clock())
+	return since, known && !s.firstReads.ownBegan.Load()
 }
 
 // firstReadAge returns the time since the latest first read for a message, in microseconds; zero
--- a/internal/nodesync/fleet_bench_test.go
+++ b/internal/nodesync/fleet_bench_test.go
@@ -1,16 +1,12 @@
 package nodesync
 
 import (
-	"context"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
-	"google.golang.org/protobuf/proto"
-
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/replica"
 )
@@ -33,8 +29,6 @@
 	}
 }
 
-const ticksPerSecond = 5
-
 // fleetModel is a fleet whose nodes call each other in virtual time.
 type fleetModel struct {
 	nodes     []*testNode
@@ -48,9 +42,9 @@
 }
 
 func newFleetModel(size int) *fleetModel {
-	m := &fleetModel{nodes: startingFleet(size), byAddress: make(map[string]*testNode), random: rand.New(rand.NewPCG(1, 1))}
+	nodes := startingFleet(size)
+	m := &fleetModel{nodes: nodes, byAddress: nodesByAddress(nodes), random: rand.New(rand.NewPCG(1, 1))}
 	for i, n := range m.nodes {
-		m.byAddress[n.options.Self().PeerAddress] = n
 		n.options.SumsMaxAge = DefaultSumsMaxAge
 		originalSelf := n.options.Self
 		share := float32(0.2)
@@ -83,16 +77,7 @@
 		if m.ticks%ticksPerSecond == 0 {
 			m.read()
 		}
-		for i, n := range m.nodes {
-			if n.due(m.ticks + i) {
-				for _, t := range n.targets() {
-					m.call(n, t)
-				}
-			}
-		}
-		for _, n := range m.nodes {
-			n.now += second / ticksPerSecond
-		}
+		tick(m.nodes, m.ticks, m.call)
 	}
 }
 
@@ -126,16 +111,10 @@
 	if !ok || to == n {
 		return
 	}
-	request := n.request(t, n.now)
-	response, err := to.Exchange(context.Background(), connect.NewRequest(request))
+	size, err := n.callAnother(to, t)
 	if err != nil {
 		panic(err)
 	}
-	n.handleResponse(response.Msg, request, n.now)
-	if response.Msg.GetReplicasOmitted() {
-		n.fetchFrom(to)
-	}
-	size := proto.Size(request) + proto.Size(response.Msg)
 	from, callee := n.options.Self(), to.options.Self()
 	for _, name := range []string{from.Name, callee.Name} {
 		m.bytes[name] += size
--- a/internal/nodesync/hub.go
+++ b/internal/nodesync/hub.go
@@ -129,11 +129,12 @@
 	}
 }
 
-func (r Role) aggregates() bool { return r == PrimaryHub || r == SecondaryHub }
+// IsHub reports whether a node of the role aggregates the loads of others.
+func (r Role) IsHub() bool { return r == PrimaryHub || r == SecondaryHub }
 
-// hasNode reports whether the node with the name is one of the hubs.
-func hasNode(hubs []Node, name string) bool {
-	return slices.ContainsFunc(hubs, func(hub Node) bool { return hub.Name == name })
+// hasNode reports whether the node with the name is one of the nodes.
+func hasNode(nodes []Node, name string) bool {
+	return slices.ContainsFunc(nodes, func(n Node) bool { return n.Name == name })
 }
 
 // isFirstOfZone reports whether the hub at the index is the primary one of its availability zone.
--- a/internal/nodesync/listing.go
+++ b/internal/nodesync/listing.go
@@ -44,13 +44,12 @@
 
 var errDeltaMismatch = errors.New("nodesync: replica listing delta does not match the sender's digest")
 
-// mergeReplicas applies the listing of a response unless it is older than this node's.
+// mergeReplicas applies the listing of a response. The set ignores one that is older than its own.
 func (s *Sync) mergeReplicas(m *nodesyncv1.ExchangeResponse, from string, callStart boottime.Instant) {
-	ownListing, _ := s.options.Replicas.Latest()
-	isOlder := m.GetReplicasRevision() < ownListing.Revision && m.GetReplicasDigest() != ownListing.Digest
-	if m.GetReplicasRevision() == 0 || isOlder {
+	if m.GetReplicasRevision() == 0 {
 		return
 	}
+	ownListing, _ := s.options.Replicas.Latest()
 	listing, err := decodeListing(m, ownListing)
 	if err != nil {
 		s.fullListingNeeded.Store(true)
--- a/internal/nodesync/scale_test.go
+++ b/internal/nodesync/scale_test.go
@@ -42,40 +42,62 @@
 	return nodes
 }
 
-// rounds makes each node call its targets, if it is due, the given number of times, 200 ms
-// apart, and returns the bytes of all messages.
-func rounds(t *testing.T, nodes []*testNode, count int) (bytes int) {
-	t.Helper()
-	byAddress := make(map[string]*testNode)
+const ticksPerSecond = 5
+
+// tick lets each node that is due call its targets, and then passes the time to the next tick.
+func tick(nodes []*testNode, number int, call func(*testNode, target)) {
+	for i, n := range nodes {
+		// Nodes that start together do not make their rounds together.
+		if n.due(number + i) {
+			for _, t := range n.targets() {
+				call(n, t)
+			}
+		}
+	}
+	for _, n := range nodes {
+		n.now += second / ticksPerSecond
+	}
+}
+
+func nodesByAddress(nodes []*testNode) map[string]*testNode {
+	byAddress := make(map[string]*testNode, len(nodes))
 	for _, n := range nodes {
 		byAddress[n.options.Self().PeerAddress] = n
 	}
-	for tick := range count {
-		for i, n := range nodes {
-			// Nodes that start together do not make their rounds together.
-			if !n.due(tick + i) {
-				continue
+	return byAddress
+}
+
+// callAnother makes one call to another node, without a connection, and returns the bytes of its
+// messages.
+func (n *testNode) callAnother(to *testNode, t target) (bytes int, err error) {
+	request := n.request(t, n.now)
+	response, err := to.Exchange(context.Background(), connect.NewRequest(request))
+	if err != nil {
+		return 0, err
+	}
+	n.handleResponse(response.Msg, request, n.now)
+	if response.Msg.GetReplicasOmitted() {
+		n.fetchFrom(to)
+	}
+	return proto.Size(request) + proto.Size(response.Msg), nil
+}
+
+// rounds runs the given number of ticks and returns the bytes of all messages.
+func rounds(t *testing.T, nodes []*testNode, count int) (bytes int) {
+	t.Helper()
+	byAddress := nodesByAddress(nodes)
+	for number := range count {
+		tick(nodes, number, func(n *testNode, callee target) {
+			to, ok := byAddress[callee.address]
+			if !ok || to == n {
+				return
 			}
-			for _, target := range n.targets() {
-				to, ok := byAddress[target.address]
-				if !ok || to == n {
-					continue
-				}
-				request := n.request(target, n.now)
-				response, err := to.Exchange(context.Background(), connect.NewRequest(request))
-				if err != nil {
-					t.Fatal(err)
-				}
-				bytes += proto.Size(request) + proto.Size(response.Msg)
-				n.handleResponse(response.Msg, request, n.now)
-				if response.Msg.GetReplicasOmitted() {
-					n.fetchFrom(to)
-				}
+			size, err := n.callAnother(to, callee)
+			if err != nil {
+				t.Fatal(err)
 			}
-		}
-		for _, n := range nodes {
-			n.now += second / 5
-		}
+			bytes += size
+		})
 	}
 	return bytes
 }
@@ -121,7 +143,7 @@
 	for _, n := range nodes {
 		got, _ := n.options.Replicas.Latest()
 		switch role := n.Role(); {
-		case role.aggregates() && len(got.Replicas) != len(listing.Replicas):
+		case role.IsHub() && len(got.Replicas) != len(listing.Replicas):
 			t.Errorf("hub %s has %d replicas", n.options.Self().Name, len(got.Replicas))
 		case role == Member && len(got.Replicas) != want:
 			t.Errorf("member %s has %d replicas, want %d", n.options.Self().Name, len(got.Replicas), want)
--- a/internal/nodesync/sums.go
+++ b/internal/nodesync/sums.go
@@ -117,7 +117,7 @@
 // sent in the request; the placer subtracts them.
 func (s *Sync) mergeSums(m *nodesyncv1.ExchangeResponse, from Node, request *nodesyncv1.ExchangeRequest, role Role) {
 	now := time.Now()
-	if role.aggregates() {
+	if role.IsHub() {
 		s.mergeGroups(m, from, role, now)
 	}
 	if fleet := m.GetFleetLoads(); len(fleet) > 0 {
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -205,7 +205,7 @@
 	if m.GetWithoutLoads() {
 		return connect.NewResponse(s.response(m)), nil
 	}
-	isHub := s.Role().aggregates()
+	isHub := s.Role().IsHub()
 	s.mergeLoads(caller, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), aggregate: m.GetAddsUp(), selfIsHub: isHub}, now)
 	reply := s.response(m)
 	s.addLoads(reply, caller.Name, isHub && (m.GetAddsUp() || hasNode(s.hubs(now), caller.Name)))
@@ -228,9 +228,9 @@
 		ConfigProofAge: snapshot.Age(now).Microseconds(),
 		Crashes:        recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 		RateLimits:     ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
+		ZoneSizes:      s.zoneSizes.toProto(now),
+		FirstReadAge:   s.firstReadAge(now),
 	}
-	reply.ZoneSizes = s.zoneSizes.toProto(now)
-	reply.FirstReadAge = s.firstReadAge(now)
 	for _, n := range s.nodesForResponse(m.GetSelf().GetAvailabilityZone(), now) {
 		reply.Nodes = append(reply.Nodes, nodeToProto(n, now))
 	}
@@ -254,7 +254,7 @@
 	s.mergeFirstRead(m.GetFirstReadAge(), callStart)
 	if !request.GetWithoutLoads() {
 		role := s.Role()
-		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.aggregates()}, callStart)
+		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.IsHub()}, callStart)
 		s.mergeSums(m, node, request, role)
 	}
 	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -54,11 +54,11 @@
 func (s *Set) Update(l Listing, readAt, now boottime.Instant) []Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if l.Revision < s.listing.Revision && s.confirms(l) {
-		l.Revision = s.listing.Revision
-	}
 	if l.Revision < s.listing.Revision {
-		return nil
+		if !s.confirms(l) {
+			return nil
+		}
+		l.Revision = s.listing.Revision
 	}
 	if s.readAt != 0 && (readAt.Sub(s.readAt) > outageGap || s.wasRestored(l)) {
 		s.keepMissingUntil = now.Add(outageGrace)
