Forward: log and count what replicas say of leaving and of pauses

Change: the adapter decodes both headers; replica_notice logs each answer that has one, with the request, the status and the age of the registrations in use, and trestle_replica_notices_total counts them. Nothing is decided by them yet. Conclusion: a log now shows whether a node knew before it sent.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -160,7 +160,7 @@
 	if failure := a.receive(); failure != nil {
 		return failure
 	}
-	a.updateRateLimit()
+	a.recordNotices()
 	return a.handleResponse()
 }
 
@@ -204,12 +204,37 @@
 	return a.failedAt(stepReadHead, fmt.Errorf("no response to this call received: the last one is for call %q", a.headers.ID))
 }
 
-func (a *attempt) updateRateLimit() {
-	f := a.exchange.forwarder
+// recordNotices records what the response says about the replica itself.
+func (a *attempt) recordNotices() {
 	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		// A different process answered at this address.
 		return
 	}
+	a.updateRateLimit()
+	if a.headers.Leaving {
+		a.logNotice(noticeLeaving)
+	}
+	if a.asksForPause() {
+		a.logNotice(noticePause)
+	}
+}
+
+// asksForPause reports whether the replica refused the request and asks for a time without
+// further ones.
+func (a *attempt) asksForPause() bool {
+	refused := isNotExecuted(a.response, a.headers) || a.response.StatusCode == http.StatusServiceUnavailable
+	return refused && a.headers.RetryAfter > 0
+}
+
+func (a *attempt) logNotice(notice string) {
+	f := a.exchange.forwarder
+	f.metrics.replicaNotices.WithLabelValues(a.exchange.call.Upstream, notice).Inc()
+	listing, readAt := f.options.Replicas.Latest()
+	f.options.Log.Write(&replicaNotice{attempt: a, notice: notice, revision: listing.Revision, age: f.options.RateLimits.Now().Sub(readAt)})
+}
+
+func (a *attempt) updateRateLimit() {
+	f := a.exchange.forwarder
 	limit, changed := f.options.RateLimits.Observe(ratelimit.Observation{
 		Replica: a.placementAttempt.Replica, Limited: a.headers.RateLimited, PerSecond: a.headers.RateLimit,
 		Succeeded: a.headers.Stamped && a.response.StatusCode < http.StatusMultipleChoices,
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -81,4 +81,9 @@
 	// total from all nodes.
 	RateLimited bool
 	RateLimit   float64
+	// Leaving is true if the replica reports that it is about to stop.
+	Leaving bool
+	// RetryAfter is how long the replica asks this node to send it nothing; zero if not
+	// given.
+	RetryAfter time.Duration
 }
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -142,6 +142,38 @@
 	return fields
 }
 
+// Values of replicaNotice.notice, also used in metrics.
+const (
+	noticeLeaving = "leaving"
+	noticePause   = "pause"
+)
+
+// replicaNotice is logged for a response in which a replica says that it is leaving, or asks
+// for a pause. revision and age are those of the registrations that this node uses.
+type replicaNotice struct {
+	attempt  *attempt
+	notice   string
+	revision int64
+	age      time.Duration
+}
+
+func (*replicaNotice) Name() string { return "replica_notice" }
+
+func (*replicaNotice) Level() eventlog.Level { return eventlog.Notable }
+
+func (ev *replicaNotice) Fields() eventlog.Fields {
+	a := ev.attempt
+	fields := eventlog.Fields{
+		"notice": ev.notice, "request": a.exchange.call.ID, "upstream": a.exchange.call.Upstream,
+		"replica": a.placementAttempt.Replica.ID, "peer": a.placementAttempt.Replica.Address, "attempt": a.exchange.attempts,
+		"status": a.response.StatusCode, "replicas_revision": ev.revision, "replicas_age_ms": ev.age.Milliseconds(),
+	}
+	if ev.notice == noticePause {
+		fields["retry_after_ms"] = a.headers.RetryAfter.Milliseconds()
+	}
+	return fields
+}
+
 type permitRequested struct {
 	exchange *exchange
 	replica  string
--- a/internal/forward/forwardtest/codec.go
+++ b/internal/forward/forwardtest/codec.go
@@ -20,6 +20,8 @@
 	HeaderTimeout     = "Patience-Ms"
 	HeaderKey         = "Key"
 	HeaderRateLimit   = "Rate-Limit"
+	HeaderLeaving     = "Leaving"
+	HeaderRetryAfter  = "Retry-After"
 )
 
 // Codec implements forward.Codec.
@@ -53,6 +55,10 @@
 	if perSecond, err := strconv.ParseFloat(h.Get(HeaderRateLimit), 64); err == nil {
 		r.RateLimit, r.RateLimited = perSecond, true
 	}
+	r.Leaving = h.Get(HeaderLeaving) != ""
+	if seconds, err := strconv.ParseFloat(h.Get(HeaderRetryAfter), 64); err == nil {
+		r.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
 	return r
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -12,6 +12,7 @@
 	attemptFailures  *prometheus.CounterVec
 	firstByte        *prometheus.HistogramVec
 	overloadRefusals *prometheus.CounterVec
+	replicaNotices   *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -32,8 +33,11 @@
 		overloadRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_turned_away_total", Help: "Calls of engines refused for overload before any attempt, by upstream and reason.",
 		}, []string{"upstream", "reason"}),
+		replicaNotices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_replica_notices_total", Help: "Responses in which a replica said that it is leaving, or asked for a pause.",
+		}, []string{"upstream", "notice"}),
 	}
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals)
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices)
 	return m
 }
 
