Tests that fail: requests after a replica's notice, and in a pause

The soak's replicas now say in their answers that they leave while their registrations say ready, or refuse everything and ask for a pause; its judge counts what reaches them from nodes that were told.

--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -21,7 +21,9 @@
 	Callers    int           `default:"6" help:"Callers at once in each run."`
 	For        time.Duration `default:"10s" help:"How long faults begin in each run."`
 	RateLimits int           `default:"3" help:"Times in each run that a replica names the requests a second that it takes."`
-	NoFaults   bool          `help:"Leave out all faults; replicas still name rates."`
+	Notices    int           `default:"1" help:"Times in each run that a replica says in its answers that it leaves, before its registration does."`
+	Pauses     int           `default:"3" help:"Times in each run that a replica refuses all requests and asks for a pause."`
+	NoFaults   bool          `help:"Leave out all faults; replicas still name rates, leave and ask for pauses."`
 	AtOnce     int           `default:"2" help:"Seeds that run side by side."`
 	Keep       string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
 }
@@ -36,8 +38,8 @@
 	if c.AtOnce < 1 || c.Nodes < 1 || c.Callers < 1 {
 		return fmt.Errorf("--at-once %d, --nodes %d and --callers %d must be above zero", c.AtOnce, c.Nodes, c.Callers)
 	}
-	if c.RateLimits < 0 {
-		return fmt.Errorf("--rate-limits %d must not be below zero", c.RateLimits)
+	if c.RateLimits < 0 || c.Notices < 0 || c.Pauses < 0 {
+		return fmt.Errorf("--rate-limits %d, --notices %d and --pauses %d must not be below zero", c.RateLimits, c.Notices, c.Pauses)
 	}
 	trestled, err := filepath.Abs(c.Trestled)
 	if err != nil {
@@ -76,7 +78,8 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits, WithoutFaults: c.NoFaults,
+		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits,
+		Notices: c.Notices, Pauses: c.Pauses, WithoutFaults: c.NoFaults,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -25,11 +25,13 @@
 	body   string
 	stamp  string
 	err    error
-	// entry is the node's address that it was sent to, endedAt when its answer was whole,
-	// and limited says that the answer named its replica's rate.
+	// entry is the node's address that it was sent to, and endedAt when its answer was whole.
+	// limited and leaving are whether the answer had its replica's rate, or said that the replica
+	// is leaving.
 	entry   string
 	endedAt time.Time
 	limited bool
+	leaving bool
 }
 
 // whole says whether the caller got the whole answer.
@@ -141,6 +143,7 @@
 	defer response.Body.Close()
 	s.status, s.stamp = response.StatusCode, response.Header.Get(platformtest.HeaderStamp)
 	s.limited = response.Header.Get(platformtest.HeaderRate) != ""
+	s.leaving = response.Header.Get(platformtest.HeaderLeaving) != ""
 	body, err := io.ReadAll(response.Body)
 	s.body, s.err, s.endedAt = string(body), err, time.Now()
 	return s
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -32,6 +32,8 @@
 	}
 	w.judgeRecovery(calls)
 	w.judgeLimits(calls)
+	w.judgeLeaving(calls)
+	w.judgePauses(calls)
 	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -59,10 +59,7 @@
 // judgeLimits checks that no replica got more from nodes that it had told than it said it
 // takes.
 func (w *world) judgeLimits(calls []*sent) {
-	byID := make(map[string]*sent, len(calls))
-	for _, s := range calls {
-		byID[s.id] = s
-	}
+	byID := senders(calls)
 	arrivals := w.runs.Arrivals()
 	for i := range w.limits {
 		l := &w.limits[i]
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -25,6 +26,9 @@
 	Callers int
 	// RateLimits is the number of times that a replica names a rate for a while.
 	RateLimits int
+	// Notices is the number of times that a replica says in its answers that it leaves, and
+	// Pauses of those that one asks for a pause.
+	Notices, Pauses int
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 }
@@ -61,9 +65,11 @@
 	return w.report(events, calls), nil
 }
 
-// events are the faults of the run and the times of replicas' rates, in their order.
+// events are the faults of the run and what replicas say in their answers, in their order.
 func (o *Options) events() []event {
-	events := rateLimits(o.Seed, o.Length, o.RateLimits)
+	events := replicaEvents(rand.New(rand.NewPCG(o.Seed, 2)), replicaLimit, o.Length, o.RateLimits, rateLimitLasts)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 3)), replicaNotice, o.Length, o.Notices, noticeLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 4)), replicaPause, o.Length, o.Pauses, pauseLasts)...)
 	if !o.WithoutFaults {
 		events = append(events, schedule(o.Seed, o.Length)...)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -26,8 +26,13 @@
 	replicaCrash  kind = "replica_crash"
 	replicaLeaves kind = "replica_leaves"
 	replicaLimit  kind = "replica_limit"
-	configChange  kind = "config_change"
-	revokeKey     kind = "revoke_key"
+	// replicaNotice is a replica that says in its answers that it leaves, long before its
+	// registration does.
+	replicaNotice kind = "replica_notice"
+	// replicaPause is a replica that refuses all requests and asks for a pause.
+	replicaPause kind = "replica_pause"
+	configChange kind = "config_change"
+	revokeKey    kind = "revoke_key"
 )
 
 var kinds = []kind{
@@ -59,15 +64,14 @@
 	highestRate = 4.0
 )
 
-// rateLimits draws the times in which replicas name a rate, apart from the faults, so that a
-// seed's faults are the same with and without them.
-func rateLimits(seed uint64, length time.Duration, count int) []event {
-	random := rand.New(rand.NewPCG(seed, 2))
+// replicaEvents draws times of one kind, apart from the faults, so that a seed's faults are the
+// same with and without them.
+func replicaEvents(random *rand.Rand, k kind, length time.Duration, count int, lasts time.Duration) []event {
 	var events []event
 	for range count {
 		events = append(events, event{
-			at: time.Duration(random.Int64N(int64(length))), kind: replicaLimit, target: random.IntN(1000),
-			lasts: rateLimitLasts, rate: lowestRate + random.Float64()*(highestRate-lowestRate),
+			at: time.Duration(random.Int64N(int64(length))), kind: k, target: random.IntN(1000),
+			lasts: lasts, rate: lowestRate + random.Float64()*(highestRate-lowestRate),
 		})
 	}
 	return events
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -83,6 +83,88 @@
 	t.Logf("%d of %d calls served", report.Served, report.Calls)
 }
 
+// Guards against requests to a replica whose answers say that it leaves while its registration
+// still says that it is ready.
+func TestNodesSendNothingToAReplicaThatSaidItLeaves(t *testing.T) {
+	playNotices(t, Options{Notices: 2})
+}
+
+// Guards against requests to a replica that has asked for a pause with Retry-After.
+func TestNodesKeepThePauseThatAReplicaAsksFor(t *testing.T) {
+	playNotices(t, Options{Pauses: 10})
+}
+
+func playNotices(t *testing.T, options Options) {
+	t.Helper()
+	t.Setenv(asProgram, "1")
+	t.Setenv("GORACE", "atexit_sleep_ms=0")
+	options.Seed, options.Command, options.Dir = 1, []string{os.Args[0]}, t.TempDir()
+	options.Nodes, options.Callers, options.Length, options.WithoutFaults = 3, 12, 2*time.Second, true
+	report, err := Run(t.Context(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, v := range report.Violations {
+		t.Error(v)
+	}
+	t.Logf("%d of %d calls served", report.Served, report.Calls)
+}
+
+func TestTheJudgeSeesRequestsToAReplicaThatSaidItLeaves(t *testing.T) {
+	now := time.Now()
+	told := &sent{id: "told", entry: "vm-1", stamp: "i-1", leaving: true, endedAt: now}
+	for name, test := range map[string]struct {
+		entry     string
+		after     time.Duration
+		disturbed time.Duration
+		broken    int
+	}{
+		"within the time":           {"vm-1", drainWithin, 0, 0},
+		"later":                     {"vm-1", drainWithin + time.Millisecond, 0, 1},
+		"from a node not told":      {"vm-2", drainWithin + time.Second, 0, 0},
+		"from one restarted since":  {"vm-1", drainWithin + time.Second, time.Second, 0},
+		"from one restarted before": {"vm-1", drainWithin + time.Second, -time.Second, 1},
+	} {
+		n := &node{entry: "vm-1"}
+		if test.disturbed != 0 {
+			n.disturbances = append(n.disturbances, now.Add(test.disturbed))
+		}
+		w := &world{nodes: []*node{n}, runs: &platformtest.Runs{}}
+		w.runs.Arrived(platformtest.Arrival{ID: "late", Replica: "i-1", At: now.Add(test.after)})
+		w.judgeLeaving([]*sent{told, {id: "late", entry: test.entry, at: now.Add(test.after)}})
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
+func TestTheJudgeSeesRequestsInAPause(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		count  int
+		after  time.Duration
+		broken int
+	}{
+		"as many as allowed":   {pauseAllowance, time.Second, 0},
+		"more":                 {pauseAllowance + 1, time.Second, 1},
+		"right after":          {pauseAllowance + 1, pauseSlack, 0},
+		"once the pause ended": {pauseAllowance + 1, pauseWanted, 0},
+	} {
+		w := &world{runs: &platformtest.Runs{}}
+		calls := []*sent{{id: "refused", entry: "vm-1"}}
+		w.runs.Arrived(platformtest.Arrival{ID: "refused", Replica: "i-1", At: now, Pause: pauseWanted})
+		for i := range test.count {
+			id := fmt.Sprint(i)
+			calls = append(calls, &sent{id: id, entry: "vm-1"})
+			w.runs.Arrived(platformtest.Arrival{ID: id, Replica: "i-1", At: now.Add(test.after)})
+		}
+		w.judgePauses(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
 func TestAScheduleIsThatOfItsSeed(t *testing.T) {
 	a, b, c := schedule(7, time.Minute), schedule(7, time.Minute), schedule(8, time.Minute)
 	if !reflect.DeepEqual(a, b) || reflect.DeepEqual(a, c) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -229,6 +229,10 @@
 		r.proxy.reset()
 	case replicaLimit:
 		w.limit(r, e)
+	case replicaNotice:
+		w.announceLeaving(r, e)
+	case replicaPause:
+		w.askForPause(r, e)
 	case replicaCrash:
 		w.replace(r, func() { _ = r.server.Close(); r.proxy.close() }, e.lasts)
 	case replicaLeaves:
