A replica whose answer says that it leaves gets no further requests

What was seen: in an outage of the store, requests reached a replica up to 12 s after a node had passed on an answer of it that said that it leaves. Callers were answered; the replica could have stopped under them. Cause: a node knew of a leaving replica by its registration alone. Change: the set of replicas keeps the processes that said so themselves. Such a process counts as draining for its lifetime, whatever a listing says, and also if its registration expires and returns. The check after connecting covers requests that were bound before. Why it works: the mark is set when the head of the answer is read, and it does not depend on the store.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -212,6 +212,7 @@
 	}
 	a.updateRateLimit()
 	if a.headers.Leaving {
+		a.exchange.forwarder.options.Replicas.MarkLeaving(&a.placementAttempt.Replica)
 		a.logNotice(noticeLeaving)
 	}
 	if a.asksForPause() {
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -37,6 +37,8 @@
 	// set if it differs from the listing.
 	known    []Replica
 	adjusted bool
+	// leaving has the processes that said themselves that they are leaving.
+	leaving map[Process]bool
 	// byUpstream is the known replicas that this node uses.
 	byUpstream map[string][]Replica
 }
@@ -46,7 +48,7 @@
 
 // NewZoneSet returns an empty set of which this node uses the part of the availability zone.
 func NewZoneSet(zone string) *Set {
-	return &Set{zone: zone, partWanted: zone != "", byUpstream: make(map[string][]Replica)}
+	return &Set{zone: zone, partWanted: zone != "", leaving: make(map[Process]bool), byUpstream: make(map[string][]Replica)}
 }
 
 // Update replaces the current listing by one whose read began at readAt, and returns the
@@ -157,6 +159,7 @@
 	}
 	s.byUpstream = make(map[string][]Replica)
 	for _, r := range used {
+		r.Draining = s.isDraining(&r)
 		s.byUpstream[r.Upstream] = append(s.byUpstream[r.Upstream], r)
 	}
 }
@@ -169,12 +172,12 @@
 	return s.byUpstream[upstream]
 }
 
-// Usable reports whether the replica is known and not draining.
+// Usable reports whether the replica is known and neither draining nor leaving.
 func (s *Set) Usable(id string) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	r, ok := find(s.known, id)
-	return ok && !r.Draining
+	return ok && !s.isDraining(&r)
 }
 
 // HasProcess reports whether the replica is known with this process start time.
--- a/internal/replica/set_test.go
+++ b/internal/replica/set_test.go
@@ -116,3 +116,50 @@
 		t.Errorf("listing read at %d, want %d", readAt, at(1000))
 	}
 }
+
+// TestListingDoesNotUndoWhatTheProcessSaid guards against requests to a process that said that it
+// leaves, after a listing, a removal or an outage in which its registration does not say so.
+func TestListingDoesNotUndoWhatTheProcessSaid(t *testing.T) {
+	s := NewSet()
+	s.Update(listing(1, "a", "b"), at(1000), at(1010))
+	if !s.MarkLeaving(&Replica{ID: "a"}) || s.MarkLeaving(&Replica{ID: "a"}) {
+		t.Error("MarkLeaving is not new once")
+	}
+	expectLeaving := func(when string) {
+		t.Helper()
+		if s.Usable("a") || !s.Usable("b") {
+			t.Errorf("%s: usable: a %v, b %v; want b only", when, s.Usable("a"), s.Usable("b"))
+		}
+		for _, r := range s.ForUpstream("u") {
+			if r.Draining != (r.ID == "a") {
+				t.Errorf("%s: replica %s draining %v", when, r.ID, r.Draining)
+			}
+		}
+	}
+	expectLeaving("at once")
+	s.Update(listing(2, "a", "b", "c"), at(1500), at(1510))
+	expectLeaving("listed as ready")
+	s.Update(listing(3, "b"), at(2000), at(2010))
+	s.Update(listing(4, "a", "b"), at(2500), at(2510))
+	expectLeaving("expired and listed again")
+	s.Update(listing(5, "b"), at(9000), at(9010))
+	expectLeaving("kept after an outage")
+	restarted := listing(6, "a", "b")
+	restarted.Replicas[0].StartedAt = 7
+	s.Update(restarted, at(12000), at(12010))
+	if !s.Usable("a") {
+		t.Error("the next process of the replica is not usable")
+	}
+}
+
+func TestLeavingProcessesAreBounded(t *testing.T) {
+	s := NewSet()
+	s.Update(listing(1, "a"), at(1000), at(1010))
+	s.MarkLeaving(&Replica{ID: "a"})
+	for i := range int64(10 * minLeavingProcesses) {
+		s.MarkLeaving(&Replica{ID: "gone", StartedAt: i})
+	}
+	if len(s.leaving) > 2+minLeavingProcesses || s.Usable("a") {
+		t.Errorf("%d leaving processes kept, a usable: %v", len(s.leaving), s.Usable("a"))
+	}
+}
