A replica that asks for a pause gets no request from that node in it

What was seen: a replica that had refused a request with 503 and Retry-After: 3 got 3 and 4 more requests from the same node within these 3 s. Callers lost 2 to 5 ms each; the replica had to refuse what it had asked not to get. Cause: the header was read by nothing. The refusal counted as half a failure, which halves every 2 s, and two replicas that fail one call in six cost as much. Change: package pause keeps for each process until when it wants nothing from this node. A choice leaves paused replicas out, also for further attempts; a request that waited for its connection meanwhile is not sent; a later, shorter pause shortens nothing. If all replicas are paused the caller is told when the first one returns. Why it works: the pause is known before the refusal is answered for, and the only two places that lead to a send, the choice and the check after connecting, look it up.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -19,6 +19,7 @@
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/passthrough"
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
@@ -39,6 +40,7 @@
 	conns       *replicaconn.Pool
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
+	pauses      pause.Table
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
@@ -85,6 +87,8 @@
 	n.rateLimiter = newRateLimiter(n)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
+	n.placer.SetPauses(&n.pauses)
+	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
@@ -159,7 +163,7 @@
 	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.log), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.log), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(),
 	})
 	return passthrough.New(passthrough.Options{
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -12,6 +12,7 @@
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
+	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 )
 
@@ -115,10 +116,11 @@
 		return a.connectFailure(stepConnect, err)
 	}
 	a.conn = conn
-	// The replica may have started draining while the connection was established.
-	if !e.forwarder.options.Replicas.Usable(replica.ID) {
+	// The replica may have started draining, or asked for a pause, while the connection was
+	// established.
+	if cause := e.forwarder.unusable(&replica); cause != nil {
 		conn.Close()
-		return &Failure{Result: placement.Cancelled, NotRun: true, Step: stepConnect, Peer: replica.Address, Cause: errDraining}
+		return &Failure{Result: placement.Cancelled, NotRun: true, Step: stepConnect, Peer: replica.Address, Cause: cause}
 	}
 	a.stopContextClose = context.AfterFunc(e.ctx, conn.Close)
 	a.resetIdleTimer(a.firstByteTimeout())
@@ -127,6 +129,20 @@
 	return failure
 }
 
+// unusable returns why the chosen replica must get no request after all, or nil.
+func (f *Forwarder) unusable(r *replica.Replica) error {
+	switch {
+	case !f.options.Replicas.Usable(r.ID):
+		return errDraining
+	case f.options.Pauses.Current().End(r).After(time.Now()):
+		return errReplicaPaused
+	default:
+		return nil
+	}
+}
+
+var errReplicaPaused = errors.New("replica asked for a pause")
+
 var errDraining = errors.New("replica is draining or no longer listed and accepts no new requests")
 
 // release returns the connection to the pool if it can be reused, and closes it
@@ -216,6 +232,7 @@
 		a.logNotice(noticeLeaving)
 	}
 	if a.asksForPause() {
+		a.exchange.forwarder.options.Pauses.Begin(time.Now(), a.placementAttempt.Replica.Process(), a.headers.RetryAfter)
 		a.logNotice(noticePause)
 	}
 }
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -117,6 +117,8 @@
 		return noReplica
 	case errors.Is(f, errRateLimited):
 		return rateLimited
+	case errors.Is(f, errPaused):
+		return replicasPaused
 	case errors.Is(f, errOverloaded):
 		return overloaded
 	case e.callerResponse.hasStarted() && e.call.Route.Repeat != route.ResumableStream:
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -15,6 +15,7 @@
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/ratelimit"
@@ -55,11 +56,13 @@
 	f.Permits = ratelimit.NewPermits(limits)
 	placer := placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1)))
 	placer.SetPermits(f.Permits)
+	pauses := new(pause.Table)
+	placer.SetPauses(pauses)
 	f.Forwarder = forward.New(forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, log),
-		RateLimits: limits, Permits: f.Permits,
+		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
 		Log: log, Registry: f.Metrics,
 	})
 	return f
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
@@ -21,6 +22,7 @@
 	CrashGuard *CrashGuard
 	RateLimits *ratelimit.Table
 	Permits    *ratelimit.Permits
+	Pauses     *pause.Table
 	Log        *eventlog.Log
 	Registry   prometheus.Registerer
 	// OnRun is called with the workspace of each call that a replica begins to run;
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -16,6 +16,8 @@
 
 var errNoReplica = errors.New("no replica accepts new requests")
 
+var errPaused = errors.New("all replicas asked for a pause")
+
 var errRateLimited = errors.New("all replicas have reached their rate limit")
 
 // chooseReplica assigns a replica to the call and acquires a permit if the replica
@@ -54,9 +56,15 @@
 func (e *exchange) noReplicaFailure() *Failure {
 	f := &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	now := time.Now()
-	if limited := e.forwarder.options.Placer.RateLimited(now, e.call.Upstream); limited.Replicas > 0 {
-		f.RetryAfter = overload.RetryDelay(limited.NextPermitAt.Sub(now), e.call.Deadline.Sub(now))
-		f.Cause = fmt.Errorf("%w: %d rate-limited replicas, no permit left", errRateLimited, limited.Replicas)
+	restricted := e.forwarder.options.Placer.Restricted(now, e.call.Upstream)
+	wait, left := restricted.NextAt.Sub(now), e.call.Deadline.Sub(now)
+	switch {
+	case restricted.RateLimited > 0:
+		f.RetryAfter = overload.RetryDelay(wait, left)
+		f.Cause = fmt.Errorf("%w: %d rate-limited replicas, no permit left; %d paused", errRateLimited, restricted.RateLimited, restricted.Paused)
+	case restricted.Paused > 0:
+		f.RetryAfter = overload.BoundRetryDelay(wait, left)
+		f.Cause = fmt.Errorf("%w: %d replicas", errPaused, restricted.Paused)
 	}
 	return f
 }
--- a/internal/forward/stopreason.go
+++ b/internal/forward/stopreason.go
@@ -10,6 +10,7 @@
 	noReplica         stopReason = "no_replica"
 	overloaded        stopReason = "overloaded"
 	rateLimited       stopReason = "rate_limited"
+	replicasPaused    stopReason = "replicas_paused"
 	responseStarted   stopReason = "answer_begun"
 	tooManyRefusals   stopReason = "too_many_refusals"
 	mayHaveRun        stopReason = "may_have_run"
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -61,7 +61,12 @@
 // queue time, but at least minRetryDelay and at most a fraction of the time left. A timeLeft
 // of zero or less means that it is unknown.
 func RetryDelay(queueTime, timeLeft time.Duration) time.Duration {
-	delay := max(queueTime, minRetryDelay)
+	return BoundRetryDelay(max(queueTime, minRetryDelay), timeLeft)
+}
+
+// BoundRetryDelay returns the delay, but at most the fraction of the time left that a caller may
+// spend on waiting. A timeLeft of zero or less means that it is unknown.
+func BoundRetryDelay(delay, timeLeft time.Duration) time.Duration {
 	if timeLeft > 0 {
 		delay = min(delay, time.Duration(maxRetryFraction*float64(timeLeft)))
 	}
--- a/internal/overload/gate_test.go
+++ b/internal/overload/gate_test.go
@@ -100,3 +100,15 @@
 		}
 	}
 }
+
+func TestRetryDelayIsBoundedByTheTimeLeft(t *testing.T) {
+	for _, test := range []struct{ delay, left, want time.Duration }{
+		{100 * time.Millisecond, time.Second, 100 * time.Millisecond},
+		{2 * time.Second, 900 * time.Millisecond, 300 * time.Millisecond},
+		{2 * time.Second, 0, 2 * time.Second},
+	} {
+		if got := BoundRetryDelay(test.delay, test.left); got != test.want {
+			t.Errorf("delay %s with %s left: %s, want %s", test.delay, test.left, got, test.want)
+		}
+	}
+}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
@@ -24,7 +25,9 @@
 	// considerAll disables random sampling of candidates.
 	considerAll bool
 	// permits are the rate limit permits; nil: rates are not enforced.
-	permits      *ratelimit.Permits
+	permits *ratelimit.Permits
+	// pauses are those that the replicas asked for; nil: none are kept.
+	pauses       *pause.Table
 	lastChoiceAt time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
@@ -42,7 +45,7 @@
 	u, ok := p.upstreams[name]
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
-		u.considerAll, u.permits = p.considerAll, p.permits
+		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
 		p.upstreams[name] = u
 	}
 	return u
@@ -57,8 +60,12 @@
 // the first Choose.
 func (p *Placer) SetPermits(permits *ratelimit.Permits) { p.permits = permits }
 
+// SetPauses keeps requests from paused replicas. Call it before the first Choose.
+func (p *Placer) SetPauses(pauses *pause.Table) { p.pauses = pauses }
+
 // Choose binds the request to a replica of the upstream. It returns nil if no replica accepts
-// new requests or all are rate limited with no permit left; RateLimited distinguishes these.
+// new requests, or all are paused or rate limited with no permit left; Restricted distinguishes
+// these.
 // The caller must end the attempt, and if it NeedsPermit, must call PermitGranted before
 // sending the request.
 func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
@@ -90,8 +97,8 @@
 // bind adds the attempt to the load of the chosen replica. The lock is held.
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
-	limits := u.rateLimits(now)
-	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: limits.isLimited(s), upstream: u, state: s, startedAt: now}
+	current := u.restrictions(now)
+	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now}
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"galenatrestle/internal/enginespeed"
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
 )
@@ -45,7 +46,9 @@
 	// considerAll disables random sampling of candidates.
 	considerAll bool
 	// permits are the rate limit permits; nil: rates are not enforced.
-	permits      *ratelimit.Permits
+	permits *ratelimit.Permits
+	// pauses are those that the replicas asked for; nil: none are kept.
+	pauses       *pause.Table
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
@@ -127,7 +130,7 @@
 	fraction := u.candidateFraction(side)
 	best, lowest := u.cheapest(now, r, shortCount, &location, recompute, fraction)
 	if best == nil && fraction < 1 {
-		// All sampled replicas were rate limited with no permit left; consider all.
+		// None of the sampled replicas may get a request now; consider all.
 		best, lowest = u.cheapest(now, r, shortCount, &location, recompute, 1)
 	}
 	if best == nil {
@@ -142,8 +145,8 @@
 func (u *upstream) cheapest(now time.Time, r *Request, shortCount int, location *prefixLocation, recompute, fraction float64) (*replicaState, float64) {
 	var best *replicaState
 	lowest := math.Inf(1)
-	limits := u.rateLimits(now)
-	limits.excludeLimited = r.ExcludeRateLimited
+	current := u.restrictions(now)
+	current.excludeLimited = r.ExcludeRateLimited
 	for i, s := range u.available {
 		if !u.isCandidate(s, location, fraction) && (best != nil || i < len(u.available)-1) {
 			continue
@@ -151,7 +154,7 @@
 		// Random jitter keeps nodes with the same view from all choosing the same replica.
 		cost := u.cost(now, r, s, location, recompute)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < shortCount)
-		if cost < lowest && limits.allows(s) {
+		if cost < lowest && current.allows(s) {
 			best, lowest = s, cost
 		}
 	}
