A replica's rate outlives its expired registration

What could be seen: a replica whose registration expires while it runs on, cut off from the store or in an outage longer than the grace time, and returns, got requests without permits from all nodes until each had its next answer. Change: a node forgets a rate a minute after the registration was removed, and at once if another process registers under the ID. Evidence: TestRateOutlivesAnExpiredRegistration failed before (run with the former forgetting: 'the rate is not known any more'), and passes.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -229,9 +229,9 @@
 		if i < maxLoggedChanges {
 			n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
 		}
+		n.rateLimiter.onReplicaChange(c, n.options.Clock())
 		if c.Kind == replica.Removed {
 			n.conns.Forget(c.Replica.ID)
-			n.rateLimiter.forget(c.Replica.ID)
 		}
 	}
 }
@@ -292,7 +292,8 @@
 
 const maintenanceInterval = time.Second
 
-// maintain closes expired connections and updates the retry budget's node count.
+// maintain closes expired connections, updates the retry budget's node count and forgets the rates
+// of replicas that are gone.
 func (n *Node) maintain(ctx context.Context) {
 	ticker := time.NewTicker(maintenanceInterval)
 	defer ticker.Stop()
@@ -303,6 +304,7 @@
 		case now := <-ticker.C:
 			n.conns.CloseExpired(now)
 			n.budget.SetNodes(n.sharing.nodeCount())
+			n.rateLimiter.forgetRemoved(n.options.Clock())
 		}
 	}
 }
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -1,6 +1,17 @@
 package edge
 
-import "galenatrestle/internal/ratelimit"
+import (
+	"sync"
+	"time"
+
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/ratelimit"
+	"galenatrestle/internal/replica"
+)
+
+// limitRetention is how long the rate of a replica without a registration is kept: it may have
+// expired while the replica goes on running.
+const limitRetention = time.Minute
 
 // rateLimiter enforces the request rate limits that replicas declare.
 type rateLimiter struct {
@@ -8,12 +19,22 @@
 	limits  *ratelimit.Table
 	permits *ratelimit.Permits
 	issuer  *ratelimit.Issuer
+
+	mu sync.Mutex
+	// removed are the processes that are not registered any more, by replica.
+	removed map[string]removal
+}
+
+// removal is a process whose registration was removed at the given time.
+type removal struct {
+	process replica.Process
+	at      boottime.Instant
 }
 
 func newRateLimiter(n *Node) *rateLimiter {
 	limits := ratelimit.NewTable(n.options.Clock)
 	ratelimit.RegisterMetrics(n.registry, limits)
-	return &rateLimiter{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer()}
+	return &rateLimiter{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer(), removed: make(map[string]removal)}
 }
 
 // setUp mounts the handler for other nodes' permit requests and lets this node request
@@ -34,7 +55,36 @@
 	return issuer.Name, issuer.PeerAddress
 }
 
-// forget drops the state of a removed replica.
+// onReplicaChange records which replicas are removed, and forgets the former process of one that
+// has restarted.
+func (r *rateLimiter) onReplicaChange(c replica.Change, now boottime.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := c.Replica.ID
+	switch c.Kind {
+	case replica.Removed:
+		r.removed[id] = removal{process: c.Replica.Process(), at: now}
+	case replica.Added:
+		if former, found := r.removed[id]; found && former.process != c.Replica.Process() {
+			r.forget(id)
+		}
+		delete(r.removed, id)
+	}
+}
+
+// forgetRemoved forgets the replicas that were removed limitRetention ago or earlier.
+func (r *rateLimiter) forgetRemoved(now boottime.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for id, former := range r.removed {
+		if now.Sub(former.at) >= limitRetention {
+			r.forget(id)
+			delete(r.removed, id)
+		}
+	}
+}
+
+// forget drops the state of a replica.
 func (r *rateLimiter) forget(replica string) {
 	r.limits.Forget(replica)
 	r.permits.Forget(replica)
