A replica's error response is delivered where no further attempt ran

What callers saw: 502 without a body though a replica had answered, if the further attempt found no replica that it might ask, or was refused. Cause: the ending looked at the last attempt alone. With replicas that leave or pause this comes more often: a service may have no other one left. Change: the last error response is kept, and written if the last attempt did not run. Evidence: TestReplicasAnswerIsDeliveredIfNoOtherMayBeAsked got 502 before and gets the replica's 500 with its body.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,6 +42,8 @@
 	budgetCounted bool
 	lastEventID   string
 	lastFailure   *Failure
+	// errorResponse is the last error response of a replica; nil: none was received.
+	errorResponse *Failure
 	// runCounted is set once Options.OnRun was called.
 	runCounted bool
 	// firstByteAt is when the response started, lastEventsAt when the newest events
@@ -82,6 +84,9 @@
 	if !f.NotRun {
 		e.possibleRuns++
 	}
+	if f.Status != 0 {
+		e.errorResponse = f
+	}
 	e.forwarder.options.Log.Write(&attemptFailed{exchange: e, failure: f})
 }
 
@@ -144,8 +149,9 @@
 		return EndedCallerGone
 	case e.callerResponse.hasStarted():
 		return EndedBroken
-	case f.Status != 0 && !f.NotRun:
-		e.callerResponse.writeReplicaFailure(f)
+	case e.errorResponse != nil && (f == e.errorResponse || f.NotRun):
+		// Also if a further attempt did not run: the response of the one before is final.
+		e.callerResponse.writeReplicaFailure(e.errorResponse)
 		return EndedReplicaFailure
 	case e.possibleRuns == 0:
 		e.callerResponse.writeNotRun(retryAfter(f))
--- a/internal/forward/notice_test.go
+++ b/internal/forward/notice_test.go
@@ -206,3 +206,17 @@
 		}
 	})
 }
+
+// Guards against 502 in place of the answer that a replica gave, where no other one may be asked.
+func TestReplicasAnswerIsDeliveredIfNoOtherMayBeAsked(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		list := replicas(answerWith(http.StatusInternalServerError, leavingHeader))
+		w, ending := serve(t, forwardtest.NewFleet(t, list...), call(route.Idempotent, 2))
+		if ending != forward.EndedReplicaFailure || w.Code != http.StatusInternalServerError || w.Body.String() != "done" {
+			t.Errorf("ending %s, status %d, body %q; want the replica's answer", ending, w.Code, w.Body)
+		}
+		if got := requests(list); got != 1 {
+			t.Errorf("replica got %d requests, want 1", got)
+		}
+	})
+}
