Gateway: an engine's pause is kept too

What could be seen: an engine on the product's own routes that refuses with 503 and Retry-After got the next request after 50 to 100 ms, when its circuit allows a probe. Change: the header's seconds are parsed in one place (package pause); a refusal that proves that nothing ran passes them on, and the pool binds nothing to the replica until then; a request that waits is decided on when the pause ends. Evidence: TestPausedReplicaGetsNoRequestUntilItsPauseEnds and TestPauseThatAnEngineAsksForIsPassedOn; neither could be written before, as nothing took a pause.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 )
@@ -118,6 +119,13 @@
 	}
 }
 
+// Pause keeps new requests from a replica for the given time, at most pause.MaxLength.
+func (d *Dispatcher) Pause(upstream, replica string, length time.Duration) {
+	if s := d.shard(upstream); s != nil {
+		s.update(func(now time.Time) { s.pool.Pause(now, replica, now.Add(min(length, pause.MaxLength))) })
+	}
+}
+
 // RecordLoad stores a replica's load report unless a newer one is known.
 func (d *Dispatcher) RecordLoad(upstream, replica string, load router.LoadReport) {
 	if s := d.shard(upstream); s != nil {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/dispatch"
@@ -14,6 +16,7 @@
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/openai"
 	"galenatrestle/internal/router"
+	"galenatrestle/internal/upstream"
 )
 
 // How often the node looks at what brings no news by itself.
@@ -121,17 +124,31 @@
 	m.wake()
 }
 
-// refused takes in the code of an engine's refusal.
-func (m *members) refused(address, code string) {
-	if code != openai.CodeLeaving {
-		return
-	}
+// refused takes in what an engine's refusal says about the engine.
+func (m *members) refused(refusal upstream.EngineRefusal) {
 	m.mu.Lock()
-	name, ok := m.replicas.names[address]
+	replicas := m.replicas
 	m.mu.Unlock()
-	if ok {
+	name, ok := replicas.names[refusal.Address]
+	if !ok {
+		return
+	}
+	if refusal.Code == openai.CodeLeaving {
 		m.tracker.RecordEngineLeaving(name)
 	}
+	if refusal.Pause > 0 {
+		m.pauseReplica(replicas, name, refusal.Pause)
+	}
+}
+
+// pauseReplica keeps requests from the replica in all upstreams that it belongs to.
+func (m *members) pauseReplica(replicas replicaIndex, name string, length time.Duration) {
+	m.options.Log.WithFields(logrus.Fields{"replica": name, "pause": length.String()}).Info("replica asked for a pause")
+	for key := range replicas.byKey {
+		if key.replica == name {
+			m.dispatch.Pause(key.upstream, name, length)
+		}
+	}
 }
 
 func (m *members) wake() {
--- a/internal/pause/table.go
+++ b/internal/pause/table.go
@@ -9,8 +9,8 @@
 	"galenatrestle/internal/replica"
 )
 
-// maxPause bounds a pause, so that a faulty value does not keep a replica unused for good.
-const maxPause = time.Hour
+// MaxLength bounds a pause, so that a faulty value does not keep a replica unused for good.
+const MaxLength = time.Hour
 
 // Table is the pauses of all replicas. It is safe for concurrent use; the zero value is an empty
 // table.
@@ -31,7 +31,7 @@
 	pauses := make(Pauses)
 	maps.Copy(pauses, t.Current())
 	maps.DeleteFunc(pauses, func(_ replica.Process, end time.Time) bool { return !end.After(now) })
-	if end := now.Add(min(length, maxPause)); end.After(pauses[process]) {
+	if end := now.Add(min(length, MaxLength)); end.After(pauses[process]) {
 		pauses[process] = end
 	}
 	t.current.Store(&pauses)
--- a/internal/pause/table_test.go
+++ b/internal/pause/table_test.go
@@ -45,7 +45,7 @@
 	now := time.Now()
 	r := &replica.Replica{ID: "a"}
 	table.Begin(now, r.Process(), 1e6*time.Second)
-	if end := table.Current().End(r); !end.Equal(now.Add(maxPause)) {
-		t.Errorf("pause ends after %s, want %s", end.Sub(now), maxPause)
+	if end := table.Current().End(r); !end.Equal(now.Add(MaxLength)) {
+		t.Errorf("pause ends after %s, want %s", end.Sub(now), MaxLength)
 	}
 }
--- a/internal/router/pool.go
+++ b/internal/router/pool.go
@@ -214,7 +214,7 @@
 	if !p.changedAt.IsZero() {
 		return now
 	}
-	next := earlier(p.queue.NextExpiry(), p.nextProbeAt(now))
+	next := earlier(p.queue.NextExpiry(), p.nextOpenAt(now))
 	if p.queue.Len() == 0 || !p.anyHasFreeSlot(now) {
 		return next
 	}
--- a/internal/router/pool_circuit_test.go
+++ b/internal/router/pool_circuit_test.go
@@ -63,3 +63,33 @@
 		t.Errorf("deadline %s is not after %s: the caller would loop without pause", next, probe)
 	}
 }
+
+// Guards against requests to a replica that has asked for a pause, and against waiting longer than
+// the pause where no other replica is left.
+func TestPausedReplicaGetsNoRequestUntilItsPauseEnds(t *testing.T) {
+	pool := testPool(2, "a", "b")
+	now := start
+	pauseEnd := now.Add(3 * time.Second)
+	pool.Pause(now, "a", pauseEnd)
+	pool.Pause(now, "a", now.Add(time.Second))
+	pool.Pause(now, "unknown", pauseEnd)
+	for n := range 2 {
+		mustSubmit(t, pool, Request{ID: fmt.Sprint(n), Class: "quick", GiveUpAt: now.Add(time.Hour)})
+	}
+	for _, decision := range pool.Decide(now) {
+		if decision.Replica == nil || decision.Replica.Name != "b" {
+			t.Errorf("decision %+v, want all requests bound to b", decision)
+		}
+	}
+	mustSubmit(t, pool, Request{ID: "waits", Class: "quick", GiveUpAt: now.Add(time.Hour)})
+	if decisions := pool.Decide(pauseEnd.Add(-time.Millisecond)); len(decisions) != 0 {
+		t.Fatalf("decisions in the pause: %+v, want none", decisions)
+	}
+	if next := pool.Deadline(pauseEnd.Add(-time.Millisecond)); !next.Equal(pauseEnd) {
+		t.Fatalf("next decision in %s, want the end of the pause", next.Sub(pauseEnd))
+	}
+	decisions := pool.Decide(pauseEnd)
+	if len(decisions) != 1 || decisions[0].Replica == nil || decisions[0].Replica.Name != "a" {
+		t.Errorf("decisions at the end of the pause: %+v, want the request bound to a", decisions)
+	}
+}
--- a/internal/router/pool_progress.go
+++ b/internal/router/pool_progress.go
@@ -101,15 +101,15 @@
 	}
 }
 
-// nextProbeAt returns when the next open circuit allows a probe; zero if no request waits. Circuits
-// that already allow a probe are left out, since they need no further call of Decide.
-func (p *Pool) nextProbeAt(now time.Time) time.Time {
+// nextOpenAt returns when the next open circuit allows a probe, or the next pause ends; zero if no
+// request waits. Those in the past are left out, since they need no further call of Decide.
+func (p *Pool) nextOpenAt(now time.Time) time.Time {
 	var next time.Time
 	if len(p.waiting) == 0 {
 		return next
 	}
 	for _, r := range p.orderedReplicas {
-		if at := r.circuit.NextProbeAt(); at.After(now) {
+		if at := r.opensAt(); at.After(now) {
 			next = earlier(next, at)
 		}
 	}
--- a/internal/router/pool_replicas.go
+++ b/internal/router/pool_replicas.go
@@ -58,6 +58,16 @@
 	p.changedAt = now
 }
 
+// Pause keeps new requests from a replica until the given time. A pause that ends later remains.
+func (p *Pool) Pause(now time.Time, replica string, until time.Time) {
+	r, ok := p.replicas[replica]
+	if !ok || !until.After(r.pausedUntil) {
+		return
+	}
+	r.pausedUntil = until
+	p.changedAt = now
+}
+
 // SetAllowance sets the slots granted to this node by the node that owns the replica. If negative,
 // only this node's own limit counts. The caller must call Decide afterwards.
 func (p *Pool) SetAllowance(replica string, slots int) {
--- a/internal/router/replica_state.go
+++ b/internal/router/replica_state.go
@@ -12,6 +12,8 @@
 	Replica
 	// announcedLeaving is independent of the configured Replica.Leaving.
 	announcedLeaving bool
+	// pausedUntil is when a pause that the replica asked for ends.
+	pausedUntil time.Time
 	// removed replicas are kept until their last request has ended.
 	removed bool
 	running int
@@ -59,13 +61,26 @@
 }
 
 func (r *replicaState) hasFreeSlot(now time.Time) bool {
-	return r.acceptsNew() && r.running < r.limit() && r.circuit.Allows(now)
+	return r.acceptsNew() && r.running < r.limit() && r.isOpenAt(now)
 }
 
-// healthy reports whether the replica accepts new requests and its circuit is closed, regardless of
-// its load.
+// healthy reports whether the replica accepts new requests, is not paused and its circuit is closed,
+// regardless of its load.
 func (r *replicaState) healthy(now time.Time) bool {
-	return r.acceptsNew() && r.circuit.Allows(now) && r.circuit.NextProbeAt().IsZero()
+	return r.acceptsNew() && r.isOpenAt(now) && r.circuit.NextProbeAt().IsZero()
+}
+
+// isOpenAt reports whether neither the circuit nor a pause keeps requests from the replica.
+func (r *replicaState) isOpenAt(now time.Time) bool {
+	return r.circuit.Allows(now) && !now.Before(r.pausedUntil)
+}
+
+// opensAt returns when the circuit allows the next probe and the pause is over, or a time in the past.
+func (r *replicaState) opensAt() time.Time {
+	if probeAt := r.circuit.NextProbeAt(); probeAt.After(r.pausedUntil) {
+		return probeAt
+	}
+	return r.pausedUntil
 }
 
 func (r *replicaState) isStraggler() bool { return r.slowness >= balancer.StragglerThreshold }
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"galenatrestle/internal/openai"
+	"galenatrestle/internal/pause"
 )
 
 // maxErrorBytes bounds what is read of an upstream's error answer.
@@ -68,11 +69,15 @@
 	return response, nil
 }
 
-// refused makes an *Error of an engine's error answer and passes its code on.
+// refused makes an *Error of an engine's error answer and passes on what it says about the engine.
 func (e *Engine) refused(address string, response *http.Response) *Error {
 	refused := refusedBy(address, response)
 	if e.options.Refused != nil {
-		e.options.Refused(address, refused.Code)
+		refusal := EngineRefusal{Address: address, Code: refused.Code}
+		if refused.Kind == NotRun {
+			refusal.Pause = pause.ParseRetryAfter(response.Header.Get("Retry-After"))
+		}
+		e.options.Refused(refusal)
 	}
 	return refused
 }
--- a/internal/upstream/engine_test.go
+++ b/internal/upstream/engine_test.go
@@ -246,3 +246,32 @@
 		t.Errorf("error %v can be taken for a clean end", err)
 	}
 }
+
+func TestPauseThatAnEngineAsksForIsPassedOn(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		status int
+		code   string
+		want   time.Duration
+	}{
+		{"refused before it ran", http.StatusServiceUnavailable, openai.CodeOverloaded, 1500 * time.Millisecond},
+		{"may have run", http.StatusServiceUnavailable, "worker_lost", 0},
+		{"error", http.StatusInternalServerError, "internal", 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			var got EngineRefusal
+			engine := newTestEngine(t, Options{Refused: func(r EngineRefusal) { got = r }})
+			address := serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.Header().Set("Retry-After", "1.5")
+				w.WriteHeader(test.status)
+				fmt.Fprintf(w, `{"error":{"code":%q}}`, test.code)
+			}))
+			if _, err := engine.Start(t.Context(), address, EngineCall{Path: "/"}); err == nil {
+				t.Fatal("no error")
+			}
+			if want := (EngineRefusal{Address: address, Code: test.code, Pause: test.want}); got != want {
+				t.Errorf("refusal %+v, want %+v", got, want)
+			}
+		})
+	}
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -34,9 +34,18 @@
 	MaxAnswerBytes int64
 	// MaxPayloadBytes bounds one event of a stream.
 	MaxPayloadBytes int
-	// Refused is told the address and the code of each error answer of an
-	// engine; it must not block. It may be nil.
-	Refused func(address, code string)
+	// Refused is called with each error answer of an engine; it must not block.
+	// It may be nil.
+	Refused func(EngineRefusal)
+}
+
+// EngineRefusal is what an engine's error answer says about the engine.
+type EngineRefusal struct {
+	Address string
+	Code    string
+	// Pause is how long the engine asks this node to send it nothing; zero if it
+	// did run the call, or asks for nothing.
+	Pause time.Duration
 }
 
 func (o Options) withDefaults() Options {
