Forward: what a response says of its replica in a file of its own

attempt.go had grown to 345 lines with the reading of notices, pauses and rates; they are one concern. Moved unchanged; the tests of forward pass.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,8 +11,6 @@
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
-	"galenatrestle/internal/ratelimit"
-	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 )
 
@@ -129,20 +127,6 @@
 	return failure
 }
 
-// unusable returns why the chosen replica must get no request after all, or nil.
-func (f *Forwarder) unusable(r *replica.Replica) error {
-	switch {
-	case !f.options.Replicas.Usable(r.ID):
-		return errDraining
-	case f.options.Pauses.Current().End(r).After(time.Now()):
-		return errReplicaPaused
-	default:
-		return nil
-	}
-}
-
-var errReplicaPaused = errors.New("replica asked for a pause")
-
 var errDraining = errors.New("replica is draining or no longer listed and accepts no new requests")
 
 // release returns the connection to the pool if it can be reused, and closes it
@@ -220,49 +204,6 @@
 	return a.failedAt(stepReadHead, fmt.Errorf("no response to this call received: the last one is for call %q", a.headers.ID))
 }
 
-// recordNotices records what the response says about the replica itself.
-func (a *attempt) recordNotices() {
-	if a.response.StatusCode == http.StatusMisdirectedRequest {
-		// A different process answered at this address.
-		return
-	}
-	a.updateRateLimit()
-	if a.headers.Leaving {
-		a.exchange.forwarder.options.Replicas.MarkLeaving(&a.placementAttempt.Replica)
-		a.logNotice(noticeLeaving)
-	}
-	if a.asksForPause() {
-		a.exchange.forwarder.options.Pauses.Begin(time.Now(), a.placementAttempt.Replica.Process(), a.headers.RetryAfter)
-		a.logNotice(noticePause)
-	}
-}
-
-// asksForPause reports whether the replica refused the request and asks for a time without
-// further ones.
-func (a *attempt) asksForPause() bool {
-	refused := isNotExecuted(a.response, a.headers) || a.response.StatusCode == http.StatusServiceUnavailable
-	return refused && a.headers.RetryAfter > 0
-}
-
-func (a *attempt) logNotice(notice string) {
-	f := a.exchange.forwarder
-	f.metrics.replicaNotices.WithLabelValues(a.exchange.call.Upstream, notice).Inc()
-	listing, readAt := f.options.Replicas.Latest()
-	f.options.Log.Write(&replicaNotice{attempt: a, notice: notice, revision: listing.Revision, age: f.options.RateLimits.Now().Sub(readAt)})
-}
-
-func (a *attempt) updateRateLimit() {
-	f := a.exchange.forwarder
-	limit, changed := f.options.RateLimits.Observe(ratelimit.Observation{
-		Replica: a.placementAttempt.Replica, Limited: a.headers.RateLimited, PerSecond: a.headers.RateLimit,
-		Succeeded: a.headers.Stamped && a.response.StatusCode < http.StatusMultipleChoices,
-		SentAt:    a.sentAt, ReceivedAt: f.options.RateLimits.Now(),
-	})
-	if changed {
-		f.options.Log.Write(&ratelimit.LimitChanged{Limit: limit, Request: a.exchange.call.ID})
-	}
-}
-
 // isNotExecuted reports whether the replica rejected the request without running
 // it. Such a response may lack the call's ID.
 func isNotExecuted(r *http.Response, h ResponseHeaders) bool {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -142,12 +142,6 @@
 	return fields
 }
 
-// Values of replicaNotice.notice, also used in metrics.
-const (
-	noticeLeaving = "leaving"
-	noticePause   = "pause"
-)
-
 // replicaNotice is logged for a response in which a replica says that it is leaving, or asks
 // for a pause. revision and age are those of the registrations that this node uses.
 type replicaNotice struct {
