--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -36,6 +36,9 @@
 	// All processes stood still for 0.7 s at the end of a node's grace time, and the soak
 	// killed the node as it woke up itself.
 	{Seed: 9040, Nodes: 5, Callers: 10, Length: 10 * time.Second, RateLimits: 5},
+	// A replica refused requests and asked for pauses while its answers were cut off, so that the
+	// nodes knew of no pause; all other replicas of the service were paused.
+	{Seed: 41001, Nodes: 12, Callers: 20, Length: 10 * time.Second, RateLimits: 3, Notices: 3, Pauses: 6},
 }
 
 func TestSeeds(t *testing.T) {
