A silent replica is presumed paused while others of its upstream are

Cause: the replica's refusals, and the pauses in them, were cut off on the way. All other replicas of the service were paused, so that each call was sent to this one and timed out after 0.3 s; three were sent before the first refusal arrived. Change: after two attempts in a row without a response a replica is taken to be paused like the others, until the pauses known then end; a response ends it at once, and each further attempt without one prolongs it, so that it is tried again. An upstream in which no replica is paused behaves as before.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -16,7 +16,7 @@
 
 var errNoReplica = errors.New("no replica accepts new requests")
 
-var errPaused = errors.New("all replicas asked for a pause")
+var errPaused = errors.New("all replicas are paused")
 
 var errRateLimited = errors.New("all replicas have reached their rate limit")
 
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -85,6 +85,7 @@
 func (a *Attempt) recordData(now time.Time) {
 	a.removePrefill()
 	a.state.lastDataAt = now
+	a.state.responded()
 }
 
 // removePrefill takes the attempt's prompt out of the replica's prefill backlog.
@@ -110,6 +111,7 @@
 	if a.state.running == 0 {
 		a.state.waitingSince = time.Time{}
 	}
+	a.state.recordResponse(result)
 	switch result {
 	case Cancelled:
 	case Answered:
--- a/internal/placement/restrictions.go
+++ b/internal/placement/restrictions.go
@@ -15,8 +15,14 @@
 	pauses         pause.Pauses
 	now            time.Time
 	excludeLimited bool
+	// latestPauseEnd is when the last pause that an available replica asked for ends; zero: none did.
+	latestPauseEnd time.Time
 }
 
+// minUnanswered is the number of attempts in a row without a response from which a replica may be
+// presumed to be paused.
+const minUnanswered = 2
+
 func (u *upstream) restrictions(now time.Time) restrictions {
 	r := restrictions{permits: u.permits, now: now}
 	if u.permits != nil {
@@ -24,16 +30,51 @@
 	}
 	if u.pauses != nil {
 		r.pauses = u.pauses.Current()
+		r.latestPauseEnd = r.latestEnd(u.available)
 	}
 	return r
 }
 
+// latestEnd returns when the last pause of the replicas ends; zero if none is paused.
+func (r *restrictions) latestEnd(states []*replicaState) time.Time {
+	var latest time.Time
+	if len(r.pauses) == 0 {
+		return latest
+	}
+	for _, s := range states {
+		if end := r.pauses.End(&s.replica); end.After(r.now) && end.After(latest) {
+			latest = end
+		}
+	}
+	return latest
+}
+
 func (r *restrictions) isLimited(s *replicaState) bool {
 	return ratelimit.IsLimited(r.limits, &s.replica)
 }
 
-func (r *restrictions) isPaused(s *replicaState) bool {
-	return r.pauses.End(&s.replica).After(r.now)
+func (r *restrictions) isPaused(s *replicaState) bool { return r.pauseEnd(s).After(r.now) }
+
+// pauseEnd returns when the replica's pause ends, whether it asked for it or is presumed to have.
+func (r *restrictions) pauseEnd(s *replicaState) time.Time {
+	if end := r.pauses.End(&s.replica); end.After(s.presumedPauseEnd) {
+		return end
+	}
+	return s.presumedPauseEnd
+}
+
+// presumePauses takes replicas that do not respond to be paused like the others of the upstream, whose
+// pauses are known: their own refusals may have been lost on the way. Each further attempt without a
+// response prolongs it, up to the pauses that are known then. The lock is held.
+func (u *upstream) presumePauses(r *restrictions) {
+	if r.latestPauseEnd.IsZero() {
+		return
+	}
+	for _, s := range u.available {
+		if s.unanswered >= minUnanswered && s.unanswered != s.presumedAt {
+			s.presumedAt, s.presumedPauseEnd = s.unanswered, r.latestPauseEnd
+		}
+	}
 }
 
 // allows reports whether the replica may be chosen: it is not paused, and it is not rate limited
@@ -47,7 +88,7 @@
 
 // endsAt returns when a request to the restricted replica may be possible.
 func (r *restrictions) endsAt(s *replicaState) time.Time {
-	end := r.pauses.End(&s.replica)
+	end := r.pauseEnd(s)
 	if r.isLimited(s) {
 		if next := r.permits.NextAttemptAt(s.replica.ID); next.After(end) {
 			return next
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -29,7 +29,13 @@
 	// sent a request to the replica after a time without attempts there; zero: none was sent.
 	lastDataAt   time.Time
 	waitingSince time.Time
-	cache        cache
+	// unanswered counts the attempts in a row that ended without any response.
+	unanswered int
+	// presumedPauseEnd is when a pause ends that the replica did not ask for, as far as is known;
+	// presumedAt is unanswered as of then.
+	presumedPauseEnd time.Time
+	presumedAt       int
+	cache            cache
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
@@ -55,6 +61,22 @@
 	return s.failureScore * math.Exp2(-age.Seconds()/failureHalfLife.Seconds())
 }
 
+// recordResponse counts attempts that timed out without a response, and resets the count at one that
+// got a response, a refusal included.
+func (s *replicaState) recordResponse(result Result) {
+	switch result {
+	case TimedOut:
+		s.unanswered++
+	case Answered, Full, Errored:
+		s.responded()
+	}
+}
+
+// responded ends a presumed pause: the replica's responses arrive again.
+func (s *replicaState) responded() {
+	s.unanswered, s.presumedAt, s.presumedPauseEnd = 0, 0, time.Time{}
+}
+
 func (s *replicaState) addFailure(now time.Time, penalty float64) {
 	s.failureScore = s.failureScoreAt(now) + penalty
 	s.scoredAt = now
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -119,6 +119,9 @@
 func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *decision {
 	u.syncReplicas(replicas)
 	u.learnPrompt(r)
+	current := u.restrictions(now)
+	current.excludeLimited = r.ExcludeRateLimited
+	u.presumePauses(&current)
 	states := u.available
 	shortCount := u.shortSideSize(now, r, states)
 	side := states[shortCount:]
@@ -128,10 +131,10 @@
 	location := locatePrefix(now, r, states, side)
 	recompute := recomputeCost * (1 + u.medianPrefillMS(side)/backlogDoublingMS)
 	fraction := u.candidateFraction(side)
-	best, lowest := u.cheapest(now, r, shortCount, &location, recompute, fraction)
+	best, lowest := u.cheapest(now, r, &current, shortCount, &location, recompute, fraction)
 	if best == nil && fraction < 1 {
 		// None of the sampled replicas may get a request now; consider all.
-		best, lowest = u.cheapest(now, r, shortCount, &location, recompute, 1)
+		best, lowest = u.cheapest(now, r, &current, shortCount, &location, recompute, 1)
 	}
 	if best == nil {
 		return nil
@@ -142,11 +145,9 @@
 // cheapest returns the replica of lowest cost, and that cost, among a random fraction of the
 // available ones, of which the first shortCount form the short side. If no sampled replica may be
 // used, it also considers the last available one. It returns nil if none may be used.
-func (u *upstream) cheapest(now time.Time, r *Request, shortCount int, location *prefixLocation, recompute, fraction float64) (*replicaState, float64) {
+func (u *upstream) cheapest(now time.Time, r *Request, current *restrictions, shortCount int, location *prefixLocation, recompute, fraction float64) (*replicaState, float64) {
 	var best *replicaState
 	lowest := math.Inf(1)
-	current := u.restrictions(now)
-	current.excludeLimited = r.ExcludeRateLimited
 	for i, s := range u.available {
 		if !u.isCandidate(s, location, fraction) && (best != nil || i < len(u.available)-1) {
 			continue
