Say how many replicas are presumed paused when none may be asked

A refusal for paused replicas did not tell those that asked for a pause from those that do not respond and are taken to be paused; the error now has both numbers. What is decided is unchanged; the tests of placement and forward pass.

--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -62,9 +62,9 @@
 	case restricted.RateLimited > 0:
 		f.RetryAfter = overload.RetryDelay(wait, left)
 		f.Cause = fmt.Errorf("%w: %d rate-limited replicas, no permit left; %d paused", errRateLimited, restricted.RateLimited, restricted.Paused)
-	case restricted.Paused > 0:
+	case restricted.Paused+restricted.PresumedPaused > 0:
 		f.RetryAfter = overload.BoundRetryDelay(wait, left)
-		f.Cause = fmt.Errorf("%w: %d replicas", errPaused, restricted.Paused)
+		f.Cause = fmt.Errorf("%w: %d at their request, %d presumed as they do not respond", errPaused, restricted.Paused, restricted.PresumedPaused)
 	}
 	return f
 }
--- a/internal/placement/restrictions.go
+++ b/internal/placement/restrictions.go
@@ -100,13 +100,17 @@
 // Restricted describes the available replicas of an upstream that may get no request now.
 type Restricted struct {
 	// RateLimited is the number of rate limited replicas that are not paused, Paused that of
-	// replicas that asked this node for a pause.
-	RateLimited int
-	Paused      int
+	// replicas that asked this node for a pause, and PresumedPaused that of replicas that do not
+	// respond and are taken to be paused like the others.
+	RateLimited    int
+	Paused         int
+	PresumedPaused int
 	// NextAt is the earliest time at which a request to any of them may be possible.
 	NextAt time.Time
 }
 
+func (r *Restricted) count() int { return r.RateLimited + r.Paused + r.PresumedPaused }
+
 // Restricted returns the restricted replicas of the upstream, to explain why Choose found none.
 func (p *Placer) Restricted(now time.Time, name string) Restricted {
 	u := p.upstream(name)
@@ -116,14 +120,16 @@
 	current := u.restrictions(now)
 	for _, s := range u.available {
 		switch {
-		case current.isPaused(s):
+		case current.pauses.End(&s.replica).After(now):
 			found.Paused++
+		case current.isPaused(s):
+			found.PresumedPaused++
 		case current.isLimited(s):
 			found.RateLimited++
 		default:
 			continue
 		}
-		if next := current.endsAt(s); found.Paused+found.RateLimited == 1 || next.Before(found.NextAt) {
+		if next := current.endsAt(s); found.count() == 1 || next.Before(found.NextAt) {
 			found.NextAt = next
 		}
 	}
--- a/internal/placement/restrictions_test.go
+++ b/internal/placement/restrictions_test.go
@@ -55,8 +55,8 @@
 	if a := p.Choose(now, "u", short()); a != nil {
 		t.Fatalf("replica %s was chosen, want none", a.Replica.ID)
 	}
-	if found := p.Restricted(now, "u"); found.Paused != 3 {
-		t.Errorf("restricted replicas: %+v, want 3 paused", found)
+	if found := p.Restricted(now, "u"); found.Paused != 2 || found.PresumedPaused != 1 {
+		t.Errorf("restricted replicas: %+v, want 2 paused and 1 presumed to be", found)
 	}
 	// The others ask for further pauses, which must not keep this one unused for good.
 	end := now.Add(3 * time.Second)
