An idle node refuses requests before it stops

Cause: the node had found itself idle and was ending; until the process was gone, some tens of milliseconds, it took requests and sent them on. Change: once the node is idle all further requests are refused as not run, and it stops when none is in flight. Evidence: TestRequestAfterTheStopIsDecidedIsRefusedAsNotRun got 200 before (the request was sent on after the stop), and gets 503 with Retry-After. Why it works: a request counts as in flight before it looks whether it is refused, and the node looks at what is in flight after it began to refuse.

--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -394,6 +394,21 @@
 	}
 }
 
+// Guards against a request that arrives between the decision to stop and the end of the process, and is
+// sent to a replica and cut.
+func TestRequestAfterTheStopIsDecidedIsRefusedAsNotRun(t *testing.T) {
+	t.Parallel()
+	d := newDeployment(t)
+	d.waitUntilAllReady()
+	leaving := d.nodes[0]
+	leaving.stop()
+	<-leaving.done
+	status, body, header := d.send(leaving, "first")
+	if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("status %d, body %q; want 503 with Retry-After", status, body)
+	}
+}
+
 func TestNodeWithoutConfigurationIsNotReady(t *testing.T) {
 	t.Parallel()
 	d := newDeployment(t)
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -25,7 +25,8 @@
 )
 
 // stop withdraws the node's address, serves requests that still arrive, and returns when
-// the node is idle or the time is over.
+// the node is idle or the time is over. An idle node refuses requests before it stops: one that
+// arrived while the process ends would be cut.
 func (n *Node) stop() {
 	grace := n.settings.Load().PassThrough.Grace.Std()
 	began := time.Now()
@@ -37,13 +38,18 @@
 	cancel()
 	ticker := time.NewTicker(stopPollInterval)
 	defer ticker.Stop()
+	refusing := false
 	for now := range ticker.C {
 		elapsed := now.Sub(began)
 		if elapsed > fraction(grace, refuseStreamingFraction) {
 			n.handler.RefuseStreaming()
 		}
 		idle := n.handler.InFlight() == 0 && n.handler.IdleTime(now) > idlePeriod
-		if elapsed > fraction(grace, maxStopFraction) || (idle && elapsed > fraction(grace, minServeFraction)) {
+		if idle && elapsed > fraction(grace, minServeFraction) {
+			refusing = true
+			n.handler.RefuseNew()
+		}
+		if elapsed > fraction(grace, maxStopFraction) || refusing && n.handler.InFlight() == 0 {
 			break
 		}
 	}
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -20,6 +20,8 @@
 	keepAlivesDisabled atomic.Bool
 	// refuseStreaming is set once requests to streaming routes are refused.
 	refuseStreaming atomic.Bool
+	// refuseNew is set once all further requests are refused.
+	refuseNew atomic.Bool
 }
 
 // New returns a handler and registers its metrics.
@@ -44,7 +46,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	call, refusal := h.check(w, r, arrived)
-	if refusal == nil && call.Route.Streaming && h.refuseStreaming.Load() {
+	if refusal == nil && (h.refuseNew.Load() || call.Route.Streaming && h.refuseStreaming.Load()) {
 		refusal = &stoppingRejection
 	}
 	if refusal != nil {
@@ -79,6 +81,10 @@
 // DisableKeepAlives adds Connection: close to all further responses.
 func (h *Handler) DisableKeepAlives() { h.keepAlivesDisabled.Store(true) }
 
+// RefuseNew refuses all further requests. If InFlight is zero after it, no request is sent to a replica
+// any more.
+func (h *Handler) RefuseNew() { h.refuseNew.Store(true) }
+
 // RefuseStreaming refuses further requests to streaming routes, whose responses might not
 // end before the process does.
 func (h *Handler) RefuseStreaming() { h.refuseStreaming.Store(true) }
