--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,38 +71,27 @@
 // Nodes that each kept to a replica's rate as if they were alone, or took no notice of it,
 // sent it several times what it takes.
 func TestNodesTogetherKeepToTheRateThatAReplicaNames(t *testing.T) {
-	t.Setenv(asProgram, "1")
-	t.Setenv("GORACE", "atexit_sleep_ms=0")
-	report, err := Run(t.Context(), Options{
-		Seed: 1, Command: []string{os.Args[0]}, Dir: t.TempDir(), Nodes: 5, Length: 2 * time.Second, Callers: 12,
-		RateLimits: 3, WithoutFaults: true,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	for _, v := range report.Violations {
-		t.Error(v)
-	}
-	t.Logf("%d of %d calls served", report.Served, report.Calls)
+	playWithoutFaults(t, Options{Nodes: 5, RateLimits: 3})
 }
 
 // Guards against requests to a replica whose answers say that it leaves while its registration
 // still says that it is ready.
 func TestNodesSendNothingToAReplicaThatSaidItLeaves(t *testing.T) {
-	playNotices(t, Options{Notices: 2})
+	playWithoutFaults(t, Options{Nodes: 3, Notices: 2})
 }
 
 // Guards against requests to a replica that has asked for a pause with Retry-After.
 func TestNodesKeepThePauseThatAReplicaAsksFor(t *testing.T) {
-	playNotices(t, Options{Pauses: 10})
+	playWithoutFaults(t, Options{Nodes: 3, Pauses: 10})
 }
 
-func playNotices(t *testing.T, options Options) {
+// playWithoutFaults plays what the replicas say in their answers, and nothing else.
+func playWithoutFaults(t *testing.T, options Options) {
 	t.Helper()
 	t.Setenv(asProgram, "1")
 	t.Setenv("GORACE", "atexit_sleep_ms=0")
 	options.Seed, options.Command, options.Dir = 1, []string{os.Args[0]}, t.TempDir()
-	options.Nodes, options.Callers, options.Length, options.WithoutFaults = 3, 12, 2*time.Second, true
+	options.Callers, options.Length, options.WithoutFaults = 12, 2*time.Second, true
 	report, err := Run(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
