Failed configuration pulls are repeated at the next checks

Cause: a node whose notices were all lost (four tries) does not know that it is behind, so it learns only by its random pull of one a second. A pull that was lost cost a whole period; with half of all messages lost several in a row did.

Change: a pull that got no answer is repeated at the next check (250 ms), at another random peer, up to three times; then the period holds. A node that is cut off sends four pulls in 1.75 s instead of two.

The new test replays a node that gets no notice and loses three of four pulls: 9 of 20 changes were over 2.5 s before (longest 5.16 s), none after.

--- a/internal/configsync/exchange.go
+++ b/internal/configsync/exchange.go
@@ -18,6 +18,9 @@
 	// exchangePeriod is how often a node pulls from a random peer, whatever
 	// the view shows.
 	exchangePeriod = time.Second
+	// maxPullRetries bounds the pulls that follow a failed one at the next
+	// checks instead of after an exchangePeriod.
+	maxPullRetries = 3
 	// callTime bounds one call to a peer.
 	callTime = 2 * time.Second
 	// notifyAtOnce bounds the notices under way at one time.
@@ -41,6 +44,7 @@
 // notices that could not be applied, and now and then from a random peer.
 func (s *Syncer) exchangeLoop(ctx context.Context) {
 	next := time.Now().Add(s.jitter(exchangePeriod))
+	retries := 0
 	for {
 		address := ""
 		select {
@@ -59,8 +63,17 @@
 			address = s.randomPeer()
 			next = time.Now().Add(s.jitter(exchangePeriod))
 		}
-		if address != "" {
-			s.pull(ctx, address)
+		if address == "" {
+			continue
+		}
+		switch {
+		case s.pull(ctx, address):
+			retries = 0
+		case retries < maxPullRetries:
+			retries++
+			next = time.Now()
+		default:
+			retries = 0
 		}
 	}
 }
@@ -87,31 +100,32 @@
 	return addresses[s.pick(len(addresses))]
 }
 
-// pull takes what the peer has newer; a peer that is behind gets a notice.
-func (s *Syncer) pull(ctx context.Context, address string) {
+// pull takes what the peer has newer; a peer that is behind gets a notice. It
+// reports whether the peer answered.
+func (s *Syncer) pull(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTime)
 	defer cancel()
 	have := s.current.Revision()
 	response, err := s.askPull(ctx, address, have)
 	if err != nil {
-		return
+		return false
 	}
 	if response.GetNewest().GetRevision() < have {
 		// The peer pulls from here by itself; the notice may be faster.
 		s.notify(ctx, address)
-		return
+		return true
 	}
 	taken, err := s.takeResponse(response)
 	if taken {
 		s.forward(ctx)
 	}
 	if err != nil || taken || response.GetNewest().GetRevision() <= s.current.Revision() {
-		return
+		return true
 	}
 	// The deltas did not lead there: ask for the whole.
 	response, err = s.askPull(ctx, address, 0)
 	if err != nil {
-		return
+		return false
 	}
 	taken, err = s.takeResponse(response)
 	if err != nil {
@@ -120,6 +134,7 @@
 	if taken {
 		s.forward(ctx)
 	}
+	return true
 }
 
 func (s *Syncer) askPull(ctx context.Context, address string, have int64) (*configsyncv1.PullResponse, error) {
--- a/internal/configsync/spread_test.go
+++ b/internal/configsync/spread_test.go
@@ -51,6 +51,29 @@
 	}
 }
 
+// TestLostPullsDelayAChangeByChecksNotPeriods: a node that gets no notice and
+// loses three of four pulls repeats them at its next checks.
+func TestLostPullsDelayAChangeByChecksNotPeriods(t *testing.T) {
+	const bound = 5 * exchangePeriod / 2
+	bubble(t, 4, func(t *testing.T, c *cluster) {
+		c.nodes[2].store.down.Store(true)
+		pulls := 0
+		c.setCut(func(from, to, message string) bool {
+			if from != "vm-2" || message != messagePull {
+				return to == "vm-2" && message == messageNotify
+			}
+			pulls++
+			return pulls%4 != 0
+		})
+		for change := range 20 {
+			record := c.nodes[1].accept(change + 1)
+			if took := c.awaitAll(record.Revision); took > bound {
+				t.Errorf("change %d took %s, the bound is %s", change, took, bound)
+			}
+		}
+	})
+}
+
 func TestNodeThatStartsInAnOutageTakesTheNewestFromPeers(t *testing.T) {
 	bubble(t, 4, func(t *testing.T, c *cluster) {
 		record := c.nodes[0].accept(1)
