Claims wait for half of the class's target, and repeats get more time

Three faults showed: - the wait for a claim was 2 s whatever the class's target; - each try was cut off after 0.5 s, however often it had been cut off before, so a holder or platform that takes longer never answered; - one timeout made a node forget the shard's holder and ask nodes that do not hold it.

Change: a call waits for half of its class's target, 2 to 13 s (the latter covers the lease of a failed holder); timeouts of repeats double, up to 2 s; a holder is forgotten only where it cannot be reached.

Tests that failed before: a platform that takes 0.7 s a write (no call was ever claimed), an outage of 3 s with a caller that waits for 5, the hint after a timeout. In an outage without a holder refusals come later than before: after half of the target in place of 2 s.

--- a/internal/claim/forward.go
+++ b/internal/claim/forward.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"galenatrestle/internal/errs"
 )
 
-// tryBegin sends the request to the shard's holder once. errNotHolder guarantees that
+// tryBegin sends the request to the shard's holder once, within timeout. errNotHolder guarantees that
 // nothing changed; after any other error the claim may have been made. On error, the
 // reply is the decision of a former holder from its last term, if there is one.
-func (n *Node) tryBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
+func (n *Node) tryBegin(ctx context.Context, request BeginRequest, timeout time.Duration) (BeginReply, error) {
 	localShard, manager := n.shardOf(request.Key)
 	localReply, err := n.beginLocal(ctx, localShard, request)
 	if !errors.Is(err, errNotHolder) {
@@ -21,11 +22,11 @@
 		n.metrics.retries.WithLabelValues(retryNoHolder).Inc()
 		return localReply, errNotHolder
 	}
-	callCtx, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := n.options.Peers.Begin(callCtx, address, request)
 	if err != nil {
-		n.peerFailed(manager)
+		n.peerFailed(manager, err)
 		return localReply, errs.Wrap(errs.Peer, err, stepForward, address)
 	}
 	if reply.NotHolder {
@@ -35,7 +36,7 @@
 	return reply, nil
 }
 
-func (n *Node) tryFinish(ctx context.Context, request FinishRequest) error {
+func (n *Node) tryFinish(ctx context.Context, request FinishRequest, timeout time.Duration) error {
 	localShard, manager := n.shardOf(request.Key)
 	err := localShard.finish(ctx, request)
 	if !errors.Is(err, errNotHolder) {
@@ -46,11 +47,11 @@
 		n.metrics.retries.WithLabelValues(retryNoHolder).Inc()
 		return errNotHolder
 	}
-	callCtx, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := n.options.Peers.Finish(callCtx, address, request)
 	if err != nil {
-		n.peerFailed(manager)
+		n.peerFailed(manager, err)
 		return errs.Wrap(errs.Peer, err, stepForward, address)
 	}
 	if reply.NotHolder {
@@ -60,9 +61,13 @@
 	return nil
 }
 
-func (n *Node) peerFailed(manager *leaseManager) {
+// peerFailed forgets a holder that cannot be reached. One that is only slow still holds the
+// shard, and nothing better is known; the attempt to acquire the lease finds out.
+func (n *Node) peerFailed(manager *leaseManager, err error) {
 	n.metrics.retries.WithLabelValues(retryPeer).Inc()
-	manager.clearHolder()
+	if !errors.Is(err, context.DeadlineExceeded) {
+		manager.clearHolder()
+	}
 	manager.requestAcquire()
 }
 
--- a/internal/claim/hint_test.go
+++ b/internal/claim/hint_test.go
@@ -1,7 +1,10 @@
 package claim
 
 import (
+	"context"
 	"testing"
+
+	"galenatrestle/internal/platform"
 )
 
 // setHint makes a node regard another one as the holder.
@@ -66,3 +69,21 @@
 		}
 	})
 }
+
+// Guards against a holder that was forgotten because it was slow: its callers then asked nodes
+// that do not hold the shard.
+func TestHintOfASlowHolderIsKept(t *testing.T) {
+	withCluster(t, func(t *testing.T, _ *cluster, nodes []*testNode) {
+		manager := nodes[1].leaseManagers[0]
+		holder := Hint{Holder: HolderName("n3", "run-1", "n3"), Epoch: 9}
+		manager.updateHint(holder)
+		nodes[1].peerFailed(manager, context.DeadlineExceeded)
+		if got := manager.holderHint(); got != holder {
+			t.Errorf("after a timeout the hint is %+v, want %+v", got, holder)
+		}
+		nodes[1].peerFailed(manager, platform.ErrUnavailable)
+		if got := manager.holderHint(); got.Holder != "" {
+			t.Errorf("the hint names %q, which cannot be reached", got.Holder)
+		}
+	})
+}
--- a/internal/claim/hold.go
+++ b/internal/claim/hold.go
@@ -148,7 +148,7 @@
 // the same write again and recognizes its own write ID in the conflict.
 func (s *shard) resolveWrite(termCtx context.Context, next write) (int64, error) {
 	for tries := 1; ; tries++ {
-		result, revision := s.send(termCtx, next)
+		result, revision := s.send(termCtx, next, s.options.callTimeout(tries-1))
 		s.metrics.writes.WithLabelValues(result.String()).Inc()
 		switch result {
 		case effectApplied:
@@ -166,8 +166,8 @@
 	}
 }
 
-func (s *shard) send(termCtx context.Context, next write) (effect, int64) {
-	ctx, cancel := context.WithTimeout(termCtx, s.options.CallTimeout)
+func (s *shard) send(termCtx context.Context, next write, timeout time.Duration) (effect, int64) {
+	ctx, cancel := context.WithTimeout(termCtx, timeout)
 	defer cancel()
 	swapped, err := s.options.Store.CompareAndSwap(ctx, next.key, next.expectedRevision, next.value)
 	result, revision := next.classify(swapped, err)
--- a/internal/claim/known.go
+++ b/internal/claim/known.go
@@ -13,7 +13,7 @@
 	}
 	request := n.newRequest(key, content)
 	request.KnownOnly = true
-	lookupCtx, cancel := context.WithTimeout(ctx, n.options.BeginTimeout)
+	lookupCtx, cancel := n.boundBegin(ctx)
 	defer cancel()
 	reply, err := n.retryBegin(lookupCtx, request)
 	if err != nil {
--- a/internal/claim/node.go
+++ b/internal/claim/node.go
@@ -80,7 +80,7 @@
 		return BeginResult{}, refused
 	}
 	request := n.newRequest(key, content)
-	beginCtx, cancel := context.WithTimeout(ctx, n.options.BeginTimeout)
+	beginCtx, cancel := n.boundBegin(ctx)
 	defer cancel()
 	reply, err := n.retryBegin(beginCtx, request)
 	if err != nil {
@@ -96,6 +96,14 @@
 	return result, nil
 }
 
+// boundBegin applies BeginTimeout to a context without a deadline.
+func (n *Node) boundBegin(ctx context.Context) (context.Context, context.CancelFunc) {
+	if _, bounded := ctx.Deadline(); bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, n.options.BeginTimeout)
+}
+
 func (n *Node) newRequest(key Key, content Fingerprint) BeginRequest {
 	return BeginRequest{
 		Key: key, CallFingerprint: content, Attempt: uuid.New(),
@@ -108,8 +116,8 @@
 func (n *Node) retryBegin(ctx context.Context, request BeginRequest) (BeginReply, error) {
 	uncertain := false
 	var lastTermReply BeginReply
-	for {
-		reply, err := n.tryBegin(ctx, request)
+	for try := 0; ; try++ {
+		reply, err := n.tryBegin(ctx, request, n.options.callTimeout(try))
 		if err == nil {
 			return reply, nil
 		}
--- a/internal/claim/options.go
+++ b/internal/claim/options.go
@@ -36,9 +36,9 @@
 	// FlushBytes is the size of pending changes that are written without waiting for
 	// FlushInterval.
 	FlushBytes int
-	// BeginTimeout limits one Begin, in addition to its context.
+	// BeginTimeout limits a Begin or Lookup whose context has no deadline.
 	BeginTimeout time.Duration
-	// CallTimeout limits one call to the platform or a peer.
+	// CallTimeout limits one call to the platform or a peer; repeats of a call get more time.
 	CallTimeout time.Duration
 	// RetryInterval is the mean pause between retries.
 	RetryInterval time.Duration
@@ -82,6 +82,15 @@
 	return rate.Every(o.FlushInterval)
 }
 
+// maxTimeoutDoublings bounds how often the timeout of a repeated call is doubled.
+const maxTimeoutDoublings = 2
+
+// callTimeout returns the timeout of a call that was tried so many times before. A peer or
+// platform that takes longer than CallTimeout would never answer if each try had the same.
+func (o Options) callTimeout(tries int) time.Duration {
+	return o.CallTimeout << min(tries, maxTimeoutDoublings)
+}
+
 func (o Options) withDefaults() Options {
 	if o.Policy == (Policy{}) {
 		o.Policy = DefaultPolicy()
--- a/internal/claim/outage_test.go
+++ b/internal/claim/outage_test.go
@@ -1,6 +1,7 @@
 package claim
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -73,6 +74,63 @@
 	t.Errorf("a repeat during the outage got %q, want one of %q", got, allowed)
 }
 
+// Guards against a call that was refused after BeginTimeout although its caller had time left for
+// a slow takeover or write.
+func TestClaimWaitsAsLongAsItsContextAllows(t *testing.T) {
+	const outage = 3 * time.Second
+	for _, test := range []struct {
+		name string
+		wait time.Duration
+		want callResult
+	}{
+		{"without a deadline", 0, resultUnknown},
+		{"deadline before the platform is back", outage - time.Second, resultUnknown},
+		{"deadline after the platform is back", outage + 2*time.Second, resultRan},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			withCluster(t, func(t *testing.T, c *cluster, nodes []*testNode) {
+				c.store.setDown(true)
+				back := time.AfterFunc(outage, func() { c.store.setDown(false) })
+				defer back.Stop()
+				ctx := t.Context()
+				if test.wait > 0 {
+					var cancel context.CancelFunc
+					ctx, cancel = context.WithTimeout(ctx, test.wait)
+					defer cancel()
+				}
+				result, err := nodes[1].Begin(ctx, testKey, Fingerprint{})
+				switch {
+				case err == nil && test.want == resultRan && result.Verdict == Run:
+				case err != nil && test.want == resultUnknown && refusal.From(err).Outcome == refusal.Unknown:
+				default:
+					t.Errorf("got %v, error %v; want %s", result.Verdict, err, test.want)
+				}
+				c.store.setDown(false)
+				waitUntilSettled()
+			})
+		})
+	}
+}
+
+// Guards against calls that were never claimed while the platform took longer than CallTimeout:
+// each repeat was cut off like the one before.
+func TestSlowPlatformDelaysAClaim(t *testing.T) {
+	const slow = DefaultCallTimeout * 7 / 5
+	withCluster(t, func(t *testing.T, c *cluster, nodes []*testNode) {
+		c.store.setGate(func(string, []byte) { time.Sleep(slow) })
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		for _, node := range nodes {
+			result, err := node.Begin(ctx, keyNumber(len(node.name)), Fingerprint{})
+			if err != nil || result.Verdict == 0 {
+				t.Errorf("%s: got %v, error %v", node.name, result.Verdict, err)
+			}
+		}
+		c.store.setGate(nil)
+		waitUntilSettled()
+	})
+}
+
 // New claims must be refused without waiting while the platform does not respond to the
 // current write.
 func TestStalledWriteRefusesImmediately(t *testing.T) {
--- a/internal/claim/unfinished.go
+++ b/internal/claim/unfinished.go
@@ -72,8 +72,8 @@
 	default:
 		request.Phase = phaseUnknown
 	}
-	for {
-		err := n.tryFinish(ctx, request)
+	for try := 0; ; try++ {
+		err := n.tryFinish(ctx, request, n.options.callTimeout(try))
 		if err == nil {
 			n.countFinish(request, finishDurable)
 			return nil
@@ -134,9 +134,10 @@
 	group.SetLimit(maxConcurrentRecords)
 	for _, request := range n.outcomes.drain() {
 		group.Go(func() error {
-			callCtx, cancel := context.WithTimeout(ctx, n.options.CallTimeout)
+			timeout := n.options.callTimeout(maxTimeoutDoublings)
+			callCtx, cancel := context.WithTimeout(ctx, timeout)
 			defer cancel()
-			if n.tryFinish(callCtx, request) != nil {
+			if n.tryFinish(callCtx, request, timeout) != nil {
 				n.queueOutcome(request)
 				return nil
 			}
--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/claim"
+	"galenatrestle/internal/config"
 	"galenatrestle/internal/explain"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/upstream"
@@ -44,10 +45,25 @@
 	}
 }
 
+const (
+	// minClaimWait and maxClaimWait bound how long a call waits to be claimed. The longest wait
+	// covers the rest of a failed holder's lease and the takeover of its shard.
+	minClaimWait = 2 * time.Second
+	maxClaimWait = 13 * time.Second
+)
+
+// claimWait returns how long a call of the class waits to be claimed: half of its target, so that
+// the other half is left for the call.
+func claimWait(class *config.Class) time.Duration {
+	return min(max(class.TargetAnswer.Std()/2, minClaimWait), maxClaimWait)
+}
+
 // claim claims the call. Over the quota nothing new is claimed, but a repeat
 // is answered: its call has been counted, and asking again is how a caller
 // learns of an outcome that it must not guess.
 func (s *Server) claim(ctx context.Context, sc *serviceCall) (claim.BeginResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, claimWait(sc.call.class))
+	defer cancel()
 	refused := s.useRequest(sc.call)
 	if refused == nil {
 		return s.options.Ledger.Begin(ctx, sc.claimKey(), sc.fingerprint())
--- a/internal/gateway/claimed_test.go
+++ b/internal/gateway/claimed_test.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"net/http/httptest"
 	"testing"
+	"time"
 
 	"galenatrestle/internal/claim"
+	"galenatrestle/internal/config"
 	"galenatrestle/internal/refusal"
 )
 
@@ -40,3 +42,16 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+func TestClaimWaitsForHalfOfTheTarget(t *testing.T) {
+	for _, test := range []struct{ target, want time.Duration }{
+		{time.Second, minClaimWait},
+		{10 * time.Second, 5 * time.Second},
+		{time.Minute, maxClaimWait},
+	} {
+		class := &config.Class{TargetAnswer: config.Duration(test.target)}
+		if got := claimWait(class); got != test.want {
+			t.Errorf("target %s: waits for %s, want %s", test.target, got, test.want)
+		}
+	}
+}
