One check of a known process, one bound of a parsed pause, one lock a listing

Left from the last reading, no behaviour changed: the set of replicas has one function that says whether a process is known; a Retry-After is bounded where it is parsed, in place of there and again in the dispatcher (the table keeps its own bound, which its test checks); the rate limiter takes its lock once for a listing's changes, where a start has thousands.

--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"galenatrestle/internal/config"
-	"galenatrestle/internal/pause"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 )
@@ -120,10 +119,10 @@
 	}
 }
 
-// Pause keeps new requests from a replica for the given time, at most pause.MaxLength.
+// Pause keeps new requests from a replica for the given time.
 func (d *Dispatcher) Pause(upstream, replica string, length time.Duration) {
 	if s := d.shard(upstream); s != nil {
-		s.update(func(now time.Time) { s.pool.Pause(now, replica, now.Add(min(length, pause.MaxLength))) })
+		s.update(func(now time.Time) { s.pool.Pause(now, replica, now.Add(length)) })
 	}
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -226,11 +226,11 @@
 	if len(changes) > maxLoggedChanges {
 		n.log.Write(newListingReplaced(listing, changes, age))
 	}
+	n.rateLimiter.onReplicaChanges(changes, n.options.Clock())
 	for i, c := range changes {
 		if i < maxLoggedChanges {
 			n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
 		}
-		n.rateLimiter.onReplicaChange(c, n.options.Clock())
 		if c.Kind == replica.Removed {
 			n.conns.Forget(c.Replica.ID)
 		}
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -55,20 +55,22 @@
 	return issuer.Name, issuer.PeerAddress
 }
 
-// onReplicaChange records which replicas are removed, and forgets the former process of one that
-// has restarted.
-func (r *rateLimiter) onReplicaChange(c replica.Change, now boottime.Instant) {
+// onReplicaChanges records which replicas are removed, and forgets the former processes of those
+// that have restarted.
+func (r *rateLimiter) onReplicaChanges(changes []replica.Change, now boottime.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	id := c.Replica.ID
-	switch c.Kind {
-	case replica.Removed:
-		r.removed[id] = removal{process: c.Replica.Process(), at: now}
-	case replica.Added:
-		if former, found := r.removed[id]; found && former.process != c.Replica.Process() {
-			r.forget(id)
+	for _, c := range changes {
+		id := c.Replica.ID
+		switch c.Kind {
+		case replica.Removed:
+			r.removed[id] = removal{process: c.Replica.Process(), at: now}
+		case replica.Added:
+			if former, found := r.removed[id]; found && former.process != c.Replica.Process() {
+				r.forget(id)
+			}
+			delete(r.removed, id)
 		}
-		delete(r.removed, id)
 	}
 }
 
--- a/internal/edge/rates_test.go
+++ b/internal/edge/rates_test.go
@@ -26,9 +26,9 @@
 func TestRateOutlivesAnExpiredRegistration(t *testing.T) {
 	r := replica.Replica{ID: "a", StartedAt: 5}
 	l := newTestLimiter(r)
-	l.onReplicaChange(replica.Change{Replica: r, Kind: replica.Removed}, instantAfter(time.Second))
+	l.onReplicaChanges([]replica.Change{replica.Change{Replica: r, Kind: replica.Removed}}, instantAfter(time.Second))
 	l.forgetRemoved(instantAfter(2 * time.Second))
-	l.onReplicaChange(replica.Change{Replica: r, Kind: replica.Added}, instantAfter(3*time.Second))
+	l.onReplicaChanges([]replica.Change{replica.Change{Replica: r, Kind: replica.Added}}, instantAfter(3*time.Second))
 	l.forgetRemoved(instantAfter(time.Hour))
 	if !ratelimit.IsLimited(l.limits.InForce(), &r) {
 		t.Error("the rate is not known any more after the registration returned")
@@ -41,11 +41,11 @@
 	for name, change := range map[string]func(*rateLimiter){
 		"gone": func(*rateLimiter) {},
 		"restarted": func(l *rateLimiter) {
-			l.onReplicaChange(replica.Change{Replica: restarted, Kind: replica.Added}, instantAfter(time.Second))
+			l.onReplicaChanges([]replica.Change{replica.Change{Replica: restarted, Kind: replica.Added}}, instantAfter(time.Second))
 		},
 	} {
 		l := newTestLimiter(r)
-		l.onReplicaChange(replica.Change{Replica: r, Kind: replica.Removed}, instantAfter(time.Second))
+		l.onReplicaChanges([]replica.Change{replica.Change{Replica: r, Kind: replica.Removed}}, instantAfter(time.Second))
 		change(l)
 		l.forgetRemoved(instantAfter(time.Second + limitRetention))
 		if got := len(l.limits.InForce()); got != 0 {
--- a/internal/replica/leaving.go
+++ b/internal/replica/leaving.go
@@ -28,7 +28,7 @@
 // held.
 func (s *Set) forgetUnlisted() {
 	for process := range s.leaving {
-		if r, ok := find(s.known, process.ID); !ok || r.StartedAt != process.StartedAt {
+		if !s.isKnown(process) {
 			delete(s.leaving, process)
 		}
 	}
--- a/internal/replica/set.go
+++ b/internal/replica/set.go
@@ -184,8 +184,13 @@
 func (s *Set) HasProcess(id string, startedAt int64) bool {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
-	r, ok := find(s.known, id)
-	return ok && r.StartedAt == startedAt
+	return s.isKnown(Process{ID: id, StartedAt: startedAt})
+}
+
+// isKnown is HasProcess. The lock is held.
+func (s *Set) isKnown(process Process) bool {
+	r, ok := find(s.known, process.ID)
+	return ok && r.StartedAt == process.StartedAt
 }
 
 // Zone returns the availability zone whose part of the listing this node uses; empty: it uses all
