The soak restores the store from an older copy

The stand-in now copies its state and comes back from the copy with the next era; what operators and replicas wrote since is written again half a second later.

--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -23,6 +23,7 @@
 	RateLimits int           `default:"3" help:"Times in each run that a replica names the requests a second that it takes."`
 	Notices    int           `default:"1" help:"Times in each run that a replica says in its answers that it leaves, before its registration does."`
 	Pauses     int           `default:"3" help:"Times in each run that a replica refuses all requests and asks for a pause."`
+	Restores   int           `default:"1" help:"Times in each run that the store comes back from an older copy."`
 	NoFaults   bool          `help:"Leave out all faults; replicas still name rates, leave and ask for pauses."`
 	AtOnce     int           `default:"2" help:"Seeds that run side by side."`
 	Keep       string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
@@ -38,8 +39,9 @@
 	if c.AtOnce < 1 || c.Nodes < 1 || c.Callers < 1 {
 		return fmt.Errorf("--at-once %d, --nodes %d and --callers %d must be above zero", c.AtOnce, c.Nodes, c.Callers)
 	}
-	if c.RateLimits < 0 || c.Notices < 0 || c.Pauses < 0 {
-		return fmt.Errorf("--rate-limits %d, --notices %d and --pauses %d must not be below zero", c.RateLimits, c.Notices, c.Pauses)
+	if c.RateLimits < 0 || c.Notices < 0 || c.Pauses < 0 || c.Restores < 0 {
+		return fmt.Errorf("--rate-limits %d, --notices %d, --pauses %d and --restores %d must not be below zero",
+			c.RateLimits, c.Notices, c.Pauses, c.Restores)
 	}
 	trestled, err := filepath.Abs(c.Trestled)
 	if err != nil {
@@ -73,13 +75,18 @@
 
 // play runs one seed, and removes its files unless it failed and they are kept.
 func (c *soakCommand) play(seed uint64, trestled string) (soak.Report, error) {
+	if c.Keep != "" {
+		if err := os.MkdirAll(c.Keep, 0o755); err != nil {
+			return soak.Report{}, err
+		}
+	}
 	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(context.Background(), soak.Options{
 		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits,
-		Notices: c.Notices, Pauses: c.Pauses, WithoutFaults: c.NoFaults,
+		Notices: c.Notices, Pauses: c.Pauses, Restores: c.Restores, WithoutFaults: c.NoFaults,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -29,6 +29,8 @@
 	// Notices is the number of times that a replica says in its answers that it leaves, and
 	// Pauses of those that one asks for a pause.
 	Notices, Pauses int
+	// Restores is the number of times that the store comes back from an older copy.
+	Restores int
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 }
@@ -70,6 +72,7 @@
 	events := replicaEvents(rand.New(rand.NewPCG(o.Seed, 2)), replicaLimit, o.Length, o.RateLimits, rateLimitLasts)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 3)), replicaNotice, o.Length, o.Notices, noticeLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 4)), replicaPause, o.Length, o.Pauses, pauseLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 5)), storeRestore, o.Length, o.Restores, restoreLasts)...)
 	if !o.WithoutFaults {
 		events = append(events, schedule(o.Seed, o.Length)...)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -31,6 +31,8 @@
 	replicaNotice kind = "replica_notice"
 	// replicaPause is a replica that refuses all requests and asks for a pause.
 	replicaPause kind = "replica_pause"
+	// storeRestore is a store that comes back from an older copy.
+	storeRestore kind = "store_restore"
 	configChange kind = "config_change"
 	revokeKey    kind = "revoke_key"
 )
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -31,7 +31,9 @@
 	// disturbedAt is the end of the last fault so far.
 	disturbedAt time.Time
 	violations  []string
-	closers     []func()
+	// restoring lets one restore of the store end before the next begins.
+	restoring sync.Mutex
+	closers   []func()
 }
 
 // runningReplica is one incarnation of a replica behind its proxy.
@@ -169,6 +171,8 @@
 	case storeSlow:
 		w.store.SetDelay(300 * time.Millisecond)
 		w.pauseThen(e.lasts, func() { w.store.SetDelay(0) })
+	case storeRestore:
+		w.restoreStore(e)
 	case configChange, revokeKey:
 		w.reconfigure(e)
 	default:
