Final sums of usage outlive a store that loses them

Nodes return what they were told with their counts, and the next holder takes those sums, of two of a window those of the earlier holder. A book that is read again is followed by a new round of gathering before anything in it becomes final.

Tests that failed before: TestRestoredStoreChangesNoReport (40 seeds of restores and restarts; fails on its first seed without the kept sums), soak seed 51106. Cost: one call to four nodes a window; nothing at rest elsewhere.

--- a/internal/duty/dutytest/store.go
+++ b/internal/duty/dutytest/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -203,3 +204,30 @@
 	}
 	return s.revision, nil
 }
+
+// Copy is a store's entries at some moment.
+type Copy struct{ entries map[string]entry }
+
+// Copy returns the entries as they are now.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{entries: maps.Clone(s.entries)}
+}
+
+// Restore puts the store back to the copy and ends all leases. As read from a store's next era, all
+// entries have revisions above those given before.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.entries = make(map[string]entry)
+	s.leases = make(map[int64]lease)
+	for key, e := range c.entries {
+		if e.lease != 0 {
+			continue
+		}
+		s.revision++
+		e.Revision = s.revision
+		s.entries[key] = e
+	}
+}
--- a/internal/edge/duties.go
+++ b/internal/edge/duties.go
@@ -101,9 +101,10 @@
 	n.peers.Mount(d.usageService.Handler())
 	var tasks []duty.Task
 	if s.Has(settings.Metering) {
+		gatherer := usage.NewGatherer(d.usageService, n.clients, d.meteringPeers)
 		tasks = append(tasks, usage.NewReporter(usage.ReporterOptions{
 			Store: n.options.Store, Platform: n.options.Duties,
-			Gather: usage.NewGatherer(d.usageService, n.clients, d.meteringPeers).Gather,
+			Gather: gatherer.Gather, KeepFinalSums: gatherer.KeepFinalSums,
 			Length: s.UsageWindow.Std(), Delay: s.UsageDelay.Std(),
 			Now: d.fleetClock.Now, Clock: n.options.Clock, Log: n.log, Metrics: usage.NewMetrics(n.registry),
 		}))
--- a/internal/gen/trestle/usage/v1/usagev1connect/usage.connect.go
+++ b/internal/gen/trestle/usage/v1/usagev1connect/usage.connect.go
@@ -35,11 +35,16 @@
 const (
 	// UsageServiceCountsProcedure is the fully-qualified name of the UsageService's Counts RPC.
 	UsageServiceCountsProcedure = "/trestle.usage.v1.UsageService/Counts"
+	// UsageServiceKeepFinalSumsProcedure is the fully-qualified name of the UsageService's
+	// KeepFinalSums RPC.
+	UsageServiceKeepFinalSumsProcedure = "/trestle.usage.v1.UsageService/KeepFinalSums"
 )
 
 // UsageServiceClient is a client for the trestle.usage.v1.UsageService service.
 type UsageServiceClient interface {
 	Counts(context.Context, *connect.Request[v1.CountsRequest]) (*connect.Response[v1.CountsResponse], error)
+	// KeepFinalSums keeps the sums for a later holder: the store may lose them.
+	KeepFinalSums(context.Context, *connect.Request[v1.KeepFinalSumsRequest]) (*connect.Response[v1.KeepFinalSumsResponse], error)
 }
 
 // NewUsageServiceClient constructs a client for the trestle.usage.v1.UsageService service. By
@@ -59,12 +64,19 @@
 			connect.WithSchema(usageServiceMethods.ByName("Counts")),
 			connect.WithClientOptions(opts...),
 		),
+		keepFinalSums: connect.NewClient[v1.KeepFinalSumsRequest, v1.KeepFinalSumsResponse](
+			httpClient,
+			baseURL+UsageServiceKeepFinalSumsProcedure,
+			connect.WithSchema(usageServiceMethods.ByName("KeepFinalSums")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // usageServiceClient implements UsageServiceClient.
 type usageServiceClient struct {
-	counts *connect.Client[v1.CountsRequest, v1.CountsResponse]
+	counts        *connect.Client[v1.CountsRequest, v1.CountsResponse]
+	keepFinalSums *connect.Client[v1.KeepFinalSumsRequest, v1.KeepFinalSumsResponse]
 }
 
 // Counts calls trestle.usage.v1.UsageService.Counts.
@@ -72,9 +84,16 @@
 	return c.counts.CallUnary(ctx, req)
 }
 
+// KeepFinalSums calls trestle.usage.v1.UsageService.KeepFinalSums.
+func (c *usageServiceClient) KeepFinalSums(ctx context.Context, req *connect.Request[v1.KeepFinalSumsRequest]) (*connect.Response[v1.KeepFinalSumsResponse], error) {
+	return c.keepFinalSums.CallUnary(ctx, req)
+}
+
 // UsageServiceHandler is an implementation of the trestle.usage.v1.UsageService service.
 type UsageServiceHandler interface {
 	Counts(context.Context, *connect.Request[v1.CountsRequest]) (*connect.Response[v1.CountsResponse], error)
+	// KeepFinalSums keeps the sums for a later holder: the store may lose them.
+	KeepFinalSums(context.Context, *connect.Request[v1.KeepFinalSumsRequest]) (*connect.Response[v1.KeepFinalSumsResponse], error)
 }
 
 // NewUsageServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -90,10 +109,18 @@
 		connect.WithSchema(usageServiceMethods.ByName("Counts")),
 		connect.WithHandlerOptions(opts...),
 	)
+	usageServiceKeepFinalSumsHandler := connect.NewUnaryHandler(
+		UsageServiceKeepFinalSumsProcedure,
+		svc.KeepFinalSums,
+		connect.WithSchema(usageServiceMethods.ByName("KeepFinalSums")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trestle.usage.v1.UsageService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case UsageServiceCountsProcedure:
 			usageServiceCountsHandler.ServeHTTP(w, r)
+		case UsageServiceKeepFinalSumsProcedure:
+			usageServiceKeepFinalSumsHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -106,3 +133,7 @@
 func (UnimplementedUsageServiceHandler) Counts(context.Context, *connect.Request[v1.CountsRequest]) (*connect.Response[v1.CountsResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.usage.v1.UsageService.Counts is not implemented"))
 }
+
+func (UnimplementedUsageServiceHandler) KeepFinalSums(context.Context, *connect.Request[v1.KeepFinalSumsRequest]) (*connect.Response[v1.KeepFinalSumsResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.usage.v1.UsageService.KeepFinalSums is not implemented"))
+}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -39,6 +39,10 @@
 	// A replica refused requests and asked for pauses while its answers were cut off, so that the
 	// nodes knew of no pause; all other replicas of the service were paused.
 	{Seed: 41001, Nodes: 12, Callers: 20, Length: 10 * time.Second, RateLimits: 3, Notices: 3, Pauses: 6},
+	// The store came back from a copy that lacked sums already sent, and the next holder of the
+	// duties sent others, since a node that had counted was gone. The seeds 51101, 51105, 51123,
+	// 51126, 51129 and 51130 failed alike.
+	{Seed: 51106, Nodes: 4, Callers: 6, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 2},
 }
 
 func TestSeeds(t *testing.T) {
--- a/internal/usage/book.go
+++ b/internal/usage/book.go
@@ -76,23 +76,32 @@
 
 // Fix finalizes the sums of all windows that ended by endedBefore, and reports whether
 // there were any. This includes windows without requests, since the platform expects a
-// report for each window.
-func (b *Book) Fix(endedBefore time.Time) bool {
+// report for each window. Windows in kept get the sums that were final before.
+func (b *Book) Fix(endedBefore time.Time, kept map[int64]FinalSums) bool {
 	fixed := false
 	for ; !End(b.Next, b.Length).After(endedBefore); b.Next++ {
-		sums := make(Counts)
-		for _, counts := range b.Open[b.Next] {
-			for workspace, n := range counts {
-				sums[workspace] += n
-			}
+		if before, ok := kept[b.Next]; ok {
+			b.Fixed[b.Next] = before.Counts
+		} else {
+			b.Fixed[b.Next] = b.sum(b.Next)
 		}
 		delete(b.Open, b.Next)
-		b.Fixed[b.Next] = sums
 		fixed = true
 	}
 	return fixed
 }
 
+// sum adds up the counts of an open window.
+func (b *Book) sum(window int64) Counts {
+	sums := make(Counts)
+	for _, counts := range b.Open[window] {
+		for workspace, n := range counts {
+			sums[workspace] += n
+		}
+	}
+	return sums
+}
+
 // Skip drops the open windows that ended by endedBefore, which are too old to report
 // after a long outage, and returns how many.
 func (b *Book) Skip(endedBefore time.Time) int64 {
--- a/internal/usage/book_test.go
+++ b/internal/usage/book_test.go
@@ -21,7 +21,7 @@
 	// A response that arrives out of order.
 	b.Merge("vm-1", map[int64]Counts{window: {"shop": 5}})
 	b.Merge("vm-2", map[int64]Counts{window: {"shop": 2}})
-	if !b.Fix(start.Add(length)) {
+	if !b.Fix(start.Add(length), nil) {
 		t.Fatal("Fix found no window at the end of the window")
 	}
 	if want := (Counts{"shop": 9, "bar": 1}); !maps.Equal(b.Fixed[window], want) {
@@ -33,7 +33,7 @@
 	b := NewBook(length, start)
 	window := b.Next
 	b.Merge("vm-1", map[int64]Counts{window: {"shop": 4}})
-	b.Fix(start.Add(length))
+	b.Fix(start.Add(length), nil)
 	if late := b.Merge("vm-2", map[int64]Counts{window: {"shop": 3}}); late != 3 {
 		t.Errorf("Merge returned %d late requests, want 3", late)
 	}
@@ -44,7 +44,7 @@
 
 func TestWindowsWithoutRequestsAreReportedToo(t *testing.T) {
 	b := NewBook(length, start)
-	b.Fix(start.Add(3 * length))
+	b.Fix(start.Add(3*length), nil)
 	if got := len(b.ToSend()); got != 3 {
 		t.Errorf("%d reports, want 3", got)
 	}
--- a/internal/usage/peers.go
+++ b/internal/usage/peers.go
@@ -13,11 +13,12 @@
 	"galenatrestle/internal/peer"
 )
 
-// Service serves this node's counts to the node that reports them.
+// Service serves this node's counts to the node that reports them, and keeps its final sums.
 type Service struct {
 	// source identifies this run of the process.
 	source string
 	meter  *Meter
+	kept   KeptSums
 }
 
 // NewService returns a service for the counts of meter.
@@ -32,21 +33,28 @@
 func (s *Service) Counts(_ context.Context, request *connect.Request[usagev1.CountsRequest]) (*connect.Response[usagev1.CountsResponse], error) {
 	answer := &usagev1.CountsResponse{Source: s.source}
 	for window, counts := range s.meter.Since(request.Msg.GetFromWindow()) {
-		told := &usagev1.WindowCounts{Window: window}
-		for workspace, n := range counts {
-			told.Workspaces = append(told.Workspaces, &usagev1.WorkspaceCount{Workspace: workspace, Requests: n})
-		}
-		answer.Windows = append(answer.Windows, told)
+		answer.Windows = append(answer.Windows, &usagev1.WindowCounts{Window: window, Workspaces: counts.toProto()})
+	}
+	for _, sums := range s.kept.Since(request.Msg.GetFromWindow()) {
+		answer.FinalSums = append(answer.FinalSums, sums.toProto())
 	}
 	return connect.NewResponse(answer), nil
 }
 
+// KeepFinalSums implements usagev1connect.UsageServiceHandler.
+func (s *Service) KeepFinalSums(_ context.Context, request *connect.Request[usagev1.KeepFinalSumsRequest]) (*connect.Response[usagev1.KeepFinalSumsResponse], error) {
+	s.kept.Keep(finalSumsFromProto(request.Msg.GetFinalSums()))
+	return connect.NewResponse(&usagev1.KeepFinalSumsResponse{}), nil
+}
+
 const (
 	// askTimeout is the timeout of a call to one node.
 	askTimeout = 500 * time.Millisecond
 	// maxConcurrentCalls limits concurrent calls, to leave the holder capacity for
 	// requests.
 	maxConcurrentCalls = 8
+	// finalSumsCopies is the number of other nodes that keep final sums.
+	finalSumsCopies = 4
 )
 
 // Gatherer fetches the counts of all nodes.
@@ -65,7 +73,7 @@
 // Gather returns the counts of this node and of each node that responds, for windows from
 // first on, and the number of nodes that did not respond.
 func (g *Gatherer) Gather(ctx context.Context, first int64) (counts []SourceCounts, silent int) {
-	counts = []SourceCounts{{Source: g.own.source, Windows: g.own.meter.Since(first)}}
+	counts = []SourceCounts{{Source: g.own.source, Windows: g.own.meter.Since(first), FinalSums: g.own.kept.Since(first)}}
 	var mu sync.Mutex
 	var asking sync.WaitGroup
 	semaphore := make(chan struct{}, maxConcurrentCalls)
@@ -91,18 +99,48 @@
 func (g *Gatherer) ask(ctx context.Context, address string, first int64) (SourceCounts, error) {
 	limited, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	client := usagev1connect.NewUsageServiceClient(g.clients.HTTPClient(address), g.clients.URL(address))
-	response, err := client.Counts(limited, connect.NewRequest(&usagev1.CountsRequest{FromWindow: first}))
+	response, err := g.client(address).Counts(limited, connect.NewRequest(&usagev1.CountsRequest{FromWindow: first}))
 	if err != nil {
 		return SourceCounts{}, err
 	}
-	told := SourceCounts{Source: response.Msg.GetSource(), Windows: make(map[int64]Counts)}
+	told := SourceCounts{
+		Source: response.Msg.GetSource(), Windows: make(map[int64]Counts),
+		FinalSums: finalSumsFromProto(response.Msg.GetFinalSums()),
+	}
 	for _, window := range response.Msg.GetWindows() {
-		counts := make(Counts, len(window.GetWorkspaces()))
-		for _, w := range window.GetWorkspaces() {
-			counts[w.GetWorkspace()] = w.GetRequests()
-		}
-		told.Windows[window.GetWindow()] = counts
+		told.Windows[window.GetWindow()] = countsFromProto(window.GetWorkspaces())
 	}
 	return told, nil
 }
+
+// KeepFinalSums has this node and some others keep the sums. Other nodes are asked each time, so
+// that not all copies are at the same few.
+func (g *Gatherer) KeepFinalSums(ctx context.Context, list []FinalSums) {
+	g.own.kept.Keep(list)
+	addresses := g.addresses()
+	if len(addresses) == 0 {
+		return
+	}
+	first := int(list[0].Window % int64(len(addresses)))
+	var telling sync.WaitGroup
+	for i := range min(finalSumsCopies, len(addresses)) {
+		address := addresses[(first+i)%len(addresses)]
+		telling.Go(func() { g.tell(ctx, address, list) })
+	}
+	telling.Wait()
+}
+
+func (g *Gatherer) tell(ctx context.Context, address string, list []FinalSums) {
+	limited, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	request := &usagev1.KeepFinalSumsRequest{}
+	for _, sums := range list {
+		request.FinalSums = append(request.FinalSums, sums.toProto())
+	}
+	// A node that does not respond keeps nothing; the exchange between nodes logs it.
+	_, _ = g.client(address).KeepFinalSums(limited, connect.NewRequest(request))
+}
+
+func (g *Gatherer) client(address string) usagev1connect.UsageServiceClient {
+	return usagev1connect.NewUsageServiceClient(g.clients.HTTPClient(address), g.clients.URL(address))
+}
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -39,10 +39,12 @@
 	keepDelays = 4
 )
 
-// SourceCounts has the counts of one source, a run of a node's process, by window.
+// SourceCounts has the counts of one source, a run of a node's process, by window, and the final
+// sums that it was told.
 type SourceCounts struct {
-	Source  string
-	Windows map[int64]Counts
+	Source    string
+	Windows   map[int64]Counts
+	FinalSums []FinalSums
 }
 
 // ReporterOptions configures a Reporter.
@@ -52,6 +54,8 @@
 	// Gather returns the counts of all nodes that respond, for windows from first on, and
 	// the number of nodes that did not respond.
 	Gather func(ctx context.Context, first int64) (told []SourceCounts, silent int)
+	// KeepFinalSums tells final sums to several nodes, from which Gather returns them later.
+	KeepFinalSums func(ctx context.Context, sums []FinalSums)
 	// Length is the length of a window; Delay is the time after its end within which the
 	// platform expects its report.
 	Length, Delay time.Duration
@@ -91,6 +95,10 @@
 	gatheredAt, savedAt boottime.Instant
 	completeBefore      time.Time
 	changed             bool
+	// kept are the final sums that nodes were told by this or an earlier holder, by window.
+	// The windows through toldThrough have been told in this term.
+	kept        map[int64]FinalSums
+	toldThrough int64
 	// fenced is set after the platform rejected a report because of a later holder.
 	fenced bool
 }
@@ -105,18 +113,37 @@
 		s.gatheredAt = now
 		s.gather(ctx)
 	}
-	fixed := s.book.Fix(s.completeBefore)
+	fixed := s.book.Fix(s.completeBefore, s.kept)
 	if fixed || s.changed && now.Sub(s.savedAt) >= saveInterval {
 		s.savedAt = now
 		if !s.save(ctx) {
 			return
 		}
 	}
+	s.tellFinalSums(ctx)
 	s.send(ctx)
 }
 
-// load reads the book from the store, or creates one, and reports whether it succeeded.
+// tellFinalSums has other nodes keep the sums that are about to be sent: the store may come back
+// from a copy that lacks them, and no other sums may be sent then.
+func (s *session) tellFinalSums(ctx context.Context) {
+	var list []FinalSums
+	for _, report := range s.book.ToSend() {
+		if report.Window > s.toldThrough {
+			list = append(list, FinalSums{Window: report.Window, Counts: report.Requests, Fence: s.term.Fence})
+		}
+	}
+	if len(list) == 0 {
+		return
+	}
+	s.options.KeepFinalSums(ctx, list)
+	s.toldThrough = list[len(list)-1].Window
+}
+
+// load reads the book from the store, or creates one, and reports whether it succeeded. The book
+// may be older than the one before, so that all counts are gathered anew.
 func (s *session) load(ctx context.Context) bool {
+	s.gatheredAt, s.completeBefore = 0, time.Time{}
 	limited, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	entry, err := s.options.Store.Get(limited, bookKey)
@@ -163,7 +190,11 @@
 		// An unreachable node may become reachable again before the report is due.
 		s.completeBefore = began.Add(-max(settleTime, time.Duration(maxWaitFraction*float64(s.options.Delay))))
 	}
+	s.kept = make(map[int64]FinalSums)
 	for _, t := range received {
+		for _, sums := range t.FinalSums {
+			keepEarlier(s.kept, sums)
+		}
 		if late := s.book.Merge(t.Source, t.Windows); late > 0 {
 			s.options.Metrics.late.Add(float64(late))
 			s.options.Log.Write(&countsLate{source: t.Source, requests: late, next: s.book.Next})
--- a/internal/usage/reporter_test.go
+++ b/internal/usage/reporter_test.go
@@ -45,13 +45,14 @@
 
 	mu     sync.Mutex
 	meters map[string]*usage.Meter
+	kept   map[string]*usage.KeptSums
 	dead   map[string]bool
 }
 
 func newFleet(t *testing.T, seed uint64, names ...string) *fleet {
 	f := &fleet{
 		t: t, store: dutytest.NewStore(seed), checker: dutytest.NewChecker(ttl, seed), began: time.Now(),
-		meters: make(map[string]*usage.Meter), stops: make(map[string]func()), dead: make(map[string]bool),
+		meters: make(map[string]*usage.Meter), kept: make(map[string]*usage.KeptSums), stops: make(map[string]func()), dead: make(map[string]bool),
 	}
 	for _, name := range names {
 		f.start(name)
@@ -70,11 +71,22 @@
 			silent++
 			continue
 		}
-		counts = append(counts, usage.SourceCounts{Source: name, Windows: m.Since(first)})
+		counts = append(counts, usage.SourceCounts{Source: name, Windows: m.Since(first), FinalSums: f.kept[name].Since(first)})
 	}
 	return counts, silent
 }
 
+// keepFinalSums has all nodes except dead ones keep the sums.
+func (f *fleet) keepFinalSums(_ context.Context, sums []usage.FinalSums) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, kept := range f.kept {
+		if !f.dead[name] {
+			kept.Keep(sums)
+		}
+	}
+}
+
 // start starts a new process of a node, without state of an earlier one.
 func (f *fleet) start(name string) {
 	f.runs++
@@ -82,11 +94,13 @@
 	meter := usage.NewMeter(length, time.Now)
 	f.mu.Lock()
 	f.meters[process] = meter
+	f.kept[process] = &usage.KeptSums{}
 	f.mu.Unlock()
 	registry := prometheus.NewRegistry()
 	log := eventlog.New(io.Discard, name)
 	reporter := usage.NewReporter(usage.ReporterOptions{
-		Store: f.store, Platform: platformStub{f.checker}, Gather: f.gather, Length: length, Delay: delay,
+		Store: f.store, Platform: platformStub{f.checker}, Gather: f.gather, KeepFinalSums: f.keepFinalSums,
+		Length: length, Delay: delay,
 		Now: time.Now, Clock: f.clock, Log: log, Metrics: usage.NewMetrics(registry),
 	})
 	holder, err := duty.NewHolder(duty.Options{
@@ -217,6 +231,36 @@
 	}
 }
 
+// Guards against sums that differ from those already sent: the store came back from a copy that
+// lacked them, and a node that had counted some of the requests was gone.
+func TestRestoredStoreChangesNoReport(t *testing.T) {
+	for seed := range uint64(40) {
+		bubbletest.Run(t, func(t *testing.T) { playRestores(t, seed) })
+		if t.Failed() {
+			t.Fatalf("seed %d", seed)
+		}
+	}
+}
+
+func playRestores(t *testing.T, seed uint64) {
+	names := []string{"a", "b", "c"}
+	f := newFleet(t, seed, names...)
+	random := rand.New(rand.NewPCG(seed, 4))
+	pause := func() { time.Sleep(time.Duration(random.Int64N(int64(length)))) }
+	for range 6 {
+		pause()
+		older := f.store.Copy()
+		pause()
+		name := names[random.IntN(len(names))]
+		f.stops[name]()
+		f.start(name)
+		pause()
+		f.store.Restore(older)
+		time.Sleep(delay)
+	}
+	f.finish()
+}
+
 func playFaults(t *testing.T, seed uint64) {
 	names := []string{"a", "b", "c"}
 	f := newFleet(t, seed, names...)
