--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"galenatrestle/internal/config"
+	"galenatrestle/internal/pause"
 	"galenatrestle/internal/refusal"
 	"galenatrestle/internal/router"
 )
@@ -119,10 +120,10 @@
 	}
 }
 
-// Pause keeps new requests from a replica for the given time.
+// Pause keeps new requests from a replica for the given time, at most pause.MaxLength.
 func (d *Dispatcher) Pause(upstream, replica string, length time.Duration) {
 	if s := d.shard(upstream); s != nil {
-		s.update(func(now time.Time) { s.pool.Pause(now, replica, now.Add(length)) })
+		s.update(func(now time.Time) { s.pool.Pause(now, replica, now.Add(min(length, pause.MaxLength))) })
 	}
 }
 
