--- a/internal/usage/finalsums.go
+++ b/internal/usage/finalsums.go
@@ -10,7 +10,7 @@
 type FinalSums struct {
 	Window int64
 	Counts Counts
-	// Fence is the fencing token of the holder that made them final.
+	// Fence is the fencing token of the holder that told them.
 	Fence int64
 }
 
