Log what a quarantine and the retry budget are decided by

No line told which call crashed a replica, how long its quarantine lasts, that another node told of it, or what the retry budget had counted. Adds fingerprints to replica_crashed, verdict and quarantine_left_ms to call_ended and attempt_started, quarantine_received, budget_requests and budget_retries, and two counters. No decision changes.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -164,7 +164,7 @@
 	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.log), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(),
 	})
 	return passthrough.New(passthrough.Options{
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
@@ -18,19 +20,25 @@
 	tracker *quarantine.Tracker
 	running *quarantine.ActiveRuns
 	// probe connects to a replica and returns the error if that fails.
-	probe func(ctx context.Context, r replica.Replica) error
-	log   *eventlog.Log
+	probe       func(ctx context.Context, r replica.Replica) error
+	log         *eventlog.Log
+	crashes     *prometheus.CounterVec
+	quarantines *prometheus.CounterVec
 }
 
 // NewCrashGuard returns a guard that uses tracker, which is shared with other nodes.
-func NewCrashGuard(tracker *quarantine.Tracker, probe func(context.Context, replica.Replica) error, log *eventlog.Log) *CrashGuard {
-	return &CrashGuard{tracker: tracker, running: quarantine.NewActiveRuns(), probe: probe, log: log}
-}
-
-// quarantined reports whether the call is quarantined, and for how much longer.
-func (c *CrashGuard) quarantined(now time.Time, fp quarantine.Fingerprint) (time.Duration, bool) {
-	verdict, left := c.tracker.Decide(now, fp)
-	return left, verdict == quarantine.Refuse
+func NewCrashGuard(tracker *quarantine.Tracker, probe func(context.Context, replica.Replica) error, log *eventlog.Log, registry prometheus.Registerer) *CrashGuard {
+	c := &CrashGuard{
+		tracker: tracker, running: quarantine.NewActiveRuns(), probe: probe, log: log,
+		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_replica_crashes_total", Help: "Crashes of replicas that ran calls of this node.",
+		}, []string{"upstream"}),
+		quarantines: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_quarantines_total", Help: "Quarantines that this node began for calls that crash replicas.",
+		}, []string{"upstream"}),
+	}
+	registry.MustRegister(c.crashes, c.quarantines)
+	return c
 }
 
 func (c *CrashGuard) startRun(r replica.Replica, fp quarantine.Fingerprint) *quarantine.Run {
@@ -75,6 +83,12 @@
 		return
 	}
 	records := c.tracker.Crash(now, fingerprints)
+	c.crashes.WithLabelValues(r.Upstream).Inc()
+	for _, record := range records {
+		if record.Until.After(now) {
+			c.quarantines.WithLabelValues(r.Upstream).Inc()
+		}
+	}
 	c.log.Write(&replicaCrashed{replica: r, running: len(fingerprints), records: records, now: now})
 }
 
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -39,6 +39,13 @@
 	if ev.ending != EndedComplete && e.lastFailure != nil {
 		fields["error"] = e.lastFailure.Error()
 	}
+	if e.verdict != quarantine.Normal {
+		fields["fingerprint"] = e.fingerprint.String()
+		fields["verdict"] = e.verdict
+	}
+	if ev.ending == EndedQuarantined {
+		fields["quarantine_left_ms"] = e.quarantineLeft.Milliseconds()
+	}
 	return fields
 }
 
@@ -88,10 +95,15 @@
 	fields := e.fields()
 	fields["retry"] = ev.reason == ""
 	fields["reason"] = ev.reason
-	fields["budget_left"] = e.forwarder.options.Budget.Remaining(time.Now(), e.call.Upstream)
+	usage := e.forwarder.options.Budget.Usage(time.Now(), e.call.Upstream)
+	fields["budget_left"] = usage.Remaining
+	fields["budget_requests"] = usage.Requests
+	fields["budget_retries"] = usage.Retries
 	return fields
 }
 
+// replicaCrashed is logged for a crash of a replica that ran calls of this node. records are
+// those that changed, one per distinct call.
 type replicaCrashed struct {
 	replica replica.Replica
 	running int
@@ -105,17 +117,24 @@
 
 func (ev *replicaCrashed) Fields() eventlog.Fields {
 	quarantined := 0
+	fingerprints := make([]string, 0, min(len(ev.records), maxLoggedFingerprints))
 	for _, r := range ev.records {
 		if r.Until.After(ev.now) {
 			quarantined++
 		}
+		if len(fingerprints) < maxLoggedFingerprints {
+			fingerprints = append(fingerprints, r.Fingerprint.String())
+		}
 	}
 	return eventlog.Fields{
 		"replica": ev.replica.ID, "upstream": ev.replica.Upstream, "address": ev.replica.Address,
-		"running": ev.running, "quarantined": quarantined,
+		"running": ev.running, "quarantined": quarantined, "fingerprints": fingerprints,
 	}
 }
 
+// maxLoggedFingerprints bounds the length of a line.
+const maxLoggedFingerprints = 8
+
 // attemptStarted is logged with the chosen replica and the inputs of the choice.
 type attemptStarted struct {
 	exchange         *exchange
@@ -136,6 +155,10 @@
 		"cost_ms": int(c.Cost), "wait_ms": c.FirstTokenTime.Milliseconds(), "memory_used": roundToHundredths(c.MemoryFraction), "among": c.AvailableReplicas, "running": c.Running, "to_read": c.PendingPrefill, "ahead": c.PrefillAhead,
 		"cached": c.CachedTokens, "copy_from": ev.placementAttempt.CopyFrom, "failures": roundToHundredths(c.FailureScore), "read_speed": roundToHundredths(c.PrefillSpeed), "replicas_revision": ev.revision,
 	}
+	if ev.exchange.verdict != quarantine.Normal {
+		fields["fingerprint"] = ev.exchange.fingerprint.String()
+		fields["verdict"] = ev.exchange.verdict
+	}
 	if limit, limited := ev.exchange.forwarder.options.RateLimits.InForce()[ev.placementAttempt.Replica.ID]; limited {
 		fields["rate_limit"] = limit.PerSecond
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -31,6 +31,10 @@
 	callerResponse   *callerResponse
 	placementRequest placement.Request
 	fingerprint      quarantine.Fingerprint
+	// verdict is the newest decision of the crash guard. quarantineLeft is how long a refusal
+	// lasts.
+	verdict        quarantine.Verdict
+	quarantineLeft time.Duration
 
 	// attempts counts all attempts. Of the failed ones, sentAttempts counts those
 	// whose request was sent to a replica, and possibleRuns those in which the
@@ -60,8 +64,9 @@
 
 // run makes attempts until one succeeds or no retry is allowed.
 func (e *exchange) run() Ending {
-	if left, refused := e.forwarder.options.CrashGuard.quarantined(time.Now(), e.fingerprint); refused {
-		e.callerResponse.writeNotRun(left)
+	e.verdict, e.quarantineLeft = e.forwarder.options.CrashGuard.tracker.Decide(time.Now(), e.fingerprint)
+	if e.verdict == quarantine.Refuse {
+		e.callerResponse.writeNotRun(e.quarantineLeft)
 		return EndedQuarantined
 	}
 	for {
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -61,7 +61,7 @@
 	f.Forwarder = forward.New(forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
-		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, log),
+		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, log, f.Metrics),
 		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
 		Log: log, Registry: f.Metrics,
 	})
--- a/internal/nodesync/crashes.go
+++ b/internal/nodesync/crashes.go
@@ -25,3 +25,14 @@
 	}
 	return quarantinerpc.ToProto(recent)
 }
+
+// mergeCrashes merges the records of another node and logs the quarantines that are new here.
+func (s *Sync) mergeCrashes(records []*nodesyncquarantine.Record, from string) {
+	if len(records) == 0 {
+		return
+	}
+	now := time.Now()
+	for _, r := range s.options.Tracker.Merge(now, quarantinerpc.FromProto(records)) {
+		s.options.Log.Write(&quarantineReceived{from: from, record: r, now: now})
+	}
+}
--- a/internal/nodesync/events.go
+++ b/internal/nodesync/events.go
@@ -1,6 +1,11 @@
 package nodesync
 
-import "galenatrestle/internal/eventlog"
+import (
+	"time"
+
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/quarantine"
+)
 
 // peerFound is logged when a node is seen for the first time, or again after a silence.
 type peerFound struct{ node Node }
@@ -42,3 +47,22 @@
 func (e *roleChanged) Fields() eventlog.Fields {
 	return eventlog.Fields{"role": e.role.String(), "hub": e.hub.Name, "hubs": e.hubs, "fleet_nodes": e.fleetNodes}
 }
+
+// quarantineReceived is logged when another node tells of a quarantine that this node did not
+// have.
+type quarantineReceived struct {
+	from   string
+	record quarantine.Record
+	now    time.Time
+}
+
+func (*quarantineReceived) Name() string { return "quarantine_received" }
+
+func (*quarantineReceived) Level() eventlog.Level { return eventlog.Notable }
+
+func (e *quarantineReceived) Fields() eventlog.Fields {
+	return eventlog.Fields{
+		"peer": e.from, "fingerprint": e.record.Fingerprint.String(), "level": e.record.Level,
+		"quarantine_left_ms": e.record.Until.Sub(e.now).Milliseconds(), "crash_age_ms": e.now.Sub(e.record.LastCrash).Milliseconds(),
+	}
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -14,7 +14,6 @@
 	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
 	"galenatrestle/internal/gen/trestle/nodesync/v1/nodesyncv1connect"
 	"galenatrestle/internal/peer"
-	"galenatrestle/internal/quarantine/quarantinerpc"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/routesource"
 )
@@ -200,7 +199,7 @@
 	s.zoneSizes.merge(zoneSizesFromProto(m.GetZoneSizes(), now), now)
 	s.observeTime(m.GetSelf(), now)
 	s.mergeFirstRead(m.GetFirstReadAge(), now)
-	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
+	s.mergeCrashes(m.GetCrashes(), caller.Name)
 	s.mergeRateLimits(m.GetRateLimits(), caller.Name, now)
 	if m.GetWithoutLoads() {
 		return connect.NewResponse(s.response(m)), nil
@@ -257,7 +256,7 @@
 		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.IsHub()}, callStart)
 		s.mergeSums(m, node, request, role)
 	}
-	s.options.Tracker.Merge(time.Now(), quarantinerpc.FromProto(m.GetCrashes()))
+	s.mergeCrashes(m.GetCrashes(), node.Name)
 	s.mergeConfig(m, node.Name, callStart)
 	s.mergeReplicas(m, node.Name, callStart)
 	s.mergeRateLimits(m.GetRateLimits(), node.Name, callStart)
--- a/internal/quarantine/fingerprint.go
+++ b/internal/quarantine/fingerprint.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -9,6 +10,9 @@
 // Fingerprint is a hash of a request's content.
 type Fingerprint uint64
 
+// String returns the form used in logs.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // FingerprintOf returns the fingerprint of a request. It includes the
 // workspace, so that a quarantine applies to one workspace only.
 func FingerprintOf(workspace, model string, body []byte) Fingerprint {
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -104,18 +104,26 @@
 	return r, true
 }
 
-// Merge merges records received from peers.
-func (t *Tracker) Merge(now time.Time, records []Record) {
+// Merge merges records received from peers. It returns the merged records of requests that
+// are now refused and were not before.
+func (t *Tracker) Merge(now time.Time, records []Record) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var newlyRefused []Record
 	for _, r := range records {
-		if existing, ok := t.get(r.Fingerprint); ok {
+		existing, known := t.get(r.Fingerprint)
+		if known {
 			r = merge(existing, r)
 		}
-		if now.Before(r.expiresAt()) {
-			t.put(r)
+		if !now.Before(r.expiresAt()) {
+			continue
+		}
+		t.put(r)
+		if r.verdict(now) == Refuse && (!known || existing.verdict(now) != Refuse) {
+			newlyRefused = append(newlyRefused, r)
 		}
 	}
+	return newlyRefused
 }
 
 // Records returns the unexpired records and removes the others.
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -80,36 +80,44 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.currentCell(now, upstream)
-	if b.remaining(now, upstream) < 1 {
+	if b.usage(now, upstream).Remaining < 1 {
 		return false
 	}
 	c.retries++
 	return true
 }
 
-// Remaining returns the number of retries left, for logs.
-func (b *Budget) Remaining(now time.Time, upstream string) float64 {
+// Usage is what a node has counted for an upstream in the current window.
+type Usage struct {
+	Requests, Retries int
+	// Remaining is the number of retries left.
+	Remaining float64
+}
+
+// Usage returns the upstream's counts.
+func (b *Budget) Usage(now time.Time, upstream string) Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.remaining(now, upstream)
+	return b.usage(now, upstream)
 }
 
-func (b *Budget) remaining(now time.Time, upstream string) float64 {
+func (b *Budget) usage(now time.Time, upstream string) Usage {
 	w, ok := b.upstreams[upstream]
 	if !ok {
 		w = &window{}
 	}
 	newest := b.cellIndex(now)
-	requests, retries := 0, 0
+	var u Usage
 	for _, c := range w.cells {
 		if c.index <= newest-int64(len(w.cells)) {
 			continue
 		}
-		requests += c.requests
-		retries += c.retries
+		u.Requests += c.requests
+		u.Retries += c.retries
 	}
-	share := b.limits.Ratio*float64(requests) + b.limits.Allowance/float64(max(b.limits.Nodes, 1))
-	return usableFraction*share - float64(retries)
+	share := b.limits.Ratio*float64(u.Requests) + b.limits.Allowance/float64(max(b.limits.Nodes, 1))
+	u.Remaining = usableFraction*share - float64(u.Retries)
+	return u
 }
 
 // currentCell returns the cell for now, reset if its contents have expired. The
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -58,7 +58,7 @@
 	if !b.Take(start, "b") {
 		t.Error("retries to one upstream were charged to another upstream's budget")
 	}
-	if left := b.Remaining(start, "a"); left >= 1 {
+	if left := b.Usage(start, "a").Remaining; left >= 1 {
 		t.Errorf("exhausted budget has %.1f retries remaining, want less than 1", left)
 	}
 	if !b.Take(start.Add(12*time.Second), "a") {
