--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -36,6 +37,7 @@
 	// OnDial is called before each new connection; may be nil.
 	OnDial func(address string)
 
+	mu       sync.Mutex
 	replicas map[string]*Replica
 	revision int64
 }
@@ -43,15 +45,19 @@
 // NewFleet returns a forwarder for the replicas, with a fixed random seed for
 // placement. The replicas are stopped when the test ends.
 func NewFleet(t testing.TB, replicas ...*Replica) *Fleet {
-	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(0), Metrics: prometheus.NewRegistry()}
 	for _, r := range replicas {
-		f.replicas[r.Address] = r
 		t.Cleanup(r.Crash)
 	}
+	return NewNode("test", replicas...)
+}
+
+// NewNode returns the forwarder of the named node. Nodes may share replicas.
+func NewNode(name string, replicas ...*Replica) *Fleet {
+	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(0), Metrics: prometheus.NewRegistry()}
 	f.SetReplicas(replicas...)
 	f.Conns = replicaconn.NewPool(f.dial, nil)
 	f.Budget = retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 40, Nodes: 1})
-	log := eventlog.New(io.Discard, "test")
+	log := eventlog.New(io.Discard, name)
 	limits := ratelimit.NewTable(func() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) })
 	f.Permits = ratelimit.NewPermits(limits)
 	placer := placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1)))
@@ -70,9 +76,12 @@
 
 // SetReplicas replaces the list of registered replicas.
 func (f *Fleet) SetReplicas(replicas ...*Replica) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.revision++
 	listing := replica.Listing{Revision: f.revision}
 	for _, r := range replicas {
+		f.replicas[r.Address] = r
 		listing.Replicas = append(listing.Replicas, r.Replica)
 	}
 	now := boottime.Instant(f.revision) * boottime.Instant(time.Millisecond)
@@ -87,7 +96,10 @@
 	if f.OnDial != nil {
 		f.OnDial(address)
 	}
-	conn, up := f.replicas[address].connect()
+	f.mu.Lock()
+	r := f.replicas[address]
+	f.mu.Unlock()
+	conn, up := r.connect()
 	if !up {
 		return nil, &net.OpError{Op: "dial", Net: "pipe", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
 	}
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -228,6 +228,21 @@
 	}
 }
 
+// Only records of recent crashes were sent, so that a restarted node ran calls that all others
+// refused.
+func TestRestartedNodeLearnsOfOldQuarantines(t *testing.T) {
+	const fp = 7
+	a, b := newTestNode("a", 100*second), newTestNode("b", 100*second)
+	now := time.Now()
+	for _, ago := range []time.Duration{70 * time.Second, 70 * time.Second, 55 * time.Second, 30 * time.Second} {
+		b.options.Tracker.Crash(now.Add(-ago), []quarantine.Fingerprint{fp})
+	}
+	a.exchangeWith(t, b, 0, 0)
+	if verdict, _ := a.options.Tracker.Decide(now, fp); verdict != quarantine.Refuse {
+		t.Errorf("verdict %s at the restarted node, want %s", verdict, quarantine.Refuse)
+	}
+}
+
 func TestIdleMembersCallLessOften(t *testing.T) {
 	nodes := fleetOf(60, 3)
 	hub := findNode(nodes, nodes[0].hubs(nodes[0].now)[0].Name)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -116,3 +116,16 @@
 		t.Fatal("different parts have the same fingerprint")
 	}
 }
+
+// A node that had not heard of a quarantine recorded a further crash, and its record ended the
+// quarantine on all nodes.
+func TestCrashAtUninformedNodeDoesNotEndQuarantine(t *testing.T) {
+	here, there := NewTracker(0), NewTracker(0)
+	here.Crash(start, []Fingerprint{1})
+	here.Crash(start, []Fingerprint{1})
+	there.Crash(start.Add(time.Second), []Fingerprint{1})
+	here.Merge(start.Add(time.Second), there.Records(start.Add(time.Second)))
+	expect(t, here, start.Add(2*time.Second), 1, Refuse)
+	there.Merge(start.Add(time.Second), here.Records(start.Add(time.Second)))
+	expect(t, there, start.Add(2*time.Second), 1, Refuse)
+}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -51,6 +51,47 @@
 	}
 }
 
+// Nodes that restarted several times within a window spent their share of the limit each time.
+func TestRestartedNodesStayWithinBound(t *testing.T) {
+	const nodes, steps, window = 7, 600, 100 // steps of 100 ms
+	random := rand.New(rand.NewPCG(3, 4))
+	budgets := make([]*Budget, nodes)
+	for i := range budgets {
+		budgets[i] = New(limits(nodes))
+	}
+	requests, retries := make([]int, steps), make([]int, steps)
+	for step := range steps {
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		if step%25 == 0 {
+			for i := range budgets {
+				budgets[i] = New(limits(nodes))
+			}
+		}
+		for range 4 {
+			b := budgets[random.IntN(nodes)]
+			b.CountRequest(now, "u")
+			requests[step]++
+			for range 3 {
+				if b.Take(now, "u") {
+					retries[step]++
+				}
+			}
+		}
+	}
+	sum := func(counts []int) (total int) {
+		for _, n := range counts {
+			total += n
+		}
+		return total
+	}
+	for end := window; end <= steps; end++ {
+		spent, recent := sum(retries[end-window:end]), sum(requests[end-window:end])
+		if limit := 0.2*float64(recent) + 50; float64(spent) > limit {
+			t.Fatalf("%d retries in the window that ends at step %d, limit %.0f", spent, end, limit)
+		}
+	}
+}
+
 func TestEachUpstreamHasItsOwnBudget(t *testing.T) {
 	b := New(limits(1))
 	for b.Take(start, "a") {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -62,7 +62,10 @@
 const pauseBetween = 20 * time.Millisecond
 
 // run sends calls until ctx ends.
-func (c *caller) run(ctx context.Context) {
+func (c *caller) run(ctx context.Context) { c.repeat(ctx, pauseBetween, c.call) }
+
+// repeat sends calls to nodes drawn at random until ctx ends.
+func (c *caller) repeat(ctx context.Context, pause time.Duration, call func(entry string) *sent) {
 	defer c.client.CloseIdleConnections()
 	var entries []string
 	for ctx.Err() == nil {
@@ -71,11 +74,11 @@
 		}
 		c.count++
 		if len(entries) == 0 {
-			time.Sleep(pauseBetween)
+			time.Sleep(pause)
 			continue
 		}
-		c.calls = append(c.calls, c.call(entries[c.random.IntN(len(entries))]))
-		time.Sleep(pauseBetween)
+		c.calls = append(c.calls, call(entries[c.random.IntN(len(entries))]))
+		time.Sleep(pause)
 	}
 }
 
@@ -122,12 +125,18 @@
 		}
 	}
 	c.world.mu.Unlock()
+	c.send(s, s.path+s.id, "body of "+s.id)
+	return s
+}
+
+// send sends the call and notes what its caller sees.
+func (c *caller) send(s *sent, target, content string) {
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+s.path+s.id, strings.NewReader("body of "+s.id))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entry+target, strings.NewReader(content))
 	if err != nil {
 		s.err = err
-		return s
+		return
 	}
 	// A body that cannot be had again keeps the client from sending twice.
 	request.GetBody = nil
@@ -138,7 +147,7 @@
 	response, err := c.client.Do(request)
 	if err != nil {
 		s.err = err
-		return s
+		return
 	}
 	defer response.Body.Close()
 	s.status, s.stamp = response.StatusCode, response.Header.Get(platformtest.HeaderStamp)
@@ -146,5 +155,4 @@
 	s.leaving = response.Header.Get(platformtest.HeaderLeaving) != ""
 	body, err := io.ReadAll(response.Body)
 	s.body, s.err, s.endedAt = string(body), err, time.Now()
-	return s
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -28,12 +28,15 @@
 		w.judgeRun(r)
 	}
 	for _, s := range calls {
-		w.judgeCall(s, runs[s.id])
+		if s.path != platformtest.CrashPath {
+			w.judgeCall(s, runs[s.id])
+		}
 	}
 	w.judgeRecovery(calls)
 	w.judgeLimits(calls)
 	w.judgeLeaving(calls)
 	w.judgePauses(calls)
+	w.judgeCrashes(calls)
 	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
@@ -103,7 +106,7 @@
 func (w *world) judgeRecovery(calls []*sent) {
 	asked, served := 0, 0
 	for _, s := range calls {
-		if _, revoked := w.revoked[s.key]; revoked || s.at.Before(w.disturbedAt.Add(recovery)) {
+		if _, revoked := w.revoked[s.key]; revoked || s.path == platformtest.CrashPath || s.at.Before(w.disturbedAt.Add(recovery)) {
 			continue
 		}
 		asked++
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -31,6 +31,9 @@
 	Notices, Pauses int
 	// Restores is the number of times that the store comes back from an older copy.
 	Restores int
+	// Crashers is the number of callers that keep sending one call that ends the replicas that
+	// run it.
+	Crashers int
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 }
@@ -119,6 +122,11 @@
 		callers = append(callers, c)
 		sends.Go(func() { c.run(sending) })
 	}
+	for i := range w.options.Crashers {
+		c := newCaller(w, w.options.Callers+i)
+		callers = append(callers, c)
+		sends.Go(func() { c.runCrashing(sending) })
+	}
 	began := time.Now()
 	busy := make([]sync.Mutex, len(w.nodes))
 	for _, e := range events {
@@ -134,6 +142,7 @@
 		})
 	}
 	faults.Wait()
+	time.Sleep(w.options.Length - time.Since(began))
 	time.Sleep(recovery + time.Second)
 	stop()
 	sends.Wait()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -89,13 +89,18 @@
 	playWithoutFaults(t, Options{Nodes: 3, Pauses: 10})
 }
 
+// A call that had crashed three replicas was sent again by all nodes when its quarantine ended.
+func TestNodesStopSendingACallThatCrashesReplicas(t *testing.T) {
+	playWithoutFaults(t, Options{Nodes: 5, Crashers: 4, Length: 14 * time.Second})
+}
+
 // playWithoutFaults plays what the replicas say in their answers, and nothing else.
 func playWithoutFaults(t *testing.T, options Options) {
 	t.Helper()
 	t.Setenv(asProgram, "1")
 	t.Setenv("GORACE", "atexit_sleep_ms=0")
 	options.Seed, options.Command, options.Dir = 1, []string{os.Args[0]}, t.TempDir()
-	options.Callers, options.Length, options.WithoutFaults = 12, 2*time.Second, true
+	options.Callers, options.Length, options.WithoutFaults = 12, max(options.Length, 2*time.Second), true
 	report, err := Run(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -30,7 +30,9 @@
 	limits   []rateLimit
 	// disturbedAt is the end of the last fault so far.
 	disturbedAt time.Time
-	violations  []string
+	// crashes are the times at which a crashing call ended a replica.
+	crashes    []time.Time
+	violations []string
 	// restoring lets one restore of the store end before the next begins.
 	restoring sync.Mutex
 	closers   []func()
@@ -124,13 +126,15 @@
 		return err
 	}
 	handler := &platformtest.Replica{ID: id, Runs: w.runs, Slots: replicaSlots}
-	server := &http.Server{Handler: handler}
-	go server.Serve(listener)
-	path, err := newProxy(listener.Addr().String())
-	if err != nil {
+	r := &runningReplica{id: id, service: service, handler: handler}
+	handler.OnCrash = func() { w.crash(r) }
+	r.server = &http.Server{Handler: handler}
+	go r.server.Serve(listener)
+	if r.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return err
 	}
-	w.replicas = append(w.replicas, &runningReplica{id: id, service: service, handler: handler, server: server, proxy: path})
+	path := r.proxy
+	w.replicas = append(w.replicas, r)
 	w.store.Register(id, service, path.address(), "ready")
 	return nil
 }
