A restarted node spends a smaller part of the retry limit for one window

Callers' repeats were sent on beyond the shared limit while nodes restarted: a process forgets what the one before it has spent in the window, and had its whole share again. Kept for restarts was a quarter of the limit, which covers no second restart.

For one window after its start a node now uses that quarter, its part of the fixed allowance growing with the time since the start: the parts of processes that follow each other add up to the limit, however often they restart.

TestRestartedNodesStayWithinBound: 200 of 130 in a window before, within the limit now at 15 rhythms of restarts and loads.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -93,7 +93,7 @@
 	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
-	n.budget = retrybudget.New(n.retryLimits())
+	n.budget = retrybudget.New(n.retryLimits(), time.Now())
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -56,7 +56,7 @@
 	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(0), Metrics: prometheus.NewRegistry()}
 	f.SetReplicas(replicas...)
 	f.Conns = replicaconn.NewPool(f.dial, nil)
-	f.Budget = retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 40, Nodes: 1})
+	f.Budget = retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 40, Nodes: 1}, time.Time{})
 	log := eventlog.New(io.Discard, name)
 	limits := ratelimit.NewTable(func() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) })
 	f.Permits = ratelimit.NewPermits(limits)
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -14,7 +14,7 @@
 func TestConnectionIsNotReusedAfterIdleTimeout(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		// Without retry budget, the timer fires but does not abort the attempt.
-		budget := retrybudget.New(retrybudget.Limits{Window: time.Second})
+		budget := retrybudget.New(retrybudget.Limits{Window: time.Second}, time.Time{})
 		a := &attempt{exchange: &exchange{
 			call: &Call{}, forwarder: &Forwarder{options: Options{Budget: budget}},
 		}}
--- a/internal/retrybudget/budget.go
+++ b/internal/retrybudget/budget.go
@@ -21,16 +21,19 @@
 	// windowCells is the number of cells that make up a window.
 	windowCells = 10
 	// usableFraction is the fraction of the limit that nodes use. The rest covers
-	// restarted nodes, which spend their share again, and windows whose edges
-	// differ between nodes.
+	// restarted nodes and windows whose edges differ between nodes.
 	usableFraction = 0.75
+	// startFraction is the fraction that a node uses in the first window after its
+	// start: what the process before it has spent in that window is unknown.
+	startFraction = 1 - usableFraction
 )
 
 // Budget is one node's share of the retry limit. It is safe for concurrent use.
 type Budget struct {
-	limits Limits
+	startedAt time.Time
 
 	mu        sync.Mutex
+	limits    Limits
 	upstreams map[string]*window
 }
 
@@ -46,9 +49,9 @@
 	retries  int
 }
 
-// New returns a budget with no retries spent.
-func New(limits Limits) *Budget {
-	return &Budget{limits: limits, upstreams: make(map[string]*window)}
+// New returns the budget of a process that started at startedAt.
+func New(limits Limits, startedAt time.Time) *Budget {
+	return &Budget{startedAt: startedAt, limits: limits, upstreams: make(map[string]*window)}
 }
 
 // SetLimits replaces the limits. A new window length resets all counts.
@@ -115,11 +118,23 @@
 		u.Requests += c.requests
 		u.Retries += c.retries
 	}
-	share := b.limits.Ratio*float64(u.Requests) + b.limits.Allowance/float64(max(b.limits.Nodes, 1))
-	u.Remaining = usableFraction*share - float64(u.Retries)
+	u.Remaining = b.share(now, u.Requests) - float64(u.Retries)
 	return u
 }
 
+// share returns the number of retries that the node may spend in a window with the given
+// number of requests. After the start the allowance grows with the time, so that several
+// processes that follow each other within a window do not spend it several times.
+func (b *Budget) share(now time.Time, requests int) float64 {
+	ratio := b.limits.Ratio * float64(requests)
+	allowance := b.limits.Allowance / float64(max(b.limits.Nodes, 1))
+	uptime := now.Sub(b.startedAt)
+	if uptime >= b.limits.Window {
+		return usableFraction * (ratio + allowance)
+	}
+	return startFraction * (ratio + allowance*uptime.Seconds()/b.limits.Window.Seconds())
+}
+
 // currentCell returns the cell for now, reset if its contents have expired. The
 // caller holds b.mu.
 func (b *Budget) currentCell(now time.Time, upstream string) *cell {
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -1,6 +1,7 @@
 package retrybudget
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 	random := rand.New(rand.NewPCG(1, 2))
 	var budgets []*Budget
 	for range nodes {
-		budgets = append(budgets, New(limits(nodes)))
+		budgets = append(budgets, New(limits(nodes), time.Time{}))
 	}
 	const steps = 600 // of 100 ms each
 	requests, retries := make([]int, steps), make([]int, steps)
@@ -53,21 +54,32 @@
 
 // Nodes that restarted several times within a window spent their share of the limit each time.
 func TestRestartedNodesStayWithinBound(t *testing.T) {
-	const nodes, steps, window = 7, 600, 100 // steps of 100 ms
+	for _, perStep := range []int{1, 4, 20} {
+		for _, restartEvery := range []int{3, 25, 60, 95, 150} {
+			t.Run(fmt.Sprintf("%d requests, restart every %d steps", perStep, restartEvery), func(t *testing.T) {
+				testRestarts(t, perStep, restartEvery)
+			})
+		}
+	}
+}
+
+// testRestarts lets seven nodes spend all they can while they restart together. A step is 100 ms.
+func testRestarts(t *testing.T, perStep, restartEvery int) {
+	const nodes, steps, window = 7, 600, 100
 	random := rand.New(rand.NewPCG(3, 4))
 	budgets := make([]*Budget, nodes)
 	for i := range budgets {
-		budgets[i] = New(limits(nodes))
+		budgets[i] = New(limits(nodes), time.Time{})
 	}
 	requests, retries := make([]int, steps), make([]int, steps)
 	for step := range steps {
 		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
-		if step%25 == 0 {
+		if step%restartEvery == restartEvery-1 {
 			for i := range budgets {
-				budgets[i] = New(limits(nodes))
+				budgets[i] = New(limits(nodes), now)
 			}
 		}
-		for range 4 {
+		for range perStep {
 			b := budgets[random.IntN(nodes)]
 			b.CountRequest(now, "u")
 			requests[step]++
@@ -93,7 +105,7 @@
 }
 
 func TestEachUpstreamHasItsOwnBudget(t *testing.T) {
-	b := New(limits(1))
+	b := New(limits(1), time.Time{})
 	for b.Take(start, "a") {
 	}
 	if !b.Take(start, "b") {
@@ -108,7 +120,7 @@
 }
 
 func TestChangedLimitsTakeEffect(t *testing.T) {
-	b := New(limits(1))
+	b := New(limits(1), time.Time{})
 	b.SetNodes(1000)
 	if b.Take(start, "a") {
 		t.Error("a node with a thousandth of the allowance got a retry")
--- a/internal/retrybudget/doc.go
+++ b/internal/retrybudget/doc.go
@@ -4,5 +4,6 @@
 // allowance, so nodes need not communicate.
 //
 // Counts are kept in memory for one window and are lost on restart. Nodes use only
-// part of the limit, so that restarted nodes do not exceed it.
+// part of the limit, and a smaller part in the first window after their start, so that
+// the fleet stays within the limit while nodes restart.
 package retrybudget
