A call is not retried once it is quarantined

Callers of other requests lost answers to a call that went on from replica to replica: the quarantine was looked up before its first attempt only, and a crash was recorded after the next attempt had begun. Now each retry looks it up, and an attempt that may be a further crash of its call waits for the check of the replica (one connect, 200 ms at most) before the decision.

TestCallThatCrashedTwoReplicasIsNotTriedAgain: 3 replicas before, 2 now. In the users' record both calls reach a second replica 2 to 5 ms after the first one ended.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -11,6 +11,7 @@
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/replicaconn"
 )
 
@@ -59,7 +60,8 @@
 	e.forwarder.options.Log.Write(&attemptStarted{exchange: e, placementAttempt: placementAttempt, revision: listing.Revision})
 	run := e.forwarder.options.CrashGuard.startRun(placementAttempt.Replica, e.fingerprint)
 	failure = a.run()
-	e.forwarder.options.CrashGuard.endRun(run, placementAttempt.Replica, failure)
+	suspicious := e.attempts > 1 || e.verdict != quarantine.Normal
+	e.forwarder.options.CrashGuard.endRun(run, placementAttempt.Replica, failure, suspicious)
 	result := placement.Answered
 	if failure != nil {
 		result = failure.Result
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -41,6 +41,12 @@
 	return c
 }
 
+// isRefused reports whether a call that was admitted has been quarantined since.
+func (c *CrashGuard) isRefused(now time.Time, fp quarantine.Fingerprint) bool {
+	verdict, _ := c.tracker.Decide(now, fp)
+	return verdict == quarantine.Refuse
+}
+
 func (c *CrashGuard) startRun(r replica.Replica, fp quarantine.Fingerprint) *quarantine.Run {
 	// Suspect calls are not isolated: after a second crash, the call that ran in
 	// both is the cause.
@@ -52,8 +58,9 @@
 const probeTimeout = 200 * time.Millisecond
 
 // endRun records how the run ended. A broken connection counts as a crash only if
-// the replica refuses a new one, because the network can also break connections.
-func (c *CrashGuard) endRun(run *quarantine.Run, r replica.Replica, f *Failure) {
+// the replica refuses a new one, because the network can also break connections. With
+// wait it returns once that is known, so that the next decision on the call includes it.
+func (c *CrashGuard) endRun(run *quarantine.Run, r replica.Replica, f *Failure, wait bool) {
 	if f == nil {
 		c.running.Answered(run)
 		c.running.Finish(run)
@@ -64,6 +71,10 @@
 		c.running.Finish(run)
 		return
 	}
+	if wait {
+		c.checkCrash(run, r)
+		return
+	}
 	go c.checkCrash(run, r)
 }
 
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -131,6 +131,8 @@
 		return replicasPaused
 	case errors.Is(f, errOverloaded):
 		return overloaded
+	case e.forwarder.options.CrashGuard.isRefused(time.Now(), e.fingerprint):
+		return crashesReplicas
 	case e.callerResponse.hasStarted() && e.call.Route.Repeat != route.ResumableStream:
 		return responseStarted
 	case e.attempts-e.possibleRuns >= maxNotRunAttempts:
--- a/internal/forward/stopreason.go
+++ b/internal/forward/stopreason.go
@@ -17,4 +17,5 @@
 	attemptsUsed      stopReason = "attempts_used"
 	rejectedByReplica stopReason = "rejected_by_replica"
 	noBudget          stopReason = "retry_budget_spent"
+	crashesReplicas   stopReason = "crashes_replicas"
 )
