Quarantines end by one trial at a time and are not shortened by other nodes

Callers saw all calls of six of 18 replicas interrupted every 10 s: when the quarantine of a call that crashes replicas ended, all nodes ran it at the same moment, as often as it came, until each had seen a crash itself. Records merged by the latest crash, so that one of a node that did not know of a quarantine put a shorter one, or none, in its place. While several suspects shared the replicas, no cause was named at all.

Nodes now begin trials at different times within a minute, one at a time and without a retry. Quarantines last 10 s, 20 s, 10 min, 2 h, 24 h (10 s doubling to 10 min before): up to three crashes may be a coincidence. Four crashes quarantine a call whatever else ran there. A crash that several nodes report counts once.

--- a/internal/capacity/quarantine.go
+++ b/internal/capacity/quarantine.go
@@ -43,12 +43,12 @@
 
 // tracker returns one with so many suspects of a crash.
 func tracker(crash time.Time, records int) *quarantine.Tracker {
-	t := quarantine.NewTracker(0)
+	t := quarantine.NewTracker("", 0)
 	running := make([]quarantine.Fingerprint, records)
 	for i := range running {
 		running[i] = quarantine.FingerprintOf(workspaceName(i), modelName(0), nil)
 	}
-	t.Crash(crash, running)
+	t.Crash(crash, "replica", running)
 	return t
 }
 
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -90,7 +90,7 @@
 	n.placer.SetPauses(&n.pauses)
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
-	tracker := quarantine.NewTracker(quarantine.DefaultMaxRecords)
+	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -41,6 +42,21 @@
 	return c
 }
 
+// trialRetryAfter is the delay told to the callers of a call while one of them runs as a trial.
+const trialRetryAfter = time.Second
+
+// admit decides whether a new call may run and, for Refuse, for how long it is refused. For Trial
+// the caller must end the trial by endTrial.
+func (c *CrashGuard) admit(now time.Time, fp quarantine.Fingerprint) (quarantine.Verdict, time.Duration) {
+	verdict, left := c.tracker.Decide(now, fp)
+	if verdict == quarantine.Trial && !c.running.Claim(fp) {
+		return quarantine.Refuse, trialRetryAfter
+	}
+	return verdict, left
+}
+
+func (c *CrashGuard) endTrial(fp quarantine.Fingerprint) { c.running.Release(fp) }
+
 // isRefused reports whether a call that was admitted has been quarantined since.
 func (c *CrashGuard) isRefused(now time.Time, fp quarantine.Fingerprint) bool {
 	verdict, _ := c.tracker.Decide(now, fp)
@@ -50,10 +66,15 @@
 func (c *CrashGuard) startRun(r replica.Replica, fp quarantine.Fingerprint) *quarantine.Run {
 	// Suspect calls are not isolated: after a second crash, the call that ran in
 	// both is the cause.
-	run, _ := c.running.Start(r.ID, fp, quarantine.Normal)
+	run, _ := c.running.Start(processName(r), fp, quarantine.Normal)
 	return run
 }
 
+// processName names one process of a replica, which may restart under its ID.
+func processName(r replica.Replica) string {
+	return r.ID + "@" + strconv.FormatInt(r.StartedAt, 10)
+}
+
 // probeTimeout bounds the check of a replica whose connection broke.
 const probeTimeout = 200 * time.Millisecond
 
@@ -93,7 +114,7 @@
 	if len(fingerprints) == 0 {
 		return
 	}
-	records := c.tracker.Crash(now, fingerprints)
+	records := c.tracker.Crash(now, run.Replica, fingerprints)
 	c.crashes.WithLabelValues(r.Upstream).Inc()
 	for _, record := range records {
 		if record.Until.After(now) {
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -31,7 +31,7 @@
 	callerResponse   *callerResponse
 	placementRequest placement.Request
 	fingerprint      quarantine.Fingerprint
-	// verdict is the newest decision of the crash guard. quarantineLeft is how long a refusal
+	// verdict is the crash guard's decision on the call; quarantineLeft is how long a refusal
 	// lasts.
 	verdict        quarantine.Verdict
 	quarantineLeft time.Duration
@@ -64,10 +64,14 @@
 
 // run makes attempts until one succeeds or no retry is allowed.
 func (e *exchange) run() Ending {
-	e.verdict, e.quarantineLeft = e.forwarder.options.CrashGuard.tracker.Decide(time.Now(), e.fingerprint)
-	if e.verdict == quarantine.Refuse {
+	guard := e.forwarder.options.CrashGuard
+	e.verdict, e.quarantineLeft = guard.admit(time.Now(), e.fingerprint)
+	switch e.verdict {
+	case quarantine.Refuse:
 		e.callerResponse.writeNotRun(e.quarantineLeft)
 		return EndedQuarantined
+	case quarantine.Trial:
+		defer guard.endTrial(e.fingerprint)
 	}
 	for {
 		failure := e.try()
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -53,7 +53,7 @@
 
 // NewNode returns the forwarder of the named node. Nodes may share replicas.
 func NewNode(name string, replicas ...*Replica) *Fleet {
-	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(0), Metrics: prometheus.NewRegistry()}
+	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(name, 0), Metrics: prometheus.NewRegistry()}
 	f.SetReplicas(replicas...)
 	f.Conns = replicaconn.NewPool(f.dial, nil)
 	f.Budget = retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 40, Nodes: 1}, time.Time{})
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -68,9 +68,9 @@
 		return
 	}
 	g.crashes.Inc()
-	records := g.tracker.Crash(now, fingerprints)
+	records := g.tracker.Crash(now, run.Replica, fingerprints)
 	for _, r := range records {
-		if r.Level > 0 {
+		if r.Until.After(now) {
 			g.named.Inc()
 		}
 	}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -69,7 +69,7 @@
 		o.Retries = retry.NewPolicy(config.Limits{})
 	}
 	if o.Quarantine == nil {
-		o.Quarantine = quarantine.NewTracker(0)
+		o.Quarantine = quarantine.NewTracker("", 0)
 	}
 	if o.SpreadQuarantine == nil {
 		o.SpreadQuarantine = func(...quarantine.Record) {}
--- a/internal/node/answers.go
+++ b/internal/node/answers.go
@@ -33,7 +33,7 @@
 func newAnswers(options Options, members membership.View, link *peers) *answers {
 	a := &answers{
 		retries: retry.NewPolicy(config.Limits{}),
-		tracker: quarantine.NewTracker(0),
+		tracker: quarantine.NewTracker(options.Name, 0),
 		store:   answer.NewStore(answer.Options{}),
 	}
 	locate := func(node string) (string, bool) { return locatePeer(members, node) }
--- a/internal/nodesync/events.go
+++ b/internal/nodesync/events.go
@@ -62,7 +62,7 @@
 
 func (e *quarantineReceived) Fields() eventlog.Fields {
 	return eventlog.Fields{
-		"peer": e.from, "fingerprint": e.record.Fingerprint.String(), "level": e.record.Level,
+		"peer": e.from, "fingerprint": e.record.Fingerprint.String(), "crashes": e.record.Crashes,
 		"quarantine_left_ms": e.record.Until.Sub(e.now).Milliseconds(), "crash_age_ms": e.now.Sub(e.record.LastCrash).Milliseconds(),
 	}
 }
--- a/internal/quarantine/digest.go
+++ b/internal/quarantine/digest.go
@@ -7,7 +7,7 @@
 )
 
 // recordBytes is the size of a record's hashed encoding.
-const recordBytes = 5 * 8
+const recordBytes = 6 * 8
 
 // Digest returns an order-independent digest of the records, with which peers
 // detect cheaply whether their sets are equal. A collision lasts only until
@@ -25,7 +25,8 @@
 	encoded := make([]byte, 0, recordBytes)
 	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.Fingerprint))
 	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.LastCrash.UnixMicro()))
-	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.Level))
+	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.LastReplica))
+	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.Crashes))
 	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.Until.UnixMicro()))
 	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.ClearedAt.UnixMicro()))
 	return xxhash.Sum64(encoded)
--- a/internal/quarantine/quarantinerpc/convert.go
+++ b/internal/quarantine/quarantinerpc/convert.go
@@ -14,7 +14,8 @@
 		list = append(list, &quarantinev1.Record{
 			Fingerprint: uint64(r.Fingerprint),
 			LastCrash:   toMicros(r.LastCrash),
-			Level:       int32(r.Level),
+			LastReplica: r.LastReplica,
+			Crashes:     int32(r.Crashes),
 			Until:       toMicros(r.Until),
 			ClearedAt:   toMicros(r.ClearedAt),
 		})
@@ -29,7 +30,8 @@
 		records = append(records, quarantine.Record{
 			Fingerprint: quarantine.Fingerprint(r.GetFingerprint()),
 			LastCrash:   fromMicros(r.GetLastCrash()),
-			Level:       int(r.GetLevel()),
+			LastReplica: r.GetLastReplica(),
+			Crashes:     int(r.GetCrashes()),
 			Until:       fromMicros(r.GetUntil()),
 			ClearedAt:   fromMicros(r.GetClearedAt()),
 		})
--- a/internal/quarantine/running.go
+++ b/internal/quarantine/running.go
@@ -55,12 +55,12 @@
 	return r
 }
 
-// Start adds a run. With RunAlone it returns false if the replica runs another
+// Start adds a run. With RunAlone and Trial it returns false if the replica runs another
 // suspect or the request already runs elsewhere; the caller then tries another
 // replica or waits. Each run must be ended by Finish or Crash.
 func (r *ActiveRuns) Start(replica string, fp Fingerprint, verdict Verdict) (*Run, bool) {
-	run := &Run{Replica: replica, Fingerprint: fp, alone: verdict == RunAlone}
-	if run.alone && !r.claim(fp) {
+	run := &Run{Replica: replica, Fingerprint: fp, alone: verdict == RunAlone || verdict == Trial}
+	if run.alone && !r.Claim(fp) {
 		return nil, false
 	}
 	s := r.shard(replica)
@@ -69,7 +69,7 @@
 	state := s.replica(replica)
 	if run.alone && state.suspect != nil {
 		s.removeIfIdle(replica)
-		r.release(fp)
+		r.Release(fp)
 		return nil, false
 	}
 	if run.alone {
@@ -102,7 +102,7 @@
 		state.suspect = nil
 	}
 	if run.alone {
-		r.release(run.Fingerprint)
+		r.Release(run.Fingerprint)
 	}
 }
 
@@ -154,7 +154,9 @@
 	return ok && state.suspect != nil
 }
 
-func (r *ActiveRuns) claim(fp Fingerprint) bool {
+// Claim reports whether no other run of the request is alone on this node, and reserves it
+// until Release. Start claims by itself.
+func (r *ActiveRuns) Claim(fp Fingerprint) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.suspects[fp] {
@@ -164,7 +166,8 @@
 	return true
 }
 
-func (r *ActiveRuns) release(fp Fingerprint) {
+// Release ends the reservation by Claim.
+func (r *ActiveRuns) Release(fp Fingerprint) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	delete(r.suspects, fp)
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// firstQuarantine is the length of the first quarantine; each further one
-	// is twice as long, up to longestQuarantine.
-	firstQuarantine   = 10 * time.Second
-	longestQuarantine = 10 * time.Minute
+	// provenCrashes is the number of crashes after which a request is the cause even if
+	// other suspects ran on each of the replicas.
+	provenCrashes = 4
+	// trialSpread is the time over which nodes begin trials after a quarantine, so that the
+	// others learn of the first one's result before they begin their own.
+	trialSpread = time.Minute
+	// sameCrashTime is the time within which reports of one replica are of the same crash.
+	sameCrashTime = time.Second
 	// suspicionDuration is how long an unresolved suspicion lasts.
 	suspicionDuration = 10 * time.Minute
 	// DefaultMaxRecords is the default limit of records; the least recently used
@@ -19,8 +23,13 @@
 	DefaultMaxRecords = 4096
 )
 
+// quarantines are the lengths of the quarantines after the second, third, fourth and further
+// crashes. The first ones are short, because up to three crashes may be a coincidence.
+var quarantines = []time.Duration{10 * time.Second, 20 * time.Second, 10 * time.Minute, 2 * time.Hour, 24 * time.Hour}
+
 // Tracker stores the records of this node. It is safe for concurrent use.
 type Tracker struct {
+	node       string
 	maxRecords int
 	// count is the number of records, read without the lock.
 	count atomic.Int64
@@ -31,13 +40,14 @@
 	recent *list.List
 }
 
-// NewTracker returns a tracker of at most maxRecords records; zero means
-// DefaultMaxRecords.
-func NewTracker(maxRecords int) *Tracker {
+// NewTracker returns the tracker of the named node, with at most maxRecords records; zero
+// means DefaultMaxRecords. A node without a name begins trials at once.
+func NewTracker(node string, maxRecords int) *Tracker {
 	if maxRecords == 0 {
 		maxRecords = DefaultMaxRecords
 	}
 	return &Tracker{
+		node:       node,
 		maxRecords: maxRecords,
 		records:    make(map[Fingerprint]*list.Element),
 		recent:     list.New(),
@@ -56,22 +66,35 @@
 	if !ok {
 		return Normal, 0
 	}
-	verdict := r.verdict(now)
+	delay := t.trialDelay(fp)
+	verdict := r.verdict(now, delay)
 	if verdict == Refuse {
-		return verdict, r.Until.Sub(now)
+		return verdict, r.Until.Add(delay).Sub(now)
 	}
 	return verdict, 0
 }
 
-// Crash records that a replica crashed while it ran the requests. If exactly
-// one of them was a suspect, it is quarantined; the others become suspects. It
-// returns the changed records, to be sent to the peers.
-func (t *Tracker) Crash(now time.Time, running []Fingerprint) []Record {
+// trialDelay returns how long this node waits for its first trial after a quarantine. It
+// differs between nodes and between requests.
+func (t *Tracker) trialDelay(fp Fingerprint) time.Duration {
+	if t.node == "" {
+		return 0
+	}
+	return time.Duration(uint64(FingerprintOf(t.node, fp.String(), nil)) % uint64(trialSpread))
+}
+
+// Crash records that the replica crashed while it ran the requests. A request is quarantined
+// if it was the only suspect or has crashed provenCrashes replicas; the others become
+// suspects. It returns the changed records, to be sent to the peers.
+func (t *Tracker) Crash(now time.Time, replica string, running []Fingerprint) []Record {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	replicaHash := uint32(FingerprintOf(replica, "", nil))
 	distinct := make(map[Fingerprint]bool, len(running))
 	for _, fp := range running {
-		distinct[fp] = true
+		if !t.knowsCrash(now, replicaHash, fp) {
+			distinct[fp] = true
+		}
 	}
 	suspects := 0
 	for fp := range distinct {
@@ -81,12 +104,19 @@
 	}
 	changed := make([]Record, 0, len(distinct))
 	for fp := range distinct {
-		isCause := suspects == 1 && t.isSuspect(now, fp)
-		changed = append(changed, t.recordCrash(now, fp, isCause))
+		onlySuspect := suspects == 1 && t.isSuspect(now, fp)
+		changed = append(changed, t.recordCrash(now, replicaHash, fp, onlySuspect))
 	}
 	return changed
 }
 
+// knowsCrash reports whether the record already has this crash: each node that ran the
+// request on the replica sees it.
+func (t *Tracker) knowsCrash(now time.Time, replicaHash uint32, fp Fingerprint) bool {
+	r, ok := t.get(fp)
+	return ok && r.LastReplica == replicaHash && now.Sub(r.LastCrash) < sameCrashTime
+}
+
 // Finished records that the request finished, which clears it. It returns the
 // changed record and true, or false if nothing changed.
 func (t *Tracker) Finished(now time.Time, fp Fingerprint) (Record, bool) {
@@ -96,7 +126,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.get(fp)
-	if !ok || r.verdict(now) == Normal {
+	if !ok || r.verdict(now, 0) == Normal {
 		return Record{}, false
 	}
 	r.ClearedAt = now
@@ -119,7 +149,7 @@
 			continue
 		}
 		t.put(r)
-		if r.verdict(now) == Refuse && (!known || existing.verdict(now) != Refuse) {
+		if r.verdict(now, 0) == Refuse && (!known || existing.verdict(now, 0) != Refuse) {
 			newlyRefused = append(newlyRefused, r)
 		}
 	}
@@ -143,40 +173,32 @@
 	return kept
 }
 
-// isSuspect reports whether the request was a isSuspect before this crash. A
+// isSuspect reports whether the request was a suspect before this crash. A
 // quarantined request that still runs counts as well.
 func (t *Tracker) isSuspect(now time.Time, fp Fingerprint) bool {
 	r, ok := t.get(fp)
-	return ok && r.verdict(now) != Normal
+	return ok && r.verdict(now, 0) != Normal
 }
 
-// recordCrash records a crash of a replica that ran the request; isCause means that
-// the request was the only suspect on it.
-func (t *Tracker) recordCrash(now time.Time, fp Fingerprint, isCause bool) Record {
+// recordCrash records a crash of a replica that ran the request.
+func (t *Tracker) recordCrash(now time.Time, replicaHash uint32, fp Fingerprint, onlySuspect bool) Record {
 	r, ok := t.get(fp)
-	if !ok || r.verdict(now) == Normal {
+	if !ok || r.verdict(now, 0) == Normal {
 		r = Record{Fingerprint: fp, ClearedAt: r.ClearedAt}
 	}
-	r.LastCrash = now
-	if isCause && !now.Before(r.Until) {
-		r.Level++
-		r.Until = now.Add(quarantineFor(r.Level))
+	r.LastCrash, r.LastReplica = now, replicaHash
+	r.Crashes++
+	if onlySuspect || r.Crashes >= provenCrashes {
+		r.Until = later(r.Until, now.Add(quarantineAfter(r.Crashes)))
 	}
 	t.put(r)
 	return r
 }
 
-// quarantineFor returns the length of the quarantine at the level, which starts
-// at 1.
-func quarantineFor(level int) time.Duration {
-	length := firstQuarantine
-	for range level - 1 {
-		length *= 2
-		if length >= longestQuarantine {
-			return longestQuarantine
-		}
-	}
-	return length
+// quarantineAfter returns the length of the quarantine after the given number of crashes, at
+// least two.
+func quarantineAfter(crashes int) time.Duration {
+	return quarantines[min(crashes-2, len(quarantines)-1)]
 }
 
 func (t *Tracker) get(fp Fingerprint) (Record, bool) {
--- a/internal/quarantine/verdict.go
+++ b/internal/quarantine/verdict.go
@@ -10,6 +10,9 @@
 	// RunAlone requests are suspects: each runs at most once at a time, on a
 	// replica without another suspect.
 	RunAlone Verdict = "run_alone"
+	// Trial requests have been quarantined. One of them may run at a time, and it is not
+	// retried after a crash.
+	Trial Verdict = "trial"
 	// Refuse requests are quarantined.
 	Refuse Verdict = "refuse"
 )
