Nodes learn all quarantines from each other, not only those of the last 20 s

Callers lost answers again after a node had restarted: calls between nodes carried crashes of the last 20 s only, so that the new process ran calls that all others refused. So a call that finished in a trial is cleared on all nodes as well.

TestRestartedNodeLearnsOfOldQuarantines: normal before, refused now; no record is sent to a node that has them.

--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -175,9 +175,9 @@
 		FirstReadAge:     s.firstReadAge(now),
 		WithoutLoads:     loads.omit,
 		AddsUp:           loads.aggregate,
-		Crashes:          recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
 		RateLimits:       ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
 	}
+	s.addCrashes(request)
 	if s.fullListingNeeded.Swap(false) || listing.Zone != request.ReplicasZone && listing.Zone != "" {
 		request.ReplicasRevision, request.ReplicasDigest = 0, 0
 	}
@@ -225,7 +225,7 @@
 		Self:           s.selfToProto(self, now),
 		ConfigVersion:  snapshot.Version(),
 		ConfigProofAge: snapshot.Age(now).Microseconds(),
-		Crashes:        recentCrashes(s.options.Tracker.Records(time.Now()), time.Now()),
+		Crashes:        s.crashesFor(m.GetQuarantinesDigest()),
 		RateLimits:     ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
 		ZoneSizes:      s.zoneSizes.toProto(now),
 		FirstReadAge:   s.firstReadAge(now),
--- a/internal/nodesync/sync_test.go
+++ b/internal/nodesync/sync_test.go
@@ -241,6 +241,15 @@
 	if verdict, _ := a.options.Tracker.Decide(now, fp); verdict != quarantine.Refuse {
 		t.Errorf("verdict %s at the restarted node, want %s", verdict, quarantine.Refuse)
 	}
+	request := a.request(target{name: "b"}, a.now)
+	if n := len(b.response(request).GetCrashes()); n != 0 {
+		t.Errorf("%d records sent to a node that has them", n)
+	}
+	b.options.Tracker.Finished(now, fp)
+	a.exchangeWith(t, b, 0, 0)
+	if verdict, _ := a.options.Tracker.Decide(now, fp); verdict != quarantine.Normal {
+		t.Errorf("verdict %s after the call finished elsewhere, want %s", verdict, quarantine.Normal)
+	}
 }
 
 func TestIdleMembersCallLessOften(t *testing.T) {
