--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -106,6 +106,7 @@
 	defer cancel()
 	err := c.probe(ctx, r)
 	if !errors.Is(err, syscall.ECONNREFUSED) {
+		c.log.Write(&crashNotConfirmed{replica: r, fingerprint: run.Fingerprint, err: err})
 		c.running.Finish(run)
 		return
 	}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -135,6 +135,29 @@
 // maxLoggedFingerprints bounds the length of a line.
 const maxLoggedFingerprints = 8
 
+// crashNotConfirmed is logged if a replica broke a connection and did not refuse a new one. err is
+// that of the new connection; nil: it was accepted.
+type crashNotConfirmed struct {
+	replica     replica.Replica
+	fingerprint quarantine.Fingerprint
+	err         error
+}
+
+func (*crashNotConfirmed) Name() string { return "crash_not_confirmed" }
+
+func (*crashNotConfirmed) Level() eventlog.Level { return eventlog.Notable }
+
+func (ev *crashNotConfirmed) Fields() eventlog.Fields {
+	fields := eventlog.Fields{
+		"replica": ev.replica.ID, "upstream": ev.replica.Upstream, "address": ev.replica.Address,
+		"fingerprint": ev.fingerprint.String(), "accepted": ev.err == nil,
+	}
+	if ev.err != nil {
+		fields["error"] = ev.err.Error()
+	}
+	return fields
+}
+
 // attemptStarted is logged with the chosen replica and the inputs of the choice.
 type attemptStarted struct {
 	exchange         *exchange
