Quarantines outlive a restart of all nodes

A node now keeps the quarantines that it begins or ends in the platform's store, from the third crash on, for the 10 minutes that a lease may last, and reads them once, 2 s after its start. Members of a large fleet learn them from their hubs. Two calls of the store a quarantine, one stale read a start.

--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -129,3 +129,25 @@
 
 // Fields implements eventlog.Event.
 func (e *lifecycle) Fields() eventlog.Fields { return e.fields }
+
+// quarantinesLoaded reports that the node has read the quarantines kept in the store. undecoded
+// names entries that could not be decoded; nil: all could.
+type quarantinesLoaded struct {
+	records   int
+	undecoded error
+}
+
+// Name implements eventlog.Event.
+func (*quarantinesLoaded) Name() string { return "quarantines_loaded" }
+
+// Level implements eventlog.Event.
+func (*quarantinesLoaded) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (e *quarantinesLoaded) Fields() eventlog.Fields {
+	fields := eventlog.Fields{"records": e.records}
+	if e.undecoded != nil {
+		fields["error"] = e.undecoded.Error()
+	}
+	return fields
+}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -46,6 +46,7 @@
 	sync        *nodesync.Sync
 	sharing     *limitSharing
 	handler     *passthrough.Handler
+	quarantines *quarantineKeeper
 	reader      *reader
 	announcer   *announcer
 	clients     *peer.Clients
@@ -94,6 +95,7 @@
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
+	n.quarantines = newQuarantineKeeper(n, tracker)
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
@@ -164,7 +166,7 @@
 	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(),
 	})
 	return passthrough.New(passthrough.Options{
@@ -287,6 +289,7 @@
 		n.reader.poll(ctx, n.reader.registrationsRecord(), rand.New(rand.NewPCG(seed, 5)))
 	})
 	n.tasks.Go(func() { n.announcer.run(ctx) })
+	n.tasks.Go(func() { n.quarantines.run(ctx) })
 	n.tasks.Go(func() { n.sync.Run(ctx) })
 	n.tasks.Go(func() { n.maintain(ctx) })
 }
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -19,6 +19,7 @@
 	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/route"
 	"galenatrestle/internal/settings"
@@ -30,6 +31,8 @@
 	document []byte
 	listing  replica.Listing
 	nodes    map[string]nodesync.Node
+	// quarantines are the kept ones.
+	quarantines []quarantine.Record
 	// kv stores the leases and the duties' keys.
 	kv    *dutytest.Store
 	down  map[string]bool
@@ -134,6 +137,25 @@
 	return list, s.countCallLocked()
 }
 
+func (s nodeStore) SaveQuarantines(_ context.Context, records []quarantine.Record, _ int64) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.countCallLocked(); err != nil {
+		return err
+	}
+	s.quarantines = append(s.quarantines, records...)
+	return nil
+}
+
+func (s nodeStore) Quarantines(context.Context) ([]quarantine.Record, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.countCallLocked(); err != nil {
+		return nil, err
+	}
+	return append([]quarantine.Record{}, s.quarantines...), nil
+}
+
 func (s *fakeStore) set(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -7,6 +7,7 @@
 
 	"galenatrestle/internal/duty"
 	"galenatrestle/internal/nodesync"
+	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/replica"
 )
 
@@ -28,6 +29,12 @@
 	Announce(ctx context.Context, n nodesync.Node, lease int64) error
 	// Nodes lists the announced nodes; the result may be some seconds old.
 	Nodes(ctx context.Context) ([]nodesync.Node, error)
+	// SaveQuarantines writes records of calls that crash replicas, at most 32, which expire with
+	// the lease.
+	SaveQuarantines(ctx context.Context, records []quarantine.Record, lease int64) error
+	// Quarantines lists these records; the result may be some seconds old. A list that is not nil
+	// may come with an error that names entries which could not be decoded.
+	Quarantines(ctx context.Context) ([]quarantine.Record, error)
 }
 
 // Wire defines the format of the readiness and resolve endpoints.
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -21,16 +21,19 @@
 	tracker *quarantine.Tracker
 	running *quarantine.ActiveRuns
 	// probe connects to a replica and returns the error if that fails.
-	probe       func(ctx context.Context, r replica.Replica) error
-	log         *eventlog.Log
+	probe func(ctx context.Context, r replica.Replica) error
+	log   *eventlog.Log
+	// onChange is called with the records that this node has changed.
+	onChange    func([]quarantine.Record)
 	crashes     *prometheus.CounterVec
 	quarantines *prometheus.CounterVec
 }
 
-// NewCrashGuard returns a guard that uses tracker, which is shared with other nodes.
-func NewCrashGuard(tracker *quarantine.Tracker, probe func(context.Context, replica.Replica) error, log *eventlog.Log, registry prometheus.Registerer) *CrashGuard {
+// NewCrashGuard returns a guard that uses tracker, which is shared with other nodes. onChange is
+// called with the records that this node has changed.
+func NewCrashGuard(tracker *quarantine.Tracker, probe func(context.Context, replica.Replica) error, onChange func([]quarantine.Record), log *eventlog.Log, registry prometheus.Registerer) *CrashGuard {
 	c := &CrashGuard{
-		tracker: tracker, running: quarantine.NewActiveRuns(), probe: probe, log: log,
+		tracker: tracker, running: quarantine.NewActiveRuns(), probe: probe, onChange: onChange, log: log,
 		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_replica_crashes_total", Help: "Crashes of replicas that ran calls of this node.",
 		}, []string{"upstream"}),
@@ -85,7 +88,9 @@
 	if f == nil {
 		c.running.Answered(run)
 		c.running.Finish(run)
-		c.tracker.Finished(time.Now(), run.Fingerprint)
+		if record, changed := c.tracker.Finished(time.Now(), run.Fingerprint); changed {
+			c.onChange([]quarantine.Record{record})
+		}
 		return
 	}
 	if f.Result != placement.Interrupted || !f.ReachedReplica {
@@ -122,6 +127,7 @@
 			c.quarantines.WithLabelValues(r.Upstream).Inc()
 		}
 	}
+	c.onChange(records)
 	c.log.Write(&replicaCrashed{replica: r, running: len(fingerprints), records: records, now: now})
 }
 
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -67,7 +67,7 @@
 	f.Forwarder = forward.New(forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
-		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, log, f.Metrics),
+		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, func([]quarantine.Record) {}, log, f.Metrics),
 		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
 		Log: log, Registry: f.Metrics,
 	})
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -134,6 +134,13 @@
 	return r, true
 }
 
+// Get returns the record of the request and whether there is one.
+func (t *Tracker) Get(fp Fingerprint) (Record, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.get(fp)
+}
+
 // Merge merges records received from peers. It returns the merged records of requests that
 // are now refused and were not before.
 func (t *Tracker) Merge(now time.Time, records []Record) []Record {
