Soak: callers whose call crashes replicas, and a check of the retry limit

--crashers (1 by hand) keep sending one call that ends the replicas that run it; the judge counts what reaches replicas later than 3 s after the third end, and repeats against the settings' retry limit in every run.

--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -24,6 +24,7 @@
 	Notices    int           `default:"1" help:"Times in each run that a replica says in its answers that it leaves, before its registration does."`
 	Pauses     int           `default:"3" help:"Times in each run that a replica refuses all requests and asks for a pause."`
 	Restores   int           `default:"1" help:"Times in each run that the store comes back from an older copy."`
+	Crashers   int           `default:"1" help:"Callers in each run that keep sending one call that ends the replicas that run it."`
 	NoFaults   bool          `help:"Leave out all faults; replicas still name rates, leave and ask for pauses."`
 	AtOnce     int           `default:"2" help:"Seeds that run side by side."`
 	Keep       string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
@@ -39,9 +40,9 @@
 	if c.AtOnce < 1 || c.Nodes < 1 || c.Callers < 1 {
 		return fmt.Errorf("--at-once %d, --nodes %d and --callers %d must be above zero", c.AtOnce, c.Nodes, c.Callers)
 	}
-	if c.RateLimits < 0 || c.Notices < 0 || c.Pauses < 0 || c.Restores < 0 {
-		return fmt.Errorf("--rate-limits %d, --notices %d, --pauses %d and --restores %d must not be below zero",
-			c.RateLimits, c.Notices, c.Pauses, c.Restores)
+	if c.RateLimits < 0 || c.Notices < 0 || c.Pauses < 0 || c.Restores < 0 || c.Crashers < 0 {
+		return fmt.Errorf("--rate-limits %d, --notices %d, --pauses %d, --restores %d and --crashers %d must not be below zero",
+			c.RateLimits, c.Notices, c.Pauses, c.Restores, c.Crashers)
 	}
 	trestled, err := filepath.Abs(c.Trestled)
 	if err != nil {
@@ -86,7 +87,7 @@
 	}
 	report, err := soak.Run(context.Background(), soak.Options{
 		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits,
-		Notices: c.Notices, Pauses: c.Pauses, Restores: c.Restores, WithoutFaults: c.NoFaults,
+		Notices: c.Notices, Pauses: c.Pauses, Restores: c.Restores, Crashers: c.Crashers, WithoutFaults: c.NoFaults,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -37,6 +37,7 @@
 	w.judgeLeaving(calls)
 	w.judgePauses(calls)
 	w.judgeCrashes(calls)
+	w.judgeRetries(calls)
 	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -115,6 +115,8 @@
 func (w *world) play(ctx context.Context, events []event) []*sent {
 	sending, stop := context.WithCancel(ctx)
 	defer stop()
+	crashing, stopCrashing := context.WithCancel(sending)
+	defer stopCrashing()
 	var callers []*caller
 	var sends, faults sync.WaitGroup
 	for i := range w.options.Callers {
@@ -125,7 +127,7 @@
 	for i := range w.options.Crashers {
 		c := newCaller(w, w.options.Callers+i)
 		callers = append(callers, c)
-		sends.Go(func() { c.runCrashing(sending) })
+		sends.Go(func() { c.runCrashing(crashing) })
 	}
 	began := time.Now()
 	busy := make([]sync.Mutex, len(w.nodes))
@@ -143,6 +145,7 @@
 	}
 	faults.Wait()
 	time.Sleep(w.options.Length - time.Since(began))
+	stopCrashing()
 	time.Sleep(recovery + time.Second)
 	stop()
 	sends.Wait()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -166,6 +166,59 @@
 	}
 }
 
+func TestTheJudgeSeesACallThatIsSentOnAfterCrashes(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		count     int
+		after     time.Duration
+		disturbed time.Duration
+		broken    int
+	}{
+		"as many as allowed":       {crashAllowance, crashSlack + time.Second, 0, 0},
+		"more":                     {crashAllowance + 1, crashSlack + time.Second, 0, 1},
+		"soon after":               {crashAllowance + 1, crashSlack, 0, 0},
+		"by a node just restarted": {crashAllowance + 1, crashSlack + time.Second, crashSlack, 0},
+	} {
+		n := &node{entry: "vm-1"}
+		if test.disturbed != 0 {
+			n.disturbances = append(n.disturbances, now.Add(test.disturbed))
+		}
+		w := &world{nodes: []*node{n}, runs: &platformtest.Runs{}, crashes: []time.Time{now, now, now}}
+		var calls []*sent
+		for i := range test.count {
+			id := fmt.Sprint(i)
+			calls = append(calls, &sent{id: id, entry: "vm-1", path: platformtest.CrashPath})
+			w.runs.Arrived(platformtest.Arrival{ID: id, Replica: "i-1", At: now.Add(test.after)})
+		}
+		w.judgeCrashes(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
+func TestTheJudgeSeesMoreRepeatsThanTheRetryLimit(t *testing.T) {
+	now := time.Now()
+	const requests = 50
+	for name, test := range map[string]struct{ repeats, broken int }{
+		"as many as allowed": {retryPer10s + requests/5, 0},
+		"more":               {retryPer10s + requests/5 + 1, 1},
+	} {
+		w := &world{runs: &platformtest.Runs{}}
+		var calls []*sent
+		for i := range requests {
+			calls = append(calls, &sent{id: fmt.Sprint(i), path: "/parts/", at: now})
+		}
+		for i := range test.repeats + 1 {
+			w.runs.Arrived(platformtest.Arrival{ID: "1", Replica: "i-1", At: now.Add(time.Duration(i) * time.Millisecond)})
+		}
+		w.judgeRetries(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
 func TestAScheduleIsThatOfItsSeed(t *testing.T) {
 	a, b, c := schedule(7, time.Minute), schedule(7, time.Minute), schedule(8, time.Minute)
 	if !reflect.DeepEqual(a, b) || reflect.DeepEqual(a, c) {
