A finished call starts a new series of crashes

A record that was cleared kept its crashes and the end of its quarantine. Merged with a crash that another node had recorded without knowing that the call had finished, it refused an innocent call at once, or counted a second crash as the first. Found by reading the change; TestCrashUnknownToTheNodeThatClearedTheRequest failed before.

--- a/internal/edge/quarantines.go
+++ b/internal/edge/quarantines.go
@@ -28,7 +28,7 @@
 	maxKeptPending = 256
 )
 
-// quarantineKeeper keeps the quarantines that this node begins or ends in the platform's store, and
+// quarantineKeeper keeps the quarantines that this node begins in the platform's store, and
 // reads them after a start: if all nodes restart at once, no other node has them. It is safe for
 // concurrent use.
 type quarantineKeeper struct {
@@ -56,7 +56,7 @@
 	}
 }
 
-// changed notes records that this node has changed.
+// changed notes the records that a crash has changed.
 func (k *quarantineKeeper) changed(records []quarantine.Record) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -23,17 +23,17 @@
 	// probe connects to a replica and returns the error if that fails.
 	probe func(ctx context.Context, r replica.Replica) error
 	log   *eventlog.Log
-	// onChange is called with the records that this node has changed.
-	onChange    func([]quarantine.Record)
+	// onCrash is called with the records that a crash has changed.
+	onCrash     func([]quarantine.Record)
 	crashes     *prometheus.CounterVec
 	quarantines *prometheus.CounterVec
 }
 
-// NewCrashGuard returns a guard that uses tracker, which is shared with other nodes. onChange is
-// called with the records that this node has changed.
-func NewCrashGuard(tracker *quarantine.Tracker, probe func(context.Context, replica.Replica) error, onChange func([]quarantine.Record), log *eventlog.Log, registry prometheus.Registerer) *CrashGuard {
+// NewCrashGuard returns a guard that uses tracker, which is shared with other nodes. onCrash is
+// called with the records that a crash has changed.
+func NewCrashGuard(tracker *quarantine.Tracker, probe func(context.Context, replica.Replica) error, onCrash func([]quarantine.Record), log *eventlog.Log, registry prometheus.Registerer) *CrashGuard {
 	c := &CrashGuard{
-		tracker: tracker, running: quarantine.NewActiveRuns(), probe: probe, onChange: onChange, log: log,
+		tracker: tracker, running: quarantine.NewActiveRuns(), probe: probe, onCrash: onCrash, log: log,
 		crashes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_replica_crashes_total", Help: "Crashes of replicas that ran calls of this node.",
 		}, []string{"upstream"}),
@@ -88,9 +88,7 @@
 	if f == nil {
 		c.running.Answered(run)
 		c.running.Finish(run)
-		if record, changed := c.tracker.Finished(time.Now(), run.Fingerprint); changed {
-			c.onChange([]quarantine.Record{record})
-		}
+		c.tracker.Finished(time.Now(), run.Fingerprint)
 		return
 	}
 	if f.Result != placement.Interrupted || !f.ReachedReplica {
@@ -127,7 +125,7 @@
 			c.quarantines.WithLabelValues(r.Upstream).Inc()
 		}
 	}
-	c.onChange(records)
+	c.onCrash(records)
 	c.log.Write(&replicaCrashed{replica: r, running: len(fingerprints), records: records, now: now})
 }
 
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -129,7 +129,7 @@
 	if !ok || r.verdict(now, 0) == Normal {
 		return Record{}, false
 	}
-	r.ClearedAt = now
+	r.ClearedAt, r.Crashes, r.Until = now, 0, time.Time{}
 	t.put(r)
 	return r, true
 }
@@ -191,10 +191,12 @@
 func (t *Tracker) recordCrash(now time.Time, replicaHash uint32, fp Fingerprint, onlySuspect bool) Record {
 	r, ok := t.get(fp)
 	if !ok || r.verdict(now, 0) == Normal {
-		r = Record{Fingerprint: fp, ClearedAt: r.ClearedAt}
+		r = Record{Fingerprint: fp, ClearedAt: r.ClearedAt, Crashes: 1}
+	} else {
+		// The crash before may have been counted by a node that did not know of ClearedAt.
+		r.Crashes = max(r.Crashes, 1) + 1
 	}
 	r.LastCrash, r.LastReplica = now, replicaHash
-	r.Crashes++
 	if onlySuspect || r.Crashes >= provenCrashes {
 		r.Until = later(r.Until, now.Add(quarantineAfter(r.Crashes)))
 	}
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -173,3 +173,20 @@
 	there.Merge(start.Add(time.Second), here.Records(start.Add(time.Second)))
 	expect(t, there, start.Add(2*time.Second), 1, Refuse)
 }
+
+// A crash at a node that did not know that the request had finished was counted from zero, and the
+// next one was taken for a first crash. The end of an earlier quarantine was kept as well.
+func TestCrashUnknownToTheNodeThatClearedTheRequest(t *testing.T) {
+	here, there := NewTracker("", 0), NewTracker("", 0)
+	for i := range 2 {
+		there.Merge(start, here.Crash(start, replicaName(i), []Fingerprint{1}))
+	}
+	cleared, _ := here.Finished(start.Add(time.Second), 1)
+	there.Merge(start, there.Crash(start.Add(2*time.Second), "r3", []Fingerprint{1}))
+	there.Merge(start.Add(2*time.Second), []Record{cleared})
+	expect(t, there, start.Add(2*time.Second), 1, RunAlone)
+	there.Crash(start.Add(4*time.Second), "r4", []Fingerprint{1})
+	if verdict, left := there.Decide(start.Add(4*time.Second), 1); verdict != Refuse || left != quarantines[0] {
+		t.Errorf("verdict %s for %s, want %s for %s", verdict, left, Refuse, quarantines[0])
+	}
+}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -133,9 +133,8 @@
 	if r.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return err
 	}
-	path := r.proxy
 	w.replicas = append(w.replicas, r)
-	w.store.Register(id, service, path.address(), "ready")
+	w.store.Register(id, service, r.proxy.address(), "ready")
 	return nil
 }
 
