Crash guard: one name of a replica's process, one count of quarantines

The guard had its own name for a replica's process beside replica.Process, counted new quarantines once for the metric and once for the log line, and wrote the verdict's fields twice; two tests of the retry budget had the same spending loop. Each stands once now.

--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -69,15 +68,10 @@
 func (c *CrashGuard) startRun(r replica.Replica, fp quarantine.Fingerprint) *quarantine.Run {
 	// Suspect calls are not isolated: after a second crash, the call that ran in
 	// both is the cause.
-	run, _ := c.running.Start(processName(r), fp, quarantine.Normal)
+	run, _ := c.running.Start(r.Process().String(), fp, quarantine.Normal)
 	return run
 }
 
-// processName names one process of a replica, which may restart under its ID.
-func processName(r replica.Replica) string {
-	return r.ID + "@" + strconv.FormatInt(r.StartedAt, 10)
-}
-
 // probeTimeout bounds the check of a replica whose connection broke.
 const probeTimeout = 200 * time.Millisecond
 
@@ -119,14 +113,11 @@
 		return
 	}
 	records := c.tracker.Crash(now, run.Replica, fingerprints)
+	crash := &replicaCrashed{replica: r, running: len(fingerprints), records: records, now: now}
 	c.crashes.WithLabelValues(r.Upstream).Inc()
-	for _, record := range records {
-		if record.Until.After(now) {
-			c.quarantines.WithLabelValues(r.Upstream).Inc()
-		}
-	}
+	c.quarantines.WithLabelValues(r.Upstream).Add(float64(crash.quarantined()))
 	c.onCrash(records)
-	c.log.Write(&replicaCrashed{replica: r, running: len(fingerprints), records: records, now: now})
+	c.log.Write(crash)
 }
 
 // fingerprint identifies the call by its workspace, target and body.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -39,10 +39,7 @@
 	if ev.ending != EndedComplete && e.lastFailure != nil {
 		fields["error"] = e.lastFailure.Error()
 	}
-	if e.verdict != quarantine.Normal {
-		fields["fingerprint"] = e.fingerprint.String()
-		fields["verdict"] = e.verdict
-	}
+	e.addVerdict(fields)
 	if ev.ending == EndedQuarantined {
 		fields["quarantine_left_ms"] = e.quarantineLeft.Milliseconds()
 	}
@@ -62,6 +59,15 @@
 	}
 }
 
+// addVerdict adds the crash guard's decision on a call that is suspected of crashing replicas.
+func (e *exchange) addVerdict(fields eventlog.Fields) {
+	if e.verdict == quarantine.Normal {
+		return
+	}
+	fields["fingerprint"] = e.fingerprint.String()
+	fields["verdict"] = e.verdict
+}
+
 type attemptFailed struct {
 	exchange *exchange
 	failure  *Failure
@@ -116,22 +122,27 @@
 func (*replicaCrashed) Level() eventlog.Level { return eventlog.Notable }
 
 func (ev *replicaCrashed) Fields() eventlog.Fields {
-	quarantined := 0
-	fingerprints := make([]string, 0, min(len(ev.records), maxLoggedFingerprints))
-	for _, r := range ev.records {
-		if r.Until.After(ev.now) {
-			quarantined++
-		}
-		if len(fingerprints) < maxLoggedFingerprints {
-			fingerprints = append(fingerprints, r.Fingerprint.String())
-		}
+	fingerprints := []string{}
+	for _, r := range ev.records[:min(len(ev.records), maxLoggedFingerprints)] {
+		fingerprints = append(fingerprints, r.Fingerprint.String())
 	}
 	return eventlog.Fields{
 		"replica": ev.replica.ID, "upstream": ev.replica.Upstream, "address": ev.replica.Address,
-		"running": ev.running, "quarantined": quarantined, "fingerprints": fingerprints,
+		"running": ev.running, "quarantined": ev.quarantined(), "fingerprints": fingerprints,
 	}
 }
 
+// quarantined counts the calls that are quarantined after the crash.
+func (ev *replicaCrashed) quarantined() int {
+	count := 0
+	for _, r := range ev.records {
+		if r.Until.After(ev.now) {
+			count++
+		}
+	}
+	return count
+}
+
 // maxLoggedFingerprints bounds the length of a line.
 const maxLoggedFingerprints = 8
 
@@ -178,10 +189,7 @@
 		"cost_ms": int(c.Cost), "wait_ms": c.FirstTokenTime.Milliseconds(), "memory_used": roundToHundredths(c.MemoryFraction), "among": c.AvailableReplicas, "running": c.Running, "to_read": c.PendingPrefill, "ahead": c.PrefillAhead,
 		"cached": c.CachedTokens, "copy_from": ev.placementAttempt.CopyFrom, "failures": roundToHundredths(c.FailureScore), "read_speed": roundToHundredths(c.PrefillSpeed), "replicas_revision": ev.revision,
 	}
-	if ev.exchange.verdict != quarantine.Normal {
-		fields["fingerprint"] = ev.exchange.fingerprint.String()
-		fields["verdict"] = ev.exchange.verdict
-	}
+	ev.exchange.addVerdict(fields)
 	if limit, limited := ev.exchange.forwarder.options.RateLimits.InForce()[ev.placementAttempt.Replica.ID]; limited {
 		fields["rate_limit"] = limit.PerSecond
 	}
--- a/internal/retrybudget/budget_test.go
+++ b/internal/retrybudget/budget_test.go
@@ -13,6 +13,17 @@
 	return Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 50, Nodes: nodes}
 }
 
+// requestAndRetry counts a request and returns how many of three retries the budget allows.
+func requestAndRetry(b *Budget, now time.Time) (allowed int) {
+	b.CountRequest(now, "u")
+	for range 3 {
+		if b.Take(now, "u") {
+			allowed++
+		}
+	}
+	return allowed
+}
+
 // Guards against nodes that exceed the shared limit together when each of them
 // spends all it can.
 func TestAllNodesTogetherStayWithinBound(t *testing.T) {
@@ -27,14 +38,8 @@
 	for step := range steps {
 		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
 		for range 10 + 10*(step/100%2) {
-			b := budgets[random.IntN(nodes)]
-			b.CountRequest(now, "u")
 			requests[step]++
-			for range 3 {
-				if b.Take(now, "u") {
-					retries[step]++
-				}
-			}
+			retries[step] += requestAndRetry(budgets[random.IntN(nodes)], now)
 		}
 	}
 	const window = 100
@@ -80,14 +85,8 @@
 			}
 		}
 		for range perStep {
-			b := budgets[random.IntN(nodes)]
-			b.CountRequest(now, "u")
 			requests[step]++
-			for range 3 {
-				if b.Take(now, "u") {
-					retries[step]++
-				}
-			}
+			retries[step] += requestAndRetry(budgets[random.IntN(nodes)], now)
 		}
 	}
 	sum := func(counts []int) (total int) {
