--- a/internal/command/trestled/main.go
+++ b/internal/command/trestled/main.go
@@ -12,6 +12,7 @@
 	"github.com/alecthomas/kong"
 
 	"galenatrestle/internal/daemon"
+	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/version"
 )
 
@@ -32,7 +33,10 @@
 }
 
 // Main runs the command line of the process.
-func Main() {
+func Main() { Run(nil) }
+
+// Run is Main with dialReplica for connections to the replicas of pass-through routes; nil: TCP.
+func Run(dialReplica replicaconn.Dial) {
 	var cli commandLine
 	parser := kong.Parse(&cli,
 		kong.Name("trestled"),
@@ -45,5 +49,5 @@
 		parser.FatalIfErrorf(daemon.Check(cli.Settings))
 		return
 	}
-	parser.FatalIfErrorf(daemon.Run(ctx, cli.Settings, os.Stdout, os.Stderr))
+	parser.FatalIfErrorf(daemon.Run(ctx, daemon.Options{SettingsPath: cli.Settings, Stdout: os.Stdout, Stderr: os.Stderr, DialReplica: dialReplica}))
 }
--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"io"
 	"runtime"
 	"runtime/debug"
 	"time"
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/edge"
+	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/settings"
 	"galenatrestle/platform"
 )
@@ -25,7 +25,7 @@
 )
 
 // runPassThrough serves callers by pass-through routes until ctx ends.
-func runPassThrough(ctx context.Context, path string, s *settings.Settings, output io.Writer) error {
+func runPassThrough(ctx context.Context, s *settings.Settings, o Options) error {
 	runtime.GOMAXPROCS(1)
 	debug.SetGCPercent(collectAt)
 	if s.PassThrough.MemoryMB > 0 {
@@ -39,7 +39,12 @@
 		Wire:     platform.Wire{},
 		Clock:    boottime.Now,
 		Seed:     uint64(time.Now().UnixNano()),
-		Output:   output,
+		Output:   o.Stdout,
+
+		DialReplica: o.DialReplica,
+	}
+	if options.DialReplica == nil {
+		options.DialReplica = replicaconn.TCPDial(replicaconn.DefaultDialTimeout)
 	}
 	if duties := s.PassThrough.Duties; duties != nil {
 		options.Duties = platform.NewDuties(duties.Address)
@@ -48,6 +53,6 @@
 	if err != nil {
 		return err
 	}
-	go followSettings(ctx, path, n)
+	go followSettings(ctx, o.SettingsPath, n)
 	return n.Run(ctx)
 }
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -29,16 +29,16 @@
 }
 
 // Run serves by the settings file until ctx ends, then stops gracefully. A node
-// of pass-through routes logs to stdout, another one to stderr.
-func Run(ctx context.Context, path string, stdout, stderr io.Writer) error {
-	loaded, err := settings.Load(path)
+// of pass-through routes logs to Stdout, another one to Stderr.
+func Run(ctx context.Context, o Options) error {
+	loaded, err := settings.Load(o.SettingsPath)
 	if err != nil {
 		return err
 	}
 	if loaded.PassThrough != nil {
-		return runPassThrough(ctx, path, loaded, stdout)
+		return runPassThrough(ctx, loaded, o)
 	}
-	options, err := nodeOptions(loaded, stderr)
+	options, err := nodeOptions(loaded, o.Stderr)
 	if err != nil {
 		return err
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -84,7 +84,7 @@
 		nodes:    nodesync.NewNodes(s.Name, s.Peers.Seeds),
 	}
 	n.settings.Store(s)
-	n.conns = replicaconn.NewPool(replicaconn.TCPDial(replicaconn.DefaultDialTimeout), n.countConnection())
+	n.conns = replicaconn.NewPool(options.DialReplica, n.countConnection())
 	n.rateLimiter = newRateLimiter(n)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -5,6 +5,7 @@
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/forward"
+	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/route"
 	"galenatrestle/internal/settings"
 )
@@ -24,6 +25,8 @@
 	Clock  boottime.Clock
 	// Seed seeds the random number generators.
 	Seed uint64
+	// DialReplica opens connections to replicas.
+	DialReplica replicaconn.Dial
 	// Output receives the log lines.
 	Output io.Writer
 }
--- /dev/null
+++ b/internal/soak/cuts.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"os"
+	"time"
+
+	"galenatrestle/internal/soak/pathfault"
+)
+
+const (
+	// cutStable is the time after the beginning of a cut from which calls count, cutLasts the
+	// length of a cut.
+	cutStable = 3 * time.Second
+	cutLasts  = cutStable + 4*time.Second
+	// At nodes that are cut off, first attempts may be served leastShare times as often as at
+	// the others, and cutAllowance plus a part of cutFailed of all attempts may fail.
+	leastShare   = 2.0 / 3
+	cutAllowance = 10
+	cutFailed    = 1.0 / 50
+)
+
+// cut is a time in which some nodes reached no replica, while callers, the store and the other
+// nodes reached them.
+type cut struct {
+	fault       pathfault.Fault
+	entries     map[string]bool
+	from, until time.Time
+}
+
+// cutNodes cuts nodes, never all of them, off from all replicas for the event's time.
+func (w *world) cutNodes(e event) {
+	w.cutting.Lock()
+	defer w.cutting.Unlock()
+	count := 1 + e.target%(len(w.nodes)-1)
+	c := cut{
+		fault: pathfault.Faults[e.target/len(w.nodes)%len(pathfault.Faults)], entries: make(map[string]bool), from: time.Now(),
+	}
+	for i := range count {
+		n := w.nodes[(e.target+i)%len(w.nodes)]
+		c.entries[n.entry] = true
+		w.setPathFault(n, c.fault)
+	}
+	w.pauseThen(e.lasts, func() {
+		c.until = time.Now()
+		for _, n := range w.nodes {
+			w.setPathFault(n, pathfault.None)
+		}
+	})
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts = append(w.cuts, c)
+}
+
+// setPathFault replaces the node's fault file.
+func (w *world) setPathFault(n *node, f pathfault.Fault) {
+	next := n.pathFault() + ".new"
+	err := os.WriteFile(next, []byte(f), 0o600)
+	if err == nil {
+		err = os.Rename(next, n.pathFault())
+	}
+	if err != nil {
+		w.violate("fault file of %s: %v", n.name, err)
+	}
+}
+
+// tally counts calls and those that were served.
+type tally struct{ asked, served int }
+
+func (t *tally) add(s *sent) {
+	t.asked++
+	if s.whole() {
+		t.served++
+	}
+}
+
+// judgeCuts checks that callers of nodes that reached no replica were served like the others.
+func (w *world) judgeCuts(calls []*sent) {
+	for i := range w.cuts {
+		w.judgeCut(&w.cuts[i], calls)
+	}
+}
+
+func (w *world) judgeCut(c *cut, calls []*sent) {
+	var cutOff, others tally
+	from := c.from.Add(cutStable)
+	for _, s := range calls {
+		if s.at.Before(from) || s.at.After(c.until) || w.isExcused(s) {
+			continue
+		}
+		if c.entries[s.entry] {
+			cutOff.add(s)
+		} else {
+			others.add(s)
+		}
+	}
+	failed := float64(cutOff.asked - cutOff.served)
+	allowed := cutAllowance + cutFailed*float64(cutOff.asked+others.asked)
+	// Compared without division, so that a side without calls needs no case of its own.
+	less := float64(cutOff.served*others.asked) < leastShare*float64(others.served*cutOff.asked)
+	if less && failed > allowed {
+		w.violate("nodes cut off from all replicas (%s) served %d of %d first attempts, the others %d of %d",
+			c.fault, cutOff.served, cutOff.asked, others.served, others.asked)
+	}
+}
+
+// isExcused reports whether the call need not be served: its key was revoked, it ends replicas, or
+// its node's process was disturbed.
+func (w *world) isExcused(s *sent) bool {
+	_, revoked := w.revoked[s.key]
+	return revoked || isCrashing(s) || w.disturbedBetween(s.entry, s.at.Add(-cutStable), s.at)
+}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -28,7 +28,7 @@
 		w.judgeRun(r)
 	}
 	for _, s := range calls {
-		if s.path != platformtest.CrashPath {
+		if !isCrashing(s) {
 			w.judgeCall(s, runs[s.id])
 		}
 	}
@@ -38,6 +38,7 @@
 	w.judgePauses(calls)
 	w.judgeCrashes(calls)
 	w.judgeRetries(calls)
+	w.judgeCuts(calls)
 	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
@@ -46,6 +47,9 @@
 	}
 }
 
+// isCrashing reports whether the call ends the replicas that run it.
+func isCrashing(s *sent) bool { return s.path == platformtest.CrashPath }
+
 func (w *world) judgeRun(r platformtest.Run) {
 	if r.Key != "" {
 		w.violate("%s: the caller's key reached replica %s", r.ID, r.Replica)
@@ -107,7 +111,7 @@
 func (w *world) judgeRecovery(calls []*sent) {
 	asked, served := 0, 0
 	for _, s := range calls {
-		if _, revoked := w.revoked[s.key]; revoked || s.path == platformtest.CrashPath || s.at.Before(w.disturbedAt.Add(recovery)) {
+		if _, revoked := w.revoked[s.key]; revoked || isCrashing(s) || s.at.Before(w.disturbedAt.Add(recovery)) {
 			continue
 		}
 		asked++
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -9,6 +9,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"galenatrestle/internal/soak/pathfault"
 )
 
 // Bounds of the deployment, which the settings tell the nodes.
@@ -74,6 +76,9 @@
 
 func (n *node) settings() string { return filepath.Join(n.dir, n.name+".yaml") }
 
+// pathFault is the file that names the fault of the node's connections to replicas.
+func (n *node) pathFault() string { return filepath.Join(n.dir, n.name+".fault") }
+
 // writeSettings writes the settings file whole.
 func (n *node) writeSettings(seed string) error {
 	text := fmt.Sprintf(`name: %s
@@ -114,6 +119,7 @@
 	defer n.mu.Unlock()
 	process := exec.Command(n.command[0], append(n.command[1:], "--settings", n.settings())...)
 	process.Stdout, process.Stderr = log, log
+	process.Env = append(os.Environ(), pathfault.FileVariable+"="+n.pathFault())
 	// In the soak's own process group a paused process ends the soak: when the shell that
 	// began it ends, the kernel hangs up a group in which a process is stopped.
 	process.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
--- /dev/null
+++ b/internal/soak/pathfault/conn.go
@@ -0,0 +1,72 @@
+package pathfault
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// conn is a connection through a Gate.
+type conn struct {
+	*net.TCPConn
+	gate      *Gate
+	hangOnce  sync.Once
+	hanging   chan struct{}
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+// hang stops all data from now on, and closes the connection after hangTimeout.
+func (c *conn) hang() {
+	c.hangOnce.Do(func() {
+		close(c.hanging)
+		time.AfterFunc(hangTimeout, c.abort)
+	})
+}
+
+func (c *conn) isHanging() bool {
+	select {
+	case <-c.hanging:
+		return true
+	default:
+		return false
+	}
+}
+
+// Read blocks on a hanging connection until it is closed.
+func (c *conn) Read(buffer []byte) (int, error) {
+	n, err := c.TCPConn.Read(buffer)
+	if !c.isHanging() {
+		return n, err
+	}
+	<-c.closed
+	return 0, net.ErrClosed
+}
+
+// Write discards the data on a hanging connection.
+func (c *conn) Write(data []byte) (int, error) {
+	if c.isHanging() {
+		return len(data), nil
+	}
+	return c.TCPConn.Write(data)
+}
+
+// Close closes the connection.
+func (c *conn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	go c.gate.forget(c)
+	return c.TCPConn.Close()
+}
+
+// abort resets the connection. The gate's lock may be held.
+func (c *conn) abort() {
+	// The connection is closed right after, which reports the same failure.
+	_ = c.SetLinger(0)
+	_ = c.Close()
+}
+
+func (g *Gate) forget(c *conn) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(g.conns, c)
+}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -31,11 +31,15 @@
 	Notices, Pauses int
 	// Restores is the number of times that the store comes back from an older copy.
 	Restores int
+	// Cuts is the number of times that some of the nodes are cut off from all replicas.
+	Cuts int
 	// Crashers is the number of callers that keep sending one call that ends the replicas that
 	// run it.
 	Crashers int
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
+	// extra are events besides those that are drawn.
+	extra []event
 }
 
 // Report is what a run found.
@@ -76,9 +80,11 @@
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 3)), replicaNotice, o.Length, o.Notices, noticeLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 4)), replicaPause, o.Length, o.Pauses, pauseLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 5)), storeRestore, o.Length, o.Restores, restoreLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 6)), nodesCut, o.Length, o.Cuts, cutLasts)...)
 	if !o.WithoutFaults {
 		events = append(events, schedule(o.Seed, o.Length)...)
 	}
+	events = append(events, o.extra...)
 	slices.SortStableFunc(events, func(a, b event) int { return cmp.Compare(a.at, b.at) })
 	return events
 }
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -33,6 +33,8 @@
 	replicaPause kind = "replica_pause"
 	// storeRestore is a store that comes back from an older copy.
 	storeRestore kind = "store_restore"
+	// nodesCut is a time in which some nodes reach no replica.
+	nodesCut     kind = "nodes_cut"
 	configChange kind = "config_change"
 	revokeKey    kind = "revoke_key"
 )
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"galenatrestle/internal/command/trestled"
+	"galenatrestle/internal/replicaconn"
+	"galenatrestle/internal/soak/pathfault"
 	"galenatrestle/platform/platformtest"
 )
 
@@ -18,7 +20,8 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
-		trestled.Main()
+		gate := pathfault.NewGate(os.Getenv(pathfault.FileVariable), replicaconn.TCPDial(replicaconn.DefaultDialTimeout))
+		trestled.Run(gate.Dial)
 		return
 	}
 	os.Exit(m.Run())
@@ -96,6 +99,49 @@
 	playWithoutFaults(t, Options{Nodes: 5, Crashers: 4, Length: 14 * time.Second})
 }
 
+// A node that was cut off from all replicas refused every call, though the other nodes could have
+// reached them.
+func TestNodesCutOffFromAllReplicasServeTheirCallers(t *testing.T) {
+	// Each target selects another fault: hanging, reset, and open connections that live on.
+	for _, target := range []int{5, 10, 15} {
+		t.Run(string(pathfault.Faults[target/5%3]), func(t *testing.T) {
+			playWithoutFaults(t, Options{Nodes: 5, Length: cutLasts, extra: []event{{kind: nodesCut, target: target + 2, lasts: cutLasts}}})
+		})
+	}
+}
+
+func TestTheJudgeSeesNodesThatServeNothingWhileCutOff(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		failed    int
+		after     time.Duration
+		disturbed time.Duration
+		broken    int
+	}{
+		"as many as allowed":       {12, cutStable, 0, 0},
+		"more":                     {13, cutStable, 0, 1},
+		"just after the cut":       {13, cutStable - time.Millisecond, 0, 0},
+		"by a node just disturbed": {13, cutStable, time.Second, 0},
+	} {
+		n := &node{entry: "vm-1"}
+		if test.disturbed != 0 {
+			n.disturbances = append(n.disturbances, now.Add(test.disturbed))
+		}
+		w := &world{nodes: []*node{n}, cuts: []cut{{entries: map[string]bool{"vm-1": true}, from: now, until: now.Add(time.Minute)}}}
+		var calls []*sent
+		for range test.failed {
+			calls = append(calls, &sent{entry: "vm-1", at: now.Add(test.after), status: 503})
+		}
+		for range 100 {
+			calls = append(calls, &sent{entry: "vm-2", at: now.Add(cutStable), status: 200})
+		}
+		w.judgeCuts(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
 // playWithoutFaults plays what the replicas say in their answers, and nothing else.
 func playWithoutFaults(t *testing.T, options Options) {
 	t.Helper()
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -35,7 +35,11 @@
 	violations []string
 	// restoring lets one restore of the store end before the next begins.
 	restoring sync.Mutex
-	closers   []func()
+	// cuts are the times in which nodes reached no replica; cutting lets one end before the next
+	// begins.
+	cuts    []cut
+	cutting sync.Mutex
+	closers []func()
 }
 
 // runningReplica is one incarnation of a replica behind its proxy.
@@ -176,6 +180,8 @@
 		w.pauseThen(e.lasts, func() { w.store.SetDelay(0) })
 	case storeRestore:
 		w.restoreStore(e)
+	case nodesCut:
+		w.cutNodes(e)
 	case configChange, revokeKey:
 		w.reconfigure(e)
 	default:
