Log and count when a node reaches no replica

Cause: the logs of the incident show each failed connect, but nowhere that a node as a whole reaches no replica, since when, and when it does again; requests that nothing answers on kept connections left no line at all.

Change: package replicapath watches connects and traffic. Connects that fail at two replicas in a row, or 0.7 s of waiting without data from any replica, lead to a check that connects to two other replicas. replica_path_lost and replica_path_regained name the inputs; two metrics. No request goes another way than before.

The soak's gate let connections escape that were established while a cut began, so that a node that hung still served some calls (35 of 59): mended.

--- a/internal/daemon/passthrough.go
+++ b/internal/daemon/passthrough.go
@@ -8,7 +8,6 @@
 
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/edge"
-	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/settings"
 	"galenatrestle/platform"
 )
@@ -43,9 +42,6 @@
 
 		DialReplica: o.DialReplica,
 	}
-	if options.DialReplica == nil {
-		options.DialReplica = replicaconn.TCPDial(replicaconn.DefaultDialTimeout)
-	}
 	if duties := s.PassThrough.Duties; duties != nil {
 		options.Duties = platform.NewDuties(duties.Address)
 	}
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -25,6 +25,7 @@
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
+	"galenatrestle/internal/replicapath"
 	"galenatrestle/internal/retrybudget"
 	"galenatrestle/internal/routesource"
 	"galenatrestle/internal/settings"
@@ -37,6 +38,7 @@
 	registry    *prometheus.Registry
 	routes      *routesource.Current
 	replicas    *replica.Set
+	path        *replicapath.Dialer
 	conns       *replicaconn.Pool
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
@@ -84,7 +86,8 @@
 		nodes:    nodesync.NewNodes(s.Name, s.Peers.Seeds),
 	}
 	n.settings.Store(s)
-	n.conns = replicaconn.NewPool(options.DialReplica, n.countConnection())
+	n.path = n.newReplicaPath()
+	n.conns = replicaconn.NewPool(n.path.Dial, n.countConnection())
 	n.rateLimiter = newRateLimiter(n)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
@@ -291,6 +294,7 @@
 	n.tasks.Go(func() { n.announcer.run(ctx) })
 	n.tasks.Go(func() { n.quarantines.run(ctx) })
 	n.tasks.Go(func() { n.sync.Run(ctx) })
+	n.tasks.Go(func() { n.path.Run(ctx) })
 	n.tasks.Go(func() { n.maintain(ctx) })
 }
 
--- a/internal/edge/options.go
+++ b/internal/edge/options.go
@@ -25,7 +25,7 @@
 	Clock  boottime.Clock
 	// Seed seeds the random number generators.
 	Seed uint64
-	// DialReplica opens connections to replicas.
+	// DialReplica opens connections to replicas; nil: TCP.
 	DialReplica replicaconn.Dial
 	// Output receives the log lines.
 	Output io.Writer
--- /dev/null
+++ b/internal/replicapath/dialer.go
@@ -0,0 +1,203 @@
+package replicapath
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/replicaconn"
+)
+
+// Options configures a Dialer.
+type Options struct {
+	// Direct opens direct connections.
+	Direct replicaconn.Dial
+	// Addresses returns the addresses of the registered replicas.
+	Addresses func() []string
+	// OnLost is called when the path is lost; may be nil.
+	OnLost   func()
+	Rand     *rand.Rand
+	Log      *eventlog.Log
+	Registry prometheus.Registerer
+}
+
+// Dialer opens connections to replicas. It is safe for concurrent use.
+type Dialer struct {
+	options Options
+	metrics *metrics
+	traffic traffic
+
+	// checking is held during a check, so that all who need one wait for the same.
+	checking sync.Mutex
+
+	// mu guards monitor and options.Rand.
+	mu      sync.Mutex
+	monitor monitor
+}
+
+// NewDialer returns a dialer whose path counts as working.
+func NewDialer(options Options) *Dialer {
+	return &Dialer{options: options, metrics: newMetrics(options.Registry)}
+}
+
+// Dial opens a connection to a replica's address. It implements replicaconn.Dial.
+func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := d.dialDirect(ctx, address)
+	if err == nil || ctx.Err() != nil {
+		return conn, err
+	}
+	if d.needsCheck(address) {
+		d.check(ctx, reasonConnectFailures)
+	}
+	return nil, err
+}
+
+// dialDirect opens a direct connection whose traffic is recorded.
+func (d *Dialer) dialDirect(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := d.options.Direct(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.monitor.connected()
+	return &directConn{Conn: conn, traffic: &d.traffic}, nil
+}
+
+func (d *Dialer) needsCheck(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.monitor.connectFailed(time.Now(), address)
+}
+
+// Lost reports whether this node reaches no replica.
+func (d *Dialer) Lost() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.monitor.isLost()
+}
+
+const (
+	// watchInterval is the interval at which silence is looked for and a lost path is checked.
+	watchInterval = 200 * time.Millisecond
+	// checkedReplicas is the number of replicas that a check connects to at once.
+	checkedReplicas = 2
+)
+
+// Run looks for silence, and for the end of a lost path, until ctx ends.
+func (d *Dialer) Run(ctx context.Context) {
+	ticker := time.NewTicker(watchInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if d.Lost() || d.isSilent(now) {
+				d.check(ctx, reasonSilence)
+			}
+		}
+	}
+}
+
+func (d *Dialer) isSilent(now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.monitor.isSilent(now, d.traffic.waited(now))
+}
+
+// check connects to some replicas and reports whether the path is lost: none of them could be
+// reached. A check that ends with ctx has no result.
+func (d *Dialer) check(ctx context.Context, reason string) bool {
+	began := time.Now()
+	d.checking.Lock()
+	defer d.checking.Unlock()
+	d.mu.Lock()
+	checkedMeanwhile, lost := d.monitor.checkedAt.After(began), d.monitor.isLost()
+	probed := d.replicasToProbe()
+	d.mu.Unlock()
+	if checkedMeanwhile {
+		return lost
+	}
+	err := d.probe(ctx, probed)
+	if ctx.Err() != nil {
+		return d.Lost()
+	}
+	return d.recordCheck(reason, probed, err)
+}
+
+// recordCheck records the result of a check and reports whether the path is lost.
+func (d *Dialer) recordCheck(reason string, probed []string, err error) bool {
+	now := time.Now()
+	d.mu.Lock()
+	event := &pathLost{reason: reason, failed: d.monitor.failedAddresses(), probed: probed, waited: d.traffic.waited(now), err: err}
+	lostAt := d.monitor.lostAt
+	changed := d.monitor.checked(now, err == nil)
+	d.mu.Unlock()
+	d.metrics.recordCheck(reason, err == nil)
+	if err == nil {
+		d.traffic.received()
+	}
+	switch {
+	case !changed:
+	case err == nil:
+		d.options.Log.Write(&pathRegained{lostFor: now.Sub(lostAt), probed: probed})
+	default:
+		d.options.Log.Write(event)
+		if d.options.OnLost != nil {
+			d.options.OnLost()
+		}
+	}
+	return err != nil
+}
+
+// replicasToProbe returns random replicas, those that failed last only if there are no others.
+// The lock is held.
+func (d *Dialer) replicasToProbe() []string {
+	addresses := slices.Clone(d.options.Addresses())
+	d.options.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	slices.SortStableFunc(addresses, func(a, b string) int {
+		return countFailed(d.monitor.failed[a]) - countFailed(d.monitor.failed[b])
+	})
+	return addresses[:min(len(addresses), checkedReplicas)]
+}
+
+func countFailed(failed bool) int {
+	if failed {
+		return 1
+	}
+	return 0
+}
+
+// probe connects to all addresses at once. It returns nil once one of the connections succeeded,
+// or else one of the errors.
+func (d *Dialer) probe(ctx context.Context, addresses []string) error {
+	if len(addresses) == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(addresses))
+	for _, address := range addresses {
+		go func() {
+			conn, err := d.options.Direct(ctx, address)
+			if err == nil {
+				err = conn.Close()
+			}
+			results <- err
+		}()
+	}
+	var err error
+	for range addresses {
+		if err = <-results; err == nil {
+			return nil
+		}
+	}
+	return err
+}
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -11,7 +11,7 @@
 	// cutStable is the time after the beginning of a cut from which calls count, cutLasts the
 	// length of a cut.
 	cutStable = 3 * time.Second
-	cutLasts  = cutStable + 4*time.Second
+	cutLasts  = cutStable + 6*time.Second
 	// At nodes that are cut off, first attempts may be served leastShare times as often as at
 	// the others, and cutAllowance plus a part of cutFailed of all attempts may fail.
 	leastShare   = 2.0 / 3
--- a/internal/soak/pathfault/conn.go
+++ b/internal/soak/pathfault/conn.go
@@ -16,6 +16,16 @@
 	closed    chan struct{}
 }
 
+// apply applies the fault to the open connection. The gate's lock is held.
+func (c *conn) apply(f Fault) {
+	switch f {
+	case Hang:
+		c.hang()
+	case Reset:
+		c.abort()
+	}
+}
+
 // hang stops all data from now on, and closes the connection after hangTimeout.
 func (c *conn) hang() {
 	c.hangOnce.Do(func() {
--- a/internal/soak/pathfault/gate.go
+++ b/internal/soak/pathfault/gate.go
@@ -56,12 +56,7 @@
 	}
 	g.fault = f
 	for c := range g.conns {
-		switch f {
-		case Hang:
-			c.hang()
-		case Reset:
-			c.abort()
-		}
+		c.apply(f)
 	}
 }
 
@@ -90,6 +85,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns[c] = true
+	// The fault may have begun while the connection was established.
+	c.apply(g.fault)
 	return c, nil
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -105,7 +105,7 @@
 	// Each target selects another fault: hanging, reset, and open connections that live on.
 	for _, target := range []int{5, 10, 15} {
 		t.Run(string(pathfault.Faults[target/5%3]), func(t *testing.T) {
-			playWithoutFaults(t, Options{Nodes: 5, Length: cutLasts, extra: []event{{kind: nodesCut, target: target + 2, lasts: cutLasts}}})
+			playWithoutFaults(t, Options{Nodes: 5, Callers: 20, Length: cutLasts, extra: []event{{kind: nodesCut, target: target + 2, lasts: cutLasts}}})
 		})
 	}
 }
@@ -148,7 +148,7 @@
 	t.Setenv(asProgram, "1")
 	t.Setenv("GORACE", "atexit_sleep_ms=0")
 	options.Seed, options.Command, options.Dir = 1, []string{os.Args[0]}, t.TempDir()
-	options.Callers, options.Length, options.WithoutFaults = 12, max(options.Length, 2*time.Second), true
+	options.Callers, options.Length, options.WithoutFaults = max(options.Callers, 12), max(options.Length, 2*time.Second), true
 	report, err := Run(t.Context(), options)
 	if err != nil {
 		t.Fatal(err)
