Connections to replicas go through other nodes while a node reaches none

Callers of a node that was cut off from all replicas got 503 after four failed connects (1 s where packets were dropped, 14 ms where connections were refused), for as long as the cut lasted, though the node reached six others that served theirs.

Cause: a node has no other path to replicas than its own connections, and takes what it sees there for the state of the replicas. Ruled out: the retry budget and the limit of four refused attempts (any further connect fails too), requests lost on kept connections (none after the first seconds).

Change: a node that finds its path lost opens connections through other nodes, one stream between the two nodes each. All else stays with the node that has the call: placement, attempts, at most once, limits, answers. A broken connection is not taken for a crash of the replica while the path is lost. A stopping node waits for the connections that it carries.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -26,6 +26,7 @@
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/replicapath"
+	"galenatrestle/internal/replicapath/replicapathrpc"
 	"galenatrestle/internal/retrybudget"
 	"galenatrestle/internal/routesource"
 	"galenatrestle/internal/settings"
@@ -39,6 +40,7 @@
 	routes      *routesource.Current
 	replicas    *replica.Set
 	path        *replicapath.Dialer
+	relays      *replicapathrpc.Server
 	conns       *replicaconn.Pool
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
@@ -166,10 +168,9 @@
 
 // newHandler returns the handler for callers' requests.
 func (n *Node) newHandler(tracker *quarantine.Tracker) *passthrough.Handler {
-	probe := func(ctx context.Context, r replica.Replica) error { return n.conns.Probe(ctx, r.ID, r.Address) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, n.probeReplica, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(),
 	})
 	return passthrough.New(passthrough.Options{
@@ -194,6 +195,7 @@
 	n.peers = peer.NewServer(keys, n.registry)
 	n.peers.Mount(n.sync.Handler())
 	n.rateLimiter.setUp()
+	n.setUpReplicaPath()
 	return n.duties.setUp()
 }
 
--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -1,10 +1,14 @@
 package edge
 
 import (
+	"context"
+	"errors"
 	"math/rand/v2"
 
+	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/replicapath"
+	"galenatrestle/internal/replicapath/replicapathrpc"
 )
 
 // newReplicaPath returns the dialer of connections to replicas.
@@ -14,11 +18,19 @@
 		direct = replicaconn.TCPDial(replicaconn.DefaultDialTimeout)
 	}
 	return replicapath.NewDialer(replicapath.Options{
-		Direct: direct, Addresses: n.replicaAddresses,
+		Direct: direct, Addresses: n.replicaAddresses, Helpers: n.replicaPathHelpers, OnLost: func() { n.conns.CloseIdle() },
 		Rand: rand.New(rand.NewPCG(n.options.Seed, 6)), Log: n.log, Registry: n.registry,
 	})
 }
 
+// setUpReplicaPath mounts the handler for other nodes' connections to replicas and lets this node
+// connect through them.
+func (n *Node) setUpReplicaPath() {
+	n.relays = replicapathrpc.NewServer(n.path.DialForNode, n.registry)
+	n.peers.Mount(n.relays.Handler())
+	n.path.SetDialThrough(replicapathrpc.NewClient(n.clients).DialThrough)
+}
+
 // replicaAddresses returns the addresses of the replicas that this node may use.
 func (n *Node) replicaAddresses() []string {
 	listing, _ := n.replicas.Latest()
@@ -30,3 +42,22 @@
 	}
 	return addresses
 }
+
+// replicaPathHelpers returns up to count random nodes that are serving.
+func (n *Node) replicaPathHelpers(count int) []replicapath.Helper {
+	var helpers []replicapath.Helper
+	for _, other := range n.nodes.SampleServing(count, rand.IntN, n.options.Clock()) {
+		helpers = append(helpers, replicapath.Helper{Name: other.Name, Address: other.PeerAddress})
+	}
+	return helpers
+}
+
+// probeReplica connects to a replica whose connection broke. A node that reaches no replica at all
+// learns nothing of this one.
+func (n *Node) probeReplica(ctx context.Context, r replica.Replica) error {
+	err := n.conns.Probe(ctx, r.ID, r.Address)
+	if err != nil && n.path.Check(ctx) {
+		return errors.Join(replicapath.ErrPathLost, errors.New(err.Error()))
+	}
+	return err
+}
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -49,7 +49,7 @@
 			refusing = true
 			n.handler.RefuseNew()
 		}
-		if elapsed > exit.latest() || refusing && n.handler.InFlight() == 0 {
+		if elapsed > exit.latest() || refusing && n.handler.InFlight() == 0 && n.relays.Open() == 0 {
 			break
 		}
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -55,7 +55,7 @@
 		return failure
 	}
 	a := &attempt{exchange: e, placementAttempt: placementAttempt}
-	e.lastReplicaID = placementAttempt.Replica.ID
+	e.lastReplicaID, e.lastVia = placementAttempt.Replica.ID, ""
 	listing, _ := e.forwarder.options.Replicas.Latest()
 	e.forwarder.options.Log.Write(&attemptStarted{exchange: e, placementAttempt: placementAttempt, revision: listing.Revision})
 	run := e.forwarder.options.CrashGuard.startRun(placementAttempt.Replica, e.fingerprint)
@@ -115,7 +115,7 @@
 	if err != nil {
 		return a.connectFailure(stepConnect, err)
 	}
-	a.conn = conn
+	a.conn, e.lastVia = conn, conn.Via()
 	// The replica may have started draining, or asked for a pause, while the connection was
 	// established.
 	if cause := e.forwarder.unusable(&replica); cause != nil {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -48,7 +48,7 @@
 
 // fields returns the log fields common to the events of a call.
 func (e *exchange) fields() eventlog.Fields {
-	return eventlog.Fields{
+	fields := eventlog.Fields{
 		"request":      e.call.ID,
 		"route":        e.call.Route.Name,
 		"upstream":     e.call.Upstream,
@@ -57,6 +57,10 @@
 		"may_have_run": e.possibleRuns,
 		"left_ms":      time.Until(e.call.Deadline).Milliseconds(),
 	}
+	if e.lastVia != "" {
+		fields["via"] = e.lastVia
+	}
+	return fields
 }
 
 // addVerdict adds the crash guard's decision on a call that is suspected of crashing replicas.
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -57,6 +57,8 @@
 	lastEventsAt  time.Time
 	longestPause  time.Duration
 	lastReplicaID string
+	// lastVia is the node through which the last attempt was sent; empty: directly.
+	lastVia string
 }
 
 // errOverloaded means that overload control refused the call before any attempt.
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -41,6 +41,14 @@
 // socket. From then on the replica may execute it.
 func (c *Conn) SentAny() bool { return c.bytesSent.Load() > 0 }
 
+// Via returns the name of the node that the connection goes through; empty for a direct one.
+func (c *Conn) Via() string {
+	if relayed, ok := c.netConn.(interface{ Via() string }); ok {
+		return relayed.Via()
+	}
+	return ""
+}
+
 // Send writes the request. Long requests are written in the background, so that the
 // caller can read the response meanwhile.
 func (c *Conn) Send(r *Request) error {
--- a/internal/replicaconn/pool.go
+++ b/internal/replicaconn/pool.go
@@ -151,29 +151,37 @@
 	}
 }
 
+// CloseIdle closes all idle connections.
+func (p *Pool) CloseIdle() {
+	for _, c := range p.removeIdle(func(*Conn) bool { return true }) {
+		c.Close()
+	}
+}
+
 // CloseExpired closes connections that have reached their idle timeout.
 func (p *Pool) CloseExpired(now time.Time) {
-	for _, c := range p.removeExpired(now) {
+	for _, c := range p.removeIdle(func(c *Conn) bool { return !c.withinIdleTimeout(now) }) {
 		c.Close()
 	}
 }
 
-func (p *Pool) removeExpired(now time.Time) []*Conn {
+// removeIdle removes and returns the idle connections that remove selects.
+func (p *Pool) removeIdle(remove func(*Conn) bool) []*Conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var expired []*Conn
+	var removed []*Conn
 	for _, conns := range p.replicas {
 		kept := conns.idle[:0]
 		for _, c := range conns.idle {
-			if c.withinIdleTimeout(now) {
-				kept = append(kept, c)
+			if remove(c) {
+				removed = append(removed, c)
 			} else {
-				expired = append(expired, c)
+				kept = append(kept, c)
 			}
 		}
 		conns.idle = kept
 	}
-	return expired
+	return removed
 }
 
 // takeIdle removes and returns the most recently used idle connection, or nil.
--- a/internal/replicapath/dialer.go
+++ b/internal/replicapath/dialer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -20,6 +21,8 @@
 	Direct replicaconn.Dial
 	// Addresses returns the addresses of the registered replicas.
 	Addresses func() []string
+	// Helpers returns up to n random other nodes that are serving.
+	Helpers func(n int) []Helper
 	// OnLost is called when the path is lost; may be nil.
 	OnLost   func()
 	Rand     *rand.Rand
@@ -27,18 +30,25 @@
 	Registry prometheus.Registerer
 }
 
+// DialThrough opens a connection to a replica's address through another node. An error that tells
+// something of the replica is ErrUnreachable or ECONNREFUSED.
+type DialThrough func(ctx context.Context, helper Helper, address string) (net.Conn, error)
+
 // Dialer opens connections to replicas. It is safe for concurrent use.
 type Dialer struct {
 	options Options
 	metrics *metrics
 	traffic traffic
+	// dialThrough is nil if connections through other nodes are not possible.
+	dialThrough DialThrough
 
 	// checking is held during a check, so that all who need one wait for the same.
 	checking sync.Mutex
 
-	// mu guards monitor and options.Rand.
+	// mu guards monitor, helpers and options.Rand.
 	mu      sync.Mutex
 	monitor monitor
+	helpers helpers
 }
 
 // NewDialer returns a dialer whose path counts as working.
@@ -46,16 +56,27 @@
 	return &Dialer{options: options, metrics: newMetrics(options.Registry)}
 }
 
+// SetDialThrough lets the dialer use other nodes. Call it before the first Dial.
+func (d *Dialer) SetDialThrough(dial DialThrough) { d.dialThrough = dial }
+
 // Dial opens a connection to a replica's address. It implements replicaconn.Dial.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	conn, err := d.dialDirect(ctx, address)
-	if err == nil || ctx.Err() != nil {
-		return conn, err
+	var direct error
+	if !d.Lost() {
+		var conn net.Conn
+		if conn, direct = d.dialDirect(ctx, address); direct == nil || ctx.Err() != nil || !d.loses(ctx, address) {
+			return conn, direct
+		}
 	}
-	if d.needsCheck(address) {
-		d.check(ctx, reasonConnectFailures)
+	conn, err := d.dialThroughNode(ctx, address)
+	switch {
+	case !errors.Is(err, errNoHelper):
+		return conn, err
+	case direct != nil:
+		return nil, direct
+	default:
+		return d.dialDirect(ctx, address)
 	}
-	return nil, err
 }
 
 // dialDirect opens a direct connection whose traffic is recorded.
@@ -76,6 +97,18 @@
 	return d.monitor.connectFailed(time.Now(), address)
 }
 
+// Check connects to some replicas, unless it has just been done, and reports whether this node
+// reaches none.
+func (d *Dialer) Check(ctx context.Context) bool {
+	d.mu.Lock()
+	lost, isFresh := d.monitor.isLost(), d.monitor.isFresh(time.Now())
+	d.mu.Unlock()
+	if lost || isFresh {
+		return lost
+	}
+	return d.check(ctx, reasonCrash)
+}
+
 // Lost reports whether this node reaches no replica.
 func (d *Dialer) Lost() bool {
 	d.mu.Lock()
--- a/internal/replicapath/events.go
+++ b/internal/replicapath/events.go
@@ -10,6 +10,7 @@
 const (
 	reasonConnectFailures = "connect_failures"
 	reasonSilence         = "silence"
+	reasonCrash           = "replica_crash"
 )
 
 // pathLost is logged when a check finds that this node reaches no replica.
@@ -52,3 +53,21 @@
 func (e *pathRegained) Fields() eventlog.Fields {
 	return eventlog.Fields{"lost_ms": e.lostFor.Milliseconds(), "probed": e.probed}
 }
+
+// helperFailed is logged when another node could not help this one.
+type helperFailed struct {
+	helper  Helper
+	address string
+	err     error
+}
+
+// Name implements eventlog.Event.
+func (*helperFailed) Name() string { return "replica_relay_failed" }
+
+// Level implements eventlog.Event.
+func (*helperFailed) Level() eventlog.Level { return eventlog.Notable }
+
+// Fields implements eventlog.Event.
+func (e *helperFailed) Fields() eventlog.Fields {
+	return eventlog.Fields{"via": e.helper.Name, "address": e.address, "error": e.err.Error()}
+}
--- a/internal/replicapath/metrics.go
+++ b/internal/replicapath/metrics.go
@@ -1,10 +1,15 @@
 package replicapath
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"errors"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 type metrics struct {
 	checks *prometheus.CounterVec
 	lost   prometheus.Gauge
+	relays *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -15,8 +20,11 @@
 		lost: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "trestle_replica_path_lost", Help: "1 while this node reaches no replica, else 0.",
 		}),
+		relays: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_replica_relays_total", Help: "Connections to replicas opened through other nodes, by result.",
+		}, []string{"result"}),
 	}
-	registry.MustRegister(m.checks, m.lost)
+	registry.MustRegister(m.checks, m.lost, m.relays)
 	return m
 }
 
@@ -28,3 +36,18 @@
 	m.checks.WithLabelValues(reason, result).Inc()
 	m.lost.Set(lost)
 }
+
+// recordRelayed records the result of opening a connection through another node.
+func (m *metrics) recordRelayed(err error) {
+	result := "connected"
+	switch {
+	case err == nil:
+	case isOfReplica(err):
+		result = "replica_unreachable"
+	case errors.Is(err, ErrPathLost):
+		result = "path_lost"
+	default:
+		result = "failed"
+	}
+	m.relays.WithLabelValues(result).Inc()
+}
--- a/internal/replicapath/monitor.go
+++ b/internal/replicapath/monitor.go
@@ -43,9 +43,12 @@
 	if len(m.failed) < maxFailedReplicas {
 		m.failed[address] = true
 	}
-	return !m.isLost() && len(m.failed) >= minFailedReplicas && now.Sub(m.passedAt) >= minFailureCheckPause
+	return !m.isLost() && len(m.failed) >= minFailedReplicas && !m.isFresh(now)
 }
 
+// isFresh reports whether a check has just succeeded.
+func (m *monitor) isFresh(now time.Time) bool { return now.Sub(m.passedAt) < minFailureCheckPause }
+
 // isSilent reports whether the path needs a check because requests have waited for so long without
 // any data from any replica.
 func (m *monitor) isSilent(now time.Time, waited time.Duration) bool {
