Brittle replicas get no more requests than they have room for

Callers of replicas that say Server-Brittle lost what ran there: nodes went on sending to full replicas, each by its own view of the load, until the replicas had refused so many requests in a second that they ended. Nothing read the header.

Change: the notice is kept per process (package brittle). While it holds, a node uses its share of the replica's slots, none while all are taken by what all nodes report, and leaves the replica alone after a refusal for so long that all nodes together cause at most half of the refusals it bears. Calls beyond that are refused with the time at which there may be room.

The soak also has replicas that say nothing for a second and go on, and runs nodes that it can cut off by hand (trestle-load soak without a program).

--- /dev/null
+++ b/internal/brittle/table_test.go
@@ -0,0 +1,78 @@
+package brittle
+
+import (
+	"testing"
+	"time"
+
+	"galenatrestle/internal/replica"
+)
+
+var process = replica.Process{ID: "i-1", StartedAt: 1}
+
+// bears is the notice of a replica that bears so many refusals a second.
+func bears(perSecond float64) Notice { return Notice{Brittle: true, RefusalsPerSecond: perSecond} }
+
+// A replica ends if all nodes together cause more refusals than it bears, each of them by requests
+// that it can't know others to send.
+func TestNodesTogetherCauseFewerRefusalsThanAReplicaBears(t *testing.T) {
+	const length = time.Minute
+	for _, test := range []struct {
+		nodes int
+		bears float64
+	}{{1, 1}, {7, 3}, {7, 20}, {70, 5}, {360, 50}} {
+		refusals := 0
+		now := time.Now()
+		end := now.Add(length)
+		table := NewTable(func() int { return test.nodes })
+		// Each node sends again as soon as its rest is over, and is always refused.
+		for at := now; at.Before(end); at = table.Current()[process].RestUntil {
+			table.Observe(at, process, bears(test.bears), true)
+			refusals += test.nodes
+		}
+		// All nodes begin at once, which is allowed for by the first part of the minute.
+		if most := test.bears*length.Seconds() + float64(test.nodes); float64(refusals) > most {
+			t.Errorf("%d nodes: %d refusals in %s by a replica that bears %.0f a second", test.nodes, refusals, length, test.bears)
+		}
+	}
+}
+
+func TestReplicaThatSaysNothingAnyMoreIsNotBrittle(t *testing.T) {
+	now := time.Now()
+	r := &replica.Replica{ID: process.ID, StartedAt: process.StartedAt}
+	table := NewTable(func() int { return 7 })
+	if table.Observe(now, process, Notice{}, true) || len(table.Current()) != 0 {
+		t.Fatal("a refusal of a sound replica counts")
+	}
+	if !table.Observe(now, process, bears(3), false) || table.Observe(now, process, bears(3), false) {
+		t.Error("the change is not reported once")
+	}
+	if _, brittle := table.Current().Of(r, now.Add(retention-1)); !brittle {
+		t.Error("the replica is not brittle")
+	}
+	if _, brittle := table.Current().Of(r, now.Add(retention)); brittle {
+		t.Error("the replica is still brittle long after it last said so")
+	}
+	restarted := &replica.Replica{ID: process.ID, StartedAt: 2}
+	if _, brittle := table.Current().Of(restarted, now); brittle {
+		t.Error("a restarted replica is brittle")
+	}
+	if !table.Observe(now, process, Notice{}, false) || len(table.Current()) != 0 {
+		t.Error("the replica is still brittle after a response that does not say so")
+	}
+}
+
+func TestRestContinuesAfterFurtherResponses(t *testing.T) {
+	now := time.Now()
+	table := NewTable(func() int { return 7 })
+	table.Observe(now, process, bears(7), true)
+	table.Observe(now.Add(time.Millisecond), process, bears(7), false)
+	if got := table.Current()[process].RestUntil.Sub(now); got != 2*time.Second {
+		t.Errorf("the rest lasts %s, want 2s", got)
+	}
+}
+
+func TestReplicaThatBearsNoRefusalRestsLongest(t *testing.T) {
+	if got := rest(0, 7); got != maxRest {
+		t.Errorf("rest of %s, want %s", got, maxRest)
+	}
+}
--- a/internal/command/trestleload/main.go
+++ b/internal/command/trestleload/main.go
@@ -19,7 +19,7 @@
   trestle-load path --rate 2000 --tokens 16
   trestle-load capacity --nodes 2,4,8 --plot capacity.svg
   trestle-load faults --seeds 1..20
-  trestle-load soak target/trestled --seeds 1..50
+  trestle-load soak --seeds 1..50 --cuts 2 --brittle 1 --silences 3
   trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
 
 It exits with 1 where a promise was broken or an outcome differs.`
@@ -33,6 +33,7 @@
 	Capacity capacityCommand  `cmd:"" help:"Measure how the cost of each role grows, and what it is at the fleet's size."`
 	Faults   faultsCommand    `cmd:"" help:"Run schedules of random faults drawn from seeds and check what must always hold."`
 	Soak     soakCommand      `cmd:"" help:"Run the real program as processes under faults from outside and check what callers and replicas see."`
+	SoakNode soakNodeCommand  `cmd:"" hidden:"" help:"Run one node of a soak."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
 
--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -15,7 +15,7 @@
 
 // soakCommand runs the real program under faults from outside.
 type soakCommand struct {
-	Trestled   string        `arg:"" type:"existingfile" help:"The program under test, as built."`
+	Trestled   string        `arg:"" optional:"" type:"existingfile" help:"The program under test, as built; default: the same program as part of this one, whose nodes can be cut off from replicas."`
 	Seeds      string        `default:"1..10" help:"Seeds, as FIRST..LAST."`
 	Nodes      int           `default:"3" help:"Processes of the program in each run."`
 	Callers    int           `default:"6" help:"Callers at once in each run."`
@@ -25,6 +25,9 @@
 	Pauses     int           `default:"3" help:"Times in each run that a replica refuses all requests and asks for a pause."`
 	Restores   int           `default:"1" help:"Times in each run that the store comes back from an older copy."`
 	Crashers   int           `default:"1" help:"Callers in each run that keep sending one call that ends the replicas that run it."`
+	Cuts       int           `default:"0" help:"Times in each run that some of the nodes are cut off from all replicas; not with a program of its own."`
+	Brittle    int           `default:"0" help:"Times in each run that the replicas of a service end if they have to refuse many requests."`
+	Silences   int           `default:"0" help:"Times in each run that a sound replica says nothing for a second."`
 	NoFaults   bool          `help:"Leave out all faults; replicas still name rates, leave and ask for pauses."`
 	AtOnce     int           `default:"2" help:"Seeds that run side by side."`
 	Keep       string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
@@ -44,7 +47,10 @@
 		return fmt.Errorf("--rate-limits %d, --notices %d, --pauses %d, --restores %d and --crashers %d must not be below zero",
 			c.RateLimits, c.Notices, c.Pauses, c.Restores, c.Crashers)
 	}
-	trestled, err := filepath.Abs(c.Trestled)
+	if c.Cuts < 0 || c.Brittle < 0 || c.Silences < 0 {
+		return fmt.Errorf("--cuts %d, --brittle %d and --silences %d must not be below zero", c.Cuts, c.Brittle, c.Silences)
+	}
+	program, err := c.program()
 	if err != nil {
 		return err
 	}
@@ -54,7 +60,7 @@
 	group.SetLimit(c.AtOnce)
 	for seed := first; seed <= last; seed++ {
 		group.Go(func() error {
-			report, err := c.play(seed, trestled)
+			report, err := c.play(seed, program)
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil || len(report.Violations) > 0 {
@@ -74,8 +80,21 @@
 	return nil
 }
 
+// program returns the command of the program under test.
+func (c *soakCommand) program() ([]string, error) {
+	if c.Trestled == "" {
+		self, err := os.Executable()
+		return []string{self, soakNodeName}, err
+	}
+	if c.Cuts > 0 {
+		return nil, fmt.Errorf("--cuts %d needs the program that is part of this one: leave out %s", c.Cuts, c.Trestled)
+	}
+	path, err := filepath.Abs(c.Trestled)
+	return []string{path}, err
+}
+
 // play runs one seed, and removes its files unless it failed and they are kept.
-func (c *soakCommand) play(seed uint64, trestled string) (soak.Report, error) {
+func (c *soakCommand) play(seed uint64, program []string) (soak.Report, error) {
 	if c.Keep != "" {
 		if err := os.MkdirAll(c.Keep, 0o755); err != nil {
 			return soak.Report{}, err
@@ -86,8 +105,8 @@
 		return soak.Report{}, err
 	}
 	report, err := soak.Run(context.Background(), soak.Options{
-		Seed: seed, Command: []string{trestled}, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits,
-		Notices: c.Notices, Pauses: c.Pauses, Restores: c.Restores, Crashers: c.Crashers, WithoutFaults: c.NoFaults,
+		Seed: seed, Command: program, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits,
+		Notices: c.Notices, Pauses: c.Pauses, Restores: c.Restores, Crashers: c.Crashers, Cuts: c.Cuts, Brittle: c.Brittle, Silences: c.Silences, WithoutFaults: c.NoFaults,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
+	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
@@ -45,6 +46,7 @@
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
 	pauses      pause.Table
+	brittle     *brittle.Table
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
@@ -95,6 +97,9 @@
 	n.placer.SetPermits(n.rateLimiter.permits)
 	n.placer.SetPauses(&n.pauses)
 	pause.RegisterMetrics(registry, &n.pauses)
+	n.brittle = brittle.NewTable(func() int { return n.sharing.nodeCount() })
+	n.placer.SetBrittle(n.brittle)
+	brittle.RegisterMetrics(registry, n.brittle)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
@@ -170,7 +175,7 @@
 func (n *Node) newHandler(tracker *quarantine.Tracker) *passthrough.Handler {
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, n.probeReplica, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, n.probeReplica, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Brittle: n.brittle, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(),
 	})
 	return passthrough.New(passthrough.Options{
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/placement"
 )
 
@@ -83,6 +84,8 @@
 	RateLimit   float64
 	// Leaving is true if the replica reports that it is about to stop.
 	Leaving bool
+	// Brittle is whether the replica says that refusing many requests ends it.
+	Brittle brittle.Notice
 	// RetryAfter is how long the replica asks this node to send it nothing; zero if not
 	// given.
 	RetryAfter time.Duration
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -220,6 +220,9 @@
 		"replica": a.placementAttempt.Replica.ID, "peer": a.placementAttempt.Replica.Address, "attempt": a.exchange.attempts,
 		"status": a.response.StatusCode, "replicas_revision": ev.revision, "replicas_age_ms": ev.age.Milliseconds(),
 	}
+	if ev.notice == noticeBrittle {
+		fields["refusals_per_second"] = a.headers.Brittle.RefusalsPerSecond
+	}
 	if ev.notice == noticePause {
 		fields["retry_after_ms"] = a.headers.RetryAfter.Milliseconds()
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -133,6 +133,8 @@
 		return noReplica
 	case errors.Is(f, errRateLimited):
 		return rateLimited
+	case errors.Is(f, errFull):
+		return replicasFull
 	case errors.Is(f, errPaused):
 		return replicasPaused
 	case errors.Is(f, errOverloaded):
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/pause"
@@ -64,11 +65,13 @@
 	placer.SetPermits(f.Permits)
 	pauses := new(pause.Table)
 	placer.SetPauses(pauses)
+	brittleReplicas := brittle.NewTable(func() int { return 1 })
+	placer.SetBrittle(brittleReplicas)
 	f.Forwarder = forward.New(forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, func([]quarantine.Record) {}, log, f.Metrics),
-		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
+		RateLimits: limits, Permits: f.Permits, Pauses: pauses, Brittle: brittleReplicas,
 		Log: log, Registry: f.Metrics,
 	})
 	return f
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -13,6 +13,8 @@
 const (
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
+	noticeBrittle = "brittle"
+	noticeSound   = "no_longer_brittle"
 )
 
 // unusable returns why the chosen replica must get no request after all, or nil.
@@ -22,11 +24,22 @@
 		return errDraining
 	case f.options.Pauses.Current().End(r).After(time.Now()):
 		return errReplicaPaused
+	case f.rests(r):
+		return errReplicaRests
 	default:
 		return nil
 	}
 }
 
+// rests reports whether a brittle replica is left alone after a refusal.
+func (f *Forwarder) rests(r *replica.Replica) bool {
+	now := time.Now()
+	state, isBrittle := f.options.Brittle.Current().Of(r, now)
+	return isBrittle && state.RestUntil.After(now)
+}
+
+var errReplicaRests = errors.New("brittle replica refused a request")
+
 var errReplicaPaused = errors.New("replica asked for a pause")
 
 // recordNotices records what the response says about the replica itself.
@@ -36,6 +49,7 @@
 		return
 	}
 	a.updateRateLimit()
+	a.updateBrittle()
 	if a.headers.Leaving {
 		a.exchange.forwarder.options.Replicas.MarkLeaving(&a.placementAttempt.Replica)
 		a.logNotice(noticeLeaving)
@@ -46,6 +60,18 @@
 	}
 }
 
+func (a *attempt) updateBrittle() {
+	process, refused := a.placementAttempt.Replica.Process(), isNotExecuted(a.response, a.headers)
+	if !a.exchange.forwarder.options.Brittle.Observe(time.Now(), process, a.headers.Brittle, refused) {
+		return
+	}
+	if a.headers.Brittle.Brittle {
+		a.logNotice(noticeBrittle)
+	} else {
+		a.logNotice(noticeSound)
+	}
+}
+
 // asksForPause reports whether the replica refused the request and asks for a time without
 // further ones.
 func (a *attempt) asksForPause() bool {
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
+	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
@@ -23,6 +24,7 @@
 	RateLimits *ratelimit.Table
 	Permits    *ratelimit.Permits
 	Pauses     *pause.Table
+	Brittle    *brittle.Table
 	Log        *eventlog.Log
 	Registry   prometheus.Registerer
 	// OnRun is called with the workspace of each call that a replica begins to run;
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -18,6 +18,8 @@
 
 var errPaused = errors.New("all replicas are paused")
 
+var errFull = errors.New("brittle replicas have no room")
+
 var errRateLimited = errors.New("all replicas have reached their rate limit")
 
 // chooseReplica assigns a replica to the call and acquires a permit if the replica
@@ -62,6 +64,9 @@
 	case restricted.RateLimited > 0:
 		f.RetryAfter = overload.RetryDelay(wait, left)
 		f.Cause = fmt.Errorf("%w: %d rate-limited replicas, no permit left; %d paused", errRateLimited, restricted.RateLimited, restricted.Paused)
+	case restricted.Full > 0:
+		f.RetryAfter = overload.RetryDelay(wait, left)
+		f.Cause = fmt.Errorf("%w: %d of them; %d paused", errFull, restricted.Full, restricted.Paused)
 	case restricted.Paused+restricted.PresumedPaused > 0:
 		f.RetryAfter = overload.BoundRetryDelay(wait, left)
 		f.Cause = fmt.Errorf("%w: %d at their request, %d presumed as they do not respond", errPaused, restricted.Paused, restricted.PresumedPaused)
--- a/internal/forward/stopreason.go
+++ b/internal/forward/stopreason.go
@@ -11,6 +11,7 @@
 	overloaded        stopReason = "overloaded"
 	rateLimited       stopReason = "rate_limited"
 	replicasPaused    stopReason = "replicas_paused"
+	replicasFull      stopReason = "replicas_full"
 	responseStarted   stopReason = "answer_begun"
 	tooManyRefusals   stopReason = "too_many_refusals"
 	mayHaveRun        stopReason = "may_have_run"
--- a/internal/placement/restrictions.go
+++ b/internal/placement/restrictions.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
 )
@@ -13,6 +14,8 @@
 	permits        *ratelimit.Permits
 	limits         map[string]ratelimit.Limit
 	pauses         pause.Pauses
+	brittle        *brittle.Table
+	brittleStates  brittle.States
 	now            time.Time
 	excludeLimited bool
 	// latestPauseEnd is when the last pause that an available replica asked for ends; zero: none did.
@@ -28,6 +31,9 @@
 	if u.permits != nil {
 		r.limits = u.permits.Limits()
 	}
+	if u.brittle != nil {
+		r.brittle, r.brittleStates = u.brittle, u.brittle.Current()
+	}
 	if u.pauses != nil {
 		r.pauses = u.pauses.Current()
 		r.latestPauseEnd = r.latestEnd(u.available)
@@ -80,15 +86,42 @@
 // allows reports whether the replica may be chosen: it is not paused, and it is not rate limited
 // or a permit may be requested now.
 func (r *restrictions) allows(s *replicaState) bool {
-	if r.isPaused(s) {
+	if r.isPaused(s) || r.isFull(s) {
 		return false
 	}
 	return !r.isLimited(s) || !r.excludeLimited && !r.permits.NextAttemptAt(s.replica.ID).After(r.now)
 }
 
+// fullRecheck is when a brittle replica without a free slot may have one.
+const fullRecheck = 200 * time.Millisecond
+
+// isFull reports whether a request would risk a refusal by a brittle replica: its slots, or this
+// node's share of them, are taken, or it is left alone after a refusal.
+func (r *restrictions) isFull(s *replicaState) bool {
+	state, isBrittle := r.brittleStates.Of(&s.replica, r.now)
+	if !isBrittle {
+		return false
+	}
+	return state.RestUntil.After(r.now) || s.running >= r.brittle.Share(s.replica.Slots) || s.running+s.peersRunning >= max(s.replica.Slots, 1)
+}
+
+// fullUntil returns when a brittle replica that is full may have room.
+func (r *restrictions) fullUntil(s *replicaState) time.Time {
+	state, _ := r.brittleStates.Of(&s.replica, r.now)
+	if state.RestUntil.After(r.now) {
+		return state.RestUntil
+	}
+	return r.now.Add(fullRecheck)
+}
+
 // endsAt returns when a request to the restricted replica may be possible.
 func (r *restrictions) endsAt(s *replicaState) time.Time {
 	end := r.pauseEnd(s)
+	if r.isFull(s) {
+		if until := r.fullUntil(s); until.After(end) {
+			end = until
+		}
+	}
 	if r.isLimited(s) {
 		if next := r.permits.NextAttemptAt(s.replica.ID); next.After(end) {
 			return next
@@ -105,11 +138,13 @@
 	RateLimited    int
 	Paused         int
 	PresumedPaused int
+	// Full is the number of brittle replicas without room.
+	Full int
 	// NextAt is the earliest time at which a request to any of them may be possible.
 	NextAt time.Time
 }
 
-func (r *Restricted) count() int { return r.RateLimited + r.Paused + r.PresumedPaused }
+func (r *Restricted) count() int { return r.RateLimited + r.Paused + r.PresumedPaused + r.Full }
 
 // Restricted returns the restricted replicas of the upstream, to explain why Choose found none.
 func (p *Placer) Restricted(now time.Time, name string) Restricted {
@@ -124,6 +159,8 @@
 			found.Paused++
 		case current.isPaused(s):
 			found.PresumedPaused++
+		case current.isFull(s):
+			found.Full++
 		case current.isLimited(s):
 			found.RateLimited++
 		default:
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/enginespeed"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
@@ -48,7 +49,9 @@
 	// permits are the rate limit permits; nil: rates are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses       *pause.Table
+	pauses *pause.Table
+	// brittle are the replicas that refusals may end; nil: none are kept.
+	brittle      *brittle.Table
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
--- /dev/null
+++ b/internal/soak/brittle.go
@@ -0,0 +1,95 @@
+package soak
+
+import (
+	"time"
+
+	"galenatrestle/platform/platformtest"
+)
+
+const (
+	// brittleStable is the time after replicas first said that they are brittle from which falls
+	// count, brittleLasts the time for which they say so.
+	brittleStable = 3 * time.Second
+	brittleLasts  = brittleStable + 4*time.Second
+	// bearsRefusals is the refusals a second that a brittle replica bears.
+	bearsRefusals = 3
+	// The replicas of a service may fall over fallAllowance times plus fallShare of their number.
+	fallAllowance = 2
+	fallShare     = 0.1
+)
+
+// brittleTime is a time in which the replicas of a service were brittle.
+type brittleTime struct {
+	service     string
+	replicas    int
+	from, until time.Time
+}
+
+// fall is the end of a brittle replica that refused too many requests.
+type fall struct {
+	service string
+	at      time.Time
+}
+
+// makeBrittle has all replicas of a service say that they are brittle, for the event's time. They
+// fall over only after a while.
+func (w *world) makeBrittle(e event) {
+	service := []string{"model", "ledger"}[e.target%2]
+	t := brittleTime{service: service, from: time.Now()}
+	t.replicas = w.setBrittle(service, &platformtest.Brittleness{Bears: bearsRefusals})
+	time.Sleep(brittleStable)
+	w.setBrittle(service, &platformtest.Brittleness{Bears: bearsRefusals, Falls: true})
+	time.Sleep(e.lasts - brittleStable)
+	t.until = time.Now()
+	w.setBrittle(service, nil)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.brittleTimes = append(w.brittleTimes, t)
+}
+
+// setBrittle applies to the service's replicas, also those started later. It returns their number.
+func (w *world) setBrittle(service string, b *platformtest.Brittleness) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.brittle[service] = b
+	count := 0
+	for _, r := range w.replicas {
+		if r.service == service {
+			r.handler.SetBrittle(b)
+			count++
+		}
+	}
+	return count
+}
+
+// fallOver ends a brittle replica that refused too many requests.
+func (w *world) fallOver(r *runningReplica) {
+	w.mu.Lock()
+	w.falls = append(w.falls, fall{service: r.service, at: time.Now()})
+	w.mu.Unlock()
+	w.crash(r)
+}
+
+// judgeFalls checks that refusals ended few brittle replicas.
+func (w *world) judgeFalls() {
+	for _, t := range w.brittleTimes {
+		count := 0
+		for _, f := range w.falls {
+			if f.service == t.service && f.at.After(t.from.Add(brittleStable)) && f.at.Before(t.until) {
+				count++
+			}
+		}
+		if allowed := fallAllowance + fallShare*float64(t.replicas); float64(count) > allowed {
+			w.violate("%d of %d brittle replicas of %s fell over, as they had to refuse too many requests; allowed %.1f", count, t.replicas, t.service, allowed)
+		}
+	}
+}
+
+// silence has a sound replica say nothing for the event's time and go on: nothing is lost.
+func (w *world) silence(r *runningReplica, e event) {
+	r.proxy.set(stall)
+	w.pauseThen(e.lasts, func() { r.proxy.set(pass) })
+}
+
+// silentLasts is how long a sound replica says nothing.
+const silentLasts = time.Second
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -39,6 +39,7 @@
 	w.judgeCrashes(calls)
 	w.judgeRetries(calls)
 	w.judgeCuts(calls)
+	w.judgeFalls()
 	w.judgeDuties()
 	for _, n := range w.nodes {
 		if n.exits > 0 {
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -18,6 +18,8 @@
 	cutRequests
 	cutAnswers
 	refuse
+	// stall holds all bytes back until the mode changes; none are lost.
+	stall
 )
 
 // slowBy is how long a slow proxy holds each piece back.
@@ -114,6 +116,8 @@
 		switch m, _ := p.now(); m {
 		case slow:
 			time.Sleep(slowBy)
+		case stall:
+			p.awaitEnd(stall)
 		case silence, cut:
 			// What a dark path swallows is lost: bytes that came after it would
 			// be taken for others, so that the connection stays dark.
@@ -132,6 +136,16 @@
 	}
 }
 
+// awaitEnd waits until the mode is another one.
+func (p *proxy) awaitEnd(of mode) {
+	for m, _ := p.now(); m == of; m, _ = p.now() {
+		time.Sleep(stallPoll)
+	}
+}
+
+// stallPoll is the interval at which a stalled connection looks for the end.
+const stallPoll = 10 * time.Millisecond
+
 // hold keeps a connection that has gone dark open until it is reset or the other
 // side gives up.
 func (p *proxy) hold(from, to net.Conn) {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -33,6 +33,9 @@
 	Restores int
 	// Cuts is the number of times that some of the nodes are cut off from all replicas.
 	Cuts int
+	// Brittle is the number of times that the replicas of a service are brittle, Silences of those that
+	// a sound replica says nothing for a second.
+	Brittle, Silences int
 	// Crashers is the number of callers that keep sending one call that ends the replicas that
 	// run it.
 	Crashers int
@@ -81,6 +84,8 @@
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 4)), replicaPause, o.Length, o.Pauses, pauseLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 5)), storeRestore, o.Length, o.Restores, restoreLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 6)), nodesCut, o.Length, o.Cuts, cutLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 7)), replicasBrittle, o.Length, o.Brittle, brittleLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 8)), replicaSilent, o.Length, o.Silences, silentLasts)...)
 	if !o.WithoutFaults {
 		events = append(events, schedule(o.Seed, o.Length)...)
 	}
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -31,6 +31,10 @@
 	replicaNotice kind = "replica_notice"
 	// replicaPause is a replica that refuses all requests and asks for a pause.
 	replicaPause kind = "replica_pause"
+	// replicasBrittle is a time in which the replicas of a service are brittle.
+	replicasBrittle kind = "replicas_brittle"
+	// replicaSilent is a sound replica that says nothing for about a second and goes on.
+	replicaSilent kind = "replica_silent"
 	// storeRestore is a store that comes back from an older copy.
 	storeRestore kind = "store_restore"
 	// nodesCut is a time in which some nodes reach no replica.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,6 +48,8 @@
 	{Seed: 51106, Nodes: 4, Callers: 6, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 2},
 	// The caller of a crashing call took another key once its own was revoked: that is another call.
 	{Seed: 62001, Nodes: 4, Callers: 6, Length: 12 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1},
+	// All that befalls replicas and the ways to them: nodes cut off, brittle and silent replicas.
+	{Seed: 71001, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Cuts: 1, Brittle: 1, Silences: 3},
 }
 
 func TestSeeds(t *testing.T) {
@@ -110,6 +112,33 @@
 	}
 }
 
+// Brittle replicas that were full were sent more requests, which they refused until they ended.
+func TestNodesDoNotOverloadBrittleReplicas(t *testing.T) {
+	playWithoutFaults(t, Options{Nodes: 5, Callers: 40, Length: brittleLasts, extra: []event{{kind: replicasBrittle, lasts: brittleLasts}}})
+}
+
+func TestTheJudgeSeesBrittleReplicasThatFall(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		count  int
+		after  time.Duration
+		broken int
+	}{
+		"as many as allowed": {2, brittleStable + 1, 0},
+		"more":               {3, brittleStable + 1, 1},
+		"at the beginning":   {3, brittleStable, 0},
+	} {
+		w := &world{brittleTimes: []brittleTime{{service: "model", replicas: 4, from: now, until: now.Add(time.Minute)}}}
+		for range test.count {
+			w.falls = append(w.falls, fall{service: "model", at: now.Add(test.after)})
+		}
+		w.judgeFalls()
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
 func TestTheJudgeSeesNodesThatServeNothingWhileCutOff(t *testing.T) {
 	now := time.Now()
 	for name, test := range map[string]struct {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -35,6 +35,11 @@
 	violations []string
 	// restoring lets one restore of the store end before the next begins.
 	restoring sync.Mutex
+	// brittleTimes are the times in which replicas were brittle, falls the ends of such replicas.
+	brittleTimes []brittleTime
+	falls        []fall
+	// brittle is how brittle the replicas of a service are now.
+	brittle map[string]*platformtest.Brittleness
 	// cuts are the times in which nodes reached no replica; cutting lets one end before the next
 	// begins.
 	cuts    []cut
@@ -64,7 +69,7 @@
 func newWorld(o Options) (*world, error) {
 	w := &world{
 		options: o, store: platformtest.NewStore(), duties: platformtest.NewDuties(dutyLease, o.Seed), runs: &platformtest.Runs{}, began: time.Now(),
-		revoked: make(map[string]time.Time), drained: make(map[string]time.Time),
+		revoked: make(map[string]time.Time), drained: make(map[string]time.Time), brittle: make(map[string]*platformtest.Brittleness),
 	}
 	address, err := w.listen(w.store)
 	if err != nil {
@@ -132,6 +137,8 @@
 	handler := &platformtest.Replica{ID: id, Runs: w.runs, Slots: replicaSlots}
 	r := &runningReplica{id: id, service: service, handler: handler}
 	handler.OnCrash = func() { w.crash(r) }
+	handler.SetBrittle(w.brittle[service])
+	handler.OnOverload = func() { w.fallOver(r) }
 	r.server = &http.Server{Handler: handler}
 	go r.server.Serve(listener)
 	if r.proxy, err = newProxy(listener.Addr().String()); err != nil {
@@ -180,6 +187,8 @@
 		w.pauseThen(e.lasts, func() { w.store.SetDelay(0) })
 	case storeRestore:
 		w.restoreStore(e)
+	case replicasBrittle:
+		w.makeBrittle(e)
 	case nodesCut:
 		w.cutNodes(e)
 	case configChange, revokeKey:
@@ -238,6 +247,8 @@
 	case replicaOneWay:
 		r.proxy.set(cutAnswers)
 		w.pauseThen(e.lasts, func() { r.proxy.set(pass); r.proxy.reset() })
+	case replicaSilent:
+		w.silence(r, e)
 	case replicaReset:
 		r.proxy.reset()
 	case replicaLimit:
