A node that lost its path to replicas does not report them as failing

Other nodes add a part of the failures that a node reports to the cost of a replica, so that they avoided replicas that were sound: a node that is cut off sees all that it tries fail. Its scores are reset when its path turns out to be lost.

--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -18,11 +18,18 @@
 		direct = replicaconn.TCPDial(replicaconn.DefaultDialTimeout)
 	}
 	return replicapath.NewDialer(replicapath.Options{
-		Direct: direct, Addresses: n.replicaAddresses, Helpers: n.replicaPathHelpers, OnLost: func() { n.conns.CloseIdle() },
+		Direct: direct, Addresses: n.replicaAddresses, Helpers: n.replicaPathHelpers, OnLost: n.onReplicaPathLost,
 		Rand: rand.New(rand.NewPCG(n.options.Seed, 6)), Log: n.log, Registry: n.registry,
 	})
 }
 
+// onReplicaPathLost drops what this node has learned from its own path: idle connections, and
+// failures, which other nodes would take for the replicas'.
+func (n *Node) onReplicaPathLost() {
+	n.conns.CloseIdle()
+	n.placer.ForgetFailures()
+}
+
 // setUpReplicaPath mounts the handler for other nodes' connections to replicas and lets this node
 // connect through them.
 func (n *Node) setUpReplicaPath() {
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -59,6 +59,18 @@
 	return list
 }
 
+// ForgetFailures resets the failure scores of all replicas, when the failures turn out to be of this
+// node's path to them.
+func (p *Placer) ForgetFailures() {
+	for _, u := range p.allUpstreams() {
+		u.mu.Lock()
+		for _, s := range u.all {
+			s.failureScore = 0
+		}
+		u.mu.Unlock()
+	}
+}
+
 func (u *upstream) loads(now time.Time, loads []Load) []Load {
 	u.mu.Lock()
 	defer u.mu.Unlock()
