A brittle replica's rest is not lost to a response that arrives at the same time

The rest was read before the table's lock was taken, so that a response without a refusal could write back the state of before. A repeated notice is recorded once a second only.

--- a/internal/brittle/table.go
+++ b/internal/brittle/table.go
@@ -13,6 +13,8 @@
 	// retention is how long a replica counts as brittle after it last said so. Brittle replicas say
 	// so in all their responses.
 	retention = 30 * time.Second
+	// refreshInterval is the interval at which a repeated notice is recorded.
+	refreshInterval = time.Second
 	// minRest and maxRest bound the time without requests after a refusal.
 	minRest = time.Second
 	maxRest = 30 * time.Second
@@ -36,6 +38,11 @@
 	RestUntil time.Time
 }
 
+// says reports whether the notice has just been recorded.
+func (s State) says(n Notice, now time.Time) bool {
+	return n.Brittle && n.RefusalsPerSecond == s.RefusalsPerSecond && now.Sub(s.SaidAt) < refreshInterval
+}
+
 // States are those of all brittle replicas, by process.
 type States map[replica.Process]State
 
@@ -76,16 +83,16 @@
 // Observe records a response of the process. refused is whether the replica refused the request.
 // It reports whether the process became brittle or ceased to be.
 func (t *Table) Observe(now time.Time, process replica.Process, n Notice, refused bool) bool {
-	before, known := t.Current()[process]
-	if !n.Brittle && !known {
+	if before, known := t.Current()[process]; !known && !n.Brittle || known && !refused && before.says(n, now) {
 		return false
 	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	before, known := t.Current()[process]
 	next := State{RefusalsPerSecond: n.RefusalsPerSecond, SaidAt: now, RestUntil: before.RestUntil}
 	if refused {
 		next.RestUntil = now.Add(rest(n.RefusalsPerSecond, t.nodes()))
 	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	states := maps.Clone(t.Current())
 	if states == nil {
 		states = make(States)
--- a/internal/brittle/table_test.go
+++ b/internal/brittle/table_test.go
@@ -1,6 +1,7 @@
 package brittle
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -71,6 +72,22 @@
 	}
 }
 
+func TestRestIsNotLostToResponsesAtTheSameTime(t *testing.T) {
+	now := time.Now()
+	for range 200 {
+		table := NewTable(func() int { return 7 })
+		table.Observe(now, process, bears(7), false)
+		var responses sync.WaitGroup
+		for i := range 8 {
+			responses.Go(func() { table.Observe(now.Add(time.Minute), process, bears(7), i == 0) })
+		}
+		responses.Wait()
+		if table.Current()[process].RestUntil.IsZero() {
+			t.Fatal("no rest after a refusal")
+		}
+	}
+}
+
 func TestReplicaThatBearsNoRefusalRestsLongest(t *testing.T) {
 	if got := rest(0, 7); got != maxRest {
 		t.Errorf("rest of %s, want %s", got, maxRest)
--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"math/rand/v2"
 
 	"galenatrestle/internal/replica"
@@ -64,7 +64,8 @@
 func (n *Node) probeReplica(ctx context.Context, r replica.Replica) error {
 	err := n.conns.Probe(ctx, r.ID, r.Address)
 	if err != nil && n.path.Check(ctx) {
-		return errors.Join(replicapath.ErrPathLost, errors.New(err.Error()))
+		// The error is not wrapped: ECONNREFUSED would mean that the replica ended.
+		return fmt.Errorf("%w: %v", replicapath.ErrPathLost, err)
 	}
 	return err
 }
