--- a/internal/replicapath/dialer_test.go
+++ b/internal/replicapath/dialer_test.go
@@ -293,6 +293,23 @@
 	})
 }
 
+// Guards against a cut that resets and refuses connections being taken for a crash of the replica.
+func TestCheckTellsALostPathFromAReplicaThatIsDown(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		n := newNetwork()
+		n.down["a"] = true
+		d := n.dialer()
+		if dialAll(t, d, "a") != 0 || d.Check(t.Context()) {
+			t.Error("the path counts as lost though only one replica is down")
+		}
+		n.setCut(true, false)
+		time.Sleep(minFailureCheckPause)
+		if !d.Check(t.Context()) {
+			t.Error("the path does not count as lost though no replica accepts connections")
+		}
+	})
+}
+
 func TestNodeThatReachesNoReplicaDoesNotConnectForOthers(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		n := newNetwork()
