Nodes connect for others to registered replicas only

A node that carries connections for others opened them to any address, so that who reaches a peer listener without keys could reach whatever the node reaches. A node that keeps all registrations now refuses other addresses. Dial is in its plain order, with no change of behaviour.

--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"slices"
 
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
@@ -33,11 +36,24 @@
 // setUpReplicaPath mounts the handler for other nodes' connections to replicas and lets this node
 // connect through them.
 func (n *Node) setUpReplicaPath() {
-	n.relays = replicapathrpc.NewServer(n.path.DialForNode, n.registry)
+	n.relays = replicapathrpc.NewServer(n.dialForNode, n.registry)
 	n.peers.Mount(n.relays.Handler())
 	n.path.SetDialThrough(replicapathrpc.NewClient(n.clients).DialThrough)
 }
 
+var errNotRegistered = errors.New("no replica is registered at the address")
+
+// dialForNode connects to a replica for another node. A node that keeps all registrations refuses
+// other addresses; one that keeps a part can't tell.
+func (n *Node) dialForNode(ctx context.Context, address string) (net.Conn, error) {
+	listing, _ := n.replicas.Latest()
+	isRegistered := slices.ContainsFunc(listing.Replicas, func(r replica.Replica) bool { return r.Address == address })
+	if listing.Zone == "" && !isRegistered {
+		return nil, errNotRegistered
+	}
+	return n.path.DialForNode(ctx, address)
+}
+
 // replicaAddresses returns the addresses of the replicas that this node may use.
 func (n *Node) replicaAddresses() []string {
 	listing, _ := n.replicas.Latest()
--- a/internal/replicapath/dialer.go
+++ b/internal/replicapath/dialer.go
@@ -59,24 +59,25 @@
 // SetDialThrough lets the dialer use other nodes. Call it before the first Dial.
 func (d *Dialer) SetDialThrough(dial DialThrough) { d.dialThrough = dial }
 
-// Dial opens a connection to a replica's address. It implements replicaconn.Dial.
+// Dial opens a connection to a replica's address, through another node while this one reaches no
+// replica and another one can help. It implements replicaconn.Dial.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	var direct error
-	if !d.Lost() {
-		var conn net.Conn
-		if conn, direct = d.dialDirect(ctx, address); direct == nil || ctx.Err() != nil || !d.loses(ctx, address) {
-			return conn, direct
+	if d.Lost() {
+		conn, err := d.dialThroughNode(ctx, address)
+		if errors.Is(err, errNoHelper) {
+			return d.dialDirect(ctx, address)
 		}
+		return conn, err
 	}
-	conn, err := d.dialThroughNode(ctx, address)
-	switch {
-	case !errors.Is(err, errNoHelper):
+	conn, err := d.dialDirect(ctx, address)
+	if err == nil || ctx.Err() != nil || !d.loses(ctx, address) {
 		return conn, err
-	case direct != nil:
-		return nil, direct
-	default:
-		return d.dialDirect(ctx, address)
 	}
+	conn, relayErr := d.dialThroughNode(ctx, address)
+	if errors.Is(relayErr, errNoHelper) {
+		return nil, err
+	}
+	return conn, relayErr
 }
 
 // dialDirect opens a direct connection whose traffic is recorded.
