A node that is leaving connects to replicas for others if no other can

Leaving nodes are now asked last. TestLeavingNodeHelpsIfNoOtherCan. The log of a path is an interface, for the product's own front.

--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -66,11 +66,11 @@
 	return addresses
 }
 
-// replicaPathHelpers returns up to count random nodes that are serving.
+// replicaPathHelpers returns up to count random nodes that may connect to replicas.
 func (n *Node) replicaPathHelpers(count int) []replicapath.Helper {
 	var helpers []replicapath.Helper
-	for _, other := range n.nodes.SampleServing(count, rand.IntN, n.options.Clock()) {
-		helpers = append(helpers, replicapath.Helper{Name: other.Name, Address: other.PeerAddress})
+	for _, other := range n.nodes.SampleReady(count, rand.IntN, n.options.Clock()) {
+		helpers = append(helpers, replicapath.Helper{Name: other.Name, Address: other.PeerAddress, Leaving: other.Leaving})
 	}
 	return helpers
 }
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -207,9 +207,10 @@
 	return n.list(func(r *record) bool { return r.serving(now) })
 }
 
-// SampleServing returns a uniform random sample of up to limit nodes that callers may be sent to.
-func (n *Nodes) SampleServing(limit int, intN func(int) int, now boottime.Instant) []Node {
-	return n.sample(limit, intN, func(r *record) bool { return r.serving(now) })
+// SampleReady returns a uniform random sample of up to limit nodes that are alive and ready, or
+// leaving.
+func (n *Nodes) SampleReady(limit int, intN func(int) int, now boottime.Instant) []Node {
+	return n.sample(limit, intN, func(r *record) bool { return r.alive(now) && (r.Ready || r.Leaving) })
 }
 
 // Alive returns the nodes that count as alive, ordered by name.
--- a/internal/replicapath/dialer.go
+++ b/internal/replicapath/dialer.go
@@ -15,18 +15,21 @@
 	"galenatrestle/internal/replicaconn"
 )
 
+// Log writes events. It must not block.
+type Log interface{ Write(eventlog.Event) }
+
 // Options configures a Dialer.
 type Options struct {
 	// Direct opens direct connections.
 	Direct replicaconn.Dial
 	// Addresses returns the addresses of the registered replicas.
 	Addresses func() []string
-	// Helpers returns up to n random other nodes that are serving.
+	// Helpers returns up to n random other nodes that are ready or leaving.
 	Helpers func(n int) []Helper
 	// OnLost is called when the path is lost; may be nil.
 	OnLost   func()
 	Rand     *rand.Rand
-	Log      *eventlog.Log
+	Log      Log
 	Registry prometheus.Registerer
 }
 
--- a/internal/replicapath/helper.go
+++ b/internal/replicapath/helper.go
@@ -5,4 +5,6 @@
 	Name string
 	// Address is its peer address.
 	Address string
+	// Leaving nodes are asked last: their connections may end with them.
+	Leaving bool
 }
--- a/internal/replicapath/helpers.go
+++ b/internal/replicapath/helpers.go
@@ -26,8 +26,8 @@
 	unable map[string]time.Time
 }
 
-// next returns the nodes to try for one connection, in random order. draw returns up to n random
-// nodes that are serving.
+// next returns the nodes to try for one connection, in random order, leaving ones last. draw returns
+// up to n random nodes.
 func (h *helpers) next(now time.Time, random *rand.Rand, draw func(n int) []Helper) []Helper {
 	for name, until := range h.unable {
 		if !now.Before(until) {
@@ -41,9 +41,17 @@
 	}
 	order := slices.Clone(h.current)
 	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
+	slices.SortStableFunc(order, func(a, b Helper) int { return leavingLast(a) - leavingLast(b) })
 	return order[:min(len(order), maxHelperTries)]
 }
 
+func leavingLast(h Helper) int {
+	if h.Leaving {
+		return 1
+	}
+	return 0
+}
+
 func (h *helpers) isUnable(helper Helper) bool {
 	_, unable := h.unable[helper.Name]
 	return unable
