A crash that another node met is not taken for a lost path

While a node's path is lost it probes a replica whose connection broke through another node, which said that the replica refused; the node then dismissed that as a fault of its own path (crash_not_confirmed, 'connect to ... through ...'). What another node met now counts.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -173,9 +173,10 @@
 
 // newHandler returns the handler for callers' requests.
 func (n *Node) newHandler(tracker *quarantine.Tracker) *passthrough.Handler {
+	probe := func(ctx context.Context, r replica.Replica) error { return probeReplica(ctx, n.conns, n.path, r) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, n.probeReplica, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Brittle: n.brittle, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Brittle: n.brittle, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(),
 	})
 	return passthrough.New(passthrough.Options{
--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -75,11 +75,12 @@
 	return helpers
 }
 
-// probeReplica connects to a replica whose connection broke. A node that reaches no replica at all
-// learns nothing of this one.
-func (n *Node) probeReplica(ctx context.Context, r replica.Replica) error {
-	err := n.conns.Probe(ctx, r.ID, r.Address)
-	if err != nil && n.path.Check(ctx) {
+// probeReplica connects to a replica whose connection broke. Where the node reaches no replica at all,
+// only what another node met tells something of this one.
+func probeReplica(ctx context.Context, conns *replicaconn.Pool, path *replicapath.Dialer, r replica.Replica) error {
+	err := conns.Probe(ctx, r.ID, r.Address)
+	var relayed *replicapath.RelayError
+	if err != nil && !errors.As(err, &relayed) && path.Check(ctx) {
 		// The error is not wrapped: ECONNREFUSED would mean that the replica ended.
 		return fmt.Errorf("%w: %v", replicapath.ErrPathLost, err)
 	}
--- a/internal/replicapath/replicapathrpc/client.go
+++ b/internal/replicapath/replicapathrpc/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net"
 	"os"
 	"syscall"
@@ -31,7 +30,7 @@
 	}
 	if err != nil {
 		endStream(stream, cancel)
-		return nil, fmt.Errorf("connect to %s through %s: %w", address, helper.Name, err)
+		return nil, &replicapath.RelayError{Address: address, Helper: helper.Name, Err: err}
 	}
 	return newConn(stream, cancel, helper.Name, address), nil
 }
--- a/internal/replicapath/replicapathrpc/conn_test.go
+++ b/internal/replicapath/replicapathrpc/conn_test.go
@@ -149,8 +149,10 @@
 	} {
 		l := newLink(t)
 		l.dialErr = test.dialErr
-		if _, err := l.client.DialThrough(t.Context(), l.helper, l.replica.Addr().String()); !errors.Is(err, test.want) {
-			t.Errorf("%s: error %v, want %v", name, err, test.want)
+		_, err := l.client.DialThrough(t.Context(), l.helper, l.replica.Addr().String())
+		var relayed *replicapath.RelayError
+		if !errors.Is(err, test.want) || !errors.As(err, &relayed) || relayed.Helper != l.helper.Name {
+			t.Errorf("%s: error %v, want %v met by %s", name, err, test.want, l.helper.Name)
 		}
 	}
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -50,6 +50,9 @@
 	{Seed: 62001, Nodes: 4, Callers: 6, Length: 12 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1},
 	// All that befalls replicas and the ways to them: nodes cut off, brittle and silent replicas.
 	{Seed: 71001, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Cuts: 1, Brittle: 1, Silences: 3},
+	// Nodes that were cut off did not count crashes that other nodes had met for them, and did not ask
+	// the only node with a path to replicas while it was stopping.
+	{Seed: 71026, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 3},
 }
 
 func TestSeeds(t *testing.T) {
