The product's own front connects through other nodes as well

Its clients of engines and services now dial by replicapath too, and nodes connect for each other to configured replicas only.

--- a/internal/embedded/deployment.go
+++ b/internal/embedded/deployment.go
@@ -106,6 +106,9 @@
 		Registry:         prometheus.NewRegistry(),
 		Log:              d.options.Log.WithField("node", name),
 	}
+	if d.options.DialReplica != nil {
+		options.DialReplica = d.options.DialReplica(i)
+	}
 	d.links = append(d.links, link.Addr().String())
 	if i == 0 {
 		options.Ops, err = listen(d.options.OpsPort, 0)
--- a/internal/embedded/options.go
+++ b/internal/embedded/options.go
@@ -11,6 +11,7 @@
 
 	"galenatrestle/internal/config"
 	"galenatrestle/internal/platform/memstore"
+	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/standin/engine"
 	"galenatrestle/internal/standin/service"
 )
@@ -51,6 +52,8 @@
 	OpsPort int
 	// KeepTime is how long a leaving node keeps its listener open. Default 100 ms.
 	KeepTime time.Duration
+	// DialReplica returns what opens the node's direct connections to replicas; nil: TCP.
+	DialReplica func(node int) replicaconn.Dial
 	// OwnSlots has each node use the replicas as if it were alone.
 	OwnSlots bool
 	// Seed feeds all random sources. Default 1.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	engines   *upstream.Engine
 	services  *upstream.Service
 	members   *members
+	path      *replicaPath
 	sync      *configuration
 	duties    *budget.Counters
 	peers     *peers
@@ -47,13 +48,14 @@
 	n := &Node{
 		options:  options,
 		dispatch: dispatch.New(options.AvailabilityZone, options.Seed),
-		services: upstream.NewService(upstream.Options{}),
 	}
 	n.peers = newPeers(options)
 	n.members = newMembers(options, n.peers, n.dispatch)
 	n.duties = newDutyCounters(options)
 	n.sync = newConfiguration(n)
-	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused})
+	n.path = newReplicaPath(n)
+	n.engines = upstream.NewEngine(upstream.Options{Refused: n.members.refused, Dial: n.path.dialer.Dial})
+	n.services = upstream.NewService(upstream.Options{Dial: n.path.dialer.Dial})
 	n.answers = newAnswers(options, n.members.runner, n.peers)
 	n.claims = newClaims(options, n.members.runner, n.peers)
 	n.credits = newCredits(options, n.members.runner, n.peers, n.dispatch)
@@ -104,6 +106,7 @@
 	n.serve("ops", n.options.Ops, n.opsHandler())
 	n.servePeers()
 	n.members.start()
+	n.path.start()
 	n.answers.start()
 	n.sync.start()
 	n.claims.start()
@@ -154,6 +157,7 @@
 	n.answers.close()
 	n.credits.close()
 	n.quotas.close()
+	n.path.close()
 	n.members.close()
 	n.peers.close()
 	n.dispatch.Close()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -10,7 +10,9 @@
 	"galenatrestle/internal/gateway"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/platform"
+	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/settings"
+	"galenatrestle/internal/upstream"
 )
 
 // Options are what a Node is created with.
@@ -54,6 +56,8 @@
 	// Home says whether this data centre serves an upstream for a workspace as
 	// long as no move says otherwise. Default: always.
 	Home func(upstream, workspace string) bool
+	// DialReplica opens direct connections to replicas; nil: TCP.
+	DialReplica replicaconn.Dial
 	// KeepTime is how long a leaving node keeps its listener open, so that
 	// callers who hold its address still reach it. Default: the entry TTL and
 	// a second.
@@ -76,6 +80,9 @@
 	if o.Home == nil {
 		o.Home = func(string, string) bool { return true }
 	}
+	if o.DialReplica == nil {
+		o.DialReplica = upstream.TCPDial(upstream.DefaultDialTimeout)
+	}
 	if o.KeepTime == 0 {
 		o.KeepTime = defaultKeepTime
 	}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"net"
 	"net/http"
 	"time"
@@ -24,6 +25,8 @@
 type Options struct {
 	// DialTimeout bounds the setting up of a connection.
 	DialTimeout time.Duration
+	// Dial opens connections; nil: TCP with DialTimeout.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// IdlePerAddress is the most idle connections kept to one address.
 	IdlePerAddress int
 	// IdleTimeout is how long an idle connection is kept.
@@ -58,13 +61,24 @@
 	return o
 }
 
+// TCPDial returns a function that opens TCP connections to upstreams.
+func TCPDial(timeout time.Duration) func(ctx context.Context, address string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: timeout, KeepAlive: keepAliveProbeInterval}
+	return func(ctx context.Context, address string) (net.Conn, error) {
+		return dialer.DialContext(ctx, "tcp", address)
+	}
+}
+
 // newTransport returns a transport without proxies, compression or HTTP/2.
 func newTransport(o Options) *http.Transport {
-	dialer := &net.Dialer{Timeout: o.DialTimeout, KeepAlive: keepAliveProbeInterval}
+	dial := o.Dial
+	if dial == nil {
+		dial = TCPDial(o.DialTimeout)
+	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: o.IdlePerAddress,
 		IdleConnTimeout:     o.IdleTimeout,
