--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -117,7 +117,7 @@
 
 // Brittle replicas that were full were sent more requests, which they refused until they ended.
 func TestNodesDoNotOverloadBrittleReplicas(t *testing.T) {
-	playWithoutFaults(t, Options{Nodes: 5, Callers: 40, Length: brittleLasts, extra: []event{{kind: replicasBrittle, lasts: brittleLasts}}})
+	playWithoutFaults(t, Options{Nodes: 5, Callers: 34, Length: brittleLasts, extra: []event{{kind: replicasBrittle, lasts: brittleLasts}}})
 }
 
 func TestTheJudgeSeesBrittleReplicasThatFall(t *testing.T) {
