One start of a soak's node, for its tests and by hand

The soak's tests and trestle-load soak-node each built the gate before replica connections, and soak-node had the signals and the start of trestled once more. No behaviour changes.

--- a/internal/command/trestled/main.go
+++ b/internal/command/trestled/main.go
@@ -43,11 +43,16 @@
 		kong.Description(description),
 		kong.Vars{"version": version.String()},
 	)
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	if cli.Check {
 		parser.FatalIfErrorf(daemon.Check(cli.Settings))
 		return
 	}
-	parser.FatalIfErrorf(daemon.Run(ctx, daemon.Options{SettingsPath: cli.Settings, Stdout: os.Stdout, Stderr: os.Stderr, DialReplica: dialReplica}))
+	parser.FatalIfErrorf(Serve(cli.Settings, dialReplica))
+}
+
+// Serve serves by the settings file until SIGTERM or SIGINT, with dialReplica as for Run.
+func Serve(settingsPath string, dialReplica replicaconn.Dial) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return daemon.Run(ctx, daemon.Options{SettingsPath: settingsPath, Stdout: os.Stdout, Stderr: os.Stderr, DialReplica: dialReplica})
 }
--- a/internal/command/trestleload/soaknode.go
+++ b/internal/command/trestleload/soaknode.go
@@ -1,13 +1,7 @@
 package trestleload
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
-
-	"galenatrestle/internal/daemon"
-	"galenatrestle/internal/replicaconn"
+	"galenatrestle/internal/command/trestled"
 	"galenatrestle/internal/soak/pathfault"
 )
 
@@ -20,9 +14,4 @@
 }
 
 // Run implements the subcommand.
-func (c *soakNodeCommand) Run() error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	gate := pathfault.NewGate(os.Getenv(pathfault.FileVariable), replicaconn.TCPDial(replicaconn.DefaultDialTimeout))
-	return daemon.Run(ctx, daemon.Options{SettingsPath: c.Settings, Stdout: os.Stdout, Stderr: os.Stderr, DialReplica: gate.Dial})
-}
+func (c *soakNodeCommand) Run() error { return trestled.Serve(c.Settings, pathfault.Dial()) }
--- a/internal/soak/pathfault/conn.go
+++ b/internal/soak/pathfault/conn.go
@@ -6,10 +6,10 @@
 	"time"
 )
 
-// conn is a connection through a Gate.
+// conn is a connection through a gate.
 type conn struct {
 	*net.TCPConn
-	gate      *Gate
+	gate      *gate
 	hangOnce  sync.Once
 	hanging   chan struct{}
 	closeOnce sync.Once
@@ -75,7 +75,7 @@
 	_ = c.Close()
 }
 
-func (g *Gate) forget(c *conn) {
+func (g *gate) forget(c *conn) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	delete(g.conns, c)
--- a/internal/soak/pathfault/gate.go
+++ b/internal/soak/pathfault/gate.go
@@ -19,8 +19,8 @@
 	hangTimeout = 3 * time.Second
 )
 
-// Gate applies the fault to connections. It is safe for concurrent use.
-type Gate struct {
+// gate applies the fault to connections. It is safe for concurrent use.
+type gate struct {
 	path string
 	dial replicaconn.Dial
 
@@ -29,15 +29,17 @@
 	conns map[*conn]bool
 }
 
-// NewGate returns a gate in front of dial that follows the file for the rest of the process. A
-// file that does not exist means None.
-func NewGate(path string, dial replicaconn.Dial) *Gate {
-	g := &Gate{path: path, dial: dial, conns: make(map[*conn]bool)}
+// Dial returns a function that opens TCP connections to replicas as the file that FileVariable names
+// has it, for the rest of the process. A file that does not exist means None.
+func Dial() replicaconn.Dial {
+	g := &gate{
+		path: os.Getenv(FileVariable), dial: replicaconn.TCPDial(replicaconn.DefaultDialTimeout), conns: make(map[*conn]bool),
+	}
 	go g.follow()
-	return g
+	return g.open
 }
 
-func (g *Gate) follow() {
+func (g *gate) follow() {
 	for range time.Tick(pollInterval) {
 		content, err := os.ReadFile(g.path)
 		if err != nil {
@@ -48,7 +50,7 @@
 }
 
 // set applies the fault to open connections.
-func (g *Gate) set(f Fault) {
+func (g *gate) set(f Fault) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if f == g.fault {
@@ -60,14 +62,14 @@
 	}
 }
 
-func (g *Gate) current() Fault {
+func (g *gate) current() Fault {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.fault
 }
 
-// Dial opens a connection unless the fault prevents it. It implements replicaconn.Dial.
-func (g *Gate) Dial(ctx context.Context, address string) (net.Conn, error) {
+// open opens a connection unless the fault prevents it.
+func (g *gate) open(ctx context.Context, address string) (net.Conn, error) {
 	switch g.current() {
 	case Hang:
 		ctx, cancel := context.WithTimeout(ctx, replicaconn.DefaultDialTimeout)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"galenatrestle/internal/command/trestled"
-	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/soak/pathfault"
 	"galenatrestle/platform/platformtest"
 )
@@ -20,8 +19,7 @@
 
 func TestMain(m *testing.M) {
 	if os.Getenv(asProgram) != "" {
-		gate := pathfault.NewGate(os.Getenv(pathfault.FileVariable), replicaconn.TCPDial(replicaconn.DefaultDialTimeout))
-		trestled.Run(gate.Dial)
+		trestled.Run(pathfault.Dial())
 		return
 	}
 	os.Exit(m.Run())
