One check of the addresses that nodes connect to for each other

Both fronts wrapped DialForNode in a check of their own with an error of its own; the dialer now asks its options and returns ErrNoReplica. A check of the path lists the replicas only if it is not answered by one that has just ended, and outside the lock; the two orders that put failed replicas and leaving nodes last are one function. No behaviour changes.

--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"slices"
 
 	"galenatrestle/internal/replica"
@@ -21,7 +20,7 @@
 		direct = replicaconn.TCPDial(replicaconn.DefaultDialTimeout)
 	}
 	return replicapath.NewDialer(replicapath.Options{
-		Direct: direct, Addresses: n.replicaAddresses, Helpers: n.replicaPathHelpers, OnLost: n.onReplicaPathLost,
+		Direct: direct, Addresses: n.replicaAddresses, MayConnect: n.mayBeReplica, Helpers: n.replicaPathHelpers, OnLost: n.onReplicaPathLost,
 		Rand: rand.New(rand.NewPCG(n.options.Seed, 6)), Log: n.log, Registry: n.registry,
 	})
 }
@@ -36,22 +35,16 @@
 // setUpReplicaPath mounts the handler for other nodes' connections to replicas and lets this node
 // connect through them.
 func (n *Node) setUpReplicaPath() {
-	n.relays = replicapathrpc.NewServer(n.dialForNode, n.registry)
+	n.relays = replicapathrpc.NewServer(n.path.DialForNode, n.registry)
 	n.peers.Mount(n.relays.Handler())
 	n.path.SetDialThrough(replicapathrpc.NewClient(n.clients).DialThrough)
 }
 
-var errNotRegistered = errors.New("no replica is registered at the address")
-
-// dialForNode connects to a replica for another node. A node that keeps all registrations refuses
-// other addresses; one that keeps a part can't tell.
-func (n *Node) dialForNode(ctx context.Context, address string) (net.Conn, error) {
+// mayBeReplica reports whether a replica may be registered at the address. A node that keeps only a
+// part of the registrations can't tell.
+func (n *Node) mayBeReplica(address string) bool {
 	listing, _ := n.replicas.Latest()
-	isRegistered := slices.ContainsFunc(listing.Replicas, func(r replica.Replica) bool { return r.Address == address })
-	if listing.Zone == "" && !isRegistered {
-		return nil, errNotRegistered
-	}
-	return n.path.DialForNode(ctx, address)
+	return listing.Zone != "" || slices.ContainsFunc(listing.Replicas, func(r replica.Replica) bool { return r.Address == address })
 }
 
 // replicaAddresses returns the addresses of the replicas that this node may use.
--- a/internal/edge/replicapath_test.go
+++ b/internal/edge/replicapath_test.go
@@ -19,7 +19,7 @@
 	d := newDeployment(t)
 	d.waitUntilAllReady()
 	n := d.nodes[0]
-	conn, err := n.dialForNode(t.Context(), d.replica("i-1").Address)
+	conn, err := n.path.DialForNode(t.Context(), d.replica("i-1").Address)
 	if err != nil {
 		t.Fatalf("a registered replica: %v", err)
 	}
@@ -29,8 +29,8 @@
 		t.Fatal(err)
 	}
 	defer listener.Close()
-	if _, err := n.dialForNode(t.Context(), listener.Addr().String()); !errors.Is(err, errNotRegistered) {
-		t.Errorf("another address: error %v, want %v", err, errNotRegistered)
+	if _, err := n.path.DialForNode(t.Context(), listener.Addr().String()); !errors.Is(err, replicapath.ErrNoReplica) {
+		t.Errorf("another address: error %v, want %v", err, replicapath.ErrNoReplica)
 	}
 }
 
--- a/internal/node/replicapath.go
+++ b/internal/node/replicapath.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
-	"net"
 	"slices"
 	"sync"
 
@@ -32,10 +30,10 @@
 func newReplicaPath(n *Node) *replicaPath {
 	p := &replicaPath{node: n}
 	p.dialer = replicapath.NewDialer(replicapath.Options{
-		Direct: n.options.DialReplica, Addresses: p.addresses, Helpers: p.helpers, OnLost: p.closeIdle,
+		Direct: n.options.DialReplica, Addresses: p.addresses, MayConnect: p.isReplica, Helpers: p.helpers, OnLost: p.closeIdle,
 		Rand: rand.New(rand.NewPCG(n.options.Seed, pathStream)), Log: pathLog{n.options.Log}, Registry: n.options.Registry,
 	})
-	n.peers.server.Mount(replicapathrpc.NewServer(p.dialForNode, n.options.Registry).Handler())
+	n.peers.server.Mount(replicapathrpc.NewServer(p.dialer.DialForNode, n.options.Registry).Handler())
 	p.dialer.SetDialThrough(replicapathrpc.NewClient(n.peers.clients).DialThrough)
 	return p
 }
@@ -88,15 +86,8 @@
 	return helpers[:min(len(helpers), count)]
 }
 
-var errNotConfigured = errors.New("no replica is configured at the address")
-
-// dialForNode connects to a configured replica for another node.
-func (p *replicaPath) dialForNode(ctx context.Context, address string) (net.Conn, error) {
-	if !slices.Contains(p.addresses(), address) {
-		return nil, errNotConfigured
-	}
-	return p.dialer.DialForNode(ctx, address)
-}
+// isReplica reports whether a replica is configured at the address.
+func (p *replicaPath) isReplica(address string) bool { return slices.Contains(p.addresses(), address) }
 
 // pathLog writes events to the node's log.
 type pathLog struct{ log logrus.FieldLogger }
--- a/internal/replicapath/dialer.go
+++ b/internal/replicapath/dialer.go
@@ -5,7 +5,6 @@
 	"errors"
 	"math/rand/v2"
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -22,8 +21,11 @@
 type Options struct {
 	// Direct opens direct connections.
 	Direct replicaconn.Dial
-	// Addresses returns the addresses of the registered replicas.
+	// Addresses returns the addresses of the replicas that this node may use, in a new slice.
 	Addresses func() []string
+	// MayConnect reports whether other nodes may be connected to the address, as it may be that of a
+	// replica.
+	MayConnect func(address string) bool
 	// Helpers returns up to n random other nodes that are ready or leaving.
 	Helpers func(n int) []Helper
 	// OnLost is called when the path is lost; may be nil.
@@ -157,11 +159,11 @@
 	defer d.checking.Unlock()
 	d.mu.Lock()
 	checkedMeanwhile, lost := d.monitor.checkedAt.After(began), d.monitor.isLost()
-	probed := d.replicasToProbe()
 	d.mu.Unlock()
 	if checkedMeanwhile {
 		return lost
 	}
+	probed := d.replicasToProbe()
 	err := d.probe(ctx, probed)
 	if ctx.Err() != nil {
 		return d.Lost()
@@ -194,24 +196,15 @@
 	return err != nil
 }
 
-// replicasToProbe returns random replicas, those that failed last only if there are no others.
-// The lock is held.
+// replicasToProbe returns random replicas, those that failed only if there are no others.
 func (d *Dialer) replicasToProbe() []string {
-	addresses := slices.Clone(d.options.Addresses())
-	d.options.Rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
-	slices.SortStableFunc(addresses, func(a, b string) int {
-		return countFailed(d.monitor.failed[a]) - countFailed(d.monitor.failed[b])
-	})
+	addresses := d.options.Addresses()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	shuffleLast(d.options.Rand, addresses, func(address string) bool { return d.monitor.failed[address] })
 	return addresses[:min(len(addresses), checkedReplicas)]
 }
 
-func countFailed(failed bool) int {
-	if failed {
-		return 1
-	}
-	return 0
-}
-
 // probe connects to all addresses at once. It returns nil once one of the connections succeeded,
 // or else one of the errors.
 func (d *Dialer) probe(ctx context.Context, addresses []string) error {
--- a/internal/replicapath/dialer_test.go
+++ b/internal/replicapath/dialer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -106,6 +107,8 @@
 	return drawn
 }
 
+func (n *network) isReplica(address string) bool { return slices.Contains(n.addresses, address) }
+
 func newNetwork() *network {
 	return &network{
 		addresses: []string{"a", "b", "c", "d"}, down: make(map[string]bool),
@@ -115,7 +118,7 @@
 
 func (n *network) dialer() *Dialer {
 	d := NewDialer(Options{
-		Direct: n.dial, Addresses: func() []string { return n.addresses }, Helpers: n.drawHelpers,
+		Direct: n.dial, Addresses: func() []string { return slices.Clone(n.addresses) }, MayConnect: n.isReplica, Helpers: n.drawHelpers,
 		Rand: rand.New(rand.NewPCG(1, 1)), Log: eventlog.New(io.Discard, "vm-1"), Registry: prometheus.NewRegistry(),
 	})
 	d.SetDialThrough(n.dialThrough)
--- a/internal/replicapath/errors.go
+++ b/internal/replicapath/errors.go
@@ -8,6 +8,8 @@
 var (
 	// ErrPathLost means that a node reaches no replica.
 	ErrPathLost = errors.New("the node reaches no replica")
+	// ErrNoReplica means that no replica is known at an address.
+	ErrNoReplica = errors.New("no replica is known at the address")
 	// ErrUnreachable means that another node could not connect to the replica.
 	ErrUnreachable = errors.New("another node could not connect to the replica")
 
--- a/internal/replicapath/helpers.go
+++ b/internal/replicapath/helpers.go
@@ -40,18 +40,10 @@
 		h.current, h.drawnAt = able[:min(len(able), maxHelpers)], now
 	}
 	order := slices.Clone(h.current)
-	random.Shuffle(len(order), func(i, j int) { order[i], order[j] = order[j], order[i] })
-	slices.SortStableFunc(order, func(a, b Helper) int { return leavingLast(a) - leavingLast(b) })
+	shuffleLast(random, order, func(helper Helper) bool { return helper.Leaving })
 	return order[:min(len(order), maxHelperTries)]
 }
 
-func leavingLast(h Helper) int {
-	if h.Leaving {
-		return 1
-	}
-	return 0
-}
-
 func (h *helpers) isUnable(helper Helper) bool {
 	_, unable := h.unable[helper.Name]
 	return unable
--- a/internal/replicapath/relay.go
+++ b/internal/replicapath/relay.go
@@ -40,8 +40,11 @@
 }
 
 // DialForNode opens a direct connection for another node that reaches no replica. It returns
-// ErrPathLost if this node reaches none either.
+// ErrNoReplica if there is none at the address, and ErrPathLost if this node reaches none either.
 func (d *Dialer) DialForNode(ctx context.Context, address string) (net.Conn, error) {
+	if !d.options.MayConnect(address) {
+		return nil, ErrNoReplica
+	}
 	if d.Lost() {
 		return nil, ErrPathLost
 	}
