Brittle replicas' rests, carried connections and owed calls are each asked in one place

Whether a brittle replica rests was worked out in forward and twice in placement, beside pause.Pauses.End; States.RestEnd tells it as that does. The two optional methods of a connection through another node are one interface. The soak's two judges of served calls share which calls are owed. No behaviour changes.

--- a/internal/brittle/doc.go
+++ b/internal/brittle/doc.go
@@ -2,6 +2,7 @@
 // refuse too many requests in a second for want of room.
 //
 // A node uses no more than its share of the slots of a brittle replica, nor any while all are taken by
-// the loads that all nodes report, and after a refusal it leaves the replica alone for so long that all nodes together stay within
-// the refusals that it bears. State is in memory and bounded by the replicas that are brittle.
+// the loads that all nodes report. After a refusal it leaves the replica alone for so long that all
+// nodes together stay within the refusals that it bears. State is in memory and bounded by the replicas
+// that are brittle.
 package brittle
--- a/internal/brittle/table.go
+++ b/internal/brittle/table.go
@@ -55,6 +55,15 @@
 	return state, known && now.Sub(state.SaidAt) < retention
 }
 
+// RestEnd returns when the time without requests to the replica ends. A time in the past means that
+// there is none.
+func (s States) RestEnd(r *replica.Replica, now time.Time) time.Time {
+	if state, isBrittle := s.Of(r, now); isBrittle {
+		return state.RestUntil
+	}
+	return time.Time{}
+}
+
 // Table is the states of all brittle replicas. It is safe for concurrent use.
 type Table struct {
 	// nodes returns the number of nodes that may send requests.
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -19,25 +19,19 @@
 
 // unusable returns why the chosen replica must get no request after all, or nil.
 func (f *Forwarder) unusable(r *replica.Replica) error {
+	now := time.Now()
 	switch {
 	case !f.options.Replicas.Usable(r.ID):
 		return errDraining
-	case f.options.Pauses.Current().End(r).After(time.Now()):
+	case f.options.Pauses.Current().End(r).After(now):
 		return errReplicaPaused
-	case f.rests(r):
+	case f.options.Brittle.Current().RestEnd(r, now).After(now):
 		return errReplicaRests
 	default:
 		return nil
 	}
 }
 
-// rests reports whether a brittle replica is left alone after a refusal.
-func (f *Forwarder) rests(r *replica.Replica) bool {
-	now := time.Now()
-	state, isBrittle := f.options.Brittle.Current().Of(r, now)
-	return isBrittle && state.RestUntil.After(now)
-}
-
 var errReplicaRests = errors.New("brittle replica refused a request")
 
 var errReplicaPaused = errors.New("replica asked for a pause")
--- a/internal/placement/restrictions.go
+++ b/internal/placement/restrictions.go
@@ -107,9 +107,8 @@
 
 // fullUntil returns when a brittle replica that is full may have room.
 func (r *restrictions) fullUntil(s *replicaState) time.Time {
-	state, _ := r.brittleStates.Of(&s.replica, r.now)
-	if state.RestUntil.After(r.now) {
-		return state.RestUntil
+	if end := r.brittleStates.RestEnd(&s.replica, r.now); end.After(r.now) {
+		return end
 	}
 	return r.now.Add(fullRecheck)
 }
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -43,8 +43,8 @@
 
 // Via returns the name of the node that the connection goes through; empty for a direct one.
 func (c *Conn) Via() string {
-	if relayed, ok := c.netConn.(interface{ Via() string }); ok {
-		return relayed.Via()
+	if through, ok := c.netConn.(throughNode); ok {
+		return through.Via()
 	}
 	return ""
 }
--- a/internal/replicaconn/quiet.go
+++ b/internal/replicaconn/quiet.go
@@ -10,8 +10,8 @@
 // openAndEmpty reports whether an idle connection is still open and has no unread data.
 // Otherwise a new request could be lost or get the response to an earlier one.
 func openAndEmpty(conn net.Conn) bool {
-	if relayed, ok := conn.(interface{ OpenAndEmpty() bool }); ok {
-		return relayed.OpenAndEmpty()
+	if through, ok := conn.(throughNode); ok {
+		return through.OpenAndEmpty()
 	}
 	raw, ok := conn.(syscall.Conn)
 	if !ok {
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -103,9 +103,7 @@
 	}
 }
 
-// isExcused reports whether the call need not be served: its key was revoked, it ends replicas, or
-// its node's process was disturbed.
+// isExcused reports whether the call need not be served, or its node's process was disturbed.
 func (w *world) isExcused(s *sent) bool {
-	_, revoked := w.revoked[s.key]
-	return revoked || isCrashing(s) || w.disturbedBetween(s.entry, s.at.Add(-cutStable), s.at)
+	return !w.isOwed(s) || w.disturbedBetween(s.entry, s.at.Add(-cutStable), s.at)
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -112,7 +112,7 @@
 func (w *world) judgeRecovery(calls []*sent) {
 	asked, served := 0, 0
 	for _, s := range calls {
-		if _, revoked := w.revoked[s.key]; revoked || isCrashing(s) || s.at.Before(w.disturbedAt.Add(recovery)) {
+		if !w.isOwed(s) || s.at.Before(w.disturbedAt.Add(recovery)) {
 			continue
 		}
 		asked++
@@ -125,6 +125,12 @@
 	}
 }
 
+// isOwed reports whether the call is to be served: its key is valid, and it does not end replicas.
+func (w *world) isOwed(s *sent) bool {
+	_, revoked := w.revoked[s.key]
+	return !revoked && !isCrashing(s)
+}
+
 // judgeDuties checks what the holders of the duties told the platform: by the rules of
 // fences, and that windows are reported again once all faults are over.
 func (w *world) judgeDuties() {
