The soak's judges of rates and of the retry limit count windows in one way

judgeLimit had a sliding count of its own beside countWithin, which the retry limit uses. Both use countWithin now, with their window; the bounds and what is reported are the same. It needs times in order, so that repeats are put in order as requests were: two arrivals that were noted the other way round could have been counted in the wrong window.

--- a/internal/soak/limits.go
+++ b/internal/soak/limits.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"slices"
 	"time"
 
 	"galenatrestle/platform/platformtest"
@@ -75,14 +76,12 @@
 
 // judgeLimit reports the fullest window.
 func (w *world) judgeLimit(l *rateLimit, counted []time.Time) {
-	first, most := 0, 0
+	most := 0
 	var at time.Time
-	for last, arrived := range counted {
-		for arrived.Sub(counted[first]) >= rateWindow {
-			first++
-		}
-		if n := last - first + 1; n > most {
-			most, at = n, arrived
+	slices.SortFunc(counted, time.Time.Compare)
+	for i, from := range counted {
+		if n := countWithin(counted, from, rateWindow); n > most {
+			most, at = n, counted[i+n-1]
 		}
 	}
 	if float64(most) > l.allowed() {
--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -47,10 +47,11 @@
 // judgeRetryWindows reports the first window with more repeats than allowed for the requests of
 // that window, the one before it or one half of each, whichever has most.
 func (w *world) judgeRetryWindows(service string, repeats, requests []time.Time) {
+	slices.SortFunc(repeats, time.Time.Compare)
 	slices.SortFunc(requests, time.Time.Compare)
 	for _, from := range repeats {
-		count := countWithin(repeats, from)
-		recent := max(countWithin(requests, from), countWithin(requests, from.Add(-retryWindow/2)), countWithin(requests, from.Add(-retryWindow)))
+		count := countWithin(repeats, from, retryWindow)
+		recent := max(countWithin(requests, from, retryWindow), countWithin(requests, from.Add(-retryWindow/2), retryWindow), countWithin(requests, from.Add(-retryWindow), retryWindow))
 		if allowed := retryRatio*float64(recent) + retryPer10s; float64(count) > allowed {
 			w.violate("service %s got %d requests again in %s, for %d requests; allowed %.0f", service, count, retryWindow, recent, allowed)
 			return
@@ -59,8 +60,8 @@
 }
 
 // countWithin counts the times, in their order, of the window that begins at from.
-func countWithin(times []time.Time, from time.Time) int {
+func countWithin(times []time.Time, from time.Time, window time.Duration) int {
 	first, _ := slices.BinarySearchFunc(times, from, time.Time.Compare)
-	end, _ := slices.BinarySearchFunc(times, from.Add(retryWindow), time.Time.Compare)
+	end, _ := slices.BinarySearchFunc(times, from.Add(window), time.Time.Compare)
 	return end - first
 }
