--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -50,6 +50,9 @@
 	if c.Cuts < 0 || c.Brittle < 0 || c.Silences < 0 {
 		return fmt.Errorf("--cuts %d, --brittle %d and --silences %d must not be below zero", c.Cuts, c.Brittle, c.Silences)
 	}
+	if c.Cuts > 0 && c.Nodes < 2 {
+		return fmt.Errorf("--cuts %d needs --nodes of 2 or more, not %d: one node is never cut off", c.Cuts, c.Nodes)
+	}
 	program, err := c.program()
 	if err != nil {
 		return err
