--- a/internal/edge/events.go
+++ b/internal/edge/events.go
@@ -81,7 +81,7 @@
 func (e *replicaChanged) Fields() eventlog.Fields {
 	r := e.change.Replica
 	return eventlog.Fields{
-		"replica": r.ID, "upstream": r.Upstream, "address": r.Address, "state": e.change.Kind,
+		"replica": r.ID, "upstream": r.Upstream, "address": r.Address, "version": r.Version, "state": e.change.Kind,
 		"revision": e.revision, "age_ms": e.age.Milliseconds(),
 	}
 }
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -39,6 +39,7 @@
 	headers            ResponseHeaders
 	sentAt             boottime.Instant
 	gotForeignResponse bool
+	receivedEvents     bool
 	idleTimedOut       atomic.Bool
 	// idleTimer aborts the attempt; it is active only if idleTimerArmed is set.
 	idleTimer      *time.Timer
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -35,8 +35,14 @@
 	// LastEventID is the last event that the caller received of the stream to
 	// resume.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that received the first event of the stream to resume;
+	// empty if the stream is new or the caller does not tell.
+	Resumes string
 }
 
+// ResumesStream reports whether the caller resumes a stream that another attempt began.
+func (h *CallerHeaders) ResumesStream() bool { return h.LastEventID != "" || h.Resumes != "" }
+
 // Prompt describes a prompt as declared by the caller.
 type Prompt struct {
 	// Tokens is the prompt's length, MaxAnswerTokens the limit of the response.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -193,6 +193,12 @@
 		"cost_ms": int(c.Cost), "wait_ms": c.FirstTokenTime.Milliseconds(), "memory_used": roundToHundredths(c.MemoryFraction), "among": c.AvailableReplicas, "running": c.Running, "to_read": c.PendingPrefill, "ahead": c.PrefillAhead,
 		"cached": c.CachedTokens, "copy_from": ev.placementAttempt.CopyFrom, "failures": roundToHundredths(c.FailureScore), "read_speed": roundToHundredths(c.PrefillSpeed), "replicas_revision": ev.revision,
 	}
+	if version := ev.placementAttempt.Replica.Version; version != "" {
+		fields["version"] = version
+	}
+	if ev.exchange.lastEventID != "" {
+		fields["after_event"] = ev.exchange.lastEventID
+	}
 	ev.exchange.addVerdict(fields)
 	if limit, limited := ev.exchange.forwarder.options.RateLimits.InForce()[ev.placementAttempt.Replica.ID]; limited {
 		fields["rate_limit"] = limit.PerSecond
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -59,6 +59,7 @@
 // forwardEvents writes complete events, flushes them and records the last event ID.
 func (a *attempt) forwardEvents(events []byte) error {
 	e := a.exchange
+	a.recordVersion()
 	if !e.callerResponse.hasStarted() {
 		a.recordFirstByte()
 		e.callerResponse.writeHead(a.response, -1)
--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -39,7 +39,7 @@
 	for _, r := range list {
 		converted = append(converted, &nodesyncv1.Replica{
 			Id: r.ID, Upstream: r.Upstream, Address: r.Address,
-			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining, Reclaimable: r.Reclaimable, StartedAt: r.StartedAt,
+			AvailabilityZone: r.AvailabilityZone, Slots: int32(r.Slots), Draining: r.Draining, Reclaimable: r.Reclaimable, StartedAt: r.StartedAt, Version: r.Version,
 		})
 	}
 	return converted
@@ -50,7 +50,7 @@
 	for _, r := range list {
 		converted = append(converted, replica.Replica{
 			ID: r.GetId(), Upstream: r.GetUpstream(), Address: r.GetAddress(),
-			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(), Reclaimable: r.GetReclaimable(), StartedAt: r.GetStartedAt(),
+			AvailabilityZone: r.GetAvailabilityZone(), Slots: int(r.GetSlots()), Draining: r.GetDraining(), Reclaimable: r.GetReclaimable(), StartedAt: r.GetStartedAt(), Version: r.GetVersion(),
 		})
 	}
 	return converted
--- a/internal/replica/listing.go
+++ b/internal/replica/listing.go
@@ -52,5 +52,6 @@
 		slots |= 2
 	}
 	encoded = binary.LittleEndian.AppendUint64(encoded, slots)
-	return binary.LittleEndian.AppendUint64(encoded, uint64(r.StartedAt))
+	encoded = binary.LittleEndian.AppendUint64(encoded, uint64(r.StartedAt))
+	return append(encoded, r.Version...)
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -12,6 +12,9 @@
 	// Address is the IP address and port. A later process may reuse it.
 	Address          string
 	AvailabilityZone string
+	// Version is that of the software that the replica runs; empty: it does not report it. Streams of
+	// two versions do not fit together.
+	Version string
 	// Slots is the number of requests that the replica runs concurrently.
 	Slots int
 	// Draining replicas receive no new requests.
