--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -28,6 +28,11 @@
 	Cuts       int           `default:"0" help:"Times in each run that some of the nodes are cut off from all replicas; not with a program of its own."`
 	Brittle    int           `default:"0" help:"Times in each run that the replicas of a service end if they have to refuse many requests."`
 	Silences   int           `default:"0" help:"Times in each run that a sound replica says nothing for a second."`
+	Models     int           `default:"4" help:"Replicas of the model."`
+	EventEvery time.Duration `default:"10ms" help:"Time between two events of the models' streams."`
+	Releases   int           `default:"0" help:"Times in each run that half of the models are replaced in turn by the next software version."`
+	Crashes    int           `default:"0" help:"Times in each run that a third of the models crash at once."`
+	GroupKills int           `default:"0" help:"Times in each run that some or all nodes are killed at once."`
 	NoFaults   bool          `help:"Leave out all faults; replicas still name rates, leave and ask for pauses."`
 	AtOnce     int           `default:"2" help:"Seeds that run side by side."`
 	Keep       string        `type:"path" help:"Directory that keeps settings and logs of the runs that failed."`
@@ -50,6 +55,10 @@
 	if c.Cuts < 0 || c.Brittle < 0 || c.Silences < 0 {
 		return fmt.Errorf("--cuts %d, --brittle %d and --silences %d must not be below zero", c.Cuts, c.Brittle, c.Silences)
 	}
+	if c.Models < 1 || c.EventEvery <= 0 || c.Releases < 0 || c.Crashes < 0 || c.GroupKills < 0 {
+		return fmt.Errorf("--models %d and --event-every %s must be above zero, --releases %d, --crashes %d and --group-kills %d must not be below",
+			c.Models, c.EventEvery, c.Releases, c.Crashes, c.GroupKills)
+	}
 	if c.Cuts > 0 && c.Nodes < 2 {
 		return fmt.Errorf("--cuts %d needs --nodes of 2 or more, not %d: one node is never cut off", c.Cuts, c.Nodes)
 	}
@@ -110,6 +119,7 @@
 	report, err := soak.Run(context.Background(), soak.Options{
 		Seed: seed, Command: program, Dir: dir, Nodes: c.Nodes, Length: c.For, Callers: c.Callers, RateLimits: c.RateLimits,
 		Notices: c.Notices, Pauses: c.Pauses, Restores: c.Restores, Crashers: c.Crashers, Cuts: c.Cuts, Brittle: c.Brittle, Silences: c.Silences, WithoutFaults: c.NoFaults,
+		ModelReplicas: c.Models, EventEvery: c.EventEvery, Releases: c.Releases, ModelCrashes: c.Crashes, GroupKills: c.GroupKills,
 	})
 	if c.Keep == "" || (err == nil && len(report.Violations) == 0) {
 		return report, joinRemove(err, dir)
@@ -127,7 +137,8 @@
 }
 
 func printSoak(seed uint64, report soak.Report, err error) {
-	fmt.Printf("seed %d: %d calls, %d served, %d runs, %d violations\n", seed, report.Calls, report.Served, report.Runs, len(report.Violations))
+	fmt.Printf("seed %d: %d calls, %d served, %d of %d resumed streams went on, %d runs, %d violations\n",
+		seed, report.Calls, report.Served, report.WentOn, report.Resumed, report.Runs, len(report.Violations))
 	if err != nil {
 		fmt.Println("  failed:", err)
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -8,9 +8,11 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
+	"galenatrestle/internal/pause"
 	"galenatrestle/platform"
 	"galenatrestle/platform/platformtest"
 )
@@ -32,6 +34,16 @@
 	endedAt time.Time
 	limited bool
 	leaving bool
+	// stream is the name of the stream that the call is for, empty for other calls. after is the last
+	// event that the caller had before, and resumes the attempt that brought the first one; empty: the
+	// stream is new.
+	stream  string
+	after   int
+	resumes string
+	// events are the complete events that came.
+	events []platformtest.StreamEvent
+	// retryAfter is how long a refusal asked the caller to wait.
+	retryAfter time.Duration
 }
 
 // whole says whether the caller got the whole answer.
@@ -45,6 +57,8 @@
 	client *http.Client
 	calls  []*sent
 	count  int
+	// entries are the nodes' addresses as last told.
+	entries []string
 }
 
 func newCaller(w *world, i int) *caller {
@@ -62,26 +76,27 @@
 const pauseBetween = 20 * time.Millisecond
 
 // run sends calls until ctx ends.
-func (c *caller) run(ctx context.Context) { c.repeat(ctx, pauseBetween, c.call) }
+func (c *caller) run(ctx context.Context) {
+	c.repeat(ctx, pauseBetween, func(entry string) { c.resume(ctx, c.call(entry)) })
+}
 
 // repeat sends calls to nodes drawn at random until ctx ends.
-func (c *caller) repeat(ctx context.Context, pause time.Duration, call func(entry string) *sent) {
+func (c *caller) repeat(ctx context.Context, pause time.Duration, call func(entry string)) {
 	defer c.client.CloseIdleConnections()
-	var entries []string
 	for ctx.Err() == nil {
-		if c.count%20 == 0 || len(entries) == 0 {
-			entries = c.resolve(entries)
+		if c.count%20 == 0 || len(c.entries) == 0 {
+			c.entries = c.resolve(c.entries)
 		}
 		c.count++
-		if len(entries) == 0 {
-			time.Sleep(pause)
-			continue
+		if len(c.entries) > 0 {
+			call(c.anyEntry())
 		}
-		c.calls = append(c.calls, call(entries[c.random.IntN(len(entries))]))
 		time.Sleep(pause)
 	}
 }
 
+func (c *caller) anyEntry() string { return c.entries[c.random.IntN(len(c.entries))] }
+
 // resolve asks nodes which addresses to use, and keeps the last answer where
 // none tells.
 func (c *caller) resolve(last []string) []string {
@@ -115,8 +130,11 @@
 
 // call sends one call of a kind drawn at random.
 func (c *caller) call(entry string) *sent {
-	s := &sent{id: fmt.Sprintf("%s-%d", c.name, c.count), at: time.Now(), entry: entry}
-	s.path = []string{"/claim/", "/parts/", "/chat/"}[c.random.IntN(3)]
+	s := &sent{id: fmt.Sprintf("%s-%d", c.name, c.count), entry: entry}
+	s.path = []string{"/claim/", "/parts/", platformtest.StreamPath}[c.random.IntN(3)]
+	if s.path == platformtest.StreamPath {
+		s.stream = s.id
+	}
 	c.world.mu.Lock()
 	s.key = c.world.keys[c.random.IntN(len(c.world.keys))]
 	for key := range c.world.revoked {
@@ -129,9 +147,22 @@
 	return s
 }
 
+const (
+	// callerPatience is how long a caller waits for an answer, the tries to resume it included.
+	callerPatience = 4 * time.Second
+	callerTimeout  = callerPatience + time.Second
+)
+
 // send sends the call and notes what its caller sees.
 func (c *caller) send(s *sent, target, content string) {
-	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	c.sendWithin(callerPatience, s, target, content)
+}
+
+func (c *caller) sendWithin(patience time.Duration, s *sent, target, content string) {
+	s.at = time.Now()
+	defer func() { s.endedAt = time.Now() }()
+	c.calls = append(c.calls, s)
+	ctx, cancel := context.WithTimeout(context.Background(), callerTimeout)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.entry+target, strings.NewReader(content))
 	if err != nil {
@@ -143,7 +174,11 @@
 	request.Host = platformtest.Host
 	request.Header.Set(platformtest.HeaderID, s.id)
 	request.Header.Set(platformtest.HeaderKey, s.key)
-	request.Header.Set(platformtest.HeaderDeadline, "4000")
+	request.Header.Set(platformtest.HeaderDeadline, strconv.FormatInt(patience.Milliseconds(), 10))
+	if s.resumes != "" {
+		request.Header.Set(platformtest.HeaderResumes, s.resumes)
+		request.Header.Set(platformtest.HeaderLastEvent, strconv.Itoa(s.after))
+	}
 	response, err := c.client.Do(request)
 	if err != nil {
 		s.err = err
@@ -153,6 +188,10 @@
 	s.status, s.stamp = response.StatusCode, response.Header.Get(platformtest.HeaderStamp)
 	s.limited = response.Header.Get(platformtest.HeaderRate) != ""
 	s.leaving = response.Header.Get(platformtest.HeaderLeaving) != ""
+	s.retryAfter = pause.ParseRetryAfter(response.Header.Get("Retry-After"))
 	body, err := io.ReadAll(response.Body)
-	s.body, s.err, s.endedAt = string(body), err, time.Now()
+	s.body, s.err = string(body), err
+	if s.stream != "" && s.status == http.StatusOK {
+		s.events, _ = platformtest.ParseEvents(s.body)
+	}
 }
--- a/internal/soak/crashes.go
+++ b/internal/soak/crashes.go
@@ -23,10 +23,9 @@
 
 // runCrashing sends the same crashing call, under new IDs, until ctx ends.
 func (c *caller) runCrashing(ctx context.Context) {
-	c.repeat(ctx, pauseBetweenCrashing, func(entry string) *sent {
-		s := &sent{id: fmt.Sprintf("crash-%s-%d", c.name, c.count), at: time.Now(), entry: entry, path: platformtest.CrashPath, key: crashKey}
+	c.repeat(ctx, pauseBetweenCrashing, func(entry string) {
+		s := &sent{id: fmt.Sprintf("crash-%s-%d", c.name, c.count), entry: entry, path: platformtest.CrashPath, key: crashKey}
 		c.send(s, s.path, "crash")
-		return s
 	})
 }
 
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -66,9 +66,11 @@
 // tally counts calls and those that were served.
 type tally struct{ asked, served int }
 
-func (t *tally) add(s *sent) {
+func (t *tally) add(s *sent) { t.count(s.whole()) }
+
+func (t *tally) count(served bool) {
 	t.asked++
-	if s.whole() {
+	if served {
 		t.served++
 	}
 }
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -32,6 +32,7 @@
 			w.judgeCall(s, runs[s.id])
 		}
 	}
+	w.judgeStreams(calls)
 	w.judgeRecovery(calls)
 	w.judgeLimits(calls)
 	w.judgeLeaving(calls)
@@ -89,16 +90,12 @@
 }
 
 func (w *world) judgeAnswer(s *sent, runs []platformtest.Run) {
-	want := platformtest.Answer(s.id)
-	if strings.HasPrefix(s.path, "/chat/") {
-		var events strings.Builder
-		for n := 1; n <= platformtest.Events(s.id); n++ {
-			events.WriteString(platformtest.Event(s.id, n))
+	if s.stream == "" {
+		if want := platformtest.Answer(s.id); s.body != want {
+			w.violate("%s got %q, want %q", s.id, s.body, want)
 		}
-		want = events.String()
-	}
-	if s.body != want {
-		w.violate("%s got %q, want %q", s.id, s.body, want)
+	} else if last := s.after + len(s.events); last != platformtest.Events(s.stream) || !s.isComplete() {
+		w.violate("%s got %q, want the events up to %d", s.id, s.body, platformtest.Events(s.stream))
 	}
 	for _, r := range runs {
 		if r.Replica == s.stamp {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -43,6 +43,9 @@
 	ops    string
 	ready  string
 
+	// busy is held by the event that the process is subject to.
+	busy sync.Mutex
+
 	mu      sync.Mutex
 	process *exec.Cmd
 	ended   chan struct{}
--- a/internal/soak/notices.go
+++ b/internal/soak/notices.go
@@ -24,7 +24,7 @@
 // event's time.
 func (w *world) announceLeaving(r *runningReplica, e event) {
 	r.handler.SetLeaving(true)
-	w.pauseThen(e.lasts, func() { w.leave(r) })
+	w.pauseThen(e.lasts, func() { w.leave(r, r.version) })
 }
 
 // askForPause has the replica refuse requests for the event's time.
--- a/internal/soak/retries.go
+++ b/internal/soak/retries.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"galenatrestle/platform/platformtest"
 )
 
 // retryWindow is the sliding window in which repeated requests are counted.
@@ -38,7 +40,7 @@
 
 // serviceOf is the service that runs the calls of a path.
 func serviceOf(path string) string {
-	if strings.HasPrefix(path, "/chat/") {
+	if strings.HasPrefix(path, platformtest.StreamPath) {
 		return "model"
 	}
 	return "ledger"
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -39,6 +39,14 @@
 	// Crashers is the number of callers that keep sending one call that ends the replicas that
 	// run it.
 	Crashers int
+	// Releases is the number of times that half of the models are replaced in turn by the next
+	// software version, ModelCrashes of those that a third of the models crash at once, and GroupKills
+	// of those that some or all nodes are killed at once.
+	Releases, ModelCrashes, GroupKills int
+	// ModelReplicas is the number of models; zero: the default. EventEvery is the time between two
+	// events of their streams; zero: the default.
+	ModelReplicas int
+	EventEvery    time.Duration
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 	// extra are events besides those that are drawn.
@@ -48,6 +56,9 @@
 // Report is what a run found.
 type Report struct {
 	Calls, Served, Runs int
+	// Resumed is the number of streams that callers resumed at undisturbed nodes, while replicas of
+	// their version served, and WentOn of those that went on.
+	Resumed, WentOn int
 	// Events are the faults in their order.
 	Events     []string
 	Violations []string
@@ -86,6 +97,9 @@
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 6)), nodesCut, o.Length, o.Cuts, cutLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 7)), replicasBrittle, o.Length, o.Brittle, brittleLasts)...)
 	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 8)), replicaSilent, o.Length, o.Silences, silentLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 9)), modelRelease, o.Length, o.Releases, releaseLasts)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 10)), modelsCrash, o.Length, o.ModelCrashes, crashRestart)...)
+	events = append(events, replicaEvents(rand.New(rand.NewPCG(o.Seed, 11)), killNodes, o.Length, o.GroupKills, groupKillLasts)...)
 	if !o.WithoutFaults {
 		events = append(events, schedule(o.Seed, o.Length)...)
 	}
@@ -141,18 +155,9 @@
 		sends.Go(func() { c.runCrashing(crashing) })
 	}
 	began := time.Now()
-	busy := make([]sync.Mutex, len(w.nodes))
 	for _, e := range events {
 		time.Sleep(e.at - time.Since(began))
-		faults.Go(func() {
-			if aboutNode(e.kind) {
-				// A process is stopped, killed and restarted by one event at a time.
-				lock := &busy[e.target%len(busy)]
-				lock.Lock()
-				defer lock.Unlock()
-			}
-			w.do(e)
-		})
+		faults.Go(func() { w.do(e) })
 	}
 	faults.Wait()
 	time.Sleep(w.options.Length - time.Since(began))
@@ -172,7 +177,7 @@
 }
 
 func (w *world) report(events []event, calls []*sent) Report {
-	r := Report{Calls: len(calls), Runs: len(w.runs.All()), Violations: w.violations}
+	r := Report{Calls: len(calls), Runs: len(w.runs.All()), Resumed: w.resumed.asked, WentOn: w.resumed.served, Violations: w.violations}
 	for _, s := range calls {
 		if s.whole() {
 			r.Served++
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -38,7 +38,13 @@
 	// storeRestore is a store that comes back from an older copy.
 	storeRestore kind = "store_restore"
 	// nodesCut is a time in which some nodes reach no replica.
-	nodesCut     kind = "nodes_cut"
+	nodesCut kind = "nodes_cut"
+	// killNodes is a kill of some or all nodes at once.
+	killNodes kind = "kill_nodes"
+	// modelRelease is a new software version that replaces half of the models in turn.
+	modelRelease kind = "model_release"
+	// modelsCrash is a crash of a third of the models at once.
+	modelsCrash  kind = "models_crash"
 	configChange kind = "config_change"
 	revokeKey    kind = "revoke_key"
 )
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -172,6 +172,105 @@
 	}
 }
 
+// Guards against streams that go on at another software version of the replicas, within one answer or
+// when their callers resume them, and against streams that are not resumed at all.
+func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
+	kill := func(at time.Duration, count int) event {
+		return event{at: at, kind: killNodes, target: count - 1, lasts: groupKillLasts}
+	}
+	crash := func(at time.Duration, target int) event {
+		return event{at: at, kind: modelsCrash, target: target, lasts: crashRestart}
+	}
+	const ms = time.Millisecond
+	for name, faults := range map[string][]event{
+		"models crash":         {crash(2500*ms, 0), crash(4000*ms, 4)},
+		"nodes are killed":     {crash(2500*ms, 1), kill(3000*ms, 2), crash(4000*ms, 5), kill(5000*ms, 2)},
+		"all nodes are killed": {kill(3000*ms, 5)},
+		"without the store":    {{at: 2500 * ms, kind: storeDown, lasts: 3000 * ms}, crash(3000*ms, 0), kill(3500*ms, 2), crash(4500*ms, 3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			releases := []event{{kind: modelRelease}, {at: 1500 * ms, kind: modelRelease, target: 3}}
+			playWithoutFaults(t, Options{
+				Nodes: 5, Callers: 40, Length: 5 * time.Second, ModelReplicas: 9, EventEvery: 40 * ms, extra: append(releases, faults...),
+			})
+		})
+	}
+}
+
+func TestTheJudgeSeesStreamsOfTwoVersions(t *testing.T) {
+	stream := func(name string, versions ...string) []*sent {
+		s := &sent{id: name, stream: name}
+		for i, version := range versions {
+			s.events = append(s.events, platformtest.StreamEvent{ID: i + 1, Version: version, Data: platformtest.EventData(name, i+1)})
+		}
+		// The last event comes by the second try.
+		last := len(s.events) - 1
+		resumed := &sent{id: name + "-r0", stream: name, resumes: name, after: last, events: s.events[last:]}
+		s.events = s.events[:last]
+		return []*sent{s, resumed}
+	}
+	for name, test := range map[string]struct {
+		mixed  int
+		broken int
+	}{"as many as allowed": {mixedAllowance, 0}, "more": {mixedAllowance + 1, 1}} {
+		w := &world{}
+		calls := stream("same", "v1", "v1", "v1")
+		for i := range test.mixed {
+			calls = append(calls, stream(fmt.Sprint(i), "v1", "v1", "v1.1")...)
+		}
+		w.judgeStreams(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+	w := &world{}
+	calls := stream("gap", "v1", "v1")
+	calls[1].after = 2
+	w.judgeStreams(calls)
+	if len(w.violations) != 1 {
+		t.Errorf("an event in the place of another: violations %q", w.violations)
+	}
+}
+
+func TestTheJudgeSeesStreamsThatAreNotResumed(t *testing.T) {
+	now := time.Now()
+	for name, test := range map[string]struct {
+		asked, wentOn int
+		serving       int
+		disturbed     bool
+		broken        int
+	}{
+		"half go on":               {12, 6, minServing, false, 0},
+		"fewer":                    {12, 5, minServing, false, 1},
+		"too few to tell":          {11, 0, minServing, false, 0},
+		"no replicas of theirs":    {12, 0, minServing - 1, false, 0},
+		"at a node just disturbed": {12, 0, minServing, true, 0},
+	} {
+		n := &node{entry: "vm-1"}
+		if test.disturbed {
+			n.disturbances = append(n.disturbances, now.Add(-resumeStable/2))
+		}
+		w := &world{nodes: []*node{n}}
+		for range test.serving {
+			w.replicas = append(w.replicas, &runningReplica{service: modelService, version: "v1", servesFrom: now.Add(-time.Hour)})
+		}
+		var calls []*sent
+		for i := range test.asked {
+			name := fmt.Sprint(i)
+			calls = append(calls, &sent{id: name, stream: name, at: now.Add(-time.Minute), endedAt: now.Add(-time.Minute), entry: "vm-2", events: []platformtest.StreamEvent{{ID: 1, Version: "v1", Data: platformtest.EventData(name, 1)}}})
+			resumed := &sent{id: name + "-r0", stream: name, resumes: name, after: 1, at: now, endedAt: now, entry: "vm-1"}
+			if i < test.wentOn {
+				resumed.events = []platformtest.StreamEvent{{ID: 2, Version: "v1", Data: platformtest.EventData(name, 2)}}
+			}
+			calls = append(calls, resumed)
+		}
+		w.judgeStreams(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
 // playWithoutFaults plays what the replicas say in their answers, and nothing else.
 func playWithoutFaults(t *testing.T, options Options) {
 	t.Helper()
@@ -186,7 +285,7 @@
 	for _, v := range report.Violations {
 		t.Error(v)
 	}
-	t.Logf("%d of %d calls served", report.Served, report.Calls)
+	t.Logf("%d of %d calls served, %d of %d resumed streams went on", report.Served, report.Calls, report.WentOn, report.Resumed)
 }
 
 func TestTheJudgeSeesRequestsToAReplicaThatSaidItLeaves(t *testing.T) {
@@ -315,7 +414,12 @@
 func TestTheJudgeSeesEachBreach(t *testing.T) {
 	now := time.Now()
 	answered := func(id, path, body string) *sent {
-		return &sent{id: id, key: "key-0", path: path, at: now, status: 200, body: body, stamp: "i-1"}
+		s := &sent{id: id, key: "key-0", path: path, at: now, status: 200, body: body, stamp: "i-1"}
+		if path == platformtest.StreamPath {
+			s.stream = id
+			s.events, _ = platformtest.ParseEvents(body)
+		}
+		return s
 	}
 	run := func(id string) runOf { return runOf{ID: id, Replica: "i-1", Workspace: "of-key-0", At: now} }
 	tests := map[string]struct {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"net"
 	"net/http"
@@ -22,6 +23,10 @@
 
 	mu       sync.Mutex
 	replicas []*runningReplica
+	// ended are the replicas that were taken out of service.
+	ended []*runningReplica
+	// releases is the number of software versions of the models that were released after the first.
+	releases int
 	started  int
 	version  int64
 	keys     []string
@@ -44,6 +49,9 @@
 	// begins.
 	cuts    []cut
 	cutting sync.Mutex
+	// resumed counts the streams that callers resumed at undisturbed nodes, while replicas of their
+	// version served, and those that went on.
+	resumed tally
 	closers []func()
 }
 
@@ -51,18 +59,24 @@
 type runningReplica struct {
 	id      string
 	service string
+	version string
 	handler *platformtest.Replica
 	server  *http.Server
 	proxy   *proxy
 	// limited says that it names a rate.
 	limited bool
+	// servesFrom and servesUntil are when it takes new requests; servesUntil is zero while it does.
+	servesFrom, servesUntil time.Time
 }
 
 const (
-	modelReplicas  = 4
-	ledgerReplicas = 3
-	firstKeys      = 6
-	replicaSlots   = 8
+	modelService         = "model"
+	ledgerService        = "ledger"
+	firstVersion         = "v1"
+	defaultModelReplicas = 4
+	ledgerReplicas       = 3
+	firstKeys            = 6
+	replicaSlots         = 8
 )
 
 // newWorld starts everything but the nodes' processes.
@@ -84,12 +98,13 @@
 		w.keys = append(w.keys, fmt.Sprintf("key-%d", i))
 	}
 	w.configure()
-	for i := range modelReplicas + ledgerReplicas {
-		service := "model"
-		if i >= modelReplicas {
-			service = "ledger"
+	models := cmp.Or(o.ModelReplicas, defaultModelReplicas)
+	for i := range models + ledgerReplicas {
+		service := modelService
+		if i >= models {
+			service = ledgerService
 		}
-		if err := w.addReplica(service); err != nil {
+		if err := w.addReplica(service, firstVersion); err != nil {
 			return nil, err
 		}
 	}
@@ -127,15 +142,15 @@
 }
 
 // addReplica starts a replica and registers it.
-func (w *world) addReplica(service string) error {
+func (w *world) addReplica(service, version string) error {
 	w.started++
 	id := fmt.Sprintf("i-%03d", w.started)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return err
 	}
-	handler := &platformtest.Replica{ID: id, Runs: w.runs, Slots: replicaSlots}
-	r := &runningReplica{id: id, service: service, handler: handler}
+	handler := &platformtest.Replica{ID: id, Version: version, Runs: w.runs, Slots: replicaSlots, EventEvery: w.options.EventEvery}
+	r := &runningReplica{id: id, service: service, version: version, handler: handler, servesFrom: time.Now()}
 	handler.OnCrash = func() { w.crash(r) }
 	handler.SetBrittle(w.brittle[service])
 	handler.OnOverload = func() { w.fallOver(r) }
@@ -145,7 +160,7 @@
 		return err
 	}
 	w.replicas = append(w.replicas, r)
-	w.store.Register(id, service, r.proxy.address(), "ready")
+	w.store.Register(id, service, version, r.proxy.address(), "ready")
 	return nil
 }
 
@@ -153,6 +168,9 @@
 func (w *world) do(e event) {
 	n := w.nodes[e.target%len(w.nodes)]
 	if aboutNode(e.kind) {
+		// A process is stopped, killed and restarted by one event at a time.
+		n.busy.Lock()
+		defer n.busy.Unlock()
 		n.disturbed()
 		defer n.disturbed()
 	}
@@ -191,6 +209,12 @@
 		w.makeBrittle(e)
 	case nodesCut:
 		w.cutNodes(e)
+	case killNodes:
+		w.killNodes(e)
+	case modelRelease:
+		w.release(e)
+	case modelsCrash:
+		w.crashModels(e)
 	case configChange, revokeKey:
 		w.reconfigure(e)
 	default:
@@ -260,22 +284,22 @@
 	case replicaCrash:
 		w.replace(r, func() { _ = r.server.Close(); r.proxy.close() }, e.lasts)
 	case replicaLeaves:
-		w.leave(r)
+		w.leave(r, r.version)
 	}
 }
 
 // replace ends a replica and starts another one in its place.
 func (w *world) replace(r *runningReplica, end func(), after time.Duration) {
-	if !w.take(r) {
+	if !w.take(r, r.version) {
 		return
 	}
 	end()
 	w.pauseThen(after, func() { w.store.Deregister(r.id) })
 }
 
-// take removes a replica from the running ones and starts its successor; false:
+// take removes a replica from the running ones and starts its successor of the version; false:
 // it is gone already.
-func (w *world) take(r *runningReplica) bool {
+func (w *world) take(r *runningReplica, successor string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for i, running := range w.replicas {
@@ -283,7 +307,9 @@
 			continue
 		}
 		w.replicas = append(w.replicas[:i:i], w.replicas[i+1:]...)
-		if err := w.addReplica(r.service); err != nil {
+		r.servesUntil = time.Now()
+		w.ended = append(w.ended, r)
+		if err := w.addReplica(r.service, successor); err != nil {
 			w.violations = append(w.violations, err.Error())
 		}
 		return true
@@ -291,12 +317,12 @@
 	return false
 }
 
-// leave lets a replica drain as on a planned stop.
-func (w *world) leave(r *runningReplica) {
-	if !w.take(r) {
+// leave lets a replica drain as on a planned stop. Its successor has the version.
+func (w *world) leave(r *runningReplica, successor string) {
+	if !w.take(r, successor) {
 		return
 	}
-	w.store.Register(r.id, r.service, r.proxy.address(), "draining")
+	w.store.Register(r.id, r.service, r.version, r.proxy.address(), "draining")
 	w.mu.Lock()
 	w.drained[r.id] = time.Now()
 	w.mu.Unlock()
