A node continues a stream only at the software version that began it

What callers saw: one answer with events of two software versions. When a replica broke off, the exchange asked placement for any other replica; placement did not know versions. From the first events on, a call's placement request names their version, and placement chooses replicas of that version only; where none takes requests the answer ends broken, as before at streams that may not be resumed, and the error names the version. A replica that broke off but still serves may go on itself, as before.

--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -45,8 +45,6 @@
 	// budgetCounted is set once the retry budget has counted the call.
 	budgetCounted bool
 	lastEventID   string
-	// streamVersion is the software version of the replica that sent the first events; nil: none arrived.
-	streamVersion *string
 	lastFailure   *Failure
 	// errorResponse is the last error response of a replica; nil: none was received.
 	errorResponse *Failure
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -58,7 +58,7 @@
 func (e *exchange) noReplicaFailure() *Failure {
 	f := &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	now := time.Now()
-	restricted := e.forwarder.options.Placer.Restricted(now, e.call.Upstream)
+	restricted := e.forwarder.options.Placer.Restricted(now, e.call.Upstream, &e.placementRequest)
 	wait, left := restricted.NextAt.Sub(now), e.call.Deadline.Sub(now)
 	switch {
 	case restricted.RateLimited > 0:
@@ -70,6 +70,8 @@
 	case restricted.Paused+restricted.PresumedPaused > 0:
 		f.RetryAfter = overload.BoundRetryDelay(wait, left)
 		f.Cause = fmt.Errorf("%w: %d at their request, %d presumed as they do not respond", errPaused, restricted.Paused, restricted.PresumedPaused)
+	case e.placementRequest.Version != nil:
+		f.Cause = fmt.Errorf("%w: the stream began at software version %q", errNoReplica, *e.placementRequest.Version)
 	}
 	return f
 }
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -19,8 +19,8 @@
 	unknownVersion versionMatch = "unknown"
 )
 
-// recordVersion notes the version that sends the stream's events, and reports a stream that another
-// replica began.
+// recordVersion restricts further attempts to the software version that sends the stream's first events,
+// as what two versions write does not fit together. It reports a stream that another replica began.
 func (a *attempt) recordVersion() {
 	if a.receivedEvents {
 		return
@@ -30,9 +30,9 @@
 	if e.callerResponse.hasStarted() || e.call.ResumesStream() {
 		a.reportResumed()
 	}
-	if e.streamVersion == nil {
+	if e.placementRequest.Version == nil {
 		version := a.placementAttempt.Replica.Version
-		e.streamVersion = &version
+		e.placementRequest.Version = &version
 	}
 }
 
@@ -43,14 +43,14 @@
 		by = resumedByCaller
 	}
 	switch version := a.placementAttempt.Replica.Version; {
-	case e.streamVersion == nil:
-	case *e.streamVersion == version:
+	case e.placementRequest.Version == nil:
+	case *e.placementRequest.Version == version:
 		match = sameVersion
 	default:
 		match = otherVersion
 	}
 	e.forwarder.metrics.resumedStreams.WithLabelValues(e.call.Upstream, string(by), string(match)).Inc()
-	e.forwarder.options.Log.Write(&streamResumed{attempt: a, by: by, match: match, beganVersion: e.streamVersion})
+	e.forwarder.options.Log.Write(&streamResumed{attempt: a, by: by, match: match, beganVersion: e.placementRequest.Version})
 }
 
 // streamResumed is logged for a stream that goes on at a replica that did not begin it.
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -40,7 +40,7 @@
 	if got := choices(p, 10*slots); got == 0 || got > slots/nodes {
 		t.Errorf("one of %d nodes placed %d requests at %d slots", nodes, got, slots)
 	}
-	restricted := p.Restricted(time.Now(), "u")
+	restricted := p.Restricted(time.Now(), "u", &Request{})
 	if restricted.Full != replicas || !restricted.NextAt.After(time.Now()) {
 		t.Errorf("restricted: %+v", restricted)
 	}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -70,9 +70,9 @@
 // Choose.
 func (p *Placer) SetBrittle(table *brittle.Table) { p.brittle = table }
 
-// Choose binds the request to a replica of the upstream. It returns nil if no replica accepts
-// new requests, or all are paused or rate limited with no permit left; Restricted distinguishes
-// these.
+// Choose binds the request to a replica of the upstream. It returns nil if no replica of the
+// request's software version accepts new requests, or all are paused or rate limited with no permit
+// left; Restricted distinguishes these.
 // The caller must end the attempt, and if it NeedsPermit, must call PermitGranted before
 // sending the request.
 func (p *Placer) Choose(now time.Time, name string, r *Request) *Attempt {
--- a/internal/placement/ratelimits_test.go
+++ b/internal/placement/ratelimits_test.go
@@ -60,11 +60,11 @@
 	if a := chooseRefusingPermits(t, p, permits); a != nil {
 		t.Fatalf("%s was chosen, want none", a.Replica.ID)
 	}
-	found := p.Restricted(time.Now(), "u")
+	found := p.Restricted(time.Now(), "u", &Request{})
 	if found.RateLimited != 3 || time.Until(found.NextAt) < 50*time.Second {
 		t.Errorf("rate limited replicas: %+v, want 3 with the next permit in about a minute", found)
 	}
-	if found := p.Restricted(time.Now(), "other"); found.RateLimited != 0 {
+	if found := p.Restricted(time.Now(), "other", &Request{}); found.RateLimited != 0 {
 		t.Errorf("rate limited replicas of an upstream without replicas: %+v, want none", found)
 	}
 }
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -22,6 +22,8 @@
 	CanCopyCache bool
 	// Shared is the leading parts of the prompt that it shares with other requests, in order.
 	Shared []PromptPart
+	// Version restricts the choice to replicas of this software version; nil: any will do.
+	Version *string
 	// ExcludeRateLimited excludes rate limited replicas.
 	ExcludeRateLimited bool
 	// Avoid is the IDs of replicas that have already failed this request.
@@ -33,6 +35,11 @@
 // tokens returns the number of tokens that the request takes of a replica's memory.
 func (r *Request) tokens() int { return r.PromptTokens + r.AnswerTokens }
 
+// fits reports whether the replica has the software version that the request needs.
+func (r *Request) fits(s *replicaState) bool {
+	return r.Version == nil || *r.Version == s.replica.Version
+}
+
 func (r *Request) sharedTokens() int {
 	return totalTokens(r.Shared)
 }
--- a/internal/placement/restrictions.go
+++ b/internal/placement/restrictions.go
@@ -145,8 +145,9 @@
 
 func (r *Restricted) count() int { return r.RateLimited + r.Paused + r.PresumedPaused + r.Full }
 
-// Restricted returns the restricted replicas of the upstream, to explain why Choose found none.
-func (p *Placer) Restricted(now time.Time, name string) Restricted {
+// Restricted returns the restricted replicas of the upstream, to explain why Choose found none for the
+// request.
+func (p *Placer) Restricted(now time.Time, name string, r *Request) Restricted {
 	u := p.upstream(name)
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -154,6 +155,8 @@
 	current := u.restrictions(now)
 	for _, s := range u.available {
 		switch {
+		case !r.fits(s):
+			continue
 		case current.pauses.End(&s.replica).After(now):
 			found.Paused++
 		case current.isPaused(s):
--- a/internal/placement/restrictions_test.go
+++ b/internal/placement/restrictions_test.go
@@ -41,7 +41,7 @@
 		}
 		a.End(now, Answered)
 	}
-	found := p.Restricted(now, "u")
+	found := p.Restricted(now, "u", &Request{})
 	if found.Paused != 5 || !found.NextAt.Equal(now.Add(3*time.Second)) {
 		t.Errorf("restricted replicas: %+v, want 5 paused for 3s", found)
 	}
@@ -55,7 +55,7 @@
 	if a := p.Choose(now, "u", short()); a != nil {
 		t.Fatalf("replica %s was chosen, want none", a.Replica.ID)
 	}
-	if found := p.Restricted(now, "u"); found.Paused != 2 || found.PresumedPaused != 1 {
+	if found := p.Restricted(now, "u", &Request{}); found.Paused != 2 || found.PresumedPaused != 1 {
 		t.Errorf("restricted replicas: %+v, want 2 paused and 1 presumed to be", found)
 	}
 	// The others ask for further pauses, which must not keep this one unused for good.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -158,7 +158,7 @@
 		// Random jitter keeps nodes with the same view from all choosing the same replica.
 		cost := u.cost(now, r, s, location, recompute)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < shortCount)
-		if cost < lowest && current.allows(s) {
+		if cost < lowest && r.fits(s) && current.allows(s) {
 			best, lowest = s, cost
 		}
 	}
