Replicas that crash together do not quarantine the requests that ran there

What callers saw: streams that broke when several replicas crashed at once were refused for 10 s and more when they were resumed, at any node. Cause: the node had sent them on to another replica that crashed in the same moment; the second crash within a millisecond named each such request as the cause. A request that had run for 5 ms or more on the first replica, and lost the second one within 5 ms and 100 ms after the first crash, had no time to be its cause, and is not counted for it. A request that crashes replicas at once is found as before: its first run is short as well. TestReplicasThatCrashTogetherDoNotQuarantineARequest failed before (refuse, want run_alone).

--- a/internal/forward/crashes.go
+++ b/internal/forward/crashes.go
@@ -68,7 +68,7 @@
 func (c *CrashGuard) startRun(r replica.Replica, fp quarantine.Fingerprint) *quarantine.Run {
 	// Suspect calls are not isolated: after a second crash, the call that ran in
 	// both is the cause.
-	run, _ := c.running.Start(r.Process().String(), fp, quarantine.Normal)
+	run, _ := c.running.Start(time.Now(), r.Process().String(), fp, quarantine.Normal)
 	return run
 }
 
@@ -89,16 +89,17 @@
 		c.running.Finish(run)
 		return
 	}
+	brokeAt := time.Now()
 	if wait {
-		c.checkCrash(run, r)
+		c.checkCrash(run, r, brokeAt)
 		return
 	}
-	go c.checkCrash(run, r)
+	go c.checkCrash(run, r, brokeAt)
 }
 
-// checkCrash probes the replica of a run whose connection broke, and records a
-// crash if the replica refuses connections.
-func (c *CrashGuard) checkCrash(run *quarantine.Run, r replica.Replica) {
+// checkCrash probes the replica of a run whose connection broke at the time, and
+// records a crash if the replica refuses connections.
+func (c *CrashGuard) checkCrash(run *quarantine.Run, r replica.Replica, brokeAt time.Time) {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	err := c.probe(ctx, r)
@@ -107,13 +108,12 @@
 		c.running.Finish(run)
 		return
 	}
-	now := time.Now()
-	fingerprints := c.running.Crash(now, run)
-	if len(fingerprints) == 0 {
+	ended := c.running.Crash(brokeAt, run)
+	if len(ended) == 0 {
 		return
 	}
-	records := c.tracker.Crash(now, run.Replica, fingerprints)
-	crash := &replicaCrashed{replica: r, running: len(fingerprints), records: records, now: now}
+	records := c.tracker.CrashOf(brokeAt, run.Replica, ended)
+	crash := &replicaCrashed{replica: r, running: len(ended), records: records, now: brokeAt}
 	c.crashes.WithLabelValues(r.Upstream).Inc()
 	c.quarantines.WithLabelValues(r.Upstream).Add(float64(crash.quarantined()))
 	c.onCrash(records)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -132,7 +132,7 @@
 	}
 	return eventlog.Fields{
 		"replica": ev.replica.ID, "upstream": ev.replica.Upstream, "address": ev.replica.Address,
-		"running": ev.running, "quarantined": ev.quarantined(), "fingerprints": fingerprints,
+		"running": ev.running, "suspects": len(ev.records), "quarantined": ev.quarantined(), "fingerprints": fingerprints,
 	}
 }
 
--- a/internal/gateway/guard.go
+++ b/internal/gateway/guard.go
@@ -63,12 +63,12 @@
 }
 
 func (g *guard) crashed(now time.Time, run *quarantine.Run) {
-	fingerprints := g.running.Crash(now, run)
-	if len(fingerprints) == 0 {
+	ended := g.running.Crash(now, run)
+	if len(ended) == 0 {
 		return
 	}
 	g.crashes.Inc()
-	records := g.tracker.Crash(now, run.Replica, fingerprints)
+	records := g.tracker.CrashOf(now, run.Replica, ended)
 	for _, r := range records {
 		if r.Until.After(now) {
 			g.named.Inc()
@@ -90,7 +90,7 @@
 		if err != nil {
 			return nil, nil, err
 		}
-		run, ok := s.guard.running.Start(upstreamName+"/"+slot.Replica.Name, fingerprint, verdict)
+		run, ok := s.guard.running.Start(time.Now(), upstreamName+"/"+slot.Replica.Name, fingerprint, verdict)
 		if ok {
 			return slot, run, nil
 		}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -13,6 +13,8 @@
 	// LastReplica a hash of the replica's name.
 	LastCrash   time.Time
 	LastReplica uint32
+	// lastRun is how long the request had run there; zero: not known. Other nodes are not told.
+	lastRun time.Duration
 	// Crashes is the number of known crashes since the request was last Normal. Crashes
 	// that several nodes see at the same time may be counted once.
 	Crashes int
@@ -26,7 +28,7 @@
 // followed it. A quarantine is not shortened by a record of a node that did not know of it.
 func merge(a, b Record) Record {
 	if a.crashBefore(b) {
-		a.LastCrash, a.LastReplica = b.LastCrash, b.LastReplica
+		a.LastCrash, a.LastReplica, a.lastRun = b.LastCrash, b.LastReplica, b.lastRun
 	}
 	switch a.ClearedAt.Compare(b.ClearedAt) {
 	case -1:
--- a/internal/quarantine/running.go
+++ b/internal/quarantine/running.go
@@ -43,9 +43,17 @@
 type Run struct {
 	Replica     string
 	Fingerprint Fingerprint
+	startedAt   time.Time
 	alone       bool
 }
 
+// EndedRun is a run that a crash of its replica ended.
+type EndedRun struct {
+	Fingerprint Fingerprint
+	// Lasted is the time from its start until the connection was lost.
+	Lasted time.Duration
+}
+
 // NewActiveRuns returns an empty set.
 func NewActiveRuns() *ActiveRuns {
 	r := &ActiveRuns{seed: maphash.MakeSeed(), suspects: make(map[Fingerprint]bool)}
@@ -58,8 +66,8 @@
 // Start adds a run. With RunAlone and Trial it returns false if the replica runs another
 // suspect or the request already runs elsewhere; the caller then tries another
 // replica or waits. Each run must be ended by Finish or Crash.
-func (r *ActiveRuns) Start(replica string, fp Fingerprint, verdict Verdict) (*Run, bool) {
-	run := &Run{Replica: replica, Fingerprint: fp, alone: verdict == RunAlone || verdict == Trial}
+func (r *ActiveRuns) Start(now time.Time, replica string, fp Fingerprint, verdict Verdict) (*Run, bool) {
+	run := &Run{Replica: replica, Fingerprint: fp, startedAt: now, alone: verdict == RunAlone || verdict == Trial}
 	if run.alone && !r.Claim(fp) {
 		return nil, false
 	}
@@ -116,11 +124,11 @@
 	}
 }
 
-// Crash ends a run whose connection was lost. It returns the fingerprints of
-// all runs on the replica, which it ends as well. It returns none if the crash
-// is already known, since each run of a crashed replica reports it, or if the
-// replica may still be down from its last crash.
-func (r *ActiveRuns) Crash(now time.Time, run *Run) []Fingerprint {
+// Crash ends a run whose connection was lost at the time. It returns all runs on
+// the replica, which it ends as well. It returns none if the crash is already
+// known, since each run of a crashed replica reports it, or if the replica may
+// still be down from its last crash.
+func (r *ActiveRuns) Crash(now time.Time, run *Run) []EndedRun {
 	s := r.shard(run.Replica)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,14 +143,14 @@
 		r.remove(state, run)
 		return nil
 	}
-	fingerprints := make([]Fingerprint, 0, len(state.runs))
-	for ended := range state.runs {
-		fingerprints = append(fingerprints, ended.Fingerprint)
-		r.remove(state, ended)
+	ended := make([]EndedRun, 0, len(state.runs))
+	for other := range state.runs {
+		ended = append(ended, EndedRun{Fingerprint: other.Fingerprint, Lasted: now.Sub(other.startedAt)})
+		r.remove(state, other)
 	}
 	state.crashedAt = now
 	s.removeExpired(now)
-	return fingerprints
+	return ended
 }
 
 // SuspectOn reports whether a suspect runs on the replica.
--- a/internal/quarantine/running_test.go
+++ b/internal/quarantine/running_test.go
@@ -7,37 +7,37 @@
 
 func TestSuspectsRunApart(t *testing.T) {
 	running := NewActiveRuns()
-	first, ok := running.Start("r1", 1, RunAlone)
+	first, ok := running.Start(start, "r1", 1, RunAlone)
 	if !ok {
 		t.Fatal("a suspect cannot run")
 	}
-	if _, ok := running.Start("r1", 2, RunAlone); ok {
+	if _, ok := running.Start(start, "r1", 2, RunAlone); ok {
 		t.Fatal("two suspects on one replica")
 	}
-	if _, ok := running.Start("r2", 1, RunAlone); ok {
+	if _, ok := running.Start(start, "r2", 1, RunAlone); ok {
 		t.Fatal("one suspect on two replicas")
 	}
-	if _, ok := running.Start("r1", 3, Normal); !ok {
+	if _, ok := running.Start(start, "r1", 3, Normal); !ok {
 		t.Fatal("a normal request cannot run")
 	}
 	running.Finish(first)
 	running.Finish(first)
-	if _, ok := running.Start("r1", 2, RunAlone); !ok {
+	if _, ok := running.Start(start, "r1", 2, RunAlone); !ok {
 		t.Fatal("the replica does not accept the next suspect")
 	}
-	if _, ok := running.Start("r2", 1, RunAlone); !ok {
+	if _, ok := running.Start(start, "r2", 1, RunAlone); !ok {
 		t.Fatal("a finished suspect cannot run again")
 	}
 }
 
 func TestCrashIsReportedOnce(t *testing.T) {
 	running := NewActiveRuns()
-	a, _ := running.Start("r1", 1, Normal)
-	b, _ := running.Start("r1", 2, RunAlone)
+	a, _ := running.Start(start, "r1", 1, Normal)
+	b, _ := running.Start(start, "r1", 2, RunAlone)
 	if crashed := running.Crash(start, a); len(crashed) != 2 {
 		t.Fatalf("crashed %v, want both", crashed)
 	}
-	later, _ := running.Start("r1", 3, Normal)
+	later, _ := running.Start(start, "r1", 3, Normal)
 	if crashed := running.Crash(start, b); len(crashed) != 0 {
 		t.Fatalf("crashed %v on the second report, want none", crashed)
 	}
@@ -64,9 +64,9 @@
 	for _, test := range tests {
 		t.Run(test.name, func(t *testing.T) {
 			running := NewActiveRuns()
-			cause, _ := running.Start("r1", 1, Normal)
+			cause, _ := running.Start(start, "r1", 1, Normal)
 			running.Crash(start, cause)
-			later, _ := running.Start("r1", 2, RunAlone)
+			later, _ := running.Start(start, "r1", 2, RunAlone)
 			if test.answered {
 				running.Answered(later)
 			}
--- a/internal/quarantine/schedule_test.go
+++ b/internal/quarantine/schedule_test.go
@@ -90,7 +90,7 @@
 		if s.now.Before(s.upAt[i]) || s.load(i) >= scheduleSlots {
 			continue
 		}
-		run, ok := s.running.Start(replicaName(i), j.fp, verdict)
+		run, ok := s.running.Start(s.now, replicaName(i), j.fp, verdict)
 		if !ok {
 			continue
 		}
@@ -141,7 +141,7 @@
 	s.crashes[cause.fp]++
 	replica := cause.run.Replica
 	s.upAt[replica[0]-'a'] = s.now.Add(downTime)
-	s.tracker.Crash(s.now, replica, s.running.Crash(s.now, cause.run))
+	s.tracker.CrashOf(s.now, replica, s.running.Crash(s.now, cause.run))
 	for _, j := range s.started {
 		if j.run != nil && j.run.Replica == replica {
 			j.run = nil
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -110,6 +110,44 @@
 	return changed
 }
 
+const (
+	// coincidenceTime is the time after a crash in which the next replica that a request is sent to may
+	// have crashed of the same cause, as of a failed rack.
+	coincidenceTime = 100 * time.Millisecond
+	// minCrashRun is the time that a request takes at least to reach a replica and to begin there.
+	minCrashRun = 5 * time.Millisecond
+)
+
+// CrashOf is Crash for the runs that the crash ended. It leaves out requests that cannot be the cause.
+func (t *Tracker) CrashOf(now time.Time, replica string, ended []EndedRun) []Record {
+	running := make([]Fingerprint, 0, len(ended))
+	for _, run := range ended {
+		if !t.isCoincidence(now, run) {
+			running = append(running, run.Fingerprint)
+		}
+	}
+	changed := t.Crash(now, replica, running)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, run := range ended {
+		if r, known := t.get(run.Fingerprint); known && r.LastCrash.Equal(now) {
+			r.lastRun = run.Lasted
+			t.put(r)
+		}
+	}
+	return changed
+}
+
+// isCoincidence reports whether the request had no time to crash the replica: it had run on another one
+// for a while when that crashed, and was sent on to one that crashed in the same moment. A request
+// that crashes replicas at once does not run for a while on any.
+func (t *Tracker) isCoincidence(now time.Time, run EndedRun) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, known := t.get(run.Fingerprint)
+	return known && run.Lasted < minCrashRun && r.lastRun >= minCrashRun && now.Sub(r.LastCrash) < coincidenceTime
+}
+
 // knowsCrash reports whether the record already has this crash: each node that ran the
 // request on the replica sees it.
 func (t *Tracker) knowsCrash(now time.Time, replicaHash uint32, fp Fingerprint) bool {
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -44,6 +44,32 @@
 	expect(t, tracker, start, 2, RunAlone)
 }
 
+// Guards against the quarantine of a request whose second replica crashed in the same moment as the first,
+// as of a failed rack. A request that crashes replicas at once is still found.
+func TestReplicasThatCrashTogetherDoNotQuarantineARequest(t *testing.T) {
+	tests := map[string]struct {
+		first, after, second time.Duration
+		want                 Verdict
+	}{
+		"sent on to a replica that crashes as well": {time.Second, time.Millisecond, time.Millisecond, RunAlone},
+		"ran before the second crash":               {time.Second, 50 * time.Millisecond, 20 * time.Millisecond, Refuse},
+		"crashes replicas at once":                  {time.Millisecond, time.Millisecond, time.Millisecond, Refuse},
+		"crashes a replica at once, later":          {time.Second, 200 * time.Millisecond, time.Millisecond, Refuse},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			tracker, running := NewTracker("", 0), NewActiveRuns()
+			crash := func(at time.Time, replica string, lasted time.Duration) {
+				run, _ := running.Start(at.Add(-lasted), replica, 1, Normal)
+				tracker.CrashOf(at, replica, running.Crash(at, run))
+			}
+			crash(start, "r1", test.first)
+			crash(start.Add(test.after), "r2", test.second)
+			expect(t, tracker, start.Add(test.after), 1, test.want)
+		})
+	}
+}
+
 // Two requests that always crash replicas together are both refused in the end: one of them is
 // the cause, and nothing tells which.
 func TestInseparableSuspectsAreQuarantined(t *testing.T) {
