Streams that callers resume go on only at the software version that began them

Cause: only the node that began a stream could know its version, and no node read Resumes. Class: a restriction on a call was known only where it arose, and the next node took its absence for permission.

Change: package streamorigin keeps at which upstream and version each resumable stream began. A resumed stream is looked up at this node, the others, then the store; one that nobody knows began at the only version of the last minute, if there was only one, else it is refused as not run.

Its judge counts streams, as the rule does, in place of tries: a caller of the soak tries up to eight times.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -31,6 +31,8 @@
 	"galenatrestle/internal/retrybudget"
 	"galenatrestle/internal/routesource"
 	"galenatrestle/internal/settings"
+	"galenatrestle/internal/streamorigin"
+	"galenatrestle/internal/streamorigin/streamoriginrpc"
 )
 
 // Node is the process on one edge VM.
@@ -53,6 +55,7 @@
 	sharing     *limitSharing
 	handler     *passthrough.Handler
 	quarantines *quarantineKeeper
+	streams     *streamorigin.Tracker
 	reader      *reader
 	announcer   *announcer
 	clients     *peer.Clients
@@ -90,6 +93,9 @@
 		nodes:    nodesync.NewNodes(s.Name, s.Peers.Seeds),
 	}
 	n.settings.Store(s)
+	if err := n.newPeers(); err != nil {
+		return nil, err
+	}
 	n.path = n.newReplicaPath()
 	n.conns = replicaconn.NewPool(n.path.Dial, n.countConnection())
 	n.rateLimiter = newRateLimiter(n)
@@ -106,6 +112,7 @@
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
 	n.quarantines = newQuarantineKeeper(n, tracker)
+	n.streams = n.newStreamOrigins()
 	n.handler = n.newHandler(tracker)
 	isSeed := slices.Contains(s.Peers.Seeds, s.Advertise.Peer) || slices.Contains(s.Peers.Seeds, s.PeerListen)
 	n.reader = &reader{
@@ -177,17 +184,17 @@
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
 		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Brittle: n.brittle, Log: n.log, Registry: n.registry,
-		OnRun: n.duties.requestCounter(),
+		OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
-		Random: rand.Float64, Bounds: n.bounds,
+		Streams: n.streams, Random: rand.Float64, Bounds: n.bounds,
 		NodeCount: n.sharing.nodeCount, Log: n.log, Registry: n.registry,
 	})
 }
 
-// setUpPeers creates the clients and the server for calls between nodes.
-func (n *Node) setUpPeers() error {
+// newPeers creates the clients and the server for calls between nodes.
+func (n *Node) newPeers() error {
 	keys, err := peer.NewKeys(peer.KeyFiles{
 		Certificate: n.options.Settings.TLS.CertificateFile,
 		Key:         n.options.Settings.TLS.KeyFile,
@@ -197,9 +204,15 @@
 		return err
 	}
 	n.clients = peer.NewClients(keys, peer.Settings{DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, MaxConnections: 1}, n.registry)
-	n.sync.SetClients(n.clients)
 	n.peers = peer.NewServer(keys, n.registry)
+	return nil
+}
+
+// setUpPeers mounts the handlers of calls between nodes and gives the callers their clients.
+func (n *Node) setUpPeers() error {
+	n.sync.SetClients(n.clients)
 	n.peers.Mount(n.sync.Handler())
+	n.peers.Mount(streamoriginrpc.NewHandler(n.streams, n.options.Clock))
 	n.rateLimiter.setUp()
 	n.setUpReplicaPath()
 	return n.duties.setUp()
@@ -240,6 +253,7 @@
 		n.log.Write(newListingReplaced(listing, changes, age))
 	}
 	n.rateLimiter.onReplicaChanges(changes, n.options.Clock())
+	n.streams.OnReplicaChanges(changes)
 	for i, c := range changes {
 		if i < maxLoggedChanges {
 			n.log.Write(&replicaChanged{change: c, revision: listing.Revision, age: age})
@@ -301,6 +315,7 @@
 	})
 	n.tasks.Go(func() { n.announcer.run(ctx) })
 	n.tasks.Go(func() { n.quarantines.run(ctx) })
+	n.tasks.Go(func() { n.streams.Run(ctx) })
 	n.tasks.Go(func() { n.sync.Run(ctx) })
 	n.tasks.Go(func() { n.path.Run(ctx) })
 	n.tasks.Go(func() { n.maintain(ctx) })
--- a/internal/edge/store.go
+++ b/internal/edge/store.go
@@ -9,11 +9,13 @@
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/streamorigin"
 )
 
 // Store is the part of the platform's store that a node uses.
 type Store interface {
 	duty.Store
+	streamorigin.Store
 	// Configuration reads the newest version of the operator's document.
 	Configuration(ctx context.Context) ([]byte, error)
 	// Replicas reads all registrations. A listing may come with an error that lists entries
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -57,6 +58,7 @@
 	}
 	a := &attempt{exchange: e, placementAttempt: placementAttempt}
 	e.lastReplicaID, e.lastVia = placementAttempt.Replica.ID, ""
+	e.triedAgain = slices.Contains(e.placementRequest.Avoid, e.lastReplicaID)
 	listing, _ := e.forwarder.options.Replicas.Latest()
 	e.forwarder.options.Log.Write(&attemptStarted{exchange: e, placementAttempt: placementAttempt, revision: listing.Revision})
 	run := e.forwarder.options.CrashGuard.startRun(placementAttempt.Replica, e.fingerprint)
@@ -86,9 +88,10 @@
 }
 
 // refuseIfOverloaded returns a failure if overload control refuses the call.
-// Retries are always admitted.
+// Retries and resumed streams are always admitted: to end what was begun is worth more
+// than to begin another answer, and few replicas may be able to.
 func (e *exchange) refuseIfOverloaded(placementAttempt *placement.Attempt) *Failure {
-	if e.attempts > 1 {
+	if e.attempts > 1 || e.call.ResumesStream() {
 		return nil
 	}
 	decision := e.admit(&placementAttempt.Choice)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -16,6 +16,9 @@
 	Workspace *route.Workspace
 	// Upstream is the one selected from the route's upstreams.
 	Upstream string
+	// StreamVersion is the software version at which the stream began that the caller resumes; nil: the
+	// stream is new.
+	StreamVersion *string
 	// Rank is the call's urgency; 0 is the most urgent.
 	Rank int
 	// MemoryTokens is a replica's memory capacity in tokens; zero if unknown.
@@ -42,8 +45,22 @@
 	return c.Workspace.Name
 }
 
+// StreamAttempt returns the ID of the caller's attempt that receives, or has received, the stream's first
+// event; empty if the caller does not tell it.
+func (c *Call) StreamAttempt() string {
+	if c.ResumesStream() {
+		return c.Resumes
+	}
+	return c.ID
+}
+
+// Patience returns how long the caller may go on to try, from now on.
+func (c *Call) Patience() time.Duration {
+	return max(time.Until(c.Deadline), time.Until(c.Arrived.Add(c.Timeout)))
+}
+
 func (c *Call) newPlacementRequest() placement.Request {
-	r := placement.Request{Class: c.Route.Name, Rank: c.Rank, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, CanCopyCache: c.CanCopyCache, AnswerTokens: c.Prompt.ExpectedAnswerTokens}
+	r := placement.Request{Class: c.Route.Name, Rank: c.Rank, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, CanCopyCache: c.CanCopyCache, AnswerTokens: c.Prompt.ExpectedAnswerTokens, Version: c.StreamVersion}
 	if r.AnswerTokens == 0 {
 		r.AnswerTokens = c.Prompt.MaxAnswerTokens
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -42,6 +42,11 @@
 	attempts     int
 	sentAttempts int
 	possibleRuns int
+	// awaited counts the attempts after which the call waited for a replica of the stream's version,
+	// since awaitedSince; triedAgain is whether the last attempt's replica had failed before.
+	awaited      int
+	awaitedSince time.Time
+	triedAgain   bool
 	// budgetCounted is set once the retry budget has counted the call.
 	budgetCounted bool
 	lastEventID   string
@@ -82,7 +87,7 @@
 		}
 		e.lastFailure = failure
 		e.recordFailure(failure)
-		if !e.decideRetry(failure) {
+		if !e.awaitVersion(failure) && !e.decideRetry(failure) {
 			return e.endFailed(failure)
 		}
 	}
@@ -113,6 +118,10 @@
 	return reason == ""
 }
 
+// notRunAttempts returns the number of attempts that did not run, but for those that waited for a
+// replica.
+func (e *exchange) notRunAttempts() int { return e.attempts - e.possibleRuns - e.awaited }
+
 // countRun calls Options.OnRun the first time that a replica begins to run the call.
 func (e *exchange) countRun() {
 	if e.runCounted || e.forwarder.options.OnRun == nil {
@@ -143,7 +152,7 @@
 		return crashesReplicas
 	case e.callerResponse.hasStarted() && e.call.Route.Repeat != route.ResumableStream:
 		return responseStarted
-	case e.attempts-e.possibleRuns >= maxNotRunAttempts:
+	case e.notRunAttempts() >= maxNotRunAttempts:
 		return tooManyRefusals
 	case f.NotRun && e.possibleRuns == 0:
 		return ""
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -27,6 +27,9 @@
 	Brittle    *brittle.Table
 	Log        *eventlog.Log
 	Registry   prometheus.Registerer
+	// OnStreamBegan is called before a call of a resumable stream forwards its first events, with the
+	// software version of the replica that sent them; may be nil.
+	OnStreamBegan func(c *Call, version string)
 	// OnRun is called with the workspace of each call that a replica begins to run;
 	// may be nil.
 	OnRun func(workspace string)
--- a/internal/forward/resume.go
+++ b/internal/forward/resume.go
@@ -1,6 +1,13 @@
 package forward
 
-import "galenatrestle/internal/eventlog"
+import (
+	"errors"
+	"time"
+
+	"galenatrestle/internal/ctxtime"
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/route"
+)
 
 // resumer is who resumes a stream at another replica.
 type resumer string
@@ -19,6 +26,33 @@
 	unknownVersion versionMatch = "unknown"
 )
 
+const (
+	// versionWait is how long a stream waits for a replica of its version if none takes it, as after
+	// several have crashed: others may start soon, and registrations take about a second to arrive. It
+	// is less than callers wait for an event.
+	versionWait = 1200 * time.Millisecond
+	// versionRetryPause is the time between two looks for one.
+	versionRetryPause = 100 * time.Millisecond
+)
+
+// awaitVersion waits a moment and reports true if the stream can go on only at one software version and
+// no replica of it could be reached. A new stream would have gone to another version.
+func (e *exchange) awaitVersion(f *Failure) bool {
+	noneLeft := errors.Is(f, errNoReplica) || e.triedAgain || e.notRunAttempts() >= maxNotRunAttempts
+	if e.placementRequest.Version == nil || !f.NotRun || f.ReachedReplica || !noneLeft {
+		return false
+	}
+	now := time.Now()
+	if e.awaited == 0 {
+		e.awaitedSince = now
+	}
+	if now.Sub(e.awaitedSince) >= versionWait || ctxtime.Sleep(e.ctx, versionRetryPause) != nil {
+		return false
+	}
+	e.awaited++
+	return true
+}
+
 // recordVersion restricts further attempts to the software version that sends the stream's first events,
 // as what two versions write does not fit together. It reports a stream that another replica began.
 func (a *attempt) recordVersion() {
@@ -34,6 +68,9 @@
 		version := a.placementAttempt.Replica.Version
 		e.placementRequest.Version = &version
 	}
+	if e.call.Route.Repeat == route.ResumableStream && e.forwarder.options.OnStreamBegan != nil {
+		e.forwarder.options.OnStreamBegan(e.call, a.placementAttempt.Replica.Version)
+	}
 }
 
 func (a *attempt) reportResumed() {
--- a/internal/passthrough/check.go
+++ b/internal/passthrough/check.go
@@ -49,9 +49,7 @@
 		Method: r.Method, Target: target, Host: r.Host, Header: r.Header, Body: body,
 		Arrived: arrived, Deadline: deadline(arrived, matched, headers.Timeout),
 	}
-	if u, ok := table.Upstream(c.Upstream); ok {
-		h.applyUpstream(c, u)
-	}
+	h.applyUpstream(c, table)
 	return c, nil
 }
 
@@ -103,7 +101,11 @@
 }
 
 // applyUpstream copies the upstream's replica settings to the call.
-func (h *Handler) applyUpstream(c *forward.Call, u *route.Upstream) {
+func (h *Handler) applyUpstream(c *forward.Call, table *route.Table) {
+	u, ok := table.Upstream(c.Upstream)
+	if !ok {
+		return
+	}
 	if u.Engine != nil {
 		c.MemoryTokens = u.Engine.MemoryTokens
 		c.CanCopyCache = u.Engine.CopiesPrompts
--- a/internal/passthrough/handler.go
+++ b/internal/passthrough/handler.go
@@ -49,6 +49,9 @@
 	if refusal == nil && (h.refuseNew.Load() || call.Route.Streaming && h.refuseStreaming.Load()) {
 		refusal = &stoppingRejection
 	}
+	if refusal == nil {
+		refusal = h.resolveOrigin(r.Context(), call)
+	}
 	if refusal != nil {
 		h.refuse(w, r, refusal)
 		return
--- a/internal/passthrough/options.go
+++ b/internal/passthrough/options.go
@@ -1,6 +1,7 @@
 package passthrough
 
 import (
+	"context"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -9,6 +10,7 @@
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/routesource"
+	"galenatrestle/internal/streamorigin"
 )
 
 // Options configures a Handler.
@@ -17,6 +19,8 @@
 	Forwarder *forward.Forwarder
 	Codec     forward.Codec
 	Clock     boottime.Clock
+	// Streams tells at which software version a resumed stream began.
+	Streams StreamOrigins
 	// Random returns values in [0, 1) for choosing one of a route's upstreams by weight.
 	Random func() float64
 	// Bounds returns the bounds in force.
@@ -28,6 +32,12 @@
 	Registry  prometheus.Registerer
 }
 
+// StreamOrigins tells where streams began; *streamorigin.Tracker implements it.
+type StreamOrigins interface {
+	// Resolve finds the origin of a stream for the caller's attempt that received its first event.
+	Resolve(ctx context.Context, attempt, upstream string) streamorigin.Resolution
+}
+
 // Bounds are the times within which a change of the configuration takes effect.
 type Bounds struct {
 	// RevokeAfter is how long after its revocation a key may still be accepted;
--- a/internal/passthrough/refusal.go
+++ b/internal/passthrough/refusal.go
@@ -17,6 +17,10 @@
 	bodyTooLarge       reason = "body_too_large"
 	bodyUnreadable     reason = "body_unreadable"
 	stopping           reason = "stopping"
+	// unknownOrigin and movedOrigin are resumed streams of which it is not known at which software
+	// version they began, and of which the route no longer allows the upstream that began them.
+	unknownOrigin reason = "unknown_stream_origin"
+	movedOrigin   reason = "stream_origin_moved"
 )
 
 // retryDelay is the Retry-After of refusals for a missing or outdated configuration. It is
@@ -38,6 +42,8 @@
 	unknownKeyRejection         = rejection{unknownKey, http.StatusUnauthorized, 0}
 	bodyTooLargeRejection       = rejection{bodyTooLarge, http.StatusRequestEntityTooLarge, 0}
 	bodyUnreadableRejection     = rejection{bodyUnreadable, http.StatusBadRequest, 0}
+	unknownOriginRejection      = rejection{unknownOrigin, http.StatusServiceUnavailable, retryDelay}
+	movedOriginRejection        = rejection{movedOrigin, http.StatusServiceUnavailable, retryDelay}
 	stoppingRejection           = rejection{stopping, http.StatusServiceUnavailable, time.Millisecond}
 )
 
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -84,6 +84,7 @@
 func (w *world) judgeResumed(tries map[string][]*sent) {
 	var began, wentOn tally
 	for _, list := range tries {
+		resumed, goesOn := false, false
 		for _, s := range list {
 			if !w.isOwed(s) || w.disturbedBetween(s.entry, s.at.Add(-resumeStable), s.endedAt) {
 				continue
@@ -92,9 +93,12 @@
 			case s.resumes == "":
 				began.count(len(s.events) > 0)
 			case w.serving(versionsOf(list)[0], s.at, s.endedAt) >= minServing:
-				wentOn.count(len(s.events) > 0 || s.whole())
+				resumed, goesOn = true, goesOn || len(s.events) > 0 || s.whole()
 			}
 		}
+		if resumed {
+			wentOn.count(goesOn)
+		}
 	}
 	w.resumed = wentOn
 	// Compared without division, so that no new streams need no case of their own.
