A restarted node learns from the store which software versions served before

A node now reads the saved records once, 1 to 2 s after its start; if they name no other version, none served side by side. New case 'all nodes were killed a while ago and the store is away' of TestStreamBeganAtTheOnlyVersion, refused before. Cost: one read per start.

--- a/internal/edge/streams.go
+++ b/internal/edge/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
@@ -41,6 +42,7 @@
 	return streamorigin.New(streamorigin.Options{
 		Replicas: n.replicas, Fleet: streamFleet{n.sync}, Peers: streamoriginrpc.NewClient(n.clients, n.options.Clock), Store: n.options.Store,
 		Clock: n.options.Clock, Log: n.log, Registry: n.registry, Process: fmt.Sprintf("%s/%x", s.Name, n.options.Seed),
+		Rand: rand.New(rand.NewPCG(n.options.Seed, 7)),
 	})
 }
 
--- a/internal/streamorigin/options.go
+++ b/internal/streamorigin/options.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -20,6 +21,8 @@
 	Clock    boottime.Clock
 	Log      *eventlog.Log
 	Registry prometheus.Registerer
+	// Rand is used by one goroutine only.
+	Rand *rand.Rand
 	// Process names this run of the node's process in the keys of the store.
 	Process string
 }
--- a/internal/streamorigin/resolve.go
+++ b/internal/streamorigin/resolve.go
@@ -130,19 +130,12 @@
 		r.StoreErr = err
 		return
 	}
-	now := t.options.Clock()
-	var seen []string
-	for i := range records {
-		t.records.add(records[i], now)
-		if records[i].Upstream == upstream && !slices.Contains(seen, records[i].Version) {
-			seen = append(seen, records[i].Version)
-		}
-	}
-	if record, known := t.records.find(stream, now); known {
+	t.learn(records)
+	if record, known := t.records.find(stream, t.options.Clock()); known {
 		r.Origin, r.Source = record.Origin, SavedRecord
 		return
 	}
-	r.merge(seen, true)
+	r.merge(t.versions.recent(upstream), true)
 	r.inferOnlyVersion(upstream)
 }
 
--- a/internal/streamorigin/savedrecords.go
+++ b/internal/streamorigin/savedrecords.go
@@ -13,6 +13,9 @@
 	savedReadAge = 50 * time.Millisecond
 	// savedReadTimeout bounds one read.
 	savedReadTimeout = 500 * time.Millisecond
+	// A process reads the store between firstSavedRead and twice that after its start, and after as
+	// long again if that failed.
+	firstSavedRead = time.Second
 )
 
 // savedRecords reads the records in the store, once for all requests that want them at the same
--- a/internal/streamorigin/tracker.go
+++ b/internal/streamorigin/tracker.go
@@ -40,6 +40,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { t.spreader.run(ctx, t.saver) })
 	tasks.Go(func() { t.saver.run(ctx) })
+	tasks.Go(func() { t.learnHistory(ctx) })
 	tasks.Wait()
 }
 
--- a/internal/streamorigin/tracker_test.go
+++ b/internal/streamorigin/tracker_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"testing"
@@ -58,7 +59,7 @@
 	n := &testNode{cluster: c, index: index, replicas: replica.NewSet()}
 	n.Tracker = New(Options{
 		Replicas: n.replicas, Fleet: n, Peers: c, Store: c, Clock: clock,
-		Log: eventlog.New(io.Discard, ""), Registry: prometheus.NewRegistry(), Process: nodeName(index) + "/1",
+		Log: eventlog.New(io.Discard, ""), Registry: prometheus.NewRegistry(), Process: nodeName(index) + "/1", Rand: rand.New(rand.NewPCG(1, uint64(index))),
 	})
 	n.list(versions...)
 	ctx, cancel := context.WithCancel(t.Context())
@@ -241,6 +242,13 @@
 				c.restart(t, i, "v1")
 			}
 		}, Unknown},
+		"all nodes were killed a while ago and the store is away": {func(t *testing.T, c *cluster) {
+			for i := range c.nodes {
+				c.restart(t, i, "v1")
+			}
+			time.Sleep(3 * firstSavedRead)
+			c.set(func() { c.storeErr = platform.ErrUnavailable })
+		}, OnlyVersion},
 		"this node was killed": {func(t *testing.T, c *cluster) {
 			c.set(func() { c.storeErr = platform.ErrUnavailable })
 			c.restart(t, 0, "v1")
--- a/internal/streamorigin/versions.go
+++ b/internal/streamorigin/versions.go
@@ -22,6 +22,9 @@
 	// lastListed is when versions were last listed that are no longer, by upstream.
 	lastListed map[string]map[string]boottime.Instant
 	listed     map[string]listedVersions
+	// readSaved is set once the records in the store were read, which have all versions that served side
+	// by side before this node had a listing.
+	readSaved bool
 }
 
 // listedVersions are the versions of the upstream's replicas as they are listed.
@@ -43,16 +46,31 @@
 		v.listedSince = now
 	}
 	for _, c := range changes {
-		if c.Kind != replica.Removed {
-			continue
+		if c.Kind == replica.Removed {
+			v.setLastListed(Origin{Upstream: c.Replica.Upstream, Version: c.Replica.Version}, now)
 		}
-		if v.lastListed[c.Replica.Upstream] == nil {
-			v.lastListed[c.Replica.Upstream] = make(map[string]boottime.Instant)
-		}
-		v.lastListed[c.Replica.Upstream][c.Replica.Version] = now
 	}
 }
 
+// onSavedRecords takes note of the versions of all records in the store.
+func (v *versions) onSavedRecords(records []Record) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.readSaved = true
+	now := v.clock()
+	for i := range records {
+		v.setLastListed(records[i].Origin, now)
+	}
+}
+
+// setLastListed is called with the lock held.
+func (v *versions) setLastListed(o Origin, now boottime.Instant) {
+	if v.lastListed[o.Upstream] == nil {
+		v.lastListed[o.Upstream] = make(map[string]boottime.Instant)
+	}
+	v.lastListed[o.Upstream][o.Version] = now
+}
+
 // recent returns the versions that may have begun streams of the upstream, in order.
 func (v *versions) recent(upstream string) []string {
 	listed := v.replicas.ForUpstream(upstream)
@@ -90,12 +108,12 @@
 // areMixed reports whether streams of the upstream may have begun at different versions.
 func (v *versions) areMixed(upstream string) bool { return len(v.recent(upstream)) > 1 }
 
-// areComplete reports whether this node has watched for long enough to know all versions that may have
-// begun streams, if its listing is recent.
+// areComplete reports whether this node knows all versions that may have begun streams, if its listing is
+// recent: it has watched for long enough, or has read what was saved before.
 func (v *versions) areComplete() bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.listedSince != 0 && v.clock().Sub(v.listedSince) >= maxRetention
+	return v.listedSince != 0 && (v.readSaved || v.clock().Sub(v.listedSince) >= maxRetention)
 }
 
 // listingAge returns the age of the registrations that this node uses.
