Cached prompt parts are copied between replicas of one software version only

It now knows, for each version, the replica that has prefilled the most of a prompt, and the guess after a restart is made within a version as well. TestPartsAreNotCopiedFromAnotherVersion fails if versions are not compared.

--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -54,7 +54,7 @@
 // isCandidate reports whether to consider the replica: it may have the prompt cached, or it is
 // drawn at random.
 func (u *upstream) isCandidate(s *replicaState, p *prefixLocation, fraction float64) bool {
-	if fraction >= 1 || s == p.primary || s == p.secondary || s == p.mostPrefilled {
+	if fraction >= 1 || s == p.primary || s == p.secondary || p.hasMostPrefilled(s) {
 		return true
 	}
 	return u.rand.Float64() < fraction
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -14,10 +14,15 @@
 	secondary *replicaState
 	// canCopy is whether replicas can copy cached parts from each other.
 	canCopy bool
-	// mostPrefilled is the replica that has prefilled the most tokens of the parts; nil: none is
-	// known. mostPrefilledTokens is the number of these tokens.
-	mostPrefilled       *replicaState
-	mostPrefilledTokens int
+	// mostPrefilled has, for each software version, the replica that has prefilled the most tokens of
+	// the parts. Cached parts do not fit replicas of another version.
+	mostPrefilled []prefilledParts
+}
+
+// prefilledParts is a replica and the number of tokens of the parts that it has prefilled.
+type prefilledParts struct {
+	state  *replicaState
+	tokens int
 }
 
 // maxCopyFailureScore is the failure score from which parts are not copied from a replica: one
@@ -37,13 +42,43 @@
 	}
 	for _, s := range available {
 		tokens := s.cache.cachedTokens(now, r.Shared)
-		if tokens > p.mostPrefilledTokens && s.cache.prefilled(now, r.Shared) && s.failureScoreAt(now) < maxCopyFailureScore {
-			p.mostPrefilled, p.mostPrefilledTokens = s, tokens
+		if tokens > p.mostPrefilledAt(s.replica.Version).tokens && s.cache.prefilled(now, r.Shared) && s.failureScoreAt(now) < maxCopyFailureScore {
+			p.setMostPrefilled(prefilledParts{s, tokens})
 		}
 	}
 	return p
 }
 
+// mostPrefilledAt returns what is known at the version; zero: nothing.
+func (p *prefixLocation) mostPrefilledAt(version string) prefilledParts {
+	for _, m := range p.mostPrefilled {
+		if m.state.replica.Version == version {
+			return m
+		}
+	}
+	return prefilledParts{}
+}
+
+func (p *prefixLocation) setMostPrefilled(m prefilledParts) {
+	for i := range p.mostPrefilled {
+		if p.mostPrefilled[i].state.replica.Version == m.state.replica.Version {
+			p.mostPrefilled[i] = m
+			return
+		}
+	}
+	p.mostPrefilled = append(p.mostPrefilled, m)
+}
+
+// hasMostPrefilled reports whether the replica has prefilled the most tokens at its version.
+func (p *prefixLocation) hasMostPrefilled(s *replicaState) bool {
+	for _, m := range p.mostPrefilled {
+		if m.state == s {
+			return true
+		}
+	}
+	return false
+}
+
 // expectedCachedTokens returns the number of shared prompt tokens that the replica is expected to
 // have cached.
 func (p *prefixLocation) expectedCachedTokens(now time.Time, r *Request, s *replicaState) int {
@@ -54,29 +89,34 @@
 	return cached
 }
 
-// copyableTokens returns the number of tokens that the replica can copy from mostPrefilled,
-// beyond those it has cached.
+// copyableTokens returns the number of tokens that the replica can copy from another one of its
+// version, beyond those it has cached.
 func (p *prefixLocation) copyableTokens(s *replicaState, cached int) int {
-	if s == p.mostPrefilled {
+	m := p.mostPrefilledAt(s.replica.Version)
+	if s == m.state {
 		return 0
 	}
-	return max(p.mostPrefilledTokens-cached, 0)
+	return max(m.tokens-cached, 0)
 }
 
 // source returns the replica to copy shared parts from, or nil. If no replica is known to have
 // them, as after a restart of the nodes, it returns the primary replica, or the secondary for
 // the primary itself: a copy that finds nothing is cheap.
 func (p *prefixLocation) source(s *replicaState, cached int) *replicaState {
-	switch {
-	case p.copyableTokens(s, cached) > 0:
-		return p.mostPrefilled
-	case !p.canCopy || p.mostPrefilled != nil || cached > 0:
+	if p.copyableTokens(s, cached) > 0 {
+		return p.mostPrefilledAt(s.replica.Version).state
+	}
+	if !p.canCopy || len(p.mostPrefilled) > 0 || cached > 0 {
+		return nil
+	}
+	guess := p.primary
+	if s == p.primary {
+		guess = p.secondary
+	}
+	if guess == nil || guess.replica.Version != s.replica.Version {
 		return nil
-	case s == p.primary:
-		return p.secondary
-	default:
-		return p.primary
 	}
+	return guess
 }
 
 // rendezvousHash returns the weight of a replica for a prompt part. All nodes compute the same
--- a/internal/placement/prefix_test.go
+++ b/internal/placement/prefix_test.go
@@ -47,7 +47,8 @@
 				first.AnswerStarted(start.Add(test.answerStarted))
 			}
 			location := locatePrefix(start.Add(test.locatedAt), copyableRequest(100), p.upstream("u").available, p.upstream("u").available)
-			if prefilled := location.mostPrefilled != nil && location.mostPrefilled.replica.ID == first.Replica.ID; prefilled != test.copy {
+			source := location.mostPrefilledAt(first.Replica.Version).state
+			if prefilled := source != nil && source.replica.ID == first.Replica.ID; prefilled != test.copy {
 				t.Errorf("%s located as having prefilled the parts: %v, want the opposite", first.Replica.ID, prefilled)
 			}
 			if !test.copy {
@@ -77,6 +78,31 @@
 	return ""
 }
 
+// Guards against cached parts that are copied from a replica of another software version.
+func TestPartsAreNotCopiedFromAnotherVersion(t *testing.T) {
+	p, set := newFleet(12, 1)
+	first := p.Choose(start, "u", copyableRequest(100))
+	first.AnswerStarted(start.Add(300 * time.Millisecond))
+	p.upstream("u").states[first.Replica.ID].replica.Version = "v2"
+	later := start.Add(400 * time.Millisecond)
+	location := locatePrefix(later, copyableRequest(100), p.upstream("u").available, p.upstream("u").available)
+	for _, r := range set.ForUpstream("u") {
+		s := p.upstream("u").states[r.ID]
+		if s.replica.Version == "v2" {
+			continue
+		}
+		if source := location.source(s, 0); source != nil || location.copyableTokens(s, 0) != 0 {
+			t.Fatalf("%s copies %d tokens from %+v", r.ID, location.copyableTokens(s, 0), source)
+		}
+	}
+	// Where nobody is known to have the parts, the primary replicas copy from each other.
+	location = locatePrefix(later, copyableRequest(150), p.upstream("u").available, p.upstream("u").available)
+	location.primary.replica.Version = "v3"
+	if source := location.source(location.secondary, 0); source != nil {
+		t.Errorf("the secondary replica copies from the primary one of another version")
+	}
+}
+
 // After a restart of all nodes, the primary and secondary replicas copy from each other.
 func TestUnknownPrefixIsCopiedBetweenPrimaryAndSecondary(t *testing.T) {
 	p, _ := newFleet(12, 1)
