--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -131,7 +132,7 @@
 // call sends one call of a kind drawn at random.
 func (c *caller) call(entry string) *sent {
 	s := &sent{id: fmt.Sprintf("%s-%d", c.name, c.count), entry: entry}
-	s.path = []string{"/claim/", "/parts/", platformtest.StreamPath}[c.random.IntN(3)]
+	s.path = cmp.Or(c.world.options.path, []string{"/claim/", "/parts/", platformtest.StreamPath}[c.random.IntN(3)])
 	if s.path == platformtest.StreamPath {
 		s.stream = s.id
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -47,10 +47,16 @@
 	// events of their streams; zero: the default.
 	ModelReplicas int
 	EventEvery    time.Duration
+	// LedgerReplicas is the number of replicas of the plain service, and WorkTime how long they run a
+	// call; zero: the defaults.
+	LedgerReplicas int
+	WorkTime       time.Duration
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 	// extra are events besides those that are drawn.
 	extra []event
+	// path is that of all calls; empty: it is drawn for each.
+	path string
 }
 
 // Report is what a run found.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,6 +118,18 @@
 	playWithoutFaults(t, Options{Nodes: 5, Callers: 34, Length: brittleLasts, extra: []event{{kind: replicasBrittle, lasts: brittleLasts}}})
 }
 
+// Nodes refused calls for which brittle replicas had room.
+func TestBrittleReplicasServeWhatTheyHaveRoomFor(t *testing.T) {
+	const lasts = brittleStable + 8*time.Second
+	report := playWithoutFaults(t, Options{
+		Nodes: 4, Callers: 40, Length: lasts, LedgerReplicas: 9, WorkTime: 150 * time.Millisecond, path: "/parts/",
+		extra: []event{{kind: replicasBrittle, target: 1, lasts: lasts}},
+	})
+	if float64(report.Served) < leastServed*float64(report.Calls) {
+		t.Errorf("%d of %d calls were served with 40 callers and 72 places", report.Served, report.Calls)
+	}
+}
+
 func TestTheJudgeSeesBrittleReplicasThatFall(t *testing.T) {
 	now := time.Now()
 	for name, test := range map[string]struct {
@@ -272,7 +284,7 @@
 }
 
 // playWithoutFaults plays what the replicas say in their answers, and nothing else.
-func playWithoutFaults(t *testing.T, options Options) {
+func playWithoutFaults(t *testing.T, options Options) Report {
 	t.Helper()
 	t.Setenv(asProgram, "1")
 	t.Setenv("GORACE", "atexit_sleep_ms=0")
@@ -286,6 +298,7 @@
 		t.Error(v)
 	}
 	t.Logf("%d of %d calls served, %d of %d resumed streams went on", report.Served, report.Calls, report.WentOn, report.Resumed)
+	return report
 }
 
 func TestTheJudgeSeesRequestsToAReplicaThatSaidItLeaves(t *testing.T) {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -74,9 +74,10 @@
 	ledgerService        = "ledger"
 	firstVersion         = "v1"
 	defaultModelReplicas = 4
-	ledgerReplicas       = 3
 	firstKeys            = 6
 	replicaSlots         = 8
+
+	defaultLedgerReplicas = 3
 )
 
 // newWorld starts everything but the nodes' processes.
@@ -99,7 +100,7 @@
 	}
 	w.configure()
 	models := cmp.Or(o.ModelReplicas, defaultModelReplicas)
-	for i := range models + ledgerReplicas {
+	for i := range models + cmp.Or(o.LedgerReplicas, defaultLedgerReplicas) {
 		service := modelService
 		if i >= models {
 			service = ledgerService
@@ -149,7 +150,7 @@
 	if err != nil {
 		return err
 	}
-	handler := &platformtest.Replica{ID: id, Version: version, Runs: w.runs, Slots: replicaSlots, EventEvery: w.options.EventEvery}
+	handler := &platformtest.Replica{ID: id, Version: version, Runs: w.runs, Slots: replicaSlots, EventEvery: w.options.EventEvery, WorkTime: w.options.WorkTime}
 	r := &runningReplica{id: id, service: service, version: version, handler: handler, servesFrom: time.Now()}
 	handler.OnCrash = func() { w.crash(r) }
 	handler.SetBrittle(w.brittle[service])
