A path that accepts connections and carries nothing is found as lost

Cause: the check of a lost path asked only whether a connection is accepted, which load balancers, proxies and paths that lose large packets do as well. The check now sends a request for no replica, which each refuses without running it, and wants an answer within 0.5 s; so does the check that ends a lost path. The soak's gate has both faults.

--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -5,8 +5,11 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"slices"
 
+	"galenatrestle/internal/forward"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/replicapath"
@@ -20,11 +23,20 @@
 		direct = replicaconn.TCPDial(replicaconn.DefaultDialTimeout)
 	}
 	return replicapath.NewDialer(replicapath.Options{
-		Direct: direct, Addresses: n.replicaAddresses, MayConnect: n.mayBeReplica, Helpers: n.replicaPathHelpers, OnLost: n.onReplicaPathLost,
+		Direct: direct, Ask: n.askReplica, Addresses: n.replicaAddresses, MayConnect: n.mayBeReplica, Helpers: n.replicaPathHelpers, OnLost: n.onReplicaPathLost,
 		Rand: rand.New(rand.NewPCG(n.options.Seed, 6)), Log: n.log, Registry: n.registry,
 	})
 }
 
+// noReplica is the ID of no replica: a request for it is refused by all, without being run.
+const noReplica = "none"
+
+// askReplica asks for any response on a connection to a replica.
+func (n *Node) askReplica(ctx context.Context, conn net.Conn) error {
+	header := n.options.Codec.EncodeAttempt(nil, forward.AttemptHeaders{Replica: noReplica})
+	return replicaconn.Ask(ctx, conn, &replicaconn.Request{Method: http.MethodGet, Target: "/", Host: conn.RemoteAddr().String(), Header: header})
+}
+
 // onReplicaPathLost drops what this node has learned from its own path: idle connections, and
 // failures, which other nodes would take for the replicas'.
 func (n *Node) onReplicaPathLost() {
--- a/internal/replicapath/dialer.go
+++ b/internal/replicapath/dialer.go
@@ -21,6 +21,9 @@
 type Options struct {
 	// Direct opens direct connections.
 	Direct replicaconn.Dial
+	// Ask asks the replica at the other end of a new connection for any response, and returns an
+	// error if none comes.
+	Ask func(ctx context.Context, conn net.Conn) error
 	// Addresses returns the addresses of the replicas that this node may use, in a new slice.
 	Addresses func() []string
 	// MayConnect reports whether other nodes may be connected to the address, as it may be that of a
@@ -125,8 +128,11 @@
 const (
 	// watchInterval is the interval at which silence is looked for and a lost path is checked.
 	watchInterval = 200 * time.Millisecond
-	// checkedReplicas is the number of replicas that a check connects to at once.
+	// checkedReplicas is the number of replicas that a check asks at once.
 	checkedReplicas = 2
+	// askTimeout bounds asking one of them, the connection included. They answer at once, also if all
+	// their slots are taken.
+	askTimeout = 500 * time.Millisecond
 )
 
 // Run looks for silence, and for the end of a lost path, until ctx ends.
@@ -205,23 +211,17 @@
 	return addresses[:min(len(addresses), checkedReplicas)]
 }
 
-// probe connects to all addresses at once. It returns nil once one of the connections succeeded,
-// or else one of the errors.
+// probe asks the replicas at all addresses at once. It returns nil once one of them answered, or else
+// one of the errors. A path may accept connections, as load balancers do, and carry nothing.
 func (d *Dialer) probe(ctx context.Context, addresses []string) error {
 	if len(addresses) == 0 {
 		return nil
 	}
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	results := make(chan error, len(addresses))
 	for _, address := range addresses {
-		go func() {
-			conn, err := d.options.Direct(ctx, address)
-			if err == nil {
-				err = conn.Close()
-			}
-			results <- err
-		}()
+		go func() { results <- d.ask(ctx, address) }()
 	}
 	var err error
 	for range addresses {
@@ -231,3 +231,13 @@
 	}
 	return err
 }
+
+// ask asks the replica at the address on a connection of its own.
+func (d *Dialer) ask(ctx context.Context, address string) error {
+	conn, err := d.options.Direct(ctx, address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	return d.options.Ask(ctx, conn)
+}
--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"cmp"
 	"os"
+	"slices"
 	"time"
 
 	"galenatrestle/internal/soak/pathfault"
@@ -33,7 +35,7 @@
 	defer w.cutting.Unlock()
 	count := 1 + e.target%(len(w.nodes)-1)
 	c := cut{
-		fault: pathfault.Faults[e.target/len(w.nodes)%len(pathfault.Faults)], entries: make(map[string]bool), from: time.Now(),
+		fault: cmp.Or(e.fault, pathfault.Faults[e.target/len(w.nodes)%len(pathfault.Faults)]), entries: make(map[string]bool), from: time.Now(),
 	}
 	for i := range count {
 		n := w.nodes[(e.target+i)%len(w.nodes)]
@@ -86,13 +88,12 @@
 	var cutOff, others tally
 	from := c.from.Add(cutStable)
 	for _, s := range calls {
-		if s.at.Before(from) || s.at.After(c.until) || w.isExcused(s) {
-			continue
-		}
-		if c.entries[s.entry] {
-			cutOff.add(s)
-		} else {
+		switch {
+		case s.at.Before(from) || s.at.After(c.until) || w.isExcused(s):
+		case !c.entries[s.entry]:
 			others.add(s)
+		case w.hasHelper(c, s.at):
+			cutOff.add(s)
 		}
 	}
 	failed := float64(cutOff.asked - cutOff.served)
@@ -105,6 +106,14 @@
 	}
 }
 
+// hasHelper reports whether a node that reached replicas was undisturbed at the time: nodes that are cut
+// off can serve nothing while all others are down.
+func (w *world) hasHelper(c *cut, at time.Time) bool {
+	return slices.ContainsFunc(w.nodes, func(n *node) bool {
+		return !c.entries[n.entry] && !w.disturbedBetween(n.entry, at.Add(-cutStable), at)
+	})
+}
+
 // isExcused reports whether the call need not be served, or its node's process was disturbed.
 func (w *world) isExcused(s *sent) bool {
 	return !w.isOwed(s) || w.disturbedBetween(s.entry, s.at.Add(-cutStable), s.at)
--- a/internal/soak/pathfault/conn.go
+++ b/internal/soak/pathfault/conn.go
@@ -14,14 +14,16 @@
 	hanging   chan struct{}
 	closeOnce sync.Once
 	closed    chan struct{}
+	// resetOnSend resets the connection when something is sent.
+	resetOnSend bool
 }
 
 // apply applies the fault to the open connection. The gate's lock is held.
 func (c *conn) apply(f Fault) {
 	switch f {
-	case Hang:
+	case Hang, Mute:
 		c.hang()
-	case Reset:
+	case Reset, ResetSent:
 		c.abort()
 	}
 }
@@ -58,6 +60,10 @@
 	if c.isHanging() {
 		return len(data), nil
 	}
+	if c.resetOnSend {
+		c.abort()
+		return len(data), nil
+	}
 	return c.TCPConn.Write(data)
 }
 
--- a/internal/soak/pathfault/fault.go
+++ b/internal/soak/pathfault/fault.go
@@ -3,7 +3,7 @@
 // Fault is what befalls a process's connections to replicas.
 type Fault string
 
-// Faults. With each of them new connections fail.
+// Faults.
 const (
 	// None lets all through.
 	None Fault = ""
@@ -13,10 +13,17 @@
 	Reset Fault = "reset"
 	// LiveOn refuses new connections and leaves the open ones alone.
 	LiveOn Fault = "live_on"
+	// Mute accepts new connections, and nothing arrives on any.
+	Mute Fault = "mute"
+	// ResetSent accepts new connections, and resets each when something is sent on it.
+	ResetSent Fault = "reset_sent"
 )
 
-// Faults are all but None.
-var Faults = []Fault{Hang, Reset, LiveOn}
+// Faults are those with which new connections fail, AcceptingFaults those with which they are accepted.
+var (
+	Faults          = []Fault{Hang, Reset, LiveOn}
+	AcceptingFaults = []Fault{Mute, ResetSent}
+)
 
 // FileVariable is the environment variable with the path of the file that holds the fault.
 const FileVariable = "TRESTLE_SOAK_PATH_FAULT"
--- a/internal/soak/pathfault/gate.go
+++ b/internal/soak/pathfault/gate.go
@@ -87,6 +87,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns[c] = true
+	if c.resetOnSend = g.fault == ResetSent; c.resetOnSend {
+		return c, nil
+	}
 	// The fault may have begun while the connection was established.
 	c.apply(g.fault)
 	return c, nil
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -5,6 +5,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"galenatrestle/internal/soak/pathfault"
 )
 
 // kind is one kind of fault or planned change.
@@ -61,6 +63,8 @@
 	// target chooses among the things that the kind is about.
 	target int
 	lasts  time.Duration
+	// fault is that of a cut; empty: the target chooses it.
+	fault pathfault.Fault
 	// rate is the requests a second that a replica names.
 	rate float64
 }
