--- a/internal/streamorigin/spreader.go
+++ b/internal/streamorigin/spreader.go
@@ -11,8 +11,10 @@
 
 const (
 	// shareDelay is how long records are collected before they are passed on: short compared with the
-	// time for which streams last.
-	shareDelay = 20 * time.Millisecond
+	// time for which streams last. In a large fleet, where a few nodes take the records of all, it is
+	// largeShareDelay.
+	shareDelay      = 20 * time.Millisecond
+	largeShareDelay = 250 * time.Millisecond
 	// shareRetryPause is the time until records are passed on again that a node did not take.
 	shareRetryPause = 100 * time.Millisecond
 	// shareTimeout bounds one call.
@@ -59,7 +61,7 @@
 			return
 		case <-s.wake:
 		}
-		if ctxtime.Sleep(ctx, shareDelay) != nil {
+		if ctxtime.Sleep(ctx, s.delay()) != nil {
 			return
 		}
 		if s.share(ctx, own) {
@@ -72,6 +74,13 @@
 	}
 }
 
+func (s *spreader) delay() time.Duration {
+	if s.options.Fleet.RecordSavers() > 1 {
+		return largeShareDelay
+	}
+	return shareDelay
+}
+
 // selfName is the key of the positions for records that this node saves itself.
 const selfName = ""
 
