--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -55,20 +55,6 @@
 	closers []func()
 }
 
-// runningReplica is one incarnation of a replica behind its proxy.
-type runningReplica struct {
-	id      string
-	service string
-	version string
-	handler *platformtest.Replica
-	server  *http.Server
-	proxy   *proxy
-	// limited says that it names a rate.
-	limited bool
-	// servesFrom and servesUntil are when it takes new requests; servesUntil is zero while it does.
-	servesFrom, servesUntil time.Time
-}
-
 const (
 	modelService         = "model"
 	ledgerService        = "ledger"
@@ -142,29 +128,6 @@
 	w.store.Configure(w.version, w.keys)
 }
 
-// addReplica starts a replica and registers it.
-func (w *world) addReplica(service, version string) error {
-	w.started++
-	id := fmt.Sprintf("i-%03d", w.started)
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return err
-	}
-	handler := &platformtest.Replica{ID: id, Version: version, Runs: w.runs, Slots: replicaSlots, EventEvery: w.options.EventEvery, WorkTime: w.options.WorkTime}
-	r := &runningReplica{id: id, service: service, version: version, handler: handler, servesFrom: time.Now()}
-	handler.OnCrash = func() { w.crash(r) }
-	handler.SetBrittle(w.brittle[service])
-	handler.OnOverload = func() { w.fallOver(r) }
-	r.server = &http.Server{Handler: handler}
-	go r.server.Serve(listener)
-	if r.proxy, err = newProxy(listener.Addr().String()); err != nil {
-		return err
-	}
-	w.replicas = append(w.replicas, r)
-	w.store.Register(id, service, version, r.proxy.address(), "ready")
-	return nil
-}
-
 // do carries out one event; it returns when its effect is over.
 func (w *world) do(e event) {
 	n := w.nodes[e.target%len(w.nodes)]
@@ -258,81 +221,6 @@
 	w.configure()
 }
 
-func (w *world) disturbReplica(e event) {
-	w.mu.Lock()
-	r := w.replicas[e.target%len(w.replicas)]
-	w.mu.Unlock()
-	switch e.kind {
-	case replicaSlow:
-		r.proxy.set(slow)
-		w.pauseThen(e.lasts, func() { r.proxy.set(pass) })
-	case replicaDark:
-		r.proxy.set(silence)
-		w.pauseThen(e.lasts, func() { r.proxy.set(pass); r.proxy.reset() })
-	case replicaOneWay:
-		r.proxy.set(cutAnswers)
-		w.pauseThen(e.lasts, func() { r.proxy.set(pass); r.proxy.reset() })
-	case replicaSilent:
-		w.silence(r, e)
-	case replicaReset:
-		r.proxy.reset()
-	case replicaLimit:
-		w.limit(r, e)
-	case replicaNotice:
-		w.announceLeaving(r, e)
-	case replicaPause:
-		w.askForPause(r, e)
-	case replicaCrash:
-		w.replace(r, func() { _ = r.server.Close(); r.proxy.close() }, e.lasts)
-	case replicaLeaves:
-		w.leave(r, r.version)
-	}
-}
-
-// replace ends a replica and starts another one in its place.
-func (w *world) replace(r *runningReplica, end func(), after time.Duration) {
-	if !w.take(r, r.version) {
-		return
-	}
-	end()
-	w.pauseThen(after, func() { w.store.Deregister(r.id) })
-}
-
-// take removes a replica from the running ones and starts its successor of the version; false:
-// it is gone already.
-func (w *world) take(r *runningReplica, successor string) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	for i, running := range w.replicas {
-		if running != r {
-			continue
-		}
-		w.replicas = append(w.replicas[:i:i], w.replicas[i+1:]...)
-		r.servesUntil = time.Now()
-		w.ended = append(w.ended, r)
-		if err := w.addReplica(r.service, successor); err != nil {
-			w.violations = append(w.violations, err.Error())
-		}
-		return true
-	}
-	return false
-}
-
-// leave lets a replica drain as on a planned stop. Its successor has the version.
-func (w *world) leave(r *runningReplica, successor string) {
-	if !w.take(r, successor) {
-		return
-	}
-	w.store.Register(r.id, r.service, r.version, r.proxy.address(), "draining")
-	w.mu.Lock()
-	w.drained[r.id] = time.Now()
-	w.mu.Unlock()
-	time.Sleep(drainWithin + time.Second)
-	w.store.Deregister(r.id)
-	_ = r.server.Close()
-	r.proxy.close()
-}
-
 func (w *world) violate(format string, args ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
