A claim leaves half of its caller's time for the call

Cause: a call waits for half of its class's target to be claimed, 5 s here, and its caller's own time was 5 s: it was claimed at the last moment, when a shard moved from the node that was cut off, and its request went out with no time left ('send: timeout: context deadline exceeded' in the node's log). It now waits for half of the time that its caller has left, at most, and is then refused as not run, which a caller may repeat. TestReplacingEveryNodeCutsNothing gives calls longer and is not touched by this.

--- a/internal/gateway/claimed.go
+++ b/internal/gateway/claimed.go
@@ -52,17 +52,17 @@
 	maxClaimWait = 13 * time.Second
 )
 
-// claimWait returns how long a call of the class waits to be claimed: half of its target, so that
-// the other half is left for the call.
-func claimWait(class *config.Class) time.Duration {
-	return min(max(class.TargetAnswer.Std()/2, minClaimWait), maxClaimWait)
+// claimWait returns how long a call of the class waits to be claimed: half of its target, and half of
+// the time left until its caller gives up, so that the other half is left for the call.
+func claimWait(class *config.Class, left time.Duration) time.Duration {
+	return min(max(class.TargetAnswer.Std()/2, minClaimWait), maxClaimWait, left/2)
 }
 
 // claim claims the call. Over the quota nothing new is claimed, but a repeat
 // is answered: its call has been counted, and asking again is how a caller
 // learns of an outcome that it must not guess.
 func (s *Server) claim(ctx context.Context, sc *serviceCall) (claim.BeginResult, error) {
-	ctx, cancel := context.WithTimeout(ctx, claimWait(sc.call.class))
+	ctx, cancel := context.WithTimeout(ctx, claimWait(sc.call.class, time.Until(sc.call.giveUpAt)))
 	defer cancel()
 	refused := s.useRequest(sc.call)
 	if refused == nil {
--- a/internal/gateway/claimed_test.go
+++ b/internal/gateway/claimed_test.go
@@ -43,15 +43,19 @@
 	}
 }
 
-func TestClaimWaitsForHalfOfTheTarget(t *testing.T) {
-	for _, test := range []struct{ target, want time.Duration }{
-		{time.Second, minClaimWait},
-		{10 * time.Second, 5 * time.Second},
-		{time.Minute, maxClaimWait},
+// Guards against calls that are claimed when their caller's time is over, and then end with an unknown
+// outcome.
+func TestClaimLeavesHalfOfTheTime(t *testing.T) {
+	for _, test := range []struct{ target, left, want time.Duration }{
+		{time.Second, time.Minute, minClaimWait},
+		{10 * time.Second, time.Minute, 5 * time.Second},
+		{time.Minute, time.Minute, maxClaimWait},
+		{10 * time.Second, 5 * time.Second, 2500 * time.Millisecond},
+		{time.Second, time.Second, 500 * time.Millisecond},
 	} {
 		class := &config.Class{TargetAnswer: config.Duration(test.target)}
-		if got := claimWait(class); got != test.want {
-			t.Errorf("target %s: waits for %s, want %s", test.target, got, test.want)
+		if got := claimWait(class, test.left); got != test.want {
+			t.Errorf("target %s, %s left: waits for %s, want %s", test.target, test.left, got, test.want)
 		}
 	}
 }
