--- a/internal/streamorigin/tracker_test.go
+++ b/internal/streamorigin/tracker_test.go
@@ -50,7 +50,8 @@
 func newCluster(t *testing.T, size int, versions ...string) *cluster {
 	c := &cluster{segments: make(map[string][]Record)}
 	for i := range size {
-		c.nodes = append(c.nodes, c.start(t, i, versions))
+		started := c.start(t, i, versions)
+		c.set(func() { c.nodes = append(c.nodes, started) })
 	}
 	return c
 }
