--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -80,26 +80,32 @@
 }
 
 // judgeResumed checks that streams which callers resume at undisturbed nodes, while replicas of their
-// version serve, go on about as often as new streams begin.
+// version serve, go on about as often as new streams begin at the time.
 func (w *world) judgeResumed(tries map[string][]*sent) {
 	var began, wentOn tally
+	var newStreams []*sent
+	resumedAt := make(map[int64]bool)
 	for _, list := range tries {
 		resumed, goesOn := false, false
 		for _, s := range list {
-			if !w.isOwed(s) || w.disturbedBetween(s.entry, s.at.Add(-resumeStable), s.endedAt) {
-				continue
-			}
 			switch {
+			case !w.isOwed(s) || w.disturbedBetween(s.entry, s.at.Add(-resumeStable), s.endedAt):
 			case s.resumes == "":
-				began.count(len(s.events) > 0)
+				newStreams = append(newStreams, s)
 			case w.serving(versionsOf(list)[0], s.at, s.endedAt) >= minServing:
 				resumed, goesOn = true, goesOn || len(s.events) > 0 || s.whole()
+				resumedAt[s.at.Unix()] = true
 			}
 		}
 		if resumed {
 			wentOn.count(goesOn)
 		}
 	}
+	for _, s := range newStreams {
+		if resumedAt[s.at.Unix()] {
+			began.count(len(s.events) > 0)
+		}
+	}
 	w.resumed = wentOn
 	// Compared without division, so that no new streams need no case of their own.
 	if wentOn.asked >= minResumes && float64(wentOn.served*began.asked) < leastResumed*float64(began.served*wentOn.asked) {
