A stream whose caller does not tell the attempt that began it leaves no record

A caller that resumes with Last-Event-Id alone made a record under the zero ID, which other nodes ignored but the store kept. TestStreamOfAnAttemptThatIsNotToldIsLeftOut.

--- a/internal/streamorigin/tracker.go
+++ b/internal/streamorigin/tracker.go
@@ -46,8 +46,12 @@
 
 // Began notes that a stream began, or went on, at a software version of the upstream's replicas, for the
 // caller's attempt that received its first event. The caller may resume it for as long as it is
-// patient. Streams of a route that is split over several upstreams are always passed on.
+// patient. Streams of a route that is split over several upstreams are always passed on; those of an
+// attempt that is not told can't be looked up and are left out.
 func (t *Tracker) Began(attempt string, origin Origin, patience time.Duration, split bool) {
+	if attempt == "" {
+		return
+	}
 	now := t.options.Clock()
 	r := Record{Stream: IDOf(attempt), Origin: origin, Until: now.Add(min(patience+resumeMargin, maxRetention))}
 	t.records.add(r, now)
--- a/internal/streamorigin/tracker_test.go
+++ b/internal/streamorigin/tracker_test.go
@@ -294,6 +294,19 @@
 	}
 }
 
+func TestStreamOfAnAttemptThatIsNotToldIsLeftOut(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		c := newCluster(t, 3, "v1", "v2")
+		c.nodes[1].began("", "v1")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		if len(c.segments) != 0 {
+			t.Errorf("segments %v saved, want none", c.segments)
+		}
+		c.nodes[1].expect(t, "", Unknown, "")
+	})
+}
+
 // Records cost calls, which are made only while several versions serve.
 func TestStreamsOfOneVersionAreNotShared(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
