Soak: resumed streams are judged while two sound replicas of their version serve

The nodes' logs name why the others did not: nodes that were stopping (excused already), replicas of the version that were paused, rate limited, brittle without room, silent or cut off one way, and callers whose time ended within 0.2 s. The rule speaks of streams while two replicas of their version serve; the judge took any that was registered for one. Replicas under a fault of their own, and all while they are brittle, are not counted now; crashes of others and kills of nodes excuse nothing, as before.

--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -21,6 +21,34 @@
 	limited bool
 	// servesFrom and servesUntil are when it takes new requests; servesUntil is zero while it does.
 	servesFrom, servesUntil time.Time
+	// disturbances are when faults of the replica or of the path to it began and ended.
+	disturbances []time.Time
+}
+
+// disturbed notes that a fault of the replica begins or ends now.
+func (w *world) disturbed(r *runningReplica) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	r.disturbances = append(r.disturbances, time.Now())
+}
+
+// isSoundBetween reports whether the replica took requests all the time and no fault of its own began,
+// lasted or ended meanwhile. The world's lock is held.
+func (r *runningReplica) isSoundBetween(from, until time.Time) bool {
+	if r.servesFrom.After(from) || !r.servesUntil.IsZero() && r.servesUntil.Before(until) {
+		return false
+	}
+	before := 0
+	for _, at := range r.disturbances {
+		switch {
+		case at.Before(from):
+			before++
+		case at.Before(until):
+			return false
+		}
+	}
+	// Each fault is noted twice.
+	return before%2 == 0
 }
 
 // addReplica starts a replica and registers it.
@@ -50,6 +78,8 @@
 	w.mu.Lock()
 	r := w.replicas[e.target%len(w.replicas)]
 	w.mu.Unlock()
+	w.disturbed(r)
+	defer w.disturbed(r)
 	switch e.kind {
 	case replicaSlow:
 		r.proxy.set(slow)
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -113,13 +113,18 @@
 	}
 }
 
-// serving counts the models of the version that took requests all the time.
+// serving counts the sound models of the version. None is sound while all are brittle.
 func (w *world) serving(version string, from, until time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	for _, t := range w.brittleTimes {
+		if t.service == modelService && t.from.Before(until) && t.until.After(from) {
+			return 0
+		}
+	}
 	count := 0
 	for _, r := range slices.Concat(w.replicas, w.ended) {
-		if r.service == modelService && r.version == version && r.servesFrom.Before(from) && (r.servesUntil.IsZero() || r.servesUntil.After(until)) {
+		if r.service == modelService && r.version == version && r.isSoundBetween(from, until) {
 			count++
 		}
 	}
