Each node's records of streams are kept by other nodes than its neighbours'

All nodes had the same two keepers. Now the first of all in an order of the nodes saves the records, and each node's are kept by it and by the two nodes after that node in the order.

--- a/internal/nodesync/keepers.go
+++ b/internal/nodesync/keepers.go
@@ -7,12 +7,13 @@
 	"galenatrestle/internal/boottime"
 )
 
-// recordKeepers is the number of nodes that get copies of a node's records.
+// recordKeepers is the number of nodes that get copies of a node's records, beside the one that saves
+// them in the store.
 const recordKeepers = 2
 
-// RecordKeepers returns the nodes that keep copies of this node's records for it: in a small fleet the
-// same for all nodes, in a large one the node's hub and another. The first one saves them in the store,
-// unless savesItself is set: then this node does.
+// RecordKeepers returns the nodes that keep copies of this node's records for it: in a small fleet the node
+// that saves the records of all in the store and the next ones in the order of ranks, in a large fleet the
+// node's hub and another. The first one saves them, unless savesItself is set: then this node does.
 func (s *Sync) RecordKeepers() (keepers []Node, savesItself bool) {
 	now := s.options.Clock()
 	self := s.options.Self()
@@ -21,8 +22,20 @@
 		return hubKeepers(self, hubs)
 	}
 	others := s.rankedOthers(now)
-	savesItself = len(others) == 0 || !self.Leaving && self.rank < others[0].rank
-	return others[:min(recordKeepers, len(others))], savesItself
+	if len(others) == 0 {
+		return nil, true
+	}
+	if savesItself = !self.Leaving && self.rank < others[0].rank; !savesItself {
+		keepers = append(keepers, others[0])
+	}
+	// Each node has other keepers, so that nodes which are lost together take few records with them.
+	next, _ := slices.BinarySearchFunc(others, self.rank, func(n Node, rank uint64) int { return cmp.Compare(n.rank, rank) })
+	for i := range min(recordKeepers, len(others)) {
+		if n := others[(next+i)%len(others)]; !hasNode(keepers, n.Name) {
+			keepers = append(keepers, n)
+		}
+	}
+	return keepers, savesItself
 }
 
 // rankedOthers returns the other active nodes in the order of their ranks.
