The product's own front asks replicas for an answer when it checks its path

It sends OPTIONS * now, which HTTP servers answer themselves, so that no model or service is called. internal/embedded, promises, processtest and node pass with the race detector.

--- a/internal/node/replicapath.go
+++ b/internal/node/replicapath.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net"
+	"net/http"
 	"slices"
 	"sync"
 
@@ -10,6 +12,7 @@
 
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/membership"
+	"galenatrestle/internal/replicaconn"
 	"galenatrestle/internal/replicapath"
 	"galenatrestle/internal/replicapath/replicapathrpc"
 )
@@ -30,7 +33,7 @@
 func newReplicaPath(n *Node) *replicaPath {
 	p := &replicaPath{node: n}
 	p.dialer = replicapath.NewDialer(replicapath.Options{
-		Direct: n.options.DialReplica, Addresses: p.addresses, MayConnect: p.isReplica, Helpers: p.helpers, OnLost: p.closeIdle,
+		Direct: n.options.DialReplica, Ask: askReplica, Addresses: p.addresses, MayConnect: p.isReplica, Helpers: p.helpers, OnLost: p.closeIdle,
 		Rand: rand.New(rand.NewPCG(n.options.Seed, pathStream)), Log: pathLog{n.options.Log}, Registry: n.options.Registry,
 	})
 	n.peers.server.Mount(replicapathrpc.NewServer(p.dialer.DialForNode, n.options.Registry).Handler())
@@ -38,6 +41,11 @@
 	return p
 }
 
+// askReplica asks the server of a replica for any response, without a call of the model or the service.
+func askReplica(ctx context.Context, conn net.Conn) error {
+	return replicaconn.Ask(ctx, conn, &replicaconn.Request{Method: http.MethodOptions, Target: "*", Host: conn.RemoteAddr().String()})
+}
+
 func (p *replicaPath) start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	p.cancel = cancel
