--- a/internal/command/trestleload/main.go
+++ b/internal/command/trestleload/main.go
@@ -20,6 +20,7 @@
   trestle-load capacity --nodes 2,4,8 --plot capacity.svg
   trestle-load faults --seeds 1..20
   trestle-load soak --seeds 1..50 --cuts 2 --brittle 1 --silences 3
+  trestle-load brittle --nodes 24 --replicas 3 --slots 6 --load 0.55
   trestle-load replay trace.jsonl --key prairie-spoke=dev-key-prairie-spoke
 
 It exits with 1 where a promise was broken or an outcome differs.`
@@ -33,6 +34,7 @@
 	Capacity capacityCommand  `cmd:"" help:"Measure how the cost of each role grows, and what it is at the fleet's size."`
 	Faults   faultsCommand    `cmd:"" help:"Run schedules of random faults drawn from seeds and check what must always hold."`
 	Soak     soakCommand      `cmd:"" help:"Run the real program as processes under faults from outside and check what callers and replicas see."`
+	Brittle  brittleCommand   `cmd:"" help:"Offer a steady load to replicas that end if they have to refuse many requests."`
 	SoakNode soakNodeCommand  `cmd:"" hidden:"" help:"Run one node of a soak."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 }
--- a/internal/command/trestleload/soak.go
+++ b/internal/command/trestleload/soak.go
@@ -107,12 +107,7 @@
 
 // play runs one seed, and removes its files unless it failed and they are kept.
 func (c *soakCommand) play(seed uint64, program []string) (soak.Report, error) {
-	if c.Keep != "" {
-		if err := os.MkdirAll(c.Keep, 0o755); err != nil {
-			return soak.Report{}, err
-		}
-	}
-	dir, err := os.MkdirTemp(c.Keep, fmt.Sprintf("soak-%d-", seed))
+	dir, err := runDirectory(c.Keep, "soak", seed)
 	if err != nil {
 		return soak.Report{}, err
 	}
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -34,11 +34,15 @@
 type attempt struct {
 	exchange *exchange
 	// placementAttempt is placement's record of the attempt; it gets the result.
-	placementAttempt   *placement.Attempt
-	conn               *replicaconn.Conn
-	response           *http.Response
-	headers            ResponseHeaders
-	sentAt             boottime.Instant
+	placementAttempt *placement.Attempt
+	conn             *replicaconn.Conn
+	response         *http.Response
+	headers          ResponseHeaders
+	sentAt           boottime.Instant
+	// knownBrittle is whether the replica was known to be brittle when it was chosen, brittleAge the
+	// time since it last said so.
+	knownBrittle       bool
+	brittleAge         time.Duration
 	gotForeignResponse bool
 	receivedEvents     bool
 	idleTimedOut       atomic.Bool
@@ -56,7 +60,7 @@
 	if failure != nil {
 		return failure
 	}
-	a := &attempt{exchange: e, placementAttempt: placementAttempt}
+	a := e.newAttempt(placementAttempt)
 	e.lastReplicaID, e.lastVia = placementAttempt.Replica.ID, ""
 	e.triedAgain = slices.Contains(e.placementRequest.Avoid, e.lastReplicaID)
 	listing, _ := e.forwarder.options.Replicas.Latest()
@@ -74,6 +78,15 @@
 	return failure
 }
 
+func (e *exchange) newAttempt(placementAttempt *placement.Attempt) *attempt {
+	a := &attempt{exchange: e, placementAttempt: placementAttempt}
+	now := time.Now()
+	if state, isBrittle := e.forwarder.options.Brittle.Current().Of(&placementAttempt.Replica, now); isBrittle {
+		a.knownBrittle, a.brittleAge = true, now.Sub(state.SaidAt)
+	}
+	return a
+}
+
 func (e *exchange) avoidReplica(placementAttempt *placement.Attempt) {
 	e.placementRequest.Avoid = append(e.placementRequest.Avoid, placementAttempt.Replica.ID)
 	e.placementRequest.FailedZones = append(e.placementRequest.FailedZones, placementAttempt.Replica.AvailabilityZone)
@@ -269,6 +282,8 @@
 	result := placement.Full
 	if a.response.StatusCode == http.StatusMisdirectedRequest {
 		result = placement.Replaced
+	} else {
+		a.recordRefusal()
 	}
 	return &Failure{
 		Result: result, NotRun: true, ReachedReplica: true, Step: stepAnswer, Peer: a.placementAttempt.Replica.Address,
@@ -276,6 +291,17 @@
 	}
 }
 
+// recordRefusal logs and counts a refusal by the replica.
+func (a *attempt) recordRefusal() {
+	f := a.exchange.forwarder
+	takenFor := "sound"
+	if a.knownBrittle {
+		takenFor = "brittle"
+	}
+	f.metrics.replicaRefusals.WithLabelValues(a.exchange.call.Upstream, takenFor).Inc()
+	f.options.Log.Write(&replicaRefused{attempt: a, takenFor: takenFor})
+}
+
 func (a *attempt) readErrorResponse() *Failure {
 	body, complete, err := readBounded(a.response.Body)
 	if err == nil && !complete {
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -235,6 +235,30 @@
 	return fields
 }
 
+// replicaRefused is logged when a replica refuses a request without running it. takenFor is what this
+// node took the replica for when it chose it.
+type replicaRefused struct {
+	attempt  *attempt
+	takenFor string
+}
+
+func (*replicaRefused) Name() string { return "replica_refused" }
+
+func (*replicaRefused) Level() eventlog.Level { return eventlog.Notable }
+
+func (ev *replicaRefused) Fields() eventlog.Fields {
+	a := ev.attempt
+	fields := eventlog.Fields{
+		"request": a.exchange.call.ID, "upstream": a.exchange.call.Upstream, "attempt": a.exchange.attempts,
+		"replica": a.placementAttempt.Replica.ID, "peer": a.placementAttempt.Replica.Address, "status": a.response.StatusCode,
+		"taken_for": ev.takenFor, "running": a.placementAttempt.Choice.Running, "slots": a.placementAttempt.Replica.Slots,
+	}
+	if a.knownBrittle {
+		fields["brittle_age_ms"] = a.brittleAge.Milliseconds()
+	}
+	return fields
+}
+
 type permitRequested struct {
 	exchange *exchange
 	replica  string
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -13,6 +13,7 @@
 	firstByte        *prometheus.HistogramVec
 	overloadRefusals *prometheus.CounterVec
 	replicaNotices   *prometheus.CounterVec
+	replicaRefusals  *prometheus.CounterVec
 	resumedStreams   *prometheus.CounterVec
 }
 
@@ -37,11 +38,14 @@
 		replicaNotices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_replica_notices_total", Help: "Responses in which a replica said that it is leaving, or asked for a pause.",
 		}, []string{"upstream", "notice"}),
+		replicaRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trestle_replica_refusals_total", Help: "Requests that replicas refused without running them, by upstream and what this node took the replica for.",
+		}, []string{"upstream", "taken_for"}),
 		resumedStreams: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_resumed_streams_total", Help: "Streams that went on at another replica, by upstream, who resumed them and how the replica's software version compares with that of the first events.",
 		}, []string{"upstream", "by", "version"}),
 	}
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.resumedStreams)
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams)
 	return m
 }
 
--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -38,7 +38,7 @@
 	t := brittleTime{service: service, from: time.Now()}
 	t.replicas = w.setBrittle(service, &platformtest.Brittleness{Bears: bearsRefusals})
 	time.Sleep(brittleStable)
-	w.setBrittle(service, &platformtest.Brittleness{Bears: bearsRefusals, Falls: true})
+	w.setBrittle(service, &platformtest.Brittleness{Bears: bearsRefusals, Falls: true, Queue: w.options.BrittleQueue})
 	time.Sleep(e.lasts - brittleStable)
 	t.until = time.Now()
 	w.setBrittle(service, nil)
@@ -67,7 +67,72 @@
 	w.mu.Lock()
 	w.falls = append(w.falls, fall{service: r.service, at: time.Now()})
 	w.mu.Unlock()
-	w.crash(r)
+	if w.options.Restart == 0 {
+		w.crash(r)
+		return
+	}
+	go w.restartReplica(r)
+}
+
+// restartReplica ends a replica and starts another one after the restart time.
+func (w *world) restartReplica(r *runningReplica) {
+	w.mu.Lock()
+	isRunning := w.remove(r)
+	w.mu.Unlock()
+	if !isRunning {
+		return
+	}
+	r.proxy.close()
+	_ = r.server.Close()
+	w.pauseThen(crashRestart, func() { w.store.Deregister(r.id) })
+	time.Sleep(w.options.Restart - crashRestart)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.startReplica(r.service, r.version)
+}
+
+// count adds the time's falls, calls and runs to the report.
+func (t *brittleTime) count(r *BrittleReport, w *world, calls []*sent) {
+	counts := func(at time.Time) bool { return at.After(t.from.Add(brittleStable)) && at.Before(t.until) }
+	for _, f := range w.falls {
+		if f.service == t.service && counts(f.at) {
+			r.Falls = append(r.Falls, f.at.Sub(t.from))
+		}
+	}
+	for _, s := range calls {
+		if s.path != "" && counts(s.at) && !s.comesBack {
+			r.Calls++
+			if s.whole() {
+				r.Served++
+			}
+		}
+	}
+	for _, run := range w.runs.All() {
+		if counts(run.At) {
+			r.Runs++
+		}
+	}
+	r.Room += float64(t.replicas*w.options.slots()) * t.until.Sub(t.from.Add(brittleStable)).Seconds() / max(w.options.WorkTime, time.Millisecond).Seconds()
+}
+
+// BrittleReport is what became of calls while replicas were brittle and fell over if they refused too
+// many.
+type BrittleReport struct {
+	// Calls are the first tries of callers, Served those that were served.
+	Calls, Served int
+	// Runs are the calls that replicas ran, and Room those that their slots have room for.
+	Runs int
+	Room float64
+	// Falls are the times of falls since the replicas became brittle.
+	Falls []time.Duration
+}
+
+func (w *world) brittleReport(calls []*sent) BrittleReport {
+	var r BrittleReport
+	for _, t := range w.brittleTimes {
+		t.count(&r, w, calls)
+	}
+	return r
 }
 
 // judgeFalls checks that refusals ended few brittle replicas.
--- /dev/null
+++ b/internal/soak/brittleload.go
@@ -0,0 +1,52 @@
+package soak
+
+import "time"
+
+// BrittleLoad is a run in which the replicas of the plain service are brittle while calls arrive at
+// a steady rate.
+type BrittleLoad struct {
+	Seed uint64
+	// Command starts the program under test, Dir takes settings and logs.
+	Command []string
+	Dir     string
+	// Nodes, Replicas and Slots are the numbers of nodes, of replicas and of the slots of each.
+	Nodes, Replicas, Slots int
+	// Load is the calls that arrive, as a part of those that the slots have room for.
+	Load float64
+	// Counted is how long falls and calls are counted.
+	Counted time.Duration
+	// NodeFaults has nodes be killed, stopped and paused meanwhile.
+	NodeFaults bool
+}
+
+const (
+	// brittleLoadAfter is the time after which replicas become brittle. Nodes that have just started do
+	// not know each other.
+	brittleLoadAfter = 5 * time.Second
+	// brittleLoadWork is how long a replica runs a call.
+	brittleLoadWork = 150 * time.Millisecond
+	// brittleLoadQueue is the number of calls that wait at a sound replica, brittleLoadBrittleQueue that
+	// at a brittle one.
+	brittleLoadQueue        = 8
+	brittleLoadBrittleQueue = 1
+	// brittleLoadRestart is how long a replica that fell over is away.
+	brittleLoadRestart = 4 * time.Second
+)
+
+// Options returns the options of the run.
+func (b *BrittleLoad) Options() Options {
+	lasts := brittleStable + b.Counted
+	room := float64(b.Replicas*b.Slots) / brittleLoadWork.Seconds()
+	o := Options{
+		Seed: b.Seed, Command: b.Command, Dir: b.Dir, Nodes: b.Nodes, Length: brittleLoadAfter + lasts, WithoutFaults: true,
+		LedgerReplicas: b.Replicas, WorkTime: brittleLoadWork, Slots: b.Slots, Queue: brittleLoadQueue, BrittleQueue: brittleLoadBrittleQueue,
+		Restart: brittleLoadRestart, Arrivals: b.Load * room, path: "/parts/",
+		extra: []event{{at: brittleLoadAfter, kind: replicasBrittle, target: 1, lasts: lasts}},
+	}
+	if b.NodeFaults {
+		for i, k := range []kind{killNode, stopNode, pauseNode, killNode} {
+			o.extra = append(o.extra, event{at: brittleLoadAfter + brittleStable + time.Duration(i+1)*b.Counted/5, kind: k, target: 3 * i, lasts: time.Second})
+		}
+	}
+	return o
+}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -43,6 +43,8 @@
 	resumes string
 	// events are the complete events that came.
 	events []platformtest.StreamEvent
+	// comesBack is whether the caller was refused before.
+	comesBack bool
 	// retryAfter is how long a refusal asked the caller to wait.
 	retryAfter time.Duration
 }
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"galenatrestle/platform/platformtest"
@@ -59,7 +60,7 @@
 	if err != nil {
 		return err
 	}
-	handler := &platformtest.Replica{ID: id, Version: version, Runs: w.runs, Slots: replicaSlots, EventEvery: w.options.EventEvery, WorkTime: w.options.WorkTime}
+	handler := &platformtest.Replica{ID: id, Version: version, Runs: w.runs, Slots: w.options.slots(), Queue: w.options.Queue, EventEvery: w.options.EventEvery, WorkTime: w.options.WorkTime}
 	r := &runningReplica{id: id, service: service, version: version, handler: handler, servesFrom: time.Now()}
 	handler.OnCrash = func() { w.crash(r) }
 	handler.SetBrittle(w.brittle[service])
@@ -121,19 +122,30 @@
 func (w *world) take(r *runningReplica, successor string) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	for i, running := range w.replicas {
-		if running != r {
-			continue
-		}
-		w.replicas = append(w.replicas[:i:i], w.replicas[i+1:]...)
-		r.servesUntil = time.Now()
-		w.ended = append(w.ended, r)
-		if err := w.addReplica(r.service, successor); err != nil {
-			w.violations = append(w.violations, err.Error())
-		}
-		return true
+	if !w.remove(r) {
+		return false
+	}
+	w.startReplica(r.service, successor)
+	return true
+}
+
+// remove removes a replica from the running ones; false: it is gone already. The lock is held.
+func (w *world) remove(r *runningReplica) bool {
+	i := slices.Index(w.replicas, r)
+	if i < 0 {
+		return false
+	}
+	w.replicas = slices.Delete(w.replicas, i, i+1)
+	r.servesUntil = time.Now()
+	w.ended = append(w.ended, r)
+	return true
+}
+
+// startReplica starts a replica; that it can't is a violation. The lock is held.
+func (w *world) startReplica(service, version string) {
+	if err := w.addReplica(service, version); err != nil {
+		w.violations = append(w.violations, err.Error())
 	}
-	return false
 }
 
 // leave lets a replica drain as on a planned stop. Its successor has the version.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -51,6 +51,14 @@
 	// call; zero: the defaults.
 	LedgerReplicas int
 	WorkTime       time.Duration
+	// Slots is the number of slots of each replica; zero: the default. Queue is the number of calls
+	// that wait there for a slot, and BrittleQueue that of those that may while a replica is brittle.
+	Slots, Queue, BrittleQueue int
+	// Restart is how long a brittle replica that fell over is away; zero: another one is there at once.
+	Restart time.Duration
+	// Arrivals is the number of calls a second that begin however many are unanswered, besides those of
+	// Callers. Their callers come back as refusals tell them.
+	Arrivals float64
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 	// extra are events besides those that are drawn.
@@ -62,6 +70,8 @@
 // Report is what a run found.
 type Report struct {
 	Calls, Served, Runs int
+	// Brittle is what became of calls while replicas were brittle.
+	Brittle BrittleReport
 	// Resumed is the number of streams that callers resumed at undisturbed nodes, while replicas of
 	// their version served, and WentOn of those that went on.
 	Resumed, WentOn int
@@ -155,6 +165,11 @@
 		callers = append(callers, c)
 		sends.Go(func() { c.run(sending) })
 	}
+	var arrivals *arrivals
+	if w.options.Arrivals > 0 {
+		arrivals = newArrivals(w)
+		sends.Go(func() { arrivals.run(sending) })
+	}
 	for i := range w.options.Crashers {
 		c := newCaller(w, w.options.Callers+i)
 		callers = append(callers, c)
@@ -175,6 +190,9 @@
 	for _, c := range callers {
 		calls = append(calls, c.calls...)
 	}
+	if arrivals != nil {
+		calls = append(calls, arrivals.calls...)
+	}
 	return calls
 }
 
@@ -189,6 +207,7 @@
 			r.Served++
 		}
 	}
+	r.Brittle = w.brittleReport(calls)
 	for _, e := range events {
 		r.Events = append(r.Events, e.String())
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -146,6 +146,35 @@
 	}
 }
 
+// Brittle replicas fell over together again and again, as each of many nodes used a slot of each of them,
+// or were kept from that by nodes that refused most calls.
+func TestManyNodesServeWhatBrittleReplicasHaveRoomFor(t *testing.T) {
+	for _, load := range []float64{0.55, 1.1} {
+		t.Run(fmt.Sprintf("load %.2f", load), func(t *testing.T) {
+			run := BrittleLoad{Seed: 1, Command: []string{os.Args[0]}, Dir: t.TempDir(), Nodes: 24, Replicas: 3, Slots: 6, Load: load, Counted: 8 * time.Second}
+			report, err := Run(t.Context(), run.Options())
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, v := range report.Violations {
+				t.Error(v)
+			}
+			b := report.Brittle
+			t.Logf("%d falls, %d of %d first tries served, %d runs with room for %.0f", len(b.Falls), b.Served, b.Calls, b.Runs, b.Room)
+			if wanted := leastServedOfRoom * min(float64(b.Calls), b.Room); float64(b.Runs) < wanted {
+				t.Errorf("%d calls were run of %d, with room for %.0f; wanted %.0f", b.Runs, b.Calls, b.Room, wanted)
+			}
+			if load < 1 && float64(b.Served) < leastServedOfRoom*float64(b.Calls) {
+				t.Errorf("%d of %d first tries were served, with room for %.0f", b.Served, b.Calls, b.Room)
+			}
+		})
+	}
+}
+
+// leastServedOfRoom is the part of the calls that must be served, of those that brittle replicas have
+// room for.
+const leastServedOfRoom = 0.95
+
 func TestTheJudgeSeesBrittleReplicasThatFall(t *testing.T) {
 	now := time.Now()
 	for name, test := range map[string]struct {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -66,6 +66,9 @@
 	defaultLedgerReplicas = 3
 )
 
+// slots returns the number of slots of each replica.
+func (o *Options) slots() int { return cmp.Or(o.Slots, replicaSlots) }
+
 // newWorld starts everything but the nodes' processes.
 func newWorld(o Options) (*world, error) {
 	w := &world{
