--- a/internal/soak/brittleload.go
+++ b/internal/soak/brittleload.go
@@ -43,6 +43,10 @@
 		Restart: brittleLoadRestart, Arrivals: b.Load * room, path: "/parts/",
 		extra: []event{{at: brittleLoadAfter, kind: replicasBrittle, target: 1, lasts: lasts}},
 	}
+	if b.Load > 1 {
+		// Callers that are owed no answer would count against the recovery.
+		o.ArrivalsFor = o.Length
+	}
 	if b.NodeFaults {
 		for i, k := range []kind{killNode, stopNode, pauseNode, killNode} {
 			o.extra = append(o.extra, event{at: brittleLoadAfter + brittleStable + time.Duration(i+1)*b.Counted/5, kind: k, target: 3 * i, lasts: time.Second})
