--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -15,7 +15,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
@@ -48,7 +47,6 @@
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
 	pauses      pause.Table
-	brittle     *brittle.Table
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
@@ -103,9 +101,6 @@
 	n.placer.SetPermits(n.rateLimiter.permits)
 	n.placer.SetPauses(&n.pauses)
 	pause.RegisterMetrics(registry, &n.pauses)
-	n.brittle = brittle.NewTable(slotSharing{n})
-	n.placer.SetBrittle(n.brittle)
-	brittle.RegisterMetrics(registry, n.brittle)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
 	n.sync = n.newSync(tracker)
@@ -183,7 +178,7 @@
 	probe := func(ctx context.Context, r replica.Replica) error { return probeReplica(ctx, n.conns, n.path, r) }
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Brittle: n.brittle, Log: n.log, Registry: n.registry,
+		Budget: n.budget, CrashGuard: forward.NewCrashGuard(tracker, probe, n.quarantines.changed, n.log, n.registry), RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
 		OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
 	})
 	return passthrough.New(passthrough.Options{
@@ -319,6 +314,7 @@
 	n.tasks.Go(func() { n.sync.Run(ctx) })
 	n.tasks.Go(func() { n.path.Run(ctx) })
 	n.tasks.Go(func() { n.maintain(ctx) })
+	n.tasks.Go(func() { n.rateLimiter.confirmSlots(ctx) })
 }
 
 const maintenanceInterval = time.Second
--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -19,6 +20,7 @@
 	limits  *ratelimit.Table
 	permits *ratelimit.Permits
 	issuer  *ratelimit.Issuer
+	slots   *ratelimit.SlotIssuer
 
 	mu sync.Mutex
 	// removed are the processes that are not registered any more, by replica.
@@ -34,7 +36,7 @@
 func newRateLimiter(n *Node) *rateLimiter {
 	limits := ratelimit.NewTable(n.options.Clock)
 	ratelimit.RegisterMetrics(n.registry, limits)
-	return &rateLimiter{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer(), removed: make(map[string]removal)}
+	return &rateLimiter{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer(), slots: ratelimit.NewSlotIssuer(), removed: make(map[string]removal)}
 }
 
 // setUp mounts the handler for other nodes' permit requests and lets this node request
@@ -42,11 +44,34 @@
 func (r *rateLimiter) setUp() {
 	n := r.node
 	exchange := ratelimit.NewExchange(ratelimit.Options{
-		Table: r.limits, Issuer: r.issuer, Self: n.options.Settings.Name,
-		IssuerOf: r.issuerOf, Share: n.sync.SeenFraction, IsRegistered: n.replicas.HasProcess, Clients: n.clients, Registry: n.registry,
+		Table: r.limits, Issuer: r.issuer, Slots: r.slots, Self: n.options.Settings.Name,
+		IssuerOf: r.issuerOf, Share: n.sync.SeenFraction, IsRegistered: n.replicas.HasProcess, Clients: n.clients, Log: n.log, Registry: n.registry,
 	})
 	n.peers.Mount(exchange.Handler())
 	r.permits.SetAcquireFunc(exchange.RequestPermit)
+	r.permits.SetReportFunc(n.options.Settings.Name, exchange.ReportSlots)
+}
+
+// confirmSlots tells the issuers again and again which slots of brittle replicas this node uses, until
+// ctx ends.
+func (r *rateLimiter) confirmSlots(ctx context.Context) {
+	ticker := time.NewTicker(ratelimit.SlotRenewInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-ticker.C:
+			if !r.limits.HasBrittle() {
+				continue
+			}
+			bound := make(map[string]int)
+			for _, load := range r.node.placer.Loads(now) {
+				bound[load.Replica] = load.Running
+			}
+			r.permits.ConfirmSlots(ctx, bound)
+		}
+	}
 }
 
 // issuerOf returns the node that issues the replica's permits.
@@ -91,4 +116,5 @@
 	r.limits.Forget(replica)
 	r.permits.Forget(replica)
 	r.issuer.Forget(replica)
+	r.slots.Forget(replica)
 }
--- a/internal/edge/rates_test.go
+++ b/internal/edge/rates_test.go
@@ -30,7 +30,7 @@
 	l.forgetRemoved(instantAfter(2 * time.Second))
 	l.onReplicaChanges([]replica.Change{replica.Change{Replica: r, Kind: replica.Added}}, instantAfter(3*time.Second))
 	l.forgetRemoved(instantAfter(time.Hour))
-	if !ratelimit.IsLimited(l.limits.InForce(), &r) {
+	if _, limited := l.limits.Current().Of(&r); !limited {
 		t.Error("the rate is not known any more after the registration returned")
 	}
 }
--- a/internal/edge/sharing.go
+++ b/internal/edge/sharing.go
@@ -72,12 +72,3 @@
 func withMargin(known int) float64 {
 	return float64(max(known+known/marginDivisor, minAssumedNodes))
 }
-
-// slotSharing implements brittle.Fleet for the node.
-type slotSharing struct{ node *Node }
-
-// NodeCount implements brittle.Fleet.
-func (s slotSharing) NodeCount() int { return s.node.sharing.nodeCount() }
-
-// Place implements brittle.Fleet.
-func (s slotSharing) Place(key string) (place, nodes int, known bool) { return s.node.sync.Place(key) }
--- a/internal/fleetsim/limits.go
+++ b/internal/fleetsim/limits.go
@@ -36,10 +36,10 @@
 	if !a.NeedsPermit {
 		return true
 	}
-	n.permits.SetAcquireFunc(func(_ context.Context, l ratelimit.Limit) (ratelimit.Grant, error) {
-		return f.issuer.Issue(at, l, 1), nil
+	n.permits.SetAcquireFunc(func(_ context.Context, ask ratelimit.Ask) (ratelimit.Grant, error) {
+		return f.issuer.Issue(at, ask.Limit, 1), nil
 	})
-	if asked := n.permits.Acquire(context.Background(), at, &a.Replica); !asked.Granted() {
+	if asked := n.permits.Acquire(context.Background(), at, &a.Replica, ratelimit.Urgency{}); !asked.Granted() {
 		return false
 	}
 	a.PermitGranted(at)
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -13,6 +13,7 @@
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
+	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replicaconn"
 )
 
@@ -39,10 +40,12 @@
 	response         *http.Response
 	headers          ResponseHeaders
 	sentAt           boottime.Instant
-	// knownBrittle is whether the replica was known to be brittle when it was chosen, brittleAge the
-	// time since it last said so.
-	knownBrittle       bool
-	brittleAge         time.Duration
+	// knownBrittle is whether the replica was known or presumed to be brittle when it was chosen,
+	// brittleAge the time since it or another one of its upstream said so.
+	knownBrittle bool
+	brittleAge   time.Duration
+	// slot is the slot of a brittle replica that the attempt was given; zero: none.
+	slot               uint64
 	gotForeignResponse bool
 	receivedEvents     bool
 	idleTimedOut       atomic.Bool
@@ -56,11 +59,11 @@
 // try makes one attempt. It returns nil if the complete response was forwarded.
 func (e *exchange) try() *Failure {
 	e.attempts++
-	placementAttempt, failure := e.chooseReplica()
+	a, failure := e.chooseReplica()
 	if failure != nil {
 		return failure
 	}
-	a := e.newAttempt(placementAttempt)
+	placementAttempt := a.placementAttempt
 	e.lastReplicaID, e.lastVia = placementAttempt.Replica.ID, ""
 	e.triedAgain = slices.Contains(e.placementRequest.Avoid, e.lastReplicaID)
 	listing, _ := e.forwarder.options.Replicas.Latest()
@@ -75,14 +78,28 @@
 		e.avoidReplica(placementAttempt)
 	}
 	placementAttempt.End(time.Now(), result)
+	e.forwarder.options.Permits.Return(&placementAttempt.Replica, a.slot, slotEnding(failure))
 	return failure
 }
 
+// slotEnding returns how an attempt with the failure, or nil, leaves its slot.
+func slotEnding(f *Failure) ratelimit.Ending {
+	switch {
+	case f == nil || f.Result == placement.Errored || f.Result == placement.Replaced:
+		return ratelimit.Done
+	case f.Result == placement.Full:
+		return ratelimit.Refused
+	case f.ReachedReplica:
+		return ratelimit.Abandoned
+	default:
+		return ratelimit.Done
+	}
+}
+
 func (e *exchange) newAttempt(placementAttempt *placement.Attempt) *attempt {
 	a := &attempt{exchange: e, placementAttempt: placementAttempt}
-	now := time.Now()
-	if state, isBrittle := e.forwarder.options.Brittle.Current().Of(&placementAttempt.Replica, now); isBrittle {
-		a.knownBrittle, a.brittleAge = true, now.Sub(state.SaidAt)
+	if limit, limited := e.forwarder.options.Permits.Limits().Of(&placementAttempt.Replica); limited && limit.Brittle.Brittle {
+		a.knownBrittle, a.brittleAge = true, e.forwarder.options.RateLimits.Now().Sub(limit.ObservedAt)
 	}
 	return a
 }
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -4,8 +4,8 @@
 	"net/http"
 	"time"
 
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
 )
 
 // Codec maps the headers of a wire format.
@@ -91,7 +91,7 @@
 	// Leaving is true if the replica reports that it is about to stop.
 	Leaving bool
 	// Brittle is whether the replica says that refusing many requests ends it.
-	Brittle brittle.Notice
+	Brittle ratelimit.Brittleness
 	// RetryAfter is how long the replica asks this node to send it nothing; zero if not
 	// given.
 	RetryAfter time.Duration
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -262,7 +262,9 @@
 type permitRequested struct {
 	exchange *exchange
 	replica  string
-	result   ratelimit.AcquireResult
+	// waits is how long the call waits for a slot of a brittle replica.
+	waits  time.Duration
+	result ratelimit.AcquireResult
 }
 
 func (*permitRequested) Name() string { return "permit_asked" }
@@ -281,6 +283,9 @@
 		"issuer": acquired.Grant.Issuer, "rate_limit": acquired.Limit.PerSecond, "age_ms": acquired.Age.Milliseconds(),
 		"given": acquired.Granted(), "retry_after_ms": acquired.Grant.RetryAfter.Milliseconds(),
 	}
+	if acquired.Limit.Brittle.Brittle {
+		fields["slot"], fields["waits_ms"], fields["refusals_per_second"] = acquired.Slot, ev.waits.Milliseconds(), acquired.Limit.Brittle.RefusalsPerSecond
+	}
 	if acquired.Err != nil {
 		fields["error"] = acquired.Err.Error()
 	}
--- a/internal/forward/forwardtest/codec.go
+++ b/internal/forward/forwardtest/codec.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"galenatrestle/internal/forward"
+	"galenatrestle/internal/ratelimit"
 )
 
 // Header names used by Codec.
@@ -20,6 +21,7 @@
 	HeaderTimeout     = "Patience-Ms"
 	HeaderKey         = "Key"
 	HeaderRateLimit   = "Rate-Limit"
+	HeaderBrittle     = "Brittle"
 	HeaderLeaving     = "Leaving"
 	HeaderRetryAfter  = "Retry-After"
 )
@@ -55,6 +57,9 @@
 	if perSecond, err := strconv.ParseFloat(h.Get(HeaderRateLimit), 64); err == nil {
 		r.RateLimit, r.RateLimited = perSecond, true
 	}
+	if refusals, err := strconv.ParseFloat(h.Get(HeaderBrittle), 64); err == nil {
+		r.Brittle = ratelimit.Brittleness{Brittle: true, RefusalsPerSecond: refusals}
+	}
 	r.Leaving = h.Get(HeaderLeaving) != ""
 	if seconds, err := strconv.ParseFloat(h.Get(HeaderRetryAfter), 64); err == nil {
 		r.RetryAfter = time.Duration(seconds * float64(time.Second))
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -14,7 +14,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/boottime"
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/pause"
@@ -65,13 +64,11 @@
 	placer.SetPermits(f.Permits)
 	pauses := new(pause.Table)
 	placer.SetPauses(pauses)
-	brittleReplicas := brittle.NewTable(oneNode{})
-	placer.SetBrittle(brittleReplicas)
 	f.Forwarder = forward.New(forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		CrashGuard: forward.NewCrashGuard(f.Tracker, f.probe, func([]quarantine.Record) {}, log, f.Metrics),
-		RateLimits: limits, Permits: f.Permits, Pauses: pauses, Brittle: brittleReplicas,
+		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
 		Log: log, Registry: f.Metrics,
 	})
 	return f
@@ -108,9 +105,3 @@
 	}
 	return conn, nil
 }
-
-// oneNode implements brittle.Fleet.
-type oneNode struct{}
-
-func (oneNode) NodeCount() int                { return 1 }
-func (oneNode) Place(string) (int, int, bool) { return 0, 1, true }
--- a/internal/forward/notices.go
+++ b/internal/forward/notices.go
@@ -14,7 +14,6 @@
 	noticeLeaving = "leaving"
 	noticePause   = "pause"
 	noticeBrittle = "brittle"
-	noticeSound   = "no_longer_brittle"
 )
 
 // unusable returns why the chosen replica must get no request after all, or nil.
@@ -25,15 +24,11 @@
 		return errDraining
 	case f.options.Pauses.Current().End(r).After(now):
 		return errReplicaPaused
-	case f.options.Brittle.Current().RestEnd(r, now).After(now):
-		return errReplicaRests
 	default:
 		return nil
 	}
 }
 
-var errReplicaRests = errors.New("brittle replica refused a request")
-
 var errReplicaPaused = errors.New("replica asked for a pause")
 
 // recordNotices records what the response says about the replica itself.
@@ -42,8 +37,7 @@
 		// A different process answered at this address.
 		return
 	}
-	a.updateRateLimit()
-	a.updateBrittle()
+	a.updateLimit()
 	if a.headers.Leaving {
 		a.exchange.forwarder.options.Replicas.MarkLeaving(&a.placementAttempt.Replica)
 		a.logNotice(noticeLeaving)
@@ -54,18 +48,6 @@
 	}
 }
 
-func (a *attempt) updateBrittle() {
-	process, refused := a.placementAttempt.Replica.Process(), isNotExecuted(a.response, a.headers)
-	if !a.exchange.forwarder.options.Brittle.Observe(time.Now(), process, a.headers.Brittle, refused) {
-		return
-	}
-	if a.headers.Brittle.Brittle {
-		a.logNotice(noticeBrittle)
-	} else {
-		a.logNotice(noticeSound)
-	}
-}
-
 // asksForPause reports whether the replica refused the request and asks for a time without
 // further ones.
 func (a *attempt) asksForPause() bool {
@@ -80,14 +62,18 @@
 	f.options.Log.Write(&replicaNotice{attempt: a, notice: notice, revision: listing.Revision, age: f.options.RateLimits.Now().Sub(readAt)})
 }
 
-func (a *attempt) updateRateLimit() {
+func (a *attempt) updateLimit() {
 	f := a.exchange.forwarder
 	limit, changed := f.options.RateLimits.Observe(ratelimit.Observation{
-		Replica: a.placementAttempt.Replica, Limited: a.headers.RateLimited, PerSecond: a.headers.RateLimit,
+		Replica: a.placementAttempt.Replica, Limited: a.headers.RateLimited, PerSecond: a.headers.RateLimit, Brittle: a.headers.Brittle,
 		Succeeded: a.headers.Stamped && a.response.StatusCode < http.StatusMultipleChoices,
 		SentAt:    a.sentAt, ReceivedAt: f.options.RateLimits.Now(),
 	})
-	if changed {
-		f.options.Log.Write(&ratelimit.LimitChanged{Limit: limit, Request: a.exchange.call.ID})
+	if !changed {
+		return
+	}
+	f.options.Log.Write(&ratelimit.LimitChanged{Limit: limit, Request: a.exchange.call.ID})
+	if a.headers.Brittle.Brittle {
+		a.logNotice(noticeBrittle)
 	}
 }
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -3,7 +3,6 @@
 import (
 	"github.com/prometheus/client_golang/prometheus"
 
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
@@ -24,7 +23,6 @@
 	RateLimits *ratelimit.Table
 	Permits    *ratelimit.Permits
 	Pauses     *pause.Table
-	Brittle    *brittle.Table
 	Log        *eventlog.Log
 	Registry   prometheus.Registerer
 	// OnStreamBegan is called before a call of a resumable stream forwards its first events, with the
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -6,8 +6,11 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
+	"galenatrestle/internal/ratelimit"
 )
 
 // maxPermitWait limits the time spent on acquiring permits for one attempt. It
@@ -18,43 +21,88 @@
 
 var errPaused = errors.New("all replicas are paused")
 
-var errFull = errors.New("brittle replicas have no room")
+var errFull = errors.New("brittle replicas have no free slot")
 
 var errRateLimited = errors.New("all replicas have reached their rate limit")
 
+// maxSlotAsks is the number of brittle replicas that are asked for a free slot before the call waits for
+// one.
+const maxSlotAsks = 1
+
 // chooseReplica assigns a replica to the call and acquires a permit if the replica
-// is rate-limited. Without a permit it tries another replica.
-func (e *exchange) chooseReplica() (*placement.Attempt, *Failure) {
+// is limited. Without a permit it tries another replica. If no brittle replica has a free slot, it
+// waits for one.
+func (e *exchange) chooseReplica() (*attempt, *Failure) {
 	permitDeadline := time.Now().Add(maxPermitWait)
-	e.placementRequest.ExcludeRateLimited = false
-	for {
-		placementAttempt := e.forwarder.options.Placer.Choose(time.Now(), e.call.Upstream, &e.placementRequest)
+	r := &e.placementRequest
+	r.ExcludeRateLimited, r.AwaitsSlot = false, false
+	for slotAsks := 0; ; {
+		placementAttempt := e.forwarder.options.Placer.Choose(time.Now(), e.call.Upstream, r)
 		if placementAttempt == nil {
-			return nil, e.noReplicaFailure()
+			if r.AwaitsSlot || r.ExcludeRateLimited {
+				return nil, e.noReplicaFailure()
+			}
+			r.AwaitsSlot = true
+			continue
 		}
 		if failure := e.refuseIfOverloaded(placementAttempt); failure != nil {
 			return nil, failure
 		}
-		if !placementAttempt.NeedsPermit || e.acquirePermit(placementAttempt, permitDeadline) {
-			return placementAttempt, nil
+		a := e.newAttempt(placementAttempt)
+		if !placementAttempt.NeedsPermit || e.acquirePermit(a, permitDeadline) {
+			return a, nil
 		}
 		placementAttempt.End(time.Now(), placement.Cancelled)
-		e.placementRequest.ExcludeRateLimited = time.Now().After(permitDeadline)
+		if a.knownBrittle {
+			slotAsks++
+		}
+		r.ExcludeRateLimited = r.AwaitsSlot && a.knownBrittle || !a.knownBrittle && time.Now().After(permitDeadline)
+		r.AwaitsSlot = slotAsks >= maxSlotAsks
 	}
 }
 
-func (e *exchange) acquirePermit(placementAttempt *placement.Attempt, deadline time.Time) bool {
+// slotWait returns how long the call waits for a slot of a brittle replica.
+func (e *exchange) slotWait() time.Duration {
+	wait := maxPermitWait
+	if objective := e.call.Route.Objective; objective > 0 {
+		wait = objective / slotWaitDivisor
+	}
+	return min(wait, time.Until(e.call.Deadline)/slotWaitDivisor)
+}
+
+// slotWaitDivisor leaves the rest of the objective, or of the time left, to the replica.
+const slotWaitDivisor = 2
+
+func (e *exchange) acquirePermit(a *attempt, deadline time.Time) bool {
+	urgency := ratelimit.Urgency{Rank: e.call.Rank}
+	if e.placementRequest.AwaitsSlot {
+		urgency.Wait = e.slotWait()
+		deadline = time.Now().Add(urgency.Wait + maxPermitWait)
+	}
 	ctx, cancel := context.WithDeadline(e.ctx, deadline)
 	defer cancel()
-	result := e.forwarder.options.Permits.Acquire(ctx, time.Now(), &placementAttempt.Replica)
-	e.forwarder.options.Log.Write(&permitRequested{exchange: e, replica: placementAttempt.Replica.ID, result: result})
+	result := e.forwarder.options.Permits.Acquire(ctx, time.Now(), &a.placementAttempt.Replica, urgency)
+	e.forwarder.options.Log.Write(&permitRequested{exchange: e, replica: a.placementAttempt.Replica.ID, waits: urgency.Wait, result: result})
 	if !result.Granted() {
 		return false
 	}
-	placementAttempt.PermitGranted(time.Now())
+	a.slot = result.Slot
+	a.placementAttempt.PermitGranted(time.Now())
 	return true
 }
 
+const (
+	// minFullRetryDelay and maxFullRetryDelay bound when callers come back for whom no brittle replica
+	// had a slot. Many are refused in the same moment, and must not come back in the same moment.
+	minFullRetryDelay = 400 * time.Millisecond
+	maxFullRetryDelay = 1200 * time.Millisecond
+)
+
+// fullRetryDelay returns a delay that depends on the call's ID only.
+func (e *exchange) fullRetryDelay() time.Duration {
+	return minFullRetryDelay + time.Duration(xxhash.Sum64String(e.call.ID)%uint64(maxFullRetryDelay-minFullRetryDelay))
+}
+
 func (e *exchange) noReplicaFailure() *Failure {
 	f := &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: errNoReplica}
 	now := time.Now()
@@ -65,7 +113,7 @@
 		f.RetryAfter = overload.RetryDelay(wait, left)
 		f.Cause = fmt.Errorf("%w: %d rate-limited replicas, no permit left; %d paused", errRateLimited, restricted.RateLimited, restricted.Paused)
 	case restricted.Full > 0:
-		f.RetryAfter = overload.RetryDelay(wait, left)
+		f.RetryAfter = overload.RetryDelay(e.fullRetryDelay(), left)
 		f.Cause = fmt.Errorf("%w: %d of them; %d paused", errFull, restricted.Full, restricted.Paused)
 	case restricted.Paused+restricted.PresumedPaused > 0:
 		f.RetryAfter = overload.BoundRetryDelay(wait, left)
--- a/internal/forward/place_test.go
+++ b/internal/forward/place_test.go
@@ -29,7 +29,7 @@
 	permitRequests int
 }
 
-func (f *fakeIssuer) ask(_ context.Context, l ratelimit.Limit) (ratelimit.Grant, error) {
+func (f *fakeIssuer) ask(_ context.Context, _ ratelimit.Ask) (ratelimit.Grant, error) {
 	f.permitRequests++
 	return ratelimit.Grant{Granted: f.grants, RetryAfter: 800 * time.Millisecond}, f.err
 }
@@ -82,7 +82,7 @@
 			}
 		}
 		limited := list[0]
-		if _, found := f.Permits.Limits()[limited.ID]; !found {
+		if _, found := f.Permits.Limits().Of(&limited.Replica); !found {
 			limited = list[1]
 		}
 		if got := len(limited.Requests()); got != 1 {
@@ -96,7 +96,7 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		list := replicas(answerWithRateLimit, answerWithRateLimit, answerWithRateLimit, answerOK)
 		f := forwardtest.NewFleet(t, list...)
-		f.Permits.SetAcquireFunc(func(ctx context.Context, _ ratelimit.Limit) (ratelimit.Grant, error) {
+		f.Permits.SetAcquireFunc(func(ctx context.Context, _ ratelimit.Ask) (ratelimit.Grant, error) {
 			<-ctx.Done()
 			return ratelimit.Grant{}, ctx.Err()
 		})
--- a/internal/gen/trestle/ratelimit/v1/ratelimitv1connect/ratelimit.connect.go
+++ b/internal/gen/trestle/ratelimit/v1/ratelimitv1connect/ratelimit.connect.go
@@ -36,12 +36,16 @@
 	// RateLimitServiceAcquireProcedure is the fully-qualified name of the RateLimitService's Acquire
 	// RPC.
 	RateLimitServiceAcquireProcedure = "/trestle.ratelimit.v1.RateLimitService/Acquire"
+	// RateLimitServiceReportProcedure is the fully-qualified name of the RateLimitService's Report RPC.
+	RateLimitServiceReportProcedure = "/trestle.ratelimit.v1.RateLimitService/Report"
 )
 
 // RateLimitServiceClient is a client for the trestle.ratelimit.v1.RateLimitService service.
 type RateLimitServiceClient interface {
-	// Acquire gives a permit if one is left of the rate.
+	// Acquire gives a permit if one is left of the rate, and a slot if one is free.
 	Acquire(context.Context, *connect.Request[v1.AcquireRequest]) (*connect.Response[v1.AcquireResponse], error)
+	// Report gives slots back and confirms those in use.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 }
 
 // NewRateLimitServiceClient constructs a client for the trestle.ratelimit.v1.RateLimitService
@@ -61,12 +65,19 @@
 			connect.WithSchema(rateLimitServiceMethods.ByName("Acquire")),
 			connect.WithClientOptions(opts...),
 		),
+		report: connect.NewClient[v1.ReportRequest, v1.ReportResponse](
+			httpClient,
+			baseURL+RateLimitServiceReportProcedure,
+			connect.WithSchema(rateLimitServiceMethods.ByName("Report")),
+			connect.WithClientOptions(opts...),
+		),
 	}
 }
 
 // rateLimitServiceClient implements RateLimitServiceClient.
 type rateLimitServiceClient struct {
 	acquire *connect.Client[v1.AcquireRequest, v1.AcquireResponse]
+	report  *connect.Client[v1.ReportRequest, v1.ReportResponse]
 }
 
 // Acquire calls trestle.ratelimit.v1.RateLimitService.Acquire.
@@ -74,11 +85,18 @@
 	return c.acquire.CallUnary(ctx, req)
 }
 
+// Report calls trestle.ratelimit.v1.RateLimitService.Report.
+func (c *rateLimitServiceClient) Report(ctx context.Context, req *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return c.report.CallUnary(ctx, req)
+}
+
 // RateLimitServiceHandler is an implementation of the trestle.ratelimit.v1.RateLimitService
 // service.
 type RateLimitServiceHandler interface {
-	// Acquire gives a permit if one is left of the rate.
+	// Acquire gives a permit if one is left of the rate, and a slot if one is free.
 	Acquire(context.Context, *connect.Request[v1.AcquireRequest]) (*connect.Response[v1.AcquireResponse], error)
+	// Report gives slots back and confirms those in use.
+	Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error)
 }
 
 // NewRateLimitServiceHandler builds an HTTP handler from the service implementation. It returns the
@@ -94,10 +112,18 @@
 		connect.WithSchema(rateLimitServiceMethods.ByName("Acquire")),
 		connect.WithHandlerOptions(opts...),
 	)
+	rateLimitServiceReportHandler := connect.NewUnaryHandler(
+		RateLimitServiceReportProcedure,
+		svc.Report,
+		connect.WithSchema(rateLimitServiceMethods.ByName("Report")),
+		connect.WithHandlerOptions(opts...),
+	)
 	return "/trestle.ratelimit.v1.RateLimitService/", http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		switch r.URL.Path {
 		case RateLimitServiceAcquireProcedure:
 			rateLimitServiceAcquireHandler.ServeHTTP(w, r)
+		case RateLimitServiceReportProcedure:
+			rateLimitServiceReportHandler.ServeHTTP(w, r)
 		default:
 			http.NotFound(w, r)
 		}
@@ -110,3 +136,7 @@
 func (UnimplementedRateLimitServiceHandler) Acquire(context.Context, *connect.Request[v1.AcquireRequest]) (*connect.Response[v1.AcquireResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.ratelimit.v1.RateLimitService.Acquire is not implemented"))
 }
+
+func (UnimplementedRateLimitServiceHandler) Report(context.Context, *connect.Request[v1.ReportRequest]) (*connect.Response[v1.ReportResponse], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("trestle.ratelimit.v1.RateLimitService.Report is not implemented"))
+}
--- a/internal/nodesync/keepers_test.go
+++ b/internal/nodesync/keepers_test.go
@@ -1,11 +1,8 @@
 package nodesync
 
 import (
-	"fmt"
 	"slices"
 	"testing"
-
-	"galenatrestle/internal/boottime"
 )
 
 // Guards against records that no node saves or that nodes look for elsewhere than they are kept.
@@ -50,39 +47,6 @@
 	}
 }
 
-// Guards against nodes that take the same place, so that some share of what all have is used twice.
-func TestNodesHaveDifferentPlaces(t *testing.T) {
-	nodes := fleetOf(7, 3)
-	for _, n := range nodes {
-		if _, _, known := n.Place("i-1"); known {
-			t.Error("a node that has just started knows its place")
-		}
-		n.now += boottime.Instant(placesSettleTime)
-	}
-	orders := make(map[string]bool)
-	for _, key := range []string{"i-1", "i-2", "i-3", "i-4"} {
-		var order []int
-		for _, n := range nodes {
-			place, count, known := n.Place(key)
-			if !known || count != len(nodes) {
-				t.Fatalf("%d nodes known, %v", count, known)
-			}
-			order = append(order, place)
-		}
-		orders[fmt.Sprint(order)] = true
-		slices.Sort(order)
-		if !slices.Equal(order, []int{0, 1, 2, 3, 4, 5, 6}) {
-			t.Errorf("places %v for %s", order, key)
-		}
-	}
-	if len(orders) < 2 {
-		t.Error("the order does not depend on the key")
-	}
-	if _, _, known := fleetOf(20, 3)[0].Place("i-1"); known {
-		t.Error("a node of a large fleet knows its place")
-	}
-}
-
 // All nodes had the same keepers, so that the records of all were lost with these.
 func TestNodesThatAreLostTogetherTakeFewRecordsWithThem(t *testing.T) {
 	nodes := fleetOf(7, 3)
--- a/internal/nodesync/ratelimits.go
+++ b/internal/nodesync/ratelimits.go
@@ -1,7 +1,6 @@
 package nodesync
 
 import (
-	"slices"
 	"time"
 
 	"galenatrestle/internal/boottime"
@@ -11,12 +10,10 @@
 
 // mergeRateLimits merges the rate limits of another node. callStart is the instant that
 // their ages are subtracted from: the start of the call for a response, the arrival for a
-// request. Limits of unknown replicas are skipped, because they would never be removed.
+// request.
 func (s *Sync) mergeRateLimits(received []*ratelimitv1.Limit, from string, callStart boottime.Instant) {
-	limits := slices.DeleteFunc(ratelimit.FromProto(received, callStart), func(l ratelimit.Limit) bool {
-		return !s.options.Replicas.HasProcess(l.Replica, l.StartedAt)
-	})
-	for _, changed := range s.options.RateLimitTable.Merge(limits) {
+	limits := ratelimit.FromProto(received, callStart)
+	for _, changed := range s.options.RateLimitTable.Merge(limits, s.options.Replicas.HasProcess) {
 		s.options.Log.Write(&ratelimit.LimitChanged{Limit: changed, From: from, Age: s.options.Clock().Sub(changed.ObservedAt)})
 	}
 }
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -60,15 +60,11 @@
 	zonePartner, remotePartner partner
 	zoneSizes                  zoneSizes
 	firstReads                 firstReads
-
-	// placesMu guards places.
-	placesMu sync.Mutex
-	places   places
 }
 
 // New returns a Sync. It makes no calls until Run, Round or Announce is called.
 func New(options Options) *Sync {
-	return &Sync{options: options, inFlight: make(map[string]bool), places: places{startedAt: options.Clock()}}
+	return &Sync{options: options, inFlight: make(map[string]bool)}
 }
 
 // Handler returns the path and the handler to mount on the peer listener.
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -1,79 +1,73 @@
 package placement
 
 import (
+	"context"
 	"testing"
 	"time"
 
-	"galenatrestle/internal/brittle"
+	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/ratelimit"
 )
 
-// unordered is a fleet of so many nodes of which this one does not know its place.
-type unordered int
-
-func (u unordered) NodeCount() int              { return int(u) }
-func (unordered) Place(string) (int, int, bool) { return 0, 0, false }
-
-// brittleFleet returns a placer of one of the nodes, for n replicas that are all brittle.
-func brittleFleet(n, nodes int) (*Placer, *brittle.Table) {
+// brittleFleet returns a placer for n replicas that are all brittle, and its permits. No replica has a
+// free slot for the time that is given by ID.
+func brittleFleet(t *testing.T, n int, fullFor map[string]time.Duration) (*Placer, *ratelimit.Permits) {
+	t.Helper()
 	p, set := newFleet(n, 1)
-	table := brittle.NewTable(unordered(nodes))
-	p.SetBrittle(table)
+	table := ratelimit.NewTable(func() boottime.Instant { return 2 })
+	permits := ratelimit.NewPermits(table)
+	permits.SetAcquireFunc(func(_ context.Context, ask ratelimit.Ask) (ratelimit.Grant, error) {
+		return ratelimit.Grant{RetryAfter: fullFor[ask.Limit.Replica]}, nil
+	})
+	p.SetPermits(permits)
 	for _, r := range set.ForUpstream("u") {
-		table.Observe(time.Now(), r.Process(), brittle.Notice{Brittle: true, RefusalsPerSecond: 2}, false)
+		table.Observe(ratelimit.Observation{Replica: r, Brittle: ratelimit.Brittleness{Brittle: true, RefusalsPerSecond: 2}, ReceivedAt: 1})
 	}
-	return p, table
+	return p, permits
 }
 
-// choices returns how many requests could be placed, at most limit, without any that ends.
-func choices(p *Placer, limit int) int {
-	for i := range limit {
-		if p.Choose(time.Now(), "u", short()) == nil {
-			return i
+func TestRequestsToBrittleReplicasNeedPermits(t *testing.T) {
+	p, _ := brittleFleet(t, 3, nil)
+	for range 10 {
+		if a := p.Choose(time.Now(), "u", short()); a == nil || !a.NeedsPermit {
+			t.Fatalf("chose %+v, want a replica that needs a permit", a)
 		}
 	}
-	return limit
 }
 
 // Brittle replicas ended since nodes with an old view of their load sent them more than they have
 // room for.
-func TestNodesTogetherUseNoMoreThanTheSlotsOfBrittleReplicas(t *testing.T) {
-	const replicas, nodes = 3, 4
-	p, _ := brittleFleet(replicas, nodes)
-	slots := 0
-	for _, r := range p.replicas.ForUpstream("u") {
-		slots += r.Slots
-	}
-	if got := choices(p, 10*slots); got == 0 || got > slots/nodes {
-		t.Errorf("one of %d nodes placed %d requests at %d slots", nodes, got, slots)
+func TestBrittleReplicaWithoutAFreeSlotGetsNoRequest(t *testing.T) {
+	p, permits := brittleFleet(t, 3, map[string]time.Duration{"i-00": time.Minute, "i-01": time.Minute, "i-02": time.Minute})
+	if a := chooseRefusingPermits(t, p, permits); a != nil {
+		t.Fatalf("%s was chosen, want none", a.Replica.ID)
 	}
 	restricted := p.Restricted(time.Now(), "u", &Request{})
-	if restricted.Full != replicas || !restricted.NextAt.After(time.Now()) {
+	if restricted.Full != 3 || restricted.RateLimited != 0 || !restricted.NextAt.After(time.Now()) {
 		t.Errorf("restricted: %+v", restricted)
 	}
 }
 
-func TestBrittleReplicaThatAllNodesFillGetsNoRequest(t *testing.T) {
-	p, _ := brittleFleet(1, 4)
-	r := p.replicas.ForUpstream("u")[0]
-	p.Choose(time.Now(), "u", short()).End(time.Now(), Answered)
-	p.SetPeerLoads("vm-2", []Load{{Replica: r.ID, Running: r.Slots}}, false, 3, time.Now())
-	if got := choices(p, 1); got != 0 {
-		t.Error("a request is placed though other nodes use all slots")
-	}
-}
-
-func TestBrittleReplicaRestsAfterARefusal(t *testing.T) {
-	p, table := brittleFleet(2, 4)
-	refused := p.replicas.ForUpstream("u")[0]
-	table.Observe(time.Now(), refused.Process(), brittle.Notice{Brittle: true, RefusalsPerSecond: 2}, true)
-	for range 20 {
-		a := p.Choose(time.Now(), "u", short())
-		if a == nil {
-			t.Fatal("no replica chosen, although one has refused nothing")
+// Requests that waited for a slot all chose the same replica, and slots of the others stayed free.
+func TestRequestsWaitWhereASlotIsFreeSoonest(t *testing.T) {
+	p, permits := brittleFleet(t, 4, map[string]time.Duration{"i-00": time.Minute, "i-01": time.Minute, "i-02": time.Minute, "i-03": 100 * time.Millisecond})
+	chooseRefusingPermits(t, p, permits)
+	waiting := short()
+	waiting.AwaitsSlot = true
+	for range 10 {
+		if a := p.Choose(time.Now(), "u", waiting); a == nil || a.Replica.ID != "i-03" {
+			t.Fatalf("chose %+v, want i-03", a)
 		}
-		if a.Replica.ID == refused.ID {
-			t.Fatal("a brittle replica was chosen right after it refused a request")
+	}
+	equal, permits := brittleFleet(t, 4, map[string]time.Duration{"i-00": time.Second, "i-01": time.Second, "i-02": time.Second, "i-03": time.Second})
+	chooseRefusingPermits(t, equal, permits)
+	chosen := make(map[string]int)
+	for range 100 {
+		chosen[equal.Choose(time.Now(), "u", waiting).Replica.ID]++
+	}
+	for id, count := range chosen {
+		if len(chosen) != 4 || count < 10 {
+			t.Errorf("%d of 100 requests wait at %s, among %d replicas", count, id, len(chosen))
 		}
-		a.End(time.Now(), Answered)
 	}
 }
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -5,7 +5,6 @@
 	"sync"
 	"time"
 
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
@@ -25,12 +24,10 @@
 	groups map[string]peerLoads
 	// considerAll disables random sampling of candidates.
 	considerAll bool
-	// permits are the rate limit permits; nil: rates are not enforced.
+	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses *pause.Table
-	// brittle are the replicas that refusals may end; nil: none are kept.
-	brittle      *brittle.Table
+	pauses       *pause.Table
 	lastChoiceAt time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
@@ -48,7 +45,7 @@
 	u, ok := p.upstreams[name]
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
-		u.considerAll, u.permits, u.pauses, u.brittle = p.considerAll, p.permits, p.pauses, p.brittle
+		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
 		p.upstreams[name] = u
 	}
 	return u
@@ -59,17 +56,13 @@
 // Call it before the first Choose.
 func (p *Placer) ConsiderAllReplicas() { p.considerAll = true }
 
-// SetPermits enforces the rates of rate limited replicas with these permits. Call it before
+// SetPermits enforces the limits of replicas with these permits. Call it before
 // the first Choose.
 func (p *Placer) SetPermits(permits *ratelimit.Permits) { p.permits = permits }
 
 // SetPauses keeps requests from paused replicas. Call it before the first Choose.
 func (p *Placer) SetPauses(pauses *pause.Table) { p.pauses = pauses }
 
-// SetBrittle keeps requests from brittle replicas that have no room. Call it before the first
-// Choose.
-func (p *Placer) SetBrittle(table *brittle.Table) { p.brittle = table }
-
 // Choose binds the request to a replica of the upstream. It returns nil if no replica of the
 // request's software version accepts new requests, or all are paused or rate limited with no permit
 // left; Restricted distinguishes these.
--- a/internal/placement/ratelimits_test.go
+++ b/internal/placement/ratelimits_test.go
@@ -16,7 +16,7 @@
 	p, set := newFleet(n, 1)
 	table := ratelimit.NewTable(func() boottime.Instant { return 2 })
 	permits := ratelimit.NewPermits(table)
-	permits.SetAcquireFunc(func(context.Context, ratelimit.Limit) (ratelimit.Grant, error) {
+	permits.SetAcquireFunc(func(context.Context, ratelimit.Ask) (ratelimit.Grant, error) {
 		return ratelimit.Grant{RetryAfter: time.Minute}, nil
 	})
 	p.SetPermits(permits)
@@ -26,6 +26,11 @@
 	return p, permits
 }
 
+func isLimited(permits *ratelimit.Permits, r *replica.Replica) bool {
+	_, limited := permits.Limits().Of(r)
+	return limited
+}
+
 // chooseRefusingPermits chooses replicas until one needs no permit or none is left; each
 // needed permit is refused.
 func chooseRefusingPermits(t *testing.T, p *Placer, permits *ratelimit.Permits) *Attempt {
@@ -35,7 +40,7 @@
 		if a == nil || !a.NeedsPermit {
 			return a
 		}
-		if grant := permits.Acquire(t.Context(), time.Now(), &a.Replica); grant.Granted() {
+		if grant := permits.Acquire(t.Context(), time.Now(), &a.Replica, ratelimit.Urgency{}); grant.Granted() {
 			t.Fatal("a permit was granted, want all permits refused")
 		}
 		a.End(time.Now(), Cancelled)
@@ -49,7 +54,7 @@
 		if a == nil {
 			t.Fatal("no replica chosen, although two are not rate limited")
 		}
-		if ratelimit.IsLimited(permits.Limits(), &a.Replica) {
+		if isLimited(permits, &a.Replica) {
 			t.Fatalf("rate limited replica %s was chosen without a permit", a.Replica.ID)
 		}
 	}
@@ -89,7 +94,7 @@
 	request := short()
 	request.ExcludeRateLimited = true
 	for range 10 {
-		if a := p.Choose(start, "u", request); a == nil || a.NeedsPermit || ratelimit.IsLimited(permits.Limits(), &a.Replica) {
+		if a := p.Choose(start, "u", request); a == nil || a.NeedsPermit || isLimited(permits, &a.Replica) {
 			t.Fatalf("chose %+v, want a replica that is not rate limited", a)
 		}
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -24,8 +24,10 @@
 	Shared []PromptPart
 	// Version restricts the choice to replicas of this software version; nil: any will do.
 	Version *string
-	// ExcludeRateLimited excludes rate limited replicas.
+	// ExcludeRateLimited excludes replicas that need a permit.
 	ExcludeRateLimited bool
+	// AwaitsSlot includes brittle replicas that had no free slot a moment ago.
+	AwaitsSlot bool
 	// Avoid is the IDs of replicas that have already failed this request.
 	Avoid []string
 	// FailedZones is the availability zones of the replicas in Avoid.
--- a/internal/placement/restrictions.go
+++ b/internal/placement/restrictions.go
@@ -3,21 +3,19 @@
 import (
 	"time"
 
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
 )
 
-// restrictions is what keeps requests from available replicas during one choice: rate limits
+// restrictions is what keeps requests from available replicas during one choice: limits
 // without a permit, and pauses that the replicas asked for.
 type restrictions struct {
 	permits        *ratelimit.Permits
-	limits         map[string]ratelimit.Limit
+	limits         ratelimit.Limits
 	pauses         pause.Pauses
-	brittle        *brittle.Table
-	brittleStates  brittle.States
 	now            time.Time
 	excludeLimited bool
+	awaitsSlot     bool
 	// latestPauseEnd is when the last pause that an available replica asked for ends; zero: none did.
 	latestPauseEnd time.Time
 }
@@ -31,9 +29,6 @@
 	if u.permits != nil {
 		r.limits = u.permits.Limits()
 	}
-	if u.brittle != nil {
-		r.brittle, r.brittleStates = u.brittle, u.brittle.Current()
-	}
 	if u.pauses != nil {
 		r.pauses = u.pauses.Current()
 		r.latestPauseEnd = r.latestEnd(u.available)
@@ -56,7 +51,13 @@
 }
 
 func (r *restrictions) isLimited(s *replicaState) bool {
-	return ratelimit.IsLimited(r.limits, &s.replica)
+	_, limited := r.limits.Of(&s.replica)
+	return limited
+}
+
+func (r *restrictions) isBrittle(s *replicaState) bool {
+	limit, limited := r.limits.Of(&s.replica)
+	return limited && limit.Brittle.Brittle
 }
 
 func (r *restrictions) isPaused(s *replicaState) bool { return r.pauseEnd(s).After(r.now) }
@@ -83,45 +84,34 @@
 	}
 }
 
-// allows reports whether the replica may be chosen: it is not paused, and it is not rate limited
+// allows reports whether the replica may be chosen: it is not paused, and it is not limited
 // or a permit may be requested now.
 func (r *restrictions) allows(s *replicaState) bool {
-	if r.isPaused(s) || r.isFull(s) {
+	if r.isPaused(s) {
 		return false
 	}
-	return !r.isLimited(s) || !r.excludeLimited && !r.permits.NextAttemptAt(s.replica.ID).After(r.now)
-}
-
-// fullRecheck is when a brittle replica without a free slot may have one.
-const fullRecheck = 200 * time.Millisecond
-
-// isFull reports whether a request would risk a refusal by a brittle replica: this node's share of its
-// slots is taken, or all may be, or it is left alone after a refusal.
-func (r *restrictions) isFull(s *replicaState) bool {
-	state, isBrittle := r.brittleStates.Of(&s.replica, r.now)
-	if !isBrittle {
+	limit, limited := r.limits.Of(&s.replica)
+	switch {
+	case !limited:
+		return true
+	case r.excludeLimited:
 		return false
+	case r.awaitsSlot && limit.Lifted:
+		return !r.permits.NextWaitAt(s.replica.ID).After(r.now)
+	default:
+		return !r.permits.NextAttemptAt(s.replica.ID).After(r.now)
 	}
-	share, exact := r.brittle.Share(s.replica.ID, s.replica.Slots)
-	return state.RestUntil.After(r.now) || s.running >= share || !exact && s.running+s.peersRunning >= max(s.replica.Slots, 1)
 }
 
-// fullUntil returns when a brittle replica that is full may have room.
-func (r *restrictions) fullUntil(s *replicaState) time.Time {
-	if end := r.brittleStates.RestEnd(&s.replica, r.now); end.After(r.now) {
-		return end
-	}
-	return r.now.Add(fullRecheck)
+// slotWaitMS returns the time, in milliseconds, until a slot of the brittle replica may be free, as far as
+// this node was told.
+func (r *restrictions) slotWaitMS(s *replicaState) float64 {
+	return max(r.permits.NextAttemptAt(s.replica.ID).Sub(r.now).Seconds(), 0) * 1e3
 }
 
 // endsAt returns when a request to the restricted replica may be possible.
 func (r *restrictions) endsAt(s *replicaState) time.Time {
 	end := r.pauseEnd(s)
-	if r.isFull(s) {
-		if until := r.fullUntil(s); until.After(end) {
-			end = until
-		}
-	}
 	if r.isLimited(s) {
 		if next := r.permits.NextAttemptAt(s.replica.ID); next.After(end) {
 			return next
@@ -138,7 +128,7 @@
 	RateLimited    int
 	Paused         int
 	PresumedPaused int
-	// Full is the number of brittle replicas without room.
+	// Full is the number of brittle replicas that are not paused.
 	Full int
 	// NextAt is the earliest time at which a request to any of them may be possible.
 	NextAt time.Time
@@ -162,7 +152,7 @@
 			found.Paused++
 		case current.isPaused(s):
 			found.PresumedPaused++
-		case current.isFull(s):
+		case current.isBrittle(s):
 			found.Full++
 		case current.isLimited(s):
 			found.RateLimited++
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"galenatrestle/internal/brittle"
 	"galenatrestle/internal/enginespeed"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
@@ -46,12 +45,10 @@
 	avgRunningOwn, avgRunningAll float64
 	// considerAll disables random sampling of candidates.
 	considerAll bool
-	// permits are the rate limit permits; nil: rates are not enforced.
+	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses *pause.Table
-	// brittle are the replicas that refusals may end; nil: none are kept.
-	brittle      *brittle.Table
+	pauses       *pause.Table
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
@@ -123,7 +120,7 @@
 	u.syncReplicas(replicas)
 	u.learnPrompt(r)
 	current := u.restrictions(now)
-	current.excludeLimited = r.ExcludeRateLimited
+	current.excludeLimited, current.awaitsSlot = r.ExcludeRateLimited, r.AwaitsSlot
 	u.presumePauses(&current)
 	states := u.available
 	shortCount := u.shortSideSize(now, r, states)
@@ -158,6 +155,9 @@
 		// Random jitter keeps nodes with the same view from all choosing the same replica.
 		cost := u.cost(now, r, s, location, recompute)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < shortCount)
+		if current.awaitsSlot && current.isBrittle(s) {
+			cost = current.slotWaitMS(s) + waitSpread*u.rand.Float64()
+		}
 		if cost < lowest && r.fits(s) && current.allows(s) {
 			best, lowest = s, cost
 		}
@@ -190,4 +190,7 @@
 	// tieSpread is the absolute jitter, in milliseconds, that spreads requests over idle replicas.
 	// It is less than the cost of another availability zone.
 	tieSpread = 1.0
+	// waitSpread is the jitter, in milliseconds, that spreads requests that wait for a slot: nodes learn
+	// late how many requests of others wait.
+	waitSpread = 100.0
 )
--- a/internal/ratelimit/exchange_test.go
+++ b/internal/ratelimit/exchange_test.go
@@ -14,13 +14,15 @@
 // issuer.
 func newTestExchange(issuer string, table *Table, registered bool) *Exchange {
 	return NewExchange(Options{
-		Table: table, Issuer: NewIssuer(), Self: "vm-1",
+		Table: table, Issuer: NewIssuer(), Slots: NewSlotIssuer(), Self: "vm-1",
 		IssuerOf: func(string) (string, string) { return issuer, "" },
 		Share:    func() float64 { return 1 }, IsRegistered: func(string, int64) bool { return registered },
 		Registry: prometheus.NewRegistry(),
 	})
 }
 
+func anyProcess(string, int64) bool { return true }
+
 // limitAt returns a high limit observed ms milliseconds after the start.
 func limitAt(ms int, lifted bool) Limit {
 	return Limit{Replica: "i-1", PerSecond: 1e6, Lifted: lifted, ObservedAt: at(ms)}
@@ -57,7 +59,7 @@
 		t.Error("a permit was granted for an unregistered replica")
 	}
 	lifted := table()
-	lifted.Merge([]Limit{limitAt(60, true)})
+	lifted.Merge([]Limit{limitAt(60, true)}, anyProcess)
 	if acquireTwice(t, newTestExchange("vm-1", lifted, true), limitAt(50, false)) {
 		t.Error("a permit was granted under a limit lifted since")
 	}
@@ -67,7 +69,7 @@
 	e := newTestExchange("vm-1", NewTable(func() boottime.Instant { return at(100) }), true)
 	granted := false
 	for range 2 {
-		grant, err := e.RequestPermit(t.Context(), limitAt(50, false))
+		grant, err := e.RequestPermit(t.Context(), Ask{Limit: limitAt(50, false)})
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/ratelimit/fleet_test.go
+++ b/internal/ratelimit/fleet_test.go
@@ -261,7 +261,8 @@
 }
 
 func TestRestartedReplicaIsNotLimited(t *testing.T) {
-	limits := map[string]Limit{"i-1": {Replica: "i-1", StartedAt: 7}}
+	table := newTable()
+	table.Observe(limitedResponse(4, 0, 20))
 	for _, test := range []struct {
 		r    replica.Replica
 		want bool
@@ -270,8 +271,8 @@
 		{replica.Replica{ID: "i-1", StartedAt: 9}, false},
 		{replica.Replica{ID: "i-2", StartedAt: 7}, false},
 	} {
-		if got := IsLimited(limits, &test.r); got != test.want {
-			t.Errorf("%+v: IsLimited is %v", test.r, got)
+		if _, got := table.Current().Of(&test.r); got != test.want {
+			t.Errorf("%+v: limited %v", test.r, got)
 		}
 	}
 }
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -12,23 +12,51 @@
 	// minPause is the shortest time without permit requests for a replica after one was
 	// refused.
 	minPause = 100 * time.Millisecond
+	// busyPause is the time without asks for slots by requests that don't wait for one, after a brittle
+	// replica had none free.
+	busyPause = 2 * time.Second
+	// minClosing is the shortest time in which no request waits for a slot of a replica after too
+	// many others did.
+	minClosing = 50 * time.Millisecond
 	// unansweredPause is the time without permit requests for a replica after the issuer
-	// did not respond, or the node asked does not issue permits for the replica.
-	unansweredPause = 250 * time.Millisecond
+	// did not respond, or the node asked does not issue permits for the replica. It doubles with each
+	// further request without a response, up to maxUnansweredPause: the issuer may have more to
+	// do than it can.
+	unansweredPause    = 250 * time.Millisecond
+	maxUnansweredPause = 2 * time.Second
 )
 
 // Permits acquires permits for this node's requests. It is safe for concurrent use.
 type Permits struct {
 	table   *Table
 	acquire AcquireFunc
+	slots   *slots
 
 	mu sync.Mutex
-	// pausedUntil is the time before which no permit is requested, by replica.
-	pausedUntil map[string]time.Time
+	// pausedUntil is the time before which no permit is requested, by replica, and closedUntil that
+	// before which no request waits for a slot either.
+	pausedUntil, closedUntil map[string]time.Time
+	// unanswered is the last pause after a request without a response, by replica.
+	unanswered map[string]time.Duration
 }
 
-// AcquireFunc requests a permit under the limit from the replica's issuer.
-type AcquireFunc func(ctx context.Context, l Limit) (Grant, error)
+// Ask is a request for a permit under the limit.
+type Ask struct {
+	Limit Limit
+	// Slot is which slot is asked for; nil: the replica is not brittle.
+	Slot *SlotAsk
+}
+
+// AcquireFunc requests a permit from the replica's issuer.
+type AcquireFunc func(ctx context.Context, ask Ask) (Grant, error)
+
+// Urgency is how urgent a request is.
+type Urgency struct {
+	// Rank is 0 for the most urgent.
+	Rank int
+	// Wait is how long the request waits for a slot of a brittle replica.
+	Wait time.Duration
+}
 
 // AcquireResult is the result of Permits.Acquire.
 type AcquireResult struct {
@@ -36,6 +64,8 @@
 	Limit Limit
 	Age   time.Duration
 	Grant Grant
+	// Slot is the ID of the granted slot, to be given back; zero: none.
+	Slot uint64
 	// Err is why the issuer did not respond.
 	Err error
 }
@@ -45,57 +75,148 @@
 
 // NewPermits returns a Permits for the limits of the table. Call SetAcquireFunc before use.
 func NewPermits(table *Table) *Permits {
-	return &Permits{table: table, pausedUntil: make(map[string]time.Time)}
+	return &Permits{table: table, slots: newSlots(), pausedUntil: make(map[string]time.Time), closedUntil: make(map[string]time.Time), unanswered: make(map[string]time.Duration)}
 }
 
 // SetAcquireFunc sets the function that requests permits. Call it before the first Acquire.
 func (p *Permits) SetAcquireFunc(acquire AcquireFunc) { p.acquire = acquire }
 
-// Limits returns the limits in force by replica ID, nil for none. The map is shared and must
-// not be modified.
-func (p *Permits) Limits() map[string]Limit { return p.table.InForce() }
-
-// IsLimited reports whether the limits contain one for this process of the replica.
-func IsLimited(limits map[string]Limit, r *replica.Replica) bool {
-	if len(limits) == 0 {
-		return false
-	}
-	l, limited := limits[r.ID]
-	return limited && l.StartedAt == r.StartedAt
+// SetReportFunc sets this node's name and the function that reports what became of slots. Call it before
+// the first Acquire.
+func (p *Permits) SetReportFunc(self string, report ReportFunc) {
+	p.slots.self, p.slots.report = self, report
 }
 
+// Limits returns the limits as of now.
+func (p *Permits) Limits() Limits { return p.table.Current() }
+
 // NextAttemptAt returns the earliest time at which a permit for the replica may be requested. A
 // time in the past means now.
 func (p *Permits) NextAttemptAt(replica string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.pausedUntil[replica]
+	return later(p.pausedUntil[replica], p.closedUntil[replica])
+}
+
+// NextWaitAt returns the earliest time at which a request may wait for a slot of the brittle replica.
+func (p *Permits) NextWaitAt(replica string) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.closedUntil[replica]
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // Acquire acquires a permit for one request to the replica, which must be sent immediately.
 // If none is granted, NextAttemptAt moves into the future. A replica without a limit in force
 // needs no permit: the result is then granted without a request to the issuer.
-func (p *Permits) Acquire(ctx context.Context, now time.Time, r *replica.Replica) AcquireResult {
-	limits := p.table.InForce()
-	if !IsLimited(limits, r) {
+func (p *Permits) Acquire(ctx context.Context, now time.Time, r *replica.Replica, u Urgency) AcquireResult {
+	l, limited := p.Limits().Of(r)
+	if !limited {
 		return AcquireResult{Grant: Grant{Granted: true}}
 	}
-	l := limits[r.ID]
 	result := AcquireResult{Limit: l, Age: p.table.Now().Sub(l.ObservedAt)}
-	result.Grant, result.Err = p.acquire(ctx, l)
 	switch {
-	case result.Err != nil:
-		p.pause(r.ID, now.Add(unansweredPause))
-	case !result.Grant.Granted:
-		p.pause(r.ID, now.Add(max(result.Grant.RetryAfter, minPause)))
+	case !l.Brittle.Brittle:
+		result.Grant, result.Err = p.acquire(ctx, Ask{Limit: l})
+	case u.Wait > 0:
+		result.Slot, result.Grant.Granted = p.await(ctx, r, u)
+		return result
+	default:
+		p.acquireSlot(ctx, r, u, &result)
+	}
+	if ctx.Err() != context.Canceled {
+		p.record(now, r.ID, u, &result)
 	}
 	return result
 }
 
-func (p *Permits) pause(replica string, until time.Time) {
+// acquireSlot asks for a slot of a brittle replica without waiting for one.
+func (p *Permits) acquireSlot(ctx context.Context, r *replica.Replica, u Urgency, result *AcquireResult) {
+	id, ask := p.slots.begin(r.Process())
+	if !ask {
+		result.Grant.RetryAfter = busyPause
+		return
+	}
+	result.Grant, result.Err = p.acquire(ctx, Ask{Limit: result.Limit, Slot: &SlotAsk{Node: p.slots.self, ID: id, Slots: r.Slots, Rank: u.Rank}})
+	p.slots.answered(r.Process(), id, result.Granted(), result.Err != nil)
+	if result.Granted() {
+		result.Slot = id
+	}
+}
+
+// record records until when an answer, or the lack of one, keeps requests from the replica.
+func (p *Permits) record(now time.Time, replica string, u Urgency, result *AcquireResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.pausedUntil[replica] = until
+	if result.Err != nil {
+		p.unanswered[replica] = min(max(2*p.unanswered[replica], unansweredPause), maxUnansweredPause)
+		p.closedUntil[replica] = now.Add(p.unanswered[replica])
+		return
+	}
+	delete(p.unanswered, replica)
+	retryAfter := result.Grant.RetryAfter
+	switch {
+	case result.Grant.Granted:
+	case !result.Limit.Brittle.Brittle:
+		p.pausedUntil[replica] = now.Add(max(retryAfter, minPause))
+	case u.Wait > 0:
+		p.closedUntil[replica] = now.Add(max(retryAfter, minClosing))
+	default:
+		p.pausedUntil[replica] = now.Add(max(retryAfter, busyPause))
+	}
+}
+
+// Ending is how a request that was given a slot ended.
+type Ending int
+
+// The endings of requests.
+const (
+	// Done is that the replica does not work on the request any more.
+	Done Ending = iota
+	// Refused is that the replica refused it.
+	Refused
+	// Abandoned is that this node closed the connection before the replica had answered.
+	Abandoned
+)
+
+// Return gives a granted slot back.
+func (p *Permits) Return(r *replica.Replica, slot uint64, how Ending) {
+	if slot == 0 {
+		return
+	}
+	process := r.Process()
+	if how == Abandoned {
+		time.AfterFunc(abandonedHold, func() { p.slots.end(process, slot, false) })
+		return
+	}
+	p.slots.end(process, slot, how == Refused)
+}
+
+// ConfirmSlots tells the issuers of brittle replicas which of their slots this node uses. bound is the
+// number of its requests by replica ID.
+func (p *Permits) ConfirmSlots(ctx context.Context, bound map[string]int) {
+	// While reports are on their way the numbers change.
+	var reports []*SlotReport
+	for id, l := range p.table.InForce() {
+		if !l.Brittle.Brittle {
+			continue
+		}
+		if r := p.slots.confirmation(replica.Process{ID: id, StartedAt: l.StartedAt}, bound[id]); r != nil {
+			reports = append(reports, r)
+		}
+	}
+	var sending sync.WaitGroup
+	for _, r := range reports {
+		// The next confirmation makes up for a lost one.
+		sending.Go(func() { _ = p.slots.report(ctx, r) })
+	}
+	sending.Wait()
 }
 
 // Forget removes the state of a deregistered replica.
@@ -103,4 +224,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	delete(p.pausedUntil, replica)
+	delete(p.closedUntil, replica)
+	delete(p.unanswered, replica)
 }
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -15,13 +15,14 @@
 
 	mu    sync.Mutex
 	known map[string]Limit
-	// inForce contains the limits that are not lifted. Stored maps are immutable.
-	inForce atomic.Pointer[map[string]Limit]
+	// byUpstream is the newest that any replica of the upstream said of being brittle.
+	byUpstream map[string]Limit
+	published  atomic.Pointer[knownLimits]
 }
 
 // NewTable returns an empty table.
 func NewTable(clock boottime.Clock) *Table {
-	return &Table{clock: clock, known: make(map[string]Limit)}
+	return &Table{clock: clock, known: make(map[string]Limit), byUpstream: make(map[string]Limit)}
 }
 
 // Now returns the current instant of the clock used for Limit.ObservedAt.
@@ -30,35 +31,57 @@
 // InForce returns the limits in force by replica ID, nil for none. The map is shared and must
 // not be modified.
 func (t *Table) InForce() map[string]Limit {
-	limits := t.inForce.Load()
-	if limits == nil {
-		return nil
+	if known := t.published.Load(); known != nil {
+		return known.inForce
 	}
-	return *limits
+	return nil
 }
 
-// Observe updates the table from a response. It returns the response's limit and whether it
-// changed the one in the table. A response without a rate that lifts no limit returns the
+// Current returns the limits as of now.
+func (t *Table) Current() Limits { return Limits{known: t.published.Load(), now: t.clock()} }
+
+// Observe updates the table from a response. It returns the limit after the response and whether it
+// changed the one in the table. A response that neither announces nor lifts anything returns the
 // zero Limit.
-func (t *Table) Observe(observation Observation) (Limit, bool) {
+func (t *Table) Observe(o Observation) (Limit, bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	l := Limit{Replica: observation.Replica.ID, StartedAt: observation.Replica.StartedAt, PerSecond: observation.PerSecond, Lifted: !observation.Limited, ObservedAt: observation.ReceivedAt}
-	old, known := t.known[l.Replica]
-	if l.Lifted && !(known && !old.Lifted && observation.Succeeded && observation.SentAt > old.ObservedAt) {
-		// Only a successful response to a request sent after the last announcement of the
-		// limit lifts it.
+	process := o.Replica.Process()
+	old, known := t.known[process.ID]
+	if !known || !old.isOf(process) {
+		old = Limit{Lifted: true}
+	}
+	l := o.limit(old)
+	announces := o.Limited || o.Brittle.Brittle
+	if !announces && (l.sameTerms(&old) || !old.inForce()) && !t.endsPresumption(&o) {
 		return Limit{}, false
 	}
 	return l, t.merge(l)
 }
 
-// Merge merges limits received from another node and returns those that changed.
-func (t *Table) Merge(limits []Limit) []Limit {
+// endsPresumption reports whether the response shows that a replica that was presumed brittle is not.
+// The lock is held.
+func (t *Table) endsPresumption(o *Observation) bool {
+	if known, found := t.known[o.Replica.ID]; found && known.isOf(o.Replica.Process()) {
+		return false
+	}
+	news, known := t.byUpstream[o.Replica.Upstream]
+	return known && o.Succeeded && isPresumed(&news, o.ReceivedAt)
+}
+
+// Merge merges limits received from another node and returns those that changed. Of limits whose
+// process is not registered, only what they tell of their upstream is kept: they would never be removed.
+func (t *Table) Merge(limits []Limit, isRegistered func(replica string, startedAt int64) bool) []Limit {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var changed []Limit
 	for _, l := range limits {
+		if !isRegistered(l.Replica, l.StartedAt) {
+			if t.noteUpstream(&l, l.Brittle.Brittle) {
+				t.publish()
+			}
+			continue
+		}
 		if t.merge(l) {
 			changed = append(changed, l)
 		}
@@ -84,7 +107,7 @@
 	defer t.mu.Unlock()
 	var limits []Limit
 	for _, l := range t.known {
-		if (!l.Lifted || now.Sub(l.ObservedAt) < liftedRetention) && len(limits) < maxPeerLimits {
+		if (l.inForce() || now.Sub(l.ObservedAt) < liftedRetention) && len(limits) < maxPeerLimits {
 			limits = append(limits, l)
 		}
 	}
@@ -107,10 +130,28 @@
 		return false
 	}
 	t.known[l.Replica] = l
-	if !known && l.Lifted || known && l.StartedAt == old.StartedAt && l.Lifted == old.Lifted && l.PerSecond == old.PerSecond {
+	upstreamChanged := t.noteUpstream(&l, !known || old.Brittle.Brittle || l.Brittle.Brittle)
+	changed := !known && l.inForce() || known && !l.sameTerms(&old)
+	if changed || !known || upstreamChanged {
+		t.publish()
+	}
+	return changed
+}
+
+// upstreamRefreshInterval is the interval at which repeated news of an upstream are published.
+const upstreamRefreshInterval = presumptionTTL / 10
+
+// noteUpstream records what the limit tells of all replicas of the upstream, if anything. It reports
+// whether this has to be published. The lock is held.
+func (t *Table) noteUpstream(l *Limit, tells bool) bool {
+	old, known := t.byUpstream[l.Upstream]
+	if !tells || l.Upstream == "" || known && l.ObservedAt <= old.ObservedAt || !known && !l.Brittle.Brittle {
 		return false
 	}
-	t.publish()
+	if known && old.Brittle == l.Brittle && l.ObservedAt.Sub(old.ObservedAt) < upstreamRefreshInterval {
+		return false
+	}
+	t.byUpstream[l.Upstream] = *l
 	return true
 }
 
@@ -125,9 +166,9 @@
 	t.publish()
 }
 
-// publish rebuilds inForce. The lock is held.
+// publish makes the limits visible to readers. The lock is held.
 func (t *Table) publish() {
-	limits := maps.Clone(t.known)
-	maps.DeleteFunc(limits, func(_ string, l Limit) bool { return l.Lifted })
-	t.inForce.Store(&limits)
+	inForce := maps.Clone(t.known)
+	maps.DeleteFunc(inForce, func(_ string, l Limit) bool { return !l.inForce() })
+	t.published.Store(&knownLimits{byReplica: maps.Clone(t.known), inForce: inForce, byUpstream: maps.Clone(t.byUpstream)})
 }
--- a/internal/soak/arrivals.go
+++ b/internal/soak/arrivals.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -36,9 +37,15 @@
 	defer a.client.CloseIdleConnections()
 	var calls sync.WaitGroup
 	defer calls.Wait()
-	next := time.Now()
+	options := &a.world.options
+	began := time.Now()
+	next := began
 	for i := 0; ctx.Err() == nil; i++ {
-		next = next.Add(time.Duration(a.random.ExpFloat64() / a.world.options.Arrivals * float64(time.Second)))
+		rate := options.Arrivals
+		if next.Sub(began) > options.Length {
+			rate = cmp.Or(options.LaterArrivals, rate)
+		}
+		next = next.Add(time.Duration(a.random.ExpFloat64() / rate * float64(time.Second)))
 		time.Sleep(time.Until(next))
 		random := rand.New(rand.NewPCG(a.world.options.Seed, uint64(1_000_000+i)))
 		calls.Go(func() { a.send(ctx, i, random) })
--- a/internal/soak/brittleload.go
+++ b/internal/soak/brittleload.go
@@ -23,6 +23,8 @@
 	// brittleLoadAfter is the time after which replicas become brittle. Nodes that have just started do
 	// not know each other.
 	brittleLoadAfter = 5 * time.Second
+	// loadAfter bounds the load after the brittle time, so that all calls can be served.
+	loadAfter = 0.55
 	// brittleLoadWork is how long a replica runs a call.
 	brittleLoadWork = 150 * time.Millisecond
 	// brittleLoadQueue is the number of calls that wait at a sound replica, brittleLoadBrittleQueue that
@@ -40,13 +42,9 @@
 	o := Options{
 		Seed: b.Seed, Command: b.Command, Dir: b.Dir, Nodes: b.Nodes, Length: brittleLoadAfter + lasts, WithoutFaults: true,
 		LedgerReplicas: b.Replicas, WorkTime: brittleLoadWork, Slots: b.Slots, Queue: brittleLoadQueue, BrittleQueue: brittleLoadBrittleQueue,
-		Restart: brittleLoadRestart, Arrivals: b.Load * room, path: "/parts/",
+		Restart: brittleLoadRestart, Arrivals: b.Load * room, LaterArrivals: min(b.Load, loadAfter) * room, path: "/parts/",
 		extra: []event{{at: brittleLoadAfter, kind: replicasBrittle, target: 1, lasts: lasts}},
 	}
-	if b.Load > 1 {
-		// Callers that are owed no answer would count against the recovery.
-		o.ArrivalsFor = o.Length
-	}
 	if b.NodeFaults {
 		for i, k := range []kind{killNode, stopNode, pauseNode, killNode} {
 			o.extra = append(o.extra, event{at: brittleLoadAfter + brittleStable + time.Duration(i+1)*b.Counted/5, kind: k, target: 3 * i, lasts: time.Second})
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -59,8 +59,8 @@
 	// Arrivals is the number of calls a second that begin however many are unanswered, besides those of
 	// Callers. Their callers come back as refusals tell them.
 	Arrivals float64
-	// ArrivalsFor is how long they begin; zero: all the time.
-	ArrivalsFor time.Duration
+	// LaterArrivals is the same after Length; zero: as before.
+	LaterArrivals float64
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 	// extra are events besides those that are drawn.
@@ -154,9 +154,6 @@
 	return response.StatusCode == http.StatusOK
 }
 
-// forever is longer than any run.
-const forever = 24 * time.Hour
-
 // play carries out the events while callers send, and some time after.
 func (w *world) play(ctx context.Context, events []event) []*sent {
 	sending, stop := context.WithCancel(ctx)
@@ -173,9 +170,7 @@
 	var arrivals *arrivals
 	if w.options.Arrivals > 0 {
 		arrivals = newArrivals(w)
-		arriving, stopArrivals := context.WithTimeout(sending, cmp.Or(w.options.ArrivalsFor, forever))
-		defer stopArrivals()
-		sends.Go(func() { arrivals.run(arriving) })
+		sends.Go(func() { arrivals.run(sending) })
 	}
 	for i := range w.options.Crashers {
 		c := newCaller(w, w.options.Callers+i)
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -75,6 +75,7 @@
 		options: o, store: platformtest.NewStore(), duties: platformtest.NewDuties(dutyLease, o.Seed), runs: &platformtest.Runs{}, began: time.Now(),
 		revoked: make(map[string]time.Time), drained: make(map[string]time.Time), brittle: make(map[string]*platformtest.Brittleness),
 	}
+	w.store.Slots = o.slots()
 	address, err := w.listen(w.store)
 	if err != nil {
 		return nil, err
