Slots that ended while their issuer was away are known to it when it is back

Cause: while it was away, reports went to the node that issued in its place, or got lost, and it kept the slots in use until they expired. Nodes also left it alone for up to two seconds after it was back.

A node now sends its whole list when the issuer of a replica has changed; what is not in it is free. A node that is not the issuer refuses a report, so that it is sent again. The longest pause is one second. TestIssuerThatWasAwayLearnsWhichSlotsAreFree fails without the lists.

Requests that waited in vain for a slot are known, so that the next ones wait at other replicas.

--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -49,7 +49,10 @@
 	})
 	n.peers.Mount(exchange.Handler())
 	r.permits.SetAcquireFunc(exchange.RequestPermit)
-	r.permits.SetReportFunc(n.options.Settings.Name, exchange.ReportSlots)
+	r.permits.SetReportFunc(n.options.Settings.Name, exchange.ReportSlots, func(replica string) string {
+		issuer, _ := r.issuerOf(replica)
+		return issuer
+	})
 }
 
 // confirmSlots tells the issuers again and again which slots of brittle replicas this node uses, until
--- a/internal/forward/brittle_test.go
+++ b/internal/forward/brittle_test.go
@@ -35,6 +35,8 @@
 	reports []ratelimit.SlotReport
 }
 
+func issuerName(string) string { return "vm-9" }
+
 func (i *slotIssuer) ask(_ context.Context, ask ratelimit.Ask) (ratelimit.Grant, error) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -73,7 +75,7 @@
 				f := forwardtest.NewFleet(t, list...)
 				var issuer slotIssuer
 				f.Permits.SetAcquireFunc(issuer.ask)
-				f.Permits.SetReportFunc("test", issuer.report)
+				f.Permits.SetReportFunc("test", issuer.report, issuerName)
 				serve(t, f, call(route.AtMostOnce, 1))
 				if _, ending := serve(t, f, call(route.AtMostOnce, 1)); ending != test.ending {
 					t.Errorf("ending %s, want %s", ending, test.ending)
@@ -109,7 +111,7 @@
 		f := forwardtest.NewFleet(t, list...)
 		issuer := slotIssuer{onlyWaiting: true}
 		f.Permits.SetAcquireFunc(issuer.ask)
-		f.Permits.SetReportFunc("test", issuer.report)
+		f.Permits.SetReportFunc("test", issuer.report, issuerName)
 		for range 20 {
 			asked := len(issuer.asks)
 			if _, ending := serve(t, f, call(route.AtMostOnce, 1)); ending != forward.EndedComplete {
--- a/internal/ratelimit/exchange.go
+++ b/internal/ratelimit/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -170,9 +171,15 @@
 	return err
 }
 
+var errNotIssuer = errors.New("this node does not issue the replica's permits")
+
 // Report implements ratelimitv1connect.RateLimitServiceHandler.
 func (e *Exchange) Report(_ context.Context, request *connect.Request[ratelimitv1.ReportRequest]) (*connect.Response[ratelimitv1.ReportResponse], error) {
-	if r := reportFromProto(request.Msg); e.isIssuerOf(r.Replica) && e.options.IsRegistered(r.Replica, r.StartedAt) {
+	r := reportFromProto(request.Msg)
+	if !e.isIssuerOf(r.Replica) {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errNotIssuer)
+	}
+	if e.options.IsRegistered(r.Replica, r.StartedAt) {
 		e.options.Slots.Report(r)
 	}
 	return connect.NewResponse(&ratelimitv1.ReportResponse{}), nil
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -23,7 +24,7 @@
 	// further request without a response, up to maxUnansweredPause: the issuer may have more to
 	// do than it can.
 	unansweredPause    = 250 * time.Millisecond
-	maxUnansweredPause = 2 * time.Second
+	maxUnansweredPause = time.Second
 )
 
 // Permits acquires permits for this node's requests. It is safe for concurrent use.
@@ -31,6 +32,8 @@
 	table   *Table
 	acquire AcquireFunc
 	slots   *slots
+	// issuerOf returns the name of the node that issues the replica's permits.
+	issuerOf func(replica string) string
 
 	mu sync.Mutex
 	// pausedUntil is the time before which no permit is requested, by replica, and closedUntil that
@@ -81,10 +84,10 @@
 // SetAcquireFunc sets the function that requests permits. Call it before the first Acquire.
 func (p *Permits) SetAcquireFunc(acquire AcquireFunc) { p.acquire = acquire }
 
-// SetReportFunc sets this node's name and the function that reports what became of slots. Call it before
-// the first Acquire.
-func (p *Permits) SetReportFunc(self string, report ReportFunc) {
-	p.slots.self, p.slots.report = self, report
+// SetReportFunc sets this node's name, the function that reports what became of slots, and that which
+// names the node that issues a replica's. Call it before the first Acquire.
+func (p *Permits) SetReportFunc(self string, report ReportFunc, issuerOf func(replica string) string) {
+	p.slots.self, p.slots.report, p.issuerOf = self, report, issuerOf
 }
 
 // Limits returns the limits as of now.
@@ -201,13 +204,16 @@
 // ConfirmSlots tells the issuers of brittle replicas which of their slots this node uses. bound is the
 // number of its requests by replica ID.
 func (p *Permits) ConfirmSlots(ctx context.Context, bound map[string]int) {
-	// While reports are on their way the numbers change.
-	var reports []*SlotReport
+	processes := p.slots.processes()
 	for id, l := range p.table.InForce() {
-		if !l.Brittle.Brittle {
-			continue
+		if process := (replica.Process{ID: id, StartedAt: l.StartedAt}); l.Brittle.Brittle && !slices.Contains(processes, process) {
+			processes = append(processes, process)
 		}
-		if r := p.slots.confirmation(replica.Process{ID: id, StartedAt: l.StartedAt}, bound[id]); r != nil {
+	}
+	// While reports are on their way the numbers change.
+	var reports []*SlotReport
+	for _, process := range processes {
+		if r := p.slots.confirmation(process, p.issuerOf(process.ID), bound[process.ID]); r != nil {
 			reports = append(reports, r)
 		}
 	}
--- a/internal/ratelimit/slotbook.go
+++ b/internal/ratelimit/slotbook.go
@@ -26,6 +26,8 @@
 	// rankDelay is how much later a request counts as having come for each step that it is less
 	// urgent, so that no rank waits forever.
 	rankDelay = 20 * time.Millisecond
+	// grantGrace is the time in which a node learns of a slot that it was given, and its report arrives.
+	grantGrace = 500 * time.Millisecond
 	// initialHold is the expected time that a slot is in use, and holdWeight the weight of one
 	// observation.
 	initialHold = 50 * time.Millisecond
@@ -195,6 +197,16 @@
 	b.inUse[key] = use
 }
 
+// reconcile removes the slots that the node does not use, by its whole list. Those that were given out just
+// now may not be in it yet.
+func (b *slotBook) reconcile(node string, held []uint64, now time.Time) {
+	for key, use := range b.inUse {
+		if key.node == node && now.Sub(use.from) >= grantGrace && !slices.Contains(held, key.id) {
+			delete(b.inUse, key)
+		}
+	}
+}
+
 // expectedWait returns the time until a slot may be free that nobody waits for.
 func (b *slotBook) expectedWait(now time.Time) time.Duration {
 	wait := b.hold * time.Duration(len(b.waiting)+1) / time.Duration(max(b.room(now), 1))
--- a/internal/ratelimit/slotissuer.go
+++ b/internal/ratelimit/slotissuer.go
@@ -30,7 +30,8 @@
 	Node      string
 	// Ended are the slots that the node uses no more, Held those that it confirms.
 	Ended, Held []uint64
-	// Unasked is the number of its other requests that the replica runs; nil: not told.
+	// Unasked is the number of its other requests that the replica runs; nil: not told. If it is told, Held
+	// is the whole list.
 	Unasked *int
 	// Refusals is the number of its requests that the replica has refused since the last report.
 	Refusals int
@@ -130,6 +131,7 @@
 		b.confirm(slotKey{r.Node, id}, now)
 	}
 	if r.Unasked != nil {
+		b.reconcile(r.Node, r.Held, now)
 		b.unasked[r.Node] = unaskedUse{count: *r.Unasked, confirmedAt: now}
 	}
 	b.dispatch(now)
--- a/internal/ratelimit/slots.go
+++ b/internal/ratelimit/slots.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -60,14 +61,23 @@
 
 	mu   sync.Mutex
 	held map[replica.Process]*heldSlots
-	// unasked is the number of requests without a slot that the last confirmation told, if any.
-	unasked map[replica.Process]int
-	lastID  uint64
+	// used are the processes of which slots were used lately.
+	used   map[replica.Process]slotUsage
+	lastID uint64
+}
+
+// slotUsage is what the issuer of a process's slots may still know of this node.
+type slotUsage struct {
+	usedAt time.Time
+	// issuer is the node that the last confirmation went to; empty: there was none. unasked is the
+	// number of requests without a slot that it told.
+	issuer  string
+	unasked int
 }
 
 func newSlots() *slots {
 	// A restarted node must not reuse the IDs of slots that still count as in use.
-	return &slots{held: make(map[replica.Process]*heldSlots), unasked: make(map[replica.Process]int), lastID: uint64(time.Now().UnixNano())}
+	return &slots{held: make(map[replica.Process]*heldSlots), used: make(map[replica.Process]slotUsage), lastID: uint64(time.Now().UnixNano())}
 }
 
 // of returns the slots of the process. The lock is held.
@@ -89,12 +99,15 @@
 		return 0, false
 	}
 	h.asking++
-	return s.nextID(), true
+	return s.nextID(process), true
 }
 
-// nextID is called with the lock held.
-func (s *slots) nextID() uint64 {
+// nextID returns the ID for a slot of the process. The lock is held.
+func (s *slots) nextID(process replica.Process) uint64 {
 	s.lastID++
+	usage := s.used[process]
+	usage.usedAt = time.Now()
+	s.used[process] = usage
 	return s.lastID
 }
 
@@ -184,27 +197,33 @@
 	}
 }
 
-// confirmation returns the report that confirms the slots of the process, of which this node has so many
-// requests bound to it; nil: there are none.
-func (s *slots) confirmation(process replica.Process, bound int) *SlotReport {
+// processes returns those of which slots were used lately.
+func (s *slots) processes() []replica.Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.used, func(process replica.Process, usage slotUsage) bool {
+		return s.held[process] == nil && usage.unasked == 0 && time.Since(usage.usedAt) >= slotTTL
+	})
+	return slices.Collect(maps.Keys(s.used))
+}
+
+// confirmation returns the report that confirms the slots of the process to the issuer. This node has so
+// many requests bound to the process. It returns nil if the issuer knows nothing else.
+func (s *slots) confirmation(process replica.Process, issuer string, bound int) *SlotReport {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := &SlotReport{Replica: process.ID, StartedAt: process.StartedAt, Node: s.self}
 	if h, found := s.held[process]; found {
-		for id := range h.ids {
-			r.Held = append(r.Held, id)
-		}
-		slices.Sort(r.Held)
+		r.Held = slices.Sorted(maps.Keys(h.ids))
 		bound -= len(h.ids) + h.asking + len(h.waiting)
 	}
 	unasked := max(bound, 0)
-	if unasked == 0 && len(r.Held) == 0 && s.unasked[process] == 0 {
+	r.Unasked = &unasked
+	before, known := s.used[process]
+	if unasked == 0 && len(r.Held) == 0 && before.unasked == 0 && (!known || before.issuer == issuer) {
 		return nil
 	}
-	s.unasked[process] = unasked
-	if unasked == 0 {
-		delete(s.unasked, process)
-	}
-	r.Unasked = &unasked
+	before.issuer, before.unasked = issuer, unasked
+	s.used[process] = before
 	return r
 }
--- a/internal/ratelimit/slots_test.go
+++ b/internal/ratelimit/slots_test.go
@@ -98,7 +98,7 @@
 			time.Sleep(oneWayLatency)
 			f.issuer.Report(r)
 			return nil
-		})
+		}, issuerName)
 		f.nodes = append(f.nodes, p)
 	}
 	return f
@@ -107,6 +107,8 @@
 // awaitReports lets all reports and asks that are on their way end.
 func awaitReports() { time.Sleep(4 * slotPoll) }
 
+func issuerName(string) string { return "vm-0" }
+
 // call sends a request by the node to any replica, waiting for a slot if none has a free one. It reports
 // whether a replica ran it.
 func (f *brittleFleet) call(node int, work time.Duration, random *rand.Rand) bool {
@@ -340,6 +342,25 @@
 	})
 }
 
+// Guards against requests that all wait for a slot of the same replica, whose issuer does not answer.
+func TestRequestsThatWaitedInVainAreKnown(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		f := newBrittleFleet(1, 1, 1)
+		r := &f.replicas[0].Replica
+		f.nodes[0].SetAcquireFunc(func(context.Context, Ask) (Grant, error) {
+			time.Sleep(slotPoll)
+			return Grant{}, context.DeadlineExceeded
+		})
+		if result := f.nodes[0].Acquire(t.Context(), time.Now(), r, Urgency{Wait: 100 * time.Millisecond}); result.Granted() {
+			t.Fatal("granted without an answer")
+		}
+		if at := f.nodes[0].NextAttemptAt(r.ID); !at.After(time.Now()) {
+			t.Error("nothing tells that a request has waited in vain")
+		}
+		awaitReports()
+	})
+}
+
 // Guards against slots that stay in use as the answer to the ask for them was lost.
 func TestSlotOfALostAnswerIsGivenBack(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
@@ -371,7 +392,7 @@
 			}
 			f.issuer.Report(r)
 			return nil
-		})
+		}, issuerName)
 		result := f.nodes[0].Acquire(t.Context(), time.Now(), r, Urgency{})
 		f.nodes[0].Return(r, result.Slot, Done)
 		time.Sleep(3*reportRetryInterval + time.Millisecond)
@@ -399,6 +420,39 @@
 	})
 }
 
+// An issuer that was suspended, and others had issued meanwhile, knew of slots only that they had been in use,
+// and gave out none for seconds.
+func TestIssuerThatWasAwayLearnsWhichSlotsAreFree(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		f := newBrittleFleet(1, 1, 2)
+		r := &f.replicas[0].Replica
+		p, issuer := f.nodes[0], "vm-0"
+		away := NewSlotIssuer()
+		p.SetReportFunc("vm-0", func(_ context.Context, r *SlotReport) error {
+			if issuer == "vm-0" {
+				f.issuer.Report(r)
+			} else {
+				away.Report(r)
+			}
+			return nil
+		}, func(string) string { return issuer })
+		result := p.Acquire(t.Context(), time.Now(), r, Urgency{})
+		p.ConfirmSlots(t.Context(), nil)
+		issuer = "vm-1"
+		p.Return(r, result.Slot, Done)
+		p.ConfirmSlots(t.Context(), nil)
+		time.Sleep(grantGrace)
+		if used := f.issuer.books[r.ID].used(); used != 1 {
+			t.Fatalf("%d slots are known to the issuer that is away", used)
+		}
+		issuer = "vm-0"
+		p.ConfirmSlots(t.Context(), nil)
+		if used := f.issuer.books[r.ID].used(); used != 0 {
+			t.Errorf("%d slots are in use", used)
+		}
+	})
+}
+
 func TestNodesConfirmTheirSlotsAndOtherRequests(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		f := newBrittleFleet(1, 1, 8)
--- a/internal/ratelimit/slotwait.go
+++ b/internal/ratelimit/slotwait.go
@@ -9,7 +9,7 @@
 )
 
 // slotPoll is how long an ask for one of the waiting requests of a node waits at the issuer.
-const slotPoll = 2 * time.Second
+const slotPoll = time.Second
 
 // localWaiter is a request of this node that waits for a slot.
 type localWaiter struct {
@@ -28,11 +28,20 @@
 	case slot = <-w.granted:
 		return slot, true
 	case <-timeout.C:
+		p.waitedInVain(r.ID, time.Now())
 	case <-ctx.Done():
 	}
 	return p.slots.leave(r.Process(), w)
 }
 
+// waitedInVain records that a request got no slot of the replica in its time, so that the next ones wait
+// at others.
+func (p *Permits) waitedInVain(replica string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.pausedUntil[replica] = now.Add(busyPause)
+}
+
 // poll asks for slots until no request waits.
 func (p *Permits) poll(r *replica.Replica) {
 	for {
@@ -101,7 +110,7 @@
 		s.drop(process, h)
 		return 0, 0, false
 	}
-	return s.nextID(), h.waiting[0].rank, true
+	return s.nextID(process), h.waiting[0].rank, true
 }
 
 // grant gives the slot to the first request that waits, or back.
--- a/internal/soak/brittleload.go
+++ b/internal/soak/brittleload.go
@@ -46,9 +46,22 @@
 		extra: []event{{at: brittleLoadAfter, kind: replicasBrittle, target: 1, lasts: lasts}},
 	}
 	if b.NodeFaults {
-		for i, k := range []kind{killNode, stopNode, pauseNode, killNode} {
-			o.extra = append(o.extra, event{at: brittleLoadAfter + brittleStable + time.Duration(i+1)*b.Counted/5, kind: k, target: 3 * i, lasts: time.Second})
-		}
+		o.extra = append(o.extra, b.nodeFaults()...)
 	}
 	return o
 }
+
+// nodeFaultEvery is the time between two faults of nodes.
+const nodeFaultEvery = 1500 * time.Millisecond
+
+// nodeFaults returns faults of one node after the other, from the time on in which falls are counted.
+func (b *BrittleLoad) nodeFaults() []event {
+	kinds := []kind{killNode, stopNode, pauseNode}
+	var events []event
+	for at := time.Duration(0); at < b.Counted; at += nodeFaultEvery {
+		// The step reaches nodes of all parts of the fleet.
+		target := 3 + 5*len(events)
+		events = append(events, event{at: brittleLoadAfter + brittleStable + at, kind: kinds[len(events)%len(kinds)], target: target, lasts: time.Second})
+	}
+	return events
+}
