Requests wait for slots at replicas that work; gauges of slots in use and asks waiting

A replica that has just ended has all its slots free, so that waiting calls chose it: their choice left out the failure score and the replicas tried before. Both count now (TestRequestsWaitAtNoReplicaThatFails fails without).

--- a/internal/edge/rates.go
+++ b/internal/edge/rates.go
@@ -36,7 +36,9 @@
 func newRateLimiter(n *Node) *rateLimiter {
 	limits := ratelimit.NewTable(n.options.Clock)
 	ratelimit.RegisterMetrics(n.registry, limits)
-	return &rateLimiter{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer(), slots: ratelimit.NewSlotIssuer(), removed: make(map[string]removal)}
+	slots := ratelimit.NewSlotIssuer()
+	ratelimit.RegisterSlotMetrics(n.registry, slots)
+	return &rateLimiter{node: n, limits: limits, permits: ratelimit.NewPermits(limits), issuer: ratelimit.NewIssuer(), slots: slots, removed: make(map[string]removal)}
 }
 
 // setUp mounts the handler for other nodes' permit requests and lets this node request
--- a/internal/placement/brittle_test.go
+++ b/internal/placement/brittle_test.go
@@ -48,6 +48,31 @@
 	}
 }
 
+// Guards against requests that wait at a replica that has just ended, whose slots are all free.
+func TestRequestsWaitAtNoReplicaThatFails(t *testing.T) {
+	p, permits := brittleFleet(t, 2, map[string]time.Duration{"i-00": time.Second, "i-01": time.Second})
+	chooseRefusingPermits(t, p, permits)
+	waiting := short()
+	waiting.AwaitsSlot = true
+	for range 20 {
+		if a := p.Choose(time.Now(), "u", waiting); a.Replica.ID == "i-00" {
+			a.End(time.Now(), Unreachable)
+		} else {
+			a.End(time.Now(), Answered)
+		}
+	}
+	waiting.Avoid = nil
+	failed := 0
+	for range 20 {
+		if p.Choose(time.Now(), "u", waiting).Replica.ID == "i-00" {
+			failed++
+		}
+	}
+	if failed > 0 {
+		t.Errorf("%d of 20 requests wait at the replica that fails", failed)
+	}
+}
+
 // Requests that waited for a slot all chose the same replica, and slots of the others stayed free.
 func TestRequestsWaitWhereASlotIsFreeSoonest(t *testing.T) {
 	p, permits := brittleFleet(t, 4, map[string]time.Duration{"i-00": time.Minute, "i-01": time.Minute, "i-02": time.Minute, "i-03": 100 * time.Millisecond})
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -156,7 +156,8 @@
 		cost := u.cost(now, r, s, location, recompute)*(1+costJitter*u.rand.Float64()) + tieSpread*u.rand.Float64()
 		cost += u.sideCost(r, i < shortCount)
 		if current.awaitsSlot && current.isBrittle(s) {
-			cost = current.slotWaitMS(s) + waitSpread*u.rand.Float64()
+			// What runs there tells little of how many requests wait.
+			cost = healthCost(now, s) + u.zoneAndRetryCost(r, s) + current.slotWaitMS(s) + waitSpread*u.rand.Float64()
 		}
 		if cost < lowest && r.fits(s) && current.allows(s) {
 			best, lowest = s, cost
--- a/internal/ratelimit/exchange_test.go
+++ b/internal/ratelimit/exchange_test.go
@@ -65,6 +65,17 @@
 	}
 }
 
+// A report that reached another node than the issuer counted as delivered, and its slots stayed in use.
+func TestOnlyTheIssuerTakesReports(t *testing.T) {
+	for issuer, taken := range map[string]bool{"vm-1": true, "vm-2": false} {
+		e := newTestExchange(issuer, newTable(), true)
+		_, err := e.Report(t.Context(), connect.NewRequest(reportToProto(&SlotReport{Replica: "i-1", Node: "vm-3", Held: []uint64{1}})))
+		if (err == nil) != taken || len(e.options.Slots.books) > 0 != taken {
+			t.Errorf("issuer %s: error %v, %d replicas known", issuer, err, len(e.options.Slots.books))
+		}
+	}
+}
+
 func TestRequestPermitIssuesLocallyOnTheIssuer(t *testing.T) {
 	e := newTestExchange("vm-1", NewTable(func() boottime.Instant { return at(100) }), true)
 	granted := false
--- a/internal/ratelimit/metrics.go
+++ b/internal/ratelimit/metrics.go
@@ -27,3 +27,24 @@
 	}
 	return n
 }
+
+// RegisterSlotMetrics registers gauges of the slots that this node gives out.
+func RegisterSlotMetrics(registry prometheus.Registerer, i *SlotIssuer) {
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "trestle_brittle_slots_in_use", Help: "Slots of brittle replicas that this node gives out and that are in use, with requests that were sent without asking.",
+	}, func() float64 { return i.sum((*slotBook).used) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "trestle_brittle_slot_asks_waiting", Help: "Asks of nodes that wait for a slot that this node gives out.",
+		}, func() float64 { return i.sum(func(b *slotBook) int { return len(b.waiting) }) }))
+}
+
+// sum returns the sum over all replicas.
+func (i *SlotIssuer) sum(of func(*slotBook) int) float64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := 0
+	for _, b := range i.books {
+		n += of(b)
+	}
+	return float64(n)
+}
