--- a/internal/command/trestleload/brittle.go
+++ b/internal/command/trestleload/brittle.go
@@ -17,6 +17,7 @@
 	Slots    int           `default:"6" help:"Slots of each replica."`
 	Load     float64       `default:"0.55" help:"Calls that arrive, as a part of those that the slots have room for."`
 	For      time.Duration `default:"15s" help:"How long falls and calls are counted."`
+	Streams  bool          `help:"Offer streams of the model in place of plain calls."`
 	Faults   bool          `help:"Kill, stop and pause nodes meanwhile."`
 	Keep     string        `type:"path" help:"Directory that keeps settings and logs."`
 }
@@ -61,7 +62,7 @@
 	if err != nil {
 		return soak.Report{}, err
 	}
-	run := soak.BrittleLoad{Seed: seed, Command: program, Dir: dir, Nodes: c.Nodes, Replicas: c.Replicas, Slots: c.Slots, Load: c.Load, Counted: c.For, NodeFaults: c.Faults}
+	run := soak.BrittleLoad{Seed: seed, Command: program, Dir: dir, Nodes: c.Nodes, Replicas: c.Replicas, Slots: c.Slots, Load: c.Load, Counted: c.For, NodeFaults: c.Faults, Streams: c.Streams}
 	report, err := soak.Run(context.Background(), run.Options())
 	if c.Keep == "" {
 		err = joinRemove(err, dir)
--- a/internal/soak/brittleload.go
+++ b/internal/soak/brittleload.go
@@ -1,6 +1,10 @@
 package soak
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/platform/platformtest"
+)
 
 // BrittleLoad is a run in which the replicas of the plain service are brittle while calls arrive at
 // a steady rate.
@@ -15,6 +19,8 @@
 	Load float64
 	// Counted is how long falls and calls are counted.
 	Counted time.Duration
+	// Streams offers streams of the model in place of plain calls.
+	Streams bool
 	// NodeFaults has nodes be killed, stopped and paused meanwhile.
 	NodeFaults bool
 }
@@ -27,6 +33,10 @@
 	loadAfter = 0.55
 	// brittleLoadWork is how long a replica runs a call.
 	brittleLoadWork = 150 * time.Millisecond
+	// brittleLoadEventEvery is the time between two events of a stream, and brittleLoadStream that of
+	// a whole stream on average.
+	brittleLoadEventEvery = 40 * time.Millisecond
+	brittleLoadStream     = brittleLoadEventEvery * (platformtest.MinEvents + platformtest.MaxEvents) / 2
 	// brittleLoadQueue is the number of calls that wait at a sound replica, brittleLoadBrittleQueue that
 	// at a brittle one.
 	brittleLoadQueue        = 8
@@ -38,13 +48,20 @@
 // Options returns the options of the run.
 func (b *BrittleLoad) Options() Options {
 	lasts := brittleStable + b.Counted
-	room := float64(b.Replicas*b.Slots) / brittleLoadWork.Seconds()
+	work := brittleLoadWork
+	if b.Streams {
+		work = brittleLoadStream
+	}
+	room := float64(b.Replicas*b.Slots) / work.Seconds()
 	o := Options{
 		Seed: b.Seed, Command: b.Command, Dir: b.Dir, Nodes: b.Nodes, Length: brittleLoadAfter + lasts, WithoutFaults: true,
-		LedgerReplicas: b.Replicas, WorkTime: brittleLoadWork, Slots: b.Slots, Queue: brittleLoadQueue, BrittleQueue: brittleLoadBrittleQueue,
+		LedgerReplicas: b.Replicas, WorkTime: work, Slots: b.Slots, Queue: brittleLoadQueue, BrittleQueue: brittleLoadBrittleQueue,
 		Restart: brittleLoadRestart, Arrivals: b.Load * room, LaterArrivals: min(b.Load, loadAfter) * room, path: "/parts/",
 		extra: []event{{at: brittleLoadAfter, kind: replicasBrittle, target: 1, lasts: lasts}},
 	}
+	if b.Streams {
+		o.LedgerReplicas, o.ModelReplicas, o.EventEvery, o.path, o.extra[0].target = 0, b.Replicas, brittleLoadEventEvery, platformtest.StreamPath, 0
+	}
 	if b.NodeFaults {
 		o.extra = append(o.extra, b.nodeFaults()...)
 	}
