Limits that have not changed are sent to a node once a second

Each exchange between nodes carried all limits both ways, with many brittle replicas most of what nodes send: 60 limits of some 70 bytes, 15 calls a second (worked out, not measured). A change is sent at once, an unchanged list once a second.

--- a/internal/nodesync/ratelimits.go
+++ b/internal/nodesync/ratelimits.go
@@ -8,6 +8,15 @@
 	"galenatrestle/internal/ratelimit"
 )
 
+// limitsFor returns the limits to send to the node, nil if it was sent them lately.
+func (s *Sync) limitsFor(node string, now boottime.Instant) []*ratelimitv1.Limit {
+	table := s.options.RateLimitTable
+	if !s.limitCursors.isDue(node, table.Changes(), now) {
+		return nil
+	}
+	return ratelimit.ToProto(table.ForPeers(), now)
+}
+
 // mergeRateLimits merges the rate limits of another node. callStart is the instant that
 // their ages are subtracted from: the start of the call for a response, the arrival for a
 // request.
--- a/internal/nodesync/ratelimits_test.go
+++ b/internal/nodesync/ratelimits_test.go
@@ -137,3 +137,34 @@
 		}
 	}
 }
+
+// Each exchange carried all limits both ways: with many limited replicas that was most of what nodes send.
+func TestLimitsAreSentOnceASecondUnlessTheyChange(t *testing.T) {
+	nodes := largeFleet(2)
+	now := nodes[0].now
+	nodes[0].reportRate("i", true)
+	sent := func() int { return len(nodes[0].limitsFor("vm-9", now)) }
+	if got := sent(); got != 1 {
+		t.Errorf("%d limits were sent first, want 1", got)
+	}
+	if got := sent(); got != 0 {
+		t.Errorf("%d limits were sent again at once", got)
+	}
+	now += 10
+	nodes[0].now += 10
+	nodes[0].reportRate("i", false)
+	if got := sent(); got != 1 {
+		t.Errorf("%d limits were sent after a change, want 1", got)
+	}
+	now += boottime.Instant(limitsInterval)
+	if got := sent(); got != 1 {
+		t.Errorf("%d limits were sent after %s, want 1", got, limitsInterval)
+	}
+	nodes[0].limitCursors.reset("vm-9")
+	if got := sent(); got != 1 {
+		t.Errorf("%d limits were sent after a failed call, want 1", got)
+	}
+	if got := len(nodes[0].limitsFor("", now)); got != 1 {
+		t.Errorf("%d limits were sent to a node whose name is not known, want 1", got)
+	}
+}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -14,7 +14,6 @@
 	nodesyncv1 "galenatrestle/internal/gen/trestle/nodesync/v1"
 	"galenatrestle/internal/gen/trestle/nodesync/v1/nodesyncv1connect"
 	"galenatrestle/internal/peer"
-	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/routesource"
 )
 
@@ -46,12 +45,13 @@
 	// fullListingNeeded makes the next request ask for the full listing.
 	fullListingNeeded atomic.Bool
 	// fetching is set while a listing is fetched from another node.
-	fetching atomic.Bool
-	rounds   atomic.Uint64
-	sums     hubSums
-	hubCache hubCache
-	cursors  placementCursors
-	scope    listingScope
+	fetching     atomic.Bool
+	rounds       atomic.Uint64
+	sums         hubSums
+	hubCache     hubCache
+	cursors      placementCursors
+	limitCursors limitCursors
+	scope        listingScope
 	// loggedRole and loggedHub are the role and hub that were logged last.
 	loggedRole Role
 	loggedHub  string
@@ -127,6 +127,7 @@
 		s.options.Clients.Forget(t.address)
 		s.options.Nodes.MarkFailed(t.name, callStart)
 		s.cursors.reset(t.name)
+		s.limitCursors.reset(t.name)
 		s.options.Log.Write(&peerLost{target: t, err: err})
 		return
 	}
@@ -175,7 +176,7 @@
 		FirstReadAge:     s.firstReadAge(now),
 		WithoutLoads:     loads.omit,
 		AddsUp:           loads.aggregate,
-		RateLimits:       ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
+		RateLimits:       s.limitsFor(t.name, now),
 	}
 	s.addCrashes(request)
 	if s.fullListingNeeded.Swap(false) || listing.Zone != request.ReplicasZone && listing.Zone != "" {
@@ -226,7 +227,7 @@
 		ConfigVersion:  snapshot.Version(),
 		ConfigProofAge: snapshot.Age(now).Microseconds(),
 		Crashes:        s.crashesFor(m.GetQuarantinesDigest()),
-		RateLimits:     ratelimit.ToProto(s.options.RateLimitTable.ForPeers(), now),
+		RateLimits:     s.limitsFor(m.GetSelf().GetName(), now),
 		ZoneSizes:      s.zoneSizes.toProto(now),
 		FirstReadAge:   s.firstReadAge(now),
 	}
--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -18,6 +18,7 @@
 	// byUpstream is the newest that any replica of the upstream said of being brittle.
 	byUpstream map[string]Limit
 	published  atomic.Pointer[knownLimits]
+	changes    atomic.Uint64
 }
 
 // NewTable returns an empty table.
@@ -166,8 +167,12 @@
 	t.publish()
 }
 
+// Changes returns how often anything but the age of limits has changed.
+func (t *Table) Changes() uint64 { return t.changes.Load() }
+
 // publish makes the limits visible to readers. The lock is held.
 func (t *Table) publish() {
+	t.changes.Add(1)
 	inForce := maps.Clone(t.known)
 	maps.DeleteFunc(inForce, func(_ string, l Limit) bool { return !l.inForce() })
 	t.published.Store(&knownLimits{byReplica: maps.Clone(t.known), inForce: inForce, byUpstream: maps.Clone(t.byUpstream)})
