--- a/internal/ratelimit/table.go
+++ b/internal/ratelimit/table.go
@@ -39,7 +39,14 @@
 }
 
 // Current returns the limits as of now.
-func (t *Table) Current() Limits { return Limits{known: t.published.Load(), now: t.clock()} }
+func (t *Table) Current() Limits {
+	known := t.published.Load()
+	if known == nil || len(known.byUpstream) == 0 {
+		// Only presumptions depend on the time.
+		return Limits{known: known}
+	}
+	return Limits{known: known, now: t.clock()}
+}
 
 // Observe updates the table from a response. It returns the limit after the response and whether it
 // changed the one in the table. A response that neither announces nor lifts anything returns the
