--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -63,6 +63,9 @@
 		Seed: 81008, Nodes: 5, Callers: 30, Length: 10 * time.Second, RateLimits: 2, Notices: 1, Pauses: 2, Restores: 1, Crashers: 1, Cuts: 1, Silences: 2,
 		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
 	},
+	// A node that was cut off was stopped while the plain service had little room, and the judge compared it with
+	// nodes that went on afterwards.
+	{Seed: 91044, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2},
 	// All nodes were killed at once, and the store came back from a copy that lacked sums already sent.
 	{
 		Seed: 82003, Nodes: 5, Callers: 30, Length: 10 * time.Second, RateLimits: 2, Notices: 1, Pauses: 2, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2,
