--- a/internal/forward/brittle_test.go
+++ b/internal/forward/brittle_test.go
@@ -44,6 +44,12 @@
 	return ratelimit.Grant{Granted: !i.onlyWaiting || ask.Slot.Wait > 0, RetryAfter: 50 * time.Millisecond}, nil
 }
 
+func (i *slotIssuer) askCount() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return len(i.asks)
+}
+
 func (i *slotIssuer) report(_ context.Context, r *ratelimit.SlotReport) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
@@ -81,6 +87,8 @@
 					t.Errorf("ending %s, want %s", ending, test.ending)
 				}
 				time.Sleep(time.Second)
+				issuer.mu.Lock()
+				defer issuer.mu.Unlock()
 				ended, refusals := make(map[uint64]int), 0
 				for _, r := range issuer.reports {
 					refusals += r.Refusals
@@ -113,15 +121,15 @@
 		f.Permits.SetAcquireFunc(issuer.ask)
 		f.Permits.SetReportFunc("test", issuer.report, issuerName)
 		for range 20 {
-			asked := len(issuer.asks)
+			asked := issuer.askCount()
 			if _, ending := serve(t, f, call(route.AtMostOnce, 1)); ending != forward.EndedComplete {
 				t.Fatalf("ending %s", ending)
 			}
-			if got := len(issuer.asks) - asked; got > 4 {
+			if got := issuer.askCount() - asked; got > 4 {
 				t.Errorf("%d slots were asked for", got)
 			}
 		}
-		if len(issuer.asks) == 0 {
+		if issuer.askCount() == 0 {
 			t.Error("no slot was asked for")
 		}
 		time.Sleep(time.Second)
--- a/internal/ratelimit/slots_test.go
+++ b/internal/ratelimit/slots_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -247,6 +248,13 @@
 	return i
 }
 
+// usedAt returns the number of requests that the replica runs, as far as the issuer knows.
+func (i *SlotIssuer) usedAt(replica string) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.books[replica].used()
+}
+
 func TestSlotsAreGivenOutOnceEach(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		const slots = 6
@@ -374,7 +382,7 @@
 		})
 		p.Acquire(t.Context(), time.Now(), r, Urgency{})
 		time.Sleep(10 * oneWayLatency)
-		if used := f.issuer.books[r.ID].used(); used != 0 {
+		if used := f.issuer.usedAt(r.ID); used != 0 {
 			t.Errorf("%d slots are in use", used)
 		}
 	})
@@ -385,8 +393,11 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		f := newBrittleFleet(1, 1, 1)
 		r := &f.replicas[0].Replica
+		var mu sync.Mutex
 		lost := 2
 		f.nodes[0].SetReportFunc("vm-0", func(_ context.Context, r *SlotReport) error {
+			mu.Lock()
+			defer mu.Unlock()
 			if lost--; lost >= 0 {
 				return context.DeadlineExceeded
 			}
@@ -396,7 +407,7 @@
 		result := f.nodes[0].Acquire(t.Context(), time.Now(), r, Urgency{})
 		f.nodes[0].Return(r, result.Slot, Done)
 		time.Sleep(3*reportRetryInterval + time.Millisecond)
-		if used := f.issuer.books[r.ID].used(); used != 0 {
+		if used := f.issuer.usedAt(r.ID); used != 0 {
 			t.Errorf("%d slots are in use", used)
 		}
 	})
@@ -410,11 +421,11 @@
 		result := f.nodes[0].Acquire(t.Context(), time.Now(), r, Urgency{})
 		f.nodes[0].Return(r, result.Slot, Abandoned)
 		time.Sleep(abandonedHold - time.Millisecond)
-		if used := f.issuer.books[r.ID].used(); used != 1 {
+		if used := f.issuer.usedAt(r.ID); used != 1 {
 			t.Errorf("%d slots are in use just after the connection was closed, want 1", used)
 		}
 		time.Sleep(time.Millisecond + 2*oneWayLatency)
-		if used := f.issuer.books[r.ID].used(); used != 0 {
+		if used := f.issuer.usedAt(r.ID); used != 0 {
 			t.Errorf("%d slots are in use", used)
 		}
 	})
@@ -426,28 +437,34 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		f := newBrittleFleet(1, 1, 2)
 		r := &f.replicas[0].Replica
-		p, issuer := f.nodes[0], "vm-0"
+		p := f.nodes[0]
+		var isAway atomic.Bool
 		away := NewSlotIssuer()
 		p.SetReportFunc("vm-0", func(_ context.Context, r *SlotReport) error {
-			if issuer == "vm-0" {
+			if !isAway.Load() {
 				f.issuer.Report(r)
 			} else {
 				away.Report(r)
 			}
 			return nil
-		}, func(string) string { return issuer })
+		}, func(string) string {
+			if isAway.Load() {
+				return "vm-1"
+			}
+			return "vm-0"
+		})
 		result := p.Acquire(t.Context(), time.Now(), r, Urgency{})
 		p.ConfirmSlots(t.Context(), nil)
-		issuer = "vm-1"
+		isAway.Store(true)
 		p.Return(r, result.Slot, Done)
 		p.ConfirmSlots(t.Context(), nil)
 		time.Sleep(grantGrace)
-		if used := f.issuer.books[r.ID].used(); used != 1 {
+		if used := f.issuer.usedAt(r.ID); used != 1 {
 			t.Fatalf("%d slots are known to the issuer that is away", used)
 		}
-		issuer = "vm-0"
+		isAway.Store(false)
 		p.ConfirmSlots(t.Context(), nil)
-		if used := f.issuer.books[r.ID].used(); used != 0 {
+		if used := f.issuer.usedAt(r.ID); used != 0 {
 			t.Errorf("%d slots are in use", used)
 		}
 	})
@@ -460,11 +477,11 @@
 		f.nodes[0].Acquire(t.Context(), time.Now(), r, Urgency{})
 		f.issuer.Forget(r.ID)
 		f.nodes[0].ConfirmSlots(t.Context(), map[string]int{r.ID: 4})
-		if used := f.issuer.books[r.ID].used(); used != 4 {
+		if used := f.issuer.usedAt(r.ID); used != 4 {
 			t.Errorf("%d requests are known to a new issuer, want one with a slot and three without", used)
 		}
 		f.nodes[0].ConfirmSlots(t.Context(), map[string]int{r.ID: 1})
-		if used := f.issuer.books[r.ID].used(); used != 1 {
+		if used := f.issuer.usedAt(r.ID); used != 1 {
 			t.Errorf("%d requests are known after those without a slot have ended, want 1", used)
 		}
 	})
