Calls wait for slots of brittle replicas whose issuer is slow to answer

The issuer took longer than the 0.1 s for which an ask that does not wait is left open; the node took that for an issuer out of reach and refused all calls for 0.25 to 1 s, though an ask that waits would have been answered.

An unanswered ask that does not wait now only makes the next calls wait. TestRequestsWaitForASlowIssuer fails without.

--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -157,6 +157,11 @@
 func (p *Permits) record(now time.Time, replica string, u Urgency, result *AcquireResult) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if result.Err != nil && result.Limit.Brittle.Brittle && u.Wait == 0 {
+		// An issuer that is slow may still answer requests that wait.
+		p.pausedUntil[replica] = now.Add(busyPause)
+		return
+	}
 	if result.Err != nil {
 		p.unanswered[replica] = min(max(2*p.unanswered[replica], unansweredPause), maxUnansweredPause)
 		p.closedUntil[replica] = now.Add(p.unanswered[replica])
--- a/internal/ratelimit/slots_test.go
+++ b/internal/ratelimit/slots_test.go
@@ -350,6 +350,33 @@
 	})
 }
 
+// Nodes refused nearly all calls of brittle replicas whose issuer took longer to answer than a request that
+// does not wait may take.
+func TestRequestsWaitForASlowIssuer(t *testing.T) {
+	bubbletest.Run(t, func(t *testing.T) {
+		f := newBrittleFleet(1, 1, 1)
+		r := &f.replicas[0].Replica
+		p := f.nodes[0]
+		p.SetAcquireFunc(func(ctx context.Context, ask Ask) (Grant, error) {
+			if ask.Slot.Wait == 0 {
+				return Grant{}, context.DeadlineExceeded
+			}
+			time.Sleep(2 * permitTimeout)
+			return f.issuer.Issue(ctx, &ask.Limit, ask.Slot, 1), nil
+		})
+		p.Acquire(t.Context(), time.Now(), r, Urgency{})
+		if at := p.NextWaitAt(r.ID); at.After(time.Now()) {
+			t.Fatal("no request may wait for a slot")
+		}
+		result := p.Acquire(t.Context(), time.Now(), r, Urgency{Wait: 3 * permitTimeout})
+		if !result.Granted() {
+			t.Error("a request that waits got no slot")
+		}
+		p.Return(r, result.Slot, Done)
+		awaitReports()
+	})
+}
+
 // Guards against requests that all wait for a slot of the same replica, whose issuer does not answer.
 func TestRequestsThatWaitedInVainAreKnown(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
