The line of an attempt names a rate only where the replica names one

Since limits also hold that a replica is brittle, attempt_started said rate_limit 0 for brittle replicas that name no rate. Found by reading; no decision reads the field.

--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -200,7 +200,7 @@
 		fields["after_event"] = ev.exchange.lastEventID
 	}
 	ev.exchange.addVerdict(fields)
-	if limit, limited := ev.exchange.forwarder.options.RateLimits.InForce()[ev.placementAttempt.Replica.ID]; limited {
+	if limit, limited := ev.exchange.forwarder.options.RateLimits.InForce()[ev.placementAttempt.Replica.ID]; limited && !limit.Lifted {
 		fields["rate_limit"] = limit.PerSecond
 	}
 	return fields
