One copy each of what the slots and the soak did twice

Found by reading the change: giving a slot back (three places), asking the issuer for a slot (two), the window in which falls count (two), the soak's client (two), the later of two times (ratelimit and quarantine). A condition of the report that was always true and a variable that hid its type are gone.

--- a/internal/ctxtime/sleep.go
+++ b/internal/ctxtime/sleep.go
@@ -1,4 +1,4 @@
-// Package ctxtime waits for a time that a context can end. It holds no state.
+// Package ctxtime waits for a time that a context can end, and compares times. It holds no state.
 package ctxtime
 
 import (
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 // Record is the crash history of one fingerprint. Records of one fingerprint
@@ -35,7 +37,7 @@
 		a.ClearedAt, a.Crashes, a.Until = b.ClearedAt, b.Crashes, b.Until
 	case 0:
 		a.Crashes = max(a.Crashes, b.Crashes)
-		a.Until = later(a.Until, b.Until)
+		a.Until = ctxtime.Later(a.Until, b.Until)
 	}
 	return a
 }
@@ -45,13 +47,6 @@
 	return cmp.Or(r.LastCrash.Compare(other.LastCrash), cmp.Compare(r.LastReplica, other.LastReplica)) < 0
 }
 
-func later(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return b
-	}
-	return a
-}
-
 // verdict returns how the request may run at now on a node that waits for trialDelay after
 // the end of a quarantine.
 func (r Record) verdict(now time.Time, trialDelay time.Duration) Verdict {
@@ -69,5 +64,5 @@
 
 // expiresAt returns when the record no longer has an effect.
 func (r Record) expiresAt() time.Time {
-	return later(r.Until, r.LastCrash).Add(suspicionDuration)
+	return ctxtime.Later(r.Until, r.LastCrash).Add(suspicionDuration)
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -5,6 +5,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 const (
@@ -236,7 +238,7 @@
 	}
 	r.LastCrash, r.LastReplica = now, replicaHash
 	if onlySuspect || r.Crashes >= provenCrashes {
-		r.Until = later(r.Until, now.Add(quarantineAfter(r.Crashes)))
+		r.Until = ctxtime.Later(r.Until, now.Add(quarantineAfter(r.Crashes)))
 	}
 	t.put(r)
 	return r
--- a/internal/ratelimit/permits.go
+++ b/internal/ratelimit/permits.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"galenatrestle/internal/ctxtime"
 	"galenatrestle/internal/replica"
 )
 
@@ -98,7 +99,7 @@
 func (p *Permits) NextAttemptAt(replica string) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return later(p.pausedUntil[replica], p.closedUntil[replica])
+	return ctxtime.Later(p.pausedUntil[replica], p.closedUntil[replica])
 }
 
 // NextWaitAt returns the earliest time at which a request may wait for a slot of the brittle replica.
@@ -108,13 +109,6 @@
 	return p.closedUntil[replica]
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // Acquire acquires a permit for one request to the replica, which must be sent immediately.
 // If none is granted, NextAttemptAt moves into the future. A replica without a limit in force
 // needs no permit: the result is then granted without a request to the issuer.
@@ -146,13 +140,19 @@
 		result.Grant.RetryAfter = busyPause
 		return
 	}
-	result.Grant, result.Err = p.acquire(ctx, Ask{Limit: result.Limit, Slot: &SlotAsk{Node: p.slots.self, ID: id, Slots: r.Slots, Rank: u.Rank}})
+	p.askForSlot(ctx, r, id, u, result)
 	p.slots.answered(r.Process(), id, result.Granted(), result.Err != nil)
 	if result.Granted() {
 		result.Slot = id
 	}
 }
 
+// askForSlot asks the replica's issuer for the slot.
+func (p *Permits) askForSlot(ctx context.Context, r *replica.Replica, id uint64, u Urgency, result *AcquireResult) {
+	slot := SlotAsk{Node: p.slots.self, ID: id, Slots: r.Slots, Rank: u.Rank, Wait: u.Wait}
+	result.Grant, result.Err = p.acquire(ctx, Ask{Limit: result.Limit, Slot: &slot})
+}
+
 // record records until when an answer, or the lack of one, keeps requests from the replica.
 func (p *Permits) record(now time.Time, replica string, u Urgency, result *AcquireResult) {
 	p.mu.Lock()
--- a/internal/ratelimit/slots.go
+++ b/internal/ratelimit/slots.go
@@ -121,8 +121,7 @@
 	case granted:
 		h.ids[id] = time.Now()
 	case lost:
-		h.ended = append(h.ended, id)
-		s.send(process, h)
+		s.giveBack(process, h, id)
 	default:
 		s.drop(process, h)
 	}
@@ -142,10 +141,15 @@
 		return
 	}
 	delete(h.ids, id)
-	h.ended = append(h.ended, id)
 	if refused {
 		h.refusals++
 	}
+	s.giveBack(process, h, id)
+}
+
+// giveBack reports that a slot is free. The lock is held.
+func (s *slots) giveBack(process replica.Process, h *heldSlots, id uint64) {
+	h.ended = append(h.ended, id)
 	s.send(process, h)
 }
 
--- a/internal/ratelimit/slotwait.go
+++ b/internal/ratelimit/slotwait.go
@@ -54,16 +54,17 @@
 			p.slots.grant(r.Process(), id)
 			continue
 		}
-		ask := SlotAsk{Node: p.slots.self, ID: id, Slots: r.Slots, Rank: rank, Wait: slotPoll}
 		result := AcquireResult{Limit: l}
-		result.Grant, result.Err = p.acquire(context.Background(), Ask{Limit: l, Slot: &ask})
-		if result.Granted() {
+		urgency := Urgency{Rank: rank, Wait: slotPoll}
+		p.askForSlot(context.Background(), r, id, urgency, &result)
+		switch {
+		case result.Err != nil:
+			p.slots.lost(r.Process(), id)
+		case result.Grant.Granted:
 			p.slots.grant(r.Process(), id)
-		} else {
-			p.slots.notGranted(r.Process(), id, result.Err != nil)
 		}
 		now := time.Now()
-		p.record(now, r.ID, Urgency{Rank: rank, Wait: slotPoll}, &result)
+		p.record(now, r.ID, urgency, &result)
 		time.Sleep(p.NextWaitAt(r.ID).Sub(now))
 	}
 }
@@ -119,8 +120,7 @@
 	defer s.mu.Unlock()
 	h := s.of(process)
 	if len(h.waiting) == 0 {
-		h.ended = append(h.ended, id)
-		s.send(process, h)
+		s.giveBack(process, h, id)
 		return
 	}
 	h.ids[id] = time.Now()
@@ -133,12 +133,9 @@
 	h.waiting = h.waiting[1:]
 }
 
-// notGranted records that an ask was not granted, or that its answer got lost.
-func (s *slots) notGranted(process replica.Process, id uint64, lost bool) {
+// lost records that the answer to an ask got lost: the slot may have been given out all the same.
+func (s *slots) lost(process replica.Process, id uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if h := s.of(process); lost {
-		h.ended = append(h.ended, id)
-		s.send(process, h)
-	}
+	s.giveBack(process, s.of(process), id)
 }
--- a/internal/soak/arrivals.go
+++ b/internal/soak/arrivals.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -25,11 +24,7 @@
 }
 
 func newArrivals(w *world) *arrivals {
-	dialer := &net.Dialer{Timeout: time.Second}
-	return &arrivals{
-		world: w, random: rand.New(rand.NewPCG(w.options.Seed, 99)),
-		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 32, DisableCompression: true}},
-	}
+	return &arrivals{world: w, random: rand.New(rand.NewPCG(w.options.Seed, 99)), client: newClient(32)}
 }
 
 // run sends calls until ctx ends, and waits for their answers.
--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -91,16 +91,29 @@
 	w.startReplica(r.service, r.version)
 }
 
-// count adds the time's falls, calls and runs to the report.
-func (t *brittleTime) count(r *BrittleReport, w *world, calls []*sent) {
-	counts := func(at time.Time) bool { return at.After(t.from.Add(brittleStable)) && at.Before(t.until) }
+// counts reports whether what happens at the time counts.
+func (t *brittleTime) counts(at time.Time) bool {
+	return at.After(t.from.Add(brittleStable)) && at.Before(t.until)
+}
+
+// falls returns the falls of the service that count.
+func (t *brittleTime) falls(w *world) []fall {
+	var falls []fall
 	for _, f := range w.falls {
-		if f.service == t.service && counts(f.at) {
-			r.Falls = append(r.Falls, f.at.Sub(t.from))
+		if f.service == t.service && t.counts(f.at) {
+			falls = append(falls, f)
 		}
 	}
+	return falls
+}
+
+// count adds the time's falls, calls and runs to the report.
+func (t *brittleTime) count(r *BrittleReport, w *world, calls []*sent) {
+	for _, f := range t.falls(w) {
+		r.Falls = append(r.Falls, f.at.Sub(t.from))
+	}
 	for _, s := range calls {
-		if s.path != "" && counts(s.at) && !s.comesBack {
+		if t.counts(s.at) && !s.comesBack {
 			r.Calls++
 			if s.whole() {
 				r.Served++
@@ -108,7 +121,7 @@
 		}
 	}
 	for _, run := range w.runs.All() {
-		if counts(run.At) {
+		if t.counts(run.At) {
 			r.Runs++
 		}
 	}
@@ -138,12 +151,7 @@
 // judgeFalls checks that refusals ended few brittle replicas.
 func (w *world) judgeFalls() {
 	for _, t := range w.brittleTimes {
-		count := 0
-		for _, f := range w.falls {
-			if f.service == t.service && f.at.After(t.from.Add(brittleStable)) && f.at.Before(t.until) {
-				count++
-			}
-		}
+		count := len(t.falls(w))
 		if allowed := fallAllowance + fallShare*float64(t.replicas); float64(count) > allowed {
 			w.violate("%d of %d brittle replicas of %s fell over, as they had to refuse too many requests; allowed %.1f", count, t.replicas, t.service, allowed)
 		}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -65,16 +65,21 @@
 }
 
 func newCaller(w *world, i int) *caller {
-	dialer := &net.Dialer{Timeout: time.Second}
 	return &caller{
 		world: w, name: fmt.Sprintf("%d-%d", w.options.Seed, i),
 		random: rand.New(rand.NewPCG(w.options.Seed, uint64(100+i))),
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 2, DisableCompression: true,
-		}},
+		client: newClient(2),
 	}
 }
 
+// newClient returns a client that keeps so many idle connections to each node.
+func newClient(idle int) *http.Client {
+	dialer := &net.Dialer{Timeout: time.Second}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: idle, DisableCompression: true,
+	}}
+}
+
 // pauseBetween is the time between a caller's calls.
 const pauseBetween = 20 * time.Millisecond
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -167,10 +167,10 @@
 		callers = append(callers, c)
 		sends.Go(func() { c.run(sending) })
 	}
-	var arrivals *arrivals
+	var arriving *arrivals
 	if w.options.Arrivals > 0 {
-		arrivals = newArrivals(w)
-		sends.Go(func() { arrivals.run(sending) })
+		arriving = newArrivals(w)
+		sends.Go(func() { arriving.run(sending) })
 	}
 	for i := range w.options.Crashers {
 		c := newCaller(w, w.options.Callers+i)
@@ -192,8 +192,8 @@
 	for _, c := range callers {
 		calls = append(calls, c.calls...)
 	}
-	if arrivals != nil {
-		calls = append(calls, arrivals.calls...)
+	if arriving != nil {
+		calls = append(calls, arriving.calls...)
 	}
 	return calls
 }
