Soak: nodes that are cut off are compared at the same times, per service

The judge now compares attempts per second and service; where the others have no calls in an interval, their share in the whole cut counts as before. Bounds, allowance and the existing test of the judge are unchanged. Refusals by the others at other times no longer hide those of a node that is cut off, which the new test covers.

--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -15,10 +15,13 @@
 	cutStable = 3 * time.Second
 	cutLasts  = cutStable + 6*time.Second
 	// At nodes that are cut off, first attempts may be served leastShare times as often as at
-	// the others, and cutAllowance plus a part of cutFailed of all attempts may fail.
+	// the others, and cutAllowance plus a part of cutFailed of all attempts may fail. Attempts are
+	// compared with those for the same service in the same cutInterval: all nodes refuse most calls
+	// while replicas ask for pauses, and one that is then stopped has no calls afterwards.
 	leastShare   = 2.0 / 3
 	cutAllowance = 10
 	cutFailed    = 1.0 / 50
+	cutInterval  = time.Second
 )
 
 // cut is a time in which some nodes reached no replica, while callers, the store and the other
@@ -77,6 +80,17 @@
 	}
 }
 
+// with returns the tally with the call added.
+func (t tally) with(s *sent) tally {
+	t.add(s)
+	return t
+}
+
+// share is the part of the calls that was served, zero without calls.
+func (t tally) share() float64 {
+	return float64(t.served) / float64(max(t.asked, 1))
+}
+
 // judgeCuts checks that callers of nodes that reached no replica were served like the others.
 func (w *world) judgeCuts(calls []*sent) {
 	for i := range w.cuts {
@@ -86,26 +100,43 @@
 
 func (w *world) judgeCut(c *cut, calls []*sent) {
 	var cutOff, others tally
+	cutOffIn, othersIn := make(map[cutSlot]tally), make(map[cutSlot]tally)
 	from := c.from.Add(cutStable)
 	for _, s := range calls {
+		slot := cutSlot{interval: s.at.Sub(from) / cutInterval, service: serviceOf(s.path)}
 		switch {
 		case s.at.Before(from) || s.at.After(c.until) || w.isExcused(s):
 		case !c.entries[s.entry]:
 			others.add(s)
+			othersIn[slot] = othersIn[slot].with(s)
 		case w.hasHelper(c, s.at):
 			cutOff.add(s)
+			cutOffIn[slot] = cutOffIn[slot].with(s)
 		}
 	}
+	// expected is how many would be served if the nodes that are cut off served like the others.
+	expected := 0.0
+	for slot, t := range cutOffIn {
+		share := othersIn[slot].share()
+		if othersIn[slot].asked == 0 {
+			share = others.share()
+		}
+		expected += share * float64(t.asked)
+	}
 	failed := float64(cutOff.asked - cutOff.served)
 	allowed := cutAllowance + cutFailed*float64(cutOff.asked+others.asked)
-	// Compared without division, so that a side without calls needs no case of its own.
-	less := float64(cutOff.served*others.asked) < leastShare*float64(others.served*cutOff.asked)
-	if less && failed > allowed {
-		w.violate("nodes cut off from all replicas (%s) served %d of %d first attempts, the others %d of %d",
-			c.fault, cutOff.served, cutOff.asked, others.served, others.asked)
+	if float64(cutOff.served) < leastShare*expected && failed > allowed {
+		w.violate("nodes cut off from all replicas (%s) served %d of %d first attempts, the others' share at the same times would be %.0f; the others served %d of %d in all",
+			c.fault, cutOff.served, cutOff.asked, expected, others.served, others.asked)
 	}
 }
 
+// cutSlot is the calls for a service in an interval of a cut.
+type cutSlot struct {
+	interval time.Duration
+	service  string
+}
+
 // hasHelper reports whether a node that reached replicas was undisturbed at the time: nodes that are cut
 // off can serve nothing while all others are down.
 func (w *world) hasHelper(c *cut, at time.Time) bool {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -332,6 +332,48 @@
 	}
 }
 
+// A node that served like the others until it was stopped was compared with calls that the others served
+// later, once replicas no longer asked for pauses; and refusals by the others at other times hid its own.
+func TestTheJudgeComparesNodesThatAreCutOffAtTheSameTimes(t *testing.T) {
+	now := time.Now()
+	const early, late = cutStable, cutStable + 2*cutInterval
+	type batch struct {
+		entry, path string
+		after       time.Duration
+		served      int
+		asked       int
+	}
+	for name, test := range map[string]struct {
+		batches []batch
+		broken  int
+	}{
+		"all refuse at its time":               {[]batch{{"vm-1", "/parts/", early, 5, 30}, {"vm-2", "/parts/", early, 5, 30}, {"vm-2", "/parts/", late, 300, 300}}, 0},
+		"it alone refuses at its time":         {[]batch{{"vm-1", "/parts/", early, 5, 30}, {"vm-2", "/parts/", early, 30, 30}, {"vm-2", "/parts/", late, 30, 300}}, 1},
+		"all refuse for its calls' service":    {[]batch{{"vm-1", "/parts/", early, 5, 30}, {"vm-2", "/parts/", early, 5, 30}, {"vm-2", platformtest.StreamPath, early, 300, 300}}, 0},
+		"it alone refuses for the service":     {[]batch{{"vm-1", "/parts/", early, 5, 30}, {"vm-2", "/parts/", early, 30, 30}, {"vm-2", platformtest.StreamPath, early, 30, 300}}, 1},
+		"the others have no calls at its time": {[]batch{{"vm-1", "/parts/", early, 5, 30}, {"vm-2", "/parts/", late, 300, 300}}, 1},
+	} {
+		w := &world{
+			nodes: []*node{{entry: "vm-1"}, {entry: "vm-2"}},
+			cuts:  []cut{{entries: map[string]bool{"vm-1": true}, from: now, until: now.Add(time.Minute)}},
+		}
+		var calls []*sent
+		for _, b := range test.batches {
+			for i := range b.asked {
+				s := &sent{entry: b.entry, path: b.path, at: now.Add(b.after), status: 503}
+				if i < b.served {
+					s.status = 200
+				}
+				calls = append(calls, s)
+			}
+		}
+		w.judgeCuts(calls)
+		if len(w.violations) != test.broken {
+			t.Errorf("%s: violations %q", name, w.violations)
+		}
+	}
+}
+
 // Guards against streams that go on at another software version of the replicas, within one answer or
 // when their callers resume them, and against streams that are not resumed at all.
 func TestStreamsGoOnAtTheVersionThatBeganThem(t *testing.T) {
