A drained VM's requests in flight leave out lookups of entries and models

TestDrainsUnderLoadCutNothing saw in_flight:1 at a VM whose drain had ended. Callers may keep an address for lookups for good, and these are answered from memory, so the VM seemed to have work although nothing was left.

--- a/internal/gateway/noendpoint.go
+++ b/internal/gateway/noendpoint.go
@@ -6,10 +6,22 @@
 	"galenatrestle/internal/refusal"
 )
 
+// The paths of lookups.
+const (
+	pathModels  = "/v1/models"
+	pathEntries = "/entries"
+)
+
 // methods are those of the endpoints with one path.
 var methods = map[string]string{
 	pathChat: http.MethodPost, pathText: http.MethodPost,
-	"/v1/models": http.MethodGet, "/entries": http.MethodGet,
+	pathModels: http.MethodGet, pathEntries: http.MethodGet,
+}
+
+// IsLookup reports whether the request asks for the entries or the models, which is answered from
+// memory at once and runs nothing.
+func IsLookup(r *http.Request) bool {
+	return r.Method == http.MethodGet && (r.URL.Path == pathEntries || r.URL.Path == pathModels)
 }
 
 // noEndpoint refuses what no other pattern takes.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -30,8 +30,8 @@
 	}
 	s.mux.HandleFunc("POST "+pathChat, s.completeChat)
 	s.mux.HandleFunc("POST "+pathText, s.completeText)
-	s.mux.HandleFunc("GET /v1/models", s.models)
-	s.mux.HandleFunc("GET /entries", s.entries)
+	s.mux.HandleFunc("GET "+pathModels, s.models)
+	s.mux.HandleFunc("GET "+pathEntries, s.entries)
 	s.mux.HandleFunc("GET /requests/{id}", s.getAnswer)
 	s.mux.HandleFunc("GET /requests/{id}/stream", s.followAnswer)
 	s.mux.HandleFunc("/services/{upstream}/{path...}", s.service)
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"galenatrestle/internal/drain"
+	"galenatrestle/internal/gateway"
 	drainv1 "galenatrestle/internal/gen/trestle/drain/v1"
 	"galenatrestle/internal/intent"
 )
@@ -36,9 +37,14 @@
 	return d
 }
 
-// count wraps the callers' handler so that requests in flight are counted.
+// count wraps the callers' handler so that requests in flight are counted. Lookups are none: callers that
+// keep this node's address for them would let a drained node seem to have work.
 func (d *drains) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if gateway.IsLookup(r) {
+			next.ServeHTTP(w, r)
+			return
+		}
 		d.inFlight.Add(1)
 		defer d.inFlight.Add(-1)
 		next.ServeHTTP(w, r)
