Estimate the speed of single replicas and use it in the cost

Replicas of one upstream differ in speed, and a single one may turn several times slower, but placement had one estimate of the prefill speed for all of them. Package replicaspeed learns a factor per replica from the time to first token, the pauses between events and the answer time of plain services.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,6 +102,7 @@
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
 	n.placer.SetPauses(&n.pauses)
+	n.setUpReplicaSpeeds()
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
--- a/internal/enginespeed/reading.go
+++ b/internal/enginespeed/reading.go
@@ -59,6 +59,10 @@
 	e.answers++
 }
 
+// ExpectedMS returns the expected time to first token, in milliseconds, if the tokens are prefilled
+// before it.
+func (e *Estimator) ExpectedMS(tokens int) float64 { return e.fixedMS + e.PrefillMS(tokens) }
+
 // PrefillTime returns the expected time to prefill the tokens, without the fixed part of the time
 // to first token.
 func (e *Estimator) PrefillTime(tokens int) time.Duration {
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/replicaspeed"
 )
 
 // Attempt is one request bound to a replica. It is not safe for concurrent use.
@@ -29,8 +30,13 @@
 	// shared is the prompt's shared parts.
 	shared []PromptPart
 	// tokensInMemory is what the attempt takes of the replica's memory.
-	tokensInMemory  int
-	shortPrompt     bool
+	tokensInMemory int
+	shortPrompt    bool
+	// isPlain is whether the request has no prompt, loadAtStart the load of the replica before it,
+	// and gaps the pauses between the last events of the answer.
+	isPlain         bool
+	loadAtStart     replicaspeed.Load
+	gaps            replicaspeed.Gaps
 	ended           bool
 	answerStartedAt time.Time
 }
@@ -58,6 +64,7 @@
 func (a *Attempt) AnswerStarted(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
+	a.observeFirstToken(now)
 	a.upstream.prefillSpeed.Observe(a.prefillTokens, now.Sub(a.startedAt))
 	a.state.cache.markPrefilled(now, a.shared)
 	a.answerStartedAt = now
@@ -78,6 +85,7 @@
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
 	a.recordData(now)
+	a.observeEvent(now)
 }
 
 // recordData records data from the replica, which implies that the prompt is prefilled. The
@@ -117,6 +125,7 @@
 	case Answered:
 		a.state.lastDataAt = now
 		a.state.recover(now)
+		a.observeService(now)
 		a.upstream.learnServiceTime(now.Sub(a.startedAt))
 		if !a.answerStartedAt.IsZero() {
 			a.upstream.learnAnswerTime(now.Sub(a.answerStartedAt))
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -43,9 +43,9 @@
 	if r.PromptTokens > 0 {
 		c.PrefillSpeed = u.prefillSpeed.TokensPerMS()
 		c.MemoryFraction = u.memoryFraction(r, s)
-		c.OwnPrefill = u.prefillSpeed.PrefillTime(r.PromptTokens - c.CachedTokens)
+		c.OwnPrefill = u.prefillTime(s, r.PromptTokens-c.CachedTokens)
 		c.SlotWait = time.Duration(u.slotWaitMS(s, r.Rank) * float64(time.Millisecond))
-		c.FirstTokenTime = u.prefillSpeed.PrefillTime(c.PrefillAhead) + c.SlotWait + c.OwnPrefill
+		c.FirstTokenTime = u.prefillTime(s, c.PrefillAhead) + c.SlotWait + c.OwnPrefill
 	}
 	return c
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -61,7 +61,7 @@
 	} else {
 		cost += u.slotQueueMS(s)
 	}
-	return cost + healthCost(now, s) + u.zoneAndRetryCost(r, s)
+	return cost + healthCost(now, s) + u.zoneAndRetryCost(r, s) + u.speedCost(r, s)
 }
 
 // promptCost returns the cost of prefilling the prompt, including its effect on the requests
@@ -72,7 +72,7 @@
 	copied := p.copyableTokens(s, cached)
 	uncached := r.PromptTokens - cached - copied
 	cost := copyCost * float64(copied)
-	cost += u.prefillSpeed.PrefillMS(s.pendingPrefill()+uncached) + u.slotWaitMS(s, r.Rank)
+	cost += u.prefillMS(s, s.pendingPrefill()+uncached) + u.slotWaitMS(s, r.Rank)
 	cost += recompute * float64(r.sharedTokens()-cached-copied)
 	// An engine that runs out of memory preempts requests and prefills them again.
 	cost += max(u.memoryFraction(r, s)-memoryPressureThreshold, 0) * memoryPressureCost
@@ -117,5 +117,5 @@
 // slotQueueMS returns the expected wait for a slot of a plain service.
 func (u *upstream) slotQueueMS(s *replicaState) float64 {
 	slots := max(s.replica.Slots, 1)
-	return u.serviceMS * float64(s.running+s.peersRunning) / float64(slots)
+	return u.serviceMS * float64(s.running+s.peersRunning) / float64(slots) / s.speed.ServiceFactor()
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"galenatrestle/internal/replicaspeed"
 )
 
 const (
@@ -27,6 +29,9 @@
 	// FailureScore is the node's failure score of the replica, plus the seconds for which the
 	// replica has been unresponsive.
 	FailureScore float64
+	// Prefill and Decode are the node's observations of the replica's speed; for a plain service,
+	// Prefill is those of its answer time.
+	Prefill, Decode replicaspeed.Observed
 }
 
 // Loads returns this node's load on the replicas, most used first.
@@ -74,15 +79,18 @@
 func (u *upstream) loads(now time.Time, loads []Load) []Load {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.refreshSpeeds(now)
 	for _, s := range u.all {
 		failures := s.failureScoreAt(now)
 		if unresponsive := s.unresponsiveFor(now); unresponsive > unresponsiveAfter {
 			failures += unresponsive.Seconds()
 		}
-		if s.running == 0 && failures < negligibleFailures {
+		load := Load{Replica: s.replica.ID, Running: s.running, RunningShort: s.runningShort, PrefillBacklog: s.prefillBacklog, TokensInMemory: s.tokensInMemory, FailureScore: failures}
+		load.setSpeeds(s)
+		if s.running == 0 && failures < negligibleFailures && !load.hasSpeeds() {
 			continue
 		}
-		loads = append(loads, Load{Replica: s.replica.ID, Running: s.running, RunningShort: s.runningShort, PrefillBacklog: s.prefillBacklog, TokensInMemory: s.tokensInMemory, FailureScore: failures})
+		loads = append(loads, load)
 	}
 	return loads
 }
@@ -101,6 +109,7 @@
 		sum.PrefillBacklog = sum.PrefillBacklog.plus(&l.PrefillBacklog)
 		sum.TokensInMemory += l.TokensInMemory
 		sum.FailureScore = max(sum.FailureScore, l.FailureScore)
+		sum.Prefill, sum.Decode = sum.Prefill.Plus(l.Prefill), sum.Decode.Plus(l.Decode)
 		sums[l.Replica] = sum
 	}
 	return sums
@@ -111,6 +120,7 @@
 	l.RunningShort = max(l.RunningShort-part.RunningShort, 0)
 	l.PrefillBacklog = l.PrefillBacklog.minus(&part.PrefillBacklog)
 	l.TokensInMemory = max(l.TokensInMemory-part.TokensInMemory, 0)
+	l.Prefill, l.Decode = l.Prefill.Minus(part.Prefill), l.Decode.Minus(part.Decode)
 	return l
 }
 
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -21,6 +21,9 @@
 // loads. aliveNodes is the number of other nodes that serve.
 func (p *Placer) SetPeerLoads(node string, loads []Load, inGroup bool, aliveNodes int, now time.Time) {
 	p.mu.Lock()
+	for i := range loads {
+		loads[i].Prefill, loads[i].Decode = loads[i].Prefill.BoundedNode(), loads[i].Decode.BoundedNode()
+	}
 	p.peers[node] = peerLoads{loads: loads, inGroup: inGroup, receivedAt: now}
 	dropExpired(p.peers, now)
 	hasFleetLoads := p.hasFleetLoads(now)
@@ -165,6 +168,7 @@
 		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersRunningShort = sum.Running, sum.RunningShort
 		s.peersPrefillBacklog, s.peersTokensInMemory, s.peersFailureScore = sum.PrefillBacklog, sum.TokensInMemory, sum.FailureScore
+		s.speed.SetPeers(sum.Prefill, sum.Decode)
 	}
 }
 
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -27,7 +27,9 @@
 	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses       *pause.Table
+	pauses *pause.Table
+	// speeds are the options of the estimates of replica speeds; nil: off.
+	speeds       *ReplicaSpeeds
 	lastChoiceAt time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
@@ -46,6 +48,7 @@
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
 		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
+		u.speeds = p.speeds.newSpeeds()
 		p.upstreams[name] = u
 	}
 	return u
@@ -98,7 +101,7 @@
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
 	current := u.restrictions(now)
-	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now}
+	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now, isPlain: r.PromptTokens == 0, loadAtStart: s.speedLoad()}
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
--- a/internal/placement/places.go
+++ b/internal/placement/places.go
@@ -35,7 +35,7 @@
 	if pending := s.pendingPrefill(); pending > 0 {
 		ahead *= float64(s.prefillAhead(rank)) / float64(pending)
 	}
-	return u.answerMS * (ahead + 1) / float64(slots)
+	return u.answerMS * (ahead + 1) / float64(slots) / s.speed.DecodeFactor()
 }
 
 func (u *upstream) learnAnswerTime(took time.Duration) {
--- /dev/null
+++ b/internal/placement/speedcost.go
@@ -0,0 +1,31 @@
+package placement
+
+const (
+	// slowAnswerCost is the cost of each millisecond by which an answer is expected to take longer
+	// at the replica than at the mean.
+	slowAnswerCost = 0.1
+	// A replica below degradedFactor of the mean speed gets up to degradedCost more at
+	// fullyDegradedFactor: more than prompt parts cached there are worth, so that a replica that
+	// became several times slower loses its sessions, too. Replicas that are always slow are above.
+	degradedFactor      = 0.42
+	fullyDegradedFactor = 0.3
+	degradedCost        = 3000.0
+)
+
+// speedCost returns the cost of the replica's speed beyond prefill and waiting. The lock is held.
+func (u *upstream) speedCost(r *Request, s *replicaState) float64 {
+	if u.speeds == nil {
+		return 0
+	}
+	if r.PromptTokens == 0 {
+		factor := s.speed.ServiceFactor()
+		return u.serviceMS*(1/factor-1) + degraded(factor) + u.slowStartCost(r, s)
+	}
+	factor := s.speed.DecodeFactor()
+	return slowAnswerCost*u.answerMS*(1/factor-1) + degraded(min(factor, s.speed.PrefillFactor())) + u.slowStartCost(r, s)
+}
+
+// degraded returns the cost of a replica that is much slower than the mean.
+func degraded(factor float64) float64 {
+	return degradedCost * min(max((degradedFactor-factor)/(degradedFactor-fullyDegradedFactor), 0), 1)
+}
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -127,7 +127,7 @@
 	if !u.hasLongPrompts(r) {
 		return 0
 	}
-	stall := u.prefillSpeed.PrefillMS(s.pendingPrefill() + uncached)
+	stall := u.prefillMS(s, s.pendingPrefill()+uncached)
 	fraction := min(max((stall-stallStartMS)/(stallFullMS-stallStartMS), 0), 1)
 	return fraction * stallCost * float64(s.runningShort+s.peersRunningShort)
 }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/replicaspeed"
 )
 
 type replicaState struct {
@@ -36,6 +37,7 @@
 	presumedPauseEnd time.Time
 	presumedAt       int
 	cache            cache
+	speed            replicaspeed.Estimate
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -12,6 +12,7 @@
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/replicaspeed"
 )
 
 // initialServiceMS is a plain service's expected answer time, in milliseconds, before any
@@ -57,6 +58,10 @@
 	recentPlacements placements
 	// backlogScratch is a buffer that medianPrefillMS reuses to avoid an allocation per request.
 	backlogScratch []int
+	// speeds estimates the speeds of the replicas, whose estimates are in speedEstimates; nil: off.
+	speeds         *replicaspeed.Upstream
+	speedEstimates []*replicaspeed.Estimate
+	slowStart      slowStart
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
@@ -81,6 +86,7 @@
 		u.states[r.ID] = &replicaState{replica: r}
 	}
 	u.all = slices.Collect(maps.Values(u.states))
+	u.trackSpeeds()
 	u.available = u.available[:0]
 	for _, r := range availableReplicas(replicas) {
 		u.available = append(u.available, u.states[r.ID])
@@ -118,6 +124,7 @@
 // choose returns the cheapest available replica, or nil.
 func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *decision {
 	u.syncReplicas(replicas)
+	u.refreshSpeeds(now)
 	u.learnPrompt(r)
 	current := u.restrictions(now)
 	current.excludeLimited, current.awaitsSlot = r.ExcludeRateLimited, r.AwaitsSlot
