--- a/internal/fleetsim/engine.go
+++ b/internal/fleetsim/engine.go
@@ -43,6 +43,10 @@
 	readAgain  int
 	// arrivals counts the jobs that were sent here.
 	arrivals int
+	// arrivedAt is when the jobs were sent here.
+	arrivedAt []time.Duration
+	// timesSlower is by what the time of a step is multiplied.
+	timesSlower func(now time.Duration) float64
 }
 
 // add takes a job. from is the engine from which it copies shared parts, or nil.
@@ -97,7 +101,7 @@
 		running++
 	}
 	took := e.model.StepMS + e.model.PerRequestMS*float64(running) + float64(read)/e.model.TokensPerMS
-	e.freeAt = now + time.Duration(took*float64(time.Millisecond))
+	e.freeAt = now + time.Duration(took*e.timesSlower(now)*float64(time.Millisecond))
 	for _, j := range active {
 		if j.toRead > 0 {
 			continue
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -73,6 +73,7 @@
 	}
 	for i := range s.Engines {
 		e := &engine{model: s.Model, id: fmt.Sprintf("i-%02d-%d", i, s.Seed), cache: make(map[uint64]bool)}
+		e.timesSlower = func(now time.Duration) float64 { return s.Speeds.timesSlower(s.Seed, i, now) }
 		f.engines = append(f.engines, e)
 		f.byID[e.id] = e
 	}
@@ -200,6 +201,7 @@
 		return
 	}
 	e.add(j, f.byID[a.CopyFrom], f.readBefore)
+	e.arrivedAt = append(e.arrivedAt, now)
 }
 
 // listen tells the nodes what came of their attempts.
@@ -220,6 +222,9 @@
 			j.heard = true
 			j.attempt.AnswerStarted(at)
 		}
+		if f.scenario.Speeds.Heard {
+			j.hear(now)
+		}
 		if j.whole() && j.lastAt <= now {
 			j.attempt.End(at, placement.Answered)
 			j.call.settle(j.call.judge(j))
@@ -277,6 +282,7 @@
 		r.ReadAgain += e.readAgain / 1000
 		most, all = max(most, e.arrivals), all+e.arrivals
 	}
+	r.SlowedShare = f.slowedShare()
 	r.Busiest = float64(most*len(f.engines)) / float64(max(all, 1))
 	return r
 }
--- a/internal/fleetsim/job.go
+++ b/internal/fleetsim/job.go
@@ -22,8 +22,10 @@
 	made    int
 	firstAt time.Duration
 	lastAt  time.Duration
-	broken  bool
-	heard   bool
+	// events are those that the node has not heard yet.
+	events []time.Duration
+	broken bool
+	heard  bool
 }
 
 // token adds one token to the answer, which passes on an event now and then.
@@ -38,6 +40,7 @@
 		j.call.longestPause = max(j.call.longestPause, at-j.lastAt)
 	}
 	j.lastAt = at
+	j.events = append(j.events, at)
 }
 
 // whole says whether the answer is complete.
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -11,6 +11,9 @@
 	ReadAgain  int
 	// Busiest is the calls at the engine that got most, by the mean of all.
 	Busiest float64
+	// SlowedShare is the new work of slowed engines from a second after they turned slow, by
+	// that before.
+	SlowedShare float64
 }
 
 // Tally counts the calls of one class.
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -27,7 +27,9 @@
 	SeeAll bool
 	// Ungated lets every request in.
 	Ungated bool
-	Seed    uint64
+	// Speeds is how the engines differ in speed.
+	Speeds Speeds
+	Seed   uint64
 }
 
 // Burst multiplies the load of a class.
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -32,9 +32,12 @@
 	// tokensInMemory is what the attempt takes of the replica's memory.
 	tokensInMemory int
 	shortPrompt    bool
-	// isPlain is whether the request has no prompt, loadAtStart the load of the replica before it,
+	// isPlain is whether the request has no prompt, expectedMS the time to first token expected of a
+	// replica of the mean speed, ownFraction the request's own part of it, loadAtStart the load of the replica before it,
 	// and gaps the pauses between the last events of the answer.
 	isPlain         bool
+	expectedMS      float64
+	ownFraction     float64
 	loadAtStart     replicaspeed.Load
 	gaps            replicaspeed.Gaps
 	ended           bool
@@ -111,6 +114,7 @@
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
 	a.removePrefill()
+	a.forgetSpeed()
 	a.state.running--
 	a.state.tokensInMemory -= a.tokensInMemory
 	if a.shortPrompt {
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -48,7 +48,7 @@
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
 		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
-		u.speeds = p.speeds.newSpeeds()
+		p.speeds.setUp(u)
 		p.upstreams[name] = u
 	}
 	return u
@@ -117,6 +117,7 @@
 		s.tokensInMemory += a.tokensInMemory
 	}
 	s.running++
+	a.expectFirstToken()
 	if !a.NeedsPermit {
 		a.recordSent(now)
 	}
--- a/internal/placement/slowstart.go
+++ b/internal/placement/slowstart.go
@@ -2,7 +2,8 @@
 
 // A replica that has shown nothing yet looks idle to all nodes at once, for as long as load
 // reports take, and its speed is not known. Until it has answered some requests it counts as
-// loaded as the mean of the others, so that it gets its proportional part of the work.
+// loaded as the mean of the others besides its own load, so that it gets its proportional part of
+// the new work.
 type slowStart struct {
 	// running and pendingPrefill are the means of the replicas that are not new.
 	running        float64
@@ -37,10 +38,9 @@
 		return 0
 	}
 	unknown := 1 - s.speed.Shown()
-	running := max(u.slowStart.running*unknown-float64(s.running+s.peersRunning), 0)
+	running := unknown * u.slowStart.running
 	if r.PromptTokens == 0 {
 		return (runningCost + u.serviceMS/float64(max(s.replica.Slots, 1))) * running
 	}
-	pending := max(u.slowStart.pendingPrefill*unknown-float64(s.pendingPrefill()), 0)
-	return runningCost*running + u.prefillSpeed.PrefillMS(int(pending))
+	return runningCost*running + u.prefillSpeed.PrefillMS(int(unknown*u.slowStart.pendingPrefill))
 }
--- a/internal/placement/speedcost.go
+++ b/internal/placement/speedcost.go
@@ -7,8 +7,8 @@
 	// A replica below degradedFactor of the mean speed gets up to degradedCost more at
 	// fullyDegradedFactor: more than prompt parts cached there are worth, so that a replica that
 	// became several times slower loses its sessions, too. Replicas that are always slow are above.
-	degradedFactor      = 0.42
-	fullyDegradedFactor = 0.3
+	degradedFactor      = 0.45
+	fullyDegradedFactor = 0.36
 	degradedCost        = 3000.0
 )
 
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"galenatrestle/internal/replicaspeed"
@@ -20,12 +21,38 @@
 
 // refreshSpeeds computes the factors if they are not recent. The lock is held.
 func (u *upstream) refreshSpeeds(now time.Time) {
-	if u.speeds == nil || !u.speeds.Refresh(now, u.speedEstimates) {
+	if u.speeds == nil || !u.speeds.Due(now) {
 		return
 	}
+	for _, s := range u.all {
+		u.speeds.ClearOverdue(&s.speed)
+		for _, a := range s.prompts {
+			a.addOverdue(now)
+		}
+	}
+	u.speeds.Refresh(now, u.speedEstimates, u.onClassChange(now))
 	u.updateSlowStart()
 }
 
+// onClassChange returns the function that reports replicas whose class changed; nil: nobody asks.
+func (u *upstream) onClassChange(now time.Time) func(int, replicaspeed.Class) {
+	report := u.onSpeedChange
+	if report == nil {
+		return nil
+	}
+	peersAge := NoPeers
+	if !u.peersAt.IsZero() {
+		peersAge = now.Sub(u.peersAt)
+	}
+	return func(i int, before replicaspeed.Class) {
+		s := u.all[i]
+		report(SpeedChange{
+			Replica: s.replica, Before: before, Speed: s.speed.Reading(), Running: s.running + s.peersRunning,
+			PendingPrefill: s.pendingPrefill(), PeersAge: peersAge,
+		})
+	}
+}
+
 // prefillMS returns the time, in milliseconds, to prefill the tokens at the replica.
 func (u *upstream) prefillMS(s *replicaState, tokens int) float64 {
 	ms := u.prefillSpeed.PrefillMS(tokens)
@@ -50,16 +77,41 @@
 
 // observeFirstToken records the attempt's time to first token. The lock is held.
 func (a *Attempt) observeFirstToken(now time.Time) {
-	u := a.upstream
-	if u.speeds == nil || a.prefillTokens <= 0 {
+	if a.upstream.speeds == nil {
 		return
 	}
-	expected := u.prefillSpeed.ExpectedMS(a.prefillTokens)
-	ownFraction := 1 - u.prefillSpeed.PrefillMS(a.Choice.PrefillAhead)/expected
-	u.speeds.ObservePrefill(&a.state.speed, expected, 1e3*now.Sub(a.startedAt).Seconds(), ownFraction)
+	a.upstream.speeds.ObservePrefill(&a.state.speed, a.expectedMS, 1e3*now.Sub(a.startedAt).Seconds(), a.ownFraction)
 	a.gaps.Add(now)
 }
 
+// expectFirstToken notes when the first token is expected. The lock is held.
+func (a *Attempt) expectFirstToken() {
+	u := a.upstream
+	if u.speeds == nil || a.isPlain {
+		return
+	}
+	a.expectedMS = u.prefillSpeed.ExpectedMS(a.prefillTokens)
+	a.ownFraction = 1 - u.prefillSpeed.PrefillMS(a.Choice.PrefillAhead)/a.expectedMS
+	a.state.prompts = append(a.state.prompts, a)
+}
+
+// forgetSpeed removes the attempt from those that run. The lock is held.
+func (a *Attempt) forgetSpeed() {
+	if i := slices.Index(a.state.prompts, a); i >= 0 {
+		a.state.prompts = slices.Delete(a.state.prompts, i, i+1)
+	}
+}
+
+// addOverdue counts the attempt if its first or next event is overdue. The lock is held.
+func (a *Attempt) addOverdue(now time.Time) {
+	speeds, e := a.upstream.speeds, &a.state.speed
+	if lastAt := a.gaps.LastAt(); !lastAt.IsZero() {
+		speeds.AddOverdueGap(e, a.state.speedLoad(), now.Sub(lastAt))
+		return
+	}
+	speeds.AddOverdue(e, a.expectedMS, 1e3*now.Sub(a.startedAt).Seconds(), a.ownFraction)
+}
+
 // observeEvent records an event of the answer after the first. The lock is held.
 func (a *Attempt) observeEvent(now time.Time) {
 	u := a.upstream
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -38,6 +38,8 @@
 	presumedAt       int
 	cache            cache
 	speed            replicaspeed.Estimate
+	// prompts is this node's running attempts with prompts, if speeds are estimated.
+	prompts []*Attempt
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -62,6 +62,9 @@
 	speeds         *replicaspeed.Upstream
 	speedEstimates []*replicaspeed.Estimate
 	slowStart      slowStart
+	onSpeedChange  func(SpeedChange)
+	// peersAt is when the sums of the other nodes were last set.
+	peersAt time.Time
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
--- a/internal/replicaspeed/estimate.go
+++ b/internal/replicaspeed/estimate.go
@@ -1,6 +1,9 @@
 package replicaspeed
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Kind is what is observed.
 type Kind int
@@ -13,40 +16,53 @@
 	kinds
 )
 
+// String implements fmt.Stringer.
+func (k Kind) String() string { return [...]string{"prefill", "decode"}[k] }
+
 // Estimate is the estimated speed of one replica. The zero value is that of a replica of which
 // nothing is known.
 type Estimate struct {
 	own, peers [kinds]Observed
+	// overdue is the observations of answers that still wait for their first or next event.
+	overdue [kinds]Observed
 	// factors and logs are as of the last refresh, logs being the logarithms of the factors;
 	// a zero factor counts as 1.
 	factors [kinds]float64
 	logs    [kinds]float64
 	class   Class
+	// nextClass is the class that the factors indicate since nextSince.
+	nextClass Class
+	nextSince time.Time
+	// peaks are the largest weights lately.
+	peaks [kinds]float64
 	// shown is the largest weight of observations so far, of all nodes.
 	shown float64
 }
 
 // PrefillFactor returns how fast the replica prefills: 1 is the upstream's mean, 2 is twice as fast.
-func (e *Estimate) PrefillFactor() float64 { return e.factor(Prefill) }
+func (e *Estimate) PrefillFactor() float64 { return e.Factor(Prefill) }
 
 // DecodeFactor returns how fast the replica decodes.
-func (e *Estimate) DecodeFactor() float64 { return e.factor(Decode) }
+func (e *Estimate) DecodeFactor() float64 { return e.Factor(Decode) }
 
 // ServiceFactor returns how fast a replica of a plain service answers.
-func (e *Estimate) ServiceFactor() float64 { return e.factor(Prefill) }
+func (e *Estimate) ServiceFactor() float64 { return e.Factor(Prefill) }
 
 // Class returns the replica's speed class.
 func (e *Estimate) Class() Class { return e.class }
 
 // Own returns this node's observations, as of the last refresh.
-func (e *Estimate) Own(kind Kind) Observed { return e.own[kind] }
+func (e *Estimate) Own(kind Kind) Observed {
+	return e.own[kind].Plus(e.overdue[kind]).BoundedNode()
+}
 
 // SetPeers sets the sum of the other nodes' observations.
 func (e *Estimate) SetPeers(prefill, decode Observed) {
 	e.peers = [kinds]Observed{prefill.Bounded(), decode.Bounded()}
 }
 
-func (e *Estimate) factor(kind Kind) float64 {
+// Factor returns how fast the replica is in the kind.
+func (e *Estimate) Factor(kind Kind) float64 {
 	if e.factors[kind] == 0 {
 		return 1
 	}
@@ -54,18 +70,31 @@
 }
 
 // all returns the observations of all nodes.
-func (e *Estimate) all(kind Kind) Observed { return e.own[kind].Plus(e.peers[kind]) }
+func (e *Estimate) all(kind Kind) Observed { return e.Own(kind).Plus(e.peers[kind]) }
+
+// vote returns the part of the replica in the mean of its upstream: its mean, with a weight of at
+// most 1. A replica with many extreme observations would otherwise become the mean.
+func (e *Estimate) vote(kind Kind) Observed {
+	o := e.all(kind)
+	return o.scaled(1 / (o.Weight + decodePrior))
+}
 
 // add adds an observation.
 func (e *Estimate) add(kind Kind, log, weight float64) {
 	e.own[kind] = e.own[kind].Plus(Observed{Weight: weight, LogSum: weight * log}).BoundedNode()
 }
 
+// addOverdue adds an observation of an answer that still waits.
+func (e *Estimate) addOverdue(kind Kind, log, weight float64) {
+	e.overdue[kind] = e.overdue[kind].Plus(Observed{Weight: weight, LogSum: weight * clampLog(log)})
+}
+
 // decay scales the weights of all observations down.
-func (e *Estimate) decay(factor float64) {
-	for kind := range kinds {
+func (e *Estimate) decay(factors [kinds]float64) {
+	for kind, factor := range factors {
 		e.own[kind] = e.own[kind].scaled(factor)
 		e.peers[kind] = e.peers[kind].scaled(factor)
+		e.peaks[kind] = max(e.peaks[kind]*math.Sqrt(math.Sqrt(factor)), e.all(Kind(kind)).Weight)
 	}
 }
 
@@ -73,17 +102,50 @@
 func (e *Estimate) update(origins [kinds]float64) {
 	prefill, decode := e.all(Prefill), e.all(Decode)
 	e.shown = max(e.shown, prefill.Weight+decode.Weight)
-	e.logs[Decode] = (decode.LogSum - decode.Weight*origins[Decode]) / (decode.Weight + decodePrior)
+	e.logs[Decode] = e.confidence(Decode, decodePrior) * (decode.mean() - origins[Decode])
 	// Times to first token vary much more than times between events, and a replica that decodes
 	// slowly usually prefills slowly: the estimate shrinks towards that of decoding.
-	e.logs[Prefill] = (prefill.LogSum - prefill.Weight*origins[Prefill] + prefillPrior*e.logs[Decode]) / (prefill.Weight + prefillPrior)
+	confidence := e.confidence(Prefill, prefillPrior)
+	e.logs[Prefill] = confidence*(prefill.mean()-origins[Prefill]) + (1-confidence)*e.logs[Decode]
 	for kind, log := range e.logs {
 		e.logs[kind] = min(max(log, -maxLog), maxLog)
 		e.factors[kind] = math.Exp(e.logs[kind])
 	}
 }
 
+// confidence returns the part of the mean logarithm that is believed. It falls with the weight, and
+// faster when the weight has fallen far below its peak: what many answers have shown would
+// otherwise hold for long after the last one, and a replica that is fast again would get no work.
+func (e *Estimate) confidence(kind Kind, prior float64) float64 {
+	weight := e.all(kind).Weight
+	if weight <= 0 {
+		return 0
+	}
+	fallen := peakFraction * e.peaks[kind] / weight
+	return weight / (weight + prior) / (1 + fallen*fallen)
+}
+
+// updateClass changes the class if the factors have indicated another one for classDwell. It
+// reports whether it did.
+func (e *Estimate) updateClass(now time.Time) bool {
+	indicated := e.class.next(min(e.Factor(Prefill), e.Factor(Decode)))
+	if indicated != e.nextClass || indicated == e.class {
+		e.nextClass, e.nextSince = indicated, now
+		return false
+	}
+	if now.Sub(e.nextSince) < classDwell {
+		return false
+	}
+	e.class = indicated
+	return true
+}
+
 const (
+	// classDwell is the time for which another class must be indicated: replicas that stall for
+	// half a second do not change it.
+	classDwell = time.Second
+	// peakFraction is the part of the peak at which half is believed.
+	peakFraction = 0.15
 	// prefillPrior and decodePrior are the weights with which an estimate shrinks.
 	prefillPrior = 4.0
 	decodePrior  = 1.0
--- a/internal/replicaspeed/gaps.go
+++ b/internal/replicaspeed/gaps.go
@@ -23,6 +23,9 @@
 	count  int
 }
 
+// LastAt returns when the last event came; zero: none came.
+func (g *Gaps) LastAt() time.Time { return g.lastAt }
+
 // Add records an event. When a group of pauses is complete, it returns the typical pause and the
 // time that the group took; otherwise zero. The typical pause is the lower median: pauses in
 // which a prompt was prefilled, and events that were read late, have little effect on it.
--- a/internal/replicaspeed/upstream.go
+++ b/internal/replicaspeed/upstream.go
@@ -16,11 +16,21 @@
 	gapWeightTime = 100 * time.Millisecond
 	minGapWeight  = 0.25
 	maxGapWeight  = 2.0
-	// surpriseWeight is how much more a pause counts that differs from the estimate by a factor
-	// of e. Without it, a replica that became five times slower kept a third of its old factor
-	// for more than 2 s, because observations from before outweigh the new ones.
-	surpriseWeight    = 6.0
-	maxSurpriseWeight = 8.0
+	// An observation beyond extremeLog, a third of the mean speed, counts extremeWeight times, and
+	// so does one that ends such a state. Without it, a replica that became five times slower kept
+	// a third of its speed for more than 2 s, because observations from before outweigh new ones.
+	// Lesser differences are noise as often as not.
+	extremeLog    = 1.1
+	extremeWeight = 8.0
+	// decodeDecay is how much faster observations of the time between events decay: there are many
+	// more of them, and they are the first to show that a replica has become slow.
+	decodeDecay = 2.0
+	// overdueRatio is the part of the expected time after which an answer that still waits for an
+	// event counts as an observation.
+	overdueRatio = 1.5
+	// minOverdueGap is the pause from which the next event may be overdue: shorter ones are those of
+	// prompts that are prefilled meanwhile.
+	minOverdueGap = 250 * time.Millisecond
 	// shownWeight is the weight of observations from which a replica is not new any more.
 	shownWeight = 3.0
 	// serviceLoadRange is the number of requests, in slots, at the end of the curve of a plain
@@ -37,8 +47,6 @@
 	// replica; service is the answer time of a plain service.
 	gaps    [2]curve
 	service curve
-	// established is the number of replicas that are not new.
-	established int
 	// observations counts them by kind.
 	observations [kinds]int
 }
@@ -61,9 +69,35 @@
 	if expectedMS <= 0 || tookMS <= 0 {
 		return
 	}
-	// A time far below the expected one is usually a prompt that was unexpectedly cached.
-	weight := (0.25 + 0.75*ownFraction) * min(max(tookMS/expectedMS, 0.25), 2)
-	u.observe(e, Prefill, math.Log(expectedMS/tookMS), weight)
+	u.observe(e, Prefill, math.Log(expectedMS/tookMS), prefillWeight(expectedMS, tookMS, ownFraction))
+}
+
+// prefillWeight returns the weight of a time to first token. A time far below the expected one is
+// usually that of a prompt that was unexpectedly cached.
+func prefillWeight(expectedMS, tookMS, ownFraction float64) float64 {
+	return (0.25 + 0.75*ownFraction) * min(max(tookMS/expectedMS, 0.25), 2)
+}
+
+// ClearOverdue forgets the answers that waited.
+func (u *Upstream) ClearOverdue(e *Estimate) { e.overdue = [kinds]Observed{} }
+
+// AddOverdue counts a request that still waits for its first token, if it has waited for longer
+// than expected: a replica that has become several times slower shows it by what does not arrive.
+func (u *Upstream) AddOverdue(e *Estimate, expectedMS, waitedMS, ownFraction float64) {
+	if expectedMS <= 0 || waitedMS < overdueRatio*expectedMS {
+		return
+	}
+	e.addOverdue(Prefill, math.Log(expectedMS/waitedMS), prefillWeight(expectedMS, waitedMS, ownFraction))
+}
+
+// AddOverdueGap counts an answer whose next event is overdue.
+func (u *Upstream) AddOverdueGap(e *Estimate, load Load, waited time.Duration) {
+	expected := u.curveAt(load).at(load.Running)
+	ms := milliseconds(waited)
+	if expected <= 0 || waited < minOverdueGap || ms < overdueRatio*expected {
+		return
+	}
+	e.addOverdue(Decode, math.Log(expected/ms), maxGapWeight)
 }
 
 // ObserveGap records the typical pause of a group that took some time.
@@ -72,15 +106,20 @@
 	if ms <= 0 {
 		return
 	}
-	c := &u.gaps[0]
-	if load.Prefilling {
-		c = &u.gaps[1]
-	}
+	c := u.curveAt(load)
 	c.observe(load.Running, ms*e.DecodeFactor())
 	log := clampLog(math.Log(c.at(load.Running) / ms))
-	surprise := math.Abs(log - u.origins[Decode] - e.logs[Decode])
 	weight := min(max(took.Seconds()/gapWeightTime.Seconds(), minGapWeight), maxGapWeight)
-	u.observe(e, Decode, log, weight*min(1+surpriseWeight*surprise*surprise, maxSurpriseWeight))
+	u.observe(e, Decode, log, weight*u.extreme(e, Decode, log))
+}
+
+// extreme returns by what the weight of an observation is multiplied.
+func (u *Upstream) extreme(e *Estimate, kind Kind, log float64) float64 {
+	log -= u.origins[kind]
+	if log < -extremeLog || (e.logs[kind] < -extremeLog && log > e.logs[kind]+extremeLog/2) {
+		return extremeWeight
+	}
+	return 1
 }
 
 // ObserveService records the answer time of a plain service.
@@ -92,8 +131,7 @@
 	x := load.Running / serviceLoadRange
 	u.service.observe(x, ms*e.ServiceFactor())
 	log := clampLog(math.Log(u.service.at(x) / ms))
-	surprise := math.Abs(log - u.origins[Prefill] - e.logs[Prefill])
-	u.observe(e, Prefill, log, min(1+surprise*surprise, 4))
+	u.observe(e, Prefill, log, u.extreme(e, Prefill, log))
 }
 
 func (u *Upstream) observe(e *Estimate, kind Kind, log, weight float64) {
@@ -101,43 +139,49 @@
 	u.observations[kind]++
 }
 
+func (u *Upstream) curveAt(load Load) *curve {
+	if load.Prefilling {
+		return &u.gaps[1]
+	}
+	return &u.gaps[0]
+}
+
+// Observations returns the number of observations of the kind.
+func (u *Upstream) Observations(kind Kind) int { return u.observations[kind] }
+
 // EventIntervalMS returns the expected time between events at the replica, in milliseconds; zero:
 // not known.
 func (u *Upstream) EventIntervalMS(e *Estimate, load Load) float64 {
-	c := &u.gaps[0]
-	if load.Prefilling {
-		c = &u.gaps[1]
-	}
+	c := u.curveAt(load)
 	return c.at(load.Running) / e.DecodeFactor()
 }
 
-// Refresh decays the observations and computes the factors, if they are not recent. It reports
-// whether it did.
-func (u *Upstream) Refresh(now time.Time, estimates []*Estimate) bool {
+// Due reports whether the factors are to be computed again.
+func (u *Upstream) Due(now time.Time) bool { return now.Sub(u.refreshedAt) >= refreshInterval }
+
+// Refresh decays the observations and computes the factors. It calls onChange, if set, with the
+// index of each replica whose class changed.
+func (u *Upstream) Refresh(now time.Time, estimates []*Estimate, onChange func(i int, before Class)) {
 	elapsed := now.Sub(u.refreshedAt)
-	if elapsed < refreshInterval {
-		return false
-	}
 	u.refreshedAt = now
 	decay := math.Exp2(-elapsed.Seconds() / u.halfLife.Seconds())
+	decays := [kinds]float64{Prefill: decay, Decode: math.Pow(decay, decodeDecay)}
 	var sums [kinds]Observed
 	for _, e := range estimates {
-		e.decay(decay)
+		e.decay(decays)
 		for kind := range kinds {
-			sums[kind] = sums[kind].Plus(e.all(kind))
+			sums[kind] = sums[kind].Plus(e.vote(kind))
 		}
 	}
 	for kind, sum := range sums {
 		u.origins[kind] = sum.mean()
 	}
-	u.established = 0
-	for _, e := range estimates {
+	for i, e := range estimates {
 		e.update(u.origins)
-		if e.shown >= shownWeight {
-			u.established++
+		if before := e.class; e.updateClass(now) && onChange != nil {
+			onChange(i, before)
 		}
 	}
-	return true
 }
 
 func clampLog(log float64) float64 { return min(max(log, -maxLog), maxLog) }
