--- a/internal/edge/replicaspeeds.go
+++ b/internal/edge/replicaspeeds.go
@@ -68,6 +68,6 @@
 		"prefill_factor": hundredths(c.Speed.PrefillFactor), "decode_factor": hundredths(c.Speed.DecodeFactor),
 		"prefill_weight": hundredths(c.Speed.PrefillWeight), "own_prefill_weight": hundredths(c.Speed.OwnPrefillWeight),
 		"decode_weight": hundredths(c.Speed.DecodeWeight), "own_decode_weight": hundredths(c.Speed.OwnDecodeWeight),
-		"running": c.Running, "pending_prefill": c.PendingPrefill, "peers_age_ms": c.PeersAge.Milliseconds(),
+		"running": c.Running, "pending_prefill": c.PendingPrefill, "peers_known": c.PeersAge != placement.NoPeers, "peers_age_ms": max(c.PeersAge, 0).Milliseconds(),
 	}
 }
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -27,8 +27,8 @@
 	CachedTokens int
 	// FailureScore is this node's failure score of the replica.
 	FailureScore float64
-	// PrefillSpeed is the estimated prefill speed of the upstream's replicas, in tokens per
-	// millisecond.
+	// PrefillSpeed is the estimated prefill speed of the replica, in tokens per millisecond; that of
+	// the upstream's replicas if the speeds of single replicas are not estimated.
 	PrefillSpeed float64
 }
 
@@ -41,7 +41,7 @@
 		CachedTokens: d.cached, FailureScore: s.failureScoreAt(now),
 	}
 	if r.PromptTokens > 0 {
-		c.PrefillSpeed = u.prefillSpeed.TokensPerMS()
+		c.PrefillSpeed = u.prefillSpeed.TokensPerMS() * s.speed.PrefillFactor()
 		c.MemoryFraction = u.memoryFraction(r, s)
 		c.OwnPrefill = u.prefillTime(s, r.PromptTokens-c.CachedTokens)
 		c.SlotWait = time.Duration(u.slotWaitMS(s, r.Rank) * float64(time.Millisecond))
