--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -21,6 +21,9 @@
 // loads. aliveNodes is the number of other nodes that serve.
 func (p *Placer) SetPeerLoads(node string, loads []Load, inGroup bool, aliveNodes int, now time.Time) {
 	p.mu.Lock()
+	for i := range loads {
+		loads[i].Prefill, loads[i].Decode = loads[i].Prefill.BoundedNode(), loads[i].Decode.BoundedNode()
+	}
 	p.peers[node] = peerLoads{loads: loads, inGroup: inGroup, receivedAt: now}
 	dropExpired(p.peers, now)
 	hasFleetLoads := p.hasFleetLoads(now)
@@ -131,7 +134,7 @@
 func (p *Placer) applyPeerLoads(aliveNodes int, now time.Time) {
 	sums := p.sumPeerLoads(aliveNodes, now)
 	for _, u := range p.allUpstreams() {
-		u.setPeerSums(sums)
+		u.setPeerSums(sums, now)
 	}
 }
 
@@ -158,13 +161,15 @@
 	return sums
 }
 
-func (u *upstream) setPeerSums(sums map[string]Load) {
+func (u *upstream) setPeerSums(sums map[string]Load, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.peersAt = now
 	for _, s := range u.all {
 		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersRunningShort = sum.Running, sum.RunningShort
 		s.peersPrefillBacklog, s.peersTokensInMemory, s.peersFailureScore = sum.PrefillBacklog, sum.TokensInMemory, sum.FailureScore
+		s.speed.SetPeers(sum.Prefill, sum.Decode)
 	}
 }
 
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/replicaspeed"
 )
 
 type replicaState struct {
@@ -36,6 +37,9 @@
 	presumedPauseEnd time.Time
 	presumedAt       int
 	cache            cache
+	speed            replicaspeed.Estimate
+	// prompts is this node's running attempts with prompts, if speeds are estimated.
+	prompts []*Attempt
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
