Traffic between availability zones: cost of leaving per request, home of shared parts in the node's zone

Cause: zoneCost is a constant of 3 ms, whatever bytes a request moves; and the home of shared parts is drawn among all zones, so two thirds of the requests with shared parts leave a fleet of three. Change: section zone_traffic prices the request's and the expected answer's bytes and the learned round trip, forbids pairs, draws the home of shared parts in the own zone, and limits the part of a flow that leaves because of load. Metrics by zone pair and reason, a log line at changes of a part. The template of the deployments turns the section on with 1000 requests per gigabyte; the test of the template expects it.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -48,6 +48,7 @@
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
 	pauses      pause.Table
+	zoneWarner  zoneWarner
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
@@ -97,11 +98,12 @@
 		return nil, err
 	}
 	n.path = n.newReplicaPath()
-	n.conns = replicaconn.NewPool(n.path.Dial, n.countConnection())
+	n.conns = replicaconn.NewPool(n.dialTimed, n.countConnection())
 	n.rateLimiter = newRateLimiter(n)
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
 	n.placer.SetPauses(&n.pauses)
+	n.setUpZoneTraffic()
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
@@ -264,6 +266,7 @@
 	}
 	listing, readAt := n.replicas.Latest()
 	age := n.options.Clock().Sub(readAt)
+	n.zoneWarner.warn(n, &listing)
 	if len(changes) > maxLoggedChanges {
 		n.log.Write(newListingReplaced(listing, changes, age))
 	}
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -41,6 +41,7 @@
 		}
 	}
 	a.recordFirstByte()
+	a.placementAttempt.CountAnswer(len(body))
 	if complete {
 		return a.writeFailure(a.exchange.callerResponse.writeComplete(a.response, body))
 	}
@@ -77,6 +78,7 @@
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := a.response.Body.Read(buffer)
+		a.placementAttempt.CountAnswer(n)
 		if writeErr := out.write(buffer[:n]); writeErr != nil {
 			return a.writeFailure(writeErr)
 		}
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -63,6 +63,7 @@
 func (a *attempt) forwardEvents(events []byte) error {
 	e := a.exchange
 	a.recordVersion()
+	a.placementAttempt.CountAnswer(len(events))
 	if !e.callerResponse.hasStarted() {
 		a.recordFirstByte()
 		e.callerResponse.writeHead(a.response, -1)
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -33,6 +33,9 @@
 	shortPrompt     bool
 	ended           bool
 	answerStartedAt time.Time
+	class           string
+	// answerBytes is the received bytes of the answer.
+	answerBytes int
 }
 
 // PermitGranted records that a rate limit permit was granted and the request is about to be
@@ -112,6 +115,7 @@
 		a.state.waitingSince = time.Time{}
 	}
 	a.state.recordResponse(result)
+	a.upstream.zones.answered(a, result == Answered)
 	switch result {
 	case Cancelled:
 	case Answered:
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -34,9 +34,9 @@
 	// peerFailureWeight discounts failures reported by other nodes, whose network path to the
 	// replica may be at fault.
 	peerFailureWeight = 0.4
-	// zoneCost is the cost of a replica in another availability zone: about one round trip, and
+	// defaultZoneCost is the cost of a replica in another availability zone: about one round trip, and
 	// the traffic between zones.
-	zoneCost = 3.0
+	defaultZoneCost = 3.0
 	// failedZoneCost is the cost of a zone in which the request has already failed: the network
 	// path to it may be at fault.
 	failedZoneCost = 60.0
@@ -61,7 +61,7 @@
 	} else {
 		cost += u.slotQueueMS(s)
 	}
-	return cost + healthCost(now, s) + u.zoneAndRetryCost(r, s)
+	return cost + healthCost(now, s) + u.zoneAndRetryCost(now, r, s, p)
 }
 
 // promptCost returns the cost of prefilling the prompt, including its effect on the requests
@@ -71,7 +71,7 @@
 	cached := p.expectedCachedTokens(now, r, s)
 	copied := p.copyableTokens(s, cached)
 	uncached := r.PromptTokens - cached - copied
-	cost := copyCost * float64(copied)
+	cost := copyCost*float64(copied) + u.zones.copyMS(p.mostPrefilledAt(s.replica.Version).state, s, copied)
 	cost += u.prefillSpeed.PrefillMS(s.pendingPrefill()+uncached) + u.slotWaitMS(s, r.Rank)
 	cost += recompute * float64(r.sharedTokens()-cached-copied)
 	// An engine that runs out of memory preempts requests and prefills them again.
@@ -90,11 +90,8 @@
 
 // zoneAndRetryCost returns the cost of the replica's zone and of earlier failures of this
 // request at the replica or in its zone.
-func (u *upstream) zoneAndRetryCost(r *Request, s *replicaState) float64 {
-	cost := 0.0
-	if s.replica.AvailabilityZone != u.zone {
-		cost += zoneCost
-	}
+func (u *upstream) zoneAndRetryCost(now time.Time, r *Request, s *replicaState, p *prefixLocation) float64 {
+	cost := u.zoneCostOf(now, r, s, p)
 	if slices.Contains(r.FailedZones, s.replica.AvailabilityZone) {
 		cost += failedZoneCost
 	}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -32,11 +32,14 @@
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
 	fleetLoadsAt time.Time
+	// zoneTraffic decides which requests leave the zone; nil: other zones cost zoneCost.
+	zoneTraffic *ZoneTraffic
+	zoneCost    float64
 }
 
 // NewPlacer returns a placer for a node in the availability zone.
 func NewPlacer(zone string, replicas *replica.Set, random *rand.Rand) *Placer {
-	return &Placer{zone: zone, replicas: replicas, rand: random, upstreams: make(map[string]*upstream), peers: make(map[string]peerLoads), groups: make(map[string]peerLoads)}
+	return &Placer{zone: zone, zoneCost: defaultZoneCost, replicas: replicas, rand: random, upstreams: make(map[string]*upstream), peers: make(map[string]peerLoads), groups: make(map[string]peerLoads)}
 }
 
 func (p *Placer) upstream(name string) *upstream {
@@ -46,6 +49,7 @@
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
 		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
+		u.zones, u.zoneCost = newZoneView(p.zoneTraffic, name, p.zone), p.zoneCost
 		p.upstreams[name] = u
 	}
 	return u
@@ -98,7 +102,8 @@
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
 	current := u.restrictions(now)
-	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now}
+	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now, class: r.Class}
+	u.zones.count(r, s, d.cachedAway)
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
--- a/internal/placement/prefix.go
+++ b/internal/placement/prefix.go
@@ -17,6 +17,8 @@
 	// mostPrefilled has, for each software version, the replica that has prefilled the most tokens of
 	// the parts. Cached parts do not fit replicas of another version.
 	mostPrefilled []prefilledParts
+	// zones keeps copies from forbidden pairs of zones; nil: none are forbidden.
+	zones *zoneView
 }
 
 // prefilledParts is a replica and the number of tokens of the parts that it has prefilled.
@@ -93,7 +95,7 @@
 // version, beyond those it has cached.
 func (p *prefixLocation) copyableTokens(s *replicaState, cached int) int {
 	m := p.mostPrefilledAt(s.replica.Version)
-	if s == m.state {
+	if s == m.state || p.zones.forbidsCopy(m.state, s) {
 		return 0
 	}
 	return max(m.tokens-cached, 0)
@@ -113,7 +115,7 @@
 	if s == p.primary {
 		guess = p.secondary
 	}
-	if guess == nil || guess.replica.Version != s.replica.Version {
+	if guess == nil || guess.replica.Version != s.replica.Version || p.zones.forbidsCopy(guess, s) {
 		return nil
 	}
 	return guess
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -16,6 +16,8 @@
 	PromptTokens int
 	// AnswerTokens is the expected length of the answer.
 	AnswerTokens int
+	// Bytes is the size of the request.
+	Bytes int
 	// MemoryTokens is the capacity of a replica's memory in tokens; zero: not known.
 	MemoryTokens int
 	// CanCopyCache is whether replicas can copy cached parts from each other.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -55,12 +55,15 @@
 	split           split
 	// recentPlacements is where prompts were recently sent, for announcement to other nodes.
 	recentPlacements placements
+	// zones decides on traffic between availability zones; nil: other zones cost zoneCost.
+	zones    *zoneView
+	zoneCost float64
 	// backlogScratch is a buffer that medianPrefillMS reuses to avoid an allocation per request.
 	backlogScratch []int
 }
 
 func newUpstream(zone string, random *rand.Rand) *upstream {
-	return &upstream{zone: zone, rand: random, states: make(map[string]*replicaState), serviceMS: initialServiceMS, prefillSpeed: enginespeed.NewEstimator(), avgPromptTokens: make(map[string]float64)}
+	return &upstream{zone: zone, zoneCost: defaultZoneCost, rand: random, states: make(map[string]*replicaState), serviceMS: initialServiceMS, prefillSpeed: enginespeed.NewEstimator(), avgPromptTokens: make(map[string]float64)}
 }
 
 // syncReplicas updates the states to the known replicas. The lock is held.
@@ -85,6 +88,7 @@
 	for _, r := range availableReplicas(replicas) {
 		u.available = append(u.available, u.states[r.ID])
 	}
+	u.zones.sync(u.available)
 }
 
 // sameSlice reports whether both are the same slice. The replica set returns the same slice
@@ -113,6 +117,8 @@
 	cached int
 	// source is the replica to copy from; nil: none.
 	source *replicaState
+	// cachedAway is whether the shared parts were read in the replica's zone and not in this one.
+	cachedAway bool
 }
 
 // choose returns the cheapest available replica, or nil.
@@ -128,7 +134,8 @@
 	if !u.hasLongPrompts(r) {
 		side = states[:shortCount]
 	}
-	location := locatePrefix(now, r, states, side)
+	location := locatePrefix(now, r, u.zones.homeFirst(states), u.beginZones(now, r, side))
+	location.zones = u.zones
 	recompute := recomputeCost * (1 + u.medianPrefillMS(side)/backlogDoublingMS)
 	fraction := u.candidateFraction(side)
 	best, lowest := u.cheapest(now, r, &current, shortCount, &location, recompute, fraction)
@@ -139,7 +146,9 @@
 	if best == nil {
 		return nil
 	}
-	return newDecision(now, r, best, lowest, &location)
+	d := newDecision(now, r, best, lowest, &location)
+	d.cachedAway = u.zones.cachedAway(now, r, best, &location)
+	return d
 }
 
 // cheapest returns the replica of lowest cost, and that cost, among a random fraction of the
@@ -157,7 +166,7 @@
 		cost += u.sideCost(r, i < shortCount)
 		if current.awaitsSlot && current.isBrittle(s) {
 			// What runs there tells little of how many requests wait.
-			cost = healthCost(now, s) + u.zoneAndRetryCost(r, s) + current.slotWaitMS(s) + waitSpread*u.rand.Float64()
+			cost = healthCost(now, s) + u.zoneAndRetryCost(now, r, s, location) + current.slotWaitMS(s) + waitSpread*u.rand.Float64()
 		}
 		if cost < lowest && r.fits(s) && current.allows(s) {
 			best, lowest = s, cost
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -43,6 +43,9 @@
 	Retries    RetryBudget `yaml:"retry_budget,omitempty"`
 	// Duties is what one node at a time does for the whole fleet; nil: nothing.
 	Duties *Duties `yaml:"duties,omitempty"`
+	// ZoneTraffic decides which requests leave their availability zone; nil: other zones have a small
+	// constant cost.
+	ZoneTraffic *ZoneTraffic `yaml:"zone_traffic,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -88,6 +91,7 @@
 		}
 	}
 	checkDuties(source, p.Duties)
+	checkZoneTraffic(source, p.ZoneTraffic)
 }
 
 func (p *PassThrough) fillDefaults() {
@@ -99,6 +103,7 @@
 	p.Grace = cmp.Or(p.Grace, defaultGrace)
 	p.ResolveTTL = cmp.Or(p.ResolveTTL, defaultResolveTTL)
 	p.Duties.fillDefaults()
+	p.ZoneTraffic.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
--- a/internal/settings/passthrough_test.go
+++ b/internal/settings/passthrough_test.go
@@ -101,6 +101,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	maxShare := defaultMaxShare
 	want := PassThrough{
 		ReadyListen: "10.1.0.19:8749", ResolveListen: "10.1.0.19:8746", RevokeAfter: config.Duration(5 * time.Second),
 		ApplyWithin: config.Duration(2 * time.Second), LeaveWithin: config.Duration(2 * time.Second), Grace: config.Duration(8 * time.Second), ResolveTTL: config.Duration(2 * time.Second), MemoryMB: 284,
@@ -109,6 +110,7 @@
 			Address: "10.200.0.70:8181", Kinds: []DutyKind{Metering, Autoscale}, Lease: config.Duration(3 * time.Second),
 			UsageWindow: config.Duration(5 * time.Second), UsageDelay: config.Duration(10 * time.Second),
 		},
+		ZoneTraffic: &ZoneTraffic{RequestsPerGigabyte: 1000, MaxShare: &maxShare},
 	}
 	if !reflect.DeepEqual(*s.PassThrough, want) {
 		t.Errorf("%+v, want %+v", *s.PassThrough, want)
