Zone traffic: sides of short and long prompts have all zones; fleetsim plays zones and prices

Change: with zone_traffic on, available replicas alternate by zone before they are split into sides; fleetsim gets a ZoneModel (zones of callers, latency, price, bursts of a zone).

--- a/internal/fleetsim/call.go
+++ b/internal/fleetsim/call.go
@@ -12,8 +12,10 @@
 	ownTokens    int
 	answerTokens int
 	longestPause time.Duration
-	outcome      outcome
-	settled      bool
+	// travel is the time that the request and the answer need between zones.
+	travel  time.Duration
+	outcome outcome
+	settled bool
 }
 
 // outcome says how a call ended.
@@ -38,7 +40,7 @@
 	if j.lastAt > c.deadline {
 		return failed
 	}
-	inTime := j.firstAt-c.arrived <= c.class.Objective
+	inTime := j.firstAt-c.arrived+c.travel <= c.class.Objective
 	smooth := c.class.MaxPause == 0 || c.longestPause <= c.class.MaxPause
 	if inTime && smooth {
 		return onTime
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -40,7 +40,8 @@
 	// issuer gives the permits of engines that name rates.
 	issuer *ratelimit.Issuer
 	// sums are those of the hubs that may still be told, oldest first.
-	sums []sums
+	sums      []sums
+	zoneTally ZoneTally
 }
 
 // comeback is a refused call that is sent once more.
@@ -98,7 +99,7 @@
 func (f *fleet) arrive(now time.Duration) {
 	for i := range f.scenario.Classes {
 		class := &f.scenario.Classes[i]
-		perTick := class.PerSecond * f.scenario.times(class.Name, now) * tick.Seconds()
+		perTick := class.PerSecond * f.scenario.times(class.Name, now) * f.scenario.Zones.load(now) * tick.Seconds()
 		for ; perTick > 0; perTick-- {
 			if f.random.Float64() < perTick {
 				f.call(now, i)
@@ -116,7 +117,7 @@
 		answerTokens: length(f.random, class.AnswerTokens, class.Spread),
 	}
 	if class.Sessions > 0 {
-		c.session = uint64(i+1)<<32 | uint64(f.random.IntN(class.Sessions)+1)
+		c.session = uint64(i+1)<<32 | f.session(now, class)
 	}
 	f.calls = append(f.calls, c)
 	f.send(now, c)
@@ -137,7 +138,7 @@
 
 // send has a node decide on the call.
 func (f *fleet) send(now time.Duration, c *call) {
-	n := f.nodes[f.random.IntN(len(f.nodes))]
+	n := f.entry(c)
 	request := f.request(c)
 	at := epoch.Add(now)
 	for {
@@ -152,6 +153,7 @@
 			return
 		}
 		if f.permitted(n, at, attempt) {
+			f.travel(n, c, attempt)
 			f.start(now, c, &request, attempt)
 			return
 		}
@@ -164,7 +166,7 @@
 	r := placement.Request{
 		Class: c.class.Name, Rank: c.class.Rank,
 		PromptTokens: c.ownTokens, AnswerTokens: c.answerTokens,
-		MemoryTokens: f.scenario.Model.MemoryTokens, CanCopyCache: f.scenario.Copies,
+		MemoryTokens: f.scenario.Model.MemoryTokens, CanCopyCache: f.scenario.Copies, Bytes: f.requestBytes(c),
 	}
 	if common := c.class.Common; common > 0 {
 		// Sessions share the first part of their prompts with many others.
@@ -221,6 +223,7 @@
 			j.attempt.AnswerStarted(at)
 		}
 		if j.whole() && j.lastAt <= now {
+			j.attempt.CountAnswer(j.answerTokens * answerBytesPerToken)
 			j.attempt.End(at, placement.Answered)
 			j.call.settle(j.call.judge(j))
 			continue
@@ -233,6 +236,9 @@
 // exchange lets each node tell some others of its loads and placements, in turns.
 func (f *fleet) exchange(now time.Duration) {
 	every := f.scenario.NewsEvery
+	if !f.sample(now) {
+		return
+	}
 	if f.scenario.Hubs {
 		f.addUp(now)
 	}
@@ -262,7 +268,7 @@
 
 // report counts the calls that came early enough to end.
 func (f *fleet) report() *Report {
-	r := &Report{Classes: make(map[string]*Tally)}
+	r := &Report{Classes: make(map[string]*Tally), Zones: f.zoneTally}
 	for i := range f.scenario.Classes {
 		r.Classes[f.scenario.Classes[i].Name] = &Tally{}
 	}
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -14,6 +14,8 @@
 // node is one node of the product: its decisions and what it believes.
 type node struct {
 	name   string
+	zone   string
+	index  int
 	placer *placement.Placer
 	gates  overload.Gates
 	random *rand.Rand
@@ -28,10 +30,11 @@
 	for i := range nodes {
 		random := rand.New(rand.NewPCG(s.Seed, uint64(1000+i)))
 		zone := fmt.Sprintf("z%d", i%zones)
-		n := &node{name: fmt.Sprintf("vm-%d", i), placer: placement.NewPlacer(zone, replicas, random), random: random}
+		n := &node{name: fmt.Sprintf("vm-%d", i), zone: zone, index: i, placer: placement.NewPlacer(zone, replicas, random), random: random}
 		n.limits = ratelimit.NewTable(func() boottime.Instant { return 0 })
 		n.permits = ratelimit.NewPermits(n.limits)
 		n.placer.SetPermits(n.permits)
+		n.setUpZones(s.Zones)
 		if s.SeeAll {
 			n.placer.ConsiderAllReplicas()
 		}
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -11,6 +11,8 @@
 	ReadAgain  int
 	// Busiest is the calls at the engine that got most, by the mean of all.
 	Busiest float64
+	// Zones is what left the zones, if the scenario has a ZoneModel.
+	Zones ZoneTally
 }
 
 // Tally counts the calls of one class.
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -27,7 +27,9 @@
 	SeeAll bool
 	// Ungated lets every request in.
 	Ungated bool
-	Seed    uint64
+	// Zones is what distance between zones means; nil: nothing.
+	Zones *ZoneModel
+	Seed  uint64
 }
 
 // Burst multiplies the load of a class.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -9,8 +9,9 @@
 
 type replicaState struct {
 	replica replica.Replica
-	// zoneIndex is the index of its zone in zoneView.names.
-	zoneIndex int
+	// zoneIndex is the index of its zone in zoneView.names, placeInZone its place among the zone's
+	// available replicas.
+	zoneIndex, placeInZone int
 	// running is the number of this node's attempts at the replica, runningShort those of classes
 	// with short prompts, prefillBacklog the prompt tokens of attempts without a first byte, and
 	// tokensInMemory what all attempts take of the replica's memory.
--- a/internal/placement/zoneview.go
+++ b/internal/placement/zoneview.go
@@ -63,7 +63,9 @@
 	return v
 }
 
-// sync indexes the zones of the available replicas.
+// sync indexes the zones of the available replicas, and reorders these so that zones alternate: a side,
+// which is a leading or trailing part of them, has about the same part of each zone. All nodes get the
+// same order.
 func (v *zoneView) sync(available []*replicaState) {
 	if v == nil {
 		return
@@ -78,6 +80,12 @@
 	for _, s := range available {
 		s.zoneIndex = slices.Index(v.names, s.replica.AvailabilityZone)
 	}
+	places := make([]int, len(v.names))
+	for _, s := range available {
+		s.placeInZone = places[s.zoneIndex]
+		places[s.zoneIndex]++
+	}
+	slices.SortStableFunc(available, func(a, b *replicaState) int { return a.placeInZone - b.placeInZone })
 	v.leave, v.hold = make([]float64, len(v.names)), make([]float64, len(v.names))
 	v.ordered = append(v.ordered[:0], available...)
 	slices.SortStableFunc(v.ordered, func(a, b *replicaState) int { return min(a.zoneIndex, 1) - min(b.zoneIndex, 1) })
