Zone traffic: tests for a zone that loses half of its replicas, a fleet in halves, and the wiring

Change: fleetsim's ZoneModel can take engines of a zone away and stop news between two halves of the nodes; an edge test starts a node with the section.

--- a/internal/edge/zonetraffic_test.go
+++ b/internal/edge/zonetraffic_test.go
@@ -1,11 +1,15 @@
 package edge
 
 import (
+	"context"
 	"strings"
 	"testing"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/forward/forwardtest"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/replica"
 	"galenatrestle/internal/settings"
@@ -30,3 +34,44 @@
 		t.Errorf("logged %s", got)
 	}
 }
+
+// Guards against a section that is checked and then not used.
+func TestTheSectionTurnsZoneTrafficOn(t *testing.T) {
+	d := newDeployment(t)
+	if d.nodes[0].hasMetric("trestle_zone_share") {
+		t.Error("a node without the section has the metrics")
+	}
+	s := *d.nodes[0].options.Settings
+	pass := *s.PassThrough
+	share := 0.5
+	pass.ZoneTraffic = &settings.ZoneTraffic{RequestsPerGigabyte: 1000, MaxShare: &share, Forbidden: []settings.ZonePair{{From: "hall-a", To: "hall-x"}}}
+	s.PassThrough, s.Name = &pass, "vm-3"
+	n, err := New(Options{
+		Settings: &s, Store: nodeStore{d.store, "vm-3"}, Codec: forwardtest.Codec{}, Decode: decodeDocument,
+		Wire: testWire{}, Clock: boottime.Now, Seed: 1, Output: &lockedBuffer{}, Duties: d.duties,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if err := n.Run(ctx); err != nil {
+		t.Error(err)
+	}
+	if running := (&runningNode{Node: n}); !running.hasMetric("trestle_zone_share") {
+		t.Error("a node with the section has no metrics of it")
+	}
+}
+
+// hasMetric reports whether the node registered the metric.
+func (n *runningNode) hasMetric(name string) bool {
+	descriptions := make(chan *prometheus.Desc, 1000)
+	n.registry.Describe(descriptions)
+	close(descriptions)
+	for d := range descriptions {
+		if strings.Contains(d.String(), `"`+name+`"`) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -55,6 +55,7 @@
 	f := newFleet(&s)
 	for now := time.Duration(0); now < s.Length; now += tick {
 		f.crash(now)
+		f.loseEngines(now)
 		f.limit(now)
 		f.arrive(now)
 		f.comeBack(now)
@@ -252,7 +253,7 @@
 		}
 		at := epoch.Add(now)
 		for _, k := range f.random.Perm(len(f.nodes))[:min(askedAtOnce, len(f.nodes))] {
-			if other := f.nodes[k]; other != n {
+			if other := f.nodes[k]; other != n && f.hears(n, other, now) {
 				tell(n, other, len(f.nodes)-1, at)
 				tell(other, n, len(f.nodes)-1, at)
 			}
--- a/internal/fleetsim/zones.go
+++ b/internal/fleetsim/zones.go
@@ -29,8 +29,11 @@
 	Roaming float64
 	// Bursts multiply the load of a zone.
 	Bursts []ZoneBurst
-	// SilentFrom is when all news between nodes end; zero: they do not.
-	SilentFrom time.Duration
+	// SilentFrom is when all news between nodes end, and HalvesFrom when those between nodes of odd and
+	// even numbers do; zero: they do not.
+	SilentFrom, HalvesFrom time.Duration
+	// Losses take engines of a zone away.
+	Losses []ZoneLoss
 	// Sample, if not nil, is called every 100 ms for each node.
 	Sample func(now time.Duration, node, zone string, p *placement.Placer)
 	// OnChange, if not nil, is called for the changes of parts at each node.
@@ -44,6 +47,33 @@
 	Times    float64
 }
 
+// ZoneLoss takes so many engines of a zone away for a while.
+type ZoneLoss struct {
+	Zone    int
+	At, For time.Duration
+	Engines int
+}
+
+// loseEngines takes engines of zones away as the scenario says.
+func (f *fleet) loseEngines(now time.Duration) {
+	if f.scenario.Zones == nil {
+		return
+	}
+	for _, l := range f.scenario.Zones.Losses {
+		for i := range l.Engines {
+			if l.At == now {
+				f.engines[l.Zone+zones*i].crash(now + l.For)
+			}
+		}
+	}
+}
+
+// hears reports whether news pass between the nodes.
+func (f *fleet) hears(a, b *node, now time.Duration) bool {
+	m := f.scenario.Zones
+	return m == nil || m.HalvesFrom == 0 || now < m.HalvesFrom || a.index%2 == b.index%2
+}
+
 // ZoneTally counts what left the zones.
 type ZoneTally struct {
 	Asked, Left int
--- a/internal/fleetsim/zones_test.go
+++ b/internal/fleetsim/zones_test.go
@@ -174,6 +174,30 @@
 	}
 }
 
+// Guards against a zone that waits for replicas that it has lost, and against halves of a fleet that
+// send away what they take for room.
+func TestTroubleCostsNoMoreThanWithTheConstant(t *testing.T) {
+	for name, trouble := range map[string]func(*ZoneModel){
+		"a zone loses half of its replicas": func(m *ZoneModel) {
+			m.Losses = []ZoneLoss{{Zone: 1, At: 5 * time.Second, For: 8 * time.Second, Engines: 6}}
+		},
+		"the fleet is cut in two": func(m *ZoneModel) { m.HalvesFrom = 5 * time.Second },
+	} {
+		before, after := 0.0, 0.0
+		for seed := range uint64(2) {
+			s := atLoads(1.5, 1.5, 1.5)(seed)
+			trouble(s.Zones)
+			value, _, _ := zoneValue(t, name+", constant", s)
+			withTraffic(&s)
+			traffic, _, _ := zoneValue(t, name, s)
+			before, after = before+value/2, after+traffic/2
+		}
+		if after < before-0.01 {
+			t.Errorf("%s: value %.3f, %.3f with the constant", name, after, before)
+		}
+	}
+}
+
 // randomZones is a deployment with random loads, latency between 0.2 and 10 ms, and a price of 100 to
 // 10,000 requests per gigabyte.
 func randomZones(seed uint64) Scenario {
