--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -40,7 +40,8 @@
 	// issuer gives the permits of engines that name rates.
 	issuer *ratelimit.Issuer
 	// sums are those of the hubs that may still be told, oldest first.
-	sums []sums
+	sums      []sums
+	zoneTally ZoneTally
 }
 
 // comeback is a refused call that is sent once more.
@@ -54,6 +55,7 @@
 	f := newFleet(&s)
 	for now := time.Duration(0); now < s.Length; now += tick {
 		f.crash(now)
+		f.loseEngines(now)
 		f.limit(now)
 		f.arrive(now)
 		f.comeBack(now)
@@ -99,7 +101,7 @@
 func (f *fleet) arrive(now time.Duration) {
 	for i := range f.scenario.Classes {
 		class := &f.scenario.Classes[i]
-		perTick := class.PerSecond * f.scenario.times(class.Name, now) * tick.Seconds()
+		perTick := class.PerSecond * f.scenario.times(class.Name, now) * f.scenario.Zones.load(now) * tick.Seconds()
 		for ; perTick > 0; perTick-- {
 			if f.random.Float64() < perTick {
 				f.call(now, i)
@@ -117,7 +119,7 @@
 		answerTokens: length(f.random, class.AnswerTokens, class.Spread),
 	}
 	if class.Sessions > 0 {
-		c.session = uint64(i+1)<<32 | uint64(f.random.IntN(class.Sessions)+1)
+		c.session = uint64(i+1)<<32 | f.session(now, class)
 	}
 	f.calls = append(f.calls, c)
 	f.send(now, c)
@@ -138,7 +140,7 @@
 
 // send has a node decide on the call.
 func (f *fleet) send(now time.Duration, c *call) {
-	n := f.nodes[f.random.IntN(len(f.nodes))]
+	n := f.entry(c)
 	request := f.request(c)
 	at := epoch.Add(now)
 	for {
@@ -153,6 +155,7 @@
 			return
 		}
 		if f.permitted(n, at, attempt) {
+			f.travel(n, c, attempt)
 			f.start(now, c, &request, attempt)
 			return
 		}
@@ -165,7 +168,7 @@
 	r := placement.Request{
 		Class: c.class.Name, Rank: c.class.Rank,
 		PromptTokens: c.ownTokens, AnswerTokens: c.answerTokens,
-		MemoryTokens: f.scenario.Model.MemoryTokens, CanCopyCache: f.scenario.Copies,
+		MemoryTokens: f.scenario.Model.MemoryTokens, CanCopyCache: f.scenario.Copies, Bytes: f.requestBytes(c),
 	}
 	if common := c.class.Common; common > 0 {
 		// Sessions share the first part of their prompts with many others.
@@ -226,6 +229,7 @@
 			j.hear(now)
 		}
 		if j.whole() && j.lastAt <= now {
+			j.attempt.CountAnswer(j.answerTokens * answerBytesPerToken)
 			j.attempt.End(at, placement.Answered)
 			j.call.settle(j.call.judge(j))
 			continue
@@ -238,6 +242,9 @@
 // exchange lets each node tell some others of its loads and placements, in turns.
 func (f *fleet) exchange(now time.Duration) {
 	every := f.scenario.NewsEvery
+	if !f.sample(now) {
+		return
+	}
 	if f.scenario.Hubs {
 		f.addUp(now)
 	}
@@ -251,7 +258,7 @@
 		}
 		at := epoch.Add(now)
 		for _, k := range f.random.Perm(len(f.nodes))[:min(askedAtOnce, len(f.nodes))] {
-			if other := f.nodes[k]; other != n {
+			if other := f.nodes[k]; other != n && f.hears(n, other, now) {
 				tell(n, other, len(f.nodes)-1, at)
 				tell(other, n, len(f.nodes)-1, at)
 			}
@@ -267,7 +274,7 @@
 
 // report counts the calls that came early enough to end.
 func (f *fleet) report() *Report {
-	r := &Report{Classes: make(map[string]*Tally)}
+	r := &Report{Classes: make(map[string]*Tally), Zones: f.zoneTally}
 	for i := range f.scenario.Classes {
 		r.Classes[f.scenario.Classes[i].Name] = &Tally{}
 	}
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -14,6 +14,8 @@
 	// SlowedShare is the new work of slowed engines from a second after they turned slow, by
 	// that before.
 	SlowedShare float64
+	// Zones is what left the zones, if the scenario has a ZoneModel.
+	Zones ZoneTally
 }
 
 // Tally counts the calls of one class.
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -30,6 +30,9 @@
 	// Speeds is how the engines differ in speed.
 	Speeds Speeds
 	Seed   uint64
+	// Zones is what distance between zones means; nil: nothing.
+	Zones *ZoneModel
+	Seed  uint64
 }
 
 // Burst multiplies the load of a class.
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -42,6 +42,9 @@
 	gaps            replicaspeed.Gaps
 	ended           bool
 	answerStartedAt time.Time
+	class           string
+	// answerBytes is the received bytes of the answer.
+	answerBytes int
 }
 
 // PermitGranted records that a rate limit permit was granted and the request is about to be
@@ -124,6 +127,7 @@
 		a.state.waitingSince = time.Time{}
 	}
 	a.state.recordResponse(result)
+	a.upstream.zones.answered(a, result == Answered)
 	switch result {
 	case Cancelled:
 	case Answered:
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -45,6 +45,9 @@
 	Duties *Duties `yaml:"duties,omitempty"`
 	// ReplicaSpeeds are the estimates of replica speeds; nil: off.
 	ReplicaSpeeds *ReplicaSpeeds `yaml:"replica_speeds,omitempty"`
+	// ZoneTraffic decides which requests leave their availability zone; nil: other zones have a small
+	// constant cost.
+	ZoneTraffic *ZoneTraffic `yaml:"zone_traffic,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -91,6 +94,7 @@
 	}
 	checkDuties(source, p.Duties)
 	checkReplicaSpeeds(source, p.ReplicaSpeeds)
+	checkZoneTraffic(source, p.ZoneTraffic)
 }
 
 func (p *PassThrough) fillDefaults() {
@@ -103,6 +107,7 @@
 	p.ResolveTTL = cmp.Or(p.ResolveTTL, defaultResolveTTL)
 	p.Duties.fillDefaults()
 	p.ReplicaSpeeds.fillDefaults()
+	p.ZoneTraffic.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
