--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -29,7 +29,6 @@
 	Ungated bool
 	// Speeds is how the engines differ in speed.
 	Speeds Speeds
-	Seed   uint64
 	// Zones is what distance between zones means; nil: nothing.
 	Zones *ZoneModel
 	Seed  uint64
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -61,8 +61,7 @@
 	} else {
 		cost += u.slotQueueMS(s)
 	}
-	return cost + healthCost(now, s) + u.zoneAndRetryCost(r, s) + u.speedCost(r, s)
-	return cost + healthCost(now, s) + u.zoneAndRetryCost(now, r, s, p)
+	return cost + healthCost(now, s) + u.zoneAndRetryCost(now, r, s, p) + u.speedCost(r, s)
 }
 
 // promptCost returns the cost of prefilling the prompt, including its effect on the requests
@@ -72,10 +71,8 @@
 	cached := p.expectedCachedTokens(now, r, s)
 	copied := p.copyableTokens(s, cached)
 	uncached := r.PromptTokens - cached - copied
-	cost := copyCost * float64(copied)
-	cost += u.prefillMS(s, s.pendingPrefill()+uncached) + u.slotWaitMS(s, r.Rank)
 	cost := copyCost*float64(copied) + u.zones.copyMS(p.mostPrefilledAt(s.replica.Version).state, s, copied)
-	cost += u.prefillSpeed.PrefillMS(s.pendingPrefill()+uncached) + u.slotWaitMS(s, r.Rank)
+	cost += u.prefillMS(s, s.pendingPrefill()+uncached) + u.slotWaitMS(s, r.Rank)
 	cost += recompute * float64(r.sharedTokens()-cached-copied)
 	// An engine that runs out of memory preempts requests and prefills them again.
 	cost += max(u.memoryFraction(r, s)-memoryPressureThreshold, 0) * memoryPressureCost
--- a/internal/settings/replicaspeeds_test.go
+++ b/internal/settings/replicaspeeds_test.go
@@ -16,8 +16,8 @@
 
 func TestReplicaSpeedsAreOffWithoutTheirSection(t *testing.T) {
 	for section, want := range map[string]*ReplicaSpeeds{
-		"": nil,
-		"  replica_speeds: {}\n":                  {HalfLife: config.Duration(2 * time.Second)},
+		"":                       nil,
+		"  replica_speeds: {}\n": {HalfLife: config.Duration(2 * time.Second)},
 		"  replica_speeds: {half_life: 1500ms}\n": {HalfLife: config.Duration(1500 * time.Millisecond)},
 	} {
 		s, err := Parse(speedSettings(section))
