Fair admission by workspace: own use, shares, admission, setting

Package fairshare keeps decayed cost by upstream and workspace and divides an upstream that is short of capacity max-min. Workspaces above their share are admitted up to a shorter queue time and get the less urgent half of their rank. The section fair_admission turns it on. call_ended and other lines of calls carry the workspace.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,6 +17,7 @@
 
 	"galenatrestle/internal/crashcause"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/passthrough"
@@ -52,6 +53,7 @@
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
 	sharing     *limitSharing
+	fairShare   *fairshare.Sharing
 	handler     *passthrough.Handler
 	crashCauses *crashcause.Tracker
 	quarantines *quarantineKeeper
@@ -107,6 +109,8 @@
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
 	n.crashCauses = crashcause.NewTracker(0, n.makesTrial, n.onCauseChange)
 	crashcause.RegisterMetrics(registry, n.crashCauses)
+	n.fairShare = n.newFairShare()
+	registry.MustRegister(n.fairShare)
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
@@ -186,7 +190,7 @@
 		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
-		OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
+		FairShare: n.fairShare, OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -116,10 +116,15 @@
 
 // admit applies overload control to the call at the chosen replica.
 func (e *exchange) admit(c *placement.Choice) overload.Decision {
-	return e.forwarder.gates.Of(e.call.Upstream).Decide(time.Now(), overload.Request{
-		Rank: e.call.Rank, Objective: e.call.Route.Objective, TimeLeft: time.Until(e.call.Deadline),
+	now := time.Now()
+	request := overload.Request{
+		Rank: e.placementRequest.Rank, Objective: e.call.Route.Objective, TimeLeft: time.Until(e.call.Deadline),
 		QueueTime: c.FirstTokenTime - c.OwnPrefill, OwnPrefill: c.OwnPrefill, MemoryUsed: c.MemoryFraction,
-	})
+		Share: e.standing.Share,
+	}
+	decision := e.forwarder.gates.Of(e.call.Upstream).Decide(now, request)
+	e.observeShare(now, c, &request, decision.Refused())
+	return decision
 }
 
 // refuseIfOverloaded returns a failure if overload control refuses the call.
@@ -216,7 +221,7 @@
 			Remaining:   time.Until(c.Deadline),
 			Replica:     a.placementAttempt.Replica.ID,
 			Workspace:   c.workspace(),
-			Rank:        c.Rank,
+			Rank:        a.exchange.placementRequest.Rank,
 			LastEventID: a.exchange.lastEventID,
 			CopyFrom:    a.placementAttempt.CopyFrom,
 		}),
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -21,6 +21,8 @@
 	StreamVersion *string
 	// Rank is the call's urgency; 0 is the most urgent.
 	Rank int
+	// Ranks is the number of ranks that calls may have; zero if unknown.
+	Ranks int
 	// MemoryTokens is a replica's memory capacity in tokens; zero if unknown.
 	MemoryTokens int
 	// CanCopyCache is true if replicas can copy cached prompt parts from each other.
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -56,6 +56,7 @@
 		"request":      e.call.ID,
 		"route":        e.call.Route.Name,
 		"upstream":     e.call.Upstream,
+		"workspace":    e.call.workspace(),
 		"replica":      e.lastReplicaID,
 		"attempts":     e.attempts,
 		"may_have_run": e.possibleRuns,
@@ -235,10 +236,13 @@
 	fields := eventlog.Fields{
 		"request": ev.exchange.call.ID, "route": ev.exchange.call.Route.Name, "upstream": ev.exchange.call.Upstream,
 		"replica": ev.placementAttempt.Replica.ID, "peer": ev.placementAttempt.Replica.Address, "attempt": ev.exchange.attempts,
-		"rank": ev.exchange.call.Rank, "workspace": ev.exchange.call.workspace(),
+		"rank": ev.exchange.placementRequest.Rank, "workspace": ev.exchange.call.workspace(),
 		"cost_ms": int(c.Cost), "wait_ms": c.FirstTokenTime.Milliseconds(), "memory_used": roundToHundredths(c.MemoryFraction), "among": c.AvailableReplicas, "running": c.Running, "to_read": c.PendingPrefill, "ahead": c.PrefillAhead,
 		"cached": c.CachedTokens, "copy_from": ev.placementAttempt.CopyFrom, "failures": roundToHundredths(c.FailureScore), "read_speed": roundToHundredths(c.PrefillSpeed), "replicas_revision": ev.revision,
 	}
+	if ev.exchange.standing.Above {
+		fields["share"] = roundToHundredths(ev.exchange.standing.Share)
+	}
 	if version := ev.placementAttempt.Replica.Version; version != "" {
 		fields["version"] = version
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"galenatrestle/internal/crashcause"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/route"
@@ -39,6 +40,11 @@
 	factors   []crashcause.Factor
 	admission admission
 
+	// standing is the workspace's standing at the upstream, and shareObserved is set once the call was
+	// counted in its use.
+	standing      fairshare.Standing
+	shareObserved bool
+
 	// attempts counts all attempts. Of the failed ones, sentAttempts counts those
 	// whose request was sent to a replica, and possibleRuns those in which the
 	// replica may have run the call.
@@ -81,6 +87,7 @@
 		return EndedQuarantined
 	}
 	defer guard.release(e)
+	e.applyShare(time.Now())
 	for {
 		failure := e.try()
 		if failure == nil {
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -15,6 +15,7 @@
 	replicaNotices   *prometheus.CounterVec
 	replicaRefusals  *prometheus.CounterVec
 	resumedStreams   *prometheus.CounterVec
+	callsAboveShare  *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -45,7 +46,10 @@
 			Name: "trestle_resumed_streams_total", Help: "Streams that went on at another replica, by upstream, who resumed them and how the replica's software version compares with that of the first events.",
 		}, []string{"upstream", "by", "version"}),
 	}
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams)
+	m.callsAboveShare = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_calls_above_share_total", Help: "Calls of workspaces above their share of an upstream that is short of capacity.",
+	}, []string{"upstream"})
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.callsAboveShare)
 	return m
 }
 
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
@@ -25,6 +26,8 @@
 	Pauses     *pause.Table
 	Log        *eventlog.Log
 	Registry   prometheus.Registerer
+	// FairShare divides upstreams that are short of capacity by workspace; nil: it is off.
+	FairShare *fairshare.Sharing
 	// OnStreamBegan is called before a call of a resumable stream forwards its first events, with the
 	// software version of the replica that sent them; may be nil.
 	OnStreamBegan func(c *Call, version string)
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -74,7 +74,7 @@
 const slotWaitDivisor = 2
 
 func (e *exchange) acquirePermit(a *attempt, deadline time.Time) bool {
-	urgency := ratelimit.Urgency{Rank: e.call.Rank}
+	urgency := ratelimit.Urgency{Rank: e.placementRequest.Rank}
 	if e.placementRequest.AwaitsSlot {
 		urgency.Wait = e.slotWait()
 		deadline = time.Now().Add(urgency.Wait + maxPermitWait)
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -34,11 +34,10 @@
 // Gate is the admission control of one upstream. It is safe for concurrent use.
 type Gate struct {
 	mu sync.Mutex
-	// refusedRank is the most urgent rank refused within refusalWindow for a reason
-	// other than MoreUrgentRefused, and refusedAt the time of its last refusal. If
-	// refusedAt is zero, there was none.
-	refusedRank int
-	refusedAt   time.Time
+	// withinShare is the last refusal of workspaces within their share, which concerns all requests.
+	// aboveShare is that of workspaces above theirs: it concerns only such requests, because one
+	// workspace that sends too much says nothing about the room for the others.
+	withinShare, aboveShare lastRefusal
 }
 
 // Decide admits or refuses the request.
@@ -46,9 +45,12 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	reason := r.refusalReason()
-	if reason != "" {
-		g.recordRefusal(now, r.Rank)
-	} else if g.blocksRank(now, r.Rank) {
+	switch {
+	case reason != "" && r.isAboveShare():
+		g.aboveShare.record(now, r.Rank)
+	case reason != "":
+		g.withinShare.record(now, r.Rank)
+	case g.withinShare.blocks(now, r.Rank) || r.isAboveShare() && g.aboveShare.blocks(now, r.Rank):
 		reason = MoreUrgentRefused
 	}
 	if reason == "" {
@@ -81,12 +83,27 @@
 		return MemoryFull
 	case r.Objective > 0 && r.QueueTime > r.allowedQueueTime():
 		return TooLate
+	case r.Objective > 0 && r.isAboveShare() && r.QueuePart() > r.Share:
+		return AboveShare
 	default:
 		return ""
 	}
 }
 
-// allowedQueueTime returns the longest time that the request may wait for its prefill.
+// isAboveShare reports whether the request's workspace is above its share.
+func (r *Request) isAboveShare() bool { return r.Share > 0 && r.Share < 1 }
+
+// QueuePart returns the expected queue time divided by the longest that is allowed to a workspace within
+// its share; zero without an objective.
+func (r *Request) QueuePart() float64 {
+	if r.Objective <= 0 {
+		return 0
+	}
+	return float64(r.QueueTime) / float64(r.allowedQueueTime())
+}
+
+// allowedQueueTime returns the longest time that a request of a workspace within its share may wait for
+// its prefill.
 func (r *Request) allowedQueueTime() time.Duration {
 	maxTotal := time.Duration(objectiveFactor * float64(r.Objective))
 	if r.TimeLeft > 0 {
@@ -95,21 +112,3 @@
 	minAllowed := time.Duration(minQueueFraction * float64(r.Objective))
 	return max(maxTotal-r.OwnPrefill, minAllowed)
 }
-
-// blocksRank reports whether the rank is refused because a more urgent one was.
-func (g *Gate) blocksRank(now time.Time, rank int) bool {
-	return rank > g.refusedRank && g.refusedRecently(now)
-}
-
-func (g *Gate) refusedRecently(now time.Time) bool {
-	return !g.refusedAt.IsZero() && now.Sub(g.refusedAt) < refusalWindow
-}
-
-// recordRefusal records a refusal. A less urgent rank does not replace a more urgent one
-// within refusalWindow.
-func (g *Gate) recordRefusal(now time.Time, rank int) {
-	if g.refusedRecently(now) && rank > g.refusedRank {
-		return
-	}
-	g.refusedRank, g.refusedAt = rank, now
-}
--- a/internal/overload/request.go
+++ b/internal/overload/request.go
@@ -15,6 +15,10 @@
 	// OwnPrefill the expected duration of the prefill.
 	QueueTime  time.Duration
 	OwnPrefill time.Duration
+	// Share is the fair part of the request's workspace divided by its part of the upstream's recent use.
+	// Below 1 the workspace is above its share, and the allowed queue time is multiplied by the share.
+	// Zero counts as 1.
+	Share float64
 	// MemoryUsed is the fraction of the chosen replica's memory that its requests and
 	// this one take.
 	MemoryUsed float64
--- a/internal/overload/verdict.go
+++ b/internal/overload/verdict.go
@@ -11,6 +11,9 @@
 	TooLate Reason = "late"
 	// MemoryFull means that the chosen replica does not have enough memory.
 	MemoryFull Reason = "memory_full"
+	// AboveShare means that the expected queue time is too long for a workspace above its share; others
+	// would have been admitted.
+	AboveShare Reason = "above_share"
 	// MoreUrgentRefused means that a more urgent request was refused shortly before.
 	MoreUrgentRefused Reason = "more_urgent_refused"
 )
--- a/internal/passthrough/check.go
+++ b/internal/passthrough/check.go
@@ -45,7 +45,7 @@
 		return nil, refusal
 	}
 	c := &forward.Call{
-		CallerHeaders: headers, Route: matched, Workspace: workspace, Upstream: matched.Pick(h.options.Random()), Rank: table.Rank(matched, workspace),
+		CallerHeaders: headers, Route: matched, Workspace: workspace, Upstream: matched.Pick(h.options.Random()), Rank: table.Rank(matched, workspace), Ranks: table.Ranks(),
 		Method: r.Method, Target: target, Host: r.Host, Header: r.Header, Body: body,
 		Arrived: arrived, Deadline: deadline(arrived, matched, headers.Timeout),
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -19,6 +19,8 @@
 	open       bool
 	// workspaceTiers is the number of tiers that workspaces may have.
 	workspaceTiers int
+	// routeTiers is the number of tiers that routes may have.
+	routeTiers int
 }
 
 // NewTable builds a table.
@@ -31,12 +33,13 @@
 		workspaces: make(map[string]*Workspace),
 		open:       len(d.Workspaces) == 0,
 
-		workspaceTiers: 1,
+		workspaceTiers: 1, routeTiers: 1,
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
+		t.routeTiers = max(t.routeTiers, r.Tier+1)
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -103,3 +106,6 @@
 	}
 	return r.Tier*t.workspaceTiers + w.Tier
 }
+
+// Ranks returns the number of ranks that requests may have.
+func (t *Table) Ranks() int { return t.routeTiers * t.workspaceTiers }
