Fair admission: the use of workspaces travels in nodesync

Nodes tell their decayed use by upstream and workspace where they tell loads: to their hub, between hubs, and the fleet's sum comes back; without hubs to each other.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -160,7 +160,7 @@
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, OnReplicaChanges: n.onReplicaChanges,
-		Placer: n.placer, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
+		Placer: n.placer, FairShare: n.fairShare, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
 		FleetTime: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
--- a/internal/fairshare/exchange.go
+++ b/internal/fairshare/exchange.go
@@ -7,6 +7,9 @@
 // OwnUse returns this node's use, to send to another node.
 func (s *Sharing) OwnUse(now time.Time) Sums { return s.ownUse(now).largest() }
 
+// OthersUse returns the use of all other nodes as they reported it, and its age.
+func (s *Sharing) OthersUse(now time.Time) (Sums, time.Duration) { return s.reports.others(now) }
+
 // SetPeer records the use of another node; inGroup if this node adds up that node's use.
 func (s *Sharing) SetPeer(node string, sums Sums, inGroup bool, now time.Time) {
 	s.reports.set(s.reports.peers, node, report{sums: sums, inGroup: inGroup, receivedAt: now})
--- a/internal/fairshare/sharing_test.go
+++ b/internal/fairshare/sharing_test.go
@@ -162,3 +162,24 @@
 		s.Observe(now, Call{Upstream: engine, Workspace: names[i%len(names)], Cost: 3000, QueuePart: 0.5, Refused: i%4 == 0})
 	}
 }
+
+// Stale reports: after their expiry a node divides by its own sums only. A restarted node, and a fleet that
+// restarts as a whole, finds nobody above its share for one window.
+func TestStaleReportsAndRestart(t *testing.T) {
+	s := newTestSharing()
+	now := load(s, map[string]float64{"here": 1000, "a": 800}, func(workspace string, i int) bool { return workspace == "a" || i%3 > 0 })
+	others := Sums{engine: {Workspaces: map[ID]Cost{IDOf("a"): {Asked: 50_000, Started: 20_000}}}}
+	s.SetFleet(others, nil, now)
+	if here, a := s.Standing(now, engine, "here"), s.Standing(now, engine, "a"); here.Above || !a.Above {
+		t.Errorf("with the fleet's sums: here %+v, a %+v", here, a)
+	}
+	now = now.Add(reportTTL + time.Millisecond)
+	s.Observe(now, Call{Upstream: engine, Workspace: "here", Cost: 1, QueuePart: 0.5})
+	if here, a := s.Standing(now, engine, "here"), s.Standing(now, engine, "a"); !here.Above || a.Above {
+		t.Errorf("with own sums only: here %+v, a %+v", here, a)
+	}
+	s.options.StartedAt = now.Add(-s.options.Window + time.Millisecond)
+	if got := s.Standing(now, engine, "here"); got != within {
+		t.Errorf("within a window of the start: %+v", got)
+	}
+}
--- a/internal/nodesync/loads.go
+++ b/internal/nodesync/loads.go
@@ -42,6 +42,7 @@
 	if len(received.loads) > 0 || received.aggregate || !received.inSums && !received.selfIsHub {
 		s.options.Placer.SetPeerLoads(n.Name, loadsFromProto(received.loads), received.aggregate, s.options.Nodes.AliveCount(now), at)
 	}
+	s.mergeUse(n.Name, received.use, received.aggregate)
 	s.options.Placer.SetPlacements(placementsFromProto(received.placements), received.selfIsHub, at)
 }
 
@@ -49,6 +50,7 @@
 type receivedLoads struct {
 	loads      []*nodesyncv1.Load
 	placements []*nodesyncv1.Placement
+	use        []*nodesyncv1.WorkspaceUse
 	// aggregate: this node aggregates the loads of the sender. inSums: the sender's loads are
 	// in the sums that it sent. selfIsHub: this node is a hub.
 	aggregate, inSums, selfIsHub bool
@@ -59,7 +61,7 @@
 func (s *Sync) addLoads(reply *nodesyncv1.ExchangeResponse, recipient string, inSums bool) {
 	now := time.Now()
 	if !inSums {
-		reply.Loads = loadsToProto(s.options.Placer.Loads(now))
+		reply.Loads, reply.WorkspaceUse = loadsToProto(s.options.Placer.Loads(now)), s.ownUse(now)
 	}
 	reply.Placements = placementsToProto(s.options.Placer.Placements(now, s.cursors.since(recipient)))
 	s.cursors.set(recipient, now)
--- a/internal/nodesync/options.go
+++ b/internal/nodesync/options.go
@@ -7,6 +7,7 @@
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/crashcause"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/fleettime"
 	"galenatrestle/internal/peer"
 	"galenatrestle/internal/placement"
@@ -26,8 +27,10 @@
 	// OnReplicaChanges is called with the changes of the replica listing.
 	OnReplicaChanges func([]replica.Change)
 	Placer           *placement.Placer
-	Tracker          *quarantine.Tracker
-	CrashCauses      *crashcause.Tracker
+	// FairShare has the use of upstreams by workspace; nil: none is exchanged.
+	FairShare   *fairshare.Sharing
+	Tracker     *quarantine.Tracker
+	CrashCauses *crashcause.Tracker
 	// RateLimitTable has the rate limits that replicas reported.
 	RateLimitTable *ratelimit.Table
 	// Clients may be set later by SetClients.
--- a/internal/nodesync/sums.go
+++ b/internal/nodesync/sums.go
@@ -30,6 +30,8 @@
 	// remote that from the nodes of other zones; set only if hubs call other zones through the
 	// primary hubs.
 	zone, remote []*nodesyncv1.Load
+	// use is the summed use of upstreams by workspace.
+	use useSums
 }
 
 // currentSums returns the sums, recomputing them if they are older than SumsMaxAge: in a
@@ -50,7 +52,9 @@
 		s.options.Replicas.SetPartSizes(s.sums.partDemand.observe(now, zoneDemand(fleet, used, s.options.Replicas.Zone())))
 	}
 	current := sums{fleet: loadsToProto(fleet), group: loadsToProto(onlyOn(used, group)), ownGroup: loadsToProto(group)}
-	if callsThroughPrimary(s.hubs(s.options.Clock())) {
+	throughPrimary := callsThroughPrimary(s.hubs(s.options.Clock()))
+	current.use = s.currentUse(now, throughPrimary)
+	if throughPrimary {
 		current.zone = loadsToProto(onlyOn(used, placer.ZoneLoads(now)))
 		current.remote = loadsToProto(placer.RemoteLoads(now))
 	}
@@ -100,16 +104,16 @@
 	throughPrimary := callsThroughPrimary(hubs)
 	switch {
 	case isMember:
-		reply.FleetLoads = current.fleet
+		reply.FleetLoads, reply.FleetUse = current.fleet, current.use.fleet
 	case caller.AvailabilityZone == self.AvailabilityZone:
-		reply.GroupLoads = current.ownGroup
+		reply.GroupLoads, reply.GroupUse = current.ownGroup, current.use.group
 		if throughPrimary && roleOf(self, hubs) == PrimaryHub {
-			reply.RemoteLoads = current.remote
+			reply.RemoteLoads, reply.ZoneUse = current.remote, current.use.remote
 		}
 	case throughPrimary:
-		reply.ZoneLoads = current.zone
+		reply.ZoneLoads, reply.ZoneUse = current.zone, current.use.zone
 	default:
-		reply.GroupLoads = current.group
+		reply.GroupLoads, reply.GroupUse = current.group, current.use.group
 	}
 }
 
@@ -117,6 +121,7 @@
 // sent in the request; the placer subtracts them.
 func (s *Sync) mergeSums(m *nodesyncv1.ExchangeResponse, from Node, request *nodesyncv1.ExchangeRequest, role Role) {
 	now := time.Now()
+	s.mergeUseSums(m, from, request, role)
 	if role.IsHub() {
 		s.mergeGroups(m, from, role, now)
 	}
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -184,7 +184,8 @@
 		request.ReplicasRevision, request.ReplicasDigest = 0, 0
 	}
 	if !loads.omit && !loads.betweenHubs {
-		request.Loads = loadsToProto(s.options.Placer.Loads(time.Now()))
+		at := time.Now()
+		request.Loads, request.WorkspaceUse = loadsToProto(s.options.Placer.Loads(at)), s.ownUse(at)
 	}
 	if !loads.omit {
 		request.Placements = placementsToProto(s.options.Placer.Placements(time.Now(), s.cursors.since(t.name)))
@@ -208,7 +209,7 @@
 		return connect.NewResponse(s.response(m)), nil
 	}
 	isHub := s.Role().IsHub()
-	s.mergeLoads(caller, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), aggregate: m.GetAddsUp(), selfIsHub: isHub}, now)
+	s.mergeLoads(caller, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), use: m.GetWorkspaceUse(), aggregate: m.GetAddsUp(), selfIsHub: isHub}, now)
 	reply := s.response(m)
 	s.addLoads(reply, caller.Name, isHub && (m.GetAddsUp() || hasNode(s.hubs(now), caller.Name)))
 	if isHub {
@@ -257,7 +258,7 @@
 	s.mergeFirstRead(m.GetFirstReadAge(), callStart)
 	if !request.GetWithoutLoads() {
 		role := s.Role()
-		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.IsHub()}, callStart)
+		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), use: m.GetWorkspaceUse(), inSums: request.GetAddsUp(), selfIsHub: role.IsHub()}, callStart)
 		s.mergeSums(m, node, request, role)
 	}
 	s.mergeCrashes(m.GetCrashes(), node.Name)
