--- a/internal/fairshare/sharing_test.go
+++ b/internal/fairshare/sharing_test.go
@@ -167,7 +167,7 @@
 // restarts as a whole, finds nobody above its share for one window.
 func TestStaleReportsAndRestart(t *testing.T) {
 	s := newTestSharing()
-	now := load(s, map[string]float64{"here": 1000, "a": 800}, func(workspace string, i int) bool { return workspace == "a" || i%3 > 0 })
+	now := load(s, map[string]float64{"here": 1000, "a": 500}, func(workspace string, i int) bool { return workspace == "a" || i%3 > 0 })
 	others := Sums{engine: {Workspaces: map[ID]Cost{IDOf("a"): {Asked: 50_000, Started: 20_000}}}}
 	s.SetFleet(others, nil, now)
 	if here, a := s.Standing(now, engine, "here"), s.Standing(now, engine, "a"); here.Above || !a.Above {
