--- a/internal/forward/forwardtest/codec.go
+++ b/internal/forward/forwardtest/codec.go
@@ -24,6 +24,7 @@
 	HeaderBrittle     = "Brittle"
 	HeaderLeaving     = "Leaving"
 	HeaderRetryAfter  = "Retry-After"
+	HeaderRank        = "Rank"
 )
 
 // Codec implements forward.Codec.
@@ -43,6 +44,7 @@
 	h.Set(HeaderRemaining, strconv.FormatInt(a.Remaining.Milliseconds(), 10))
 	h.Set(HeaderReplica, a.Replica)
 	h.Set(HeaderWorkspace, a.Workspace)
+	h.Set(HeaderRank, strconv.Itoa(a.Rank))
 	if a.LastEventID != "" {
 		h.Set(HeaderLastEvent, a.LastEventID)
 	}
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -16,6 +16,7 @@
 	"galenatrestle/internal/boottime"
 	"galenatrestle/internal/crashcause"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
@@ -55,11 +56,19 @@
 
 // NewNode returns the forwarder of the named node. Nodes may share replicas.
 func NewNode(name string, replicas ...*Replica) *Fleet {
+	return newNode(eventlog.New(io.Discard, name), nil, name, replicas...)
+}
+
+// NewSharingNode returns the forwarder of a node that divides upstreams by workspace and writes the log.
+func NewSharingNode(log *eventlog.Log, sharing *fairshare.Sharing, replicas ...*Replica) *Fleet {
+	return newNode(log, sharing, "test", replicas...)
+}
+
+func newNode(log *eventlog.Log, sharing *fairshare.Sharing, name string, replicas ...*Replica) *Fleet {
 	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(name, 0), Causes: crashcause.NewTracker(0, nil, nil), Metrics: prometheus.NewRegistry()}
 	f.SetReplicas(replicas...)
 	f.Conns = replicaconn.NewPool(f.dial, nil)
 	f.Budget = retrybudget.New(retrybudget.Limits{Ratio: 0.2, Window: 10 * time.Second, Allowance: 40, Nodes: 1}, time.Time{})
-	log := eventlog.New(io.Discard, name)
 	limits := ratelimit.NewTable(func() boottime.Instant { return boottime.Instant(time.Now().UnixNano()) })
 	f.Permits = ratelimit.NewPermits(limits)
 	placer := placement.NewPlacer("", f.Set, rand.New(rand.NewPCG(1, 1)))
@@ -73,7 +82,7 @@
 			Tracker: f.Tracker, Causes: f.Causes, Probe: f.probe, OnCrash: func([]quarantine.Record) {}, OnRepeatedCrash: func() {}, Log: log, Registry: f.Metrics,
 		}),
 		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
-		Log: log, Registry: f.Metrics,
+		FairShare: sharing, Log: log, Registry: f.Metrics,
 	})
 	return f
 }
