--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -17,6 +17,7 @@
 
 	"galenatrestle/internal/crashcause"
 	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/passthrough"
@@ -53,6 +54,7 @@
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
 	sharing     *limitSharing
+	fairShare   *fairshare.Sharing
 	handler     *passthrough.Handler
 	crashCauses *crashcause.Tracker
 	quarantines *quarantineKeeper
@@ -110,6 +112,8 @@
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
 	n.crashCauses = crashcause.NewTracker(0, n.makesTrial, n.onCauseChange)
 	crashcause.RegisterMetrics(registry, n.crashCauses)
+	n.fairShare = n.newFairShare()
+	registry.MustRegister(n.fairShare)
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
@@ -159,7 +163,7 @@
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, OnReplicaChanges: n.onReplicaChanges,
-		Placer: n.placer, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
+		Placer: n.placer, FairShare: n.fairShare, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
 		FleetTime: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
@@ -189,7 +193,7 @@
 		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
-		OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
+		FairShare: n.fairShare, OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 
 	"galenatrestle/internal/boottime"
+	"galenatrestle/internal/fairshare"
 	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
@@ -22,6 +23,8 @@
 	// limits are the rates that it knows.
 	limits  *ratelimit.Table
 	permits *ratelimit.Permits
+	// sharing is nil without fair admission.
+	sharing *fairshare.Sharing
 }
 
 // newNodes returns nodes that know the engines.
@@ -38,6 +41,9 @@
 			n.placer.SetReplicaSpeeds(s.Speeds.Learned)
 		}
 		n.setUpZones(s.Zones)
+		if s.FairAdmission {
+			n.sharing = fairshare.New(fairshare.Options{Window: fairWindow, MinShare: leastShare, StartedAt: epoch})
+		}
 		if s.SeeAll {
 			n.placer.ConsiderAllReplicas()
 		}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -24,6 +24,7 @@
 	// pendingPrefill is the attempt's prompt tokens still counted in the replica's backlog.
 	pendingPrefill int
 	rank           int
+	yields         bool
 	// prefillTokens is the number of prompt tokens to prefill before the first token, including
 	// those of other requests.
 	prefillTokens int
@@ -72,6 +73,9 @@
 	defer a.upstream.mu.Unlock()
 	a.observeFirstToken(now)
 	a.upstream.prefillSpeed.Observe(a.prefillTokens, now.Sub(a.startedAt))
+	if !a.yields {
+		a.upstream.prefillSpeed.Observe(a.prefillTokens, now.Sub(a.startedAt))
+	}
 	a.state.cache.markPrefilled(now, a.shared)
 	a.answerStartedAt = now
 	a.recordData(now)
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -48,6 +48,8 @@
 	// ZoneTraffic decides which requests leave their availability zone; nil: other zones have a small
 	// constant cost.
 	ZoneTraffic *ZoneTraffic `yaml:"zone_traffic,omitempty"`
+	// FairAdmission divides upstreams that are short of capacity by workspace; nil: they are not divided.
+	FairAdmission *FairAdmission `yaml:"fair_admission,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -95,6 +97,7 @@
 	checkDuties(source, p.Duties)
 	checkReplicaSpeeds(source, p.ReplicaSpeeds)
 	checkZoneTraffic(source, p.ZoneTraffic)
+	checkFairAdmission(source, p.FairAdmission)
 }
 
 func (p *PassThrough) fillDefaults() {
@@ -108,6 +111,7 @@
 	p.Duties.fillDefaults()
 	p.ReplicaSpeeds.fillDefaults()
 	p.ZoneTraffic.fillDefaults()
+	p.FairAdmission.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
