--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -40,9 +40,8 @@
 	// issuer gives the permits of engines that name rates.
 	issuer *ratelimit.Issuer
 	// sums are those of the hubs that may still be told, oldest first.
-	sums      []sums
 	zoneTally ZoneTally
-	sums []sums
+	sums      []sums
 	// workspaces are the sources of calls where the scenario has workspaces.
 	workspaces []workspace
 }
