--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -71,9 +71,8 @@
 func (a *Attempt) AnswerStarted(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
-	a.observeFirstToken(now)
-	a.upstream.prefillSpeed.Observe(a.prefillTokens, now.Sub(a.startedAt))
 	if !a.yields {
+		a.observeFirstToken(now)
 		a.upstream.prefillSpeed.Observe(a.prefillTokens, now.Sub(a.startedAt))
 	}
 	a.state.cache.markPrefilled(now, a.shared)
