Plain services have expected queue times, bounded slow replicas and one repeat after errors

Calls without a prompt had no expected queue time: none was refused in overload, a slow or hanging replica of three held a third of the calls, and 84 of 1,073 look-ups ended with the error of a second replica. With the setting service_admission, placement expects a queue from the running calls of all nodes, the slots and a learned service time by replica; a replica with its slots and a short queue gets no more while others have capacity; an idempotent call that two replicas answered with errors runs once more at the first of them, within the retry limit.

The test options of forwardtest may be changed.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,6 +102,7 @@
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
 	n.placer.SetPauses(&n.pauses)
+	admitServices(n.placer, s.PassThrough.ServiceAdmission)
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
@@ -187,6 +188,7 @@
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
 		OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
+		RepeatErrored: n.options.Settings.PassThrough.ServiceAdmission != nil,
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -74,6 +74,7 @@
 	e.triedAgain = slices.Contains(e.placementRequest.Avoid, e.lastReplicaID)
 	listing, _ := e.forwarder.options.Replicas.Latest()
 	e.forwarder.options.Log.Write(&attemptStarted{exchange: e, placementAttempt: placementAttempt, revision: listing.Revision})
+	e.recordHeld(&placementAttempt.Choice)
 	a.guardedRun = e.forwarder.options.CrashGuard.startRun(placementAttempt.Replica, e)
 	failure = a.run()
 	e.forwarder.options.CrashGuard.endRun(a.guardedRun, e, placementAttempt.Replica, failure)
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -120,6 +120,9 @@
 	fields["reason"] = ev.reason
 	usage := e.forwarder.options.Budget.Usage(time.Now(), e.call.Upstream)
 	fields["budget_left"] = usage.Remaining
+	if e.repeat.at != "" {
+		fields["repeat_at"] = e.repeat.at
+	}
 	fields["budget_requests"] = usage.Requests
 	fields["budget_retries"] = usage.Retries
 	return fields
@@ -242,6 +245,7 @@
 	if version := ev.placementAttempt.Replica.Version; version != "" {
 		fields["version"] = version
 	}
+	addServiceFields(fields, &c)
 	if ev.exchange.lastEventID != "" {
 		fields["after_event"] = ev.exchange.lastEventID
 	}
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -56,6 +56,8 @@
 	lastFailure   *Failure
 	// errorResponse is the last error response of a replica; nil: none was received.
 	errorResponse *Failure
+	// repeat is the attempt at a replica that answered with an error before.
+	repeat errorRepeat
 	// runCounted is set once Options.OnRun was called.
 	runCounted bool
 	// firstByteAt is when the response started, lastEventsAt when the newest events
@@ -103,6 +105,7 @@
 	}
 	if f.Status != 0 {
 		e.errorResponse = f
+		e.repeat.record(e.lastReplicaID, f)
 	}
 	e.forwarder.options.Log.Write(&attemptFailed{exchange: e, failure: f})
 }
@@ -114,6 +117,9 @@
 	if reason == "" && e.sentAttempts > 0 && !f.RetryReserved && !e.forwarder.options.Budget.Take(time.Now(), e.call.Upstream) {
 		reason = noBudget
 	}
+	if reason == "" {
+		e.beginRepeat()
+	}
 	e.forwarder.metrics.recordRetryDecision(f, reason)
 	e.forwarder.options.Log.Write(&retryDecided{exchange: e, failure: f, reason: reason})
 	return reason == ""
@@ -159,7 +165,7 @@
 		return ""
 	case !e.call.Route.MayRunAgain():
 		return mayHaveRun
-	case e.possibleRuns >= e.call.Route.MaxAttempts:
+	case e.possibleRuns >= e.call.Route.MaxAttempts && !e.mayRepeatErrored(f):
 		return attemptsUsed
 	case f.Status >= http.StatusBadRequest && f.Status < http.StatusInternalServerError && !f.NotRun:
 		return rejectedByReplica
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -55,6 +55,11 @@
 
 // NewNode returns the forwarder of the named node. Nodes may share replicas.
 func NewNode(name string, replicas ...*Replica) *Fleet {
+	return NewNodeWith(name, nil, replicas...)
+}
+
+// NewNodeWith returns the forwarder of the named node with changed options.
+func NewNodeWith(name string, change func(*forward.Options), replicas ...*Replica) *Fleet {
 	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(name, 0), Causes: crashcause.NewTracker(0, nil, nil), Metrics: prometheus.NewRegistry()}
 	f.SetReplicas(replicas...)
 	f.Conns = replicaconn.NewPool(f.dial, nil)
@@ -66,7 +71,7 @@
 	placer.SetPermits(f.Permits)
 	pauses := new(pause.Table)
 	placer.SetPauses(pauses)
-	f.Forwarder = forward.New(forward.Options{
+	options := forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
@@ -74,7 +79,11 @@
 		}),
 		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
 		Log: log, Registry: f.Metrics,
-	})
+	}
+	if change != nil {
+		change(&options)
+	}
+	f.Forwarder = forward.New(options)
 	return f
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -15,6 +15,8 @@
 	replicaNotices   *prometheus.CounterVec
 	replicaRefusals  *prometheus.CounterVec
 	resumedStreams   *prometheus.CounterVec
+	heldReplicas     *prometheus.CounterVec
+	errorRepeats     *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -33,7 +35,7 @@
 			Name: "trestle_attempt_failures_total", Help: "Failed attempts by step, and why no further one was made (retried: one was).",
 		}, []string{"step", "decision"}),
 		overloadRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "trestle_turned_away_total", Help: "Calls of engines refused for overload before any attempt, by upstream and reason.",
+			Name: "trestle_turned_away_total", Help: "Calls refused for overload before any attempt, by upstream and reason.",
 		}, []string{"upstream", "reason"}),
 		replicaNotices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_replica_notices_total", Help: "Responses in which a replica said that it is leaving, or asked for a pause.",
@@ -45,7 +47,13 @@
 			Name: "trestle_resumed_streams_total", Help: "Streams that went on at another replica, by upstream, who resumed them and how the replica's software version compares with that of the first events.",
 		}, []string{"upstream", "by", "version"}),
 	}
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams)
+	m.heldReplicas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_held_replicas_total", Help: "Replicas that a call without a prompt was kept from because they held their slots and a short queue.",
+	}, []string{"upstream"})
+	m.errorRepeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_error_repeats_total", Help: "Calls that ran once more at a replica that had answered them with an error, by how they ended.",
+	}, []string{"upstream", "ending"})
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.heldReplicas, m.errorRepeats)
 	return m
 }
 
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -25,6 +25,9 @@
 	Pauses     *pause.Table
 	Log        *eventlog.Log
 	Registry   prometheus.Registerer
+	// RepeatErrored lets an idempotent call that two replicas answered with errors run once more at one of
+	// them.
+	RepeatErrored bool
 	// OnStreamBegan is called before a call of a resumable stream forwards its first events, with the
 	// software version of the replica that sent them; may be nil.
 	OnStreamBegan func(c *Call, version string)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -1,6 +1,10 @@
 package forward
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/internal/placement"
+)
 
 const (
 	// minFirstByteTimeout is the shortest wait for a first byte before the call is
@@ -27,7 +31,16 @@
 	if !e.call.Route.MayRunAgain() || e.possibleRuns+1 >= e.call.Route.MaxAttempts {
 		return 0
 	}
-	return max(e.call.Route.Objective, minFirstByteTimeout) + expectedWaitFactor*a.placementAttempt.Choice.FirstTokenTime
+	return max(e.call.Route.Objective, minFirstByteTimeout) + expectedWaitFactor*e.expectedWait(&a.placementAttempt.Choice)
+}
+
+// expectedWait returns the expected time to the first byte. That of a plain service leaves out the service
+// time, which the objective covers: with it, calls would wait longest for the slowest replica.
+func (e *exchange) expectedWait(c *placement.Choice) time.Duration {
+	if e.placementRequest.PromptTokens == 0 {
+		return c.FirstTokenTime - c.OwnPrefill
+	}
+	return c.FirstTokenTime
 }
 
 // eventTimeout returns how long to wait for a stream's next event; zero means
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -29,8 +29,10 @@
 	// shared is the prompt's shared parts.
 	shared []PromptPart
 	// tokensInMemory is what the attempt takes of the replica's memory.
-	tokensInMemory  int
-	shortPrompt     bool
+	tokensInMemory int
+	shortPrompt    bool
+	// plain is whether the request has no prompt.
+	plain           bool
 	ended           bool
 	answerStartedAt time.Time
 }
@@ -111,6 +113,9 @@
 	if a.state.running == 0 {
 		a.state.waitingSince = time.Time{}
 	}
+	if a.plain && a.upstream.service != nil {
+		a.upstream.observeService(now, a.state, now.Sub(a.startedAt), result)
+	}
 	a.state.recordResponse(result)
 	switch result {
 	case Cancelled:
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -9,7 +9,8 @@
 	// AvailableReplicas is the number of replicas that accept new requests, sampled or not.
 	AvailableReplicas int
 	// FirstTokenTime is the expected time to the first token. It includes OwnPrefill, the time to
-	// prefill this prompt, and SlotWait, the time until the replica has a free slot.
+	// prefill this prompt, and SlotWait, the time until the replica has a free slot. For a plain service
+	// with ServiceAdmission it is the expected time to the answer, and OwnPrefill the service time.
 	FirstTokenTime time.Duration
 	OwnPrefill     time.Duration
 	SlotWait       time.Duration
@@ -25,6 +26,10 @@
 	// CachedTokens is the number of prompt tokens that the replica is expected to have cached or
 	// to copy from another replica.
 	CachedTokens int
+	// Held is the number of replicas of a plain service that get no calls while others have capacity, and
+	// LoadsAge the age of the other nodes' loads; zero without ServiceAdmission.
+	Held     int
+	LoadsAge time.Duration
 	// FailureScore is this node's failure score of the replica.
 	FailureScore float64
 	// PrefillSpeed is the estimated prefill speed of the upstream's replicas, in tokens per
@@ -46,6 +51,8 @@
 		c.OwnPrefill = u.prefillSpeed.PrefillTime(r.PromptTokens - c.CachedTokens)
 		c.SlotWait = time.Duration(u.slotWaitMS(s, r.Rank) * float64(time.Millisecond))
 		c.FirstTokenTime = u.prefillSpeed.PrefillTime(c.PrefillAhead) + c.SlotWait + c.OwnPrefill
+	} else if u.service != nil {
+		u.addService(now, s, &c)
 	}
 	return c
 }
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -56,9 +56,12 @@
 // shared token that must be prefilled again.
 func (u *upstream) cost(now time.Time, r *Request, s *replicaState, p *prefixLocation, recompute float64) float64 {
 	cost := float64(s.running+s.peersRunning) * runningCost
-	if r.PromptTokens > 0 {
+	switch {
+	case r.PromptTokens > 0:
 		cost += u.promptCost(now, r, s, p, recompute)
-	} else {
+	case u.service != nil:
+		cost += u.serviceCost(now, s)
+	default:
 		cost += u.slotQueueMS(s)
 	}
 	return cost + healthCost(now, s) + u.zoneAndRetryCost(r, s)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -27,7 +27,9 @@
 	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses       *pause.Table
+	pauses *pause.Table
+	// service is nil if calls without a prompt have no expected queue time.
+	service      *ServiceAdmission
 	lastChoiceAt time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
@@ -45,7 +47,7 @@
 	u, ok := p.upstreams[name]
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
-		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
+		u.considerAll, u.permits, u.pauses, u.service = p.considerAll, p.permits, p.pauses, p.service
 		p.upstreams[name] = u
 	}
 	return u
@@ -98,7 +100,7 @@
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
 	current := u.restrictions(now)
-	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now}
+	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now, plain: r.PromptTokens == 0}
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -24,6 +24,8 @@
 	Shared []PromptPart
 	// Version restricts the choice to replicas of this software version; nil: any will do.
 	Version *string
+	// Only is the ID of the one replica that may be chosen; empty: any will do.
+	Only string
 	// ExcludeRateLimited excludes replicas that need a permit.
 	ExcludeRateLimited bool
 	// AwaitsSlot includes brittle replicas that had no free slot a moment ago.
@@ -37,9 +39,9 @@
 // tokens returns the number of tokens that the request takes of a replica's memory.
 func (r *Request) tokens() int { return r.PromptTokens + r.AnswerTokens }
 
-// fits reports whether the replica has the software version that the request needs.
+// fits reports whether the replica is one that the request may run on, and has the software version that it needs.
 func (r *Request) fits(s *replicaState) bool {
-	return r.Version == nil || *r.Version == s.replica.Version
+	return (r.Only == "" || r.Only == s.replica.ID) && (r.Version == nil || *r.Version == s.replica.Version)
 }
 
 func (r *Request) sharedTokens() int {
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -36,6 +36,7 @@
 	presumedPauseEnd time.Time
 	presumedAt       int
 	cache            cache
+	service          serviceTime
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -48,7 +48,11 @@
 	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses       *pause.Table
+	pauses *pause.Table
+	// service is nil if calls without a prompt have no expected queue time. peerLoadsAt is the time of the
+	// last change of the peers' loads.
+	service      *ServiceAdmission
+	peerLoadsAt  time.Time
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -43,6 +43,8 @@
 	Retries    RetryBudget `yaml:"retry_budget,omitempty"`
 	// Duties is what one node at a time does for the whole fleet; nil: nothing.
 	Duties *Duties `yaml:"duties,omitempty"`
+	// ServiceAdmission is nil if calls of plain services have no expected queue time.
+	ServiceAdmission *ServiceAdmission `yaml:"service_admission,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -99,6 +101,7 @@
 	p.Grace = cmp.Or(p.Grace, defaultGrace)
 	p.ResolveTTL = cmp.Or(p.ResolveTTL, defaultResolveTTL)
 	p.Duties.fillDefaults()
+	p.ServiceAdmission.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
