Refused callers are told times spread by the admitted rate, and go first when they return as told

Callers refused in the same moment were told about the same delay, came back together during the same burst and were refused again. With the setting return_schedule, package returns spreads the returns of each upstream and rank by the rate of admitted calls within a third of the time left, nodes announce the fingerprints of promised returns through nodesync, and overload admits a caller that returns as told up to a longer queue than newcomers. A repeat of a call in progress that is at most once or a stream is refused as not run. trestle_refusal_seconds measures refusals.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -29,6 +29,7 @@
 	"galenatrestle/internal/replicapath"
 	"galenatrestle/internal/replicapath/replicapathrpc"
 	"galenatrestle/internal/retrybudget"
+	"galenatrestle/internal/returns"
 	"galenatrestle/internal/routesource"
 	"galenatrestle/internal/settings"
 	"galenatrestle/internal/streamorigin"
@@ -48,6 +49,7 @@
 	placer      *placement.Placer
 	rateLimiter *rateLimiter
 	pauses      pause.Table
+	returns     *returns.Controller
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
@@ -108,6 +110,7 @@
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
 	n.crashCauses = crashcause.NewTracker(0, n.makesTrial, n.onCauseChange)
 	crashcause.RegisterMetrics(registry, n.crashCauses)
+	n.returns = newReturns(options)
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
@@ -157,7 +160,7 @@
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, OnReplicaChanges: n.onReplicaChanges,
-		Placer: n.placer, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
+		Placer: n.placer, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, Returns: n.returnTable(), IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
 		FleetTime: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
@@ -188,7 +191,7 @@
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
 		OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
-		RepeatErrored: n.options.Settings.PassThrough.ServiceAdmission != nil,
+		RepeatErrored: n.options.Settings.PassThrough.ServiceAdmission != nil, Returns: n.forwardReturns(),
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
--- a/internal/fleetsim/call.go
+++ b/internal/fleetsim/call.go
@@ -1,13 +1,20 @@
 package fleetsim
 
-import "time"
+import (
+	"time"
+
+	"galenatrestle/internal/returns"
+)
 
 // call is one request of a caller, with its return after a refusal.
 type call struct {
-	class        *Class
-	arrived      time.Duration
-	deadline     time.Duration
+	class    *Class
+	arrived  time.Duration
+	deadline time.Duration
+	// id is the call's fingerprint. returned is whether its caller was refused and returns.
+	id           uint64
 	returned     bool
+	arrival      returns.Arrival
 	session      uint64
 	ownTokens    int
 	answerTokens int
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -41,6 +41,8 @@
 	issuer *ratelimit.Issuer
 	// sums are those of the hubs that may still be told, oldest first.
 	sums []sums
+	// toldReturns are the returns that the hubs have learned.
+	toldReturns []toldReturn
 }
 
 // comeback is a refused call that is sent once more.
@@ -114,6 +116,7 @@
 		class: class, arrived: now, deadline: now + class.Patience,
 		ownTokens:    length(f.random, class.OwnTokens, class.Spread),
 		answerTokens: length(f.random, class.AnswerTokens, class.Spread),
+		id:           uint64(len(f.calls) + 1),
 	}
 	if class.Sessions > 0 {
 		c.session = uint64(i+1)<<32 | uint64(f.random.IntN(class.Sessions)+1)
@@ -138,6 +141,7 @@
 // send has a node decide on the call.
 func (f *fleet) send(now time.Duration, c *call) {
 	n := f.nodes[f.random.IntN(len(f.nodes))]
+	n.arrive(epoch.Add(now), c)
 	request := f.request(c)
 	at := epoch.Add(now)
 	for {
@@ -258,6 +262,7 @@
 func tell(from, to *node, alive int, at time.Time) {
 	to.placer.SetPeerLoads(from.name, from.placer.Loads(at), false, alive, at)
 	to.placer.SetPlacements(from.placer.Placements(at, time.Time{}), false, at)
+	tellReturns(from, to, at)
 }
 
 // report counts the calls that came early enough to end.
@@ -269,6 +274,7 @@
 	for _, c := range f.calls {
 		if c.deadline < f.scenario.Length {
 			r.Classes[c.class.Name].count(c.outcome)
+			r.countReturn(c)
 		}
 	}
 	most, all := 0, 0
--- a/internal/fleetsim/hubs.go
+++ b/internal/fleetsim/hubs.go
@@ -39,6 +39,7 @@
 		s.fleet = append(s.fleet, l)
 	}
 	f.sums = append(f.sums, s)
+	f.addUpReturns(now)
 }
 
 // tellSums gives the node what the hubs knew sumsAge ago.
@@ -53,4 +54,5 @@
 	at := epoch.Add(now)
 	n.placer.SetFleetLoads(s.fleet, s.own[n], at)
 	n.placer.SetPlacements(s.placements, false, at)
+	f.tellReturnsOfAll(n, now)
 }
--- a/internal/fleetsim/limits.go
+++ b/internal/fleetsim/limits.go
@@ -48,8 +48,9 @@
 
 // admit is the node's decision whether the call may begin.
 func (n *node) admit(at time.Time, c *call, left time.Duration, choice *placement.Choice) overload.Decision {
-	return n.gates.Of(upstream).Decide(at, overload.Request{
+	r := overload.Request{
 		Rank: c.class.Rank, Objective: c.class.Objective, TimeLeft: left,
 		QueueTime: choice.FirstTokenTime - choice.OwnPrefill, OwnPrefill: choice.OwnPrefill, MemoryUsed: choice.MemoryFraction,
-	})
+	}
+	return n.decide(at, c, r)
 }
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -9,6 +9,7 @@
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/returns"
 )
 
 // node is one node of the product: its decisions and what it believes.
@@ -20,6 +21,11 @@
 	// limits are the rates that it knows.
 	limits  *ratelimit.Table
 	permits *ratelimit.Permits
+	// returns is nil if refused callers are told when to return without a schedule.
+	returns *returns.Controller
+	// toldReturns and heardReturns count the returns that were told to the hubs and heard from them.
+	toldReturns  uint64
+	heardReturns int
 }
 
 // newNodes returns nodes that know the engines.
@@ -35,6 +41,9 @@
 		if s.SeeAll {
 			n.placer.ConsiderAllReplicas()
 		}
+		if s.Returns {
+			n.returns = returns.NewController(rand.New(rand.NewPCG(s.Seed, uint64(5000+i))))
+		}
 		nodes[i] = n
 	}
 	return nodes
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -11,6 +11,9 @@
 	ReadAgain  int
 	// Busiest is the calls at the engine that got most, by the mean of all.
 	Busiest float64
+	// Returned counts the callers that were refused once and returned as told, Served those of them that got
+	// their answer.
+	Returned, Served int
 }
 
 // Tally counts the calls of one class.
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -25,6 +25,8 @@
 	PlacesUntold bool
 	// SeeAll has nodes look at all engines for each request.
 	SeeAll bool
+	// Returns has nodes schedule the returns of refused callers.
+	Returns bool
 	// Ungated lets every request in.
 	Ungated bool
 	Seed    uint64
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -117,7 +117,8 @@
 
 // admit applies overload control to the call at the chosen replica.
 func (e *exchange) admit(c *placement.Choice) overload.Decision {
-	return e.forwarder.gates.Of(e.call.Upstream).Decide(time.Now(), overload.Request{
+	e.returning.loadsAge = c.LoadsAge
+	return e.decideAdmission(overload.Request{
 		Rank: e.call.Rank, Objective: e.call.Route.Objective, TimeLeft: time.Until(e.call.Deadline),
 		QueueTime: c.FirstTokenTime - c.OwnPrefill, OwnPrefill: c.OwnPrefill, MemoryUsed: c.MemoryFraction,
 	})
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -43,6 +43,7 @@
 	if ev.ending != EndedComplete && e.lastFailure != nil {
 		fields["error"] = e.lastFailure.Error()
 	}
+	e.returning.addFields(fields)
 	e.addVerdict(fields)
 	if ev.ending == EndedQuarantined {
 		fields["quarantine_left_ms"] = e.admission.left.Milliseconds()
--- a/internal/forward/exchange.go
+++ b/internal/forward/exchange.go
@@ -58,6 +58,8 @@
 	errorResponse *Failure
 	// repeat is the attempt at a replica that answered with an error before.
 	repeat errorRepeat
+	// returning is what is known of the caller's return.
+	returning returnState
 	// runCounted is set once Options.OnRun was called.
 	runCounted bool
 	// firstByteAt is when the response started, lastEventsAt when the newest events
--- a/internal/forward/forwarder.go
+++ b/internal/forward/forwarder.go
@@ -39,7 +39,7 @@
 	}
 	e.factors = crashcause.FactorsOf(c.Upstream, e.fingerprint, e.sharedParts)
 	defer e.callerResponse.close()
-	ending := e.run()
+	ending := e.runOnce()
 	e.recordRepeat(ending)
 	f.metrics.recordCallEnd(c, ending, e.firstByteAt, time.Now())
 	f.options.Log.Write(&callEnded{exchange: e, ending: ending, took: time.Since(c.Arrived)})
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -17,6 +17,8 @@
 	resumedStreams   *prometheus.CounterVec
 	heldReplicas     *prometheus.CounterVec
 	errorRepeats     *prometheus.CounterVec
+	refusal          *prometheus.HistogramVec
+	lateRefusals     *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -54,6 +56,7 @@
 		Name: "trestle_error_repeats_total", Help: "Calls that ran once more at a replica that had answered them with an error, by how they ended.",
 	}, []string{"upstream", "ending"})
 	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.heldReplicas, m.errorRepeats)
+	m.registerRefusals(registry)
 	return m
 }
 
@@ -61,6 +64,9 @@
 func (m *metrics) recordCallEnd(c *Call, ending Ending, firstByte, now time.Time) {
 	m.calls.WithLabelValues(c.Upstream, string(ending)).Inc()
 	m.latency.WithLabelValues(c.Upstream).Observe(now.Sub(c.Arrived).Seconds())
+	if ending == EndedRefused {
+		m.recordRefusal(c, now)
+	}
 	if !firstByte.IsZero() {
 		m.firstByte.WithLabelValues(c.Upstream).Observe(firstByte.Sub(c.Arrived).Seconds())
 	}
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -28,6 +28,9 @@
 	// RepeatErrored lets an idempotent call that two replicas answered with errors run once more at one of
 	// them.
 	RepeatErrored bool
+	// Returns schedules the returns of refused callers; nil: they are told delays that do not depend on each
+	// other.
+	Returns *Returns
 	// OnStreamBegan is called before a call of a resumable stream forwards its first events, with the
 	// software version of the replica that sent them; may be nil.
 	OnStreamBegan func(c *Call, version string)
--- a/internal/nodesync/options.go
+++ b/internal/nodesync/options.go
@@ -13,6 +13,7 @@
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/returns"
 	"galenatrestle/internal/routesource"
 )
 
@@ -28,6 +29,8 @@
 	Placer           *placement.Placer
 	Tracker          *quarantine.Tracker
 	CrashCauses      *crashcause.Tracker
+	// Returns has the refused callers that were told to return; nil: none are announced.
+	Returns *returns.Table
 	// RateLimitTable has the rate limits that replicas reported.
 	RateLimitTable *ratelimit.Table
 	// Clients may be set later by SetClients.
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -52,6 +52,7 @@
 	hubCache     hubCache
 	cursors      placementCursors
 	limitCursors limitCursors
+	returnsSent  returnCursors
 	scope        listingScope
 	// loggedRole and loggedHub are the role and hub that were logged last.
 	loggedRole Role
@@ -129,6 +130,7 @@
 		s.options.Nodes.MarkFailed(t.name, callStart)
 		s.cursors.reset(t.name)
 		s.limitCursors.reset(t.name)
+		s.returnsSent.reset(t.name)
 		s.options.Log.Write(&peerLost{target: t, err: err})
 		return
 	}
@@ -188,6 +190,7 @@
 	}
 	if !loads.omit {
 		request.Placements = placementsToProto(s.options.Placer.Placements(time.Now(), s.cursors.since(t.name)))
+		request.Returns = s.returnsFor(t.name)
 	}
 	return request
 }
@@ -209,7 +212,9 @@
 	}
 	isHub := s.Role().IsHub()
 	s.mergeLoads(caller, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), aggregate: m.GetAddsUp(), selfIsHub: isHub}, now)
+	s.mergeReturns(m.GetReturns(), caller.Name, 0)
 	reply := s.response(m)
+	reply.Returns = s.returnsFor(caller.Name)
 	s.addLoads(reply, caller.Name, isHub && (m.GetAddsUp() || hasNode(s.hubs(now), caller.Name)))
 	if isHub {
 		s.addSums(reply, caller, m.GetAddsUp())
@@ -259,6 +264,7 @@
 		role := s.Role()
 		s.mergeLoads(node, receivedLoads{loads: m.GetLoads(), placements: m.GetPlacements(), inSums: request.GetAddsUp(), selfIsHub: role.IsHub()}, callStart)
 		s.mergeSums(m, node, request, role)
+		s.mergeReturns(m.GetReturns(), node.Name, s.options.Clock().Sub(callStart))
 	}
 	s.mergeCrashes(m.GetCrashes(), node.Name)
 	s.mergeCrashCauses(m.GetCrashCauses())
--- a/internal/overload/gate.go
+++ b/internal/overload/gate.go
@@ -77,9 +77,9 @@
 // reason if it is not refused.
 func (r *Request) refusalReason() Reason {
 	switch {
-	case r.MemoryUsed > memoryThreshold:
+	case r.MemoryUsed > r.allowedMemory():
 		return MemoryFull
-	case r.Objective > 0 && r.QueueTime > r.allowedQueueTime():
+	case r.Objective > 0 && r.QueueTime+r.reserved() > r.allowedQueueTime():
 		return TooLate
 	default:
 		return ""
@@ -88,9 +88,10 @@
 
 // allowedQueueTime returns the longest time that the request may wait for its prefill.
 func (r *Request) allowedQueueTime() time.Duration {
-	maxTotal := time.Duration(objectiveFactor * float64(r.Objective))
+	factor, fraction := r.queueLimits()
+	maxTotal := time.Duration(factor * float64(r.Objective))
 	if r.TimeLeft > 0 {
-		maxTotal = min(maxTotal, time.Duration(maxQueueFraction*float64(r.TimeLeft)))
+		maxTotal = min(maxTotal, time.Duration(fraction*float64(r.TimeLeft)))
 	}
 	minAllowed := time.Duration(minQueueFraction * float64(r.Objective))
 	return max(maxTotal-r.OwnPrefill, minAllowed)
--- a/internal/overload/request.go
+++ b/internal/overload/request.go
@@ -15,6 +15,11 @@
 	// OwnPrefill the expected duration of the prefill.
 	QueueTime  time.Duration
 	OwnPrefill time.Duration
+	// Returned is whether the caller was refused before and returns as it was told.
+	Returned bool
+	// Reserved is the time for which returning callers of the rank will soon keep the upstream busy. It
+	// does not count for a request that Returned.
+	Reserved time.Duration
 	// MemoryUsed is the fraction of the chosen replica's memory that its requests and
 	// this one take.
 	MemoryUsed float64
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -26,9 +26,10 @@
 	// CachedTokens is the number of prompt tokens that the replica is expected to have cached or
 	// to copy from another replica.
 	CachedTokens int
-	// Held is the number of replicas of a plain service that get no calls while others have capacity, and
-	// LoadsAge the age of the other nodes' loads; zero without ServiceAdmission.
-	Held     int
+	// Held is the number of replicas of a plain service that get no calls while others have capacity; zero
+	// without ServiceAdmission.
+	Held int
+	// LoadsAge is the age of the other nodes' loads; zero: there are none.
 	LoadsAge time.Duration
 	// FailureScore is this node's failure score of the replica.
 	FailureScore float64
@@ -45,6 +46,9 @@
 		Running: s.running + s.peersRunning, PendingPrefill: s.pendingPrefill(), PrefillAhead: s.prefillAhead(r.Rank),
 		CachedTokens: d.cached, FailureScore: s.failureScoreAt(now),
 	}
+	if !u.peerLoadsAt.IsZero() {
+		c.LoadsAge = now.Sub(u.peerLoadsAt)
+	}
 	if r.PromptTokens > 0 {
 		c.PrefillSpeed = u.prefillSpeed.TokensPerMS()
 		c.MemoryFraction = u.memoryFraction(r, s)
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -103,9 +103,6 @@
 func (u *upstream) addService(now time.Time, s *replicaState, c *Choice) {
 	c.OwnPrefill = milliseconds(u.serviceMSAt(now, s))
 	c.FirstTokenTime = milliseconds(u.serviceQueueMS(now, s)) + c.OwnPrefill
-	if !u.peerLoadsAt.IsZero() {
-		c.LoadsAge = now.Sub(u.peerLoadsAt)
-	}
 	for _, other := range u.available {
 		if u.isHeld(other) {
 			c.Held++
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -45,6 +45,8 @@
 	Duties *Duties `yaml:"duties,omitempty"`
 	// ServiceAdmission is nil if calls of plain services have no expected queue time.
 	ServiceAdmission *ServiceAdmission `yaml:"service_admission,omitempty"`
+	// ReturnSchedule is nil if the returns of refused callers are not scheduled.
+	ReturnSchedule *ReturnSchedule `yaml:"return_schedule,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
--- /dev/null
+++ b/internal/settings/returnschedule.go
@@ -0,0 +1,4 @@
+package settings
+
+// ReturnSchedule makes nodes schedule the returns of refused callers. It has no fields.
+type ReturnSchedule struct{}
