--- a/internal/overload/returned.go
+++ b/internal/overload/returned.go
@@ -4,10 +4,11 @@
 
 // A request whose caller returns as it was told is admitted up to a longer wait than a newcomer's: to refuse
 // it twice loses more than some lateness. With twice the newcomers' limits, 0.89 of the returns were served in
-// short bursts above the capacity, with these 0.95.
+// short bursts above the capacity, with four times the objective 0.95. A larger part of the time left serves
+// more of them, and fewer of all calls in a lasting overload.
 const (
 	returnedObjectiveFactor = 4.0
-	returnedQueueFraction   = 0.4
+	returnedQueueFraction   = 0.45
 	returnedMemoryThreshold = 0.85
 )
 
