--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -30,6 +30,7 @@
 	"galenatrestle/internal/replicapath"
 	"galenatrestle/internal/replicapath/replicapathrpc"
 	"galenatrestle/internal/retrybudget"
+	"galenatrestle/internal/returns"
 	"galenatrestle/internal/routesource"
 	"galenatrestle/internal/settings"
 	"galenatrestle/internal/streamorigin"
@@ -50,6 +51,7 @@
 	rateLimiter *rateLimiter
 	pauses      pause.Table
 	zoneWarner  zoneWarner
+	returns     *returns.Controller
 	budget      *retrybudget.Budget
 	nodes       *nodesync.Nodes
 	sync        *nodesync.Sync
@@ -107,6 +109,7 @@
 	n.placer.SetPauses(&n.pauses)
 	n.setUpReplicaSpeeds()
 	n.setUpZoneTraffic()
+	admitServices(n.placer, s.PassThrough.ServiceAdmission)
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
@@ -114,6 +117,7 @@
 	crashcause.RegisterMetrics(registry, n.crashCauses)
 	n.fairShare = n.newFairShare()
 	registry.MustRegister(n.fairShare)
+	n.returns = newReturns(options)
 	n.sync = n.newSync(tracker)
 	n.sharing = &limitSharing{fleet: n.sync, clock: options.Clock}
 	n.budget = retrybudget.New(n.retryLimits(), time.Now())
@@ -163,7 +167,8 @@
 func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
 	return nodesync.New(nodesync.Options{
 		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, OnReplicaChanges: n.onReplicaChanges,
-		Placer: n.placer, FairShare: n.fairShare, Tracker: tracker, CrashCauses: n.crashCauses, RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
+		Placer: n.placer, FairShare: n.fairShare, Returns: n.returnTable(), Tracker: tracker, CrashCauses: n.crashCauses,
+		RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
 		FleetTime: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
 	})
 }
@@ -194,6 +199,7 @@
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
 		FairShare: n.fairShare, OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
+		RepeatErrored: n.options.Settings.PassThrough.ServiceAdmission != nil, Returns: n.forwardReturns(),
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -38,12 +38,14 @@
 	readBefore map[uint64]bool
 	jobs       []*job
 	// issuer gives the permits of engines that name rates.
-	issuer *ratelimit.Issuer
-	// sums are those of the hubs that may still be told, oldest first.
+	issuer    *ratelimit.Issuer
 	zoneTally ZoneTally
-	sums      []sums
+	// sums are those of the hubs that may still be told, oldest first.
+	sums []sums
 	// workspaces are the sources of calls where the scenario has workspaces.
 	workspaces []workspace
+	// toldReturns are the returns that the hubs have learned.
+	toldReturns []toldReturn
 }
 
 // comeback is a refused call that is sent once more.
@@ -128,10 +130,10 @@
 		class: class, workspace: workspace, arrived: now, deadline: now + class.Patience,
 		ownTokens:    length(random, class.OwnTokens, class.Spread),
 		answerTokens: length(random, class.AnswerTokens, class.Spread),
+		id:           uint64(len(f.calls) + 1),
 	}
 	if class.Sessions > 0 {
-		c.session = uint64(i+1)<<32 | f.session(now, class)
-		c.session = uint64(i+1)<<32 | uint64(random.IntN(class.Sessions)+1)
+		c.session = uint64(i+1)<<32 | f.session(now, class, random)
 	}
 	f.calls = append(f.calls, c)
 	f.send(now, c)
@@ -153,6 +155,7 @@
 // send has a node decide on the call.
 func (f *fleet) send(now time.Duration, c *call) {
 	n := f.entry(c)
+	n.arrive(epoch.Add(now), c)
 	request := f.request(c)
 	at := epoch.Add(now)
 	standing := n.standing(at, c)
@@ -287,6 +290,7 @@
 	if to.sharing != nil {
 		to.sharing.SetPeer(from.name, from.sharing.OwnUse(at), false, at)
 	}
+	tellReturns(from, to, at)
 }
 
 // report counts the calls that came early enough to end.
@@ -299,6 +303,7 @@
 		if c.deadline < f.scenario.Length {
 			r.Classes[c.class.Name].count(c.outcome)
 			r.countWorkspace(c)
+			r.countReturn(c)
 		}
 	}
 	most, all := 0, 0
--- a/internal/fleetsim/hubs.go
+++ b/internal/fleetsim/hubs.go
@@ -41,6 +41,7 @@
 	}
 	s.use = f.addUpUse(at)
 	f.sums = append(f.sums, s)
+	f.addUpReturns(now)
 }
 
 // tellSums gives the node what the hubs knew sumsAge ago.
@@ -58,4 +59,5 @@
 	if n.sharing != nil {
 		n.sharing.SetFleet(s.use.fleet, s.use.own[n], at)
 	}
+	f.tellReturnsOfAll(n, now)
 }
--- a/internal/fleetsim/limits.go
+++ b/internal/fleetsim/limits.go
@@ -54,7 +54,7 @@
 		QueueTime: choice.FirstTokenTime - choice.OwnPrefill, OwnPrefill: choice.OwnPrefill, MemoryUsed: choice.MemoryFraction,
 		Share: standing.Share,
 	}
-	decision := n.gates.Of(upstream).Decide(at, request)
+	decision := n.decide(at, c, request)
 	n.observe(at, c, choice, &request, decision.Refused())
 	return decision
 }
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -10,6 +10,7 @@
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/returns"
 )
 
 // node is one node of the product: its decisions and what it believes.
@@ -25,6 +26,11 @@
 	permits *ratelimit.Permits
 	// sharing is nil without fair admission.
 	sharing *fairshare.Sharing
+	// returns is nil if refused callers are told when to return without a schedule.
+	returns *returns.Controller
+	// toldReturns and heardReturns count the returns that were told to the hubs and heard from them.
+	toldReturns  uint64
+	heardReturns int
 }
 
 // newNodes returns nodes that know the engines.
@@ -47,6 +53,9 @@
 		if s.SeeAll {
 			n.placer.ConsiderAllReplicas()
 		}
+		if s.Returns {
+			n.returns = returns.NewController(rand.New(rand.NewPCG(s.Seed, uint64(5000+i))))
+		}
 		nodes[i] = n
 	}
 	return nodes
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -18,6 +18,9 @@
 	SlowedShare float64
 	// Zones is what left the zones, if the scenario has a ZoneModel.
 	Zones ZoneTally
+	// Returned counts the callers that were refused once and returned as told, Served those of them that got
+	// their answer.
+	Returned, Served int
 }
 
 // Tally counts the calls of one class.
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -29,6 +29,8 @@
 	Workspaces []Workspace
 	// FairAdmission has nodes divide the engines by workspace.
 	FairAdmission bool
+	// Returns has nodes schedule the returns of refused callers.
+	Returns bool
 	// Ungated lets every request in.
 	Ungated bool
 	// Speeds is how the engines differ in speed.
--- a/internal/fleetsim/zones.go
+++ b/internal/fleetsim/zones.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"galenatrestle/internal/placement"
@@ -106,10 +107,10 @@
 }
 
 // session draws a session of the class. A session belongs to a zone.
-func (f *fleet) session(now time.Duration, class *Class) uint64 {
+func (f *fleet) session(now time.Duration, class *Class, random *rand.Rand) uint64 {
 	m := f.scenario.Zones
 	if m == nil {
-		return uint64(f.random.IntN(class.Sessions) + 1)
+		return uint64(random.IntN(class.Sessions) + 1)
 	}
 	most := 0.0
 	for zone := range zones {
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -74,6 +74,7 @@
 	e.triedAgain = slices.Contains(e.placementRequest.Avoid, e.lastReplicaID)
 	listing, _ := e.forwarder.options.Replicas.Latest()
 	e.forwarder.options.Log.Write(&attemptStarted{exchange: e, placementAttempt: placementAttempt, revision: listing.Revision})
+	e.recordHeld(&placementAttempt.Choice)
 	a.guardedRun = e.forwarder.options.CrashGuard.startRun(placementAttempt.Replica, e)
 	failure = a.run()
 	e.forwarder.options.CrashGuard.endRun(a.guardedRun, e, placementAttempt.Replica, failure)
@@ -116,14 +117,14 @@
 
 // admit applies overload control to the call at the chosen replica.
 func (e *exchange) admit(c *placement.Choice) overload.Decision {
-	now := time.Now()
+	e.returning.loadsAge = c.LoadsAge
 	request := overload.Request{
 		Rank: e.placementRequest.Rank, Objective: e.call.Route.Objective, TimeLeft: time.Until(e.call.Deadline),
 		QueueTime: c.FirstTokenTime - c.OwnPrefill, OwnPrefill: c.OwnPrefill, MemoryUsed: c.MemoryFraction,
 		Share: e.standing.Share,
 	}
-	decision := e.forwarder.gates.Of(e.call.Upstream).Decide(now, request)
-	e.observeShare(now, c, &request, decision.Refused())
+	decision := e.decideAdmission(request)
+	e.observeShare(time.Now(), c, &request, decision.Refused())
 	return decision
 }
 
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -56,15 +56,16 @@
 
 // NewNode returns the forwarder of the named node. Nodes may share replicas.
 func NewNode(name string, replicas ...*Replica) *Fleet {
-	return newNode(eventlog.New(io.Discard, name), nil, name, replicas...)
+	return NewNodeWith(name, nil, replicas...)
 }
 
 // NewSharingNode returns the forwarder of a node that divides upstreams by workspace and writes the log.
 func NewSharingNode(log *eventlog.Log, sharing *fairshare.Sharing, replicas ...*Replica) *Fleet {
-	return newNode(log, sharing, "test", replicas...)
+	return NewNodeWith("test", func(o *forward.Options) { o.Log, o.FairShare = log, sharing }, replicas...)
 }
 
-func newNode(log *eventlog.Log, sharing *fairshare.Sharing, name string, replicas ...*Replica) *Fleet {
+// NewNodeWith returns the forwarder of the named node with changed options.
+func NewNodeWith(name string, change func(*forward.Options), replicas ...*Replica) *Fleet {
 	f := &Fleet{Set: replica.NewSet(), replicas: make(map[string]*Replica), Tracker: quarantine.NewTracker(name, 0), Causes: crashcause.NewTracker(0, nil, nil), Metrics: prometheus.NewRegistry()}
 	f.SetReplicas(replicas...)
 	f.Conns = replicaconn.NewPool(f.dial, nil)
@@ -75,15 +76,20 @@
 	placer.SetPermits(f.Permits)
 	pauses := new(pause.Table)
 	placer.SetPauses(pauses)
-	f.Forwarder = forward.New(forward.Options{
+	log := eventlog.New(io.Discard, name)
+	options := forward.Options{
 		Placer:   placer,
 		Replicas: f.Set, Conns: f.Conns, Codec: Codec{}, Budget: f.Budget,
 		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
 			Tracker: f.Tracker, Causes: f.Causes, Probe: f.probe, OnCrash: func([]quarantine.Record) {}, OnRepeatedCrash: func() {}, Log: log, Registry: f.Metrics,
 		}),
 		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
-		FairShare: sharing, Log: log, Registry: f.Metrics,
-	})
+		Log: log, Registry: f.Metrics,
+	}
+	if change != nil {
+		change(&options)
+	}
+	f.Forwarder = forward.New(options)
 	return f
 }
 
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,10 @@
 	replicaRefusals  *prometheus.CounterVec
 	resumedStreams   *prometheus.CounterVec
 	callsAboveShare  *prometheus.CounterVec
+	heldReplicas     *prometheus.CounterVec
+	errorRepeats     *prometheus.CounterVec
+	refusal          *prometheus.HistogramVec
+	lateRefusals     *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -34,7 +38,7 @@
 			Name: "trestle_attempt_failures_total", Help: "Failed attempts by step, and why no further one was made (retried: one was).",
 		}, []string{"step", "decision"}),
 		overloadRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "trestle_turned_away_total", Help: "Calls of engines refused for overload before any attempt, by upstream and reason.",
+			Name: "trestle_turned_away_total", Help: "Calls refused for overload before any attempt, by upstream and reason.",
 		}, []string{"upstream", "reason"}),
 		replicaNotices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trestle_replica_notices_total", Help: "Responses in which a replica said that it is leaving, or asked for a pause.",
@@ -50,6 +54,14 @@
 		Name: "trestle_calls_above_share_total", Help: "Calls of workspaces above their share of an upstream that is short of capacity.",
 	}, []string{"upstream"})
 	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.callsAboveShare)
+	m.heldReplicas = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_held_replicas_total", Help: "Replicas that a call without a prompt was kept from because they held their slots and a short queue.",
+	}, []string{"upstream"})
+	m.errorRepeats = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_error_repeats_total", Help: "Calls that ran once more at a replica that had answered them with an error, by how they ended.",
+	}, []string{"upstream", "ending"})
+	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.heldReplicas, m.errorRepeats)
+	m.registerRefusals(registry)
 	return m
 }
 
@@ -57,6 +69,9 @@
 func (m *metrics) recordCallEnd(c *Call, ending Ending, firstByte, now time.Time) {
 	m.calls.WithLabelValues(c.Upstream, string(ending)).Inc()
 	m.latency.WithLabelValues(c.Upstream).Observe(now.Sub(c.Arrived).Seconds())
+	if ending == EndedRefused {
+		m.recordRefusal(c, now)
+	}
 	if !firstByte.IsZero() {
 		m.firstByte.WithLabelValues(c.Upstream).Observe(firstByte.Sub(c.Arrived).Seconds())
 	}
--- a/internal/nodesync/options.go
+++ b/internal/nodesync/options.go
@@ -14,6 +14,7 @@
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/ratelimit"
 	"galenatrestle/internal/replica"
+	"galenatrestle/internal/returns"
 	"galenatrestle/internal/routesource"
 )
 
@@ -31,6 +32,8 @@
 	FairShare   *fairshare.Sharing
 	Tracker     *quarantine.Tracker
 	CrashCauses *crashcause.Tracker
+	// Returns has the refused callers that were told to return; nil: none are announced.
+	Returns *returns.Table
 	// RateLimitTable has the rate limits that replicas reported.
 	RateLimitTable *ratelimit.Table
 	// Clients may be set later by SetClients.
--- a/internal/overload/request.go
+++ b/internal/overload/request.go
@@ -19,6 +19,11 @@
 	// Below 1 the workspace is above its share, and the allowed queue time is multiplied by the share.
 	// Zero counts as 1.
 	Share float64
+	// Returned is whether the caller was refused before and returns as it was told.
+	Returned bool
+	// Reserved is the time for which returning callers of the rank will soon keep the upstream busy. It
+	// does not count for a request that Returned.
+	Reserved time.Duration
 	// MemoryUsed is the fraction of the chosen replica's memory that its requests and
 	// this one take.
 	MemoryUsed float64
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -129,6 +129,9 @@
 	if a.state.running == 0 {
 		a.state.waitingSince = time.Time{}
 	}
+	if a.isPlain && a.upstream.service != nil {
+		a.upstream.observeService(now, a.state, now.Sub(a.startedAt), result)
+	}
 	a.state.recordResponse(result)
 	a.upstream.zones.answered(a, result == Answered)
 	switch result {
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -9,7 +9,8 @@
 	// AvailableReplicas is the number of replicas that accept new requests, sampled or not.
 	AvailableReplicas int
 	// FirstTokenTime is the expected time to the first token. It includes OwnPrefill, the time to
-	// prefill this prompt, and SlotWait, the time until the replica has a free slot.
+	// prefill this prompt, and SlotWait, the time until the replica has a free slot. For a plain service
+	// with ServiceAdmission it is the expected time to the answer, and OwnPrefill the service time.
 	FirstTokenTime time.Duration
 	OwnPrefill     time.Duration
 	SlotWait       time.Duration
@@ -25,6 +26,11 @@
 	// CachedTokens is the number of prompt tokens that the replica is expected to have cached or
 	// to copy from another replica.
 	CachedTokens int
+	// Held is the number of replicas of a plain service that get no calls while others have capacity; zero
+	// without ServiceAdmission.
+	Held int
+	// LoadsAge is the age of the other nodes' loads; zero: there are none.
+	LoadsAge time.Duration
 	// FailureScore is this node's failure score of the replica.
 	FailureScore float64
 	// PrefillSpeed is the estimated prefill speed of the replica, in tokens per millisecond; that of
@@ -40,12 +46,17 @@
 		Running: s.running + s.peersRunning, PendingPrefill: s.pendingPrefill(), PrefillAhead: s.prefillAhead(r.Rank),
 		CachedTokens: d.cached, FailureScore: s.failureScoreAt(now),
 	}
+	if !u.peerLoadsAt.IsZero() {
+		c.LoadsAge = now.Sub(u.peerLoadsAt)
+	}
 	if r.PromptTokens > 0 {
 		c.PrefillSpeed = u.prefillSpeed.TokensPerMS() * s.speed.PrefillFactor()
 		c.MemoryFraction = u.memoryFraction(r, s)
 		c.OwnPrefill = u.prefillTime(s, r.PromptTokens-c.CachedTokens)
 		c.SlotWait = time.Duration(u.slotWaitMS(s, r.Rank) * float64(time.Millisecond))
 		c.FirstTokenTime = u.prefillTime(s, c.PrefillAhead) + c.SlotWait + c.OwnPrefill
+	} else if u.service != nil {
+		u.addService(now, s, &c)
 	}
 	return c
 }
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -166,6 +166,7 @@
 	defer u.mu.Unlock()
 	u.peersAt = now
 	u.zones.peersReported(now)
+	u.peerLoadsAt = now
 	for _, s := range u.all {
 		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersRunningShort = sum.Running, sum.RunningShort
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -29,7 +29,9 @@
 	// pauses are those that the replicas asked for; nil: none are kept.
 	pauses *pause.Table
 	// speeds are the options of the estimates of replica speeds; nil: off.
-	speeds       *ReplicaSpeeds
+	speeds *ReplicaSpeeds
+	// service is nil if calls without a prompt have no expected queue time.
+	service      *ServiceAdmission
 	lastChoiceAt time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
@@ -50,9 +52,9 @@
 	u, ok := p.upstreams[name]
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
-		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
 		p.speeds.setUp(u)
 		u.zones, u.zoneCost = newZoneView(p.zoneTraffic, name, p.zone), p.zoneCost
+		u.considerAll, u.permits, u.pauses, u.service = p.considerAll, p.permits, p.pauses, p.service
 		p.upstreams[name] = u
 	}
 	return u
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -43,6 +43,7 @@
 	speed            replicaspeed.Estimate
 	// prompts is this node's running attempts with prompts, if speeds are estimated.
 	prompts []*Attempt
+	service serviceTime
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -50,6 +50,10 @@
 	ZoneTraffic *ZoneTraffic `yaml:"zone_traffic,omitempty"`
 	// FairAdmission divides upstreams that are short of capacity by workspace; nil: they are not divided.
 	FairAdmission *FairAdmission `yaml:"fair_admission,omitempty"`
+	// ServiceAdmission is nil if calls of plain services have no expected queue time.
+	ServiceAdmission *ServiceAdmission `yaml:"service_admission,omitempty"`
+	// ReturnSchedule is nil if the returns of refused callers are not scheduled.
+	ReturnSchedule *ReturnSchedule `yaml:"return_schedule,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -112,6 +116,7 @@
 	p.ReplicaSpeeds.fillDefaults()
 	p.ZoneTraffic.fillDefaults()
 	p.FairAdmission.fillDefaults()
+	p.ServiceAdmission.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
