Replicas are ordered by their best pace, the fastest first for short prompts

Change: the shortest mean time between events of an answer is kept by replica and told in Load field 12; three grades with hysteresis order the available replicas.

--- a/internal/nodesync/convert.go
+++ b/internal/nodesync/convert.go
@@ -61,7 +61,7 @@
 	for _, l := range loads {
 		converted = append(converted, &nodesyncv1.Load{
 			Replica: l.Replica, Running: int32(l.Running), Prefill: int32(l.PrefillBacklog.Total()), PrefillByRank: backlogToProto(l.PrefillBacklog), Light: int32(l.RunningShort), Tokens: int32(l.TokensInMemory), Failures: float32(l.FailureScore),
-			PrefillWeight: weightToProto(l.Prefill), PrefillLogSum: logSumToProto(l.Prefill), DecodeWeight: weightToProto(l.Decode), DecodeLogSum: logSumToProto(l.Decode),
+			PrefillWeight: weightToProto(l.Prefill), PrefillLogSum: logSumToProto(l.Prefill), DecodeWeight: weightToProto(l.Decode), DecodeLogSum: logSumToProto(l.Decode), BestPace: float32(l.BestPace),
 		})
 	}
 	return converted
@@ -72,7 +72,7 @@
 	for _, l := range loads {
 		converted = append(converted, placement.Load{
 			Replica: l.GetReplica(), Running: int(l.GetRunning()), PrefillBacklog: backlogFromProto(l), RunningShort: int(l.GetLight()), TokensInMemory: int(l.GetTokens()), FailureScore: float64(l.GetFailures()),
-			Prefill: observedFromProto(l.GetPrefillWeight(), l.GetPrefillLogSum()), Decode: observedFromProto(l.GetDecodeWeight(), l.GetDecodeLogSum()),
+			Prefill: observedFromProto(l.GetPrefillWeight(), l.GetPrefillLogSum()), Decode: observedFromProto(l.GetDecodeWeight(), l.GetDecodeLogSum()), BestPace: float64(l.GetBestPace()),
 		})
 	}
 	return converted
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -43,7 +43,9 @@
 	gaps            replicaspeed.Gaps
 	ended           bool
 	answerStartedAt time.Time
-	class           string
+	// events counts the answer's events after the first.
+	events int
+	class  string
 	// answerBytes is the received bytes of the answer.
 	answerBytes int
 }
@@ -93,6 +95,7 @@
 func (a *Attempt) DataReceived(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
+	a.events++
 	a.recordData(now)
 	a.observeEvent(now)
 }
@@ -140,6 +143,7 @@
 		a.state.lastDataAt = now
 		a.state.recover(now)
 		a.observeService(now)
+		a.observePace(now)
 		a.upstream.learnServiceTime(now.Sub(a.startedAt))
 		if !a.answerStartedAt.IsZero() {
 			a.upstream.learnAnswerTime(now.Sub(a.answerStartedAt))
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -32,6 +32,9 @@
 	// Prefill and Decode are the node's observations of the replica's speed; for a plain service,
 	// Prefill is those of its answer time.
 	Prefill, Decode replicaspeed.Observed
+	// BestPace is the replica's best pace, in milliseconds, if the node has seen it a moment ago; zero: it
+	// has not.
+	BestPace float64
 }
 
 // Loads returns this node's load on the replicas, most used first.
@@ -86,7 +89,7 @@
 			failures += unresponsive.Seconds()
 		}
 		load := Load{Replica: s.replica.ID, Running: s.running, RunningShort: s.runningShort, PrefillBacklog: s.prefillBacklog, TokensInMemory: s.tokensInMemory, FailureScore: failures}
-		load.setSpeeds(s)
+		load.setSpeeds(now, s)
 		if s.running == 0 && failures < negligibleFailures && !load.hasSpeeds() {
 			continue
 		}
@@ -109,6 +112,7 @@
 		sum.PrefillBacklog = sum.PrefillBacklog.plus(&l.PrefillBacklog)
 		sum.TokensInMemory += l.TokensInMemory
 		sum.FailureScore = max(sum.FailureScore, l.FailureScore)
+		sum.BestPace = minPace(sum.BestPace, l.BestPace)
 		sum.Prefill, sum.Decode = sum.Prefill.Plus(l.Prefill), sum.Decode.Plus(l.Decode)
 		sums[l.Replica] = sum
 	}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -172,6 +172,7 @@
 		s.peersRunning, s.peersRunningShort = sum.Running, sum.RunningShort
 		s.peersPrefillBacklog, s.peersTokensInMemory, s.peersFailureScore = sum.PrefillBacklog, sum.TokensInMemory, sum.FailureScore
 		s.speed.SetPeers(sum.Prefill, sum.Decode)
+		s.bestPace.Observe(now, sum.BestPace)
 	}
 }
 
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -131,7 +131,8 @@
 }
 
 // setSpeeds adds this node's observations of the replica to its load report.
-func (l *Load) setSpeeds(s *replicaState) {
+func (l *Load) setSpeeds(now time.Time, s *replicaState) {
+	l.BestPace = s.reportedPace(now)
 	if own := s.speed.Own(replicaspeed.Prefill); own.Significant() {
 		l.Prefill = own
 	}
@@ -141,4 +142,4 @@
 }
 
 // hasSpeeds reports whether the load report has observations of speed.
-func (l *Load) hasSpeeds() bool { return l.Prefill.Weight > 0 || l.Decode.Weight > 0 }
+func (l *Load) hasSpeeds() bool { return l.Prefill.Weight > 0 || l.Decode.Weight > 0 || l.BestPace > 0 }
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -10,6 +10,12 @@
 
 type replicaState struct {
 	replica replica.Replica
+	// hashOrder is its place among the available replicas by the hashes of their IDs. ownPace is the best
+	// pace that this node has seen, bestPace that of all nodes, from which the grade follows.
+	hashOrder int
+	ownPace   replicaspeed.BestPace
+	bestPace  replicaspeed.BestPace
+	grade     replicaspeed.Grade
 	// zoneIndex is the index of its zone in zoneView.names, placeInZone its place among the zone's
 	// available replicas.
 	zoneIndex, placeInZone int
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -69,6 +69,7 @@
 	speeds         *replicaspeed.Upstream
 	speedEstimates []*replicaspeed.Estimate
 	slowStart      slowStart
+	speedOrder     speedOrder
 	onSpeedChange  func(SpeedChange)
 	// peersAt is when the sums of the other nodes were last set.
 	peersAt time.Time
@@ -98,10 +99,11 @@
 	u.all = slices.Collect(maps.Values(u.states))
 	u.trackSpeeds()
 	u.available = u.available[:0]
-	for _, r := range availableReplicas(replicas) {
+	for i, r := range availableReplicas(replicas) {
+		u.states[r.ID].hashOrder = i
 		u.available = append(u.available, u.states[r.ID])
 	}
-	u.zones.sync(u.available)
+	u.sortAvailable()
 }
 
 // sameSlice reports whether both are the same slice. The replica set returns the same slice
@@ -138,6 +140,7 @@
 func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *decision {
 	u.syncReplicas(replicas)
 	u.refreshSpeeds(now)
+	u.orderBySpeed(now)
 	u.learnPrompt(r)
 	current := u.restrictions(now)
 	current.excludeLimited, current.awaitsSlot = r.ExcludeRateLimited, r.AwaitsSlot
--- /dev/null
+++ b/internal/replicaspeed/bestpace_test.go
@@ -0,0 +1,53 @@
+package replicaspeed
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against replicas that are taken for slow because much runs there: the quick ones of a fleet of
+// two speeds got the same estimates as idle slow ones.
+func TestGradesCompareReplicasAndNotTheirLoad(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	answers := [][]float64{{9, 30, 45}, {50, 12, 60}, {20, 21}, {22, 70, 90}, {20}, {24, 23}, {}}
+	want := []Grade{FastGrade, FastGrade, UsualGrade, UsualGrade, UsualGrade, UsualGrade, UsualGrade}
+	paces, grades := make([]*BestPace, len(answers)), make([]Grade, len(answers))
+	for i, list := range answers {
+		paces[i] = new(BestPace)
+		for _, ms := range list {
+			paces[i].ObserveAnswer(now, 10, time.Duration(10*ms*float64(time.Millisecond)))
+		}
+	}
+	if !Grades(now, paces, grades) {
+		t.Error("no grade has changed")
+	}
+	for i, g := range grades {
+		if g != want[i] {
+			t.Errorf("replica %d: grade %d, want %d", i, g, want[i])
+		}
+	}
+	if Grades(now, paces, grades) {
+		t.Error("grades change without news")
+	}
+}
+
+// Guards against a best pace that holds for good after the replica has become slower.
+func TestBestPaceIsForgotten(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	var p BestPace
+	p.Observe(now, 10)
+	p.Observe(now.Add(time.Second), 20)
+	if got := p.MS(now.Add(time.Second)); got > 11 {
+		t.Errorf("pace %.1f a second after 10 ms", got)
+	}
+	later := now.Add(4 * paceMemory)
+	p.Observe(later, 20)
+	if got := p.MS(later); got != 20 {
+		t.Errorf("pace %.1f, want that of the slower replica", got)
+	}
+	p.ObserveAnswer(later, minPaceEvents-1, time.Millisecond)
+	p.Observe(later, 0)
+	if got := p.MS(later); got != 20 {
+		t.Errorf("pace %.1f after answers that tell nothing", got)
+	}
+}
