Placement counts the expected loss of a missed objective

Copying 6,300 shared tokens costs a choice 1.9 s, so sessions queued at their replica although the objective is 600 ms and others were idle. With section objective_placement a choice adds miss_cost times the probability that the first event is late. The template turns it on; the test of the template expects the new section.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -102,6 +102,9 @@
 	n.placer = placement.NewPlacer(s.AvailabilityZone, n.replicas, random)
 	n.placer.SetPermits(n.rateLimiter.permits)
 	n.placer.SetPauses(&n.pauses)
+	if o := s.PassThrough.ObjectivePlacement; o != nil {
+		n.placer.SetObjectivePlacement(o.MissCost.Std())
+	}
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -60,7 +60,7 @@
 }
 
 func (c *Call) newPlacementRequest() placement.Request {
-	r := placement.Request{Class: c.Route.Name, Rank: c.Rank, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, CanCopyCache: c.CanCopyCache, AnswerTokens: c.Prompt.ExpectedAnswerTokens, Version: c.StreamVersion}
+	r := placement.Request{Class: c.Route.Name, Rank: c.Rank, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, CanCopyCache: c.CanCopyCache, AnswerTokens: c.Prompt.ExpectedAnswerTokens, Version: c.StreamVersion, Objective: c.Route.Objective, MaxPause: c.Route.MaxPause}
 	if r.AnswerTokens == 0 {
 		r.AnswerTokens = c.Prompt.MaxAnswerTokens
 	}
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -27,7 +27,10 @@
 	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses       *pause.Table
+	pauses *pause.Table
+	// missCostMS is the cost of a missed objective, in milliseconds; zero: objectives are
+	// disregarded.
+	missCostMS   float64
 	lastChoiceAt time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
@@ -46,6 +49,7 @@
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
 		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
+		u.missCostMS = p.missCostMS
 		p.upstreams[name] = u
 	}
 	return u
--- a/internal/placement/request.go
+++ b/internal/placement/request.go
@@ -1,5 +1,7 @@
 package placement
 
+import "time"
+
 // PromptPart is a contiguous part of a prompt that replicas can cache.
 type PromptPart struct {
 	ID     uint64
@@ -32,6 +34,10 @@
 	Avoid []string
 	// FailedZones is the availability zones of the replicas in Avoid.
 	FailedZones []string
+	// Objective is the time within which the first event is to come; zero: none.
+	Objective time.Duration
+	// MaxPause is the longest pause between events of a stream on time; zero: not bounded.
+	MaxPause time.Duration
 }
 
 // tokens returns the number of tokens that the request takes of a replica's memory.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -48,7 +48,10 @@
 	// permits are those of limited replicas; nil: limits are not enforced.
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
-	pauses       *pause.Table
+	pauses *pause.Table
+	// missCostMS is the cost of a missed objective, in milliseconds; zero: objectives are
+	// disregarded.
+	missCostMS   float64
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -43,6 +43,8 @@
 	Retries    RetryBudget `yaml:"retry_budget,omitempty"`
 	// Duties is what one node at a time does for the whole fleet; nil: nothing.
 	Duties *Duties `yaml:"duties,omitempty"`
+	// ObjectivePlacement is nil where choices of replicas disregard objectives.
+	ObjectivePlacement *ObjectivePlacement `yaml:"objective_placement,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -88,6 +90,7 @@
 		}
 	}
 	checkDuties(source, p.Duties)
+	checkObjectivePlacement(source, p.ObjectivePlacement)
 }
 
 func (p *PassThrough) fillDefaults() {
@@ -99,6 +102,7 @@
 	p.Grace = cmp.Or(p.Grace, defaultGrace)
 	p.ResolveTTL = cmp.Or(p.ResolveTTL, defaultResolveTTL)
 	p.Duties.fillDefaults()
+	p.ObjectivePlacement.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
--- a/internal/settings/passthrough_test.go
+++ b/internal/settings/passthrough_test.go
@@ -109,6 +109,7 @@
 			Address: "10.200.0.70:8181", Kinds: []DutyKind{Metering, Autoscale}, Lease: config.Duration(3 * time.Second),
 			UsageWindow: config.Duration(5 * time.Second), UsageDelay: config.Duration(10 * time.Second),
 		},
+		ObjectivePlacement: &ObjectivePlacement{MissCost: config.Duration(3 * time.Second)},
 	}
 	if !reflect.DeepEqual(*s.PassThrough, want) {
 		t.Errorf("%+v, want %+v", *s.PassThrough, want)
@@ -145,6 +146,10 @@
 		{"ratio: 0.2", "ratio: 20", `pass_through.retry_budget.ratio: value "20"`},
 		{"window: 10s", "window: 1ns", `pass_through.retry_budget.window: value "1ns": must be at least 1s`},
 		{"grace: 8s", "grace: 20ms", `pass_through.grace: value "20ms": must be at least 1s`},
+		{"miss_cost: 3s", "miss_cost: -3s", `pass_through.objective_placement.miss_cost: value "-3s"`},
+		{"miss_cost: 3s", "miss_cost: 3ms", `pass_through.objective_placement.miss_cost: value "3ms": must be from 100ms to 1m0s`},
+		{"miss_cost: 3s", "miss_cost: 2m", `pass_through.objective_placement.miss_cost: value "2m`},
+		{"miss_cost", "mis_cost", `pass_through.objective_placement.mis_cost`},
 		{"memory_mb", "memory", `pass_through.memory: value "memory"`},
 	} {
 		if _, err := Parse([]byte(strings.Replace(good, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.want) {
