Choices count pauses, the harm to streams and stale loads; replay on uneven engines

A prefill chunk is read in each decode step, so prompts beside a stream make it pause. With objective_placement a choice now counts the probability of too long a pause, the streams that a long prompt stalls and the other side's expected loss; the short side's size follows from the prompts that arrive there.

--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -104,6 +104,7 @@
 	n.placer.SetPauses(&n.pauses)
 	if o := s.PassThrough.ObjectivePlacement; o != nil {
 		n.placer.SetObjectivePlacement(o.MissCost.Std())
+		n.placer.RegisterObjectiveMetrics(registry)
 	}
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
--- a/internal/fleetsim/class.go
+++ b/internal/fleetsim/class.go
@@ -27,6 +27,17 @@
 	// zero: they have none in common.
 	Common       int
 	CommonTokens int
+	// Skew makes some sessions more popular than others: a session is that of the lowest
+	// Sessions times a random fraction to the power of 1+Skew.
+	Skew float64
+}
+
+// session draws the number of a session, from 0.
+func (c *Class) session(random *rand.Rand) int {
+	if c.Skew == 0 {
+		return random.IntN(c.Sessions)
+	}
+	return int(float64(c.Sessions) * math.Pow(random.Float64(), 1+c.Skew))
 }
 
 // length draws a length with the mean.
--- a/internal/fleetsim/engine.go
+++ b/internal/fleetsim/engine.go
@@ -41,8 +41,12 @@
 	// parts that some engine had read before.
 	readTokens int
 	readAgain  int
+	// copied counts the tokens that were copied from other engines.
+	copied int
 	// arrivals counts the jobs that were sent here.
 	arrivals int
+	// slowBy is by how much the engine is slower at present; zero: not slower.
+	slowBy float64
 }
 
 // add takes a job. from is the engine from which it copies shared parts, or nil.
@@ -50,7 +54,11 @@
 	e.arrivals++
 	cached := e.holds(j.shared)
 	if from != nil {
+		own := cached
 		cached = max(cached, from.holds(j.shared))
+		for _, part := range j.shared[own:cached] {
+			e.copied += part.Tokens
+		}
 	}
 	j.toRead = j.promptTokens
 	for i, part := range j.shared {
@@ -97,6 +105,9 @@
 		running++
 	}
 	took := e.model.StepMS + e.model.PerRequestMS*float64(running) + float64(read)/e.model.TokensPerMS
+	if e.slowBy > 0 {
+		took *= e.slowBy
+	}
 	e.freeAt = now + time.Duration(took*float64(time.Millisecond))
 	for _, j := range active {
 		if j.toRead > 0 {
--- a/internal/fleetsim/fleet.go
+++ b/internal/fleetsim/fleet.go
@@ -52,9 +52,15 @@
 // Play plays the scenario to its end.
 func Play(s Scenario) *Report {
 	f := newFleet(&s)
-	for now := time.Duration(0); now < s.Length; now += tick {
+	f.play()
+	return f.report()
+}
+
+func (f *fleet) play() {
+	for now := time.Duration(0); now < f.scenario.Length; now += tick {
 		f.crash(now)
 		f.limit(now)
+		f.slow(now)
 		f.arrive(now)
 		f.comeBack(now)
 		for _, e := range f.engines {
@@ -63,7 +69,6 @@
 		f.listen(now)
 		f.exchange(now)
 	}
-	return f.report()
 }
 
 func newFleet(s *Scenario) *fleet {
@@ -72,7 +77,7 @@
 		readBefore: make(map[uint64]bool), issuer: ratelimit.NewIssuer(),
 	}
 	for i := range s.Engines {
-		e := &engine{model: s.Model, id: fmt.Sprintf("i-%02d-%d", i, s.Seed), cache: make(map[uint64]bool)}
+		e := &engine{model: s.model(i), id: fmt.Sprintf("i-%02d-%d", i, s.Seed), cache: make(map[uint64]bool)}
 		f.engines = append(f.engines, e)
 		f.byID[e.id] = e
 	}
@@ -116,7 +121,7 @@
 		answerTokens: length(f.random, class.AnswerTokens, class.Spread),
 	}
 	if class.Sessions > 0 {
-		c.session = uint64(i+1)<<32 | uint64(f.random.IntN(class.Sessions)+1)
+		c.session = uint64(i+1)<<32 | uint64(class.session(f.random)+1)
 	}
 	f.calls = append(f.calls, c)
 	f.send(now, c)
@@ -165,6 +170,7 @@
 		Class: c.class.Name, Rank: c.class.Rank,
 		PromptTokens: c.ownTokens, AnswerTokens: c.answerTokens,
 		MemoryTokens: f.scenario.Model.MemoryTokens, CanCopyCache: f.scenario.Copies,
+		Objective: c.class.Objective, MaxPause: c.class.MaxPause,
 	}
 	if common := c.class.Common; common > 0 {
 		// Sessions share the first part of their prompts with many others.
@@ -217,8 +223,11 @@
 			j.call.settle(failed)
 			continue
 		case j.firstAt > 0 && j.firstAt <= now && !j.heard:
-			j.heard = true
+			j.heard, j.toldAt = true, j.firstAt
 			j.attempt.AnswerStarted(at)
+		case f.scenario.TellEvents && j.heard && j.lastAt > j.toldAt && j.lastAt <= now:
+			j.toldAt = j.lastAt
+			j.attempt.DataReceived(at)
 		}
 		if j.whole() && j.lastAt <= now {
 			j.attempt.End(at, placement.Answered)
@@ -275,6 +284,7 @@
 	for _, e := range f.engines {
 		r.ReadTokens += e.readTokens / 1000
 		r.ReadAgain += e.readAgain / 1000
+		r.Copied += e.copied / 1000
 		most, all = max(most, e.arrivals), all+e.arrivals
 	}
 	r.Busiest = float64(most*len(f.engines)) / float64(max(all, 1))
--- a/internal/fleetsim/job.go
+++ b/internal/fleetsim/job.go
@@ -24,6 +24,8 @@
 	lastAt  time.Duration
 	broken  bool
 	heard   bool
+	// toldAt is the event that the node was last told of.
+	toldAt time.Duration
 }
 
 // token adds one token to the answer, which passes on an event now and then.
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -32,6 +32,9 @@
 		n.limits = ratelimit.NewTable(func() boottime.Instant { return 0 })
 		n.permits = ratelimit.NewPermits(n.limits)
 		n.placer.SetPermits(n.permits)
+		if s.MissCost > 0 {
+			n.placer.SetObjectivePlacement(s.MissCost)
+		}
 		if s.SeeAll {
 			n.placer.ConsiderAllReplicas()
 		}
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -9,6 +9,8 @@
 	// parts that some engine had read before, both in thousands.
 	ReadTokens int
 	ReadAgain  int
+	// Copied is the prompt tokens that engines copied from each other, in thousands.
+	Copied int
 	// Busiest is the calls at the engine that got most, by the mean of all.
 	Busiest float64
 }
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -27,7 +27,15 @@
 	SeeAll bool
 	// Ungated lets every request in.
 	Ungated bool
-	Seed    uint64
+	// Speeds are the relative speeds of the engines, in turn; none: all are alike.
+	Speeds []float64
+	// Slowdowns make engines slow for a while.
+	Slowdowns Slowdowns
+	// MissCost has the nodes choose by objective and pause; zero: they do not.
+	MissCost time.Duration
+	// TellEvents has the nodes learn of every event of an answer, not of the first only.
+	TellEvents bool
+	Seed       uint64
 }
 
 // Burst multiplies the load of a class.
--- /dev/null
+++ b/internal/fleetsim/uneven_test.go
@@ -0,0 +1,57 @@
+package fleetsim
+
+import (
+	"testing"
+	"time"
+)
+
+// unevenEngine reads at most 1,024 tokens in a step, and tells six tokens in an event.
+var unevenEngine = EngineModel{
+	TokensPerMS: 44.2, Chunk: 1024, StepMS: 3.4, PerRequestMS: 0.017, Slots: 64, MemoryTokens: 366_404, TokensPerEvent: 6,
+}
+
+// unevenLoad is a burst of long prompts and then one of chats, on engines of uneven speed of which
+// some are slow at times.
+func unevenLoad(seed uint64) Scenario {
+	return Scenario{
+		Nodes: 75, Engines: 60, Model: unevenEngine, Speeds: []float64{0.55, 1.2, 1.2, 1.2},
+		Slowdowns: Slowdowns{Every: 600 * time.Millisecond, Share: 0.15, Times: 2.5},
+		Length:    23 * time.Second, NewsEvery: 225 * time.Millisecond, Hubs: true, Copies: true, TellEvents: true, Seed: seed,
+		Classes: []Class{
+			{Name: letter, Rank: 1, PerSecond: 141, Objective: 600 * time.Millisecond, MaxPause: 300 * time.Millisecond, Patience: 5 * time.Second,
+				OwnTokens: 2890, AnswerTokens: 54, Spread: 0.5, Sessions: 1319, Skew: 0.5, SharedTokens: 3780, Common: 4, CommonTokens: 2520},
+			{Name: question, Rank: 0, PerSecond: 165, Objective: 250 * time.Millisecond, MaxPause: 200 * time.Millisecond, Patience: 5 * time.Second,
+				OwnTokens: 628, AnswerTokens: 294, Spread: 0.5, Sessions: 1000, SharedTokens: 78, Common: 20, CommonTokens: 120},
+		},
+		Bursts: []Burst{{letter, 0, 9 * time.Second, 2.3}, {question, 11 * time.Second, 16 * time.Second, 2.2}},
+	}
+}
+
+// Guards against streams that pause for too long because choices disregard what is prefilled beside
+// them, and against long prompts that queue where they are cached.
+func TestChoicesByObjectiveServeMoreInTimeOnUnevenEngines(t *testing.T) {
+	with, without := playUneven(3*time.Second), playUneven(0)
+	t.Logf("copied %d thousand tokens, %d without", with.Copied, without.Copied)
+	for class, gain := range map[string]float64{letter: 0.01, question: 0.06} {
+		got, before := with.Classes[class], without.Classes[class]
+		t.Logf("%s: %s; without %s", class, got, before)
+		if got.OnTimeShare() < before.OnTimeShare()+gain {
+			t.Errorf("%.3f of class %s are on time, %.3f without the part, want %.2f more", got.OnTimeShare(), class, before.OnTimeShare(), gain)
+		}
+	}
+}
+
+// playUneven plays two seeds of the load: more take too long for a test.
+func playUneven(missCost time.Duration) *Report {
+	sum := &Report{Classes: map[string]*Tally{letter: {}, question: {}}}
+	for seed := range uint64(2) {
+		s := unevenLoad(seed + 1)
+		s.MissCost = missCost
+		r := Play(s)
+		sum.Copied += r.Copied
+		for name, tally := range r.Classes {
+			sum.Classes[name].Add(tally)
+		}
+	}
+	return sum
+}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -239,6 +239,9 @@
 		"cost_ms": int(c.Cost), "wait_ms": c.FirstTokenTime.Milliseconds(), "memory_used": roundToHundredths(c.MemoryFraction), "among": c.AvailableReplicas, "running": c.Running, "to_read": c.PendingPrefill, "ahead": c.PrefillAhead,
 		"cached": c.CachedTokens, "copy_from": ev.placementAttempt.CopyFrom, "failures": roundToHundredths(c.FailureScore), "read_speed": roundToHundredths(c.PrefillSpeed), "replicas_revision": ev.revision,
 	}
+	if c.Objective != nil {
+		addObjective(fields, c.Objective)
+	}
 	if version := ev.placementAttempt.Replica.Version; version != "" {
 		fields["version"] = version
 	}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -33,6 +33,12 @@
 	shortPrompt     bool
 	ended           bool
 	answerStartedAt time.Time
+	// prefilled is the number of the attempt's prompt tokens that the replica prefills. lastEventAt is
+	// when data was last received, and pendingAtEvent the replica's prefill backlog then; they are
+	// kept only if choices take objectives into account.
+	prefilled      int
+	lastEventAt    time.Time
+	pendingAtEvent int
 }
 
 // PermitGranted records that a rate limit permit was granted and the request is about to be
@@ -61,6 +67,7 @@
 	a.upstream.prefillSpeed.Observe(a.prefillTokens, now.Sub(a.startedAt))
 	a.state.cache.markPrefilled(now, a.shared)
 	a.answerStartedAt = now
+	a.learnEvent(now)
 	a.recordData(now)
 	a.state.recover(now)
 }
@@ -77,6 +84,7 @@
 func (a *Attempt) DataReceived(now time.Time) {
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
+	a.learnEvent(now)
 	a.recordData(now)
 }
 
@@ -120,6 +128,7 @@
 		a.upstream.learnServiceTime(now.Sub(a.startedAt))
 		if !a.answerStartedAt.IsZero() {
 			a.upstream.learnAnswerTime(now.Sub(a.answerStartedAt))
+			a.learnAnswer(now)
 		}
 	default:
 		a.state.addFailure(now, penalties[result])
--- a/internal/placement/candidates.go
+++ b/internal/placement/candidates.go
@@ -32,6 +32,9 @@
 		return 1
 	}
 	fraction := fullViewNodes * u.ownFraction()
+	if u.objective != nil {
+		return max(fraction*fraction*fraction*fraction, minObjectiveCandidates/float64(max(len(side), 1)))
+	}
 	return max(fraction*fraction, minCandidates/float64(max(len(side), 1)))
 }
 
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -30,6 +30,8 @@
 	// PrefillSpeed is the estimated prefill speed of the upstream's replicas, in tokens per
 	// millisecond.
 	PrefillSpeed float64
+	// Objective is nil if choices disregard objectives.
+	Objective *ObjectiveChoice
 }
 
 // newChoice is called with the lock held.
@@ -41,6 +43,7 @@
 		CachedTokens: d.cached, FailureScore: s.failureScoreAt(now),
 	}
 	if r.PromptTokens > 0 {
+		c.Objective = u.newObjectiveChoice(now, r, d)
 		c.PrefillSpeed = u.prefillSpeed.TokensPerMS()
 		c.MemoryFraction = u.memoryFraction(r, s)
 		c.OwnPrefill = u.prefillSpeed.PrefillTime(r.PromptTokens - c.CachedTokens)
--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -76,7 +76,10 @@
 	cost += recompute * float64(r.sharedTokens()-cached-copied)
 	// An engine that runs out of memory preempts requests and prefills them again.
 	cost += max(u.memoryFraction(r, s)-memoryPressureThreshold, 0) * memoryPressureCost
-	return cost + u.stallingCost(r, s, uncached) + u.missCost(r, s, uncached)
+	if u.objective != nil {
+		return cost + u.missCost(r, s, uncached)
+	}
+	return cost + u.stallingCost(r, s, uncached)
 }
 
 // healthCost returns the cost of the replica's recent failures and unresponsiveness.
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -1,7 +1,7 @@
 package placement
 
 import (
-	"math"
+	"sync/atomic"
 	"time"
 )
 
@@ -12,33 +12,109 @@
 // refused as too late. The expected loss of a missed objective outweighs it. It is bounded, so if
 // all replicas are late, the other costs decide, and a session stays at its replica.
 
-// missSpread is the spread of the logarithm of the time to first token around its expectation.
-const missSpread = 0.35
+const (
+	// minObjectiveCandidates is the expected number of replicas of a side that a node of a large
+	// fleet draws. Expected losses differ more between replicas than their loads do, so with more
+	// draws the nodes pick the same idle replicas and copy more prompts to them.
+	minObjectiveCandidates = 2.0
+	// firstTokenFactor is the time to first token relative to that expected from the reported loads:
+	// requests of the last third of a second are missing in them.
+	firstTokenFactor = 1.5
+	// freshLoads is the age up to which reported loads count as current, staleLoads that from which
+	// they tell little.
+	freshLoads = 500 * time.Millisecond
+	staleLoads = 2 * time.Second
+	// objectiveInterval is the time between two calculations of what all choices have in common.
+	objectiveInterval = 100 * time.Millisecond
+)
+
+// objectiveCosts is what choices by objective and pause are based on, for one upstream.
+type objectiveCosts struct {
+	// missCostMS is the cost of a missed objective, in milliseconds.
+	missCostMS float64
+	pauses     pauseModel
+	// loadsAt is when loads of other nodes were last received; zero: never. staleness is how
+	// little they tell at the present choice, from 0 to 1.
+	loadsAt   time.Time
+	staleness float64
+	// shortTarget is the number of requests with short prompts per replica, as of preparedAt;
+	// zero: not bounded by pauses.
+	shortTarget float64
+	preparedAt  time.Time
+	// moves counts, for all upstreams, the choices of a replica other than the one with the prompt
+	// cached because that one is expected to be late.
+	moves *atomic.Int64
+}
+
+func newObjectiveCosts(missCostMS float64, moves *atomic.Int64) *objectiveCosts {
+	return &objectiveCosts{missCostMS: missCostMS, pauses: newPauseModel(), moves: moves}
+}
 
 // SetObjectivePlacement makes choices take the requests' objectives and longest allowed pauses
 // into account. missCost is the cost of missing either, in latency. Call it before the first
 // Choose.
-func (p *Placer) SetObjectivePlacement(missCost time.Duration) {
-	p.missCostMS = float64(missCost) / float64(time.Millisecond)
+func (p *Placer) SetObjectivePlacement(missCost time.Duration) { p.missCostMS = milliseconds(missCost) }
+
+// prepareObjective is called before each choice.
+func (u *upstream) prepareObjective(now time.Time, r *Request) {
+	o := u.objective
+	o.staleness = o.stalenessAt(now)
+	if r.MaxPause > 0 && r.PromptTokens > 0 && !u.hasLongPrompts(r) {
+		o.pauses.learnMaxPause(r.MaxPause)
+	}
+	if o.preparedAt.IsZero() || now.Sub(o.preparedAt) >= objectiveInterval {
+		o.preparedAt, o.shortTarget = now, o.pauses.shortTarget()
+		u.orderBySpeed()
+	}
 }
 
-// missCost returns the expected cost of a first event that comes after the request's objective
-// at the replica, where the uncached tokens of its prompt are to be prefilled.
+// missCost returns the expected loss, at the replica, of missing the request's objective and its
+// longest allowed pause, and of pauses that it brings to others.
 func (u *upstream) missCost(r *Request, s *replicaState, uncached int) float64 {
-	if u.missCostMS == 0 || r.Objective <= 0 {
+	late := u.lateProbability(r, s, uncached) + u.pauseProbability(r, s) + u.stalledStreams(r, s, uncached)
+	return u.objective.missCostMS * late
+}
+
+// lateProbability returns the probability that the first event comes after the objective if the
+// replica has to prefill the uncached tokens of the prompt.
+func (u *upstream) lateProbability(r *Request, s *replicaState, uncached int) float64 {
+	if r.Objective <= 0 {
+		return 0
+	}
+	expected := u.prefillMS(s, s.prefillAhead(r.Rank)+uncached) + u.slotWaitMS(s, r.Rank)
+	return exceedProbability(firstTokenFactor*expected, milliseconds(r.Objective), u.objective.staleness)
+}
+
+// prefillMS returns the expected time, in milliseconds, in which the replica prefills the tokens.
+func (u *upstream) prefillMS(s *replicaState, tokens int) float64 {
+	prefill, _ := s.speedFactors()
+	return u.objective.pauses.msPerToken * float64(tokens) / prefill
+}
+
+// loadsReceived records that loads of other nodes were received. It may be called on nil.
+func (o *objectiveCosts) loadsReceived(now time.Time) {
+	if o != nil {
+		o.loadsAt = now
+	}
+}
+
+func (o *objectiveCosts) stalenessAt(now time.Time) float64 {
+	if o.loadsAt.IsZero() {
 		return 0
 	}
-	expectedMS := u.prefillSpeed.PrefillMS(s.prefillAhead(r.Rank)+uncached) + u.slotWaitMS(s, r.Rank)
-	return u.missCostMS * exceedProbability(expectedMS, milliseconds(r.Objective), missSpread)
+	return min(max(float64(now.Sub(o.loadsAt)-freshLoads)/float64(staleLoads-freshLoads), 0), 1)
 }
 
 // exceedProbability returns the probability that a time exceeds the limit. The logarithm of the
-// time is distributed logistically around that of the expected one.
-func exceedProbability(expected, limit, spread float64) float64 {
+// time is distributed logistically around that of the expected one, with a spread of one third, and
+// of one if the expectation is based on stale loads. The exponents are whole numbers because a
+// choice calculates hundreds of them.
+func exceedProbability(expected, limit, staleness float64) float64 {
 	if expected <= 0 {
 		return 0
 	}
-	return 1 / (1 + math.Pow(limit/expected, 1/spread))
+	x := limit / expected
+	return (1-staleness)/(1+x*x*x) + staleness/(1+x)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/placement/objective_test.go
+++ b/internal/placement/objective_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"testing"
 	"time"
 )
@@ -55,3 +56,129 @@
 		})
 	}
 }
+
+// Guards against a choice that changes although the section is missing: objectives and pauses of
+// the requests must not matter then.
+func TestObjectivesDoNotMatterWithoutTheSection(t *testing.T) {
+	chosen := func(objective, maxPause time.Duration) (ids []string) {
+		p, _ := newFleet(12, 1)
+		for i := range 300 {
+			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
+			r := short()
+			if i%3 == 0 {
+				r = long(uint64(100 + i%40))
+			}
+			r.Objective, r.MaxPause = objective, maxPause
+			a := p.Choose(now, "u", r)
+			a.AnswerStarted(now)
+			a.DataReceived(now.Add(5 * time.Millisecond))
+			if i%2 == 0 {
+				a.End(now.Add(9*time.Millisecond), Answered)
+			}
+			ids = append(ids, a.Replica.ID)
+		}
+		return ids
+	}
+	if with, without := chosen(100*time.Millisecond, 50*time.Millisecond), chosen(0, 0); !slices.Equal(with, without) {
+		t.Error("choices differ by the requests' objectives although the section is missing")
+	}
+}
+
+// Guards against trust in loads that no hub or node has updated: a replica that looked busy
+// seconds ago must no longer be avoided as if it were.
+func TestStaleLoadsCountLess(t *testing.T) {
+	o := newObjectiveCosts(3000, nil)
+	if s := o.stalenessAt(start); s != 0 {
+		t.Errorf("staleness %.2f of a node without others, want 0", s)
+	}
+	o.loadsReceived(start)
+	late := func(expected float64, age time.Duration) float64 {
+		return exceedProbability(expected, 600, o.stalenessAt(start.Add(age)))
+	}
+	if late(600, 0) != 0.5 {
+		t.Errorf("probability %.2f of a time that is expected at the objective, want 0.5", late(600, 0))
+	}
+	if fresh, stale := late(1800, 300*time.Millisecond), late(1800, 2*time.Second); stale > fresh-0.1 {
+		t.Errorf("probability %.2f with loads of 2 s, %.2f with current ones, want less", stale, fresh)
+	}
+	if fresh, stale := late(200, 300*time.Millisecond), late(200, 2*time.Second); stale < fresh+0.1 {
+		t.Errorf("probability %.2f with loads of 2 s, %.2f with current ones, want more", stale, fresh)
+	}
+}
+
+// Guards against prompts that are prefilled beside streams that pause for too long then, and
+// against a short side that disregards how many prompts arrive there.
+func TestPausesFollowFromPromptsThatArrive(t *testing.T) {
+	m := newPauseModel()
+	if m.shortTarget() != 0 {
+		t.Error("pauses bound the requests per replica although no allowed pause is known")
+	}
+	m.learnMaxPause(200 * time.Millisecond)
+	usual := m.shortTarget()
+	for range 300 {
+		m.learnAnswer(true, 826, 650*time.Millisecond, 44)
+	}
+	if busy := m.shortTarget(); busy > usual-4 || busy < minShortPerReplica {
+		t.Errorf("%.1f requests per replica while answers take 650 ms, %.1f while they take 1.5 s, want fewer", busy, usual)
+	}
+	for range 2000 {
+		m.learnEvent(12*time.Millisecond, 0, 0)
+		m.learnEvent(300*time.Millisecond, 3000, 0)
+	}
+	if m.eventMS < 11 || m.eventMS > 13 {
+		t.Errorf("%.1f ms between events without prefill, want about 12", m.eventMS)
+	}
+}
+
+// Guards against long prompts among running streams with short prompts while other replicas have
+// none.
+func TestLongPromptAvoidsStreamsItWouldStall(t *testing.T) {
+	p, set := newFleet(12, 1)
+	p.SetObjectivePlacement(3 * time.Second)
+	for range 200 {
+		r := short()
+		r.Objective, r.MaxPause = 250*time.Millisecond, 200*time.Millisecond
+		p.Choose(start, "u", r).End(start, Answered)
+	}
+	var loads []Load
+	quiet := set.ForUpstream("u")[7].ID
+	for _, r := range set.ForUpstream("u") {
+		load := Load{Replica: r.ID, Running: 6, RunningShort: 6}
+		if r.ID == quiet {
+			load.RunningShort = 0
+		}
+		loads = append(loads, load)
+	}
+	p.SetPeerLoads("other", loads, false, 1, start)
+	for i := range 10 {
+		r := long(0)
+		r.Shared = nil
+		r.Objective, r.MaxPause = 600*time.Millisecond, 300*time.Millisecond
+		a := p.Choose(start, "u", r)
+		if a.Replica.ID != quiet {
+			t.Errorf("prompt %d was placed on %s beside running streams, want %s", i, a.Replica.ID, quiet)
+		}
+		a.End(start, Cancelled)
+	}
+}
+
+// Guards against nodes with different sides: slow replicas come first, and replicas of one class
+// keep the order of their hashes whatever the classes were before.
+func TestSidesAreOrderedBySpeedClass(t *testing.T) {
+	p, set := newFleet(12, 1)
+	p.SetObjectivePlacement(3 * time.Second)
+	p.Choose(start, "u", short()).End(start, Cancelled)
+	u := p.upstream("u")
+	byHash := availableReplicas(set.ForUpstream("u"))
+	u.available[9].speedClass, u.available[4].speedClass = -3, 1
+	slices.Reverse(u.available)
+	u.sortBySpeedClass()
+	if u.available[0].replica.ID != byHash[9].ID || u.available[11].replica.ID != byHash[4].ID {
+		t.Errorf("first %s and last %s, want the slow and the fast replica", u.available[0].replica.ID, u.available[11].replica.ID)
+	}
+	for i, s := range u.available[2:11] {
+		if previous := u.available[i+1]; s.order < previous.order {
+			t.Errorf("%s comes after %s, want the order of the hashes", s.replica.ID, previous.replica.ID)
+		}
+	}
+}
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -131,7 +131,7 @@
 func (p *Placer) applyPeerLoads(aliveNodes int, now time.Time) {
 	sums := p.sumPeerLoads(aliveNodes, now)
 	for _, u := range p.allUpstreams() {
-		u.setPeerSums(sums)
+		u.setPeerSums(sums, now)
 	}
 }
 
@@ -158,9 +158,10 @@
 	return sums
 }
 
-func (u *upstream) setPeerSums(sums map[string]Load) {
+func (u *upstream) setPeerSums(sums map[string]Load, now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	u.objective.loadsReceived(now)
 	for _, s := range u.all {
 		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersRunningShort = sum.Running, sum.RunningShort
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"galenatrestle/internal/pause"
@@ -30,8 +31,10 @@
 	pauses *pause.Table
 	// missCostMS is the cost of a missed objective, in milliseconds; zero: objectives are
 	// disregarded.
-	missCostMS   float64
-	lastChoiceAt time.Time
+	missCostMS float64
+	// objectiveMoves is objectiveCosts.moves.
+	objectiveMoves atomic.Int64
+	lastChoiceAt   time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
 	fleetLoadsAt time.Time
@@ -49,7 +52,9 @@
 	if !ok {
 		u = newUpstream(p.zone, rand.New(rand.NewPCG(p.rand.Uint64(), p.rand.Uint64())))
 		u.considerAll, u.permits, u.pauses = p.considerAll, p.permits, p.pauses
-		u.missCostMS = p.missCostMS
+		if p.missCostMS > 0 {
+			u.objective = newObjectiveCosts(p.missCostMS, &p.objectiveMoves)
+		}
 		p.upstreams[name] = u
 	}
 	return u
@@ -112,6 +117,7 @@
 		}
 		a.rank, a.pendingPrefill = r.Rank, r.PromptTokens-d.cached
 		s.prefillBacklog.add(a.rank, a.pendingPrefill)
+		a.prefilled = a.pendingPrefill
 		a.shared = r.Shared
 		a.prefillTokens = a.Choice.PrefillAhead + a.pendingPrefill
 		a.tokensInMemory = r.tokens() - d.cached
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -91,9 +91,16 @@
 		return len(available)
 	}
 	target, maximum := shortCapacity(available)
+	if u.objective != nil {
+		target, maximum = u.objective.boundShort(target, maximum)
+	}
 	u.updateAverages(now, available, target)
 	shortLoad, longLoad := u.split.shortLoad+assumedDemand, u.split.longLoad+assumedDemand
-	side := int(math.Round(float64(len(available)) * shortLoad / (shortLoad + longLoad)))
+	share := shortLoad / (shortLoad + longLoad)
+	side := int(math.Round(float64(len(available)) * share))
+	if u.objective != nil {
+		side = shortSideCount(available, share)
+	}
 	// The short side keeps the replicas that its load needs, even when long-prompt requests queue
 	// up.
 	minimum := int(math.Ceil(u.split.shortLoad * target / maximum))
@@ -137,6 +144,8 @@
 	switch {
 	case r.PromptTokens == 0 || u.hasLongPrompts(r) != onShortSide:
 		return 0
+	case u.objective != nil:
+		return u.objective.otherSideCost()
 	case onShortSide:
 		return longOnShortSideCost
 	default:
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -36,6 +36,9 @@
 	presumedPauseEnd time.Time
 	presumedAt       int
 	cache            cache
+	// order is the replica's place among the available ones by hash, and speedClass the class of its
+	// speed.
+	order, speedClass int
 }
 
 // pendingPrefill returns the prompt tokens sent by all nodes and not yet prefilled.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -49,9 +49,8 @@
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
 	pauses *pause.Table
-	// missCostMS is the cost of a missed objective, in milliseconds; zero: objectives are
-	// disregarded.
-	missCostMS   float64
+	// objective is nil if objectives are disregarded.
+	objective    *objectiveCosts
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
@@ -85,8 +84,13 @@
 	}
 	u.all = slices.Collect(maps.Values(u.states))
 	u.available = u.available[:0]
-	for _, r := range availableReplicas(replicas) {
-		u.available = append(u.available, u.states[r.ID])
+	for i, r := range availableReplicas(replicas) {
+		s := u.states[r.ID]
+		s.order = i
+		u.available = append(u.available, s)
+	}
+	if u.objective != nil {
+		u.orderBySpeed()
 	}
 }
 
@@ -122,6 +126,9 @@
 func (u *upstream) choose(now time.Time, r *Request, replicas []replica.Replica) *decision {
 	u.syncReplicas(replicas)
 	u.learnPrompt(r)
+	if u.objective != nil {
+		u.prepareObjective(now, r)
+	}
 	current := u.restrictions(now)
 	current.excludeLimited, current.awaitsSlot = r.ExcludeRateLimited, r.AwaitsSlot
 	u.presumePauses(&current)
