Requests without objective or pause cost as before; the replay also plays one node

A request without objective and longest pause took the new costs as soon as the section was there; now it takes the old ones, and a test compares the choices.

--- a/internal/fleetsim/uneven_test.go
+++ b/internal/fleetsim/uneven_test.go
@@ -28,25 +28,31 @@
 }
 
 // Guards against streams that pause for too long because choices disregard what is prefilled beside
-// them, and against long prompts that queue where they are cached.
+// them, and against long prompts that queue where they are cached. One node knows all loads at
+// once; many hear of each other's requests a third of a second late.
 func TestChoicesByObjectiveServeMoreInTimeOnUnevenEngines(t *testing.T) {
-	with, without := playUneven(3*time.Second), playUneven(0)
-	t.Logf("copied %d thousand tokens, %d without", with.Copied, without.Copied)
-	for class, gain := range map[string]float64{letter: 0.01, question: 0.06} {
-		got, before := with.Classes[class], without.Classes[class]
-		t.Logf("%s: %s; without %s", class, got, before)
-		if got.OnTimeShare() < before.OnTimeShare()+gain {
-			t.Errorf("%.3f of class %s are on time, %.3f without the part, want %.2f more", got.OnTimeShare(), class, before.OnTimeShare(), gain)
+	for nodes, gains := range map[int]map[string]float64{
+		75: {letter: 0.01, question: 0.06},
+		1:  {letter: 0.08, question: 0.03},
+	} {
+		with, without := playUneven(nodes, 3*time.Second), playUneven(nodes, 0)
+		for class, gain := range gains {
+			got, before := with.Classes[class], without.Classes[class]
+			t.Logf("%d nodes, %s: %s; without %s", nodes, class, got, before)
+			if got.OnTimeShare() < before.OnTimeShare()+gain {
+				t.Errorf("%d nodes: %.3f of class %s are on time, %.3f without the part, want %.2f more", nodes, got.OnTimeShare(), class, before.OnTimeShare(), gain)
+			}
 		}
+		t.Logf("%d nodes: copied %d thousand tokens, %d without", nodes, with.Copied, without.Copied)
 	}
 }
 
 // playUneven plays two seeds of the load: more take too long for a test.
-func playUneven(missCost time.Duration) *Report {
+func playUneven(nodes int, missCost time.Duration) *Report {
 	sum := &Report{Classes: map[string]*Tally{letter: {}, question: {}}}
 	for seed := range uint64(2) {
 		s := unevenLoad(seed + 1)
-		s.MissCost = missCost
+		s.Nodes, s.Hubs, s.MissCost = nodes, nodes > 1, missCost
 		r := Play(s)
 		sum.Copied += r.Copied
 		for name, tally := range r.Classes {
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -55,6 +55,12 @@
 // Choose.
 func (p *Placer) SetObjectivePlacement(missCost time.Duration) { p.missCostMS = milliseconds(missCost) }
 
+// byObjective reports whether the request's objective or longest allowed pause counts. A request
+// without either costs the same as if objectives were disregarded.
+func (u *upstream) byObjective(r *Request) bool {
+	return u.objective != nil && (r.Objective > 0 || r.MaxPause > 0)
+}
+
 // prepareObjective is called before each choice.
 func (u *upstream) prepareObjective(now time.Time, r *Request) {
 	o := u.objective
@@ -113,8 +119,13 @@
 	if expected <= 0 {
 		return 0
 	}
-	x := limit / expected
-	return (1-staleness)/(1+x*x*x) + staleness/(1+x)
+	// A limit of l times the expected time is exceeded with probability 1/(1+l*l*l).
+	cube := expected * expected * expected
+	fresh := cube / (cube + limit*limit*limit)
+	if staleness == 0 {
+		return fresh
+	}
+	return (1-staleness)*fresh + staleness*expected/(expected+limit)
 }
 
 func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/internal/placement/objective_test.go
+++ b/internal/placement/objective_test.go
@@ -57,11 +57,12 @@
 	}
 }
 
-// Guards against a choice that changes although the section is missing: objectives and pauses of
-// the requests must not matter then.
-func TestObjectivesDoNotMatterWithoutTheSection(t *testing.T) {
-	chosen := func(objective, maxPause time.Duration) (ids []string) {
+// Guards against choices that change although the section is missing, or although the requests
+// have neither an objective nor a longest pause.
+func TestChoicesWithoutObjectivesAreAsBefore(t *testing.T) {
+	chosen := func(missCost, objective, maxPause time.Duration) (ids []string) {
 		p, _ := newFleet(12, 1)
+		p.SetObjectivePlacement(missCost)
 		for i := range 300 {
 			now := start.Add(time.Duration(i) * 10 * time.Millisecond)
 			r := short()
@@ -79,9 +80,16 @@
 		}
 		return ids
 	}
-	if with, without := chosen(100*time.Millisecond, 50*time.Millisecond), chosen(0, 0); !slices.Equal(with, without) {
+	before := chosen(0, 0, 0)
+	if !slices.Equal(chosen(0, 100*time.Millisecond, 50*time.Millisecond), before) {
 		t.Error("choices differ by the requests' objectives although the section is missing")
 	}
+	if !slices.Equal(chosen(3*time.Second, 0, 0), before) {
+		t.Error("choices of requests without objectives differ by the section")
+	}
+	if slices.Equal(chosen(3*time.Second, 100*time.Millisecond, 50*time.Millisecond), before) {
+		t.Error("choices do not differ by objectives although the section is there")
+	}
 }
 
 // Guards against trust in loads that no hub or node has updated: a replica that looked busy
--- a/internal/placement/split.go
+++ b/internal/placement/split.go
@@ -144,7 +144,7 @@
 	switch {
 	case r.PromptTokens == 0 || u.hasLongPrompts(r) != onShortSide:
 		return 0
-	case u.objective != nil:
+	case u.byObjective(r):
 		return u.objective.otherSideCost()
 	case onShortSide:
 		return longOnShortSideCost
