--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -110,6 +110,10 @@
 	n.setUpReplicaSpeeds()
 	n.setUpZoneTraffic()
 	admitServices(n.placer, s.PassThrough.ServiceAdmission)
+	if o := s.PassThrough.ObjectivePlacement; o != nil {
+		n.placer.SetObjectivePlacement(o.MissCost.Std())
+		n.placer.RegisterObjectiveMetrics(registry)
+	}
 	pause.RegisterMetrics(registry, &n.pauses)
 	n.duties = newDuties(n)
 	tracker := quarantine.NewTracker(s.Name, quarantine.DefaultMaxRecords)
@@ -198,7 +202,7 @@
 		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
-		FairShare: n.fairShare, OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
+		FairShare: n.fairShare, ObjectivePriority: n.objectivePriority(), OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
 		RepeatErrored: n.options.Settings.PassThrough.ServiceAdmission != nil, Returns: n.forwardReturns(),
 	})
 	return passthrough.New(passthrough.Options{
--- a/internal/fleetsim/engine.go
+++ b/internal/fleetsim/engine.go
@@ -41,6 +41,8 @@
 	// parts that some engine had read before.
 	readTokens int
 	readAgain  int
+	// copied counts the tokens that were copied from other engines.
+	copied int
 	// arrivals counts the jobs that were sent here.
 	arrivals int
 	// arrivedAt is when the jobs were sent here.
@@ -54,7 +56,11 @@
 	e.arrivals++
 	cached := e.holds(j.shared)
 	if from != nil {
+		own := cached
 		cached = max(cached, from.holds(j.shared))
+		for _, part := range j.shared[own:cached] {
+			e.copied += part.Tokens
+		}
 	}
 	j.toRead = j.promptTokens
 	for i, part := range j.shared {
--- a/internal/fleetsim/node.go
+++ b/internal/fleetsim/node.go
@@ -50,6 +50,9 @@
 		if s.FairAdmission {
 			n.sharing = fairshare.New(fairshare.Options{Window: fairWindow, MinShare: leastShare, StartedAt: epoch})
 		}
+		if s.MissCost > 0 {
+			n.placer.SetObjectivePlacement(s.MissCost)
+		}
 		if s.SeeAll {
 			n.placer.ConsiderAllReplicas()
 		}
--- a/internal/fleetsim/report.go
+++ b/internal/fleetsim/report.go
@@ -11,6 +11,8 @@
 	// parts that some engine had read before, both in thousands.
 	ReadTokens int
 	ReadAgain  int
+	// Copied is the prompt tokens that engines copied from each other, in thousands.
+	Copied int
 	// Busiest is the calls at the engine that got most, by the mean of all.
 	Busiest float64
 	// SlowedShare is the new work of slowed engines from a second after they turned slow, by
--- a/internal/fleetsim/scenario.go
+++ b/internal/fleetsim/scenario.go
@@ -37,7 +37,9 @@
 	Speeds Speeds
 	// Zones is what distance between zones means; nil: nothing.
 	Zones *ZoneModel
-	Seed  uint64
+	// MissCost has the nodes choose by objective and pause; zero: they do not.
+	MissCost time.Duration
+	Seed     uint64
 }
 
 // Burst multiplies the load of a class.
--- a/internal/fleetsim/zones.go
+++ b/internal/fleetsim/zones.go
@@ -110,7 +110,7 @@
 func (f *fleet) session(now time.Duration, class *Class, random *rand.Rand) uint64 {
 	m := f.scenario.Zones
 	if m == nil {
-		return uint64(random.IntN(class.Sessions) + 1)
+		return uint64(class.session(random) + 1)
 	}
 	most := 0.0
 	for zone := range zones {
--- a/internal/forward/call.go
+++ b/internal/forward/call.go
@@ -21,7 +21,7 @@
 	StreamVersion *string
 	// Rank is the call's urgency; 0 is the most urgent.
 	Rank int
-	// Ranks is the number of ranks that calls may have; zero if unknown.
+	// Ranks is the number of ranks that calls of the upstream may have; zero if unknown.
 	Ranks int
 	// MemoryTokens is a replica's memory capacity in tokens; zero if unknown.
 	MemoryTokens int
@@ -62,7 +62,12 @@
 }
 
 func (c *Call) newPlacementRequest() placement.Request {
-	r := placement.Request{Class: c.Route.Name, Rank: c.Rank, PromptTokens: c.Prompt.Tokens, MemoryTokens: c.MemoryTokens, CanCopyCache: c.CanCopyCache, Bytes: len(c.Body), AnswerTokens: c.Prompt.ExpectedAnswerTokens, Version: c.StreamVersion}
+	r := placement.Request{
+		Class: c.Route.Name, Rank: c.Rank, Version: c.StreamVersion, Undecided: true,
+		PromptTokens: c.Prompt.Tokens, AnswerTokens: c.Prompt.ExpectedAnswerTokens, MemoryTokens: c.MemoryTokens,
+		CanCopyCache: c.CanCopyCache, Bytes: len(c.Body),
+		Objective: c.Route.Objective, MaxPause: c.Route.MaxPause,
+	}
 	if r.AnswerTokens == 0 {
 		r.AnswerTokens = c.Prompt.MaxAnswerTokens
 	}
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -247,6 +247,9 @@
 	if ev.exchange.standing.Above {
 		fields["share"] = roundToHundredths(ev.exchange.standing.Share)
 	}
+	if c.Objective != nil {
+		addObjective(fields, c.Objective)
+	}
 	if version := ev.placementAttempt.Replica.Version; version != "" {
 		fields["version"] = version
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -16,6 +16,7 @@
 	replicaRefusals  *prometheus.CounterVec
 	resumedStreams   *prometheus.CounterVec
 	callsAboveShare  *prometheus.CounterVec
+	yieldingCalls    *prometheus.CounterVec
 	heldReplicas     *prometheus.CounterVec
 	errorRepeats     *prometheus.CounterVec
 	refusal          *prometheus.HistogramVec
@@ -53,14 +54,19 @@
 	m.callsAboveShare = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "trestle_calls_above_share_total", Help: "Calls of workspaces above their share of an upstream that is short of capacity.",
 	}, []string{"upstream"})
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.callsAboveShare)
+	m.yieldingCalls = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_yielding_calls_total", Help: "Calls that yielded to others of their tier because they were expected to miss their objective.",
+	}, []string{"upstream"})
 	m.heldReplicas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "trestle_held_replicas_total", Help: "Replicas that a call without a prompt was kept from because they held their slots and a short queue.",
 	}, []string{"upstream"})
 	m.errorRepeats = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "trestle_error_repeats_total", Help: "Calls that ran once more at a replica that had answered them with an error, by how they ended.",
 	}, []string{"upstream", "ending"})
-	registry.MustRegister(m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams, m.heldReplicas, m.errorRepeats)
+	registry.MustRegister(
+		m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams,
+		m.callsAboveShare, m.heldReplicas, m.errorRepeats, m.yieldingCalls,
+	)
 	m.registerRefusals(registry)
 	return m
 }
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -5,6 +5,7 @@
 
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/fairshare"
+	"galenatrestle/internal/overload"
 	"galenatrestle/internal/pause"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/ratelimit"
@@ -24,8 +25,10 @@
 	RateLimits *ratelimit.Table
 	Permits    *ratelimit.Permits
 	Pauses     *pause.Table
-	Log        *eventlog.Log
-	Registry   prometheus.Registerer
+	// ObjectivePriority decides which calls yield to others of their tier because they will be late.
+	ObjectivePriority overload.ObjectivePriority
+	Log               *eventlog.Log
+	Registry          prometheus.Registerer
 	// FairShare divides upstreams that are short of capacity by workspace; nil: it is off.
 	FairShare *fairshare.Sharing
 	// RepeatErrored lets an idempotent call that two replicas answered with errors run once more at one of
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -45,9 +45,13 @@
 			r.AwaitsSlot = true
 			continue
 		}
+		if e.yieldIfLate(placementAttempt) {
+			continue
+		}
 		if failure := e.refuseIfOverloaded(placementAttempt); failure != nil {
 			return nil, failure
 		}
+		placementAttempt.Sent(time.Now())
 		a := e.newAttempt(placementAttempt)
 		if !placementAttempt.NeedsPermit || e.acquirePermit(a, permitDeadline) {
 			return a, nil
--- a/internal/forward/share.go
+++ b/internal/forward/share.go
@@ -8,8 +8,8 @@
 	"galenatrestle/internal/placement"
 )
 
-// applyShare determines the standing of the call's workspace, and from it the rank with which the call is
-// placed and sent. It is decided once: the rank of a call does not change between its attempts.
+// applyShare determines the standing of the call's workspace, once. A call of a workspace above its share
+// yields.
 func (e *exchange) applyShare(now time.Time) {
 	sharing := e.forwarder.options.FairShare
 	if !e.call.ResumesStream() {
@@ -18,10 +18,7 @@
 	if e.standing.Above {
 		e.forwarder.metrics.callsAboveShare.WithLabelValues(e.call.Upstream).Inc()
 	}
-	if sharing != nil {
-		e.placementRequest.Rank = fairshare.SplitRank(e.call.Rank, e.call.Ranks, e.standing.Above)
-		e.placementRequest.Yields = e.standing.Above
-	}
+	e.setYields(e.standing.Above)
 }
 
 // observeShare counts the call in its workspace's use, once.
--- /dev/null
+++ b/internal/forward/yield.go
@@ -0,0 +1,40 @@
+package forward
+
+import (
+	"time"
+
+	"galenatrestle/internal/fairshare"
+	"galenatrestle/internal/overload"
+	"galenatrestle/internal/placement"
+)
+
+// setYields sets whether the call yields to others of its tier, and with it the rank with which it is
+// placed and sent. Ranks are split only if a part of the settings lets calls yield.
+func (e *exchange) setYields(yields bool) {
+	options := &e.forwarder.options
+	if options.FairShare == nil && options.ObjectivePriority == (overload.ObjectivePriority{}) {
+		return
+	}
+	e.placementRequest.Rank = fairshare.SplitRank(e.call.Rank, e.call.Ranks, yields)
+	e.placementRequest.Yields = yields
+}
+
+// yieldIfLate lets the call yield if it is expected to miss its objective at the chosen replica, and
+// reports whether a replica has to be chosen anew. Retries and resumed streams do not yield: to end what
+// was begun is worth more than to begin another answer.
+func (e *exchange) yieldIfLate(a *placement.Attempt) bool {
+	r := &e.placementRequest
+	if r.Yields || r.PromptTokens == 0 || e.attempts > 1 || e.call.ResumesStream() {
+		return false
+	}
+	request := overload.Request{
+		Objective: e.call.Route.Objective, QueueTime: a.Choice.FirstTokenTime - a.Choice.OwnPrefill, OwnPrefill: a.Choice.OwnPrefill,
+	}
+	if !e.forwarder.options.ObjectivePriority.Yields(&request) {
+		return false
+	}
+	a.End(time.Now(), placement.Cancelled)
+	e.setYields(true)
+	e.forwarder.metrics.yieldingCalls.WithLabelValues(e.call.Upstream).Inc()
+	return true
+}
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -48,6 +48,12 @@
 	class  string
 	// answerBytes is the received bytes of the answer.
 	answerBytes int
+	// prefilled is the number of the attempt's prompt tokens that the replica prefills. lastEventAt is
+	// when data was last received, and pendingAtEvent the replica's prefill backlog then; they are
+	// kept only if choices take objectives into account.
+	prefilled      int
+	lastEventAt    time.Time
+	pendingAtEvent int
 }
 
 // PermitGranted records that a rate limit permit was granted and the request is about to be
@@ -59,6 +65,14 @@
 	a.recordSent(now)
 }
 
+// Sent records that an undecided request is about to be sent. The parts of a prompt that is refused after
+// the choice must not count as cached at the replica.
+func (a *Attempt) Sent(now time.Time) {
+	if !a.NeedsPermit {
+		a.PermitGranted(now)
+	}
+}
+
 // recordSent records that the request is being sent to the replica. The lock is held.
 func (a *Attempt) recordSent(now time.Time) {
 	s := a.state
@@ -79,6 +93,7 @@
 	}
 	a.state.cache.markPrefilled(now, a.shared)
 	a.answerStartedAt = now
+	a.learnEvent(now)
 	a.recordData(now)
 	a.state.recover(now)
 }
@@ -96,6 +111,7 @@
 	a.upstream.mu.Lock()
 	defer a.upstream.mu.Unlock()
 	a.events++
+	a.learnEvent(now)
 	a.recordData(now)
 	a.observeEvent(now)
 }
@@ -147,6 +163,7 @@
 		a.upstream.learnServiceTime(now.Sub(a.startedAt))
 		if !a.answerStartedAt.IsZero() {
 			a.upstream.learnAnswerTime(now.Sub(a.answerStartedAt))
+			a.learnAnswer(now)
 		}
 	default:
 		a.state.addFailure(now, penalties[result])
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -36,6 +36,8 @@
 	// PrefillSpeed is the estimated prefill speed of the replica, in tokens per millisecond; that of
 	// the upstream's replicas if the speeds of single replicas are not estimated.
 	PrefillSpeed float64
+	// Objective is nil if choices disregard objectives.
+	Objective *ObjectiveChoice
 }
 
 // newChoice is called with the lock held.
@@ -51,9 +53,10 @@
 	}
 	if r.PromptTokens > 0 {
 		c.PrefillSpeed = u.prefillSpeed.TokensPerMS() * s.speed.PrefillFactor()
+		c.Objective = u.newObjectiveChoice(now, r, d)
 		c.MemoryFraction = u.memoryFraction(r, s)
 		c.OwnPrefill = u.prefillTime(s, r.PromptTokens-c.CachedTokens)
-		c.SlotWait = time.Duration(u.slotWaitMS(s, r.Rank) * float64(time.Millisecond))
+		c.SlotWait = msDuration(u.slotWaitMS(s, r.Rank))
 		c.FirstTokenTime = u.prefillTime(s, c.PrefillAhead) + c.SlotWait + c.OwnPrefill
 	} else if u.service != nil {
 		u.addService(now, s, &c)
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"galenatrestle/internal/pause"
@@ -31,8 +32,13 @@
 	// speeds are the options of the estimates of replica speeds; nil: off.
 	speeds *ReplicaSpeeds
 	// service is nil if calls without a prompt have no expected queue time.
-	service      *ServiceAdmission
-	lastChoiceAt time.Time
+	service *ServiceAdmission
+	// missCostMS is the cost of a missed objective, in milliseconds; zero: objectives are
+	// disregarded.
+	missCostMS float64
+	// objectiveMoves is objectiveCosts.moves.
+	objectiveMoves atomic.Int64
+	lastChoiceAt   time.Time
 	// fleetLoads is the summed load of all other nodes, received at fleetLoadsAt.
 	fleetLoads   map[string]Load
 	fleetLoadsAt time.Time
@@ -55,6 +61,9 @@
 		p.speeds.setUp(u)
 		u.zones, u.zoneCost = newZoneView(p.zoneTraffic, name, p.zone), p.zoneCost
 		u.considerAll, u.permits, u.pauses, u.service = p.considerAll, p.permits, p.pauses, p.service
+		if p.missCostMS > 0 {
+			u.objective = newObjectiveCosts(p.missCostMS, &p.objectiveMoves)
+		}
 		p.upstreams[name] = u
 	}
 	return u
@@ -118,6 +127,7 @@
 		}
 		a.rank, a.yields, a.pendingPrefill = r.Rank, r.Yields, r.PromptTokens-d.cached
 		s.prefillBacklog.add(a.rank, a.pendingPrefill)
+		a.prefilled = a.pendingPrefill
 		a.shared = r.Shared
 		a.prefillTokens = a.Choice.PrefillAhead + a.pendingPrefill
 		a.tokensInMemory = r.tokens() - d.cached
@@ -125,7 +135,7 @@
 	}
 	s.running++
 	a.expectFirstToken()
-	if !a.NeedsPermit {
+	if !a.NeedsPermit && !r.Undecided {
 		a.recordSent(now)
 	}
 	return a
--- a/internal/placement/service.go
+++ b/internal/placement/service.go
@@ -101,8 +101,8 @@
 
 // addService adds the expected times of a call without a prompt to its choice. The lock is held.
 func (u *upstream) addService(now time.Time, s *replicaState, c *Choice) {
-	c.OwnPrefill = milliseconds(u.serviceMSAt(now, s))
-	c.FirstTokenTime = milliseconds(u.serviceQueueMS(now, s)) + c.OwnPrefill
+	c.OwnPrefill = msDuration(u.serviceMSAt(now, s))
+	c.FirstTokenTime = msDuration(u.serviceQueueMS(now, s)) + c.OwnPrefill
 	for _, other := range u.available {
 		if u.isHeld(other) {
 			c.Held++
@@ -110,4 +110,4 @@
 	}
 }
 
-func milliseconds(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+func msDuration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -64,7 +64,7 @@
 
 // prefillTime is prefillMS as a duration.
 func (u *upstream) prefillTime(s *replicaState, tokens int) time.Duration {
-	return time.Duration(u.prefillMS(s, tokens) * float64(time.Millisecond))
+	return msDuration(u.prefillMS(s, tokens))
 }
 
 // speedLoad returns the load of the replica as far as it explains the times seen there.
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -52,8 +52,10 @@
 	pauses *pause.Table
 	// service is nil if calls without a prompt have no expected queue time. peerLoadsAt is the time of the
 	// last change of the peers' loads.
-	service      *ServiceAdmission
-	peerLoadsAt  time.Time
+	service     *ServiceAdmission
+	peerLoadsAt time.Time
+	// objective is nil if objectives are disregarded.
+	objective    *objectiveCosts
 	prefillSpeed *enginespeed.Estimator
 	// avgPromptTokens is the average prompt length by class.
 	avgPromptTokens map[string]float64
@@ -100,8 +102,9 @@
 	u.trackSpeeds()
 	u.available = u.available[:0]
 	for i, r := range availableReplicas(replicas) {
-		u.states[r.ID].hashOrder = i
-		u.available = append(u.available, u.states[r.ID])
+		s := u.states[r.ID]
+		s.hashOrder = i
+		u.available = append(u.available, s)
 	}
 	u.sortAvailable()
 }
@@ -142,6 +145,9 @@
 	u.refreshSpeeds(now)
 	u.orderBySpeed(now)
 	u.learnPrompt(r)
+	if u.objective != nil {
+		u.prepareObjective(now, r)
+	}
 	current := u.restrictions(now)
 	current.excludeLimited, current.awaitsSlot = r.ExcludeRateLimited, r.AwaitsSlot
 	u.presumePauses(&current)
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -19,8 +19,8 @@
 	open       bool
 	// workspaceTiers is the number of tiers that workspaces may have.
 	workspaceTiers int
-	// routeTiers is the number of tiers that routes may have.
-	routeTiers int
+	// routeTiers is the number of tiers that the routes to each upstream may have.
+	routeTiers map[string]int
 }
 
 // NewTable builds a table.
@@ -33,13 +33,15 @@
 		workspaces: make(map[string]*Workspace),
 		open:       len(d.Workspaces) == 0,
 
-		workspaceTiers: 1, routeTiers: 1,
+		workspaceTiers: 1, routeTiers: make(map[string]int),
 	}
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		host := strings.ToLower(r.Host)
 		t.byHost[host] = append(t.byHost[host], r)
-		t.routeTiers = max(t.routeTiers, r.Tier+1)
+		for _, target := range r.Targets {
+			t.routeTiers[target.Upstream] = max(t.routeTiers[target.Upstream], r.Tier+1)
+		}
 	}
 	for _, routes := range t.byHost {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -107,5 +109,5 @@
 	return r.Tier*t.workspaceTiers + w.Tier
 }
 
-// Ranks returns the number of ranks that requests may have.
-func (t *Table) Ranks() int { return t.routeTiers * t.workspaceTiers }
+// Ranks returns the number of ranks that requests for the upstream may have; zero if no route leads there.
+func (t *Table) Ranks(upstream string) int { return t.routeTiers[upstream] * t.workspaceTiers }
--- a/internal/settings/passthrough.go
+++ b/internal/settings/passthrough.go
@@ -48,12 +48,16 @@
 	// ZoneTraffic decides which requests leave their availability zone; nil: other zones have a small
 	// constant cost.
 	ZoneTraffic *ZoneTraffic `yaml:"zone_traffic,omitempty"`
+	// ObjectivePriority is nil where calls that will be late do not yield to others of their tier.
+	ObjectivePriority *ObjectivePriority `yaml:"objective_priority,omitempty"`
 	// FairAdmission divides upstreams that are short of capacity by workspace; nil: they are not divided.
 	FairAdmission *FairAdmission `yaml:"fair_admission,omitempty"`
 	// ServiceAdmission is nil if calls of plain services have no expected queue time.
 	ServiceAdmission *ServiceAdmission `yaml:"service_admission,omitempty"`
 	// ReturnSchedule is nil if the returns of refused callers are not scheduled.
 	ReturnSchedule *ReturnSchedule `yaml:"return_schedule,omitempty"`
+	// ObjectivePlacement is nil where choices of replicas disregard objectives.
+	ObjectivePlacement *ObjectivePlacement `yaml:"objective_placement,omitempty"`
 }
 
 // RetryBudget bounds the attempts that all nodes together add to the load of
@@ -102,6 +106,8 @@
 	checkReplicaSpeeds(source, p.ReplicaSpeeds)
 	checkZoneTraffic(source, p.ZoneTraffic)
 	checkFairAdmission(source, p.FairAdmission)
+	checkObjectivePriority(source, p.ObjectivePriority)
+	checkObjectivePlacement(source, p.ObjectivePlacement)
 }
 
 func (p *PassThrough) fillDefaults() {
@@ -116,7 +122,9 @@
 	p.ReplicaSpeeds.fillDefaults()
 	p.ZoneTraffic.fillDefaults()
 	p.FairAdmission.fillDefaults()
+	p.ObjectivePriority.fillDefaults()
 	p.ServiceAdmission.fillDefaults()
+	p.ObjectivePlacement.fillDefaults()
 	p.Retries.Ratio = cmp.Or(p.Retries.Ratio, defaultRetryRatio)
 	p.Retries.Window = cmp.Or(p.Retries.Window, defaultRetryWindow)
 	p.Retries.Allowance = cmp.Or(p.Retries.Allowance, defaultRetryAllowance)
