A session's second replica is used for the time of a burst only

Both replicas of a session had the same cost after a burst, so both were used on. Cached parts at another than their primary replica now cost up to 20 ms, at most the time to prefill them; a test fails without it.

--- a/internal/placement/cost.go
+++ b/internal/placement/cost.go
@@ -77,7 +77,7 @@
 	// An engine that runs out of memory preempts requests and prefills them again.
 	cost += max(u.memoryFraction(r, s)-memoryPressureThreshold, 0) * memoryPressureCost
 	if u.byObjective(r) {
-		return cost + u.missCost(r, s, uncached)
+		return cost + u.missCost(r, s, uncached) + u.secondHomeCost(s, p, cached)
 	}
 	return cost + u.stallingCost(r, s, uncached)
 }
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -24,6 +24,9 @@
 	// they tell little.
 	freshLoads = 500 * time.Millisecond
 	staleLoads = 2 * time.Second
+	// maxSecondHomeCost bounds the cost, in milliseconds, of a replica that has shared parts cached but
+	// is not their primary one. It ends the use of a second replica when the primary one is idle again.
+	maxSecondHomeCost = 20.0
 	// objectiveInterval is the time between two calculations of what all choices have in common.
 	objectiveInterval = 100 * time.Millisecond
 )
@@ -97,6 +100,15 @@
 	return u.objective.pauses.msPerToken * float64(tokens) / prefill
 }
 
+// secondHomeCost returns the cost of a second replica for the cached tokens of the shared parts.
+// It is at most the time to prefill them: short parts are not worth an uneven load.
+func (u *upstream) secondHomeCost(s *replicaState, p *prefixLocation, cached int) float64 {
+	if s == p.primary {
+		return 0
+	}
+	return min(u.objective.pauses.msPerToken*float64(cached), maxSecondHomeCost)
+}
+
 // loadsReceived records that loads of other nodes were received. It may be called on nil.
 func (o *objectiveCosts) loadsReceived(now time.Time) {
 	if o != nil {
--- a/internal/placement/objective_test.go
+++ b/internal/placement/objective_test.go
@@ -57,6 +57,37 @@
 	}
 }
 
+// Guards against a session that stays at two replicas after the burst for which it got the second.
+func TestSecondHomeEndsWithTheBurst(t *testing.T) {
+	p, set := newFleet(12, 1)
+	p.SetObjectivePlacement(3 * time.Second)
+	place := func(now time.Time, homeBacklog int, home string) string {
+		var loads []Load
+		for _, r := range set.ForUpstream("u") {
+			if load := (Load{Replica: r.ID, Running: 1}); r.ID == home {
+				load.PrefillBacklog = PrefillBacklog{homeBacklog}
+				loads = append(loads, load)
+			}
+		}
+		p.SetPeerLoads("other", loads, false, 1, now)
+		r := long(100)
+		r.CanCopyCache, r.Objective, r.MaxPause = true, 600*time.Millisecond, 300*time.Millisecond
+		a := p.Choose(now, "u", r)
+		a.AnswerStarted(now)
+		a.End(now, Answered)
+		return a.Replica.ID
+	}
+	home := place(start, 0, "")
+	if second := place(start.Add(100*time.Millisecond), 50_000, home); second == home {
+		t.Error("the session has no second replica in the burst")
+	}
+	for i := range 20 {
+		if id := place(start.Add(time.Duration(i+2)*100*time.Millisecond), 0, home); id != home {
+			t.Errorf("request %d after the burst was placed on %s, want %s", i, id, home)
+		}
+	}
+}
+
 // Guards against choices that change although the section is missing, or although the requests
 // have neither an objective nor a longest pause.
 func TestChoicesWithoutObjectivesAreAsBefore(t *testing.T) {
