--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -56,8 +56,9 @@
 // prefillMS returns the time, in milliseconds, to prefill the tokens at the replica.
 func (u *upstream) prefillMS(s *replicaState, tokens int) float64 {
 	ms := u.prefillSpeed.PrefillMS(tokens)
-	if u.speeds == nil {
-		return ms
+	if u.objective != nil {
+		// The average over many answers, so that nodes expect alike.
+		ms = u.objective.pauses.msPerToken * float64(tokens)
 	}
 	return ms / s.speed.PrefillFactor()
 }
