Soak: sound calls beside crashing parts count unless a fault explains their refusal

A cut of paths to replicas or to the store excuses only calls at the nodes that it befalls. A fault of the store excuses only while fewer than two replicas serve that had served before it, since nodes go on with what they know; a slow store excuses none. All that counted before counts still; bounds and numbers are unchanged.

--- a/internal/soak/cuts.go
+++ b/internal/soak/cuts.go
@@ -43,6 +43,7 @@
 	for i := range count {
 		n := w.nodes[(e.target+i)%len(w.nodes)]
 		c.entries[n.entry] = true
+		defer w.disturbPaths(pathFault{entries: []string{n.entry}})()
 		w.setPathFault(n, c.fault)
 	}
 	w.pauseThen(e.lasts, func() {
--- a/internal/soak/partcrash.go
+++ b/internal/soak/partcrash.go
@@ -204,7 +204,7 @@
 		if s.stream == "" || s.resumes != "" || !w.isOwed(s) || s.at.Sub(known) < soundAfter || s.at.After(lastCall) {
 			continue
 		}
-		if from := s.at.Add(-partSlack); w.disturbedBetween(s.entry, from, s.endedAt) || w.pathsDisturbedBetween(from, s.endedAt) {
+		if from := s.at.Add(-partSlack); w.disturbedBetween(s.entry, from, s.endedAt) || w.pathsDisturbedBetween(s.entry, from, s.endedAt) {
 			continue
 		}
 		began := len(s.events) > 0 || s.whole()
@@ -225,12 +225,23 @@
 	}
 }
 
-// disturbPaths notes that a fault of the store, or of the paths to it or to replicas, begins; the result ends it.
-func (w *world) disturbPaths() (end func()) {
+// pathFault is a fault that may keep a node from replicas: of the store, of the node's path to it, or of its
+// paths to replicas.
+type pathFault struct {
+	span
+	// entries are the nodes that it befalls; empty: all.
+	entries []string
+	// ofStore is that nodes learn of no more replicas, and use those that they know.
+	ofStore bool
+}
+
+// disturbPaths notes that such a fault begins; the result ends it.
+func (w *world) disturbPaths(f pathFault) (end func()) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	i := len(w.pathFaults)
-	w.pathFaults = append(w.pathFaults, span{from: time.Now()})
+	f.from = time.Now()
+	w.pathFaults = append(w.pathFaults, f)
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
@@ -238,16 +249,24 @@
 	}
 }
 
-// pathsDisturbedBetween reports whether such a fault lasted at some time between the two.
-func (w *world) pathsDisturbedBetween(from, until time.Time) bool {
-	return slices.ContainsFunc(w.pathFaults, func(s span) bool {
-		return s.from.Before(until) && (s.until.IsZero() || s.until.After(from))
+// pathsDisturbedBetween reports whether such a fault of the node lasted at some time between the two, and may
+// have kept the node from all replicas: a fault of the store leaves those that had served before it.
+func (w *world) pathsDisturbedBetween(entry string, from, until time.Time) bool {
+	return slices.ContainsFunc(w.pathFaults, func(f pathFault) bool {
+		if len(f.entries) > 0 && !slices.Contains(f.entries, entry) || !f.lastsBetween(from, until) {
+			return false
+		}
+		return !f.ofStore || w.serving("", f.from, until) < minServing
 	})
 }
 
 // span is a time; until is zero while it lasts.
 type span struct{ from, until time.Time }
 
+func (s *span) lastsBetween(from, until time.Time) bool {
+	return s.from.Before(until) && (s.until.IsZero() || s.until.After(from))
+}
+
 // PartReport is what became of the calls while calls with a crashing part came.
 type PartReport struct {
 	// Ended is the number of replicas that such calls ended, Later that of calls sent to replicas
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -271,6 +271,54 @@
 	}
 }
 
+// A cut of some nodes, or a fault of the store while replicas that all nodes knew served, excused all nodes, so that
+// in most seeds with other faults no sound call counted.
+func TestTheJudgeExcusesSoundCallsByFaultsThatExplainRefusals(t *testing.T) {
+	now := time.Now()
+	fault := func(from, until time.Duration, ofStore bool, entries ...string) pathFault {
+		return pathFault{span: span{from: now.Add(from), until: now.Add(until)}, ofStore: ofStore, entries: entries}
+	}
+	const during, over = soundAfter + time.Second, soundAfter - partSlack
+	for name, test := range map[string]struct {
+		fault pathFault
+		// known replicas have served since before the fault.
+		known  int
+		counts bool
+	}{
+		"cut of the node":                   {fault(0, during, false, "vm-2", "vm-1"), minServing, false},
+		"cut of the node, just over":        {fault(0, over+time.Millisecond, false, "vm-1"), minServing, false},
+		"cut of the node, over":             {fault(0, over, false, "vm-1"), minServing, true},
+		"cut of the node, not yet":          {fault(soundAfter, during, false, "vm-1"), minServing, true},
+		"cut of the node, not over":         {pathFault{span: span{from: now}, entries: []string{"vm-1"}}, minServing, false},
+		"cut of another node":               {fault(0, during, false, "vm-2"), minServing, true},
+		"store, few known":                  {fault(0, during, true), minServing - 1, false},
+		"store, known replicas serve":       {fault(0, during, true), minServing, true},
+		"path to the store, few known":      {fault(0, during, true, "vm-1"), minServing - 1, false},
+		"path of another node to the store": {fault(0, during, true, "vm-2"), minServing - 1, true},
+	} {
+		w := &world{nodes: []*node{{entry: "vm-1"}, {entry: "vm-2"}}, runs: &platformtest.Runs{}, pathFaults: []pathFault{test.fault}}
+		for i := range 2 * minServing {
+			r := &runningReplica{service: modelService, version: firstVersion, servesFrom: now}
+			if i >= test.known {
+				r.servesFrom = now.Add(time.Millisecond)
+			}
+			w.replicas = append(w.replicas, r)
+		}
+		for range crashesUntilKnown {
+			w.partCrashes = append(w.partCrashes, now)
+		}
+		calls := []*sent{{id: "last", entry: "vm-1", at: now.Add(time.Minute), ends: true}}
+		for i := range minSoundCalls {
+			at := now.Add(soundAfter)
+			calls = append(calls, &sent{stream: fmt.Sprint("sound-", i), entry: "vm-1", at: at, endedAt: at, status: 503, parts: []string{"a000"}})
+		}
+		w.judgeParts(calls)
+		if got := len(w.violations) == 1; got != test.counts {
+			t.Errorf("%s: %d calls count, violations %q", name, w.parts.Sound.asked, w.violations)
+		}
+	}
+}
+
 func TestTheJudgeSeesBrittleReplicasThatFall(t *testing.T) {
 	now := time.Now()
 	for name, test := range map[string]struct {
--- a/internal/soak/streams.go
+++ b/internal/soak/streams.go
@@ -113,7 +113,7 @@
 	}
 }
 
-// serving counts the sound models of the version. None is sound while all are brittle.
+// serving counts the sound models of the version, empty: of all versions. None is sound while all are brittle.
 func (w *world) serving(version string, from, until time.Time) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -124,7 +124,7 @@
 	}
 	count := 0
 	for _, r := range slices.Concat(w.replicas, w.ended) {
-		if r.service == modelService && r.version == version && r.isSoundBetween(from, until) {
+		if r.service == modelService && (version == "" || r.version == version) && r.isSoundBetween(from, until) {
 			count++
 		}
 	}
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -40,8 +40,9 @@
 	// partCrashes are the times at which a call with a crashing part ended a replica, parts is what
 	// became of calls meanwhile.
 	partCrashes []time.Time
-	// pathFaults are the faults of the store and of the paths to it and to replicas.
-	pathFaults []span
+	// pathFaults are the faults of the store and of the paths to it and to replicas. A slow store is none:
+	// nodes go on with what they know.
+	pathFaults []pathFault
 	parts      PartReport
 	violations []string
 	// restoring lets one restore of the store end before the next begins.
@@ -149,8 +150,10 @@
 		defer n.disturbed()
 	}
 	switch e.kind {
-	case cutStore, storeDown, storeSlow, storeRestore, nodesCut:
-		defer w.disturbPaths()()
+	case cutStore:
+		defer w.disturbPaths(pathFault{entries: []string{n.entry}, ofStore: true})()
+	case storeDown, storeRestore:
+		defer w.disturbPaths(pathFault{ofStore: true})()
 	}
 	switch e.kind {
 	case killNode:
