--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -249,6 +249,7 @@
 	}
 	if c.Objective != nil {
 		addObjective(fields, c.Objective)
+		fields["loads_age_ms"] = c.LoadsAge.Milliseconds()
 	}
 	if version := ev.placementAttempt.Replica.Version; version != "" {
 		fields["version"] = version
--- a/internal/forward/objective.go
+++ b/internal/forward/objective.go
@@ -10,7 +10,6 @@
 	fields["late_probability"] = roundToHundredths(c.LateProbability)
 	fields["pause_probability"] = roundToHundredths(c.PauseProbability)
 	fields["short_target"] = c.ShortTarget
-	fields["loads_age_ms"] = c.LoadsAge.Milliseconds()
 	if c.Moved {
 		fields["home_late_probability"] = roundToHundredths(c.HomeLateProbability)
 	}
--- a/internal/placement/choice.go
+++ b/internal/placement/choice.go
@@ -48,8 +48,8 @@
 		Running: s.running + s.peersRunning, PendingPrefill: s.pendingPrefill(), PrefillAhead: s.prefillAhead(r.Rank),
 		CachedTokens: d.cached, FailureScore: s.failureScoreAt(now),
 	}
-	if !u.peerLoadsAt.IsZero() {
-		c.LoadsAge = now.Sub(u.peerLoadsAt)
+	if !u.peersAt.IsZero() {
+		c.LoadsAge = now.Sub(u.peersAt)
 	}
 	if r.PromptTokens > 0 {
 		c.PrefillSpeed = u.prefillSpeed.TokensPerMS() * s.speed.PrefillFactor()
--- a/internal/placement/objective.go
+++ b/internal/placement/objective.go
@@ -36,9 +36,7 @@
 	// missCostMS is the cost of a missed objective, in milliseconds.
 	missCostMS float64
 	pauses     pauseModel
-	// loadsAt is when loads of other nodes were last received; zero: never. staleness is how
-	// little they tell at the present choice, from 0 to 1.
-	loadsAt   time.Time
+	// staleness is how little the loads of other nodes tell at the present choice, from 0 to 1.
 	staleness float64
 	// shortTarget is the number of requests with short prompts per replica, as of preparedAt;
 	// zero: not bounded by pauses.
@@ -67,7 +65,7 @@
 // prepareObjective is called before each choice.
 func (u *upstream) prepareObjective(now time.Time, r *Request) {
 	o := u.objective
-	o.staleness = o.stalenessAt(now)
+	o.staleness = staleness(now, u.peersAt)
 	if r.MaxPause > 0 && r.PromptTokens > 0 && !u.hasLongPrompts(r) {
 		o.pauses.learnMaxPause(r.MaxPause)
 	}
@@ -102,18 +100,12 @@
 	return min(u.objective.pauses.msPerToken*float64(cached), maxSecondHomeCost)
 }
 
-// loadsReceived records that loads of other nodes were received. It may be called on nil.
-func (o *objectiveCosts) loadsReceived(now time.Time) {
-	if o != nil {
-		o.loadsAt = now
-	}
-}
-
-func (o *objectiveCosts) stalenessAt(now time.Time) float64 {
-	if o.loadsAt.IsZero() {
+// staleness returns how stale the loads are that the other nodes reported at the time, from 0 to 1.
+func staleness(now, peersAt time.Time) float64 {
+	if peersAt.IsZero() {
 		return 0
 	}
-	return min(max(float64(now.Sub(o.loadsAt)-freshLoads)/float64(staleLoads-freshLoads), 0), 1)
+	return min(max(float64(now.Sub(peersAt)-freshLoads)/float64(staleLoads-freshLoads), 0), 1)
 }
 
 // exceedProbability returns the probability that a time exceeds the limit. The logarithm of the
--- a/internal/placement/objectivechoice.go
+++ b/internal/placement/objectivechoice.go
@@ -15,8 +15,6 @@
 	// Moved whether it is higher than that of the chosen one.
 	HomeLateProbability float64
 	Moved               bool
-	// LoadsAge is the age of the other nodes' loads; zero: there are none.
-	LoadsAge time.Duration
 	// ShortTarget is the number of requests with short prompts per replica from which the sides
 	// follow; zero: it does not depend on pauses.
 	ShortTarget float64
@@ -32,9 +30,6 @@
 		LateProbability:  u.lateProbability(r, d.state, r.PromptTokens-d.cached),
 		PauseProbability: u.pauseProbability(r, d.state), ShortTarget: o.shortTarget,
 	}
-	if !o.loadsAt.IsZero() {
-		c.LoadsAge = now.Sub(o.loadsAt)
-	}
 	if d.source != nil {
 		uncached := r.PromptTokens - d.source.cache.cachedTokens(now, r.Shared)
 		c.HomeLateProbability = u.lateProbability(r, d.source, uncached)
--- a/internal/placement/peers.go
+++ b/internal/placement/peers.go
@@ -165,9 +165,6 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.peersAt = now
-	u.zones.peersReported(now)
-	u.peerLoadsAt = now
-	u.objective.loadsReceived(now)
 	for _, s := range u.all {
 		sum := sums[s.replica.ID]
 		s.peersRunning, s.peersRunningShort = sum.Running, sum.RunningShort
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -50,10 +50,8 @@
 	permits *ratelimit.Permits
 	// pauses are those that the replicas asked for; nil: none are kept.
 	pauses *pause.Table
-	// service is nil if calls without a prompt have no expected queue time. peerLoadsAt is the time of the
-	// last change of the peers' loads.
-	service     *ServiceAdmission
-	peerLoadsAt time.Time
+	// service is nil if calls without a prompt have no expected queue time.
+	service *ServiceAdmission
 	// objective is nil if objectives are disregarded.
 	objective    *objectiveCosts
 	prefillSpeed *enginespeed.Estimator
--- a/internal/placement/zonecost.go
+++ b/internal/placement/zonecost.go
@@ -34,13 +34,6 @@
 	return s.cache.cachedTokens(now, r.Shared) > v.homeTokens
 }
 
-// peersReported records the arrival of the other nodes' loads.
-func (v *zoneView) peersReported(now time.Time) {
-	if v != nil {
-		v.peersAt = now
-	}
-}
-
 // forbidsCopy reports whether cached parts may not be copied between the zones of the replicas.
 func (v *zoneView) forbidsCopy(from, to *replicaState) bool {
 	return v != nil && len(v.Policy.Forbidden) > 0 && from != nil && from.zoneIndex != to.zoneIndex && v.Policy.Forbids(from.replica.AvailabilityZone, to.replica.AvailabilityZone)
--- a/internal/placement/zoneflow.go
+++ b/internal/placement/zoneflow.go
@@ -37,8 +37,8 @@
 	}
 	f.homeUsable = zones[0].Replicas
 	input := zonetraffic.Input{Home: zones[0], Away: zones[1:]}
-	if !v.peersAt.IsZero() {
-		input.Age = now.Sub(v.peersAt)
+	if !u.peersAt.IsZero() {
+		input.Age = now.Sub(u.peersAt)
 	}
 	for _, c := range f.flow.Step(now, v.Policy.MaxShare, &input) {
 		if v.OnChange != nil {
--- a/internal/placement/zoneview.go
+++ b/internal/placement/zoneview.go
@@ -31,8 +31,6 @@
 	ordered []*replicaState
 	// avgAnswerBytes is the average length of answers by class.
 	avgAnswerBytes map[string]float64
-	// peersAt is when the other nodes' loads arrived; zero: there were none.
-	peersAt time.Time
 
 	// The fields below describe the request that is being placed. leave has the costs of leaving and
 	// hold the additional ones for requests that should stay, by the index of the zone.
