--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -32,6 +32,7 @@
 	// tokensInMemory is what the attempt takes of the replica's memory.
 	tokensInMemory int
 	shortPrompt    bool
+	class          string
 	// isPlain is whether the request has no prompt, expectedMS the time to first token expected of a
 	// replica of the mean speed, ownFraction the request's own part of it, loadAtStart the load of the replica before it,
 	// and gaps the pauses between the last events of the answer.
@@ -58,6 +59,7 @@
 	s := a.state
 	s.cache.add(now, a.shared)
 	a.upstream.recentPlacements.add(now, s.replica.ID, a.shared)
+	a.expectFirstToken()
 	if s.waitingSince.IsZero() || s.running == 1 {
 		s.waitingSince = now
 	}
@@ -129,7 +131,7 @@
 	case Answered:
 		a.state.lastDataAt = now
 		a.state.recover(now)
-		a.observeService(now)
+		a.observeWhole(now)
 		a.upstream.learnServiceTime(now.Sub(a.startedAt))
 		if !a.answerStartedAt.IsZero() {
 			a.upstream.learnAnswerTime(now.Sub(a.answerStartedAt))
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -101,7 +101,7 @@
 func (u *upstream) bind(now time.Time, r *Request, d *decision) *Attempt {
 	s := d.state
 	current := u.restrictions(now)
-	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now, isPlain: r.PromptTokens == 0, loadAtStart: s.speedLoad()}
+	a := &Attempt{Replica: s.replica, Choice: u.newChoice(now, r, d), NeedsPermit: current.isLimited(s), upstream: u, state: s, startedAt: now, class: r.Class, isPlain: r.PromptTokens == 0, loadAtStart: s.speedLoad()}
 	if d.source != nil {
 		a.CopyFrom = d.source.replica.Address
 	}
@@ -117,7 +117,6 @@
 		s.tokensInMemory += a.tokensInMemory
 	}
 	s.running++
-	a.expectFirstToken()
 	if !a.NeedsPermit {
 		a.recordSent(now)
 	}
--- a/internal/placement/replicaspeeds.go
+++ b/internal/placement/replicaspeeds.go
@@ -35,5 +35,6 @@
 func (r *ReplicaSpeeds) setUp(u *upstream) {
 	if r != nil {
 		u.speeds, u.onSpeedChange = replicaspeed.NewUpstream(r.HalfLife), r.OnChange
+		u.withoutEvents = make(map[string]bool)
 	}
 }
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"time"
 
 	"galenatrestle/internal/replicaspeed"
@@ -11,10 +12,16 @@
 // first Choose.
 func (p *Placer) SetReplicaSpeeds(speeds *ReplicaSpeeds) { p.speeds = speeds }
 
-// trackSpeeds lists the estimates of the known replicas for refreshes. The lock is held.
+// trackSpeeds lists the estimates of the known replicas for refreshes, in an order in which sums of
+// them are the same in each run of a simulation. The lock is held.
 func (u *upstream) trackSpeeds() {
+	if u.speeds == nil {
+		return
+	}
+	u.speedStates = append(u.speedStates[:0], u.all...)
+	slices.SortFunc(u.speedStates, func(a, b *replicaState) int { return strings.Compare(a.replica.ID, b.replica.ID) })
 	u.speedEstimates = u.speedEstimates[:0]
-	for _, s := range u.all {
+	for _, s := range u.speedStates {
 		u.speedEstimates = append(u.speedEstimates, &s.speed)
 	}
 }
@@ -45,7 +52,7 @@
 		peersAge = now.Sub(u.peersAt)
 	}
 	return func(i int, before replicaspeed.Class) {
-		s := u.all[i]
+		s := u.speedStates[i]
 		report(SpeedChange{
 			Replica: s.replica, Before: before, Speed: s.speed.Reading(), Running: s.running + s.peersRunning,
 			PendingPrefill: s.pendingPrefill(), PeersAge: peersAge,
@@ -80,14 +87,16 @@
 	if a.upstream.speeds == nil {
 		return
 	}
+	delete(a.upstream.withoutEvents, a.class)
 	a.upstream.speeds.ObservePrefill(&a.state.speed, a.expectedMS, 1e3*now.Sub(a.startedAt).Seconds(), a.ownFraction)
 	a.gaps.Add(now)
 }
 
-// expectFirstToken notes when the first token is expected. The lock is held.
+// expectFirstToken notes when the first token is expected, as the request is sent. Classes that are
+// answered as a whole are left out: they would always be overdue. The lock is held.
 func (a *Attempt) expectFirstToken() {
 	u := a.upstream
-	if u.speeds == nil || a.isPlain {
+	if u.speeds == nil || a.isPlain || u.withoutEvents[a.class] {
 		return
 	}
 	a.expectedMS = u.prefillSpeed.ExpectedMS(a.prefillTokens)
@@ -123,10 +132,15 @@
 	}
 }
 
-// observeService records the answer time of a plain service. The lock is held.
-func (a *Attempt) observeService(now time.Time) {
-	if a.upstream.speeds != nil && a.isPlain {
-		a.upstream.speeds.ObserveService(&a.state.speed, a.loadAtStart, now.Sub(a.startedAt))
+// observeWhole records a whole answer: the answer time of a plain service, or that a class of
+// prompts is not answered by events. The lock is held.
+func (a *Attempt) observeWhole(now time.Time) {
+	switch u := a.upstream; {
+	case u.speeds == nil:
+	case a.isPlain:
+		u.speeds.ObserveService(&a.state.speed, a.loadAtStart, now.Sub(a.startedAt))
+	case a.answerStartedAt.IsZero():
+		u.withoutEvents[a.class] = true
 	}
 }
 
--- a/internal/placement/speeds_test.go
+++ b/internal/placement/speeds_test.go
@@ -115,6 +115,23 @@
 	}
 }
 
+// Guards against answers without events counting as overdue.
+func TestOnlyClassesThatAnswerByEventsAreOverdue(t *testing.T) {
+	p, _ := newSpeedFleet(1, 1)
+	p.Choose(start, "u", short()).End(start.Add(time.Second), Answered)
+	a := p.Choose(start.Add(2*time.Second), "u", short())
+	u := p.upstream("u")
+	u.refreshSpeeds(start.Add(9 * time.Second))
+	if w := a.state.speed.Own(replicaspeed.Prefill).Weight; w != 0 {
+		t.Errorf("a class that is answered as a whole has weight %.2f", w)
+	}
+	b := p.Choose(start.Add(9*time.Second), "u", long(1))
+	u.refreshSpeeds(start.Add(19 * time.Second))
+	if w := b.state.speed.Own(replicaspeed.Prefill).Weight; w == 0 {
+		t.Error("an overdue request does not count")
+	}
+}
+
 // BenchmarkChooseBySpeed chooses among all of 160 replicas, with factors that are computed anew
 // every 20 ms.
 func BenchmarkChooseBySpeed(b *testing.B) {
@@ -124,6 +141,7 @@
 			p.rand = rand.New(rand.NewPCG(1, 1))
 			if learned {
 				(&ReplicaSpeeds{HalfLife: replicaspeed.DefaultHalfLife}).setUp(p.upstream("u"))
+				p.upstream("u").trackSpeeds()
 			}
 			var others []Load
 			for _, s := range p.upstream("u").all {
--- a/internal/placement/upstream.go
+++ b/internal/placement/upstream.go
@@ -58,11 +58,15 @@
 	recentPlacements placements
 	// backlogScratch is a buffer that medianPrefillMS reuses to avoid an allocation per request.
 	backlogScratch []int
-	// speeds estimates the speeds of the replicas, whose estimates are in speedEstimates; nil: off.
+	// speeds estimates the speeds of the replicas; nil: off. speedStates are the replicas by ID, and
+	// speedEstimates their estimates.
 	speeds         *replicaspeed.Upstream
+	speedStates    []*replicaState
 	speedEstimates []*replicaspeed.Estimate
 	slowStart      slowStart
-	onSpeedChange  func(SpeedChange)
+	// withoutEvents is the classes of prompts whose last answer came as a whole.
+	withoutEvents map[string]bool
+	onSpeedChange func(SpeedChange)
 	// peersAt is when the sums of the other nodes were last set.
 	peersAt time.Time
 }
--- a/internal/replicaspeed/estimate.go
+++ b/internal/replicaspeed/estimate.go
@@ -33,7 +33,9 @@
 	// nextClass is the class that the factors indicate since nextSince.
 	nextClass Class
 	nextSince time.Time
-	// peaks are the largest weights lately.
+	// sums are the observations of all nodes, as of the last refresh; peaks are the largest
+	// weights lately.
+	sums  [kinds]Observed
 	peaks [kinds]float64
 	// shown is the largest weight of observations so far, of all nodes.
 	shown float64
@@ -69,13 +71,10 @@
 	return e.factors[kind]
 }
 
-// all returns the observations of all nodes.
-func (e *Estimate) all(kind Kind) Observed { return e.Own(kind).Plus(e.peers[kind]) }
-
 // vote returns the part of the replica in the mean of its upstream: its mean, with a weight of at
 // most 1. A replica with many extreme observations would otherwise become the mean.
 func (e *Estimate) vote(kind Kind) Observed {
-	o := e.all(kind)
+	o := e.sums[kind]
 	return o.scaled(1 / (o.Weight + decodePrior))
 }
 
@@ -86,21 +85,23 @@
 
 // addOverdue adds an observation of an answer that still waits.
 func (e *Estimate) addOverdue(kind Kind, log, weight float64) {
-	e.overdue[kind] = e.overdue[kind].Plus(Observed{Weight: weight, LogSum: weight * clampLog(log)})
+	e.overdue[kind] = e.overdue[kind].Plus(Observed{Weight: weight, LogSum: weight * log})
 }
 
-// decay scales the weights of all observations down.
-func (e *Estimate) decay(factors [kinds]float64) {
-	for kind, factor := range factors {
-		e.own[kind] = e.own[kind].scaled(factor)
-		e.peers[kind] = e.peers[kind].scaled(factor)
-		e.peaks[kind] = max(e.peaks[kind]*math.Sqrt(math.Sqrt(factor)), e.all(Kind(kind)).Weight)
+// decay scales the weights of all observations down, and sums the observations up. Peaks have
+// decays of their own.
+func (e *Estimate) decay(factors, peakFactors *[kinds]float64) {
+	for kind := range kinds {
+		e.own[kind] = e.own[kind].scaled(factors[kind])
+		e.peers[kind] = e.peers[kind].scaled(factors[kind])
+		e.sums[kind] = e.Own(kind).Plus(e.peers[kind])
+		e.peaks[kind] = max(e.peaks[kind]*peakFactors[kind], e.sums[kind].Weight)
 	}
 }
 
 // update computes the factors. origins are the mean logarithms of the upstream.
 func (e *Estimate) update(origins [kinds]float64) {
-	prefill, decode := e.all(Prefill), e.all(Decode)
+	prefill, decode := e.sums[Prefill], e.sums[Decode]
 	e.shown = max(e.shown, prefill.Weight+decode.Weight)
 	e.logs[Decode] = e.confidence(Decode, decodePrior) * (decode.mean() - origins[Decode])
 	// Times to first token vary much more than times between events, and a replica that decodes
@@ -117,7 +118,7 @@
 // faster when the weight has fallen far below its peak: what many answers have shown would
 // otherwise hold for long after the last one, and a replica that is fast again would get no work.
 func (e *Estimate) confidence(kind Kind, prior float64) float64 {
-	weight := e.all(kind).Weight
+	weight := e.sums[kind].Weight
 	if weight <= 0 {
 		return 0
 	}
@@ -129,10 +130,13 @@
 // reports whether it did.
 func (e *Estimate) updateClass(now time.Time) bool {
 	indicated := e.class.next(min(e.Factor(Prefill), e.Factor(Decode)))
-	if indicated != e.nextClass || indicated == e.class {
-		e.nextClass, e.nextSince = indicated, now
+	if indicated == e.class {
+		e.nextClass = indicated
 		return false
 	}
+	if indicated != e.nextClass {
+		e.nextClass, e.nextSince = indicated, now
+	}
 	if now.Sub(e.nextSince) < classDwell {
 		return false
 	}
--- a/internal/replicaspeed/observed.go
+++ b/internal/replicaspeed/observed.go
@@ -36,7 +36,7 @@
 
 // Bounded returns the sum with a weight of at least zero and a mean ratio between 1/8 and 8.
 func (o Observed) Bounded() Observed {
-	if !(o.Weight > 0) || math.IsNaN(o.LogSum) {
+	if !(o.Weight > 0) || math.IsNaN(o.LogSum) { // Not a number is not above zero.
 		return Observed{}
 	}
 	limit := maxLog * o.Weight
--- a/internal/replicaspeed/reading.go
+++ b/internal/replicaspeed/reading.go
@@ -14,7 +14,7 @@
 func (e *Estimate) Reading() Reading {
 	return Reading{
 		Class: e.class, PrefillFactor: e.PrefillFactor(), DecodeFactor: e.DecodeFactor(),
-		OwnPrefillWeight: e.Own(Prefill).Weight, PrefillWeight: e.all(Prefill).Weight,
-		OwnDecodeWeight: e.Own(Decode).Weight, DecodeWeight: e.all(Decode).Weight,
+		OwnPrefillWeight: e.Own(Prefill).Weight, PrefillWeight: e.sums[Prefill].Weight,
+		OwnDecodeWeight: e.Own(Decode).Weight, DecodeWeight: e.sums[Decode].Weight,
 	}
 }
--- a/internal/replicaspeed/upstream.go
+++ b/internal/replicaspeed/upstream.go
@@ -25,6 +25,8 @@
 	// decodeDecay is how much faster observations of the time between events decay: there are many
 	// more of them, and they are the first to show that a replica has become slow.
 	decodeDecay = 2.0
+	// peakDecay is how fast peaks decay relative to the weights.
+	peakDecay = 0.25
 	// overdueRatio is the part of the expected time after which an answer that still waits for an
 	// event counts as an observation.
 	overdueRatio = 1.5
@@ -87,7 +89,8 @@
 	if expectedMS <= 0 || waitedMS < overdueRatio*expectedMS {
 		return
 	}
-	e.addOverdue(Prefill, math.Log(expectedMS/waitedMS), prefillWeight(expectedMS, waitedMS, ownFraction))
+	log := clampLog(math.Log(expectedMS / waitedMS))
+	e.addOverdue(Prefill, log, prefillWeight(expectedMS, waitedMS, ownFraction)*u.extreme(e, Prefill, log))
 }
 
 // AddOverdueGap counts an answer whose next event is overdue.
@@ -97,7 +100,8 @@
 	if expected <= 0 || waited < minOverdueGap || ms < overdueRatio*expected {
 		return
 	}
-	e.addOverdue(Decode, math.Log(expected/ms), maxGapWeight)
+	log := clampLog(math.Log(expected / ms))
+	e.addOverdue(Decode, log, maxGapWeight*u.extreme(e, Decode, log))
 }
 
 // ObserveGap records the typical pause of a group that took some time.
@@ -166,9 +170,10 @@
 	u.refreshedAt = now
 	decay := math.Exp2(-elapsed.Seconds() / u.halfLife.Seconds())
 	decays := [kinds]float64{Prefill: decay, Decode: math.Pow(decay, decodeDecay)}
+	peakDecays := [kinds]float64{Prefill: math.Pow(decays[Prefill], peakDecay), Decode: math.Pow(decays[Decode], peakDecay)}
 	var sums [kinds]Observed
 	for _, e := range estimates {
-		e.decay(decays)
+		e.decay(&decays, &peakDecays)
 		for kind := range kinds {
 			sums[kind] = sums[kind].Plus(e.vote(kind))
 		}
--- a/internal/replicaspeed/upstream_test.go
+++ b/internal/replicaspeed/upstream_test.go
@@ -52,7 +52,7 @@
 			}
 			sum := Observed{}
 			for _, e := range f.estimates {
-				w := e.all(kind).Weight
+				w := e.sums[kind].Weight
 				sum = sum.Plus(Observed{w / (w + 1), w / (w + 1) * e.logs[kind]})
 			}
 			if mean := sum.mean(); math.Abs(mean) > 0.1 {
