Replica speeds: answers without further events are never overdue

A whole response also starts its answer when it has been read, so that classes answered as a whole were still taken for overdue at a replica. They are now told by the lack of events after the first.

--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -33,6 +33,8 @@
 	tokensInMemory int
 	shortPrompt    bool
 	class          string
+	// hasEvents is whether the answer had events after the first.
+	hasEvents bool
 	// isPlain is whether the request has no prompt, expectedMS the time to first token expected of a
 	// replica of the mean speed, ownFraction the request's own part of it, loadAtStart the load of the replica before it,
 	// and gaps the pauses between the last events of the answer.
--- a/internal/placement/speeds.go
+++ b/internal/placement/speeds.go
@@ -87,7 +87,6 @@
 	if a.upstream.speeds == nil {
 		return
 	}
-	delete(a.upstream.withoutEvents, a.class)
 	a.upstream.speeds.ObservePrefill(&a.state.speed, a.expectedMS, 1e3*now.Sub(a.startedAt).Seconds(), a.ownFraction)
 	a.gaps.Add(now)
 }
@@ -127,6 +126,10 @@
 	if u.speeds == nil {
 		return
 	}
+	if !a.hasEvents {
+		a.hasEvents = true
+		delete(u.withoutEvents, a.class)
+	}
 	if typical, took := a.gaps.Add(now); typical > 0 {
 		u.speeds.ObserveGap(&a.state.speed, a.state.speedLoad(), typical, took)
 	}
@@ -139,7 +142,7 @@
 	case u.speeds == nil:
 	case a.isPlain:
 		u.speeds.ObserveService(&a.state.speed, a.loadAtStart, now.Sub(a.startedAt))
-	case a.answerStartedAt.IsZero():
+	case !a.hasEvents:
 		u.withoutEvents[a.class] = true
 	}
 }
--- a/internal/placement/speeds_test.go
+++ b/internal/placement/speeds_test.go
@@ -118,16 +118,20 @@
 // Guards against answers without events counting as overdue.
 func TestOnlyClassesThatAnswerByEventsAreOverdue(t *testing.T) {
 	p, _ := newSpeedFleet(1, 1)
-	p.Choose(start, "u", short()).End(start.Add(time.Second), Answered)
+	whole := p.Choose(start, "u", short())
+	whole.AnswerStarted(start.Add(time.Second))
+	whole.End(start.Add(time.Second), Answered)
 	a := p.Choose(start.Add(2*time.Second), "u", short())
 	u := p.upstream("u")
+	before := a.state.speed.Own(replicaspeed.Prefill).Weight
 	u.refreshSpeeds(start.Add(9 * time.Second))
-	if w := a.state.speed.Own(replicaspeed.Prefill).Weight; w != 0 {
-		t.Errorf("a class that is answered as a whole has weight %.2f", w)
+	if w := a.state.speed.Own(replicaspeed.Prefill).Weight; w > before {
+		t.Errorf("a class that is answered as a whole has weight %.2f, before %.2f", w, before)
 	}
 	b := p.Choose(start.Add(9*time.Second), "u", long(1))
+	before = b.state.speed.Own(replicaspeed.Prefill).Weight
 	u.refreshSpeeds(start.Add(19 * time.Second))
-	if w := b.state.speed.Own(replicaspeed.Prefill).Weight; w == 0 {
+	if w := b.state.speed.Own(replicaspeed.Prefill).Weight; w <= before {
 		t.Error("an overdue request does not count")
 	}
 }
