--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -203,7 +203,7 @@
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
 		FairShare: n.fairShare, ObjectivePriority: n.objectivePriority(), OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
-		RepeatErrored: n.options.Settings.PassThrough.ServiceAdmission != nil, Returns: n.forwardReturns(),
+		Returns: n.forwardReturns(),
 	})
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
--- a/internal/forward/events.go
+++ b/internal/forward/events.go
@@ -122,9 +122,6 @@
 	fields["reason"] = ev.reason
 	usage := e.forwarder.options.Budget.Usage(time.Now(), e.call.Upstream)
 	fields["budget_left"] = usage.Remaining
-	if e.repeat.at != "" {
-		fields["repeat_at"] = e.repeat.at
-	}
 	fields["budget_requests"] = usage.Requests
 	fields["budget_retries"] = usage.Retries
 	return fields
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -18,7 +18,6 @@
 	callsAboveShare  *prometheus.CounterVec
 	yieldingCalls    *prometheus.CounterVec
 	heldReplicas     *prometheus.CounterVec
-	errorRepeats     *prometheus.CounterVec
 	refusal          *prometheus.HistogramVec
 	lateRefusals     *prometheus.CounterVec
 }
@@ -60,12 +59,9 @@
 	m.heldReplicas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "trestle_held_replicas_total", Help: "Replicas that a call without a prompt was kept from because they held their slots and a short queue.",
 	}, []string{"upstream"})
-	m.errorRepeats = prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "trestle_error_repeats_total", Help: "Calls that ran once more at a replica that had answered them with an error, by how they ended.",
-	}, []string{"upstream", "ending"})
 	registry.MustRegister(
 		m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams,
-		m.callsAboveShare, m.heldReplicas, m.errorRepeats, m.yieldingCalls,
+		m.callsAboveShare, m.heldReplicas, m.yieldingCalls,
 	)
 	m.registerRefusals(registry)
 	return m
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -31,9 +31,6 @@
 	Registry          prometheus.Registerer
 	// FairShare divides upstreams that are short of capacity by workspace; nil: it is off.
 	FairShare *fairshare.Sharing
-	// RepeatErrored lets an idempotent call that two replicas answered with errors run once more at one of
-	// them.
-	RepeatErrored bool
 	// Returns schedules the returns of refused callers; nil: they are told delays that do not depend on each
 	// other.
 	Returns *Returns
--- a/internal/placement/attempt.go
+++ b/internal/placement/attempt.go
@@ -33,6 +33,9 @@
 	// tokensInMemory is what the attempt takes of the replica's memory.
 	tokensInMemory int
 	shortPrompt    bool
+	class          string
+	// hasEvents is whether the answer had events after the first.
+	hasEvents bool
 	// isPlain is whether the request has no prompt, expectedMS the time to first token expected of a
 	// replica of the mean speed, ownFraction the request's own part of it, loadAtStart the load of the replica before it,
 	// and gaps the pauses between the last events of the answer.
@@ -45,7 +48,6 @@
 	answerStartedAt time.Time
 	// events counts the answer's events after the first.
 	events int
-	class  string
 	// answerBytes is the received bytes of the answer.
 	answerBytes int
 	// prefilled is the number of the attempt's prompt tokens that the replica prefills. lastEventAt is
@@ -78,6 +80,7 @@
 	s := a.state
 	s.cache.add(now, a.shared)
 	a.upstream.recentPlacements.add(now, s.replica.ID, a.shared)
+	a.expectFirstToken()
 	if s.waitingSince.IsZero() || s.running == 1 {
 		s.waitingSince = now
 	}
@@ -158,7 +161,7 @@
 	case Answered:
 		a.state.lastDataAt = now
 		a.state.recover(now)
-		a.observeService(now)
+		a.observeWhole(now)
 		a.observePace(now)
 		a.upstream.learnServiceTime(now.Sub(a.startedAt))
 		if !a.answerStartedAt.IsZero() {
--- a/internal/placement/objective_test.go
+++ b/internal/placement/objective_test.go
@@ -128,13 +128,11 @@
 // Guards against trust in loads that no hub or node has updated: a replica that looked busy
 // seconds ago must no longer be avoided as if it were.
 func TestStaleLoadsCountLess(t *testing.T) {
-	o := newObjectiveCosts(3000, nil)
-	if s := o.stalenessAt(start); s != 0 {
+	if s := staleness(start, time.Time{}); s != 0 {
 		t.Errorf("staleness %.2f of a node without others, want 0", s)
 	}
-	o.loadsReceived(start)
 	late := func(expected float64, age time.Duration) float64 {
-		return exceedProbability(expected, 600, o.stalenessAt(start.Add(age)))
+		return exceedProbability(expected, 600, staleness(start.Add(age), start))
 	}
 	if late(600, 0) != 0.5 {
 		t.Errorf("probability %.2f of a time that is expected at the objective, want 0.5", late(600, 0))
--- a/internal/placement/placer.go
+++ b/internal/placement/placer.go
@@ -134,7 +134,6 @@
 		s.tokensInMemory += a.tokensInMemory
 	}
 	s.running++
-	a.expectFirstToken()
 	if !a.NeedsPermit && !r.Undecided {
 		a.recordSent(now)
 	}
--- a/internal/placement/speeds_test.go
+++ b/internal/placement/speeds_test.go
@@ -115,6 +115,27 @@
 	}
 }
 
+// Guards against answers without events counting as overdue.
+func TestOnlyClassesThatAnswerByEventsAreOverdue(t *testing.T) {
+	p, _ := newSpeedFleet(1, 1)
+	whole := p.Choose(start, "u", short())
+	whole.AnswerStarted(start.Add(time.Second))
+	whole.End(start.Add(time.Second), Answered)
+	a := p.Choose(start.Add(2*time.Second), "u", short())
+	u := p.upstream("u")
+	before := a.state.speed.Own(replicaspeed.Prefill).Weight
+	u.refreshSpeeds(start.Add(9 * time.Second))
+	if w := a.state.speed.Own(replicaspeed.Prefill).Weight; w > before {
+		t.Errorf("a class that is answered as a whole has weight %.2f, before %.2f", w, before)
+	}
+	b := p.Choose(start.Add(9*time.Second), "u", long(1))
+	before = b.state.speed.Own(replicaspeed.Prefill).Weight
+	u.refreshSpeeds(start.Add(19 * time.Second))
+	if w := b.state.speed.Own(replicaspeed.Prefill).Weight; w <= before {
+		t.Error("an overdue request does not count")
+	}
+}
+
 // BenchmarkChooseBySpeed chooses among all of 160 replicas, with factors that are computed anew
 // every 20 ms.
 func BenchmarkChooseBySpeed(b *testing.B) {
@@ -124,6 +145,7 @@
 			p.rand = rand.New(rand.NewPCG(1, 1))
 			if learned {
 				(&ReplicaSpeeds{HalfLife: replicaspeed.DefaultHalfLife}).setUp(p.upstream("u"))
+				p.upstream("u").trackSpeeds()
 			}
 			var others []Load
 			for _, s := range p.upstream("u").all {
