Placement: a value that is not used is not kept

Cause: staticcheck SA4006 in the test of a slow plain replica. Change: the result of the last call is dropped. Measured: staticcheck passes.

--- a/internal/placement/speeds_test.go
+++ b/internal/placement/speeds_test.go
@@ -41,7 +41,7 @@
 	if counts["i-02"] > 7 {
 		t.Errorf("the slow replica got %d of 200 requests", counts["i-02"])
 	}
-	_, now = serve(p, now, 8*time.Second, "")
+	serve(p, now, 8*time.Second, "")
 	if factor := p.upstream("u").states["i-02"].speed.ServiceFactor(); factor < 0.93 {
 		t.Errorf("factor %.2f of the replica 8 s after it recovered", factor)
 	}
