--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -18,7 +18,6 @@
 	"galenatrestle/internal/crashcause"
 	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/fairshare"
-	"galenatrestle/internal/forward"
 	"galenatrestle/internal/nodesync"
 	"galenatrestle/internal/passthrough"
 	"galenatrestle/internal/pause"
@@ -166,17 +165,6 @@
 	return replica.NewZoneSet(options.Settings.AvailabilityZone)
 }
 
-// newSync returns the exchange with the other nodes, which also carries the tracker's
-// records.
-func (n *Node) newSync(tracker *quarantine.Tracker) *nodesync.Sync {
-	return nodesync.New(nodesync.Options{
-		Self: n.self, Nodes: n.nodes, Routes: n.routes, Replicas: n.replicas, OnReplicaChanges: n.onReplicaChanges,
-		Placer: n.placer, FairShare: n.fairShare, Returns: n.returnTable(), Tracker: tracker, CrashCauses: n.crashCauses,
-		RateLimitTable: n.rateLimiter.limits, IdleRoundInterval: n.idleRoundInterval, SumsMaxAge: nodesync.DefaultSumsMaxAge, Clock: n.options.Clock,
-		FleetTime: n.duties.clock(), Rand: rand.New(rand.NewPCG(n.options.Seed, 3)), Log: n.log,
-	})
-}
-
 const (
 	// boundPerIdleRound is the propagation bound that each tick between an idle node's
 	// rounds needs. It is longer than a tick, to allow for the age of the hubs' copies: they are
@@ -193,25 +181,6 @@
 	return min(int(min(p.ApplyWithin.Std(), p.LeaveWithin.Std())/boundPerIdleRound), maxIdleRoundInterval)
 }
 
-// newHandler returns the handler for callers' requests.
-func (n *Node) newHandler(tracker *quarantine.Tracker) *passthrough.Handler {
-	probe := func(ctx context.Context, r replica.Replica) error { return probeReplica(ctx, n.conns, n.path, r) }
-	forwarder := forward.New(forward.Options{
-		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
-		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
-			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
-		}),
-		FairShare: n.fairShare, ObjectivePriority: n.objectivePriority(), OnRun: n.duties.requestCounter(), OnStreamBegan: n.onStreamBegan,
-		Returns: n.forwardReturns(),
-	})
-	return passthrough.New(passthrough.Options{
-		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
-		Streams: n.streams, Random: rand.Float64, Bounds: n.bounds,
-		NodeCount: n.sharing.nodeCount, Log: n.log, Registry: n.registry,
-	})
-}
-
 // makesTrial reports whether this node makes the trial of a cause of crashes: one node of the fleet does.
 func (n *Node) makesTrial(f crashcause.Factor, trial int) bool {
 	return n.sync.PermitIssuer(fmt.Sprintf("%s/%d", f, trial)).Name == n.options.Settings.Name
--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -10,7 +10,6 @@
 	"time"
 
 	"galenatrestle/internal/boottime"
-	"galenatrestle/internal/overload"
 	"galenatrestle/internal/placement"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/ratelimit"
@@ -115,44 +114,6 @@
 	e.placementRequest.FailedZones = append(e.placementRequest.FailedZones, placementAttempt.Replica.AvailabilityZone)
 }
 
-// admit applies overload control to the call at the chosen replica.
-func (e *exchange) admit(c *placement.Choice) overload.Decision {
-	e.returning.loadsAge = c.LoadsAge
-	request := overload.Request{
-		Rank: e.placementRequest.Rank, Objective: e.call.Route.Objective, TimeLeft: time.Until(e.call.Deadline),
-		QueueTime: c.FirstTokenTime - c.OwnPrefill, OwnPrefill: c.OwnPrefill, MemoryUsed: c.MemoryFraction,
-		Share: e.standing.Share,
-	}
-	decision := e.decideAdmission(request)
-	e.observeShare(time.Now(), c, &request, decision.Refused())
-	return decision
-}
-
-// refuseIfOverloaded returns a failure if overload control refuses the call.
-// Retries and resumed streams are always admitted: to end what was begun is worth more
-// than to begin another answer, and few replicas may be able to.
-func (e *exchange) refuseIfOverloaded(placementAttempt *placement.Attempt) *Failure {
-	if e.attempts > 1 || e.call.ResumesStream() {
-		return nil
-	}
-	decision := e.admit(&placementAttempt.Choice)
-	if !decision.Refused() {
-		return nil
-	}
-	placementAttempt.End(time.Now(), placement.Cancelled)
-	return e.overloadFailure(placementAttempt, decision)
-}
-
-func (e *exchange) overloadFailure(placementAttempt *placement.Attempt, decision overload.Decision) *Failure {
-	c := &placementAttempt.Choice
-	e.forwarder.metrics.overloadRefusals.WithLabelValues(e.call.Upstream, string(decision.Reason)).Inc()
-	return &Failure{
-		Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: placementAttempt.Replica.Address, RetryAfter: decision.RetryAfter,
-		Cause: fmt.Errorf("%w (%s): %s expected at the best of %d replicas, memory used %.2f, %d requests there",
-			errOverloaded, decision.Reason, c.FirstTokenTime.Round(time.Millisecond), c.AvailableReplicas, c.MemoryFraction, c.Running),
-	}
-}
-
 func (a *attempt) run() *Failure {
 	e := a.exchange
 	replica := a.placementAttempt.Replica
--- a/internal/replicaspeed/class.go
+++ b/internal/replicaspeed/class.go
@@ -1,7 +1,7 @@
 package replicaspeed
 
-// Class is a coarse speed of a replica, with hysteresis, for logs and for orders in which all
-// nodes should agree.
+// Class is a coarse speed of a replica at present, with hysteresis, for logs. Grade is the lasting one,
+// by which replicas are ordered.
 type Class int
 
 // The classes.
