--- a/internal/fleetsim/decisions_test.go
+++ b/internal/fleetsim/decisions_test.go
@@ -8,6 +8,7 @@
 // Where shared parts are copied from the replica that has read them, a request whose
 // replica is busy goes to another one without the parts being read twice.
 func TestSharedPartsAreReadOnceWhereTheyCanBeCopied(t *testing.T) {
+	t.Parallel()
 	copied := play(t, coldBurst, nil)
 	read := play(t, coldBurst, func(s *Scenario) { s.Copies = false })
 	if copied.ReadAgain > read.ReadAgain/2 {
@@ -28,6 +29,7 @@
 // Where more comes than can be read, refusing some at once leaves more on time than
 // letting all wait, and also more in absolute numbers.
 func TestRefusingWhatComesTooMuchLeavesMoreOnTime(t *testing.T) {
+	t.Parallel()
 	gated := play(t, tooMuch, nil)
 	all := play(t, tooMuch, func(s *Scenario) { s.Ungated = true })
 	if gated.OnTimeShare() < all.OnTimeShare()+0.1 {
@@ -38,6 +40,7 @@
 // The classes of more urgent ranks have shorter objectives; they must not be refused
 // for what less urgent ones have queued up.
 func TestTheMoreUrgentClassIsNotRefusedForTheLessUrgentOne(t *testing.T) {
+	t.Parallel()
 	r := play(t, tooMuch, nil)
 	refused := func(class string) float64 {
 		return float64(r.Classes[class].Refused) / float64(r.Classes[class].Asked)
@@ -53,6 +56,7 @@
 // A fleet of slow engines, with the same capacity in all, is decided on by the speed
 // that it shows: taken for quick ones, its queues grow too long before any is refused.
 func TestDecisionsFollowTheSpeedOfTheEngines(t *testing.T) {
+	t.Parallel()
 	for name, test := range map[string]struct {
 		speed   float64
 		engines int
@@ -98,6 +102,7 @@
 // A request beyond a replica's places waits for an answer of seconds to end. Decisions
 // that know of the places spread such a burst before that.
 func TestRequestsGoWhereThereIsAPlace(t *testing.T) {
+	t.Parallel()
 	known := play(t, fullPlaces, nil)
 	unknown := play(t, fullPlaces, func(s *Scenario) { s.PlacesUntold = true })
 	if got, without := known.Classes[question].OnTimeShare(), unknown.Classes[question].OnTimeShare(); got < without+0.05 {
@@ -111,6 +116,7 @@
 // A crash takes caches along: the sessions of the lost engines are read once more at
 // others, and the rest of the fleet stays on time.
 func TestACrashUnderLoadCostsLittleBeyondWhatRanThere(t *testing.T) {
+	t.Parallel()
 	r := play(t, coldBurst, func(s *Scenario) {
 		s.Bursts = nil
 		s.Length = 26 * time.Second
--- a/internal/fleetsim/fairadmission_test.go
+++ b/internal/fleetsim/fairadmission_test.go
@@ -90,11 +90,13 @@
 
 // One workspace that sends nine times its usual must not take the capacity of the others.
 func TestOthersAreServedAsIfTheLargeWorkspaceWereNotThere(t *testing.T) {
+	t.Parallel()
 	compareShares(t, func(seed uint64) Scenario { return largeWorkspace(seed, 20, 16, 1.3) }, 2)
 }
 
 // While there is room for all, sharing changes nothing, however unequal the workspaces are.
 func TestSharingChangesNothingWhileThereIsRoom(t *testing.T) {
+	t.Parallel()
 	with, without := largeWorkspace(1, 20, 16, 0.7), largeWorkspace(1, 20, 16, 0.7)
 	without.FairAdmission = false
 	shared, unshared := Play(with), Play(without)
--- a/internal/fleetsim/limits_test.go
+++ b/internal/fleetsim/limits_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestEnginesThatNameRatesCostLittleWhereTheOthersHaveRoom(t *testing.T) {
+	t.Parallel()
 	free := play(t, steadyLoad, nil).OnTimeShare()
 	for engines, cost := range map[int]float64{2: 0.01, 9: 0.03} {
 		if got := limitedLoad(t, engines).OnTimeShare(); got < free-cost {
@@ -38,6 +39,7 @@
 
 // Where all engines name rates, what is beyond them is refused and nothing else is lost.
 func TestWhatIsBeyondTheRatesOfAllEnginesIsRefused(t *testing.T) {
+	t.Parallel()
 	r := limitedLoad(t, 18)
 	var all Tally
 	for _, tally := range r.Classes {
--- a/internal/fleetsim/many_test.go
+++ b/internal/fleetsim/many_test.go
@@ -24,6 +24,7 @@
 // Where each of many nodes takes the replica that looks idlest of all, all requests of a
 // third of a second go to the same few. Those that look at a few drawn ones spread them.
 func TestManyNodesSpreadWhatTheyPlaceAtOnce(t *testing.T) {
+	t.Parallel()
 	few := Play(manyNodes(1))
 	s := manyNodes(1)
 	s.SeeAll = true
--- a/internal/fleetsim/play_test.go
+++ b/internal/fleetsim/play_test.go
@@ -78,6 +78,7 @@
 }
 
 func TestTheSameSeedPlaysTheSameDay(t *testing.T) {
+	t.Parallel()
 	one, two := Play(coldBurst(1)), Play(coldBurst(1))
 	for name, tally := range one.Classes {
 		if *tally != *two.Classes[name] {
--- a/internal/fleetsim/returns_test.go
+++ b/internal/fleetsim/returns_test.go
@@ -45,6 +45,7 @@
 // Guards against callers that return as they were told and are refused again. All were told about the same
 // delay, returned during the same burst, and competed with newcomers.
 func TestCallersThatReturnAsToldAreServed(t *testing.T) {
+	t.Parallel()
 	without, refusedAgain := playReturns(t, shortBursts, false)
 	served, servedOnReturn := playReturns(t, shortBursts, true)
 	if servedOnReturn < 0.95 {
@@ -57,6 +58,7 @@
 
 // In a lasting overload, as many are refused in the end. Guards against returns that cost others their answers.
 func TestReturnsCostNoAnswersInALastingOverload(t *testing.T) {
+	t.Parallel()
 	lasting := func(seed uint64) Scenario {
 		s := shortBursts(seed)
 		s.Length, s.Bursts = 14*time.Second, []Burst{{letter, 2 * time.Second, 8 * time.Second, 3.5}}
--- a/internal/fleetsim/speeds_test.go
+++ b/internal/fleetsim/speeds_test.go
@@ -60,6 +60,7 @@
 // Guards against costs that take all replicas for equally fast: slow ones got as much work as fast
 // ones, and their requests were late.
 func TestEnginesOfUnlikeSpeedServeLikeEqualOnes(t *testing.T) {
+	t.Parallel()
 	equal, _ := playUneven(t, func(s *Scenario) { s.Speeds.Learned = learned })
 	for name, speeds := range map[string][]float64{
 		"0.6 to 1.6":        {0.6, 1.6, 0.8, 1.0},
@@ -81,6 +82,7 @@
 
 // Guards against a replica that keeps its work although it has become five times slower.
 func TestAnEngineThatTurnsSlowLosesItsNewWorkWithinASecond(t *testing.T) {
+	t.Parallel()
 	slowed := func(s *Scenario) {
 		s.Speeds.Slowdowns = []Slowdown{{At: 8 * time.Second, For: 6 * time.Second, Engines: 2, Times: 5}}
 	}
--- a/internal/fleetsim/zones_test.go
+++ b/internal/fleetsim/zones_test.go
@@ -55,6 +55,7 @@
 // Guards against a hot zone that keeps its load to itself, and against one that sends away more than
 // it must.
 func TestOneHotZoneUsesTheRoomOfOthers(t *testing.T) {
+	t.Parallel()
 	hot := atLoads(1.7*2.6, 0.02, 0.02)
 	before, _, all := zoneValue(t, "constant", hot(1))
 	closed := hot(1)
@@ -74,6 +75,7 @@
 
 // Guards against zones that exchange their overload: it costs bytes and time and serves nobody sooner.
 func TestNothingLeavesWhenAllZonesAreFull(t *testing.T) {
+	t.Parallel()
 	full := atLoads(5, 5, 5)
 	before, _, _ := zoneValue(t, "constant", full(1))
 	s := full(1)
@@ -117,6 +119,7 @@
 
 // Guards against nodes that all leave and all come back at once on loads that are 0.2 to 0.4 s old.
 func TestPartsDoNotSwingAtSteadyLoad(t *testing.T) {
+	t.Parallel()
 	for name, scenario := range map[string]func(uint64) Scenario{"even": zoned, "hot": atLoads(2.6, 0.3, 0.3), "full": atLoads(3, 3, 3)} {
 		s := scenario(1)
 		withTraffic(&s)
@@ -134,6 +137,7 @@
 
 // Guards against requests that are sent away on loads that are no longer known.
 func TestStaleLoadsSendNothingAway(t *testing.T) {
+	t.Parallel()
 	s := atLoads(2.6, 0.02, 0.02)(1)
 	withTraffic(&s)
 	s.Zones.SilentFrom = 6 * time.Second
@@ -157,6 +161,7 @@
 // Guards against requests that are sent around a ring of zones: what one zone sends to the next must
 // not displace requests that come back.
 func TestNoRingOfZones(t *testing.T) {
+	t.Parallel()
 	s := atLoads(2.6, 1.5, 0.3)(1)
 	withTraffic(&s)
 	samples, _ := shares(&s)
@@ -177,6 +182,7 @@
 // Guards against a zone that waits for replicas that it has lost, and against halves of a fleet that
 // send away what they take for room.
 func TestTroubleCostsNoMoreThanWithTheConstant(t *testing.T) {
+	t.Parallel()
 	for name, trouble := range map[string]func(*ZoneModel){
 		"a zone loses half of its replicas": func(m *ZoneModel) {
 			m.Losses = []ZoneLoss{{Zone: 1, At: 5 * time.Second, For: 8 * time.Second, Engines: 6}}
@@ -212,6 +218,7 @@
 
 // Guards against a price, latency or load at which the decisions serve less than a constant cost does.
 func TestRandomDeploymentsAreNearTheirBestConstantCost(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(*zoneDeployments) {
 		best := math.Inf(-1)
 		for _, cost := range []float64{0.3, 3, 30, 300} {
