Calls yield only where ranks can be split

Cause: where a deployment has more than five ranks at an upstream, a call that was expected late was marked as yielding with its rank unchanged, so that its answer taught no prefill speed. Change: setYields reports whether the rank is split.

--- a/internal/forward/yield.go
+++ b/internal/forward/yield.go
@@ -9,14 +9,17 @@
 )
 
 // setYields sets whether the call yields to others of its tier, and with it the rank with which it is
-// placed and sent. Ranks are split only if a part of the settings lets calls yield.
-func (e *exchange) setYields(yields bool) {
+// placed and sent. It reports whether the call yields: ranks are split only if a part of the settings lets
+// calls yield, and if there are not too many.
+func (e *exchange) setYields(yields bool) bool {
 	options := &e.forwarder.options
 	if options.FairShare == nil && options.ObjectivePriority == (overload.ObjectivePriority{}) {
-		return
+		return false
 	}
-	e.placementRequest.Rank = fairshare.SplitRank(e.call.Rank, e.call.Ranks, yields)
-	e.placementRequest.Yields = yields
+	r := &e.placementRequest
+	r.Rank = fairshare.SplitRank(e.call.Rank, e.call.Ranks, yields)
+	r.Yields = yields && r.Rank != fairshare.SplitRank(e.call.Rank, e.call.Ranks, false)
+	return r.Yields
 }
 
 // yieldIfLate lets the call yield if it is expected to miss its objective at the chosen replica, and
@@ -30,11 +33,10 @@
 	request := overload.Request{
 		Objective: e.call.Route.Objective, QueueTime: a.Choice.FirstTokenTime - a.Choice.OwnPrefill, OwnPrefill: a.Choice.OwnPrefill,
 	}
-	if !e.forwarder.options.ObjectivePriority.Yields(&request) {
+	if !e.forwarder.options.ObjectivePriority.Yields(&request) || !e.setYields(true) {
 		return false
 	}
 	a.End(time.Now(), placement.Cancelled)
-	e.setYields(true)
 	e.forwarder.metrics.yieldingCalls.WithLabelValues(e.call.Upstream).Inc()
 	return true
 }
