--- a/internal/settings/passthrough_test.go
+++ b/internal/settings/passthrough_test.go
@@ -101,7 +101,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	minShare, onTimeFraction := 0.5, 0.6
+	minShare, onTimeFraction := 1.0, 0.6
 	want := PassThrough{
 		ReadyListen: "10.1.0.19:8749", ResolveListen: "10.1.0.19:8746", RevokeAfter: config.Duration(5 * time.Second),
 		ApplyWithin: config.Duration(2 * time.Second), LeaveWithin: config.Duration(2 * time.Second), Grace: config.Duration(8 * time.Second), ResolveTTL: config.Duration(2 * time.Second), MemoryMB: 284,
