One request of overload control for admission and yielding; unused method removed

Cause: yieldIfLate built a second, shorter copy of the request that admit builds, and EventIntervalMS had no caller. Change: overloadRequest serves both; behaviour unchanged. Measured: vet, staticcheck and the tests of forward, replicaspeed and placement pass.

--- a/internal/forward/admission.go
+++ b/internal/forward/admission.go
@@ -11,14 +11,19 @@
 // admit applies overload control to the call at the chosen replica.
 func (e *exchange) admit(c *placement.Choice) overload.Decision {
 	e.returning.loadsAge = c.LoadsAge
-	request := overload.Request{
+	request := e.overloadRequest(c)
+	decision := e.decideAdmission(request)
+	e.observeShare(time.Now(), c, &request, decision.Refused())
+	return decision
+}
+
+// overloadRequest returns the call at the chosen replica as overload control sees it.
+func (e *exchange) overloadRequest(c *placement.Choice) overload.Request {
+	return overload.Request{
 		Rank: e.placementRequest.Rank, Objective: e.call.Route.Objective, TimeLeft: time.Until(e.call.Deadline),
 		QueueTime: c.FirstTokenTime - c.OwnPrefill, OwnPrefill: c.OwnPrefill, MemoryUsed: c.MemoryFraction,
 		Share: e.standing.Share,
 	}
-	decision := e.decideAdmission(request)
-	e.observeShare(time.Now(), c, &request, decision.Refused())
-	return decision
 }
 
 // refuseIfOverloaded returns a failure if overload control refuses the call.
--- a/internal/forward/yield.go
+++ b/internal/forward/yield.go
@@ -30,9 +30,7 @@
 	if r.Yields || r.PromptTokens == 0 || e.attempts > 1 || e.call.ResumesStream() {
 		return false
 	}
-	request := overload.Request{
-		Objective: e.call.Route.Objective, QueueTime: a.Choice.FirstTokenTime - a.Choice.OwnPrefill, OwnPrefill: a.Choice.OwnPrefill,
-	}
+	request := e.overloadRequest(&a.Choice)
 	if !e.forwarder.options.ObjectivePriority.Yields(&request) || !e.setYields(true) {
 		return false
 	}
--- a/internal/replicaspeed/upstream.go
+++ b/internal/replicaspeed/upstream.go
@@ -153,13 +153,6 @@
 // Observations returns the number of observations of the kind.
 func (u *Upstream) Observations(kind Kind) int { return u.observations[kind] }
 
-// EventIntervalMS returns the expected time between events at the replica, in milliseconds; zero:
-// not known.
-func (u *Upstream) EventIntervalMS(e *Estimate, load Load) float64 {
-	c := u.curveAt(load)
-	return c.at(load.Running) / e.DecodeFactor()
-}
-
 // Due reports whether the factors are to be computed again.
 func (u *Upstream) Due(now time.Time) bool { return now.Sub(u.refreshedAt) >= refreshInterval }
 
