--- a/review/harness/client.go
+++ b/review/harness/client.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -24,7 +23,9 @@
 	sentAt, endedAt time.Time
 	// status is zero if the connection ended without a complete answer.
 	status int
-	err    error
+	// kept is whether the connection had carried an answer before; begun whether the answer's head came.
+	kept, begun bool
+	err         error
 }
 
 // answered reports whether the client got a complete answer.
@@ -51,6 +52,34 @@
 	failed      map[string]bool
 	until       time.Time
 	keepFactor  float64
+	// keeps is whether the client uses connections again.
+	keeps bool
+	// open is the connection that the client keeps for its next request; nil: there is none.
+	open *connection
+}
+
+// connection is a client's connection to a node.
+type connection struct {
+	net.Conn
+	reader  *bufio.Reader
+	address string
+	used    bool
+}
+
+// connect returns the kept connection, if the node is still told, or a new one to the address.
+func (l *lookup) connect(address string) (*connection, error) {
+	if c := l.open; c != nil {
+		l.open = nil
+		if slices.Contains(l.addresses, c.address) {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+	conn, err := net.DialTimeout("tcp", address, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &connection{Conn: conn, reader: bufio.NewReader(conn), address: address}, nil
 }
 
 // maxTTL is ttl_max_s of the sheets.
@@ -100,7 +129,7 @@
 )
 
 // runClients has clients send requests to the path, at the rate of all together, until ctx ends.
-func (w *world) runClients(ctx context.Context, path string, count int, perSecond float64, seen *outcomes) {
+func (w *world) runClients(ctx context.Context, path string, count int, perSecond float64, keeps bool, seen *outcomes) {
 	var directories []string
 	for _, n := range w.nodes {
 		directories = append(directories, n.directory)
@@ -108,7 +137,7 @@
 	var clients sync.WaitGroup
 	for i := range count {
 		clients.Go(func() {
-			l := &lookup{directories: directories, failed: make(map[string]bool), keepFactor: 1}
+			l := &lookup{directories: directories, failed: make(map[string]bool), keepFactor: 1, keeps: keeps}
 			if i%5 == 0 {
 				l.keepFactor = 3
 			}
@@ -133,7 +162,7 @@
 		if address == "" {
 			return
 		}
-		one, retryAfter := attempt(path, fmt.Sprintf("%s-%d", name, try), address)
+		one, retryAfter := l.attempt(path, fmt.Sprintf("%s-%d", name, try), address)
 		seen.add(w, one)
 		if one.sentAt.IsZero() {
 			l.failed[address] = true
@@ -146,34 +175,57 @@
 	}
 }
 
-// attempt sends one attempt on a new connection and reads its answer.
-func attempt(path, id, address string) (outcome, time.Duration) {
+// attempt sends one attempt and reads its answer.
+func (l *lookup) attempt(path, id, address string) (outcome, time.Duration) {
 	o := outcome{id: id, path: path, address: address}
-	conn, err := net.DialTimeout("tcp", address, time.Second)
+	conn, err := l.connect(address)
 	if err != nil {
 		o.err, o.endedAt = err, time.Now()
 		return o, 0
 	}
-	defer conn.Close()
+	o.address, o.kept = conn.address, conn.used
 	body := "body of " + id
 	text := fmt.Sprintf("POST %s%s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n%s",
-		path, id, host, platformtest.HeaderID, id, platformtest.HeaderKey, key, platformtest.HeaderDeadline, deadline.Milliseconds(), len(body), body)
-	_ = conn.SetDeadline(time.Now().Add(deadline))
-	if _, err = io.Copy(conn, strings.NewReader(text)); err != nil {
-		o.err, o.endedAt = err, time.Now()
-		return o, 0
-	}
-	o.sentAt = time.Now()
-	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
-	if err == nil {
-		_, err = io.ReadAll(response.Body)
-	}
+		path, id, host, platformtest.HeaderID, id, platformtest.HeaderKey, key, platformtest.HeaderDeadline, deadlineOf(path).Milliseconds(), len(body), body)
+	_ = conn.SetDeadline(time.Now().Add(deadlineOf(path)))
+	response, err := o.exchange(conn, text)
 	o.endedAt = time.Now()
 	if err != nil {
+		_ = conn.Close()
 		o.err = err
 		return o, 0
 	}
 	o.status = response.StatusCode
+	conn.used = true
+	if response.Close || !l.keeps {
+		_ = conn.Close()
+	} else {
+		l.open = conn
+	}
 	seconds, _ := time.ParseDuration(response.Header.Get("Retry-After") + "s")
 	return o, seconds
 }
+
+// exchange sends the request and reads the whole answer.
+func (o *outcome) exchange(conn *connection, text string) (*http.Response, error) {
+	if _, err := io.WriteString(conn, text); err != nil {
+		return nil, err
+	}
+	o.sentAt = time.Now()
+	response, err := http.ReadResponse(conn.reader, nil)
+	if err != nil {
+		return nil, err
+	}
+	o.begun = true
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// deadlineOf returns how long the clients of the path wait.
+func deadlineOf(path string) time.Duration {
+	if path == streamPath {
+		return streamDeadline
+	}
+	return deadline
+}
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -19,6 +19,7 @@
 
 var scenarios = map[string]scenario{
 	"restart-of-all": restartOfAll,
+	"endless-head":   endlessHead,
 }
 
 func main() { os.Exit(run()) }
--- a/review/harness/restart.go
+++ b/review/harness/restart.go
@@ -63,8 +63,8 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	seen := &outcomes{}
 	var clients sync.WaitGroup
-	clients.Go(func() { w.runClients(ctx, claimPath, restartClients, restartRate, seen) })
-	clients.Go(func() { w.runClients(ctx, streamPath, restartClients, streamRate, seen) })
+	clients.Go(func() { w.runClients(ctx, claimPath, restartClients, restartRate, false, seen) })
+	clients.Go(func() { w.runClients(ctx, streamPath, restartClients, streamRate, false, seen) })
 	time.Sleep(settleTime)
 	var stops []stop
 	for range restartRounds {
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -22,8 +22,10 @@
 	grace    = 8 * time.Second
 	timeout  = 1200 * time.Millisecond
 	deadline = 2500 * time.Millisecond
-	work     = 30 * time.Millisecond
-	beat     = 1200 * time.Millisecond
+	// streamDeadline is both the clients' deadline and the route's timeout of streams.
+	streamDeadline = 5 * time.Second
+	work           = 30 * time.Millisecond
+	beat           = 1200 * time.Millisecond
 
 	host = "desk.example"
 	key  = "key-of-the-shop"
@@ -85,32 +87,41 @@
 func (w *world) addReplicas(service string, count, slots, queue int) error {
 	for i := range count {
 		id := fmt.Sprintf("i-%s-%d", service, i+1)
-		address, err := w.serve(&platformtest.Replica{ID: id, Runs: w.runs, Slots: slots, Queue: queue, WorkTime: work})
-		if err != nil {
+		handler := &platformtest.Replica{ID: id, Runs: w.runs, Slots: slots, Queue: queue, WorkTime: work}
+		if err := w.addReplica(id, service, slots, handler); err != nil {
 			return err
 		}
-		entry := map[string]any{
-			"service": service, "address": address, "zone": "hall-a", "version": "v1", "slots": slots, "state": "ready",
-			"coldRemainingMs": 0, "sequence": 1,
-		}
-		w.store.Put("servers/"+id, entry)
-		ticker := time.NewTicker(beat)
-		done := make(chan struct{})
-		go func() {
-			for {
-				select {
-				case <-ticker.C:
-					w.store.Put("servers/"+id, entry)
-				case <-done:
-					return
-				}
-			}
-		}()
-		w.closers = append(w.closers, func() { ticker.Stop(); close(done) })
 	}
 	return nil
 }
 
+// addReplica starts a replica, which writes its entry with each heartbeat.
+func (w *world) addReplica(id, service string, slots int, handler http.Handler) error {
+	address, err := w.serve(handler)
+	if err != nil {
+		return err
+	}
+	entry := map[string]any{
+		"service": service, "address": address, "zone": "hall-a", "version": "v1", "slots": slots, "state": "ready",
+		"coldRemainingMs": 0, "sequence": 1,
+	}
+	w.store.Put("servers/"+id, entry)
+	ticker := time.NewTicker(beat)
+	done := make(chan struct{})
+	go func() {
+		for {
+			select {
+			case <-ticker.C:
+				w.store.Put("servers/"+id, entry)
+			case <-done:
+				return
+			}
+		}
+	}()
+	w.closers = append(w.closers, func() { ticker.Stop(); close(done) })
+	return nil
+}
+
 // configure writes the operator's configuration: a route of requests that may run once, and one of streams.
 func (w *world) configure(version int) {
 	w.store.Put("op/config", map[string]any{
@@ -120,7 +131,7 @@
 			"timeoutMs": timeout.Milliseconds(), "objectiveMs": 150, "priority": 2, "anonymous": false, "sticky": false,
 		}, {
 			"name": "chat", "host": host, "prefix": streamPath, "routeType": "streaming", "service": modelService, "maxAttempts": 1,
-			"timeoutMs": 5000, "objectiveMs": 600, "priority": 1, "anonymous": false, "sticky": true, "resumable": false, "gapTargetMs": 300,
+			"timeoutMs": streamDeadline.Milliseconds(), "objectiveMs": 600, "priority": 1, "anonymous": false, "sticky": true, "resumable": false, "gapTargetMs": 300,
 		}},
 		"services": []map[string]any{
 			{"name": service, "healthPath": "/healthz", "maxConnections": 100, "protocol": "h1", "tls": false},
