--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -6,12 +6,16 @@
 import (
 	"fmt"
 	"os"
+	"time"
 )
 
 const (
 	exitHeld   = 0
 	exitBroken = 1
 	exitFailed = 2
+
+	// runLimit bounds a run.
+	runLimit = 112 * time.Second
 )
 
 // scenario runs a case and returns the violations that it saw.
@@ -20,6 +24,7 @@
 var scenarios = map[string]scenario{
 	"restart-of-all": restartOfAll,
 	"endless-head":   endlessHead,
+	"usage-restored": usageRestored,
 }
 
 func main() { os.Exit(run()) }
@@ -40,6 +45,11 @@
 		return exitFailed
 	}
 	defer w.close()
+	time.AfterFunc(runLimit, func() {
+		w.note("could not run within %s", runLimit)
+		w.close()
+		os.Exit(exitFailed)
+	})
 	broken, err := play(w, os.Getenv("TROUBLE") != "0")
 	if err != nil {
 		w.note("could not run: %v", err)
--- a/review/harness/world.go
+++ b/review/harness/world.go
@@ -39,6 +39,8 @@
 	program string
 	dir     string
 	store   *platformtest.Store
+	// duties is the address of the calls that one node makes for all; empty: there are none.
+	duties  string
 	runs    *platformtest.Runs
 	nodes   []*node
 	closers []func()
@@ -172,21 +174,21 @@
 		seeds = append(seeds, n.peer)
 	}
 	for _, n := range w.nodes {
-		if err := n.writeSettings(storeAddress, seeds, true); err != nil {
+		if err := n.writeSettings(storeAddress, w.duties, seeds, true); err != nil {
 			return err
 		}
 		if err := n.start(); err != nil {
 			return err
 		}
 		// bootstrap is true only at the first start.
-		if err := n.writeSettings(storeAddress, seeds, false); err != nil {
+		if err := n.writeSettings(storeAddress, w.duties, seeds, false); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-func (n *node) writeSettings(storeAddress string, seeds []string, first bool) error {
+func (n *node) writeSettings(storeAddress, duties string, seeds []string, first bool) error {
 	encoded, err := json.Marshal(seeds)
 	if err != nil {
 		return err
@@ -223,6 +225,15 @@
   fair_admission: {window: 2s, min_share: 1}
   service_admission: {}
 `, n.name, n.entry, n.peer, n.ops, storeAddress, encoded, n.ready, n.directory, first)
+	if duties != "" {
+		text += fmt.Sprintf(`  duties:
+    address: "%s"
+    kinds: [metering]
+    lease: 3000ms
+    usage_window: 5s
+    usage_delay: 10s
+`, duties)
+	}
 	next := n.settings + ".new"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
 		return err
