--- a/review/harness/restart.go
+++ b/review/harness/restart.go
@@ -24,8 +24,11 @@
 	restartClients  = 46
 
 	restartRounds = 5
-	// restartGap is the time between the SIGTERMs of one round.
-	restartGap = 100 * time.Millisecond
+	// A round is as in the day: five rolling restarts, each of one node at a time, a second apart, that begin
+	// 0.1 s one after the other.
+	rollCount = 5
+	rollGap   = time.Second
+	rollStep  = 100 * time.Millisecond
 	// downTime is the time between the end of a process and its start.
 	downTime = 600 * time.Millisecond
 	// settleTime lets all be calm for longer than stableWindowMs between rounds.
@@ -88,7 +91,10 @@
 func (w *world) restartRound() []stop {
 	stops := make([]stop, len(w.nodes))
 	var rounds sync.WaitGroup
+	began := time.Now()
 	for i, n := range w.nodes {
+		due := time.Duration(i/rollCount)*rollGap + time.Duration(i%rollCount)*rollStep
+		time.Sleep(time.Until(began.Add(due)))
 		stops[i] = stop{entry: n.entry, at: time.Now()}
 		ended := n.signal(syscall.SIGTERM)
 		w.note("SIGTERM to %s (%s)", n.name, n.entry)
@@ -106,7 +112,6 @@
 				w.note("start of %s: %v", n.name, err)
 			}
 		})
-		time.Sleep(restartGap)
 	}
 	rounds.Wait()
 	return stops
