--- a/review/harness/restart.go
+++ b/review/harness/restart.go
@@ -23,7 +23,7 @@
 	streamRate      = 90
 	restartClients  = 46
 
-	restartRounds = 5
+	restartRounds = 7
 	// A round is as in the day: five rolling restarts, each of one node at a time, a second apart, that begin
 	// 0.1 s one after the other.
 	rollCount = 5
