--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -30,8 +30,8 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) != 4 {
-		fmt.Fprintln(os.Stderr, "usage: harness SCENARIO NODE-PROGRAM RECORD-FILE")
+	if len(os.Args) != 5 || os.Args[4] != "on" && os.Args[4] != "off" {
+		fmt.Fprintln(os.Stderr, "usage: harness SCENARIO NODE-PROGRAM RECORD-FILE on|off")
 		return exitFailed
 	}
 	play, known := scenarios[os.Args[1]]
@@ -50,7 +50,8 @@
 		w.close()
 		os.Exit(exitFailed)
 	})
-	broken, err := play(w, os.Getenv("TROUBLE") != "0")
+	w.note("trouble: %s", os.Args[4])
+	broken, err := play(w, os.Args[4] == "on")
 	if err != nil {
 		w.note("could not run: %v", err)
 		fmt.Fprintln(os.Stderr, err)
