--- a/review/harness/garble.go
+++ b/review/harness/garble.go
@@ -60,7 +60,7 @@
 	defer conn.Close()
 	began, sent := time.Now(), 0
 	chunk := bytes.Repeat([]byte("x"), linkBytes/1000)
-	for time.Since(began) < streamDeadline {
+	for g.on.Load() && time.Since(began) < streamDeadline {
 		n, err := conn.Write(chunk)
 		sent += n
 		if err != nil {
