replicaconn: bound the head of a replica's response

Callers saw: most answers of one replica that are bytes without an end took a node over its memory; the process was killed, and with it all other requests of the VM.

Cause: http.ReadResponse reads lines of any length and number, and replicaconn, which replaces http.Transport, set no limit.

Change: a head with its interim responses may have 64 KiB; beyond it the attempt fails and the connection closes. The error of a malformed head quotes 200 bytes at most instead of the whole line. The same limit for the transports to upstreams, the store, duties, orders, load reports and other nodes, where net/http's default is 10 MB.

The new tests failed before.

--- a/internal/daemon/failover.go
+++ b/internal/daemon/failover.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"galenatrestle/internal/httplimits"
 )
 
 const (
@@ -29,9 +31,10 @@
 
 func (f *failover) transport() *http.Transport {
 	return &http.Transport{
-		DialContext:         f.dial,
-		MaxIdleConnsPerHost: maxIdlePlatformConns,
-		IdleConnTimeout:     platformConnIdleLength,
+		DialContext:            f.dial,
+		MaxIdleConnsPerHost:    maxIdlePlatformConns,
+		IdleConnTimeout:        platformConnIdleLength,
+		MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
 	}
 }
 
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -15,6 +16,7 @@
 	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/forward/forwardtest"
+	"galenatrestle/internal/httplimits"
 	"galenatrestle/internal/route"
 )
 
@@ -461,3 +463,32 @@
 		}
 	})
 }
+
+// Guards against nodes that run out of memory because a replica sends bytes that are no response and never end.
+func TestReplicaWhoseResponseHasNoEndIsGivenUp(t *testing.T) {
+	const sentBytes = 1 << 20
+	for name, test := range map[string]struct {
+		repeat         route.Repeat
+		status, ending any
+	}{
+		"may be repeated":     {route.Idempotent, http.StatusOK, forward.EndedComplete},
+		"may not be repeated": {route.AtMostOnce, http.StatusBadGateway, forward.EndedUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				taken := 0
+				list := replicas(func(c *forwardtest.Conn) bool {
+					taken, _ = io.WriteString(c, strings.Repeat("x", sentBytes))
+					return false
+				}, answerOK)
+				w, ending := serve(t, forwardtest.NewFleet(t, list...), call(test.repeat, 2))
+				if w.Code != test.status || ending != test.ending {
+					t.Errorf("status %d, ending %s, want %v, %v", w.Code, ending, test.status, test.ending)
+				}
+				if synctest.Wait(); taken > 2*httplimits.ResponseHeadBytes {
+					t.Errorf("%d of %d bytes were taken", taken, sentBytes)
+				}
+			})
+		})
+	}
+}
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -14,6 +14,7 @@
 	"galenatrestle/internal/crashcause"
 	"galenatrestle/internal/dispatch"
 	"galenatrestle/internal/explain"
+	"galenatrestle/internal/httplimits"
 	"galenatrestle/internal/membership"
 	"galenatrestle/internal/quarantine"
 	"galenatrestle/internal/quota"
@@ -92,7 +93,9 @@
 		o.Gate = openGate{}
 	}
 	if o.Relay == nil {
-		o.Relay = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleRelays}}
+		o.Relay = &http.Client{Transport: &http.Transport{
+			MaxIdleConnsPerHost: maxIdleRelays, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		}}
 	}
 	if o.Answers == nil {
 		o.Answers = answer.NewStore(answer.Options{})
--- a/internal/node/loadwatch.go
+++ b/internal/node/loadwatch.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"galenatrestle/internal/errs"
+	"galenatrestle/internal/httplimits"
 	"galenatrestle/internal/openai"
 )
 
@@ -29,7 +30,9 @@
 // watchLoads reads the load reports of the engines that this node owns, until
 // ctx ends. What they say of leaving goes to all nodes.
 func (m *members) watchLoads(ctx context.Context) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: loadTimeout}
+	transport := &http.Transport{
+		MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: loadTimeout, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+	}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: loadTimeout}
 	ticker := time.NewTicker(loadInterval)
--- a/internal/order/http.go
+++ b/internal/order/http.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"sync/atomic"
 
+	"galenatrestle/internal/httplimits"
 	"galenatrestle/internal/openai"
 )
 
@@ -27,7 +28,9 @@
 // NewHTTPTransport returns a transport.
 func NewHTTPTransport() *HTTPTransport {
 	t := &HTTPTransport{}
-	t.stateClient = &http.Client{Transport: &http.Transport{DialContext: t.dialer.DialContext, DisableKeepAlives: true}}
+	t.stateClient = &http.Client{Transport: &http.Transport{
+		DialContext: t.dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+	}}
 	return t
 }
 
@@ -55,7 +58,9 @@
 		}
 		return &guardedConn{Conn: conn, guard: guard}, nil
 	}
-	return &http.Client{Transport: &http.Transport{DialContext: dial, DisableKeepAlives: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+	}}
 }
 
 // Send implements Transport.
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/errs"
+	"galenatrestle/internal/httplimits"
 )
 
 // Health of idle connections: a peer that vanished is noticed by a ping.
@@ -47,13 +48,14 @@
 	protocols.SetHTTP2(c.keys.Enabled())
 	protocols.SetUnencryptedHTTP2(!c.keys.Enabled())
 	next := &http.Transport{
-		DialContext:           dialer.DialContext,
-		TLSHandshakeTimeout:   c.settings.DialTimeout,
-		ResponseHeaderTimeout: c.settings.HeaderTimeout,
-		MaxConnsPerHost:       c.settings.MaxConnections,
-		IdleConnTimeout:       c.settings.IdleTimeout,
-		Protocols:             &protocols,
-		HTTP2:                 &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
+		DialContext:            dialer.DialContext,
+		TLSHandshakeTimeout:    c.settings.DialTimeout,
+		ResponseHeaderTimeout:  c.settings.HeaderTimeout,
+		MaxConnsPerHost:        c.settings.MaxConnections,
+		IdleConnTimeout:        c.settings.IdleTimeout,
+		MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		Protocols:              &protocols,
+		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
 	if c.keys.Enabled() {
 		next.TLSClientConfig = c.keys.clientTLS()
--- a/internal/platform/httpstore/client.go
+++ b/internal/platform/httpstore/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"galenatrestle/internal/errs"
+	"galenatrestle/internal/httplimits"
 	"galenatrestle/internal/platform"
 	"galenatrestle/internal/platform/wire"
 )
@@ -63,6 +64,7 @@
 	transport.Proxy = nil
 	transport.MaxIdleConns = maxIdleConnections
 	transport.MaxIdleConnsPerHost = maxIdleConnections
+	transport.MaxResponseHeaderBytes = httplimits.ResponseHeadBytes
 	return transport
 }
 
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -24,7 +24,9 @@
 	pool    *Pool
 	replica string
 	netConn net.Conn
-	reader  *bufio.Reader
+	// head bounds what reader gets of netConn for a response's head.
+	head   *headReader
+	reader *bufio.Reader
 	// idleTimeout is the replica's announced keep-alive timeout; zero: none.
 	idleTimeout time.Duration
 	idleSince   time.Time
@@ -81,11 +83,14 @@
 
 var errTooManyInterim = errors.New("replica sent too many interim (1xx) responses")
 
-// Receive reads the head of the next final response and skips interim ones.
+// Receive reads the head of the next final response and skips interim ones. Heads over the limit
+// fail with ErrHeadTooLong.
 func (c *Conn) Receive(method string) (*http.Response, error) {
+	c.head.begin()
+	defer c.head.end()
 	for range maxInterimResponses {
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err != nil {
+		if err := c.head.parseError(err); err != nil {
 			return nil, err
 		}
 		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
--- a/internal/replicaconn/pool.go
+++ b/internal/replicaconn/pool.go
@@ -116,7 +116,8 @@
 	if p.onOpen != nil {
 		p.onOpen(replica)
 	}
-	return &Conn{pool: p, replica: replica, netConn: conn, reader: bufio.NewReaderSize(conn, readBufferSize)}, nil
+	head := &headReader{conn: conn}
+	return &Conn{pool: p, replica: replica, netConn: conn, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}, nil
 }
 
 // setUserTimeout sets TCP_USER_TIMEOUT to unackedTimeout. Errors are ignored: keep-alive probes and the
--- a/internal/upstream/service_test.go
+++ b/internal/upstream/service_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
+
+	"galenatrestle/internal/httplimits"
 )
 
 // TestServiceNeverRepeats closes an idle connection at the moment of the next
@@ -83,3 +86,18 @@
 		t.Fatalf("error %v, want %s", err, Broken)
 	}
 }
+
+// Guards against nodes that hold megabytes of a head for each upstream that sends no response.
+func TestLongHeadOfAnUpstreamIsNotRead(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("A", strings.Repeat("x", 4*httplimits.ResponseHeadBytes))
+	})
+	service, engine := NewService(Options{}), newTestEngine(t, Options{})
+	t.Cleanup(service.Close)
+	if _, err := service.Do(t.Context(), address, ServiceCall{Method: http.MethodGet, Path: "/"}); KindOf(err) != Crashed {
+		t.Errorf("error %v of a service, want %s", err, Crashed)
+	}
+	if _, err := engine.Start(t.Context(), address, EngineCall{Path: "/"}); KindOf(err) != Crashed {
+		t.Errorf("error %v of an engine, want %s", err, Crashed)
+	}
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"galenatrestle/internal/httplimits"
 )
 
 // Defaults of the connections to upstreams.
@@ -78,13 +80,14 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	return &http.Transport{
-		DialContext:         func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
-		MaxIdleConns:        0,
-		MaxIdleConnsPerHost: o.IdlePerAddress,
-		IdleConnTimeout:     o.IdleTimeout,
-		DisableCompression:  true,
-		WriteBufferSize:     writeBufferBytes,
-		ReadBufferSize:      readBufferBytes,
-		Protocols:           protocols,
+		DialContext:            func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) },
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    o.IdlePerAddress,
+		IdleConnTimeout:        o.IdleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		WriteBufferSize:        writeBufferBytes,
+		ReadBufferSize:         readBufferBytes,
+		Protocols:              protocols,
 	}
 }
