edge: the steps of a planned stop are a pure decision; one limit for HTTP heads

Cause: the stop loop mixed its conditions with what they do, so that their order could not be tested without a node, and the limit of heads stood in four packages.

Change: exitTime.step says what a stopping node does at a moment; httplimits.HeadBytes is the limit of listeners and transports; a refusal no longer lists all serving nodes to see whether there is one. Behaviour is unchanged.

Measured: the tests of edge, node, peer, replicaconn, forward, upstream and platform pass, with a new one for the order of refusing, ending calls and exit under delays of 0, 60 ms and 1 s.

--- a/internal/daemon/failover.go
+++ b/internal/daemon/failover.go
@@ -34,7 +34,7 @@
 		DialContext:            f.dial,
 		MaxIdleConnsPerHost:    maxIdlePlatformConns,
 		IdleConnTimeout:        platformConnIdleLength,
-		MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		MaxResponseHeaderBytes: httplimits.HeadBytes,
 	}
 }
 
--- a/internal/edge/exittime_test.go
+++ b/internal/edge/exittime_test.go
@@ -45,3 +45,34 @@
 		})
 	}
 }
+
+// Guards against calls that are taken, or still in progress, when the process exits.
+func TestStoppingNodeRefusesAndEndsCallsBeforeItExits(t *testing.T) {
+	const grace = 8 * time.Second
+	for _, delay := range []time.Duration{0, 60 * time.Millisecond, time.Second} {
+		exit := exitTime{grace: grace, second: delay}
+		var refusedAt, endedAt, exitsAt time.Duration
+		for elapsed := time.Duration(0); exitsAt == 0; elapsed += stopPollInterval {
+			step := exit.step(elapsed, false)
+			if step.refuseAll && refusedAt == 0 {
+				refusedAt = elapsed
+			}
+			if step.endCalls && endedAt == 0 {
+				endedAt = elapsed
+			}
+			if step.exit {
+				exitsAt = elapsed
+			}
+			if step.answerBy+endCallsBefore != exit.latest() {
+				t.Fatalf("calls are answered by %s, the process exits at %s", step.answerBy, exit.latest())
+			}
+		}
+		if refusedAt > endedAt-refuseBefore || endedAt > exitsAt-endCallsBefore || exitsAt > grace {
+			t.Errorf("delay %s: refuses from %s, ends calls at %s, exits at %s", delay, refusedAt, endedAt, exitsAt)
+		}
+	}
+	exit := exitTime{grace: grace}
+	if early, late := exit.step(grace/2, true), exit.step(grace/2+1, true); early.refuseAll || !late.refuseAll {
+		t.Error("an idle node does not refuse from half of its grace time on")
+	}
+}
--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"galenatrestle/internal/httplimits"
 )
 
 const (
@@ -15,8 +17,7 @@
 	headerTimeout = 10 * time.Second
 	// idleTimeout closes idle client connections. It is longer than any configuration allows
 	// callers to keep an idle connection for reuse.
-	idleTimeout    = 2 * time.Minute
-	maxHeaderBytes = 64 << 10
+	idleTimeout = 2 * time.Minute
 )
 
 // listen opens all listeners, so that an address in use fails the start.
@@ -69,7 +70,7 @@
 }
 
 func serveFunc(handler http.Handler) func(net.Listener) error {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httplimits.HeadBytes}
 	return s.Serve
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -7,23 +7,11 @@
 	"galenatrestle/internal/eventlog"
 )
 
-// The fractions are parts of the grace time, counted from the stop signal.
 const (
-	// refuseStreamingFraction is when new streaming responses are refused, since they might
-	// not complete in time. Those that began before may still arrive until the exit.
-	refuseStreamingFraction = 0.37
-	// minServeFraction is how long the node serves at least, since callers keep using an
-	// address for a while after it is withdrawn.
-	minServeFraction = 0.5
 	// idlePeriod is the time without requests after which the node may stop early.
 	idlePeriod = 700 * time.Millisecond
 	// stopPollInterval is the interval at which the stop conditions are checked.
 	stopPollInterval = 25 * time.Millisecond
-	// endCallsBefore is the time before the latest exit at which calls in progress are ended, so that their
-	// callers are told before the process is gone.
-	endCallsBefore = 200 * time.Millisecond
-	// refuseBefore is the time before that in which no call is taken.
-	refuseBefore = 100 * time.Millisecond
 )
 
 // stop withdraws the node's address, serves requests that still arrive, and returns when
@@ -45,23 +33,21 @@
 	for range ticker.C {
 		now := time.Now()
 		exit.observe(now, stopPollInterval)
-		elapsed := now.Sub(began)
-		if elapsed > fraction(grace, refuseStreamingFraction) {
+		idle := n.handler.InFlight() == 0 && n.handler.IdleTime(now) > idlePeriod
+		step := exit.step(now.Sub(began), idle)
+		n.handler.AnswerBy(began.Add(step.answerBy))
+		if step.refuseStreaming {
 			n.handler.RefuseStreaming()
 		}
-		latest := exit.latest()
-		answerBy := latest - endCallsBefore
-		n.handler.AnswerBy(began.Add(answerBy))
-		idle := n.handler.InFlight() == 0 && n.handler.IdleTime(now) > idlePeriod
-		if idle && elapsed > fraction(grace, minServeFraction) || elapsed > answerBy-refuseBefore {
+		if step.refuseAll {
 			refusing = true
 			n.handler.RefuseNew()
 			n.relays.RefuseNew()
 		}
-		if elapsed > answerBy {
+		if step.endCalls {
 			n.handler.EndCalls()
 		}
-		if elapsed > latest || refusing && n.handler.InFlight() == 0 && n.relays.Open() == 0 {
+		if step.exit || refusing && n.handler.InFlight() == 0 && n.relays.Open() == 0 {
 			break
 		}
 	}
@@ -72,7 +58,3 @@
 
 // stopAnnounceTimeout bounds announcing the stop to the other nodes.
 const stopAnnounceTimeout = 300 * time.Millisecond
-
-func fraction(d time.Duration, share float64) time.Duration {
-	return time.Duration(share * float64(d))
-}
--- a/internal/edge/wiring.go
+++ b/internal/edge/wiring.go
@@ -37,6 +37,7 @@
 	return passthrough.New(passthrough.Options{
 		Routes: n.routes, Forwarder: forwarder, Codec: n.options.Codec, Clock: n.options.Clock,
 		Streams: n.streams, Random: rand.Float64, Bounds: n.bounds,
-		NodeCount: n.sharing.nodeCount, OthersServe: func() bool { return len(n.nodes.Serving(n.options.Clock())) > 0 }, Log: n.log, Registry: n.registry,
+		NodeCount: n.sharing.nodeCount, OthersServe: func() bool { return n.nodes.HasServing(n.options.Clock()) },
+		Log: n.log, Registry: n.registry,
 	})
 }
--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -485,7 +485,7 @@
 				if w.Code != test.status || ending != test.ending {
 					t.Errorf("status %d, ending %s, want %v, %v", w.Code, ending, test.status, test.ending)
 				}
-				if synctest.Wait(); taken > 2*httplimits.ResponseHeadBytes {
+				if synctest.Wait(); taken > 2*httplimits.HeadBytes {
 					t.Errorf("%d of %d bytes were taken", taken, sentBytes)
 				}
 			})
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -94,7 +94,7 @@
 	}
 	if o.Relay == nil {
 		o.Relay = &http.Client{Transport: &http.Transport{
-			MaxIdleConnsPerHost: maxIdleRelays, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+			MaxIdleConnsPerHost: maxIdleRelays, MaxResponseHeaderBytes: httplimits.HeadBytes,
 		}}
 	}
 	if o.Answers == nil {
--- a/internal/httplimits/doc.go
+++ b/internal/httplimits/doc.go
@@ -2,6 +2,6 @@
 // holds no state.
 package httplimits
 
-// ResponseHeadBytes bounds in bytes the head of a response, together with the interim responses
-// before it. It is the limit that the listeners have for heads of requests.
-const ResponseHeadBytes = 64 << 10
+// HeadBytes bounds in bytes the head of a request, and that of a response together with the interim
+// responses before it.
+const HeadBytes = 64 << 10
--- a/internal/node/loadwatch.go
+++ b/internal/node/loadwatch.go
@@ -31,7 +31,7 @@
 // ctx ends. What they say of leaving goes to all nodes.
 func (m *members) watchLoads(ctx context.Context) {
 	transport := &http.Transport{
-		MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: loadTimeout, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		MaxIdleConnsPerHost: 1, ResponseHeaderTimeout: loadTimeout, MaxResponseHeaderBytes: httplimits.HeadBytes,
 	}
 	defer transport.CloseIdleConnections()
 	client := &http.Client{Transport: transport, Timeout: loadTimeout}
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -8,12 +8,12 @@
 	"time"
 
 	"galenatrestle/internal/ctxtime"
+	"galenatrestle/internal/httplimits"
 )
 
 // Bounds on what a connection may take before its request is read.
 const (
 	readHeaderTimeout = 10 * time.Second
-	maxHeaderBytes    = 64 << 10
 )
 
 // serve answers on the listener with HTTP/1.1 and h2c.
@@ -28,7 +28,7 @@
 		Handler:           handler,
 		Protocols:         protocols,
 		ReadHeaderTimeout: readHeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    httplimits.HeadBytes,
 	}
 	n.servers = append(n.servers, server)
 	go func() {
--- a/internal/nodesync/nodes.go
+++ b/internal/nodesync/nodes.go
@@ -207,6 +207,11 @@
 	return n.list(func(r *record) bool { return r.serving(now) })
 }
 
+// HasServing reports whether a node serves callers.
+func (n *Nodes) HasServing(now boottime.Instant) bool {
+	return n.count(func(r *record) bool { return r.serving(now) }) > 0
+}
+
 // SampleReady returns a uniform random sample of up to limit nodes that are alive and ready, or
 // leaving.
 func (n *Nodes) SampleReady(limit int, intN func(int) int, now boottime.Instant) []Node {
--- a/internal/order/http.go
+++ b/internal/order/http.go
@@ -29,7 +29,7 @@
 func NewHTTPTransport() *HTTPTransport {
 	t := &HTTPTransport{}
 	t.stateClient = &http.Client{Transport: &http.Transport{
-		DialContext: t.dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		DialContext: t.dialer.DialContext, DisableKeepAlives: true, MaxResponseHeaderBytes: httplimits.HeadBytes,
 	}}
 	return t
 }
@@ -59,7 +59,7 @@
 		return &guardedConn{Conn: conn, guard: guard}, nil
 	}
 	return &http.Client{Transport: &http.Transport{
-		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		DialContext: dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httplimits.HeadBytes,
 	}}
 }
 
--- a/internal/peer/server.go
+++ b/internal/peer/server.go
@@ -12,13 +12,13 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/errs"
+	"galenatrestle/internal/httplimits"
 )
 
 // Limits of the listener.
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 5 * time.Minute
-	maxHeaderBytes    = 64 << 10
 	maxStreams        = 1000
 )
 
@@ -51,7 +51,7 @@
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    httplimits.HeadBytes,
 		ConnContext: func(ctx context.Context, _ net.Conn) context.Context {
 			return context.WithValue(ctx, connectionKey{}, new(atomic.Int64))
 		},
--- a/internal/peer/transport.go
+++ b/internal/peer/transport.go
@@ -53,7 +53,7 @@
 		ResponseHeaderTimeout:  c.settings.HeaderTimeout,
 		MaxConnsPerHost:        c.settings.MaxConnections,
 		IdleConnTimeout:        c.settings.IdleTimeout,
-		MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		MaxResponseHeaderBytes: httplimits.HeadBytes,
 		Protocols:              &protocols,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
 	}
--- a/internal/platform/httpstore/client.go
+++ b/internal/platform/httpstore/client.go
@@ -64,7 +64,7 @@
 	transport.Proxy = nil
 	transport.MaxIdleConns = maxIdleConnections
 	transport.MaxIdleConnsPerHost = maxIdleConnections
-	transport.MaxResponseHeaderBytes = httplimits.ResponseHeadBytes
+	transport.MaxResponseHeaderBytes = httplimits.HeadBytes
 	return transport
 }
 
--- a/internal/replicaconn/headreader.go
+++ b/internal/replicaconn/headreader.go
@@ -11,7 +11,7 @@
 var ErrHeadTooLong = errors.New("head of the replica's response is too long")
 
 // headReader reads from a connection. Between begin and end it returns at most
-// httplimits.ResponseHeadBytes, then ErrHeadTooLong: the parser of response heads has no limit of
+// httplimits.HeadBytes, then ErrHeadTooLong: the parser of response heads has no limit of
 // its own.
 type headReader struct {
 	conn      io.Reader
@@ -23,7 +23,7 @@
 }
 
 func (r *headReader) begin() {
-	r.limited, r.remaining, r.exceeded = true, httplimits.ResponseHeadBytes, false
+	r.limited, r.remaining, r.exceeded = true, httplimits.HeadBytes, false
 }
 
 func (r *headReader) end() { r.limited = false }
--- a/internal/replicaconn/headreader_test.go
+++ b/internal/replicaconn/headreader_test.go
@@ -46,8 +46,8 @@
 			}
 			_, err := c.Receive("GET")
 			c.Close()
-			if n := <-taken; n > httplimits.ResponseHeadBytes+readBufferSize {
-				t.Errorf("%d bytes were taken, want at most %d", n, httplimits.ResponseHeadBytes+readBufferSize)
+			if n := <-taken; n > httplimits.HeadBytes+readBufferSize {
+				t.Errorf("%d bytes were taken, want at most %d", n, httplimits.HeadBytes+readBufferSize)
 			}
 			if !errors.Is(err, ErrHeadTooLong) {
 				t.Errorf("error %v, want %v", err, ErrHeadTooLong)
@@ -58,8 +58,8 @@
 
 // The limit of a head holds for each response anew and not for bodies.
 func TestResponsesWithinTheHeadLimitAreRead(t *testing.T) {
-	const bodyBytes = 3 * httplimits.ResponseHeadBytes
-	head := "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", httplimits.ResponseHeadBytes/2) + "\r\nContent-Length: " + strconv.Itoa(bodyBytes) + "\r\n\r\n"
+	const bodyBytes = 3 * httplimits.HeadBytes
+	head := "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("x", httplimits.HeadBytes/2) + "\r\nContent-Length: " + strconv.Itoa(bodyBytes) + "\r\n\r\n"
 	p := pipePool(func(far net.Conn) {
 		defer far.Close()
 		for range 3 {
@@ -88,7 +88,7 @@
 	p := pipePool(func(far net.Conn) {
 		defer far.Close()
 		_, _ = far.Read(make([]byte, 1024))
-		_, _ = io.WriteString(far, strings.Repeat("x", httplimits.ResponseHeadBytes/2)+"\r\n\r\n")
+		_, _ = io.WriteString(far, strings.Repeat("x", httplimits.HeadBytes/2)+"\r\n\r\n")
 	})
 	c := open(t, p, "replica")
 	defer c.Close()
--- a/internal/upstream/service_test.go
+++ b/internal/upstream/service_test.go
@@ -90,7 +90,7 @@
 // Guards against nodes that hold megabytes of a head for each upstream that sends no response.
 func TestLongHeadOfAnUpstreamIsNotRead(t *testing.T) {
 	address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("A", strings.Repeat("x", 4*httplimits.ResponseHeadBytes))
+		w.Header().Set("A", strings.Repeat("x", 4*httplimits.HeadBytes))
 	})
 	service, engine := NewService(Options{}), newTestEngine(t, Options{})
 	t.Cleanup(service.Close)
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -85,7 +85,7 @@
 		MaxIdleConnsPerHost:    o.IdlePerAddress,
 		IdleConnTimeout:        o.IdleTimeout,
 		DisableCompression:     true,
-		MaxResponseHeaderBytes: httplimits.ResponseHeadBytes,
+		MaxResponseHeaderBytes: httplimits.HeadBytes,
 		WriteBufferSize:        writeBufferBytes,
 		ReadBufferSize:         readBufferBytes,
 		Protocols:              protocols,
