soak: answers without an end, judged by the memory of each process

Change: a quarter of the replicas send one answer in twenty without an end, in a status line, a header line, header lines, interim responses, a body, an event, a chunk size or an error's body. The program is built without the race detector for it, which takes several times the memory.

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -42,6 +42,8 @@
 	w.judgeRetries(calls)
 	w.judgeCuts(calls)
 	w.judgeStops(calls)
+	w.judgeEndless(calls)
+	w.judgeMemory()
 	w.judgeFalls()
 	w.judgeDuties()
 	for _, n := range w.nodes {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -43,6 +43,10 @@
 	ops    string
 	ready  string
 
+	// memoryMB is the process's memory in MB; zero: it is not bounded. peakMemory is the most bytes of
+	// resident memory seen.
+	memoryMB, peakMemory int
+
 	// busy is held by the event that the process is subject to.
 	busy sync.Mutex
 
@@ -100,9 +104,10 @@
   revoke_after: %s
   apply_within: %s
   grace: %s
+  memory_mb: %d
   retry_budget: {ratio: %g, window: 10s, allowance: %d}
   duties: {address: "%s", kinds: [metering, autoscale], lease: %s, usage_window: %s, usage_delay: %s}
-`, n.name, n.entry, n.peer, n.ops, n.store.address(), seed, n.ready, n.ready, revokeAfter, applyWithin, grace, retryRatio, retryPer10s,
+`, n.name, n.entry, n.peer, n.ops, n.store.address(), seed, n.ready, n.ready, revokeAfter, applyWithin, grace, n.memoryMB, retryRatio, retryPer10s,
 		n.duties, dutyLease, usageWindow, usageDelay)
 	next := n.settings() + ".new"
 	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
--- a/internal/soak/replica.go
+++ b/internal/soak/replica.go
@@ -69,7 +69,7 @@
 	handler.WithoutLength = w.options.WithoutLength
 	handler.SetBrittle(w.brittle[service])
 	handler.OnOverload = func() { w.fallOver(r) }
-	r.server = &http.Server{Handler: handler}
+	r.server = &http.Server{Handler: w.handlerOf(w.started, handler)}
 	go r.server.Serve(listener)
 	if r.proxy, err = newProxy(listener.Addr().String()); err != nil {
 		return err
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -65,6 +65,11 @@
 	PartCrash *PartCrash
 	// WithoutLength has the models' answers come without a length and end with their connections.
 	WithoutLength bool
+	// Endless are the parts without an end of some answers of a quarter of the replicas, in turn; none: all
+	// answers end.
+	Endless []Endless
+	// MemoryMB is the memory of a process in MB; zero: it is not bounded.
+	MemoryMB int
 	// WithoutFaults leaves out all else that befalls the deployment.
 	WithoutFaults bool
 	// extra are events besides those that are drawn.
@@ -188,6 +193,9 @@
 		partCalls = newPartCallers(w)
 		sends.Go(func() { partCalls.run(crashing) })
 	}
+	played := make(chan struct{})
+	var watching sync.WaitGroup
+	watching.Go(func() { w.watchMemory(played) })
 	began := time.Now()
 	for _, e := range events {
 		time.Sleep(e.at - time.Since(began))
@@ -199,6 +207,8 @@
 	time.Sleep(recovery + time.Second)
 	stop()
 	sends.Wait()
+	close(played)
+	watching.Wait()
 	var calls []*sent
 	for _, c := range callers {
 		calls = append(calls, c.calls...)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -3,8 +3,11 @@
 import (
 	"fmt"
 	"os"
+	"os/exec"
+	"path/filepath"
 	"reflect"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -181,6 +184,42 @@
 	}
 }
 
+// buildProgram builds the program as it is deployed and returns its path. The race detector takes several times the
+// memory.
+func buildProgram(t *testing.T) string {
+	t.Helper()
+	program := filepath.Join(t.TempDir(), "trestled")
+	if output, err := exec.CommandContext(t.Context(), "go", "build", "-o", program, "galenatrestle/cmd/trestled").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, output)
+	}
+	return program
+}
+
+// Guards against nodes that run out of memory because a replica sends bytes that are no answer and never end.
+func TestNodesBearAnswersWithoutAnEnd(t *testing.T) {
+	const (
+		link = 125_000_000
+		// The caller reads the bytes of a body.
+		body = 4_000_000
+		head = "HTTP/1.1 200 OK\r\n" + platformtest.HeaderID + ": ID\r\n" + platformtest.HeaderStamp + ": s\r\n"
+	)
+	program := buildProgram(t)
+	for name, endless := range map[string][]Endless{
+		"in a head": {
+			{"", "x", link}, {"HTTP/1.1 200 OK\r\nName: ", "x", link}, {"HTTP/1.1 200 OK\r\n", "Name: value\r\n", link},
+			{"", "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", link},
+		},
+		"in a body": {
+			{head + "\r\n", "x", body}, {head + "Content-Type: text/event-stream\r\n\r\ndata: ", "x", body},
+			{head + "Transfer-Encoding: chunked\r\n\r\n", "0", link}, {strings.Replace(head, "200", "500", 1) + "\r\n", "x", link},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			playWithoutFaults(t, Options{Command: []string{program}, Nodes: 4, Callers: 24, Length: 6 * time.Second, Endless: endless, MemoryMB: 284})
+		})
+	}
+}
+
 // Brittle replicas that were full were sent more requests, which they refused until they ended.
 func TestNodesDoNotOverloadBrittleReplicas(t *testing.T) {
 	playWithoutFaults(t, Options{Nodes: 5, Callers: 34, Length: brittleLasts, extra: []event{{kind: replicasBrittle, lasts: brittleLasts}}})
@@ -558,7 +597,10 @@
 // playWithoutFaults plays what the replicas say in their answers, and nothing else.
 func playWithoutFaults(t *testing.T, options Options) Report {
 	t.Helper()
-	options.Seed, options.Command, options.Dir = 1, []string{os.Args[0]}, t.TempDir()
+	options.Seed, options.Dir = 1, t.TempDir()
+	if len(options.Command) == 0 {
+		options.Command = []string{os.Args[0]}
+	}
 	options.Callers, options.Length, options.WithoutFaults = max(options.Callers, 12), max(options.Length, 2*time.Second), true
 	report, err := Run(t.Context(), options)
 	if err != nil {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -45,6 +45,8 @@
 	pathFaults []pathFault
 	parts      PartReport
 	violations []string
+	// spoiled are the calls that got an answer without an end.
+	spoiled map[string]bool
 	// restoring lets one restore of the store end before the next begins.
 	restoring sync.Mutex
 	// brittleTimes are the times in which replicas were brittle, falls the ends of such replicas.
@@ -81,6 +83,7 @@
 	w := &world{
 		options: o, store: platformtest.NewStore(), duties: platformtest.NewDuties(dutyLease, o.Seed), runs: &platformtest.Runs{}, began: time.Now(),
 		revoked: make(map[string]time.Time), drained: make(map[string]time.Time), brittle: make(map[string]*platformtest.Brittleness),
+		spoiled: make(map[string]bool),
 	}
 	w.store.Slots = o.slots()
 	address, err := w.listen(w.store)
@@ -116,6 +119,7 @@
 		if err != nil {
 			return nil, err
 		}
+		n.memoryMB = o.MemoryMB
 		w.nodes = append(w.nodes, n)
 	}
 	return w, nil
