--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -68,6 +68,8 @@
 	// Endless are the parts without an end of some answers of a quarter of the replicas, in turn; none: all
 	// answers end.
 	Endless []Endless
+	// Uploads is the number of callers of the first node that send a long body but for its last byte.
+	Uploads int
 	// MemoryMB is the memory of a process in MB; zero: it is not bounded.
 	MemoryMB int
 	// WithoutFaults leaves out all else that befalls the deployment.
@@ -188,6 +190,7 @@
 		callers = append(callers, c)
 		sends.Go(func() { c.runCrashing(crashing) })
 	}
+	sends.Go(func() { w.holdUploads(crashing) })
 	var partCalls *partCallers
 	if w.options.PartCrash != nil {
 		partCalls = newPartCallers(w)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -220,6 +220,11 @@
 	}
 }
 
+// Callers that did not finish their bodies took a node over its memory: only the size of each body is bounded.
+func TestNodesBearBodiesThatAreNotFinished(t *testing.T) {
+	playWithoutFaults(t, Options{Command: []string{buildProgram(t)}, Nodes: 4, Callers: 24, Length: 6 * time.Second, Uploads: 400, MemoryMB: 284})
+}
+
 // Brittle replicas that were full were sent more requests, which they refused until they ended.
 func TestNodesDoNotOverloadBrittleReplicas(t *testing.T) {
 	playWithoutFaults(t, Options{Nodes: 5, Callers: 34, Length: brittleLasts, extra: []event{{kind: replicasBrittle, lasts: brittleLasts}}})
