edge: a stopping node closes the callers' listener before it exits

Callers saw: a request that reached a node in its last milliseconds got a closed connection and no answer, although it was not sent on.

Cause: the node exited while its listener still took connections; whatever was read between the last check and the end of the process was cut. A refused connection tells a caller that nothing was read.

Change: http.Server.Shutdown of the callers' listener, 0.1 s at most, within the latest exit. TestRequestAfterTheStopIsDecidedIsRefusedAsNotRun asked a stopped node that still listened for a 503, which is the fault. Now four callers press until their connections are refused: what a replica ran must be answered, what got a status must be 200 or 503 with Retry-After, some must be refused before the exit.

--- a/internal/edge/listen.go
+++ b/internal/edge/listen.go
@@ -24,15 +24,16 @@
 func (n *Node) listen() error {
 	s := n.options.Settings
 	discovery := n.discoveryHandler()
+	n.callers = newHTTPServer(n.handler)
 	listeners := []struct {
 		field, address string
 		serve          func(net.Listener) error
 	}{
-		{"listen", s.Listen, serveFunc(n.handler)},
+		{"listen", s.Listen, n.callers.Serve},
 		{"peer_listen", s.PeerListen, n.peers.Serve},
-		{"ops_listen", s.OpsListen, serveFunc(n.opsHandler())},
-		{"pass_through.ready_listen", s.PassThrough.ReadyListen, serveFunc(discovery)},
-		{"pass_through.resolve_listen", s.PassThrough.ResolveListen, serveFunc(discovery)},
+		{"ops_listen", s.OpsListen, newHTTPServer(n.opsHandler()).Serve},
+		{"pass_through.ready_listen", s.PassThrough.ReadyListen, newHTTPServer(discovery).Serve},
+		{"pass_through.resolve_listen", s.PassThrough.ResolveListen, newHTTPServer(discovery).Serve},
 	}
 	opened := make(map[string]bool)
 	for _, l := range listeners {
@@ -69,9 +70,8 @@
 	return ""
 }
 
-func serveFunc(handler http.Handler) func(net.Listener) error {
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httplimits.HeadBytes}
-	return s.Serve
+func newHTTPServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: httplimits.HeadBytes}
 }
 
 func (n *Node) opsHandler() http.Handler {
--- a/internal/edge/node.go
+++ b/internal/edge/node.go
@@ -66,6 +66,8 @@
 	peers       *peer.Server
 	duties      *duties
 	servers     []*server
+	// callers serves the callers' requests.
+	callers *http.Server
 	// entryAddress and peerAddress are the advertised addresses.
 	entryAddress string
 	peerAddress  string
--- a/internal/edge/node_test.go
+++ b/internal/edge/node_test.go
@@ -12,6 +12,8 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -203,7 +205,9 @@
 	store   *fakeStore
 	duties  fakeDutyPlatform
 	service *httptest.Server
-	nodes   []*runningNode
+	// ran has the IDs of the calls that the service ran.
+	ran   sync.Map
+	nodes []*runningNode
 }
 
 type runningNode struct {
@@ -257,6 +261,7 @@
 	d.service = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(forwardtest.HeaderID, r.Header.Get(forwardtest.HeaderID))
 		w.Header().Set(forwardtest.HeaderStamp, "s")
+		d.ran.Store(r.Header.Get(forwardtest.HeaderID), true)
 		fmt.Fprint(w, "done for "+r.Header.Get(forwardtest.HeaderWorkspace))
 	}))
 	t.Cleanup(d.service.Close)
@@ -330,10 +335,16 @@
 
 // send sends a request with the key to a node.
 func (d *deployment) send(n *runningNode, key string) (int, string, http.Header) {
+	d.t.Helper()
+	return d.sendAs(n, key, "c1")
+}
+
+// sendAs sends the call with the ID.
+func (d *deployment) sendAs(n *runningNode, key, id string) (int, string, http.Header) {
 	d.t.Helper()
 	request, _ := http.NewRequest(http.MethodPost, "http://"+n.address("listen")+"/claims", strings.NewReader("x"))
 	request.Host = "h.example"
-	request.Header.Set(forwardtest.HeaderID, "c1")
+	request.Header.Set(forwardtest.HeaderID, id)
 	request.Header.Set(forwardtest.HeaderKey, key)
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
@@ -449,10 +460,35 @@
 	d.waitUntilAllReady()
 	leaving := d.nodes[0]
 	leaving.stop()
+	var refused atomic.Int64
+	var callers sync.WaitGroup
+	for caller := range 4 {
+		callers.Go(func() {
+			for i := 0; ; i++ {
+				id := fmt.Sprintf("c%d-%d", caller, i)
+				status, body, header := d.sendAs(leaving, "first", id)
+				_, ran := d.ran.Load(id)
+				switch {
+				case status == http.StatusOK:
+				case ran:
+					t.Errorf("call %s ran and got status %d, body %q", id, status, body)
+				case status == http.StatusServiceUnavailable && header.Get("Retry-After") != "":
+					refused.Add(1)
+				case status != 0:
+					t.Errorf("status %d, body %q; want 503 with Retry-After", status, body)
+				case strings.Contains(body, syscall.ECONNREFUSED.Error()):
+					return
+				}
+			}
+		})
+	}
+	callers.Wait()
 	<-leaving.done
-	status, body, header := d.send(leaving, "first")
-	if status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
-		t.Errorf("status %d, body %q; want 503 with Retry-After", status, body)
+	if refused.Load() == 0 {
+		t.Error("no call was refused before the exit")
+	}
+	if inFlight := leaving.handler.InFlight(); inFlight != 0 {
+		t.Errorf("%d requests in flight after the stop", inFlight)
 	}
 }
 
--- a/internal/edge/stop.go
+++ b/internal/edge/stop.go
@@ -12,6 +12,8 @@
 	idlePeriod = 700 * time.Millisecond
 	// stopPollInterval is the interval at which the stop conditions are checked.
 	stopPollInterval = 25 * time.Millisecond
+	// closeCallersTimeout bounds closing the callers' connections.
+	closeCallersTimeout = 100 * time.Millisecond
 )
 
 // stop withdraws the node's address, serves requests that still arrive, and returns when
@@ -48,6 +50,7 @@
 			n.handler.EndCalls()
 		}
 		if step.exit || refusing && n.handler.InFlight() == 0 && n.relays.Open() == 0 {
+			n.closeCallers(step.left)
 			break
 		}
 	}
@@ -56,5 +59,15 @@
 	}})
 }
 
+// closeCallers takes no more connections of callers and closes those that are open when their requests are answered,
+// within the time at most. A connection that is taken and cut by the exit may have brought a request.
+func (n *Node) closeCallers(within time.Duration) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(within, closeCallersTimeout))
+	defer cancel()
+	if err := n.callers.Shutdown(ctx); err != nil {
+		n.log.Error("close callers' connections", err)
+	}
+}
+
 // stopAnnounceTimeout bounds announcing the stop to the other nodes.
 const stopAnnounceTimeout = 300 * time.Millisecond
--- a/internal/edge/stopstep.go
+++ b/internal/edge/stopstep.go
@@ -20,7 +20,10 @@
 // stopStep is what a stopping node does at a moment.
 type stopStep struct {
 	// answerBy is the time from the stop signal by which the calls that it still takes are answered.
-	answerBy                                   time.Duration
+	answerBy time.Duration
+	// left is the time until the latest exit.
+	left time.Duration
+
 	refuseStreaming, refuseAll, endCalls, exit bool
 }
 
@@ -31,6 +34,7 @@
 	answerBy := latest - endCallsBefore
 	return stopStep{
 		answerBy:        answerBy,
+		left:            max(latest-elapsed, 0),
 		refuseStreaming: elapsed > fraction(e.grace, refuseStreamingFraction),
 		refuseAll:       idle && elapsed > fraction(e.grace, minServeFraction) || elapsed > answerBy-refuseBefore,
 		endCalls:        elapsed > answerBy,
