Soak and edge: one map of runs for the judges, memory watched only where it is judged

Cause: three judges each built what ran by call, every soak read /proc of all processes each 10 ms though one option uses it, and callerServer.Close had a loop that ctxtime.Sleep is for.

Change: judgeStops and judgeEndless get the judge's runs; watchMemory runs only with MemoryMB; Close uses ctxtime.Sleep. Behaviour is unchanged.

--- a/internal/edge/callerserver.go
+++ b/internal/edge/callerserver.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"galenatrestle/internal/ctxtime"
 )
 
 // callerServer serves callers' requests. Unlike http.Server.Shutdown, its Close answers requests that are read
@@ -70,11 +72,9 @@
 	<-s.served
 	// Closes the idle connections, and the others after their next response.
 	s.http.SetKeepAlivesEnabled(false)
-	for ticker := time.NewTicker(closePollInterval); s.open.Load() > 0; {
-		select {
-		case <-ctx.Done():
-			return ctx.Err()
-		case <-ticker.C:
+	for s.open.Load() > 0 {
+		if err := ctxtime.Sleep(ctx, closePollInterval); err != nil {
+			return err
 		}
 	}
 	return nil
--- a/internal/soak/endless.go
+++ b/internal/soak/endless.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"slices"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -120,7 +119,7 @@
 
 // judgeEndless checks that calls whose answers end are served beside those without an end, and that none of the
 // latter looks whole.
-func (w *world) judgeEndless(calls []*sent) {
+func (w *world) judgeEndless(calls []*sent, runs map[string][]platformtest.Run) {
 	if len(w.options.Endless) == 0 {
 		return
 	}
@@ -129,7 +128,7 @@
 		switch {
 		case !w.spoiled[s.id]:
 			besides.add(s)
-		case s.whole() && !slices.ContainsFunc(w.runs.All(), func(r platformtest.Run) bool { return r.ID == s.id }):
+		case s.whole() && len(runs[s.id]) == 0:
 			w.violate("%s looks whole, and its answer had no end", s.id)
 		}
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -198,7 +198,9 @@
 	}
 	played := make(chan struct{})
 	var watching sync.WaitGroup
-	watching.Go(func() { w.watchMemory(played) })
+	if w.options.MemoryMB > 0 {
+		watching.Go(func() { w.watchMemory(played) })
+	}
 	began := time.Now()
 	for _, e := range events {
 		time.Sleep(e.at - time.Since(began))
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -1,6 +1,10 @@
 package soak
 
-import "sync"
+import (
+	"sync"
+
+	"galenatrestle/platform/platformtest"
+)
 
 // stopNodes stops all nodes at once and starts each again when it has ended.
 func (w *world) stopNodes() {
@@ -19,17 +23,13 @@
 
 // judgeStops checks that planned stops cut no call that a replica ran. Only runs in which nothing else befalls the
 // deployment are judged.
-func (w *world) judgeStops(calls []*sent) {
+func (w *world) judgeStops(calls []*sent, runs map[string][]platformtest.Run) {
 	if !w.options.onlyStops() {
 		return
 	}
-	ranAt := make(map[string]string)
-	for _, r := range w.runs.All() {
-		ranAt[r.ID] = r.Replica
-	}
 	for _, s := range calls {
-		if replica, ran := ranAt[s.id]; ran && s.status == 0 {
-			w.violate("%s ran at %s and got no answer from %s: %v", s.id, replica, s.entry, s.err)
+		if ran := runs[s.id]; len(ran) > 0 && s.status == 0 {
+			w.violate("%s ran at %s and got no answer from %s: %v", s.id, ran[len(ran)-1].Replica, s.entry, s.err)
 		}
 	}
 }
