forward: log and count the silence of a replica and what is decided on it

Now replica_silent names the decision and the time left, and trestle_replica_silences_total counts it.

--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -20,6 +20,7 @@
 	heldReplicas     *prometheus.CounterVec
 	refusal          *prometheus.HistogramVec
 	lateRefusals     *prometheus.CounterVec
+	silences         *prometheus.CounterVec
 }
 
 func newMetrics(registry prometheus.Registerer) *metrics {
@@ -59,8 +60,11 @@
 	m.heldReplicas = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "trestle_held_replicas_total", Help: "Replicas that a call without a prompt was kept from because they held their slots and a short queue.",
 	}, []string{"upstream"})
+	m.silences = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "trestle_replica_silences_total", Help: "Attempts whose replica sent nothing for the idle timeout, and what was decided.",
+	}, []string{"upstream", "decision"})
 	registry.MustRegister(
-		m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams,
+		m.silences, m.calls, m.latency, m.firstByte, m.attemptFailures, m.overloadRefusals, m.replicaNotices, m.replicaRefusals, m.resumedStreams,
 		m.callsAboveShare, m.heldReplicas, m.yieldingCalls,
 	)
 	m.registerRefusals(registry)
--- a/internal/forward/silence.go
+++ b/internal/forward/silence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"galenatrestle/internal/eventlog"
 	"galenatrestle/internal/placement"
 )
 
@@ -73,11 +74,45 @@
 // does not, the attempt goes on, since its response may still arrive.
 func (a *attempt) onIdleTimeout() {
 	e := a.exchange
+	decision := silenceRetried
 	if !e.forwarder.options.Budget.Take(time.Now(), e.call.Upstream) {
-		return
+		decision = silenceBorne
+	}
+	e.forwarder.metrics.silences.WithLabelValues(e.call.Upstream, string(decision)).Inc()
+	e.forwarder.options.Log.Write(&replicaSilent{attempt: a, decision: decision})
+	if decision == silenceRetried {
+		a.idleTimedOut.Store(true)
+		a.conn.Close()
+	}
+}
+
+// silenceDecision is what follows from a replica's silence.
+type silenceDecision string
+
+const (
+	// silenceRetried means that the call is tried at another replica.
+	silenceRetried silenceDecision = "retried"
+	// silenceBorne means that the call waits on: the retry budget is spent.
+	silenceBorne silenceDecision = "retry_budget_spent"
+)
+
+// replicaSilent is logged for an attempt whose replica has sent nothing for the idle timeout.
+type replicaSilent struct {
+	attempt  *attempt
+	decision silenceDecision
+}
+
+func (*replicaSilent) Name() string { return "replica_silent" }
+
+func (*replicaSilent) Level() eventlog.Level { return eventlog.Notable }
+
+func (ev *replicaSilent) Fields() eventlog.Fields {
+	a := ev.attempt
+	return eventlog.Fields{
+		"request": a.exchange.call.ID, "upstream": a.exchange.call.Upstream,
+		"replica": a.placementAttempt.Replica.ID, "peer": a.placementAttempt.Replica.Address,
+		"decision": ev.decision, "left_ms": time.Until(a.exchange.call.Deadline).Milliseconds(),
 	}
-	a.idleTimedOut.Store(true)
-	a.conn.Close()
 }
 
 // stopIdleTimer stops the idle timer and reports whether the connection can be
--- a/internal/forward/silence_test.go
+++ b/internal/forward/silence_test.go
@@ -1,11 +1,16 @@
 package forward
 
 import (
+	"io"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"galenatrestle/internal/bubbletest"
+	"galenatrestle/internal/eventlog"
+	"galenatrestle/internal/placement"
 	"galenatrestle/internal/retrybudget"
 )
 
@@ -15,8 +20,10 @@
 	bubbletest.Run(t, func(t *testing.T) {
 		// Without retry budget, the timer fires but does not abort the attempt.
 		budget := retrybudget.New(retrybudget.Limits{Window: time.Second}, time.Time{})
-		a := &attempt{exchange: &exchange{
-			call: &Call{}, forwarder: &Forwarder{options: Options{Budget: budget}},
+		a := &attempt{placementAttempt: &placement.Attempt{}, exchange: &exchange{
+			call: &Call{}, forwarder: &Forwarder{
+				options: Options{Budget: budget, Log: eventlog.New(io.Discard, "test")}, metrics: newMetrics(prometheus.NewRegistry()),
+			},
 		}}
 		if !a.stopIdleTimer() {
 			t.Error("connection is not reusable without an idle timer")
