soak: silent replicas, a known red test

Callers get streams broken off and 502 although all replicas are sound and only silent for 1.2 s, with planned stops and without. The soak learns replicas that neither begin nor go on; every run in which only stops and silences happen is judged by calls that ran and were closed, broken off or answered 502 (it was: closed).

--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -41,7 +41,7 @@
 	w.judgeParts(calls)
 	w.judgeRetries(calls)
 	w.judgeCuts(calls)
-	w.judgeStops(calls, runs)
+	w.judgeCutCalls(calls, runs)
 	w.judgeEndless(calls, runs)
 	w.judgeMemory()
 	w.judgeFalls()
--- a/internal/soak/schedule.go
+++ b/internal/soak/schedule.go
@@ -37,6 +37,8 @@
 	replicasBrittle kind = "replicas_brittle"
 	// replicaSilent is a sound replica that says nothing for about a second and goes on.
 	replicaSilent kind = "replica_silent"
+	// replicasSilent is a time in which no replica begins or goes on with calls, though all are sound.
+	replicasSilent kind = "replicas_silent"
 	// storeRestore is a store that comes back from an older copy.
 	storeRestore kind = "store_restore"
 	// nodesCut is a time in which some nodes reach no replica.
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -184,6 +184,38 @@
 	}
 }
 
+// Guards against answers that are ended because their replica is silent for a moment, for an attempt that another
+// replica has not taken yet and then refuses.
+func TestSilentReplicasCutNoAnswers(t *testing.T) {
+	const ms = time.Millisecond
+	var silences, stops []event
+	for i := range 4 {
+		at := time.Second + time.Duration(i)*2500*ms
+		silences = append(silences, event{at: at, kind: replicasSilent, lasts: 1200 * ms})
+		stops = append(stops, event{at: at - 300*ms, kind: stopNode, target: i})
+	}
+	// The nodes exit while replicas are silent.
+	allStop := []event{
+		{at: time.Second, kind: stopNodes}, {at: 3100 * ms, kind: replicasSilent, lasts: 1200 * ms},
+		{at: 6 * time.Second, kind: stopNodes}, {at: 7800 * ms, kind: replicasSilent, lasts: 1200 * ms},
+	}
+	for name, options := range map[string]Options{
+		"calls, all nodes stop": {path: "/parts/", extra: allStop},
+		"streams":               {path: platformtest.StreamPath, extra: silences},
+		"calls":                 {path: "/parts/", extra: silences},
+		"streams, nodes stop":   {path: platformtest.StreamPath, extra: slices.Concat(silences, stops)},
+		"calls, nodes stop":     {path: "/parts/", extra: slices.Concat(silences, stops)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runInPairs(t)
+			options.Nodes, options.Callers, options.ModelReplicas, options.LedgerReplicas, options.Slots = 4, 40, 4, 4, 12
+			options.EventEvery, options.WorkTime = 40*ms, 50*ms
+			options.Length = 11 * time.Second
+			playWithoutFaults(t, options)
+		})
+	}
+}
+
 // buildProgram builds the program as it is deployed and returns its path. The race detector takes several times the
 // memory.
 func buildProgram(t *testing.T) string {
--- a/internal/soak/world.go
+++ b/internal/soak/world.go
@@ -191,6 +191,8 @@
 		w.makeBrittle(e)
 	case nodesCut:
 		w.cutNodes(e)
+	case replicasSilent:
+		w.silenceReplicas(e)
 	case killNodes:
 		w.killNodes(e)
 	case stopNodes:
