forward: a long body may take longer than its first byte

Callers of routes that may be repeated got answers over 256 KiB cut, with a broken connection, when their replica took longer for the whole body than the wait for its first byte (the objective and twice the expected wait). Cause: the idle timer, started for the first byte, was still running while a body too long to buffer was passed on, and nothing restarts it there; the call could not be tried again, as its answer had begun. Now the timer stops where the body begins to be passed on; the deadline still bounds it. TestLongBodyMayTakeLongerThanTheFirstByte failed before (ending broken) and passes.

--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -72,6 +72,8 @@
 func (a *attempt) forwardLongBody(start []byte) *Failure {
 	out := a.exchange.callerResponse
 	out.writeHead(a.response, a.response.ContentLength)
+	// The idle timeout is that for the first byte.
+	a.resetIdleTimer(0)
 	if err := out.write(start); err != nil {
 		return a.writeFailure(err)
 	}
