shutdown: a call of which no answer is known is expected to take its objective

Cause: without an answer the deadline was the only measure, though the route says by when an answer should come. Now the objective counts where no answer is known, the deadline only where neither is.

--- a/internal/passthrough/stop.go
+++ b/internal/passthrough/stop.go
@@ -46,7 +46,7 @@
 		return nil
 	default:
 		longest, _ := h.answerTimes.Longest(c.Upstream, now)
-		if shutdown.Need(c.Deadline.Sub(now), longest) > answerBy.Sub(now) {
+		if shutdown.Need(c.Deadline.Sub(now), c.Route.Objective, longest) > answerBy.Sub(now) {
 			return h.stoppingRejection()
 		}
 		return nil
--- a/internal/shutdown/fits.go
+++ b/internal/shutdown/fits.go
@@ -10,11 +10,15 @@
 )
 
 // Need returns the time that a call may need until its answer has been passed on. left is the time until its
-// deadline, longest the longest recent answer of its upstream; zero: there was none, and the call may
-// take all the time it has.
-func Need(left, longest time.Duration) time.Duration {
+// deadline, objective that within which its answer should come, longest the longest recent answer of its upstream; zero:
+// they are not known. A call of which neither is known may take all the time it has.
+func Need(left, objective, longest time.Duration) time.Duration {
+	expected := longestFactor * longest
 	if longest <= 0 {
+		expected = objective
+	}
+	if expected <= 0 {
 		return left
 	}
-	return min(left, longestFactor*longest+answerMargin)
+	return min(left, expected+answerMargin)
 }
--- a/internal/shutdown/shutdown_test.go
+++ b/internal/shutdown/shutdown_test.go
@@ -8,13 +8,16 @@
 )
 
 func TestNeedOfACall(t *testing.T) {
-	for name, test := range map[string]struct{ left, longest, want time.Duration }{
-		"no answer known":               {2 * time.Second, 0, 2 * time.Second},
-		"quick answers":                 {2 * time.Second, 30 * time.Millisecond, 60*time.Millisecond + answerMargin},
-		"answers as long as the time":   {2 * time.Second, 1900 * time.Millisecond, 2 * time.Second},
-		"a caller with little patience": {50 * time.Millisecond, 30 * time.Millisecond, 50 * time.Millisecond},
+	for name, test := range map[string]struct{ left, objective, longest, want time.Duration }{
+		"nothing known":                 {2 * time.Second, 0, 0, 2 * time.Second},
+		"only the objective known":      {5 * time.Second, time.Second, 0, time.Second + answerMargin},
+		"objective beyond the deadline": {2 * time.Second, 3 * time.Second, 0, 2 * time.Second},
+		"quick answers":                 {2 * time.Second, time.Second, 30 * time.Millisecond, 60*time.Millisecond + answerMargin},
+		"answers slower than objective": {2 * time.Second, 100 * time.Millisecond, 500 * time.Millisecond, time.Second + answerMargin},
+		"answers as long as the time":   {2 * time.Second, time.Second, 1900 * time.Millisecond, 2 * time.Second},
+		"a caller with little patience": {50 * time.Millisecond, time.Second, 30 * time.Millisecond, 50 * time.Millisecond},
 	} {
-		if got := Need(test.left, test.longest); got != test.want {
+		if got := Need(test.left, test.objective, test.longest); got != test.want {
 			t.Errorf("%s: %s, want %s", name, got, test.want)
 		}
 	}
