--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -1,12 +1,16 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"galenatrestle/internal/bubbletest"
@@ -175,6 +179,39 @@
 	})
 }
 
+// Guards against replicas that go on to work for a call that another one answers, or whose caller has left.
+func TestNoConnectionIsLeftOpenAfterACall(t *testing.T) {
+	for name, test := range map[string]struct {
+		first  forwardtest.Script
+		leaves time.Duration
+		ending forward.Ending
+	}{
+		"the silent one goes on":  {after(silence, answerOK), time.Minute, forward.EndedComplete},
+		"the silent one breaks":   {after(silence, closeConnection), time.Minute, forward.EndedTimeout},
+		"the caller leaves":       {neverAnswer, silence, forward.EndedCallerGone},
+		"the deadline has passed": {neverAnswer, time.Minute, forward.EndedTimeout},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSilent(t, func(t *testing.T) {
+				var open atomic.Int64
+				hang := func(c *forwardtest.Conn) bool {
+					open.Add(1)
+					defer open.Add(-1)
+					return neverAnswer(c)
+				}
+				list := replicas(test.first, hang, hang)
+				ctx, leave := context.WithTimeout(t.Context(), test.leaves)
+				defer leave()
+				ending := forwardtest.NewFleet(t, list...).Serve(ctx, httptest.NewRecorder(), patientCall(route.Idempotent))
+				synctest.Wait()
+				if ending != test.ending || open.Load() != 0 || requests(list) != 3 {
+					t.Errorf("ending %s, %d connections open, %d requests", ending, open.Load(), requests(list))
+				}
+			})
+		})
+	}
+}
+
 func TestHedgeReplacesASilentReplicaThatBreaksOff(t *testing.T) {
 	runSilent(t, func(t *testing.T) {
 		// The connection breaks while the second replica is not heard of yet, which counts as silent itself
