--- a/internal/soak/brittle.go
+++ b/internal/soak/brittle.go
@@ -163,12 +163,3 @@
 		}
 	}
 }
-
-// silence has a sound replica say nothing for the event's time and go on: nothing is lost.
-func (w *world) silence(r *runningReplica, e event) {
-	r.proxy.set(stall)
-	w.pauseThen(e.lasts, func() { r.proxy.set(pass) })
-}
-
-// silentLasts is how long a sound replica says nothing.
-const silentLasts = time.Second
--- a/internal/soak/cutcalls.go
+++ b/internal/soak/cutcalls.go
@@ -2,28 +2,11 @@
 
 import (
 	"net/http"
-	"slices"
 	"time"
 
 	"galenatrestle/platform/platformtest"
 )
 
-// silenceReplicas has all replicas neither begin nor go on with calls for the event's time.
-func (w *world) silenceReplicas(e event) {
-	w.silencing.Lock()
-	defer w.silencing.Unlock()
-	w.mu.Lock()
-	silent := slices.Clone(w.replicas)
-	w.mu.Unlock()
-	for _, r := range silent {
-		r.handler.SetSilent(true)
-	}
-	time.Sleep(e.lasts)
-	for _, r := range silent {
-		r.handler.SetSilent(false)
-	}
-}
-
 // judgeCutCalls checks that no call that a replica ran is cut. Only runs in which replicas are sound and nodes end by
 // planned stops are judged.
 func (w *world) judgeCutCalls(calls []*sent, runs map[string][]platformtest.Run) {
