KNOWN-RED: nodes that are cut off while all replicas are silent serve little (soak)

Three of five nodes are cut off from the replicas while all replicas are silent and the other nodes are killed and stopped in turn: they serve 6 of 38 first attempts where 33 are wanted. Not traced further.

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,6 +68,12 @@
 		Seed: 81008, Nodes: 5, Callers: 30, Length: 10 * time.Second, RateLimits: 2, Notices: 1, Pauses: 2, Restores: 1, Crashers: 1, Cuts: 1, Silences: 2,
 		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
 	},
+	// Nodes that were cut off served less than the others while all replicas were silent, in part through nodes that were
+	// killed and stopped.
+	{
+		Seed: 112049, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2, JointSilences: 2,
+		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
+	},
 	// A node that was cut off was stopped while the plain service had little room, and the judge compared it with
 	// nodes that went on afterwards.
 	{Seed: 91044, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2},
