--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -26,10 +25,6 @@
 	stepAnswer   = "answer"
 )
 
-// maxForeignResponses is the number of responses to other calls that an attempt
-// skips on its connection.
-const maxForeignResponses = 2
-
 // attempt is one attempt of a call at one replica. It is not safe for concurrent use.
 type attempt struct {
 	exchange *exchange
@@ -215,25 +210,6 @@
 	return stepReadBody, a.readErrorBody()
 }
 
-// settle returns the failure of an attempt whose head was fetched or failed to; nil: its response is a success.
-func (a *attempt) settle(step string, err error) *Failure {
-	if err == nil || step == stepReadBody {
-		a.recordNotices()
-	}
-	switch {
-	case err != nil:
-		return a.failedAt(step, err)
-	case isNotExecuted(a.response, a.headers):
-		return a.notExecutedFailure()
-	case !isSuccess(a.response):
-		return a.errorResponse()
-	case !a.headers.Stamped || a.headers.Encoded:
-		return a.failedAt(stepAnswer, errors.New("response has no replica stamp or has a content encoding"))
-	default:
-		return nil
-	}
-}
-
 var errDraining = errors.New("replica is draining or no longer listed and accepts no new requests")
 
 // release returns the connection to the pool if it can be reused, and closes it otherwise.
@@ -279,38 +255,6 @@
 	}
 }
 
-// receive reads responses until one belongs to this call. A replica may send a
-// late second response to an earlier call on the same connection.
-func (a *attempt) receive() error {
-	c := a.exchange.call
-	for range maxForeignResponses + 1 {
-		response, err := a.conn.Receive(c.Method)
-		if err != nil {
-			return err
-		}
-		a.response = response
-		a.headers = a.exchange.forwarder.options.Codec.DecodeResponse(response.Header)
-		if a.headers.ID == c.ID || (a.headers.ID == "" && isNotExecuted(response, a.headers)) {
-			return nil
-		}
-		a.gotForeignResponse = true
-		if err := discard(response); err != nil {
-			return err
-		}
-	}
-	return fmt.Errorf("no response to this call received: the last one is for call %q", a.headers.ID)
-}
-
-func isSuccess(r *http.Response) bool {
-	return r.StatusCode >= http.StatusOK && r.StatusCode < http.StatusMultipleChoices
-}
-
-// isNotExecuted reports whether the replica rejected the request without running
-// it. Such a response may lack the call's ID.
-func isNotExecuted(r *http.Response, h ResponseHeaders) bool {
-	return h.NotExecuted || r.StatusCode == http.StatusMisdirectedRequest
-}
-
 // failedAt returns the failure of an attempt whose connection broke or whose
 // response is unusable.
 func (a *attempt) failedAt(step string, cause error) *Failure {
@@ -348,51 +292,6 @@
 	errProcessEnds = errors.New("the process ends before the answer was whole")
 )
 
-func (a *attempt) notExecutedFailure() *Failure {
-	result := placement.Full
-	if a.response.StatusCode == http.StatusMisdirectedRequest {
-		result = placement.Replaced
-	} else {
-		a.recordRefusal()
-	}
-	return &Failure{
-		Result: result, NotRun: true, ReachedReplica: true, Step: stepAnswer, Peer: a.placementAttempt.Replica.Address,
-		Cause: fmt.Errorf("replica did not execute the call: status %d", a.response.StatusCode),
-	}
-}
-
-// recordRefusal logs and counts a refusal by the replica.
-func (a *attempt) recordRefusal() {
-	f := a.exchange.forwarder
-	takenFor := "sound"
-	if a.knownBrittle {
-		takenFor = "brittle"
-	}
-	f.metrics.replicaRefusals.WithLabelValues(a.exchange.call.Upstream, takenFor).Inc()
-	f.options.Log.Write(&replicaRefused{attempt: a, takenFor: takenFor})
-}
-
-func (a *attempt) readErrorBody() error {
-	body, complete, err := readBounded(a.response.Body)
-	if err == nil && !complete {
-		err = errResponseTooLong
-	}
-	if err != nil {
-		return err
-	}
-	a.errorBody = body
-	return a.checkEnd()
-}
-
-func (a *attempt) errorResponse() *Failure {
-	a.placementAttempt.ErrorReceived(time.Now())
-	a.exchange.countRun()
-	return &Failure{
-		Result: placement.Errored, ReachedReplica: true, Step: stepAnswer, Peer: a.placementAttempt.Replica.Address,
-		Status: a.response.StatusCode, Header: a.response.Header, Body: a.errorBody,
-	}
-}
-
 func (a *attempt) forwardResponse() *Failure {
 	if a.exchange.call.Route.Streaming {
 		return a.forwardStream()
