--- a/internal/forward/hedge.go
+++ b/internal/forward/hedge.go
@@ -136,12 +136,13 @@
 	e.avoidReplica(e.oldestAttempt().placementAttempt)
 	e.attempts++
 	a, failure := e.chooseReplica(noWait)
-	if failure == nil && e.isRunningAt(a.placementAttempt.Replica.ID) {
+	found := failure == nil
+	if found && e.isRunningAt(a.placementAttempt.Replica.ID) {
+		found = false
 		a.placementAttempt.End(time.Now(), placement.Cancelled)
 		e.forwarder.options.Permits.Return(&a.placementAttempt.Replica, a.slot, slotEnding(nil))
-		failure = e.noReplicaFailure()
 	}
-	if failure != nil {
+	if !found {
 		e.attempts--
 		return noReplica
 	}
--- a/internal/forward/metrics.go
+++ b/internal/forward/metrics.go
@@ -1,6 +1,7 @@
 package forward
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -85,17 +86,9 @@
 
 // recordSilence records that a replica counts as silent, and why the call was not sent to another one too.
 func (m *metrics) recordSilence(upstream string, reason stopReason) {
-	decision := string(reason)
-	if reason == "" {
-		decision = "hedged"
-	}
-	m.silences.WithLabelValues(upstream, decision).Inc()
+	m.silences.WithLabelValues(upstream, cmp.Or(string(reason), "hedged")).Inc()
 }
 
 func (m *metrics) recordRetryDecision(f *Failure, reason stopReason) {
-	decision := string(reason)
-	if reason == "" {
-		decision = "retried"
-	}
-	m.attemptFailures.WithLabelValues(f.Step, decision).Inc()
+	m.attemptFailures.WithLabelValues(f.Step, cmp.Or(string(reason), "retried")).Inc()
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,8 +68,8 @@
 		Seed: 81008, Nodes: 5, Callers: 30, Length: 10 * time.Second, RateLimits: 2, Notices: 1, Pauses: 2, Restores: 1, Crashers: 1, Cuts: 1, Silences: 2,
 		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
 	},
-	// Nodes that were cut off served less than the others while all replicas were silent, in part through nodes that were
-	// killed and stopped.
+	// Nodes that were cut off served less than the others while all replicas were silent and other nodes were killed and
+	// stopped.
 	{
 		Seed: 112049, Nodes: 5, Callers: 14, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2, JointSilences: 2,
 		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
