--- /dev/null
+++ b/review/cases2/replica.go
@@ -0,0 +1,202 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// The headers of the wire.
+const (
+	headerID       = "X-Galenatrestle-Attempt-Id"
+	headerKey      = "X-Api-Key"
+	headerReplica  = "X-Galenatrestle-Expect-Replica"
+	headerStamp    = "X-Galenatrestle-Replica-Stamp"
+	headerDeadline = "X-Galenatrestle-Deadline-Ms"
+	headerLast     = "Last-Event-Id"
+	headerResumes  = "Resumes"
+)
+
+// Streams have events at a steady pace, the last of which says so.
+const (
+	streamEvents = 60
+	eventEvery   = 50 * time.Millisecond
+	lastData     = "end"
+)
+
+// framing is how a replica marks the end of an answer.
+type framing string
+
+const (
+	// unframed answers have neither a length nor chunks, and end with their connection.
+	unframed framing = "unframed"
+	chunked  framing = "chunked"
+)
+
+// replica is a stand-in of a model's replica.
+type replica struct {
+	id      string
+	version string
+	framing framing
+	// began is called with the ID of each request that begins to run; may be nil.
+	began func(id string)
+}
+
+// serve serves connections until the listener is closed.
+func (r *replica) serve(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.serveConn(conn)
+	}
+}
+
+// serveConn answers the requests of one connection in turn.
+func (r *replica) serveConn(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, request.Body); err != nil {
+			return
+		}
+		if request.Header.Get(headerReplica) != r.id {
+			_, err = fmt.Fprintf(conn, "HTTP/1.1 421 Misdirected Request\r\nX-Galenatrestle-Replica-Id: %s\r\nContent-Length: 0\r\n\r\n", r.id)
+		} else {
+			err = r.stream(conn, request)
+		}
+		if err != nil || r.framing == unframed {
+			return
+		}
+	}
+}
+
+// stream writes the events behind the last one that the caller has.
+func (r *replica) stream(conn net.Conn, request *http.Request) error {
+	id := request.Header.Get(headerID)
+	if r.began != nil {
+		r.began(id)
+	}
+	// A missing header counts as none of the events.
+	last, _ := strconv.Atoi(request.Header.Get(headerLast))
+	head := fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\n%s: %s\r\nContent-Type: text/event-stream\r\n", headerID, id, headerStamp, r.id)
+	if r.framing == chunked {
+		head += "Transfer-Encoding: chunked\r\n\r\n"
+	} else {
+		head += "Connection: close\r\n\r\n"
+	}
+	if _, err := io.WriteString(conn, head); err != nil {
+		return err
+	}
+	for n := last + 1; n <= streamEvents; n++ {
+		time.Sleep(eventEvery)
+		data := "word"
+		if n == streamEvents {
+			data = lastData
+		}
+		event := fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", n, r.version, data)
+		if r.framing == chunked {
+			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		}
+		if _, err := io.WriteString(conn, event); err != nil {
+			return err
+		}
+	}
+	if r.framing == chunked {
+		_, err := io.WriteString(conn, "0\r\n\r\n")
+		return err
+	}
+	return nil
+}
+
+// replicaProcess is a replica in a process of its own.
+type replicaProcess struct {
+	id, address string
+	born        time.Time
+	process     *exec.Cmd
+	ended       sync.Once
+}
+
+// startReplica starts a replica as a process of this program and registers it.
+func (d *deployment) startReplica(id, version string, f framing) (*replicaProcess, error) {
+	address, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	r := &replicaProcess{id: id, address: address, born: time.Now(), process: exec.Command(self, replicaMode, id, version, string(f), address)}
+	r.process.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := r.process.Start(); err != nil {
+		return nil, err
+	}
+	d.replicas = append(d.replicas, r)
+	for deadline := time.Now().Add(startTimeout); ; time.Sleep(20 * time.Millisecond) {
+		conn, err := net.Dial("tcp", address)
+		if err == nil {
+			_ = conn.Close()
+			break
+		}
+		if time.Now().After(deadline) {
+			return nil, err
+		}
+	}
+	d.register(id, version, address, "ready", r.born)
+	return r, nil
+}
+
+// kill ends the process as a crash does.
+func (r *replicaProcess) kill() {
+	r.ended.Do(func() {
+		_ = r.process.Process.Signal(syscall.SIGKILL)
+		_ = r.process.Wait()
+	})
+}
+
+// serveReplica is the main function of a replica's process.
+func serveReplica(id, version, f, address string) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(statusNotRun)
+	}
+	r := &replica{id: id, version: version, framing: framing(f)}
+	r.serve(listener)
+}
+
+// eventsOf returns the IDs and versions of the events in the text, and whether the last one is
+// the stream's end.
+func eventsOf(text string) (ids []int, versions []string, whole bool) {
+	for block := range strings.SplitSeq(text, "\n\n") {
+		for line := range strings.SplitSeq(block, "\n") {
+			name, value, _ := strings.Cut(line, ": ")
+			switch name {
+			case "id":
+				// A value that is no number leaves zero, which no event has.
+				n, _ := strconv.Atoi(value)
+				ids = append(ids, n)
+			case "event":
+				versions = append(versions, value)
+			case "data":
+				whole = value == lastData
+			}
+		}
+	}
+	return ids, versions, whole
+}
