Review: a usage window is reported twice after a restore of the store

Looked for: what the duties report after the store has come back from an older copy. Done: a script with four nodes that are all killed while the store comes back from a copy some two seconds old. One run without them did not start, as a port was taken; ports now come from below those of outgoing connections.

--- a/review/cases2/deployment.go
+++ b/review/cases2/deployment.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,7 +34,11 @@
 	dir     string
 	store   *platformtest.Store
 	address string
-	began   time.Time
+	// duties is the address that takes the calls of the fleet's duties; empty: there are none.
+	duties string
+	// seeds is the list of the seeds as in the settings.
+	seeds string
+	began time.Time
 
 	mu       sync.Mutex
 	record   *os.File
@@ -155,8 +161,9 @@
 			seeds = append(seeds, fmt.Sprintf("%q", n.peer))
 		}
 	}
+	d.seeds = strings.Join(seeds, ", ")
 	for _, n := range d.nodes {
-		if err := d.start(n, strings.Join(seeds, ", ")); err != nil {
+		if err := d.start(n); err != nil {
 			return err
 		}
 	}
@@ -168,13 +175,34 @@
 	return nil
 }
 
+// Ports are taken from below those that the kernel gives to outgoing connections, which may otherwise
+// take one before its process listens.
+const (
+	firstPort = 12000
+	lastPort  = 30000
+	portTries = 200
+)
+
+// taken has the ports that were given out.
+var taken = make(map[int]bool)
+
+// freeAddress returns a loopback address with a free port. It is called by one goroutine.
 func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range portTries {
+		port := firstPort + rand.IntN(lastPort-firstPort)
+		if taken[port] {
+			continue
+		}
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
+		listener, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = listener.Close()
+		taken[port] = true
+		return address, nil
 	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // settingsText is the deploy file's template with the bounds of the first deployment.
@@ -211,13 +239,17 @@
   service_admission: {}
 `
 
-func (d *deployment) start(n *node, seeds string) error {
+// start starts the node; its log is appended to a file of its own.
+func (d *deployment) start(n *node) error {
 	settings := filepath.Join(d.dir, n.name+".yaml")
-	text := fmt.Sprintf(settingsText, n.name, n.listen, n.peer, d.address, seeds, n.ready, n.lookup)
+	text := fmt.Sprintf(settingsText, n.name, n.listen, n.peer, d.address, d.seeds, n.ready, n.lookup)
+	if d.duties != "" {
+		text += fmt.Sprintf(dutySettings, d.duties)
+	}
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(d.dir, n.name+".log"))
+	log, err := os.OpenFile(filepath.Join(d.dir, n.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"unframed": runUnframed,
 	"release":  runRelease,
+	"usage":    runUsage,
 }
 
 func main() {
