Review: streams are lost after a route was split, and an empty list of tenants asks for no key

Looked for: streams whose origin is not passed on when the configuration changes, and configurations that take all keys away. Done: two scripts.

--- a/review/cases2/client.go
+++ b/review/cases2/client.go
@@ -55,6 +55,11 @@
 // send makes one attempt on a connection of its own. last and resumes are those of a stream that is
 // taken up again.
 func send(n *node, path string, deadline time.Time, last int, resumes string) *try {
+	return sendWithKey(n, apiKey, path, deadline, last, resumes)
+}
+
+// sendWithKey is send with another key; empty: none.
+func sendWithKey(n *node, key, path string, deadline time.Time, last int, resumes string) *try {
 	t := &try{id: newID(), path: path, node: n.name, at: time.Now()}
 	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
@@ -65,7 +70,9 @@
 	}
 	request.Host = host
 	request.Header.Set(headerID, t.id)
-	request.Header.Set(headerKey, apiKey)
+	if key != "" {
+		request.Header.Set(headerKey, key)
+	}
 	request.Header.Set(headerDeadline, strconv.FormatInt(time.Until(deadline).Milliseconds(), 10))
 	request.Header.Set("X-Galenatrestle-Model", "m")
 	request.Header.Set("X-Galenatrestle-Token-Count", "628,300")
--- a/review/cases2/deployment.go
+++ b/review/cases2/deployment.go
@@ -21,8 +21,9 @@
 const (
 	host   = "desk.example"
 	apiKey = "key-of-shop"
-	// modelService is the service of the streams.
+	// modelService is the service of the streams, otherService one that they may be split to.
 	modelService = "model"
+	otherService = "model-b"
 	// streamPath begins the targets of streams that may be resumed, oncePath of those that may not.
 	streamPath = "/chat/"
 	oncePath   = "/review/"
@@ -36,6 +37,8 @@
 	address string
 	// duties is the address that takes the calls of the fleet's duties; empty: there are none.
 	duties string
+	// tenants are those of the configuration.
+	tenants []tenant
 	// seeds is the list of the seeds as in the settings.
 	seeds string
 	began time.Time
@@ -58,6 +61,7 @@
 		return nil, err
 	}
 	d := &deployment{program: program, dir: dir, store: platformtest.NewStore(), record: record, began: time.Now()}
+	d.tenants = []tenant{{Name: "shop", Keys: []string{apiKey}, Priority: 1}}
 	d.address, err = d.serve(d.store)
 	return d, err
 }
@@ -102,8 +106,22 @@
 	_ = os.RemoveAll(d.dir)
 }
 
-// configure writes the operator's configuration: streams of the model, and a tenant with one key.
-func (d *deployment) configure(version int64) {
+// tenant is a tenant of the configuration.
+type tenant struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"apiKeys"`
+	Priority int      `json:"priority"`
+}
+
+// target is a service of a split route.
+type target struct {
+	Service string `json:"service"`
+	Weight  int    `json:"weight"`
+}
+
+// configure writes the operator's configuration: streams of the model, and the tenants. The streams
+// that may be resumed are split over the targets, if there are any.
+func (d *deployment) configure(version int64, split ...target) {
 	route := func(name, prefix string, resumable bool, attempts, timeoutMS, objectiveMS, gapMS int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "routeType": "streaming", "timeoutMs": timeoutMS, "objectiveMs": objectiveMS,
@@ -111,18 +129,23 @@
 			"gapTargetMs": gapMS,
 		}
 	}
-	d.store.Put("op/config", map[string]any{
-		"version": version,
-		"routes": []map[string]any{
-			route("r-chat", streamPath, true, 2, 15000, 300, 200),
-			route("r-review", oncePath, false, 1, 5000, 600, 300),
-		},
-		"services": []map[string]any{{
-			"name": modelService, "healthPath": "/healthz", "maxConnections": 230,
+	service := func(name string) map[string]any {
+		return map[string]any{
+			"name": name, "healthPath": "/healthz", "maxConnections": 230,
 			"engine": map[string]any{"slots": replicaSlots, "kvCapacityTokens": 292479},
-		}},
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "shop", "apiKeys": []string{apiKey}, "priority": 1}},
+		}
+	}
+	chat := route("r-chat", streamPath, true, 2, 15000, 300, 200)
+	if len(split) > 0 {
+		delete(chat, "service")
+		chat["split"] = split
+	}
+	d.store.Put("op/config", map[string]any{
+		"version":  version,
+		"routes":   []map[string]any{chat, route("r-review", oncePath, false, 1, 5000, 600, 300)},
+		"services": []map[string]any{service(modelService), service(otherService)},
+		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
+		"tenants":  d.tenants,
 	})
 }
 
@@ -130,9 +153,9 @@
 const replicaSlots = 32
 
 // register writes a replica's entry.
-func (d *deployment) register(id, version, address, state string, born time.Time) {
+func (d *deployment) register(id, service, version, address, state string, born time.Time) {
 	d.store.Put("servers/"+id, map[string]any{
-		"service": modelService, "address": address, "zone": "hall-a", "version": version, "slots": replicaSlots, "state": state,
+		"service": service, "address": address, "zone": "hall-a", "version": version, "slots": replicaSlots, "state": state,
 		"coldRemainingMs": 0, "sequence": d.store.Calls(), "born": born.UnixMilli(),
 	})
 }
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -22,6 +22,8 @@
 	"unframed": runUnframed,
 	"release":  runRelease,
 	"usage":    runUsage,
+	"split":    runSplit,
+	"revoke":   runRevoke,
 }
 
 func main() {
--- a/review/cases2/release.go
+++ b/review/cases2/release.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -24,8 +25,6 @@
 	oldServes = 4 * time.Second
 	// releaseTraffic is how long streams are sent.
 	releaseTraffic = 12 * time.Second
-	// stableWindow is the time without disruption after which a machine is in touch.
-	stableWindow = 3 * time.Second
 	// minResumed is the number of resumed streams from which the rule counts.
 	minResumed = 12
 )
@@ -35,17 +34,27 @@
 	replica
 	listener net.Listener
 	born     time.Time
+	// alsoOnRun is called with the ID of each request that begins to run; nil: nothing is.
+	alsoOnRun atomic.Pointer[func(id string)]
 }
 
-func (d *deployment) serveHere(id, version string) (*replicaServer, error) {
+// onRun has f called with the ID of each request that begins to run.
+func (r *replicaServer) onRun(f func(id string)) { r.alsoOnRun.Store(&f) }
+
+func (d *deployment) serveHere(id, service, version string, events int) (*replicaServer, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	r := &replicaServer{replica: replica{id: id, version: version, framing: chunked}, listener: listener, born: time.Now()}
-	r.began = func(request string) { d.recordf("%s runs at %s (%s)", request, id, version) }
+	r := &replicaServer{replica: replica{id: id, version: version, framing: chunked, events: events}, listener: listener, born: time.Now()}
+	r.began = func(request string) {
+		d.recordf("%s runs at %s (%s)", request, id, version)
+		if also := r.alsoOnRun.Load(); also != nil {
+			(*also)(request)
+		}
+	}
 	go r.serve(listener)
-	d.register(id, version, listener.Addr().String(), "ready", r.born)
+	d.register(id, service, version, listener.Addr().String(), "ready", r.born)
 	return r, nil
 }
 
@@ -69,7 +78,7 @@
 	d.configure(1)
 	var old []*replicaServer
 	for i := range releaseReplicas {
-		r, err := d.serveHere(fmt.Sprintf("i-old-%d", i+1), "v1")
+		r, err := d.serveHere(fmt.Sprintf("i-old-%d", i+1), modelService, "v1", streamEvents)
 		if err != nil {
 			return false, err
 		}
@@ -97,7 +106,7 @@
 		time.Sleep(releaseAt)
 		releaseErr = d.release(old[:released])
 	})
-	streams := d.sendStreams(began, frozen)
+	streams := d.sendStreams(began, releaseTraffic, frozen)
 	events.Wait()
 	if releaseErr != nil {
 		return false, releaseErr
@@ -108,11 +117,11 @@
 // release replaces the replicas one after the other: the new one starts first, then the old one drains.
 func (d *deployment) release(old []*replicaServer) error {
 	for i, r := range old {
-		next, err := d.serveHere(fmt.Sprintf("i-new-%d", i+1), "v2")
+		next, err := d.serveHere(fmt.Sprintf("i-new-%d", i+1), modelService, "v2", streamEvents)
 		if err != nil {
 			return err
 		}
-		d.register(r.id, r.version, r.listener.Addr().String(), "draining", r.born)
+		d.register(r.id, modelService, r.version, r.listener.Addr().String(), "draining", r.born)
 		d.recordf("%s (%s) replaces %s (%s)", next.id, next.version, r.id, r.version)
 		time.AfterFunc(oldServes, func() {
 			_ = r.listener.Close()
@@ -123,15 +132,15 @@
 	return nil
 }
 
-// sendStreams sends streams to all nodes in turn. A caller whose stream breaks takes it up again once, at
-// another node.
-func (d *deployment) sendStreams(began time.Time, frozen *node) []*stream {
+// sendStreams sends streams to all nodes in turn for a while. A caller whose stream breaks takes it up again
+// once, at another node than the disturbed one.
+func (d *deployment) sendStreams(began time.Time, lasts time.Duration, disturbed *node) []*stream {
 	var mu sync.Mutex
 	var streams []*stream
 	var sending sync.WaitGroup
-	for i := 0; time.Since(began) < releaseTraffic; i++ {
+	for i := 0; time.Since(began) < lasts; i++ {
 		n, other := d.nodes[i%len(d.nodes)], d.nodes[(i+1)%len(d.nodes)]
-		if other == frozen {
+		if other == disturbed {
 			other = d.nodes[0]
 		}
 		sending.Go(func() {
@@ -161,7 +170,7 @@
 }
 
 // judgeResumed compares the resumed streams with the new ones in the same time, at nodes in touch.
-func (d *deployment) judgeResumed(streams []*stream, frozen *node) (bool, error) {
+func (d *deployment) judgeResumed(streams []*stream, disturbed *node) (bool, error) {
 	resumed, goOn, begun, begin, mixed := 0, 0, 0, 0, 0
 	var from, until time.Time
 	for _, s := range streams {
@@ -187,7 +196,7 @@
 		if isMixed(s) {
 			mixed++
 		}
-		if t.node == frozen.name || from.IsZero() || t.at.Before(from.Add(-time.Second)) || t.at.After(until.Add(time.Second)) {
+		if t.node == disturbed.name || from.IsZero() || t.at.Before(from.Add(-time.Second)) || t.at.After(until.Add(time.Second)) {
 			continue
 		}
 		begun++
--- a/review/cases2/replica.go
+++ b/review/cases2/replica.go
@@ -28,9 +28,10 @@
 
 // Streams have events at a steady pace, the last of which says so.
 const (
-	streamEvents = 60
-	eventEvery   = 50 * time.Millisecond
-	lastData     = "end"
+	streamEvents     = 60
+	longStreamEvents = 100
+	eventEvery       = 50 * time.Millisecond
+	lastData         = "end"
 )
 
 // framing is how a replica marks the end of an answer.
@@ -47,6 +48,8 @@
 	id      string
 	version string
 	framing framing
+	// events is the number of events of each stream.
+	events int
 	// began is called with the ID of each request that begins to run; may be nil.
 	began func(id string)
 }
@@ -102,10 +105,10 @@
 	if _, err := io.WriteString(conn, head); err != nil {
 		return err
 	}
-	for n := last + 1; n <= streamEvents; n++ {
+	for n := last + 1; n <= r.events; n++ {
 		time.Sleep(eventEvery)
 		data := "word"
-		if n == streamEvents {
+		if n == r.events {
 			data = lastData
 		}
 		event := fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", n, r.version, data)
@@ -157,7 +160,7 @@
 			return nil, err
 		}
 	}
-	d.register(id, version, address, "ready", r.born)
+	d.register(id, modelService, version, address, "ready", r.born)
 	return r, nil
 }
 
@@ -176,7 +179,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(statusNotRun)
 	}
-	r := &replica{id: id, version: version, framing: framing(f)}
+	r := &replica{id: id, version: version, framing: framing(f), events: streamEvents}
 	r.serve(listener)
 }
 
--- a/review/cases2/unframed.go
+++ b/review/cases2/unframed.go
@@ -42,7 +42,7 @@
 	var tries []*try
 	var sending sync.WaitGroup
 	notice := time.AfterFunc(noticeAt, func() {
-		d.register(leaving.id, "v1", leaving.address, "draining", leaving.born)
+		d.register(leaving.id, modelService, "v1", leaving.address, "draining", leaving.born)
 		d.recordf("%s says that it drains", leaving.id)
 	})
 	defer notice.Stop()
--- a/review/cases2/usage.go
+++ b/review/cases2/usage.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"sync"
 	"time"
 )
@@ -35,7 +36,7 @@
 	d.duties = address
 	d.configure(1)
 	for i := range usageReplicas {
-		if _, err := d.serveHere([]string{"i-1", "i-2", "i-3", "i-4"}[i], "v1"); err != nil {
+		if _, err := d.serveHere(fmt.Sprintf("i-%d", i+1), modelService, "v1", streamEvents); err != nil {
 			return false, err
 		}
 	}
