Review: an event of a stream comes twice when its replica falls silent

Looked for: reads that return bytes together with an error. Done: a script in which one sound replica of six at a time is silent for 1.1 s within an event.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -7,4 +7,4 @@
 for program in target/trestled target/review-2/cases2; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review-2/cases2 usage target/trestled "$folder/record.txt"
+exec target/review-2/cases2 split target/trestled "$folder/record.txt"
--- a/review/cases2/deployment.go
+++ b/review/cases2/deployment.go
@@ -35,10 +35,8 @@
 	dir     string
 	store   *platformtest.Store
 	address string
-	// duties is the address that takes the calls of the fleet's duties; empty: there are none.
-	duties string
-	// tenants are those of the configuration.
-	tenants []tenant
+	// perWrite is the number of events that the replicas in this process write together; zero: one.
+	perWrite int
 	// seeds is the list of the seeds as in the settings.
 	seeds string
 	began time.Time
@@ -61,7 +59,6 @@
 		return nil, err
 	}
 	d := &deployment{program: program, dir: dir, store: platformtest.NewStore(), record: record, began: time.Now()}
-	d.tenants = []tenant{{Name: "shop", Keys: []string{apiKey}, Priority: 1}}
 	d.address, err = d.serve(d.store)
 	return d, err
 }
@@ -106,20 +103,13 @@
 	_ = os.RemoveAll(d.dir)
 }
 
-// tenant is a tenant of the configuration.
-type tenant struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"apiKeys"`
-	Priority int      `json:"priority"`
-}
-
 // target is a service of a split route.
 type target struct {
 	Service string `json:"service"`
 	Weight  int    `json:"weight"`
 }
 
-// configure writes the operator's configuration: streams of the model, and the tenants. The streams
+// configure writes the operator's configuration: streams of the model, and a tenant with one key. The streams
 // that may be resumed are split over the targets, if there are any.
 func (d *deployment) configure(version int64, split ...target) {
 	route := func(name, prefix string, resumable bool, attempts, timeoutMS, objectiveMS, gapMS int) map[string]any {
@@ -145,7 +135,7 @@
 		"routes":   []map[string]any{chat, route("r-review", oncePath, false, 1, 5000, 600, 300)},
 		"services": []map[string]any{service(modelService), service(otherService)},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants":  d.tenants,
+		"tenants":  []map[string]any{{"name": "shop", "apiKeys": []string{apiKey}, "priority": 1}},
 	})
 }
 
@@ -266,9 +256,6 @@
 func (d *deployment) start(n *node) error {
 	settings := filepath.Join(d.dir, n.name+".yaml")
 	text := fmt.Sprintf(settingsText, n.name, n.listen, n.peer, d.address, d.seeds, n.ready, n.lookup)
-	if d.duties != "" {
-		text += fmt.Sprintf(dutySettings, d.duties)
-	}
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		return err
 	}
--- a/review/cases2/main.go
+++ b/review/cases2/main.go
@@ -21,8 +21,8 @@
 var cases = map[string]func(*deployment) (broken bool, err error){
 	"unframed":  runUnframed,
 	"release":   runRelease,
-	"usage":     runUsage,
 	"split":     runSplit,
+	"silent":    runSilent,
 	"abandoned": runAbandoned,
 }
 
--- a/review/cases2/release.go
+++ b/review/cases2/release.go
@@ -40,7 +40,8 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &replicaServer{replica: replica{id: id, version: version, framing: chunked, events: events}, listener: listener, born: time.Now()}
+	r := &replicaServer{listener: listener, born: time.Now()}
+	r.id, r.version, r.framing, r.events, r.perWrite = id, version, chunked, events, d.perWrite
 	r.began = func(request string) {
 		d.recordf("%s runs at %s (%s)", request, id, version)
 	}
--- a/review/cases2/replica.go
+++ b/review/cases2/replica.go
@@ -54,6 +54,10 @@
 	events int
 	// brittle is the refusals a second that the replica says it bears; zero: it is not brittle.
 	brittle atomic.Int64
+	// perWrite is the number of events that are written together; zero: one.
+	perWrite int
+	// silentUntil is the end of the replica's last silence; nil: there was none.
+	silentUntil atomic.Pointer[time.Time]
 	// began is called with the ID of each request that begins to run; may be nil.
 	began func(id string)
 }
@@ -104,33 +108,69 @@
 	if bears := r.brittle.Load(); bears > 0 {
 		head += fmt.Sprintf("%s: %d\r\n", headerBrittle, bears)
 	}
-	if r.framing == chunked {
-		head += "Transfer-Encoding: chunked\r\n\r\n"
-	} else {
+	if r.framing == unframed {
 		head += "Connection: close\r\n\r\n"
+	} else {
+		head += "Transfer-Encoding: chunked\r\n\r\n"
 	}
 	if _, err := io.WriteString(conn, head); err != nil {
 		return err
 	}
-	for n := last + 1; n <= r.events; n++ {
-		time.Sleep(eventEvery)
-		data := "word"
-		if n == r.events {
-			data = lastData
+	perWrite := max(r.perWrite, 1)
+	for n := last + 1; n <= r.events; n += perWrite {
+		time.Sleep(time.Duration(perWrite) * eventEvery)
+		var events strings.Builder
+		for next := n; next < n+perWrite && next <= r.events; next++ {
+			events.WriteString(r.event(next))
 		}
-		event := fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", n, r.version, data)
-		if r.framing == chunked {
-			event = fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+		if err := r.write(conn, events.String()); err != nil {
+			return err
 		}
-		if _, err := io.WriteString(conn, event); err != nil {
+	}
+	if r.framing == unframed {
+		return nil
+	}
+	_, err := io.WriteString(conn, "0\r\n\r\n")
+	return err
+}
+
+// event returns the n-th event of a stream, as a chunk of its own if the answer has chunks.
+func (r *replica) event(n int) string {
+	data := "word"
+	if n == r.events {
+		data = lastData
+	}
+	event := fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", n, r.version, data)
+	if r.framing == unframed {
+		return event
+	}
+	return fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+}
+
+// write writes events. A replica that is silent stops within the last of them, and goes on later.
+func (r *replica) write(conn net.Conn, events string) error {
+	if silent := r.silentFor(); silent > 0 {
+		sent := len(events) - unsentBytes
+		if _, err := io.WriteString(conn, events[:sent]); err != nil {
 			return err
 		}
+		events = events[sent:]
+		time.Sleep(silent)
 	}
-	if r.framing == chunked {
-		_, err := io.WriteString(conn, "0\r\n\r\n")
-		return err
+	_, err := io.WriteString(conn, events)
+	return err
+}
+
+// unsentBytes is the number of bytes of the last event that a silent replica has not sent.
+const unsentBytes = 12
+
+// silentFor returns how long the replica goes on to be silent.
+func (r *replica) silentFor() time.Duration {
+	until := r.silentUntil.Load()
+	if until == nil {
+		return 0
 	}
-	return nil
+	return time.Until(*until)
 }
 
 // replicaProcess is a replica in a process of its own.
