--- a/review/cases2/replica.go
+++ b/review/cases2/replica.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"hash/fnv"
 	"io"
 	"net"
 	"net/http"
@@ -43,8 +44,26 @@
 	// unframed answers have neither a length nor chunks, and end with their connection.
 	unframed framing = "unframed"
 	chunked  framing = "chunked"
+	// mixed answers are unframed at unframedPercent of the requests, and chunked at the others.
+	mixed framing = "mixed"
 )
 
+// unframedPercent is the part of the answers of a replica with mixed framing that are unframed.
+const unframedPercent = 3
+
+// framingOf returns the framing of the answer to the request.
+func (r *replica) framingOf(id string) framing {
+	if r.framing != mixed {
+		return r.framing
+	}
+	digest := fnv.New32a()
+	_, _ = digest.Write([]byte(id + r.id))
+	if digest.Sum32()%100 < unframedPercent {
+		return unframed
+	}
+	return chunked
+}
+
 // replica is a stand-in of a model's replica.
 type replica struct {
 	id      string
@@ -90,7 +109,7 @@
 		} else {
 			err = r.stream(conn, request)
 		}
-		if err != nil || r.framing == unframed {
+		if err != nil || r.framingOf(request.Header.Get(headerID)) == unframed {
 			return
 		}
 	}
@@ -99,6 +118,7 @@
 // stream writes the events behind the last one that the caller has.
 func (r *replica) stream(conn net.Conn, request *http.Request) error {
 	id := request.Header.Get(headerID)
+	framing := r.framingOf(id)
 	if r.began != nil {
 		r.began(id)
 	}
@@ -108,7 +128,7 @@
 	if bears := r.brittle.Load(); bears > 0 {
 		head += fmt.Sprintf("%s: %d\r\n", headerBrittle, bears)
 	}
-	if r.framing == unframed {
+	if framing == unframed {
 		head += "Connection: close\r\n\r\n"
 	} else {
 		head += "Transfer-Encoding: chunked\r\n\r\n"
@@ -121,13 +141,13 @@
 		time.Sleep(time.Duration(perWrite) * eventEvery)
 		var events strings.Builder
 		for next := n; next < n+perWrite && next <= r.events; next++ {
-			events.WriteString(r.event(next))
+			events.WriteString(r.event(next, framing))
 		}
 		if err := r.write(conn, events.String()); err != nil {
 			return err
 		}
 	}
-	if r.framing == unframed {
+	if framing == unframed {
 		return nil
 	}
 	_, err := io.WriteString(conn, "0\r\n\r\n")
@@ -135,13 +155,13 @@
 }
 
 // event returns the n-th event of a stream, as a chunk of its own if the answer has chunks.
-func (r *replica) event(n int) string {
+func (r *replica) event(n int, f framing) string {
 	data := "word"
 	if n == r.events {
 		data = lastData
 	}
 	event := fmt.Sprintf("id: %d\nevent: %s\ndata: %s\n\n", n, r.version, data)
-	if r.framing == unframed {
+	if f == unframed {
 		return event
 	}
 	return fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
