forward: bytes read together with the takeover of another replica are dropped

Cause: the reader of chunks waits for the next chunk's data while it holds a whole event. The second replica is asked meanwhile to go on after the last forwarded event, and sends the held one too. When it has taken the stream up, the read returns the held bytes together with errSuperseded, and forwardStream forwarded them before it looked at the error. Ruled out: an ID recorded too late (a silence between two chunks doubles nothing), two writers (there is one).

Change: forwardStream drops what came with errSuperseded; the second replica sends it.

--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -161,6 +161,33 @@
 	}
 }
 
+// Guards against an event that comes twice: the silent replica's last whole event arrived together with a part of the next
+// chunk, and was forwarded though another replica had been asked to go on before it.
+func TestEventThatCameBeforeASilenceInTheNextOneIsNotDoubled(t *testing.T) {
+	for name, before := range map[string]string{"first events": "", "events after others": event1} {
+		t.Run(name, func(t *testing.T) {
+			runSilent(t, func(t *testing.T) {
+				rest := strings.TrimPrefix(event1+event2+event3, before)
+				whole := rest[:len(event1)]
+				list := replicas(func(c *forwardtest.Conn) bool {
+					if c.StartStream() != nil || before != "" && c.WriteChunk(before) != nil {
+						return false
+					}
+					time.Sleep(50 * time.Millisecond)
+					if _, err := fmt.Fprintf(c, "%x\r\n%s\r\n%x\r\n%s", len(whole), whole, len(event3), event3[:5]); err != nil {
+						return false
+					}
+					return neverAnswer(c)
+				}, stream(rest))
+				w, ending := serve(t, forwardtest.NewFleet(t, list...), patientCall(route.ResumableStream))
+				if ending != forward.EndedComplete || w.Body.String() != event1+event2+event3 || requests(list) != 2 {
+					t.Errorf("ending %s, body %q, %d requests", ending, w.Body, requests(list))
+				}
+			})
+		})
+	}
+}
+
 // Guards against a silent replica that works on beside the one that has taken the call up.
 func TestSilentConnectionIsClosedOnceAnotherReplicaTakesTheCall(t *testing.T) {
 	runSilent(t, func(t *testing.T) {
--- a/internal/forward/stream.go
+++ b/internal/forward/stream.go
@@ -28,6 +28,10 @@
 			buffer = append(buffer, 0)[:len(buffer)]
 		}
 		n, err := a.response.Body.Read(buffer[len(buffer):cap(buffer)])
+		if errors.Is(err, errSuperseded) {
+			// The other replica goes on after the last forwarded event: it sends what was read here as well.
+			return a.failedAt(stepReadBody, err)
+		}
 		buffer = buffer[:len(buffer)+n]
 		end := completeEventsLen(buffer)
 		if end > 0 {
