streamorigin: other nodes have the records of all streams before they are needed

Cause: a node kept the records of its streams to itself while their origin could be inferred, and passed them on when it learned itself of a second version. One that has frozen or was killed learns of nothing, and a later split passed on nothing at all. stream_origin_resolved had source unknown (release) and only_version (split) with all others answered. Ruled out: the choice of a replica (no attempt was started), records that come too late (none were sent).

Change: records of all resumable streams go to their keepers every 0.25 s (0.5 s in a large fleet), without writes to the store. Ambiguous ones are passed on within 20 ms and saved, as before. Not taken: inferring the version from when the second one was listed, which is wrong for nodes that are cut off and does not help after a split.

Tests: TestStreamOfOneVersionIsKnownAfterItsNodeHasStopped failed before, both cases. TestStreamsOfOneVersionAreNotShared demanded that nothing is sent while one version serves, which is the fault; TestStreamsOfOneVersionAreCopiedInFewCalls bounds the calls by the delay and still demands that nothing is written, and that the records are saved once a second version appears.

--- a/internal/streamorigin/spreader.go
+++ b/internal/streamorigin/spreader.go
@@ -15,6 +15,10 @@
 	// largeShareDelay.
 	shareDelay      = 20 * time.Millisecond
 	largeShareDelay = 250 * time.Millisecond
+	// copyDelay and largeCopyDelay are the same for streams whose origin is ambiguous only once a release
+	// begins or their route is split.
+	copyDelay      = 250 * time.Millisecond
+	largeCopyDelay = 500 * time.Millisecond
 	// shareRetryPause is the time until records are passed on again that a node did not take.
 	shareRetryPause = 100 * time.Millisecond
 	// shareTimeout bounds one call.
@@ -25,7 +29,11 @@
 type spreader struct {
 	options Options
 	metrics *metrics
-	wake    chan struct{}
+	// saver writes those records that this node saves itself. nil: the records are not saved by any node.
+	saver *saver
+	// delay is how long records are collected, largeDelay the same in a large fleet.
+	delay, largeDelay time.Duration
+	wake              chan struct{}
 
 	mu  sync.Mutex
 	log recordLog
@@ -33,8 +41,19 @@
 	sent map[string]uint64
 }
 
-func newSpreader(options Options, m *metrics) *spreader {
-	return &spreader{options: options, metrics: m, wake: make(chan struct{}, 1), sent: make(map[string]uint64)}
+// newSpreader returns a spreader of records that are saved in the store as well.
+func newSpreader(options Options, m *metrics, saver *saver) *spreader {
+	return &spreader{
+		options: options, metrics: m, saver: saver, delay: shareDelay, largeDelay: largeShareDelay,
+		wake: make(chan struct{}, 1), sent: make(map[string]uint64),
+	}
+}
+
+// newCopier returns a spreader of records that other nodes keep but nobody saves.
+func newCopier(options Options, m *metrics) *spreader {
+	s := newSpreader(options, m, nil)
+	s.delay, s.largeDelay = copyDelay, largeCopyDelay
+	return s
 }
 
 // add has the record passed on soon.
@@ -53,18 +72,18 @@
 	}
 }
 
-// run passes records on until ctx ends. Those that this node saves itself go to the saver.
-func (s *spreader) run(ctx context.Context, own *saver) {
+// run passes records on until ctx ends.
+func (s *spreader) run(ctx context.Context) {
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-s.wake:
 		}
-		if ctxtime.Sleep(ctx, s.delay()) != nil {
+		if ctxtime.Sleep(ctx, s.currentDelay()) != nil {
 			return
 		}
-		if s.share(ctx, own) {
+		if s.share(ctx) {
 			continue
 		}
 		if ctxtime.Sleep(ctx, shareRetryPause) != nil {
@@ -74,29 +93,29 @@
 	}
 }
 
-func (s *spreader) delay() time.Duration {
+func (s *spreader) currentDelay() time.Duration {
 	if s.options.Fleet.RecordSavers() > 1 {
-		return largeShareDelay
+		return s.largeDelay
 	}
-	return shareDelay
+	return s.delay
 }
 
 // selfName is the key of the positions for records that this node saves itself.
 const selfName = ""
 
 // share passes new records on to all keepers, and reports whether all took them.
-func (s *spreader) share(ctx context.Context, own *saver) bool {
+func (s *spreader) share(ctx context.Context) bool {
 	keepers, savesItself := s.options.Fleet.RecordKeepers()
 	s.forgetOthers(keepers)
-	if savesItself {
+	if savesItself && s.saver != nil {
 		records, end := s.unsent(selfName)
-		own.add(records, s.options.Clock())
+		s.saver.add(records, s.options.Clock())
 		s.markSent(selfName, end)
 	}
 	results := make([]bool, len(keepers))
 	var calls sync.WaitGroup
 	for i, keeper := range keepers {
-		calls.Go(func() { results[i] = s.shareWith(ctx, keeper, i == 0 && !savesItself) })
+		calls.Go(func() { results[i] = s.shareWith(ctx, keeper, i == 0 && !savesItself && s.saver != nil) })
 	}
 	calls.Wait()
 	for _, taken := range results {
--- a/internal/streamorigin/tracker.go
+++ b/internal/streamorigin/tracker.go
@@ -17,28 +17,32 @@
 	metrics  *metrics
 	records  *table
 	versions *versions
+	// spreader passes on the records of streams whose origin can't be inferred, copier those of all others.
 	spreader *spreader
+	copier   *spreader
 	saver    *saver
 	saved    savedRecords
 
 	mu sync.Mutex
-	// unshared are this node's own records that no other node has yet.
-	unshared recordLog
+	// unsaved are this node's own records that only the copier has passed on.
+	unsaved recordLog
 }
 
 // New returns a tracker that shares nothing until Run.
 func New(options Options) *Tracker {
 	t := &Tracker{options: options, records: newTable(), versions: newVersions(options.Replicas, options.Clock)}
 	t.metrics = newMetrics(options.Registry, t.records.size)
-	t.spreader = newSpreader(options, t.metrics)
 	t.saver = newSaver(options, t.metrics)
+	t.spreader = newSpreader(options, t.metrics, t.saver)
+	t.copier = newCopier(options, t.metrics)
 	return t
 }
 
 // Run passes records on to other nodes and the store until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	var tasks sync.WaitGroup
-	tasks.Go(func() { t.spreader.run(ctx, t.saver) })
+	tasks.Go(func() { t.spreader.run(ctx) })
+	tasks.Go(func() { t.copier.run(ctx) })
 	tasks.Go(func() { t.saver.run(ctx) })
 	tasks.Go(func() { t.learnHistory(ctx) })
 	tasks.Wait()
@@ -46,8 +50,8 @@
 
 // Began notes that a stream began, or went on, at a software version of the upstream's replicas, for the
 // caller's attempt that received its first event. The caller may resume it for as long as it is
-// patient. Streams of a route that is split over several upstreams are always passed on; those of an
-// attempt that is not told can't be looked up and are left out.
+// patient. Other nodes get a copy: this one may stop before it learns of a second version, or that the route was
+// split. Streams of an attempt that is not told can't be looked up and are left out.
 func (t *Tracker) Began(attempt string, origin Origin, patience time.Duration, split bool) {
 	if attempt == "" {
 		return
@@ -62,25 +66,26 @@
 		t.spreader.add(r, now)
 		return
 	}
-	t.unshared.add(r, now)
+	t.unsaved.add(r, now)
+	t.copier.add(r, now)
 }
 
 // OnReplicaChanges takes note of changed registrations. Once an upstream has a second version, the
-// records of its streams are passed on.
+// records of its streams are saved as well.
 func (t *Tracker) OnReplicaChanges(changes []replica.Change) {
 	t.versions.onReplicaChanges(changes)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.options.Clock()
-	records := t.unshared.records
-	t.unshared = recordLog{}
+	records := t.unsaved.records
+	t.unsaved = recordLog{}
 	for _, r := range records {
 		switch {
 		case now >= r.Until:
 		case t.versions.areMixed(r.Upstream):
 			t.spreader.add(r, now)
 		default:
-			t.unshared.add(r, now)
+			t.unsaved.add(r, now)
 		}
 	}
 }
