httphead: a response whose head is not HTTP is no answer

What followed a status of 000 was parsed as the next head.

Cause: http.ReadResponse accepts blanks in names and any status of three digits, and was trusted to refuse what HTTP does not allow; each status below 200 counted as interim. Shown with a replica whose bytes are written by hand. Ruled out: answers matched to the wrong call (IDs were right), control bytes in names (the parser refuses them).

Change: package httphead checks version, status and names (httpguts, a direct dependency now) behind the parser, and finds lines that begin with a blank, in replicaconn and behind the transports of the own front.

--- a/internal/forward/forward_test.go
+++ b/internal/forward/forward_test.go
@@ -510,3 +510,39 @@
 		}
 	})
 }
+
+// Guards against answers of replicas in trouble that are not HTTP and reach callers: what followed a status below 100 was
+// taken for the next head, and a field with a blank in its name was dropped or left the body without its length.
+func TestAnswerWhoseHeadIsNotHTTPReachesNoCaller(t *testing.T) {
+	const fields = forwardtest.HeaderID + ": c1\r\n" + forwardtest.HeaderStamp + ": s1\r\n"
+	for name, raw := range map[string]string{
+		"status 000":                    "HTTP/1.1 000 Status\r\n" + fields + "Content-Length: 90\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother",
+		"status 099":                    "HTTP/1.1 099 Status\r\n" + fields + "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother",
+		"another protocol":              "HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n" + fields + "\r\nother",
+		"version 2":                     "HTTP/2.0 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother",
+		"blank in a name":               "HTTP/1.1 200 OK\r\n" + fields + "X Fill: a\r\nContent-Length: 5\r\n\r\nother",
+		"blank after the length's name": "HTTP/1.1 200 OK\r\n" + fields + "Content-Length : 9\r\n\r\nother",
+		"blank after the coding's name": "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding : chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n",
+		"blank before a name":           "HTTP/1.1 200 OK\r\n" + fields + " X-Fill: a\r\nContent-Length: 5\r\n\r\nother",
+		"control byte in a name":        "HTTP/1.1 200 OK\r\n" + fields + "X\x01Fill: a\r\nContent-Length: 5\r\n\r\nother",
+		"failure with a blank":          "HTTP/1.1 500 Failed\r\n" + fields + "X Fill: a\r\nContent-Length: 5\r\n\r\nother",
+		"interim answer with a blank":   "HTTP/1.1 103 Early Hints\r\nX Fill: a\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\nother",
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				inTrouble := func(c *forwardtest.Conn) bool {
+					_, _ = io.WriteString(c, raw)
+					return false
+				}
+				w, ending := serve(t, forwardtest.NewFleet(t, replicas(inTrouble, answerOK)...), call(route.Idempotent, 2))
+				if ending != forward.EndedComplete || w.Body.String() != "done" {
+					t.Errorf("repeatable call: ending %s, status %d, body %q", ending, w.Code, w.Body)
+				}
+				w, ending = serve(t, forwardtest.NewFleet(t, replicas(inTrouble)...), call(route.AtMostOnce, 2))
+				if ending != forward.EndedUnknown || w.Code != http.StatusBadGateway || w.Body.Len() > 0 {
+					t.Errorf("unrepeatable call: ending %s, status %d, body %q", ending, w.Code, w.Body)
+				}
+			})
+		})
+	}
+}
--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"galenatrestle/internal/httphead"
 )
 
 // asyncWriteSize is the request size in bytes above which the request is written
@@ -85,22 +87,33 @@
 var errTooManyInterim = errors.New("replica sent too many interim (1xx) responses")
 
 // Receive reads the head of the next final response and skips interim ones. Heads over the limit
-// fail with ErrHeadTooLong.
+// fail with ErrHeadTooLong, those that are not HTTP with an *httphead.Error.
 func (c *Conn) Receive(method string) (*http.Response, error) {
 	c.head.begin()
 	defer c.head.end()
 	for range maxInterimResponses {
-		response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
-		if err := c.head.parseError(err); err != nil {
+		response, err := c.readHead(method)
+		if err != nil {
 			return nil, err
 		}
-		if response.StatusCode >= http.StatusOK || response.StatusCode == http.StatusSwitchingProtocols {
+		if response.StatusCode >= http.StatusOK {
 			return response, nil
 		}
 	}
 	return nil, errTooManyInterim
 }
 
+func (c *Conn) readHead(method string) (*http.Response, error) {
+	// Peek returns what is buffered without an error.
+	buffered, _ := c.reader.Peek(c.reader.Buffered())
+	c.head.next(buffered)
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+	if err := c.head.parseError(err); err != nil {
+		return nil, err
+	}
+	return response, httphead.Check(response)
+}
+
 // Buffered reports whether the read buffer contains unconsumed bytes.
 func (c *Conn) Buffered() bool { return c.reader.Buffered() > 0 }
 
--- a/internal/upstream/engine.go
+++ b/internal/upstream/engine.go
@@ -56,7 +56,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	request.Header.Set(openai.HeaderRequestID, call.ID)
-	response, err := e.transport.RoundTrip(request)
+	response, err := roundTrip(e.transport, request)
 	if err != nil && !handed.happened.Load() {
 		return nil, &Error{Kind: NotRun, Step: "dial", Peer: address, Cause: err}
 	}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, &Error{Kind: NotRun, Step: "encode", Peer: address, Cause: err}
 	}
-	response, err := s.transport(call).RoundTrip(request)
+	response, err := roundTrip(s.transport(call), request)
 	if err != nil && !handed.happened.Load() {
 		return nil, &Error{Kind: NotRun, Step: "dial", Peer: address, Cause: err}
 	}
--- a/internal/upstream/service_test.go
+++ b/internal/upstream/service_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -101,3 +102,22 @@
 		t.Errorf("error %v of an engine, want %s", err, Crashed)
 	}
 }
+
+// Guards against answers that are not HTTP: a status of 000 can't be passed on, and a length whose name is spoiled is not kept.
+func TestAnswerWhoseHeadIsNotHTTPIsNoAnswer(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 000 Status\r\n", "HTTP/1.1 101 Switching Protocols\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 9\r\n"} {
+		address := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+			connection, _, _ := http.NewResponseController(w).Hijack()
+			_, _ = io.WriteString(connection, head+"\r\ndata: {}\n\ndata: [DONE]\n\n")
+			_ = connection.Close()
+		})
+		service, engine := NewService(Options{}), newTestEngine(t, Options{})
+		t.Cleanup(service.Close)
+		if answer, err := service.Do(t.Context(), address, ServiceCall{Method: http.MethodGet, Path: "/"}); KindOf(err) != Crashed {
+			t.Errorf("%q: answer %+v, error %v of a service, want %s", head, answer, err, Crashed)
+		}
+		if _, err := engine.Start(t.Context(), address, EngineCall{Path: "/"}); KindOf(err) != Crashed {
+			t.Errorf("%q: error %v of an engine, want %s", head, err, Crashed)
+		}
+	}
+}
--- a/internal/upstream/transport.go
+++ b/internal/upstream/transport.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"galenatrestle/internal/httphead"
 	"galenatrestle/internal/httplimits"
 )
 
@@ -91,3 +92,16 @@
 		Protocols:              protocols,
 	}
 }
+
+// roundTrip sends the request and returns the response, whose head is HTTP.
+func roundTrip(transport *http.Transport, request *http.Request) (*http.Response, error) {
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := httphead.Check(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
+	return response, nil
+}
