forward: an answer without a length is not complete if its request could not be sent

Cause: the kernel reports a reset once.

Change: at the end of an answer without a length its request must have been written. The same in the node that carries a connection for another one, and for plain services on the own front, which had the same fault.

--- a/internal/replicaconn/conn.go
+++ b/internal/replicaconn/conn.go
@@ -37,6 +37,8 @@
 	// to 1 before a background write.
 	bytesSent    atomic.Int64
 	pendingWrite sync.WaitGroup
+	// writeErr is the error of writing the current request. It is valid once pendingWrite is done.
+	writeErr error
 	// sentAll is set once the whole request was written to the socket.
 	sentAll   atomic.Bool
 	closeOnce sync.Once
@@ -61,7 +63,8 @@
 	c.sentAll.Store(false)
 	head := r.head()
 	if len(head)+len(r.Body) <= asyncWriteSize {
-		return c.write(net.Buffers{append(head, r.Body...)})
+		c.writeErr = c.write(net.Buffers{append(head, r.Body...)})
+		return c.writeErr
 	}
 	// Set before the background write starts: reporting too early that the replica may
 	// execute the request is safe.
@@ -69,8 +72,7 @@
 	c.pendingWrite.Add(1)
 	go func() {
 		defer c.pendingWrite.Done()
-		// Reading the response reports the same failure.
-		_ = c.write(net.Buffers{head, r.Body})
+		c.writeErr = c.write(net.Buffers{head, r.Body})
 	}()
 	return nil
 }
@@ -120,6 +122,13 @@
 // SentAll reports whether the whole request was written to the socket.
 func (c *Conn) SentAll() bool { return c.sentAll.Load() }
 
+// AwaitSent waits until the request has been written, or could not be, and returns the error of that. The kernel reports
+// a reset once: if writing gets it, reading ends with io.EOF, as if the replica had closed the connection in order.
+func (c *Conn) AwaitSent() error {
+	c.pendingWrite.Wait()
+	return c.writeErr
+}
+
 // Close closes the connection. It may be called from any goroutine and more than once.
 func (c *Conn) Close() {
 	c.closeOnce.Do(func() {
--- a/internal/replicaconn/pool_test.go
+++ b/internal/replicaconn/pool_test.go
@@ -20,6 +20,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	return accept(t, listener)
+}
+
+func accept(t *testing.T, listener net.Listener) (string, <-chan net.Conn) {
 	t.Cleanup(func() { listener.Close() })
 	conns := make(chan net.Conn)
 	go func() {
@@ -243,3 +247,47 @@
 		t.Error("a connection through a leaving node is reused")
 	}
 }
+
+// Guards against a reset that nobody notices: the write that waits gets the error, and the read ends as if in order.
+func TestResetWhileTheRequestIsWrittenIsReported(t *testing.T) {
+	address, conns := listenWithSmallBuffers(t)
+	p := NewPool(TCPDial(time.Second), nil)
+	for range 30 {
+		c := open(t, p, address)
+		server := <-conns
+		if err := c.Send(&Request{Method: "POST", Target: "/", Host: "h", Body: make([]byte, 900_000)}); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = server.Read(make([]byte, 1024))
+		_, _ = io.WriteString(server, "HTTP/1.1 200 OK\r\n\r\npart")
+		response, err := c.Receive("POST")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(response.Body, make([]byte, len("part"))); err != nil {
+			t.Fatal(err)
+		}
+		_ = server.(*net.TCPConn).SetLinger(0)
+		server.Close()
+		if _, err := io.ReadAll(response.Body); err == nil && c.AwaitSent() == nil {
+			t.Error("a connection that was reset ended in order, and the request counts as sent")
+		}
+		c.Close()
+	}
+}
+
+// listenWithSmallBuffers listens like listen, and takes little of what is sent before it reads.
+func listenWithSmallBuffers(t *testing.T) (string, <-chan net.Conn) {
+	t.Helper()
+	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(fd uintptr) {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, 4096)
+			_ = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_MAXSEG, 1400)
+		})
+	}}
+	listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return accept(t, listener)
+}
--- a/internal/replicapath/replicapathrpc/conn_test.go
+++ b/internal/replicapath/replicapathrpc/conn_test.go
@@ -115,6 +115,25 @@
 	}
 }
 
+// Guards against a reset that a write to the replica gets, so that reading ends as if in order.
+func TestConnectionThatIsResetWhileTheRequestIsWrittenDoesNotEndInOrder(t *testing.T) {
+	for range 20 {
+		near, replica := newLink(t).connect(t)
+		_ = replica.(*net.TCPConn).SetReadBuffer(4096)
+		go func() { _, _ = near.Write(make([]byte, 16<<20)) }()
+		_, _ = replica.Read(make([]byte, 1024))
+		_, _ = io.WriteString(replica, "half of an answer")
+		if _, err := io.ReadFull(near, make([]byte, len("half of an answer"))); err != nil {
+			t.Fatal(err)
+		}
+		_ = replica.(*net.TCPConn).SetLinger(0)
+		replica.Close()
+		if _, err := near.Read(make([]byte, 1)); err == nil || errors.Is(err, io.EOF) {
+			t.Fatalf("error %v after a reset, want another one than EOF", err)
+		}
+	}
+}
+
 // Guards against replicas that go on working for a caller that has left.
 func TestClosedConnectionIsClosedAtTheReplica(t *testing.T) {
 	l := newLink(t)
--- a/internal/replicapath/replicapathrpc/handler.go
+++ b/internal/replicapath/replicapathrpc/handler.go
@@ -74,8 +74,9 @@
 	}
 	defer replica.Close()
 	defer context.AfterFunc(ctx, func() { _ = replica.Close() })()
-	go copyToReplica(replica, stream)
-	return copyFromReplica(stream, replica)
+	sending := &upload{replica: replica}
+	go sending.copyFrom(stream)
+	return copyFromReplica(stream, replica, sending)
 }
 
 // connect opens a connection to a replica. A node that is about to stop answers as one that reaches none, so
@@ -107,24 +108,9 @@
 	replicapathv1.Outcome_OUTCOME_PATH_LOST:   "path_lost",
 }
 
-// copyToReplica writes the stream's data to the replica. It closes the connection when the other
-// node ends the stream.
-func copyToReplica(replica net.Conn, stream *serverStream) {
-	defer replica.Close()
-	for {
-		request, err := stream.Receive()
-		if err != nil {
-			return
-		}
-		if _, err := replica.Write(request.GetData()); err != nil {
-			return
-		}
-	}
-}
-
 // copyFromReplica sends the replica's data. It returns nil only if the replica closed the
 // connection in order, so that a reset does not look like a complete response.
-func copyFromReplica(stream *serverStream, replica net.Conn) error {
+func copyFromReplica(stream *serverStream, replica net.Conn, sending *upload) error {
 	buffer := make([]byte, bufferSize)
 	for {
 		n, err := replica.Read(buffer)
@@ -133,10 +119,12 @@
 				return sendErr
 			}
 		}
-		switch {
-		case err == io.EOF:
-			return nil
-		case err != nil:
+		if err == io.EOF {
+			if err = sending.writeError(); err == nil {
+				return nil
+			}
+		}
+		if err != nil {
 			return connect.NewError(connect.CodeAborted, err)
 		}
 	}
--- a/internal/upstream/service.go
+++ b/internal/upstream/service.go
@@ -46,12 +46,22 @@
 	}
 	defer response.Body.Close()
 	body, err := s.readAll(response)
+	if err == nil && endsWithConnection(response) {
+		// A reset that the transport meets while it writes the request ends the
+		// answer like a connection that is closed in order.
+		err = handed.awaitWritten(ctx)
+	}
 	if err != nil {
 		return nil, failure(ctx, "read", address, err)
 	}
 	return &ServiceAnswer{Status: response.StatusCode, Header: endToEnd(response.Header), Body: body}, nil
 }
 
+// endsWithConnection reports whether the answer has neither a length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 func (s *Service) transport(call ServiceCall) *http.Transport {
 	if call.Unrepeatable {
 		return s.fresh
--- a/internal/upstream/service_test.go
+++ b/internal/upstream/service_test.go
@@ -1,8 +1,11 @@
 package upstream
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -121,3 +124,28 @@
 		}
 	}
 }
+
+// Guards against a part of an answer that looks whole because its connection was reset while the request was still being written.
+func TestAnswerCutWhileTheRequestIsWrittenIsNotWhole(t *testing.T) {
+	for name, readsOn := range map[string]bool{"cut": false, "read on": true} {
+		service := NewService(Options{Dial: func(context.Context, string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go func() {
+				defer far.Close()
+				request, err := http.ReadRequest(bufio.NewReader(far))
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\n\r\npart")
+				if readsOn {
+					_, _ = io.Copy(io.Discard, request.Body)
+				}
+			}()
+			return near, nil
+		}})
+		answer, err := service.Do(t.Context(), "upstream:80", ServiceCall{Method: http.MethodPost, Path: "/", Body: make([]byte, 64<<10)})
+		if readsOn && err != nil || !readsOn && KindOf(err) != Crashed {
+			t.Errorf("%s: answer %+v, error %v", name, answer, err)
+		}
+	}
+}
