streamorigin: a node that may have missed a release does not infer the version

Cause: with registrations of at most 2 s, or with answers of most nodes, the version was inferred. An old listing does not show what came since, and most nodes can be cut off together. The line stream_origin_resolved has source only_version, answered 0 of 3, replicas_age_ms 1530, which rules out a wrong record and the choice of the replica.

Change: inferred if all known nodes answered, or most and the registrations are recent; after the store only with recent ones.

Test: TestNodeThatMissedAReleaseDoesNotInferTheVersion failed before in the four cases that must not be inferred.

--- a/internal/streamorigin/resolve.go
+++ b/internal/streamorigin/resolve.go
@@ -65,14 +65,21 @@
 	if r.Source != Unknown {
 		return r
 	}
-	majority := 2*(r.Answered+1) > known
-	if r.Complete && (r.ListingAge <= maxListingAge || majority) && r.inferOnlyVersion(upstream) {
+	if r.mayInfer(known) && r.inferOnlyVersion(upstream) {
 		return r
 	}
 	t.askStore(ctx, stream, upstream, &r)
 	return r
 }
 
+// mayInfer reports whether this node and those that answered would know a second version, of the known nodes. One that is
+// cut off may have missed a release: a listing that was read before that shows it no more than nodes that do not answer.
+func (r *Resolution) mayInfer(known int) bool {
+	all := r.Answered > 0 && r.Answered+1 >= known
+	most := 2*(r.Answered+1) > known
+	return r.Complete && (all || most && r.ListingAge <= maxListingAge)
+}
+
 // inferOnlyVersion takes the stream to have begun at the only version that has served lately; false:
 // there are several.
 func (r *Resolution) inferOnlyVersion(upstream string) bool {
@@ -123,7 +130,8 @@
 }
 
 // askStore looks for the stream in the store. Streams are saved there while versions serve side by
-// side: if the store has none of other versions, there were none lately.
+// side: if the store has none of other versions, there were none but for those of the last moments, whose version a
+// recent listing has.
 func (t *Tracker) askStore(ctx context.Context, stream StreamID, upstream string, r *Resolution) {
 	records, err := t.saved.load(ctx, t.options.Store, t.options.Clock)
 	if err != nil {
@@ -136,7 +144,9 @@
 		return
 	}
 	r.merge(t.versions.recent(upstream), true)
-	r.inferOnlyVersion(upstream)
+	if t.versions.listingAge() <= maxListingAge {
+		r.inferOnlyVersion(upstream)
+	}
 }
 
 // merge adds versions that others have seen.
--- a/internal/streamorigin/tracker_test.go
+++ b/internal/streamorigin/tracker_test.go
@@ -297,6 +297,50 @@
 	}
 }
 
+// Guards against streams that go on at another version: a node that had missed a release concluded from a listing of less than
+// two seconds, or from most nodes, that there was only one.
+func TestNodeThatMissedAReleaseDoesNotInferTheVersion(t *testing.T) {
+	for name, test := range map[string]struct {
+		// missed are the nodes that have missed the release; reached those that node 0 reaches.
+		missed, reached []int
+		listingAge      time.Duration
+		storeErr        error
+		want            Source
+	}{
+		"cut off from the store and all nodes":           {[]int{0}, nil, 1500 * time.Millisecond, platform.ErrUnavailable, Unknown},
+		"cut off from the store, with another node":      {[]int{0, 1}, []int{1}, 1500 * time.Millisecond, platform.ErrUnavailable, Unknown},
+		"cut off from the store, with most nodes":        {[]int{0, 1, 2, 3}, []int{1, 2, 3}, 3 * time.Second, platform.ErrUnavailable, Unknown},
+		"cut off from all nodes, the store is reached":   {[]int{0}, nil, 3 * time.Second, nil, Unknown},
+		"cut off from one node, with a recent listing":   {nil, []int{1, 2, 3}, time.Second, platform.ErrUnavailable, OnlyVersion},
+		"cut off from most nodes, with a recent listing": {nil, []int{1}, time.Second, nil, OnlyVersion},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubbletest.Run(t, func(t *testing.T) {
+				c := newCluster(t, 5, "v1")
+				time.Sleep(2 * maxRetention)
+				for i, n := range c.nodes {
+					n.list("v1")
+					if len(test.missed) > 0 && !slices.Contains(test.missed, i) {
+						n.list("v1", "v2")
+					}
+				}
+				time.Sleep(test.listingAge)
+				c.set(func() {
+					c.storeErr = test.storeErr
+					for i, n := range c.nodes {
+						n.down = !slices.Contains(test.reached, i)
+					}
+				})
+				version := "v1"
+				if test.want == Unknown {
+					version = ""
+				}
+				c.nodes[0].expect(t, "a", test.want, version)
+			})
+		})
+	}
+}
+
 func TestStreamOfAnAttemptThatIsNotToldIsLeftOut(t *testing.T) {
 	bubbletest.Run(t, func(t *testing.T) {
 		c := newCluster(t, 3, "v1", "v2")
