forward: the choice of a replica ends with its call

Cause: an ask for a slot that ends with the call's context is not recorded, and that record was all that kept the next turn of the loop in chooseReplica from the same replica. The loop did not look at the context, and beside a silent replica at no count. Ruled out: the queue of waiting calls (it sleeps or ends), reads that time out (the deadline is moved).

Change: the loop ends with the context; an attempt that does not wait asks three brittle replicas at most, as the others.

Test: TestCallWhoseCallerHasLeftAsksForNoFurtherSlot failed before with 3, 101 and 101 asks (the hundredth is granted to end it); 1, 2 and 1 after.

--- a/internal/forward/brittle_test.go
+++ b/internal/forward/brittle_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http/httptest"
 	"sync"
 	"testing"
 	"time"
@@ -135,3 +136,66 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// leavingIssuer has the call's caller leave while a slot is asked for. It grants the first asks, and one of very many, which
+// ends a loop of asks.
+type leavingIssuer struct {
+	leave  func()
+	grants int
+	asks   int
+}
+
+func (i *leavingIssuer) ask(ctx context.Context, _ ratelimit.Ask) (ratelimit.Grant, error) {
+	i.asks++
+	if i.asks <= i.grants || i.asks > 100 {
+		return ratelimit.Grant{Granted: true}, nil
+	}
+	i.leave()
+	<-ctx.Done()
+	return ratelimit.Grant{}, ctx.Err()
+}
+
+// Guards against calls that take a whole processor: one whose caller had left asked for slots without an end.
+func TestCallWhoseCallerHasLeftAsksForNoFurtherSlot(t *testing.T) {
+	for name, test := range map[string]struct {
+		repeat   route.Repeat
+		grants   int
+		notice   forwardtest.Script
+		requests int
+	}{
+		"first attempt":               {route.AtMostOnce, 0, answerBrittle, 3},
+		"beside a silent replica":     {route.Idempotent, 1, answerBrittle, 4},
+		"first attempt, rate limited": {route.AtMostOnce, 0, answerWithRateLimit, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSilent(t, func(t *testing.T) {
+				first := func(c *forwardtest.Conn) bool {
+					if c.Number > 1 {
+						return neverAnswer(c)
+					}
+					return test.notice(c)
+				}
+				list := replicas(first, first, first)
+				f := forwardtest.NewFleet(t, list...)
+				f.Permits.SetAcquireFunc((&leavingIssuer{grants: len(list)}).ask)
+				f.Permits.SetReportFunc("vm-1", (&slotIssuer{}).report, issuerName)
+				for _, r := range list {
+					f.SetReplicas(r)
+					serve(t, f, call(route.AtMostOnce, 1))
+				}
+				f.SetReplicas(list...)
+				time.Sleep(time.Second)
+				ctx, leave := context.WithCancel(t.Context())
+				issuer := &leavingIssuer{leave: leave, grants: test.grants}
+				f.Permits.SetAcquireFunc(issuer.ask)
+				c := patientCall(test.repeat)
+				now := time.Now()
+				c.Arrived, c.Deadline = now, now.Add(10*time.Second)
+				ending := f.Serve(ctx, httptest.NewRecorder(), c)
+				if ending != forward.EndedCallerGone || issuer.asks != test.grants+1 || requests(list) != test.requests {
+					t.Errorf("ending %s, %d asks, %d requests", ending, issuer.asks, requests(list))
+				}
+			})
+		})
+	}
+}
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -239,6 +239,40 @@
 	}
 }
 
+// Each loop of a call that waits and looks for another replica ends with the call.
+func TestLoopsOfACallEndWhenItsCallerLeaves(t *testing.T) {
+	const leaves = 1100 * time.Millisecond
+	other := "v9"
+	hang := func(c *forwardtest.Conn) bool { return neverAnswer(c) }
+	breakOff := func(c *forwardtest.Conn) bool {
+		events(false, event1)(c)
+		time.Sleep(800 * time.Millisecond)
+		return false
+	}
+	for name, test := range map[string]struct {
+		scripts []forwardtest.Script
+		version *string
+	}{
+		"waits for a replica of its version":         {[]forwardtest.Script{answerOK}, &other},
+		"waits for others after its replica is gone": {[]forwardtest.Script{breakOff, hang, hang}, nil},
+		"reads from a silent replica beside others":  {[]forwardtest.Script{hang, hang, hang}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runSilent(t, func(t *testing.T) {
+				began := time.Now()
+				ctx, leave := context.WithTimeout(t.Context(), leaves)
+				defer leave()
+				c := patientCall(route.ResumableStream)
+				c.StreamVersion = test.version
+				ending := forwardtest.NewFleet(t, replicas(test.scripts...)...).Serve(ctx, httptest.NewRecorder(), c)
+				if took := time.Since(began); ending != forward.EndedCallerGone || took != leaves {
+					t.Errorf("ending %s after %s", ending, took)
+				}
+			})
+		})
+	}
+}
+
 func TestHedgeReplacesASilentReplicaThatBreaksOff(t *testing.T) {
 	runSilent(t, func(t *testing.T) {
 		// The connection breaks while the second replica is not heard of yet, which counts as silent itself
--- a/internal/forward/place.go
+++ b/internal/forward/place.go
@@ -39,12 +39,16 @@
 
 // chooseReplica assigns a replica to the call and acquires a permit if the replica
 // is limited. Without a permit it tries another replica. If no brittle replica has a free slot, it
-// waits for one if it may.
+// waits for one if it may. It ends with the call's context: a permit that is asked for then is never given, nor
+// does its issuer say when to ask again.
 func (e *exchange) chooseReplica(waits slotWaiting) (*attempt, *Failure) {
 	permitDeadline := time.Now().Add(maxPermitWait)
 	r := &e.placementRequest
 	r.ExcludeRateLimited, r.AwaitsSlot = false, false
 	for slotAsks := 0; ; {
+		if e.ctx.Err() != nil {
+			return nil, &Failure{Result: placement.Cancelled, NotRun: true, Step: stepChoose, Peer: e.call.Upstream, Cause: context.Cause(e.ctx)}
+		}
 		placementAttempt := e.forwarder.options.Placer.Choose(time.Now(), e.call.Upstream, r)
 		if placementAttempt == nil {
 			if r.AwaitsSlot || r.ExcludeRateLimited || waits == noWait {
@@ -68,8 +72,9 @@
 		if a.knownBrittle {
 			slotAsks++
 		}
-		r.ExcludeRateLimited = r.AwaitsSlot && a.knownBrittle || !a.knownBrittle && time.Now().After(permitDeadline)
-		r.AwaitsSlot = slotAsks >= maxSlotAsks && waits == mayWait
+		askedEnough := slotAsks >= maxSlotAsks
+		r.ExcludeRateLimited = a.knownBrittle && (r.AwaitsSlot || askedEnough && waits == noWait) || !a.knownBrittle && time.Now().After(permitDeadline)
+		r.AwaitsSlot = askedEnough && waits == mayWait
 	}
 }
 
