route: a configuration is open only if it has no list of workspaces

Cause: a missing list and an empty one were the same.

Change: only a document without the field is open; config_taken says whom the table admits (keys, all, none).

A check in TestKeysBelongToTheirWorkspaces demanded that a table without workspaces needs no key, which is the fault; TestOnlyAnOpenTableNeedsNoKey demands it of open tables only, and a key of all others.

--- a/internal/edge/reader.go
+++ b/internal/edge/reader.go
@@ -246,7 +246,7 @@
 		return err
 	}
 	if changed {
-		r.log.Write(&routesource.Taken{Version: r.routes.Get().Version(), From: "store", Age: r.clock().Sub(began)})
+		r.log.Write(&routesource.Taken{Version: r.routes.Get().Version(), Admits: r.routes.Get().Table.Admits(), From: "store", Age: r.clock().Sub(began)})
 	}
 	return nil
 }
--- a/internal/nodesync/sync.go
+++ b/internal/nodesync/sync.go
@@ -309,7 +309,7 @@
 		return
 	}
 	if changed {
-		s.options.Log.Write(&routesource.Taken{Version: m.GetConfigVersion(), From: from, Age: microseconds(m.GetConfigProofAge())})
+		s.options.Log.Write(&routesource.Taken{Version: m.GetConfigVersion(), Admits: s.options.Routes.Get().Table.Admits(), From: from, Age: microseconds(m.GetConfigProofAge())})
 	}
 }
 
--- a/internal/route/document.go
+++ b/internal/route/document.go
@@ -7,7 +7,9 @@
 	Routes     []Route
 	Upstreams  []Upstream
 	Workspaces []KeyedWorkspace
-	Limits     Limits
+	// Open is whether no route needs a key. Without it and without workspaces, only anonymous routes are served.
+	Open   bool
+	Limits Limits
 }
 
 // KeyedWorkspace is a workspace and the keys its callers send.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -31,7 +31,7 @@
 		byHost:     make(map[string][]*Route),
 		upstreams:  make(map[string]*Upstream, len(d.Upstreams)),
 		workspaces: make(map[string]*Workspace),
-		open:       len(d.Workspaces) == 0,
+		open:       d.Open,
 
 		workspaceTiers: 1, routeTiers: make(map[string]int),
 	}
@@ -81,6 +81,27 @@
 // NeedsKey says whether a request on the route must carry a key.
 func (t *Table) NeedsKey(r *Route) bool { return !t.open && !r.Anonymous }
 
+// Admitted is who may call the routes that are not anonymous.
+type Admitted string
+
+const (
+	AdmitsAll  Admitted = "all"
+	AdmitsKeys Admitted = "keys"
+	AdmitsNone Admitted = "none"
+)
+
+// Admits tells who may call the routes that are not anonymous.
+func (t *Table) Admits() Admitted {
+	switch {
+	case t.open:
+		return AdmitsAll
+	case len(t.workspaces) == 0:
+		return AdmitsNone
+	default:
+		return AdmitsKeys
+	}
+}
+
 // Upstream returns what the operator says of the upstream.
 func (t *Table) Upstream(name string) (*Upstream, bool) {
 	u, ok := t.upstreams[name]
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -60,8 +60,24 @@
 	if closed, _ := tbl.Match("a.example", "/"); !tbl.NeedsKey(closed) {
 		t.Error("a route needs no key")
 	}
-	if NewTable(&Document{}).NeedsKey(&Route{}) {
-		t.Error("a key is needed though nobody has one")
+}
+
+// Guards against a deployment that serves everybody once its last workspace, or the last key, is taken away.
+func TestOnlyAnOpenTableNeedsNoKey(t *testing.T) {
+	for name, test := range map[string]struct {
+		document Document
+		needsKey bool
+		admits   Admitted
+	}{
+		"open":              {Document{Open: true}, false, AdmitsAll},
+		"no workspaces":     {Document{}, true, AdmitsNone},
+		"no keys":           {Document{Workspaces: []KeyedWorkspace{{Workspace: Workspace{Name: "shop"}}}}, true, AdmitsNone},
+		"a workspace's key": {Document{Workspaces: []KeyedWorkspace{{Workspace{Name: "shop"}, []string{"k1"}}}}, true, AdmitsKeys},
+	} {
+		tbl := NewTable(&test.document)
+		if tbl.NeedsKey(&Route{}) != test.needsKey || tbl.NeedsKey(&Route{Anonymous: true}) || tbl.Admits() != test.admits {
+			t.Errorf("%s: needs a key: %t, admits %s", name, tbl.NeedsKey(&Route{}), tbl.Admits())
+		}
 	}
 }
 
