forward: an answer without a length is complete only if its replica still answers

Change: the replica is asked with a request that none runs; any byte in reply shows that it went on. One that names a rate or asked for a pause is only connected to.

Tests: TestEndOfResponseWithoutLengthOfALeavingReplica failed before for stream, body, long body and failure. The test of that name demanded that the answer of a leaving replica that is gone counts as whole, which is the fault; the new one demands it of those that are there.

--- a/internal/edge/replicapath.go
+++ b/internal/edge/replicapath.go
@@ -33,8 +33,13 @@
 
 // askReplica asks for any response on a connection to a replica.
 func (n *Node) askReplica(ctx context.Context, conn net.Conn) error {
+	return replicaconn.Ask(ctx, conn, n.askRequest(conn.RemoteAddr().String()))
+}
+
+// askRequest returns a request that no replica runs and each answers at once.
+func (n *Node) askRequest(address string) *replicaconn.Request {
 	header := n.options.Codec.EncodeAttempt(nil, forward.AttemptHeaders{Replica: noReplica})
-	return replicaconn.Ask(ctx, conn, &replicaconn.Request{Method: http.MethodGet, Target: "/", Host: conn.RemoteAddr().String(), Header: header})
+	return &replicaconn.Request{Method: http.MethodGet, Target: "/", Host: address, Header: header}
 }
 
 // onReplicaPathLost drops what this node has learned from its own path: idle connections, and
--- a/internal/edge/wiring.go
+++ b/internal/edge/wiring.go
@@ -25,9 +25,12 @@
 // newHandler returns the handler for callers' requests.
 func (n *Node) newHandler(tracker *quarantine.Tracker) *passthrough.Handler {
 	probe := func(ctx context.Context, r replica.Replica) error { return probeReplica(ctx, n.conns, n.path, r) }
+	ask := func(ctx context.Context, r replica.Replica) error {
+		return n.conns.Ask(ctx, r.ID, r.Address, n.askRequest(r.Address))
+	}
 	forwarder := forward.New(forward.Options{
 		Placer: n.placer, Replicas: n.replicas, Conns: n.conns, Codec: n.options.Codec,
-		Budget: n.budget, RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Log: n.log, Registry: n.registry,
+		Budget: n.budget, RateLimits: n.rateLimiter.limits, Permits: n.rateLimiter.permits, Pauses: &n.pauses, Ask: ask, Log: n.log, Registry: n.registry,
 		CrashGuard: forward.NewCrashGuard(forward.CrashGuardOptions{
 			Tracker: tracker, Causes: n.crashCauses, Probe: probe, OnCrash: n.quarantines.changed, OnRepeatedCrash: n.quarantines.reload, Log: n.log, Registry: n.registry,
 		}),
--- a/internal/forward/body.go
+++ b/internal/forward/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 )
@@ -49,33 +48,6 @@
 	return a.forwardLongBody(body)
 }
 
-var (
-	// errReplicaEnded means that a response without a length may have ended with its replica.
-	errReplicaEnded = errors.New("response without a length ended, and the replica accepts no connection")
-	// errResetWhileSending means that the connection of a response without a length may have been reset.
-	errResetWhileSending = errors.New("response without a length ended, and the request could not be sent whole")
-)
-
-// checkEnd returns an error if the end of the response may be that of its replica, or a reset. A response with neither a
-// length nor chunks ends with its connection, also if the replica has crashed.
-func (a *attempt) checkEnd() error {
-	if a.response.ContentLength >= 0 || len(a.response.TransferEncoding) > 0 || a.response.Body == http.NoBody {
-		return nil
-	}
-	if err := a.conn.AwaitSent(); err != nil {
-		return fmt.Errorf("%w: %v", errResetWhileSending, err)
-	}
-	e, r := a.exchange, a.placementAttempt.Replica
-	if !e.forwarder.options.Replicas.Usable(r.ID) {
-		// It stops, and accepts no connections once it has sent what it began.
-		return nil
-	}
-	if err := e.forwarder.options.CrashGuard.probe(e.ctx, r); err != nil {
-		return fmt.Errorf("%w: %v", errReplicaEnded, err)
-	}
-	return nil
-}
-
 // forwardLongBody forwards start and then the rest of the body as it arrives.
 func (a *attempt) forwardLongBody(start []byte) *Failure {
 	out := a.exchange.callerResponse
--- a/internal/forward/forwardtest/fleet.go
+++ b/internal/forward/forwardtest/fleet.go
@@ -84,7 +84,7 @@
 			Tracker: f.Tracker, Causes: f.Causes, Probe: f.probe, OnCrash: func([]quarantine.Record) {}, OnRepeatedCrash: func() {}, Log: log, Registry: f.Metrics,
 		}),
 		RateLimits: limits, Permits: f.Permits, Pauses: pauses,
-		Log: log, Registry: f.Metrics,
+		Ask: f.probe, Log: log, Registry: f.Metrics,
 	}
 	if change != nil {
 		change(&options)
--- a/internal/forward/options.go
+++ b/internal/forward/options.go
@@ -1,6 +1,8 @@
 package forward
 
 import (
+	"context"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"galenatrestle/internal/eventlog"
@@ -34,6 +36,8 @@
 	// Returns schedules the returns of refused callers; nil: they are told delays that do not depend on each
 	// other.
 	Returns *Returns
+	// Ask asks the replica for a response to a request that it does not run, and returns an error if none comes.
+	Ask func(ctx context.Context, r replica.Replica) error
 	// OnStreamBegan is called before a call of a resumable stream forwards its first events, with the
 	// software version of the replica that sent them; may be nil.
 	OnStreamBegan func(c *Call, version string)
--- a/internal/forward/stream_test.go
+++ b/internal/forward/stream_test.go
@@ -1,14 +1,18 @@
 package forward_test
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/forward/forwardtest"
+	"galenatrestle/internal/replica"
 	"galenatrestle/internal/route"
 )
 
@@ -170,23 +174,57 @@
 	}
 }
 
-// A replica that stops answers what it has begun and accepts no further connections: its response is whole.
+// Guards against parts of responses without a length that look complete because their replica was leaving as it ended.
 func TestEndOfResponseWithoutLengthOfALeavingReplica(t *testing.T) {
-	bubbletest.Run(t, func(t *testing.T) {
-		var f *forwardtest.Fleet
-		var list []*forwardtest.Replica
-		stop := func() {
-			list[0].Draining = true
-			f.SetReplicas(list...)
-			list[0].Crash()
-		}
-		list = replicas(unframed(func() { stop() }, "text/event-stream", event1+event2+event3))
-		f = forwardtest.NewFleet(t, list...)
-		w, ending := serve(t, f, call(route.ResumableStream, 2))
-		if ending != forward.EndedComplete || w.Body.String() != event1+event2+event3 {
-			t.Errorf("ending %s, body %q", ending, w.Body)
+	long := strings.Repeat("x", 300<<10)
+	for name, test := range map[string]struct {
+		status    int
+		repeat    route.Repeat
+		body      string
+		ending    forward.Ending
+		got       string
+		otherRuns bool
+	}{
+		"stream":                {http.StatusOK, route.ResumableStream, event1, forward.EndedComplete, event1 + event2, true},
+		"body":                  {http.StatusOK, route.Idempotent, "part", forward.EndedComplete, event2, true},
+		"body, not repeated":    {http.StatusOK, route.AtMostOnce, "part", forward.EndedUnknown, "", false},
+		"long body":             {http.StatusOK, route.Idempotent, long, forward.EndedBroken, long, false},
+		"failure":               {http.StatusInternalServerError, route.Idempotent, "part", forward.EndedComplete, event2, true},
+		"failure, not repeated": {http.StatusInternalServerError, route.AtMostOnce, "part", forward.EndedUnknown, "", false},
+	} {
+		for _, leaves := range []string{"draining", "no longer listed"} {
+			for _, gone := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %s, gone: %t", name, leaves, gone), func(t *testing.T) {
+					bubbletest.Run(t, func(t *testing.T) {
+						var f *forwardtest.Fleet
+						var list []*forwardtest.Replica
+						list = replicas(func(c *forwardtest.Conn) bool {
+							_, _ = fmt.Fprintf(c, "HTTP/1.1 %d Status\r\n%s: c1\r\n%s: s1\r\n\r\n%s", test.status, forwardtest.HeaderID, forwardtest.HeaderStamp, test.body)
+							leaving := replicaWithRequests(list)
+							leaving.Draining = true
+							listed := list
+							if leaves != "draining" {
+								listed = slices.DeleteFunc(slices.Clone(list), func(r *forwardtest.Replica) bool { return r == leaving })
+							}
+							f.SetReplicas(listed...)
+							if gone {
+								leaving.Crash()
+							}
+							return false
+						}, events(true, event2))
+						f = forwardtest.NewFleet(t, list...)
+						w, ending := serve(t, f, call(test.repeat, 2))
+						switch {
+						case gone && (ending != test.ending || w.Body.String() != test.got || requests(list) > 1 != test.otherRuns):
+							t.Errorf("ending %s, body %.40q, %d requests", ending, w.Body, requests(list))
+						case !gone && test.status == http.StatusOK && (ending != forward.EndedComplete || w.Body.String() != test.body || requests(list) != 1):
+							t.Errorf("ending %s, body %.40q, %d requests", ending, w.Body, requests(list))
+						}
+					})
+				})
+			}
 		}
-	})
+	}
 }
 
 // The connection by which a replica is asked whether it is still there serves the next call.
@@ -203,3 +241,23 @@
 		}
 	})
 }
+
+// A replica that names a rate is only connected to at the end of a response without a length: it counts each request.
+func TestReplicaThatNamesARateIsNotAsked(t *testing.T) {
+	for header, want := range map[string]int{"": 1, forwardtest.HeaderRateLimit + ": 5\r\n": 0} {
+		bubbletest.Run(t, func(t *testing.T) {
+			list := replicas(func(c *forwardtest.Conn) bool {
+				fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: c1\r\n%s: s1\r\n%s\r\nwhole", forwardtest.HeaderID, forwardtest.HeaderStamp, header)
+				return false
+			})
+			asked := 0
+			f := forwardtest.NewNodeWith("test", func(o *forward.Options) {
+				o.Ask = func(context.Context, replica.Replica) error { asked++; return nil }
+			}, list...)
+			t.Cleanup(list[0].Crash)
+			if w, ending := serve(t, f, call(route.AtMostOnce, 1)); ending != forward.EndedComplete || w.Body.String() != "whole" || asked != want {
+				t.Errorf("%q: ending %s, body %q, asked %d times", header, ending, w.Body, asked)
+			}
+		})
+	}
+}
--- a/internal/replicaconn/pool.go
+++ b/internal/replicaconn/pool.go
@@ -2,9 +2,12 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -117,6 +120,46 @@
 	return nil
 }
 
+// Ask sends a short request on a new connection to the replica and returns nil once anything comes back. A connection
+// that can be used again is added to the pool.
+func (p *Pool) Ask(ctx context.Context, replica, address string, r *Request) error {
+	p.reserve(replica, 0)
+	c, err := p.connect(ctx, replica, address)
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, c.Close)
+	if err = c.Send(r); err == nil {
+		_, err = c.reader.Peek(1)
+	}
+	if err != nil {
+		c.Close()
+		return cmp.Or(ctx.Err(), err)
+	}
+	response := c.receiveShort(r.Method)
+	if response == nil || !stop() {
+		c.Close()
+		return nil
+	}
+	c.Release(response)
+	return nil
+}
+
+// maxShortBody bounds in bytes the body that receiveShort drops.
+const maxShortBody = 4 << 10
+
+// receiveShort returns the next response, whose body has been read; nil: it is no whole response, or a long one.
+func (c *Conn) receiveShort(method string) *http.Response {
+	response, err := c.Receive(method)
+	if err != nil {
+		return nil
+	}
+	if _, err = io.CopyN(io.Discard, response.Body, maxShortBody); !errors.Is(err, io.EOF) {
+		return nil
+	}
+	return response
+}
+
 // connect opens a new connection, already counted by reserve.
 func (p *Pool) connect(ctx context.Context, replica, address string) (*Conn, error) {
 	conn, err := p.dial(ctx, address)
--- a/internal/replicaconn/pool_test.go
+++ b/internal/replicaconn/pool_test.go
@@ -291,3 +291,38 @@
 	}
 	return accept(t, listener)
 }
+
+// Only bytes of the replica show that it is there: the kernel accepts connections of a process that is being ended.
+func TestAskedReplicaIsThereOnceAnythingComesBack(t *testing.T) {
+	for name, test := range map[string]struct {
+		response string
+		answers  bool
+		reused   bool
+	}{
+		"response":                 {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 2\r\n\r\nno", true, true},
+		"response without length":  {"HTTP/1.1 421 Misdirected Request\r\n\r\nno", true, false},
+		"part of a response":       {"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 9\r\n\r\nno", true, false},
+		"bytes that are no answer": {"no answer\r\n\r\n", true, false},
+		"nothing":                  {"", false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			address, conns := listen(t)
+			p := NewPool(TCPDial(time.Second), nil)
+			go func() {
+				server := <-conns
+				_, _ = server.Read(make([]byte, 1024))
+				_, _ = io.WriteString(server, test.response)
+				if !test.reused {
+					server.Close()
+				}
+			}()
+			err := p.Ask(t.Context(), "i-1", address, &Request{Method: "GET", Target: "/", Host: "h"})
+			if (err == nil) != test.answers {
+				t.Errorf("error %v", err)
+			}
+			if reused := p.takeIdle("i-1") != nil; reused != test.reused {
+				t.Errorf("connection is used again: %t", reused)
+			}
+		})
+	}
+}
