forward: asking the replica of a hedge ends with the hedge

A hedge whose replica answered with a failure without a length asked that replica whether it is there, with the call's context. If the first replica went on meanwhile, its events waited for that, up to 2 s. The attempt's own context is used now.

--- a/internal/forward/attempt.go
+++ b/internal/forward/attempt.go
@@ -32,10 +32,12 @@
 	placementAttempt *placement.Attempt
 	// guardedRun is the crash guard's record of the attempt.
 	guardedRun *quarantine.Run
-	conn       *replicaconn.Conn
-	response   *http.Response
-	headers    ResponseHeaders
-	sentAt     boottime.Instant
+	// ctx is the attempt's own context for a hedge, else that of the call.
+	ctx      context.Context
+	conn     *replicaconn.Conn
+	response *http.Response
+	headers  ResponseHeaders
+	sentAt   boottime.Instant
 	// knownBrittle is whether the replica was known or presumed to be brittle when it was chosen,
 	// brittleAge the time since it or another one of its upstream said so.
 	knownBrittle bool
@@ -178,6 +180,7 @@
 // another attempt.
 func (a *attempt) open(ctx context.Context) *Failure {
 	e := a.exchange
+	a.ctx = ctx
 	replica := &a.placementAttempt.Replica
 	conn, err := e.forwarder.options.Conns.Open(ctx, replica.ID, replica.Address, e.call.MaxConnections)
 	if err != nil {
--- a/internal/forward/hedge_test.go
+++ b/internal/forward/hedge_test.go
@@ -16,6 +16,7 @@
 	"galenatrestle/internal/bubbletest"
 	"galenatrestle/internal/forward"
 	"galenatrestle/internal/forward/forwardtest"
+	"galenatrestle/internal/replica"
 	"galenatrestle/internal/retrybudget"
 	"galenatrestle/internal/route"
 )
@@ -239,6 +240,27 @@
 	}
 }
 
+// Guards against events that wait until the replica of a hedge, which is not needed any more, has said that it is there.
+func TestHedgeThatAsksItsReplicaDoesNotHoldEvents(t *testing.T) {
+	runSilent(t, func(t *testing.T) {
+		list := replicas(stream(event1, 900*time.Millisecond, event2), earlyAnswer(http.StatusInternalServerError, "failed", true))
+		f := forwardtest.NewNodeWith("test", func(o *forward.Options) {
+			o.Ask = func(ctx context.Context, _ replica.Replica) error {
+				<-ctx.Done()
+				return ctx.Err()
+			}
+		}, list...)
+		for _, r := range list {
+			t.Cleanup(r.Crash)
+		}
+		began := time.Now()
+		w, ending := serve(t, f, patientCall(route.ResumableStream))
+		if took := time.Since(began); ending != forward.EndedComplete || w.Body.String() != event1+event2 || took > time.Second || requests(list) != 2 {
+			t.Errorf("ending %s after %s, body %q, %d requests", ending, took, w.Body, requests(list))
+		}
+	})
+}
+
 // Each loop of a call that waits and looks for another replica ends with the call.
 func TestLoopsOfACallEndWhenItsCallerLeaves(t *testing.T) {
 	const leaves = 1100 * time.Millisecond
--- a/internal/forward/unframed.go
+++ b/internal/forward/unframed.go
@@ -38,13 +38,13 @@
 // for a moment after it has closed others: only a response shows that it goes on. A replica that wants fewer requests
 // is only connected to.
 func (a *attempt) askReplica() error {
-	e, r := a.exchange, a.placementAttempt.Replica
-	options := &e.forwarder.options
+	r := a.placementAttempt.Replica
+	options := &a.exchange.forwarder.options
 	limit, limited := options.Permits.Limits().Of(&r)
 	if limited && !limit.Brittle.Brittle || options.Pauses.Current().End(&r).After(time.Now()) {
-		return options.CrashGuard.probe(e.ctx, r)
+		return options.CrashGuard.probe(a.ctx, r)
 	}
-	ctx, cancel := context.WithTimeout(e.ctx, askTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, askTimeout)
 	defer cancel()
 	return options.Ask(ctx, r)
 }
