upstream: a part of an event is no event

Callers of the own front got what had come of a line as a whole event when their engine's connection broke inside it, and then the events with which another engine went on.

Cause: bufio.Scanner hands out what is left as a last line when its reader fails. Found while looking for the cause of the doubled event (bytes that come with an error) on related paths.

Change: lines without an end are dropped, but for the end mark.

Test: TestStreamEnds, "half an event" and "half an event, reset", failed before. "half a line" counted half an end mark as a payload, which is the fault; it expects none now.

--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -52,6 +52,7 @@
 	stall.Stop()
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(make([]byte, 0, min(firstLineBytes, o.MaxPayloadBytes)), o.MaxPayloadBytes)
+	lines.Split(scanWholeLines)
 	return &Stream{
 		ctx: ctx, cancel: cancel, stall: stall, patience: call.Patience, between: o.StallTimeout,
 		peer: peer, streamed: call.Stream, body: response.Body,
@@ -114,6 +115,22 @@
 	return nil, failure(s.ctx, "read", s.peer, errEarlyEnd)
 }
 
+// scanWholeLines is bufio.ScanLines without a last line that has no end: what is
+// left when a connection breaks may be a part of an event. Only the end mark is
+// known to be whole.
+func scanWholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	advance, line, err = bufio.ScanLines(data, false)
+	if advance == 0 && atEOF && isEndMark(data) {
+		return len(data), data, nil
+	}
+	return advance, line, err
+}
+
+func isEndMark(line []byte) bool {
+	data, found := bytes.CutPrefix(line, dataPrefix)
+	return found && bytes.Equal(bytes.TrimPrefix(data, []byte(" ")), endMark)
+}
+
 // drain reads the rest of a finished stream so that the connection is reused.
 func (s *Stream) drain() {
 	s.stall.Reset(drainPatience)
