--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -82,6 +82,11 @@
 		Seed: 82003, Nodes: 5, Callers: 30, Length: 10 * time.Second, RateLimits: 2, Notices: 1, Pauses: 2, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2,
 		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
 	},
+	// All nodes were killed while the store was away, so that nobody knew where streams had begun, and a release followed.
+	{
+		Seed: 121021, Nodes: 5, Callers: 20, Length: 10 * time.Second, RateLimits: 3, Notices: 1, Pauses: 3, Restores: 1, Crashers: 1, Cuts: 1, Brittle: 1, Silences: 2, JointSilences: 2,
+		Releases: 2, ModelCrashes: 2, GroupKills: 1, ModelReplicas: 9, EventEvery: 40 * time.Millisecond,
+	},
 }
 
 func TestSeeds(t *testing.T) {
